--- /dev/null
+++ b/src/ebonydeal/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Private parts of ebonydeal; nothing below here is a public interface."""
--- /dev/null
+++ b/src/ebonydeal/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points, one module a program."""
--- /dev/null
+++ b/src/ebonydeal/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the ``ebonydeal`` program, one a module."""
--- /dev/null
+++ b/src/ebonydeal/_internal/config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration documents: validation, commit, following."""
--- /dev/null
+++ b/src/ebonydeal/_internal/console/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' forms and status pages."""
--- /dev/null
+++ b/src/ebonydeal/_internal/controller/__init__.py
@@ -0,0 +1,1 @@
+"""Instances under endpoints: capacity, placement, orders, spend."""
--- /dev/null
+++ b/src/ebonydeal/_internal/directory/__init__.py
@@ -0,0 +1,1 @@
+"""The view of endpoints that a process routes by."""
--- /dev/null
+++ b/src/ebonydeal/_internal/errors.py
@@ -0,0 +1,236 @@
+"""The closed list of error kinds, and the table from kind to answer.
+
+Every failure that leaves a process has one of these kinds. The table gives the
+HTTP status, whether the request is known not to have run, and what the user can
+do. Nothing else in the code base maps failures to answers.
+"""
+
+from enum import StrEnum
+from typing import NamedTuple, TypedDict
+
+
+class ErrorKind(StrEnum):
+    """Every way in which a request, an operation or a document can fail."""
+
+    BAD_REQUEST = "bad_request"
+    UNAUTHORIZED = "unauthorized"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "not_found"
+    UNKNOWN_MODEL = "unknown_model"
+    BODY_TOO_LARGE = "body_too_large"
+    SLOW_SENDER = "slow_sender"
+    KEY_REUSED = "key_reused"
+    KEY_REQUIRED = "key_required"
+    RATE_LIMITED = "rate_limited"
+    QUEUE_FULL = "queue_full"
+    SHED = "shed"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    NO_ENDPOINT = "no_endpoint"
+    RETRY_BUDGET = "retry_budget"
+    DRAINING = "draining"
+    JOURNAL_UNAVAILABLE = "journal_unavailable"
+    JOURNAL_BEHIND = "journal_behind"
+    WRONG_OWNER = "wrong_owner"
+    STORE_UNAVAILABLE = "store_unavailable"
+    STORE_IN_DOUBT = "store_in_doubt"
+    FENCED = "fenced"
+    NOT_RUN = "not_run"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    CONNECT_FAILED = "connect_failed"
+    ENDPOINT_REFUSED = "endpoint_refused"
+    ENDPOINT_FAILED = "endpoint_failed"
+    ENDPOINT_GARBAGE = "endpoint_garbage"
+    ENDPOINT_STALLED = "endpoint_stalled"
+    CALLER_LEFT = "caller_left"
+    CANCELLED = "cancelled"
+    EXPIRED = "expired"
+    BAD_SETTINGS = "bad_settings"
+    BAD_DOCUMENT = "bad_document"
+    CONFIG_CONFLICT = "config_conflict"
+    STALE_ORDER = "stale_order"
+    START_REFUSED = "start_refused"
+    PRICE_CEILING = "price_ceiling"
+    INTERNAL = "internal"
+
+
+class Outcome(StrEnum):
+    """What a caller may conclude about the run of its request."""
+
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    ANSWERED = "answered"
+
+
+class Answer(NamedTuple):
+    """What a caller is told for one error kind.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status code.
+    outcome : Outcome
+        Whether the request is known not to have run.
+    error_type : str
+        The ``error.type`` of the OpenAI error shape.
+    retry_after : float or None
+        Default seconds until a repeat is worth while; None where a repeat
+        of the same request can't succeed.
+    hint : str
+        What the user can do.
+    """
+
+    status: int
+    outcome: Outcome
+    error_type: str
+    retry_after: float | None
+    hint: str
+
+
+_INVALID = "invalid_request_error"
+_LIMIT = "rate_limit_error"
+_SERVER = "server_error"
+_N = Outcome.NOT_RUN
+_U = Outcome.UNKNOWN
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: Answer(400, _N, _INVALID, None, "Correct the request."),
+    ErrorKind.UNAUTHORIZED: Answer(
+        401, _N, "authentication_error", None, "Send a valid API key."
+    ),
+    ErrorKind.FORBIDDEN: Answer(
+        403, _N, "permission_error", None, "Ask an operator for access."
+    ),
+    ErrorKind.NOT_FOUND: Answer(404, _N, _INVALID, None, "Check the path or id."),
+    ErrorKind.UNKNOWN_MODEL: Answer(
+        404, _N, _INVALID, None, "List the models with GET /v1/models."
+    ),
+    ErrorKind.BODY_TOO_LARGE: Answer(413, _N, _INVALID, None, "Send a smaller body."),
+    ErrorKind.SLOW_SENDER: Answer(408, _N, _INVALID, None, "Send the body faster."),
+    ErrorKind.KEY_REUSED: Answer(
+        409, _N, _INVALID, None, "Use a new idempotency key for another body."
+    ),
+    ErrorKind.KEY_REQUIRED: Answer(
+        400, _N, _INVALID, None, "Send an Idempotency-Key header with this call."
+    ),
+    ErrorKind.RATE_LIMITED: Answer(429, _N, _LIMIT, 1.0, "Wait, then repeat."),
+    ErrorKind.QUEUE_FULL: Answer(429, _N, _LIMIT, 2.0, "Wait, then repeat."),
+    ErrorKind.SHED: Answer(503, _N, _SERVER, 5.0, "Wait, or use a higher priority."),
+    ErrorKind.DEADLINE_EXCEEDED: Answer(
+        504, _U, _SERVER, None, "Allow more time, or repeat when load is lower."
+    ),
+    ErrorKind.NO_ENDPOINT: Answer(503, _N, _SERVER, 2.0, "Wait, then repeat."),
+    ErrorKind.RETRY_BUDGET: Answer(503, _U, _SERVER, 2.0, "Wait, then repeat."),
+    ErrorKind.DRAINING: Answer(503, _N, _SERVER, 0.0, "Repeat at once elsewhere."),
+    ErrorKind.JOURNAL_UNAVAILABLE: Answer(
+        503, _N, _SERVER, 5.0, "Repeat later with the same idempotency key."
+    ),
+    ErrorKind.JOURNAL_BEHIND: Answer(
+        503, _N, _SERVER, 2.0, "Repeat later with the same idempotency key."
+    ),
+    ErrorKind.WRONG_OWNER: Answer(421, _N, _SERVER, 0.0, "Follow the named owner."),
+    ErrorKind.STORE_UNAVAILABLE: Answer(503, _N, _SERVER, 5.0, "Repeat later."),
+    ErrorKind.STORE_IN_DOUBT: Answer(
+        503, _U, _SERVER, 5.0, "Repeat later with the same idempotency key."
+    ),
+    ErrorKind.FENCED: Answer(503, _U, _SERVER, 0.0, "Repeat with the same key."),
+    ErrorKind.NOT_RUN: Answer(503, _N, _SERVER, 1.0, "The request did not run."),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(
+        502, _U, _SERVER, None, "Ask the service itself; it is never run again."
+    ),
+    ErrorKind.CONNECT_FAILED: Answer(503, _N, _SERVER, 1.0, "Wait, then repeat."),
+    ErrorKind.ENDPOINT_REFUSED: Answer(503, _N, _SERVER, 1.0, "Wait, then repeat."),
+    ErrorKind.ENDPOINT_FAILED: Answer(502, _U, _SERVER, 1.0, "Repeat if idempotent."),
+    ErrorKind.ENDPOINT_GARBAGE: Answer(502, _U, _SERVER, 1.0, "Repeat if idempotent."),
+    ErrorKind.ENDPOINT_STALLED: Answer(504, _U, _SERVER, 1.0, "Repeat if idempotent."),
+    ErrorKind.CALLER_LEFT: Answer(499, _U, _INVALID, None, "Reconnect to resume."),
+    ErrorKind.CANCELLED: Answer(409, _N, _INVALID, None, "The request was cancelled."),
+    ErrorKind.EXPIRED: Answer(410, _N, _INVALID, None, "Send the request again."),
+    ErrorKind.BAD_SETTINGS: Answer(400, _N, _INVALID, None, "Correct the settings."),
+    ErrorKind.BAD_DOCUMENT: Answer(422, _N, _INVALID, None, "Correct the document."),
+    ErrorKind.CONFIG_CONFLICT: Answer(
+        409, _N, _INVALID, None, "Read the newer version, then change that."
+    ),
+    ErrorKind.STALE_ORDER: Answer(409, _N, _INVALID, None, "A newer holder is active."),
+    ErrorKind.START_REFUSED: Answer(503, _N, _SERVER, 30.0, "Try another offer."),
+    ErrorKind.PRICE_CEILING: Answer(503, _N, _SERVER, 60.0, "Raise the ceiling."),
+    ErrorKind.INTERNAL: Answer(500, _U, _SERVER, 1.0, "Report the request id."),
+}
+
+
+class ErrorBody(TypedDict, total=False):
+    """The ``error`` object of the OpenAI error shape, with our fields added."""
+
+    message: str
+    type: str
+    code: str
+    param: str | None
+    outcome: str
+    retry_after: float | None
+    owner: str | None
+
+
+class EbonydealError(Exception):
+    """A failure with its kind; the message says what happened.
+
+    Parameters
+    ----------
+    kind : ErrorKind
+        The entry of the closed list.
+    detail : str
+        What happened, for the user.
+    retry_after : float, optional
+        Seconds, where better known than the table's default.
+    owner : str, optional
+        Address of the right owner, with ``WRONG_OWNER``.
+    """
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        detail: str = "",
+        *,
+        retry_after: float | None = None,
+        owner: str | None = None,
+    ) -> None:
+        super().__init__(f"{kind}: {detail}" if detail else str(kind))
+        self.kind = kind
+        self.detail = detail
+        self.retry_after = retry_after
+        self.owner = owner
+
+    @property
+    def answer(self) -> Answer:
+        """The table's entry for this kind."""
+        return ANSWERS[self.kind]
+
+    def to_body(self) -> dict[str, ErrorBody]:
+        """Return the body a caller or a peer receives."""
+        entry = self.answer
+        wait = entry.retry_after if self.retry_after is None else self.retry_after
+        message = f"{self.detail} {entry.hint}".strip()
+        body = ErrorBody(
+            message=message,
+            type=entry.error_type,
+            code=str(self.kind),
+            param=None,
+            outcome=str(entry.outcome),
+            retry_after=wait,
+        )
+        if self.owner is not None:
+            body["owner"] = self.owner
+        return {"error": body}
+
+    @classmethod
+    def from_body(cls, body: object) -> "EbonydealError":
+        """Rebuild an error that a peer answered; garbage becomes INTERNAL."""
+        match body:
+            case {"error": {"code": str(code), **rest}} if code in set(ErrorKind):
+                wait = rest.get("retry_after")
+                owner = rest.get("owner")
+                return cls(
+                    ErrorKind(code),
+                    str(rest.get("message", "")),
+                    retry_after=wait if isinstance(wait, (int, float)) else None,
+                    owner=owner if isinstance(owner, str) else None,
+                )
+        return cls(ErrorKind.INTERNAL, "a peer answered without an error kind")
--- /dev/null
+++ b/src/ebonydeal/_internal/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' connections: admission, forwarding, streams, retries."""
--- /dev/null
+++ b/src/ebonydeal/_internal/journal/__init__.py
@@ -0,0 +1,1 @@
+"""Request journal: fold, appender, owner, dispatcher, snapshots."""
--- /dev/null
+++ b/src/ebonydeal/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Typed values shared by all programs."""
--- /dev/null
+++ b/src/ebonydeal/_internal/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Counters, histograms, logs and decision trails."""
--- /dev/null
+++ b/src/ebonydeal/_internal/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Membership and leaving marks between the system's own processes."""
--- /dev/null
+++ b/src/ebonydeal/_internal/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: scores, subsets, prefix view, limits, outliers."""
--- /dev/null
+++ b/src/ebonydeal/_internal/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings: one INI file, typed sections, every mistake reported at once."""
--- /dev/null
+++ b/src/ebonydeal/_internal/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the outside systems, with fault switches."""
--- /dev/null
+++ b/src/ebonydeal/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers with no knowledge of the product."""
--- /dev/null
+++ b/src/ebonydeal/_internal/utils/peerclient.py
@@ -0,0 +1,67 @@
+"""HTTP with JSON between the system's own processes."""
+
+import json
+from ssl import SSLContext
+from typing import Any
+
+from aiohttp import ClientConnectorError, ClientError, ClientSession, ClientTimeout
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+
+PEER_HEADER = "X-Ebonydeal-Peer"
+
+
+class PeerClient:
+    """Calls other own processes; owns one session.
+
+    Parameters
+    ----------
+    credential : str
+        Sent with every call.
+    ssl_context : SSLContext, optional
+        Use TLS with this context.
+    """
+
+    def __init__(self, credential: str, ssl_context: SSLContext | None = None) -> None:
+        self._credential = credential
+        self._ssl = ssl_context
+        self._session: ClientSession | None = None
+
+    async def call(
+        self, address: str, path: str, message: Any, timeout: float
+    ) -> dict[str, Any]:
+        """Post ``message`` and return the answer.
+
+        Raises the peer's own `EbonydealError`; ``CONNECT_FAILED`` when the
+        connection was never made, ``STORE_IN_DOUBT`` when the answer is lost.
+        """
+        if self._session is None:
+            self._session = ClientSession()
+        scheme = "https" if self._ssl else "http"
+        try:
+            async with self._session.post(
+                f"{scheme}://{address}{path}",
+                json=message,
+                headers={PEER_HEADER: self._credential},
+                timeout=ClientTimeout(total=timeout),
+                ssl=self._ssl if self._ssl else True,
+            ) as resp:
+                body = json.loads(await resp.read())
+        except (ClientError, TimeoutError, OSError, ValueError) as exc:
+            raise _lost(exc, address) from exc
+        if resp.status >= 400:
+            raise EbonydealError.from_body(body)
+        return body
+
+    async def close(self) -> None:
+        """Close the session."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+
+def _lost(exc: Exception, address: str) -> EbonydealError:
+    """Return the error kind of a call that got no answer."""
+    if isinstance(exc, ClientConnectorError):
+        return EbonydealError(ErrorKind.CONNECT_FAILED, f"{address} can't be reached")
+    return EbonydealError(ErrorKind.STORE_IN_DOUBT, f"no answer from {address}")
--- /dev/null
+++ b/src/ebonydeal/_internal/utils/web.py
@@ -0,0 +1,153 @@
+"""An HTTP listener as a supervised service, with errors mapped by the table."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from ssl import SSLContext
+
+from aiohttp import web
+from mode import Service
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.observe.counters import Metrics
+from ebonydeal._internal.observe.logs import get_logger
+
+logger = get_logger("web")
+
+_MAX_BODY = 4 * 1024 * 1024
+_KEEPALIVE_S = 75.0
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+def error_response(exc: EbonydealError) -> web.Response:
+    """Return the answer that the error table gives for ``exc``."""
+    body = exc.to_body()
+    headers = {"X-Outcome": str(exc.answer.outcome)}
+    wait = body["error"].get("retry_after")
+    if wait is not None:
+        headers["Retry-After"] = str(max(0, round(wait + 0.499)))
+    return web.json_response(body, status=exc.answer.status, headers=headers)
+
+
+def _from_http(exc: web.HTTPException) -> EbonydealError:
+    """Return the error kind of an error that aiohttp itself raised."""
+    match exc.status:
+        case 404 | 405:
+            return EbonydealError(ErrorKind.NOT_FOUND, "no such path")
+        case 413:
+            return EbonydealError(ErrorKind.BODY_TOO_LARGE, "the body is too large")
+        case 408:
+            return EbonydealError(ErrorKind.SLOW_SENDER, "the body came too slowly")
+    return EbonydealError(ErrorKind.BAD_REQUEST, exc.reason)
+
+
+def error_middleware(metrics: Metrics) -> Callable:
+    """Return a middleware that turns every failure into its answer, counted."""
+
+    @web.middleware
+    async def middleware(req: web.Request, handler: Handler) -> web.StreamResponse:
+        try:
+            return await handler(req)
+        except EbonydealError as exc:
+            error = exc
+        except web.HTTPException as exc:
+            if exc.status < 400:
+                raise
+            error = _from_http(exc)
+        except asyncio.CancelledError:
+            raise
+        except Exception as exc:
+            logger.error("A handler failed.", path=req.path, exc_info=exc)
+            error = EbonydealError(ErrorKind.INTERNAL, "an internal error")
+        metrics.refused(error.kind)
+        return error_response(error)
+
+    return middleware
+
+
+async def read_json(req: web.Request) -> dict:
+    """Return the body as a JSON object, or raise BAD_REQUEST."""
+    try:
+        body = json.loads(await req.text())
+    except (ValueError, UnicodeDecodeError, LookupError) as exc:
+        raise EbonydealError(ErrorKind.BAD_REQUEST, f"body is not JSON: {exc}") from exc
+    except RecursionError as exc:
+        raise EbonydealError(ErrorKind.BAD_REQUEST, "body nests too deep") from exc
+    if not isinstance(body, dict):
+        raise EbonydealError(ErrorKind.BAD_REQUEST, "body must be a JSON object")
+    return body
+
+
+def new_app(metrics: Metrics, max_body: int = _MAX_BODY) -> web.Application:
+    """Return an application with the error table, metrics and health pages."""
+    app = web.Application(
+        middlewares=[error_middleware(metrics)], client_max_size=max_body
+    )
+
+    async def page(_req: web.Request) -> web.Response:
+        return web.Response(body=metrics.text(), content_type="text/plain")
+
+    async def live(_req: web.Request) -> web.Response:
+        return web.json_response({"live": True})
+
+    app.router.add_get("/metrics", page)
+    app.router.add_get("/health/live", live)
+    return app
+
+
+class HttpServer(Service):
+    """Owns one listening socket and its connections.
+
+    Parameters
+    ----------
+    app : web.Application
+        What is served.
+    host, port : str, int
+        Where; port 0 picks a free one, then read `port`.
+    ssl_context : SSLContext, optional
+        For TLS.
+    drain_seconds : float
+        How long open requests may go on after a stop.
+    """
+
+    def __init__(
+        self,
+        app: web.Application,
+        host: str,
+        port: int,
+        *,
+        ssl_context: SSLContext | None = None,
+        drain_seconds: float = 60.0,
+    ) -> None:
+        super().__init__()
+        self.app = app
+        self.host = host
+        self.port = port
+        self._ssl = ssl_context
+        self._drain = drain_seconds
+        self._runner: web.AppRunner | None = None
+
+    @property
+    def address(self) -> str:
+        """``host:port`` as bound."""
+        return f"{self.host}:{self.port}"
+
+    async def on_start(self) -> None:
+        """Bind the socket."""
+        self._runner = web.AppRunner(
+            self.app,
+            access_log=None,
+            shutdown_timeout=self._drain,
+            keepalive_timeout=_KEEPALIVE_S,
+            handler_cancellation=True,
+        )
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, self.host, self.port, ssl_context=self._ssl)
+        await site.start()
+        self.port = self._runner.addresses[0][1]
+
+    async def on_stop(self) -> None:
+        """Stop accepting, let open requests finish, close."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
--- /dev/null
+++ b/tests/unit/test_errors.py
@@ -0,0 +1,19 @@
+"""The closed error list has an answer for each kind."""
+
+import pytest
+
+from ebonydeal._internal.errors import ANSWERS, EbonydealError, ErrorKind
+
+
+class TestErrorTable:
+    def test_every_kind_has_an_answer(self):
+        assert set(ANSWERS) == set(ErrorKind)
+
+    @pytest.mark.parametrize("kind", list(ErrorKind))
+    def test_an_error_survives_the_wire(self, kind):
+        error = EbonydealError(kind, "why", retry_after=3.5, owner="h:1")
+        again = EbonydealError.from_body(error.to_body())
+        assert (again.kind, again.retry_after, again.owner) == (kind, 3.5, "h:1")
+
+    def test_garbage_from_a_peer_is_internal(self):
+        assert EbonydealError.from_body([]).kind is ErrorKind.INTERNAL
