--- /dev/null
+++ b/src/ebonydeal/_internal/journal/appender.py
@@ -0,0 +1,387 @@
+"""Group commit of one shard: many records, one row, one conditional write.
+
+The appender never has two rows in flight. After a lost answer it reads the row
+back: its own batch id means that the write took effect, another's that the shard
+has a new owner, and no row that the *same* row must be tried again. A record is
+acknowledged only after its row is known to be durable.
+"""
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+
+import msgspec
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.journal.pacing import Pacer
+from ebonydeal._internal.journal.rows import journal_key, shard_key
+from ebonydeal._internal.models.records import Record, record_to_message
+from ebonydeal._internal.observe.counters import Event, Metrics, RetryReason, Timing
+from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.platform.interfaces import (
+    FieldEquals,
+    Put,
+    RowAbsent,
+    Tables,
+)
+from ebonydeal._internal.settings.journal import JournalSettings
+from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.ids import new_token
+
+logger = get_logger("journal")
+
+BACKOFF_FIRST_S = 0.05
+BACKOFF_MOST_S = 2.0
+DOUBT_PATIENCE_S = 1.0
+
+OnDurable = Callable[[int, Sequence[Record]], None]
+
+
+class Verdict(Enum):
+    """What one try to write a row came to."""
+
+    DURABLE = "durable"
+    FENCED = "fenced"
+    IN_DOUBT = "in doubt"
+    UNAVAILABLE = "unavailable"
+
+
+@dataclass(eq=False)
+class _Entry:
+    """Records of one `Appender.append` call, which stay together."""
+
+    records: tuple[Record, ...]
+    messages: list[dict]
+    size: int
+    urgent: bool
+    hold: bool
+    asked_at: float
+    durable: asyncio.Future = field(repr=False)
+
+
+def fenced_error(shard: int) -> EbonydealError:
+    """Return the error of work that a new owner of the shard has taken over."""
+    return EbonydealError(ErrorKind.FENCED, f"shard {shard:04x} has a new owner")
+
+
+class Appender:
+    """Owns the write end of one shard for one epoch.
+
+    Parameters
+    ----------
+    tables : Tables
+        Table service.
+    shard, epoch, seq : int
+        The shard, the owner's epoch, and the next row's number.
+    on_durable : callable
+        Called with the row's number and records once they are durable, in
+        order, before any waiter learns of it.
+    """
+
+    def __init__(
+        self,
+        tables: Tables,
+        shard: int,
+        epoch: int,
+        seq: int,
+        *,
+        on_durable: OnDurable,
+        pacer: Pacer,
+        cfg: JournalSettings,
+        clock: Clock,
+        rng: random.Random,
+        metrics: Metrics,
+    ) -> None:
+        self._tables = tables
+        self._shard = shard
+        self._epoch = epoch
+        self.seq = seq
+        self._on_durable = on_durable
+        self._pacer = pacer
+        self._cfg = cfg
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._queue: deque[_Entry] = deque()
+        self._pending = 0
+        self._changed = asyncio.Event()
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._doubt_since: float | None = None
+        self._down_until = 0.0
+        self._backoff = BACKOFF_FIRST_S
+        self.fenced = asyncio.Event()
+
+    @property
+    def pending(self) -> int:
+        """Records that wait or are being written."""
+        return self._pending
+
+    async def append(
+        self,
+        records: Sequence[Record],
+        *,
+        urgent: bool = False,
+        hold: bool = True,
+        patience: float | None = None,
+    ) -> None:
+        """Return once ``records`` are durable in one row.
+
+        Parameters
+        ----------
+        records : sequence of Record
+            Written together.
+        urgent : bool
+            A caller waits: the batch may draw on the urgent write budget.
+        hold : bool
+            Keep the records through an outage. Otherwise they are refused with
+            ``JOURNAL_UNAVAILABLE`` or ``JOURNAL_BEHIND``, which prove that they
+            were not written.
+        patience : float, optional
+            Longest wait in seconds. After it, records that were never sent are
+            withdrawn (``JOURNAL_UNAVAILABLE``); others stay and the caller
+            learns ``STORE_IN_DOUBT``.
+
+        Raises ``FENCED`` when the shard has a new owner.
+        """
+        if self.fenced.is_set():
+            raise fenced_error(self._shard)
+        if not hold:
+            self._refuse_if_behind(len(records))
+        entry = self._enqueue(records, urgent, hold)
+        if patience is not None:
+            await self._wait_patiently(entry, patience)
+        await asyncio.shield(entry.durable)
+
+    async def run(self) -> None:
+        """Write batches until fenced or cancelled."""
+        try:
+            while await self._wait_for_turn():
+                await self._commit(self._take_batch())
+        finally:
+            self._fail_all()
+
+    def close(self) -> None:
+        """Take and write no more; what waits is answered as fenced."""
+        self.fenced.set()
+        self._changed.set()
+
+    async def flush(self) -> None:
+        """Return when nothing waits to be written, or the shard is fenced."""
+        waits = {
+            asyncio.create_task(self._idle.wait()),
+            asyncio.create_task(self.fenced.wait()),
+        }
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        for fut in waits:
+            fut.cancel()
+
+    # --- entering ----------------------------------------------------------
+    def _refuse_if_behind(self, count: int) -> None:
+        """Refuse what would wait too long; the refusal proves nothing is kept."""
+        now = self._clock.now()
+        doubt = self._doubt_since
+        if now < self._down_until or (
+            doubt is not None and now - doubt > DOUBT_PATIENCE_S
+        ):
+            raise EbonydealError(
+                ErrorKind.JOURNAL_UNAVAILABLE, "The table service does not answer."
+            )
+        if self._pending + count > self._cfg.max_pending:
+            raise EbonydealError(
+                ErrorKind.JOURNAL_BEHIND, "Too many records wait to be written."
+            )
+
+    def _enqueue(self, records: Sequence[Record], urgent: bool, hold: bool) -> _Entry:
+        messages = [record_to_message(record) for record in records]
+        entry = _Entry(
+            records=tuple(records),
+            messages=messages,
+            size=len(msgspec.json.encode(messages)),
+            urgent=urgent,
+            hold=hold,
+            asked_at=self._clock.now(),
+            durable=asyncio.get_running_loop().create_future(),
+        )
+        self._queue.append(entry)
+        self._pending += len(entry.records)
+        self._idle.clear()
+        self._changed.set()
+        return entry
+
+    async def _wait_patiently(self, entry: _Entry, patience: float) -> None:
+        timer = asyncio.ensure_future(self._clock.sleep(patience))
+        try:
+            await asyncio.wait(
+                {timer, entry.durable}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            timer.cancel()
+        if entry.durable.done():
+            return
+        if entry in self._queue:
+            self._queue.remove(entry)
+            self._finish(entry, fenced_error(self._shard))
+            raise EbonydealError(
+                ErrorKind.JOURNAL_UNAVAILABLE, "The table service is too slow."
+            )
+        raise EbonydealError(
+            ErrorKind.STORE_IN_DOUBT, "The table service has not confirmed the write."
+        )
+
+    def _finish(self, entry: _Entry, error: EbonydealError | None) -> None:
+        self._pending -= len(entry.records)
+        if not entry.durable.done():
+            if error is None:
+                entry.durable.set_result(None)
+            else:
+                entry.durable.set_exception(error)
+                entry.durable.exception()
+        if self._pending == 0:
+            self._idle.set()
+
+    def _fail_all(self) -> None:
+        while self._queue:
+            self._finish(self._queue.popleft(), fenced_error(self._shard))
+
+    # --- batching ----------------------------------------------------------
+    async def _wait_for_turn(self) -> bool:
+        """Wait for records and for the write budget; return False once fenced."""
+        while not self.fenced.is_set():
+            self._changed.clear()
+            if not self._queue:
+                await self._changed.wait()
+                continue
+            urgent = any(entry.urgent for entry in self._queue)
+            wait = self._pacer.wait(self._clock.now(), urgent)
+            if wait <= 0.0:
+                self._pacer.take(self._clock.now(), urgent)
+                return True
+            await self._sleep_or_change(wait, urgent)
+        return False
+
+    async def _sleep_or_change(self, wait: float, urgent: bool) -> None:
+        """Sleep; a new entry ends it early only if it could be sooner."""
+        waits: set[asyncio.Future] = {asyncio.ensure_future(self._clock.sleep(wait))}
+        if not urgent:
+            waits.add(asyncio.ensure_future(self._changed.wait()))
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for fut in waits:
+                fut.cancel()
+
+    def _take_batch(self) -> list[_Entry]:
+        """Take entries in their order up to the size of a row."""
+        batch: list[_Entry] = []
+        count = size = 0
+        while self._queue:
+            entry = self._queue[0]
+            count += len(entry.records)
+            size += entry.size
+            full = count > self._cfg.max_batch or size > self._cfg.max_row_bytes
+            if full and batch:
+                break
+            batch.append(self._queue.popleft())
+        return batch
+
+    # --- writing -----------------------------------------------------------
+    async def _commit(self, batch: list[_Entry]) -> None:
+        """Write one row, however often it must be tried."""
+        token = new_token("b", self._rng)
+        messages = [item for entry in batch for item in entry.messages]
+        row = {"batch": token, "epoch": self._epoch, "records": messages}
+        delay = BACKOFF_FIRST_S
+        try:
+            while True:
+                verdict = await self._try(row)
+                if verdict is Verdict.DURABLE:
+                    return self._acknowledge(batch)
+                if verdict is Verdict.FENCED:
+                    return self._fence(batch)
+                if verdict is Verdict.UNAVAILABLE and self._doubt_since is None:
+                    return await self._put_back(batch)
+                self._metrics.retried(RetryReason.STORE)
+                await self._clock.sleep(delay)
+                delay = min(delay * 2, BACKOFF_MOST_S)
+        except BaseException:
+            for entry in batch:
+                self._finish(entry, fenced_error(self._shard))
+            raise
+
+    async def _try(self, row: dict) -> Verdict:
+        """Try to write ``row`` as the next one, once."""
+        key = journal_key(self._shard, self.seq)
+        self._metrics.count(Event.TABLE_WRITES)
+        try:
+            applied = await self._tables.transact(
+                [
+                    FieldEquals(shard_key(self._shard), "epoch", self._epoch),
+                    RowAbsent(key),
+                ],
+                [Put(key, row)],
+            )
+        except EbonydealError as exc:
+            if exc.kind is ErrorKind.STORE_UNAVAILABLE:
+                return Verdict.UNAVAILABLE
+            self._note_doubt()
+            return await self._read_back(key, row["batch"], Verdict.IN_DOUBT)
+        if applied:
+            return Verdict.DURABLE
+        return await self._read_back(key, row["batch"], Verdict.FENCED)
+
+    def _note_doubt(self) -> None:
+        self._metrics.count(Event.APPENDS_IN_DOUBT)
+        if self._doubt_since is None:
+            self._doubt_since = self._clock.now()
+
+    async def _read_back(self, key: str, token: str, if_absent: Verdict) -> Verdict:
+        """Learn from the row itself whose write took effect."""
+        self._metrics.count(Event.TABLE_READS)
+        try:
+            row = await self._tables.get(key)
+        except EbonydealError:
+            self._note_doubt()
+            return Verdict.IN_DOUBT
+        if row is None:
+            return if_absent
+        return Verdict.DURABLE if row.value.get("batch") == token else Verdict.FENCED
+
+    def _acknowledge(self, batch: list[_Entry]) -> None:
+        seq = self.seq
+        self.seq += 1
+        self._doubt_since = None
+        self._down_until = 0.0
+        self._backoff = BACKOFF_FIRST_S
+        records = [record for entry in batch for record in entry.records]
+        self._metrics.count(Event.RECORDS_APPENDED, len(records))
+        self._on_durable(seq, records)
+        now = self._clock.now()
+        for entry in batch:
+            self._metrics.timed(Timing.APPEND, now - entry.asked_at)
+            self._finish(entry, None)
+
+    def _fence(self, batch: list[_Entry]) -> None:
+        logger.warning("Fenced.", shard=self._shard, epoch=self._epoch)
+        self._metrics.count(Event.APPENDS_FENCED)
+        self.fenced.set()
+        for entry in batch:
+            self._finish(entry, fenced_error(self._shard))
+
+    async def _put_back(self, batch: list[_Entry]) -> None:
+        """Nothing took effect: keep what must be kept and refuse the rest."""
+        refusal = EbonydealError(
+            ErrorKind.JOURNAL_UNAVAILABLE, "The table service is unavailable."
+        )
+        held = [entry for entry in batch if entry.hold]
+        for entry in batch:
+            if not entry.hold:
+                self._finish(entry, refusal)
+        self._queue.extendleft(reversed(held))
+        self._down_until = self._clock.now() + self._backoff
+        self._metrics.retried(RetryReason.STORE)
+        await self._clock.sleep(self._backoff)
+        self._backoff = min(self._backoff * 2, BACKOFF_MOST_S)
--- /dev/null
+++ b/src/ebonydeal/_internal/journal/bodies.py
@@ -0,0 +1,92 @@
+"""Large request bodies and answers, kept in the object store.
+
+While the object store is down, a body that still fits a journal row is kept
+there instead.
+"""
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.journal.rows import bodies_prefix, body_object
+from ebonydeal._internal.models.requests import Request, StoredAnswer
+from ebonydeal._internal.platform.interfaces import Objects
+from ebonydeal._internal.settings.journal import JournalSettings
+
+_ROW_SHARE = 0.5
+
+
+class Bodies:
+    """Bodies of one shard during one epoch."""
+
+    def __init__(
+        self, objects: Objects, shard: int, epoch: int, cfg: JournalSettings
+    ) -> None:
+        self._objects = objects
+        self._shard = shard
+        self._epoch = epoch
+        self._inline = cfg.inline_bytes
+        self._most = int(cfg.max_row_bytes * _ROW_SHARE)
+
+    async def _keep(self, request_id: str, what: str, text: str) -> str:
+        """Return the object that holds ``text``, or "" to keep it inline."""
+        data = text.encode()
+        if len(data) <= self._inline:
+            return ""
+        name = body_object(self._shard, self._epoch, request_id, what)
+        try:
+            await self._objects.put(name, data)
+        except EbonydealError:
+            if len(data) <= self._most:
+                return ""
+            raise
+        return name
+
+    async def keep_request(self, request: Request) -> Request:
+        """Return ``request`` as it goes into a record.
+
+        Raises ``JOURNAL_UNAVAILABLE`` when its body has nowhere to be kept.
+        """
+        try:
+            name = await self._keep(request.request_id, "request", request.body)
+        except EbonydealError as exc:
+            raise EbonydealError(
+                ErrorKind.JOURNAL_UNAVAILABLE,
+                "The object store does not take the request's body.",
+            ) from exc
+        if not name:
+            return request
+        return request._replace(body="", body_object=name)
+
+    async def keep_answer(self, request_id: str, answer: StoredAnswer) -> StoredAnswer:
+        """Return ``answer`` as it goes into a record; raises the store's errors."""
+        name = await self._keep(request_id, "answer", answer.body)
+        if not name:
+            return answer
+        return answer._replace(body="", body_object=name)
+
+    async def request_body(self, request: Request) -> str:
+        """Return a request's body text; raises the store's errors."""
+        return await self._load(request.body, request.body_object)
+
+    async def whole_answer(self, answer: StoredAnswer) -> StoredAnswer:
+        """Return ``answer`` with its body text; raises the store's errors."""
+        body = await self._load(answer.body, answer.body_object)
+        return answer._replace(body=body, body_object="")
+
+    async def _load(self, inline: str, name: str) -> str:
+        if not name:
+            return inline
+        data = await self._objects.get(name)
+        if data is None:
+            raise EbonydealError(ErrorKind.STORE_UNAVAILABLE, f"{name} is not there")
+        return data.decode()
+
+    async def forget(self, names: list[str]) -> None:
+        """Delete objects; what the store refuses is left for the next sweep."""
+        for name in names:
+            try:
+                await self._objects.delete(name)
+            except EbonydealError:
+                return
+
+    async def former(self) -> list[str]:
+        """Return all objects of the shard, before this epoch has made any."""
+        return await self._objects.names(bodies_prefix(self._shard))
--- /dev/null
+++ b/src/ebonydeal/_internal/journal/claims.py
@@ -0,0 +1,128 @@
+"""Claim and release of a shard by compare-and-set on its row.
+
+Safety rests on these transactions alone: each claim raises the epoch, and every
+write of an owner is conditioned on its epoch. Clocks only decide when to try.
+"""
+
+import random
+from typing import Any, NamedTuple
+
+from ebonydeal._internal.errors import EbonydealError
+from ebonydeal._internal.journal.rows import shard_key
+from ebonydeal._internal.platform.interfaces import (
+    Condition,
+    FieldEquals,
+    Put,
+    Row,
+    RowAbsent,
+    RowVersion,
+    Tables,
+)
+from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.ids import new_token
+
+_TRIES = 5
+_RETRY_S = 0.2
+
+
+class Identity(NamedTuple):
+    """Who claims: one process start.
+
+    Attributes
+    ----------
+    node_id : str
+        Node id from the settings.
+    address : str
+        ``host:port`` of the journal listener.
+    incarnation : int
+        Grows with each start of the node.
+    """
+
+    node_id: str
+    address: str
+    incarnation: int
+
+
+class Claim(NamedTuple):
+    """A claim that took effect."""
+
+    shard: int
+    epoch: int
+    token: str
+
+
+class ShardRow(NamedTuple):
+    """Content of a shard's row; ``owner`` is empty after a release."""
+
+    owner: str
+    address: str
+    epoch: int
+    incarnation: int
+    claim: str
+
+    @classmethod
+    def from_value(cls, value: dict[str, Any]) -> "ShardRow":
+        """Build from the row's value; raises KeyError or ValueError."""
+        return cls(
+            owner=str(value["owner"]),
+            address=str(value["address"]),
+            epoch=int(value["epoch"]),
+            incarnation=int(value.get("incarnation", 0)),
+            claim=str(value.get("claim", "")),
+        )
+
+
+async def claim_shard(
+    tables: Tables,
+    shard: int,
+    seen: Row | None,
+    me: Identity,
+    *,
+    clock: Clock,
+    rng: random.Random,
+) -> Claim | None:
+    """Claim a shard whose row still is as ``seen``; None if it isn't ours.
+
+    After a lost answer the row is read back and compared with this claim's own
+    token. A claim that is given up in doubt may still land: its row then names
+    an owner that doesn't know, and is claimed again with a higher epoch.
+    """
+    epoch = 1 if seen is None else ShardRow.from_value(seen.value).epoch + 1
+    claim = Claim(shard, epoch, new_token("c", rng))
+    row = ShardRow(me.node_id, me.address, epoch, me.incarnation, claim.token)
+    key = shard_key(shard)
+    condition: Condition = RowAbsent(key)
+    if seen is not None:
+        condition = RowVersion(key, seen.version)
+    for _ in range(_TRIES):
+        try:
+            await tables.transact([condition], [Put(key, row._asdict())])
+            now = await tables.get(key)
+        except EbonydealError:
+            await clock.sleep(_RETRY_S)
+            continue
+        if now is not None and now.value.get("claim") == claim.token:
+            return claim
+        if now is not None and (seen is None or now.version != seen.version):
+            return None
+    return None
+
+
+async def release_shard(tables: Tables, claim: Claim, clock: Clock) -> bool:
+    """Free a shard so that the next owner need not wait; return whether it is.
+
+    The epoch is raised as well, so that nothing of the old one can land.
+    """
+    key = shard_key(claim.shard)
+    free = ShardRow("", "", claim.epoch + 1, 0, claim.token)
+    for _ in range(_TRIES):
+        try:
+            if await tables.transact(
+                [FieldEquals(key, "epoch", claim.epoch)], [Put(key, free._asdict())]
+            ):
+                return True
+            row = await tables.get(key)
+            return row is not None and row.value.get("claim") == claim.token
+        except EbonydealError:
+            await clock.sleep(_RETRY_S)
+    return False
--- /dev/null
+++ b/src/ebonydeal/_internal/journal/dispatcher.py
@@ -0,0 +1,230 @@
+"""Runs accepted requests in deadline order on the endpoints there are.
+
+One dispatcher serves all shards of a process. It decides nothing about
+durability: outcomes go through the `Book` of the request's shard.
+"""
+
+import asyncio
+
+from mode import Service
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.journal.attempts import Again, Attempts, Done
+from ebonydeal._internal.journal.jobs import Book, Job, Picker
+from ebonydeal._internal.journal.workqueue import WorkQueue, order_of
+from ebonydeal._internal.models.endpoints import EndpointKind, EndpointView, LeavingMark
+from ebonydeal._internal.observe.counters import Metrics
+from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.platform.interfaces import Engine, PlainServices
+from ebonydeal._internal.settings.journal import JournalSettings
+from ebonydeal._internal.utils.clock import Clock
+
+logger = get_logger("journal")
+
+NO_ENDPOINT_RETRY_S = 0.25
+IDLE_S = 5.0
+NOTICE_S = 5.0
+NOTICE_MARGIN_S = 2.0
+CANCEL_WAIT_S = 10.0
+TASKS_PER_SLOT = 4
+FAILED_RETRY_S = 1.0
+DRAIN_POLL_S = 0.1
+
+
+class Dispatcher(Service):
+    """Owns the queue of accepted work and the attempts that run.
+
+    Parameters
+    ----------
+    picker : Picker
+        Chooses endpoints.
+    engine, services
+        Clients of the endpoints.
+    """
+
+    def __init__(
+        self,
+        picker: Picker,
+        engine: Engine,
+        services: PlainServices,
+        *,
+        cfg: JournalSettings,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        super().__init__()
+        self._picker = picker
+        self._cfg = cfg
+        self._clock = clock
+        self._attempts = Attempts(
+            picker, engine, services, cfg, clock, metrics, self._wake
+        )
+        self._queue: WorkQueue[Job] = WorkQueue()
+        self._jobs: dict[tuple[int, str], Job] = {}
+        self._draining: set[int] = set()
+        self._changed = asyncio.Event()
+
+    def _wake(self) -> None:
+        self._changed.set()
+
+    # --- the owners' side --------------------------------------------------------
+    def submit(self, book: Book, request_id: str, may_have_run: bool) -> None:
+        """Run an accepted request when its turn comes; a known one is ignored."""
+        state = book.state(request_id)
+        key = (book.shard, request_id)
+        if state is None or key in self._jobs:
+            return
+        job = Job(book, state.request, may_have_run)
+        self._jobs[key] = job
+        self._push(job, 0.0)
+
+    async def cancel(self, book: Book, request_id: str) -> None:
+        """Stop a request; returns once its end is durable or it can't be stopped."""
+        job = self._jobs.get((book.shard, request_id))
+        if job is None:
+            return
+        job.cancelled = True
+        if job.task is None:
+            self._forget(job)
+            await self._attempts.cancel_waiting(job)
+            return
+        view = job.view
+        if job.sending and view is not None and view.kind is EndpointKind.SERVICE:
+            return
+        job.interrupt.ask("cancel")
+        timer = asyncio.ensure_future(self._clock.sleep(CANCEL_WAIT_S))
+        ended = asyncio.ensure_future(job.ended.wait())
+        await asyncio.wait({timer, ended}, return_when=asyncio.FIRST_COMPLETED)
+        timer.cancel()
+        ended.cancel()
+
+    async def drain(self, book: Book, limit: float) -> bool:
+        """Start no more of a shard's work; return whether all runs ended in time."""
+        self._draining.add(book.shard)
+        end = self._clock.now() + limit
+        while self._is_busy(book) and self._clock.now() < end:
+            await self._clock.sleep(DRAIN_POLL_S)
+        return not self._is_busy(book)
+
+    def drop(self, book: Book) -> None:
+        """Forget a shard's work at once; its runs are cancelled."""
+        self._draining.discard(book.shard)
+        for job in [item for item in self._jobs.values() if item.book is book]:
+            self._forget(job)
+            if job.task is not None:
+                job.task.cancel()
+
+    def _is_busy(self, book: Book) -> bool:
+        """Return whether a shard has runs that a new owner couldn't go on with."""
+        jobs = [job for job in self._jobs.values() if job.book is book]
+        return any(job.task is not None or job.partial for job in jobs)
+
+    def _forget(self, job: Job) -> None:
+        key = (job.book.shard, job.request_id)
+        if self._jobs.get(key) is job:
+            del self._jobs[key]
+        job.ended.set()
+
+    # --- leaving endpoints ----------------------------------------------------------
+    def leaving(self, mark: LeavingMark) -> None:
+        """Let runs on a leaving endpoint finish within the notice, else stop them."""
+        for job in self._jobs.values():
+            if job.sending and job.is_covered(mark):
+                self.add_future(self._leave(job, mark))
+
+    async def _leave(self, job: Job, mark: LeavingMark) -> None:
+        deadline = mark.deadline or self._clock.wall() + NOTICE_S
+        view = job.view
+        attempt = job.attempt
+        await self._clock.sleep(deadline - NOTICE_MARGIN_S - self._clock.wall())
+        if job.sending and job.view is view and job.attempt == attempt:
+            job.interrupt.ask("leaving")
+
+    def endpoints_changed(self) -> None:
+        """Try again what had no endpoint."""
+        self._queue.unblock_all()
+        self._wake()
+
+    # --- running -------------------------------------------------------------------
+    @Service.task
+    async def _dispatch(self) -> None:
+        """Start whatever may go, then wait for a change."""
+        while not self.should_stop:
+            self._changed.clear()
+            while self._start_next():
+                pass
+            await self._wait_for_change()
+
+    async def _wait_for_change(self) -> None:
+        wait = min(IDLE_S, self._queue.next_at() - self._clock.now())
+        if not self._has_room():
+            wait = IDLE_S
+        timer = asyncio.ensure_future(self._clock.sleep(max(0.001, wait)))
+        changed = asyncio.ensure_future(self._changed.wait())
+        try:
+            await asyncio.wait({timer, changed}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            timer.cancel()
+            changed.cancel()
+
+    def _has_room(self) -> bool:
+        jobs = self._jobs.values()
+        sending = sum(job.sending for job in jobs)
+        tasks = sum(job.task is not None for job in jobs)
+        most = self._cfg.max_running
+        return sending < most and tasks < most * TASKS_PER_SLOT
+
+    def _start_next(self) -> bool:
+        """Start or put off one job; return whether there may be another."""
+        if not self._has_room():
+            return False
+        job = self._queue.take(self._clock.now())
+        if job is None:
+            return False
+        if self._jobs.get((job.book.shard, job.request_id)) is not job:
+            return True
+        if job.book.shard in self._draining and not job.partial:
+            return True
+        view = self._picker.pick(job.request, frozenset(job.exclude))
+        if view is None:
+            self._put_off(job)
+            return True
+        job.task = asyncio.ensure_future(self._attempt(job, view))
+        return True
+
+    def _put_off(self, job: Job) -> None:
+        """Wait for an endpoint, or let those that failed have another try."""
+        if job.exclude:
+            job.exclude.clear()
+            return self._push(job, NO_ENDPOINT_RETRY_S)
+        until = self._clock.now() + NO_ENDPOINT_RETRY_S
+        self._queue.block(job.request.deployment, until)
+        self._push(job, 0.0)
+
+    def _push(self, job: Job, delay: float) -> None:
+        now = self._clock.now()
+        request = job.request
+        self._queue.push(request.deployment, order_of(request), job, now + delay)
+        self._wake()
+
+    async def _attempt(self, job: Job, view: EndpointView) -> None:
+        """Make one attempt and act on its step."""
+        try:
+            step = await self._attempts.run(job, view)
+        except EbonydealError as exc:
+            job.task = None
+            if exc.kind is ErrorKind.FENCED:
+                return self._forget(job)
+            logger.error("An outcome was not kept.", error=str(exc))
+            return self._push(job, FAILED_RETRY_S)
+        except Exception as exc:
+            job.task = None
+            logger.error("An attempt failed.", request=job.request_id, exc_info=exc)
+            return self._push(job, FAILED_RETRY_S)
+        job.task = None
+        match step:
+            case Done():
+                self._forget(job)
+            case Again(delay=delay):
+                self._push(job, delay)
+        self._wake()
--- /dev/null
+++ b/src/ebonydeal/_internal/journal/node.py
@@ -0,0 +1,271 @@
+"""One process among the journal's owners: its lease, its shards, its view."""
+
+import asyncio
+from typing import NamedTuple
+
+from mode import Service
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.journal.claims import Identity, ShardRow, claim_shard
+from ebonydeal._internal.journal.leases import (
+    JOURNAL_ROLE,
+    LeaseWatch,
+    LiveNode,
+    NodeLease,
+    read_leases,
+    renew_every,
+)
+from ebonydeal._internal.journal.owner import OwnerParts, ShardOwner
+from ebonydeal._internal.journal.rows import NODES, SHARDS, node_key
+from ebonydeal._internal.journal.shards import FreeSince, HeldShard, plan
+from ebonydeal._internal.models.places import Place
+from ebonydeal._internal.observe.counters import Event, RetryReason, Timing
+from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.platform.interfaces import Delete, Put, Row, RowVersion
+from ebonydeal._internal.utils.ids import shard_from_id
+
+logger = get_logger("journal")
+
+SCAN_ROWS = 1000
+NODES_PER_READING = 50
+JITTER = 0.2
+MIN_GRACE_S = 1.0
+RENEW_SHARE = 0.2
+
+
+class View(NamedTuple):
+    """The last reading of the rows that name nodes and owners."""
+
+    nodes: dict[str, LiveNode]
+    rows: dict[int, Row]
+
+
+class JournalNode(Service):
+    """Owns this process's lease and the owners of its shards.
+
+    Parameters
+    ----------
+    me : Identity
+        This process; its address may still change until the start.
+    place : Place
+        Where it is.
+    parts : OwnerParts
+        Shared by all owners.
+    drain_seconds : float
+        Longest graceful shutdown.
+    """
+
+    def __init__(
+        self, me: Identity, place: Place, parts: OwnerParts, drain_seconds: float
+    ) -> None:
+        super().__init__()
+        self.me = me
+        self.owners: dict[int, ShardOwner] = {}
+        self._place = place
+        self._parts = parts
+        self._cfg = parts.cfg
+        self._clock = parts.clock
+        self._drain_seconds = drain_seconds
+        self._watch = LeaseWatch(parts.cfg.lease_seconds)
+        self._free_since = FreeSince()
+        self._since: dict[int, float] = {}
+        self._view = View({}, {})
+        self._beat = 0
+        self._moving: asyncio.Future | None = None
+        self._leaving = False
+
+    # --- callers -----------------------------------------------------------------
+    def owner_of(self, request_id: str) -> ShardOwner:
+        """Return the owner of a request's shard; raises WRONG_OWNER.
+
+        The error names the right owner's address where it is known.
+        """
+        shard = shard_from_id(request_id)
+        if shard is None or shard >= self._cfg.shards:
+            raise EbonydealError(ErrorKind.NOT_FOUND, "no such request")
+        owner = self.owners.get(shard)
+        if owner is not None:
+            return owner
+        address = ""
+        row = self._view.rows.get(shard)
+        if row is not None and row.value.get("owner") != self.me.node_id:
+            address = str(row.value.get("address", ""))
+        raise EbonydealError(
+            ErrorKind.WRONG_OWNER, f"shard {shard:04x} is not here", owner=address
+        )
+
+    # --- lease -------------------------------------------------------------------
+    @Service.task
+    async def _renew(self) -> None:
+        """Renew this node's lease."""
+        while not self.should_stop and not self._leaving:
+            every = self._renew_every()
+            try:
+                await self.renew(every)
+            except EbonydealError:
+                self._parts.metrics.retried(RetryReason.STORE)
+            await self._clock.sleep(self._jittered(every))
+
+    def _renew_every(self) -> float:
+        budget = self._cfg.writes_per_s * RENEW_SHARE
+        return renew_every(self._cfg.renew_seconds, len(self._view.nodes), budget)
+
+    def _jittered(self, seconds: float) -> float:
+        return seconds * self._parts.rng.uniform(1.0 - JITTER, 1.0 + JITTER)
+
+    async def renew(self, every: float) -> None:
+        """Write the lease row once."""
+        self._beat += 1
+        lease = NodeLease(
+            address=self.me.address,
+            region=self._place.region,
+            zone=self._place.zone,
+            incarnation=self.me.incarnation,
+            roles=(JOURNAL_ROLE,),
+            until=self._clock.wall() + self._cfg.lease_seconds,
+            beat=self._beat,
+            every=every,
+        )
+        key = node_key(self.me.node_id)
+        self._parts.metrics.count(Event.TABLE_WRITES)
+        await self._parts.tables.transact([], [Put(key, lease._asdict())])
+
+    # --- shards --------------------------------------------------------------------
+    @Service.task
+    async def _watch_rows(self) -> None:
+        """Read nodes and shards, and act on what they say."""
+        while not self.should_stop and not self._leaving:
+            try:
+                await self.read()
+                await self.act()
+            except EbonydealError:
+                self._parts.metrics.retried(RetryReason.STORE)
+            await self._clock.sleep(self._jittered(self._read_every()))
+
+    def _read_every(self) -> float:
+        """Return seconds between readings: more nodes, fewer readings each."""
+        nodes = len(self._view.nodes)
+        return self._cfg.renew_seconds * max(1.0, nodes / NODES_PER_READING)
+
+    async def read(self) -> None:
+        """Read all node and shard rows."""
+        nodes = await self._scan(NODES)
+        shards = await self._scan(SHARDS)
+        now = self._clock.now()
+        leases = read_leases((row.key[len(NODES) :], row.value) for row in nodes)
+        self._watch.observe(leases, now)
+        rows = {int(row.key[len(SHARDS) :], 16): row for row in shards}
+        self._view = View(self._watch.live(now), rows)
+        self._parts.pacer.set_owners(len(self._view.nodes))
+
+    async def _scan(self, prefix: str) -> list[Row]:
+        """Return all rows of a prefix, a page at a time."""
+        rows: list[Row] = []
+        start = ""
+        while True:
+            self._parts.metrics.count(Event.TABLE_READS)
+            page = await self._parts.tables.scan(prefix, start, SCAN_ROWS)
+            rows += page
+            if len(page) < SCAN_ROWS:
+                return rows
+            start = page[-1].key + "\0"
+
+    async def act(self) -> None:
+        """Claim and hand over what the present view asks for."""
+        now = self._clock.now()
+        held = {shard: HeldShard(shard, at) for shard, at in self._since.items()}
+        rows = {
+            shard: ShardRow.from_value(row.value)
+            for shard, row in self._view.rows.items()
+        }
+        self._drop_outdated(rows)
+        decided = plan(
+            self.me.node_id,
+            self._cfg.shards,
+            rows,
+            self._view.nodes,
+            held,
+            self._free_since,
+            now,
+            self._cfg.lease_seconds,
+            self._cfg.settle_seconds,
+            max(MIN_GRACE_S, 2 * self._read_every()),
+        )
+        await asyncio.gather(*(self._claim(shard) for shard in decided.claim))
+        if decided.hand_over is not None and self._moving is None:
+            self._moving = self.add_future(self._move(decided.hand_over))
+
+    async def _move(self, shard: int) -> None:
+        """Let a better node have a shard; one at a time."""
+        try:
+            await self.hand_over(shard, self._drain_seconds)
+        finally:
+            self._moving = None
+
+    def _drop_outdated(self, rows: dict[int, ShardRow]) -> None:
+        """Stop serving shards whose row shows a higher epoch."""
+        for shard, owner in list(self.owners.items()):
+            row = rows.get(shard)
+            if row is not None and row.epoch > owner.epoch:
+                owner.lose()
+
+    async def _claim(self, shard: int) -> None:
+        """Claim one shard and start its owner."""
+        started = self._clock.now()
+        seen = self._view.rows.get(shard)
+        parts = self._parts
+        parts.metrics.count(Event.TABLE_WRITES)
+        claim = await claim_shard(
+            parts.tables, shard, seen, self.me, clock=self._clock, rng=parts.rng
+        )
+        if claim is None or self._leaving:
+            return
+        owner = ShardOwner(claim, parts, self._on_lost)
+        self.owners[shard] = owner
+        self._since[shard] = self._clock.now()
+        await self.add_runtime_dependency(owner)
+        parts.metrics.count(Event.TAKEOVERS)
+        parts.metrics.timed(Timing.TAKEOVER, self._clock.now() - started)
+
+    def _on_lost(self, shard: int) -> None:
+        """Forget an owner that has been fenced or has released its shard."""
+        owner = self.owners.pop(shard, None)
+        self._since.pop(shard, None)
+        if owner is not None and not self.should_stop:
+            self.add_future(self._remove(owner))
+
+    async def _remove(self, owner: ShardOwner) -> None:
+        if owner in self._children:
+            await self.remove_dependency(owner)
+
+    async def hand_over(self, shard: int, limit: float) -> bool:
+        """Finish a shard's runs and free it; return whether it is free."""
+        owner = self.owners.get(shard)
+        return owner is not None and await owner.hand_over(limit)
+
+    async def leave(self) -> None:
+        """Hand over all shards and end the lease: the graceful shutdown."""
+        self._leaving = True
+        owners = list(self.owners)
+        logger.info("Handing over.", shards=len(owners))
+        await asyncio.gather(
+            *(self.hand_over(shard, self._drain_seconds) for shard in owners)
+        )
+        await self._end_lease()
+
+    async def _end_lease(self) -> None:
+        """Delete the lease row, unless another process has taken the id."""
+        key = node_key(self.me.node_id)
+        try:
+            row = await self._parts.tables.get(key)
+            if row is not None and row.value["incarnation"] == self.me.incarnation:
+                await self._parts.tables.transact(
+                    [RowVersion(key, row.version)], [Delete(key)]
+                )
+        except EbonydealError:
+            logger.warning("The lease row was left to lapse.")
+
+    async def on_stop(self) -> None:
+        """Hand over before the owners stop."""
+        if not self._leaving:
+            await self.leave()
--- /dev/null
+++ b/src/ebonydeal/_internal/journal/owner.py
@@ -0,0 +1,411 @@
+"""One shard in the hands of one owner: replay, serve, snapshot, hand over.
+
+Everything that callers are told rests on durable records: the state is changed
+only by rows that are known to have taken effect.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+from typing import NamedTuple, Protocol
+
+from mode import Service
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.journal.appender import Appender, fenced_error
+from ebonydeal._internal.journal.bodies import Bodies
+from ebonydeal._internal.journal.claims import Claim, release_shard
+from ebonydeal._internal.journal.fold import Phase, RequestState, apply_all, expired
+from ebonydeal._internal.journal.pacing import Pacer
+from ebonydeal._internal.journal.snapshots import (
+    Replayed,
+    encode_states,
+    replay,
+    save_snapshot,
+    trim,
+)
+from ebonydeal._internal.journal.status import StatusMessage, status_message
+from ebonydeal._internal.models.records import (
+    Accepted,
+    Expired,
+    Record,
+    Unknown,
+)
+from ebonydeal._internal.models.requests import Request, StoredAnswer
+from ebonydeal._internal.observe.counters import Event, Metrics
+from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.platform.interfaces import Objects, Tables
+from ebonydeal._internal.settings.journal import JournalSettings
+from ebonydeal._internal.utils.clock import Clock
+
+logger = get_logger("journal")
+
+REPLAY_RETRY_S = 0.5
+UPKEEP_S = 1.0
+EXPIRE_AT_ONCE = 500
+STORE_RETRY_S = 1.0
+
+
+class Dispatch(Protocol):
+    """What an owner asks of the dispatcher."""
+
+    def submit(self, book: "ShardOwner", request_id: str, may_have_run: bool) -> None:
+        """Run an accepted request when its turn comes."""
+
+    async def cancel(self, book: "ShardOwner", request_id: str) -> None:
+        """Stop a request; returns once its end is durable or it can't be stopped."""
+
+    async def drain(self, book: "ShardOwner", limit: float) -> bool:
+        """Start no more of a shard's work; return whether all runs ended in time."""
+
+    def drop(self, book: "ShardOwner") -> None:
+        """Forget a shard's work at once; its runs are cancelled."""
+
+
+class OwnerParts(NamedTuple):
+    """What all owners of one process share."""
+
+    tables: Tables
+    objects: Objects
+    dispatch: Dispatch
+    pacer: Pacer
+    cfg: JournalSettings
+    clock: Clock
+    rng: random.Random
+    metrics: Metrics
+
+
+class ShardOwner(Service):
+    """Owns one shard for one epoch.
+
+    Parameters
+    ----------
+    claim : Claim
+        The claim that took effect.
+    parts : OwnerParts
+        Shared clients and settings.
+    on_lost : callable
+        Called once when the shard has been fenced.
+    """
+
+    def __init__(
+        self, claim: Claim, parts: OwnerParts, on_lost: Callable[[int], None]
+    ) -> None:
+        super().__init__()
+        self.claim = claim
+        self.shard = claim.shard
+        self.epoch = claim.epoch
+        self.states: dict[str, RequestState] = {}
+        self.serving = False
+        self.draining = False
+        self._lost = False
+        self._parts = parts
+        self._cfg = parts.cfg
+        self._clock = parts.clock
+        self._on_lost = on_lost
+        self._bodies = Bodies(parts.objects, claim.shard, claim.epoch, parts.cfg)
+        self._accepting: dict[str, asyncio.Task[None]] = {}
+        self._changes: dict[str, asyncio.Event] = {}
+        self._snapshot_seq = 0
+        self._forget: list[str] = []
+        self._appender = self._new_appender(0)
+
+    def _new_appender(self, seq: int) -> Appender:
+        parts = self._parts
+        return Appender(
+            parts.tables,
+            self.shard,
+            self.epoch,
+            seq,
+            on_durable=self._on_durable,
+            pacer=parts.pacer,
+            cfg=parts.cfg,
+            clock=parts.clock,
+            rng=parts.rng,
+            metrics=parts.metrics,
+        )
+
+    # --- life ----------------------------------------------------------------
+    @Service.task
+    async def _live(self) -> None:
+        """Replay, then write until fenced."""
+        replayed = await self._replay()
+        former = await self._former_objects()
+        self.open(replayed)
+        self.add_future(self._sweep(former))
+        await self._appender.run()
+        self.lose()
+
+    async def _replay(self) -> Replayed:
+        """Read the shard, however long the stores need."""
+        while True:
+            try:
+                return await replay(self._parts.tables, self._parts.objects, self.shard)
+            except EbonydealError as exc:
+                logger.warning("Replay failed.", shard=self.shard, error=str(exc))
+                await self._clock.sleep(REPLAY_RETRY_S)
+
+    def open(self, replayed: Replayed) -> None:
+        """Start serving what a replay found."""
+        self.states = replayed.states
+        self._snapshot_seq = replayed.snapshot_seq
+        self._appender = self._new_appender(replayed.seq)
+        self.serving = True
+        cut_off: list[Record] = []
+        for request_id, state in self.states.items():
+            if state.is_final:
+                continue
+            if state.phase is Phase.DISPATCHED and not state.request.idempotent:
+                why = "its owner changed while it may have been running"
+                wall = self._clock.wall()
+                cut_off.append(Unknown(request_id, state.attempt, why, wall))
+            else:
+                self._parts.dispatch.submit(self, request_id, may_have_run=True)
+        if cut_off:
+            self.add_future(self._record_quietly(cut_off))
+        logger.info(
+            "Serving a shard.", shard=self.shard, epoch=self.epoch, rows=replayed.rows
+        )
+
+    async def _record_quietly(self, records: list[Record]) -> None:
+        """Append; a fenced append needs no answer."""
+        try:
+            await self._appender.append(records, urgent=True)
+        except EbonydealError as exc:
+            logger.warning("Records were not kept.", shard=self.shard, error=str(exc))
+
+    def lose(self) -> None:
+        """Stop serving at once: the shard has, or may have, another owner."""
+        if self._lost:
+            return
+        self._lost = True
+        self.serving = False
+        self._appender.close()
+        self._parts.dispatch.drop(self)
+        for event in self._changes.values():
+            event.set()
+        self._on_lost(self.shard)
+
+    async def hand_over(self, limit: float) -> bool:
+        """Finish what runs, then free the shard; return whether it is free."""
+        if self._lost or not self.serving:
+            return False
+        self.draining = True
+        finished = await self._parts.dispatch.drain(self, limit)
+        self.serving = False
+        timer = asyncio.ensure_future(self._clock.sleep(max(1.0, limit)))
+        flushed = asyncio.ensure_future(self._appender.flush())
+        await asyncio.wait({timer, flushed}, return_when=asyncio.FIRST_COMPLETED)
+        timer.cancel()
+        clean = flushed.done() and finished and not self._appender.fenced.is_set()
+        flushed.cancel()
+        freed = clean and await release_shard(
+            self._parts.tables, self.claim, self._clock
+        )
+        self.lose()
+        return freed
+
+    # --- callers -----------------------------------------------------------------
+    def _check_serving(self) -> None:
+        if self._lost:
+            raise EbonydealError(ErrorKind.WRONG_OWNER, owner="")
+        if not self.serving:
+            raise EbonydealError(
+                ErrorKind.JOURNAL_UNAVAILABLE, "The shard is changing owners."
+            )
+
+    async def accept(self, request: Request, urgent: bool = False) -> RequestState:
+        """Return the request's state once its accepted record is durable.
+
+        The same id and body again returns the first one's state. Raises
+        ``KEY_REUSED`` for another body, and what `Appender.append` raises.
+        """
+        self._check_serving()
+        request_id = request.request_id
+        if request_id not in self.states:
+            task = self._accepting.get(request_id)
+            if task is None:
+                task = asyncio.ensure_future(self._append_accepted(request, urgent))
+                self._accepting[request_id] = task
+                task.add_done_callback(lambda _: self._accepting.pop(request_id, None))
+            await asyncio.shield(task)
+        state = self.states.get(request_id)
+        if state is None:
+            raise fenced_error(self.shard)
+        if state.request.account != request.account:
+            raise EbonydealError(ErrorKind.NOT_FOUND, "no such request")
+        if state.request.body_digest != request.body_digest:
+            raise EbonydealError(
+                ErrorKind.KEY_REUSED, "The key was used with another body."
+            )
+        return state
+
+    async def _append_accepted(self, request: Request, urgent: bool) -> None:
+        kept = await self._bodies.keep_request(request)
+        await self._appender.append(
+            [Accepted(kept)],
+            urgent=urgent,
+            hold=False,
+            patience=self._cfg.append_patience,
+        )
+
+    async def call(self, request: Request, wait: float) -> StatusMessage:
+        """Accept, then wait up to ``wait`` seconds for the end."""
+        if self.draining and request.request_id not in self.states:
+            raise EbonydealError(ErrorKind.DRAINING, "The shard is being handed over.")
+        await self.accept(request, urgent=True)
+        await self._wait_final(request.request_id, wait)
+        return await self.status(request.request_id, request.account)
+
+    async def _wait_final(self, request_id: str, wait: float) -> None:
+        state = self.states.get(request_id)
+        if state is None or state.is_final:
+            return
+        event = self._changes.setdefault(request_id, asyncio.Event())
+        waits = {
+            asyncio.ensure_future(self._clock.sleep(wait)),
+            asyncio.ensure_future(event.wait()),
+        }
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for fut in waits:
+                fut.cancel()
+
+    def _visible(self, request_id: str, account: str) -> RequestState:
+        state = self.states.get(request_id)
+        if state is None or state.request.account != account:
+            raise EbonydealError(ErrorKind.NOT_FOUND, "no such request")
+        return state
+
+    async def status(self, request_id: str, account: str) -> StatusMessage:
+        """Return what is durable of a request; NOT_FOUND for another account's."""
+        self._check_serving()
+        pending = self._accepting.get(request_id)
+        if pending is not None:
+            await asyncio.wait({pending})
+            self._check_serving()
+        state = self._visible(request_id, account)
+        if state.answer is None:
+            return status_message(state, None)
+        try:
+            answer = await self._bodies.whole_answer(state.answer)
+        except EbonydealError as exc:
+            # The request has run: nothing that reads as "not run" may be said.
+            raise EbonydealError(
+                ErrorKind.STORE_IN_DOUBT, "The answer is kept but can't be read now."
+            ) from exc
+        return status_message(state, answer)
+
+    async def cancel(self, request_id: str, account: str) -> StatusMessage:
+        """Stop a request that is not final, and return its status."""
+        self._check_serving()
+        if not self._visible(request_id, account).is_final:
+            await self._parts.dispatch.cancel(self, request_id)
+        return await self.status(request_id, account)
+
+    # --- the dispatcher's side -----------------------------------------------------
+    def state(self, request_id: str) -> RequestState | None:
+        """Return the durable state of a request."""
+        return self.states.get(request_id)
+
+    async def record(self, records: Sequence[Record], urgent: bool) -> None:
+        """Append and hold until durable; raises FENCED."""
+        await self._appender.append(records, urgent=urgent)
+
+    async def request_body(self, request: Request) -> str:
+        """Return a request's body; raises the store's errors."""
+        return await self._bodies.request_body(request)
+
+    async def keep_answer(self, request_id: str, answer: StoredAnswer) -> StoredAnswer:
+        """Return an answer as it goes into a record, however long that takes."""
+        while True:
+            try:
+                return await self._bodies.keep_answer(request_id, answer)
+            except EbonydealError:
+                await self._clock.sleep(STORE_RETRY_S)
+
+    # --- durable rows ---------------------------------------------------------------
+    def _on_durable(self, _seq: int, records: Sequence[Record]) -> None:
+        """Fold a durable row and wake whom it concerns."""
+        for record in records:
+            if isinstance(record, Expired):
+                self._note_objects(record.request_id)
+            apply_all(self.states, [record])
+            if isinstance(record, Accepted):
+                request_id = record.request.request_id
+                if not self.states[request_id].is_final:
+                    self._parts.dispatch.submit(self, request_id, may_have_run=False)
+                continue
+            state = self.states.get(record.request_id)
+            if state is None or state.is_final:
+                event = self._changes.pop(record.request_id, None)
+                if event is not None:
+                    event.set()
+
+    def _note_objects(self, request_id: str) -> None:
+        """Remember the objects of a request that is being forgotten."""
+        state = self.states.get(request_id)
+        if state is not None:
+            names = [state.request.body_object]
+            if state.answer is not None:
+                names.append(state.answer.body_object)
+            self._forget += [name for name in names if name]
+
+    # --- upkeep -----------------------------------------------------------------------
+    @Service.task
+    async def _upkeep(self) -> None:
+        """Expire and snapshot now and then."""
+        while not self.should_stop and not self._lost:
+            await self._clock.sleep(UPKEEP_S)
+            if not self.serving:
+                continue
+            try:
+                await self.expire()
+                await self.snapshot_if_due()
+            except EbonydealError as exc:
+                logger.warning("Upkeep failed.", shard=self.shard, error=str(exc))
+
+    async def expire(self) -> None:
+        """Forget requests that were final longer ago than the retention."""
+        before = self._clock.wall() - self._cfg.retention_seconds
+        records = expired(self.states, before, EXPIRE_AT_ONCE)
+        if records:
+            await self._appender.append(records)
+            names, self._forget = self._forget, []
+            await self._bodies.forget(names)
+
+    async def snapshot_if_due(self) -> bool:
+        """Snapshot and trim when enough rows have been written since the last."""
+        seq = self._appender.seq
+        if seq - self._snapshot_seq < self._cfg.snapshot_rows:
+            return False
+        parts = self._parts
+        data = encode_states(self.states.values())
+        replaced = await save_snapshot(
+            parts.tables, parts.objects, self.claim, seq, data
+        )
+        if replaced is None:
+            return False
+        self._snapshot_seq = seq
+        parts.metrics.count(Event.SNAPSHOTS)
+        await trim(parts.tables, self.claim, seq)
+        if replaced:
+            await self._bodies.forget([replaced])
+        return True
+
+    async def _former_objects(self) -> list[str]:
+        """Return objects of former owners; none while the store is down."""
+        try:
+            return await self._bodies.former()
+        except EbonydealError:
+            return []
+
+    async def _sweep(self, names: list[str]) -> None:
+        """Delete former owners' objects that no request refers to."""
+        used = set()
+        for state in self.states.values():
+            used.add(state.request.body_object)
+            if state.answer is not None:
+                used.add(state.answer.body_object)
+        await self._bodies.forget([name for name in names if name not in used])
--- a/src/ebonydeal/_internal/models/requests.py
+++ b/src/ebonydeal/_internal/models/requests.py
@@ -1,5 +1,6 @@
 """Callers' requests as the programs see them."""
 
+from base64 import b64decode, b64encode
 from enum import IntEnum, StrEnum
 from typing import NamedTuple, TypedDict
 
@@ -124,9 +125,27 @@
         Body text; empty where ``body_object`` names an object.
     body_object : str
         Object store name of a large body, else empty.
+    encoding : str
+        ``"base64"`` where the body is not text, else empty.
     """
 
     status: int
     content_type: str
     body: str
     body_object: str = ""
+    encoding: str = ""
+
+    @classmethod
+    def from_bytes(cls, status: int, content_type: str, data: bytes) -> "StoredAnswer":
+        """Build from an endpoint's bytes, which need not be text."""
+        try:
+            return cls(status, content_type, data.decode())
+        except UnicodeDecodeError:
+            text = b64encode(data).decode()
+            return cls(status, content_type, text, encoding="base64")
+
+    def data(self) -> bytes:
+        """Return the body's bytes as the endpoint gave them."""
+        if self.encoding == "base64":
+            return b64decode(self.body)
+        return self.body.encode()
--- /dev/null
+++ b/src/ebonydeal/_internal/settings/journal.py
@@ -0,0 +1,68 @@
+"""Settings of the journal."""
+
+from typing import Annotated, NamedTuple
+
+from ebonydeal._internal.settings.keys import Key
+
+
+class JournalSettings(NamedTuple):
+    """``[journal]``: durable requests, their owners and their dispatch."""
+
+    port: Annotated[
+        int, Key("Port of the journal listener; 0 picks one.", "", 0, 65535)
+    ] = 9300
+    shards: Annotated[
+        int,
+        Key("Journal shards; the same on all own nodes, never lowered.", "", 1, 4096),
+    ] = 16
+    lease_seconds: Annotated[
+        float, Key("Silence after which a node counts as gone.", "seconds", 0.5, 600)
+    ] = 9.0
+    renew_seconds: Annotated[
+        float, Key("Time between renewals of a node lease.", "seconds", 0.1, 120)
+    ] = 3.0
+    settle_seconds: Annotated[
+        float,
+        Key("How long a node is up before shards move to it.", "seconds", 0, 3600),
+    ] = 20.0
+    writes_per_s: Annotated[
+        float,
+        Key("Table writes of all owners for patient records.", "writes/s", 1, 100000),
+    ] = 25.0
+    urgent_writes_per_s: Annotated[
+        float,
+        Key("Further writes while a caller waits on its call.", "writes/s", 0, 100000),
+    ] = 75.0
+    max_batch: Annotated[
+        int, Key("Most records in one journal row.", "records", 1, 100000)
+    ] = 400
+    max_row_bytes: Annotated[
+        int, Key("Most bytes of records in one row.", "bytes", 1024, 16777216)
+    ] = 262144
+    max_pending: Annotated[
+        int, Key("Records of a shard that may wait.", "records", 1, 1000000)
+    ] = 4000
+    append_patience: Annotated[
+        float, Key("Longest wait of an accept for its write.", "seconds", 0.1, 120)
+    ] = 5.0
+    inline_bytes: Annotated[
+        int, Key("Larger bodies go to the object store.", "bytes", 256, 1048576)
+    ] = 16384
+    snapshot_rows: Annotated[
+        int, Key("Rows between snapshots of a shard.", "rows", 2, 100000)
+    ] = 256
+    retention_seconds: Annotated[
+        float, Key("How long answers and keys are kept.", "seconds", 1, 31536000)
+    ] = 86400.0
+    max_running: Annotated[
+        int, Key("Accepted requests that one node runs at once.", "", 1, 100000)
+    ] = 256
+    attempt_timeout: Annotated[
+        float, Key("Longest run of one plain service call.", "seconds", 0.1, 3600)
+    ] = 60.0
+    stall_seconds: Annotated[
+        float, Key("Longest silence of an engine's stream.", "seconds", 0.1, 3600)
+    ] = 30.0
+    client_patience: Annotated[
+        float, Key("How long a gateway looks for an owner.", "seconds", 0.1, 120)
+    ] = 15.0
