--- /dev/null
+++ b/tests/lib/processes.py
@@ -0,0 +1,86 @@
+"""The real programs as separate processes on loopback, for functional tests."""
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import NamedTuple
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+_START_TRIES = 300
+_TRY_SECONDS = 0.1
+
+
+def free_port() -> int:
+    """Return a port of the loopback interface that was free just now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class Launched(NamedTuple):
+    """A running program and where it listens."""
+
+    name: str
+    process: asyncio.subprocess.Process
+    port: int
+    log: Path
+
+    @property
+    def url(self) -> str:
+        return f"http://127.0.0.1:{self.port}"
+
+    def pause(self) -> None:
+        self.process.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        self.process.send_signal(signal.SIGCONT)
+
+    async def kill(self) -> None:
+        if self.process.returncode is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+        await self.process.wait()
+
+    async def terminate(self) -> int:
+        if self.process.returncode is None:
+            self.process.terminate()
+        return await self.process.wait()
+
+
+async def launch(
+    name: str, module: str, args: list[str], port: int, folder: Path
+) -> Launched:
+    """Start ``python -m module args`` with its output in a file."""
+    log = folder / f"{name}.log"
+    with log.open("wb") as out:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            module,
+            *args,
+            stdout=out,
+            stderr=out,
+            env={**os.environ, "PYTHONUNBUFFERED": "1"},
+        )
+    return Launched(name, process, port, log)
+
+
+async def wait_until_up(program: Launched, path: str) -> None:
+    """Wait until ``path`` answers 200, or fail with the program's output."""
+    async with ClientSession(timeout=ClientTimeout(total=2)) as session:
+        for _ in range(_START_TRIES):
+            if program.process.returncode is not None:
+                break
+            try:
+                async with session.get(program.url + path) as resp:
+                    if resp.status == 200:
+                        return
+            except (ClientError, OSError, TimeoutError):
+                pass
+            await asyncio.sleep(_TRY_SECONDS)
+    text = program.log.read_text(errors="replace")[-3000:]
+    raise AssertionError(f"{program.name} did not come up:\n{text}")
