Add platform adapters and stores in memory

Cause: every part needs the outside systems behind their interfaces. Change: adapters over aiohttp with exact error kinds, no silent repeat, and plain service calls that may not be repeated on connections of their own; table and object stores in memory with faults by plan, queue and hook. The adapters have no tests yet. Conclusion: other parts can build on both; adapter tests come next.

--- /dev/null
+++ b/src/ebonydeal/_internal/platform/chunks.py
@@ -0,0 +1,82 @@
+"""From server-sent events of an engine to checked chunks."""
+
+import json
+from collections.abc import AsyncGenerator, AsyncIterator
+from typing import Any
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.platform.interfaces import Chunk
+
+DONE = "[DONE]"
+_DATA = "data:"
+
+
+def _garbage(detail: str) -> EbonydealError:
+    return EbonydealError(ErrorKind.ENDPOINT_GARBAGE, detail)
+
+
+async def event_data(lines: AsyncIterator[bytes]) -> AsyncGenerator[str, None]:
+    """Yield the data of each event; comments and other fields are skipped."""
+    async for raw in lines:
+        try:
+            line = raw.decode().rstrip("\r\n")
+        except UnicodeDecodeError as exc:
+            raise _garbage("the stream is not UTF-8") from exc
+        if line.startswith(_DATA):
+            yield line[len(_DATA) :].lstrip(" ")
+        elif line and not line.startswith((":", "event:", "id:", "retry:")):
+            raise _garbage("the stream holds a line that is no event")
+
+
+def parse_chunk(data: str) -> tuple[Chunk, Any]:
+    """Return a chunk and the load message beside it (None without).
+
+    Raises ENDPOINT_GARBAGE where the shape is wrong.
+    """
+    try:
+        message = json.loads(data)
+        choice = message["choices"][0]
+        text = choice["text"] if "text" in choice else choice["delta"]["content"]
+        usage = message.get("usage_start") or {}
+        chunk = Chunk(
+            position=message["position"],
+            text=text,
+            finish=choice.get("finish_reason") or "",
+            cached_tokens=int(usage.get("cached_tokens", 0)),
+            prefilled_tokens=int(usage.get("prefilled_tokens", 0)),
+        )
+    except (
+        KeyError,
+        IndexError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        RecursionError,
+    ) as exc:
+        raise _garbage("a chunk can't be read") from exc
+    if type(chunk.position) is not int or not isinstance(chunk.text, str):
+        raise _garbage("a chunk has a wrong type")
+    return chunk, message.get("load")
+
+
+class ChunkOrder:
+    """Checks that positions follow each other without gap or repeat.
+
+    Parameters
+    ----------
+    start : int
+        Position of the first chunk: the count of tokens delivered before.
+    """
+
+    def __init__(self, start: int) -> None:
+        self._next = start
+        self.finished = False
+
+    def check(self, chunk: Chunk) -> None:
+        """Raise ENDPOINT_GARBAGE if ``chunk`` is not the next one."""
+        if self.finished:
+            raise _garbage("a chunk came after the last one")
+        if chunk.position != self._next:
+            raise _garbage(f"token {chunk.position} came in place of {self._next}")
+        self._next += 1
+        self.finished = bool(chunk.finish)
--- /dev/null
+++ b/src/ebonydeal/_internal/platform/engines.py
@@ -0,0 +1,266 @@
+"""Model engines over HTTP: streams, cancel, KV transfer, load and orders."""
+
+from collections.abc import AsyncGenerator, AsyncIterator
+from contextlib import aclosing
+from typing import Any
+
+from aiohttp import ClientResponse
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.models.endpoints import EndpointView, LoadReport
+from ebonydeal._internal.platform.chunks import (
+    DONE,
+    ChunkOrder,
+    event_data,
+    parse_chunk,
+)
+from ebonydeal._internal.platform.http import (
+    ATTEMPT_HEADER,
+    ENDPOINT,
+    NOT_RUN_HEADER,
+    HttpClient,
+    read_object,
+)
+from ebonydeal._internal.platform.interfaces import (
+    CacheEvent,
+    CancelWord,
+    Chunk,
+    EngineOrder,
+    Resume,
+)
+from ebonydeal._internal.platform.loads import (
+    LoadListener,
+    read_load,
+    tell_header,
+    tell_load,
+)
+from ebonydeal._internal.settings.sections import PlatformSettings
+
+_KV_TIMEOUT_S = 60.0
+_MAX_ERROR = 4096
+_CANCEL_STATES = ("not_started", "stopped", "finished", "unknown")
+
+
+async def _check_accepted(resp: ClientResponse) -> None:
+    """Raise the kind of an engine's refusal."""
+    if resp.status == 200:
+        return
+    text = (await resp.content.read(_MAX_ERROR)).decode(errors="replace")
+    detail = f"the engine answered {resp.status}: {text[:200]}"
+    if resp.status == 503 and resp.headers.get(NOT_RUN_HEADER) == "1":
+        raise EbonydealError(ErrorKind.ENDPOINT_REFUSED, detail)
+    if resp.status in (400, 413, 422):
+        raise EbonydealError(ErrorKind.BAD_REQUEST, detail)
+    raise EbonydealError(ErrorKind.ENDPOINT_FAILED, detail)
+
+
+class HttpEngine:
+    """`Engine` over HTTP for any number of endpoints; owns one session.
+
+    Parameters
+    ----------
+    timeout : float
+        Longest wait for a connection or a short call, seconds. Streams have no
+        limit of their own: stalls and deadlines are the caller's to judge.
+    on_load : callable, optional
+        Called with (endpoint id, report) for each report on an answer.
+    """
+
+    def __init__(self, timeout: float, on_load: LoadListener | None = None) -> None:
+        self._client = HttpClient(timeout)
+        self.on_load = on_load
+
+    @classmethod
+    def from_config(
+        cls, cfg: PlatformSettings, on_load: LoadListener | None = None
+    ) -> "HttpEngine":
+        """Build from ``[platform]``."""
+        return cls(cfg.timeout, on_load)
+
+    async def stream(
+        self,
+        endpoint: EndpointView,
+        path: str,
+        body: dict[str, Any],
+        attempt_id: str,
+        resume: Resume | None = None,
+    ) -> AsyncGenerator[Chunk, None]:
+        """Generate.
+
+        Raises CONNECT_FAILED (proof: not sent), ENDPOINT_REFUSED (proof: not
+        run), BAD_REQUEST (the engine refused the body), ENDPOINT_FAILED or
+        ENDPOINT_GARBAGE on the way. Positions are checked to follow each other.
+        """
+        message = {**body, "stream": True}
+        message.pop("resume", None)
+        if resume is not None:
+            message["resume"] = {
+                "delivered": list(resume.delivered),
+                "kv_handle": resume.kv_handle,
+            }
+        order = ChunkOrder(len(resume.delivered) if resume else 0)
+        async with self._client.open(
+            "POST",
+            f"http://{endpoint.address}{path}",
+            ENDPOINT,
+            whole=False,
+            json=message,
+            headers={ATTEMPT_HEADER: attempt_id},
+        ) as resp:
+            tell_header(self.on_load, endpoint, resp.headers)
+            await _check_accepted(resp)
+            async with aclosing(self._chunks(endpoint, resp, order)) as chunks:
+                async for chunk in chunks:
+                    yield chunk
+
+    async def _chunks(
+        self, endpoint: EndpointView, resp: ClientResponse, order: ChunkOrder
+    ) -> AsyncGenerator[Chunk, None]:
+        """Yield checked chunks until the end mark."""
+        done = False
+        async with aclosing(event_data(_lines(resp))) as events:
+            async for data in events:
+                if done:
+                    raise EbonydealError(
+                        ErrorKind.ENDPOINT_GARBAGE, "data came after the end mark"
+                    )
+                if data == DONE:
+                    done = True
+                    continue
+                chunk, load = parse_chunk(data)
+                order.check(chunk)
+                if load is not None:
+                    tell_load(self.on_load, endpoint, load)
+                yield chunk
+        if not done or not order.finished:
+            raise EbonydealError(ErrorKind.ENDPOINT_FAILED, "the stream broke off")
+
+    async def _short_call(
+        self,
+        method: str,
+        endpoint: EndpointView,
+        path: str,
+        *,
+        timeout: float | None = None,
+        **options: Any,
+    ) -> dict[str, Any]:
+        """Make a call that answers one JSON object."""
+        url = f"http://{endpoint.address}{path}"
+        reply = await self._client.fetch(
+            method, url, ENDPOINT, timeout=timeout, **options
+        )
+        tell_header(self.on_load, endpoint, reply.headers)
+        if reply.status == 409:
+            raise EbonydealError(ErrorKind.STALE_ORDER, f"{url} saw a newer fence")
+        if reply.status != 200:
+            raise EbonydealError(
+                ErrorKind.ENDPOINT_FAILED, f"{url} answered {reply.status}"
+            )
+        return read_object(reply, url, ENDPOINT)
+
+    async def cancel(self, endpoint: EndpointView, attempt_id: str) -> CancelWord:
+        """Stop an attempt and return the engine's word."""
+        body = await self._short_call(
+            "POST", endpoint, "/cancel", json={"attempt_id": attempt_id}
+        )
+        match body:
+            case {"state": str(state), "tokens": int(tokens)}:
+                known = state in _CANCEL_STATES
+                return CancelWord(state if known else "unknown", tokens)
+        return CancelWord("unknown", 0)
+
+    async def export_kv(self, endpoint: EndpointView, attempt_id: str) -> str:
+        """Export a running attempt's KV cache; return its handle."""
+        body = await self._short_call(
+            "POST",
+            endpoint,
+            "/kv/export",
+            timeout=_KV_TIMEOUT_S,
+            json={"attempt_id": attempt_id},
+        )
+        return str(_field(body, "handle"))
+
+    async def import_kv(
+        self, endpoint: EndpointView, handle: str, source: EndpointView
+    ) -> int:
+        """Fetch an exported cache from ``source``; return its tokens."""
+        body = await self._short_call(
+            "POST",
+            endpoint,
+            "/kv/import",
+            timeout=_KV_TIMEOUT_S,
+            json={"handle": handle, "source": source.address},
+        )
+        tokens = _field(body, "tokens")
+        if not isinstance(tokens, int):
+            raise EbonydealError(ErrorKind.ENDPOINT_GARBAGE, "tokens is no number")
+        return tokens
+
+    async def load(self, endpoint: EndpointView) -> LoadReport:
+        """Ask an engine or plain service for its load."""
+        load = read_load(await self._short_call("GET", endpoint, "/load"))
+        if load is None:
+            raise EbonydealError(ErrorKind.ENDPOINT_GARBAGE, "no load report")
+        return load
+
+    async def cache_events(
+        self, endpoint: EndpointView, after: int
+    ) -> list[CacheEvent]:
+        """Return cache events after ``after``; late and with gaps."""
+        body = await self._short_call(
+            "GET", endpoint, "/cache/events", params={"after": str(after)}
+        )
+        try:
+            return [
+                CacheEvent(int(item["seq"]), bool(item["stored"]), str(item["block"]))
+                for item in body["events"]
+            ]
+        except (KeyError, TypeError, ValueError) as exc:
+            raise EbonydealError(
+                ErrorKind.ENDPOINT_GARBAGE, f"a cache event: {exc!r}"
+            ) from exc
+
+    async def order(self, endpoint: EndpointView, order: EngineOrder) -> None:
+        """Give an order; raises ``STALE_ORDER`` where the engine checks."""
+        message = {
+            "fence": order.fence,
+            "models": list(order.models),
+            "role": order.role,
+        }
+        await self._short_call("POST", endpoint, "/orders", json=message)
+
+    async def order_state(self, endpoint: EndpointView) -> EngineOrder:
+        """Read back the order in force."""
+        body = await self._short_call("GET", endpoint, "/orders")
+        try:
+            return EngineOrder(
+                int(body["fence"]),
+                tuple(str(name) for name in body["models"]),
+                str(body["role"]),
+            )
+        except (KeyError, TypeError, ValueError) as exc:
+            raise EbonydealError(
+                ErrorKind.ENDPOINT_GARBAGE, f"an order: {exc!r}"
+            ) from exc
+
+    async def close(self) -> None:
+        """Close the session."""
+        await self._client.close()
+
+
+async def _lines(resp: ClientResponse) -> AsyncIterator[bytes]:
+    """Yield the body's lines; one that is too long is garbage."""
+    try:
+        async for line in resp.content:
+            yield line
+    except ValueError as exc:
+        raise EbonydealError(
+            ErrorKind.ENDPOINT_GARBAGE, "the stream holds an endless line"
+        ) from exc
+
+
+def _field(body: dict[str, Any], name: str) -> Any:
+    """Return a field of an engine's answer, or raise ENDPOINT_GARBAGE."""
+    if name not in body:
+        raise EbonydealError(ErrorKind.ENDPOINT_GARBAGE, f"the answer lacks '{name}'")
+    return body[name]
--- /dev/null
+++ b/src/ebonydeal/_internal/platform/services.py
@@ -0,0 +1,99 @@
+"""Plain services over HTTP."""
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.models.endpoints import EndpointView
+from ebonydeal._internal.platform.http import (
+    ATTEMPT_HEADER,
+    ENDPOINT,
+    NOT_RUN_HEADER,
+    HttpClient,
+)
+from ebonydeal._internal.platform.interfaces import ServiceAnswer
+from ebonydeal._internal.platform.loads import LoadListener, tell_header
+from ebonydeal._internal.settings.sections import PlatformSettings
+
+_SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
+_OWN_HEADERS = frozenset(
+    (
+        "host",
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "accept-encoding",
+    )
+)
+
+
+class HttpPlainServices:
+    """`PlainServices` over HTTP for any number of endpoints.
+
+    Calls of a safe method share pooled connections. All others have a
+    connection of their own: a pooled one that the service has just closed would
+    make a call that never arrived look like one that may have run.
+
+    Parameters
+    ----------
+    timeout : float
+        Longest wait for a connection, seconds.
+    on_load : callable, optional
+        Called with (endpoint id, report) for each report on an answer.
+    """
+
+    def __init__(self, timeout: float, on_load: LoadListener | None = None) -> None:
+        self._pooled = HttpClient(timeout)
+        self._single = HttpClient(timeout, pooled=False)
+        self.on_load = on_load
+
+    @classmethod
+    def from_config(
+        cls, cfg: PlatformSettings, on_load: LoadListener | None = None
+    ) -> "HttpPlainServices":
+        """Build from ``[platform]``."""
+        return cls(cfg.timeout, on_load)
+
+    async def call(
+        self,
+        endpoint: EndpointView,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+        attempt_id: str,
+        timeout: float,
+    ) -> ServiceAnswer:
+        """Call once, whatever happens.
+
+        Raises CONNECT_FAILED or ENDPOINT_REFUSED (proof: not run),
+        ENDPOINT_FAILED or ENDPOINT_GARBAGE (may have run).
+        """
+        client = self._pooled if method in _SAFE_METHODS else self._single
+        sent = {
+            name: value
+            for name, value in headers.items()
+            if name.lower() not in _OWN_HEADERS
+        }
+        sent[ATTEMPT_HEADER] = attempt_id
+        reply = await client.fetch(
+            method,
+            f"http://{endpoint.address}{path}",
+            ENDPOINT,
+            timeout=timeout,
+            headers=sent,
+            data=body or None,
+        )
+        tell_header(self.on_load, endpoint, reply.headers)
+        if reply.status == 503 and reply.headers.get(NOT_RUN_HEADER) == "1":
+            raise EbonydealError(
+                ErrorKind.ENDPOINT_REFUSED, f"{endpoint.endpoint_id} refused"
+            )
+        return ServiceAnswer(reply.status, reply.content_type, reply.body)
+
+    async def close(self) -> None:
+        """Close both sessions."""
+        await self._pooled.close()
+        await self._single.close()
--- /dev/null
+++ b/src/ebonydeal/_internal/standin/memory.py
@@ -0,0 +1,219 @@
+"""Table service and object store in memory, with faults."""
+
+from bisect import bisect_left, insort
+from collections.abc import Sequence
+from typing import Any
+
+from msgspec.json import decode, encode
+
+from ebonydeal._internal.platform.interfaces import (
+    Condition,
+    Delete,
+    FieldEquals,
+    Put,
+    Row,
+    RowAbsent,
+    RowVersion,
+    Write,
+)
+from ebonydeal._internal.standin.faults import Faults
+from ebonydeal._internal.standin.gate import OperationGate
+from ebonydeal._internal.utils.clock import Clock, SystemClock
+
+
+class RowStore:
+    """Rows by key; every method is one atomic step.
+
+    Values are kept encoded, so that no caller can change a stored row, and
+    whatever isn't JSON fails at once.
+    """
+
+    def __init__(self) -> None:
+        self._values: dict[str, bytes] = {}
+        self._versions: dict[str, int] = {}
+        self._keys: list[str] = []
+
+    def transact(
+        self, conditions: Sequence[Condition], writes: Sequence[Write]
+    ) -> bool:
+        """Do all writes if all conditions hold; return whether they did."""
+        if not all(self._holds(item) for item in conditions):
+            return False
+        encoded = [encode(item.value) for item in writes if isinstance(item, Put)]
+        values = iter(encoded)
+        for item in writes:
+            match item:
+                case Put(key, _):
+                    self._put(key, next(values))
+                case Delete(key):
+                    self._delete(key)
+        return True
+
+    def _holds(self, condition: Condition) -> bool:
+        match condition:
+            case RowAbsent(key):
+                return key not in self._values
+            case RowVersion(key, version):
+                return key in self._values and self._versions[key] == version
+            case FieldEquals(key, field, value):
+                row = self.get(key)
+                return (
+                    row is not None and field in row.value and row.value[field] == value
+                )
+
+    def _put(self, key: str, value: bytes) -> None:
+        if key not in self._values:
+            insort(self._keys, key)
+        self._values[key] = value
+        # Versions outlive a delete, so that a compare-and-set can't mistake a
+        # row put again for the one it read.
+        self._versions[key] = self._versions.get(key, 0) + 1
+
+    def _delete(self, key: str) -> None:
+        if self._values.pop(key, None) is not None:
+            del self._keys[bisect_left(self._keys, key)]
+
+    def get(self, key: str) -> Row | None:
+        """Return a row, or None."""
+        value = self._values.get(key)
+        if value is None:
+            return None
+        return Row(key, decode(value), self._versions[key])
+
+    def scan(self, prefix: str, start: str, limit: int) -> list[Row]:
+        """Return rows whose key has ``prefix`` and is >= ``start``, by key."""
+        rows: list[Row] = []
+        index = bisect_left(self._keys, max(prefix, start))
+        while index < len(self._keys) and len(rows) < limit:
+            key = self._keys[index]
+            if not key.startswith(prefix):
+                break
+            row = self.get(key)
+            if row is not None:
+                rows.append(row)
+            index += 1
+        return rows
+
+
+class MemoryTables:
+    """`Tables` in memory.
+
+    Parameters
+    ----------
+    clock : Clock, optional
+        For delays.
+    faults : Faults, optional
+        Switches; also as attribute ``faults``.
+    """
+
+    def __init__(
+        self, clock: Clock | None = None, faults: Faults | None = None
+    ) -> None:
+        self.rows = RowStore()
+        self.faults = faults or Faults()
+        self.gate = OperationGate(clock or SystemClock(), self.faults)
+
+    async def transact(
+        self, conditions: Sequence[Condition], writes: Sequence[Write]
+    ) -> bool:
+        """Do all writes if all conditions hold; return whether they did."""
+        conditions, writes = tuple(conditions), tuple(writes)
+        key = writes[0].key if writes else ""
+        # Encoded now: a late landing must not see what the caller changes later.
+        frozen = tuple(_copy(item) for item in writes)
+        return await self.gate.run(
+            "transact",
+            key,
+            True,
+            lambda: self.rows.transact(conditions, frozen),
+            (conditions, frozen),
+        )
+
+    async def get(self, key: str) -> Row | None:
+        """Return a row, or None."""
+        return await self.gate.run("get", key, False, lambda: self.rows.get(key), None)
+
+    async def scan(self, prefix: str, start: str = "", limit: int = 1000) -> list[Row]:
+        """Return rows whose key has ``prefix`` and is >= ``start``, by key."""
+        return await self.gate.run(
+            "scan", prefix, False, lambda: self.rows.scan(prefix, start, limit), None
+        )
+
+    def land_late(self) -> list[Any]:
+        """Let every late write land now; return whether each applied."""
+        return self.gate.land_late()
+
+    @property
+    def reads(self) -> int:
+        """How many reads were asked for."""
+        return self.gate.reads
+
+    @property
+    def writes(self) -> int:
+        """How many transactions were asked for."""
+        return self.gate.writes
+
+    async def close(self) -> None:
+        """Do nothing; here for the adapters' sake."""
+
+
+def _copy(write: Write) -> Write:
+    if isinstance(write, Put):
+        return Put(write.key, decode(encode(write.value)))
+    return write
+
+
+class MemoryObjects:
+    """`Objects` in memory, with the same switches."""
+
+    def __init__(
+        self, clock: Clock | None = None, faults: Faults | None = None
+    ) -> None:
+        self.data: dict[str, bytes] = {}
+        self.faults = faults or Faults()
+        self.gate = OperationGate(clock or SystemClock(), self.faults)
+
+    async def put(self, name: str, data: bytes) -> None:
+        """Store an object, replacing one of the same name."""
+        frozen = bytes(data)
+        await self.gate.run(
+            "put", name, True, lambda: self.data.__setitem__(name, frozen), None
+        )
+
+    async def get(self, name: str) -> bytes | None:
+        """Return an object, or None."""
+        return await self.gate.run(
+            "get", name, False, lambda: self.data.get(name), None
+        )
+
+    async def delete(self, name: str) -> None:
+        """Remove an object if it is there."""
+        await self.gate.run(
+            "delete", name, True, lambda: self.data.pop(name, None), None
+        )
+
+    async def names(self, prefix: str) -> list[str]:
+        """Return the names that start with ``prefix``, sorted."""
+        return await self.gate.run(
+            "names", prefix, False, lambda: self._names(prefix), None
+        )
+
+    def _names(self, prefix: str) -> list[str]:
+        return sorted(name for name in self.data if name.startswith(prefix))
+
+    def land_late(self) -> list[Any]:
+        """Let every late write land now."""
+        return self.gate.land_late()
+
+    @property
+    def reads(self) -> int:
+        """How many reads were asked for."""
+        return self.gate.reads
+
+    @property
+    def writes(self) -> int:
+        """How many writes were asked for."""
+        return self.gate.writes
+
+    async def close(self) -> None:
+        """Do nothing; here for the adapters' sake."""
