--- /dev/null
+++ b/src/ebonydeal/_internal/routing/ledger.py
@@ -0,0 +1,84 @@
+"""What this gateway sent to each endpoint, and what it learned from answers."""
+
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+_LEARN = 0.05
+_RATE_DECAY = 0.999
+_RATE_LEAST_TOKENS = 64
+_REMEMBERED_ENDS = 256
+
+
+@dataclass
+class Attempt:
+    """A try that was sent and has not ended."""
+
+    request_id: str
+    deployment: str
+    blocks: Sequence[str]
+    sent_at: float
+    missed_tokens: float
+    cached_tokens: float
+    delay_s: float
+    first_token_at: float | None = None
+
+
+@dataclass
+class Sent:
+    """Own attempts at one endpoint."""
+
+    attempts: dict[str, Attempt] = field(default_factory=dict)
+    ends: deque[tuple[float, float]] = field(
+        default_factory=lambda: deque(maxlen=_REMEMBERED_ENDS)
+    )
+
+    def since(self, at: float) -> int:
+        """Return how many unfinished attempts were sent after ``at``."""
+        return sum(1 for item in self.attempts.values() if item.sent_at > at)
+
+    def ended_since(self, at: float) -> int:
+        """Return how many that ran at ``at`` have ended since."""
+        count = 0
+        for end, sent in reversed(self.ends):
+            if end <= at:
+                break
+            count += sent <= at
+        return count
+
+    def prefilling(self) -> float:
+        """Return the tokens that own attempts still have to prefill."""
+        return sum(
+            item.missed_tokens
+            for item in self.attempts.values()
+            if item.first_token_at is None
+        )
+
+    def end(self, request_id: str, now: float) -> Attempt | None:
+        """Remove an attempt."""
+        attempt = self.attempts.pop(request_id, None)
+        if attempt is not None:
+            self.ends.append((now, attempt.sent_at))
+        return attempt
+
+
+@dataclass
+class Rates:
+    """Learned speeds of one deployment.
+
+    ``prefill`` in tokens per second of one endpoint; ``service_s`` from first
+    token to the end of an answer, seconds.
+    """
+
+    prefill: float
+    service_s: float
+
+    def prefilled(self, tokens: int, seconds: float) -> None:
+        """Learn from a first token; waiting makes a single one look too slow."""
+        if tokens < _RATE_LEAST_TOKENS or seconds <= 0.0:
+            return
+        self.prefill = max(self.prefill * _RATE_DECAY, tokens / seconds)
+
+    def served(self, seconds: float) -> None:
+        """Learn the time from first token to end."""
+        self.service_s += _LEARN * (max(0.0, seconds) - self.service_s)
--- /dev/null
+++ b/src/ebonydeal/_internal/routing/prefix_view.py
@@ -0,0 +1,84 @@
+"""What this gateway believes of the prefix caches of endpoints.
+
+Fed by cache events (late, with gaps), by own sends, and corrected by the cached
+tokens that answers report. Each entry is a block and the time it was last known
+used; the least recently used go first when memory is full, as engines do.
+"""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+
+from ebonydeal._internal.utils.prefix import BLOCK_TOKENS
+
+_LEARN = 0.1
+_GAP_KEEP = 0.98
+_LEAST_TRUST = 0.2
+
+
+class CacheView:
+    """One endpoint's believed cache.
+
+    Parameters
+    ----------
+    most : int
+        Blocks remembered.
+    half_life : float
+        Age at which an entry counts half, seconds.
+    """
+
+    def __init__(self, most: int, half_life: float) -> None:
+        self._most = most
+        self._half_life = half_life
+        self._used: OrderedDict[str, float] = OrderedDict()
+        self._seq = 0
+        self._trust = 1.0
+
+    def __len__(self) -> int:
+        """Return the number of remembered blocks."""
+        return len(self._used)
+
+    def event(self, seq: int, stored: bool, block: str, now: float) -> None:
+        """Take a cache event; a jump of ``seq`` lowers the trust in the view."""
+        if self._seq and seq > self._seq + 1:
+            gap = min(seq - self._seq - 1, 100)
+            self._trust = max(_LEAST_TRUST, self._trust * _GAP_KEEP**gap)
+        self._seq = max(self._seq, seq)
+        if stored:
+            self._touch(block, now)
+        else:
+            self._used.pop(block, None)
+
+    def sent(self, blocks: Sequence[str], now: float) -> None:
+        """An own request with these blocks was sent: it will fill the cache."""
+        # From the last to the first: prefixes outlive what builds on them.
+        for block in reversed(blocks):
+            self._touch(block, now)
+
+    def answered(
+        self, blocks: Sequence[str], expected: float, cached: int, now: float
+    ) -> None:
+        """Correct by an answer's cached tokens; all blocks are there now."""
+        if expected > 0.0:
+            hit = min(1.0, cached / expected)
+            self._trust += _LEARN * (hit - self._trust)
+            self._trust = max(_LEAST_TRUST, self._trust)
+        self.sent(blocks, now)
+
+    def cached_tokens(self, blocks: Sequence[str], now: float) -> float:
+        """Return the prompt tokens expected to be found in the cache."""
+        count = 0
+        oldest = now
+        for block in blocks:
+            used = self._used.get(block)
+            if used is None:
+                break
+            oldest = min(oldest, used)
+            count += 1
+        age = max(0.0, now - oldest)
+        return count * BLOCK_TOKENS * self._trust * 0.5 ** (age / self._half_life)
+
+    def _touch(self, block: str, now: float) -> None:
+        self._used[block] = now
+        self._used.move_to_end(block)
+        if len(self._used) > self._most:
+            self._used.popitem(last=False)
--- /dev/null
+++ b/src/ebonydeal/_internal/routing/router.py
@@ -0,0 +1,186 @@
+"""The choice of an endpoint for each request, and what is learned from answers."""
+
+from random import Random
+
+from ebonydeal._internal.errors import ErrorKind
+from ebonydeal._internal.models.endpoints import EndpointState, EndpointView
+from ebonydeal._internal.routing.ledger import Attempt, Rates, Sent
+from ebonydeal._internal.routing.prefix_view import CacheView
+from ebonydeal._internal.routing.score import Estimate, price_per_second, score
+from ebonydeal._internal.routing.types import Choice, RouteRequest, Scored
+from ebonydeal._internal.settings.routing import RoutingSettings
+
+_SHOWN_ALTERNATIVES = 3
+_ASSUMED_SLOTS = 16.0
+
+
+class Router:
+    """Routing decisions and their state at one gateway.
+
+    Parameters
+    ----------
+    cfg : RoutingSettings
+        Weights and bounds.
+    rng : random.Random
+        For choices among near-equal endpoints.
+    """
+
+    def __init__(self, cfg: RoutingSettings, rng: Random) -> None:
+        self._cfg = cfg
+        self._rng = rng
+        self._sent: dict[str, Sent] = {}
+        self._caches: dict[str, CacheView] = {}
+        self._rates: dict[str, Rates] = {}
+
+    @classmethod
+    def from_config(cls, cfg: RoutingSettings, rng: Random) -> "Router":
+        """Build from settings."""
+        return cls(cfg, rng)
+
+    def choose(
+        self, ask: RouteRequest, views: tuple[EndpointView, ...], now: float
+    ) -> Choice | None:
+        """Return the endpoint for ``ask``, or None where none can take it.
+
+        Parameters
+        ----------
+        ask : RouteRequest
+            The request.
+        views : tuple of EndpointView
+            The deployment's endpoints that are not leaving.
+        now : float
+            Wall clock seconds.
+        """
+        usable = tuple(view for view in views if _is_usable(ask, view))
+        if not usable:
+            return None
+        second = price_per_second(usable)
+        scored = [
+            score(
+                ask, view, self._estimate(ask, view, now), second, self._cfg.late_factor
+            )
+            for view in usable
+        ]
+        scored.sort(key=lambda item: item.score)
+        best = self._pick(scored)
+        rest = tuple(item for item in scored[: _SHOWN_ALTERNATIVES + 1] if item != best)
+        return Choice(*best, rest[:_SHOWN_ALTERNATIVES])
+
+    def sent(self, choice: Choice, ask: RouteRequest, now: float) -> None:
+        """Note that ``ask`` is being sent to the chosen endpoint."""
+        endpoint = choice.endpoint.endpoint_id
+        missed = max(0.0, ask.prompt_tokens - choice.terms.cached_tokens)
+        attempt = Attempt(
+            request_id=ask.request_id,
+            deployment=ask.deployment,
+            blocks=ask.blocks,
+            sent_at=now,
+            missed_tokens=missed,
+            cached_tokens=choice.terms.cached_tokens,
+            delay_s=choice.terms.delay_s,
+        )
+        self._sent_to(endpoint).attempts[ask.request_id] = attempt
+        self._cache(endpoint).sent(ask.blocks, now)
+
+    def first_token(
+        self,
+        request_id: str,
+        endpoint_id: str,
+        cached_tokens: int,
+        prefilled_tokens: int,
+        now: float,
+    ) -> None:
+        """Note the first token, and what the engine says of its cache."""
+        attempt = self._sent_to(endpoint_id).attempts.get(request_id)
+        if attempt is None or attempt.first_token_at is not None:
+            return
+        attempt.first_token_at = now
+        self._rates_of(attempt.deployment).prefilled(
+            prefilled_tokens, now - attempt.sent_at
+        )
+        self._cache(endpoint_id).answered(
+            attempt.blocks, attempt.cached_tokens, cached_tokens, now
+        )
+
+    def finished(self, request_id: str, endpoint_id: str, now: float) -> None:
+        """Note the whole answer."""
+        attempt = self._sent_to(endpoint_id).end(request_id, now)
+        if attempt is None:
+            return
+        started = attempt.first_token_at or attempt.sent_at
+        self._rates_of(attempt.deployment).served(now - started)
+
+    def failed(
+        self, request_id: str, endpoint_id: str, kind: ErrorKind, now: float
+    ) -> None:
+        """Note that a try failed, or that its caller left."""
+        self._sent_to(endpoint_id).end(request_id, now)
+
+    def cache_event(
+        self, endpoint_id: str, seq: int, stored: bool, block: str, now: float
+    ) -> None:
+        """Take an engine's cache event."""
+        self._cache(endpoint_id).event(seq, stored, block, now)
+
+    def forget(self, endpoint_id: str) -> None:
+        """Drop what is known of an endpoint that is gone or started anew."""
+        self._caches.pop(endpoint_id, None)
+        self._sent.pop(endpoint_id, None)
+
+    # --- parts -------------------------------------------------------------------
+    def _sent_to(self, endpoint_id: str) -> Sent:
+        if endpoint_id not in self._sent:
+            self._sent[endpoint_id] = Sent()
+        return self._sent[endpoint_id]
+
+    def _cache(self, endpoint_id: str) -> CacheView:
+        if endpoint_id not in self._caches:
+            self._caches[endpoint_id] = CacheView(
+                self._cfg.cache_blocks, self._cfg.cache_half_life
+            )
+        return self._caches[endpoint_id]
+
+    def _rates_of(self, deployment: str) -> Rates:
+        if deployment not in self._rates:
+            cfg = self._cfg
+            self._rates[deployment] = Rates(cfg.prefill_rate, cfg.service_time)
+        return self._rates[deployment]
+
+    def _estimate(self, ask: RouteRequest, view: EndpointView, now: float) -> Estimate:
+        """Put together what is expected of one endpoint."""
+        sent = self._sent_to(view.endpoint_id)
+        rates = self._rates_of(ask.deployment)
+        cached = self._cache(view.endpoint_id).cached_tokens(ask.blocks, now)
+        slots = float(view.load.slots) if view.load else _ASSUMED_SLOTS
+        return Estimate(
+            load=_expected_load(view, sent, now),
+            slots=slots,
+            prefill_queue=sent.prefilling(),
+            cached_tokens=min(cached, float(ask.prompt_tokens)),
+            prefill_rate=rates.prefill,
+            service_s=rates.service_s,
+        )
+
+    def _pick(self, scored: list[Scored]) -> Scored:
+        """Return one of the near-equal best."""
+        bound = scored[0].score * (1.0 + self._cfg.near_equal)
+        near = [item for item in scored if item.score <= bound]
+        return self._rng.choice(near)
+
+
+def _is_usable(ask: RouteRequest, view: EndpointView) -> bool:
+    """Return whether an endpoint can take the request at all."""
+    if view.state is not EndpointState.READY or view.endpoint_id in ask.exclude:
+        return False
+    return not ask.model or ask.model in view.models
+
+
+def _expected_load(view: EndpointView, sent: Sent, now: float) -> float:
+    """Return the requests expected at an endpoint."""
+    own = float(len(sent.attempts))
+    if view.load is None:
+        return own
+    at = min(view.load.at, now)
+    reported = view.load.running + view.load.waiting
+    expected = reported + sent.since(at) - sent.ended_since(at)
+    return max(own, expected)
--- /dev/null
+++ b/src/ebonydeal/_internal/routing/score.py
@@ -0,0 +1,97 @@
+"""The score of one endpoint for one request, in money; lower is better.
+
+A second of delay costs what a replica costs in a second: that is what adding
+capacity to remove it would cost. Beyond the latency target it costs
+``late_factor`` times more. A token that must be computed costs the time of the
+whole replica that computes it.
+"""
+
+from typing import NamedTuple
+
+from ebonydeal._internal.models.endpoints import EndpointView
+from ebonydeal._internal.models.places import Distance, distance
+from ebonydeal._internal.routing.types import RouteRequest, Scored, Terms
+
+_HOUR = 3600.0
+_ROUND_TRIP_S = {
+    Distance.SAME_ZONE: 0.0005,
+    Distance.SAME_REGION: 0.003,
+    Distance.OTHER_REGION: 0.04,
+}
+
+
+class Estimate(NamedTuple):
+    """What is expected of one endpoint.
+
+    Attributes
+    ----------
+    load : float
+        Requests running and waiting.
+    slots : float
+        Requests that run at once.
+    prefill_queue : float
+        Tokens to be computed before this request's.
+    cached_tokens : float
+        Prompt tokens in its prefix cache.
+    prefill_rate : float
+        Tokens per second.
+    service_s : float
+        From first token to the end, seconds.
+    """
+
+    load: float
+    slots: float
+    prefill_queue: float
+    cached_tokens: float
+    prefill_rate: float
+    service_s: float
+
+
+def price_per_second(views: tuple[EndpointView, ...]) -> float:
+    """Return the mean price of a replica's second; one unit if all are free."""
+    prices = [view.price_per_hour for view in views if view.price_per_hour > 0.0]
+    if not prices:
+        return 1.0 / _HOUR
+    return sum(prices) / len(prices) / _HOUR
+
+
+def score(
+    ask: RouteRequest,
+    view: EndpointView,
+    expected: Estimate,
+    second: float,
+    late_factor: float,
+) -> Scored:
+    """Score one endpoint; ``second`` is the price of a replica's second."""
+    missed = max(0.0, ask.prompt_tokens - expected.cached_tokens)
+    prefill_s = missed / expected.prefill_rate
+    queue_s = expected.prefill_queue / expected.prefill_rate
+    delay = queue_s + prefill_s + _slot_wait(expected)
+    late = max(0.0, delay - ask.first_token_s)
+    at_stake = ask.prompt_tokens + ask.max_tokens / 2.0
+    chance = view.evict_per_hour / _HOUR * expected.service_s
+    own_second = view.price_per_hour / _HOUR
+    used_s = prefill_s + expected.service_s / max(1.0, expected.slots)
+    terms = Terms(
+        wait=second * (delay + (late_factor - 1.0) * late),
+        prefill=second * prefill_s * ask.weights.recompute,
+        distance=second * _ROUND_TRIP_S[distance(ask.place, view.place)],
+        eviction=second
+        * min(1.0, chance)
+        * at_stake
+        / expected.prefill_rate
+        * ask.weights.recompute,
+        price=own_second * used_s * ask.weights.cost,
+        delay_s=delay,
+        cached_tokens=expected.cached_tokens,
+        load=expected.load,
+    )
+    return Scored(view, terms.total, terms)
+
+
+def _slot_wait(expected: Estimate) -> float:
+    """Return the expected wait for a slot, seconds."""
+    behind = expected.load + 1.0 - expected.slots
+    if behind <= 0.0:
+        return 0.0
+    return behind * expected.service_s / max(1.0, expected.slots)
