--- /dev/null
+++ b/src/ebonydeal/_internal/config/references.py
@@ -0,0 +1,166 @@
+"""References, ranges across fields and feasibility of a well-formed document."""
+
+from collections.abc import Iterator, Sequence
+from typing import Any
+
+from ebonydeal._internal.config.problems import Path, Problem
+from ebonydeal._internal.platform.interfaces import Offer
+
+Item = dict[str, Any]
+
+
+def reference_problems(
+    document: dict[str, Any], offers: Sequence[Offer] | None
+) -> list[Problem]:
+    """Return every problem of a document that the schema has passed."""
+    problems = list(_unique_names(document))
+    zones = {zone for region in document["regions"] for zone in region["zones"]}
+    accounts = {item["name"] for item in document["accounts"]}
+    for index, item in enumerate(document["deployments"]):
+        path: Path = ("deployments", index)
+        problems.extend(_unknown(item["zones"], zones, (*path, "zones"), "zone"))
+        problems.extend(
+            _unknown(item["accounts"], accounts, (*path, "accounts"), "account")
+        )
+        problems.extend(_replica_problems(item, path))
+        problems.extend(_kind_problems(item, path))
+        problems.extend(_adapter_problems(item, path))
+        problems.extend(_call_problems(item, path))
+        if offers is not None:
+            problems.extend(_price_problems(item, path, offers))
+    problems.extend(_shared_models(document["deployments"]))
+    return problems
+
+
+def _unique_names(document: dict[str, Any]) -> Iterator[Problem]:
+    """Yield names that stand twice; case is not enough to tell two apart."""
+    for section in ("regions", "accounts", "deployments"):
+        names = [item["name"] for item in document[section]]
+        paths: list[Path] = [(section, i, "name") for i in range(len(names))]
+        yield from _repeated(names, paths)
+    zones = [
+        (zone, ("regions", i, "zones", j))
+        for i, region in enumerate(document["regions"])
+        for j, zone in enumerate(region["zones"])
+    ]
+    yield from _repeated([zone for zone, _ in zones], [path for _, path in zones])
+
+
+def _repeated(names: list[str], paths: Sequence[Path]) -> Iterator[Problem]:
+    """Yield one problem for each name that stood before."""
+    seen: dict[str, str] = {}
+    for name, path in zip(names, paths, strict=True):
+        before = seen.get(name.casefold())
+        if before is not None:
+            yield Problem(path, f"'{name}' is already taken by '{before}'")
+        seen[name.casefold()] = name
+
+
+def _unknown(
+    names: list[str], known: set[str], path: Path, what: str
+) -> Iterator[Problem]:
+    """Yield references to things that the document doesn't have."""
+    for index, name in enumerate(names):
+        if name not in known:
+            listed = ", ".join(sorted(known)) or "none"
+            yield Problem(
+                (*path, index), f"no {what} is named '{name}'; there are: {listed}"
+            )
+
+
+def _replica_problems(item: Item, path: Path) -> Iterator[Problem]:
+    """Yield bounds on replicas that contradict each other."""
+    replicas = item.get("replicas", {})
+    low = replicas.get("min", 1)
+    high = replicas.get("max", 1)
+    if low > high:
+        yield Problem(
+            (*path, "replicas", "min"), f"min {low:g} is more than max {high:g}"
+        )
+
+
+def _kind_problems(item: Item, path: Path) -> Iterator[Problem]:
+    """Yield keys that don't go with the kind."""
+    if item["kind"] == "engine":
+        if not item.get("models"):
+            yield Problem((*path, "models"), "an engine must have at least one model")
+        if item.get("calls"):
+            yield Problem((*path, "calls"), "only a plain service has calls")
+        return
+    for key in ("models", "adapters"):
+        if item.get(key):
+            yield Problem((*path, key), f"a plain service has no {key}")
+    if item.get("deadline_work"):
+        yield Problem((*path, "deadline_work"), "only engines take deadline work")
+
+
+def _adapter_problems(item: Item, path: Path) -> Iterator[Problem]:
+    """Yield adapters whose model isn't there, and names that clash."""
+    models = item.get("models", [])
+    taken = set(models)
+    for index, adapter in enumerate(item.get("adapters", [])):
+        where = (*path, "adapters", index)
+        if adapter["model"] not in models:
+            listed = ", ".join(models) or "none"
+            message = f"model '{adapter['model']}' is not in models: {listed}"
+            yield Problem((*where, "model"), message)
+        if adapter["name"] in taken:
+            message = f"'{adapter['name']}' is already a model or adapter here"
+            yield Problem((*where, "name"), message)
+        taken.add(adapter["name"])
+
+
+def _call_problems(item: Item, path: Path) -> Iterator[Problem]:
+    """Yield two rules for the same calls."""
+    seen: set[tuple[str, str]] = set()
+    for index, call in enumerate(item.get("calls", [])):
+        key = (call["method"], call["path"])
+        if key in seen:
+            message = f"{call['method']} {call['path']} already has a rule"
+            yield Problem((*path, "calls", index), message)
+        seen.add(key)
+
+
+def _price_problems(item: Item, path: Path, offers: Sequence[Offer]) -> list[Problem]:
+    """Return whether the ceiling is under what the cloud asks for now."""
+    prices = [offer.price_per_hour for offer in offers if offer.zone in item["zones"]]
+    where = (*path, "price_ceiling_per_hour")
+    ceiling = item["price_ceiling_per_hour"]
+    if not prices:
+        return [Problem((*path, "zones"), "no instance is offered in these zones")]
+    cheapest = min(prices)
+    if ceiling < cheapest:
+        message = f"{ceiling:g} is under every offer; the cheapest is {cheapest:g}"
+        return [Problem(where, message)]
+    low = item.get("replicas", {}).get("min", 1)
+    if ceiling < cheapest * low:
+        message = (
+            f"{ceiling:g} can't hold {low} replicas; at the cheapest offer "
+            f"they cost {cheapest * low:g}"
+        )
+        return [Problem(where, message)]
+    return []
+
+
+def _shared_models(deployments: list[Item]) -> Iterator[Problem]:
+    """Yield pairs that both serve one model to one account: routing can't tell."""
+    earlier: dict[str, list[int]] = {}
+    for index, item in enumerate(deployments):
+        names = [
+            *item.get("models", []),
+            *(a["name"] for a in item.get("adapters", [])),
+        ]
+        for name in dict.fromkeys(names):
+            for other in earlier.setdefault(name, []):
+                yield from _clash(deployments[other], item, name, index)
+            earlier[name].append(index)
+
+
+def _clash(first: Item, second: Item, model: str, index: int) -> Iterator[Problem]:
+    """Yield the problem of two deployments that serve ``model`` to one account."""
+    accounts = set(first["accounts"]) & set(second["accounts"])
+    if accounts:
+        message = (
+            f"'{first['name']}' already serves {model} to {', '.join(sorted(accounts))}"
+        )
+        yield Problem(("deployments", index, "models"), message)
--- /dev/null
+++ b/src/ebonydeal/_internal/config/validate.py
@@ -0,0 +1,166 @@
+"""Validation of a whole document: every problem at once, each with its path.
+
+Three passes: values that JSON can't carry or the table can't keep, the published
+schema, then references, ranges across fields and feasibility. The last pass runs
+only on a document of the right shape.
+"""
+
+import json
+import math
+from collections.abc import Iterator, Sequence
+from functools import cache
+from importlib.resources import files
+from typing import Any
+from unicodedata import is_normalized
+
+from jsonschema import Draft202012Validator
+from jsonschema.exceptions import ValidationError
+from returns.result import Failure, Result, Success
+
+from ebonydeal._internal.config.problems import Path, Problem
+from ebonydeal._internal.config.references import reference_problems
+from ebonydeal._internal.platform.interfaces import Offer
+
+_SHOWN = 60
+_MAX_DEPTH = 50
+_MAX_PROBLEMS = 200
+
+
+@cache
+def schema() -> dict[str, Any]:
+    """Return the published JSON Schema (draft 2020-12)."""
+    path = files("ebonydeal._internal.config") / "schema.json"
+    return json.loads(path.read_text(encoding="utf-8"))
+
+
+@cache
+def _validator() -> Draft202012Validator:
+    """Return the compiled schema."""
+    return Draft202012Validator(schema())
+
+
+def validate(
+    document: Any, offers: Sequence[Offer] | None = None
+) -> Result[dict[str, Any], list[Problem]]:
+    """Check a document whole.
+
+    Parameters
+    ----------
+    document : Any
+        Parsed JSON; anything is taken and only a sound document succeeds.
+    offers : sequence of Offer, optional
+        What the cloud offers now; without it feasibility of prices isn't
+        checked.
+
+    Returns
+    -------
+    Result
+        The document itself, or every problem found, in document order.
+    """
+    problems = list(_value_problems(document, ()))
+    if not problems:
+        errors = _validator().iter_errors(document)
+        problems = [item for error in errors for item in _from_error(error)]
+    if not problems:
+        problems = reference_problems(document, offers)
+    if problems:
+        return Failure(sorted(problems, key=_order)[:_MAX_PROBLEMS])
+    return Success(document)
+
+
+def _order(problem: Problem) -> tuple[tuple[int, str], ...]:
+    """Return a sort key: list indexes by number, keys by name."""
+    return tuple(
+        (part, "") if isinstance(part, int) else (-1, part) for part in problem.path
+    )
+
+
+def _value_problems(value: Any, path: Path) -> Iterator[Problem]:
+    """Yield values that JSON can't carry, or that look alike but differ."""
+    if len(path) > _MAX_DEPTH:
+        yield Problem(path[:3], "nests too deep")
+        return
+    match value:
+        case dict():
+            for key, item in value.items():
+                if not isinstance(key, str):
+                    yield Problem(path, "keys must be text")
+                    continue
+                yield from _text_problems(key, path)
+                yield from _value_problems(item, (*path, key))
+        case list():
+            for index, item in enumerate(value):
+                yield from _value_problems(item, (*path, index))
+        case str():
+            yield from _text_problems(value, path)
+        case float() if not math.isfinite(value):
+            yield Problem(path, "must be a finite number")
+        case None | bool() | int() | float():
+            pass
+        case _:
+            yield Problem(path, f"{type(value).__name__} is no JSON value")
+
+
+def _text_problems(text: str, path: Path) -> Iterator[Problem]:
+    """Yield problems of a text itself."""
+    try:
+        text.encode("utf-8")
+    except UnicodeEncodeError:
+        yield Problem(path, "holds characters that UTF-8 can't carry")
+        return
+    if not is_normalized("NFC", text):
+        yield Problem(path, "accents must be composed (Unicode NFC)")
+
+
+def _shown(value: Any) -> str:
+    """Return a value for a message, cut to a readable length."""
+    text = json.dumps(value, ensure_ascii=False, default=str)
+    return text if len(text) <= _SHOWN else text[:_SHOWN] + "..."
+
+
+def _from_error(error: ValidationError) -> list[Problem]:
+    """Return the problems that one schema error stands for."""
+    path: Path = tuple(error.absolute_path)
+    value = error.instance
+    rule: Any = error.validator_value
+    shape: Any = error.schema
+    match error.validator:
+        case "required":
+            missing = [key for key in rule if key not in value]
+            found = [key for key in missing if error.message.startswith(repr(key))]
+            return [Problem((*path, key), "is missing") for key in found]
+        case "additionalProperties":
+            known = ", ".join(shape["properties"])
+            extra = [key for key in value if key not in shape["properties"]]
+            return [
+                Problem((*path, key), f"unknown key; known: {known}") for key in extra
+            ]
+    return [Problem(path, _message(error, value, rule, shape))]
+
+
+def _message(error: ValidationError, value: Any, rule: Any, shape: Any) -> str:
+    """Say what is wrong with one value and what would be accepted."""
+    match error.validator:
+        case "type":
+            return f"must be of type {rule}, not {_shown(value)}"
+        case "enum":
+            return f"must be one of {', '.join(rule)}, not {_shown(value)}"
+        case "pattern":
+            return f"must be {shape['description']}, not {_shown(value)}"
+        case "minimum":
+            return f"must be at least {rule:g}, not {_shown(value)}"
+        case "exclusiveMinimum":
+            return f"must be more than {rule:g}, not {_shown(value)}"
+        case "maximum":
+            return f"must be at most {rule:g}, not {_shown(value)}"
+        case "minItems":
+            return f"must have at least {rule}"
+        case "maxItems":
+            return f"must have at most {rule}, not {len(value)}"
+        case "minLength":
+            return "must not be empty"
+        case "maxLength":
+            return f"must have at most {rule} characters"
+        case "uniqueItems":
+            return "must not name one thing twice"
+    return error.message[:_SHOWN]
