Follow endpoints and exchange leaving marks between processes

Change: marks as a set that merges in any order; Directory over the lagging instance list, notices, load and cache events; membership with suspicion and refutation; PeerService with rounds, pushes and its own listener. Conclusion: a thin whole to build on.

--- /dev/null
+++ b/src/ebonydeal/_internal/directory/notices.py
@@ -0,0 +1,66 @@
+"""From the cloud's notices, which name no incarnation, to leaving marks."""
+
+from collections.abc import Iterable
+
+from ebonydeal._internal.directory.table import EndpointTable
+from ebonydeal._internal.models.endpoints import LeavingMark
+from ebonydeal._internal.platform.interfaces import ReclaimNotice
+
+SOURCE = "cloud"
+MAX_PENDING = 10_000
+
+
+class NoticeResolver:
+    """Turns notices into marks; holds those whose endpoint isn't listed yet.
+
+    Parameters
+    ----------
+    list_lag : float
+        Seconds by which the instance list may lag. A notice whose deadline has
+        passed by more speaks of an instance that is gone, so it can't mark what
+        the list shows now.
+    """
+
+    def __init__(self, list_lag: float) -> None:
+        self._lag = list_lag
+        self._pending: dict[str, tuple[ReclaimNotice, float]] = {}
+        self.last_seq = 0
+
+    def __len__(self) -> int:
+        """Return the number of notices held."""
+        return len(self._pending)
+
+    def take(
+        self, notices: Iterable[ReclaimNotice], table: EndpointTable, now: float
+    ) -> list[LeavingMark]:
+        """Return the marks that follow from ``notices``."""
+        marks = []
+        for notice in notices:
+            self.last_seq = max(self.last_seq, notice.seq)
+            if self._is_over(notice, now):
+                continue
+            if not notice.instance_id:
+                at = min(now, notice.deadline or now)
+                mark = LeavingMark("", 0, notice.zone, notice.deadline, SOURCE, at)
+                marks.append(mark)
+            elif len(self._pending) < MAX_PENDING:
+                self._pending[notice.instance_id] = (notice, now)
+        return marks + self.resolve(table, now)
+
+    def resolve(self, table: EndpointTable, now: float) -> list[LeavingMark]:
+        """Return marks of held notices whose endpoint is listed by now."""
+        marks = []
+        for instance_id, (notice, at) in list(self._pending.items()):
+            view = table.get(instance_id)
+            if view is not None:
+                marks.append(
+                    LeavingMark(
+                        instance_id, view.incarnation, "", notice.deadline, SOURCE, at
+                    )
+                )
+            if view is not None or now > max(at, notice.deadline) + self._lag:
+                del self._pending[instance_id]
+        return marks
+
+    def _is_over(self, notice: ReclaimNotice, now: float) -> bool:
+        return 0.0 < notice.deadline < now - self._lag
--- /dev/null
+++ b/src/ebonydeal/_internal/directory/service.py
@@ -0,0 +1,355 @@
+"""What a process knows of the endpoints, followed without a fixed place to ask.
+
+The instance list lags and has outages, so the last good list is kept. Leaving
+marks come from the cloud, engines, peers and the list itself; they stick to an
+incarnation whatever the list says later.
+"""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+from mode import Service
+
+from ebonydeal._internal.directory.marks import MarkLimits, MarkSet
+from ebonydeal._internal.directory.notices import NoticeResolver
+from ebonydeal._internal.directory.polling import PollPlan
+from ebonydeal._internal.directory.suspects import Suspects
+from ebonydeal._internal.directory.table import Change, EndpointTable
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.models.endpoints import (
+    EndpointKind,
+    EndpointState,
+    EndpointView,
+    LeavingMark,
+    LoadReport,
+)
+from ebonydeal._internal.observe.counters import Event, Metrics
+from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.platform.interfaces import (
+    CacheEvent,
+    Cloud,
+    Engine,
+    InstanceList,
+)
+from ebonydeal._internal.settings.directory import DirectorySettings
+from ebonydeal._internal.utils.clock import Clock
+
+logger = get_logger("directory")
+
+POLL_TICK_S = 0.25
+_LOWEST_JITTER = 0.5
+_HIGHEST_JITTER = 1.5
+MarkCallback = Callable[[LeavingMark], None]
+ChangeCallback = Callable[[Change], None]
+EventsCallback = Callable[[str, list[CacheEvent]], None]
+
+
+class Directory(Service):
+    """Follows endpoints, their load and their leaving.
+
+    Parameters
+    ----------
+    cfg : DirectorySettings
+        Periods and bounds.
+    instances : InstanceList
+        The lagging list.
+    metrics, clock, rng
+        Counters, time, and the source of jitter.
+    cloud : Cloud, optional
+        Where notices are read.
+    engine : Engine, optional
+        By which endpoints are asked for load and cache events.
+    """
+
+    def __init__(
+        self,
+        cfg: DirectorySettings,
+        instances: InstanceList,
+        metrics: Metrics,
+        clock: Clock,
+        rng: random.Random,
+        *,
+        cloud: Cloud | None = None,
+        engine: Engine | None = None,
+    ) -> None:
+        super().__init__()
+        self._cfg = cfg
+        self._instances = instances
+        self._cloud = cloud
+        self._engine = engine
+        self._metrics = metrics
+        self._clock = clock
+        self._rng = rng
+        self.marks = MarkSet(MarkLimits(cfg.list_lag, cfg.mark_retention))
+        self._table = EndpointTable()
+        self._leaving: set[str] = set()
+        self._suspects = Suspects(cfg.refusals_suspect, cfg.suspect_seconds)
+        self._notices = NoticeResolver(cfg.list_lag)
+        self._loads = PollPlan(cfg.load_period)
+        self._events = PollPlan(cfg.events_period)
+        self._event_seq: dict[str, int] = {}
+        self._watch: Callable[[EndpointView], bool] | None = None
+        self._mark_callbacks: list[MarkCallback] = []
+        self._change_callbacks: list[ChangeCallback] = []
+        self._event_callbacks: list[EventsCallback] = []
+        self._listed = asyncio.Event()
+
+    @classmethod
+    def from_config(
+        cls,
+        cfg: DirectorySettings,
+        instances: InstanceList,
+        metrics: Metrics,
+        clock: Clock,
+        rng: random.Random,
+        *,
+        cloud: Cloud | None = None,
+        engine: Engine | None = None,
+    ) -> "Directory":
+        """Build from the ``[directory]`` section and the platform's adapters."""
+        return cls(cfg, instances, metrics, clock, rng, cloud=cloud, engine=engine)
+
+    # --- reading ---------------------------------------------------------------
+    @property
+    def ready(self) -> bool:
+        """Whether an instance list has been read."""
+        return self._listed.is_set()
+
+    async def wait_until_listed(self) -> None:
+        """Wait for the first instance list."""
+        await self._listed.wait()
+
+    def views(self, deployment: str) -> tuple[EndpointView, ...]:
+        """Return a deployment's endpoints, without leaving and suspected ones.
+
+        If all are suspected, the suspicion says more of this process than of
+        them, so all are returned.
+        """
+        views = [
+            view
+            for view in self._table.of(deployment)
+            if view.endpoint_id not in self._leaving
+        ]
+        now = self._clock.now()
+        trusted = [
+            view
+            for view in views
+            if not self._suspects.suspected(view.endpoint_id, now)
+        ]
+        return tuple(trusted or views)
+
+    def all_views(self) -> tuple[EndpointView, ...]:
+        """Return all listed endpoints, also leaving ones."""
+        return self._table.all()
+
+    def get(self, endpoint_id: str) -> EndpointView | None:
+        """Return the present view of one endpoint, also of a leaving one."""
+        return self._table.get(endpoint_id)
+
+    def is_leaving(self, view: EndpointView) -> bool:
+        """Return whether this incarnation is leaving (or is gone)."""
+        known = self._table.get(view.endpoint_id)
+        if known is not None and known.incarnation > view.incarnation:
+            return True
+        if known is not None and known.incarnation == view.incarnation:
+            return view.endpoint_id in self._leaving
+        return self.marks.covers(view, self._table.first_seen(view))
+
+    def deadline(self, view: EndpointView) -> float:
+        """Return when the endpoint is taken, in wall seconds; 0.0 if unknown."""
+        return self.marks.deadline(view, self._clock.wall())
+
+    # --- telling -----------------------------------------------------------------
+    def mark(self, mark: LeavingMark) -> bool:
+        """Take in a leaving mark; return whether it was news.
+
+        Callbacks of `on_mark` run for news only.
+        """
+        news = self.marks.merge(mark, self._clock.wall())
+        self._apply(mark)
+        if not news:
+            return False
+        self._metrics.count(Event.LEAVING_MARKED)
+        logger.info("Leaving.", endpoint=mark.endpoint_id, zone=mark.zone)
+        for callback in self._mark_callbacks:
+            _call(callback, mark)
+        return True
+
+    def observe_load(self, endpoint_id: str, load: LoadReport) -> None:
+        """Take in a load report, for example one that rode on an answer."""
+        self._suspects.answered(endpoint_id)
+        self._loads.heard(endpoint_id, self._clock.now())
+        self._table.observe_load(endpoint_id, load)
+
+    def connect_failed(self, endpoint_id: str) -> None:
+        """Note a refused connection; several in a row make a suspect."""
+        if self._suspects.refused(endpoint_id, self._clock.now()):
+            logger.warning("Connections are refused.", endpoint=endpoint_id)
+
+    def set_watch(self, watch: Callable[[EndpointView], bool]) -> None:
+        """Poll only the endpoints for which ``watch`` is true."""
+        self._watch = watch
+
+    def on_mark(self, callback: MarkCallback) -> None:
+        """Call ``callback`` with each mark that is news."""
+        self._mark_callbacks.append(callback)
+
+    def on_change(self, callback: ChangeCallback) -> None:
+        """Call ``callback`` when incarnations come or go."""
+        self._change_callbacks.append(callback)
+
+    def on_cache_events(self, callback: EventsCallback) -> None:
+        """Call ``callback(endpoint_id, events)`` with each batch of cache events."""
+        self._event_callbacks.append(callback)
+
+    # --- following ---------------------------------------------------------------
+    @Service.task
+    async def _follow_list(self) -> None:
+        await self._repeat(self._cfg.list_period, self._read_list, "instance list")
+
+    @Service.task
+    async def _follow_notices(self) -> None:
+        if self._cloud is not None:
+            await self._repeat(self._cfg.notices_period, self._read_notices, "notices")
+
+    @Service.task
+    async def _follow_loads(self) -> None:
+        if self._engine is not None:
+            await self._repeat(POLL_TICK_S, self._poll_loads, "load")
+
+    @Service.task
+    async def _follow_events(self) -> None:
+        if self._engine is not None:
+            await self._repeat(POLL_TICK_S, self._poll_events, "cache events")
+
+    async def _repeat(
+        self, period: float, step: Callable[[], Awaitable[None]], what: str
+    ) -> None:
+        """Run ``step`` again and again, jittered; report outages once."""
+        failing = False
+        while not self.should_stop:
+            try:
+                await step()
+                failing = False
+            except EbonydealError as exc:
+                if not failing:
+                    logger.warning("Can't read.", what=what, reason=str(exc))
+                failing = True
+            jitter = self._rng.uniform(_LOWEST_JITTER, _HIGHEST_JITTER)
+            await self._clock.sleep(period * jitter)
+
+    async def _read_list(self) -> None:
+        self.apply_list(await self._instances.endpoints())
+
+    def apply_list(self, listed: list[EndpointView]) -> None:
+        """Take in a whole instance list."""
+        now = self._clock.wall()
+        change = self._table.replace(listed, now)
+        for view in change.removed:
+            self._forget(view.endpoint_id)
+        for view in change.added:
+            if self.marks.covers(view, self._table.first_seen(view)):
+                self._leaving.add(view.endpoint_id)
+        for view in self._table.all():
+            if view.state is EndpointState.LEAVING and not self.is_leaving(view):
+                self.mark(_mark_of(view, "list", now))
+        for mark in self._notices.resolve(self._table, now):
+            self.mark(mark)
+        self.marks.forget(now)
+        self._listed.set()
+        if change:
+            for callback in self._change_callbacks:
+                _call(callback, change)
+
+    async def _read_notices(self) -> None:
+        assert self._cloud is not None
+        notices = await self._cloud.notices(self._notices.last_seq)
+        now = self._clock.wall()
+        for mark in self._notices.take(notices, self._table, now):
+            self.mark(mark)
+
+    def _watched(self) -> list[EndpointView]:
+        watch = self._watch
+        views = [v for v in self._table.all() if v.endpoint_id not in self._leaving]
+        return views if watch is None else [view for view in views if watch(view)]
+
+    async def _poll_loads(self) -> None:
+        ids = [view.endpoint_id for view in self._watched()]
+        await self._poll(self._loads, ids, self._poll_load)
+
+    async def _poll_events(self) -> None:
+        if not self._event_callbacks:
+            return
+        engines = [view for view in self._watched() if view.kind is EndpointKind.ENGINE]
+        ids = [view.endpoint_id for view in engines]
+        await self._poll(self._events, ids, self._poll_cache)
+
+    async def _poll(
+        self,
+        plan: PollPlan,
+        ids: list[str],
+        ask: Callable[[EndpointView], Awaitable[None]],
+    ) -> None:
+        limit = max(1, int(self._cfg.polls_per_s * POLL_TICK_S))
+        now = self._clock.now()
+        views = [self._table.get(item) for item in plan.due(ids, now, limit)]
+        asked = [view for view in views if view is not None]
+        for view in asked:
+            plan.heard(view.endpoint_id, now)
+        await asyncio.gather(*(self._ask(view, ask) for view in asked))
+
+    async def _ask(
+        self, view: EndpointView, ask: Callable[[EndpointView], Awaitable[None]]
+    ) -> None:
+        try:
+            await ask(view)
+        except EbonydealError as exc:
+            if exc.kind is ErrorKind.CONNECT_FAILED:
+                self.connect_failed(view.endpoint_id)
+
+    async def _poll_load(self, view: EndpointView) -> None:
+        assert self._engine is not None
+        self.observe_load(view.endpoint_id, await self._engine.load(view))
+
+    async def _poll_cache(self, view: EndpointView) -> None:
+        assert self._engine is not None
+        after = self._event_seq.get(view.endpoint_id, 0)
+        events = await self._engine.cache_events(view, after)
+        if not events:
+            return
+        self._event_seq[view.endpoint_id] = max(event.seq for event in events)
+        for callback in self._event_callbacks:
+            _call(callback, view.endpoint_id, events)
+
+    # --- state --------------------------------------------------------------------
+    def _apply(self, mark: LeavingMark) -> None:
+        """Hold the incarnations that a mark covers, as long as they are listed."""
+        if mark.endpoint_id:
+            view = self._table.get(mark.endpoint_id)
+            views = [] if view is None else [view]
+        else:
+            views = [v for v in self._table.all() if v.place.zone == mark.zone]
+        for view in views:
+            if self.marks.covers(view, self._table.first_seen(view)):
+                self._leaving.add(view.endpoint_id)
+
+    def _forget(self, endpoint_id: str) -> None:
+        self._leaving.discard(endpoint_id)
+        self._suspects.answered(endpoint_id)
+        self._loads.forget(endpoint_id)
+        self._events.forget(endpoint_id)
+        self._event_seq.pop(endpoint_id, None)
+
+
+def _mark_of(view: EndpointView, source: str, now: float) -> LeavingMark:
+    """Return a mark of one view's incarnation."""
+    return LeavingMark(view.endpoint_id, view.incarnation, "", 0.0, source, now)
+
+
+def _call(callback: Callable[..., None], *args: object) -> None:
+    """Call back; a fault of the other part must not stop the following."""
+    try:
+        callback(*args)
+    except Exception as exc:
+        logger.error("A callback failed.", exc_info=exc)
--- /dev/null
+++ b/src/ebonydeal/_internal/peers/membership.py
@@ -0,0 +1,252 @@
+"""Who the system's own processes are, agreed by gossip; pure.
+
+A member's facts are ordered by (incarnation, heartbeat, status), and the highest
+wins, so facts may arrive late, twice and in any order. Only the member itself
+raises its heartbeat: it does so to refute a suspicion. A process that starts
+again under the same id has a higher incarnation.
+"""
+
+import math
+import random
+from collections.abc import Iterable
+from enum import IntEnum
+from typing import Any, NamedTuple
+
+from ebonydeal._internal.utils.buckets import BucketHashes, bucket_of
+
+_UPDATE_ITEMS = 8
+_RETRANSMIT = 2
+_MAX_MEMBERS = 10_000
+
+
+class MemberStatus(IntEnum):
+    """What is believed of a member; a higher one wins at the same heartbeat."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    LEFT = 2
+    DEAD = 3
+
+
+class Member(NamedTuple):
+    """One process of the system.
+
+    Attributes
+    ----------
+    id : str
+        Node id.
+    incarnation : int
+        Grows with each start of the same id.
+    heartbeat : int
+        Raised by the member itself to refute a suspicion.
+    status : MemberStatus
+        As believed.
+    address : str
+        ``host:port`` of its peer listener.
+    region, zone : str
+        Where it runs.
+    roles : tuple of str
+        Programs it runs, such as ``"gateway"``.
+    """
+
+    id: str
+    incarnation: int
+    heartbeat: int
+    status: MemberStatus
+    address: str
+    region: str
+    zone: str
+    roles: tuple[str, ...]
+
+    @property
+    def order(self) -> tuple[int, int, int]:
+        """What decides which of two facts about a member is the later one."""
+        return (self.incarnation, self.heartbeat, int(self.status))
+
+    def to_wire(self) -> list[Any]:
+        """Return the wire shape."""
+        return [*self[:3], int(self.status), *self[4:7], list(self.roles)]
+
+    @classmethod
+    def from_wire(cls, item: Any) -> "Member | None":
+        """Return the member of a wire shape, or None for garbage."""
+        match item:
+            case [str(i), int(n), int(h), int(s), str(a), str(r), str(z), list(roles)]:
+                known = 0 <= s <= max(MemberStatus)
+                if not i or not known or not all_text(roles):
+                    return None
+                return cls(i, n, h, MemberStatus(s), a, r, z, tuple(roles))
+        return None
+
+
+def all_text(items: list[Any]) -> bool:
+    """Return whether every item is text."""
+    return all(isinstance(item, str) for item in items)
+
+
+class MembershipTimes(NamedTuple):
+    """How long states are held, in seconds.
+
+    Attributes
+    ----------
+    period : float
+        Time between rounds of one node.
+    suspect : float
+        Least time between suspicion and removal; more with many members, as a
+        refutation has to travel both ways.
+    keep_dead : float
+        How long a dead member is remembered, so that late facts don't revive
+        it, and so that it is tried again after a partition.
+    tell_dead : float
+        How long a death is told to others who still list the member.
+    """
+
+    period: float = 1.0
+    suspect: float = 5.0
+    keep_dead: float = 600.0
+    tell_dead: float = 300.0
+
+
+class Membership:
+    """The members that one process knows, itself included."""
+
+    def __init__(self, own: Member, times: MembershipTimes | None = None) -> None:
+        self.own = own
+        self._times = times or MembershipTimes()
+        self._members: dict[str, Member] = {}
+        self._since: dict[str, float] = {}
+        self._updates: dict[str, int] = {}
+        self.hashes = BucketHashes()
+        self._put(own, 0.0)
+
+    # --- reading ---------------------------------------------------------------
+    def live(self) -> list[Member]:
+        """Return members that are alive or suspected, without the own process."""
+        return [
+            member
+            for member in self._members.values()
+            if member.status <= MemberStatus.SUSPECT and member.id != self.own.id
+        ]
+
+    def gone(self) -> list[Member]:
+        """Return members that are believed dead; they may be beyond a partition."""
+        return [m for m in self._members.values() if m.status is MemberStatus.DEAD]
+
+    def get(self, member_id: str) -> Member | None:
+        """Return what is known of a member."""
+        return self._members.get(member_id)
+
+    def choose(self, rng: random.Random) -> Member | None:
+        """Return a random live member."""
+        live = self.live()
+        return rng.choice(live) if live else None
+
+    def suspect_time(self) -> float:
+        """Return the seconds between suspicion and removal at the present size."""
+        spread = math.log2(len(self.hashes) + 1)
+        return max(self._times.suspect, 2.0 * self._times.period * spread)
+
+    # --- changes -----------------------------------------------------------------
+    def merge(self, member: Member, now: float) -> bool:
+        """Take in a fact about a member; return whether it changed anything."""
+        if member.id == self.own.id:
+            return self._merge_own(member, now)
+        known = self._members.get(member.id)
+        if known is None and self._refuses_unknown(member):
+            return False
+        if known is not None and member.order <= known.order:
+            return False
+        self._put(member, now)
+        return True
+
+    def failed(self, member_id: str, now: float) -> bool:
+        """Note that a live member can't be reached; return whether it's news."""
+        member = self._members.get(member_id)
+        if member is None or member.status is not MemberStatus.ALIVE:
+            return False
+        return self.merge(member._replace(status=MemberStatus.SUSPECT), now)
+
+    def set_address(self, address: str, now: float) -> None:
+        """Tell where the own process listens; before it is known to others."""
+        self.own = self.own._replace(address=address)
+        self._put(self.own, now)
+
+    def leave(self, now: float) -> None:
+        """Say that the own process is stopping by plan."""
+        self.own = self.own._replace(status=MemberStatus.LEFT)
+        self._put(self.own, now)
+
+    def tick(self, now: float) -> list[Member]:
+        """Remove suspects whose time is over; return the newly dead."""
+        dead = []
+        for member in list(self._members.values()):
+            age = now - self._since[member.id]
+            if member.status is MemberStatus.SUSPECT and age >= self.suspect_time():
+                lost = member._replace(status=MemberStatus.DEAD)
+                self._put(lost, now)
+                dead.append(lost)
+            elif member.status > MemberStatus.SUSPECT and self._is_forgotten(
+                member, age
+            ):
+                self._drop(member.id)
+        return dead
+
+    # --- passing on ----------------------------------------------------------------
+    def updates(self) -> list[Member]:
+        """Return the least told recent changes; each is told a few times only."""
+        limit = _RETRANSMIT * math.ceil(math.log2(len(self._members) + 1))
+        chosen = sorted(self._updates, key=lambda it: (self._updates[it], it))
+        chosen = chosen[:_UPDATE_ITEMS]
+        for member_id in chosen:
+            self._updates[member_id] += 1
+            if self._updates[member_id] >= limit:
+                del self._updates[member_id]
+        return [self._members[member_id] for member_id in chosen]
+
+    def in_buckets(self, buckets: Iterable[int], now: float) -> list[Member]:
+        """Return what others need to know of the members in some hash buckets."""
+        wanted = set(buckets)
+        return [
+            member
+            for member in self._members.values()
+            if bucket_of(member.id) in wanted and self._is_told(member, now)
+        ]
+
+    def _is_told(self, member: Member, now: float) -> bool:
+        if member.status <= MemberStatus.SUSPECT:
+            return True
+        return now - self._since[member.id] < self._times.tell_dead
+
+    def _is_forgotten(self, member: Member, age: float) -> bool:
+        return member.id != self.own.id and age >= self._times.keep_dead
+
+    def _refuses_unknown(self, member: Member) -> bool:
+        """Return whether a fact about an unknown member is of no use."""
+        return member.status > MemberStatus.SUSPECT or (
+            len(self._members) >= _MAX_MEMBERS
+        )
+
+    def _merge_own(self, told: Member, now: float) -> bool:
+        """Refute what others believe of the own process, if it's not so."""
+        if told.order <= self.own.order or self.own.status is MemberStatus.LEFT:
+            return False
+        if told.incarnation > self.own.incarnation:
+            self.own = self.own._replace(incarnation=told.incarnation + 1, heartbeat=0)
+        else:
+            self.own = self.own._replace(heartbeat=told.heartbeat + 1)
+        self._put(self.own, now)
+        return True
+
+    def _put(self, member: Member, now: float) -> None:
+        self._members[member.id] = member
+        self._since[member.id] = now
+        self._updates[member.id] = 0
+        if member.status <= MemberStatus.SUSPECT:
+            self.hashes.put(member.id, repr(member.to_wire()))
+        else:
+            self.hashes.drop(member.id)
+
+    def _drop(self, member_id: str) -> None:
+        del self._members[member_id]
+        del self._since[member_id]
+        self._updates.pop(member_id, None)
--- /dev/null
+++ b/src/ebonydeal/_internal/peers/service.py
@@ -0,0 +1,353 @@
+"""Rounds with random peers, and at-once pushes of leaving marks.
+
+Each round sends digests of every topic to one peer and gets what is missing back;
+a second call sends what the peer is missing. Marks that are news are pushed to
+several peers at once, and every process that hears of one passes it on.
+"""
+
+import asyncio
+import json
+import random
+from collections.abc import Iterable
+from ssl import SSLContext
+from typing import Any
+
+from aiohttp import web
+from mode import Service
+
+from ebonydeal._internal.directory.service import Directory
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.models.endpoints import LeavingMark
+from ebonydeal._internal.observe.counters import Event, Metrics
+from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.peers.access import credential_middleware
+from ebonydeal._internal.peers.membership import (
+    Member,
+    Membership,
+    MembershipTimes,
+    MemberStatus,
+)
+from ebonydeal._internal.peers.targets import PeerTargets
+from ebonydeal._internal.peers.topics import (
+    MarksTopic,
+    MembersTopic,
+    Topic,
+    mark_to_wire,
+)
+from ebonydeal._internal.platform.interfaces import InstanceList
+from ebonydeal._internal.settings.sections import NodeSettings, PeerSettings
+from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.peerclient import PeerClient
+from ebonydeal._internal.utils.web import HttpServer, new_app, read_json
+
+logger = get_logger("peers")
+
+ROUND_PATH = "/peers/v1/round"
+PUSH_PATH = "/peers/v1/push"
+HEADER_BYTES = 300
+PUSH_FANOUT = 8
+PUSH_TRIES = 3
+PUSH_GATHER_S = 0.02
+LIST_PERIOD_S = 5.0
+CALL_TIMEOUT_S = 1.0
+_LOWEST_JITTER = 0.7
+_HIGHEST_JITTER = 1.3
+
+
+class PeerService(Service):
+    """The system's own processes among each other.
+
+    Parameters
+    ----------
+    node : NodeSettings
+        Who and where this process is.
+    cfg : PeerSettings
+        Port, seeds, credential and period.
+    metrics, clock, rng
+        Counters, time, and the source of peer choice and jitter.
+    instances : InstanceList, optional
+        Where further peers are found.
+    directory : Directory, optional
+        Whose leaving marks are carried.
+    roles : iterable of str
+        Programs that this process runs.
+    ssl_server, ssl_client : SSLContext, optional
+        For TLS.
+    """
+
+    def __init__(
+        self,
+        node: NodeSettings,
+        cfg: PeerSettings,
+        metrics: Metrics,
+        clock: Clock,
+        rng: random.Random,
+        *,
+        instances: InstanceList | None = None,
+        directory: Directory | None = None,
+        roles: Iterable[str] = (),
+        ssl_server: SSLContext | None = None,
+        ssl_client: SSLContext | None = None,
+    ) -> None:
+        super().__init__()
+        self._node = node
+        self._cfg = cfg
+        self._metrics = metrics
+        self._clock = clock
+        self._rng = rng
+        self._instances = instances
+        self._targets = PeerTargets(cfg.seeds, cfg.port)
+        self._client = PeerClient(cfg.credential, ssl_client)
+        self._topics: dict[str, Topic] = {}
+        self._pushes: dict[str, list[Any]] = {}
+        self._push_wanted = asyncio.Event()
+        self.app = new_app(metrics)
+        self.app.middlewares.append(credential_middleware(cfg.credential))
+        self.app.router.add_post(ROUND_PATH, self._handle_round)
+        self.app.router.add_post(PUSH_PATH, self._handle_push)
+        self.server = HttpServer(
+            self.app,
+            node.host,
+            cfg.port,
+            ssl_context=ssl_server,
+            drain_seconds=node.drain_seconds,
+        )
+        self.membership = self._new_membership(tuple(roles))
+        self.register(MembersTopic(self.membership, clock))
+        if directory is not None:
+            self.register(MarksTopic(directory.marks, directory.mark))
+            directory.on_mark(self._push_mark)
+
+    @classmethod
+    def from_config(
+        cls,
+        node: NodeSettings,
+        cfg: PeerSettings,
+        metrics: Metrics,
+        clock: Clock,
+        rng: random.Random,
+        *,
+        instances: InstanceList | None = None,
+        directory: Directory | None = None,
+        roles: Iterable[str] = (),
+        ssl_server: SSLContext | None = None,
+        ssl_client: SSLContext | None = None,
+    ) -> "PeerService":
+        """Build from the ``[node]`` and ``[peers]`` sections."""
+        return cls(
+            node,
+            cfg,
+            metrics,
+            clock,
+            rng,
+            instances=instances,
+            directory=directory,
+            roles=roles,
+            ssl_server=ssl_server,
+            ssl_client=ssl_client,
+        )
+
+    # --- for other parts ---------------------------------------------------------
+    def register(self, topic: Topic) -> None:
+        """Carry a further topic; before the start."""
+        self._topics[topic.name] = topic
+
+    def add_routes(self, routes: Iterable[web.AbstractRouteDef]) -> None:
+        """Serve further routes on the peer listener; before the start."""
+        self.app.add_routes(routes)
+
+    def members(self) -> tuple[Member, ...]:
+        """Return the other processes that are alive, as far as is known."""
+        return tuple(self.membership.live())
+
+    @property
+    def address(self) -> str:
+        """``host:port`` of the peer listener, as bound."""
+        return self.server.address
+
+    @property
+    def incarnation(self) -> int:
+        """Incarnation of this process."""
+        return self.membership.own.incarnation
+
+    def push(self, topic: str, items: list[Any]) -> None:
+        """Send payload items of a topic to several peers at once, soon."""
+        self._pushes.setdefault(topic, []).extend(items)
+        self._push_wanted.set()
+
+    # --- life ------------------------------------------------------------------
+    async def on_start(self) -> None:
+        """Bind the listener, then tell its address."""
+        await self.add_runtime_dependency(self.server)
+        self.membership.set_address(self.server.address, self._clock.now())
+
+    async def on_stop(self) -> None:
+        """Say goodbye, so that nobody suspects this process."""
+        self.membership.leave(self._clock.now())
+        await self._push_to_some({})
+
+    async def on_shutdown(self) -> None:
+        """Close the connections."""
+        await self._client.close()
+
+    @Service.task
+    async def _rounds(self) -> None:
+        while not self.should_stop:
+            await self.round()
+            jitter = self._rng.uniform(_LOWEST_JITTER, _HIGHEST_JITTER)
+            await self._clock.sleep(self._cfg.period * jitter)
+
+    @Service.task
+    async def _send_pushes(self) -> None:
+        while not self.should_stop:
+            await self._push_wanted.wait()
+            await self._clock.sleep(PUSH_GATHER_S)
+            self._push_wanted.clear()
+            payloads, self._pushes = self._pushes, {}
+            await self._push_to_some(payloads)
+
+    @Service.task
+    async def _follow_list(self) -> None:
+        while not self.should_stop and self._instances is not None:
+            try:
+                self._targets.listed(await self._instances.own_nodes())
+            except EbonydealError as exc:
+                logger.debug("Can't read the instance list.", reason=str(exc))
+            jitter = self._rng.uniform(_LOWEST_JITTER, _HIGHEST_JITTER)
+            await self._clock.sleep(LIST_PERIOD_S * jitter)
+
+    # --- rounds --------------------------------------------------------------------
+    async def round(self) -> None:
+        """Hold one round with one peer, if there is any."""
+        for member in self.membership.tick(self._clock.now()):
+            logger.warning("A peer is gone.", peer=member.id)
+        target = self._targets.next(self.membership, self._rng)
+        if target is None:
+            return
+        self._metrics.count(Event.PEER_ROUNDS)
+        try:
+            await self._round_with(target.address, target.member_id)
+        except EbonydealError as exc:
+            self._metrics.count(Event.PEER_UNREACHABLE)
+            if exc.kind is ErrorKind.UNAUTHORIZED:
+                logger.error("A peer refuses the credential.", address=target.address)
+            self.membership.failed(target.member_id, self._clock.now())
+
+    async def _round_with(self, address: str, member_id: str) -> None:
+        """Exchange digests, take what is missing here, send what is there."""
+        answer = await self._call(address, ROUND_PATH, self._message({}))
+        node = Member.from_wire(answer.get("node"))
+        if node is None or (member_id and node.id != member_id):
+            raise EbonydealError(ErrorKind.INTERNAL, f"{address} is another node")
+        self.membership.merge(node, self._clock.now())
+        self._receive(answer.get("payloads"))
+        payloads = self._answers(answer.get("digests"))
+        if payloads:
+            reply = await self._call(address, PUSH_PATH, self._message(payloads))
+            self._receive(reply.get("payloads"))
+
+    def _message(self, payloads: dict[str, Any]) -> dict[str, Any]:
+        """Return the own identity, all digests, and payloads if any."""
+        message: dict[str, Any] = {
+            "node": self.membership.own.to_wire(),
+            "digests": {name: topic.digest() for name, topic in self._topics.items()},
+        }
+        if payloads:
+            message["payloads"] = payloads
+        return message
+
+    def _answers(self, digests: Any) -> dict[str, Any]:
+        """Return what a peer with these digests lacks, by topic."""
+        payloads = {}
+        for name, digest in digests.items() if isinstance(digests, dict) else ():
+            topic = self._topics.get(name)
+            payload = None if topic is None else topic.answer(digest)
+            if payload is not None:
+                payloads[name] = payload
+        return payloads
+
+    def _receive(self, payloads: Any) -> None:
+        """Take in payloads by topic."""
+        for name, payload in payloads.items() if isinstance(payloads, dict) else ():
+            topic = self._topics.get(name)
+            if topic is not None:
+                topic.receive(payload)
+
+    async def _handle_round(self, req: web.Request) -> web.Response:
+        """Answer a peer's digests with what it lacks and the own digests."""
+        message = await read_json(req)
+        self._meet(message)
+        payloads = self._answers(message.get("digests"))
+        return self._respond(self._message(payloads))
+
+    async def _handle_push(self, req: web.Request) -> web.Response:
+        """Take what a peer sends; answer with what it lacks, if it asks."""
+        message = await read_json(req)
+        self._meet(message)
+        self._receive(message.get("payloads"))
+        payloads = self._answers(message.get("digests"))
+        return self._respond({"payloads": payloads} if payloads else {})
+
+    def _meet(self, message: dict[str, Any]) -> None:
+        """Take in the sender's identity."""
+        node = Member.from_wire(message.get("node"))
+        if node is None:
+            raise EbonydealError(ErrorKind.BAD_REQUEST, "no valid node in the message")
+        self.membership.merge(node, self._clock.now())
+
+    # --- pushes --------------------------------------------------------------------
+    def _push_mark(self, mark: LeavingMark) -> None:
+        self.push(MarksTopic.name, [mark_to_wire(mark)])
+
+    async def _push_to_some(self, payloads: dict[str, Any]) -> None:
+        """Push to random peers; where one can't be reached, try others."""
+        live = self.membership.live()
+        self._rng.shuffle(live)
+        message = {"node": self.membership.own.to_wire(), "payloads": payloads}
+        wanted = PUSH_FANOUT if len(live) > 2 * PUSH_FANOUT else len(live)
+        for _ in range(PUSH_TRIES):
+            chosen, live = live[:wanted], live[wanted:]
+            results = await asyncio.gather(
+                *(self._push_to(member, message) for member in chosen)
+            )
+            wanted = results.count(False)
+            if not wanted:
+                return
+
+    async def _push_to(self, member: Member, message: dict[str, Any]) -> bool:
+        try:
+            reply = await self._call(member.address, PUSH_PATH, message)
+        except EbonydealError:
+            self._metrics.count(Event.PEER_UNREACHABLE)
+            return False
+        self._receive(reply.get("payloads"))
+        return True
+
+    # --- transport -------------------------------------------------------------------
+    async def _call(self, address: str, path: str, message: Any) -> dict[str, Any]:
+        self._count_bytes(message)
+        reply = await self._client.call(address, path, message, CALL_TIMEOUT_S)
+        if not isinstance(reply, dict):
+            raise EbonydealError(ErrorKind.INTERNAL, f"{address} answered garbage")
+        return reply
+
+    def _respond(self, message: Any) -> web.Response:
+        self._count_bytes(message)
+        return web.json_response(message)
+
+    def _count_bytes(self, message: Any) -> None:
+        size = len(json.dumps(message)) + HEADER_BYTES
+        self._metrics.count(Event.PEER_BYTES_OUT, size)
+
+    def _new_membership(self, roles: tuple[str, ...]) -> Membership:
+        own = Member(
+            id=self._node.id,
+            incarnation=int(self._clock.wall() * 1000),
+            heartbeat=0,
+            status=MemberStatus.ALIVE,
+            address="",
+            region=self._node.region,
+            zone=self._node.zone,
+            roles=roles,
+        )
+        return Membership(own, MembershipTimes(period=self._cfg.period))
--- /dev/null
+++ b/tests/functional/peers/test_service.py
@@ -0,0 +1,181 @@
+import asyncio
+import random
+
+import pytest
+
+from ebonydeal._internal.directory.service import Directory
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.observe.counters import Event, Metrics
+from ebonydeal._internal.peers.membership import MemberStatus
+from ebonydeal._internal.peers.service import PUSH_PATH, ROUND_PATH, PeerService
+from ebonydeal._internal.settings.directory import DirectorySettings
+from ebonydeal._internal.settings.sections import NodeSettings, PeerSettings
+from ebonydeal._internal.utils.clock import SystemClock
+from ebonydeal._internal.utils.peerclient import PeerClient
+from tests.lib.endpoints import ListedInstances, make_mark, make_view
+
+NEVER = 60.0
+
+
+class Node:
+    """One process's directory and peers; rounds run when the test says so."""
+
+    def __init__(self, number: int, seeds: str = "", period: float = NEVER) -> None:
+        self.clock = SystemClock()
+        self.metrics = Metrics()
+        rng = random.Random(number)
+        self.instances = ListedInstances(make_view())
+        self.directory = Directory(
+            DirectorySettings(), self.instances, self.metrics, self.clock, rng
+        )
+        self.directory.apply_list(self.instances.views)
+        self.peers = PeerService.from_config(
+            NodeSettings(id=f"node-{number}", drain_seconds=0.2),
+            PeerSettings(port=0, seeds=seeds, period=period),
+            self.metrics,
+            self.clock,
+            rng,
+            directory=self.directory,
+            roles=("gateway",),
+        )
+
+    async def __aenter__(self) -> "Node":
+        await self.peers.start()
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        await self.peers.stop()
+
+    def knows(self) -> set[str]:
+        return {member.id for member in self.peers.members()}
+
+
+async def until(condition, seconds: float = 20.0) -> None:
+    """Wait for a state that must come; the limit only ends a hung test."""
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+async def join_all(first: Node, *others: Node) -> None:
+    for _ in range(3):
+        for node in others:
+            await node.peers.round()
+        await first.peers.round()
+
+
+class TestThreeNodes:
+    async def test_mark_reaches_all_by_push_without_rounds(self):
+        async with Node(1) as a:
+            async with Node(2, a.peers.address) as b, Node(3, a.peers.address) as c:
+                await join_all(a, b, c)
+                assert a.knows() == {"node-2", "node-3"}
+                assert c.knows() == {"node-1", "node-2"}
+                heard: list = []
+                c.directory.on_mark(heard.append)
+                mark = make_mark(at=a.clock.wall(), source="cloud")
+                assert a.directory.mark(mark) is True
+                await until(lambda: heard)
+                await until(lambda: b.directory.views("pool") == ())
+                assert heard == [mark]
+                assert c.directory.views("pool") == ()
+
+    async def test_node_that_missed_the_push_learns_in_a_round(self):
+        async with Node(1) as a:
+            mark = make_mark(at=a.clock.wall())
+            a.directory.mark(mark)
+            async with Node(2, a.peers.address) as b:
+                await b.peers.round()
+                assert list(b.directory.marks) == []
+                await b.peers.round()
+                assert list(b.directory.marks) == [mark]
+
+    async def test_dead_node_is_suspected_while_others_go_on(self):
+        async with Node(1) as a:
+            async with Node(2, a.peers.address) as b:
+                async with Node(3, a.peers.address) as c:
+                    await join_all(a, b, c)
+                    await c.peers.server.stop()
+                    for _ in range(8):
+                        await a.peers.round()
+                    status = a.peers.membership.get("node-3").status
+                    assert status is MemberStatus.SUSPECT
+                    assert a.metrics.events()["peer_unreachable"] >= 1
+                    mark = make_mark(at=a.clock.wall())
+                    a.directory.mark(mark)
+                    await until(lambda: list(b.directory.marks) == [mark])
+
+    async def test_planned_stop_is_told_and_not_suspected(self):
+        async with Node(1) as a:
+            async with Node(2, a.peers.address) as b:
+                await join_all(a, b)
+                assert a.knows() == {"node-2"}
+            assert a.knows() == set()
+            assert a.peers.membership.get("node-2").status is MemberStatus.LEFT
+
+    async def test_rounds_run_by_themselves(self):
+        async with Node(1, period=0.05) as a:
+            async with Node(2, a.peers.address, period=0.05) as b:
+                await until(lambda: a.knows() and b.knows())
+                assert a.knows() == {"node-2"}
+
+    async def test_restart_of_the_same_id_replaces_the_old(self):
+        async with Node(1) as a:
+            async with Node(2, a.peers.address) as b:
+                await b.peers.round()
+                old = a.peers.membership.get("node-2")
+            async with Node(2, a.peers.address) as b:
+                await b.peers.round()
+                new = a.peers.membership.get("node-2")
+                assert new.address == b.peers.address
+                assert new.incarnation > old.incarnation
+                assert new.status is MemberStatus.ALIVE
+
+
+class TestListener:
+    @pytest.mark.parametrize("path", [ROUND_PATH, PUSH_PATH])
+    async def test_wrong_credential_is_refused_and_counted(self, path):
+        async with Node(1) as a:
+            client = PeerClient("wrong")
+            with pytest.raises(EbonydealError) as caught:
+                await client.call(a.peers.address, path, {}, 5.0)
+            await client.close()
+            assert caught.value.kind is ErrorKind.UNAUTHORIZED
+            assert a.metrics.refusals() == {"unauthorized": 1}
+
+    @pytest.mark.parametrize(
+        "message",
+        [
+            {},
+            {"node": 1},
+            {"node": ["x", 1, 0, 9, "", "", "", []]},
+            {"node": ["", 1, 0, 0, "", "", "", []]},
+        ],
+    )
+    async def test_message_without_a_node_is_refused(self, message):
+        async with Node(1) as a:
+            client = PeerClient("change-me")
+            with pytest.raises(EbonydealError) as caught:
+                await client.call(a.peers.address, ROUND_PATH, message, 5.0)
+            await client.close()
+            assert caught.value.kind is ErrorKind.BAD_REQUEST
+            assert a.knows() == set()
+
+    async def test_garbage_in_topics_is_ignored(self):
+        async with Node(1) as a:
+            client = PeerClient("change-me")
+            message = {
+                "node": ["x", 1, 0, 0, "127.0.0.1:1", "r", "z", []],
+                "digests": {"marks": [1], "members": {"u": [7, ["y"]]}, "other": 1},
+                "payloads": {"marks": [[1, 2], "x"], "members": 5, "other": []},
+            }
+            await client.call(a.peers.address, PUSH_PATH, message, 5.0)
+            await client.close()
+            assert a.knows() == {"x"}
+            assert list(a.directory.marks) == []
+
+    async def test_bytes_are_counted(self):
+        async with Node(1) as a, Node(2, a.peers.address) as b:
+            await b.peers.round()
+            assert a.metrics.value("events", str(Event.PEER_BYTES_OUT)) > 300
+            assert b.metrics.value("events", str(Event.PEER_BYTES_OUT)) > 300
