Decide what happens to streams when their endpoints are taken back

Cause: the gateway's executor needs the decisions and their final types early. Change: plan_moves and replan, pure: finish, export by tokens saved per second of transfer, or resume by prefill with shared prefixes computed once.

--- /dev/null
+++ b/tests/unit/reclaim/test_reclaim.py
@@ -0,0 +1,232 @@
+from collections import Counter, defaultdict
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ebonydeal._internal.models.places import Place
+from ebonydeal._internal.routing.reclaim import (
+    ExportFault,
+    ExportTo,
+    Finish,
+    ReclaimLimits,
+    Recompute,
+    RunningStream,
+    Target,
+    plan_moves,
+    replan,
+)
+from tests.lib.endpoints import make_view
+
+NOW = 500.0
+LIMITS = ReclaimLimits(margin=0.0, overhead=0.0, import_share=0.0)
+
+
+def stream(request_id: str, **changes) -> RunningStream:
+    base = RunningStream(request_id, "i-src", 1000, 500.0, 50.0, 1.0)
+    return base._replace(**changes)
+
+
+def target(endpoint_id: str, zone: str = "wales-2", room: int = 8, cached=()) -> Target:
+    place = Place("wales", zone)
+    return Target(make_view(endpoint_id, place=place), room, cached)
+
+
+def plan(streams, notice, targets, rate=1.0, limits=LIMITS, **kwargs):
+    return plan_moves(streams, notice, rate, targets, NOW, limits=limits, **kwargs)
+
+
+class TestChoice:
+    def test_short_rest_finishes_and_is_reviewed_in_time(self):
+        moves = plan([stream("a", remaining_tokens_estimate=100.0)], 10.0, [])
+        assert moves == [Finish("a", NOW + 2.5)]
+
+    def test_rest_beyond_the_share_is_exported(self):
+        moves = plan(
+            [stream("a", remaining_tokens_estimate=401.0)], 10.0, [target("t")]
+        )
+        assert moves == [ExportTo("a", target("t").view, NOW, 1.0)]
+
+    def test_exports_go_by_tokens_saved_per_second(self):
+        streams = [
+            stream("thin", context_tokens=1000, kv_gb=2.0),
+            stream("dense", context_tokens=4000, kv_gb=2.0),
+            stream("light", context_tokens=1000, kv_gb=0.25),
+        ]
+        moves = plan(streams, 4.0, [target("t")])
+        assert [(move.request_id, move.start_at - NOW) for move in moves] == [
+            ("light", 0.0),
+            ("dense", 0.25),
+            ("thin", 0.0),
+        ]
+        assert isinstance(moves[2], Recompute)
+
+    def test_what_a_target_has_cached_need_not_be_saved(self):
+        prefix = tuple(f"b{n}" for n in range(60))
+        streams = [stream("cached", prefix=prefix), stream("cold", context_tokens=500)]
+        moves = plan(streams, 1.0, [target("t", cached=frozenset(prefix))])
+        assert isinstance(moves[0], ExportTo) and moves[0].request_id == "cold"
+        assert isinstance(moves[1], Recompute) and moves[1].request_id == "cached"
+
+    def test_each_source_has_its_own_time(self):
+        streams = [stream("a"), stream("b", endpoint_id="i-2")]
+        moves = plan(streams, 1.0, [target("t")])
+        assert [type(move) for move in moves] == [ExportTo, ExportTo]
+
+    def test_without_notice_all_recompute_at_once(self):
+        moves = plan([stream("a"), stream("b")], 0.0, [target("t")])
+        assert moves == [
+            Recompute("a", target("t").view, NOW),
+            Recompute("b", target("t").view, NOW),
+        ]
+
+    def test_without_room_the_router_must_find_a_place(self):
+        moves = plan([stream("a"), stream("b")], 0.0, [target("t", room=1)])
+        assert moves[1] == Recompute("b", None, NOW)
+
+    def test_no_export_rate_means_prefill(self):
+        moves = plan([stream("a")], 10.0, [target("t")], rate=0.0)
+        assert moves == [Recompute("a", target("t").view, NOW)]
+
+
+class TestPlaces:
+    def test_targets_in_leaving_zones_are_not_used(self):
+        targets = [target("bad", "wales-1", room=50), target("good", "wales-2", room=1)]
+        moves = plan([stream("a")], 10.0, targets, leaving_zones={"wales-1"})
+        assert moves[0].target.endpoint_id == "good"
+
+    def test_exports_spread_over_zones_and_targets(self):
+        targets = [
+            target(f"t-{zone}-{n}", f"wales-{zone}") for zone in (2, 3) for n in (1, 2)
+        ]
+        streams = [stream(f"s{n}", kv_gb=0.01) for n in range(8)]
+        moves = plan(streams, 10.0, targets)
+        taken = Counter(move.target.endpoint_id for move in moves)
+        assert set(taken.values()) == {2}
+
+    def test_shared_prefix_is_computed_once(self):
+        prefix = tuple(f"b{n}" for n in range(50))
+        streams = [stream(f"s{n}", prefix=(*prefix, f"own{n}")) for n in range(3)]
+        moves = plan(streams, 0.0, [target("t1"), target("t2")])
+        assert {move.target.endpoint_id for move in moves} == {"t1"}
+        assert moves[0].start_at == NOW
+        wait = 50 * 16 / LIMITS.prefill_per_s
+        assert [move.start_at for move in moves[1:]] == [NOW + wait, NOW + wait]
+
+    def test_warm_target_is_preferred_while_it_has_room(self):
+        prefix = ("b1", "b2")
+        targets = [target("cold"), target("warm", room=1, cached={"b1", "b2"})]
+        streams = [stream("a", prefix=prefix), stream("b", prefix=prefix)]
+        moves = plan(streams, 0.0, targets)
+        assert [move.target.endpoint_id for move in moves] == ["warm", "cold"]
+        assert moves[0].start_at == NOW
+
+
+class TestReplan:
+    def test_kept_handle_is_imported_elsewhere(self):
+        limits = LIMITS._replace(import_share=0.5)
+        moves = replan(
+            [stream("a"), stream("b")],
+            [ExportFault("a", True), ExportFault("b", False)],
+            2.0,
+            1.0,
+            [target("t")],
+            NOW,
+            limits=limits,
+        )
+        assert moves == [
+            ExportTo("a", target("t").view, NOW, 0.5),
+            Recompute("b", target("t").view, NOW),
+        ]
+
+    def test_kept_handle_without_time_left_is_computed_again(self):
+        moves = replan(
+            [stream("a")], [ExportFault("a", True)], 0.0, 1.0, [target("t")], NOW
+        )
+        assert moves == [Recompute("a", target("t").view, NOW)]
+
+    def test_target_in_a_second_wave_is_left(self):
+        targets = [target("t2", "wales-2"), target("t3", "wales-3")]
+        moves = replan(
+            [stream("a")],
+            [ExportFault("a", False)],
+            5.0,
+            1.0,
+            targets,
+            NOW,
+            leaving_zones={"wales-1", "wales-2"},
+        )
+        assert moves == [Recompute("a", targets[1].view, NOW)]
+
+
+STREAMS = st.lists(
+    st.builds(
+        RunningStream,
+        st.uuids().map(str),
+        st.sampled_from(["i-1", "i-2"]),
+        st.integers(1, 9000),
+        st.floats(0, 4000),
+        st.floats(0, 100),
+        st.floats(0, 3),
+        st.lists(st.sampled_from("abcd"), max_size=4).map(tuple),
+    ),
+    max_size=15,
+    unique_by=lambda it: it.request_id,
+)
+TARGETS = st.lists(
+    st.builds(
+        target,
+        st.sampled_from(["t1", "t2", "t3"]),
+        st.sampled_from(["wales-1", "wales-2", "wales-3"]),
+        st.integers(-1, 6),
+        st.sets(st.sampled_from("abcd")),
+    ),
+    unique_by=lambda it: it.view.endpoint_id,
+)
+
+
+class TestInvariants:
+    @given(STREAMS, TARGETS, st.floats(0, 30), st.floats(0, 5))
+    def test_every_stream_has_one_move_within_all_bounds(
+        self, streams, targets, notice, rate
+    ):
+        limits = ReclaimLimits()
+        moves = plan_moves(
+            streams,
+            notice,
+            rate,
+            targets,
+            NOW,
+            leaving_zones={"wales-1"},
+            limits=limits,
+        )
+        assert Counter(m.request_id for m in moves) == Counter(
+            s.request_id for s in streams
+        )
+        rooms = {it.view.endpoint_id: it.room for it in targets}
+        taken = Counter(
+            m.target.endpoint_id
+            for m in moves
+            if not isinstance(m, Finish) and m.target is not None
+        )
+        assert all(taken[it] <= rooms[it] for it in taken)
+        sources = {s.request_id: s.endpoint_id for s in streams}
+        busy = defaultdict(list)
+        for move in moves:
+            if isinstance(move, ExportTo):
+                assert move.target.place.zone != "wales-1"
+                busy[sources[move.request_id]].append(move)
+        for exports in busy.values():
+            end = NOW
+            for move in exports:
+                assert move.start_at == pytest.approx(end)
+                end = move.start_at + move.seconds
+            assert end <= NOW + notice - limits.margin + 1e-6
+
+    @given(STREAMS, TARGETS, st.floats(0, 30), st.randoms(use_true_random=False))
+    def test_order_of_the_input_does_not_matter(self, streams, targets, notice, rng):
+        moves = plan_moves(streams, notice, 1.0, targets, NOW)
+        rng.shuffle(streams)
+        rng.shuffle(targets)
+        again = plan_moves(streams, notice, 1.0, targets, NOW)
+        assert {m.request_id: m for m in moves} == {m.request_id: m for m in again}
