Add the stand-in servers and the stand-in world

Cause: the programs need every outside system to run against. Change: table service, object store, instance list, cloud, weight store, engine and plain service as mode services over HTTP, with faults; a world that holds them all and reclaims zones; tests of the adapters against them. A test with an endless line in a stream found that aiohttp raises an error outside its client errors there; it is now ENDPOINT_GARBAGE. Conclusion: the adapters keep their error kinds for every fault tried.

--- a/src/ebonydeal/_internal/platform/engines.py
+++ b/src/ebonydeal/_internal/platform/engines.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from aiohttp import ClientResponse
+from aiohttp.http_exceptions import HttpProcessingError
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.endpoints import EndpointView, LoadReport
@@ -38,6 +39,7 @@
 
 _KV_TIMEOUT_S = 60.0
 _MAX_ERROR = 4096
+_ORDERS = "/orders"
 _CANCEL_STATES = ("not_started", "stopped", "finished", "unknown")
 
 
@@ -150,7 +152,7 @@
             method, url, ENDPOINT, timeout=timeout, **options
         )
         tell_header(self.on_load, endpoint, reply.headers)
-        if reply.status == 409:
+        if reply.status == 409 and path == _ORDERS:
             raise EbonydealError(ErrorKind.STALE_ORDER, f"{url} saw a newer fence")
         if reply.status != 200:
             raise EbonydealError(
@@ -227,11 +229,11 @@
             "models": list(order.models),
             "role": order.role,
         }
-        await self._short_call("POST", endpoint, "/orders", json=message)
+        await self._short_call("POST", endpoint, _ORDERS, json=message)
 
     async def order_state(self, endpoint: EndpointView) -> EngineOrder:
         """Read back the order in force."""
-        body = await self._short_call("GET", endpoint, "/orders")
+        body = await self._short_call("GET", endpoint, _ORDERS)
         try:
             return EngineOrder(
                 int(body["fence"]),
@@ -253,7 +255,7 @@
     try:
         async for line in resp.content:
             yield line
-    except ValueError as exc:
+    except (ValueError, HttpProcessingError) as exc:
         raise EbonydealError(
             ErrorKind.ENDPOINT_GARBAGE, "the stream holds an endless line"
         ) from exc
--- /dev/null
+++ b/src/ebonydeal/_internal/standin/engine.py
@@ -0,0 +1,227 @@
+"""Stand-in of a model engine."""
+
+import asyncio
+import random
+from typing import Any
+
+from aiohttp import web
+from mode import Service
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.models.endpoints import LoadReport
+from ebonydeal._internal.platform.http import ATTEMPT_HEADER
+from ebonydeal._internal.standin.attempts import Attempt, AttemptState, EngineSpec
+from ebonydeal._internal.standin.cache import PrefixCache
+from ebonydeal._internal.standin.endpoint import (
+    EndpointFault,
+    StandinEndpoint,
+    not_run,
+)
+from ebonydeal._internal.standin.generation import Generation
+from ebonydeal._internal.standin.kv import KvStore
+from ebonydeal._internal.standin.orders import Orders
+from ebonydeal._internal.standin.server import drop
+from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.web import read_json
+
+
+class StandinEngine(StandinEndpoint):
+    """Writes deterministic answers at the pace of a real engine.
+
+    Parameters
+    ----------
+    endpoint_id : str
+        Id of the instance under the engine.
+    models : tuple of str
+        Loaded from the start.
+    spec : EngineSpec
+        What it can do.
+    rng : random.Random
+        Decides which cache events are lost.
+    clock : Clock, optional
+        What all waiting goes by.
+    port : int
+        0 picks a free one.
+    """
+
+    kind = "engine"
+
+    def __init__(
+        self,
+        endpoint_id: str,
+        models: tuple[str, ...],
+        spec: EngineSpec,
+        rng: random.Random,
+        *,
+        clock: Clock | None = None,
+        port: int = 0,
+    ) -> None:
+        super().__init__(endpoint_id, spec.slots, spec.load_lag, clock=clock, port=port)
+        self.spec = spec
+        self.orders = Orders(models, spec.checks_fence)
+        self.cache = PrefixCache(
+            spec.cache_blocks, spec.event_lag, spec.event_loss, rng
+        )
+        self.kv = KvStore(endpoint_id)
+        self._attempts: dict[str, Attempt] = {}
+        self._add_routes(self.app.router)
+
+    def _add_routes(self, router: web.UrlDispatcher) -> None:
+        router.add_post("/v1/chat/completions", self._serve_stream)
+        router.add_post("/v1/completions", self._serve_stream)
+        router.add_post("/cancel", self._serve_cancel)
+        router.add_post("/kv/export", self._serve_export)
+        router.add_post("/kv/import", self._serve_import)
+        router.add_get("/kv/{handle}", self._serve_kv)
+        router.add_get("/cache/events", self._serve_events)
+        router.add_post("/orders", self._serve_order)
+        router.add_get("/orders", self._serve_order_state)
+
+    async def on_stop(self) -> None:
+        """Close the session that fetches KV copies."""
+        await self.kv.close()
+
+    @Service.task
+    async def _load_models(self) -> None:
+        """Load what is ordered, one model after another."""
+        while not self.should_stop:
+            model = await self.orders.wait_missing()
+            await self.nap(self.spec.load_seconds)
+            self.orders.set_loaded(model)
+
+    def measure(self) -> LoadReport:
+        """Return the load as it is now."""
+        share = min(1.0, self.slots.running / self.slots.count)
+        return LoadReport(
+            running=self.slots.running,
+            waiting=self.slots.waiting,
+            slots=self.slots.count,
+            kv_used=self.cache.used,
+            tokens_per_s=self.spec.tokens_per_s
+            * (1.0 - self.spec.batch_slowdown * share),
+            at=self.clock.wall(),
+        )
+
+    async def _serve_stream(self, req: web.Request) -> web.StreamResponse:
+        body = await read_json(req)
+        attempt_id = req.headers.get(ATTEMPT_HEADER, "")
+        attempt = Attempt.from_request(req.path, body, attempt_id)
+        fault = self.faults.take()
+        reason = self._refusal(attempt, fault.fault)
+        self._note_arrival(attempt, reason)
+        if reason:
+            return not_run(reason, self.load_headers())
+        if fault.fault is EndpointFault.ERROR:
+            return web.json_response({}, status=500)
+        if fault.fault is EndpointFault.BREAK_BEFORE:
+            return drop(req)
+        if not await self._take_slot(attempt):
+            return not_run("cancelled", self.load_headers())
+        try:
+            run = Generation(self, self.spec, self.cache, self.kv, attempt, fault)
+            return await run.run(req)
+        except ConnectionError:
+            return drop(req)
+        finally:
+            self.slots.give_back()
+
+    def _refusal(self, attempt: Attempt, fault: EndpointFault) -> str:
+        """Return why an attempt is not taken, or an empty text."""
+        if attempt.model not in self.orders.loaded:
+            return "model not loaded"
+        if self.is_leaving and self.refuses_when_leaving:
+            return "leaving"
+        return "refused" if fault is EndpointFault.REFUSE else ""
+
+    def _note_arrival(self, attempt: Attempt, refused: str) -> None:
+        """Begin the log entry of an attempt."""
+        since = None
+        if self.leaving_at is not None:
+            since = self.clock.now() - self.leaving_at
+        if refused:
+            attempt.state = AttemptState.NOT_STARTED
+        else:
+            self._attempts[attempt.attempt_id] = attempt
+        attempt.entry.update(at=self.clock.wall(), after_leaving=since, refused=refused)
+        attempt.note()
+        self.entries.append(attempt.entry)
+
+    async def _take_slot(self, attempt: Attempt) -> bool:
+        """Wait for a slot; return False where the attempt was cancelled first."""
+        waiter = asyncio.ensure_future(self.slots.take(attempt.priority))
+        attempt.waiter = waiter
+        try:
+            await waiter
+        except asyncio.CancelledError:
+            if waiter.done() and not waiter.cancelled():
+                self.slots.give_back()
+            was_asked = attempt.state is AttemptState.NOT_STARTED
+            attempt.state = AttemptState.NOT_STARTED
+            attempt.note()
+            if was_asked:
+                return False
+            raise
+        if attempt.state is AttemptState.STOPPED:
+            self.slots.give_back()
+            return False
+        return True
+
+    def _running(self, attempt_id: Any) -> Attempt:
+        """Return a running attempt, or raise NOT_FOUND."""
+        attempt = self._attempts.get(str(attempt_id))
+        if attempt is None or attempt.state is not AttemptState.RUNNING:
+            raise EbonydealError(ErrorKind.NOT_FOUND, "no such running attempt")
+        return attempt
+
+    async def _serve_cancel(self, req: web.Request) -> web.Response:
+        body = await read_json(req)
+        attempt = self._attempts.get(str(body.get("attempt_id")))
+        if attempt is None:
+            return web.json_response({"state": "unknown", "tokens": 0})
+        self._cancel(attempt)
+        state, tokens = str(attempt.state), attempt.position
+        if attempt.state is AttemptState.DROPPED:
+            state = "stopped"
+        return web.json_response({"state": state, "tokens": tokens})
+
+    def _cancel(self, attempt: Attempt) -> None:
+        """Stop an attempt, wherever it is."""
+        if attempt.state is AttemptState.QUEUED and attempt.waiter is not None:
+            attempt.state = AttemptState.NOT_STARTED
+            if not attempt.waiter.cancel():
+                # The slot came at the same moment; it is about to run.
+                attempt.state = AttemptState.STOPPED
+        elif attempt.state is AttemptState.RUNNING:
+            attempt.state = AttemptState.STOPPED
+        attempt.note()
+
+    async def _serve_export(self, req: web.Request) -> web.Response:
+        attempt = self._running((await read_json(req)).get("attempt_id"))
+        attempt.state = AttemptState.STOPPED
+        copy = self.kv.export(attempt)
+        await self.nap(copy.tokens / self.spec.kv_tokens_per_s)
+        size = copy.tokens * self.spec.kv_gb_per_token
+        return web.json_response(
+            {"handle": copy.handle, "tokens": copy.tokens, "gb": size}
+        )
+
+    async def _serve_import(self, req: web.Request) -> web.Response:
+        body = await read_json(req)
+        copy = await self.kv.fetch(str(body.get("handle")), str(body.get("source")))
+        await self.nap(copy.tokens / self.spec.kv_tokens_per_s)
+        return web.json_response({"tokens": copy.tokens})
+
+    async def _serve_kv(self, req: web.Request) -> web.Response:
+        return web.json_response(self.kv.message(req.match_info["handle"]))
+
+    async def _serve_events(self, req: web.Request) -> web.Response:
+        after = int(req.query.get("after", "0"))
+        events = self.cache.events(after, self.clock.now())
+        return web.json_response({"events": [item._asdict() for item in events]})
+
+    async def _serve_order(self, req: web.Request) -> web.Response:
+        self.orders.give(await read_json(req))
+        return web.json_response({})
+
+    async def _serve_order_state(self, _req: web.Request) -> web.Response:
+        return web.json_response(self.orders.to_message())
--- /dev/null
+++ b/src/ebonydeal/_internal/standin/kv.py
@@ -0,0 +1,61 @@
+"""KV cache that a stand-in engine hands out and takes in."""
+
+from typing import Any, NamedTuple
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.platform.http import ENDPOINT, HttpClient, read_object
+from ebonydeal._internal.standin.attempts import Attempt
+
+_TIMEOUT_S = 30.0
+
+
+class KvCopy(NamedTuple):
+    """A copy of an attempt's KV cache."""
+
+    handle: str
+    digest: str
+    tokens: int
+
+
+class KvStore:
+    """Exported and imported copies of one engine; owns the session it fetches by."""
+
+    def __init__(self, endpoint_id: str) -> None:
+        self._endpoint_id = endpoint_id
+        self._exported: dict[str, KvCopy] = {}
+        self._imported: dict[str, KvCopy] = {}
+        self._client = HttpClient(_TIMEOUT_S)
+
+    def export(self, attempt: Attempt) -> KvCopy:
+        """Make a copy that others can fetch."""
+        handle = f"kv-{self._endpoint_id}-{len(self._exported) + 1}"
+        copy = KvCopy(handle, attempt.digest, attempt.size())
+        self._exported[handle] = copy
+        return copy
+
+    def message(self, handle: str) -> dict[str, Any]:
+        """Return an exported copy for the wire, or raise NOT_FOUND."""
+        if handle not in self._exported:
+            raise EbonydealError(ErrorKind.NOT_FOUND, "no such handle")
+        return self._exported[handle]._asdict()
+
+    async def fetch(self, handle: str, source: str) -> KvCopy:
+        """Take in a copy from the engine at ``source``."""
+        url = f"http://{source}/kv/{handle}"
+        reply = await self._client.fetch("GET", url, ENDPOINT)
+        if reply.status != 200:
+            raise EbonydealError(ErrorKind.NOT_FOUND, f"{source} has no such handle")
+        copy = KvCopy(**read_object(reply, url, ENDPOINT))
+        self._imported[handle] = copy
+        return copy
+
+    def tokens_for(self, attempt: Attempt) -> int:
+        """Return the tokens that an imported copy saves ``attempt``."""
+        copy = self._imported.get(attempt.kv_handle)
+        if copy is None or copy.digest != attempt.digest:
+            return 0
+        return min(copy.tokens, attempt.size())
+
+    async def close(self) -> None:
+        """Close the session."""
+        await self._client.close()
--- /dev/null
+++ b/src/ebonydeal/_internal/standin/orders.py
@@ -0,0 +1,72 @@
+"""Orders to a stand-in engine: what it shall have loaded, and by whose word."""
+
+import asyncio
+from typing import Any
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.platform.interfaces import EngineOrder
+
+
+class Orders:
+    """The order in force and the models that are loaded.
+
+    Parameters
+    ----------
+    models : tuple of str
+        Loaded from the start.
+    checks_fence : bool
+        Whether an order with an old fencing number is refused.
+    """
+
+    def __init__(self, models: tuple[str, ...], checks_fence: bool) -> None:
+        self.order = EngineOrder(0, models, "serve")
+        self.loaded: set[str] = set(models)
+        self.history: list[EngineOrder] = []
+        self._checks_fence = checks_fence
+        self._changed = asyncio.Event()
+
+    def give(self, message: dict[str, Any]) -> None:
+        """Take an order; raises STALE_ORDER or BAD_REQUEST."""
+        try:
+            order = EngineOrder(
+                int(message["fence"]),
+                tuple(str(name) for name in message["models"]),
+                str(message["role"]),
+            )
+        except (KeyError, TypeError, ValueError) as exc:
+            raise EbonydealError(ErrorKind.BAD_REQUEST, "not an order") from exc
+        if self._checks_fence and order.fence < self.order.fence:
+            raise EbonydealError(
+                ErrorKind.STALE_ORDER, f"fence {self.order.fence} was seen"
+            )
+        self.order = order
+        self.history.append(order)
+        self.loaded &= set(order.models)
+        self._changed.set()
+
+    def missing(self) -> str | None:
+        """Return a model that is ordered and not loaded, if any."""
+        for model in self.order.models:
+            if model not in self.loaded:
+                return model
+        return None
+
+    async def wait_missing(self) -> str:
+        """Wait until a model has to be loaded, and return it."""
+        while (model := self.missing()) is None:
+            self._changed.clear()
+            await self._changed.wait()
+        return model
+
+    def set_loaded(self, model: str) -> None:
+        """Note that a model is loaded, if it is still wanted."""
+        if model in self.order.models:
+            self.loaded.add(model)
+
+    def to_message(self) -> dict[str, Any]:
+        """Return the wire shape of the order in force."""
+        return {
+            "fence": self.order.fence,
+            "models": list(self.order.models),
+            "role": self.order.role,
+        }
--- /dev/null
+++ b/src/ebonydeal/_internal/standin/server.py
@@ -0,0 +1,53 @@
+"""Listeners of the stand-ins: they can die at once, and drop single answers."""
+
+from typing import Any
+
+from aiohttp import web
+
+from ebonydeal._internal.observe.counters import Metrics
+from ebonydeal._internal.utils.web import HttpServer, new_app
+
+_DRAIN_S = 0.2
+_MAX_BODY = 64 * 1024 * 1024
+
+
+def standin_app() -> web.Application:
+    """Return an application for a stand-in, with counters of its own."""
+    return new_app(Metrics(), _MAX_BODY)
+
+
+class StandinServer(HttpServer):
+    """An `HttpServer` that can be killed.
+
+    Parameters
+    ----------
+    app : web.Application
+        What is served.
+    host, port : str, int
+        Where; port 0 picks a free one.
+    """
+
+    def __init__(
+        self, app: web.Application, host: str = "127.0.0.1", port: int = 0
+    ) -> None:
+        super().__init__(app, host, port, drain_seconds=_DRAIN_S)
+        self.killed = False
+
+    async def kill(self) -> None:
+        """Stop listening and reset every connection, as a dead process would."""
+        self.killed = True
+        if self._runner is None:
+            return
+        for site in list(self._runner.sites):
+            await site.stop()
+        server: Any = self._runner.server
+        for conn in list(server.connections):
+            if conn.transport is not None:
+                conn.transport.abort()
+
+
+def drop(req: web.Request) -> web.Response:
+    """Reset the connection of ``req``, so that its answer is lost."""
+    if req.transport is not None:
+        req.transport.abort()
+    return web.Response(status=500)
--- /dev/null
+++ b/src/ebonydeal/_internal/standin/service.py
@@ -0,0 +1,186 @@
+"""Stand-in of a plain service whose calls may not all be repeated."""
+
+import asyncio
+from typing import Any, NamedTuple
+
+from aiohttp import web
+
+from ebonydeal._internal.models.endpoints import LoadReport
+from ebonydeal._internal.platform.http import ATTEMPT_HEADER
+from ebonydeal._internal.standin.endpoint import (
+    EndpointFault,
+    StandinEndpoint,
+    not_run,
+)
+from ebonydeal._internal.standin.server import drop
+from ebonydeal._internal.standin.text import call_digest, expected_answer
+from ebonydeal._internal.utils.clock import Clock
+
+KEY_HEADER = "Idempotency-Key"
+
+
+class ServiceSpec(NamedTuple):
+    """What a stand-in plain service can do.
+
+    Attributes
+    ----------
+    slots : int
+        Calls at once.
+    work_seconds : float
+        Time of one call; the effect is in the middle.
+    load_lag : float
+        Seconds for which a load report is told again.
+    """
+
+    slots: int = 32
+    work_seconds: float = 0.02
+    load_lag: float = 0.5
+
+    def faster(self, factor: float) -> "ServiceSpec":
+        """Return the same service at ``factor`` times the speed."""
+        return self._replace(
+            work_seconds=self.work_seconds / factor, load_lag=self.load_lag / factor
+        )
+
+
+class StandinService(StandinEndpoint):
+    """Runs each call that arrives once, and writes down that it did.
+
+    It never looks at the idempotency key: whatever arrives twice runs twice,
+    and the log shows it. A call that has begun goes on when its caller leaves.
+
+    Parameters
+    ----------
+    endpoint_id : str
+        Id of the instance under the service.
+    spec : ServiceSpec
+        What it can do.
+    clock : Clock, optional
+        What all waiting goes by.
+    port : int
+        0 picks a free one.
+    """
+
+    kind = "service"
+
+    def __init__(
+        self,
+        endpoint_id: str,
+        spec: ServiceSpec,
+        *,
+        clock: Clock | None = None,
+        port: int = 0,
+    ) -> None:
+        super().__init__(endpoint_id, spec.slots, spec.load_lag, clock=clock, port=port)
+        self.spec = spec
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.app.router.add_route("*", "/{path:.*}", self._serve_call)
+
+    def measure(self) -> LoadReport:
+        """Return the load as it is now."""
+        return LoadReport(
+            running=self.slots.running,
+            waiting=self.slots.waiting,
+            slots=self.slots.count,
+            kv_used=0.0,
+            tokens_per_s=0.0,
+            at=self.clock.wall(),
+        )
+
+    async def kill(self) -> None:
+        """Die at once: calls that have begun stay half done."""
+        await super().kill()
+        for task in self._tasks:
+            task.cancel()
+
+    async def on_stop(self) -> None:
+        """End what is still being worked on."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def _serve_call(self, req: web.Request) -> web.StreamResponse:
+        body = await req.read()
+        fault = self.faults.take().fault
+        reason = ""
+        if self.is_leaving and self.refuses_when_leaving:
+            reason = "leaving"
+        elif fault is EndpointFault.REFUSE:
+            reason = "refused"
+        entry = self._note_arrival(req, body, reason)
+        if reason:
+            return not_run(reason, self.load_headers())
+        if fault is EndpointFault.ERROR:
+            return web.json_response({}, status=500)
+        if fault is EndpointFault.BREAK_BEFORE:
+            return drop(req)
+        task = asyncio.ensure_future(self._work(entry))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        await asyncio.shield(task)
+        return await self._answer(req, body, fault)
+
+    def _note_arrival(
+        self, req: web.Request, body: bytes, refused: str
+    ) -> dict[str, Any]:
+        """Begin the log entry of a call."""
+        since = None
+        if self.leaving_at is not None:
+            since = self.clock.now() - self.leaving_at
+        entry = {
+            "attempt_id": req.headers.get(ATTEMPT_HEADER, ""),
+            "key": req.headers.get(KEY_HEADER, ""),
+            "digest": call_digest(req.method, req.path_qs, body),
+            "at": self.clock.wall(),
+            "after_leaving": since,
+            "refused": refused,
+            "ran": False,
+        }
+        self.entries.append(entry)
+        return entry
+
+    async def _work(self, entry: dict[str, Any]) -> None:
+        """Do the work; the effect is in the middle of it."""
+        await self.slots.take(1)
+        try:
+            await self.nap(self.spec.work_seconds / 2)
+            entry["ran"] = True
+            await self.nap(self.spec.work_seconds / 2)
+        finally:
+            self.slots.give_back()
+
+    async def _answer(
+        self, req: web.Request, body: bytes, fault: EndpointFault
+    ) -> web.StreamResponse:
+        """Answer, or fail to."""
+        text = expected_answer(req.method, req.path_qs, body)
+        match fault:
+            case EndpointFault.STALL:
+                await asyncio.Event().wait()
+            case EndpointFault.BREAK:
+                return drop(req)
+            case EndpointFault.GARBAGE:
+                if req.transport is not None:
+                    req.transport.write(b"\x00\xffnonsense\r\n\r\n")
+                return drop_after(req)
+            case EndpointFault.TRUNCATE:
+                return await self._half_answer(req, text)
+        return web.Response(
+            text=text, content_type="application/json", headers=self.load_headers()
+        )
+
+    async def _half_answer(self, req: web.Request, text: str) -> web.StreamResponse:
+        """Announce a whole body and send half of it."""
+        resp = web.StreamResponse(headers=self.load_headers())
+        resp.content_length = len(text)
+        await resp.prepare(req)
+        await resp.write(text[: len(text) // 2].encode())
+        return drop_after(req, resp)
+
+
+def drop_after(
+    req: web.Request, resp: web.StreamResponse | None = None
+) -> web.StreamResponse:
+    """Close the connection once what was written is sent."""
+    if req.transport is not None:
+        req.transport.close()
+    return resp or web.Response(status=500)
--- /dev/null
+++ b/tests/functional/platform/test_services.py
@@ -0,0 +1,105 @@
+import asyncio
+
+import pytest
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.platform.services import HttpPlainServices
+from ebonydeal._internal.standin.endpoint import EndpointFault, PlannedFault
+from ebonydeal._internal.standin.service import ServiceSpec
+from ebonydeal._internal.standin.text import expected_answer
+from tests.lib.fakes_endpoints import running, service, view_of
+
+HEADERS = {"Idempotency-Key": "k-1", "Host": "elsewhere", "Content-Length": "999"}
+
+
+async def call(client, endpoint, method="POST", attempt="a-1", timeout=5.0):
+    return await client.call(
+        view_of(endpoint), method, "/pickups?van=3", HEADERS, b"bag", attempt, timeout
+    )
+
+
+class TestCalls:
+    async def test_answer_and_log(self):
+        async with running(service()) as server:
+            client = HttpPlainServices(2.0)
+            answer = await call(client, server)
+            assert answer.status == 200
+            assert answer.content_type == "application/json"
+            text = expected_answer("POST", "/pickups?van=3", b"bag")
+            assert answer.body.decode() == text
+            entry = server.entries[0]
+            assert (entry["attempt_id"], entry["key"]) == ("a-1", "k-1")
+            assert entry["ran"] is True
+            await client.close()
+
+    @pytest.mark.parametrize(
+        ("fault", "kind", "ran"),
+        [
+            (EndpointFault.REFUSE, ErrorKind.ENDPOINT_REFUSED, False),
+            (EndpointFault.BREAK_BEFORE, ErrorKind.ENDPOINT_FAILED, False),
+            (EndpointFault.BREAK, ErrorKind.ENDPOINT_FAILED, True),
+            (EndpointFault.TRUNCATE, ErrorKind.ENDPOINT_FAILED, True),
+            (EndpointFault.GARBAGE, ErrorKind.ENDPOINT_GARBAGE, True),
+        ],
+    )
+    @pytest.mark.parametrize("method", ["POST", "PUT", "DELETE"])
+    async def test_faults_have_their_kinds_and_nothing_is_repeated(
+        self, method, fault, kind, ran
+    ):
+        async with running(service()) as server:
+            client = HttpPlainServices(2.0)
+            await call(client, server, method)
+            server.faults.next.append(PlannedFault(fault))
+            with pytest.raises(EbonydealError) as caught:
+                await call(client, server, method, "a-2")
+            assert caught.value.kind is kind
+            assert [entry["ran"] for entry in server.entries] == [True, ran]
+            await client.close()
+
+    async def test_error_of_the_service_is_an_answer(self):
+        async with running(service()) as server:
+            client = HttpPlainServices(2.0)
+            server.faults.next.append(PlannedFault(EndpointFault.ERROR))
+            assert (await call(client, server)).status == 500
+            await client.close()
+
+    async def test_timeout_may_have_run_and_does(self):
+        async with running(service(spec=ServiceSpec(work_seconds=0.4))) as server:
+            client = HttpPlainServices(2.0)
+            with pytest.raises(EbonydealError) as caught:
+                await call(client, server, timeout=0.1)
+            assert caught.value.kind is ErrorKind.ENDPOINT_FAILED
+            while not server.entries[0]["ran"]:
+                await asyncio.sleep(0.01)
+            await client.close()
+
+    async def test_connection_in_doubt_is_not_used_again(self):
+        async with running(service(spec=ServiceSpec(work_seconds=0.1))) as server:
+            client = HttpPlainServices(2.0)
+            with pytest.raises(EbonydealError):
+                await call(client, server, "GET", "a-1", timeout=0.02)
+            answer = await client.call(
+                view_of(server), "GET", "/status", {}, b"", "a-2", 5.0
+            )
+            assert answer.body.decode() == expected_answer("GET", "/status", b"")
+            await client.close()
+
+    async def test_leaving_service_refuses(self):
+        async with running(service()) as server:
+            client = HttpPlainServices(2.0)
+            server.refuses_when_leaving = True
+            server.leave()
+            with pytest.raises(EbonydealError) as caught:
+                await call(client, server)
+            assert caught.value.kind is ErrorKind.ENDPOINT_REFUSED
+            assert server.entries[0]["ran"] is False
+            await client.close()
+
+    async def test_dead_service_proves_that_nothing_ran(self):
+        async with running(service()) as server:
+            client = HttpPlainServices(2.0)
+            await server.kill()
+            with pytest.raises(EbonydealError) as caught:
+                await call(client, server)
+            assert caught.value.kind is ErrorKind.CONNECT_FAILED
+            await client.close()
--- /dev/null
+++ b/tests/functional/standin/test_world.py
@@ -0,0 +1,120 @@
+import asyncio
+
+import pytest
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.models.places import Place
+from ebonydeal._internal.platform.cloud import HttpCloud
+from ebonydeal._internal.platform.instances import HttpInstanceList
+from ebonydeal._internal.platform.interfaces import Offer
+from ebonydeal._internal.platform.weights import HttpWeightStore
+from ebonydeal._internal.standin.world import StandinWorld
+from ebonydeal._internal.standin.worldspec import (
+    FleetSpec,
+    WorldSpec,
+    default_offers,
+)
+from tests.lib.fakes_endpoints import running
+
+PLACES = (Place("wales", "wales-1"), Place("wales", "wales-2"))
+FLEETS = (
+    FleetSpec("covers", "engine", ("covers-7b",), 3),
+    FleetSpec("paperwork", "service", (), 2),
+)
+SPEC = WorldSpec(
+    PLACES, FLEETS, default_offers(PLACES), list_lag=0.0, start_seconds=0.0
+)
+TAGS = {"deployment": "covers"}
+
+
+async def until(check):
+    while not check():
+        await asyncio.sleep(0.005)
+
+
+class TestWorld:
+    async def test_list_shows_the_fleets(self):
+        async with running(StandinWorld(SPEC)) as world:
+            client = HttpInstanceList.from_config(world.platform_settings())
+            views = await client.endpoints()
+            assert views == world.views()
+            zones = [(view.deployment, view.place.zone) for view in views]
+            assert zones == [
+                ("covers", "wales-1"),
+                ("covers", "wales-2"),
+                ("covers", "wales-1"),
+                ("paperwork", "wales-1"),
+                ("paperwork", "wales-2"),
+            ]
+            world.listing.set_node("node-1", "127.0.0.1:1")
+            assert await client.own_nodes() == [("node-1", "127.0.0.1:1")]
+            await client.close()
+
+    async def test_same_token_starts_one_instance(self):
+        async with running(StandinWorld(SPEC)) as world:
+            cloud = HttpCloud.from_config(world.platform_settings())
+            offer = (await cloud.offers())[0]
+            assert offer == SPEC.offers[0]
+            world.cloud.lose_starts = 1
+            with pytest.raises(EbonydealError) as caught:
+                await cloud.start("t-1", offer, TAGS)
+            assert caught.value.kind is ErrorKind.STORE_IN_DOUBT
+            first = await cloud.start("t-1", offer, TAGS)
+            assert await cloud.start("t-1", offer, TAGS) == first
+            assert len(await cloud.instances()) == 6
+            assert len(world.endpoints()) == 6
+            await cloud.stop(first.instance_id)
+            await cloud.stop(first.instance_id)
+            assert len(await cloud.instances()) == 5
+            assert len(world.endpoints()) == 5
+            await cloud.close()
+
+    async def test_refused_and_unknown_offers(self):
+        async with running(StandinWorld(SPEC)) as world:
+            cloud = HttpCloud.from_config(world.platform_settings())
+            world.cloud.refusing.add(("wales-1", "standard"))
+            unknown = Offer("wales-2", "huge", True, 1.0, 0.0, 1)
+            for offer in (SPEC.offers[0], unknown):
+                with pytest.raises(EbonydealError) as caught:
+                    await cloud.start("t-1", offer, TAGS)
+                assert caught.value.kind is ErrorKind.START_REFUSED
+            assert len(await cloud.instances()) == 5
+            await cloud.close()
+
+    async def test_reclaimed_zone_is_told_and_then_dies(self):
+        async with running(StandinWorld(SPEC)) as world:
+            cloud = HttpCloud.from_config(world.platform_settings())
+            world.reclaim_zone("wales-1", 0.3)
+            notices = await cloud.notices(0)
+            assert [(n.seq, n.instance_id, n.zone) for n in notices] == [
+                (1, "", "wales-1")
+            ]
+            assert await cloud.notices(1) == []
+            states = {view.place.zone: view.state for view in world.views()}
+            assert states == {"wales-1": "leaving", "wales-2": "ready"}
+            leaving = [endpoint.is_leaving for endpoint in world.endpoints()]
+            assert leaving == [True, False, True, True, False]
+            await until(lambda: len(world.endpoints()) == 2)
+            assert {view.place.zone for view in world.views()} == {"wales-2"}
+            with pytest.raises(EbonydealError) as caught:
+                await cloud.start("t-1", SPEC.offers[0], TAGS)
+            assert caught.value.kind is ErrorKind.START_REFUSED
+            assert len(world.logs()) == 5
+            await cloud.close()
+
+    async def test_one_instance_is_reclaimed(self):
+        async with running(StandinWorld(SPEC)) as world:
+            gone = world.views()[0].endpoint_id
+            world.reclaim_endpoint(gone, 0.05)
+            assert world.cloud.notices[0].instance_id == gone
+            await until(lambda: len(world.endpoints()) == 4)
+            assert gone not in {view.endpoint_id for view in world.views()}
+
+    async def test_weights(self):
+        async with running(StandinWorld(SPEC)) as world:
+            weights = HttpWeightStore.from_config(world.platform_settings())
+            copies = await weights.copies("covers-7b")
+            assert [copy.model for copy in copies] == ["covers-7b"]
+            assert await weights.copies("none") == []
+            assert await weights.rate_left() == 10.0
+            await weights.close()
