--- a/src/ebonydeal/_internal/journal/attempts.py
+++ b/src/ebonydeal/_internal/journal/attempts.py
@@ -167,12 +167,15 @@
         job.sending = True
         job.view = view
         self._picker.sent(job.request, view)
-        ok = False
+        error: ErrorKind | None = ErrorKind.CANCELLED
         try:
             answer = await self._send_by_kind(job, view, body, attempt_id)
-            ok = True
+            error = None
             return answer
-        except (EbonydealError, Interrupted):
+        except Interrupted:
+            raise
+        except EbonydealError as exc:
+            error = exc.kind
             raise
         except Exception as exc:
             logger.error("An attempt failed.", attempt=attempt_id, exc_info=exc)
@@ -180,7 +183,7 @@
         finally:
             job.sending = False
             job.view = None
-            self._picker.finished(view, ok)
+            self._picker.finished(job.request, view, error)
             self._on_slot_free()
 
     async def _send_by_kind(
--- a/src/ebonydeal/_internal/journal/jobs.py
+++ b/src/ebonydeal/_internal/journal/jobs.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from ebonydeal._internal.errors import ErrorKind
 from ebonydeal._internal.journal.fold import RequestState
 from ebonydeal._internal.journal.runs import Interrupt, Progress
 from ebonydeal._internal.models.endpoints import EndpointView, LeavingMark
@@ -24,8 +25,10 @@
     def sent(self, request: Request, view: EndpointView) -> None:
         """Learn that a run at an endpoint starts."""
 
-    def finished(self, view: EndpointView, ok: bool) -> None:
-        """Learn that a run at an endpoint has ended."""
+    def finished(
+        self, request: Request, view: EndpointView, error: ErrorKind | None
+    ) -> None:
+        """Learn that a run at an endpoint has ended, and with which error."""
 
 
 class Book(Protocol):
--- a/src/ebonydeal/_internal/journal/picker.py
+++ b/src/ebonydeal/_internal/journal/picker.py
@@ -1,13 +1,23 @@
-"""Chooses endpoints for accepted work from what the directory knows."""
+"""Chooses endpoints for accepted work: free ones, by the router's score.
 
-import random
+Accepted work isn't hurried: it never queues at an endpoint, so that it leaves
+the queues to requests whose callers wait.
+"""
+
+import json
 from collections import Counter
-from collections.abc import Iterable
 from typing import Protocol
 
-from ebonydeal._internal.models.endpoints import EndpointState, EndpointView
-from ebonydeal._internal.models.places import Place, distance
-from ebonydeal._internal.models.requests import Request
+from ebonydeal._internal.errors import ErrorKind
+from ebonydeal._internal.models.endpoints import EndpointView
+from ebonydeal._internal.models.places import Place
+from ebonydeal._internal.models.requests import Request, RequestKind
+from ebonydeal._internal.routing.router import Router
+from ebonydeal._internal.routing.types import Choice, RouteRequest
+from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.prefix import prefix_blocks, prompt_text
+
+ASSUMED_SLOTS = 4
 
 
 class Views(Protocol):
@@ -20,50 +30,64 @@
         """Return whether an endpoint is known to be going away."""
 
 
-class LeastLoadedPicker:
-    """Takes the endpoint with the least waiting work, near ones first.
-
-    Accepted work isn't hurried: it is spread by free slots, and own sends count
-    until the next load report is heard.
-    """
-
-    def __init__(self, views: Views, place: Place, rng: random.Random) -> None:
+def route_request(
+    request: Request, place: Place, exclude: frozenset[str]
+) -> RouteRequest:
+    """Return what the router needs to know of an accepted request."""
+    model = ""
+    blocks: tuple[str, ...] = ()
+    if request.kind is not RequestKind.SERVICE and request.body:
+        try:
+            body = json.loads(request.body)
+            model = str(body["model"])
+            blocks = prefix_blocks(model, prompt_text(body))
+        except (KeyError, TypeError, ValueError):
+            # The dispatcher ends a request with such a body; any endpoint will do.
+            blocks = ()
+    return RouteRequest(
+        request_id=request.request_id,
+        deployment=request.deployment,
+        model=model,
+        blocks=blocks,
+        prompt_tokens=request.prompt_tokens,
+        max_tokens=request.max_tokens,
+        place=place,
+        exclude=exclude,
+    )
+
+
+class RoutedPicker:
+    """`Picker` over the directory's views and the router's choice."""
+
+    def __init__(
+        self, views: Views, router: Router, place: Place, clock: Clock
+    ) -> None:
         self._views = views
+        self._router = router
         self._place = place
-        self._rng = rng
+        self._clock = clock
         self._sent: Counter[str] = Counter()
+        self._choices: dict[str, tuple[Choice, RouteRequest]] = {}
 
     def pick(self, request: Request, exclude: frozenset[str]) -> EndpointView | None:
         """Return where to send ``request`` now, or None when all are full."""
-        views = self._able(request, exclude)
+        listed = self._views.views(request.deployment)
+        views = tuple(view for view in listed if self._has_room(view))
         if not views:
             return None
-        return min(
-            views,
-            key=lambda view: (
-                self._busy(view),
-                distance(self._place, view.place),
-                self._rng.random(),
-            ),
-        )
-
-    def _able(self, request: Request, exclude: frozenset[str]) -> list[EndpointView]:
-        listed: Iterable[EndpointView] = self._views.views(request.deployment)
-        return [
-            view
-            for view in listed
-            if view.endpoint_id not in exclude
-            and view.state is EndpointState.READY
-            and self._busy(view) < 1.0
-        ]
-
-    def _busy(self, view: EndpointView) -> float:
-        """Return the share of an endpoint's slots that are taken, from 0."""
+        ask = route_request(request, self._place, exclude)
+        choice = self._router.choose(ask, views, self._clock.wall())
+        if choice is None:
+            return None
+        self._choices[request.request_id] = (choice, ask)
+        return choice.endpoint
+
+    def _has_room(self, view: EndpointView) -> bool:
         sent = self._sent[view.endpoint_id]
         if view.load is None:
-            return 0.0 if sent == 0 else 0.5
+            return sent < ASSUMED_SLOTS
         taken = max(view.load.running + view.load.waiting, sent)
-        return taken / max(1, view.load.slots)
+        return taken < view.load.slots
 
     def is_leaving(self, view: EndpointView) -> bool:
         """Return whether an endpoint is known to be going away."""
@@ -72,9 +96,19 @@
     def sent(self, request: Request, view: EndpointView) -> None:
         """Learn that a run at an endpoint starts."""
         self._sent[view.endpoint_id] += 1
-
-    def finished(self, view: EndpointView, ok: bool) -> None:
-        """Learn that a run at an endpoint has ended."""
+        chosen = self._choices.pop(request.request_id, None)
+        if chosen is not None:
+            self._router.sent(*chosen, self._clock.wall())
+
+    def finished(
+        self, request: Request, view: EndpointView, error: ErrorKind | None
+    ) -> None:
+        """Learn that a run at an endpoint has ended, and with which error."""
         self._sent[view.endpoint_id] -= 1
         if self._sent[view.endpoint_id] <= 0:
             del self._sent[view.endpoint_id]
+        now = self._clock.wall()
+        if error is None:
+            self._router.finished(request.request_id, view.endpoint_id, now)
+        else:
+            self._router.failed(request.request_id, view.endpoint_id, error, now)
--- /dev/null
+++ b/src/ebonydeal/_internal/journal/program.py
@@ -0,0 +1,187 @@
+"""Supervisor tree of ``ebonydeal-journal``."""
+
+import random
+from typing import Any, NamedTuple
+
+from mode import Service
+
+from ebonydeal._internal.directory.service import Directory
+from ebonydeal._internal.directory.table import Change
+from ebonydeal._internal.journal.claims import Identity
+from ebonydeal._internal.journal.dispatcher import Dispatcher
+from ebonydeal._internal.journal.node import JournalNode
+from ebonydeal._internal.journal.owner import OwnerParts
+from ebonydeal._internal.journal.pacing import Budget, Pacer
+from ebonydeal._internal.journal.picker import RoutedPicker
+from ebonydeal._internal.journal.service import journal_app
+from ebonydeal._internal.models.places import Place
+from ebonydeal._internal.observe.counters import Metrics
+from ebonydeal._internal.peers.service import PeerService
+from ebonydeal._internal.platform.cloud import HttpCloud
+from ebonydeal._internal.platform.engines import HttpEngine
+from ebonydeal._internal.platform.instances import HttpInstanceList
+from ebonydeal._internal.platform.objects import HttpObjects
+from ebonydeal._internal.platform.services import HttpPlainServices
+from ebonydeal._internal.platform.tables import HttpTables
+from ebonydeal._internal.routing.router import Router
+from ebonydeal._internal.settings.directory import DirectorySettings
+from ebonydeal._internal.settings.journal import JournalSettings
+from ebonydeal._internal.settings.routing import RoutingSettings
+from ebonydeal._internal.settings.sections import (
+    LogSettings,
+    NodeSettings,
+    PeerSettings,
+    PlatformSettings,
+    TlsSettings,
+)
+from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.web import HttpServer
+
+SECTIONS: dict[str, type] = {
+    "node": NodeSettings,
+    "platform": PlatformSettings,
+    "peers": PeerSettings,
+    "logs": LogSettings,
+    "tls": TlsSettings,
+    "directory": DirectorySettings,
+    "routing": RoutingSettings,
+    "journal": JournalSettings,
+}
+_MS = 1000
+
+
+class Platform(NamedTuple):
+    """The clients of the outside systems, which the program closes."""
+
+    tables: HttpTables
+    objects: HttpObjects
+    instances: HttpInstanceList
+    cloud: HttpCloud
+    engine: HttpEngine
+    services: HttpPlainServices
+
+    @classmethod
+    def from_config(cls, cfg: PlatformSettings) -> "Platform":
+        """Build all clients from ``[platform]``."""
+        return cls(
+            HttpTables.from_config(cfg),
+            HttpObjects.from_config(cfg),
+            HttpInstanceList.from_config(cfg),
+            HttpCloud.from_config(cfg),
+            HttpEngine.from_config(cfg),
+            HttpPlainServices.from_config(cfg),
+        )
+
+
+class JournalProgram(Service):
+    """Everything of one journal process.
+
+    Children, in the order of their start: directory, peers, listener,
+    dispatcher, node. A stop first hands over all shards, while the listener
+    still answers those who wait.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        peers: PeerService,
+        dispatcher: Dispatcher,
+        node: JournalNode,
+        server: HttpServer,
+        platform: Platform,
+    ) -> None:
+        super().__init__()
+        self.directory = directory
+        self.peers = peers
+        self.dispatcher = dispatcher
+        self.node = node
+        self.server = server
+        self._platform = platform
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: dict[str, Any],
+        metrics: Metrics,
+        clock: Clock,
+        rng: random.Random,
+    ) -> "JournalProgram":
+        """Build the tree from typed settings sections (see `SECTIONS`)."""
+        cfg: JournalSettings = settings["journal"]
+        own: NodeSettings = settings["node"]
+        place = Place(own.region, own.zone)
+        platform = Platform.from_config(settings["platform"])
+        directory = Directory.from_config(
+            settings["directory"],
+            platform.instances,
+            metrics,
+            clock,
+            rng,
+            cloud=platform.cloud,
+            engine=platform.engine,
+        )
+        platform.engine.on_load = directory.observe_load
+        platform.services.on_load = directory.observe_load
+        peers = PeerService.from_config(
+            own,
+            settings["peers"],
+            metrics,
+            clock,
+            rng,
+            instances=platform.instances,
+            directory=directory,
+            roles=("journal",),
+        )
+        router = Router.from_config(settings["routing"], rng)
+        dispatcher = Dispatcher(
+            RoutedPicker(directory, router, place, clock),
+            platform.engine,
+            platform.services,
+            cfg=cfg,
+            clock=clock,
+            metrics=metrics,
+        )
+        budget = Budget(cfg.writes_per_s, cfg.urgent_writes_per_s)
+        parts = OwnerParts(
+            platform.tables,
+            platform.objects,
+            dispatcher,
+            Pacer(budget, clock.now()),
+            cfg,
+            clock,
+            rng,
+            metrics,
+        )
+        me = Identity(own.id, "", int(clock.wall() * _MS))
+        node = JournalNode(me, place, parts, own.drain_seconds)
+        app = journal_app(node, settings["peers"].credential, metrics)
+        server = HttpServer(app, own.host, cfg.port, drain_seconds=own.drain_seconds)
+        return cls(directory, peers, dispatcher, node, server, platform)
+
+    @property
+    def address(self) -> str:
+        """``host:port`` of the journal listener, as bound."""
+        return self.server.address
+
+    async def on_start(self) -> None:
+        """Bind the listener, then claim shards under its address."""
+        self.directory.on_mark(self.dispatcher.leaving)
+        self.directory.on_change(self._endpoints_changed)
+        await self.add_runtime_dependency(self.directory)
+        await self.add_runtime_dependency(self.peers)
+        await self.add_runtime_dependency(self.server)
+        await self.add_runtime_dependency(self.dispatcher)
+        self.node.me = self.node.me._replace(address=self.address)
+        await self.add_runtime_dependency(self.node)
+
+    def _endpoints_changed(self, _change: Change) -> None:
+        self.dispatcher.endpoints_changed()
+
+    async def on_stop(self) -> None:
+        """Hand over all shards while everything still works."""
+        await self.node.leave()
+
+    async def on_shutdown(self) -> None:
+        """Close the clients."""
+        for client in self._platform:
+            await client.close()
