--- /dev/null
+++ b/tests/functional/journal/test_shard.py
@@ -0,0 +1,122 @@
+import asyncio
+import json
+
+import pytest
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.journal.fold import Phase
+from tests.lib.clock import settle
+from tests.lib.journal_fakes import World, make_note, make_request
+
+
+@pytest.fixture
+async def world():
+    world = World()
+    yield world
+    await world.close()
+
+
+class TestAcceptedWork:
+    async def test_runs_to_a_whole_answer(self, world):
+        node = await world.node()
+        await node.owner.accept(make_request())
+        await settle()
+        status = await node.owner.status("r-0000-1", "gwesty")
+        assert status["state"] == "completed"
+        answer = json.loads(status["answer"]["body"])
+        assert answer["object"] == "chat.completion"
+        assert answer["choices"][0]["message"]["content"] == "one two three four"
+        assert answer["choices"][0]["finish_reason"] == "stop"
+        assert answer["usage"] == {
+            "prompt_tokens": 7,
+            "completion_tokens": 4,
+            "total_tokens": 11,
+        }
+
+    async def test_new_owner_runs_what_the_old_one_left(self, world):
+        node = await world.node()
+        world.engine.hold("e-1", 2)
+        await node.owner.accept(make_request())
+        await settle()
+        await node.kill()
+        world.engine.held.clear()
+        other = await world.node("n-2")
+        await settle()
+        status = await other.owner.status("r-0000-1", "gwesty")
+        assert status["state"] == "completed"
+
+    async def test_other_accounts_see_nothing(self, world):
+        node = await world.node()
+        await node.owner.accept(make_request())
+        with pytest.raises(EbonydealError) as caught:
+            await node.owner.status("r-0000-1", "palermo")
+        assert caught.value.kind is ErrorKind.NOT_FOUND
+
+
+class TestKeyedCalls:
+    async def test_a_repeat_gets_the_stored_answer(self, world):
+        node = await world.node()
+        first = await node.owner.call(make_note(), 5.0)
+        again = await node.owner.call(make_note(), 5.0)
+        assert first["answer"]["body"] == "ok"
+        assert again == first
+        assert len(world.services.log) == 1
+
+    async def test_two_at_once_are_one(self, world):
+        node = await world.node()
+        calls = [node.owner.call(make_note(), 5.0) for _ in range(2)]
+        first, second = await asyncio.gather(*calls)
+        assert first == second
+        assert len(world.services.log) == 1
+
+    async def test_another_body_is_refused(self, world):
+        node = await world.node()
+        await node.owner.call(make_note(), 5.0)
+        with pytest.raises(EbonydealError) as caught:
+            await node.owner.call(make_note(body_digest="d2"), 5.0)
+        assert caught.value.kind is ErrorKind.KEY_REUSED
+
+    async def test_proof_lets_it_be_sent_again(self, world):
+        node = await world.node()
+        world.services.failures.extend(
+            [ErrorKind.CONNECT_FAILED, ErrorKind.ENDPOINT_REFUSED]
+        )
+        call = asyncio.ensure_future(node.owner.call(make_note(), 5.0))
+        await world.clock.advance(1.0)
+        assert (await call)["state"] == "completed"
+        assert len(world.services.log) == 1
+
+    async def test_no_proof_is_unknown(self, world):
+        node = await world.node()
+        world.services.failures.append(ErrorKind.ENDPOINT_FAILED)
+        status = await node.owner.call(make_note(), 5.0)
+        assert status["state"] == "unknown"
+        assert status["error"]["outcome"] == "unknown"
+        await world.clock.advance(60.0)
+        assert len(world.services.log) == 1
+
+    async def test_takeover_while_it_runs_is_unknown(self, world):
+        node = await world.node()
+        world.services.held = asyncio.Event()
+        call = asyncio.ensure_future(node.owner.call(make_note(), 5.0))
+        await settle()
+        assert node.owner.states["k-0000-1"].phase is Phase.DISPATCHED
+        await node.kill()
+        call.cancel()
+        other = await world.node("n-2")
+        status = await other.owner.status("k-0000-1", "gwesty")
+        assert status["state"] == "unknown"
+        assert len(world.services.log) == 1
+
+    async def test_nothing_is_sent_before_the_record_is_durable(self, world):
+        node = await world.node()
+        await node.owner.accept(make_note("k-0000-2"))
+        await settle()
+        world.services.log.clear()
+        world.tables.faults.down = True
+        call = asyncio.ensure_future(node.owner.call(make_note(), 5.0))
+        await settle()
+        with pytest.raises(EbonydealError) as caught:
+            await call
+        assert caught.value.kind is ErrorKind.JOURNAL_UNAVAILABLE
+        assert world.services.log == []
