Rename the endpoints' log method, which mode's own logger hid

Cause: Service.log is mode's logger, so StandinWorld.logs() raised TypeError. Change: the method is history(). Conclusion: the logs of dead endpoints can be read.

--- a/src/ebonydeal/_internal/standin/endpoint.py
+++ b/src/ebonydeal/_internal/standin/endpoint.py
@@ -173,7 +173,7 @@
         """Die at once: every connection is reset."""
         await self.server.kill()
 
-    def log(self) -> dict[str, Any]:
+    def history(self) -> dict[str, Any]:
         """Return every attempt that came here."""
         return {
             "endpoint_id": self.endpoint_id,
@@ -185,7 +185,7 @@
         return web.json_response(self.load().to_message())
 
     async def _serve_log(self, _req: web.Request) -> web.Response:
-        return web.json_response(self.log())
+        return web.json_response(self.history())
 
     async def _serve_faults(self, req: web.Request) -> web.Response:
         self.faults.change(await req.json())
--- a/src/ebonydeal/_internal/standin/world.py
+++ b/src/ebonydeal/_internal/standin/world.py
@@ -127,7 +127,7 @@
 
     def logs(self) -> list[dict[str, Any]]:
         """Return the log of each endpoint that ever lived."""
-        return [endpoint.log() for endpoint in self.all_endpoints]
+        return [endpoint.history() for endpoint in self.all_endpoints]
 
     async def add_endpoint(
         self, deployment: str, zone: str, *, reclaimable: bool = True
