Let a listener bound idle time and header size

Cause: the callers' listener needs limits of its own on idle connections and on header lines. Change: two keyword arguments of HttpServer with the values used so far. Conclusion: additive.

--- a/src/ebonydeal/_internal/utils/web.py
+++ b/src/ebonydeal/_internal/utils/web.py
@@ -16,6 +16,7 @@
 
 _MAX_BODY = 4 * 1024 * 1024
 _KEEPALIVE_S = 75.0
+_MAX_HEADER = 8190
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
@@ -108,6 +109,10 @@
         For TLS.
     drain_seconds : float
         How long open requests may go on after a stop.
+    idle_seconds : float
+        How long a kept connection may be idle.
+    max_header : int
+        Most bytes of the request line and of one header field.
     """
 
     def __init__(
@@ -118,6 +123,8 @@
         *,
         ssl_context: SSLContext | None = None,
         drain_seconds: float = 60.0,
+        idle_seconds: float = _KEEPALIVE_S,
+        max_header: int = _MAX_HEADER,
     ) -> None:
         super().__init__()
         self.app = app
@@ -125,6 +132,8 @@
         self.port = port
         self._ssl = ssl_context
         self._drain = drain_seconds
+        self._idle = idle_seconds
+        self._max_header = max_header
         self._runner: web.AppRunner | None = None
 
     @property
@@ -138,7 +147,9 @@
             self.app,
             access_log=None,
             shutdown_timeout=self._drain,
-            keepalive_timeout=_KEEPALIVE_S,
+            keepalive_timeout=self._idle,
+            max_line_size=self._max_header,
+            max_field_size=self._max_header,
             handler_cancellation=True,
         )
         await self._runner.setup()
