Add the gateway's data path over narrow ports

Cause: nothing carries a caller's request to an endpoint yet. Change: authentication, parsing, chat completions and completions (streams and whole), plain services, deferred requests, models, readiness, decision trails; the stream relay that resumes elsewhere and checks positions; reconnects by last event id; moves off leaving endpoints; a supervisor tree over ports that tests put fakes behind.

--- /dev/null
+++ b/src/ebonydeal/_internal/gateway/deferred.py
@@ -0,0 +1,135 @@
+"""Requests that are accepted now and answered later."""
+
+from typing import Any, NamedTuple
+
+from aiohttp import web
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.gateway.intake import REQUEST_ID, Intake
+from ebonydeal._internal.gateway.parse import parse_generation
+from ebonydeal._internal.gateway.ports import AdmissionPort, JournalPort
+from ebonydeal._internal.models.requests import RequestKind
+from ebonydeal._internal.observe.counters import Event, Metrics
+from ebonydeal._internal.utils.clock import Clock
+
+DEFERRED_PATH = "/v1/deferred"
+_POLL_SECONDS = 1
+_RUNNING = ("accepted", "dispatched")
+
+
+class DeferredParts(NamedTuple):
+    """What the handlers of deferred requests work with."""
+
+    intake: Intake
+    admission: AdmissionPort
+    journal: JournalPort
+    metrics: Metrics
+    clock: Clock
+
+
+def journal_response(status: dict[str, Any], request_id: str) -> web.Response:
+    """Return the answer for a request's status, if need be "not yet".
+
+    Raises the error that a final status without an answer stands for.
+    """
+    match status:
+        case {"state": "completed", "answer": {"status": int(code), **answer}}:
+            return web.Response(
+                status=code,
+                text=str(answer.get("body", "")),
+                headers={"Content-Type": str(answer.get("content_type", ""))},
+            )
+        case {"state": str(state)} if state in _RUNNING:
+            return _not_yet(request_id, state)
+        case {"error": dict(error)}:
+            raise EbonydealError.from_body({"error": error})
+    raise EbonydealError(ErrorKind.INTERNAL, "the journal gave no readable status")
+
+
+def _not_yet(request_id: str, state: str) -> web.Response:
+    """Return the answer for a request that is still to run or running."""
+    return web.json_response(
+        {"id": request_id, "object": "deferred", "status": state},
+        status=202,
+        headers={
+            "Location": f"{DEFERRED_PATH}/{request_id}",
+            "Retry-After": str(_POLL_SECONDS),
+        },
+    )
+
+
+def _status_response(status: dict[str, Any], request_id: str) -> web.Response:
+    """Return a request's status as callers see it."""
+    body = {
+        "id": request_id,
+        "object": "deferred",
+        "status": status.get("state"),
+        "error": status.get("error"),
+    }
+    return web.json_response(body)
+
+
+class Deferred:
+    """Handlers of ``/v1/deferred``.
+
+    Parameters
+    ----------
+    parts : DeferredParts
+        What they work with.
+    """
+
+    def __init__(self, parts: DeferredParts) -> None:
+        self._parts = parts
+
+    async def accept(self, req: web.Request) -> web.Response:
+        """``POST /v1/deferred``: the body of a chat completion or completion."""
+        parts = self._parts
+        account = parts.intake.account(req)
+        raw = await parts.intake.body(req)
+        call = parse_generation(_kind(raw), raw, req.headers).alt(_raise).unwrap()
+        if call.stream:
+            raise EbonydealError(
+                ErrorKind.BAD_REQUEST, "a deferred request can't be a stream"
+            )
+        if call.options.key:
+            req[REQUEST_ID] = parts.intake.keyed_id(account.name, call.options.key)
+        times = parts.intake.deadlines(call.options, 0.0)
+        request, deployment = parts.intake.generation(
+            call, account, req[REQUEST_ID], times, raw
+        )
+        status = await parts.journal.accept(request)
+        parts.metrics.count(Event.ANSWERED)
+        return _not_yet(request.request_id, str(status.get("state", "accepted")))
+
+    async def status(self, req: web.Request) -> web.Response:
+        """``GET /v1/deferred/{id}``."""
+        request_id, status = await self._status(req)
+        return _status_response(status, request_id)
+
+    async def answer(self, req: web.Request) -> web.Response:
+        """``GET /v1/deferred/{id}/answer``."""
+        request_id, status = await self._status(req)
+        return journal_response(status, request_id)
+
+    async def cancel(self, req: web.Request) -> web.Response:
+        """``DELETE /v1/deferred/{id}``."""
+        account = self._parts.intake.account(req)
+        request_id = req.match_info["id"]
+        status = await self._parts.journal.cancel(request_id, account.name)
+        return _status_response(status, request_id)
+
+    async def _status(self, req: web.Request) -> tuple[str, dict[str, Any]]:
+        """Return the id in the path and its status."""
+        account = self._parts.intake.account(req)
+        request_id = req.match_info["id"]
+        return request_id, await self._parts.journal.status(request_id, account.name)
+
+
+def _kind(raw: bytes) -> RequestKind:
+    """Return which of the two bodies this is: only a completion has a prompt."""
+    return RequestKind.COMPLETION if b'"prompt"' in raw else RequestKind.CHAT
+
+
+def _raise(error: EbonydealError) -> None:
+    """Raise a failure of the parser where the error table catches it."""
+    raise error
--- /dev/null
+++ b/src/ebonydeal/_internal/gateway/events.py
@@ -0,0 +1,151 @@
+"""Ids of stream events: an authenticated hint of where an answer stands.
+
+An id says which gateway and endpoint served the answer, how many tokens the
+caller has, and the digest of their text. Its tag is a keyed hash, so that no
+caller can make one up, and it holds for one client account only.
+"""
+
+import binascii
+import hmac
+from base64 import urlsafe_b64decode, urlsafe_b64encode
+from typing import NamedTuple
+
+import msgspec
+from xxhash import xxh3_64
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.gateway.live import Piece
+
+_TAG_BYTES = 12
+_MAX_CHARS = 2048
+
+
+class EventHint(NamedTuple):
+    """What an event id tells.
+
+    Attributes
+    ----------
+    request_id : str
+        Of the first call.
+    gateway : str
+        ``host:port`` of the peer listener of the gateway that sent it.
+    endpoint_id, incarnation : str, int
+        Endpoint that made the token.
+    attempt : str
+        Attempt id there.
+    position : int
+        Position of the token; the next one is ``position + 1``. On the end
+        mark of an answer, the count of its tokens.
+    digest : str
+        Of the text of tokens 0 to ``position``.
+    """
+
+    request_id: str
+    gateway: str
+    endpoint_id: str
+    incarnation: int
+    attempt: str
+    position: int
+    digest: str
+
+
+class TextDigest:
+    """Running digest of tokens, each set off from the next."""
+
+    def __init__(self) -> None:
+        self._hash = xxh3_64()
+
+    def add(self, text: str) -> None:
+        """Add one token."""
+        data = text.encode("utf-8", "surrogatepass")
+        self._hash.update(b"%d:%b" % (len(data), data))
+
+    def hexdigest(self) -> str:
+        """Return the digest so far."""
+        return self._hash.hexdigest()
+
+
+def text_digest(tokens: list[str]) -> str:
+    """Return the digest of several tokens."""
+    running = TextDigest()
+    for token in tokens:
+        running.add(token)
+    return running.hexdigest()
+
+
+def _tag(key: bytes, account: str, text: str) -> str:
+    """Return the keyed hash of an id's text for one client account."""
+    message = f"{account}\0{text}".encode()
+    digest = hmac.digest(key, message, "sha256")[:_TAG_BYTES]
+    return urlsafe_b64encode(digest).decode()
+
+
+class EventIds:
+    """Makes the event ids of one answer.
+
+    Parameters
+    ----------
+    credential : str
+        Peer credential; every gateway has the same.
+    account : str
+        Client account of the answer.
+    request_id, gateway : str
+        See `EventHint`.
+    """
+
+    def __init__(
+        self, credential: str, account: str, request_id: str, gateway: str
+    ) -> None:
+        self._key = credential.encode()
+        self._account = account
+        self._call = (request_id, gateway)
+        self._digest = TextDigest()
+        self._source: tuple[str, int, str] | None = None
+        self._head = ""
+
+    def skip(self, tokens: list[str]) -> None:
+        """Take in tokens that the caller already has."""
+        for token in tokens:
+            self._digest.add(token)
+
+    def make(self, source: tuple[str, int, str], piece: Piece) -> str:
+        """Return the id of a piece from ``source``.
+
+        ``source`` is (endpoint id, incarnation, attempt id). A piece without
+        text that ends the answer is no token and leaves the digest as it is.
+        """
+        if source != self._source:
+            self._source = source
+            packed = msgspec.json.encode((*self._call, *source))
+            self._head = urlsafe_b64encode(packed).decode()
+        if piece.is_token:
+            self._digest.add(piece.text)
+        text = f"{self._head}.{piece.position}.{self._digest.hexdigest()}"
+        return f"{text}.{_tag(self._key, self._account, text)}"
+
+
+def read_event_id(event_id: str, credential: str, account: str) -> EventHint:
+    """Return the hint of an event id; raises BAD_REQUEST for any other text."""
+    wrong = EbonydealError(
+        ErrorKind.BAD_REQUEST, "Last-Event-ID is not one of this account's"
+    )
+    text, _sep, tag = event_id.rpartition(".")
+    if len(event_id) > _MAX_CHARS or not event_id.isascii():
+        raise wrong
+    if not hmac.compare_digest(tag, _tag(credential.encode(), account, text)):
+        raise wrong
+    try:
+        head, position, digest = text.split(".")
+        fields = msgspec.json.decode(urlsafe_b64decode(head))
+        request_id, gateway, endpoint_id, incarnation, attempt = fields
+        return EventHint(
+            request_id,
+            gateway,
+            endpoint_id,
+            incarnation,
+            attempt,
+            int(position),
+            digest,
+        )
+    except (ValueError, TypeError, binascii.Error, msgspec.DecodeError) as exc:
+        raise wrong from exc
--- /dev/null
+++ b/src/ebonydeal/_internal/gateway/generation.py
@@ -0,0 +1,342 @@
+"""Chat completions and completions: whole answers and streams."""
+
+import asyncio
+from contextlib import aclosing
+from typing import NamedTuple
+
+from aiohttp import web
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.gateway.answers import (
+    DONE,
+    AnswerShape,
+    Usage,
+    error_event,
+    usage,
+)
+from ebonydeal._internal.gateway.events import EventHint, EventIds, read_event_id
+from ebonydeal._internal.gateway.intake import REQUEST_ID, Intake, new_job
+from ebonydeal._internal.gateway.live import LiveStream, Piece
+from ebonydeal._internal.gateway.parse import GenerationCall, parse_generation
+from ebonydeal._internal.gateway.ports import AdmissionPort, PeerPort, Ticket
+from ebonydeal._internal.gateway.reconnect import (
+    ParkedStreams,
+    Reconnector,
+    SkipDelivered,
+    caller_has,
+)
+from ebonydeal._internal.gateway.streams import Relay
+from ebonydeal._internal.models.requests import RequestKind
+from ebonydeal._internal.observe.counters import Event, Metrics, Timing
+from ebonydeal._internal.observe.trail import Step, Trails
+from ebonydeal._internal.settings.gateway import GatewaySettings
+from ebonydeal._internal.utils.clock import Clock
+
+LAST_EVENT_HEADER = "Last-Event-ID"
+_STREAM_HEADERS = {
+    "Content-Type": "text/event-stream; charset=utf-8",
+    "Cache-Control": "no-cache",
+}
+
+
+class GenerationParts(NamedTuple):
+    """What the generation handlers work with."""
+
+    intake: Intake
+    admission: AdmissionPort
+    relay: Relay
+    reconnector: Reconnector
+    left: ParkedStreams
+    finished: ParkedStreams
+    metrics: Metrics
+    trails: Trails
+    clock: Clock
+
+
+class _Output:
+    """A caller's stream: written piece by piece, begun with the first one."""
+
+    def __init__(
+        self, req: web.Request, live: LiveStream, ids: EventIds, shape: AnswerShape
+    ) -> None:
+        self._req = req
+        self._live = live
+        self._ids = ids
+        self._shape = shape
+        self.resp: web.StreamResponse | None = None
+
+    def event(self, piece: Piece) -> bytes:
+        """Return a piece's event."""
+        attempt = self._live.attempt
+        source = ("", 0, "")
+        if attempt is not None:
+            view = attempt.route.endpoint
+            source = (view.endpoint_id, view.incarnation, attempt.attempt_id)
+        return self._shape.event(piece, self._ids.make(source, piece))
+
+    async def write(self, data: bytes, now: float) -> None:
+        """Write data; waits while the caller takes none."""
+        if self.resp is None:
+            self.resp = web.StreamResponse(headers=_STREAM_HEADERS)
+            await self.resp.prepare(self._req)
+        self._live.writing_since = now
+        await self.resp.write(data)
+        self._live.writing_since = None
+
+
+class Generation:
+    """Handlers of chat completions and completions.
+
+    Parameters
+    ----------
+    parts : GenerationParts
+        What they work with.
+    cfg : GatewaySettings
+        Limits.
+    credential : str
+        Peer credential, which authenticates event ids.
+    peers : PeerPort
+        Knows the peer address of this gateway.
+    """
+
+    def __init__(
+        self,
+        parts: GenerationParts,
+        cfg: GatewaySettings,
+        credential: str,
+        peers: PeerPort,
+    ) -> None:
+        self._parts = parts
+        self._cfg = cfg
+        self._credential = credential
+        self._peers = peers
+
+    async def chat(self, req: web.Request) -> web.StreamResponse:
+        """``POST /v1/chat/completions``."""
+        return await self._generate(req, RequestKind.CHAT)
+
+    async def completion(self, req: web.Request) -> web.StreamResponse:
+        """``POST /v1/completions``."""
+        return await self._generate(req, RequestKind.COMPLETION)
+
+    async def _generate(
+        self, req: web.Request, kind: RequestKind
+    ) -> web.StreamResponse:
+        """Answer one call."""
+        parts = self._parts
+        started = parts.clock.now()
+        account = parts.intake.account(req)
+        raw = await parts.intake.body(req)
+        call = parse_generation(kind, raw, req.headers).alt(_raise).unwrap()
+        hint = self._hint(req, account.name, call)
+        if hint is not None:
+            req[REQUEST_ID] = hint.request_id
+        times = parts.intake.deadlines(call.options, self._cfg.request_seconds)
+        request, deployment = parts.intake.generation(
+            call, account, req[REQUEST_ID], times, raw
+        )
+        job = new_job(call, request, deployment)
+        parts.trails.note(
+            request.request_id,
+            times.at,
+            Step.RECEIVED,
+            deployment=deployment.name,
+            model=call.model,
+            priority=request.priority.name.lower(),
+            prompt_tokens=request.prompt_tokens,
+        )
+        live = LiveStream(job)
+        if hint is not None:
+            live = await parts.reconnector.resume(hint, job)
+        ticket = await parts.admission.admit(request, deployment)
+        parts.trails.note(request.request_id, parts.clock.wall(), Step.ADMITTED)
+        try:
+            resp = await self._answer(req, call, live, hint, started)
+        finally:
+            self._release(ticket, live)
+        parts.metrics.count(Event.ANSWERED)
+        parts.metrics.timed(Timing.REQUEST, parts.clock.now() - started)
+        parts.trails.note(
+            request.request_id,
+            parts.clock.wall(),
+            Step.ANSWERED,
+            tokens=len(live.delivered),
+            tries=live.tries,
+        )
+        return resp
+
+    def _hint(
+        self, req: web.Request, account: str, call: GenerationCall
+    ) -> EventHint | None:
+        """Return how far a caller that comes back was."""
+        event_id = req.headers.get(LAST_EVENT_HEADER)
+        if event_id is None:
+            return None
+        if not call.stream:
+            detail = "Last-Event-ID is for streams only"
+            raise EbonydealError(ErrorKind.BAD_REQUEST, detail)
+        return read_event_id(event_id, self._credential, account)
+
+    @staticmethod
+    def _release(ticket: Ticket, live: LiveStream) -> None:
+        """Settle the request's limits by what it took."""
+        ticket.release(live.job.request.prompt_tokens + len(live.delivered))
+
+    async def _answer(
+        self,
+        req: web.Request,
+        call: GenerationCall,
+        live: LiveStream,
+        hint: EventHint | None,
+        started: float,
+    ) -> web.StreamResponse:
+        """Generate and send the answer, as a stream or whole."""
+        request = live.job.request
+        shape = AnswerShape(
+            call.kind, request.request_id, call.model, request.accepted_at
+        )
+        transport = req.transport
+        if transport is not None:
+            live.abort = transport.abort
+        if call.stream:
+            return await self._stream(req, call, live, hint, shape, started)
+        return await self._whole(live, shape, started)
+
+    async def _whole(
+        self, live: LiveStream, shape: AnswerShape, started: float
+    ) -> web.Response:
+        """Return the whole answer."""
+        async with aclosing(self._parts.relay.run(live)) as batches:
+            async for _batch in batches:
+                started = self._first(started)
+        text = "".join(live.delivered)
+        body = shape.whole(text, live.finish, self._usage(live))
+        return web.Response(body=body, content_type="application/json")
+
+    def _first(self, started: float) -> float:
+        """Time the first token; returns 0.0, so that it is timed once."""
+        if started:
+            seconds = self._parts.clock.now() - started
+            self._parts.metrics.timed(Timing.FIRST_TOKEN, seconds)
+        return 0.0
+
+    def _usage(self, live: LiveStream) -> Usage:
+        """Return the answer's token counts."""
+        prompt = live.job.request.prompt_tokens
+        return usage(prompt, live.cached_tokens, len(live.delivered))
+
+    # --- streams ---
+    async def _stream(
+        self,
+        req: web.Request,
+        call: GenerationCall,
+        live: LiveStream,
+        hint: EventHint | None,
+        shape: AnswerShape,
+        started: float,
+    ) -> web.StreamResponse:
+        """Send the answer as events."""
+        request = live.job.request
+        ids = EventIds(
+            self._credential, request.account, request.request_id, self._peers.address
+        )
+        out = _Output(req, live, ids, shape)
+        try:
+            await self._send(out, live, hint, ids, started)
+            tail = DONE
+            if call.usage:
+                tail = shape.usage_event(self._usage(live)) + DONE
+            await out.write(tail, self._parts.clock.now())
+        except EbonydealError as exc:
+            if out.resp is None:
+                raise
+            self._refuse(live, exc)
+            await out.write(error_event(exc), self._parts.clock.now())
+        except (ConnectionError, asyncio.CancelledError):
+            self._left(live)
+            raise
+        else:
+            self._parts.finished.park(live, self._parts.clock.now())
+        assert out.resp is not None
+        return out.resp
+
+    async def _send(
+        self,
+        out: _Output,
+        live: LiveStream,
+        hint: EventHint | None,
+        ids: EventIds,
+        started: float,
+    ) -> None:
+        """Write the pieces that the caller lacks."""
+        clock = self._parts.clock
+        skip = None
+        if hint is not None and not live.delivered:
+            skip = SkipDelivered(hint)
+        if hint is not None and live.delivered:
+            await self._replay(out, live, hint, ids)
+        async with aclosing(self._parts.relay.run(live)) as batches:
+            async for batch in batches:
+                data = b"".join(
+                    out.event(piece) for piece in _lacking(batch, skip, ids)
+                )
+                if data:
+                    started = self._first(started)
+                    await out.write(data, clock.now())
+
+    async def _replay(
+        self, out: _Output, live: LiveStream, hint: EventHint, ids: EventIds
+    ) -> None:
+        """Write the kept pieces that the caller lacks."""
+        has = caller_has(hint, live.delivered, live.finish)
+        ids.skip(live.delivered[:has])
+        pieces = [
+            Piece(position, text)
+            for position, text in enumerate(live.delivered)
+            if position >= has
+        ]
+        if live.finish:
+            pieces.append(Piece(len(live.delivered), "", live.finish))
+        if pieces:
+            data = b"".join(out.event(piece) for piece in pieces)
+            await out.write(data, self._parts.clock.now())
+
+    def _left(self, live: LiveStream) -> None:
+        """Keep an answer whose caller left, for when it comes back."""
+        parts = self._parts
+        parts.left.park(live, parts.clock.now())
+        parts.trails.note(
+            live.request_id,
+            parts.clock.wall(),
+            Step.CALLER_LEFT,
+            delivered=len(live.delivered),
+        )
+
+    def _refuse(self, live: LiveStream, error: EbonydealError) -> None:
+        """Count a final error that goes out inside a stream."""
+        parts = self._parts
+        parts.metrics.refused(error.kind)
+        parts.left.park(live, parts.clock.now())
+        parts.trails.note(
+            live.request_id, parts.clock.wall(), Step.REFUSED, kind=str(error.kind)
+        )
+
+
+def _lacking(
+    batch: list[Piece], skip: SkipDelivered | None, ids: EventIds
+) -> list[Piece]:
+    """Return the pieces that the caller lacks."""
+    if skip is None:
+        return batch
+    lacking = []
+    for piece in batch:
+        if skip.keep(piece):
+            lacking.append(piece)
+        else:
+            ids.skip([piece.text])
+    return lacking
+
+
+def _raise(error: EbonydealError) -> None:
+    """Raise a failure of the parser where the error table catches it."""
+    raise error
--- /dev/null
+++ b/src/ebonydeal/_internal/gateway/health.py
@@ -0,0 +1,63 @@
+"""Which endpoints are known to work right now; pure state."""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Set
+
+from ebonydeal._internal.models.endpoints import EndpointView
+
+_MAX_ENDPOINTS = 4096
+Incarnation = tuple[str, int]
+
+
+def incarnation_of(view: EndpointView) -> Incarnation:
+    """Return the (endpoint id, incarnation) of a view."""
+    return (view.endpoint_id, view.incarnation)
+
+
+class Health:
+    """The last word of each endpoint: worked, or failed.
+
+    A request that lost its endpoint may go on without drawing on the retry
+    budget if the next endpoint's last word is that it works. When everything
+    fails each endpoint's last word soon is a failure, so that this can't
+    multiply the sends in a brown-out: at most the requests in flight at that
+    moment are sent once more.
+
+    Parameters
+    ----------
+    fresh_s : float
+        How long a word counts, seconds.
+    """
+
+    def __init__(self, fresh_s: float) -> None:
+        self._fresh = fresh_s
+        self._words: OrderedDict[Incarnation, tuple[bool, float]] = OrderedDict()
+
+    def worked(self, view: EndpointView, now: float) -> None:
+        """Note that tokens or an answer came from ``view``."""
+        self._note(view, True, now)
+
+    def failed(self, view: EndpointView, now: float) -> None:
+        """Note that a try at ``view`` failed."""
+        self._note(view, False, now)
+
+    def works(self, view: EndpointView, now: float) -> bool:
+        """Return whether the last word is fresh and good."""
+        word = self._words.get(incarnation_of(view))
+        return word is not None and word[0] and now - word[1] <= self._fresh
+
+    def any_works(
+        self, views: Iterable[EndpointView], avoid: Set[Incarnation], now: float
+    ) -> bool:
+        """Return whether any of ``views`` but those in ``avoid`` works."""
+        return any(
+            self.works(view, now) for view in views if incarnation_of(view) not in avoid
+        )
+
+    def _note(self, view: EndpointView, good: bool, now: float) -> None:
+        """Keep the word, dropping the oldest of too many."""
+        key = incarnation_of(view)
+        self._words[key] = (good, now)
+        self._words.move_to_end(key)
+        if len(self._words) > _MAX_ENDPOINTS:
+            self._words.popitem(last=False)
--- /dev/null
+++ b/src/ebonydeal/_internal/gateway/intake.py
@@ -0,0 +1,151 @@
+"""What every caller's request goes through first: key, body, ids, deadline."""
+
+import asyncio
+from random import Random
+from typing import NamedTuple
+
+from aiohttp import web
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.gateway.auth import Authenticator
+from ebonydeal._internal.gateway.live import Job
+from ebonydeal._internal.gateway.parse import CallOptions, GenerationCall, body_digest
+from ebonydeal._internal.gateway.ports import ConfigPort
+from ebonydeal._internal.models.document import Account, Deployment, Document
+from ebonydeal._internal.models.requests import Priority, Request, RequestKind
+from ebonydeal._internal.settings.gateway import GatewaySettings
+from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.ids import keyed_request_id, new_request_id
+from ebonydeal._internal.utils.prefix import prefix_blocks, prompt_text
+
+REQUEST_ID = web.RequestKey("request_id", str)
+SESSION_HEADER = "X-Session-Id"
+PATHS = {
+    RequestKind.CHAT: "/v1/chat/completions",
+    RequestKind.COMPLETION: "/v1/completions",
+}
+_ENGINE = "engine"
+
+
+class Deadlines(NamedTuple):
+    """When a request came and by when it must be answered, wall clock seconds."""
+
+    at: float
+    deadline: float
+
+
+class Intake:
+    """Turns what came over HTTP into checked values.
+
+    Parameters
+    ----------
+    config : ConfigPort
+        Where the document in force is.
+    cfg : GatewaySettings
+        Limits.
+    shards : int
+        Journal shards, which request ids name.
+    clock, rng : Clock, random.Random
+        Time and ids.
+    """
+
+    def __init__(
+        self,
+        config: ConfigPort,
+        cfg: GatewaySettings,
+        shards: int,
+        clock: Clock,
+        rng: Random,
+    ) -> None:
+        self._config = config
+        self._cfg = cfg
+        self._shards = shards
+        self._clock = clock
+        self._rng = rng
+        self._auth = Authenticator()
+
+    @property
+    def document(self) -> Document:
+        """The document in force."""
+        return self._config.document
+
+    def account(self, req: web.Request) -> Account:
+        """Return the caller's client account; raises UNAUTHORIZED."""
+        return self._auth.account(req.headers.get("Authorization"), self.document)
+
+    async def body(self, req: web.Request) -> bytes:
+        """Return the whole body; raises SLOW_SENDER or BODY_TOO_LARGE."""
+        try:
+            async with asyncio.timeout(self._cfg.body_seconds):
+                return await req.read()
+        except TimeoutError:
+            detail = f"the body took longer than {self._cfg.body_seconds:g} s"
+            raise EbonydealError(ErrorKind.SLOW_SENDER, detail) from None
+
+    def new_id(self) -> str:
+        """Return a fresh request id on any shard."""
+        return new_request_id(self._rng.randrange(self._shards), self._rng)
+
+    def keyed_id(self, account: str, key: str) -> str:
+        """Return the one request id of an account's idempotency key."""
+        return keyed_request_id(account, key, self._shards)
+
+    def deadlines(self, options: CallOptions, default_s: float) -> Deadlines:
+        """Return the times of a request; ``default_s`` 0.0 means no deadline."""
+        now = self._clock.wall()
+        seconds = options.deadline_s or default_s
+        return Deadlines(now, now + seconds if seconds else 0.0)
+
+    def engine_deployment(self, model: str, account: Account) -> Deployment:
+        """Return the deployment that serves ``model``; raises UNKNOWN_MODEL."""
+        found = self.document.for_model(model, account.name)
+        if found is None or found.kind != _ENGINE:
+            detail = f"model '{model}' is not served to this account"
+            raise EbonydealError(ErrorKind.UNKNOWN_MODEL, detail)
+        return found
+
+    def generation(
+        self,
+        call: GenerationCall,
+        account: Account,
+        request_id: str,
+        times: Deadlines,
+        raw: bytes,
+    ) -> tuple[Request, Deployment]:
+        """Return the request of a checked generation call."""
+        deployment = self.engine_deployment(call.model, account)
+        path = PATHS[call.kind]
+        request = Request(
+            request_id=request_id,
+            account=account.name,
+            deployment=deployment.name,
+            kind=call.kind,
+            method="POST",
+            path=path,
+            headers={},
+            body=raw.decode(),
+            body_object="",
+            body_digest=body_digest("POST", path, raw),
+            key=call.options.key,
+            idempotent=True,
+            priority=allowed_priority(call.options.priority, deployment, account),
+            accepted_at=times.at,
+            deadline=times.deadline,
+            prompt_tokens=call.prompt_tokens,
+            max_tokens=call.max_tokens or self._cfg.max_output_tokens,
+        )
+        return request, deployment
+
+
+def allowed_priority(
+    asked: Priority | None, deployment: Deployment, account: Account
+) -> Priority:
+    """Return the class asked for, or the deployment's, but none above the account's."""
+    wanted = deployment.priority if asked is None else asked
+    return max(wanted, account.priority)
+
+
+def new_job(call: GenerationCall, request: Request, deployment: Deployment) -> Job:
+    """Return what the relay is asked for."""
+    blocks = prefix_blocks(call.model, prompt_text(call.body))
+    return Job(request, deployment, call.model, call.body, blocks)
--- /dev/null
+++ b/src/ebonydeal/_internal/gateway/program.py
@@ -0,0 +1,280 @@
+"""The gateway's supervisor tree."""
+
+from collections.abc import Iterable
+from random import Random
+from ssl import SSLContext
+from typing import Any, NamedTuple
+
+from aiohttp import web
+from mode import Service
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.gateway.api import Api, ApiParts
+from ebonydeal._internal.gateway.background import Background
+from ebonydeal._internal.gateway.deferred import Deferred, DeferredParts
+from ebonydeal._internal.gateway.direct import DirectParts
+from ebonydeal._internal.gateway.generation import Generation, GenerationParts
+from ebonydeal._internal.gateway.health import Health
+from ebonydeal._internal.gateway.intake import Intake
+from ebonydeal._internal.gateway.ports import (
+    AdmissionPort,
+    ConfigPort,
+    DirectoryPort,
+    JournalPort,
+    PeerPort,
+    RetryPort,
+    RoutePort,
+)
+from ebonydeal._internal.gateway.reclaim import Planner, Reclaim, ReclaimParts
+from ebonydeal._internal.gateway.reconnect import (
+    RESUME_PATH,
+    ParkedStreams,
+    Reconnector,
+)
+from ebonydeal._internal.gateway.services import ServiceParts, Services
+from ebonydeal._internal.gateway.streams import Relay, RelayParts
+from ebonydeal._internal.gateway.watch import StreamWatch
+from ebonydeal._internal.observe.counters import Metrics
+from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.observe.trail import Trails
+from ebonydeal._internal.platform.interfaces import Engine, PlainServices
+from ebonydeal._internal.settings.gateway import GatewaySettings
+from ebonydeal._internal.settings.sections import NodeSettings
+from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.web import HttpServer, read_json
+
+logger = get_logger("gateway")
+
+_HEALTH_FRESH_S = 30.0
+
+
+class GatewayPorts(NamedTuple):
+    """The other parts, as the gateway sees them.
+
+    ``children`` are their services, started before the gateway's own and
+    stopped after them.
+    """
+
+    engine: Engine
+    services: PlainServices
+    routes: RoutePort
+    retries: RetryPort
+    admission: AdmissionPort
+    directory: DirectoryPort
+    config: ConfigPort
+    journal: JournalPort
+    peers: PeerPort
+    plan: Planner
+    children: tuple[Service, ...] = ()
+
+
+class GatewayConfig(NamedTuple):
+    """The gateway's own settings."""
+
+    node: NodeSettings
+    gateway: GatewaySettings
+    credential: str
+    shards: int
+    ssl_server: SSLContext | None = None
+
+
+class GatewayProgram(Service):
+    """Callers' connections and all that serves them.
+
+    Parameters
+    ----------
+    cfg : GatewayConfig
+        Settings.
+    ports : GatewayPorts
+        The other parts.
+    metrics, clock, rng : Metrics, Clock, random.Random
+        Counters, time, ids.
+    """
+
+    def __init__(
+        self,
+        cfg: GatewayConfig,
+        ports: GatewayPorts,
+        metrics: Metrics,
+        clock: Clock,
+        rng: Random,
+    ) -> None:
+        super().__init__()
+        self._cfg = cfg
+        self._ports = ports
+        self._metrics = metrics
+        self._clock = clock
+        self._rng = rng
+        self._draining = False
+        self.trails = Trails(cfg.gateway.explain_requests)
+        self._background = Background()
+        self._health = Health(_HEALTH_FRESH_S)
+        self._intake = Intake(ports.config, cfg.gateway, cfg.shards, clock, rng)
+        self._left = self._new_parked()
+        self._finished = self._new_parked()
+        self.relay = self._new_relay()
+        self._reconnector = Reconnector(
+            self.relay,
+            self._left,
+            self._finished,
+            ports.peers,
+            metrics,
+            clock,
+        )
+        self._reclaim = self._new_reclaim()
+        self._server = self._new_server()
+        ports.peers.add_routes([web.post(RESUME_PATH, self._resume_for_peer)])
+
+    @property
+    def address(self) -> str:
+        """``host:port`` of the callers' listener; after the start."""
+        return self._server.address
+
+    @property
+    def metrics(self) -> Metrics:
+        """Counters of this program."""
+        return self._metrics
+
+    # --- life ---
+    async def on_start(self) -> None:
+        """Start the other parts, then the gateway's own, the listener last."""
+        own: Iterable[Service] = (
+            self._background,
+            StreamWatch(self.relay, self._cfg.gateway, self._clock),
+            self._reclaim,
+            self._server,
+        )
+        for child in (*self._ports.children, *own):
+            await self.add_runtime_dependency(child)
+        logger.info("Listening.", address=self.address)
+
+    async def on_stop(self) -> None:
+        """Leave the balancer, let what runs finish, then close the listener."""
+        self._draining = True
+        logger.info("Draining.", streams=len(self.relay.live))
+        await self._clock.sleep(self._cfg.gateway.settle_seconds)
+        await self._server.stop()
+
+    # --- building ---
+    def _new_parked(self) -> ParkedStreams:
+        cfg = self._cfg.gateway
+        return ParkedStreams(cfg.retention_seconds, cfg.retention_tokens // 2)
+
+    def _new_relay(self) -> Relay:
+        ports = self._ports
+        parts = RelayParts(
+            engine=ports.engine,
+            routes=ports.routes,
+            retries=ports.retries,
+            directory=ports.directory,
+            health=self._health,
+            metrics=self._metrics,
+            trails=self.trails,
+            clock=self._clock,
+            rng=self._rng,
+        )
+        return Relay(parts, self._cfg.gateway, self._background.spawn)
+
+    def _new_reclaim(self) -> Reclaim:
+        parts = ReclaimParts(
+            relay=self.relay,
+            engine=self._ports.engine,
+            directory=self._ports.directory,
+            metrics=self._metrics,
+            trails=self.trails,
+            clock=self._clock,
+            background=self._background.spawn,
+        )
+        return Reclaim(parts, self._cfg.gateway, self._ports.plan)
+
+    def _new_server(self) -> HttpServer:
+        cfg = self._cfg.gateway
+        api = ApiParts(
+            generation=self._new_generation(),
+            services=self._new_services(),
+            deferred=self._new_deferred(),
+            intake=self._intake,
+            metrics=self._metrics,
+            trails=self.trails,
+            clock=self._clock,
+            draining=lambda: self._draining,
+        )
+        return HttpServer(
+            Api(api, cfg).app(),
+            self._cfg.node.host,
+            cfg.port,
+            ssl_context=self._cfg.ssl_server,
+            drain_seconds=self._cfg.node.drain_seconds,
+            idle_seconds=cfg.idle_seconds,
+            max_header=cfg.max_header_bytes,
+        )
+
+    def _new_generation(self) -> Generation:
+        parts = GenerationParts(
+            intake=self._intake,
+            admission=self._ports.admission,
+            relay=self.relay,
+            reconnector=self._reconnector,
+            left=self._left,
+            finished=self._finished,
+            metrics=self._metrics,
+            trails=self.trails,
+            clock=self._clock,
+        )
+        return Generation(
+            parts, self._cfg.gateway, self._cfg.credential, self._ports.peers
+        )
+
+    def _new_services(self) -> Services:
+        ports = self._ports
+        direct = DirectParts(
+            services=ports.services,
+            routes=ports.routes,
+            retries=ports.retries,
+            directory=ports.directory,
+            health=self._health,
+            metrics=self._metrics,
+            trails=self.trails,
+            clock=self._clock,
+            rng=self._rng,
+        )
+        parts = ServiceParts(
+            intake=self._intake,
+            admission=ports.admission,
+            direct=direct,
+            journal=ports.journal,
+            metrics=self._metrics,
+            trails=self.trails,
+            clock=self._clock,
+        )
+        return Services(parts, self._cfg.gateway)
+
+    def _new_deferred(self) -> Deferred:
+        return Deferred(
+            DeferredParts(
+                self._intake,
+                self._ports.admission,
+                self._ports.journal,
+                self._metrics,
+                self._clock,
+            )
+        )
+
+    # --- for other gateways ---
+    async def hand_over(self, message: dict[str, Any]) -> dict[str, Any]:
+        """Return an answer whose caller went on to another gateway.
+
+        Raises NOT_FOUND where it is not kept here.
+        """
+        match message:
+            case {"request_id": str(request_id), "account": str(account)}:
+                entry = await self._reconnector.claim(request_id, account)
+            case _:
+                raise EbonydealError(ErrorKind.BAD_REQUEST, "no request id or account")
+        if entry is None:
+            raise EbonydealError(ErrorKind.NOT_FOUND, "the answer is not kept here")
+        return entry.to_message()
+
+    async def _resume_for_peer(self, req: web.Request) -> web.Response:
+        """``POST /gateway/v1/resume``."""
+        return web.json_response(await self.hand_over(await read_json(req)))
--- /dev/null
+++ b/src/ebonydeal/_internal/gateway/watch.py
@@ -0,0 +1,73 @@
+"""Time limits of running answers: stalls, deadlines, readers that take nothing."""
+
+from mode import Service
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.gateway.attempts import Attempt, Broke
+from ebonydeal._internal.gateway.live import LiveStream
+from ebonydeal._internal.gateway.streams import Relay
+from ebonydeal._internal.settings.gateway import GatewaySettings
+from ebonydeal._internal.utils.clock import Clock
+
+_PERIOD_S = 0.1
+_STALLED = "the endpoint sent no token for too long"
+
+
+class StreamWatch(Service):
+    """Ends tries that stall and answers that are past their deadline.
+
+    One look over all answers every tenth of a second, in place of a timer for
+    each token.
+
+    Parameters
+    ----------
+    relay : Relay
+        Whose answers are watched.
+    cfg : GatewaySettings
+        Time limits.
+    clock : Clock
+        Time.
+    """
+
+    def __init__(self, relay: Relay, cfg: GatewaySettings, clock: Clock) -> None:
+        super().__init__()
+        self._relay = relay
+        self._cfg = cfg
+        self._clock = clock
+
+    @Service.task
+    async def _watch(self) -> None:
+        while not self.should_stop:
+            await self._clock.sleep(_PERIOD_S)
+            self.check()
+
+    def check(self) -> None:
+        """Look over all answers once."""
+        now, wall = self._clock.now(), self._clock.wall()
+        for live in list(self._relay.live):
+            if live.attempt is not None:
+                self._check_try(live, live.attempt, now, wall)
+            since = live.writing_since
+            if since is not None and now - since > self._cfg.write_seconds:
+                live.abort()
+
+    def _check_try(
+        self, live: LiveStream, attempt: Attempt, now: float, wall: float
+    ) -> None:
+        """Post the end of a try that is out of time."""
+        try:
+            live.check_deadline(wall)
+        except EbonydealError as exc:
+            live.moving = False
+            attempt.mailbox.post(Broke(exc))
+            return
+        since = attempt.waiting_since
+        if since is not None and not live.moving and now - since > self._limit(attempt):
+            error = EbonydealError(ErrorKind.ENDPOINT_STALLED, _STALLED)
+            attempt.mailbox.post(Broke(error))
+
+    def _limit(self, attempt: Attempt) -> float:
+        """Return how long the engine may take for its next chunk, seconds."""
+        if attempt.first_at is None:
+            return self._cfg.first_token_seconds
+        return self._cfg.token_gap_seconds
