Lead deployments, place and reconcile their instances

Cause: deployments need instances that come, stay and go without a person. Change: leadership by lease epoch, placement that survives a zone's loss, reconciling by rows written before every cloud call, orders with fencing numbers, weight loads at the store's rate, notices, deadline work, the event trail and the spend, and an in-memory world to act on. Conclusion: a deployment comes to strength, moves out of a reclaimed zone and is released when dropped, on the in-memory world.

--- /dev/null
+++ b/src/ebonydeal/_internal/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measured comparisons behind ``ebonydeal bench``."""
--- /dev/null
+++ b/src/ebonydeal/_internal/benchmarks/spend/__init__.py
@@ -0,0 +1,1 @@
+"""Spend, deadlines and repair: ``ebonydeal bench spend``."""
--- /dev/null
+++ b/src/ebonydeal/_internal/controller/deadline.py
@@ -0,0 +1,172 @@
+"""When to run work that may wait until a deadline.
+
+A pure decision, made again every few minutes: how many replicas to add now for
+deadline work, and whether any price is paid. `Rule` names the ways that were
+weighed; docs/design/deadline-work.md gives the figures.
+"""
+
+import math
+from collections.abc import Sequence
+from enum import StrEnum
+from typing import NamedTuple
+
+_EPS = 1e-9
+
+
+class Rule(StrEnum):
+    """How the price at which work runs is chosen."""
+
+    AT_ONCE = "at_once"
+    FIXED = "fixed_threshold"
+    EXPONENTIAL = "exponential_price"
+    QUANTILE = "price_quantile"
+
+
+class DeadlinePolicy(NamedTuple):
+    """Constants of deadline work.
+
+    Attributes
+    ----------
+    rule : Rule
+        Which way.
+    fixed_share : float
+        For ``FIXED``: share of the on-demand price below which work runs.
+    margin_s : float
+        Time kept free before a deadline: starts, loads, one reclaim.
+    margin_share : float
+        Share of the remaining work that is added for reclaims on the way.
+    step_s : float
+        Time until the next decision.
+    """
+
+    rule: Rule = Rule.QUANTILE
+    fixed_share: float = 0.35
+    margin_s: float = 1800.0
+    margin_share: float = 0.1
+    step_s: float = 300.0
+
+
+class Backlog(NamedTuple):
+    """Work with one deadline, in replica seconds."""
+
+    deadline: float
+    work_s: float
+
+
+class Market(NamedTuple):
+    """Prices of one replica an hour.
+
+    Attributes
+    ----------
+    now : float
+        Cheapest reclaimable offer.
+    on_demand : float
+        Cheapest on-demand offer.
+    recent : tuple of float
+        Cheapest reclaimable prices at even steps of the recent past.
+    """
+
+    now: float
+    on_demand: float
+    recent: tuple[float, ...]
+
+
+class DeadlineChoice(NamedTuple):
+    """What to run now.
+
+    Attributes
+    ----------
+    replicas : int
+        Added for deadline work.
+    firm : bool
+        Whether a deadline is in danger, so that on-demand is bought too.
+    price_limit : float
+        Highest price an hour at which work that can wait runs now.
+    """
+
+    replicas: int
+    firm: bool
+    price_limit: float
+
+
+def price_limit(market: Market, committed: float, policy: DeadlinePolicy) -> float:
+    """Return the highest price at which work runs that can still wait.
+
+    Parameters
+    ----------
+    market : Market
+        Prices.
+    committed : float
+        Share, 0 to 1, of all replica time left until the deadline that the
+        work needs.
+    policy : DeadlinePolicy
+        Names the rule.
+    """
+    committed = min(1.0, max(0.0, committed))
+    match policy.rule:
+        case Rule.AT_ONCE:
+            return math.inf
+        case Rule.FIXED:
+            return policy.fixed_share * market.on_demand
+        case Rule.EXPONENTIAL:
+            return _exponential(market, committed)
+        case Rule.QUANTILE:
+            return _quantile(market, committed)
+
+
+def _exponential(market: Market, committed: float) -> float:
+    """Return ``L (U / L) ** committed``: from the lowest price to on-demand."""
+    low = min((*market.recent, market.now))
+    return low * (market.on_demand / low) ** committed
+
+
+def _quantile(market: Market, committed: float) -> float:
+    """Return the price below which the needed share of recent time lay."""
+    prices = sorted((*market.recent, market.now))
+    index = math.ceil(committed * len(prices)) - 1
+    return prices[max(0, index)]
+
+
+def choose(
+    backlog: Sequence[Backlog],
+    market: Market,
+    most: int,
+    policy: DeadlinePolicy,
+    now: float,
+) -> DeadlineChoice:
+    """Return how many replicas to add for deadline work now.
+
+    Parameters
+    ----------
+    backlog : sequence of Backlog
+        Work that remains.
+    market : Market
+        Prices.
+    most : int
+        Most replicas that deadline work may have at once.
+    policy : DeadlinePolicy
+        Constants.
+    now : float
+        Wall clock seconds.
+
+    Returns
+    -------
+    DeadlineChoice
+        Never less than what the tightest deadline needs from now on: earliest
+        deadlines first, every prefix of the work must fit before its deadline.
+    """
+    if most <= 0 or not any(item.work_s > _EPS for item in backlog):
+        return DeadlineChoice(0, False, 0.0)
+    committed, total = 0.0, 0.0
+    for item in sorted(backlog):
+        total += item.work_s * (1.0 + policy.margin_share)
+        left = item.deadline - policy.margin_s - now
+        share = total / (most * left) if left > 0 else math.inf
+        committed = max(committed, share)
+    limit = price_limit(market, committed, policy)
+    useful = min(most, math.ceil(total / policy.step_s))
+    if committed >= 1.0 - _EPS:
+        return DeadlineChoice(useful, True, math.inf)
+    if market.now <= limit + _EPS:
+        return DeadlineChoice(useful, False, limit)
+    return DeadlineChoice(0, False, limit)
--- /dev/null
+++ b/src/ebonydeal/_internal/controller/demand.py
@@ -0,0 +1,160 @@
+"""How many replicas a deployment needs now.
+
+A pure decision. The load is requests in flight (Little's law: arrival rate times
+time in the engine); the replicas are the fewest for which 95 in 100 requests
+wait no longer than the latency target allows (Erlang C). More are taken at
+once, fewer only when the need has been lower for a while.
+"""
+
+import math
+from typing import NamedTuple
+
+from ebonydeal._internal.models.endpoints import LoadReport
+
+_LATE_SHARE = 0.05
+
+
+class DemandPolicy(NamedTuple):
+    """Constants of demand.
+
+    Attributes
+    ----------
+    smoothing : float
+        Seconds over which the load is averaged.
+    hold_down : float
+        Seconds for which a higher need is kept.
+    service_s : float
+        Mean seconds of one request in an engine.
+    wait_share : float
+        Share of the first token target that may be spent waiting.
+    ahead : float
+        Seconds ahead for which a rising load is extrapolated: the time that an
+        instance takes to start and warm up.
+    """
+
+    smoothing: float = 30.0
+    hold_down: float = 600.0
+    service_s: float = 4.0
+    wait_share: float = 0.5
+    ahead: float = 120.0
+
+
+class Load(NamedTuple):
+    """What the replicas of a deployment report together.
+
+    ``in_flight`` requests running and waiting; ``slots`` of one replica.
+    """
+
+    in_flight: float
+    slots: int
+
+    @classmethod
+    def from_reports(cls, reports: list[LoadReport]) -> "Load":
+        """Add up reports; no reports are no load."""
+        in_flight = sum(item.running + item.waiting for item in reports)
+        slots = min((item.slots for item in reports if item.slots > 0), default=1)
+        return cls(float(in_flight), slots)
+
+
+class DemandState(NamedTuple):
+    """What is remembered between decisions.
+
+    Attributes
+    ----------
+    load : float
+        Smoothed requests in flight.
+    slope : float
+        Its smoothed change a second.
+    at : float
+        Monotonic seconds of the last decision.
+    peaks : tuple of (float, int)
+        Falling needs with the time until which each is kept.
+    """
+
+    load: float = 0.0
+    slope: float = 0.0
+    at: float | None = None
+    peaks: tuple[tuple[float, int], ...] = ()
+
+
+def slots_needed(load: float, service_s: float, wait_s: float) -> int:
+    """Return the fewest slots for which 95 in 100 wait at most ``wait_s``.
+
+    Parameters
+    ----------
+    load : float
+        Offered load in slots (requests in flight without waiting).
+    service_s, wait_s : float
+        Mean seconds in a slot, and the longest wait.
+    """
+    if load <= 0:
+        return 0
+    blocking = 1.0
+    slots = 0
+    while True:
+        slots += 1
+        blocking = load * blocking / (slots + load * blocking)
+        if slots <= load:
+            continue
+        waits = slots * blocking / (slots - load * (1.0 - blocking))
+        late = waits * math.exp(-(slots - load) * wait_s / service_s)
+        if late <= _LATE_SHARE:
+            return slots
+
+
+def desired_replicas(
+    state: DemandState,
+    load: Load,
+    first_token_s: float,
+    low: int,
+    high: int,
+    policy: DemandPolicy,
+    now: float,
+) -> tuple[int, DemandState]:
+    """Return the replicas needed now, and the state for the next decision.
+
+    Parameters
+    ----------
+    state : DemandState
+        From the last decision.
+    load : Load
+        Present reports.
+    first_token_s : float
+        Latency target, 95 in 100.
+    low, high : int
+        Bounds from the document.
+    policy : DemandPolicy
+        Constants.
+    now : float
+        Monotonic seconds.
+    """
+    smooth = _smoothed(state, load.in_flight, policy, now)
+    ahead = smooth.load + max(0.0, smooth.slope) * policy.ahead
+    wait = first_token_s * policy.wait_share
+    slots = slots_needed(ahead, policy.service_s, wait)
+    need = min(high, max(low, math.ceil(slots / max(1, load.slots))))
+    peaks = _kept_peaks(smooth.peaks, need, now, policy.hold_down)
+    return peaks[0][1], smooth._replace(peaks=peaks)
+
+
+def _smoothed(
+    state: DemandState, in_flight: float, policy: DemandPolicy, now: float
+) -> DemandState:
+    """Return the state with the load averaged over time."""
+    if state.at is None:
+        return state._replace(load=in_flight, at=now)
+    passed = max(0.0, now - state.at)
+    if passed == 0.0:
+        return state
+    share = 1.0 - math.exp(-passed / policy.smoothing)
+    load = state.load + share * (in_flight - state.load)
+    slope = state.slope + share * ((load - state.load) / passed - state.slope)
+    return state._replace(load=load, slope=slope, at=now)
+
+
+def _kept_peaks(
+    peaks: tuple[tuple[float, int], ...], need: int, now: float, hold: float
+) -> tuple[tuple[float, int], ...]:
+    """Return a sliding maximum: needs that are still kept, highest first."""
+    kept = [(until, number) for until, number in peaks if number > need and until > now]
+    return (*kept, (now + hold, need))
--- /dev/null
+++ b/src/ebonydeal/_internal/controller/load_desk.py
@@ -0,0 +1,132 @@
+"""Paces weight loads of all deployments that this process leads."""
+
+import math
+from collections import defaultdict
+from collections.abc import Mapping
+
+from ebonydeal._internal.controller.weights import (
+    LoadPolicy,
+    LoadRequest,
+    RunningLoad,
+    admit_loads,
+)
+from ebonydeal._internal.errors import EbonydealError
+from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.platform.interfaces import WeightCopy, WeightStore
+from ebonydeal._internal.utils.clock import Clock
+
+logger = get_logger("controller")
+
+_COPIES_KEPT_S = 60.0
+_SERVED_MEMORY_S = 300.0
+
+
+class LoadDesk:
+    """Takes requests to load from all workers and admits them at the store's rate.
+
+    Parameters
+    ----------
+    store : WeightStore
+        Adapter.
+    clock : Clock
+        Source of time.
+    policy : LoadPolicy
+        Constants.
+    """
+
+    def __init__(self, store: WeightStore, clock: Clock, policy: LoadPolicy) -> None:
+        self._store = store
+        self._clock = clock
+        self._policy = policy
+        self._requests: dict[str, list[LoadRequest]] = {}
+        self._ready: dict[str, list[WeightCopy]] = {}
+        self._running: dict[str, RunningLoad] = {}
+        self._served: dict[str, float] = defaultdict(float)
+        self._served_at = clock.now()
+        self._copies: dict[str, tuple[float, list[WeightCopy]]] = {}
+
+    def report(
+        self, deployment: str, requests: list[LoadRequest], ready: list[WeightCopy]
+    ) -> None:
+        """Replace what a deployment waits for, and the copies it has.
+
+        An engine that waits no longer (it is warm, or gone) has ended its load.
+        """
+        self._requests[deployment] = requests
+        self._ready[deployment] = ready
+        waiting = {req.endpoint_id for req in requests}
+        self._running = {
+            name: load
+            for name, load in self._running.items()
+            if load.deployment != deployment or name in waiting
+        }
+
+    def admitted(self, deployment: str) -> set[str]:
+        """Return the engines of a deployment that may load now."""
+        return {
+            name
+            for name, load in self._running.items()
+            if load.deployment == deployment
+        }
+
+    async def decide(self) -> None:
+        """Admit what the store's rate allows."""
+        waiting = [
+            req
+            for requests in self._requests.values()
+            for req in requests
+            if req.endpoint_id not in self._running
+        ]
+        if not waiting:
+            return
+        try:
+            rate = await self._store.rate_left()
+            copies = await self._all_copies({req.model for req in waiting})
+        except EbonydealError as exc:
+            logger.warning("The weight store can't be asked.", kind=str(exc.kind))
+            return
+        self._fade()
+        used = sum(not load.source for load in self._running.values())
+        starts = admit_loads(
+            waiting,
+            list(self._running.values()),
+            copies,
+            self._served,
+            rate + used * self._policy.rate_of_one,
+            self._policy,
+        )
+        for start in starts:
+            self._running[start.endpoint_id] = RunningLoad(*start)
+            if not start.source:
+                self._served[start.deployment] += _size(start.model, copies)
+
+    async def _all_copies(self, models: set[str]) -> Mapping[str, list[WeightCopy]]:
+        """Return the store's copies (asked now and then) and our engines'."""
+        now = self._clock.now()
+        copies: dict[str, list[WeightCopy]] = {}
+        for model in sorted(models):
+            known = self._copies.get(model)
+            if known is None or now - known[0] > _COPIES_KEPT_S:
+                known = (now, await self._store.copies(model))
+                self._copies[model] = known
+            ready = [
+                copy
+                for items in self._ready.values()
+                for copy in items
+                if copy.model == model
+            ]
+            copies[model] = known[1] + ready
+        return copies
+
+    def _fade(self) -> None:
+        """Let past service count less and less."""
+        now = self._clock.now()
+        keep = math.exp(-(now - self._served_at) / _SERVED_MEMORY_S)
+        self._served_at = now
+        for name in self._served:
+            self._served[name] *= keep
+
+
+def _size(model: str, copies: Mapping[str, list[WeightCopy]]) -> float:
+    """Return a model's gigabytes, 1.0 where nobody says."""
+    return max((copy.size_gb for copy in copies.get(model, ())), default=1.0)
--- /dev/null
+++ b/src/ebonydeal/_internal/controller/placement.py
@@ -0,0 +1,250 @@
+"""Which (zone, class, market) the replicas of a deployment should run on.
+
+A pure decision. With ``n`` replicas needed and at most ``m`` in one zone, the
+loss of any one zone leaves ``n`` standing exactly if ``n + m`` run. For a given
+``m`` the cheapest choice takes the cheapest units first (a laminar matroid, for
+which the greedy choice is the best), so that all ``m`` can be tried.
+"""
+
+import math
+from collections import Counter
+from collections.abc import Mapping, Set
+from typing import NamedTuple
+
+from ebonydeal._internal.controller.values import OfferKey
+from ebonydeal._internal.platform.interfaces import Offer
+
+_EPS = 1e-9
+
+
+class PlacementPolicy(NamedTuple):
+    """Constants of placement.
+
+    Attributes
+    ----------
+    restart_hours : float
+        Hours of an instance's price that one reclaim costs (start, load,
+        recomputed tokens), times the deployment's recompute weight.
+    keep_discount : float
+        Share by which a running instance counts as cheaper than a new one, so
+        that small changes of price move nothing.
+    on_demand_share : float
+        Share of the target, 0 to 1, that runs on-demand whatever the price.
+    """
+
+    restart_hours: float = 0.25
+    keep_discount: float = 0.15
+    on_demand_share: float = 0.0
+
+
+class Placement(NamedTuple):
+    """Where replicas should run.
+
+    Attributes
+    ----------
+    counts : dict of OfferKey to int
+        Wanted instances.
+    cost_per_hour : float
+        Their price together.
+    standing : int
+        Replicas that remain after the loss of the fullest zone.
+    held : int
+        Replicas that the price ceiling held back.
+    """
+
+    counts: dict[OfferKey, int]
+    cost_per_hour: float
+    standing: int
+    held: int
+
+
+class _Unit(NamedTuple):
+    """Some like instances: all running ones, or all new ones, of one key."""
+
+    key: OfferKey
+    price: float
+    score: float
+    room: float
+
+
+class _Task(NamedTuple):
+    """What stays the same while ways are tried."""
+
+    units: list[_Unit]
+    policy: PlacementPolicy
+    most: float
+
+
+class _Fill(NamedTuple):
+    """Units chosen so far."""
+
+    counts: Counter[OfferKey]
+    cost: float
+    score: float
+    total: int
+
+
+def place(
+    target: int,
+    offers: Mapping[OfferKey, Offer],
+    current: Mapping[OfferKey, int],
+    blocked: Set[OfferKey],
+    ceiling: float,
+    policy: PlacementPolicy,
+    recompute_weight: float = 1.0,
+    most: float = math.inf,
+) -> Placement:
+    """Choose the cheapest instances that hold ``target`` through a zone's loss.
+
+    Parameters
+    ----------
+    target : int
+        Replicas needed after the loss of any one zone.
+    offers : mapping of OfferKey to Offer
+        What can be bought now, at which price.
+    current : mapping of OfferKey to int
+        Instances that run and may be kept; those without an offer have no known
+        price and are not kept.
+    blocked : set of OfferKey
+        Keys in which nothing can be started now; running ones may stay.
+    ceiling : float
+        Most that all instances together may cost an hour.
+    policy : PlacementPolicy
+        Constants.
+    recompute_weight : float
+        The deployment's weight of recomputed tokens.
+    most : float
+        Most instances altogether.
+
+    Returns
+    -------
+    Placement
+        Where offers or the ceiling don't allow the whole target, as much as can
+        survive a zone's loss, then more without that up to the target.
+    """
+    if target <= 0:
+        return Placement({}, 0.0, 0, 0)
+    units = _units(offers, current, blocked, policy, recompute_weight)
+    task = _Task(units, policy, most)
+    fill = _most_standing(task, target, ceiling)
+    held = 0
+    if _standing(fill.counts) < target:
+        free = _most_standing(task, target, math.inf)
+        held = max(0, free.total - fill.total)
+    return Placement(dict(fill.counts), fill.cost, _standing(fill.counts), held)
+
+
+def _units(
+    offers: Mapping[OfferKey, Offer],
+    current: Mapping[OfferKey, int],
+    blocked: Set[OfferKey],
+    policy: PlacementPolicy,
+    recompute_weight: float,
+) -> list[_Unit]:
+    """Return what can be chosen, cheapest first."""
+    units = []
+    for key, offer in offers.items():
+        restart = offer.evict_per_hour * policy.restart_hours * recompute_weight
+        score = offer.price_per_hour * (1.0 + restart)
+        running = current.get(key, 0)
+        if running:
+            kept = score * (1.0 - policy.keep_discount)
+            units.append(_Unit(key, offer.price_per_hour, kept, running))
+        if key not in blocked:
+            units.append(_Unit(key, offer.price_per_hour, score, math.inf))
+    return sorted(units, key=lambda unit: (unit.score, unit.key))
+
+
+def _take(
+    units: list[_Unit],
+    total: int,
+    zone_cap: float,
+    ceiling: float,
+    start: _Fill | None = None,
+) -> _Fill:
+    """Take units in order up to ``total``, ``zone_cap`` and ``ceiling``."""
+    counts: Counter[OfferKey] = Counter(start.counts if start else {})
+    cost = start.cost if start else 0.0
+    score = start.score if start else 0.0
+    got = start.total if start else 0
+    zones: Counter[str] = Counter()
+    for key, number in counts.items():
+        zones[key.zone] += number
+    already = Counter(counts)
+    for unit in units:
+        room = unit.room
+        used = min(room, already[unit.key])
+        already[unit.key] -= 0 if math.isinf(used) else int(used)
+        room = min(room - used, zone_cap - zones[unit.key.zone], total - got)
+        if unit.price > 0:
+            room = min(room, math.floor((ceiling - cost) / unit.price + _EPS))
+        number = max(0, int(room))
+        if not number:
+            continue
+        counts[unit.key] += number
+        zones[unit.key.zone] += number
+        cost += number * unit.price
+        score += number * unit.score
+        got += number
+        if got == total:
+            break
+    return _Fill(counts, cost, score, got)
+
+
+def _most_standing(task: _Task, target: int, ceiling: float) -> _Fill:
+    """Return the cheapest choice that holds the most of ``target``."""
+    best = _best(task, target, ceiling)
+    if best is not None:
+        return best
+    low, best = 0, _Fill(Counter(), 0.0, 0.0, 0)
+    high = target - 1
+    while low < high:
+        middle = (low + high + 1) // 2
+        fill = _best(task, middle, ceiling)
+        if fill is None:
+            high = middle - 1
+        else:
+            low, best = middle, fill
+    total = min(target, task.most)
+    if best.total >= total:
+        return best
+    return _take(task.units, int(total), math.inf, ceiling, best)
+
+
+def _best(task: _Task, target: int, ceiling: float) -> _Fill | None:
+    """Return the cheapest choice that holds ``target``, or None."""
+    zones = {unit.key.zone for unit in task.units}
+    if len(zones) < 2:
+        return None
+    base = _base(task, target, ceiling)
+    by_price = sorted(task.units, key=lambda unit: (unit.price, unit.key))
+    best = None
+    for cap in range(math.ceil(target / (len(zones) - 1)), target + 1):
+        if target + cap > task.most:
+            break
+        for order in (task.units, by_price):
+            fill = _take(order, target + cap, cap, ceiling, base)
+            if fill.total < target + cap or _standing(fill.counts) < target:
+                continue
+            if best is None or fill.score < best.score - _EPS:
+                best = fill
+            break
+    return best
+
+
+def _base(task: _Task, target: int, ceiling: float) -> _Fill | None:
+    """Return the on-demand instances that are wanted at any price, spread."""
+    share = math.ceil(task.policy.on_demand_share * target - _EPS)
+    firm = [unit for unit in task.units if not unit.key.reclaimable]
+    zones = {unit.key.zone for unit in firm}
+    if share <= 0 or not zones:
+        return None
+    return _take(firm, share, math.ceil(share / len(zones)), ceiling)
+
+
+def _standing(counts: Mapping[OfferKey, int]) -> int:
+    """Return how many remain after the loss of the fullest zone."""
+    zones: Counter[str] = Counter()
+    for key, number in counts.items():
+        zones[key.zone] += number
+    return sum(zones.values()) - max(zones.values(), default=0)
--- /dev/null
+++ b/src/ebonydeal/_internal/controller/replicas.py
@@ -0,0 +1,179 @@
+"""Brings a deployment's replicas to their models, and says which are warm."""
+
+from collections.abc import Mapping
+
+from ebonydeal._internal.controller.context import Context
+from ebonydeal._internal.controller.lease import LeaseKeeper
+from ebonydeal._internal.controller.loads import LoadWatcher
+from ebonydeal._internal.controller.order_keeper import OrderKeeper
+from ebonydeal._internal.controller.values import InstanceRow, InstanceState
+from ebonydeal._internal.controller.weights import LoadRequest
+from ebonydeal._internal.models.document import Deployment
+from ebonydeal._internal.models.endpoints import (
+    EndpointKind,
+    EndpointState,
+    EndpointView,
+)
+from ebonydeal._internal.models.places import Place
+from ebonydeal._internal.platform.interfaces import (
+    CloudInstance,
+    EngineOrder,
+    WeightCopy,
+)
+
+ROLE_BOTH = "both"
+
+
+def views_by_token(
+    deployment: Deployment | None,
+    instances: Mapping[str, CloudInstance],
+    endpoints: Mapping[str, EndpointView],
+) -> dict[str, EndpointView]:
+    """Return the endpoint on each instance, by token.
+
+    An instance that the list doesn't show yet is reached at the address that
+    the cloud gave.
+    """
+    kind = EndpointKind.ENGINE if deployment is None else EndpointKind(deployment.kind)
+    regions = {} if deployment is None else {p.zone: p for p in deployment.zones}
+    views = {}
+    for token, instance in instances.items():
+        listed = endpoints.get(instance.instance_id)
+        if listed is not None:
+            views[token] = listed
+        elif instance.address:
+            views[token] = EndpointView(
+                endpoint_id=instance.instance_id,
+                incarnation=0,
+                kind=kind,
+                address=instance.address,
+                place=regions.get(instance.zone, Place("", instance.zone)),
+                deployment="" if deployment is None else deployment.name,
+                models=(),
+                state=EndpointState.STARTING,
+                reclaimable=instance.reclaimable,
+                evict_per_hour=0.0,
+                price_per_hour=0.0,
+            )
+    return views
+
+
+class ReplicaKeeper:
+    """Orders models onto engines at the weight store's pace.
+
+    Parameters
+    ----------
+    name : str
+        Deployment.
+    lease : LeaseKeeper
+        Gives the fencing number.
+    ctx : Context
+        Adapters and means.
+    """
+
+    def __init__(self, name: str, lease: LeaseKeeper, ctx: Context) -> None:
+        self._name = name
+        self._lease = lease
+        self._ctx = ctx
+        self._orders = OrderKeeper(
+            lease, ctx.tables, ctx.engine, ctx.metrics, ctx.clock, ctx.order_policy()
+        )
+
+    async def round(
+        self,
+        deployment: Deployment | None,
+        rows: Mapping[str, InstanceRow],
+        views: Mapping[str, EndpointView],
+        loads: LoadWatcher,
+        shortfall: float,
+        own_nodes: frozenset[str],
+    ) -> set[str]:
+        """Give orders as needed; return the tokens of warm replicas."""
+        if deployment is None:
+            return set()
+        ours = {
+            token: view
+            for token, view in views.items()
+            if token in rows
+            and rows[token].state in (InstanceState.WARMING, InstanceState.READY)
+        }
+        in_force = {view.endpoint_id for view in ours.values()}
+        if deployment.kind == EndpointKind.ENGINE:
+            in_force = await self._order(deployment, rows, ours, shortfall, own_nodes)
+        return {
+            token
+            for token, view in ours.items()
+            if view.endpoint_id in in_force
+            and view.state is EndpointState.READY
+            and set(_models(deployment)) <= set(view.models)
+            and loads.report(view.endpoint_id) is not None
+        }
+
+    async def _order(
+        self,
+        deployment: Deployment,
+        rows: Mapping[str, InstanceRow],
+        views: Mapping[str, EndpointView],
+        shortfall: float,
+        own_nodes: frozenset[str],
+    ) -> set[str]:
+        """Order the models; return the ids whose order is in force."""
+        epoch = self._lease.epoch
+        assert epoch is not None
+        models = _models(deployment)
+        engines = {view.endpoint_id: view for view in views.values()}
+        order = EngineOrder(epoch, models, ROLE_BOTH)
+        self._report_loads(deployment, rows, views, shortfall)
+        return await self._orders.round(
+            engines,
+            {name: order for name in engines},
+            self._ctx.desk.admitted(self._name),
+            deployment.checks_fence,
+            self._predecessor_gone(own_nodes),
+        )
+
+    def _report_loads(
+        self,
+        deployment: Deployment,
+        rows: Mapping[str, InstanceRow],
+        views: Mapping[str, EndpointView],
+        shortfall: float,
+    ) -> None:
+        """Tell the desk which engines wait for weights and which have them."""
+        models = _models(deployment)
+        waiting = [
+            LoadRequest(
+                endpoint_id=view.endpoint_id,
+                deployment=self._name,
+                model=models[0],
+                zone=view.place.zone,
+                shortfall=shortfall,
+                asked_at=rows[token].at,
+            )
+            for token, view in views.items()
+            if models and not set(models) <= set(view.models)
+        ]
+        ready = [
+            WeightCopy(view.endpoint_id, model, 0.0, view.place.zone)
+            for view in views.values()
+            for model in view.models
+        ]
+        self._ctx.desk.report(self._name, waiting, ready)
+
+    def _predecessor_gone(self, own_nodes: frozenset[str]) -> bool:
+        """Return whether the platform says that the old holder is gone.
+
+        An empty list says nothing. A holder on this very node is an earlier run
+        of this process.
+        """
+        if not self._lease.previous:
+            return True
+        node = self._lease.previous.partition("/")[0]
+        if node == self._ctx.holder.id.partition("/")[0]:
+            return True
+        return bool(own_nodes) and node not in own_nodes
+
+
+def _models(deployment: Deployment) -> tuple[str, ...]:
+    """Return the models and adapters that an engine must have."""
+    return deployment.models + deployment.adapters
--- /dev/null
+++ b/src/ebonydeal/_internal/controller/service.py
@@ -0,0 +1,165 @@
+"""Rounds of decisions over all deployments of the document."""
+
+import random
+from collections.abc import Callable
+
+from mode import Service
+
+from ebonydeal._internal.controller.context import Context
+from ebonydeal._internal.controller.lease import LEASE_PREFIX, Holder
+from ebonydeal._internal.controller.load_desk import LoadDesk
+from ebonydeal._internal.controller.notices import NoticeReader
+from ebonydeal._internal.controller.survey import Survey, take_survey
+from ebonydeal._internal.controller.weights import LoadPolicy
+from ebonydeal._internal.controller.worker import DeploymentWorker
+from ebonydeal._internal.errors import EbonydealError
+from ebonydeal._internal.models.document import Document
+from ebonydeal._internal.models.endpoints import LeavingMark
+from ebonydeal._internal.observe.counters import Metrics
+from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.platform.interfaces import (
+    Cloud,
+    Engine,
+    InstanceList,
+    Tables,
+    WeightStore,
+)
+from ebonydeal._internal.settings.controller import ControllerSettings
+from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.ids import new_token
+
+logger = get_logger("controller")
+
+_LEASES = LEASE_PREFIX + "controller-"
+_LOOK_FOR_DROPPED = 100
+
+
+class Controller(Service):
+    """Rounds over all deployments of the document.
+
+    Parameters
+    ----------
+    cfg : ControllerSettings
+        ``[controller]``.
+    holder : Holder
+        This run of this process.
+    tables, cloud, instance_list, engine, weights
+        Adapters.
+    document : callable
+        Returns the present document.
+    mark : callable
+        Takes a `LeavingMark` and spreads it.
+    metrics, clock, rng
+        Counters, time, randomness.
+    """
+
+    def __init__(
+        self,
+        cfg: ControllerSettings,
+        holder: Holder,
+        tables: Tables,
+        cloud: Cloud,
+        instance_list: InstanceList,
+        engine: Engine,
+        weights: WeightStore,
+        document: Callable[[], Document],
+        mark: Callable[[LeavingMark], None],
+        metrics: Metrics,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        super().__init__()
+        self.workers: dict[str, DeploymentWorker] = {}
+        self.desk = LoadDesk(weights, clock, LoadPolicy(rate_of_one=cfg.load_rate))
+        self._cfg = cfg
+        self._round_number = 0
+        self._cloud = cloud
+        self._instance_list = instance_list
+        self._document = document
+        self._clock = clock
+        self.notices = NoticeReader(cloud, clock, cfg.notice_period, mark)
+        self.add_dependency(self.notices)
+        self._ctx = Context(
+            cfg,
+            holder,
+            tables,
+            cloud,
+            engine,
+            self.desk,
+            metrics,
+            clock,
+            rng,
+            mark,
+        )
+
+    async def round(self) -> None:
+        """Look once, then do every deployment's round."""
+        document = self._document()
+        if document.version == 0:
+            return
+        try:
+            survey = await take_survey(
+                self._cloud, self._instance_list, self.notices.book
+            )
+        except EbonydealError as exc:
+            logger.warning("The platform can't be asked.", kind=str(exc.kind))
+            return
+        self.notices.know(list(survey.endpoints.values()))
+        await self.desk.decide()
+        for name in await self._names(document, survey):
+            worker = self.workers.get(name)
+            if worker is None:
+                worker = self.workers[name] = DeploymentWorker(name, self._ctx)
+            await self._round_of(worker, document, survey)
+
+    async def _names(self, document: Document, survey: Survey) -> list[str]:
+        """Return the deployments to look after, dropped ones included.
+
+        A dropped deployment has instances, or at least rows that are still to
+        be removed; every lease that was ever taken names a deployment.
+        """
+        names = set(document.deployments) | set(survey.instances)
+        names |= {name for name, worker in self.workers.items() if worker.records.rows}
+        if self._round_number % _LOOK_FOR_DROPPED == 0:
+            names |= await self._leased()
+        self._round_number += 1
+        return sorted(names)
+
+    async def _leased(self) -> set[str]:
+        """Return the deployments that ever had a leader; none if unreadable."""
+        try:
+            rows = await self._ctx.tables.scan(_LEASES, "", 1000)
+        except EbonydealError:
+            return set()
+        return {row.key.removeprefix(_LEASES) for row in rows}
+
+    async def _round_of(
+        self, worker: DeploymentWorker, document: Document, survey: Survey
+    ) -> None:
+        """Do one deployment's round; a failure doesn't hold up the others."""
+        try:
+            await worker.round(document.deployments.get(worker.name), survey)
+        except EbonydealError as exc:
+            logger.warning(
+                "A round failed.", deployment=worker.name, kind=str(exc.kind)
+            )
+
+    @Service.task
+    async def _rounds(self) -> None:
+        """Do rounds until stopped."""
+        while not self.should_stop:
+            await self.round()
+            await self._clock.sleep(self._cfg.period)
+
+    async def on_stop(self) -> None:
+        """Give all leases back, so that others need not wait."""
+        for worker in self.workers.values():
+            try:
+                await worker.lease.give_back()
+            except EbonydealError as exc:
+                logger.warning("A lease was not given back.", kind=str(exc.kind))
+
+
+def new_holder(node_id: str, address: str, rng: random.Random) -> Holder:
+    """Return a holder id that is unique to this run of the process."""
+    return Holder(f"{node_id}/{new_token('run', rng)}", address)
--- /dev/null
+++ b/src/ebonydeal/_internal/controller/survey.py
@@ -0,0 +1,68 @@
+"""What all deployments' rounds share: offers, instances, endpoints, notices."""
+
+import asyncio
+from collections import defaultdict
+from typing import NamedTuple
+
+from ebonydeal._internal.controller.notices import NoticeBook
+from ebonydeal._internal.controller.values import (
+    OfferKey,
+    managed_deployment,
+    offers_by_key,
+)
+from ebonydeal._internal.models.endpoints import EndpointView
+from ebonydeal._internal.platform.interfaces import (
+    Cloud,
+    CloudInstance,
+    InstanceList,
+    Offer,
+)
+
+
+class Survey(NamedTuple):
+    """One look at the cloud and the instance list.
+
+    Attributes
+    ----------
+    offers : dict of OfferKey to Offer
+        The cheapest of each kind.
+    instances : dict of str to dict of str to CloudInstance
+        By deployment, then by token; only those that a controller started.
+    endpoints : dict of str to EndpointView
+        By instance id.
+    own_nodes : frozenset of str
+        Ids of the system's own processes that the platform lists; empty if
+        the list could not be read.
+    notices : NoticeBook
+        What will be taken back.
+    """
+
+    offers: dict[OfferKey, Offer]
+    instances: dict[str, dict[str, CloudInstance]]
+    endpoints: dict[str, EndpointView]
+    own_nodes: frozenset[str]
+    notices: NoticeBook
+
+
+async def take_survey(
+    cloud: Cloud, instance_list: InstanceList, notices: NoticeBook
+) -> Survey:
+    """Ask the cloud and the instance list; raises where either can't be read."""
+    offers, instances, endpoints, nodes = await asyncio.gather(
+        cloud.offers(),
+        cloud.instances(),
+        instance_list.endpoints(),
+        instance_list.own_nodes(),
+    )
+    by_deployment: dict[str, dict[str, CloudInstance]] = defaultdict(dict)
+    for instance in instances:
+        name = managed_deployment(instance)
+        if name is not None:
+            by_deployment[name][instance.token] = instance
+    return Survey(
+        offers=offers_by_key(offers),
+        instances=dict(by_deployment),
+        endpoints={view.endpoint_id: view for view in endpoints},
+        own_nodes=frozenset(name for name, _address in nodes),
+        notices=notices,
+    )
--- /dev/null
+++ b/src/ebonydeal/_internal/controller/worker.py
@@ -0,0 +1,337 @@
+"""One deployment's rounds: lead, look, decide, act."""
+
+from collections import Counter
+
+from ebonydeal._internal.controller.actions import Drain, Forget, Start
+from ebonydeal._internal.controller.backlog import read_backlog
+from ebonydeal._internal.controller.capacity import (
+    PriceMemory,
+    Terms,
+    cheapest,
+    decide_placement,
+    usable_offers,
+)
+from ebonydeal._internal.controller.context import Context
+from ebonydeal._internal.controller.deadline import Backlog, DeadlinePolicy
+from ebonydeal._internal.controller.demand import (
+    DemandState,
+    Load,
+    desired_replicas,
+)
+from ebonydeal._internal.controller.execute import Executor
+from ebonydeal._internal.controller.lease import LeaseKeeper
+from ebonydeal._internal.controller.ledger import Ledger
+from ebonydeal._internal.controller.loads import LoadWatcher
+from ebonydeal._internal.controller.placement import Placement
+from ebonydeal._internal.controller.reconcile import Observed, Wanted, plan
+from ebonydeal._internal.controller.records import Records
+from ebonydeal._internal.controller.refusals import Refusals
+from ebonydeal._internal.controller.replicas import ReplicaKeeper, views_by_token
+from ebonydeal._internal.controller.survey import Survey
+from ebonydeal._internal.controller.values import (
+    LIVE_STATES,
+    InstanceRow,
+    InstanceState,
+    OfferKey,
+)
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.models.document import Deployment
+from ebonydeal._internal.models.endpoints import EndpointView, LeavingMark
+from ebonydeal._internal.observe.counters import Event
+from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.platform.interfaces import Offer
+
+logger = get_logger("controller")
+
+_MOST_UNREPLACED = 1000
+
+
+class DeploymentWorker:
+    """Leads one deployment, or stands by to lead it.
+
+    Parameters
+    ----------
+    name : str
+        Deployment.
+    ctx : Context
+        Adapters and means.
+    """
+
+    def __init__(self, name: str, ctx: Context) -> None:
+        self.name = name
+        self.lease = LeaseKeeper(
+            f"controller-{name}", ctx.holder, ctx.tables, ctx.clock, ctx.cfg.lease_ttl
+        )
+        self.records = Records(name, self.lease, ctx.tables)
+        self.placement = Placement({}, 0.0, 0, 0)
+        self.target = 0
+        self._ctx = ctx
+        self._refusals = Refusals(
+            ctx.cfg.refused_first, ctx.cfg.refused_longest, ctx.rng
+        )
+        self._executor = Executor(
+            name,
+            self.records,
+            ctx.cloud,
+            ctx.metrics,
+            ctx.clock,
+            ctx.rng,
+            self._refusals,
+            self._mark_leaving,
+        )
+        self._replicas = ReplicaKeeper(name, self.lease, ctx)
+        self._loads = LoadWatcher(ctx.engine, ctx.clock)
+        self._ledger = Ledger(name, ctx.clock, ctx.cfg.spend_period)
+        self._prices = PriceMemory()
+        self._demand = DemandState()
+        self._unreplaced: list[str] = []
+        self._last_offers: dict[OfferKey, Offer] = {}
+        self._views: dict[str, EndpointView] = {}
+        self._epoch = 0
+
+    async def round(self, deployment: Deployment | None, survey: Survey) -> None:
+        """Do one round; a deployment that the document dropped is None.
+
+        Raises what the table raises; the next round takes up from there.
+        """
+        if not await self.lease.step():
+            return
+        try:
+            await self._lead(deployment, survey)
+        except EbonydealError as exc:
+            if exc.kind is not ErrorKind.FENCED:
+                raise
+            logger.warning("Another controller leads.", deployment=self.name)
+
+    async def _lead(self, deployment: Deployment | None, survey: Survey) -> None:
+        """Do one round as the leader."""
+        await self.records.refresh()
+        if self.lease.epoch != self._epoch:
+            self._begin_epoch()
+        instances = survey.instances.get(self.name, {})
+        self._views = views_by_token(deployment, instances, survey.endpoints)
+        await self._look_at_loads()
+        offers = self._offers(deployment, survey)
+        await self._decide(deployment, survey, offers)
+        warm = await self._replicas.round(
+            deployment,
+            self.records.rows,
+            self._views,
+            self._loads,
+            self._shortfall(),
+            survey.own_nodes,
+        )
+        await self._reconcile(deployment, survey, offers, warm)
+        if self.lease.epoch is not None:
+            await self._write_spend(deployment, offers)
+
+    def _begin_epoch(self) -> None:
+        """Start anew after the lease was taken."""
+        self._epoch = self.lease.epoch or 0
+        self._unreplaced.clear()
+        self._ctx.metrics.count(Event.TAKEOVERS)
+        logger.info("Leading.", deployment=self.name, epoch=self._epoch)
+        for row in self.records.rows.values():
+            if row.state is InstanceState.DRAINING:
+                self._mark_leaving(row)
+
+    async def _look_at_loads(self) -> None:
+        """Ask replicas for their load: draining ones first."""
+        states = {token: row.state for token, row in self.records.rows.items()}
+        views = {
+            view.endpoint_id: view
+            for token, view in self._views.items()
+            if token in states and states[token] is not InstanceState.STARTING
+        }
+        first = {
+            view.endpoint_id
+            for token, view in self._views.items()
+            if states.get(token) in (InstanceState.DRAINING, InstanceState.WARMING)
+        }
+        await self._loads.ask(views, first)
+
+    def _offers(
+        self, deployment: Deployment | None, survey: Survey
+    ) -> dict[OfferKey, Offer]:
+        """Return usable offers, with the last price of what still runs.
+
+        An offer that is listed no longer can't be bought, but what runs on it
+        goes on.
+        """
+        zones = frozenset() if deployment is None else _zones(deployment)
+        offers = usable_offers(survey.offers, zones)
+        self._last_offers.update(offers)
+        now = self._ctx.clock.now()
+        for row in self.records.rows.values():
+            key = OfferKey.of(row)
+            if key not in offers and key in self._last_offers and key.zone in zones:
+                offers[key] = self._last_offers[key]
+                self._refusals.avoid(key, now, self._ctx.cfg.period * 2)
+        return offers
+
+    async def _decide(
+        self,
+        deployment: Deployment | None,
+        survey: Survey,
+        offers: dict[OfferKey, Offer],
+    ) -> None:
+        """Choose the target and where it runs."""
+        if deployment is None:
+            self.target, self.placement = 0, Placement({}, 0.0, 0, 0)
+            return
+        ctx, now = self._ctx, self._ctx.clock.now()
+        serving = {
+            self._views[row.token].endpoint_id
+            for row in self.records.rows.values()
+            if row.token in self._views
+        }
+        self.target, self._demand = desired_replicas(
+            self._demand,
+            Load.from_reports(self._loads.reports(serving)),
+            deployment.first_token_s,
+            deployment.min_replicas,
+            deployment.max_replicas,
+            ctx.demand_policy(),
+            now,
+        )
+        wall = ctx.clock.wall()
+        for key in offers:
+            if key.reclaimable and key.zone in survey.notices.zones(
+                wall, ctx.cfg.zone_avoid
+            ):
+                self._refusals.avoid(key, now, ctx.cfg.zone_avoid)
+        price = cheapest(offers, reclaimable=True)
+        if price is not None:
+            self._prices.note(price, now)
+        self.placement = decide_placement(
+            self.target,
+            Terms.from_deployment(deployment),
+            offers,
+            self._current(survey),
+            self._refusals.blocked(now),
+            await self._backlog(deployment, wall),
+            self._prices.recent(),
+            ctx.placement_policy(),
+            DeadlinePolicy(),
+            wall,
+        )
+
+    def _current(self, survey: Survey) -> Counter[OfferKey]:
+        """Return the live instances that are not under a notice."""
+        leaving = self._leaving(survey)
+        return Counter(
+            OfferKey.of(row)
+            for row in self.records.rows.values()
+            if row.state in LIVE_STATES and row.token not in leaving
+        )
+
+    async def _backlog(self, deployment: Deployment, wall: float) -> list[Backlog]:
+        """Return the deadline work that waits."""
+        if not deployment.deadline_work:
+            return []
+        return await read_backlog(self._ctx.tables, self.name, wall)
+
+    async def _reconcile(
+        self,
+        deployment: Deployment | None,
+        survey: Survey,
+        offers: dict[OfferKey, Offer],
+        warm: set[str],
+    ) -> None:
+        """Plan and act."""
+        instances = survey.instances.get(self.name, {})
+        observed = Observed(
+            instances=instances,
+            rows=dict(self.records.rows),
+            warm=warm,
+            idle=self._idle(),
+            leaving=self._leaving(survey),
+            prices={key: offer.price_per_hour for key, offer in offers.items()},
+        )
+        ceiling = 0.0 if deployment is None else deployment.price_ceiling
+        wanted = Wanted(self.placement.counts, self.target, ceiling)
+        actions = plan(
+            wanted,
+            observed,
+            self._ctx.reconcile_policy(),
+            self._ctx.clock.wall(),
+            tuple(self._unreplaced),
+        )
+        if self.placement.held:
+            self._ctx.metrics.count(Event.CEILING_HELD, self.placement.held)
+            logger.warning(
+                "The price ceiling holds replicas back.",
+                deployment=self.name,
+                number=self.placement.held,
+            )
+        for action in actions:
+            match action:
+                case Drain(row=row, why="reclaim notice") | Forget(row=row, lost=True):
+                    self._unreplaced.append(row.token)
+        begun = {action.replaces for action in actions if isinstance(action, Start)}
+        if self.lease.epoch is None:
+            return
+        await self._executor.run(actions, self._epoch, offers, instances)
+        still = [token for token in self._unreplaced if token not in begun]
+        self._unreplaced = (still + self._executor.refused)[-_MOST_UNREPLACED:]
+
+    def _leaving(self, survey: Survey) -> dict[str, float]:
+        """Return the tokens under a notice, with its deadline."""
+        leaving = {}
+        for token, instance in survey.instances.get(self.name, {}).items():
+            deadline = survey.notices.deadline(instance)
+            if deadline is not None:
+                leaving[token] = deadline
+        return leaving
+
+    def _idle(self) -> set[str]:
+        """Return the draining tokens whose replica says that it runs nothing."""
+        idle = set()
+        for row in self.records.rows.values():
+            view = self._views.get(row.token)
+            if row.state is not InstanceState.DRAINING or view is None:
+                continue
+            report = self._loads.report(view.endpoint_id)
+            if report is not None and report.running + report.waiting == 0:
+                idle.add(row.token)
+        return idle
+
+    def _shortfall(self) -> float:
+        """Return the share of the target that is not ready, 0 to 1."""
+        if self.target <= 0:
+            return 0.0
+        ready = sum(
+            row.state is InstanceState.READY for row in self.records.rows.values()
+        )
+        return max(0.0, 1.0 - ready / self.target)
+
+    def _mark_leaving(self, row: InstanceRow) -> None:
+        """Spread the leaving mark of an instance that drains."""
+        view = self._views.get(row.token)
+        self._ctx.mark(
+            LeavingMark(
+                endpoint_id=row.instance_id,
+                incarnation=0 if view is None else view.incarnation,
+                zone="",
+                deadline=row.drain_until,
+                source="peer",
+                at=self._ctx.clock.wall(),
+            )
+        )
+
+    async def _write_spend(
+        self, deployment: Deployment | None, offers: dict[OfferKey, Offer]
+    ) -> None:
+        """Record the spend now and then."""
+        ceiling = 0.0 if deployment is None else deployment.price_ceiling
+        spend = self._ledger.measure(
+            list(self.records.rows.values()), offers, ceiling, self.target
+        )
+        if self._ledger.due():
+            await self._ledger.load(self._ctx.tables, self._epoch)
+            await self.records.note(self._ledger.total(spend).to_put())
+
+
+def _zones(deployment: Deployment) -> frozenset[str]:
+    """Return the names of a deployment's zones."""
+    return frozenset(place.zone for place in deployment.zones)
