Cut off slow senders one second after their answer

Cause: a sender that was refused with SLOW_SENDER kept its connection for the library's ten seconds of lingering. Change: HttpServer lingers one second.

--- a/src/ebonydeal/_internal/utils/web.py
+++ b/src/ebonydeal/_internal/utils/web.py
@@ -17,6 +17,8 @@
 _MAX_BODY = 4 * 1024 * 1024
 _KEEPALIVE_S = 75.0
 _MAX_HEADER = 8190
+# How long an answered sender may go on with its body before it is cut off.
+_LINGER_S = 1.0
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
@@ -148,6 +150,7 @@
             access_log=None,
             shutdown_timeout=self._drain,
             keepalive_timeout=self._idle,
+            lingering_time=_LINGER_S,
             max_line_size=self._max_header,
             max_field_size=self._max_header,
             handler_cancellation=True,
