--- /dev/null
+++ b/src/ebonydeal/_internal/gateway/budget.py
@@ -0,0 +1,44 @@
+"""`RetryPort` on top of the retry policy."""
+
+from ebonydeal._internal.errors import EbonydealError
+from ebonydeal._internal.gateway.ports import TryFailure
+from ebonydeal._internal.routing.retries import Failure, GiveUp, Retry, RetryPolicy
+
+
+class RetryBudget:
+    """Asks the retry policy.
+
+    Parameters
+    ----------
+    policy : RetryPolicy
+        The decision.
+    """
+
+    def __init__(self, policy: RetryPolicy) -> None:
+        self._policy = policy
+
+    def first_send(self, deployment: str, now: float) -> None:
+        """Count a request's first try, from which the budget grows."""
+        self._policy.first_send(deployment, now)
+
+    def delay(
+        self, failure: TryFailure, tries: int, now: float
+    ) -> float | EbonydealError:
+        """Return seconds until the next try, or the error to give up with."""
+        asked = Failure(
+            kind=failure.kind,
+            deployment=failure.deployment,
+            idempotent=failure.idempotent,
+            ran_before=failure.ran_before,
+            first_byte=failure.first_byte,
+            deadline=failure.deadline,
+        )
+        match self._policy.next_try(asked, tries, now):
+            case Retry(after=after):
+                return after
+            case GiveUp(kind=kind, retry_after=wait, why=why):
+                return EbonydealError(kind, why, retry_after=wait)
+
+    def may_hedge(self, deployment: str, deadline: float, now: float) -> bool:
+        """Take a hedge from the budget; return whether it allowed one."""
+        return self._policy.may_hedge(deployment, True, deadline, now)
--- a/src/ebonydeal/_internal/gateway/deferred.py
+++ b/src/ebonydeal/_internal/gateway/deferred.py
@@ -1,6 +1,6 @@
 """Requests that are accepted now and answered later."""
 
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from aiohttp import web
 
@@ -10,11 +10,11 @@
 from ebonydeal._internal.gateway.ports import AdmissionPort, JournalPort
 from ebonydeal._internal.models.requests import RequestKind
 from ebonydeal._internal.observe.counters import Event, Metrics
+from ebonydeal._internal.peers.journal_client import JournalStatus
 from ebonydeal._internal.utils.clock import Clock
 
 DEFERRED_PATH = "/v1/deferred"
 _POLL_SECONDS = 1
-_RUNNING = ("accepted", "dispatched")
 
 
 class DeferredParts(NamedTuple):
@@ -27,44 +27,44 @@
     clock: Clock
 
 
-def journal_response(status: dict[str, Any], request_id: str) -> web.Response:
+def journal_response(status: JournalStatus) -> web.Response:
     """Return the answer for a request's status, if need be "not yet".
 
     Raises the error that a final status without an answer stands for.
     """
-    match status:
-        case {"state": "completed", "answer": {"status": int(code), **answer}}:
-            return web.Response(
-                status=code,
-                text=str(answer.get("body", "")),
-                headers={"Content-Type": str(answer.get("content_type", ""))},
-            )
-        case {"state": str(state)} if state in _RUNNING:
-            return _not_yet(request_id, state)
-        case {"error": dict(error)}:
-            raise EbonydealError.from_body({"error": error})
-    raise EbonydealError(ErrorKind.INTERNAL, "the journal gave no readable status")
+    if status.error is not None:
+        raise status.error
+    if status.answer is not None:
+        return web.Response(
+            status=status.answer.status,
+            body=status.answer.body.encode(),
+            headers={"Content-Type": status.answer.content_type},
+        )
+    if status.is_final:
+        raise EbonydealError(ErrorKind.INTERNAL, "the journal lost the answer")
+    return _not_yet(status)
 
 
-def _not_yet(request_id: str, state: str) -> web.Response:
+def _not_yet(status: JournalStatus) -> web.Response:
     """Return the answer for a request that is still to run or running."""
     return web.json_response(
-        {"id": request_id, "object": "deferred", "status": state},
+        {"id": status.request_id, "object": "deferred", "status": status.state},
         status=202,
         headers={
-            "Location": f"{DEFERRED_PATH}/{request_id}",
+            "Location": f"{DEFERRED_PATH}/{status.request_id}",
             "Retry-After": str(_POLL_SECONDS),
         },
     )
 
 
-def _status_response(status: dict[str, Any], request_id: str) -> web.Response:
+def _status_response(status: JournalStatus) -> web.Response:
     """Return a request's status as callers see it."""
+    error = None if status.error is None else status.error.to_body()["error"]
     body = {
-        "id": request_id,
+        "id": status.request_id,
         "object": "deferred",
-        "status": status.get("state"),
-        "error": status.get("error"),
+        "status": status.state,
+        "error": error,
     }
     return web.json_response(body)
 
@@ -99,30 +99,28 @@
         )
         status = await parts.journal.accept(request)
         parts.metrics.count(Event.ANSWERED)
-        return _not_yet(request.request_id, str(status.get("state", "accepted")))
+        return _not_yet(status)
 
     async def status(self, req: web.Request) -> web.Response:
         """``GET /v1/deferred/{id}``."""
-        request_id, status = await self._status(req)
-        return _status_response(status, request_id)
+        return _status_response(await self._status(req))
 
     async def answer(self, req: web.Request) -> web.Response:
         """``GET /v1/deferred/{id}/answer``."""
-        request_id, status = await self._status(req)
-        return journal_response(status, request_id)
+        return journal_response(await self._status(req))
 
     async def cancel(self, req: web.Request) -> web.Response:
         """``DELETE /v1/deferred/{id}``."""
         account = self._parts.intake.account(req)
         request_id = req.match_info["id"]
         status = await self._parts.journal.cancel(request_id, account.name)
-        return _status_response(status, request_id)
+        return _status_response(status)
 
-    async def _status(self, req: web.Request) -> tuple[str, dict[str, Any]]:
-        """Return the id in the path and its status."""
+    async def _status(self, req: web.Request) -> JournalStatus:
+        """Return the status of the request in the path."""
         account = self._parts.intake.account(req)
         request_id = req.match_info["id"]
-        return request_id, await self._parts.journal.status(request_id, account.name)
+        return await self._parts.journal.status(request_id, account.name)
 
 
 def _kind(raw: bytes) -> RequestKind:
--- /dev/null
+++ b/src/ebonydeal/_internal/gateway/desk.py
@@ -0,0 +1,165 @@
+"""`AdmissionPort` on top of the admission decisions: who waits, and for whom."""
+
+import asyncio
+from random import Random
+
+from mode import Service
+
+from ebonydeal._internal.errors import EbonydealError
+from ebonydeal._internal.gateway.capacity import capacity
+from ebonydeal._internal.gateway.ports import ConfigPort, DirectoryPort, Ticket
+from ebonydeal._internal.models.document import Deployment
+from ebonydeal._internal.models.requests import Request
+from ebonydeal._internal.observe.counters import Metrics, Timing
+from ebonydeal._internal.observe.trail import Step, Trails
+from ebonydeal._internal.routing.admission import (
+    Admission,
+    AdmissionRequest,
+    Admit,
+    Refuse,
+    Wait,
+)
+from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.ids import new_token
+
+_PERIOD_S = 0.1
+
+
+class _Ticket:
+    """An admitted request's share of the limits."""
+
+    def __init__(self, desk: "AdmissionDesk", ticket_id: str) -> None:
+        self._desk = desk
+        self._id = ticket_id
+
+    def release(self, tokens: int) -> None:
+        """Give the share back; ``tokens`` were really used."""
+        self._desk.release(self._id, tokens)
+
+
+class AdmissionDesk(Service):
+    """Lets requests wait until the admission decisions let them start.
+
+    Parameters
+    ----------
+    admission : Admission
+        The decisions.
+    directory : DirectoryPort
+        Endpoints, whose slots are the capacity.
+    config : ConfigPort
+        Deployments and client accounts.
+    metrics, trails, clock, rng
+        Observation, time, ids.
+    """
+
+    def __init__(
+        self,
+        admission: Admission,
+        directory: DirectoryPort,
+        config: ConfigPort,
+        metrics: Metrics,
+        trails: Trails,
+        clock: Clock,
+        rng: Random,
+    ) -> None:
+        super().__init__()
+        self._admission = admission
+        self._directory = directory
+        self._config = config
+        self._metrics = metrics
+        self._trails = trails
+        self._clock = clock
+        self._rng = rng
+        self._version = -1
+        self._waiting: dict[str, asyncio.Future[None]] = {}
+
+    async def admit(self, request: Request, deployment: Deployment) -> Ticket:
+        """Return when admitted; raises the refusal's `EbonydealError`."""
+        started = self._clock.now()
+        self._follow_config()
+        self._measure(deployment.name)
+        ask = AdmissionRequest(
+            request_id=new_token("q", self._rng),
+            account=request.account,
+            deployment=deployment.name,
+            priority=request.priority,
+            tokens=float(request.prompt_tokens + request.max_tokens),
+            deadline=request.deadline,
+        )
+        match self._admission.offer(ask, self._clock.wall()):
+            case Refuse() as refusal:
+                raise _error(refusal)
+            case Wait(expected_s=expected):
+                self._trails.note(
+                    request.request_id,
+                    self._clock.wall(),
+                    Step.QUEUED,
+                    expected_s=round(expected, 3),
+                )
+                await self._wait(ask.request_id)
+        self._metrics.timed(Timing.QUEUE, self._clock.now() - started)
+        return _Ticket(self, ask.request_id)
+
+    async def _wait(self, ticket_id: str) -> None:
+        """Wait for a queued request's turn; raises its refusal."""
+        fut = asyncio.get_running_loop().create_future()
+        self._waiting[ticket_id] = fut
+        self._pump()
+        try:
+            await fut
+        except asyncio.CancelledError:
+            self._admission.cancel(ticket_id, self._clock.wall())
+            self._pump()
+            raise
+        finally:
+            self._waiting.pop(ticket_id, None)
+
+    def release(self, ticket_id: str, tokens: int) -> None:
+        """End an admitted request."""
+        self._admission.release(ticket_id, float(tokens), self._clock.wall())
+        self._pump()
+
+    def _pump(self) -> None:
+        """Tell all that start now or are given up on."""
+        for verdict in self._admission.next_ready(self._clock.wall()):
+            fut = self._waiting.get(verdict.request_id)
+            if fut is None or fut.done():
+                if isinstance(verdict, Admit):
+                    self._admission.release(verdict.request_id, 0.0, self._clock.wall())
+                continue
+            match verdict:
+                case Admit():
+                    fut.set_result(None)
+                case Refuse() as refusal:
+                    fut.set_exception(_error(refusal))
+
+    @Service.task
+    async def _follow(self) -> None:
+        """Follow capacity, configuration and the queue's time limits."""
+        while not self.should_stop:
+            self._follow_config()
+            for name in list(self._config.document.deployments):
+                self._measure(name)
+            self._pump()
+            await self._clock.sleep(_PERIOD_S)
+
+    def _follow_config(self) -> None:
+        """Take the accounts of a new document."""
+        document = self._config.document
+        if document.version != self._version:
+            self._version = document.version
+            self._admission.configure(document.accounts)
+
+    def _measure(self, deployment: str) -> None:
+        """Take a deployment's present capacity."""
+        views = self._directory.views(deployment)
+        own = self._admission.running(deployment)
+        slots = capacity(views, own)
+        self._admission.set_capacity(deployment, slots, self._clock.wall())
+
+
+def _error(refusal: Refuse) -> EbonydealError:
+    """Return what the caller is told."""
+    return EbonydealError(
+        refusal.kind, f"{refusal.why}.", retry_after=refusal.retry_after
+    )
--- a/src/ebonydeal/_internal/gateway/live.py
+++ b/src/ebonydeal/_internal/gateway/live.py
@@ -103,6 +103,8 @@
         Tries in a row, up to the last, that gave no token.
     moving : bool
         Whether a Move will come whatever becomes of the running try.
+    planned : Attempt or None
+        Try for which a way off its leaving endpoint was decided.
     cause : MoveCause or None
         Why the next try is needed; None before the first.
     target : EndpointView or None
@@ -131,6 +133,7 @@
     tries: int = 0
     fruitless: int = 0
     moving: bool = False
+    planned: Attempt | None = None
     cause: MoveCause | None = None
     target: EndpointView | None = None
     kv_handle: str = ""
--- /dev/null
+++ b/src/ebonydeal/_internal/gateway/moves.py
@@ -0,0 +1,92 @@
+"""From running streams and endpoint views to the reclaim planner's values; pure."""
+
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from ebonydeal._internal.gateway.attempts import Attempt
+from ebonydeal._internal.gateway.live import LiveStream
+from ebonydeal._internal.models.endpoints import EndpointView
+from ebonydeal._internal.routing.reclaim import RunningStream, Target
+from ebonydeal._internal.settings.gateway import GatewaySettings
+
+_MB_PER_GB = 1024.0
+_ROOM_UNKNOWN = 4
+
+
+class Affected(NamedTuple):
+    """A running stream whose endpoint leaves."""
+
+    live: LiveStream
+    attempt: Attempt
+
+    @property
+    def is_current(self) -> bool:
+        """Whether the try still runs and no move of it is under way."""
+        live = self.live
+        return live.attempt is self.attempt and not live.moving and not live.finish
+
+
+def stream_key(item: Affected) -> str:
+    """Return what the planner knows a stream by; one request may run twice."""
+    return item.attempt.attempt_id
+
+
+def running_stream(item: Affected, cfg: GatewaySettings, now: float) -> RunningStream:
+    """Return what the planner needs to know of a stream.
+
+    Parameters
+    ----------
+    item : Affected
+        The stream.
+    cfg : GatewaySettings
+        Size of a token's KV cache.
+    now : float
+        Clock seconds.
+    """
+    live, attempt = item
+    request = live.job.request
+    context = request.prompt_tokens + len(live.delivered)
+    return RunningStream(
+        request_id=stream_key(item),
+        endpoint_id=attempt.route.endpoint.endpoint_id,
+        context_tokens=context,
+        remaining_tokens_estimate=max(1.0, request.max_tokens - len(live.delivered)),
+        tokens_per_s=_rate(item, now),
+        kv_gb=context * cfg.kv_mb_per_token / _MB_PER_GB,
+        prefix=live.job.prefix,
+    )
+
+
+def _rate(item: Affected, now: float) -> float:
+    """Return the tokens a second of the running try; 0.0 before the first."""
+    first_at = item.attempt.first_at
+    if first_at is None or now <= first_at:
+        return 0.0
+    start = len(item.attempt.order.resume.delivered) if item.attempt.order.resume else 0
+    return (len(item.live.delivered) - start) / (now - first_at)
+
+
+def targets(views: Iterable[EndpointView], model: str) -> list[Target]:
+    """Return the endpoints that may take streams of ``model``, with their room."""
+    return [Target(view, _room(view)) for view in views if model in view.models]
+
+
+def _room(view: EndpointView) -> int:
+    """Return the streams that an endpoint takes without queueing."""
+    if view.load is None:
+        return _ROOM_UNKNOWN
+    return max(0, view.load.slots - view.load.running - view.load.waiting)
+
+
+def export_rate(affected: Sequence[Affected], gb_per_s: float) -> float:
+    """Return this gateway's part of the sources' export rate, gigabytes a second.
+
+    Other gateways export from the same engines at the same time, so the part is
+    that of the running streams that are this gateway's own.
+    """
+    sources = {
+        item.attempt.route.endpoint.endpoint_id: item.attempt.route.endpoint
+        for item in affected
+    }
+    running = sum(view.load.running for view in sources.values() if view.load)
+    return gb_per_s * len(affected) / max(running, len(affected), 1)
--- a/src/ebonydeal/_internal/gateway/ports.py
+++ b/src/ebonydeal/_internal/gateway/ports.py
@@ -13,6 +13,7 @@
 from ebonydeal._internal.models.document import Deployment, Document
 from ebonydeal._internal.models.endpoints import EndpointView, LeavingMark
 from ebonydeal._internal.models.requests import Request
+from ebonydeal._internal.peers.journal_client import JournalStatus
 
 Incarnation = tuple[str, int]
 
@@ -151,6 +152,9 @@
     def is_leaving(self, view: EndpointView) -> bool:
         """Return whether this incarnation is marked as leaving."""
 
+    def deadline(self, view: EndpointView) -> float:
+        """Return when an endpoint is taken, wall clock seconds; 0.0: unknown."""
+
     def on_mark(self, callback: Callable[[LeavingMark], None]) -> None:
         """Call ``callback`` with each new mark."""
 
@@ -182,14 +186,14 @@
 class JournalPort(Protocol):
     """The request journal's owners, wherever they are."""
 
-    async def accept(self, request: Request) -> dict[str, Any]:
-        """Make ``request`` durable; returns its status."""
+    async def accept(self, request: Request) -> JournalStatus:
+        """Return once ``request`` is durable."""
 
-    async def call(self, request: Request, wait: float) -> dict[str, Any]:
+    async def call(self, request: Request, wait: float) -> JournalStatus:
         """Accept, and wait up to ``wait`` seconds for the end."""
 
-    async def status(self, request_id: str, account: str) -> dict[str, Any]:
+    async def status(self, request_id: str, account: str) -> JournalStatus:
         """Return a request's status."""
 
-    async def cancel(self, request_id: str, account: str) -> dict[str, Any]:
-        """Cancel a request that has not run; returns its status."""
+    async def cancel(self, request_id: str, account: str) -> JournalStatus:
+        """Stop a request; returns its status."""
--- a/src/ebonydeal/_internal/gateway/program.py
+++ b/src/ebonydeal/_internal/gateway/program.py
@@ -2,8 +2,7 @@
 
 from collections.abc import Iterable
 from random import Random
-from ssl import SSLContext
-from typing import Any, NamedTuple
+from typing import Any
 
 from aiohttp import web
 from mode import Service
@@ -16,16 +15,8 @@
 from ebonydeal._internal.gateway.generation import Generation, GenerationParts
 from ebonydeal._internal.gateway.health import Health
 from ebonydeal._internal.gateway.intake import Intake
-from ebonydeal._internal.gateway.ports import (
-    AdmissionPort,
-    ConfigPort,
-    DirectoryPort,
-    JournalPort,
-    PeerPort,
-    RetryPort,
-    RoutePort,
-)
-from ebonydeal._internal.gateway.reclaim import Planner, Reclaim, ReclaimParts
+from ebonydeal._internal.gateway.parts import GatewayConfig, GatewayPorts
+from ebonydeal._internal.gateway.reclaim import Reclaim, ReclaimParts
 from ebonydeal._internal.gateway.reconnect import (
     RESUME_PATH,
     ParkedStreams,
@@ -36,10 +27,6 @@
 from ebonydeal._internal.gateway.watch import StreamWatch
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.observe.logs import get_logger
-from ebonydeal._internal.observe.trail import Trails
-from ebonydeal._internal.platform.interfaces import Engine, PlainServices
-from ebonydeal._internal.settings.gateway import GatewaySettings
-from ebonydeal._internal.settings.sections import NodeSettings
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.web import HttpServer, read_json
 
@@ -48,36 +35,6 @@
 _HEALTH_FRESH_S = 30.0
 
 
-class GatewayPorts(NamedTuple):
-    """The other parts, as the gateway sees them.
-
-    ``children`` are their services, started before the gateway's own and
-    stopped after them.
-    """
-
-    engine: Engine
-    services: PlainServices
-    routes: RoutePort
-    retries: RetryPort
-    admission: AdmissionPort
-    directory: DirectoryPort
-    config: ConfigPort
-    journal: JournalPort
-    peers: PeerPort
-    plan: Planner
-    children: tuple[Service, ...] = ()
-
-
-class GatewayConfig(NamedTuple):
-    """The gateway's own settings."""
-
-    node: NodeSettings
-    gateway: GatewaySettings
-    credential: str
-    shards: int
-    ssl_server: SSLContext | None = None
-
-
 class GatewayProgram(Service):
     """Callers' connections and all that serves them.
 
@@ -89,6 +46,15 @@
         The other parts.
     metrics, clock, rng : Metrics, Clock, random.Random
         Counters, time, ids.
+
+    Attributes
+    ----------
+    draining : bool
+        Whether a stop has begun, so that the balancer sends no more.
+    relay : Relay
+        Answers under way.
+    trails : Trails
+        Decision trails of the latest requests.
     """
 
     def __init__(
@@ -105,8 +71,8 @@
         self._metrics = metrics
         self._clock = clock
         self._rng = rng
-        self._draining = False
-        self.trails = Trails(cfg.gateway.explain_requests)
+        self.draining = False
+        self.trails = ports.trails
         self._background = Background()
         self._health = Health(_HEALTH_FRESH_S)
         self._intake = Intake(ports.config, cfg.gateway, cfg.shards, clock, rng)
@@ -150,7 +116,7 @@
 
     async def on_stop(self) -> None:
         """Leave the balancer, let what runs finish, then close the listener."""
-        self._draining = True
+        self.draining = True
         logger.info("Draining.", streams=len(self.relay.live))
         await self._clock.sleep(self._cfg.gateway.settle_seconds)
         await self._server.stop()
@@ -185,7 +151,7 @@
             clock=self._clock,
             background=self._background.spawn,
         )
-        return Reclaim(parts, self._cfg.gateway, self._ports.plan)
+        return Reclaim(parts, self._cfg.gateway)
 
     def _new_server(self) -> HttpServer:
         cfg = self._cfg.gateway
@@ -197,7 +163,7 @@
             metrics=self._metrics,
             trails=self.trails,
             clock=self._clock,
-            draining=lambda: self._draining,
+            draining=lambda: self.draining,
         )
         return HttpServer(
             Api(api, cfg).app(),
--- a/src/ebonydeal/_internal/gateway/reclaim.py
+++ b/src/ebonydeal/_internal/gateway/reclaim.py
@@ -1,16 +1,22 @@
 """Streams on endpoints that are leaving: finish, move the KV cache, or recompute."""
 
 import asyncio
-from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from collections import defaultdict
+from collections.abc import Collection
 from typing import NamedTuple
 
 from mode import Service
 
-from ebonydeal._internal.errors import EbonydealError
-from ebonydeal._internal.gateway.attempts import Attempt, Move
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.gateway import attempts
 from ebonydeal._internal.gateway.background import Spawn
-from ebonydeal._internal.gateway.live import LiveStream
+from ebonydeal._internal.gateway.moves import (
+    Affected,
+    export_rate,
+    running_stream,
+    stream_key,
+    targets,
+)
 from ebonydeal._internal.gateway.ports import DirectoryPort
 from ebonydeal._internal.gateway.streams import Relay
 from ebonydeal._internal.models.endpoints import EndpointView, LeavingMark
@@ -18,172 +24,227 @@
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.observe.trail import Step, Trails
 from ebonydeal._internal.platform.interfaces import Engine
+from ebonydeal._internal.routing.reclaim import (
+    ExportFault,
+    ExportTo,
+    Finish,
+    Move,
+    Recompute,
+    plan_moves,
+    replan,
+)
 from ebonydeal._internal.settings.gateway import GatewaySettings
 from ebonydeal._internal.utils.clock import Clock
 
 logger = get_logger("reclaim")
 
+# Marks of one wave come within moments of each other; a plan made before the
+# last one might move streams to endpoints that leave as well.
+_GATHER_S = 0.05
 
-@dataclass(frozen=True)
-class Finish:
-    """Let the stream end where it is."""
-
-
-@dataclass(frozen=True)
-class Export:
-    """Move the KV cache to ``target``, then go on there."""
-
-    target: EndpointView
-
-
-@dataclass(frozen=True)
-class Recompute:
-    """Go on elsewhere by computing the tokens again."""
 
+class ReclaimParts(NamedTuple):
+    """What the reclaim service works with."""
 
-Action = Finish | Export | Recompute
+    relay: Relay
+    engine: Engine
+    directory: DirectoryPort
+    metrics: Metrics
+    trails: Trails
+    clock: Clock
+    background: Spawn
 
 
-class Affected(NamedTuple):
-    """A running stream whose endpoint leaves.
+class _Wave(NamedTuple):
+    """What is known of the marks that are acted on together.
 
-    ``deadline`` is when the endpoint is taken, wall clock seconds; 0.0 if
-    unknown.
+    ``deadline`` in wall clock seconds.
     """
 
-    live: LiveStream
-    attempt: Attempt
+    zones: frozenset[str]
     deadline: float
 
 
-Planner = Callable[[Sequence[Affected], float], list[tuple[Affected, Action]]]
-
+class _Transfer(NamedTuple):
+    """How the move of one KV cache went.
 
-def recompute_all(
-    affected: Sequence[Affected], _now: float
-) -> list[tuple[Affected, Action]]:
-    """Return the plan that needs neither time nor targets."""
-    return [(item, Recompute()) for item in affected]
+    ``handle`` is empty where the export failed; ``done`` says that the target
+    holds the cache.
+    """
 
-
-class ReclaimParts(NamedTuple):
-    """What the reclaim service works with."""
-
-    relay: Relay
-    engine: Engine
-    directory: DirectoryPort
-    metrics: Metrics
-    trails: Trails
-    clock: Clock
-    background: Spawn
+    handle: str
+    done: bool
 
 
 class Reclaim(Service):
     """Moves running streams off endpoints that are marked as leaving.
 
-    Each stream that is to move gets a Move message in any case, at the latest
-    when the time for its export is over; until then its relay waits for it.
+    A stream whose export has begun gets a Move message in any case, at the
+    latest when the time for it is over; until then its relay waits for it.
 
     Parameters
     ----------
     parts : ReclaimParts
         What it works with.
     cfg : GatewaySettings
-        Time limits.
-    plan : callable
-        Pure decision over the affected streams, in order of action.
+        Time limits and transfer rates.
     """
 
-    def __init__(
-        self, parts: ReclaimParts, cfg: GatewaySettings, plan: Planner
-    ) -> None:
+    def __init__(self, parts: ReclaimParts, cfg: GatewaySettings) -> None:
         super().__init__()
         self._parts = parts
         self._cfg = cfg
-        self._plan = plan
         self._marks: asyncio.Queue[LeavingMark] = asyncio.Queue()
         parts.directory.on_mark(self._marks.put_nowait)
 
     @Service.task
     async def _follow_marks(self) -> None:
         while not self.should_stop:
-            mark = await self._marks.get()
-            self.handle(mark)
-
-    def handle(self, mark: LeavingMark) -> None:
-        """Start to act on a new mark."""
-        affected = self._affected(mark)
-        if not affected:
-            return
-        logger.info(
-            "Streams leave.",
-            endpoint=mark.endpoint_id,
-            zone=mark.zone,
-            streams=len(affected),
-        )
-        for item, action in self._decide(affected):
-            self._act(item, action)
-
-    def _decide(self, affected: list[Affected]) -> list[tuple[Affected, Action]]:
+            marks = [await self._marks.get()]
+            await self._parts.clock.sleep(_GATHER_S)
+            while not self._marks.empty():
+                marks.append(self._marks.get_nowait())
+            self.handle(marks)
+
+    def handle(self, marks: Collection[LeavingMark]) -> None:
+        """Start to act on new marks."""
+        zones = frozenset(mark.zone for mark in marks if not mark.endpoint_id)
+        for (deployment, deadline), group in self._affected().items():
+            logger.info("Streams leave.", deployment=deployment, streams=len(group))
+            self._plan(group, _Wave(zones, deadline))
+
+    def _affected(self) -> dict[tuple[str, float], list[Affected]]:
+        """Return the streams to move, by deployment and deadline."""
+        groups = defaultdict(list)
+        for live in self._parts.relay.live:
+            attempt = live.attempt
+            if attempt is None or live.moving or live.finish or live.planned is attempt:
+                continue
+            endpoint = attempt.route.endpoint
+            if not self._parts.directory.is_leaving(endpoint):
+                continue
+            live.planned = attempt
+            key = (live.job.deployment.name, self._deadline(endpoint))
+            groups[key].append(Affected(live, attempt))
+        return groups
+
+    def _deadline(self, endpoint: EndpointView) -> float:
+        """Return when an endpoint is taken; a guess where nobody said."""
+        known = self._parts.directory.deadline(endpoint)
+        return known or self._parts.clock.wall() + self._cfg.notice_seconds
+
+    # --- deciding ---
+    def _plan(self, group: list[Affected], wave: _Wave) -> None:
+        """Decide for streams of one deployment and start what was decided."""
+        by_key = {stream_key(item): item for item in group}
+        for move in self._moves(group, wave):
+            work = self._carry_out(by_key[move.request_id], move, wave)
+            self._parts.background(work)
+
+    def _moves(self, group: list[Affected], wave: _Wave) -> list[Move]:
         """Return the plan; if it can't be made, the one that always can."""
-        now = self._parts.clock.wall()
+        clock = self._parts.clock
+        job = group[0].live.job
         try:
-            return self._plan(affected, now)
+            return plan_moves(
+                [running_stream(item, self._cfg, clock.now()) for item in group],
+                max(0.0, wave.deadline - clock.wall()),
+                export_rate(group, self._cfg.kv_gb_per_s),
+                targets(
+                    self._parts.directory.views(job.deployment.name),
+                    job.model,
+                ),
+                clock.wall(),
+                leaving_zones=wave.zones,
+            )
         except Exception as exc:
             logger.error("A plan failed.", exc_info=exc)
-            return recompute_all(affected, now)
-
-    def _affected(self, mark: LeavingMark) -> list[Affected]:
-        """Return the streams on leaving endpoints that no move is under way for."""
-        found = []
-        for live in self._parts.relay.live:
-            attempt = live.attempt
-            if attempt is None or live.moving or live.finish:
-                continue
-            if self._parts.directory.is_leaving(attempt.route.endpoint):
-                found.append(Affected(live, attempt, mark.deadline))
-        return found
-
-    def _act(self, item: Affected, action: Action) -> None:
-        """Carry out what was decided for one stream."""
-        match action:
-            case Finish():
-                return
-            case Recompute():
-                item.attempt.mailbox.post(Move(None, ""))
-            case Export(target=target):
-                item.live.moving = True
-                self._parts.background(self._export(item, target))
-
-    async def _export(self, item: Affected, target: EndpointView) -> None:
+            return [Recompute(stream_key(item), None, clock.wall()) for item in group]
+
+    # --- acting ---
+    async def _carry_out(self, item: Affected, move: Move, wave: _Wave) -> None:
+        """Do what was decided for one stream, when it is due."""
+        match move:
+            case Finish(review_at=at):
+                await self._wait_until(at)
+                if item.is_current:
+                    self._plan([item], wave)
+            case Recompute(target=target, start_at=at):
+                await self._wait_until(at)
+                if item.is_current:
+                    item.attempt.mailbox.post(attempts.Move(target, ""))
+            case ExportTo(start_at=at):
+                await self._wait_until(at)
+                if item.is_current:
+                    await self._export(item, move, wave)
+
+    async def _wait_until(self, at: float) -> None:
+        """Wait for a wall clock time."""
+        left = at - self._parts.clock.wall()
+        if left > 0.0:
+            await self._parts.clock.sleep(left)
+
+    async def _export(self, item: Affected, move: ExportTo, wave: _Wave) -> None:
         """Move a stream's KV cache; where that fails, let it recompute."""
-        move = Move(None, "")
+        item.live.moving = True
+        last = attempts.Move(None, "")
         try:
-            async with asyncio.timeout(self._time_left(item)):
-                move = await self._transfer(item, target)
-        except (EbonydealError, TimeoutError) as exc:
-            self._parts.metrics.count(Event.KV_EXPORT_FAILED)
-            logger.warning(
-                "A KV cache could not be moved.",
-                request_id=item.live.request_id,
-                reason=str(exc) or type(exc).__name__,
-            )
+            last = await self._transfer(item, move, wave)
         finally:
-            item.attempt.mailbox.post(move)
+            item.attempt.mailbox.post(last)
+
+    async def _transfer(
+        self, item: Affected, move: ExportTo, wave: _Wave
+    ) -> attempts.Move:
+        """Export, import, and if need be import at another target."""
+        first = await self._try_transfer(item, move.target, "")
+        if first.done:
+            return attempts.Move(move.target, first.handle)
+        second = self._second_move(item, move, first, wave)
+        if isinstance(second, ExportTo):
+            again = await self._try_transfer(item, second.target, first.handle)
+            return attempts.Move(second.target, again.handle if again.done else "")
+        return attempts.Move(
+            second.target if isinstance(second, Recompute) else None, ""
+        )
 
-    def _time_left(self, item: Affected) -> float:
-        """Return how long the transfer may take, seconds."""
-        if not item.deadline:
-            return self._cfg.export_seconds
-        left = item.deadline - self._parts.clock.wall()
-        return max(0.0, min(self._cfg.export_seconds, left))
+    def _second_move(
+        self, item: Affected, move: ExportTo, failed: _Transfer, wave: _Wave
+    ) -> Move:
+        """Decide anew after a transfer failed."""
+        clock = self._parts.clock
+        job = item.live.job
+        views = [
+            view
+            for view in self._parts.directory.views(job.deployment.name)
+            if view.endpoint_id != move.target.endpoint_id
+        ]
+        moves = replan(
+            [running_stream(item, self._cfg, clock.now())],
+            [ExportFault(stream_key(item), bool(failed.handle))],
+            max(0.0, wave.deadline - clock.wall()),
+            export_rate([item], self._cfg.kv_gb_per_s),
+            targets(views, job.model),
+            clock.wall(),
+            leaving_zones=wave.zones,
+        )
+        return moves[0]
 
-    async def _transfer(self, item: Affected, target: EndpointView) -> Move:
-        """Export at the source, import at the target."""
-        engine = self._parts.engine
+    async def _try_transfer(
+        self, item: Affected, target: EndpointView, handle: str
+    ) -> _Transfer:
+        """Export (unless ``handle`` is given) and import at ``target``."""
         source = item.attempt.route.endpoint
-        handle = await engine.export_kv(source, item.attempt.attempt_id)
-        tokens = await engine.import_kv(target, handle, source)
+        engine = self._parts.engine
+        try:
+            async with asyncio.timeout(self._cfg.export_seconds):
+                if not handle:
+                    handle = await engine.export_kv(source, item.attempt.attempt_id)
+                tokens = await engine.import_kv(target, handle, source)
+        except (EbonydealError, TimeoutError) as exc:
+            kind = exc.kind if isinstance(exc, EbonydealError) else None
+            self._failed(item, target, kind)
+            return _Transfer(handle, False)
         self._parts.trails.note(
             item.live.request_id,
             self._parts.clock.wall(),
@@ -192,4 +253,17 @@
             target=target.endpoint_id,
             tokens=tokens,
         )
-        return Move(target, handle)
+        return _Transfer(handle, True)
+
+    def _failed(
+        self, item: Affected, target: EndpointView, kind: ErrorKind | None
+    ) -> None:
+        """Count and log a transfer that failed."""
+        self._parts.metrics.count(Event.KV_EXPORT_FAILED)
+        reason = str(kind) if kind else "timeout"
+        logger.warning(
+            "A KV cache could not be moved.",
+            request_id=item.live.request_id,
+            target=target.endpoint_id,
+            reason=reason,
+        )
--- /dev/null
+++ b/src/ebonydeal/_internal/gateway/routes.py
@@ -0,0 +1,116 @@
+"""`RoutePort` on top of the router and the directory."""
+
+from typing import Any
+
+from ebonydeal._internal.directory.service import Directory
+from ebonydeal._internal.errors import ErrorKind
+from ebonydeal._internal.gateway.health import incarnation_of
+from ebonydeal._internal.gateway.ports import Route, RouteAsk
+from ebonydeal._internal.models.endpoints import EndpointView
+from ebonydeal._internal.models.places import Place
+from ebonydeal._internal.routing.router import Router
+from ebonydeal._internal.routing.types import Choice, RouteRequest, Scored
+
+
+class RouterRoutes:
+    """Asks the router about the endpoints that the directory knows.
+
+    Parameters
+    ----------
+    router : Router
+        The decision.
+    directory : Directory
+        The endpoints.
+    place : Place
+        Where this gateway runs.
+    """
+
+    def __init__(self, router: Router, directory: Directory, place: Place) -> None:
+        self._router = router
+        self._directory = directory
+        self._place = place
+
+    def choose(self, ask: RouteAsk, now: float) -> Route | None:
+        """Return the best endpoint, already counted as sent, or None."""
+        views = self._directory.views(ask.deployment.name)
+        usable = tuple(view for view in views if incarnation_of(view) not in ask.avoid)
+        warm = tuple(view for view in usable if _is_free(view, ask))
+        request = route_request(ask, self._place)
+        choice = self._router.choose(request, warm, now) if warm else None
+        if choice is None:
+            choice = self._router.choose(request, usable, now)
+        if choice is None:
+            return None
+        self._router.sent(choice, request, now)
+        return Route(
+            endpoint=choice.endpoint,
+            scores=_shown(choice),
+            choice=request.request_id,
+            missed_tokens=_missed(choice),
+        )
+
+    def first_token(
+        self, route: Route, seconds: float, cached: int, prefilled: int, now: float
+    ) -> None:
+        """Report the first token and what the prefix cache really held."""
+        if route.choice is not None:
+            self._router.first_token(
+                route.choice, route.endpoint.endpoint_id, cached, prefilled, now
+            )
+
+    def finished(self, route: Route, tokens: int, now: float) -> None:
+        """Report a whole answer, or a try that ended by our own wish."""
+        if route.choice is not None:
+            self._router.finished(route.choice, route.endpoint.endpoint_id, now)
+
+    def failed(self, route: Route, kind: ErrorKind, now: float) -> None:
+        """Report a failed try."""
+        if kind is ErrorKind.CONNECT_FAILED:
+            self._directory.connect_failed(route.endpoint.endpoint_id)
+        if route.choice is not None:
+            self._router.failed(route.choice, route.endpoint.endpoint_id, kind, now)
+
+
+def _is_free(view: EndpointView, ask: RouteAsk) -> bool:
+    """Return whether this is the preferred endpoint and has a free slot."""
+    if incarnation_of(view) != ask.prefer:
+        return False
+    return view.load is None or view.load.running < view.load.slots
+
+
+def route_request(ask: RouteAsk, place: Place) -> RouteRequest:
+    """Return what the router needs to know."""
+    request = ask.request
+    return RouteRequest(
+        request_id=request.request_id,
+        deployment=ask.deployment.name,
+        model=ask.model,
+        blocks=ask.prefix,
+        prompt_tokens=request.prompt_tokens + ask.delivered,
+        max_tokens=max(0, request.max_tokens - ask.delivered),
+        place=place,
+        weights=ask.deployment.weights,
+        first_token_s=ask.deployment.first_token_s,
+    )
+
+
+def _missed(choice: Choice) -> int:
+    """Return the prompt tokens that another endpoint was believed to hold."""
+    best = max((item.terms.cached_tokens for item in choice.alternatives), default=0.0)
+    return int(max(0.0, best - choice.terms.cached_tokens))
+
+
+def _shown(choice: Choice) -> list[dict[str, Any]]:
+    """Return the best choices with their terms, for the decision trail."""
+    best = Scored(choice.endpoint, choice.score, choice.terms)
+    return [
+        {
+            "endpoint": item.endpoint.endpoint_id,
+            "zone": item.endpoint.place.zone,
+            "score": round(item.score, 9),
+            "terms": {
+                name: round(value, 9) for name, value in item.terms._asdict().items()
+            },
+        }
+        for item in (best, *choice.alternatives)
+    ]
--- a/src/ebonydeal/_internal/gateway/services.py
+++ b/src/ebonydeal/_internal/gateway/services.py
@@ -149,7 +149,7 @@
         """Have the journal run the call at most once."""
         wait = max(0.0, request.deadline - self._parts.clock.wall())
         status = await self._parts.journal.call(request, wait)
-        return journal_response(status, request.request_id)
+        return journal_response(status)
 
 
 def service_path(raw_path: str, name: str) -> str:
--- a/src/ebonydeal/_internal/settings/gateway.py
+++ b/src/ebonydeal/_internal/settings/gateway.py
@@ -47,6 +47,15 @@
     export_seconds: Annotated[
         float, Key("Longest export and import of a KV cache.", "seconds", 0.05, 600)
     ] = 10.0
+    kv_mb_per_token: Annotated[
+        float, Key("Size of the KV cache of one token.", "megabytes", 0, 1024)
+    ] = 0.1
+    kv_gb_per_s: Annotated[
+        float, Key("KV cache that an engine exports.", "gigabytes/s", 0.001, 10000)
+    ] = 2.0
+    notice_seconds: Annotated[
+        float, Key("Notice assumed where none is told.", "seconds", 0, 3600)
+    ] = 2.0
     retention_seconds: Annotated[
         float, Key("How long a broken stream can be resumed.", "seconds", 0, 3600)
     ] = 60.0
--- /dev/null
+++ b/tests/functional/gateway/test_reclaim.py
@@ -0,0 +1,88 @@
+import asyncio
+import time
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from tests.functional.gateway.test_generation import BODY, client, until
+from tests.lib.gateway_fakes import Bench, FakeEngine
+
+GONE = EbonydealError(ErrorKind.ENDPOINT_FAILED, "gone")
+
+
+class Gate:
+    """Lets streams get so far, then holds them until opened."""
+
+    def __init__(self, engine: FakeEngine, after: int) -> None:
+        self._left = after
+        self._opened = asyncio.Event()
+        engine.pace = self.pass_
+
+    async def pass_(self) -> None:
+        if self._left == 0:
+            await self._opened.wait()
+        self._left = max(0, self._left - 1)
+
+    def open(self) -> None:
+        self._opened.set()
+
+
+class TestReclaim:
+    async def reclaim(self, engine: FakeEngine, notice: float, **changes) -> Bench:
+        """Mark e1 after three tokens of an answer; check its content."""
+        gate = Gate(engine, 3)
+        async with Bench(engine, max_output_tokens=100_000) as bench:
+            async with client(bench) as api:
+                call = asyncio.ensure_future(api.chat.completions.create(**BODY))
+                relay = bench.program.relay
+                await until(
+                    lambda: any(len(live.delivered) == 3 for live in relay.live)
+                )
+                bench.directory.mark("e1", time.time() + notice)
+                await until(lambda: len(engine.ran) == 2)
+                gate.open()
+                answer = await call
+        assert answer.choices[0].message.content == "".join(engine.text)
+        return bench
+
+    async def test_kv_cache_moves(self):
+        engine = FakeEngine()
+        bench = await self.reclaim(engine, notice=10.0)
+        events = bench.metrics.events()
+        assert engine.exports == [("e1", engine.ran[0].attempt_id)]
+        assert engine.ran[1].resume.kv_handle == f"kv-{engine.ran[0].attempt_id}"
+        assert list(engine.ran[1].resume.delivered) == engine.text[:3]
+        assert events.get("tokens_recomputed_reclaim", 0) == 0
+        assert (events["kv_imported"], events["streams_moved"]) == (1, 1)
+        assert bench.metrics.retries() == {"leaving": 1}
+
+    async def test_no_time_to_export(self):
+        engine = FakeEngine()
+        bench = await self.reclaim(engine, notice=0.0)
+        assert engine.exports == []
+        assert engine.ran[1].resume.kv_handle == ""
+        assert bench.metrics.events()["tokens_recomputed_reclaim"] == 13
+
+    async def test_export_breaks(self):
+        engine = FakeEngine()
+        engine.export_fault = GONE
+        bench = await self.reclaim(engine, notice=10.0)
+        assert engine.ran[1].resume.kv_handle == ""
+        assert bench.metrics.events()["kv_export_failed"] == 1
+
+    async def test_target_dies_before_the_import(self):
+        engine = FakeEngine()
+        engine.import_fault = GONE
+        bench = await self.reclaim(engine, notice=10.0)
+        assert engine.ran[1].resume.kv_handle == ""
+        assert bench.metrics.events()["kv_export_failed"] == 2
+
+    async def test_stream_on_another_endpoint_stays(self):
+        engine = FakeEngine()
+        gate = Gate(engine, 3)
+        async with Bench(engine) as bench, client(bench) as api:
+            call = asyncio.ensure_future(api.chat.completions.create(**BODY))
+            await until(lambda: len(engine.ran) == 1)
+            bench.directory.mark("e3")
+            await asyncio.sleep(0.1)
+            gate.open()
+            await call
+        assert len(engine.ran) == 1
--- /dev/null
+++ b/tests/functional/gateway/test_services.py
@@ -0,0 +1,170 @@
+import asyncio
+
+import pytest
+from aiohttp import ClientSession
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.gateway.services import service_path
+from ebonydeal._internal.models.requests import StoredAnswer
+from ebonydeal._internal.peers.journal_client import JournalStatus
+from tests.lib.gateway_fakes import AUTH, Bench
+
+FAILED = EbonydealError(ErrorKind.ENDPOINT_FAILED, "gone")
+KEY = {"Idempotency-Key": "note-7"}
+NOTE = '{"bag": 7}'
+
+
+class TestServices:
+    async def call(self, bench: Bench, method: str, path: str, **more):
+        url = f"{bench.url}/services/{path}"
+        async with ClientSession(headers=AUTH) as http:
+            async with http.request(method, url, **more) as resp:
+                return resp.status, await resp.text(), resp.headers
+
+    async def test_look_up(self):
+        async with Bench() as bench:
+            status, text, headers = await self.call(
+                bench, "GET", "tracking/bags/7%2F8?full=1"
+            )
+        assert (status, text) == (200, "s1")
+        assert headers["X-Request-Id"].startswith("r-")
+        assert bench.services.calls == [("s1", "GET", "/bags/7%2F8?full=1", b"")]
+        assert "Authorization" not in bench.services.headers[0]
+
+    async def test_look_up_is_tried_elsewhere(self):
+        async with Bench() as bench:
+            bench.services.answers["s1"] = FAILED
+            status, text, _headers = await self.call(bench, "GET", "tracking/bags/7")
+        assert (status, text) == (200, "s2")
+        assert bench.metrics.retries() == {"endpoint_failed": 1}
+
+    async def test_look_up_is_hedged(self):
+        async with Bench(hedge_seconds=0.01) as bench:
+            bench.services.answers["s1"] = asyncio.Event()
+            status, text, _headers = await self.call(bench, "GET", "tracking/bags/7")
+        assert (status, text) == (200, "s2")
+        assert bench.metrics.retries() == {"hedge": 1}
+
+    async def test_no_hedge_without_budget(self):
+        async with Bench(hedge_seconds=0.01) as bench:
+            bench.retries.hedges = 0
+            bench.services.answers["s1"] = event = asyncio.Event()
+            call = asyncio.ensure_future(self.call(bench, "GET", "tracking/bags/7"))
+            while bench.retries.hedges == 0:
+                await asyncio.sleep(0.01)
+            event.set()
+            _status, text, _headers = await call
+        assert text == "s1"
+        assert len(bench.services.calls) == 1
+
+    async def test_gives_up_at_once(self):
+        async with Bench() as bench:
+            bench.retries.left = 1
+            bench.services.answers = {"s1": FAILED, "s2": FAILED}
+            status, _text, headers = await self.call(bench, "GET", "tracking/bags/7")
+        assert status == 502
+        assert (headers["Retry-After"], headers["X-Outcome"]) == ("2", "unknown")
+        assert len(bench.services.calls) == 2
+
+    async def test_call_that_may_run_twice_by_rule(self):
+        async with Bench() as bench:
+            status, text, _headers = await self.call(
+                bench, "POST", "tracking/status", data=NOTE
+            )
+        assert (status, text) == (200, "s1")
+        assert bench.services.calls[0][3] == NOTE.encode()
+
+    async def test_call_that_may_not_run_twice_needs_a_key(self):
+        async with Bench() as bench:
+            status, text, headers = await self.call(
+                bench, "POST", "tracking/notes", data=NOTE
+            )
+        assert (status, headers["X-Outcome"]) == (400, "not_run")
+        assert "key_required" in text
+        assert bench.services.calls == []
+        assert bench.journal.called == []
+
+    async def test_keyed_call_goes_through_the_journal(self):
+        async with Bench() as bench:
+            bench.journal.status_now = JournalStatus(
+                "k-1", "completed", StoredAnswer(201, "application/json", '{"n": 1}')
+            )
+            status, text, headers = await self.call(
+                bench, "POST", "tracking/notes", data=NOTE, headers=KEY
+            )
+        request = bench.journal.called[0]
+        assert (status, text) == (201, '{"n": 1}')
+        assert headers["X-Request-Id"] == request.request_id
+        assert (request.path, request.body) == ("/notes", NOTE)
+        assert (request.key, request.idempotent) == ("note-7", False)
+        assert bench.services.calls == []
+
+    async def test_same_key_same_request_id(self):
+        async with Bench() as bench:
+            for _ in range(2):
+                await self.call(bench, "POST", "tracking/notes", data=NOTE, headers=KEY)
+        first, second = bench.journal.called
+        assert first.request_id == second.request_id
+        assert first.body_digest == second.body_digest
+
+    @pytest.mark.parametrize(
+        "kind, status, outcome",
+        [
+            (ErrorKind.OUTCOME_UNKNOWN, 502, "unknown"),
+            (ErrorKind.NOT_RUN, 503, "not_run"),
+        ],
+    )
+    async def test_final_state_without_answer(self, kind, status, outcome):
+        async with Bench() as bench:
+            bench.journal.status_now = JournalStatus(
+                "k-1", "ended", error=EbonydealError(kind)
+            )
+            got, _text, headers = await self.call(
+                bench, "POST", "tracking/notes", data=NOTE, headers=KEY
+            )
+        assert (got, headers["X-Outcome"]) == (status, outcome)
+
+    async def test_still_running(self):
+        async with Bench() as bench:
+            bench.journal.status_now = JournalStatus("k-1", "dispatched")
+            status, _text, headers = await self.call(
+                bench, "POST", "tracking/notes", data=NOTE, headers=KEY
+            )
+        assert (status, headers["Location"]) == (202, "/v1/deferred/k-1")
+
+    async def test_binary_body_under_a_key(self):
+        async with Bench() as bench:
+            status, _text, _headers = await self.call(
+                bench, "POST", "tracking/notes", data=b"\xff", headers=KEY
+            )
+        assert status == 400
+        assert bench.journal.called == []
+
+    async def test_unknown_service(self):
+        async with Bench() as bench:
+            status, _text, _headers = await self.call(bench, "GET", "covers/x")
+        assert status == 404
+
+
+class TestServicePath:
+    @pytest.mark.parametrize(
+        "raw, path",
+        [
+            ("/services/t", "/"),
+            ("/services/t/", "/"),
+            ("/services/t?x=1", "/?x=1"),
+            ("/services/t/a%20b/c?x=%2F", "/a%20b/c?x=%2F"),
+            ("/services/t/services/t", "/services/t"),
+        ],
+    )
+    def test_kept_as_sent(self, raw, path):
+        assert service_path(raw, "t") == path
+
+    @pytest.mark.parametrize(
+        "raw",
+        ["/status/../notes", "/status/%2e%2E/notes", "/a/.", "/status/..%5Cnotes"],
+    )
+    def test_dot_segments(self, raw):
+        with pytest.raises(EbonydealError) as caught:
+            service_path(f"/services/t{raw}", "t")
+        assert caught.value.kind is ErrorKind.BAD_REQUEST
--- a/tests/lib/gateway_fakes.py
+++ b/tests/lib/gateway_fakes.py
@@ -7,13 +7,9 @@
 from typing import Any
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.gateway.parts import GatewayConfig, GatewayPorts
 from ebonydeal._internal.gateway.ports import Route, RouteAsk, TryFailure
-from ebonydeal._internal.gateway.program import (
-    GatewayConfig,
-    GatewayPorts,
-    GatewayProgram,
-)
-from ebonydeal._internal.gateway.reclaim import Planner, recompute_all
+from ebonydeal._internal.gateway.program import GatewayProgram
 from ebonydeal._internal.models.document import (
     Account,
     CallRule,
@@ -30,6 +26,8 @@
 from ebonydeal._internal.models.places import Place
 from ebonydeal._internal.models.requests import Priority, Request
 from ebonydeal._internal.observe.counters import Metrics
+from ebonydeal._internal.observe.trail import Trails
+from ebonydeal._internal.peers.journal_client import JournalStatus
 from ebonydeal._internal.platform.interfaces import (
     CancelWord,
     Chunk,
@@ -267,7 +265,7 @@
 class FakeDirectory:
     def __init__(self, *views: EndpointView) -> None:
         self.all = list(views)
-        self.leaving: set[str] = set()
+        self.leaving: dict[str, float] = {}
         self._callbacks: list[Callable[[LeavingMark], None]] = []
 
     def views(self, deployment: str) -> tuple[EndpointView, ...]:
@@ -280,11 +278,14 @@
     def is_leaving(self, view: EndpointView) -> bool:
         return view.endpoint_id in self.leaving
 
+    def deadline(self, view: EndpointView) -> float:
+        return self.leaving[view.endpoint_id]
+
     def on_mark(self, callback: Callable[[LeavingMark], None]) -> None:
         self._callbacks.append(callback)
 
     def mark(self, name: str, deadline: float = 0.0) -> None:
-        self.leaving.add(name)
+        self.leaving[name] = deadline
         for callback in self._callbacks:
             callback(LeavingMark(name, 1, "", deadline, "cloud", 0.0))
 
@@ -296,24 +297,24 @@
 
 @dataclass
 class FakeJournal:
-    status_now: dict[str, Any] = field(default_factory=dict)
+    status_now: JournalStatus = JournalStatus("r-0000-01", "dispatched")
     accepted: list[Request] = field(default_factory=list)
     called: list[Request] = field(default_factory=list)
     asked: list[tuple[str, str, str]] = field(default_factory=list)
 
-    async def accept(self, request: Request) -> dict[str, Any]:
+    async def accept(self, request: Request) -> JournalStatus:
         self.accepted.append(request)
-        return {"request_id": request.request_id, "state": "accepted"}
+        return JournalStatus(request.request_id, "accepted")
 
-    async def call(self, request: Request, wait: float) -> dict[str, Any]:
+    async def call(self, request: Request, wait: float) -> JournalStatus:
         self.called.append(request)
         return self.status_now
 
-    async def status(self, request_id: str, account: str) -> dict[str, Any]:
+    async def status(self, request_id: str, account: str) -> JournalStatus:
         self.asked.append(("status", request_id, account))
         return self.status_now
 
-    async def cancel(self, request_id: str, account: str) -> dict[str, Any]:
+    async def cancel(self, request_id: str, account: str) -> JournalStatus:
         self.asked.append(("cancel", request_id, account))
         return self.status_now
 
@@ -376,7 +377,6 @@
         clock: Clock | None = None,
         net: dict[str, GatewayProgram] | None = None,
         address: str = "gw-1:9200",
-        plan: Planner = recompute_all,
         **settings: Any,
     ) -> None:
         net = {} if net is None else net
@@ -404,7 +404,7 @@
             config=self.config,
             journal=self.journal,
             peers=FakePeers(address, net),
-            plan=plan,
+            trails=Trails(cfg.explain_requests),
         )
         self.program = GatewayProgram(
             GatewayConfig(NodeSettings(), cfg, "peer-secret", 64),
--- /dev/null
+++ b/tests/unit/gateway/test_events.py
@@ -0,0 +1,76 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.gateway.events import (
+    EventIds,
+    TextDigest,
+    read_event_id,
+    text_digest,
+)
+from ebonydeal._internal.gateway.live import Piece
+
+SOURCE = ("e-1", 3, "a-1")
+TOKENS = ["one ", "two ", "three "]
+
+
+def ids() -> EventIds:
+    return EventIds("secret", "kitchen", "r-0001-aa", "10.0.0.1:9200")
+
+
+def id_after(count: int) -> str:
+    made = ids()
+    pieces = [Piece(n, text) for n, text in enumerate(TOKENS[:count])]
+    return [made.make(SOURCE, piece) for piece in pieces][-1]
+
+
+def refused(text: str, account: str = "kitchen", credential: str = "secret") -> bool:
+    with pytest.raises(EbonydealError) as caught:
+        read_event_id(text, credential, account)
+    return caught.value.kind is ErrorKind.BAD_REQUEST
+
+
+class TestEventIds:
+    def test_there_and_back(self):
+        hint = read_event_id(id_after(2), "secret", "kitchen")
+        assert hint[:6] == ("r-0001-aa", "10.0.0.1:9200", "e-1", 3, "a-1", 1)
+        assert hint.digest == text_digest(TOKENS[:2])
+
+    def test_skipped_tokens_count(self):
+        made = ids()
+        made.skip(TOKENS[:2])
+        text = made.make(SOURCE, Piece(2, TOKENS[2]))
+        hint = read_event_id(text, "secret", "kitchen")
+        assert hint.digest == text_digest(TOKENS)
+
+    def test_end_mark_is_no_token(self):
+        made = ids()
+        made.skip(TOKENS)
+        text = made.make(SOURCE, Piece(3, "", "stop"))
+        hint = read_event_id(text, "secret", "kitchen")
+        assert (hint.position, hint.digest) == (3, text_digest(TOKENS))
+
+    def test_only_for_its_account_and_credential(self):
+        assert refused(id_after(1), account="other")
+        assert refused(id_after(1), credential="guess")
+
+    @given(st.integers(0, 200), st.characters(codec="ascii"))
+    def test_any_change_is_refused(self, at, char):
+        text = id_after(3)
+        at %= len(text)
+        changed = text[:at] + char + text[at + 1 :]
+        if changed != text:
+            assert refused(changed)
+
+    @given(st.text(max_size=60))
+    def test_any_text_is_refused(self, text):
+        assert refused(text)
+
+
+class TestTextDigest:
+    def test_tokens_are_set_off(self):
+        assert text_digest(["ab", "c"]) != text_digest(["a", "bc"])
+
+    def test_of_nothing(self):
+        assert text_digest([]) == TextDigest().hexdigest()
