--- a/src/ebonydeal/_internal/journal/appender.py
+++ b/src/ebonydeal/_internal/journal/appender.py
@@ -8,17 +8,14 @@
 
 import asyncio
 import random
-from collections import deque
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
 from enum import Enum
 
-import msgspec
-
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.journal.entries import Entry, EntryQueue
 from ebonydeal._internal.journal.pacing import Pacer
 from ebonydeal._internal.journal.rows import journal_key, shard_key
-from ebonydeal._internal.models.records import Record, record_to_message
+from ebonydeal._internal.models.records import Record
 from ebonydeal._internal.observe.counters import Event, Metrics, RetryReason, Timing
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.platform.interfaces import (
@@ -49,19 +46,6 @@
     UNAVAILABLE = "unavailable"
 
 
-@dataclass(eq=False)
-class _Entry:
-    """Records of one `Appender.append` call, which stay together."""
-
-    records: tuple[Record, ...]
-    messages: list[dict]
-    size: int
-    urgent: bool
-    hold: bool
-    asked_at: float
-    durable: asyncio.Future = field(repr=False)
-
-
 def fenced_error(shard: int) -> EbonydealError:
     """Return the error of work that a new owner of the shard has taken over."""
     return EbonydealError(ErrorKind.FENCED, f"shard {shard:04x} has a new owner")
@@ -105,11 +89,7 @@
         self._clock = clock
         self._rng = rng
         self._metrics = metrics
-        self._queue: deque[_Entry] = deque()
-        self._pending = 0
-        self._changed = asyncio.Event()
-        self._idle = asyncio.Event()
-        self._idle.set()
+        self._queue = EntryQueue(cfg.max_batch, cfg.max_row_bytes)
         self._doubt_since: float | None = None
         self._down_until = 0.0
         self._backoff = BACKOFF_FIRST_S
@@ -118,7 +98,7 @@
     @property
     def pending(self) -> int:
         """Records that wait or are being written."""
-        return self._pending
+        return self._queue.pending
 
     async def append(
         self,
@@ -151,7 +131,8 @@
             raise fenced_error(self._shard)
         if not hold:
             self._refuse_if_behind(len(records))
-        entry = self._enqueue(records, urgent, hold)
+        entry = Entry.of(records, urgent, hold, self._clock.now())
+        self._queue.add(entry)
         if patience is not None:
             await self._wait_patiently(entry, patience)
         await asyncio.shield(entry.durable)
@@ -160,19 +141,19 @@
         """Write batches until fenced or cancelled."""
         try:
             while await self._wait_for_turn():
-                await self._commit(self._take_batch())
+                await self._commit(self._queue.take_batch())
         finally:
-            self._fail_all()
+            self._queue.fail_all(fenced_error(self._shard))
 
     def close(self) -> None:
         """Take and write no more; what waits is answered as fenced."""
         self.fenced.set()
-        self._changed.set()
+        self._queue.changed.set()
 
     async def flush(self) -> None:
         """Return when nothing waits to be written, or the shard is fenced."""
         waits = {
-            asyncio.create_task(self._idle.wait()),
+            asyncio.create_task(self._queue.idle.wait()),
             asyncio.create_task(self.fenced.wait()),
         }
         await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
@@ -190,29 +171,12 @@
             raise EbonydealError(
                 ErrorKind.JOURNAL_UNAVAILABLE, "The table service does not answer."
             )
-        if self._pending + count > self._cfg.max_pending:
+        if self._queue.pending + count > self._cfg.max_pending:
             raise EbonydealError(
                 ErrorKind.JOURNAL_BEHIND, "Too many records wait to be written."
             )
 
-    def _enqueue(self, records: Sequence[Record], urgent: bool, hold: bool) -> _Entry:
-        messages = [record_to_message(record) for record in records]
-        entry = _Entry(
-            records=tuple(records),
-            messages=messages,
-            size=len(msgspec.json.encode(messages)),
-            urgent=urgent,
-            hold=hold,
-            asked_at=self._clock.now(),
-            durable=asyncio.get_running_loop().create_future(),
-        )
-        self._queue.append(entry)
-        self._pending += len(entry.records)
-        self._idle.clear()
-        self._changed.set()
-        return entry
-
-    async def _wait_patiently(self, entry: _Entry, patience: float) -> None:
+    async def _wait_patiently(self, entry: Entry, patience: float) -> None:
         timer = asyncio.ensure_future(self._clock.sleep(patience))
         try:
             await asyncio.wait(
@@ -222,9 +186,7 @@
             timer.cancel()
         if entry.durable.done():
             return
-        if entry in self._queue:
-            self._queue.remove(entry)
-            self._finish(entry, fenced_error(self._shard))
+        if self._queue.withdraw(entry):
             raise EbonydealError(
                 ErrorKind.JOURNAL_UNAVAILABLE, "The table service is too slow."
             )
@@ -232,30 +194,15 @@
             ErrorKind.STORE_IN_DOUBT, "The table service has not confirmed the write."
         )
 
-    def _finish(self, entry: _Entry, error: EbonydealError | None) -> None:
-        self._pending -= len(entry.records)
-        if not entry.durable.done():
-            if error is None:
-                entry.durable.set_result(None)
-            else:
-                entry.durable.set_exception(error)
-                entry.durable.exception()
-        if self._pending == 0:
-            self._idle.set()
-
-    def _fail_all(self) -> None:
-        while self._queue:
-            self._finish(self._queue.popleft(), fenced_error(self._shard))
-
     # --- batching ----------------------------------------------------------
     async def _wait_for_turn(self) -> bool:
         """Wait for records and for the write budget; return False once fenced."""
         while not self.fenced.is_set():
-            self._changed.clear()
-            if not self._queue:
-                await self._changed.wait()
+            self._queue.changed.clear()
+            if not self._queue.entries:
+                await self._queue.changed.wait()
                 continue
-            urgent = any(entry.urgent for entry in self._queue)
+            urgent = self._queue.is_urgent
             wait = self._pacer.wait(self._clock.now(), urgent)
             if wait <= 0.0:
                 self._pacer.take(self._clock.now(), urgent)
@@ -267,29 +214,15 @@
         """Sleep; a new entry ends it early only if it could be sooner."""
         waits: set[asyncio.Future] = {asyncio.ensure_future(self._clock.sleep(wait))}
         if not urgent:
-            waits.add(asyncio.ensure_future(self._changed.wait()))
+            waits.add(asyncio.ensure_future(self._queue.changed.wait()))
         try:
             await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
         finally:
             for fut in waits:
                 fut.cancel()
 
-    def _take_batch(self) -> list[_Entry]:
-        """Take entries in their order up to the size of a row."""
-        batch: list[_Entry] = []
-        count = size = 0
-        while self._queue:
-            entry = self._queue[0]
-            count += len(entry.records)
-            size += entry.size
-            full = count > self._cfg.max_batch or size > self._cfg.max_row_bytes
-            if full and batch:
-                break
-            batch.append(self._queue.popleft())
-        return batch
-
     # --- writing -----------------------------------------------------------
-    async def _commit(self, batch: list[_Entry]) -> None:
+    async def _commit(self, batch: list[Entry]) -> None:
         """Write one row, however often it must be tried."""
         token = new_token("b", self._rng)
         messages = [item for entry in batch for item in entry.messages]
@@ -309,7 +242,7 @@
                 delay = min(delay * 2, BACKOFF_MOST_S)
         except BaseException:
             for entry in batch:
-                self._finish(entry, fenced_error(self._shard))
+                self._queue.finish(entry, fenced_error(self._shard))
             raise
 
     async def _try(self, row: dict) -> Verdict:
@@ -350,7 +283,7 @@
             return if_absent
         return Verdict.DURABLE if row.value.get("batch") == token else Verdict.FENCED
 
-    def _acknowledge(self, batch: list[_Entry]) -> None:
+    def _acknowledge(self, batch: list[Entry]) -> None:
         seq = self.seq
         self.seq += 1
         self._doubt_since = None
@@ -362,16 +295,16 @@
         now = self._clock.now()
         for entry in batch:
             self._metrics.timed(Timing.APPEND, now - entry.asked_at)
-            self._finish(entry, None)
+            self._queue.finish(entry, None)
 
-    def _fence(self, batch: list[_Entry]) -> None:
+    def _fence(self, batch: list[Entry]) -> None:
         logger.warning("Fenced.", shard=self._shard, epoch=self._epoch)
         self._metrics.count(Event.APPENDS_FENCED)
         self.fenced.set()
         for entry in batch:
-            self._finish(entry, fenced_error(self._shard))
+            self._queue.finish(entry, fenced_error(self._shard))
 
-    async def _put_back(self, batch: list[_Entry]) -> None:
+    async def _put_back(self, batch: list[Entry]) -> None:
         """Nothing took effect: keep what must be kept and refuse the rest."""
         refusal = EbonydealError(
             ErrorKind.JOURNAL_UNAVAILABLE, "The table service is unavailable."
@@ -379,8 +312,8 @@
         held = [entry for entry in batch if entry.hold]
         for entry in batch:
             if not entry.hold:
-                self._finish(entry, refusal)
-        self._queue.extendleft(reversed(held))
+                self._queue.finish(entry, refusal)
+        self._queue.put_back(held)
         self._down_until = self._clock.now() + self._backoff
         self._metrics.retried(RetryReason.STORE)
         await self._clock.sleep(self._backoff)
--- a/src/ebonydeal/_internal/journal/bodies.py
+++ b/src/ebonydeal/_internal/journal/bodies.py
@@ -5,7 +5,11 @@
 """
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
-from ebonydeal._internal.journal.rows import bodies_prefix, body_object
+from ebonydeal._internal.journal.rows import (
+    bodies_prefix,
+    body_object,
+    snapshots_prefix,
+)
 from ebonydeal._internal.models.requests import Request, StoredAnswer
 from ebonydeal._internal.platform.interfaces import Objects
 from ebonydeal._internal.settings.journal import JournalSettings
@@ -89,4 +93,5 @@
 
     async def former(self) -> list[str]:
         """Return all objects of the shard, before this epoch has made any."""
-        return await self._objects.names(bodies_prefix(self._shard))
+        bodies = await self._objects.names(bodies_prefix(self._shard))
+        return bodies + await self._objects.names(snapshots_prefix(self._shard))
--- a/src/ebonydeal/_internal/journal/owner.py
+++ b/src/ebonydeal/_internal/journal/owner.py
@@ -15,16 +15,11 @@
 from ebonydeal._internal.journal.appender import Appender, fenced_error
 from ebonydeal._internal.journal.bodies import Bodies
 from ebonydeal._internal.journal.claims import Claim, release_shard
-from ebonydeal._internal.journal.fold import Phase, RequestState, apply_all, expired
+from ebonydeal._internal.journal.fold import Phase, RequestState, apply_all
 from ebonydeal._internal.journal.pacing import Pacer
-from ebonydeal._internal.journal.snapshots import (
-    Replayed,
-    encode_states,
-    replay,
-    save_snapshot,
-    trim,
-)
+from ebonydeal._internal.journal.snapshots import Replayed, replay
 from ebonydeal._internal.journal.status import StatusMessage, status_message
+from ebonydeal._internal.journal.upkeep import Upkeep
 from ebonydeal._internal.models.records import (
     Accepted,
     Expired,
@@ -32,7 +27,7 @@
     Unknown,
 )
 from ebonydeal._internal.models.requests import Request, StoredAnswer
-from ebonydeal._internal.observe.counters import Event, Metrics
+from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.platform.interfaces import Objects, Tables
 from ebonydeal._internal.settings.journal import JournalSettings
@@ -42,7 +37,6 @@
 
 REPLAY_RETRY_S = 0.5
 UPKEEP_S = 1.0
-EXPIRE_AT_ONCE = 500
 STORE_RETRY_S = 1.0
 
 
@@ -106,8 +100,16 @@
         self._bodies = Bodies(parts.objects, claim.shard, claim.epoch, parts.cfg)
         self._accepting: dict[str, asyncio.Task[None]] = {}
         self._changes: dict[str, asyncio.Event] = {}
-        self._snapshot_seq = 0
-        self._forget: list[str] = []
+        self.upkeep = Upkeep(
+            claim,
+            self.states,
+            self._bodies,
+            tables=parts.tables,
+            objects=parts.objects,
+            cfg=parts.cfg,
+            clock=parts.clock,
+            metrics=parts.metrics,
+        )
         self._appender = self._new_appender(0)
 
     def _new_appender(self, seq: int) -> Appender:
@@ -130,9 +132,9 @@
     async def _live(self) -> None:
         """Replay, then write until fenced."""
         replayed = await self._replay()
-        former = await self._former_objects()
+        former = await self.upkeep.former_objects()
         self.open(replayed)
-        self.add_future(self._sweep(former))
+        self.add_future(self.upkeep.sweep(former, replayed.snapshot))
         await self._appender.run()
         self.lose()
 
@@ -147,8 +149,8 @@
 
     def open(self, replayed: Replayed) -> None:
         """Start serving what a replay found."""
-        self.states = replayed.states
-        self._snapshot_seq = replayed.snapshot_seq
+        self.states.update(replayed.states)
+        self.upkeep.snapshot_seq = replayed.snapshot_seq
         self._appender = self._new_appender(replayed.seq)
         self.serving = True
         cut_off: list[Record] = []
@@ -330,7 +332,7 @@
         """Fold a durable row and wake whom it concerns."""
         for record in records:
             if isinstance(record, Expired):
-                self._note_objects(record.request_id)
+                self.upkeep.note_objects(record.request_id)
             apply_all(self.states, [record])
             if isinstance(record, Accepted):
                 request_id = record.request.request_id
@@ -343,69 +345,16 @@
                 if event is not None:
                     event.set()
 
-    def _note_objects(self, request_id: str) -> None:
-        """Remember the objects of a request that is being forgotten."""
-        state = self.states.get(request_id)
-        if state is not None:
-            names = [state.request.body_object]
-            if state.answer is not None:
-                names.append(state.answer.body_object)
-            self._forget += [name for name in names if name]
-
     # --- upkeep -----------------------------------------------------------------------
     @Service.task
-    async def _upkeep(self) -> None:
+    async def _keep_up(self) -> None:
         """Expire and snapshot now and then."""
         while not self.should_stop and not self._lost:
             await self._clock.sleep(UPKEEP_S)
             if not self.serving:
                 continue
             try:
-                await self.expire()
-                await self.snapshot_if_due()
+                await self.upkeep.expire(self._appender)
+                await self.upkeep.snapshot_if_due(self._appender.seq)
             except EbonydealError as exc:
                 logger.warning("Upkeep failed.", shard=self.shard, error=str(exc))
-
-    async def expire(self) -> None:
-        """Forget requests that were final longer ago than the retention."""
-        before = self._clock.wall() - self._cfg.retention_seconds
-        records = expired(self.states, before, EXPIRE_AT_ONCE)
-        if records:
-            await self._appender.append(records)
-            names, self._forget = self._forget, []
-            await self._bodies.forget(names)
-
-    async def snapshot_if_due(self) -> bool:
-        """Snapshot and trim when enough rows have been written since the last."""
-        seq = self._appender.seq
-        if seq - self._snapshot_seq < self._cfg.snapshot_rows:
-            return False
-        parts = self._parts
-        data = encode_states(self.states.values())
-        replaced = await save_snapshot(
-            parts.tables, parts.objects, self.claim, seq, data
-        )
-        if replaced is None:
-            return False
-        self._snapshot_seq = seq
-        parts.metrics.count(Event.SNAPSHOTS)
-        await trim(parts.tables, self.claim, seq)
-        if replaced:
-            await self._bodies.forget([replaced])
-        return True
-
-    async def _former_objects(self) -> list[str]:
-        """Return objects of former owners; none while the store is down."""
-        try:
-            return await self._bodies.former()
-        except EbonydealError:
-            return []
-
-    async def _sweep(self, names: list[str]) -> None:
-        """Delete former owners' objects that no request refers to."""
-        used = set()
-        for state in self.states.values():
-            used.add(state.request.body_object)
-            if state.answer is not None:
-                used.add(state.answer.body_object)
-        await self._bodies.forget([name for name in names if name not in used])
--- a/src/ebonydeal/_internal/journal/rows.py
+++ b/src/ebonydeal/_internal/journal/rows.py
@@ -35,9 +35,14 @@
     return f"snapshots/{shard:04x}"
 
 
+def snapshots_prefix(shard: int) -> str:
+    """Return what the names of a shard's snapshot objects start with."""
+    return f"snapshots/{shard:04x}/"
+
+
 def snapshot_object(shard: int, epoch: int, seq: int) -> str:
     """Return a snapshot's object, which no other snapshot shares."""
-    return f"snapshots/{shard:04x}/{epoch:08d}-{seq:0{_SEQ_DIGITS}d}"
+    return f"{snapshots_prefix(shard)}{epoch:08d}-{seq:0{_SEQ_DIGITS}d}"
 
 
 def bodies_prefix(shard: int) -> str:
--- a/src/ebonydeal/_internal/journal/snapshots.py
+++ b/src/ebonydeal/_internal/journal/snapshots.py
@@ -55,6 +55,9 @@
         return cls(int(value["epoch"]), int(value["seq"]), str(value["object"]))
 
 
+_NO_SNAPSHOT = SnapshotRow(0, 0, "")
+
+
 class Replayed(NamedTuple):
     """What a new owner starts from.
 
@@ -68,12 +71,15 @@
         First row that is not in the snapshot.
     rows : int
         Rows that were read after the snapshot.
+    snapshot : str
+        Object of the snapshot; empty for none.
     """
 
     states: dict[str, RequestState]
     seq: int
     snapshot_seq: int
     rows: int
+    snapshot: str = ""
 
 
 def encode_states(states: Iterable[RequestState]) -> bytes:
@@ -101,17 +107,16 @@
     apply_all(states, records)
 
 
-async def _load(objects: Objects, row: Row | None) -> tuple[dict, int]:
-    """Return the snapshot's states and its sequence number."""
-    if row is None:
-        return {}, 0
-    snapshot = SnapshotRow.from_value(row.value)
+async def _load(objects: Objects, snapshot: SnapshotRow) -> dict[str, RequestState]:
+    """Return the snapshot's states."""
+    if not snapshot.object:
+        return {}
     data = await objects.get(snapshot.object)
     if data is None:
         raise EbonydealError(
             ErrorKind.STORE_UNAVAILABLE, f"snapshot {snapshot.object} is not there"
         )
-    return decode_states(data), snapshot.seq
+    return decode_states(data)
 
 
 async def replay(tables: Tables, objects: Objects, shard: int) -> Replayed:
@@ -120,8 +125,12 @@
     Rows below the snapshot are never read: a write that landed late may have
     filled a trimmed row again. Raises the stores' errors; the caller repeats.
     """
-    states, first = await _load(objects, await tables.get(snapshot_key(shard)))
-    seq = first
+    found = await tables.get(snapshot_key(shard))
+    snapshot = _NO_SNAPSHOT
+    if found is not None:
+        snapshot = SnapshotRow.from_value(found.value)
+    states = await _load(objects, snapshot)
+    seq = snapshot.seq
     count = 0
     while True:
         start = journal_key(shard, seq)
@@ -134,7 +143,7 @@
             seq = number + 1
         count += len(rows)
         if len(rows) < PAGE_ROWS:
-            return Replayed(states, seq, first, count)
+            return Replayed(states, seq, snapshot.seq, count, snapshot.object)
 
 
 async def save_snapshot(
--- /dev/null
+++ b/src/ebonydeal/_internal/journal/upkeep.py
@@ -0,0 +1,111 @@
+"""What keeps a shard small: expiry, snapshots, trim, and sweeping of objects."""
+
+from ebonydeal._internal.errors import EbonydealError
+from ebonydeal._internal.journal.appender import Appender
+from ebonydeal._internal.journal.bodies import Bodies
+from ebonydeal._internal.journal.claims import Claim
+from ebonydeal._internal.journal.fold import RequestState, expired
+from ebonydeal._internal.journal.snapshots import encode_states, save_snapshot, trim
+from ebonydeal._internal.observe.counters import Event, Metrics
+from ebonydeal._internal.platform.interfaces import Objects, Tables
+from ebonydeal._internal.settings.journal import JournalSettings
+from ebonydeal._internal.utils.clock import Clock
+
+EXPIRE_AT_ONCE = 500
+
+
+class Upkeep:
+    """Upkeep of one shard during one epoch; called by its owner only.
+
+    Parameters
+    ----------
+    claim : Claim
+        The owner's claim.
+    states : dict of str to RequestState
+        The owner's own states, as they change.
+    bodies : Bodies
+        Of the same shard and epoch.
+    """
+
+    def __init__(
+        self,
+        claim: Claim,
+        states: dict[str, RequestState],
+        bodies: Bodies,
+        *,
+        tables: Tables,
+        objects: Objects,
+        cfg: JournalSettings,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.snapshot_seq = 0
+        self._claim = claim
+        self._states = states
+        self._bodies = bodies
+        self._tables = tables
+        self._objects = objects
+        self._cfg = cfg
+        self._clock = clock
+        self._metrics = metrics
+        self._forget: list[str] = []
+
+    def note_objects(self, request_id: str) -> None:
+        """Remember the objects of a request that is being forgotten."""
+        state = self._states.get(request_id)
+        if state is not None:
+            self._forget += _objects_of(state)
+
+    async def expire(self, appender: Appender) -> None:
+        """Forget requests that were final longer ago than the retention.
+
+        Objects go only after the record is durable.
+        """
+        before = self._clock.wall() - self._cfg.retention_seconds
+        records = expired(self._states, before, EXPIRE_AT_ONCE)
+        if records:
+            await appender.append(records)
+            names, self._forget = self._forget, []
+            await self._bodies.forget(names)
+
+    async def snapshot_if_due(self, seq: int) -> bool:
+        """Snapshot and trim when enough rows have been written since the last.
+
+        ``seq`` is the next row's number; all rows below it are folded into the
+        states. Raises the stores' errors.
+        """
+        if seq - self.snapshot_seq < self._cfg.snapshot_rows:
+            return False
+        data = encode_states(self._states.values())
+        replaced = await save_snapshot(
+            self._tables, self._objects, self._claim, seq, data
+        )
+        if replaced is None:
+            return False
+        self.snapshot_seq = seq
+        self._metrics.count(Event.SNAPSHOTS)
+        await trim(self._tables, self._claim, seq)
+        if replaced:
+            await self._bodies.forget([replaced])
+        return True
+
+    async def former_objects(self) -> list[str]:
+        """Return objects of former owners; none while the store is down."""
+        try:
+            return await self._bodies.former()
+        except EbonydealError:
+            return []
+
+    async def sweep(self, names: list[str], snapshot: str) -> None:
+        """Delete former owners' objects, but for those in use."""
+        used = {name for state in self._states.values() for name in _objects_of(state)}
+        used.add(snapshot)
+        await self._bodies.forget([name for name in names if name not in used])
+
+
+def _objects_of(state: RequestState) -> list[str]:
+    """Return the names of a request's objects."""
+    names = [state.request.body_object]
+    if state.answer is not None:
+        names.append(state.answer.body_object)
+    return [name for name in names if name]
--- a/tests/lib/journal_fakes.py
+++ b/tests/lib/journal_fakes.py
@@ -166,6 +166,26 @@
 )
 
 
+class Pausable:
+    """Passes calls on to ``inner``, each held up while paused, both ways."""
+
+    def __init__(self, inner: Any, running: asyncio.Event) -> None:
+        self._inner = inner
+        self._running = running
+
+    def __getattr__(self, name: str) -> Any:
+        method = getattr(self._inner, name)
+
+        async def paused(*args: Any, **kwargs: Any) -> Any:
+            await self._running.wait()
+            try:
+                return await method(*args, **kwargs)
+            finally:
+                await self._running.wait()
+
+        return paused
+
+
 class World:
     """Stores and endpoints that outlive the processes of a test."""
 
@@ -200,17 +220,19 @@
         self.world = world
         self.me = Identity(name, f"{name}:1", 1)
         self.metrics = Metrics()
+        self.running = asyncio.Event()
+        self.running.set()
         self.dispatcher = Dispatcher(
             world.picker,
             world.engine,  # type: ignore[arg-type]
-            world.services,
+            Pausable(world.services, self.running),
             cfg=world.cfg,
             clock=world.clock,
             metrics=self.metrics,
         )
         budget = Budget(world.cfg.writes_per_s, world.cfg.urgent_writes_per_s)
         self.parts = OwnerParts(
-            world.tables,
+            Pausable(world.tables, self.running),
             world.objects,
             self.dispatcher,
             Pacer(budget, world.clock.now()),
@@ -242,6 +264,7 @@
 
     async def kill(self) -> None:
         """End at once, as a crash does: nothing more is written."""
+        self.running.set()
         for owner in self.owners:
             owner.lose()
             await owner.stop()
