Add the mixed load and the independent check

Cause: outcomes must be judged from outside of the system. Change: callers that send four kinds of requests through a tiny balancer and keep their own logs; a pure check of those against the endpoints' logs. Figures: the unit tests plant each violation alone, and each is found alone.

--- /dev/null
+++ b/tests/unit/standin/test_check.py
@@ -0,0 +1,135 @@
+import pytest
+
+from ebonydeal._internal.errors import Outcome
+from ebonydeal._internal.standin.calls import (
+    CallKind,
+    CallRecord,
+    chat_call,
+    service_call,
+)
+from ebonydeal._internal.standin.check import Violation, check, judge_content
+
+STREAM = chat_call(CallKind.STREAM, "s-1", "covers", "a prompt", 5)
+OTHER = chat_call(CallKind.STREAM, "s-2", "covers", "another prompt", 5)
+LATER = chat_call(CallKind.DEFERRED, "d-1", "covers", "a third prompt", 5)
+COMMIT = service_call(CallKind.COMMIT, "c-1", "paperwork", "POST", "/commit", b"c-1")
+LOOKUP = service_call(CallKind.LOOKUP, "l-1", "paperwork", "GET", "/labels/1", b"")
+
+
+def record(call, outcome=Outcome.ANSWERED, got=None, **fields):
+    if got is None:
+        got = call.expected if outcome is Outcome.ANSWERED else ()
+    return CallRecord(call, got=list(got), outcome=outcome, **fields)
+
+
+def attempt(call, start=0, position=5, prefilled=10, state="finished", at=1.0, **more):
+    entry = {
+        "digest": call.digest,
+        "start": start,
+        "position": position,
+        "prefilled": prefilled,
+        "state": state,
+        "at": at,
+        "after_leaving": None,
+    }
+    return {"endpoint_id": "i-1", "kind": "engine", "entries": [{**entry, **more}]}
+
+
+def run(call, ran=True, after_leaving=None):
+    entry = {"digest": call.digest, "ran": ran, "after_leaving": after_leaving}
+    return {"endpoint_id": "i-2", "kind": "service", "entries": [entry]}
+
+
+def violations(records, logs):
+    return [(item.violation, item.subject) for item in check(records, logs).findings]
+
+
+class TestCleanRun:
+    def test_nothing_is_found_and_all_is_counted(self):
+        records = [
+            record(STREAM, refusals={"queue_full": 2}),
+            record(OTHER, Outcome.NOT_RUN, refusals={"queue_full": 1}),
+            record(LATER),
+            record(COMMIT),
+            record(LOOKUP),
+        ]
+        logs = [attempt(STREAM), attempt(LATER), run(COMMIT), run(LOOKUP), run(LOOKUP)]
+        verdict = check(records, logs)
+        assert verdict.findings == ()
+        assert (verdict.sent, verdict.completed, verdict.not_run) == (5, 4, 1)
+        assert verdict.by_kind == {
+            "stream": {"sent": 2, "completed": 1},
+            "lookup": {"sent": 1, "completed": 1},
+            "deferred": {"sent": 1, "completed": 1},
+            "commit": {"sent": 1, "completed": 1},
+        }
+        assert verdict.refused == {"queue_full": 3}
+        assert verdict.recomputed_tokens == 0
+
+
+class TestPlantedViolations:
+    @pytest.mark.parametrize(
+        ("bad", "logs", "violation"),
+        [
+            (record(LATER, None, accepted=True), [], Violation.LOST),
+            (record(LATER, Outcome.NOT_RUN, accepted=True), [], Violation.LOST),
+            (record(STREAM, None, STREAM.expected[:2], accepted=True), [], "lost"),
+            (record(LOOKUP, None), [], Violation.LOST),
+            (record(COMMIT, Outcome.UNKNOWN), [run(COMMIT)], Violation.UNKNOWN),
+            (record(COMMIT), [run(COMMIT), run(COMMIT)], Violation.DUPLICATED),
+            (record(COMMIT), [run(COMMIT, ran=False)], Violation.NEVER_RAN),
+            (record(COMMIT, Outcome.NOT_RUN), [run(COMMIT)], Violation.RAN),
+            (record(STREAM, Outcome.NOT_RUN), [attempt(STREAM)], Violation.RAN),
+            (record(STREAM, got=STREAM.expected[:4]), [], Violation.TOKENS_MISSING),
+            (record(STREAM, got=STREAM.expected[1:]), [], Violation.TOKENS_MISSING),
+            (
+                record(STREAM, got=STREAM.expected[:3] + STREAM.expected[2:]),
+                [],
+                Violation.TOKENS_DOUBLED,
+            ),
+            (record(STREAM, got=STREAM.expected[::-1]), [], Violation.WRONG),
+            (record(LOOKUP, got=["{}"]), [], Violation.WRONG),
+        ],
+    )
+    def test_each_is_found_alone(self, bad, logs, violation):
+        found = violations([bad, record(OTHER)], logs)
+        assert found == [(violation, bad.call.call_id)]
+
+    def test_answer_of_another_request(self):
+        records = [record(STREAM, got=OTHER.expected), record(OTHER)]
+        assert violations(records, []) == [(Violation.FOREIGN, "s-1")]
+        assert check(records, []).completed == 1
+
+    def test_duplicate_with_a_lost_answer_is_both(self):
+        bad = record(COMMIT, Outcome.UNKNOWN)
+        assert violations([bad], [run(COMMIT), run(COMMIT)]) == [
+            (Violation.UNKNOWN, "c-1"),
+            (Violation.DUPLICATED, "c-1"),
+        ]
+
+    def test_new_work_on_a_leaving_endpoint(self):
+        logs = [run(LOOKUP, after_leaving=2.9), run(LOOKUP, after_leaving=3.1)]
+        assert violations([], logs) == [(Violation.LATE_WORK, "i-2")]
+
+
+class TestRecomputedTokens:
+    def test_prefill_and_repeated_tokens_of_later_attempts(self):
+        logs = [
+            attempt(STREAM, 3, 5, prefilled=4, at=2.0),
+            attempt(STREAM, 0, 3, prefilled=10, at=1.0, state="dropped"),
+            attempt(STREAM, 2, 4, prefilled=1, at=3.0),
+        ]
+        assert check([], logs).recomputed_tokens == 4 + 1 + 2
+
+    def test_attempts_that_never_started_cost_nothing(self):
+        logs = [attempt(STREAM), attempt(STREAM, state="not_started", at=2.0)]
+        assert check([], logs).recomputed_tokens == 0
+
+
+class TestJudgeContent:
+    def test_repeated_words_of_a_right_answer_are_right(self):
+        assert judge_content(["a ", "a "], ["a ", "a "], set()) is None
+
+    def test_extra_foreign_tokens_are_wrong(self):
+        got = ["a ", "b ", "x "]
+        assert judge_content(got, ["a ", "b "], set()) is Violation.WRONG
