--- /dev/null
+++ b/src/ebonydeal/_internal/benchmarks/capacity/measures.py
@@ -0,0 +1,289 @@
+"""Slopes measured in process, each against its own size.
+
+Keys are those that `roles` refers to. Work is the product's own code on made-up
+values; nothing is simulated.
+"""
+
+import json
+import random
+from collections.abc import Callable
+from typing import Any
+
+from ebonydeal._internal.benchmarks.capacity.fit import Point, Slope, fit
+from ebonydeal._internal.benchmarks.capacity.samples import (
+    cloud_instance,
+    endpoint_message,
+    endpoint_view,
+    instance_row,
+    member,
+    place,
+    request,
+)
+from ebonydeal._internal.benchmarks.capacity.timing import cpu_us, memory_bytes
+from ebonydeal._internal.controller.reconcile import (
+    Observed,
+    ReconcilePolicy,
+    Wanted,
+    plan,
+)
+from ebonydeal._internal.controller.values import OfferKey
+from ebonydeal._internal.directory.table import EndpointTable
+from ebonydeal._internal.journal.fold import RequestState, apply_all
+from ebonydeal._internal.journal.snapshots import encode_states
+from ebonydeal._internal.models.records import Accepted, record_to_message
+from ebonydeal._internal.peers.membership import Membership
+from ebonydeal._internal.peers.topics import MembersTopic
+from ebonydeal._internal.platform.instances import endpoint_from_message
+from ebonydeal._internal.routing.router import Router
+from ebonydeal._internal.routing.types import RouteRequest
+from ebonydeal._internal.settings.routing import RoutingSettings
+from ebonydeal._internal.utils.clock import SystemClock
+from ebonydeal._internal.utils.prefix import prefix_blocks
+
+_AT = 1_800_000_000.0
+_LIST_SIZES = (250, 1000, 2000, 4000)
+_MEMBER_SIZES = (9, 50, 150, 350)
+_VIEW_SIZES = (8, 16, 64, 128)
+_RECORD_SIZES = (100, 400, 1000)
+_REPLICA_SIZES = (10, 100, 500, 1000)
+_PROMPT_WORDS = 1000
+
+
+def measure_in_process() -> list[Slope]:
+    """Return every slope that needs no second process; takes about a minute."""
+    return [
+        *_instance_list(),
+        *_membership(),
+        *_routing(),
+        *_journal(),
+        *_controller(),
+    ]
+
+
+def _line(
+    key: str,
+    what: str,
+    per: str,
+    sizes: tuple[int, ...],
+    measure: Callable[[int], float],
+) -> Slope:
+    """Measure at each size and fit."""
+    points = [Point(size, measure(size)) for size in sizes]
+    return fit(key, what, per, points)
+
+
+# --- instance list ---------------------------------------------------------------
+def _list_body(size: int) -> str:
+    return json.dumps({"endpoints": [endpoint_message(n) for n in range(size)]})
+
+
+def _read_list(body: str) -> list[Any]:
+    return [endpoint_from_message(item) for item in json.loads(body)["endpoints"]]
+
+
+def _table_of(size: int) -> EndpointTable:
+    table = EndpointTable()
+    table.replace([endpoint_view(n) for n in range(size)], _AT)
+    return table
+
+
+def _instance_list() -> list[Slope]:
+    bodies = {size: _list_body(size) for size in _LIST_SIZES}
+    return [
+        _line(
+            "list.bytes",
+            "bytes of one whole instance list",
+            "endpoint",
+            _LIST_SIZES,
+            lambda size: float(len(bodies[size])),
+        ),
+        _line(
+            "list.cpu",
+            "us of processor time to read one whole list",
+            "endpoint",
+            _LIST_SIZES,
+            lambda size: cpu_us(lambda: _read_list(bodies[size]), 3),
+        ),
+        _line(
+            "list.memory",
+            "bytes of memory of the endpoint table",
+            "endpoint",
+            _LIST_SIZES,
+            lambda size: memory_bytes(lambda: _table_of(size)),
+        ),
+    ]
+
+
+# --- membership --------------------------------------------------------------------
+def _members(size: int) -> Membership:
+    group = Membership(member(0))
+    for number in range(1, size):
+        group.merge(member(number), _AT)
+    for _ in range(100 * size):
+        if not group.updates():
+            break
+    return group
+
+
+def _membership() -> list[Slope]:
+    groups = {size: _members(size) for size in _MEMBER_SIZES}
+
+    def round_us(size: int) -> float:
+        ours = MembersTopic(groups[size], SystemClock())
+        theirs = json.loads(json.dumps(ours.digest()))
+        return cpu_us(lambda: (ours.digest(), ours.answer(theirs)), 200)
+
+    return [
+        _line(
+            "members.memory",
+            "bytes of memory of the membership",
+            "member",
+            _MEMBER_SIZES,
+            lambda size: memory_bytes(lambda: _members(size)),
+        ),
+        _line(
+            "members.cpu",
+            "us of processor time of one quiet round's digest and answer",
+            "member",
+            _MEMBER_SIZES,
+            round_us,
+        ),
+        _line(
+            "members.tick",
+            "us of processor time of one look for members to remove",
+            "member",
+            _MEMBER_SIZES,
+            lambda size: cpu_us(lambda: groups[size].tick(_AT + 1.0), 200),
+        ),
+        _line(
+            "members.bytes",
+            "bytes of one quiet digest",
+            "member",
+            _MEMBER_SIZES,
+            lambda size: float(
+                len(json.dumps(MembersTopic(groups[size], SystemClock()).digest()))
+            ),
+        ),
+    ]
+
+
+# --- routing -----------------------------------------------------------------------
+def _ask() -> RouteRequest:
+    prompt = " ".join(f"w{n}" for n in range(_PROMPT_WORDS))
+    return RouteRequest(
+        request_id="r-0000-0000000000000000",
+        deployment="covers",
+        model="covers-7b",
+        blocks=prefix_blocks("covers-7b", prompt),
+        prompt_tokens=_PROMPT_WORDS,
+        max_tokens=200,
+        place=place(0),
+    )
+
+
+def _decide_us(size: int) -> float:
+    router = Router.from_config(RoutingSettings(), random.Random(1))
+    views = tuple(endpoint_view(n) for n in range(size))
+    ask = _ask()
+    return cpu_us(lambda: router.choose(ask, views, _AT), 30)
+
+
+def _routing() -> list[Slope]:
+    return [
+        _line(
+            "route.cpu",
+            "us of processor time of one routing decision",
+            "endpoint looked at",
+            _VIEW_SIZES,
+            _decide_us,
+        )
+    ]
+
+
+# --- journal -----------------------------------------------------------------------
+def _states(size: int) -> dict[str, RequestState]:
+    states: dict[str, RequestState] = {}
+    apply_all(states, [Accepted(request(number)) for number in range(size)])
+    return states
+
+
+def _journal() -> list[Slope]:
+    records = {
+        size: [Accepted(request(number)) for number in range(size)]
+        for size in _RECORD_SIZES
+    }
+
+    def row(size: int) -> str:
+        return json.dumps([record_to_message(record) for record in records[size]])
+
+    return [
+        _line(
+            "journal.memory",
+            "bytes of memory of requests that are not final",
+            "request",
+            _RECORD_SIZES,
+            lambda size: memory_bytes(lambda: _states(size)),
+        ),
+        _line(
+            "journal.cpu",
+            "us of processor time to encode and fold one row",
+            "record",
+            _RECORD_SIZES,
+            lambda size: cpu_us(lambda: (row(size), apply_all({}, records[size])), 3),
+        ),
+        _line(
+            "journal.bytes",
+            "bytes of one row",
+            "record",
+            _RECORD_SIZES,
+            lambda size: float(len(row(size))),
+        ),
+        _line(
+            "journal.snapshot",
+            "us of processor time to encode one snapshot",
+            "request",
+            _RECORD_SIZES,
+            lambda size: cpu_us(lambda: encode_states(_states(size).values()), 3),
+        ),
+    ]
+
+
+# --- controller --------------------------------------------------------------------
+def _observed(size: int) -> Observed:
+    rows = {row.token: row for row in map(instance_row, range(size))}
+    instances = {item.token: item for item in map(cloud_instance, range(size))}
+    prices = {OfferKey.of(row): row.price_per_hour for row in rows.values()}
+    return Observed(instances, rows, set(rows), set(), {}, prices)
+
+
+def _wanted(observed: Observed) -> Wanted:
+    counts: dict[OfferKey, int] = {}
+    for row in observed.rows.values():
+        counts[OfferKey.of(row)] = counts.get(OfferKey.of(row), 0) + 1
+    return Wanted(counts, len(observed.rows), 1e9)
+
+
+def _plan_us(size: int) -> float:
+    observed = _observed(size)
+    wanted = _wanted(observed)
+    policy = ReconcilePolicy()
+    return cpu_us(lambda: plan(wanted, observed, policy, _AT), 5)
+
+
+def _controller() -> list[Slope]:
+    return [
+        _line(
+            "plan.cpu",
+            "us of processor time of one plan with nothing to do",
+            "replica",
+            _REPLICA_SIZES,
+            _plan_us,
+        ),
+        _line(
+            "plan.memory",
+            "bytes of memory of rows and instances",
+            "replica",
+            _REPLICA_SIZES,
+            lambda size: memory_bytes(lambda: _observed(size)),
+        ),
+    ]
--- a/src/ebonydeal/_internal/observe/counters.py
+++ b/src/ebonydeal/_internal/observe/counters.py
@@ -8,7 +8,12 @@
 from enum import StrEnum
 
 from hdrh.histogram import HdrHistogram
-from prometheus_client import CollectorRegistry, Counter, generate_latest
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    ProcessCollector,
+    generate_latest,
+)
 from prometheus_client.core import SummaryMetricFamily
 from prometheus_client.registry import Collector
 
@@ -115,6 +120,7 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
+        ProcessCollector(registry=self.registry)
         self._refusals = Counter(
             "ebonydeal_refusals",
             "Requests refused, by reason.",
