Add the stand-in and load commands

Cause: users and tests need the stand-ins and the load as processes. Change: 'ebonydeal standin' runs each stand-in or a whole world with pages to reclaim and break it; 'ebonydeal bench load' sends the mixed load. Conclusion: both commands are registered.

--- a/src/ebonydeal/_internal/cli/main.py
+++ b/src/ebonydeal/_internal/cli/main.py
@@ -3,9 +3,15 @@
 import click
 
 from ebonydeal import __version__
+from ebonydeal._internal.commands.bench import bench_command
+from ebonydeal._internal.commands.standin import standin_command
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(__version__)
 def main() -> None:
     """Serve language models and plain services on reclaimable instances."""
+
+
+main.add_command(bench_command)
+main.add_command(standin_command)
--- /dev/null
+++ b/src/ebonydeal/_internal/commands/bench.py
@@ -0,0 +1,13 @@
+"""``ebonydeal bench``: measurements."""
+
+import click
+
+from ebonydeal._internal.commands.bench_load import load_command
+
+
+@click.group("bench")
+def bench_command() -> None:
+    """Measure a running system, or its decisions."""
+
+
+bench_command.add_command(load_command)
--- /dev/null
+++ b/src/ebonydeal/_internal/standin/admin.py
@@ -0,0 +1,104 @@
+"""Pages by which a user steers a stand-in world: logs, reclaims, faults."""
+
+from typing import Any
+
+from aiohttp import web
+from mode import Service
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.standin.faults import Fault, Faults
+from ebonydeal._internal.standin.listing import endpoint_to_message
+from ebonydeal._internal.standin.server import StandinServer, standin_app
+from ebonydeal._internal.standin.world import StandinWorld
+from ebonydeal._internal.utils.web import read_json
+
+
+def change_faults(faults: Faults, message: dict[str, Any]) -> None:
+    """Set a store's switches; raises KeyError, TypeError or ValueError."""
+    faults.down = bool(message.get("down", faults.down))
+    faults.delay = float(message.get("delay", faults.delay))
+    faults.writes.extend(Fault(name) for name in message.get("writes", ()))
+
+
+class WorldAdmin(Service):
+    """Serves ``/log``, ``/endpoints``, ``/reclaim``, ``/kill`` and ``/faults``.
+
+    Parameters
+    ----------
+    world : StandinWorld
+        What is steered.
+    port : int
+        0 picks a free one.
+    """
+
+    def __init__(self, world: StandinWorld, port: int = 0) -> None:
+        super().__init__()
+        self._world = world
+        app = standin_app()
+        app.router.add_get("/log", self._serve_log)
+        app.router.add_get("/endpoints", self._serve_endpoints)
+        app.router.add_post("/reclaim", self._serve_reclaim)
+        app.router.add_post("/kill", self._serve_kill)
+        app.router.add_post("/faults", self._serve_faults)
+        self.server = StandinServer(app, port=port)
+        self.add_dependency(self.server)
+
+    @property
+    def url(self) -> str:
+        """Base URL once started."""
+        return f"http://{self.server.address}"
+
+    async def _serve_log(self, _req: web.Request) -> web.Response:
+        return web.json_response({"logs": self._world.logs()})
+
+    async def _serve_endpoints(self, _req: web.Request) -> web.Response:
+        views = [endpoint_to_message(view) for view in self._world.views()]
+        return web.json_response({"endpoints": views})
+
+    async def _serve_reclaim(self, req: web.Request) -> web.Response:
+        """``{"zone", "notice_seconds"}`` or ``{"endpoint_id", "notice_seconds"}``."""
+        body = await read_json(req)
+        seconds = float(body.get("notice_seconds", 10.0))
+        if "endpoint_id" in body:
+            self._known(body["endpoint_id"])
+            self._world.reclaim_endpoint(body["endpoint_id"], seconds)
+        else:
+            zone = str(body.get("zone"))
+            if zone not in {place.zone for place in self._world.spec.places}:
+                raise EbonydealError(ErrorKind.NOT_FOUND, f"no zone '{zone}'")
+            self._world.reclaim_zone(zone, seconds)
+        return web.json_response({})
+
+    async def _serve_kill(self, req: web.Request) -> web.Response:
+        """``{"endpoint_id"}``."""
+        endpoint_id = (await read_json(req)).get("endpoint_id")
+        self._known(endpoint_id)
+        await self._world.kill_endpoint(str(endpoint_id))
+        return web.json_response({})
+
+    def _known(self, endpoint_id: Any) -> None:
+        ids = {endpoint.endpoint_id for endpoint in self._world.endpoints()}
+        if endpoint_id not in ids:
+            raise EbonydealError(ErrorKind.NOT_FOUND, f"no endpoint '{endpoint_id}'")
+
+    async def _serve_faults(self, req: web.Request) -> web.Response:
+        """``{"target": "tables" | "objects" | "cloud" | ..., "down": bool, ...}``."""
+        body = await read_json(req)
+        world = self._world
+        try:
+            match body.get("target"):
+                case "tables":
+                    change_faults(world.tables.tables.faults, body)
+                case "objects":
+                    change_faults(world.objects.objects.faults, body)
+                case "cloud":
+                    world.cloud.down = bool(body["down"])
+                case "instances":
+                    world.listing.down = bool(body["down"])
+                case "weights":
+                    world.weights.down = bool(body["down"])
+                case other:
+                    raise EbonydealError(ErrorKind.BAD_REQUEST, f"target {other!r}?")
+        except (KeyError, TypeError, ValueError) as exc:
+            raise EbonydealError(ErrorKind.BAD_REQUEST, f"faults: {exc!r}") from exc
+        return web.json_response({})
