Measure the gateway's processor time against a plain relay

Cause: the cost per request and per relayed token was not known. Change: ebonydeal bench gateway runs an engine, a plain aiohttp relay, the gateway with its real decisions and a caller, each on an event loop in a thread of its own, and reads the threads' processor time.

--- /dev/null
+++ b/src/ebonydeal/_internal/benchmarks/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Processor time of the gateway against a plain relay."""
--- /dev/null
+++ b/src/ebonydeal/_internal/benchmarks/gateway/threads.py
@@ -0,0 +1,55 @@
+"""An event loop in a thread of its own, whose processor time can be read."""
+
+import asyncio
+import threading
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeVar
+
+T = TypeVar("T")
+
+
+class LoopThread:
+    """Runs coroutines on an event loop in its own thread.
+
+    The processor time of one side of a measurement is then that of its thread,
+    though all sides run in one process.
+
+    Parameters
+    ----------
+    name : str
+        Of the thread.
+    new_loop : callable
+        Makes the event loop.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        new_loop: Callable[[], asyncio.AbstractEventLoop] = asyncio.SelectorEventLoop,
+    ) -> None:
+        self._loop = new_loop()
+        self._thread = threading.Thread(target=self._run, name=name, daemon=True)
+        self._thread.start()
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self._loop)
+        self._loop.run_forever()
+
+    def call(self, work: Coroutine[Any, Any, T]) -> T:
+        """Run ``work`` in the thread and return its result."""
+        return asyncio.run_coroutine_threadsafe(work, self._loop).result()
+
+    def cpu_seconds(self) -> float:
+        """Return the processor time that the thread has used."""
+
+        async def read() -> float:
+            return time.thread_time()
+
+        return self.call(read())
+
+    def close(self) -> None:
+        """Stop the loop and end the thread."""
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
--- a/src/ebonydeal/_internal/commands/bench.py
+++ b/src/ebonydeal/_internal/commands/bench.py
@@ -2,6 +2,7 @@
 
 import click
 
+from ebonydeal._internal.commands.bench_gateway import gateway_command
 from ebonydeal._internal.commands.bench_load import load_command
 
 
@@ -10,4 +11,5 @@
     """Measure a running system, or its decisions."""
 
 
+bench_command.add_command(gateway_command)
 bench_command.add_command(load_command)
--- a/src/ebonydeal/_internal/gateway/ports.py
+++ b/src/ebonydeal/_internal/gateway/ports.py
@@ -155,6 +155,9 @@
     def deadline(self, view: EndpointView) -> float:
         """Return when an endpoint is taken, wall clock seconds; 0.0: unknown."""
 
+    def connect_failed(self, endpoint_id: str) -> None:
+        """Note that an endpoint refused the connection."""
+
     def on_mark(self, callback: Callable[[LeavingMark], None]) -> None:
         """Call ``callback`` with each new mark."""
 
--- a/src/ebonydeal/_internal/gateway/routes.py
+++ b/src/ebonydeal/_internal/gateway/routes.py
@@ -2,10 +2,9 @@
 
 from typing import Any
 
-from ebonydeal._internal.directory.service import Directory
 from ebonydeal._internal.errors import ErrorKind
 from ebonydeal._internal.gateway.health import incarnation_of
-from ebonydeal._internal.gateway.ports import Route, RouteAsk
+from ebonydeal._internal.gateway.ports import DirectoryPort, Route, RouteAsk
 from ebonydeal._internal.models.endpoints import EndpointView
 from ebonydeal._internal.models.places import Place
 from ebonydeal._internal.routing.router import Router
@@ -19,13 +18,13 @@
     ----------
     router : Router
         The decision.
-    directory : Directory
+    directory : DirectoryPort
         The endpoints.
     place : Place
         Where this gateway runs.
     """
 
-    def __init__(self, router: Router, directory: Directory, place: Place) -> None:
+    def __init__(self, router: Router, directory: DirectoryPort, place: Place) -> None:
         self._router = router
         self._directory = directory
         self._place = place
--- a/tests/lib/gateway_fakes.py
+++ b/tests/lib/gateway_fakes.py
@@ -281,6 +281,9 @@
     def deadline(self, view: EndpointView) -> float:
         return self.leaving[view.endpoint_id]
 
+    def connect_failed(self, endpoint_id: str) -> None:
+        pass
+
     def on_mark(self, callback: Callable[[LeavingMark], None]) -> None:
         self._callbacks.append(callback)
 
