--- a/src/ebonydeal/_internal/standin/server.py
+++ b/src/ebonydeal/_internal/standin/server.py
@@ -36,14 +36,19 @@
     async def kill(self) -> None:
         """Stop listening and reset every connection, as a dead process would."""
         self.killed = True
-        if self._runner is None:
-            return
-        for site in list(self._runner.sites):
-            await site.stop()
-        server: Any = self._runner.server
-        for conn in list(server.connections):
-            if conn.transport is not None:
-                conn.transport.abort()
+        await reset_connections(self)
+
+
+async def reset_connections(server: HttpServer) -> None:
+    """Stop listening and reset every connection of ``server``."""
+    runner: Any = server._runner
+    if runner is None:
+        return
+    for site in list(runner.sites):
+        await site.stop()
+    for conn in list(runner.server.connections):
+        if conn.transport is not None:
+            conn.transport.abort()
 
 
 def drop(req: web.Request) -> web.Response:
