List the models that an engine has loaded, and start engines bare

Cause: a controller takes an engine for warm by its listed models, and the world listed all of them from the first moment. Change: an instance that is started through the cloud API has nothing loaded until it is ordered to; the list follows what is loaded. Conclusion: a controller's orders can be seen to work.

--- a/src/ebonydeal/_internal/standin/orders.py
+++ b/src/ebonydeal/_internal/standin/orders.py
@@ -1,6 +1,7 @@
 """Orders to a stand-in engine: what it shall have loaded, and by whose word."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
@@ -16,6 +17,11 @@
         Loaded from the start.
     checks_fence : bool
         Whether an order with an old fencing number is refused.
+
+    Attributes
+    ----------
+    on_change : callable, optional
+        Called whenever the loaded models change.
     """
 
     def __init__(self, models: tuple[str, ...], checks_fence: bool) -> None:
@@ -23,6 +29,7 @@
         self.loaded: set[str] = set(models)
         self.history: list[EngineOrder] = []
         self._checks_fence = checks_fence
+        self.on_change: Callable[[], None] | None = None
         self._changed = asyncio.Event()
 
     def give(self, message: dict[str, Any]) -> None:
@@ -43,6 +50,11 @@
         self.history.append(order)
         self.loaded &= set(order.models)
         self._changed.set()
+        self._tell()
+
+    def _tell(self) -> None:
+        if self.on_change is not None:
+            self.on_change()
 
     def missing(self) -> str | None:
         """Return a model that is ordered and not loaded, if any."""
@@ -62,6 +74,7 @@
         """Note that a model is loaded, if it is still wanted."""
         if model in self.order.models:
             self.loaded.add(model)
+            self._tell()
 
     def to_message(self) -> dict[str, Any]:
         """Return the wire shape of the order in force."""
--- a/src/ebonydeal/_internal/standin/world.py
+++ b/src/ebonydeal/_internal/standin/world.py
@@ -28,6 +28,7 @@
 
 TAG_DEPLOYMENT = "deployment"
 _MODEL_GB = 14.0
+_INITIAL = "initial-"
 
 
 class StandinWorld(Service):
@@ -133,7 +134,7 @@
         self, deployment: str, zone: str, *, reclaimable: bool = True
     ) -> CloudInstance:
         """Start an endpoint that nobody asked the cloud API for."""
-        token = f"initial-{len(self.cloud.instances) + 1}"
+        token = f"{_INITIAL}{len(self.cloud.instances) + 1}"
         tags = {TAG_DEPLOYMENT: deployment}
         return await self.cloud.start_instance(
             token, zone, MACHINE_CLASS, reclaimable, tags
@@ -150,7 +151,7 @@
         await self.add_runtime_dependency(endpoint)
         self._live[instance.instance_id] = endpoint
         view = self._view(fleet, instance, endpoint)
-        if instance.token.startswith("initial-"):
+        if _is_initial(instance):
             self.listing.set_endpoint(view)
         else:
             self.add_future(self._list_later(view))
@@ -163,13 +164,21 @@
             service = self.spec.service.faster(self.spec.speed)
             return StandinService(instance.instance_id, service, clock=self.clock)
         engine = self.spec.engine.faster(self.spec.speed)
-        return StandinEngine(
+        made = StandinEngine(
             instance.instance_id,
-            fleet.models,
+            fleet.models if _is_initial(instance) else (),
             engine._replace(checks_fence=fleet.checks_fence),
             random.Random(self._rng.getrandbits(64)),
             clock=self.clock,
         )
+        made.orders.on_change = lambda: self._list_models(made)
+        return made
+
+    def _list_models(self, engine: StandinEngine) -> None:
+        """List what an engine has loaded by now."""
+        for view in self.views():
+            if view.endpoint_id == engine.endpoint_id:
+                self.listing.set_endpoint(view._replace(models=_loaded(engine)))
 
     def _view(
         self, fleet: FleetSpec, instance: CloudInstance, endpoint: StandinEndpoint
@@ -186,7 +195,7 @@
             address=endpoint.address,
             place=self._places.get(instance.zone, Place("", instance.zone)),
             deployment=fleet.name,
-            models=fleet.models,
+            models=_loaded(endpoint),
             state=EndpointState.READY,
             reclaimable=instance.reclaimable,
             evict_per_hour=evict,
@@ -196,8 +205,9 @@
     async def _list_later(self, view: EndpointView) -> None:
         """List a started endpoint once it is up."""
         await self.clock.sleep(self.spec.start_seconds)
-        if view.endpoint_id in self._live:
-            self.listing.set_endpoint(view)
+        endpoint = self._live.get(view.endpoint_id)
+        if endpoint is not None:
+            self.listing.set_endpoint(view._replace(models=_loaded(endpoint)))
 
     async def _terminate(self, instance_id: str) -> None:
         """Kill the endpoint of a stopped instance."""
@@ -249,3 +259,15 @@
     async def _take_endpoint(self, endpoint_id: str, seconds: float) -> None:
         await self.clock.sleep(seconds)
         await self.cloud.stop_instance(endpoint_id)
+
+
+def _is_initial(instance: CloudInstance) -> bool:
+    """Return whether an instance is there from the start, with all loaded."""
+    return instance.token.startswith(_INITIAL)
+
+
+def _loaded(endpoint: StandinEndpoint) -> tuple[str, ...]:
+    """Return the models that an endpoint has loaded."""
+    if isinstance(endpoint, StandinEngine):
+        return tuple(sorted(endpoint.orders.loaded))
+    return ()
--- a/tests/functional/standin/test_world.py
+++ b/tests/functional/standin/test_world.py
@@ -69,6 +69,21 @@
             assert len(world.endpoints()) == 5
             await cloud.close()
 
+    async def test_started_engine_is_bare_until_it_is_ordered_to_load(self):
+        async with running(StandinWorld(SPEC._replace(speed=100.0))) as world:
+            cloud = HttpCloud.from_config(world.platform_settings())
+            new = (await cloud.start("t-1", SPEC.offers[0], TAGS)).instance_id
+
+            def listed():
+                return {v.endpoint_id: v.models for v in world.views()}
+
+            await until(lambda: new in listed())
+            assert listed()[new] == ()
+            order = {"fence": 1, "models": ["covers-7b"], "role": "serve"}
+            world.endpoint(new).orders.give(order)
+            await until(lambda: listed()[new] == ("covers-7b",))
+            await cloud.close()
+
     async def test_refused_and_unknown_offers(self):
         async with running(StandinWorld(SPEC)) as world:
             cloud = HttpCloud.from_config(world.platform_settings())
