Give each prompt prefix a home endpoint

Cause: nine gateways put copies of one prefix on every endpoint, which push each other out of the caches. Change: rendezvous hash of the session, else of the first block after the part that many prompts share (learned); using it is worth `affinity` prefills of the prompt's own part.

--- a/src/ebonydeal/_internal/routing/router.py
+++ b/src/ebonydeal/_internal/routing/router.py
@@ -5,11 +5,13 @@
 
 from ebonydeal._internal.errors import ErrorKind
 from ebonydeal._internal.models.endpoints import EndpointState, EndpointView
+from ebonydeal._internal.routing.home import Branches, home_of
 from ebonydeal._internal.routing.ledger import Attempt, Rates, Sent
 from ebonydeal._internal.routing.prefix_view import CacheView
 from ebonydeal._internal.routing.score import Estimate, price_per_second, score
 from ebonydeal._internal.routing.types import Choice, RouteRequest, Scored
 from ebonydeal._internal.settings.routing import RoutingSettings
+from ebonydeal._internal.utils.prefix import BLOCK_TOKENS
 
 _SHOWN_ALTERNATIVES = 3
 _ASSUMED_SLOTS = 16.0
@@ -32,6 +34,7 @@
         self._sent: dict[str, Sent] = {}
         self._caches: dict[str, CacheView] = {}
         self._rates: dict[str, Rates] = {}
+        self._branches = Branches(cfg.cache_blocks)
 
     @classmethod
     def from_config(cls, cfg: RoutingSettings, rng: Random) -> "Router":
@@ -56,12 +59,14 @@
         if not usable:
             return None
         second = price_per_second(usable)
-        scored = [
-            score(
-                ask, view, self._estimate(ask, view, now), second, self._cfg.late_factor
-            )
-            for view in usable
-        ]
+        late = self._cfg.late_factor
+        home, saved = self._home(ask, usable)
+        scored = []
+        for view in usable:
+            expected = self._estimate(ask, view, now)
+            if view.endpoint_id == home:
+                expected = expected._replace(home_tokens=saved)
+            scored.append(score(ask, view, expected, second, late))
         scored.sort(key=lambda item: item.score)
         best = self._pick(scored)
         rest = tuple(item for item in scored[: _SHOWN_ALTERNATIVES + 1] if item != best)
@@ -82,6 +87,7 @@
         )
         self._sent_to(endpoint).attempts[ask.request_id] = attempt
         self._cache(endpoint).sent(ask.blocks, now)
+        self._branches.learn(ask.blocks)
 
     def first_token(
         self,
@@ -153,6 +159,20 @@
             self._rates[deployment] = Rates(cfg.prefill_rate, cfg.service_time)
         return self._rates[deployment]
 
+    def _home(
+        self, ask: RouteRequest, views: tuple[EndpointView, ...]
+    ) -> tuple[str, float]:
+        """Return the prompt's home, and the tokens saved later by using it."""
+        if not ask.blocks:
+            return "", 0.0
+        split = self._branches.split(ask.blocks)
+        if split < 0 and not ask.session:
+            return "", 0.0
+        key = ask.session or ask.blocks[split]
+        own = ask.prompt_tokens - max(0, split) * BLOCK_TOKENS
+        home = home_of(key, (view.endpoint_id for view in views))
+        return home, own * self._cfg.affinity
+
     def _estimate(self, ask: RouteRequest, view: EndpointView, now: float) -> Estimate:
         """Put together what is expected of one endpoint."""
         sent = self._sent_to(view.endpoint_id)
@@ -170,7 +190,7 @@
 
     def _pick(self, scored: list[Scored]) -> Scored:
         """Return one of the near-equal best."""
-        bound = scored[0].score * (1.0 + self._cfg.near_equal)
+        bound = scored[0].score + scored[0].terms.spent * self._cfg.near_equal
         near = [item for item in scored if item.score <= bound]
         return self._rng.choice(near)
 
--- a/src/ebonydeal/_internal/routing/score.py
+++ b/src/ebonydeal/_internal/routing/score.py
@@ -37,6 +37,8 @@
         Tokens per second.
     service_s : float
         From first token to the end, seconds.
+    home_tokens : float
+        Tokens that later requests are expected to save if this one comes here.
     """
 
     load: float
@@ -45,6 +47,7 @@
     cached_tokens: float
     prefill_rate: float
     service_s: float
+    home_tokens: float = 0.0
 
 
 def price_per_second(views: tuple[EndpointView, ...]) -> float:
@@ -82,6 +85,10 @@
         / expected.prefill_rate
         * ask.weights.recompute,
         price=own_second * used_s * ask.weights.cost,
+        affinity=-second
+        * expected.home_tokens
+        / expected.prefill_rate
+        * ask.weights.recompute,
         delay_s=delay,
         cached_tokens=expected.cached_tokens,
         load=expected.load,
--- a/src/ebonydeal/_internal/routing/types.py
+++ b/src/ebonydeal/_internal/routing/types.py
@@ -57,9 +57,10 @@
 
     Attributes
     ----------
-    wait, prefill, distance, eviction, price : float
+    wait, prefill, distance, eviction, price, affinity : float
         Cost of: delay before the first token, prompt tokens that have to be
-        computed, way to the zone, work lost on eviction, the instance's time.
+        computed, way to the zone, work lost on eviction, the instance's time,
+        and (negative) later tokens saved by keeping a prefix at its home.
     delay_s : float
         Expected delay before the first token, seconds.
     cached_tokens : float
@@ -73,6 +74,7 @@
     distance: float
     eviction: float
     price: float
+    affinity: float
     delay_s: float
     cached_tokens: float
     load: float
@@ -80,6 +82,11 @@
     @property
     def total(self) -> float:
         """The score: lower is better."""
+        return self.spent + self.affinity
+
+    @property
+    def spent(self) -> float:
+        """All costs, without what affinity saves later."""
         return self.wait + self.prefill + self.distance + self.eviction + self.price
 
 
--- a/src/ebonydeal/_internal/settings/routing.py
+++ b/src/ebonydeal/_internal/settings/routing.py
@@ -29,6 +29,9 @@
     cache_blocks: Annotated[
         int, Key("Most cache blocks remembered for one endpoint.", "", 16, 10000000)
     ] = 20000
+    affinity: Annotated[
+        float, Key("Worth of keeping a prefix at its home, in prefills.", "", 0, 10)
+    ] = 1.0
     prefill_rate: Annotated[
         float, Key("Prefill rate assumed before any answer.", "tokens/s", 1)
     ] = 4000.0
--- /dev/null
+++ b/tests/unit/routing/test_home.py
@@ -0,0 +1,62 @@
+from collections import Counter
+from random import Random
+
+from ebonydeal._internal.routing.home import Branches, home_of
+from ebonydeal._internal.routing.router import Router
+from ebonydeal._internal.settings.routing import RoutingSettings
+from tests.unit.routing.helpers import NOW, make_ask, make_load, make_view
+
+SHARED = ("s1", "s2", "s3")
+
+
+class TestBranches:
+    def test_split_comes_after_what_many_share(self):
+        branches = Branches(1000)
+        for number in range(8):
+            branches.learn((*SHARED, f"own{number}", f"tail{number}"))
+        assert branches.split((*SHARED, "own3", "x")) == 3
+        assert branches.split((*SHARED, "new")) == 3
+
+    def test_few_successors_do_not_split(self):
+        branches = Branches(1000)
+        for number in range(7):
+            branches.learn((*SHARED, f"own{number}"))
+        assert branches.split((*SHARED, "own1")) == -1
+
+    def test_memory_is_bounded(self):
+        branches = Branches(10)
+        branches.learn(tuple(f"b{number}" for number in range(100)))
+        assert len(branches._next) == 10
+
+
+class TestHome:
+    def test_only_one_endpoint_more_moves_few_keys(self):
+        names = [f"e{number}" for number in range(9)]
+        keys = [f"k{number}" for number in range(900)]
+        before = {key: home_of(key, names) for key in keys}
+        after = {key: home_of(key, [*names, "e9"]) for key in keys}
+        moved = [key for key in keys if before[key] != after[key]]
+        assert all(after[key] == "e9" for key in moved)
+        assert 60 <= len(moved) <= 120
+        assert min(Counter(before.values()).values()) >= 70
+
+    def test_gateways_agree_without_signals(self):
+        views = tuple(make_view(f"e{number}") for number in range(9))
+        blocks = tuple(f"b{number}" for number in range(60))
+        ask = make_ask(blocks=blocks, session="van-7")
+        chosen = set()
+        for seed in range(9):
+            router = Router.from_config(RoutingSettings(), Random(seed))
+            chosen.add(router.choose(ask, views, NOW).endpoint.endpoint_id)
+        assert len(chosen) == 1
+
+    def test_busy_home_is_passed_over(self):
+        views = tuple(make_view(f"e{number}") for number in range(9))
+        ask = make_ask(blocks=tuple(f"b{n}" for n in range(60)), session="van-7")
+        router = Router.from_config(RoutingSettings(), Random(1))
+        home = router.choose(ask, views, NOW).endpoint
+        busy = tuple(
+            view._replace(load=make_load(running=8, waiting=8 if view == home else 0))
+            for view in views
+        )
+        assert router.choose(ask, busy, NOW).endpoint.endpoint_id != home.endpoint_id
--- a/tests/unit/routing/test_router.py
+++ b/tests/unit/routing/test_router.py
@@ -48,7 +48,7 @@
         choice = make_router().choose(make_ask(), (make_view("a"),), NOW)
         terms = choice.terms
         parts = terms.wait + terms.prefill + terms.distance
-        assert choice.score == parts + terms.eviction + terms.price
+        assert choice.score == parts + terms.eviction + terms.price + terms.affinity
 
     def test_cheap_reclaimable_loses_where_work_is_likely_lost(self):
         cheap = make_view("cheap", price_per_hour=0.5, evict_per_hour=1800.0)
