Match prefixes up to the last block heard of

Cause: with one event in ten lost, a match that ends at the first unknown block finds ten blocks on average, whatever is cached. Change: the deepest known block counts; engines keep no block without those before it.

--- a/src/ebonydeal/_internal/routing/prefix_view.py
+++ b/src/ebonydeal/_internal/routing/prefix_view.py
@@ -67,16 +67,14 @@
 
     def cached_tokens(self, blocks: Sequence[str], now: float) -> float:
         """Return the prompt tokens expected to be found in the cache."""
-        count = 0
-        oldest = now
-        for block in blocks:
-            used = self._used.get(block)
-            if used is None:
-                break
-            oldest = min(oldest, used)
-            count += 1
-        age = max(0.0, now - oldest)
-        return count * BLOCK_TOKENS * self._trust * 0.5 ** (age / self._half_life)
+        used = self._used
+        for index in range(len(blocks) - 1, -1, -1):
+            heard = used.get(blocks[index])
+            if heard is not None:
+                age = max(0.0, now - heard)
+                worth = self._trust * 0.5 ** (age / self._half_life)
+                return (index + 1) * BLOCK_TOKENS * worth
+        return 0.0
 
     def _touch(self, block: str, now: float) -> None:
         self._used[block] = now
