--- a/src/ebonydeal/_internal/benchmarks/__init__.py
+++ b/src/ebonydeal/_internal/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measured rounds that ship with the command line."""
+"""Measured comparisons behind ``ebonydeal bench``."""
