--- a/src/ebonydeal/_internal/routing/prefix_view.py
+++ b/src/ebonydeal/_internal/routing/prefix_view.py
@@ -12,6 +12,7 @@
 
 _LEARN = 0.1
 _LEAST_TRUST = 0.2
+_DROPPED = float("-inf")
 
 
 class CacheView:
@@ -41,10 +42,7 @@
         used = self._used
         for seq, stored, block in events:
             self._seq = max(self._seq, seq)
-            if not stored:
-                used.pop(block, None)
-                continue
-            used[block] = now
+            used[block] = now if stored else _DROPPED
             used.move_to_end(block)
         while len(used) > self._most:
             used.popitem(last=False)
@@ -66,15 +64,25 @@
         self.sent(blocks, now)
 
     def cached_tokens(self, blocks: Sequence[str], now: float) -> float:
-        """Return the prompt tokens expected to be found in the cache."""
+        """Return the prompt tokens expected to be found in the cache.
+
+        The deepest known block counts, whatever was not heard of before it:
+        engines keep no block without those before it. A block known to be
+        dropped ends the match.
+        """
         used = self._used
-        for index in range(len(blocks) - 1, -1, -1):
-            heard = used.get(blocks[index])
-            if heard is not None:
-                age = max(0.0, now - heard)
-                worth = self._trust * 0.5 ** (age / self._half_life)
-                return (index + 1) * BLOCK_TOKENS * worth
-        return 0.0
+        count = 0
+        heard = now
+        for index, block in enumerate(blocks, 1):
+            at = used.get(block)
+            if at is None:
+                continue
+            if at == _DROPPED:
+                break
+            count = index
+            heard = at
+        age = max(0.0, now - heard)
+        return count * BLOCK_TOKENS * self._trust * 0.5 ** (age / self._half_life)
 
     def _touch(self, block: str, now: float) -> None:
         self._used[block] = now
