--- a/src/ebonydeal/_internal/routing/ledger.py
+++ b/src/ebonydeal/_internal/routing/ledger.py
@@ -20,7 +20,7 @@
     sent_at: float
     missed_tokens: float
     cached_tokens: float
-    delay_s: float
+    target_s: float
     first_token_at: float | None = None
 
 
--- a/src/ebonydeal/_internal/routing/router.py
+++ b/src/ebonydeal/_internal/routing/router.py
@@ -5,8 +5,10 @@
 
 from ebonydeal._internal.errors import ErrorKind
 from ebonydeal._internal.models.endpoints import EndpointState, EndpointView
+from ebonydeal._internal.routing.concurrency import ConcurrencyLimit
 from ebonydeal._internal.routing.home import Branches, home_of
 from ebonydeal._internal.routing.ledger import Attempt, Rates, Sent
+from ebonydeal._internal.routing.outliers import Outliers
 from ebonydeal._internal.routing.prefix_view import CacheView
 from ebonydeal._internal.routing.score import Estimate, price_per_second, score
 from ebonydeal._internal.routing.types import Choice, RouteRequest, Scored
@@ -35,6 +37,9 @@
         self._caches: dict[str, CacheView] = {}
         self._rates: dict[str, Rates] = {}
         self._branches = Branches(cfg.cache_blocks)
+        self._outliers = Outliers(cfg, rng)
+        self._limits: dict[str, ConcurrencyLimit] = {}
+        self._incarnations: dict[str, int] = {}
 
     @classmethod
     def from_config(cls, cfg: RoutingSettings, rng: Random) -> "Router":
@@ -55,7 +60,7 @@
         now : float
             Wall clock seconds.
         """
-        usable = tuple(view for view in views if _is_usable(ask, view))
+        usable = self._usable(ask, views, now)
         if not usable:
             return None
         second = price_per_second(usable)
@@ -83,7 +88,7 @@
             sent_at=now,
             missed_tokens=missed,
             cached_tokens=choice.terms.cached_tokens,
-            delay_s=choice.terms.delay_s,
+            target_s=ask.first_token_s,
         )
         self._sent_to(endpoint).attempts[ask.request_id] = attempt
         self._cache(endpoint).sent(ask.blocks, now)
@@ -102,9 +107,12 @@
         if attempt is None or attempt.first_token_at is not None:
             return
         attempt.first_token_at = now
-        self._rates_of(attempt.deployment).prefilled(
-            prefilled_tokens, now - attempt.sent_at
-        )
+        rates = self._rates_of(attempt.deployment)
+        delay = now - attempt.sent_at
+        rates.prefilled(prefilled_tokens, delay)
+        queued = delay - prefilled_tokens / rates.prefill
+        in_flight = len(self._sent_to(endpoint_id).attempts)
+        self._limit(endpoint_id).started(queued, attempt.target_s, in_flight, now)
         self._cache(endpoint_id).answered(
             attempt.blocks, attempt.cached_tokens, cached_tokens, now
         )
@@ -114,6 +122,7 @@
         attempt = self._sent_to(endpoint_id).end(request_id, now)
         if attempt is None:
             return
+        self._outliers.succeeded(endpoint_id, now)
         started = attempt.first_token_at or attempt.sent_at
         self._rates_of(attempt.deployment).served(now - started)
 
@@ -121,7 +130,18 @@
         self, request_id: str, endpoint_id: str, kind: ErrorKind, now: float
     ) -> None:
         """Note that a try failed, or that its caller left."""
-        self._sent_to(endpoint_id).end(request_id, now)
+        if self._sent_to(endpoint_id).end(request_id, now) is None:
+            return
+        self._outliers.failed(endpoint_id, kind, now)
+        if kind is ErrorKind.ENDPOINT_REFUSED:
+            self._limit(endpoint_id).refused(now)
+
+    def capacity(self, views: Iterable[EndpointView]) -> int:
+        """Return how many requests this gateway may have in flight at ``views``.
+
+        For `Admission.set_capacity`; at least 1 for each endpoint.
+        """
+        return sum(int(self._limit(view.endpoint_id).limit) for view in views)
 
     def cache_event(
         self, endpoint_id: str, seq: int, stored: bool, block: str, now: float
@@ -139,6 +159,14 @@
         """Drop what is known of an endpoint that is gone or started anew."""
         self._caches.pop(endpoint_id, None)
         self._sent.pop(endpoint_id, None)
+        self._limits.pop(endpoint_id, None)
+        self._incarnations.pop(endpoint_id, None)
+        self._outliers.forget(endpoint_id)
+
+    def keep(self, endpoint_ids: Iterable[str]) -> None:
+        """Forget all endpoints but these; call when the watched set changes."""
+        for name in self._incarnations.keys() - set(endpoint_ids):
+            self.forget(name)
 
     # --- parts -------------------------------------------------------------------
     def _sent_to(self, endpoint_id: str) -> Sent:
@@ -146,6 +174,37 @@
             self._sent[endpoint_id] = Sent()
         return self._sent[endpoint_id]
 
+    def _limit(self, endpoint_id: str) -> ConcurrencyLimit:
+        if endpoint_id not in self._limits:
+            cfg = self._cfg
+            self._limits[endpoint_id] = ConcurrencyLimit(cfg.limit_start, cfg.limit_max)
+        return self._limits[endpoint_id]
+
+    def _usable(
+        self, ask: RouteRequest, views: tuple[EndpointView, ...], now: float
+    ) -> tuple[EndpointView, ...]:
+        """Return the endpoints to score: not ejected, below their limit if any."""
+        able = tuple(view for view in views if _is_usable(ask, view))
+        for view in able:
+            self._notice_incarnation(view)
+        allowed = self._outliers.allowed(able, now)
+        below = tuple(view for view in allowed if self._is_below_limit(view))
+        # Admission holds the sum of limits; a single one only steers.
+        return below or allowed
+
+    def _is_below_limit(self, view: EndpointView) -> bool:
+        name = view.endpoint_id
+        return len(self._sent_to(name).attempts) < self._limit(name).limit
+
+    def _notice_incarnation(self, view: EndpointView) -> None:
+        """Forget what was known of an earlier incarnation."""
+        known = self._incarnations.get(view.endpoint_id)
+        if known == view.incarnation:
+            return
+        if known is not None:
+            self.forget(view.endpoint_id)
+        self._incarnations[view.endpoint_id] = view.incarnation
+
     def _cache(self, endpoint_id: str) -> CacheView:
         if endpoint_id not in self._caches:
             self._caches[endpoint_id] = CacheView(
--- /dev/null
+++ b/tests/unit/routing/test_concurrency.py
@@ -0,0 +1,68 @@
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ebonydeal._internal.errors import ErrorKind
+from ebonydeal._internal.routing.concurrency import ConcurrencyLimit
+from ebonydeal._internal.routing.router import Router
+from ebonydeal._internal.settings.routing import RoutingSettings
+from tests.unit.routing.helpers import NOW, make_ask, make_view
+
+
+class TestConcurrencyLimit:
+    def test_grows_by_one_a_round_while_in_use(self):
+        limit = ConcurrencyLimit(10.0, 100.0)
+        for _ in range(10):
+            limit.started(0.0, 0.5, 10, NOW)
+        assert 10.9 < limit.limit < 11.0
+
+    def test_does_not_grow_while_unused(self):
+        limit = ConcurrencyLimit(10.0, 100.0)
+        limit.started(0.0, 0.5, 4, NOW)
+        assert limit.limit == 10.0
+
+    def test_late_starts_cut_once_per_round_trip(self):
+        limit = ConcurrencyLimit(10.0, 100.0)
+        for moment in (0.0, 0.3, 0.9):
+            limit.started(1.0, 0.5, 10, NOW + moment)
+        assert limit.limit == 9.0
+        limit.started(1.0, 0.5, 10, NOW + 1.0)
+        assert limit.limit == 8.1
+
+    @given(st.lists(st.tuples(st.floats(0, 9), st.integers(0, 99), st.booleans())))
+    def test_stays_within_bounds(self, steps):
+        limit = ConcurrencyLimit(8.0, 16.0)
+        for number, (queued, in_flight, refused) in enumerate(steps):
+            limit.started(queued, 0.5, in_flight, NOW + number)
+            if refused:
+                limit.refused(NOW + number)
+            assert 1.0 <= limit.limit <= 16.0
+
+
+class TestRouterLimits:
+    def test_refusals_lower_capacity_and_move_requests(self):
+        router = Router.from_config(
+            RoutingSettings(limit_start=2.0, near_equal=0.0), Random(1)
+        )
+        views = (make_view("a", price_per_hour=0.1), make_view("b"))
+        assert router.capacity(views) == 4
+        for number in range(2):
+            ask = make_ask(f"r{number}", max_tokens=0)
+            router.sent(router.choose(ask, views[:1], NOW), ask, NOW)
+        assert router.choose(make_ask(), views, NOW).endpoint.endpoint_id == "b"
+        # With nothing below its limit the choice is still made: admission holds.
+        assert router.choose(make_ask(), views[:1], NOW) is not None
+        router.failed("r0", "a", ErrorKind.ENDPOINT_REFUSED, NOW)
+        assert router.capacity(views) == 3
+
+    def test_new_incarnation_starts_without_history(self):
+        router = Router.from_config(RoutingSettings(), Random(1))
+        blocks = tuple(f"b{n}" for n in range(10))
+        ask = make_ask(blocks=blocks)
+        first = router.choose(ask, (make_view("a"),), NOW)
+        router.sent(first, ask, NOW)
+        again = router.choose(ask, (make_view("a"),), NOW)
+        assert again.terms.cached_tokens == 160.0
+        fresh = router.choose(ask, (make_view("a", incarnation=2),), NOW)
+        assert (fresh.terms.cached_tokens, fresh.terms.load) == (0.0, 0.0)
