--- /dev/null
+++ b/spec/checker.py
@@ -0,0 +1,132 @@
+"""One narrow way to the explicit-state checker."""
+
+from collections.abc import Callable, Iterator
+from typing import Any, NamedTuple
+
+from minicheck import Protocol, check_safety
+
+Step = tuple[str, Any]
+Predicate = Callable[[Any], bool]
+
+MAX_STATES = 400_000
+
+
+class Specification(NamedTuple):
+    """A transition system with what must and what can hold.
+
+    Attributes
+    ----------
+    initial : NamedTuple
+        The first state; every state is a value of the same class.
+    transitions : callable
+        From a state to its (label, next state) pairs.
+    invariants : dict
+        Predicates that hold in every reachable state.
+    reachable : dict
+        Predicates that hold in some reachable state: shows that the
+        invariants are not proved of an empty model.
+    """
+
+    name: str
+    initial: Any
+    transitions: Callable[[Any], Iterator[Step]]
+    invariants: dict[str, Predicate]
+    reachable: dict[str, Predicate]
+
+
+class Checked(NamedTuple):
+    """The verdict of one sweep.
+
+    ``violated`` maps an invariant to the labels of a shortest counterexample;
+    ``reached`` maps a reachable predicate to those of a shortest witness;
+    ``states`` counts distinct states, of a partial sweep if not ``exhaustive``.
+    """
+
+    name: str
+    states: int
+    exhaustive: bool
+    violated: dict[str, tuple[str, ...]]
+    reached: dict[str, tuple[str, ...]]
+
+    @property
+    def shortest(self) -> int:
+        """Number of steps of the shortest counterexample; 0 if there is none."""
+        return min((len(trace) for trace in self.violated.values()), default=0)
+
+
+class _OwnStates(Protocol):
+    """A protocol whose predicates get the state itself, not a dict of it."""
+
+    def d(self, s: Any) -> Any:
+        """Return the state as the predicates want it."""
+        return s
+
+
+def check(spec: Specification, max_states: int = MAX_STATES) -> Checked:
+    """Explore every reachable state of ``spec``, up to ``max_states``."""
+    return _sweep(spec, max_states, lambda: False)
+
+
+def refute(spec: Specification, max_states: int = MAX_STATES) -> Checked:
+    """Explore only until an invariant fails; the counterexample is a shortest."""
+    failed: list[str] = []
+
+    def watched(name: str, holds: Predicate) -> Predicate:
+        def predicate(state: Any) -> bool:
+            held = holds(state)
+            if not held:
+                failed.append(name)
+            return held
+
+        return predicate
+
+    watching = {name: watched(name, holds) for name, holds in spec.invariants.items()}
+    return _sweep(
+        spec._replace(invariants=watching, reachable={}),
+        max_states,
+        lambda: bool(failed),
+    )
+
+
+def _sweep(
+    spec: Specification, max_states: int, stopped: Callable[[], bool]
+) -> Checked:
+    properties = {f"always {name}": holds for name, holds in spec.invariants.items()}
+    properties |= {
+        f"never {name}": _negated(holds) for name, holds in spec.reachable.items()
+    }
+    model = _OwnStates(
+        name=spec.name,
+        candidate=False,
+        fields=type(spec.initial)._fields,
+        initial=spec.initial,
+        transitions=lambda state: () if stopped() else spec.transitions(state),
+        invariants=properties,
+    )
+    verdict = check_safety(model, max_states=max_states)
+    traces = {
+        name: tuple(step["label"] for step in found["counterexample"][1:])
+        for name, found in verdict["properties"].items()
+        if found["holds"] is False
+    }
+    return Checked(
+        spec.name,
+        verdict["reachable_states"],
+        verdict["exhaustive"] and not stopped(),
+        _with_prefix(traces, "always "),
+        _with_prefix(traces, "never "),
+    )
+
+
+def _negated(holds: Predicate) -> Predicate:
+    return lambda state: not holds(state)
+
+
+def _with_prefix(
+    traces: dict[str, tuple[str, ...]], prefix: str
+) -> dict[str, tuple[str, ...]]:
+    return {
+        name.removeprefix(prefix): trace
+        for name, trace in traces.items()
+        if name.startswith(prefix)
+    }
