Add the configuration's store, follower and peer topic

Cause: an accepted document must be in force everywhere and never go back. Change: versions as deltas by item, committed in one transaction under the head; lost answers are read back by proposal id; a follower that polls one row, and a pure topic that peers carry. Conclusion: one proposal of two wins, the other learns what changed.

--- /dev/null
+++ b/src/ebonydeal/_internal/config/store.py
@@ -0,0 +1,270 @@
+"""Acceptance of documents: whole or not at all, one winner, nothing twice."""
+
+import json
+import random
+from typing import Any, NamedTuple
+
+from returns.result import Failure, Result, Success
+from xxhash import xxh3_64_hexdigest
+
+from ebonydeal._internal.config.delta import (
+    Difference,
+    apply,
+    between,
+    differences,
+    join,
+    split,
+)
+from ebonydeal._internal.config.problems import Problem
+from ebonydeal._internal.config.rows import (
+    EMPTY,
+    HEAD,
+    Content,
+    VersionInfo,
+    item_key,
+    read_content,
+    read_head,
+    read_version,
+    read_versions,
+    version_key,
+)
+from ebonydeal._internal.config.validate import validate
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.platform.interfaces import (
+    Condition,
+    Delete,
+    FieldEquals,
+    Offer,
+    Put,
+    RowAbsent,
+    Tables,
+    Write,
+)
+from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.ids import new_token
+
+logger = get_logger("config")
+
+_TRIES = 6
+_RETRY_S = 0.25
+_HISTORY = 10_000
+
+
+class Conflict(NamedTuple):
+    """A proposal lost: the document had changed since it was read.
+
+    Attributes
+    ----------
+    base, head : int
+        The version that the proposal was made from, and the one in force.
+    versions : tuple of VersionInfo
+        The versions accepted meanwhile: who, when and what.
+    differences : tuple of Difference
+        What changed from base to head, for people.
+    """
+
+    base: int
+    head: int
+    versions: tuple[VersionInfo, ...]
+    differences: tuple[Difference, ...]
+
+
+Refusal = Conflict | list[Problem]
+
+
+class ConfigStore:
+    """Proposes and reads documents in the table service.
+
+    Parameters
+    ----------
+    tables : Tables
+        The platform's table service.
+    clock : Clock
+        For times of versions and waits between tries.
+    rng : random.Random
+        For proposal ids and jitter.
+    """
+
+    def __init__(self, tables: Tables, clock: Clock, rng: random.Random) -> None:
+        self._tables = tables
+        self._clock = clock
+        self._rng = rng
+
+    def new_proposal(self) -> str:
+        """Return a fresh proposal id."""
+        return new_token("p", self._rng)
+
+    async def propose(
+        self,
+        document: Any,
+        base_version: int,
+        by: str,
+        note: str,
+        *,
+        offers: list[Offer] | None = None,
+        proposal: str | None = None,
+    ) -> Result[int, Refusal]:
+        """Put a document in force if it is sound and nothing changed meanwhile.
+
+        Parameters
+        ----------
+        document : Any
+            The whole document.
+        base_version : int
+            The version it was made from; 0 for the first.
+        by, note : str
+            Who and why, for the history.
+        offers : list of Offer, optional
+            For the feasibility of prices.
+        proposal : str, optional
+            Proposal id; the same id with the same document never takes effect
+            twice and returns the version it has become.
+
+        Returns
+        -------
+        Result
+            The version in force, a `Conflict`, or every problem found.
+
+        Raises
+        ------
+        EbonydealError
+            ``STORE_UNAVAILABLE``: this call changed nothing. ``STORE_IN_DOUBT``:
+            it may have; ask again with the same proposal id.
+        """
+        if isinstance(validate(document), Failure):
+            return Failure(validate(document, offers).failure())
+        bound = _bound(proposal or self.new_proposal(), document)
+        if proposal and await self._is_own(base_version + 1, bound):
+            return Success(base_version + 1)
+        checked = validate(document, offers)
+        if isinstance(checked, Failure):
+            return Failure(checked.failure())
+        content = await read_content(self._tables)
+        if content.version != base_version:
+            return Failure(await self._conflict(base_version))
+        delta = between(content.items, split(document))
+        if not delta:
+            return Success(base_version)
+        now = self._clock.wall()
+        info = VersionInfo(base_version + 1, by, now, note, bound, delta)
+        return await self._commit(info)
+
+    async def _commit(self, info: VersionInfo) -> Result[int, Refusal]:
+        """Write a version; tell its fate only when it is known.
+
+        Every try writes the same rows under the same conditions, so a late
+        landing of a lost one and a repeat can't both take effect.
+        """
+        conditions, writes = _transaction(info)
+        in_doubt = False
+        failure = EbonydealError(ErrorKind.STORE_UNAVAILABLE, "no try was made")
+        for attempt in range(_TRIES):
+            if attempt:
+                await self._clock.sleep(_RETRY_S * attempt * self._rng.uniform(0.5, 1))
+            try:
+                if await self._tables.transact(conditions, writes):
+                    return self._accepted(info)
+                return await self._beaten(info)
+            except EbonydealError as exc:
+                failure = exc
+                in_doubt = in_doubt or exc.kind == ErrorKind.STORE_IN_DOUBT
+                logger.warning("A commit got no answer.", kind=str(exc.kind))
+        if not in_doubt:
+            raise failure
+        raise EbonydealError(
+            ErrorKind.STORE_IN_DOUBT,
+            f"proposal {info.proposal} may have become version {info.version}; "
+            "look at the history, or repeat with the same proposal id",
+        )
+
+    async def _beaten(self, info: VersionInfo) -> Result[int, Refusal]:
+        """Tell own late success from another's; the conditions did not hold."""
+        if await self._is_own(info.version, info.proposal):
+            return self._accepted(info)
+        return Failure(await self._conflict(info.version - 1))
+
+    async def _is_own(self, version: int, proposal: str) -> bool:
+        """Return whether this proposal has become this version."""
+        winner = await read_version(self._tables, version)
+        return winner is not None and winner.proposal == proposal
+
+    def _accepted(self, info: VersionInfo) -> Result[int, Refusal]:
+        """Log and return an accepted version."""
+        logger.info("Accepted a document.", version=info.version, by=info.by)
+        return Success(info.version)
+
+    async def _conflict(self, base: int) -> Conflict:
+        """Return what changed since ``base``."""
+        head = await read_head(self._tables)
+        versions = await read_versions(self._tables, base, head)
+        found = await self.diff(base, head) if 0 <= base <= head else []
+        return Conflict(base, head, tuple(versions), tuple(found))
+
+    async def load(self, version: int | None = None) -> Content:
+        """Return the content of a version; of the head by default.
+
+        Raises ``NOT_FOUND`` for a version that was never accepted.
+        """
+        if version is None:
+            return await read_content(self._tables)
+        if version == 0:
+            return EMPTY
+        infos = await read_versions(self._tables, 0, version, version)
+        if version < 0 or not infos or infos[-1].version != version:
+            raise EbonydealError(ErrorKind.NOT_FOUND, f"no version {version}")
+        items = EMPTY.items
+        for info in infos:
+            items = apply(items, info.delta)
+        return Content(version, items)
+
+    async def history(self, limit: int = _HISTORY) -> list[VersionInfo]:
+        """Return the last ``limit`` versions, newest first."""
+        head = await read_head(self._tables)
+        infos = await read_versions(self._tables, max(0, head - limit), head, limit)
+        return infos[::-1]
+
+    async def diff(self, a: int, b: int) -> list[Difference]:
+        """Return what differs from version ``a`` to version ``b``, for people."""
+        old = await self.load(a)
+        new = await self.load(b)
+        return differences(old.items, new.items)
+
+    async def roll_forward(
+        self,
+        to_content_of: int,
+        base_version: int,
+        by: str,
+        note: str = "",
+        *,
+        offers: list[Offer] | None = None,
+        proposal: str | None = None,
+    ) -> Result[int, Refusal]:
+        """Put an older version's content in force as a new version."""
+        old = await self.load(to_content_of)
+        text = note or f"content of version {to_content_of}"
+        return await self.propose(
+            join(old.items), base_version, by, text, offers=offers, proposal=proposal
+        )
+
+
+def _bound(proposal: str, document: dict[str, Any]) -> str:
+    """Return the id bound to its content: a repeat with other content is another."""
+    text = json.dumps(document, sort_keys=True, ensure_ascii=False)
+    return f"{proposal}.{xxh3_64_hexdigest(text.encode())}"
+
+
+def _transaction(info: VersionInfo) -> tuple[list[Condition], list[Write]]:
+    """Return the conditions and writes that put a version in force."""
+    base = info.version - 1
+    at_base: Condition = FieldEquals(HEAD, "version", base)
+    if base == 0:
+        at_base = RowAbsent(HEAD)
+    writes: list[Write] = [
+        Put(item_key(key), {"version": info.version, "value": value})
+        for key, value in info.delta.changed.items()
+    ]
+    writes += [Delete(item_key(key)) for key in info.delta.removed]
+    writes.append(Put(version_key(info.version), info.to_row()))
+    writes.append(Put(HEAD, {"version": info.version}))
+    return [at_base, RowAbsent(version_key(info.version))], writes
--- a/src/ebonydeal/_internal/config/validate.py
+++ b/src/ebonydeal/_internal/config/validate.py
@@ -121,7 +121,7 @@
 def _from_error(error: ValidationError) -> list[Problem]:
     """Return the problems that one schema error stands for."""
     path: Path = tuple(error.absolute_path)
-    value = error.instance
+    value: Any = error.instance
     rule: Any = error.validator_value
     shape: Any = error.schema
     match error.validator:
--- /dev/null
+++ b/tests/lib/config_fakes.py
@@ -0,0 +1,115 @@
+"""A small table with faults, for the configuration's tests."""
+
+from collections.abc import Callable
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.platform.interfaces import (
+    Delete,
+    FieldEquals,
+    Put,
+    Row,
+    RowAbsent,
+    RowVersion,
+)
+
+DOWN = EbonydealError(ErrorKind.STORE_UNAVAILABLE, "down")
+LOST = EbonydealError(ErrorKind.STORE_IN_DOUBT, "lost")
+
+
+class Step:
+    """Awaiting it lets whoever drives the coroutine do something else first."""
+
+    def __await__(self):
+        yield
+
+
+class FakeTables:
+    """Rows in memory; ``faults`` are used up by the coming calls, in order.
+
+    Faults: ``ok``, ``down`` (before any effect), ``lost`` (after the effect) and
+    ``late`` (answer lost, the effect comes when `land` is called).
+    """
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Row] = {}
+        self.faults: list[str] = []
+        self.down = False
+        self.calls: list[str] = []
+        self.written: list[str] = []
+        self.late: list[Callable[[], bool]] = []
+
+    def _fault(self, call: str) -> str:
+        self.calls.append(call)
+        fault = self.faults.pop(0) if self.faults else "ok"
+        if self.down or fault == "down":
+            raise DOWN
+        return fault
+
+    def _holds(self, condition) -> bool:
+        row = self.rows.get(condition.key)
+        match condition:
+            case RowAbsent():
+                return row is None
+            case RowVersion(version=version):
+                return row is not None and row.version == version
+            case FieldEquals(field=field, value=value):
+                return row is not None and row.value.get(field) == value
+
+    def _do(self, conditions, writes) -> bool:
+        if not all(self._holds(condition) for condition in conditions):
+            return False
+        for write in writes:
+            self.written.append(write.key)
+            match write:
+                case Put(key=key, value=value):
+                    row = self.rows.get(key)
+                    self.rows[key] = Row(key, value, row.version + 1 if row else 1)
+                case Delete(key=key):
+                    self.rows.pop(key, None)
+        return True
+
+    def land(self) -> None:
+        """Let every late write take its chance."""
+        late, self.late = self.late, []
+        for effect in late:
+            effect()
+
+    async def transact(self, conditions, writes) -> bool:
+        await Step()
+        fault = self._fault("transact")
+        if fault == "late":
+            self.late.append(lambda: self._do(conditions, writes))
+            raise LOST
+        applied = self._do(conditions, writes)
+        if fault == "lost":
+            raise LOST
+        return applied
+
+    async def get(self, key):
+        await Step()
+        if self._fault("get") != "ok":
+            raise DOWN
+        return self.rows.get(key)
+
+    async def scan(self, prefix, start="", limit=1000):
+        await Step()
+        if self._fault("scan") != "ok":
+            raise DOWN
+        keys = sorted(k for k in self.rows if k.startswith(prefix) and k >= start)
+        return [self.rows[key] for key in keys[:limit]]
+
+
+class QuickClock:
+    """A clock whose sleeps end at once and move it on."""
+
+    def __init__(self) -> None:
+        self.time = 1_000.0
+
+    def now(self) -> float:
+        return self.time
+
+    def wall(self) -> float:
+        return self.time
+
+    async def sleep(self, seconds: float) -> None:
+        self.time += seconds
--- /dev/null
+++ b/tests/unit/config/test_delta.py
@@ -0,0 +1,67 @@
+"""Deltas: what turns one document into another, and a diff for people."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ebonydeal._internal.config.delta import (
+    Delta,
+    ItemKey,
+    apply,
+    between,
+    differences,
+    join,
+    split,
+)
+from ebonydeal._internal.config.examples import EXAMPLE_NAMES, example_document
+
+keys = st.builds(
+    ItemKey, st.sampled_from(["accounts", "deployments"]), st.sampled_from("abc")
+)
+contents = st.dictionaries(keys, st.fixed_dictionaries({"n": st.integers(0, 2)}))
+
+
+class TestDelta:
+    @given(contents, contents)
+    def test_between_then_apply_gives_the_new(self, old, new):
+        assert apply(old, between(old, new)) == new
+
+    @given(contents, contents)
+    def test_wire_shape_goes_round(self, old, new):
+        delta = between(old, new)
+        assert Delta.from_message(delta.to_message()) == delta
+
+    @given(contents)
+    def test_nothing_differs_from_itself(self, items):
+        assert not between(items, items)
+        assert differences(items, items) == []
+
+
+class TestSplitAndJoin:
+    def test_goes_round(self):
+        for name in EXAMPLE_NAMES:
+            items = split(example_document(name))
+            assert split(join(items)) == items
+
+    def test_one_changed_field_is_one_item(self):
+        document = example_document("palermo")
+        document["deployments"][0]["replicas"]["max"] = 80
+        delta = between(split(example_document("palermo")), split(document))
+        assert list(delta.changed) == [ItemKey("deployments", "luggage")]
+        assert delta.removed == ()
+
+
+class TestDifferences:
+    def test_reads_well(self):
+        old = example_document("palermo")
+        new = example_document("palermo")
+        new["deployments"][0]["replicas"]["max"] = 80
+        new["deployments"][1]["zones"] = ["palermo-1"]
+        new["accounts"][0]["name"] = "facchini"
+        lines = [str(line) for line in differences(split(old), split(new))]
+        assert lines == [
+            "+ accounts/facchini",
+            "- accounts/porters",
+            "~ deployments/luggage replicas.max: 75 -> 80",
+            "~ deployments/tracking zones: "
+            "[palermo-1, palermo-2, palermo-3] -> [palermo-1]",
+        ]
--- /dev/null
+++ b/tests/unit/config/test_follower.py
@@ -0,0 +1,130 @@
+"""The follower: polls, works through outages, never goes back."""
+
+import random
+
+import pytest
+
+from ebonydeal._internal.config.examples import example_document
+from ebonydeal._internal.config.follower import ConfigFollower, poll_interval
+from ebonydeal._internal.config.store import ConfigStore
+from ebonydeal._internal.models.document import EMPTY_DOCUMENT
+from ebonydeal._internal.observe.counters import Event, Metrics, RetryReason, Timing
+from tests.lib.clock import ManualClock
+from tests.lib.config_fakes import FakeTables, QuickClock
+
+
+@pytest.fixture
+def tables():
+    return FakeTables()
+
+
+@pytest.fixture
+def metrics():
+    return Metrics()
+
+
+@pytest.fixture
+def follower(tables, metrics):
+    return ConfigFollower(tables, metrics, QuickClock(), random.Random(1))
+
+
+async def accept(tables, version, most):
+    document = example_document("palermo")
+    document["deployments"][0]["replicas"]["max"] = most
+    store = ConfigStore(tables, QuickClock(), random.Random(version))
+    return (await store.propose(document, version - 1, "nia", "")).unwrap()
+
+
+class TestRefresh:
+    async def test_empty_before_the_first(self, follower):
+        await follower.refresh()
+        assert follower.document == EMPTY_DOCUMENT
+
+    async def test_callbacks_see_each_version_in_order(self, follower, tables):
+        seen = []
+        follower.on_change(lambda document: seen.append(document.version))
+        await accept(tables, 1, 80)
+        await follower.refresh()
+        await accept(tables, 2, 81)
+        await accept(tables, 3, 82)
+        await follower.refresh()
+        assert seen == [1, 2, 3]
+        assert follower.document.deployments["luggage"].max_replicas == 82
+
+    async def test_idle_poll_is_one_read(self, follower, tables):
+        await accept(tables, 1, 80)
+        await follower.refresh()
+        tables.calls.clear()
+        await follower.refresh()
+        assert tables.calls == ["get"]
+
+    async def test_far_behind_reads_the_whole(self, follower, tables):
+        await accept(tables, 1, 50)
+        await follower.refresh()
+        for version in range(2, 60):
+            await accept(tables, version, 50 + version)
+        tables.calls.clear()
+        await follower.refresh()
+        assert follower.document.version == 59
+        assert len(tables.calls) == 4
+
+    async def test_outage_keeps_the_last_good(self, follower, tables, metrics):
+        await accept(tables, 1, 80)
+        await follower.refresh()
+        tables.down = True
+        assert not await follower.try_refresh()
+        assert follower.document.version == 1
+        assert metrics.value("retries", RetryReason.STORE) == 1
+
+    async def test_peers_carry_it_through_an_outage(self, follower, tables):
+        await accept(tables, 1, 80)
+        await follower.refresh()
+        other = ConfigFollower(tables, Metrics(), QuickClock(), random.Random(2))
+        await accept(tables, 2, 81)
+        await other.refresh()
+        tables.down = True
+        follower.topic.receive(other.topic.answer(follower.topic.digest()))
+        assert follower.document == other.document
+        assert follower.document.version == 2
+
+    async def test_table_that_went_back_is_ignored(self, follower, tables, metrics):
+        await accept(tables, 1, 80)
+        old = dict(tables.rows)
+        await accept(tables, 2, 81)
+        await follower.refresh()
+        tables.rows = old
+        await follower.refresh()
+        assert follower.document.version == 2
+        assert metrics.value("events", Event.CONFIG_OLDER_IGNORED) == 1
+
+    async def test_spread_is_timed_from_acceptance(self, tables, metrics):
+        clock = QuickClock()
+        follower = ConfigFollower(tables, metrics, clock, random.Random(1))
+        await accept(tables, 1, 80)
+        await follower.refresh()
+        await accept(tables, 2, 81)
+        clock.time = 1_004.0
+        await follower.refresh()
+        assert metrics.quantile(Timing.CONFIG_SPREAD, 50) == pytest.approx(4, rel=0.02)
+
+    async def test_unusable_rows_are_no_traceback(self, follower, tables):
+        await accept(tables, 1, 80)
+        key = "config/items/deployments/luggage"
+        tables.rows[key] = tables.rows[key]._replace(value={"version": 1})
+        assert not await follower.try_refresh()
+        assert follower.document == EMPTY_DOCUMENT
+
+
+class TestPolling:
+    async def test_new_version_comes_within_an_interval(self, tables, metrics):
+        clock = ManualClock()
+        follower = ConfigFollower(tables, metrics, clock, random.Random(1))
+        await follower.start()
+        await accept(tables, 1, 80)
+        await clock.advance(1.25)
+        assert follower.document.version == 1
+        await follower.stop()
+
+    def test_interval_grows_with_nodes(self):
+        assert poll_interval(9) == 1.0
+        assert 350 / poll_interval(350) == 200.0
--- /dev/null
+++ b/tests/unit/config/test_topic.py
@@ -0,0 +1,132 @@
+"""The configuration among peers: deltas, whole contents in parts, garbage."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ebonydeal._internal.config.delta import between, split
+from ebonydeal._internal.config.examples import example_document
+from ebonydeal._internal.config.rows import Content, VersionInfo
+from ebonydeal._internal.config.topic import RECENT_VERSIONS, ConfigTopic
+from ebonydeal._internal.observe.counters import Event, Metrics
+
+
+def version_infos(count):
+    infos = []
+    old = {}
+    for version in range(1, count + 1):
+        document = example_document("palermo")
+        document["deployments"][0]["replicas"]["max"] = 100 + version
+        new = split(document)
+        delta = between(old, new)
+        infos.append(VersionInfo(version, "nia", 1.0, "", f"p{version}", delta))
+        old = new
+    return infos
+
+
+def topic(count=0, limit=64 * 1024):
+    made = ConfigTopic(Metrics(), lambda document, info: None, limit)
+    made.adopt_versions(version_infos(count))
+    return made
+
+
+def most(of):
+    return of.document.deployments["luggage"].max_replicas
+
+
+def exchange(source, target):
+    """One round; return whether anything was sent."""
+    payload = source.answer(target.digest())
+    if payload is not None:
+        target.receive(payload)
+    return payload is not None
+
+
+class TestSpread:
+    def test_versions_are_carried(self):
+        source, target = topic(5), topic(3)
+        assert set(source.answer(target.digest())) == {"versions"}
+        assert exchange(source, target)
+        assert (target.document.version, most(target)) == (5, 105)
+        assert not exchange(source, target)
+
+    def test_nothing_goes_to_the_newer(self):
+        assert topic(3).answer(topic(5).digest()) is None
+        assert topic(3).answer(topic(3).digest()) is None
+
+    def test_versions_come_in_pieces_of_the_limit(self):
+        source, target = topic(6, limit=1500), topic(1)
+        rounds = 0
+        while exchange(source, target):
+            rounds += 1
+        assert rounds > 1
+        assert target.content == source.content
+
+    def test_new_node_gets_the_whole_in_parts(self):
+        source, target = topic(RECENT_VERSIONS + 5, limit=600), topic()
+        parts = 0
+        while exchange(source, target):
+            parts += 1
+        assert parts > 3
+        assert target.content == source.content
+
+    def test_parts_of_a_newer_version_start_again(self):
+        old = topic(RECENT_VERSIONS + 5, limit=600)
+        new = topic(RECENT_VERSIONS + 6, limit=600)
+        target = topic()
+        exchange(old, target)
+        while exchange(new, target):
+            pass
+        assert target.content == new.content
+
+    def test_a_part_that_comes_twice_is_no_harm(self):
+        source, target = topic(RECENT_VERSIONS + 5, limit=600), topic()
+        first = source.answer(target.digest())
+        target.receive(first)
+        target.receive(first)
+        while exchange(source, target):
+            pass
+        assert target.content == source.content
+
+
+class TestNeverBack:
+    def test_older_is_ignored_and_counted(self):
+        target = topic(5)
+        target.receive({"versions": [info.to_row() for info in version_infos(3)]})
+        target.adopt_content(Content(2, {}))
+        assert (target.document.version, most(target)) == (5, 105)
+        assert target._metrics.value("events", Event.CONFIG_OLDER_IGNORED) == 4
+
+    def test_gap_is_not_jumped(self):
+        target = topic(2)
+        target.receive({"versions": [version_infos(4)[3].to_row()]})
+        assert target.document.version == 2
+
+
+class TestGarbage:
+    @pytest.mark.parametrize(
+        "payload",
+        [
+            {},
+            {"versions": [{}]},
+            {"versions": "x"},
+            {"whole": 9, "items": []},
+            {"whole": 9, "start": 0, "total": 1, "items": [[1]]},
+            {"whole": 9, "start": 0, "total": 1, "items": [["a", "b", 3]]},
+            {"whole": 9, "start": 0, "total": 1, "items": [["accounts", "b", {}]]},
+        ],
+    )
+    def test_is_dropped(self, payload):
+        target = topic(2)
+        target.receive(payload)
+        assert (target.document.version, most(target)) == (2, 102)
+
+    @given(
+        st.dictionaries(
+            st.sampled_from(["version", "partial"]), st.text() | st.integers()
+        )
+    )
+    def test_digest_garbage_gets_no_answer(self, digest):
+        assert (
+            topic(2).answer({**digest, "partial": digest.get("partial", "x")}) is None
+        )
