--- a/src/ebonydeal/_internal/standin/caller.py
+++ b/src/ebonydeal/_internal/standin/caller.py
@@ -17,6 +17,7 @@
 _FIRST_PAUSE_S = 0.05
 _LONGEST_PAUSE_S = 1.0
 _LOST = "connection_lost"
+_GARBAGE = "garbage_answer"
 _FINAL = frozenset(
     str(kind)
     for kind in (
@@ -148,6 +149,10 @@
             record.in_doubt = True
             record.breaks += record.call.kind is CallKind.STREAM and record.accepted
             return Outcome.UNKNOWN
+        except (KeyError, IndexError, TypeError, AttributeError):
+            record.refusals[_GARBAGE] += 1
+            record.in_doubt = True
+            return Outcome.UNKNOWN
         return Outcome.ANSWERED
 
     def _note_refusal(self, record: CallRecord, exc: _Refused) -> None:
