--- a/src/ebonydeal/_internal/routing/prefix_view.py
+++ b/src/ebonydeal/_internal/routing/prefix_view.py
@@ -12,6 +12,7 @@
 
 _LEARN = 0.1
 _LEAST_TRUST = 0.2
+_DROPPED = float("-inf")
 
 
 class CacheView:
@@ -41,10 +42,7 @@
         used = self._used
         for seq, stored, block in events:
             self._seq = max(self._seq, seq)
-            if not stored:
-                used.pop(block, None)
-                continue
-            used[block] = now
+            used[block] = now if stored else _DROPPED
             used.move_to_end(block)
         while len(used) > self._most:
             used.popitem(last=False)
@@ -66,16 +64,24 @@
         self.sent(blocks, now)
 
     def cached_tokens(self, blocks: Sequence[str], now: float) -> float:
-        """Return the prompt tokens expected to be found in the cache."""
+        """Return the prompt tokens expected to be found in the cache.
+
+        The deepest known block counts, whatever was not heard of before it:
+        engines keep no block without those before it. A block known to be
+        dropped ends the match.
+        """
+        used = self._used
         count = 0
-        oldest = now
-        for block in blocks:
-            used = self._used.get(block)
-            if used is None:
+        heard = now
+        for index, block in enumerate(blocks, 1):
+            at = used.get(block)
+            if at is None:
+                continue
+            if at == _DROPPED:
                 break
-            oldest = min(oldest, used)
-            count += 1
-        age = max(0.0, now - oldest)
+            count = index
+            heard = at
+        age = max(0.0, now - heard)
         return count * BLOCK_TOKENS * self._trust * 0.5 ** (age / self._half_life)
 
     def _touch(self, block: str, now: float) -> None:
--- a/src/ebonydeal/_internal/routing/router.py
+++ b/src/ebonydeal/_internal/routing/router.py
@@ -5,11 +5,15 @@
 
 from ebonydeal._internal.errors import ErrorKind
 from ebonydeal._internal.models.endpoints import EndpointState, EndpointView
+from ebonydeal._internal.routing.concurrency import ConcurrencyLimit
+from ebonydeal._internal.routing.home import Branches, home_of
 from ebonydeal._internal.routing.ledger import Attempt, Rates, Sent
+from ebonydeal._internal.routing.outliers import Outliers
 from ebonydeal._internal.routing.prefix_view import CacheView
 from ebonydeal._internal.routing.score import Estimate, price_per_second, score
 from ebonydeal._internal.routing.types import Choice, RouteRequest, Scored
 from ebonydeal._internal.settings.routing import RoutingSettings
+from ebonydeal._internal.utils.prefix import BLOCK_TOKENS
 
 _SHOWN_ALTERNATIVES = 3
 _ASSUMED_SLOTS = 16.0
@@ -32,6 +36,10 @@
         self._sent: dict[str, Sent] = {}
         self._caches: dict[str, CacheView] = {}
         self._rates: dict[str, Rates] = {}
+        self._branches = Branches(cfg.cache_blocks)
+        self._outliers = Outliers(cfg, rng)
+        self._limits: dict[str, ConcurrencyLimit] = {}
+        self._incarnations: dict[str, int] = {}
 
     @classmethod
     def from_config(cls, cfg: RoutingSettings, rng: Random) -> "Router":
@@ -52,16 +60,18 @@
         now : float
             Wall clock seconds.
         """
-        usable = tuple(view for view in views if _is_usable(ask, view))
+        usable = self._usable(ask, views, now)
         if not usable:
             return None
         second = price_per_second(usable)
-        scored = [
-            score(
-                ask, view, self._estimate(ask, view, now), second, self._cfg.late_factor
-            )
-            for view in usable
-        ]
+        late = self._cfg.late_factor
+        home, saved = self._home(ask, usable)
+        scored = []
+        for view in usable:
+            expected = self._estimate(ask, view, now)
+            if view.endpoint_id == home:
+                expected = expected._replace(home_tokens=saved)
+            scored.append(score(ask, view, expected, second, late))
         scored.sort(key=lambda item: item.score)
         best = self._pick(scored)
         rest = tuple(item for item in scored[: _SHOWN_ALTERNATIVES + 1] if item != best)
@@ -78,10 +88,11 @@
             sent_at=now,
             missed_tokens=missed,
             cached_tokens=choice.terms.cached_tokens,
-            delay_s=choice.terms.delay_s,
+            target_s=ask.first_token_s,
         )
         self._sent_to(endpoint).attempts[ask.request_id] = attempt
         self._cache(endpoint).sent(ask.blocks, now)
+        self._branches.learn(ask.blocks)
 
     def first_token(
         self,
@@ -96,9 +107,12 @@
         if attempt is None or attempt.first_token_at is not None:
             return
         attempt.first_token_at = now
-        self._rates_of(attempt.deployment).prefilled(
-            prefilled_tokens, now - attempt.sent_at
-        )
+        rates = self._rates_of(attempt.deployment)
+        delay = now - attempt.sent_at
+        rates.prefilled(prefilled_tokens, delay)
+        queued = delay - prefilled_tokens / rates.prefill
+        in_flight = len(self._sent_to(endpoint_id).attempts)
+        self._limit(endpoint_id).started(queued, attempt.target_s, in_flight, now)
         self._cache(endpoint_id).answered(
             attempt.blocks, attempt.cached_tokens, cached_tokens, now
         )
@@ -108,6 +122,7 @@
         attempt = self._sent_to(endpoint_id).end(request_id, now)
         if attempt is None:
             return
+        self._outliers.succeeded(endpoint_id, now)
         started = attempt.first_token_at or attempt.sent_at
         self._rates_of(attempt.deployment).served(now - started)
 
@@ -115,7 +130,18 @@
         self, request_id: str, endpoint_id: str, kind: ErrorKind, now: float
     ) -> None:
         """Note that a try failed, or that its caller left."""
-        self._sent_to(endpoint_id).end(request_id, now)
+        if self._sent_to(endpoint_id).end(request_id, now) is None:
+            return
+        self._outliers.failed(endpoint_id, kind, now)
+        if kind is ErrorKind.ENDPOINT_REFUSED:
+            self._limit(endpoint_id).refused(now)
+
+    def capacity(self, views: Iterable[EndpointView]) -> int:
+        """Return how many requests this gateway may have in flight at ``views``.
+
+        For `Admission.set_capacity`; at least 1 for each endpoint.
+        """
+        return sum(int(self._limit(view.endpoint_id).limit) for view in views)
 
     def cache_event(
         self, endpoint_id: str, seq: int, stored: bool, block: str, now: float
@@ -133,6 +159,14 @@
         """Drop what is known of an endpoint that is gone or started anew."""
         self._caches.pop(endpoint_id, None)
         self._sent.pop(endpoint_id, None)
+        self._limits.pop(endpoint_id, None)
+        self._incarnations.pop(endpoint_id, None)
+        self._outliers.forget(endpoint_id)
+
+    def keep(self, endpoint_ids: Iterable[str]) -> None:
+        """Forget all endpoints but these; call when the watched set changes."""
+        for name in self._incarnations.keys() - set(endpoint_ids):
+            self.forget(name)
 
     # --- parts -------------------------------------------------------------------
     def _sent_to(self, endpoint_id: str) -> Sent:
@@ -140,6 +174,37 @@
             self._sent[endpoint_id] = Sent()
         return self._sent[endpoint_id]
 
+    def _limit(self, endpoint_id: str) -> ConcurrencyLimit:
+        if endpoint_id not in self._limits:
+            cfg = self._cfg
+            self._limits[endpoint_id] = ConcurrencyLimit(cfg.limit_start, cfg.limit_max)
+        return self._limits[endpoint_id]
+
+    def _usable(
+        self, ask: RouteRequest, views: tuple[EndpointView, ...], now: float
+    ) -> tuple[EndpointView, ...]:
+        """Return the endpoints to score: not ejected, below their limit if any."""
+        able = tuple(view for view in views if _is_usable(ask, view))
+        for view in able:
+            self._notice_incarnation(view)
+        allowed = self._outliers.allowed(able, now)
+        below = tuple(view for view in allowed if self._is_below_limit(view))
+        # Admission holds the sum of limits; a single one only steers.
+        return below or allowed
+
+    def _is_below_limit(self, view: EndpointView) -> bool:
+        name = view.endpoint_id
+        return len(self._sent_to(name).attempts) < self._limit(name).limit
+
+    def _notice_incarnation(self, view: EndpointView) -> None:
+        """Forget what was known of an earlier incarnation."""
+        known = self._incarnations.get(view.endpoint_id)
+        if known == view.incarnation:
+            return
+        if known is not None:
+            self.forget(view.endpoint_id)
+        self._incarnations[view.endpoint_id] = view.incarnation
+
     def _cache(self, endpoint_id: str) -> CacheView:
         if endpoint_id not in self._caches:
             self._caches[endpoint_id] = CacheView(
@@ -153,6 +218,20 @@
             self._rates[deployment] = Rates(cfg.prefill_rate, cfg.service_time)
         return self._rates[deployment]
 
+    def _home(
+        self, ask: RouteRequest, views: tuple[EndpointView, ...]
+    ) -> tuple[str, float]:
+        """Return the prompt's home, and the tokens saved later by using it."""
+        if not ask.blocks:
+            return "", 0.0
+        split = self._branches.split(ask.blocks)
+        if split < 0 and not ask.session:
+            return "", 0.0
+        key = ask.session or ask.blocks[split]
+        own = ask.prompt_tokens - max(0, split) * BLOCK_TOKENS
+        home = home_of(key, (view.endpoint_id for view in views))
+        return home, own * self._cfg.affinity
+
     def _estimate(self, ask: RouteRequest, view: EndpointView, now: float) -> Estimate:
         """Put together what is expected of one endpoint."""
         sent = self._sent_to(view.endpoint_id)
@@ -170,7 +249,7 @@
 
     def _pick(self, scored: list[Scored]) -> Scored:
         """Return one of the near-equal best."""
-        bound = scored[0].score * (1.0 + self._cfg.near_equal)
+        bound = scored[0].score + scored[0].terms.spent * self._cfg.near_equal
         near = [item for item in scored if item.score <= bound]
         return self._rng.choice(near)
 
