--- /dev/null
+++ b/src/ebonydeal/_internal/gateway/reclaim.py
@@ -0,0 +1,269 @@
+"""Streams on endpoints that are leaving: finish, move the KV cache, or recompute."""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Collection
+from typing import NamedTuple
+
+from mode import Service
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.gateway import attempts
+from ebonydeal._internal.gateway.background import Spawn
+from ebonydeal._internal.gateway.moves import (
+    Affected,
+    export_rate,
+    running_stream,
+    stream_key,
+    targets,
+)
+from ebonydeal._internal.gateway.ports import DirectoryPort
+from ebonydeal._internal.gateway.streams import Relay
+from ebonydeal._internal.models.endpoints import EndpointView, LeavingMark
+from ebonydeal._internal.observe.counters import Event, Metrics
+from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.observe.trail import Step, Trails
+from ebonydeal._internal.platform.interfaces import Engine
+from ebonydeal._internal.routing.reclaim import (
+    ExportFault,
+    ExportTo,
+    Finish,
+    Move,
+    Recompute,
+    plan_moves,
+    replan,
+)
+from ebonydeal._internal.settings.gateway import GatewaySettings
+from ebonydeal._internal.utils.clock import Clock
+
+logger = get_logger("reclaim")
+
+# Marks of one wave come within moments of each other; a plan made before the
+# last one might move streams to endpoints that leave as well.
+_GATHER_S = 0.05
+
+
+class ReclaimParts(NamedTuple):
+    """What the reclaim service works with."""
+
+    relay: Relay
+    engine: Engine
+    directory: DirectoryPort
+    metrics: Metrics
+    trails: Trails
+    clock: Clock
+    background: Spawn
+
+
+class _Wave(NamedTuple):
+    """What is known of the marks that are acted on together.
+
+    ``deadline`` in wall clock seconds.
+    """
+
+    zones: frozenset[str]
+    deadline: float
+
+
+class _Transfer(NamedTuple):
+    """How the move of one KV cache went.
+
+    ``handle`` is empty where the export failed; ``done`` says that the target
+    holds the cache.
+    """
+
+    handle: str
+    done: bool
+
+
+class Reclaim(Service):
+    """Moves running streams off endpoints that are marked as leaving.
+
+    A stream whose export has begun gets a Move message in any case, at the
+    latest when the time for it is over; until then its relay waits for it.
+
+    Parameters
+    ----------
+    parts : ReclaimParts
+        What it works with.
+    cfg : GatewaySettings
+        Time limits and transfer rates.
+    """
+
+    def __init__(self, parts: ReclaimParts, cfg: GatewaySettings) -> None:
+        super().__init__()
+        self._parts = parts
+        self._cfg = cfg
+        self._marks: asyncio.Queue[LeavingMark] = asyncio.Queue()
+        parts.directory.on_mark(self._marks.put_nowait)
+
+    @Service.task
+    async def _follow_marks(self) -> None:
+        while not self.should_stop:
+            marks = [await self._marks.get()]
+            await self._parts.clock.sleep(_GATHER_S)
+            while not self._marks.empty():
+                marks.append(self._marks.get_nowait())
+            self.handle(marks)
+
+    def handle(self, marks: Collection[LeavingMark]) -> None:
+        """Start to act on new marks."""
+        zones = frozenset(mark.zone for mark in marks if not mark.endpoint_id)
+        for (deployment, deadline), group in self._affected().items():
+            logger.info("Streams leave.", deployment=deployment, streams=len(group))
+            self._plan(group, _Wave(zones, deadline))
+
+    def _affected(self) -> dict[tuple[str, float], list[Affected]]:
+        """Return the streams to move, by deployment and deadline."""
+        groups = defaultdict(list)
+        for live in self._parts.relay.live:
+            attempt = live.attempt
+            if attempt is None or live.moving or live.finish or live.planned is attempt:
+                continue
+            endpoint = attempt.route.endpoint
+            if not self._parts.directory.is_leaving(endpoint):
+                continue
+            live.planned = attempt
+            key = (live.job.deployment.name, self._deadline(endpoint))
+            groups[key].append(Affected(live, attempt))
+        return groups
+
+    def _deadline(self, endpoint: EndpointView) -> float:
+        """Return when an endpoint is taken; a guess where nobody said."""
+        known = self._parts.directory.deadline(endpoint)
+        return known or self._parts.clock.wall() + self._cfg.notice_seconds
+
+    # --- deciding ---
+    def _plan(self, group: list[Affected], wave: _Wave) -> None:
+        """Decide for streams of one deployment and start what was decided."""
+        by_key = {stream_key(item): item for item in group}
+        for move in self._moves(group, wave):
+            work = self._carry_out(by_key[move.request_id], move, wave)
+            self._parts.background(work)
+
+    def _moves(self, group: list[Affected], wave: _Wave) -> list[Move]:
+        """Return the plan; if it can't be made, the one that always can."""
+        clock = self._parts.clock
+        job = group[0].live.job
+        try:
+            return plan_moves(
+                [running_stream(item, self._cfg, clock.now()) for item in group],
+                max(0.0, wave.deadline - clock.wall()),
+                export_rate(group, self._cfg.kv_gb_per_s),
+                targets(
+                    self._parts.directory.views(job.deployment.name),
+                    job.model,
+                ),
+                clock.wall(),
+                leaving_zones=wave.zones,
+            )
+        except Exception as exc:
+            logger.error("A plan failed.", exc_info=exc)
+            return [Recompute(stream_key(item), None, clock.wall()) for item in group]
+
+    # --- acting ---
+    async def _carry_out(self, item: Affected, move: Move, wave: _Wave) -> None:
+        """Do what was decided for one stream, when it is due."""
+        match move:
+            case Finish(review_at=at):
+                await self._wait_until(at)
+                if item.is_current:
+                    self._plan([item], wave)
+            case Recompute(target=target, start_at=at):
+                await self._wait_until(at)
+                if item.is_current:
+                    item.attempt.mailbox.post(attempts.Move(target, ""))
+            case ExportTo(start_at=at):
+                await self._wait_until(at)
+                if item.is_current:
+                    await self._export(item, move, wave)
+
+    async def _wait_until(self, at: float) -> None:
+        """Wait for a wall clock time."""
+        left = at - self._parts.clock.wall()
+        if left > 0.0:
+            await self._parts.clock.sleep(left)
+
+    async def _export(self, item: Affected, move: ExportTo, wave: _Wave) -> None:
+        """Move a stream's KV cache; where that fails, let it recompute."""
+        item.live.moving = True
+        last = attempts.Move(None, "")
+        try:
+            last = await self._transfer(item, move, wave)
+        finally:
+            item.attempt.mailbox.post(last)
+
+    async def _transfer(
+        self, item: Affected, move: ExportTo, wave: _Wave
+    ) -> attempts.Move:
+        """Export, import, and if need be import at another target."""
+        first = await self._try_transfer(item, move.target, "")
+        if first.done:
+            return attempts.Move(move.target, first.handle)
+        second = self._second_move(item, move, first, wave)
+        if isinstance(second, ExportTo):
+            again = await self._try_transfer(item, second.target, first.handle)
+            return attempts.Move(second.target, again.handle if again.done else "")
+        return attempts.Move(
+            second.target if isinstance(second, Recompute) else None, ""
+        )
+
+    def _second_move(
+        self, item: Affected, move: ExportTo, failed: _Transfer, wave: _Wave
+    ) -> Move:
+        """Decide anew after a transfer failed."""
+        clock = self._parts.clock
+        job = item.live.job
+        views = [
+            view
+            for view in self._parts.directory.views(job.deployment.name)
+            if view.endpoint_id != move.target.endpoint_id
+        ]
+        moves = replan(
+            [running_stream(item, self._cfg, clock.now())],
+            [ExportFault(stream_key(item), bool(failed.handle))],
+            max(0.0, wave.deadline - clock.wall()),
+            export_rate([item], self._cfg.kv_gb_per_s),
+            targets(views, job.model),
+            clock.wall(),
+            leaving_zones=wave.zones,
+        )
+        return moves[0]
+
+    async def _try_transfer(
+        self, item: Affected, target: EndpointView, handle: str
+    ) -> _Transfer:
+        """Export (unless ``handle`` is given) and import at ``target``."""
+        source = item.attempt.route.endpoint
+        engine = self._parts.engine
+        try:
+            async with asyncio.timeout(self._cfg.export_seconds):
+                if not handle:
+                    handle = await engine.export_kv(source, item.attempt.attempt_id)
+                tokens = await engine.import_kv(target, handle, source)
+        except (EbonydealError, TimeoutError) as exc:
+            kind = exc.kind if isinstance(exc, EbonydealError) else None
+            self._failed(item, target, kind)
+            return _Transfer(handle, False)
+        self._parts.trails.note(
+            item.live.request_id,
+            self._parts.clock.wall(),
+            Step.EXPORTED,
+            source=source.endpoint_id,
+            target=target.endpoint_id,
+            tokens=tokens,
+        )
+        return _Transfer(handle, True)
+
+    def _failed(
+        self, item: Affected, target: EndpointView, kind: ErrorKind | None
+    ) -> None:
+        """Count and log a transfer that failed."""
+        self._parts.metrics.count(Event.KV_EXPORT_FAILED)
+        reason = str(kind) if kind else "timeout"
+        logger.warning(
+            "A KV cache could not be moved.",
+            request_id=item.live.request_id,
+            target=target.endpoint_id,
+            reason=reason,
+        )
