--- a/src/ebonydeal/_internal/cli/main.py
+++ b/src/ebonydeal/_internal/cli/main.py
@@ -4,6 +4,8 @@
 
 from ebonydeal import __version__
 from ebonydeal._internal.commands.bench import bench_command
+from ebonydeal._internal.commands.key import key_command
+from ebonydeal._internal.commands.settings import settings_command
 from ebonydeal._internal.commands.standin import standin_command
 
 
@@ -15,3 +17,5 @@
 
 main.add_command(bench_command)
 main.add_command(standin_command)
+main.add_command(key_command)
+main.add_command(settings_command)
--- /dev/null
+++ b/src/ebonydeal/_internal/commands/exits.py
@@ -0,0 +1,16 @@
+"""Exit codes of ``ebonydeal``; stated in docs/operate/console.md."""
+
+from enum import IntEnum
+
+
+class ExitCode(IntEnum):
+    """What the calling script may conclude."""
+
+    OK = 0
+    FAILED = 1
+    BAD_INPUT = 2
+    REFUSED = 3
+    CONFLICT = 4
+    UNAVAILABLE = 5
+    IN_DOUBT = 6
+    UNAUTHORIZED = 7
--- /dev/null
+++ b/src/ebonydeal/_internal/commands/key.py
@@ -0,0 +1,29 @@
+"""``ebonydeal key``: make API keys and operator tokens, and their hashes."""
+
+import secrets
+
+import click
+
+from ebonydeal._internal.utils.keys import hash_key
+
+_KEY_BYTES = 24
+
+
+@click.group("key")
+def key_command() -> None:
+    """Make keys and their salted hashes; only hashes go into files."""
+
+
+@key_command.command("new")
+def new() -> None:
+    """Print a fresh random key, then its hash, one a line."""
+    key = secrets.token_urlsafe(_KEY_BYTES)
+    click.echo(key)
+    click.echo(hash_key(key))
+
+
+@key_command.command("hash")
+@click.option("--key", prompt=True, hide_input=True, help="The key; asked if absent.")
+def hash_command(key: str) -> None:
+    """Print the salted hash of a key."""
+    click.echo(hash_key(key))
--- /dev/null
+++ b/src/ebonydeal/_internal/commands/settings.py
@@ -0,0 +1,63 @@
+"""``ebonydeal settings``: check, show, and write an example settings file."""
+
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+from returns.result import Failure
+
+from ebonydeal._internal.commands.exits import ExitCode
+from ebonydeal._internal.settings.parse import parse_settings
+from ebonydeal._internal.settings.registry import ALL_SECTIONS
+from ebonydeal._internal.settings.text import example_text, settings_text
+
+file_argument = click.argument("file", type=click.Path(path_type=Path))
+
+
+def read_text_file(file: Path) -> str:
+    """Return a file's text, or end with a message."""
+    try:
+        return file.read_text(encoding="utf-8")
+    except OSError as exc:
+        click.echo(f"{file}: can't be read: {exc.strerror}", err=True)
+    except UnicodeDecodeError as exc:
+        click.echo(f"{file}: not UTF-8: {exc.reason}", err=True)
+    sys.exit(ExitCode.BAD_INPUT)
+
+
+def load_settings(file: Path) -> dict[str, Any]:
+    """Return a file's typed sections, or end with every mistake named."""
+    parsed = parse_settings(read_text_file(file), str(file), ALL_SECTIONS)
+    if isinstance(parsed, Failure):
+        for problem in parsed.failure():
+            click.echo(str(problem), err=True)
+        click.echo("See 'ebonydeal settings example' for every key.", err=True)
+        sys.exit(ExitCode.BAD_INPUT)
+    return parsed.unwrap()
+
+
+@click.group("settings")
+def settings_command() -> None:
+    """Check, show or write settings files (INI)."""
+
+
+@settings_command.command("check")
+@file_argument
+def check(file: Path) -> None:
+    """Name every mistake in FILE; exit code 2 if there is any."""
+    load_settings(file)
+    click.echo(f"{file}: no mistakes")
+
+
+@settings_command.command("show")
+@file_argument
+def show(file: Path) -> None:
+    """Print what is in force for FILE, with secrets masked."""
+    click.echo(settings_text(load_settings(file), ALL_SECTIONS), nl=False)
+
+
+@settings_command.command("example")
+def example() -> None:
+    """Print a complete commented settings file."""
+    click.echo(example_text(ALL_SECTIONS), nl=False)
--- a/src/ebonydeal/_internal/config/follower.py
+++ b/src/ebonydeal/_internal/config/follower.py
@@ -6,6 +6,7 @@
 from mode import Service
 
 from ebonydeal._internal.config.rows import (
+    GARBAGE,
     VersionInfo,
     read_content,
     read_head,
@@ -17,24 +18,22 @@
 from ebonydeal._internal.observe.counters import Event, Metrics, RetryReason, Timing
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.platform.interfaces import Tables
+from ebonydeal._internal.settings.config import ConfigSettings
 from ebonydeal._internal.utils.clock import Clock
 
 logger = get_logger("config")
 
 Callback = Callable[[Document], None]
 
-# All processes together poll at most this often: a tenth of the table service's
-# reads (about 2,000 a second).
-POLLS_PER_S = 200.0
-SHORTEST_POLL_S = 1.0
+_DEFAULTS = ConfigSettings()
 _JITTER = 0.25
 # More versions behind than this: reading the whole content is cheaper.
 _MOST_DELTAS = 32
 
 
-def poll_interval(nodes: int) -> float:
+def poll_interval(cfg: ConfigSettings, nodes: int) -> float:
     """Return seconds between two polls of one of ``nodes`` processes."""
-    return max(SHORTEST_POLL_S, nodes / POLLS_PER_S)
+    return max(cfg.shortest_poll, nodes / cfg.polls_per_s)
 
 
 class ConfigFollower(Service):
@@ -52,6 +51,8 @@
         For jitter.
     nodes : callable, optional
         Returns how many processes poll; the poll interval grows with it.
+    cfg : ConfigSettings, optional
+        Poll interval.
     """
 
     def __init__(
@@ -61,6 +62,7 @@
         clock: Clock,
         rng: random.Random,
         nodes: Callable[[], int] = lambda: 1,
+        cfg: ConfigSettings = _DEFAULTS,
     ) -> None:
         super().__init__()
         self._tables = tables
@@ -68,9 +70,23 @@
         self._clock = clock
         self._rng = rng
         self._nodes = nodes
+        self._cfg = cfg
         self._callbacks: list[Callback] = []
         self.topic = ConfigTopic(metrics, self._adopted)
 
+    @classmethod
+    def from_config(
+        cls,
+        cfg: ConfigSettings,
+        tables: Tables,
+        metrics: Metrics,
+        clock: Clock,
+        rng: random.Random,
+        nodes: Callable[[], int] = lambda: 1,
+    ) -> "ConfigFollower":
+        """Build from ``[config]``."""
+        return cls(tables, metrics, clock, rng, nodes, cfg)
+
     @property
     def document(self) -> Document:
         """The highest version seen; `EMPTY_DOCUMENT` before the first."""
@@ -111,7 +127,7 @@
             self._metrics.retried(RetryReason.STORE)
             logger.debug("The table gives no configuration.", kind=str(exc.kind))
             return False
-        except (KeyError, TypeError, ValueError) as exc:
+        except GARBAGE as exc:
             logger.error("The table's configuration is unusable.", exc=str(exc))
             return False
         return True
@@ -122,4 +138,4 @@
         while not self.should_stop:
             await self.try_refresh()
             spread = self._rng.uniform(1 - _JITTER, 1 + _JITTER)
-            await self._clock.sleep(poll_interval(self._nodes()) * spread)
+            await self._clock.sleep(poll_interval(self._cfg, self._nodes()) * spread)
--- a/src/ebonydeal/_internal/config/rows.py
+++ b/src/ebonydeal/_internal/config/rows.py
@@ -14,6 +14,8 @@
 HEAD = "config/head"
 ITEMS = "config/items/"
 VERSIONS = "config/versions/"
+# What parsing a row or a peer's message may raise.
+GARBAGE = (LookupError, TypeError, ValueError, AttributeError, ArithmeticError)
 _PAGE = 1000
 _TORN_READS = 8
 
--- a/src/ebonydeal/_internal/config/topic.py
+++ b/src/ebonydeal/_internal/config/topic.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from ebonydeal._internal.config.delta import ItemKey, Items, apply, join
-from ebonydeal._internal.config.rows import EMPTY, Content, VersionInfo
+from ebonydeal._internal.config.rows import EMPTY, GARBAGE, Content, VersionInfo
 from ebonydeal._internal.models.document import EMPTY_DOCUMENT, Document
 from ebonydeal._internal.observe.counters import Event, Metrics
 from ebonydeal._internal.observe.logs import get_logger
@@ -77,7 +77,7 @@
         """Put a content in force, unless no document can be built from it."""
         try:
             document = Document.from_config(join(content.items), content.version)
-        except (KeyError, TypeError, ValueError) as exc:
+        except GARBAGE as exc:
             logger.error("A version is unusable.", version=content.version, exc=exc)
             return False
         self.content = content
@@ -92,16 +92,16 @@
         version, items = self._partial
         return {"version": self.content.version, "partial": [version, len(items)]}
 
-    def answer(self, digest: dict[str, Any]) -> dict[str, Any] | None:
+    def answer(self, theirs: Any) -> dict[str, Any] | None:
         """Return what a peer with this digest lacks; None if nothing."""
         try:
-            theirs = int(digest["version"])
-            partial, count = (int(number) for number in digest["partial"])
-        except (KeyError, TypeError, ValueError):
+            version = int(theirs["version"])
+            partial, count = (int(number) for number in theirs["partial"])
+        except GARBAGE:
             return None
-        if theirs >= self.content.version:
+        if version >= self.content.version:
             return None
-        return self.delta_since(theirs, self._limit) or self._whole(
+        return self.delta_since(version, self._limit) or self._whole(
             count if partial == self.content.version else 0
         )
 
@@ -132,7 +132,7 @@
         """Return items in an order that every process agrees on."""
         return [[key.section, key.name, items[key]] for key in sorted(items)]
 
-    def receive(self, payload: dict[str, Any]) -> None:
+    def receive(self, payload: Any) -> None:
         """Take a peer's answer; garbage is logged and dropped."""
         try:
             match payload:
@@ -143,7 +143,7 @@
                     self._receive_part(version, start, total, items)
                 case _:
                     raise ValueError("neither versions nor a whole")
-        except (KeyError, TypeError, ValueError) as exc:
+        except GARBAGE as exc:
             logger.warning("A peer's configuration is unusable.", exc=str(exc))
 
     def _receive_part(
--- /dev/null
+++ b/src/ebonydeal/_internal/settings/console.py
@@ -0,0 +1,33 @@
+"""Settings of the operators' console."""
+
+from typing import Annotated, NamedTuple
+
+from ebonydeal._internal.settings.keys import Key
+
+
+class ConsoleSettings(NamedTuple):
+    """``[console]``: operators' forms, status pages and JSON API."""
+
+    port: Annotated[
+        int, Key("Port of the operators' listener; 0 picks one.", "", 0, 65535)
+    ] = 9300
+    operators: Annotated[
+        str,
+        Key(
+            "Operators as name:hash, comma separated; see 'ebonydeal key new'.",
+            secret=True,
+        ),
+    ] = ""
+    session_secret: Annotated[
+        str,
+        Key(
+            "Signs sessions; the same on every console. Empty: fresh at each start.",
+            secret=True,
+        ),
+    ] = ""
+    session_hours: Annotated[
+        float, Key("How long a login holds.", "hours", 0.05, 168)
+    ] = 12.0
+    login_tries: Annotated[
+        int, Key("Failed logins a minute before a pause.", "logins", 1, 10000)
+    ] = 20
--- /dev/null
+++ b/src/ebonydeal/_internal/settings/registry.py
@@ -0,0 +1,35 @@
+"""Every section that a settings file may hold.
+
+One file can serve every program of an instance: each reads the sections it
+needs, and all of them are checked.
+"""
+
+from ebonydeal._internal.settings.config import ConfigSettings
+from ebonydeal._internal.settings.console import ConsoleSettings
+from ebonydeal._internal.settings.controller import ControllerSettings
+from ebonydeal._internal.settings.directory import DirectorySettings
+from ebonydeal._internal.settings.gateway import GatewaySettings
+from ebonydeal._internal.settings.journal import JournalSettings
+from ebonydeal._internal.settings.routing import RoutingSettings
+from ebonydeal._internal.settings.sections import (
+    LogSettings,
+    NodeSettings,
+    PeerSettings,
+    PlatformSettings,
+    TlsSettings,
+)
+
+ALL_SECTIONS: dict[str, type] = {
+    "node": NodeSettings,
+    "platform": PlatformSettings,
+    "peers": PeerSettings,
+    "tls": TlsSettings,
+    "logs": LogSettings,
+    "config": ConfigSettings,
+    "directory": DirectorySettings,
+    "routing": RoutingSettings,
+    "gateway": GatewaySettings,
+    "journal": JournalSettings,
+    "controller": ControllerSettings,
+    "console": ConsoleSettings,
+}
--- a/tests/unit/config/test_follower.py
+++ b/tests/unit/config/test_follower.py
@@ -9,6 +9,7 @@
 from ebonydeal._internal.config.store import ConfigStore
 from ebonydeal._internal.models.document import EMPTY_DOCUMENT
 from ebonydeal._internal.observe.counters import Event, Metrics, RetryReason, Timing
+from ebonydeal._internal.settings.config import ConfigSettings
 from tests.lib.clock import ManualClock
 from tests.lib.config_fakes import FakeTables, QuickClock
 
@@ -126,5 +127,6 @@
         await follower.stop()
 
     def test_interval_grows_with_nodes(self):
-        assert poll_interval(9) == 1.0
-        assert 350 / poll_interval(350) == 200.0
+        cfg = ConfigSettings()
+        assert poll_interval(cfg, 9) == 1.0
+        assert 350 / poll_interval(cfg, 350) == 200.0
--- a/tests/unit/config/test_topic.py
+++ b/tests/unit/config/test_topic.py
@@ -10,6 +10,13 @@
 from ebonydeal._internal.config.topic import RECENT_VERSIONS, ConfigTopic
 from ebonydeal._internal.observe.counters import Event, Metrics
 
+PART = {"whole", "start", "total", "items"}
+anything = st.recursive(
+    st.none() | st.text(max_size=3) | st.integers() | st.floats(),
+    lambda inner: st.lists(inner, max_size=3),
+    max_leaves=5,
+)
+
 
 def version_infos(count):
     infos = []
@@ -122,11 +129,14 @@
         assert (target.document.version, most(target)) == (2, 102)
 
     @given(
-        st.dictionaries(
-            st.sampled_from(["version", "partial"]), st.text() | st.integers()
-        )
+        st.dictionaries(st.sampled_from(["version", "partial"]), anything) | anything
     )
-    def test_digest_garbage_gets_no_answer(self, digest):
-        assert (
-            topic(2).answer({**digest, "partial": digest.get("partial", "x")}) is None
-        )
+    def test_garbage_digest_gets_no_more_than_an_answer(self, theirs):
+        answered = topic(2).answer(theirs)
+        assert answered is None or set(answered) in ({"versions"}, PART)
+
+    @given(st.dictionaries(st.sampled_from([*PART, "versions"]), anything) | anything)
+    def test_garbage_payload_changes_nothing(self, payload):
+        target = topic(2)
+        target.receive(payload)
+        assert (target.document.version, most(target)) == (2, 102)
