Survive a leader's death or pause at every step of a replacement

Cause: faults struck at every call of a leader that replaces a zone showed four errors: an order that was read and sent at the same instant was taken as read back; an engine that had loaded meanwhile waited for leave to load; a process paused during a read counted the pause as silence of the holder; and a surplus instance was drained while the start that made it surplus was refused. Change: a sent order is unread until it is read again; the sighting is taken after the read; drains keep the target standing through a zone's loss.

--- a/src/ebonydeal/_internal/controller/context.py
+++ b/src/ebonydeal/_internal/controller/context.py
@@ -5,11 +5,11 @@
 from typing import NamedTuple
 
 from ebonydeal._internal.controller.demand import DemandPolicy
+from ebonydeal._internal.controller.fleet import ReconcilePolicy
 from ebonydeal._internal.controller.lease import Holder
 from ebonydeal._internal.controller.load_desk import LoadDesk
 from ebonydeal._internal.controller.orders import OrderPolicy
 from ebonydeal._internal.controller.placement import PlacementPolicy
-from ebonydeal._internal.controller.reconcile import ReconcilePolicy
 from ebonydeal._internal.models.endpoints import LeavingMark
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.platform.interfaces import Cloud, Engine, Tables
--- a/src/ebonydeal/_internal/controller/lease.py
+++ b/src/ebonydeal/_internal/controller/lease.py
@@ -172,8 +172,9 @@
 
     async def _step(self) -> None:
         """Do one move; raises where the table can't be reached."""
-        began = self._clock.now()
         row = await self._tables.get(self.key)
+        # Only now: a process paused during the read has seen nothing meanwhile.
+        began = self._clock.now()
         self._sight(row, began)
         move = next_move(self.key, row, self._holder.id, self._seen, began, self._ttl)
         match move:
--- a/src/ebonydeal/_internal/controller/order_keeper.py
+++ b/src/ebonydeal/_internal/controller/order_keeper.py
@@ -145,7 +145,9 @@
                     case ReadBack():
                         await self._read(view, wanted, memory)
                     case SendOrder():
-                        loads = set(wanted.models) - set(_models(memory))
+                        loads = (
+                            set(wanted.models) - set(_models(memory)) - set(view.models)
+                        )
                         if loads and not may_load:
                             return False
                         await self._send(view, wanted, memory)
@@ -167,7 +169,7 @@
     ) -> None:
         """Send an order, after the table has confirmed the lease this round."""
         await self._confirm()
-        self._memories[view.endpoint_id] = after_send(memory, self._clock.now())
+        self._memories[view.endpoint_id] = after_send(memory)
         self._metrics.count(Event.ORDERS_SENT)
         await self._engine.order(view, wanted)
 
--- a/src/ebonydeal/_internal/controller/orders.py
+++ b/src/ebonydeal/_internal/controller/orders.py
@@ -39,15 +39,14 @@
     ----------
     found : EngineOrder or None
         Order in force when last read.
-    read_at, sent_at : float or None
-        When it was read, and when an order was last sent.
+    read_at : float or None
+        When it was read; None if not since the last order was sent.
     same_since : float or None
         Since when every read has shown the wanted end.
     """
 
     found: EngineOrder | None = None
     read_at: float | None = None
-    sent_at: float | None = None
     same_since: float | None = None
 
 
@@ -117,20 +116,13 @@
     now : float
         Monotonic seconds.
     """
-    if _must_read(memory):
+    if memory.read_at is None or memory.found is None:
         return ReadBack()
     if checks_fence:
         return Settled() if memory.found == wanted else SendOrder()
     return _step_unchecked(wanted, memory, leadership, policy, now)
 
 
-def _must_read(memory: OrderMemory) -> bool:
-    """Return whether nothing was read since the last order was sent."""
-    if memory.read_at is None or memory.found is None:
-        return True
-    return memory.sent_at is not None and memory.read_at < memory.sent_at
-
-
 def _step_unchecked(
     wanted: EngineOrder,
     memory: OrderMemory,
@@ -188,6 +180,6 @@
     return memory._replace(found=found, read_at=now, same_since=same_since)
 
 
-def after_send(memory: OrderMemory, now: float) -> OrderMemory:
+def after_send(memory: OrderMemory) -> OrderMemory:
     """Return the memory after an order was sent, whatever its answer."""
-    return memory._replace(sent_at=now, same_since=None)
+    return memory._replace(read_at=None, same_since=None)
--- a/src/ebonydeal/_internal/controller/reconcile.py
+++ b/src/ebonydeal/_internal/controller/reconcile.py
@@ -7,8 +7,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterator, Mapping, Set
-from typing import NamedTuple
+from collections.abc import Iterator, Set
 
 from ebonydeal._internal.controller.actions import (
     Action,
@@ -23,96 +22,18 @@
     Start,
     Warm,
 )
+from ebonydeal._internal.controller.fleet import Observed, ReconcilePolicy, Wanted
+from ebonydeal._internal.controller.surplus import drain_surplus
 from ebonydeal._internal.controller.values import (
     LIVE_STATES,
     InstanceRow,
     InstanceState,
     OfferKey,
 )
-from ebonydeal._internal.platform.interfaces import CloudInstance
 
 _EPS = 1e-9
 
 
-class ReconcilePolicy(NamedTuple):
-    """Constants of reconciling, in seconds and counts.
-
-    Attributes
-    ----------
-    list_grace : float
-        How long a started instance may be absent from the cloud's list.
-    warm_timeout : float
-        Longest time from start to warm before the instance is replaced.
-    drain_least : float
-        Least drain of an instance that served: leaving marks spread meanwhile.
-    drain_longest : float
-        Longest drain where the cloud sets no deadline.
-    drain_over_ceiling : float
-        Longest drain of an instance that breaks the price ceiling.
-    starts_at_once : int
-        Most starts in one round.
-    """
-
-    list_grace: float = 20.0
-    warm_timeout: float = 900.0
-    drain_least: float = 5.0
-    drain_longest: float = 600.0
-    drain_over_ceiling: float = 30.0
-    starts_at_once: int = 50
-
-
-class Wanted(NamedTuple):
-    """What should run.
-
-    Attributes
-    ----------
-    counts : mapping of OfferKey to int
-        Instances by (zone, class, market).
-    target : int
-        Replicas without which the deployment is below strength.
-    ceiling : float
-        Most that all instances together may cost an hour.
-    """
-
-    counts: Mapping[OfferKey, int]
-    target: int
-    ceiling: float
-
-
-class Observed(NamedTuple):
-    """What is known to run.
-
-    ``instances`` must have been listed before ``rows`` were read: then an
-    instance without a row can't be one whose start was recorded meanwhile.
-
-    Attributes
-    ----------
-    instances : mapping of str to CloudInstance
-        By token.
-    rows : mapping of str to InstanceRow
-        By token.
-    warm : set of str
-        Tokens of instances whose order is in force and whose engine is ready.
-    idle : set of str
-        Tokens of instances known to run nothing.
-    leaving : mapping of str to float
-        Tokens under a reclaim notice, with its deadline (wall seconds).
-    prices : mapping of OfferKey to float
-        Present prices.
-    """
-
-    instances: Mapping[str, CloudInstance]
-    rows: Mapping[str, InstanceRow]
-    warm: Set[str]
-    idle: Set[str]
-    leaving: Mapping[str, float]
-    prices: Mapping[OfferKey, float]
-
-    def price(self, row: InstanceRow) -> float:
-        """Return the present price of a row's instance, an hour."""
-        return self.prices.get(OfferKey.of(row), row.price_per_hour)
-
-
 def plan(
     wanted: Wanted,
     observed: Observed,
@@ -141,7 +62,7 @@
     for row in observed.rows.values():
         actions.extend(_advance(row, observed, policy, now))
     staying = _staying(observed, actions)
-    drains = _drain_surplus(wanted, observed, staying, policy, now)
+    drains = drain_surplus(wanted, observed, staying, policy, now)
     actions = _without_rows(actions, {drain.row.token for drain in drains})
     actions.extend(drains)
     actions.extend(_starts(wanted, observed, staying, actions, unreplaced, policy))
@@ -216,80 +137,6 @@
     ]
 
 
-def _drain_surplus(
-    wanted: Wanted,
-    observed: Observed,
-    staying: list[InstanceRow],
-    policy: ReconcilePolicy,
-    now: float,
-) -> list[Drain]:
-    """Drain what is not wanted, without going below strength.
-
-    ``staying`` loses what is drained. What breaks the ceiling goes first and at
-    once; the rest only while enough others are ready.
-    """
-    surplus = _surplus(wanted, observed, staying)
-    cost = sum(observed.price(row) for row in staying)
-    ready = sum(row.state is InstanceState.READY for row in staying)
-    needed = sum(wanted.counts.values())
-    if _blocked_by_ceiling(wanted, observed, staying):
-        needed = min(needed, wanted.target)
-    drains = []
-    for row in surplus:
-        over = cost > wanted.ceiling + _EPS
-        serving = row.state is InstanceState.READY
-        if serving and not over and ready - 1 < needed:
-            continue
-        why = "price ceiling" if over else "not wanted any more"
-        wait = policy.drain_over_ceiling if over else policy.drain_longest
-        drains.append(Drain(row, why, now + (wait if serving else 0.0)))
-        staying.remove(row)
-        cost -= observed.price(row)
-        ready -= serving
-    return drains
-
-
-def _surplus(
-    wanted: Wanted, observed: Observed, staying: list[InstanceRow]
-) -> list[InstanceRow]:
-    """Return the rows beyond the wanted counts, dearest first.
-
-    Within one key those that serve least well go first: not yet ready ones.
-    """
-    order = sorted(staying, key=lambda row: (row.state != InstanceState.READY, row.at))
-    kept: Counter[OfferKey] = Counter()
-    surplus = []
-    for row in order:
-        key = OfferKey.of(row)
-        kept[key] += 1
-        if kept[key] > wanted.counts.get(key, 0):
-            surplus.append(row)
-    surplus.sort(
-        key=lambda row: (row.state == InstanceState.READY, -observed.price(row))
-    )
-    return surplus
-
-
-def _committed(observed: Observed) -> float:
-    """Return the present price of everything that may still be running."""
-    return sum(observed.price(row) for row in observed.rows.values())
-
-
-def _blocked_by_ceiling(
-    wanted: Wanted, observed: Observed, staying: list[InstanceRow]
-) -> bool:
-    """Return whether a wanted start can't be paid before something is drained."""
-    have = Counter(OfferKey.of(row) for row in staying)
-    prices = [
-        observed.prices.get(key, 0.0)
-        for key, number in wanted.counts.items()
-        if number > have[key]
-    ]
-    if not prices:
-        return False
-    return _committed(observed) + min(prices) > wanted.ceiling + _EPS
-
-
 def _starts(
     wanted: Wanted,
     observed: Observed,
@@ -300,7 +147,7 @@
 ) -> Iterator[Action]:
     """Yield starts of what is missing, as far as the ceiling allows."""
     have = Counter(OfferKey.of(row) for row in staying)
-    cost = _committed(observed) - sum(
+    cost = observed.committed() - sum(
         observed.price(action.row) for action in actions if isinstance(action, Forget)
     )
     causes = iter(unreplaced + _taken_away(actions))
--- a/src/ebonydeal/_internal/controller/worker.py
+++ b/src/ebonydeal/_internal/controller/worker.py
@@ -19,11 +19,12 @@
     desired_replicas,
 )
 from ebonydeal._internal.controller.execute import Executor
+from ebonydeal._internal.controller.fleet import Observed, Wanted
 from ebonydeal._internal.controller.lease import LeaseKeeper
 from ebonydeal._internal.controller.ledger import Ledger
 from ebonydeal._internal.controller.loads import LoadWatcher
 from ebonydeal._internal.controller.placement import Placement
-from ebonydeal._internal.controller.reconcile import Observed, Wanted, plan
+from ebonydeal._internal.controller.reconcile import plan
 from ebonydeal._internal.controller.records import Records
 from ebonydeal._internal.controller.refusals import Refusals
 from ebonydeal._internal.controller.replicas import ReplicaKeeper, views_by_token
--- a/tests/lib/controller_fakes.py
+++ b/tests/lib/controller_fakes.py
@@ -149,7 +149,10 @@
         self.cfg = ControllerSettings()
         self.seed = seed
 
-    def controller(self, node: str, hook: Hook = no_hook) -> Controller:
+    def controller(
+        self, node: str, hook: Hook = no_hook, document: Document | None = None
+    ) -> Controller:
+        """Return a controller; a given ``document`` is all that it ever sees."""
         rng = random.Random(f"{self.seed}{node}")
         return Controller(
             self.cfg,
@@ -159,7 +162,7 @@
             WorldList(self.world, hook),
             WorldEngines(self.world, hook),
             WorldWeights(self.world, hook),
-            lambda: self.document,
+            lambda: document or self.document,
             self.marks.append,
             Metrics(),
             self.clock,
