--- a/src/ebonydeal/_internal/observe/counters.py
+++ b/src/ebonydeal/_internal/observe/counters.py
@@ -8,7 +8,12 @@
 from enum import StrEnum
 
 from hdrh.histogram import HdrHistogram
-from prometheus_client import CollectorRegistry, Counter, generate_latest
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    ProcessCollector,
+    generate_latest,
+)
 from prometheus_client.core import SummaryMetricFamily
 from prometheus_client.registry import Collector
 
@@ -44,8 +49,15 @@
     ANSWERED = "answered"
     TOKENS_OUT = "tokens_out"
     TOKENS_RECOMPUTED_RESUME = "tokens_recomputed_resume"
+    TOKENS_RECOMPUTED_RECLAIM = "tokens_recomputed_reclaim"
+    TOKENS_RECOMPUTED_STALL = "tokens_recomputed_stall"
+    TOKENS_RECOMPUTED_RECONNECT = "tokens_recomputed_reconnect"
     TOKENS_RECOMPUTED_PREFIX = "tokens_recomputed_prefix"
     KV_IMPORTED = "kv_imported"
+    KV_EXPORT_FAILED = "kv_export_failed"
+    CANCELS_SENT = "cancels_sent"
+    STREAMS_MOVED = "streams_moved"
+    STREAMS_RECONNECTED = "streams_reconnected"
     LATE_ANSWER_DROPPED = "late_answer_dropped"
     # journal
     TABLE_READS = "table_reads"
@@ -108,6 +120,7 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
+        ProcessCollector(registry=self.registry)
         self._refusals = Counter(
             "ebonydeal_refusals",
             "Requests refused, by reason.",
--- a/src/ebonydeal/_internal/routing/prefix_view.py
+++ b/src/ebonydeal/_internal/routing/prefix_view.py
@@ -6,13 +6,13 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from ebonydeal._internal.utils.prefix import BLOCK_TOKENS
 
 _LEARN = 0.1
-_GAP_KEEP = 0.98
 _LEAST_TRUST = 0.2
+_DROPPED = float("-inf")
 
 
 class CacheView:
@@ -37,16 +37,15 @@
         """Return the number of remembered blocks."""
         return len(self._used)
 
-    def event(self, seq: int, stored: bool, block: str, now: float) -> None:
-        """Take a cache event; a jump of ``seq`` lowers the trust in the view."""
-        if self._seq and seq > self._seq + 1:
-            gap = min(seq - self._seq - 1, 100)
-            self._trust = max(_LEAST_TRUST, self._trust * _GAP_KEEP**gap)
-        self._seq = max(self._seq, seq)
-        if stored:
-            self._touch(block, now)
-        else:
-            self._used.pop(block, None)
+    def events(self, events: Iterable[tuple[int, bool, str]], now: float) -> None:
+        """Take cache events (seq, stored, block)."""
+        used = self._used
+        for seq, stored, block in events:
+            self._seq = max(self._seq, seq)
+            used[block] = now if stored else _DROPPED
+            used.move_to_end(block)
+        while len(used) > self._most:
+            used.popitem(last=False)
 
     def sent(self, blocks: Sequence[str], now: float) -> None:
         """An own request with these blocks was sent: it will fill the cache."""
@@ -65,16 +64,24 @@
         self.sent(blocks, now)
 
     def cached_tokens(self, blocks: Sequence[str], now: float) -> float:
-        """Return the prompt tokens expected to be found in the cache."""
+        """Return the prompt tokens expected to be found in the cache.
+
+        The deepest known block counts, whatever was not heard of before it:
+        engines keep no block without those before it. A block known to be
+        dropped ends the match.
+        """
+        used = self._used
         count = 0
-        oldest = now
-        for block in blocks:
-            used = self._used.get(block)
-            if used is None:
+        heard = now
+        for index, block in enumerate(blocks, 1):
+            at = used.get(block)
+            if at is None:
+                continue
+            if at == _DROPPED:
                 break
-            oldest = min(oldest, used)
-            count += 1
-        age = max(0.0, now - oldest)
+            count = index
+            heard = at
+        age = max(0.0, now - heard)
         return count * BLOCK_TOKENS * self._trust * 0.5 ** (age / self._half_life)
 
     def _touch(self, block: str, now: float) -> None:
