Test nodes, hand-over, outage and the gateways' client over HTTP

Cause: leases, assignment, listener and client had no run together. Conclusion: hand-over, takeover and wrong owners work; an outage of the table moves no shard.

--- a/src/ebonydeal/_internal/journal/program.py
+++ b/src/ebonydeal/_internal/journal/program.py
@@ -35,6 +35,7 @@
     TlsSettings,
 )
 from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.tls import TlsContexts
 from ebonydeal._internal.utils.web import HttpServer
 
 SECTIONS: dict[str, type] = {
@@ -76,7 +77,7 @@
 class JournalProgram(Service):
     """Everything of one journal process.
 
-    Children, in the order of their start: directory, peers, listener,
+    Children, in the order of their start: TLS files, directory, peers, listener,
     dispatcher, node. A stop first hands over all shards, while the listener
     still answers those who wait.
     """
@@ -89,6 +90,7 @@
         node: JournalNode,
         server: HttpServer,
         platform: Platform,
+        tls: TlsContexts,
     ) -> None:
         super().__init__()
         self.directory = directory
@@ -97,6 +99,7 @@
         self.node = node
         self.server = server
         self._platform = platform
+        self._tls = tls
 
     @classmethod
     def from_config(
@@ -111,6 +114,7 @@
         own: NodeSettings = settings["node"]
         place = Place(own.region, own.zone)
         platform = Platform.from_config(settings["platform"])
+        tls = TlsContexts.from_config(settings["tls"], clock)
         directory = Directory.from_config(
             settings["directory"],
             platform.instances,
@@ -131,6 +135,8 @@
             instances=platform.instances,
             directory=directory,
             roles=("journal",),
+            ssl_server=tls.server,
+            ssl_client=tls.client,
         )
         router = Router.from_config(settings["routing"], rng)
         dispatcher = Dispatcher(
@@ -155,8 +161,14 @@
         me = Identity(own.id, "", int(clock.wall() * _MS))
         node = JournalNode(me, place, parts, own.drain_seconds)
         app = journal_app(node, settings["peers"].credential, metrics)
-        server = HttpServer(app, own.host, cfg.port, drain_seconds=own.drain_seconds)
-        return cls(directory, peers, dispatcher, node, server, platform)
+        server = HttpServer(
+            app,
+            own.host,
+            cfg.port,
+            ssl_context=tls.server,
+            drain_seconds=own.drain_seconds,
+        )
+        return cls(directory, peers, dispatcher, node, server, platform, tls)
 
     @property
     def address(self) -> str:
@@ -167,6 +179,7 @@
         """Bind the listener, then claim shards under its address."""
         self.directory.on_mark(self.dispatcher.leaving)
         self.directory.on_change(self._endpoints_changed)
+        await self.add_runtime_dependency(self._tls)
         await self.add_runtime_dependency(self.directory)
         await self.add_runtime_dependency(self.peers)
         await self.add_runtime_dependency(self.server)
--- /dev/null
+++ b/tests/functional/journal/test_nodes.py
@@ -0,0 +1,219 @@
+import asyncio
+import random
+
+import pytest
+from aiohttp import ClientSession
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.observe.counters import Metrics
+from ebonydeal._internal.peers.journal_client import JournalClient
+from tests.lib.journal_fakes import (
+    CREDENTIAL,
+    FAST,
+    Process,
+    World,
+    make_note,
+    make_request,
+)
+
+CFG = FAST._replace(shards=4, settle_seconds=5.0)
+TRIES = 2000
+
+
+@pytest.fixture
+async def world():
+    yield World(CFG)
+
+
+@pytest.fixture
+async def processes(world):
+    started = []
+
+    async def start(name):
+        process = Process(world, name)
+        await process.start()
+        started.append(process)
+        return process
+
+    yield start
+    for process in started:
+        await process.kill()
+
+
+@pytest.fixture
+async def client(world):
+    client = JournalClient.from_config(
+        CFG,
+        CREDENTIAL,
+        world.tables,
+        clock=world.clock,
+        rng=random.Random(2),
+        metrics=Metrics(),
+    )
+    yield client
+    await client.close()
+
+
+async def until(world, condition, step=0.5):
+    """Let time pass until ``condition`` holds."""
+    for _ in range(TRIES):
+        if condition():
+            return
+        await world.clock.advance(step)
+        await asyncio.sleep(0)
+    raise AssertionError("it never came to that")
+
+
+async def finish(world, coro):
+    """Let time pass until ``coro`` is done."""
+    task = asyncio.ensure_future(coro)
+    for _ in range(TRIES):
+        done, _ = await asyncio.wait({task}, timeout=0.01)
+        if done:
+            break
+        await world.clock.advance(0.1)
+    return await task
+
+
+def held(process):
+    return {shard for shard, owner in process.node.owners.items() if owner.serving}
+
+
+class TestShards:
+    async def test_one_node_serves_all(self, world, processes):
+        one = await processes("n-1")
+        await until(world, lambda: held(one) == {0, 1, 2, 3})
+
+    async def test_a_second_node_gets_its_share_by_hand_over(self, world, processes):
+        one = await processes("n-1")
+        await until(world, lambda: len(held(one)) == 4)
+        two = await processes("n-2")
+        await until(world, lambda: len(held(two)) > 0)
+        await until(world, lambda: held(one) | held(two) == {0, 1, 2, 3})
+        assert not held(one) & held(two)
+
+    async def test_a_dead_node_is_taken_over(self, world, processes):
+        one = await processes("n-1")
+        await until(world, lambda: len(held(one)) == 4)
+        two = await processes("n-2")
+        await until(world, lambda: len(held(two)) > 0)
+        await one.kill()
+        await until(world, lambda: held(two) == {0, 1, 2, 3})
+
+    async def test_a_stopped_node_frees_its_shards(self, world, processes):
+        one = await processes("n-1")
+        await until(world, lambda: len(held(one)) == 4)
+        stop = asyncio.ensure_future(one.stop())
+        await until(world, stop.done)
+        rows = await world.tables.scan("shards/")
+        assert [row.value["owner"] for row in rows] == ["", "", "", ""]
+        assert await world.tables.scan("nodes/") == []
+
+    async def test_an_outage_of_the_table_moves_nothing(self, world, processes):
+        one = await processes("n-1")
+        two = await processes("n-2")
+        await until(world, lambda: held(one) | held(two) == {0, 1, 2, 3})
+        await world.clock.advance(60.0)
+        before = held(one), held(two)
+        epochs = [row.value["epoch"] for row in await world.tables.scan("shards/")]
+        world.tables.faults.down = True
+        await world.clock.advance(300.0)
+        world.tables.faults.down = False
+        await world.clock.advance(60.0)
+        assert (held(one), held(two)) == before
+        after = [row.value["epoch"] for row in await world.tables.scan("shards/")]
+        assert after == epochs
+
+
+class TestClient:
+    async def test_accept_and_status(self, world, processes, client):
+        one = await processes("n-1")
+        await until(world, lambda: len(held(one)) == 4)
+        request_id = client.request_id("gwesty", "")
+        accepted = await finish(world, client.accept(make_request(request_id)))
+        assert accepted.state == "accepted"
+        status = await finish(world, client.status(request_id, "gwesty"))
+        assert status.state == "completed"
+        assert status.answer is not None and status.answer.status == 200
+
+    async def test_a_call_is_answered(self, world, processes, client):
+        one = await processes("n-1")
+        await until(world, lambda: len(held(one)) == 4)
+        request_id = client.request_id("gwesty", "note-1")
+        status = await finish(world, client.call(make_note(request_id), 5.0))
+        assert status.answer is not None and status.answer.body == "ok"
+
+    async def test_follows_a_hand_over(self, world, processes, client):
+        one = await processes("n-1")
+        await until(world, lambda: len(held(one)) == 4)
+        request_id = client.request_id("gwesty", "note-1")
+        first = await finish(world, client.call(make_note(request_id), 5.0))
+        two = await processes("n-2")
+        stop = asyncio.ensure_future(one.stop())
+        await until(world, lambda: stop.done() and len(held(two)) == 4)
+        again = await finish(world, client.call(make_note(request_id), 5.0))
+        assert again.answer == first.answer
+        assert len(world.services.log) == 1
+
+    async def test_without_owners_it_certainly_did_not_run(self, world, client):
+        request_id = client.request_id("gwesty", "note-1")
+        with pytest.raises(EbonydealError) as caught:
+            await finish(world, client.call(make_note(request_id), 1.0))
+        assert caught.value.kind is ErrorKind.JOURNAL_UNAVAILABLE
+
+    async def test_a_lost_answer_is_asked_again(self, world, processes, client):
+        one = await processes("n-1")
+        await until(world, lambda: len(held(one)) == 4)
+        lost = []
+        call = client._peers.call
+
+        async def lose_first(address, path, message, timeout):
+            body = await call(address, path, message, timeout)
+            if not lost:
+                lost.append(body)
+                raise EbonydealError(ErrorKind.STORE_IN_DOUBT)
+            return body
+
+        client._peers.call = lose_first
+        request_id = client.request_id("gwesty", "note-1")
+        status = await finish(world, client.call(make_note(request_id), 5.0))
+        assert status.state == "completed"
+        assert len(world.services.log) == 1
+
+    async def test_an_owner_that_never_answers_is_not_called_not_run(
+        self, world, processes, client
+    ):
+        one = await processes("n-1")
+        await until(world, lambda: len(held(one)) == 4)
+
+        async def lose(address, path, message, timeout):
+            raise EbonydealError(ErrorKind.STORE_IN_DOUBT)
+
+        client._peers.call = lose
+        request_id = client.request_id("gwesty", "note-1")
+        with pytest.raises(EbonydealError) as caught:
+            await finish(world, client.call(make_note(request_id), 1.0))
+        assert caught.value.kind is ErrorKind.STORE_IN_DOUBT
+
+
+class TestListener:
+    async def test_wants_the_peers_credential(self, world, processes):
+        one = await processes("n-1")
+        url = f"http://{one.server.address}/journal/v1/status"
+        body = {"request_id": "r-0000-1", "account": "gwesty"}
+        async with ClientSession() as session:
+            async with session.post(url, json=body) as resp:
+                assert resp.status == 401
+                assert (await resp.json())["error"]["code"] == "unauthorized"
+
+    async def test_names_the_right_owner(self, world, processes):
+        one = await processes("n-1")
+        await until(world, lambda: len(held(one)) == 4)
+        two = await processes("n-2")
+        await until(world, lambda: len(held(two)) > 0)
+        await world.clock.advance(10.0)
+        shard = min(held(two))
+        with pytest.raises(EbonydealError) as caught:
+            one.node.owner_of(f"r-{shard:04x}-1")
+        assert caught.value.kind is ErrorKind.WRONG_OWNER
+        assert caught.value.owner == two.server.address
--- a/tests/lib/journal_fakes.py
+++ b/tests/lib/journal_fakes.py
@@ -9,10 +9,13 @@
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.journal.claims import Identity, claim_shard
 from ebonydeal._internal.journal.dispatcher import Dispatcher
+from ebonydeal._internal.journal.node import JournalNode
 from ebonydeal._internal.journal.owner import OwnerParts, ShardOwner
 from ebonydeal._internal.journal.pacing import Budget, Pacer
 from ebonydeal._internal.journal.rows import shard_key
+from ebonydeal._internal.journal.service import journal_app
 from ebonydeal._internal.models.endpoints import EndpointKind, EndpointView
+from ebonydeal._internal.models.places import Place
 from ebonydeal._internal.models.requests import Priority, Request, RequestKind
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.platform.interfaces import (
@@ -23,10 +26,12 @@
 )
 from ebonydeal._internal.settings.journal import JournalSettings
 from ebonydeal._internal.standin.memory import MemoryObjects, MemoryTables
+from ebonydeal._internal.utils.web import HttpServer
 from tests.lib.clock import ManualClock, settle
 from tests.lib.endpoints import make_view
 
 TOKENS = ("one ", "two ", "three ", "four")
+CREDENTIAL = "peers"
 FAST = JournalSettings(writes_per_s=100000.0, urgent_writes_per_s=100000.0)
 
 
@@ -269,3 +274,37 @@
             owner.lose()
             await owner.stop()
         await self.dispatcher.stop()
+
+
+class Process:
+    """A journal node with its listener, as one process has them."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self.base = Node(world, name)
+        me = Identity(name, "", int(world.clock.wall()))
+        self.node = JournalNode(
+            me, Place("wales", "wales-1"), self.base.parts, drain_seconds=10.0
+        )
+        app = journal_app(self.node, CREDENTIAL, self.base.metrics)
+        self.server = HttpServer(app, "127.0.0.1", 0, drain_seconds=1.0)
+
+    async def start(self) -> None:
+        await self.server.start()
+        await self.base.dispatcher.start()
+        self.node.me = self.node.me._replace(address=self.server.address)
+        await self.node.start()
+
+    async def kill(self) -> None:
+        """End without a word to anyone."""
+        self.node._leaving = True
+        for owner in list(self.node.owners.values()):
+            owner.lose()
+        await self.node.stop()
+        await self.base.dispatcher.stop()
+        await self.server.stop()
+
+    async def stop(self) -> None:
+        """End gracefully."""
+        await self.node.stop()
+        await self.base.dispatcher.stop()
+        await self.server.stop()
