--- a/spec/checker.py
+++ b/spec/checker.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
-from minicheck import Protocol, check_safety
+from minicheck import Protocol, check_liveness, check_safety
 
 Step = tuple[str, Any]
 Predicate = Callable[[Any], bool]
@@ -88,6 +88,29 @@
     )
 
 
+def always_can_reach(spec: Specification, goal: Predicate) -> bool:
+    """Tell whether ``goal`` can still be reached from every reachable state.
+
+    Raises
+    ------
+    RuntimeError
+        If the state space was not explored whole.
+    """
+    model = _OwnStates(
+        name=spec.name,
+        candidate=False,
+        fields=type(spec.initial)._fields,
+        initial=spec.initial,
+        transitions=lambda state: list(spec.transitions(state)),
+        invariants={},
+        goal=goal,
+    )
+    holds = check_liveness(model)["holds"]
+    if holds is None:
+        raise RuntimeError(f"{spec.name} was not explored whole")
+    return bool(holds)
+
+
 def _sweep(
     spec: Specification, max_states: int, stopped: Callable[[], bool]
 ) -> Checked:
