--- a/src/ebonydeal/_internal/benchmarks/gateway/sides.py
+++ b/src/ebonydeal/_internal/benchmarks/gateway/sides.py
@@ -222,12 +222,15 @@
     directory, config = _Directory(engine), _Config()
     trails = Trails(cfg.explain_requests)
     admission = Admission.from_config(AdmissionSettings(), "gateway-1", rng)
-    desk = AdmissionDesk(admission, directory, config, metrics, trails, clock, rng)
     router = Router.from_config(RoutingSettings(), rng)
+    routes = RouterRoutes(router, directory, _PLACE)
+    desk = AdmissionDesk(
+        admission, routes.capacity, config, metrics, trails, clock, rng
+    )
     ports = GatewayPorts(
         engine=HttpEngine(2.0),
         services=HttpPlainServices(2.0),
-        routes=RouterRoutes(router, directory, _PLACE),
+        routes=routes,
         retries=RetryBudget(RetryPolicy.from_config(RetrySettings(), rng)),
         admission=desk,
         directory=directory,
--- a/src/ebonydeal/_internal/gateway/desk.py
+++ b/src/ebonydeal/_internal/gateway/desk.py
@@ -1,13 +1,13 @@
 """`AdmissionPort` on top of the admission decisions: who waits, and for whom."""
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 
 from mode import Service
 
 from ebonydeal._internal.errors import EbonydealError
-from ebonydeal._internal.gateway.capacity import capacity
-from ebonydeal._internal.gateway.ports import ConfigPort, DirectoryPort, Ticket
+from ebonydeal._internal.gateway.ports import ConfigPort, Ticket
 from ebonydeal._internal.models.document import Deployment
 from ebonydeal._internal.models.requests import Request
 from ebonydeal._internal.observe.counters import Metrics, Timing
@@ -44,8 +44,8 @@
     ----------
     admission : Admission
         The decisions.
-    directory : DirectoryPort
-        Endpoints, whose slots are the capacity.
+    capacity : callable
+        Returns how many requests of a deployment may run at once.
     config : ConfigPort
         Deployments and client accounts.
     metrics, trails, clock, rng
@@ -55,7 +55,7 @@
     def __init__(
         self,
         admission: Admission,
-        directory: DirectoryPort,
+        capacity: Callable[[str], int],
         config: ConfigPort,
         metrics: Metrics,
         trails: Trails,
@@ -64,7 +64,7 @@
     ) -> None:
         super().__init__()
         self._admission = admission
-        self._directory = directory
+        self._capacity = capacity
         self._config = config
         self._metrics = metrics
         self._trails = trails
@@ -152,9 +152,7 @@
 
     def _measure(self, deployment: str) -> None:
         """Take a deployment's present capacity."""
-        views = self._directory.views(deployment)
-        own = self._admission.running(deployment)
-        slots = capacity(views, own)
+        slots = self._capacity(deployment)
         self._admission.set_capacity(deployment, slots, self._clock.wall())
 
 
--- a/src/ebonydeal/_internal/gateway/program.py
+++ b/src/ebonydeal/_internal/gateway/program.py
@@ -25,6 +25,7 @@
 from ebonydeal._internal.gateway.services import ServiceParts, Services
 from ebonydeal._internal.gateway.streams import Relay, RelayParts
 from ebonydeal._internal.gateway.watch import StreamWatch
+from ebonydeal._internal.gateway.wiring import wire
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.utils.clock import Clock
@@ -51,6 +52,8 @@
     ----------
     draining : bool
         Whether a stop has begun, so that the balancer sends no more.
+    ports : GatewayPorts
+        The other parts.
     relay : Relay
         Answers under way.
     trails : Trails
@@ -67,7 +70,7 @@
     ) -> None:
         super().__init__()
         self._cfg = cfg
-        self._ports = ports
+        self.ports = ports
         self._metrics = metrics
         self._clock = clock
         self._rng = rng
@@ -91,6 +94,18 @@
         self._server = self._new_server()
         ports.peers.add_routes([web.post(RESUME_PATH, self._resume_for_peer)])
 
+    @classmethod
+    def from_config(
+        cls,
+        settings: dict[str, Any],
+        metrics: Metrics,
+        clock: Clock,
+        rng: Random,
+    ) -> "GatewayProgram":
+        """Build the whole tree from all settings sections."""
+        cfg, ports = wire(settings, metrics, clock, rng)
+        return cls(cfg, ports, metrics, clock, rng)
+
     @property
     def address(self) -> str:
         """``host:port`` of the callers' listener; after the start."""
@@ -110,7 +125,7 @@
             self._reclaim,
             self._server,
         )
-        for child in (*self._ports.children, *own):
+        for child in (*self.ports.children, *own):
             await self.add_runtime_dependency(child)
         logger.info("Listening.", address=self.address)
 
@@ -127,7 +142,7 @@
         return ParkedStreams(cfg.retention_seconds, cfg.retention_tokens // 2)
 
     def _new_relay(self) -> Relay:
-        ports = self._ports
+        ports = self.ports
         parts = RelayParts(
             engine=ports.engine,
             routes=ports.routes,
@@ -144,8 +159,8 @@
     def _new_reclaim(self) -> Reclaim:
         parts = ReclaimParts(
             relay=self.relay,
-            engine=self._ports.engine,
-            directory=self._ports.directory,
+            engine=self.ports.engine,
+            directory=self.ports.directory,
             metrics=self._metrics,
             trails=self.trails,
             clock=self._clock,
@@ -178,7 +193,7 @@
     def _new_generation(self) -> Generation:
         parts = GenerationParts(
             intake=self._intake,
-            admission=self._ports.admission,
+            admission=self.ports.admission,
             relay=self.relay,
             reconnector=self._reconnector,
             left=self._left,
@@ -188,11 +203,11 @@
             clock=self._clock,
         )
         return Generation(
-            parts, self._cfg.gateway, self._cfg.credential, self._ports.peers
+            parts, self._cfg.gateway, self._cfg.credential, self.ports.peers
         )
 
     def _new_services(self) -> Services:
-        ports = self._ports
+        ports = self.ports
         direct = DirectParts(
             services=ports.services,
             routes=ports.routes,
@@ -219,8 +234,8 @@
         return Deferred(
             DeferredParts(
                 self._intake,
-                self._ports.admission,
-                self._ports.journal,
+                self.ports.admission,
+                self.ports.journal,
                 self._metrics,
                 self._clock,
             )
--- a/src/ebonydeal/_internal/gateway/routes.py
+++ b/src/ebonydeal/_internal/gateway/routes.py
@@ -48,6 +48,10 @@
             missed_tokens=_missed(choice),
         )
 
+    def capacity(self, deployment: str) -> int:
+        """Return how many requests of a deployment may be in flight here."""
+        return self._router.capacity(self._directory.views(deployment))
+
     def first_token(
         self, route: Route, seconds: float, cached: int, prefilled: int, now: float
     ) -> None:
--- /dev/null
+++ b/src/ebonydeal/_internal/gateway/wiring.py
@@ -0,0 +1,246 @@
+"""The real parts behind the gateway's ports."""
+
+from collections.abc import Iterable
+from random import Random
+from typing import Any, NamedTuple
+
+from aiohttp import web
+from mode import Service
+
+from ebonydeal._internal.config.follower import ConfigFollower
+from ebonydeal._internal.directory.service import Directory
+from ebonydeal._internal.directory.table import Change
+from ebonydeal._internal.gateway.budget import RetryBudget
+from ebonydeal._internal.gateway.demand import DemandTopic
+from ebonydeal._internal.gateway.desk import AdmissionDesk
+from ebonydeal._internal.gateway.parts import GatewayConfig, GatewayPorts
+from ebonydeal._internal.gateway.routes import RouterRoutes
+from ebonydeal._internal.models.places import Place
+from ebonydeal._internal.observe.counters import Metrics
+from ebonydeal._internal.observe.trail import Trails
+from ebonydeal._internal.peers.journal_client import JournalClient
+from ebonydeal._internal.peers.service import PeerService
+from ebonydeal._internal.platform.cloud import HttpCloud
+from ebonydeal._internal.platform.engines import HttpEngine
+from ebonydeal._internal.platform.instances import HttpInstanceList
+from ebonydeal._internal.platform.interfaces import CacheEvent
+from ebonydeal._internal.platform.services import HttpPlainServices
+from ebonydeal._internal.platform.tables import HttpTables
+from ebonydeal._internal.routing.admission import Admission
+from ebonydeal._internal.routing.retries import RetryPolicy
+from ebonydeal._internal.routing.router import Router
+from ebonydeal._internal.settings.directory import DirectorySettings
+from ebonydeal._internal.settings.gateway import GatewaySettings
+from ebonydeal._internal.settings.journal import JournalSettings
+from ebonydeal._internal.settings.routing import (
+    AdmissionSettings,
+    RetrySettings,
+    RoutingSettings,
+)
+from ebonydeal._internal.settings.sections import (
+    LogSettings,
+    NodeSettings,
+    PeerSettings,
+    PlatformSettings,
+    TlsSettings,
+)
+from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.peerclient import PeerClient
+from ebonydeal._internal.utils.tls import TlsContexts
+
+SECTIONS: dict[str, type] = {
+    "node": NodeSettings,
+    "platform": PlatformSettings,
+    "peers": PeerSettings,
+    "logs": LogSettings,
+    "tls": TlsSettings,
+    "gateway": GatewaySettings,
+    "directory": DirectorySettings,
+    "routing": RoutingSettings,
+    "admission": AdmissionSettings,
+    "retries": RetrySettings,
+    "journal": JournalSettings,
+}
+_ROLE = "gateway"
+_ASK_SECONDS = 3.0
+
+
+class _Clients:
+    """The clients of the outside systems."""
+
+    def __init__(self, cfg: PlatformSettings) -> None:
+        self.tables = HttpTables.from_config(cfg)
+        self.instances = HttpInstanceList.from_config(cfg)
+        self.cloud = HttpCloud.from_config(cfg)
+        self.engine = HttpEngine.from_config(cfg)
+        self.services = HttpPlainServices.from_config(cfg)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for client in (
+            self.tables,
+            self.instances,
+            self.cloud,
+            self.engine,
+            self.services,
+        ):
+            await client.close()
+
+
+class _Peers:
+    """`PeerPort` on top of the peer service."""
+
+    def __init__(self, service: PeerService, client: PeerClient) -> None:
+        self._service = service
+        self._client = client
+
+    @property
+    def address(self) -> str:
+        """``host:port`` of this gateway's peer listener; after the start."""
+        return self._service.address
+
+    def add_routes(self, routes: Iterable[web.AbstractRouteDef]) -> None:
+        """Serve further routes on the peer listener; before the start."""
+        self._service.add_routes(routes)
+
+    async def ask(
+        self, address: str, path: str, message: dict[str, Any]
+    ) -> dict[str, Any]:
+        """Call another gateway; raises its `EbonydealError`."""
+        return await self._client.call(address, path, message, _ASK_SECONDS)
+
+
+class _Parts(NamedTuple):
+    """Everything that is built, before it is put behind the ports."""
+
+    clients: _Clients
+    tls: TlsContexts
+    directory: Directory
+    peers: PeerService
+    follower: ConfigFollower
+    journal: JournalClient
+    client: PeerClient
+
+
+def _build(
+    settings: dict[str, Any], metrics: Metrics, clock: Clock, rng: Random
+) -> _Parts:
+    """Build the parts that own sockets."""
+    clients = _Clients(settings["platform"])
+    tls = TlsContexts.from_config(settings["tls"], clock)
+    credential = settings["peers"].credential
+    directory = Directory.from_config(
+        settings["directory"],
+        clients.instances,
+        metrics,
+        clock,
+        rng,
+        cloud=clients.cloud,
+        engine=clients.engine,
+    )
+    clients.engine.on_load = directory.observe_load
+    clients.services.on_load = directory.observe_load
+    peers = PeerService.from_config(
+        settings["node"],
+        settings["peers"],
+        metrics,
+        clock,
+        rng,
+        instances=clients.instances,
+        directory=directory,
+        roles=(_ROLE,),
+        ssl_server=tls.server,
+        ssl_client=tls.client,
+    )
+    follower = ConfigFollower(
+        clients.tables, metrics, clock, rng, lambda: len(peers.members()) + 1
+    )
+    peers.register(follower.topic)
+    journal = JournalClient.from_config(
+        settings["journal"],
+        credential,
+        clients.tables,
+        clock=clock,
+        rng=rng,
+        metrics=metrics,
+        ssl_context=tls.client,
+    )
+    client = PeerClient(credential, tls.client)
+    return _Parts(clients, tls, directory, peers, follower, journal, client)
+
+
+def _new_routes(
+    settings: dict[str, Any], directory: Directory, clock: Clock, rng: Random
+) -> RouterRoutes:
+    """Build the router and let it follow the directory."""
+    router = Router.from_config(settings["routing"], rng)
+
+    def cache_events(endpoint_id: str, events: list[CacheEvent]) -> None:
+        router.cache_events(endpoint_id, events, clock.wall())
+
+    def changed(change: Change) -> None:
+        for view in change.removed:
+            router.forget(view.endpoint_id)
+
+    directory.on_cache_events(cache_events)
+    directory.on_change(changed)
+    node: NodeSettings = settings["node"]
+    return RouterRoutes(router, directory, Place(node.region, node.zone))
+
+
+class _Closer(Service):
+    """Closes the clients when all that use them have stopped."""
+
+    def __init__(self, parts: _Parts) -> None:
+        super().__init__()
+        self._parts = parts
+
+    async def on_shutdown(self) -> None:
+        """Close all connections."""
+        await self._parts.journal.close()
+        await self._parts.client.close()
+        await self._parts.clients.close()
+
+
+def wire(
+    settings: dict[str, Any], metrics: Metrics, clock: Clock, rng: Random
+) -> tuple[GatewayConfig, GatewayPorts]:
+    """Build the real parts from settings sections (see `SECTIONS`)."""
+    node: NodeSettings = settings["node"]
+    gateway: GatewaySettings = settings["gateway"]
+    parts = _build(settings, metrics, clock, rng)
+    trails = Trails(gateway.explain_requests)
+    admission = Admission.from_config(settings["admission"], node.id, rng)
+    parts.peers.register(DemandTopic(admission.limits, clock))
+    routes = _new_routes(settings, parts.directory, clock, rng)
+    desk = AdmissionDesk(
+        admission, routes.capacity, parts.follower, metrics, trails, clock, rng
+    )
+    ports = GatewayPorts(
+        engine=parts.clients.engine,
+        services=parts.clients.services,
+        routes=routes,
+        retries=RetryBudget(RetryPolicy.from_config(settings["retries"], rng)),
+        admission=desk,
+        directory=parts.directory,
+        config=parts.follower,
+        journal=parts.journal,
+        peers=_Peers(parts.peers, parts.client),
+        trails=trails,
+        children=(
+            _Closer(parts),
+            parts.tls,
+            parts.directory,
+            parts.peers,
+            parts.follower,
+            desk,
+        ),
+    )
+    cfg = GatewayConfig(
+        node,
+        gateway,
+        settings["peers"].credential,
+        settings["journal"].shards,
+        parts.tls.server,
+    )
+    return cfg, ports
--- /dev/null
+++ b/tests/functional/gateway/test_program.py
@@ -0,0 +1,126 @@
+import asyncio
+import random
+
+import openai
+import pytest
+
+from ebonydeal._internal.config.examples import example_document
+from ebonydeal._internal.config.store import ConfigStore
+from ebonydeal._internal.gateway.program import GatewayProgram
+from ebonydeal._internal.gateway.wiring import SECTIONS
+from ebonydeal._internal.observe.counters import Metrics
+from ebonydeal._internal.platform.tables import HttpTables
+from ebonydeal._internal.standin.text import expected_tokens, finish_reason
+from ebonydeal._internal.standin.world import StandinWorld
+from ebonydeal._internal.standin.worldspec import WorldSpec
+from ebonydeal._internal.utils.clock import SystemClock
+from ebonydeal._internal.utils.keys import hash_key
+from tests.functional.gateway.test_generation import until
+
+KEY = "sk-whole"
+TOKENS = 200
+QUICK = {
+    "gateway": {"port": 0, "settle_seconds": 0.0},
+    "peers": {"port": 0, "period": 0.1},
+    "directory": {"list_period": 0.1, "notices_period": 0.1, "load_period": 0.5},
+}
+
+
+class System:
+    """The stand-in platform, a document in force, and one real gateway."""
+
+    def __init__(self) -> None:
+        self.document = example_document("cadwaladr")
+        for account in self.document["accounts"]:
+            account["key_hashes"] = [hash_key(KEY)]
+        self.engines = next(
+            item for item in self.document["deployments"] if item["kind"] == "engine"
+        )
+        spec = WorldSpec.from_document(self.document, {self.engines["name"]: 6})
+        self.world = StandinWorld(spec)
+        self.metrics = Metrics()
+
+    @property
+    def model(self) -> str:
+        return self.engines["models"][0]
+
+    async def __aenter__(self) -> "System":
+        await self.world.start()
+        platform = self.world.platform_settings()
+        clock, rng = SystemClock(), random.Random(1)
+        tables = HttpTables.from_config(platform)
+        result = await ConfigStore(tables, clock, rng).propose(
+            self.document, 0, "test", "first"
+        )
+        await tables.close()
+        assert result.unwrap() == 1
+        sections = {name: cls() for name, cls in SECTIONS.items()}
+        for name, changes in QUICK.items():
+            sections[name] = sections[name]._replace(**changes)
+        sections["platform"] = platform
+        self.program = GatewayProgram.from_config(sections, self.metrics, clock, rng)
+        await self.program.start()
+        self.api = openai.AsyncOpenAI(
+            base_url=f"http://{self.program.address}/v1", api_key=KEY, max_retries=0
+        )
+        await until(self.is_ready)
+        return self
+
+    def is_ready(self) -> bool:
+        ports = self.program.ports
+        views = ports.directory.views(self.engines["name"])
+        return ports.config.document.version == 1 and len(views) == 6
+
+    async def __aexit__(self, *exc: object) -> None:
+        await self.api.close()
+        await self.program.stop()
+        await self.world.stop()
+
+    async def ask(self, words: str) -> bool:
+        """Return whether a streamed answer is just what was to be generated."""
+        stream = await self.api.chat.completions.create(
+            model=self.model,
+            messages=[{"role": "user", "content": words}],
+            max_tokens=TOKENS,
+            stream=True,
+        )
+        pieces, finish = [], ""
+        async for chunk in stream:
+            choice = chunk.choices[0]
+            pieces.append(choice.delta.content or "")
+            finish = choice.finish_reason or finish
+        prompt = f"user: {words}"
+        wanted = expected_tokens(self.model, prompt, TOKENS)
+        whole = "".join(pieces) == "".join(wanted)
+        return whole and finish == finish_reason(self.model, prompt, TOKENS)
+
+
+class TestGatewayProgram:
+    async def test_whole_answer(self):
+        words = "How many covers tomorrow?"
+        async with System() as system:
+            answer = await system.api.chat.completions.create(
+                model=system.model,
+                messages=[{"role": "user", "content": words}],
+                max_tokens=20,
+            )
+        wanted = expected_tokens(system.model, f"user: {words}", 20)
+        assert answer.choices[0].message.content == "".join(wanted)
+        assert answer.usage.completion_tokens == len(wanted)
+
+    @pytest.mark.parametrize("notice", [2.0, 0.0])
+    async def test_reclaimed_zone_breaks_no_stream(self, notice):
+        async with System() as system:
+            asks = [f"Covers of kitchen {n}?" for n in range(12)]
+            calls = [asyncio.ensure_future(system.ask(words)) for words in asks]
+            relay = system.program.relay
+            await until(lambda: sum(len(live.delivered) for live in relay.live) > 60)
+            zone = system.world.spec.places[0].zone
+            system.world.reclaim_zone(zone, notice)
+            assert await asyncio.gather(*calls) == [True] * 12
+        assert system.metrics.refusals() == {}
+        events = system.metrics.events()
+        if notice:
+            assert events["kv_imported"] > 0
+            assert events.get("tokens_recomputed_reclaim", 0) == 0
+        assert sum(system.metrics.retries().values()) > 0
