--- a/src/ebonydeal/_internal/cli/main.py
+++ b/src/ebonydeal/_internal/cli/main.py
@@ -4,6 +4,7 @@
 
 from ebonydeal import __version__
 from ebonydeal._internal.commands.bench import bench_command
+from ebonydeal._internal.commands.explain import explain_command
 from ebonydeal._internal.commands.standin import standin_command
 
 
@@ -14,4 +15,5 @@
 
 
 main.add_command(bench_command)
+main.add_command(explain_command)
 main.add_command(standin_command)
