Run the controller as a program over the platform's adapters

Cause: the parts had no supervisor tree, and instances that others start for a deployment were not counted. Change: ControllerProgram and ebonydeal-controller; instances tagged with a deployment are taken over; the trail and the spend are pages of the peer listener. Tests of a leader's faults count every start.

--- a/src/ebonydeal/_internal/benchmarks/spend/world.py
+++ b/src/ebonydeal/_internal/benchmarks/spend/world.py
@@ -54,7 +54,7 @@
     started_at: float
     tags: dict[str, str]
     stopped_at: float | None = None
-    order: EngineOrder = field(default=EngineOrder(0, (), "both"))
+    order: EngineOrder = field(default=EngineOrder(0, (), "serve"))
     fence: int = 0
     ready_at: float = 0.0
     running: int = 0
--- a/src/ebonydeal/_internal/controller/actions.py
+++ b/src/ebonydeal/_internal/controller/actions.py
@@ -31,9 +31,20 @@
     instance: CloudInstance
 
 
+@dataclass(frozen=True)
+class Enlist:
+    """Record an instance that carries the deployment's name as ours.
+
+    Somebody else started it for the deployment; it counts and is paid from now
+    on like one of our own.
+    """
+
+    instance: CloudInstance
+
+
 @dataclass(frozen=True)
 class Condemn:
-    """Record an instance without a row as to be released.
+    """Record an instance that a controller started, without a row, as to go.
 
     The row makes the release conditional on the lease, like everything else.
     """
@@ -91,6 +102,7 @@
     Start
     | Restart
     | Adopt
+    | Enlist
     | Condemn
     | Warm
     | MarkReady
--- a/src/ebonydeal/_internal/controller/execute.py
+++ b/src/ebonydeal/_internal/controller/execute.py
@@ -9,6 +9,7 @@
     Adopt,
     Condemn,
     Drain,
+    Enlist,
     Forget,
     Hold,
     MarkReady,
@@ -129,8 +130,16 @@
                 await self._ask(row)
             case Adopt(row, instance):
                 await self._started(row, instance)
+            case Enlist(instance):
+                row = self._row_of(instance, InstanceState.WARMING, "taken over")
+                event = self._event(TrailKind.TAKEN_OVER, row, row.why)
+                await self._records.create(row, event)
             case Condemn(instance):
-                await self._condemn(instance)
+                logger.warning("An unrecorded instance runs.", token=instance.token)
+                why = "no record of its start"
+                row = self._row_of(instance, InstanceState.RELEASING, why)
+                event = self._event(TrailKind.ORPHAN, row, why)
+                await self._records.create(row, event)
             case MarkReady(row):
                 await self._turn(row, InstanceState.READY, TrailKind.READY, "warm")
             case Drain(row, why, until):
@@ -217,23 +226,23 @@
         await self._records.save(newer)
         self._metrics.count(Event.INSTANCES_STARTED)
 
-    async def _condemn(self, instance: CloudInstance) -> None:
-        """Record an instance without a row as to be released."""
-        row = InstanceRow(
+    def _row_of(
+        self, instance: CloudInstance, state: InstanceState, why: str
+    ) -> InstanceRow:
+        """Return a row for an instance that has none."""
+        return InstanceRow(
             token=instance.token,
             deployment=self._deployment,
             zone=instance.zone,
             machine_class=instance.machine_class,
             reclaimable=instance.reclaimable,
-            state=InstanceState.RELEASING,
+            state=state,
             price_per_hour=self._price(OfferKey.of(instance)),
             instance_id=instance.instance_id,
             epoch=self._epoch,
             at=self._clock.wall(),
-            why="no record of its start",
+            why=why,
         )
-        logger.warning("An unrecorded instance runs.", instance=instance.instance_id)
-        await self._records.create(row, self._event(TrailKind.ORPHAN, row, row.why))
 
     async def _turn(
         self, row: InstanceRow, state: InstanceState, kind: TrailKind, why: str
--- a/src/ebonydeal/_internal/controller/lease.py
+++ b/src/ebonydeal/_internal/controller/lease.py
@@ -7,6 +7,7 @@
 clocks of different processes are never compared.
 """
 
+import random
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -21,6 +22,7 @@
     Tables,
 )
 from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.ids import new_token
 
 LEASE_PREFIX = "leases/"
 
@@ -32,6 +34,11 @@
     address: str
 
 
+def new_holder(node_id: str, address: str, rng: random.Random) -> Holder:
+    """Return a holder id that is unique to this run of the process."""
+    return Holder(f"{node_id}/{new_token('run', rng)}", address)
+
+
 class Sighting(NamedTuple):
     """When a version of the row was first seen, in own monotonic seconds."""
 
--- /dev/null
+++ b/src/ebonydeal/_internal/controller/program.py
@@ -0,0 +1,171 @@
+"""Supervisor tree of ``ebonydeal-controller``."""
+
+import random
+from typing import Any, NamedTuple
+
+from mode import Service
+
+from ebonydeal._internal.config.follower import ConfigFollower
+from ebonydeal._internal.controller.lease import new_holder
+from ebonydeal._internal.controller.notices import MarkCallback
+from ebonydeal._internal.controller.routes import controller_routes
+from ebonydeal._internal.controller.service import Controller
+from ebonydeal._internal.directory.service import Directory
+from ebonydeal._internal.models.endpoints import LeavingMark
+from ebonydeal._internal.observe.counters import Metrics
+from ebonydeal._internal.peers.service import PeerService
+from ebonydeal._internal.platform.cloud import HttpCloud
+from ebonydeal._internal.platform.engines import HttpEngine
+from ebonydeal._internal.platform.instances import HttpInstanceList
+from ebonydeal._internal.platform.tables import HttpTables
+from ebonydeal._internal.platform.weights import HttpWeightStore
+from ebonydeal._internal.settings.controller import ControllerSettings
+from ebonydeal._internal.settings.directory import DirectorySettings
+from ebonydeal._internal.settings.sections import (
+    LogSettings,
+    NodeSettings,
+    PeerSettings,
+    PlatformSettings,
+    TlsSettings,
+)
+from ebonydeal._internal.utils.clock import Clock
+
+SECTIONS: dict[str, type] = {
+    "node": NodeSettings,
+    "platform": PlatformSettings,
+    "peers": PeerSettings,
+    "logs": LogSettings,
+    "tls": TlsSettings,
+    "directory": DirectorySettings,
+    "controller": ControllerSettings,
+}
+
+
+class Platform(NamedTuple):
+    """The clients of the outside systems, which the program closes."""
+
+    tables: HttpTables
+    cloud: HttpCloud
+    instances: HttpInstanceList
+    engine: HttpEngine
+    weights: HttpWeightStore
+
+    @classmethod
+    def from_config(cls, cfg: PlatformSettings) -> "Platform":
+        """Build all clients from ``[platform]``."""
+        return cls(
+            HttpTables.from_config(cfg),
+            HttpCloud.from_config(cfg),
+            HttpInstanceList.from_config(cfg),
+            HttpEngine.from_config(cfg),
+            HttpWeightStore.from_config(cfg),
+        )
+
+
+class ControllerProgram(Service):
+    """Everything of one controller process.
+
+    Children, in the order of their start: directory, peers, configuration,
+    controller. A stop first gives all leases back.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        peers: PeerService,
+        follower: ConfigFollower,
+        controller: Controller,
+        platform: Platform,
+    ) -> None:
+        super().__init__()
+        self.directory = directory
+        self.peers = peers
+        self.follower = follower
+        self.controller = controller
+        self._platform = platform
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: dict[str, Any],
+        metrics: Metrics,
+        clock: Clock,
+        rng: random.Random,
+    ) -> "ControllerProgram":
+        """Build the tree from typed settings sections (see `SECTIONS`)."""
+        own: NodeSettings = settings["node"]
+        platform = Platform.from_config(settings["platform"])
+        directory = Directory.from_config(
+            settings["directory"],
+            platform.instances,
+            metrics,
+            clock,
+            rng,
+            cloud=platform.cloud,
+        )
+        peers = PeerService.from_config(
+            own,
+            settings["peers"],
+            metrics,
+            clock,
+            rng,
+            instances=platform.instances,
+            directory=directory,
+            roles=("controller",),
+        )
+        follower = ConfigFollower(
+            platform.tables, metrics, clock, rng, lambda: len(peers.members()) + 1
+        )
+        peers.register(follower.topic)
+        peers.add_routes(controller_routes(platform.tables))
+        controller = Controller(
+            settings["controller"],
+            new_holder(own.id, f"{own.host}:{settings['peers'].port}", rng),
+            platform.tables,
+            platform.cloud,
+            platform.instances,
+            platform.engine,
+            platform.weights,
+            lambda: follower.document,
+            _mark_in(directory),
+            metrics,
+            clock,
+            rng,
+        )
+        return cls(directory, peers, follower, controller, platform)
+
+    @property
+    def address(self) -> str:
+        """``host:port`` of the peer listener, as bound."""
+        return self.peers.address
+
+    async def on_start(self) -> None:
+        """Start the children."""
+        await self.add_runtime_dependency(self.directory)
+        await self.add_runtime_dependency(self.peers)
+        await self.add_runtime_dependency(self.follower)
+        await self.add_runtime_dependency(self.controller)
+
+    async def on_stop(self) -> None:
+        """Give the leases back while the table can still be reached."""
+        await self.controller.step_down()
+
+    async def on_shutdown(self) -> None:
+        """Close the clients."""
+        for client in self._platform:
+            await client.close()
+
+
+def _mark_in(directory: Directory) -> MarkCallback:
+    """Return the callback that puts a mark into the directory, and so to peers.
+
+    A mark without incarnation speaks of an endpoint that nobody lists yet: the
+    directory keeps the cloud's own notice until it is listed.
+    """
+
+    def mark(item: LeavingMark) -> None:
+        if item.endpoint_id and item.incarnation == 0:
+            return
+        directory.mark(item)
+
+    return mark
--- a/src/ebonydeal/_internal/controller/reconcile.py
+++ b/src/ebonydeal/_internal/controller/reconcile.py
@@ -14,6 +14,7 @@
     Adopt,
     Condemn,
     Drain,
+    Enlist,
     Forget,
     Hold,
     MarkReady,
@@ -29,6 +30,7 @@
     InstanceRow,
     InstanceState,
     OfferKey,
+    is_managed,
 )
 
 _EPS = 1e-9
@@ -53,22 +55,41 @@
         Wall clock seconds.
     unreplaced : tuple of str
         Tokens that were lost and whose replacement has not been started.
+
+    Returns
+    -------
+    list of Action
+        At most one for each instance. Nothing is started in a round that takes
+        instances over: they may be what is missing.
     """
-    actions: list[Action] = [
-        Condemn(instance)
-        for token, instance in observed.instances.items()
-        if token not in observed.rows
-    ]
+    actions: list[Action] = list(_unrecorded(wanted, observed))
     for row in observed.rows.values():
         actions.extend(_advance(row, observed, policy, now))
     staying = _staying(observed, actions)
     drains = drain_surplus(wanted, observed, staying, policy, now)
     actions = _without_rows(actions, {drain.row.token for drain in drains})
     actions.extend(drains)
+    if any(isinstance(action, Enlist) for action in actions):
+        return actions
     actions.extend(_starts(wanted, observed, staying, actions, unreplaced, policy))
     return actions
 
 
+def _unrecorded(wanted: Wanted, observed: Observed) -> Iterator[Action]:
+    """Yield what to do about instances without a row.
+
+    One that a controller started comes from a call that landed late, and goes.
+    One that somebody else started for the deployment is taken over.
+    """
+    for token, instance in observed.instances.items():
+        if token in observed.rows:
+            continue
+        if is_managed(instance):
+            yield Condemn(instance)
+        elif wanted.target > 0:
+            yield Enlist(instance)
+
+
 def _without_rows(actions: list[Action], tokens: Set[str]) -> list[Action]:
     """Return the actions that don't touch these rows: one change at a time."""
     return [
--- a/src/ebonydeal/_internal/controller/replicas.py
+++ b/src/ebonydeal/_internal/controller/replicas.py
@@ -21,7 +21,7 @@
     WeightCopy,
 )
 
-ROLE_BOTH = "both"
+ROLE_SERVE = "serve"
 
 
 def views_by_token(
@@ -122,7 +122,7 @@
         assert epoch is not None
         models = _models(deployment)
         engines = {view.endpoint_id: view for view in views.values()}
-        order = EngineOrder(epoch, models, ROLE_BOTH)
+        order = EngineOrder(epoch, models, ROLE_SERVE)
         self._report_loads(deployment, rows, views, shortfall)
         return await self._orders.round(
             engines,
--- a/src/ebonydeal/_internal/controller/routes.py
+++ b/src/ebonydeal/_internal/controller/routes.py
@@ -9,8 +9,8 @@
 _TRAIL_MOST = 2000
 
 
-def add_routes(app: web.Application, tables: Tables) -> None:
-    """Add the pages; both read the table, so any controller answers."""
+def controller_routes(tables: Tables) -> list[web.RouteDef]:
+    """Return the pages; both read the table, so any controller answers."""
 
     async def reclaims(req: web.Request) -> web.Response:
         events = await read_trail(tables, req.query.get("deployment", ""))
@@ -21,8 +21,10 @@
         rows = await read_spend(tables)
         return web.json_response({"deployments": [row._asdict() for row in rows]})
 
-    app.router.add_get("/controller/v1/reclaims", reclaims)
-    app.router.add_get("/controller/v1/spend", spend)
+    return [
+        web.get("/controller/v1/reclaims", reclaims),
+        web.get("/controller/v1/spend", spend),
+    ]
 
 
 def _limit(req: web.Request) -> int:
--- a/src/ebonydeal/_internal/controller/service.py
+++ b/src/ebonydeal/_internal/controller/service.py
@@ -26,7 +26,6 @@
 )
 from ebonydeal._internal.settings.controller import ControllerSettings
 from ebonydeal._internal.utils.clock import Clock
-from ebonydeal._internal.utils.ids import new_token
 
 logger = get_logger("controller")
 
@@ -73,6 +72,7 @@
         self.desk = LoadDesk(weights, clock, LoadPolicy(rate_of_one=cfg.load_rate))
         self._cfg = cfg
         self._round_number = 0
+        self._leads = True
         self._cloud = cloud
         self._instance_list = instance_list
         self._document = document
@@ -95,7 +95,7 @@
     async def round(self) -> None:
         """Look once, then do every deployment's round."""
         document = self._document()
-        if document.version == 0:
+        if document.version == 0 or not self._leads:
             return
         try:
             survey = await take_survey(
@@ -137,6 +137,8 @@
         self, worker: DeploymentWorker, document: Document, survey: Survey
     ) -> None:
         """Do one deployment's round; a failure doesn't hold up the others."""
+        if not self._leads:
+            return
         try:
             await worker.round(document.deployments.get(worker.name), survey)
         except EbonydealError as exc:
@@ -151,15 +153,15 @@
             await self.round()
             await self._clock.sleep(self._cfg.period)
 
-    async def on_stop(self) -> None:
-        """Give all leases back, so that others need not wait."""
+    async def step_down(self) -> None:
+        """Lead nothing any more; others need not wait for the leases to lapse."""
+        self._leads = False
         for worker in self.workers.values():
             try:
                 await worker.lease.give_back()
             except EbonydealError as exc:
                 logger.warning("A lease was not given back.", kind=str(exc.kind))
 
-
-def new_holder(node_id: str, address: str, rng: random.Random) -> Holder:
-    """Return a holder id that is unique to this run of the process."""
-    return Holder(f"{node_id}/{new_token('run', rng)}", address)
+    async def on_stop(self) -> None:
+        """Give the leases back."""
+        await self.step_down()
--- a/src/ebonydeal/_internal/controller/survey.py
+++ b/src/ebonydeal/_internal/controller/survey.py
@@ -7,7 +7,7 @@
 from ebonydeal._internal.controller.notices import NoticeBook
 from ebonydeal._internal.controller.values import (
     OfferKey,
-    managed_deployment,
+    named_deployment,
     offers_by_key,
 )
 from ebonydeal._internal.models.endpoints import EndpointView
@@ -27,7 +27,7 @@
     offers : dict of OfferKey to Offer
         The cheapest of each kind.
     instances : dict of str to dict of str to CloudInstance
-        By deployment, then by token; only those that a controller started.
+        By the deployment they are tagged with, then by token.
     endpoints : dict of str to EndpointView
         By instance id.
     own_nodes : frozenset of str
@@ -56,7 +56,7 @@
     )
     by_deployment: dict[str, dict[str, CloudInstance]] = defaultdict(dict)
     for instance in instances:
-        name = managed_deployment(instance)
+        name = named_deployment(instance)
         if name is not None:
             by_deployment[name][instance.token] = instance
     return Survey(
--- a/src/ebonydeal/_internal/controller/values.py
+++ b/src/ebonydeal/_internal/controller/values.py
@@ -91,8 +91,9 @@
 
     @property
     def key(self) -> str:
-        """Key of the row."""
-        return ROW_PREFIX + self.token
+        """Key of the row; it names the deployment also for foreign tokens."""
+        prefix = row_prefix(self.deployment)
+        return prefix + self.token.removeprefix(f"{self.deployment}:")
 
     def to_put(self) -> Put:
         """Return the write that records it."""
@@ -123,8 +124,11 @@
     return best
 
 
-def managed_deployment(instance: CloudInstance) -> str | None:
-    """Return the deployment of an instance that a controller started, or None."""
-    if instance.tags.get(TAG_MANAGER) != MANAGER:
-        return None
+def is_managed(instance: CloudInstance) -> bool:
+    """Return whether a controller started this instance."""
+    return instance.tags.get(TAG_MANAGER) == MANAGER
+
+
+def named_deployment(instance: CloudInstance) -> str | None:
+    """Return the deployment that an instance is tagged with, or None."""
     return instance.tags.get(TAG_DEPLOYMENT)
--- a/tests/functional/controller/test_replicas.py
+++ b/tests/functional/controller/test_replicas.py
@@ -1,4 +1,11 @@
-from tests.lib.controller_fakes import Site, make_deployment, make_document
+from ebonydeal._internal.benchmarks.spend.world import WorldCloud
+from ebonydeal._internal.controller.values import MANAGER
+from tests.lib.controller_fakes import (
+    Site,
+    make_deployment,
+    make_document,
+    make_offers,
+)
 
 
 class TestReplicas:
@@ -32,3 +39,32 @@
         names = {item.tags["deployment"] for item in site.world.live()}
         assert names == {"other"}
         assert {row["deployment"] for row in site.kept()} == {"other"}
+
+    async def test_a_start_that_lands_after_its_row_went_is_released(self):
+        site = Site()
+        leader = site.controller("n1")
+        await site.rounds(leader, 40)
+        tags = {"managed_by": MANAGER, "deployment": "kitchen", "fence": "0"}
+        late = await WorldCloud(site.world).start("kitchen:0-x", make_offers()[0], tags)
+        await site.rounds(leader, 3)
+        assert site.world.find(late.instance_id).stopped_at is not None
+        assert len(site.kept()) == site.ready() == 6
+
+    async def test_an_instance_of_somebody_else_is_left_alone(self):
+        site = Site()
+        offer = make_offers()[0]
+        other = await WorldCloud(site.world).start("theirs", offer, {})
+        await site.rounds(site.controller("n1"), 10)
+        assert site.world.find(other.instance_id).stopped_at is None
+
+    async def test_instances_started_for_it_by_others_are_taken_over(self):
+        site = Site()
+        cloud = WorldCloud(site.world)
+        for number in range(6):
+            offer = make_offers()[2 * (number % 3)]
+            await cloud.start(f"first-{number}", offer, {"deployment": "kitchen"})
+        await site.rounds(site.controller("n1"), 40)
+        assert site.world.starts == 6
+        assert sorted(row["token"][:6] for row in site.kept()) == ["first-"] * 6
+        assert site.ready() == 6
+        assert {row["state"] for row in site.kept()} == {"ready"}
--- a/tests/functional/controller/test_takeover.py
+++ b/tests/functional/controller/test_takeover.py
@@ -106,6 +106,8 @@
         zones = sorted(item.offer.zone for item in live)
         assert zones == ["z2", "z2", "z3", "z3"]
         assert site.ready() == 4
+        # Three at first, two in place of the lost zone, and never one twice.
+        assert site.world.starts == 5
         epoch = site.rows.rows["leases/controller-kitchen"].value["epoch"]
         assert epoch == (1 if self.fault.kind == "lose" else 2)
         wanted = ("covers",) if epoch == 1 else ("covers", "welsh")
