Show the controller program against the stand-in platform

Cause: the program had not been run over HTTP. Change: a functional test takes over an initial fleet, fills it, loses a zone and repairs it, and gives the leases back at its stop. Conclusion: the adapters and the controller fit.

--- /dev/null
+++ b/tests/functional/controller/test_program.py
@@ -0,0 +1,74 @@
+import asyncio
+import random
+from collections import Counter
+
+from ebonydeal._internal.config.examples import example_document
+from ebonydeal._internal.config.store import ConfigStore
+from ebonydeal._internal.controller.events import read_spend, read_trail
+from ebonydeal._internal.controller.program import SECTIONS, ControllerProgram
+from ebonydeal._internal.observe.counters import Event, Metrics
+from ebonydeal._internal.platform.tables import HttpTables
+from ebonydeal._internal.standin.world import StandinWorld
+from ebonydeal._internal.standin.worldspec import WorldSpec
+from ebonydeal._internal.utils.clock import SystemClock
+from tests.lib.fakes_endpoints import running
+
+PACE = {"period": 0.05, "notice_period": 0.05, "lease_ttl": 1.0, "spend_period": 1.0}
+
+
+def settings(world: StandinWorld) -> dict:
+    sections = {name: cls() for name, cls in SECTIONS.items()}
+    sections["platform"] = world.platform_settings()
+    sections["peers"] = sections["peers"]._replace(port=0)
+    sections["controller"] = sections["controller"]._replace(**PACE)
+    return sections
+
+
+async def until(check):
+    async with asyncio.timeout(30):
+        while not await check():
+            await asyncio.sleep(0.02)
+
+
+class TestProgram:
+    async def test_a_fleet_is_taken_over_filled_and_repaired(self):
+        document = example_document("cadwaladr")
+        first = {"kitchen": 3, "paperwork": 3}
+        spec = WorldSpec.from_document(document, first, speed=50.0, list_lag=0.05)
+        async with running(StandinWorld(spec)) as world:
+            tables = HttpTables.from_config(world.platform_settings())
+            store = ConfigStore(tables, SystemClock(), random.Random(1))
+            assert (await store.propose(document, 0, "test", "first")).unwrap() == 1
+            metrics = Metrics()
+            program = ControllerProgram.from_config(
+                settings(world), metrics, SystemClock(), random.Random(2)
+            )
+            async with running(program):
+                await until(lambda: self.kitchen_holds(world, 5))
+                taken = {i.token for i in world.cloud.running()}
+                assert {"initial-1", "initial-2", "initial-3"} <= taken
+                zone = world.spec.places[0].zone
+                world.reclaim_zone(zone, 0.5)
+                await until(lambda: self.kitchen_holds(world, 5, without=zone))
+                await until(lambda: self.spend_is_known(tables))
+            kinds = Counter(str(e.kind) for e in await read_trail(tables, "kitchen"))
+            assert kinds["taken_over"] == 3
+            assert kinds["draining"] >= 2
+            assert metrics.value("events", str(Event.INSTANCES_STARTED)) >= 9
+            lease = await tables.get("leases/controller-kitchen")
+            assert lease is not None and lease.value["holder"] == ""
+            await tables.close()
+
+    async def kitchen_holds(self, world, target, without=""):
+        ready = Counter(
+            view.place.zone
+            for view in world.views()
+            if view.deployment == "kitchen"
+            and len(view.models) == 2
+            and view.place.zone != without
+        )
+        return sum(ready.values()) - max(ready.values(), default=0) >= target
+
+    async def spend_is_known(self, tables):
+        rows = await read_spend(tables)
+        return any(row.deployment == "kitchen" and row.per_hour > 0 for row in rows)
