--- /dev/null
+++ b/src/ebonydeal/_internal/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measured rounds that ship with the command line."""
--- /dev/null
+++ b/src/ebonydeal/_internal/benchmarks/reclaim/__init__.py
@@ -0,0 +1,1 @@
+"""Reclaim decisions against a small engine model and baselines."""
--- a/src/ebonydeal/_internal/routing/reclaim.py
+++ b/src/ebonydeal/_internal/routing/reclaim.py
@@ -6,8 +6,7 @@
 recomputes what the target's prefix cache doesn't hold.
 """
 
-from collections import defaultdict
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -27,6 +26,8 @@
     "replan",
 ]
 
+_LEAST_REVIEW_S = 0.1
+
 
 class RunningStream(NamedTuple):
     """A stream on an endpoint that is leaving.
@@ -150,6 +151,7 @@
     now: float,
     *,
     leaving_zones: Collection[str] = (),
+    source_busy: Mapping[str, float] | None = None,
     limits: ReclaimLimits | None = None,
 ) -> list[Move]:
     """Decide for each stream how it goes on.
@@ -168,6 +170,8 @@
         Seconds; moves' times are in the same time.
     leaving_zones : collection of str
         Availability zones being reclaimed: no target there is used.
+    source_busy : mapping of str to float, optional
+        Seconds that exports planned before still take at each endpoint.
     limits : ReclaimLimits, optional
         Assumptions.
 
@@ -187,7 +191,8 @@
     ordered = sorted(
         moving, key=lambda it: _saved_per_s(it, source_rate, pool, limits), reverse=True
     )
-    exports, left = _plan_exports(ordered, usable, source_rate, pool, now, limits)
+    line = _ExportLine(usable, source_rate, now, dict(source_busy or {}))
+    exports, left = _plan_exports(ordered, line, pool, limits)
     return moves + exports + _plan_recomputes(left, pool, now, limits)
 
 
@@ -200,6 +205,7 @@
     now: float,
     *,
     leaving_zones: Collection[str] = (),
+    source_busy: Mapping[str, float] | None = None,
     limits: ReclaimLimits | None = None,
 ) -> list[Move]:
     """Decide anew for streams whose export failed; the export stopped them.
@@ -215,7 +221,8 @@
     held = [stream for stream in streams if stream.request_id in kept]
     lost = [stream for stream in streams if stream.request_id not in kept]
     imports_only = limits._replace(export_share=0.0)
-    moves, left = _plan_exports(held, usable, source_rate, pool, now, imports_only)
+    line = _ExportLine(usable, source_rate, now, dict(source_busy or {}))
+    moves, left = _plan_exports(held, line, pool, imports_only)
     return moves + _plan_recomputes(lost + left, pool, now, limits)
 
 
@@ -227,7 +234,7 @@
     moving: list[RunningStream] = []
     for stream in streams:
         seconds = _seconds_to_finish(stream)
-        fits = seconds <= usable * limits.finish_share
+        fits = usable > 0.0 and seconds <= usable * limits.finish_share
         (finishing if fits else moving).append(stream)
     return finishing, moving
 
@@ -247,10 +254,14 @@
 ) -> float:
     """Return when to look again at a stream that should have finished by then.
 
-    After its expected end, but early enough to export it still.
+    After its expected end, but early enough to export it still. The review is
+    always later than now, so that planning comes to an end.
     """
+    expected = _seconds_to_finish(stream) / limits.finish_share
     latest = usable - transfer_seconds(stream, source_rate, limits)
-    return now + max(0.0, min(latest, _seconds_to_finish(stream) / limits.finish_share))
+    if latest < _LEAST_REVIEW_S:
+        latest = usable
+    return now + max(_LEAST_REVIEW_S, min(latest, expected))
 
 
 def _saved_per_s(
@@ -265,12 +276,19 @@
     return saved / transfer_seconds(stream, source_rate, limits), stream.request_id
 
 
+class _ExportLine(NamedTuple):
+    """Time and rate of exports; ``busy`` is the seconds taken at each source."""
+
+    usable: float
+    source_rate: float
+    now: float
+    busy: dict[str, float]
+
+
 def _plan_exports(
     ordered: Iterable[RunningStream],
-    usable: float,
-    source_rate: float,
+    line: _ExportLine,
     pool: TargetPool,
-    now: float,
     limits: ReclaimLimits,
 ) -> tuple[list[Move], list[RunningStream]]:
     """Fill each source's time with exports; return them and who didn't fit.
@@ -278,19 +296,18 @@
     Transfers of one source go one after the other, so that the first ones are
     whole should the notice turn out shorter than it was said.
     """
-    busy: dict[str, float] = defaultdict(float)
     moves: list[Move] = []
     left = []
     for stream in ordered:
-        seconds = transfer_seconds(stream, source_rate, limits)
-        start = busy[stream.endpoint_id]
-        fits = start + seconds <= usable
+        seconds = transfer_seconds(stream, line.source_rate, limits)
+        start = line.busy.get(stream.endpoint_id, 0.0)
+        fits = start + seconds <= line.usable
         target = pool.take_emptiest() if fits else None
         if target is None:
             left.append(stream)
             continue
-        busy[stream.endpoint_id] = start + seconds
-        moves.append(ExportTo(stream.request_id, target, now + start, seconds))
+        line.busy[stream.endpoint_id] = start + seconds
+        moves.append(ExportTo(stream.request_id, target, line.now + start, seconds))
     return moves, left
 
 
--- a/tests/unit/reclaim/test_reclaim.py
+++ b/tests/unit/reclaim/test_reclaim.py
@@ -41,6 +41,12 @@
         moves = plan([stream("a", remaining_tokens_estimate=100.0)], 10.0, [])
         assert moves == [Finish("a", NOW + 2.5)]
 
+    def test_review_too_late_to_export_is_at_the_end(self):
+        moves = plan([stream("a", remaining_tokens_estimate=10.0)], 0.5, [])
+        assert moves == [Finish("a", NOW + 0.25)]
+        moves = plan([stream("a", remaining_tokens_estimate=0.0)], 0.0, [])
+        assert moves == [Recompute("a", None, NOW)]
+
     def test_rest_beyond_the_share_is_exported(self):
         moves = plan(
             [stream("a", remaining_tokens_estimate=401.0)], 10.0, [target("t")]
@@ -203,6 +209,7 @@
         assert Counter(m.request_id for m in moves) == Counter(
             s.request_id for s in streams
         )
+        assert all(m.review_at > NOW for m in moves if isinstance(m, Finish))
         rooms = {it.view.endpoint_id: it.room for it in targets}
         taken = Counter(
             m.target.endpoint_id
