Prove the whole path as separate processes; refuse at once in an outage

Ruled out: a shorter patience, which would also cut short the search for a new owner after a death. Change: an owner's JOURNAL_UNAVAILABLE is final unless an earlier try is in doubt; a shard between owners answers WRONG_OWNER, which is still searched for. Conclusion: what was given up on is answered at once, with Retry-After.

--- a/src/ebonydeal/_internal/journal/owner.py
+++ b/src/ebonydeal/_internal/journal/owner.py
@@ -213,7 +213,7 @@
             raise EbonydealError(ErrorKind.WRONG_OWNER, owner="")
         if not self.serving:
             raise EbonydealError(
-                ErrorKind.JOURNAL_UNAVAILABLE, "The shard is changing owners."
+                ErrorKind.WRONG_OWNER, "The shard is changing owners."
             )
 
     async def accept(self, request: Request, urgent: bool = False) -> RequestState:
--- a/src/ebonydeal/_internal/peers/journal_client.py
+++ b/src/ebonydeal/_internal/peers/journal_client.py
@@ -232,8 +232,10 @@
                 return await self._follow(name, shard, message, timeout)
             except EbonydealError as exc:
                 in_doubt = in_doubt or exc.kind in _IN_DOUBT
+                # An owner's word that it can't write now is final, and the
+                # caller gets it at once; only a doubt is worth more tries.
                 again = exc.kind in _RETRIED or (
-                    exc.kind is ErrorKind.JOURNAL_UNAVAILABLE
+                    in_doubt and exc.kind is ErrorKind.JOURNAL_UNAVAILABLE
                 )
                 if not again:
                     raise self._told(name, exc, in_doubt) from exc
@@ -275,7 +277,11 @@
         raise EbonydealError(ErrorKind.WRONG_OWNER, "owners name each other")
 
     async def _look_up(self, shard: int) -> str:
-        """Return the owner's address by its row; raises JOURNAL_UNAVAILABLE."""
+        """Return the owner's address by its row.
+
+        Raises WRONG_OWNER where there is none, JOURNAL_UNAVAILABLE where the
+        table service doesn't tell.
+        """
         self._metrics.count(Event.TABLE_READS)
         try:
             row = await self._tables.get(f"shards/{shard:04x}")
@@ -286,7 +292,7 @@
         address = "" if row is None else str(row.value.get("address", ""))
         if not address:
             raise EbonydealError(
-                ErrorKind.JOURNAL_UNAVAILABLE, "The request's shard has no owner yet."
+                ErrorKind.WRONG_OWNER, "The request's shard has no owner yet."
             )
         return address
 
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -4,8 +4,8 @@
 import os
 import signal
 import socket
-import sys
 from pathlib import Path
+from sysconfig import get_path
 from typing import NamedTuple
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
@@ -52,15 +52,13 @@
 
 
 async def launch(
-    name: str, module: str, args: list[str], port: int, folder: Path
+    name: str, program: str, args: list[str], port: int, folder: Path
 ) -> Launched:
-    """Start ``python -m module args`` with its output in a file."""
+    """Start an installed console script with its output in a file."""
     log = folder / f"{name}.log"
     with log.open("wb") as out:
         process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            module,
+            str(Path(get_path("scripts")) / program),
             *args,
             stdout=out,
             stderr=out,
