--- /dev/null
+++ b/src/ebonydeal/_internal/gateway/watchset.py
@@ -0,0 +1,89 @@
+"""Which endpoints this gateway watches, kept in step with gateways and endpoints."""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from mode import Service
+
+from ebonydeal._internal.models.endpoints import EndpointView
+from ebonydeal._internal.routing.subset import Member, choose_subset
+from ebonydeal._internal.settings.routing import RoutingSettings
+from ebonydeal._internal.utils.clock import Clock
+
+_PERIOD_S = 1.0
+
+
+class Views(Protocol):
+    """Where the endpoints are known."""
+
+    def all_views(self) -> tuple[EndpointView, ...]:
+        """Return all listed endpoints."""
+
+
+class WatchSet(Service):
+    """Chooses the endpoints that this gateway sends to and polls.
+
+    Parameters
+    ----------
+    own : Member
+        This gateway.
+    gateways : callable
+        Returns the other gateways that are alive.
+    views : Views
+        The endpoints.
+    cfg : RoutingSettings
+        Size of the subset.
+    on_change : callable
+        Called with the ids watched whenever they change.
+    clock : Clock
+        Time.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        gateways: Callable[[], Iterable[Member]],
+        views: Views,
+        cfg: RoutingSettings,
+        on_change: Callable[[frozenset[str]], None],
+        clock: Clock,
+    ) -> None:
+        super().__init__()
+        self._own = own
+        self._gateways = gateways
+        self._views = views
+        self._cfg = cfg
+        self._on_change = on_change
+        self._clock = clock
+        self._watched: frozenset[str] | None = None
+
+    def watches(self, view: EndpointView) -> bool:
+        """Return whether an endpoint is watched; all are before the first choice."""
+        return self._watched is None or view.endpoint_id in self._watched
+
+    def refresh(self) -> None:
+        """Choose anew from what is known now."""
+        groups: dict[str, list[Member]] = defaultdict(list)
+        for view in self._views.all_views():
+            groups[view.deployment].append(Member(view.endpoint_id, view.place))
+        gateways = list(self._gateways())
+        watched: set[str] = set()
+        for endpoints in groups.values():
+            watched |= choose_subset(
+                self._own,
+                gateways,
+                endpoints,
+                self._cfg.subset,
+                self._cfg.spill_share,
+            )
+        chosen = frozenset(watched)
+        if chosen != self._watched:
+            self._watched = chosen
+            self._on_change(chosen)
+
+    @Service.task
+    async def _follow(self) -> None:
+        while not self.should_stop:
+            self.refresh()
+            await self._clock.sleep(_PERIOD_S)
