--- a/src/ebonydeal/_internal/gateway/api.py
+++ b/src/ebonydeal/_internal/gateway/api.py
@@ -13,6 +13,7 @@
 from ebonydeal._internal.gateway.generation import Generation
 from ebonydeal._internal.gateway.intake import PATHS, REQUEST_ID, Intake
 from ebonydeal._internal.gateway.services import Services
+from ebonydeal._internal.gateway.told import for_caller
 from ebonydeal._internal.models.requests import RequestKind
 from ebonydeal._internal.observe.counters import Event, Metrics
 from ebonydeal._internal.observe.trail import Step, Trails
@@ -61,7 +62,7 @@
             parts.trails.note(
                 req[REQUEST_ID], now, Step.REFUSED, kind=str(exc.kind), why=exc.detail
             )
-            raise
+            raise for_caller(exc) from exc
         except ConnectionError:
             parts.metrics.refused(ErrorKind.CALLER_LEFT)
             raise asyncio.CancelledError from None
--- a/src/ebonydeal/_internal/gateway/generation.py
+++ b/src/ebonydeal/_internal/gateway/generation.py
@@ -26,6 +26,7 @@
     caller_has,
 )
 from ebonydeal._internal.gateway.streams import Relay
+from ebonydeal._internal.gateway.told import for_caller
 from ebonydeal._internal.models.requests import RequestKind
 from ebonydeal._internal.observe.counters import Event, Metrics, Timing
 from ebonydeal._internal.observe.trail import Step, Trails
@@ -251,7 +252,7 @@
             if out.resp is None:
                 raise
             self._refuse(live, exc)
-            await out.write(error_event(exc), self._parts.clock.now())
+            await out.write(error_event(for_caller(exc)), self._parts.clock.now())
         except (ConnectionError, asyncio.CancelledError):
             self._left(live)
             raise
@@ -318,7 +319,11 @@
         parts.metrics.refused(error.kind)
         parts.left.park(live, parts.clock.now())
         parts.trails.note(
-            live.request_id, parts.clock.wall(), Step.REFUSED, kind=str(error.kind)
+            live.request_id,
+            parts.clock.wall(),
+            Step.REFUSED,
+            kind=str(error.kind),
+            why=error.detail,
         )
 
 
--- a/tests/functional/gateway/test_generation.py
+++ b/tests/functional/gateway/test_generation.py
@@ -147,6 +147,7 @@
             with pytest.raises(openai.InternalServerError) as caught:
                 await api.chat.completions.create(**STREAM)
         assert caught.value.code == "endpoint_failed"
+        assert "gone" not in caught.value.message
         assert caught.value.response.headers["Retry-After"] == "2"
         assert caught.value.response.headers["X-Outcome"] == "unknown"
         assert len(engine.ran) == 2
@@ -162,6 +163,7 @@
                     async for _chunk in stream:
                         pass
         assert caught.value.code == "endpoint_failed"
+        assert "gone" not in caught.value.message
         assert bench.metrics.refusals() == {"endpoint_failed": 1}
 
     async def test_begun_stream_waits_for_an_endpoint(self):
@@ -207,6 +209,65 @@
             assert bench.program.relay.live == set()
             assert len(bench.admission.released) == 1
 
+    async def test_whole_answer(self):
+        engine = FakeEngine()
+        engine.faults = {"e1": (3, "stall")}
+        async with Bench(engine) as bench:
+            async with ClientSession(headers=AUTH) as http:
+                call = asyncio.ensure_future(
+                    http.post(f"{bench.url}/v1/chat/completions", json=BODY)
+                )
+                await until(lambda: engine.open == 1)
+                call.cancel()
+                await until(lambda: bench.metrics.refusals() == {"caller_left": 1})
+            await until(lambda: engine.cancelled == [engine.ran[0].attempt_id])
+            assert engine.open == 0
+            assert bench.program.relay.live == set()
+
+    async def test_while_queued(self):
+        async with Bench() as bench:
+            queue = asyncio.Event()
+            bench.admission.admit = lambda *_args: queue.wait()
+            async with ClientSession(headers=AUTH) as http:
+                call = asyncio.ensure_future(
+                    http.post(f"{bench.url}/v1/chat/completions", json=BODY)
+                )
+                await until(lambda: bench.metrics.events().get("requests") == 1)
+                call.cancel()
+                await until(lambda: bench.metrics.refusals() == {"caller_left": 1})
+            assert bench.engine.ran == []
+
+
+class TestSlowReader:
+    COUNT = 20_000
+
+    async def read_slowly(self, bench: Bench) -> tuple[int, bytes]:
+        """Read nothing until the engine is held up; return its tokens by then."""
+        async with ClientSession(headers=AUTH, read_bufsize=1024) as http:
+            url = f"{bench.url}/v1/chat/completions"
+            async with http.post(url, json=STREAM) as resp:
+                sent = -1
+                while sent != bench.engine.sent:
+                    sent = bench.engine.sent
+                    await asyncio.sleep(0.3)
+                return sent, await resp.read()
+
+    async def test_holds_up_its_engine_only(self):
+        async with Bench(FakeEngine(self.COUNT), buffer_tokens=16) as bench:
+            sent, raw = await self.read_slowly(bench)
+        assert sent < self.COUNT
+        assert text_of(read_events(raw)) == "".join(bench.engine.text)
+
+    async def test_is_cut_off_at_last(self):
+        engine = FakeEngine(self.COUNT)
+        async with Bench(engine, write_seconds=1.0) as bench:
+            async with ClientSession(headers=AUTH, read_bufsize=1024) as http:
+                url = f"{bench.url}/v1/chat/completions"
+                async with http.post(url, json=STREAM):
+                    await until(lambda: bench.metrics.refusals() == {"caller_left": 1})
+            assert engine.sent < self.COUNT
+            assert (engine.open, bench.program.relay.live) == (0, set())
+
 
 class TestReconnect:
     async def cut_off(self, bench: Bench, http: ClientSession) -> tuple[str, bytes]:
--- a/tests/functional/gateway/test_listener.py
+++ b/tests/functional/gateway/test_listener.py
@@ -57,6 +57,11 @@
             answer = await self.send_raw(bench, head.encode())
         assert answer.endswith(b'{"live": true}')
 
+    async def test_slow_head(self):
+        async with Bench(idle_seconds=0.1) as bench:
+            answer = await self.send_raw(bench, b"GET /v1/models HTTP/1.1\r\nX-")
+        assert answer == b""
+
     @pytest.mark.parametrize(
         "data", [b"{", b"[]", b"", b'{"model": 3}', b"\xff\xfe", b"[" * 5000]
     )
--- a/tests/lib/gateway_fakes.py
+++ b/tests/lib/gateway_fakes.py
@@ -132,6 +132,7 @@
         self.import_fault: Exception | None = None
         self.pace: Callable[[], Any] = lambda: asyncio.sleep(0)
         self.open = 0
+        self.sent = 0
 
     async def stream(
         self,
@@ -153,6 +154,7 @@
                 if sent == after:
                     position = await self._fail(fault, position)
                 last = position + 1 == len(self.text)
+                self.sent += 1
                 yield Chunk(
                     position,
                     self.text[position],
