--- a/tests/lib/gateway_fakes.py
+++ b/tests/lib/gateway_fakes.py
@@ -8,7 +8,7 @@
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.gateway.parts import GatewayConfig, GatewayPorts
-from ebonydeal._internal.gateway.ports import Route, RouteAsk, TryFailure
+from ebonydeal._internal.gateway.ports import RetryPort, Route, RouteAsk, TryFailure
 from ebonydeal._internal.gateway.program import GatewayProgram
 from ebonydeal._internal.models.document import (
     Account,
@@ -132,6 +132,7 @@
         self.import_fault: Exception | None = None
         self.pace: Callable[[], Any] = lambda: asyncio.sleep(0)
         self.open = 0
+        self.sent = 0
 
     async def stream(
         self,
@@ -153,6 +154,7 @@
                 if sent == after:
                     position = await self._fail(fault, position)
                 last = position + 1 == len(self.text)
+                self.sent += 1
                 yield Chunk(
                     position,
                     self.text[position],
@@ -380,6 +382,7 @@
         clock: Clock | None = None,
         net: dict[str, GatewayProgram] | None = None,
         address: str = "gw-1:9200",
+        retries: RetryPort | None = None,
         **settings: Any,
     ) -> None:
         net = {} if net is None else net
@@ -389,7 +392,7 @@
         services = [view(name, EndpointKind.SERVICE) for name in ("s1", "s2")]
         self.directory = FakeDirectory(*engines, *services)
         self.routes = FakeRoutes(self.directory)
-        self.retries = FakeRetries()
+        self.retries: Any = retries or FakeRetries()
         self.admission = FakeAdmission()
         self.config = FakeConfig()
         self.journal = FakeJournal()
