Keep limits near the setting when gateways are killed, join or lose each other

Cause: gateways that lost each other while demand moved admitted 1.36 to 1.43 times the limit; the floor left a part of every limit unused. Change: a silent gateway that is still listed keeps the part it had, and the others divide the rest; idle concurrency is lent out by demand; floor 0.02 (was 0.1), demand window 2 s (was 3 s). Low for ten seconds after each full change of demand, and for concurrency in a split.

--- a/src/ebonydeal/_internal/routing/limits.py
+++ b/src/ebonydeal/_internal/routing/limits.py
@@ -3,8 +3,9 @@
 Each gateway enforces its part of every limit. The part follows demand: own
 demand over the demand of all gateways heard of, with a small floor for
 gateways that were idle so far. A gateway that falls silent keeps its part for
-``peer_hold`` seconds, and as long as the node list still names it: it may well
-be serving behind a broken connection.
+``peer_hold`` seconds. After that, if the node list still names it, it may well
+be serving behind a broken connection: the part that it had is left to it, and
+those who hear each other divide the rest.
 """
 
 from collections.abc import Mapping
@@ -20,7 +21,8 @@
 )
 from ebonydeal._internal.settings.routing import AdmissionSettings
 
-_LISTED_HOLD = 30.0
+_LISTED_HOLD = 120.0
+_NONE = Demand()
 _RETRY_MIN = 0.1
 _RETRY_MAX = 60.0
 
@@ -68,10 +70,11 @@
 
 
 class _Heard(NamedTuple):
-    """A peer's last report and when it came."""
+    """A peer's last report, when it came, and its parts of limits then."""
 
     report: DemandReport
     at: float
+    parts: dict[str, Demand]
 
 
 class AccountLimits:
@@ -119,7 +122,9 @@
             return
         known = self._heard.get(report.gateway)
         if known is None or report.seq > known.report.seq:
-            self._heard[report.gateway] = _Heard(report, now)
+            self._heard[report.gateway] = _Heard(report, now, {})
+            parts = {name: self._part(name, report, now) for name in report.demands}
+            self._heard[report.gateway] = _Heard(report, now, parts)
 
     def gone(self, gateway: str) -> None:
         """Forget a gateway that is known to have stopped."""
@@ -188,40 +193,64 @@
         )
 
     def _others(self, account: str, now: float) -> dict[str, Demand]:
-        """Return the demand at gateways that may be serving."""
+        """Return the demand at gateways that were heard lately."""
         return {
-            name: heard.report.demands.get(account, Demand())
+            name: heard.report.demands.get(account, _NONE)
             for name, heard in self._heard.items()
-            if self._counts(name, now - heard.at)
+            if now - heard.at <= self._cfg.peer_hold
         }
 
-    def _counts(self, gateway: str, silent: float) -> bool:
-        """Return whether a gateway silent for ``silent`` seconds has a part."""
-        if silent <= self._cfg.peer_hold:
-            return True
-        return gateway in self._listed and silent <= _LISTED_HOLD
+    def _part(self, account: str, report: DemandReport, now: float) -> Demand:
+        """Return a peer's parts of the limits, each from 0 to 1."""
+        demands = [self._demand(account, now), *self._others(account, now).values()]
+        totals = [sum(values) for values in zip(*demands, strict=True)]
+        own = report.demands[account]
+        shares = (
+            part / max(part, total, 1e-9)
+            for part, total in zip(own, totals, strict=True)
+        )
+        return Demand(*shares)
+
+    def _left(self, account: str, now: float) -> Demand:
+        """Return what silent gateways that may be serving leave of the limits."""
+        left = [1.0] * len(Demand._fields)
+        for name, heard in self._heard.items():
+            silent = now - heard.at
+            if silent <= self._cfg.peer_hold or silent > _LISTED_HOLD:
+                continue
+            if name in self._listed:
+                parts = heard.parts.get(account, _NONE)
+                left = [max(0.0, a - b) for a, b in zip(left, parts, strict=True)]
+        return Demand(*left)
 
     def _request_rate(self, limits: Account, now: float) -> float:
         others = self._others(limits.name, now).values()
         own = self._demand(limits.name, now).requests_per_s
         asked = [demand.requests_per_s for demand in others]
-        return limits.requests_per_s * fair_share(own, asked, self._cfg.floor_share)
+        share = fair_share(own, asked, self._cfg.floor_share)
+        return limits.requests_per_s * share * self._left(limits.name, now)[0]
 
     def _token_rate(self, limits: Account, now: float) -> float:
         others = self._others(limits.name, now).values()
         own = self._demand(limits.name, now).tokens_per_s
         asked = [demand.tokens_per_s for demand in others]
-        return limits.tokens_per_s * fair_share(own, asked, self._cfg.floor_share)
+        share = fair_share(own, asked, self._cfg.floor_share)
+        return limits.tokens_per_s * share * self._left(limits.name, now)[1]
 
     def _most_in_flight(self, limits: Account, now: float) -> int:
         """Return this gateway's whole part of the concurrency limit."""
         others = self._others(limits.name, now)
         asked = {name: demand.concurrency for name, demand in others.items()}
         # The request at hand counts, so that an idle gateway isn't left out.
-        asked[self._gateway] = self._demand(limits.name, now).concurrency + 1.0
-        part = whole_shares(limits.concurrency, asked)[self._gateway]
+        own = self._demand(limits.name, now)
+        asked[self._gateway] = own.concurrency + 1.0
+        total = int(limits.concurrency * self._left(limits.name, now).concurrency)
+        part = whole_shares(total, asked)[self._gateway]
         elsewhere = sum(demand.in_flight for demand in others.values())
-        return min(part, max(0, int(limits.concurrency - elsewhere)))
+        # What others leave idle is lent out by demand, too.
+        idle = max(0.0, total - elsewhere - own.in_flight)
+        lent = int(idle * asked[self._gateway] / sum(asked.values()))
+        return min(part + lent, max(0, int(total - elsewhere)))
 
     def _over(
         self, limits: Account, usage: _Usage, tokens: float, now: float
--- a/src/ebonydeal/_internal/settings/routing.py
+++ b/src/ebonydeal/_internal/settings/routing.py
@@ -72,10 +72,10 @@
     ] = 1.0
     floor_share: Annotated[
         float, Key("Share of each limit split evenly over gateways.", "", 0, 1)
-    ] = 0.1
+    ] = 0.02
     demand_window: Annotated[
         float, Key("Time over which demand is averaged.", "seconds", 0.1, 600)
-    ] = 3.0
+    ] = 2.0
     peer_hold: Annotated[
         float, Key("Time that a silent gateway keeps its share.", "seconds", 0.1, 600)
     ] = 5.0
