--- a/src/ebonydeal/_internal/routing/home.py
+++ b/src/ebonydeal/_internal/routing/home.py
@@ -31,14 +31,14 @@
 
     def learn(self, blocks: Sequence[str]) -> None:
         """Take a prompt's blocks."""
-        parent = _ROOT
-        for block in blocks:
-            known = self._next.get(parent)
-            if known is None:
-                self._next[parent] = {block}
-            elif len(known) < _BRANCHES:
-                known.add(block)
-            parent = block
+        for index in range(len(blocks) - 1, -1, -1):
+            parent = blocks[index - 1] if index else _ROOT
+            known = self._next.setdefault(parent, set())
+            if blocks[index] in known:
+                # Its prefixes were learned together with it.
+                break
+            if len(known) < _BRANCHES:
+                known.add(blocks[index])
         while len(self._next) > self._most:
             self._next.popitem(last=False)
 
--- a/src/ebonydeal/_internal/routing/prefix_view.py
+++ b/src/ebonydeal/_internal/routing/prefix_view.py
@@ -12,7 +12,6 @@
 
 _LEARN = 0.1
 _LEAST_TRUST = 0.2
-_DROPPED = float("-inf")
 
 
 class CacheView:
@@ -30,6 +29,7 @@
         self._most = most
         self._half_life = half_life
         self._used: OrderedDict[str, float] = OrderedDict()
+        self._dropped: OrderedDict[str, None] = OrderedDict()
         self._seq = 0
         self._trust = 1.0
 
@@ -39,19 +39,27 @@
 
     def events(self, events: Iterable[tuple[int, bool, str]], now: float) -> None:
         """Take cache events (seq, stored, block)."""
-        used = self._used
+        used, dropped = self._used, self._dropped
         for seq, stored, block in events:
             self._seq = max(self._seq, seq)
-            used[block] = now if stored else _DROPPED
-            used.move_to_end(block)
-        while len(used) > self._most:
-            used.popitem(last=False)
+            if stored:
+                used[block] = now
+                used.move_to_end(block)
+                dropped.pop(block, None)
+            else:
+                used.pop(block, None)
+                dropped[block] = None
+        self._trim()
 
     def sent(self, blocks: Sequence[str], now: float) -> None:
         """An own request with these blocks was sent: it will fill the cache."""
+        used, dropped = self._used, self._dropped
         # From the last to the first: prefixes outlive what builds on them.
         for block in reversed(blocks):
-            self._touch(block, now)
+            used[block] = now
+            used.move_to_end(block)
+            dropped.pop(block, None)
+        self._trim()
 
     def answered(
         self, blocks: Sequence[str], expected: float, cached: int, now: float
@@ -71,21 +79,30 @@
         dropped ends the match.
         """
         used = self._used
-        count = 0
-        heard = now
-        for index, block in enumerate(blocks, 1):
-            at = used.get(block)
-            if at is None:
-                continue
-            if at == _DROPPED:
-                break
-            count = index
-            heard = at
-        age = max(0.0, now - heard)
+        # Set operations over a whole prompt are several times faster than a
+        # loop; most endpoints hold nothing of it.
+        if used.keys().isdisjoint(blocks):
+            return 0.0
+        count = self._end(blocks)
+        while count and blocks[count - 1] not in used:
+            count -= 1
+        if not count:
+            return 0.0
+        age = max(0.0, now - used[blocks[count - 1]])
         return count * BLOCK_TOKENS * self._trust * 0.5 ** (age / self._half_life)
 
-    def _touch(self, block: str, now: float) -> None:
-        self._used[block] = now
-        self._used.move_to_end(block)
-        if len(self._used) > self._most:
+    def holds_any(self, blocks: Sequence[str]) -> bool:
+        """Return whether one of a few blocks is believed to be cached."""
+        return not self._used.keys().isdisjoint(blocks)
+
+    def _end(self, blocks: Sequence[str]) -> int:
+        """Return how many blocks come before the first known to be dropped."""
+        if self._dropped.keys().isdisjoint(blocks):
+            return len(blocks)
+        return next(i for i, block in enumerate(blocks) if block in self._dropped)
+
+    def _trim(self) -> None:
+        while len(self._used) > self._most:
             self._used.popitem(last=False)
+        while len(self._dropped) > self._most:
+            self._dropped.popitem(last=False)
--- a/src/ebonydeal/_internal/routing/router.py
+++ b/src/ebonydeal/_internal/routing/router.py
@@ -5,6 +5,7 @@
 
 from ebonydeal._internal.errors import ErrorKind
 from ebonydeal._internal.models.endpoints import EndpointState, EndpointView
+from ebonydeal._internal.routing.candidates import narrow, probes
 from ebonydeal._internal.routing.concurrency import ConcurrencyLimit
 from ebonydeal._internal.routing.home import Branches, home_of
 from ebonydeal._internal.routing.ledger import Attempt, Rates, Sent
@@ -63,15 +64,24 @@
         usable = self._usable(ask, views, now)
         if not usable:
             return None
-        second = price_per_second(usable)
-        late = self._cfg.late_factor
-        home, saved = self._home(ask, usable)
+        split = self._branches.split(ask.blocks)
+        home, saved = _home(ask, usable, split)
+        own = probes(ask.blocks, split)
+        near = narrow(
+            usable,
+            self._cfg.candidates,
+            home,
+            lambda name: self._cache(name).holds_any(own),
+            self._rng,
+        )
+        second = price_per_second(near)
         scored = []
-        for view in usable:
+        for view in near:
             expected = self._estimate(ask, view, now)
             if view.endpoint_id == home:
-                expected = expected._replace(home_tokens=saved)
-            scored.append(score(ask, view, expected, second, late))
+                worth = saved * self._cfg.affinity
+                expected = expected._replace(home_tokens=worth)
+            scored.append(score(ask, view, expected, second, self._cfg.late_factor))
         scored.sort(key=lambda item: item.score)
         best = self._pick(scored)
         rest = tuple(item for item in scored[: _SHOWN_ALTERNATIVES + 1] if item != best)
@@ -218,20 +228,6 @@
             self._rates[deployment] = Rates(cfg.prefill_rate, cfg.service_time)
         return self._rates[deployment]
 
-    def _home(
-        self, ask: RouteRequest, views: tuple[EndpointView, ...]
-    ) -> tuple[str, float]:
-        """Return the prompt's home, and the tokens saved later by using it."""
-        if not ask.blocks:
-            return "", 0.0
-        split = self._branches.split(ask.blocks)
-        if split < 0 and not ask.session:
-            return "", 0.0
-        key = ask.session or ask.blocks[split]
-        own = ask.prompt_tokens - max(0, split) * BLOCK_TOKENS
-        home = home_of(key, (view.endpoint_id for view in views))
-        return home, own * self._cfg.affinity
-
     def _estimate(self, ask: RouteRequest, view: EndpointView, now: float) -> Estimate:
         """Put together what is expected of one endpoint."""
         sent = self._sent_to(view.endpoint_id)
@@ -254,6 +250,17 @@
         return self._rng.choice(near)
 
 
+def _home(
+    ask: RouteRequest, views: tuple[EndpointView, ...], split: int
+) -> tuple[str, float]:
+    """Return the prompt's home, and how many tokens are its own."""
+    if not ask.blocks or (split < 0 and not ask.session):
+        return "", 0.0
+    key = ask.session or ask.blocks[split]
+    own = ask.prompt_tokens - max(0, split) * BLOCK_TOKENS
+    return home_of(key, (view.endpoint_id for view in views)), float(own)
+
+
 def _is_usable(ask: RouteRequest, view: EndpointView) -> bool:
     """Return whether an endpoint can take the request at all."""
     if view.state is not EndpointState.READY or view.endpoint_id in ask.exclude:
--- a/src/ebonydeal/_internal/settings/routing.py
+++ b/src/ebonydeal/_internal/settings/routing.py
@@ -29,6 +29,9 @@
     cache_blocks: Annotated[
         int, Key("Most cache blocks remembered for one endpoint.", "", 16, 10000000)
     ] = 20000
+    candidates: Annotated[
+        int, Key("Most endpoints scored for one request.", "", 2, 10000)
+    ] = 24
     affinity: Annotated[
         float, Key("Worth of keeping a prefix at its home, in prefills.", "", 0, 10)
     ] = 1.0
