--- a/src/ebonydeal/_internal/gateway/program.py
+++ b/src/ebonydeal/_internal/gateway/program.py
@@ -2,8 +2,7 @@
 
 from collections.abc import Iterable
 from random import Random
-from ssl import SSLContext
-from typing import Any, NamedTuple
+from typing import Any
 
 from aiohttp import web
 from mode import Service
@@ -16,16 +15,8 @@
 from ebonydeal._internal.gateway.generation import Generation, GenerationParts
 from ebonydeal._internal.gateway.health import Health
 from ebonydeal._internal.gateway.intake import Intake
-from ebonydeal._internal.gateway.ports import (
-    AdmissionPort,
-    ConfigPort,
-    DirectoryPort,
-    JournalPort,
-    PeerPort,
-    RetryPort,
-    RoutePort,
-)
-from ebonydeal._internal.gateway.reclaim import Planner, Reclaim, ReclaimParts
+from ebonydeal._internal.gateway.parts import GatewayConfig, GatewayPorts
+from ebonydeal._internal.gateway.reclaim import Reclaim, ReclaimParts
 from ebonydeal._internal.gateway.reconnect import (
     RESUME_PATH,
     ParkedStreams,
@@ -34,12 +25,9 @@
 from ebonydeal._internal.gateway.services import ServiceParts, Services
 from ebonydeal._internal.gateway.streams import Relay, RelayParts
 from ebonydeal._internal.gateway.watch import StreamWatch
+from ebonydeal._internal.gateway.wiring import wire
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.observe.logs import get_logger
-from ebonydeal._internal.observe.trail import Trails
-from ebonydeal._internal.platform.interfaces import Engine, PlainServices
-from ebonydeal._internal.settings.gateway import GatewaySettings
-from ebonydeal._internal.settings.sections import NodeSettings
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.web import HttpServer, read_json
 
@@ -48,36 +36,6 @@
 _HEALTH_FRESH_S = 30.0
 
 
-class GatewayPorts(NamedTuple):
-    """The other parts, as the gateway sees them.
-
-    ``children`` are their services, started before the gateway's own and
-    stopped after them.
-    """
-
-    engine: Engine
-    services: PlainServices
-    routes: RoutePort
-    retries: RetryPort
-    admission: AdmissionPort
-    directory: DirectoryPort
-    config: ConfigPort
-    journal: JournalPort
-    peers: PeerPort
-    plan: Planner
-    children: tuple[Service, ...] = ()
-
-
-class GatewayConfig(NamedTuple):
-    """The gateway's own settings."""
-
-    node: NodeSettings
-    gateway: GatewaySettings
-    credential: str
-    shards: int
-    ssl_server: SSLContext | None = None
-
-
 class GatewayProgram(Service):
     """Callers' connections and all that serves them.
 
@@ -89,6 +47,17 @@
         The other parts.
     metrics, clock, rng : Metrics, Clock, random.Random
         Counters, time, ids.
+
+    Attributes
+    ----------
+    draining : bool
+        Whether a stop has begun, so that the balancer sends no more.
+    ports : GatewayPorts
+        The other parts.
+    relay : Relay
+        Answers under way.
+    trails : Trails
+        Decision trails of the latest requests.
     """
 
     def __init__(
@@ -101,12 +70,12 @@
     ) -> None:
         super().__init__()
         self._cfg = cfg
-        self._ports = ports
+        self.ports = ports
         self._metrics = metrics
         self._clock = clock
         self._rng = rng
-        self._draining = False
-        self.trails = Trails(cfg.gateway.explain_requests)
+        self.draining = False
+        self.trails = ports.trails
         self._background = Background()
         self._health = Health(_HEALTH_FRESH_S)
         self._intake = Intake(ports.config, cfg.gateway, cfg.shards, clock, rng)
@@ -125,6 +94,18 @@
         self._server = self._new_server()
         ports.peers.add_routes([web.post(RESUME_PATH, self._resume_for_peer)])
 
+    @classmethod
+    def from_config(
+        cls,
+        settings: dict[str, Any],
+        metrics: Metrics,
+        clock: Clock,
+        rng: Random,
+    ) -> "GatewayProgram":
+        """Build the whole tree from all settings sections."""
+        cfg, ports = wire(settings, metrics, clock, rng)
+        return cls(cfg, ports, metrics, clock, rng)
+
     @property
     def address(self) -> str:
         """``host:port`` of the callers' listener; after the start."""
@@ -144,13 +125,13 @@
             self._reclaim,
             self._server,
         )
-        for child in (*self._ports.children, *own):
+        for child in (*self.ports.children, *own):
             await self.add_runtime_dependency(child)
         logger.info("Listening.", address=self.address)
 
     async def on_stop(self) -> None:
         """Leave the balancer, let what runs finish, then close the listener."""
-        self._draining = True
+        self.draining = True
         logger.info("Draining.", streams=len(self.relay.live))
         await self._clock.sleep(self._cfg.gateway.settle_seconds)
         await self._server.stop()
@@ -161,7 +142,7 @@
         return ParkedStreams(cfg.retention_seconds, cfg.retention_tokens // 2)
 
     def _new_relay(self) -> Relay:
-        ports = self._ports
+        ports = self.ports
         parts = RelayParts(
             engine=ports.engine,
             routes=ports.routes,
@@ -178,14 +159,14 @@
     def _new_reclaim(self) -> Reclaim:
         parts = ReclaimParts(
             relay=self.relay,
-            engine=self._ports.engine,
-            directory=self._ports.directory,
+            engine=self.ports.engine,
+            directory=self.ports.directory,
             metrics=self._metrics,
             trails=self.trails,
             clock=self._clock,
             background=self._background.spawn,
         )
-        return Reclaim(parts, self._cfg.gateway, self._ports.plan)
+        return Reclaim(parts, self._cfg.gateway)
 
     def _new_server(self) -> HttpServer:
         cfg = self._cfg.gateway
@@ -197,7 +178,7 @@
             metrics=self._metrics,
             trails=self.trails,
             clock=self._clock,
-            draining=lambda: self._draining,
+            draining=lambda: self.draining,
         )
         return HttpServer(
             Api(api, cfg).app(),
@@ -212,7 +193,7 @@
     def _new_generation(self) -> Generation:
         parts = GenerationParts(
             intake=self._intake,
-            admission=self._ports.admission,
+            admission=self.ports.admission,
             relay=self.relay,
             reconnector=self._reconnector,
             left=self._left,
@@ -222,11 +203,11 @@
             clock=self._clock,
         )
         return Generation(
-            parts, self._cfg.gateway, self._cfg.credential, self._ports.peers
+            parts, self._cfg.gateway, self._cfg.credential, self.ports.peers
         )
 
     def _new_services(self) -> Services:
-        ports = self._ports
+        ports = self.ports
         direct = DirectParts(
             services=ports.services,
             routes=ports.routes,
@@ -253,8 +234,8 @@
         return Deferred(
             DeferredParts(
                 self._intake,
-                self._ports.admission,
-                self._ports.journal,
+                self.ports.admission,
+                self.ports.journal,
                 self._metrics,
                 self._clock,
             )
