Print the routing bench as tables

Cause: the promises on routing, limits and retries are to be shown by a command. Change: `ebonydeal bench routing` compares policies, lags, losses, limits, retries and decision times over seeds, writes text and, where matplotlib is installed, a plot; the targets are tests.

--- /dev/null
+++ b/src/ebonydeal/_internal/benchmarks/routing/report.py
@@ -0,0 +1,208 @@
+"""The routing bench as text tables."""
+
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from ebonydeal._internal.benchmarks.routing.decision_time import ENDPOINTS, measure
+from ebonydeal._internal.benchmarks.routing.limits_run import LimitRun, make_stories
+from ebonydeal._internal.benchmarks.routing.loop import Conditions, Outcome
+from ebonydeal._internal.benchmarks.routing.retry_run import (
+    PHASES,
+    run_retries,
+    without_budget,
+)
+from ebonydeal._internal.benchmarks.routing.suite import (
+    USERS,
+    Figure,
+    User,
+    figure,
+    policies,
+    run_seeds,
+)
+from ebonydeal._internal.settings.routing import (
+    AdmissionSettings,
+    RetrySettings,
+    RoutingSettings,
+)
+
+LAGS = (0.0, 0.5, 1.0, 2.0, 5.0)
+LOSSES = (0.0, 0.1, 0.25, 0.5)
+ROUTER = "router"
+BASELINE = "random of two"
+_LIMIT_KINDS = ("requests_per_s", "tokens_per_s", "concurrency")
+_FEW_ROUNDS = 300
+
+
+class Plan(NamedTuple):
+    """How much is run: seeds, seconds of each trace, and load."""
+
+    seeds: tuple[int, ...]
+    seconds: float
+    load: float
+
+
+class Table(NamedTuple):
+    """A titled table of text cells."""
+
+    title: str
+    header: tuple[str, ...]
+    rows: tuple[tuple[str, ...], ...]
+
+    def text(self) -> str:
+        """Return aligned lines."""
+        lines = [self.header, *self.rows]
+        widths = [max(len(line[i]) for line in lines) for i in range(len(self.header))]
+        shown = [self.title, ""]
+        for line in lines:
+            cells = [line[0].ljust(widths[0])]
+            cells += [
+                cell.rjust(width)
+                for cell, width in zip(line[1:], widths[1:], strict=True)
+            ]
+            shown.append("  ".join(cells).rstrip())
+        return "\n".join(shown) + "\n"
+
+
+class Point(NamedTuple):
+    """One point of the sensitivity plot."""
+
+    user: str
+    what: str
+    value: float
+    policy: str
+    recomputed: Figure
+    p95: Figure
+
+
+def compare_policies(user: User, plan: Plan) -> Table:
+    """Compare the router with all baselines under usual conditions."""
+    rows = []
+    for name, make in policies(RoutingSettings()).items():
+        runs = run_seeds(user, make, Conditions(), *plan)
+        rows.append((name, *_cells(runs)))
+    conditions = Conditions()
+    title = (
+        f"{user.shape.name}: {sum(user.shape.replicas)} replicas, "
+        f"{user.shape.gateways} gateways, lag {conditions.lag:g} s, "
+        f"{conditions.loss:.0%} of events lost, load {plan.load:g}, "
+        f"{len(plan.seeds)} seeds of {plan.seconds:g} s (mean ± 95 % interval)"
+    )
+    header = (
+        "policy",
+        "recomputed ktok",
+        "first token p50 s",
+        "p95 s",
+        "p99 s",
+        "in time",
+        "cost per 1000 in time",
+        "refused",
+    )
+    return Table(title, header, tuple(rows))
+
+
+def _cells(runs: Sequence[Outcome]) -> tuple[str, ...]:
+    def over(value: Callable[[Outcome], float]) -> str:
+        return str(figure([value(run) for run in runs]))
+
+    return (
+        over(lambda run: run.recomputed / 1000.0),
+        over(lambda run: run.p50),
+        over(lambda run: run.p95),
+        over(lambda run: run.p99),
+        over(lambda run: run.in_time / run.answers),
+        over(lambda run: run.cost_per_1000),
+        # The engine model queues without bound, so nothing is refused here.
+        "0",
+    )
+
+
+def sensitivity(user: User, plan: Plan) -> list[Point]:
+    """Run router and random of two over report lags and event losses."""
+    made = policies(RoutingSettings())
+    points = []
+    cases = [("lag", lag, Conditions(lag=lag)) for lag in LAGS]
+    cases += [("loss", loss, Conditions(loss=loss)) for loss in LOSSES]
+    for what, value, conditions in cases:
+        for name in (ROUTER, BASELINE):
+            runs = run_seeds(user, made[name], conditions, *plan)
+            recomputed = figure([run.recomputed / 1000.0 for run in runs])
+            p95 = figure([run.p95 for run in runs])
+            points.append(Point(user.shape.name, what, value, name, recomputed, p95))
+    return points
+
+
+def sensitivity_table(points: Sequence[Point]) -> Table:
+    """Show the points of one user."""
+    rows = tuple(
+        (
+            f"{point.what} {point.value:g}",
+            point.policy,
+            str(point.recomputed),
+            str(point.p95),
+        )
+        for point in points
+    )
+    title = f"{points[0].user}: sensitivity to report lag (s) and lost events (share)"
+    return Table(title, ("case", "policy", "recomputed ktok", "p95 s"), rows)
+
+
+def limits_table(plan: Plan) -> Table:
+    """Show limits in total over nine gateways."""
+    rows = []
+    for limit in _LIMIT_KINDS:
+        for story in make_stories(limit):
+            runs = [
+                LimitRun(story, AdmissionSettings(), seed).run() for seed in plan.seeds
+            ]
+            rows.append(
+                (
+                    f"{limit}: {story.name}",
+                    str(figure([run.mean for run in runs])),
+                    f"{min(run.worst_low for run in runs):.3f}",
+                    f"{max(run.worst_high for run in runs):.3f}",
+                    str(figure([run.last for run in runs])),
+                )
+            )
+    title = (
+        "client account limits: share of the setting in use, nine gateways, demand "
+        "1.5 times the limit, uneven and drawn anew every 20 s"
+    )
+    header = ("case", "mean", "worst 10 s low", "high", "last 30 s")
+    return Table(title, header, tuple(rows))
+
+
+def retries_table(plan: Plan) -> Table:
+    """Show sends per request by phase, with the budget and without."""
+    rows = []
+    for name, cfg in (("budget", RetrySettings()), ("four tries", without_budget())):
+        runs = [run_retries(cfg, seed) for seed in plan.seeds]
+        for number, phase in enumerate(PHASES):
+            ratios = [run[number].ratio for run in runs]
+            answered = [run[number].answered / run[number].requests for run in runs]
+            rows.append(
+                (f"{name}: {phase.name}", str(figure(ratios)), str(figure(answered)))
+            )
+    title = "retries: sends per request, and share of requests answered"
+    return Table(title, ("case", "sends", "answered"), tuple(rows))
+
+
+def decision_table(seed: int) -> Table:
+    """Show processor time of one decision against the number of endpoints."""
+    rows = []
+    for endpoints in ENDPOINTS:
+        time = measure(endpoints, _FEW_ROUNDS, seed)
+        rows.append((str(endpoints), f"{time.p50:.0f}", f"{time.p99:.0f}"))
+    title = "decision time, prompt of 100 blocks (wall time on this machine)"
+    return Table(title, ("endpoints", "p50 us", "p99 us"), tuple(rows))
+
+
+def all_tables(plan: Plan) -> tuple[list[Table], list[Point]]:
+    """Run everything."""
+    tables = [compare_policies(user, plan) for user in USERS]
+    points: list[Point] = []
+    for user in USERS:
+        own = sensitivity(user, plan)
+        points += own
+        tables.append(sensitivity_table(own))
+    tables += [limits_table(plan), retries_table(plan), decision_table(plan.seeds[0])]
+    return tables, points
--- /dev/null
+++ b/tests/unit/routing/test_bench.py
@@ -0,0 +1,90 @@
+import pytest
+from click.testing import CliRunner
+
+from ebonydeal._internal.benchmarks.routing import report
+from ebonydeal._internal.benchmarks.routing.engine import EngineModel, Job
+from ebonydeal._internal.benchmarks.routing.loop import Conditions
+from ebonydeal._internal.benchmarks.routing.retry_run import PHASES, run_retries
+from ebonydeal._internal.benchmarks.routing.suite import (
+    USERS,
+    figure,
+    policies,
+    run_seeds,
+)
+from ebonydeal._internal.benchmarks.routing.traces import PALERMO, palermo_trace
+from ebonydeal._internal.cli.main import main
+from ebonydeal._internal.settings.routing import RetrySettings, RoutingSettings
+
+
+class TestEngineModel:
+    def test_second_time_only_the_rest_is_computed(self):
+        engine = EngineModel(PALERMO)
+        request = palermo_trace(1, 5.0, 1.0)[0]
+        first = engine.arrive(Job(request, 0, 0.0), 0.0)
+        assert first.cached_tokens == 0
+        engine.prefilled(first)
+        engine.ended(first.job)
+        again = engine.arrive(Job(request, 0, 9.0), 9.0)
+        assert again.cached_tokens == len(request.blocks) * 16
+
+    def test_cache_is_bounded_and_drops_are_told(self):
+        engine = EngineModel(PALERMO._replace(cache_blocks=10))
+        request = palermo_trace(1, 5.0, 1.0)[0]
+        engine.prefilled(engine.arrive(Job(request, 0, 0.0), 0.0))
+        dropped = [event for event in engine.take_events() if not event.stored]
+        assert len(dropped) == len(request.blocks) - 10
+
+
+class TestTraces:
+    def test_same_seed_same_trace(self):
+        assert palermo_trace(3, 10.0, 1.0) == palermo_trace(3, 10.0, 1.0)
+        assert palermo_trace(3, 10.0, 1.0) != palermo_trace(4, 10.0, 1.0)
+
+
+class TestTargets:
+    @pytest.mark.parametrize("user", USERS, ids=lambda user: user.shape.name)
+    def test_recomputed_at_most_six_tenths_at_no_worse_p95(self, user):
+        made = policies(RoutingSettings())
+        plan = (Conditions(lag=1.0, loss=0.1), (1,), 40.0, 1.0)
+        (ours,) = run_seeds(user, made[report.ROUTER], *plan)
+        (theirs,) = run_seeds(user, made[report.BASELINE], *plan)
+        assert ours.answers == theirs.answers
+        assert ours.recomputed <= 0.6 * theirs.recomputed
+        assert ours.p95 <= theirs.p95
+
+    def test_full_failure_sends_at_most_eleven_tenths(self):
+        outcomes = run_retries(RetrySettings(), 1)
+        assert PHASES[2].failing == 1.0
+        assert outcomes[2].answered == 0
+        assert outcomes[2].sends <= 1.1 * outcomes[2].requests
+
+
+class TestFigure:
+    def test_interval_of_equal_values_is_nothing(self):
+        assert figure([2.0, 2.0, 2.0]) == (2.0, 0.0)
+
+    def test_interval_of_two(self):
+        assert figure([1.0, 3.0]).half == pytest.approx(12.71)
+
+
+class TestCommand:
+    def test_prints_and_writes_the_same_tables(self, tmp_path, monkeypatch):
+        monkeypatch.setattr(report, "ENDPOINTS", (5,))
+        monkeypatch.setattr(report, "_LIMIT_KINDS", ())
+        monkeypatch.setattr(report, "LAGS", (1.0,))
+        monkeypatch.setattr(report, "LOSSES", ())
+        out = str(tmp_path)
+        args = ["bench", "routing", "--seeds", "1", "--seconds", "5", "--out", out]
+        result = CliRunner().invoke(main, args)
+        assert result.exit_code == 0, result.output
+        text = (tmp_path / "routing-seed1.txt").read_text(encoding="utf-8")
+        assert text in result.output
+        assert text.count("random of two") == 4
+
+
+class TestHerd:
+    def test_one_idle_report_does_not_draw_every_gateway_for_long(self):
+        user = USERS[0]
+        made = policies(RoutingSettings())[report.ROUTER]
+        (run,) = run_seeds(user, made, Conditions(lag=5.0), (2,), 20.0, 1.0)
+        assert run.in_time >= 0.9 * run.answers
