--- a/src/ebonydeal/_internal/journal/bodies.py
+++ b/src/ebonydeal/_internal/journal/bodies.py
@@ -92,6 +92,14 @@
                 return
 
     async def former(self) -> list[str]:
-        """Return all objects of the shard, before this epoch has made any."""
-        bodies = await self._objects.names(bodies_prefix(self._shard))
-        return bodies + await self._objects.names(snapshots_prefix(self._shard))
+        """Return the shard's objects of earlier epochs.
+
+        Those of later ones are there too when this process was paused past a
+        takeover: they are the present owner's, and never this one's to judge.
+        """
+        found: list[str] = []
+        for prefix in (bodies_prefix(self._shard), snapshots_prefix(self._shard)):
+            before = f"{prefix}{self._epoch:08d}-"
+            names = await self._objects.names(prefix)
+            found += [name for name in names if name < before]
+        return found
