--- a/src/ebonydeal/_internal/cli/main.py
+++ b/src/ebonydeal/_internal/cli/main.py
@@ -4,9 +4,11 @@
 
 from ebonydeal import __version__
 from ebonydeal._internal.commands.bench import bench_command
+from ebonydeal._internal.commands.document import document_command
 from ebonydeal._internal.commands.key import key_command
 from ebonydeal._internal.commands.settings import settings_command
 from ebonydeal._internal.commands.standin import standin_command
+from ebonydeal._internal.commands.status import endpoints_command, status_command
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -19,3 +21,6 @@
 main.add_command(standin_command)
 main.add_command(key_command)
 main.add_command(settings_command)
+main.add_command(document_command)
+main.add_command(status_command)
+main.add_command(endpoints_command)
--- /dev/null
+++ b/src/ebonydeal/_internal/commands/document.py
@@ -0,0 +1,165 @@
+"""``ebonydeal document``: check, apply, show, diff and history."""
+
+import json
+import random
+import sys
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Any
+
+import click
+from returns.result import Failure
+
+from ebonydeal._internal.commands.client import (
+    Console,
+    console_options,
+    expect,
+    print_json,
+    print_table,
+)
+from ebonydeal._internal.commands.exits import ExitCode
+from ebonydeal._internal.commands.settings import read_text_file
+from ebonydeal._internal.config.examples import EXAMPLE_NAMES, example_document
+from ebonydeal._internal.config.validate import schema, validate
+from ebonydeal._internal.utils.ids import new_token
+
+file_argument = click.argument("file", type=click.Path(path_type=Path))
+
+
+@click.group("document")
+def document_command() -> None:
+    """Check, apply and look at configuration documents (JSON)."""
+
+
+def read_document(file: Path) -> Any:
+    """Return a file's JSON, or end with the place of the mistake."""
+    try:
+        return json.loads(read_text_file(file))
+    except json.JSONDecodeError as exc:
+        where = f"line {exc.lineno}, column {exc.colno}"
+        click.echo(f"{file}: not JSON: {where}: {exc.msg}", err=True)
+    except (ValueError, RecursionError) as exc:
+        click.echo(f"{file}: not JSON: {exc}", err=True)
+    sys.exit(ExitCode.BAD_INPUT)
+
+
+@document_command.command("check")
+@file_argument
+@click.option("--online", is_flag=True, help="Also check prices, by the console.")
+@console_options
+def check(file: Path, online: bool, url: str, token: str, as_json: bool) -> None:
+    """Name every problem of FILE; exit code 3 if there is any."""
+    document = read_document(file)
+    if online:
+        answer = expect(Console(url, token).post("/api/check", {"document": document}))
+        problems = answer["problems"]
+    else:
+        checked = validate(document)
+        found = checked.failure() if isinstance(checked, Failure) else []
+        problems = [problem.to_message() for problem in found]
+    if as_json:
+        print_json({"problems": problems})
+    for problem in problems if not as_json else ():
+        click.echo(f"{file}: {problem['where']}: {problem['message']}", err=True)
+    if problems:
+        sys.exit(ExitCode.REFUSED)
+    if not as_json:
+        click.echo(f"{file}: no problems")
+
+
+@document_command.command("apply")
+@file_argument
+@click.option("--base", type=int, help="Version that FILE was made from; else asked.")
+@click.option("--note", default="", help="Why, for the history.")
+@click.option("--proposal", default="", help="Id of a repeated try.")
+@console_options
+def apply_command(
+    file: Path,
+    base: int | None,
+    note: str,
+    proposal: str,
+    url: str,
+    token: str,
+    as_json: bool,
+) -> None:
+    """Put FILE in force: accepted whole, or refused with every reason."""
+    document = read_document(file)
+    console = Console(url, token)
+    if base is None:
+        base = expect(console.get("/api/document"))["version"]
+    proposal = proposal or new_token("p", random.SystemRandom())
+    click.echo(f"proposal {proposal}, on version {base}", err=True)
+    answer = console.post(
+        "/api/document",
+        {
+            "document": document,
+            "base_version": base,
+            "note": note,
+            "proposal": proposal,
+        },
+    )
+    version = expect(answer)["version"]
+    if as_json:
+        print_json({"version": version, "proposal": proposal})
+    else:
+        click.echo(f"version {version} is in force")
+
+
+@document_command.command("show")
+@click.option("--version", type=int, help="Of the present one by default.")
+@console_options
+def show(version: int | None, url: str, token: str, as_json: bool) -> None:
+    """Print the document; with --json together with its version."""
+    query = {} if version is None else {"version": version}
+    answer = expect(Console(url, token).get("/api/document", **query))
+    print_json(answer if as_json else answer["document"])
+
+
+@document_command.command("diff")
+@click.argument("a", type=int)
+@click.argument("b", type=int, required=False)
+@console_options
+def diff(a: int, b: int | None, url: str, token: str, as_json: bool) -> None:
+    """Print what differs from version A to version B (or to the present one)."""
+    query = {"a": a} if b is None else {"a": a, "b": b}
+    answer = expect(Console(url, token).get("/api/diff", **query))
+    if as_json:
+        print_json(answer)
+        return
+    for line in answer["differences"]:
+        click.echo(line)
+
+
+@document_command.command("history")
+@click.option("--limit", type=click.IntRange(1, 10000), default=20, show_default=True)
+@console_options
+def history(limit: int, url: str, token: str, as_json: bool) -> None:
+    """Print who changed what, and when; newest first."""
+    answer = expect(Console(url, token).get("/api/history", limit=limit))
+    if as_json:
+        print_json(answer)
+        return
+    rows = [
+        [
+            info["version"],
+            datetime.fromtimestamp(info["at"], UTC).strftime("%Y-%m-%d %H:%M:%SZ"),
+            info["by"],
+            ", ".join([*info["changed"], *(f"-{key}" for key in info["removed"])]),
+            info["note"],
+        ]
+        for info in answer["versions"]
+    ]
+    print_table(["version", "when", "who", "changed", "note"], rows)
+
+
+@document_command.command("example")
+@click.argument("name", type=click.Choice(EXAMPLE_NAMES))
+def example(name: str) -> None:
+    """Print an example document to start from."""
+    print_json(example_document(name))
+
+
+@document_command.command("schema")
+def schema_command() -> None:
+    """Print the document's JSON Schema."""
+    print_json(schema())
--- a/src/ebonydeal/_internal/config/references.py
+++ b/src/ebonydeal/_internal/config/references.py
@@ -10,13 +10,31 @@
 
 
 def reference_problems(
-    document: dict[str, Any], offers: Sequence[Offer] | None
+    document: dict[str, Any],
+    offers: Sequence[Offer] | None,
+    unsound: frozenset[tuple[str, int]] = frozenset(),
 ) -> list[Problem]:
-    """Return every problem of a document that the schema has passed."""
-    problems = list(_unique_names(document))
-    zones = {zone for region in document["regions"] for zone in region["zones"]}
-    accounts = {item["name"] for item in document["accounts"]}
-    for index, item in enumerate(document["deployments"]):
+    """Return every problem between and inside the items that the schema passed.
+
+    Parameters
+    ----------
+    document : dict
+        Its sections must be lists.
+    offers : sequence of Offer or None
+        For the feasibility of prices.
+    unsound : frozenset of (section, index)
+        Items that the schema refused. They are left out, but what they are
+        named still counts as known.
+    """
+    problems = list(_unique_names(document, unsound))
+    zones = {zone for _, zone in _zones(document)}
+    accounts = {name for _, name in _names(document, "accounts")}
+    sound = [
+        (index, item)
+        for index, item in enumerate(document["deployments"])
+        if ("deployments", index) not in unsound
+    ]
+    for index, item in sound:
         path: Path = ("deployments", index)
         problems.extend(_unknown(item["zones"], zones, (*path, "zones"), "zone"))
         problems.extend(
@@ -28,28 +46,44 @@
         problems.extend(_call_problems(item, path))
         if offers is not None:
             problems.extend(_price_problems(item, path, offers))
-    problems.extend(_shared_models(document["deployments"]))
+    problems.extend(_shared_models(sound))
     return problems
 
 
-def _unique_names(document: dict[str, Any]) -> Iterator[Problem]:
+def _names(document: dict[str, Any], section: str) -> list[tuple[Path, str]]:
+    """Return the names of a section, also of unsound items, with their paths."""
+    return [
+        ((section, index, "name"), item["name"])
+        for index, item in enumerate(document[section])
+        if isinstance(item, dict) and isinstance(item.get("name"), str)
+    ]
+
+
+def _zones(document: dict[str, Any]) -> list[tuple[Path, str]]:
+    """Return the zones of all regions, with their paths."""
+    found: list[tuple[Path, str]] = []
+    for index, region in enumerate(document["regions"]):
+        zones = region.get("zones") if isinstance(region, dict) else None
+        for number, zone in enumerate(zones if isinstance(zones, list) else ()):
+            if isinstance(zone, str):
+                found.append((("regions", index, "zones", number), zone))
+    return found
+
+
+def _unique_names(
+    document: dict[str, Any], unsound: frozenset[tuple[str, int]]
+) -> Iterator[Problem]:
     """Yield names that stand twice; case is not enough to tell two apart."""
     for section in ("regions", "accounts", "deployments"):
-        names = [item["name"] for item in document[section]]
-        paths: list[Path] = [(section, i, "name") for i in range(len(names))]
-        yield from _repeated(names, paths)
-    zones = [
-        (zone, ("regions", i, "zones", j))
-        for i, region in enumerate(document["regions"])
-        for j, zone in enumerate(region["zones"])
-    ]
-    yield from _repeated([zone for zone, _ in zones], [path for _, path in zones])
+        yield from _repeated(_names(document, section))
+    if not any(section == "regions" for section, _ in unsound):
+        yield from _repeated(_zones(document))
 
 
-def _repeated(names: list[str], paths: Sequence[Path]) -> Iterator[Problem]:
+def _repeated(names: list[tuple[Path, str]]) -> Iterator[Problem]:
     """Yield one problem for each name that stood before."""
     seen: dict[str, str] = {}
-    for name, path in zip(names, paths, strict=True):
+    for path, name in names:
         before = seen.get(name.casefold())
         if before is not None:
             yield Problem(path, f"'{name}' is already taken by '{before}'")
@@ -142,18 +176,18 @@
     return []
 
 
-def _shared_models(deployments: list[Item]) -> Iterator[Problem]:
+def _shared_models(deployments: list[tuple[int, Item]]) -> Iterator[Problem]:
     """Yield pairs that both serve one model to one account: routing can't tell."""
-    earlier: dict[str, list[int]] = {}
-    for index, item in enumerate(deployments):
+    earlier: dict[str, list[Item]] = {}
+    for index, item in deployments:
         names = [
             *item.get("models", []),
             *(a["name"] for a in item.get("adapters", [])),
         ]
         for name in dict.fromkeys(names):
             for other in earlier.setdefault(name, []):
-                yield from _clash(deployments[other], item, name, index)
-            earlier[name].append(index)
+                yield from _clash(other, item, name, index)
+            earlier[name].append(item)
 
 
 def _clash(first: Item, second: Item, model: str, index: int) -> Iterator[Problem]:
--- a/src/ebonydeal/_internal/config/store.py
+++ b/src/ebonydeal/_internal/config/store.py
@@ -218,6 +218,13 @@
             items = apply(items, info.delta)
         return Content(version, items)
 
+    async def version(self, version: int) -> VersionInfo:
+        """Return one accepted version; raises ``NOT_FOUND``."""
+        info = await read_version(self._tables, version) if version > 0 else None
+        if info is None:
+            raise EbonydealError(ErrorKind.NOT_FOUND, f"no version {version}")
+        return info
+
     async def history(self, limit: int = _HISTORY) -> list[VersionInfo]:
         """Return the last ``limit`` versions, newest first."""
         head = await read_head(self._tables)
--- a/src/ebonydeal/_internal/config/validate.py
+++ b/src/ebonydeal/_internal/config/validate.py
@@ -1,8 +1,8 @@
 """Validation of a whole document: every problem at once, each with its path.
 
 Three passes: values that JSON can't carry or the table can't keep, the published
-schema, then references, ranges across fields and feasibility. The last pass runs
-only on a document of the right shape.
+schema, then references, ranges across fields and feasibility. The last pass leaves
+out items that the schema refused.
 """
 
 import json
@@ -17,6 +17,7 @@
 from jsonschema.exceptions import ValidationError
 from returns.result import Failure, Result, Success
 
+from ebonydeal._internal.config.delta import LISTED
 from ebonydeal._internal.config.problems import Path, Problem
 from ebonydeal._internal.config.references import reference_problems
 from ebonydeal._internal.platform.interfaces import Offer
@@ -61,13 +62,31 @@
     if not problems:
         errors = _validator().iter_errors(document)
         problems = [item for error in errors for item in _from_error(error)]
-    if not problems:
-        problems = reference_problems(document, offers)
+        if _comparable(document):
+            unsound = _unsound(problems)
+            problems += reference_problems(document, offers, unsound)
     if problems:
         return Failure(sorted(problems, key=_order)[:_MAX_PROBLEMS])
     return Success(document)
 
 
+def _comparable(document: Any) -> bool:
+    """Return whether the sections are there, so that items can be compared."""
+    return isinstance(document, dict) and all(
+        isinstance(document.get(section), list) for section in LISTED
+    )
+
+
+def _unsound(problems: list[Problem]) -> frozenset[tuple[str, int]]:
+    """Return the items that have problems, by section and index."""
+    found = set()
+    for problem in problems:
+        match problem.path:
+            case (str(section), int(index), *_):
+                found.add((section, index))
+    return frozenset(found)
+
+
 def _order(problem: Problem) -> tuple[tuple[int, str], ...]:
     """Return a sort key: list indexes by number, keys by name."""
     return tuple(
--- /dev/null
+++ b/src/ebonydeal/_internal/console/api.py
@@ -0,0 +1,223 @@
+"""JSON API of the console, for the command line and for scripts."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from aiohttp import web
+from returns.result import Failure, Success
+
+from ebonydeal._internal.config.delta import differences, join
+from ebonydeal._internal.config.problems import Problem
+from ebonydeal._internal.config.rows import VersionInfo
+from ebonydeal._internal.config.store import Conflict
+from ebonydeal._internal.config.validate import validate
+from ebonydeal._internal.console.parts import ConsoleParts
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.models.endpoints import EndpointView
+from ebonydeal._internal.utils.web import error_response, read_json
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+OPERATOR = web.RequestKey("operator", str)
+_MAX_NOTE = 500
+_HISTORY = 100
+
+
+class Api:
+    """Handlers under ``/api/``; each call carries an operator's bearer token."""
+
+    def __init__(self, parts: ConsoleParts) -> None:
+        self._parts = parts
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes."""
+        return [
+            web.get("/api/document", self._signed(self._show)),
+            web.post("/api/document", self._signed(self._propose)),
+            web.post("/api/check", self._signed(self._check)),
+            web.get("/api/history", self._signed(self._history)),
+            web.get("/api/diff", self._signed(self._diff)),
+            web.get("/api/status", self._signed(self._status)),
+            web.get("/api/endpoints", self._signed(self._endpoints)),
+            web.get("/api/explain/{id}", self._signed(self._explain)),
+        ]
+
+    def _signed(self, handler: Handler) -> Handler:
+        """Return ``handler`` behind the bearer token's check."""
+
+        async def signed(req: web.Request) -> web.StreamResponse:
+            scheme, _, token = req.headers.get("Authorization", "").partition(" ")
+            operator = None
+            if scheme.lower() == "bearer":
+                operator = self._parts.operators.by_token(token.strip())
+            if operator is None:
+                raise EbonydealError(
+                    ErrorKind.UNAUTHORIZED, "the operator token is missing or wrong"
+                )
+            req[OPERATOR] = operator.name
+            return await handler(req)
+
+        return signed
+
+    async def _show(self, req: web.Request) -> web.Response:
+        """``GET /api/document[?version=N]``."""
+        version = _number(req, "version", None)
+        content = await self._parts.store.load(version)
+        return web.json_response(
+            {"version": content.version, "document": join(content.items)}
+        )
+
+    async def _propose(self, req: web.Request) -> web.Response:
+        """``POST /api/document``: accepted whole, or every reason."""
+        body = await read_json(req)
+        base, note, proposal = _proposal(body)
+        result = await self._parts.store.propose(
+            body.get("document"),
+            base,
+            req[OPERATOR],
+            note,
+            offers=await self._parts.try_offers(),
+            proposal=proposal or None,
+        )
+        match result:
+            case Success(version):
+                await self._parts.follower.try_refresh()
+                return web.json_response({"version": version})
+            case Failure(Conflict() as conflict):
+                self._parts.metrics.refused(ErrorKind.CONFIG_CONFLICT)
+                return _conflicted(conflict)
+            case Failure(problems):
+                self._parts.metrics.refused(ErrorKind.BAD_DOCUMENT)
+                return _refused(problems)
+        raise EbonydealError(ErrorKind.INTERNAL, "no outcome")
+
+    async def _check(self, req: web.Request) -> web.Response:
+        """``POST /api/check``: validation with present prices, nothing written."""
+        body = await read_json(req)
+        offers = await self._parts.try_offers()
+        checked = validate(body.get("document"), offers)
+        problems = checked.failure() if isinstance(checked, Failure) else []
+        return web.json_response(
+            {
+                "problems": [problem.to_message() for problem in problems],
+                "prices_checked": offers is not None,
+            }
+        )
+
+    async def _history(self, req: web.Request) -> web.Response:
+        """``GET /api/history[?limit=N]``, newest first."""
+        infos = await self._parts.store.history(_number(req, "limit", _HISTORY))
+        return web.json_response({"versions": [_version(info) for info in infos]})
+
+    async def _diff(self, req: web.Request) -> web.Response:
+        """``GET /api/diff?a=N&b=M``; ``b`` is the head by default."""
+        old = await self._parts.store.load(_number(req, "a", None))
+        new = await self._parts.store.load(_number(req, "b", None))
+        lines = differences(old.items, new.items)
+        return web.json_response(
+            {
+                "a": old.version,
+                "b": new.version,
+                "differences": [str(line) for line in lines],
+            }
+        )
+
+    async def _status(self, _req: web.Request) -> web.Response:
+        """``GET /api/status``."""
+        return web.json_response((await self._parts.status.read()).to_message())
+
+    async def _endpoints(self, _req: web.Request) -> web.Response:
+        """``GET /api/endpoints``."""
+        views = await self._parts.status.endpoints()
+        return web.json_response({"endpoints": [_endpoint(view) for view in views]})
+
+    async def _explain(self, req: web.Request) -> web.Response:
+        """``GET /api/explain/{id}``."""
+        steps = await self._parts.status.explain(req.match_info["id"])
+        if steps is None:
+            raise EbonydealError(ErrorKind.NOT_FOUND, "no gateway knows this request")
+        return web.json_response({"steps": steps})
+
+
+def _number(req: web.Request, name: str, default: Any) -> Any:
+    """Return a whole number of the query; raises BAD_REQUEST."""
+    text = req.query.get(name)
+    if text is None:
+        return default
+    try:
+        return int(text)
+    except ValueError as exc:
+        raise EbonydealError(
+            ErrorKind.BAD_REQUEST, f"'{name}' must be a whole number"
+        ) from exc
+
+
+def _proposal(body: dict[str, Any]) -> tuple[int, str, str]:
+    """Return base version, note and proposal id; raises BAD_REQUEST."""
+    match body:
+        case {"base_version": bool()}:
+            pass
+        case {"document": _, "base_version": int(base)}:
+            note, proposal = body.get("note", ""), body.get("proposal", "")
+            if isinstance(note, str) and isinstance(proposal, str):
+                return base, note[:_MAX_NOTE], proposal
+    raise EbonydealError(
+        ErrorKind.BAD_REQUEST,
+        "the body must have 'document' and 'base_version' (a whole number), and may "
+        "have 'note' and 'proposal' (text)",
+    )
+
+
+def _refused(problems: list[Problem]) -> web.Response:
+    """Return the answer to an unsound document."""
+    error = EbonydealError(
+        ErrorKind.BAD_DOCUMENT, f"the document has {len(problems)} problem(s)."
+    )
+    body: dict[str, Any] = {**error.to_body()}
+    body["problems"] = [problem.to_message() for problem in problems]
+    return web.json_response(body, status=error.answer.status)
+
+
+def _conflicted(conflict: Conflict) -> web.Response:
+    """Return the answer to a proposal that came too late."""
+    error = EbonydealError(
+        ErrorKind.CONFIG_CONFLICT,
+        f"version {conflict.head} is in force, not {conflict.base}.",
+    )
+    resp = error_response(error)
+    body: dict[str, Any] = {**error.to_body()}
+    body["conflict"] = {
+        "base": conflict.base,
+        "head": conflict.head,
+        "versions": [_version(info) for info in conflict.versions],
+        "differences": [str(line) for line in conflict.differences],
+    }
+    return web.json_response(body, status=resp.status)
+
+
+def _version(info: VersionInfo) -> dict[str, Any]:
+    """Return the wire shape of a history entry."""
+    return {
+        "version": info.version,
+        "by": info.by,
+        "at": info.at,
+        "note": info.note,
+        "changed": [str(key) for key in info.delta.changed],
+        "removed": [str(key) for key in info.delta.removed],
+    }
+
+
+def _endpoint(view: EndpointView) -> dict[str, Any]:
+    """Return the wire shape of an endpoint."""
+    return {
+        "endpoint_id": view.endpoint_id,
+        "deployment": view.deployment,
+        "kind": str(view.kind),
+        "region": view.place.region,
+        "zone": view.place.zone,
+        "state": str(view.state),
+        "address": view.address,
+        "models": list(view.models),
+        "reclaimable": view.reclaimable,
+        "price_per_hour": view.price_per_hour,
+    }
--- /dev/null
+++ b/src/ebonydeal/_internal/console/forms.py
@@ -0,0 +1,266 @@
+"""Forms of accounts and deployments, and the items that they make."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from wtforms import BooleanField, Form, PasswordField, SelectField, StringField
+from wtforms.fields.choices import SelectChoice
+
+from ebonydeal._internal.config.problems import Path, Problem
+from ebonydeal._internal.console.fields import (
+    AdaptersField,
+    CallsField,
+    ChecksField,
+    LinesField,
+    NumberField,
+    WholeNumberField,
+)
+from ebonydeal._internal.models.requests import Priority
+from ebonydeal._internal.utils.keys import hash_key
+
+Item = dict[str, Any]
+
+_PRIORITIES = [str(priority.name).lower() for priority in Priority]
+_KINDS = [
+    SelectChoice("engine", "model engine"),
+    SelectChoice("service", "plain service"),
+]
+
+ACCOUNT_DEFAULTS: Item = {
+    "title": "",
+    "requests_per_s": 0,
+    "tokens_per_s": 0,
+    "concurrency": 0,
+    "priority": "standard",
+}
+DEPLOYMENT_DEFAULTS: Item = {
+    "title": "",
+    "models": [],
+    "adapters": [],
+    "priority": "standard",
+    "latency": {"first_token_s": 0.47, "between_tokens_s": 0.047},
+    "weights": {"cost": 1.0, "recompute": 1.0},
+    "deadline_work": False,
+    "engines_check_fence": True,
+    "replicas": {"min": 1, "max": 1},
+    "calls": [],
+}
+
+
+class ItemForm(Form):
+    """What the forms of both kinds of item share.
+
+    ``fields_of`` maps a field's name to its path in the item.
+    """
+
+    fields_of: dict[str, tuple[str, ...]] = {}
+    defaults: Item = {}
+
+    @classmethod
+    def show(cls, item: Item) -> "ItemForm":
+        """Return a form that shows an item, or the defaults for a new one."""
+        full = _merged(cls.defaults, item)
+        data = {name: _at(full, path) for name, path in cls.fields_of.items()}
+        return cls(
+            data={key: value for key, value in data.items() if value is not None}
+        )
+
+    def item(self, original: Item) -> Item:
+        """Return the item that was typed; fields in error are left out.
+
+        What the original left at its default and still is there stays out, so
+        that an unchanged form changes nothing.
+        """
+        made: Item = {}
+        for name, path in self.fields_of.items():
+            field = self[name]
+            if not field.errors and not _unset(field.data):
+                _put(made, path, field.data)
+        return _tidied(made, original, self.defaults)
+
+    def blame(self, problems: list[Problem]) -> list[Problem]:
+        """Put each problem beside its field; return those without one."""
+        left = []
+        for problem in problems:
+            field = self._field_at(problem.path)
+            if field is None:
+                left.append(problem)
+            elif not (self[field].errors and problem.message == "is missing"):
+                self[field].errors = [*self[field].errors, problem.message]
+        return left
+
+    def _field_at(self, path: Path) -> str | None:
+        """Return the field whose path leads to ``path``."""
+        for name, own in self.fields_of.items():
+            if path[: len(own)] == own or (path and own[: len(path)] == path):
+                return name
+        return None
+
+
+class AccountForm(ItemForm):
+    """A client account."""
+
+    name = StringField("Name", description="Letters, digits and . _ - inside.")
+    title = StringField("Title", description="For people; any text.")
+    key_hashes = LinesField(
+        "Key hashes",
+        description="Salted hashes of API keys, one a line ('ebonydeal key new').",
+    )
+    new_key = PasswordField(
+        "Add an API key",
+        description="Only its salted hash is kept.",
+        render_kw={"autocomplete": "new-password"},
+    )
+    requests_per_s = NumberField("Requests a second", description="0: no limit.")
+    tokens_per_s = NumberField("Tokens a second", description="0: no limit.")
+    concurrency = WholeNumberField("Requests in flight", description="0: no limit.")
+    priority = SelectField(
+        "Highest priority", choices=_PRIORITIES, validate_choice=False
+    )
+
+    fields_of = {
+        "name": ("name",),
+        "title": ("title",),
+        "key_hashes": ("key_hashes",),
+        "requests_per_s": ("requests_per_s",),
+        "tokens_per_s": ("tokens_per_s",),
+        "concurrency": ("concurrency",),
+        "priority": ("priority",),
+    }
+    defaults = ACCOUNT_DEFAULTS
+
+    def keep_new_key(self) -> None:
+        """Replace a typed key by its hash, so that no page carries the key."""
+        if self.new_key.data:
+            hashes = [*(self.key_hashes.data or ()), hash_key(self.new_key.data)]
+            self.key_hashes.data = hashes
+            self.new_key.data = ""
+
+
+class DeploymentForm(ItemForm):
+    """A deployment of engines or of a plain service."""
+
+    name = StringField("Name", description="Letters, digits and . _ - inside.")
+    title = StringField("Title", description="For people; any text.")
+    kind = SelectField("Kind", choices=_KINDS, default="engine", validate_choice=False)
+    models = LinesField("Models", description="One a line; engines only.")
+    adapters = AdaptersField(
+        "Adapters", description="One 'adapter = model' a line; engines only."
+    )
+    calls = CallsField(
+        "Calls",
+        description="One 'METHOD /path repeat' or 'METHOD /path once' a line; plain "
+        "services only. The longest path holds; GET and HEAD repeat by default.",
+    )
+    accounts = ChecksField("Client accounts")
+    zones = ChecksField("Availability zones")
+    priority = SelectField(
+        "Priority of requests that ask for none",
+        choices=_PRIORITIES,
+        validate_choice=False,
+    )
+    price_ceiling_per_hour = NumberField(
+        "Price ceiling an hour", description="For all its instances together."
+    )
+    replicas_min = WholeNumberField("Least replicas")
+    replicas_max = WholeNumberField("Most replicas")
+    first_token_s = NumberField("First token within", description="Seconds, 95 in 100.")
+    between_tokens_s = NumberField("Between tokens", description="Seconds, 95 in 100.")
+    weight_cost = NumberField("Weight of cost", description="1 is neutral.")
+    weight_recompute = NumberField(
+        "Weight of recomputed tokens", description="1 is neutral."
+    )
+    deadline_work = BooleanField("Accepted-for-later requests may wait for cheap hours")
+    engines_check_fence = BooleanField(
+        "Its engines refuse orders with an old fencing number"
+    )
+
+    fields_of = {
+        "name": ("name",),
+        "title": ("title",),
+        "kind": ("kind",),
+        "models": ("models",),
+        "adapters": ("adapters",),
+        "calls": ("calls",),
+        "accounts": ("accounts",),
+        "zones": ("zones",),
+        "priority": ("priority",),
+        "price_ceiling_per_hour": ("price_ceiling_per_hour",),
+        "replicas_min": ("replicas", "min"),
+        "replicas_max": ("replicas", "max"),
+        "first_token_s": ("latency", "first_token_s"),
+        "between_tokens_s": ("latency", "between_tokens_s"),
+        "weight_cost": ("weights", "cost"),
+        "weight_recompute": ("weights", "recompute"),
+        "deadline_work": ("deadline_work",),
+        "engines_check_fence": ("engines_check_fence",),
+    }
+    defaults = DEPLOYMENT_DEFAULTS
+
+    def offer(self, document: Mapping[str, Any]) -> None:
+        """Offer the document's accounts and zones."""
+        self.accounts.offer([item["name"] for item in document["accounts"]])
+        self.zones.offer(
+            [zone for region in document["regions"] for zone in region["zones"]]
+        )
+
+
+FORMS: dict[str, type[ItemForm]] = {
+    "accounts": AccountForm,
+    "deployments": DeploymentForm,
+}
+
+
+def _unset(value: Any) -> bool:
+    """Return whether a field was left empty, so that the default holds."""
+    return value is None or value == ""
+
+
+def _at(item: Item, path: tuple[str, ...]) -> Any:
+    """Return the value at a path, or None."""
+    value: Any = item
+    for key in path:
+        value = value.get(key) if isinstance(value, dict) else None
+    return value
+
+
+def _put(item: Item, path: tuple[str, ...], value: Any) -> None:
+    """Set the value at a path, making objects on the way."""
+    for key in path[:-1]:
+        item = item.setdefault(key, {})
+    item[path[-1]] = value
+
+
+def _merged(defaults: Item, item: Item) -> Item:
+    """Return ``item`` with defaults where it is silent."""
+    merged = {**defaults, **item}
+    for key, value in defaults.items():
+        if isinstance(value, dict):
+            merged[key] = {**value, **item.get(key, {})}
+    return merged
+
+
+def _tidied(made: Item, original: Item, defaults: Item) -> Item:
+    """Return ``made`` without what the original leaves at its default."""
+    kept: Item = {}
+    for key, value in made.items():
+        before = original.get(key)
+        default = defaults.get(key)
+        if isinstance(value, dict):
+            value = _tidied(value, before or {}, default or {})
+            if not value and key not in original:
+                continue
+        elif key not in original and value == default:
+            continue
+        elif _same_names(value, before):
+            value = before
+        kept[key] = value
+    return kept
+
+
+def _same_names(value: Any, before: Any) -> bool:
+    """Return whether two lists name the same things in another order."""
+    if not (isinstance(value, list) and isinstance(before, list)):
+        return False
+    texts = all(isinstance(item, str) for item in [*value, *before])
+    return texts and sorted(value) == sorted(before)
--- /dev/null
+++ b/src/ebonydeal/_internal/console/parts.py
@@ -0,0 +1,61 @@
+"""What the console's handlers share."""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from aiohttp import web
+
+from ebonydeal._internal.config.follower import ConfigFollower
+from ebonydeal._internal.config.rows import Content
+from ebonydeal._internal.config.store import ConfigStore
+from ebonydeal._internal.console.operators import Operators
+from ebonydeal._internal.console.render import Renderer
+from ebonydeal._internal.console.sessions import SESSION, Sessions
+from ebonydeal._internal.console.status import StatusReader
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.observe.counters import Metrics
+from ebonydeal._internal.platform.interfaces import Offer
+from ebonydeal._internal.utils.clock import Clock
+
+Offers = Callable[[], Awaitable[list[Offer]]]
+
+
+class ConsoleParts(NamedTuple):
+    """The console's parts, owned by its program."""
+
+    store: ConfigStore
+    follower: ConfigFollower
+    status: StatusReader
+    operators: Operators
+    sessions: Sessions
+    render: Renderer
+    offers: Offers
+    metrics: Metrics
+    clock: Clock
+    rng: random.Random
+
+    async def current(self) -> Content:
+        """Return the newest content; while the table is out, the last good."""
+        await self.follower.try_refresh()
+        return self.follower.topic.content
+
+    async def at(self, version: int) -> Content:
+        """Return the content of a version; raises NOT_FOUND."""
+        known = self.follower.topic.content
+        return known if known.version == version else await self.store.load(version)
+
+    async def try_offers(self) -> list[Offer] | None:
+        """Return present offers; None where the cloud can't be asked."""
+        try:
+            return await self.offers()
+        except EbonydealError:
+            return None
+
+
+def operator_of(req: web.Request) -> str:
+    """Return the signed-in operator's name; raises UNAUTHORIZED."""
+    session = req[SESSION]
+    if session is None:
+        raise EbonydealError(ErrorKind.UNAUTHORIZED, "Sign in first.")
+    return session.operator
--- a/src/ebonydeal/_internal/settings/console.py
+++ b/src/ebonydeal/_internal/settings/console.py
@@ -28,6 +28,3 @@
     session_hours: Annotated[
         float, Key("How long a login holds.", "hours", 0.05, 168)
     ] = 12.0
-    login_tries: Annotated[
-        int, Key("Failed logins a minute before a pause.", "logins", 1, 10000)
-    ] = 20
--- a/tests/unit/config/test_validate.py
+++ b/tests/unit/config/test_validate.py
@@ -94,6 +94,16 @@
             ),
         ]
 
+    def test_references_beside_a_wrong_shape(self):
+        document = changed(zones=["nowhere"])
+        document["deployments"][1]["colour"] = "ebony"
+        document["accounts"][0]["priority"] = "urgent"
+        assert [where for where, _ in problems(document)] == [
+            "accounts[0].priority",
+            "deployments[0].zones[0]",
+            "deployments[1].colour",
+        ]
+
     def test_two_deployments_for_one_model_and_account(self):
         document = example_document("cadwaladr")
         twin = {**document["deployments"][0], "name": "twin", "adapters": []}
