Compare spend against simpler ways and the hindsight schedule

Cause: the decisions had no measured cost. Change: seeded traces, baselines, a linear program as bound, zone losses and the controller's own cost, behind ebonydeal bench spend; ebonydeal reclaims and ebonydeal spend read the trail and the spend.

--- /dev/null
+++ b/src/ebonydeal/_internal/benchmarks/spend/slopes.py
@@ -0,0 +1,74 @@
+"""Processor time and table operations of a controller against its replicas."""
+
+import time
+from typing import NamedTuple
+
+from ebonydeal._internal.benchmarks.spend.fleet_run import FleetRun
+
+SIZES = (10, 50, 200, 500, 1000, 2000)
+_ROUNDS = 20
+
+
+class Point(NamedTuple):
+    """One size, in a steady state.
+
+    Attributes
+    ----------
+    replicas : int
+        Instances that run.
+    cpu_ms : float
+        Processor milliseconds of one round.
+    operations : float
+        Table operations of one round.
+    calls : float
+        Calls to engines in one round.
+    """
+
+    replicas: int
+    cpu_ms: float
+    operations: float
+    calls: float
+
+
+async def measure(replicas: int, seed: int) -> Point:
+    """Fill a fleet of about ``replicas`` instances, then time quiet rounds."""
+    run = FleetRun(max(1, replicas * 2 // 3), seed)
+    await run.fill()
+    await run.rounds(10)
+    operations = run.table_operations
+    calls = run.world.calls.get("load", 0) + run.world.calls.get("order_state", 0)
+    began = time.process_time()
+    await run.rounds(_ROUNDS)
+    spent = time.process_time() - began
+    after = run.world.calls.get("load", 0) + run.world.calls.get("order_state", 0)
+    return Point(
+        len(run.world.live()),
+        1000 * spent / _ROUNDS,
+        (run.table_operations - operations) / _ROUNDS,
+        (after - calls) / _ROUNDS,
+    )
+
+
+def slope(points: list[Point], field: str) -> float:
+    """Return the least squares slope of ``field`` against replicas."""
+    xs = [float(point.replicas) for point in points]
+    ys = [float(getattr(point, field)) for point in points]
+    mean_x, mean_y = sum(xs) / len(xs), sum(ys) / len(ys)
+    above = sum((x - mean_x) * (y - mean_y) for x, y in zip(xs, ys, strict=True))
+    return above / sum((x - mean_x) ** 2 for x in xs)
+
+
+def slopes_table(points: list[Point]) -> str:
+    """Return the table and its slopes as text."""
+    lines = [f"{'replicas':>9} {'cpu ms/round':>13} {'table ops':>10} {'calls':>7}"]
+    lines.extend(
+        f"{item.replicas:9d} {item.cpu_ms:13.2f} {item.operations:10.2f} "
+        f"{item.calls:7.1f}"
+        for item in points
+    )
+    lines.append(
+        f"slope: {1000 * slope(points, 'cpu_ms'):.2f} microseconds of processor "
+        f"time and {slope(points, 'operations'):.5f} table operations a round for "
+        "each replica"
+    )
+    return "\n".join(lines)
--- a/src/ebonydeal/_internal/benchmarks/spend/world.py
+++ b/src/ebonydeal/_internal/benchmarks/spend/world.py
@@ -91,6 +91,7 @@
         self.checks_fence = checks_fence
         self.times = times or WorldTimes()
         self.machines: dict[str, Machine] = {}
+        self.tokens: dict[str, str] = {}
         self.full: set[tuple[str, bool]] = set()
         self.notices: list[ReclaimNotice] = []
         self.nodes: list[tuple[str, str]] = []
@@ -129,10 +130,8 @@
 
     def find(self, instance_id: str) -> Machine | None:
         """Return an instance by its id."""
-        for item in self.machines.values():
-            if item.instance_id == instance_id:
-                return item
-        return None
+        token = self.tokens.get(instance_id)
+        return None if token is None else self.machines[token]
 
 
 class _Connection:
@@ -181,6 +180,7 @@
             f"i-{world.starts:05d}", token, offer, world.clock.wall(), dict(tags)
         )
         world.machines[token] = machine
+        world.tokens[machine.instance_id] = token
         return machine
 
     async def stop(self, instance_id: str) -> None:
--- a/src/ebonydeal/_internal/cli/main.py
+++ b/src/ebonydeal/_internal/cli/main.py
@@ -5,7 +5,9 @@
 from ebonydeal import __version__
 from ebonydeal._internal.commands.bench import bench_command
 from ebonydeal._internal.commands.key import key_command
+from ebonydeal._internal.commands.reclaims import reclaims_command
 from ebonydeal._internal.commands.settings import settings_command
+from ebonydeal._internal.commands.spend import spend_command
 from ebonydeal._internal.commands.standin import standin_command
 
 
@@ -19,3 +21,5 @@
 main.add_command(standin_command)
 main.add_command(key_command)
 main.add_command(settings_command)
+main.add_command(reclaims_command)
+main.add_command(spend_command)
--- a/src/ebonydeal/_internal/controller/context.py
+++ b/src/ebonydeal/_internal/controller/context.py
@@ -10,9 +10,10 @@
 from ebonydeal._internal.controller.load_desk import LoadDesk
 from ebonydeal._internal.controller.orders import OrderPolicy
 from ebonydeal._internal.controller.placement import PlacementPolicy
+from ebonydeal._internal.controller.ports import ControlledEngine
 from ebonydeal._internal.models.endpoints import LeavingMark
 from ebonydeal._internal.observe.counters import Metrics
-from ebonydeal._internal.platform.interfaces import Cloud, Engine, Tables
+from ebonydeal._internal.platform.interfaces import Cloud, Tables
 from ebonydeal._internal.settings.controller import ControllerSettings
 from ebonydeal._internal.utils.clock import Clock
 
@@ -26,7 +27,7 @@
         ``[controller]``.
     holder : Holder
         This run of this process.
-    tables, cloud, engine : Tables, Cloud, Engine
+    tables, cloud, engine : Tables, Cloud, ControlledEngine
         Adapters.
     desk : LoadDesk
         Paces weight loads.
@@ -40,7 +41,7 @@
     holder: Holder
     tables: Tables
     cloud: Cloud
-    engine: Engine
+    engine: ControlledEngine
     desk: LoadDesk
     metrics: Metrics
     clock: Clock
--- a/src/ebonydeal/_internal/controller/extra.py
+++ b/src/ebonydeal/_internal/controller/extra.py
@@ -1,10 +1,9 @@
 """Replicas for deadline work, on top of the placement that holds the target."""
 
-import math
 from collections import Counter
 from collections.abc import Mapping, Set
 
-from ebonydeal._internal.controller.placement import Placement
+from ebonydeal._internal.controller.placement import Placement, affordable
 from ebonydeal._internal.controller.values import OfferKey
 from ebonydeal._internal.platform.interfaces import Offer
 
@@ -57,10 +56,8 @@
     price, key = usable[0]
     if price > price_limit + _EPS:
         return placement
-    room = number
-    if price > 0:
-        room = math.floor((ceiling - placement.cost_per_hour) / price + _EPS)
-    added = max(0, min(number, room))
+    room = affordable(ceiling - placement.cost_per_hour, price)
+    added = max(0, int(min(number, room)))
     counts = Counter(placement.counts)
     counts[key] += added
     return placement._replace(
--- a/src/ebonydeal/_internal/controller/loads.py
+++ b/src/ebonydeal/_internal/controller/loads.py
@@ -3,9 +3,9 @@
 import asyncio
 from collections.abc import Mapping
 
+from ebonydeal._internal.controller.ports import ControlledEngine
 from ebonydeal._internal.errors import EbonydealError
 from ebonydeal._internal.models.endpoints import EndpointView, LoadReport
-from ebonydeal._internal.platform.interfaces import Engine
 from ebonydeal._internal.utils.clock import Clock
 
 _AT_ONCE = 32
@@ -17,13 +17,13 @@
 
     Parameters
     ----------
-    engine : Engine
+    engine : ControlledEngine
         Adapter; plain services answer the same question.
     clock : Clock
         Source of time.
     """
 
-    def __init__(self, engine: Engine, clock: Clock) -> None:
+    def __init__(self, engine: ControlledEngine, clock: Clock) -> None:
         self._engine = engine
         self._clock = clock
         self._asked: dict[str, float] = {}
--- a/src/ebonydeal/_internal/controller/order_keeper.py
+++ b/src/ebonydeal/_internal/controller/order_keeper.py
@@ -16,11 +16,12 @@
     after_send,
     next_step,
 )
+from ebonydeal._internal.controller.ports import ControlledEngine
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.endpoints import EndpointView
 from ebonydeal._internal.observe.counters import Event, Metrics
 from ebonydeal._internal.observe.logs import get_logger
-from ebonydeal._internal.platform.interfaces import Engine, EngineOrder, Tables
+from ebonydeal._internal.platform.interfaces import EngineOrder, Tables
 from ebonydeal._internal.utils.clock import Clock
 
 logger = get_logger("controller")
@@ -36,7 +37,7 @@
     ----------
     lease : LeaseKeeper
         Gives the fencing number; confirmed in the table before sending.
-    tables, engine : Tables, Engine
+    tables, engine : Tables, ControlledEngine
         Adapters.
     metrics : Metrics
         Counts orders sent and refused as stale.
@@ -50,7 +51,7 @@
         self,
         lease: LeaseKeeper,
         tables: Tables,
-        engine: Engine,
+        engine: ControlledEngine,
         metrics: Metrics,
         clock: Clock,
         policy: OrderPolicy,
--- a/src/ebonydeal/_internal/controller/placement.py
+++ b/src/ebonydeal/_internal/controller/placement.py
@@ -134,6 +134,13 @@
     return Placement(dict(fill.counts), fill.cost, _standing(fill.counts), held)
 
 
+def affordable(money: float, price: float) -> float:
+    """Return how many can be paid with ``money`` an hour; maybe infinite."""
+    if price <= 0 or math.isinf(money):
+        return math.inf
+    return math.floor(money / price + _EPS)
+
+
 def _units(
     offers: Mapping[OfferKey, Offer],
     current: Mapping[OfferKey, int],
@@ -176,8 +183,7 @@
         used = min(room, already[unit.key])
         already[unit.key] -= 0 if math.isinf(used) else int(used)
         room = min(room - used, zone_cap - zones[unit.key.zone], total - got)
-        if unit.price > 0:
-            room = min(room, math.floor((ceiling - cost) / unit.price + _EPS))
+        room = min(room, affordable(ceiling - cost, unit.price))
         number = max(0, int(room))
         if not number:
             continue
--- a/src/ebonydeal/_internal/controller/service.py
+++ b/src/ebonydeal/_internal/controller/service.py
@@ -9,6 +9,7 @@
 from ebonydeal._internal.controller.lease import LEASE_PREFIX, Holder
 from ebonydeal._internal.controller.load_desk import LoadDesk
 from ebonydeal._internal.controller.notices import NoticeReader
+from ebonydeal._internal.controller.ports import ControlledEngine
 from ebonydeal._internal.controller.survey import Survey, take_survey
 from ebonydeal._internal.controller.weights import LoadPolicy
 from ebonydeal._internal.controller.worker import DeploymentWorker
@@ -19,7 +20,6 @@
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.platform.interfaces import (
     Cloud,
-    Engine,
     InstanceList,
     Tables,
     WeightStore,
@@ -59,7 +59,7 @@
         tables: Tables,
         cloud: Cloud,
         instance_list: InstanceList,
-        engine: Engine,
+        engine: ControlledEngine,
         weights: WeightStore,
         document: Callable[[], Document],
         mark: Callable[[LeavingMark], None],
