Admit weight loads and search caps in less than quadratic time

Cause: admitting loads compared every waiting engine with every other, and placement tried every cap; a fleet of 1000 took minutes to fill. Engines that were still booting held shares of the store's rate, and free rate lay idle. Change: loads are grouped and sources kept in a heap; caps are searched coarse to fine, as the score is convex; only reachable engines ask to load; free rate beyond a reserve is used for further reads.

--- a/src/ebonydeal/_internal/benchmarks/spend/world.py
+++ b/src/ebonydeal/_internal/benchmarks/spend/world.py
@@ -58,6 +58,7 @@
     fence: int = 0
     ready_at: float = 0.0
     running: int = 0
+    from_store: bool = False
 
 
 class World:
@@ -97,6 +98,7 @@
         self.nodes: list[tuple[str, str]] = []
         self.orders: list[tuple[str, EngineOrder]] = []
         self.starts = 0
+        self.seeded: set[str] = set()
         self.calls: dict[str, int] = {}
 
     def live(self) -> list[Machine]:
@@ -244,6 +246,7 @@
             raise EbonydealError(ErrorKind.STALE_ORDER, "an old fencing number")
         if set(order.models) != set(machine.order.models):
             machine.ready_at = world.clock.wall() + world.times.load
+            machine.from_store = machine.offer.zone not in world.seeded
         machine.order = order
         machine.fence = max(machine.fence, order.fence)
         world.orders.append((machine.instance_id, order))
@@ -264,9 +267,13 @@
 
 
 class WorldWeights(_Connection):
-    """`WeightStore` with one copy of each model and a fixed rate."""
+    """`WeightStore` with one copy of each model and a limited rate.
 
-    rate = 1000.0
+    Engines in a zone where the model is loaded copy it from there.
+    """
+
+    rate = 20.0
+    rate_of_one = 2.0
 
     async def copies(self, model: str) -> list[WeightCopy]:
         """Return the store's own copy."""
@@ -276,7 +283,11 @@
     async def rate_left(self) -> float:
         """Return the rate."""
         await self._before("rate_left")
-        return self.rate
+        now = self._world.clock.wall()
+        reading = sum(
+            item.from_store and now < item.ready_at for item in self._world.live()
+        )
+        return max(0.0, self.rate - self.rate_of_one * reading)
 
 
 def _instance(world: World, machine: Machine) -> CloudInstance:
@@ -298,6 +309,8 @@
 def _view(world: World, machine: Machine) -> EndpointView:
     """Return the instance list's word about an endpoint."""
     ready = world.ready(machine)
+    if ready:
+        world.seeded.add(machine.offer.zone)
     return EndpointView(
         endpoint_id=machine.instance_id,
         incarnation=1,
--- a/src/ebonydeal/_internal/controller/placement.py
+++ b/src/ebonydeal/_internal/controller/placement.py
@@ -15,6 +15,7 @@
 from ebonydeal._internal.platform.interfaces import Offer
 
 _EPS = 1e-9
+_CAPS_AT_ONCE = 16
 
 
 class PlacementPolicy(NamedTuple):
@@ -224,18 +225,35 @@
         return None
     base = _base(task, target, ceiling)
     by_price = sorted(task.units, key=lambda unit: (unit.price, unit.key))
-    best = None
-    for cap in range(math.ceil(target / (len(zones) - 1)), target + 1):
-        if target + cap > task.most:
-            break
+    low = math.ceil(target / (len(zones) - 1))
+    high = int(min(target, task.most - target))
+    tried: dict[int, _Fill | None] = {}
+
+    def try_cap(cap: int) -> _Fill | None:
         for order in (task.units, by_price):
             fill = _take(order, target + cap, cap, ceiling, base)
-            if fill.total < target + cap or _standing(fill.counts) < target:
-                continue
-            if best is None or fill.score < best.score - _EPS:
-                best = fill
+            if fill.total == target + cap and _standing(fill.counts) >= target:
+                return fill
+        return None
+
+    # The score is convex in the cap, so that a coarse look finds the part in
+    # which the best one lies; both ends are always looked at.
+    while low <= high:
+        step = max(1, (high - low) // _CAPS_AT_ONCE)
+        caps = [*range(low, high, step), high]
+        tried.update((cap, try_cap(cap)) for cap in caps if cap not in tried)
+        best = _cheapest_cap(tried)
+        if best is None or step == 1:
             break
-    return best
+        low, high = max(low, best - step), min(high, best + step)
+    best = _cheapest_cap(tried)
+    return None if best is None else tried[best]
+
+
+def _cheapest_cap(tried: Mapping[int, _Fill | None]) -> int | None:
+    """Return the cap with the least score, the lowest such; None if none fits."""
+    fits = [(fill.score, cap) for cap, fill in tried.items() if fill is not None]
+    return min(fits)[1] if fits else None
 
 
 def _base(task: _Task, target: int, ceiling: float) -> _Fill | None:
--- a/src/ebonydeal/_internal/controller/replicas.py
+++ b/src/ebonydeal/_internal/controller/replicas.py
@@ -151,7 +151,10 @@
                 asked_at=rows[token].at,
             )
             for token, view in views.items()
-            if models and not set(models) <= set(view.models)
+            if models
+            and not set(models) <= set(view.models)
+            # One that can't be reached yet would hold a share of the store idle.
+            and self._orders.found(view.endpoint_id) is not None
         ]
         ready = [
             WeightCopy(view.endpoint_id, model, 0.0, view.place.zone)
--- a/src/ebonydeal/_internal/controller/weights.py
+++ b/src/ebonydeal/_internal/controller/weights.py
@@ -6,8 +6,9 @@
 wave of replacements in one never starves the rest.
 """
 
-from collections import defaultdict
+from collections import Counter, defaultdict, deque
 from collections.abc import Iterable, Mapping, Sequence
+from heapq import heapify, heapreplace
 from typing import NamedTuple
 
 from ebonydeal._internal.platform.interfaces import WeightCopy
@@ -27,11 +28,14 @@
         of one at full strength.
     near_at_once : int
         Most engines that copy from one near copy together.
+    reserve : float
+        Share of the store's rate that only shared reads may use.
     """
 
     rate_of_one: float = 2.0
     below_strength_weight: float = 8.0
     near_at_once: int = 4
+    reserve: float = 0.25
 
 
 class LoadRequest(NamedTuple):
@@ -75,6 +79,9 @@
     source: str
 
 
+_Groups = dict[tuple[str, str, str], deque[LoadRequest]]
+
+
 def admit_loads(
     requests: Iterable[LoadRequest],
     running: Sequence[RunningLoad],
@@ -100,63 +107,101 @@
     policy : LoadPolicy
         Constants.
     """
-    near: dict[str, int] = defaultdict(int)
-    reading = {(load.model, load.zone) for load in running if not load.source}
-    for load in running:
-        if load.source:
-            near[load.source] += 1
-    free = store_rate - policy.rate_of_one * len(
-        [load for load in running if not load.source]
-    )
-    served = dict(served_gb)
-    queue = sorted(requests, key=lambda req: (req.asked_at, req.endpoint_id))
-    starts = []
-    while queue:
-        req = min(queue, key=lambda item: _share(item, served, policy))
-        queue.remove(req)
-        source = _near_copy(req, copies, near, policy)
-        if source is not None:
-            near[source] += 1
-        elif (req.model, req.zone) in reading or free <= _EPS:
-            continue
-        else:
-            reading.add((req.model, req.zone))
-            free -= policy.rate_of_one
-            size = _store_size(req.model, copies)
-            served[req.deployment] = served.get(req.deployment, 0.0) + size
-        starts.append(
-            LoadStart(
-                req.endpoint_id, req.deployment, req.model, req.zone, source or ""
-            )
+    state = _State(running, copies, served_gb, store_rate, policy)
+    groups = _grouped(requests)
+    starts = state.admit(groups, shared=True)
+    # What the shared reads leave free is used too, but for a reserve: a
+    # deployment that falls below strength next finds the store open.
+    state.free -= policy.reserve * store_rate
+    return starts + state.admit(groups, shared=False)
+
+
+class _State:
+    """What is used while loads are admitted."""
+
+    def __init__(
+        self,
+        running: Sequence[RunningLoad],
+        copies: Mapping[str, Sequence[WeightCopy]],
+        served_gb: Mapping[str, float],
+        store_rate: float,
+        policy: LoadPolicy,
+    ) -> None:
+        direct = [load for load in running if not load.source]
+        self.copies = copies
+        self.policy = policy
+        self.served = defaultdict(float, served_gb)
+        self.free = store_rate - policy.rate_of_one * len(direct)
+        self.reading = {(load.model, load.zone) for load in direct}
+        self.near: Counter[str] = Counter(
+            load.source for load in running if load.source
         )
-    return starts
-
-
-def _share(
-    req: LoadRequest, served: Mapping[str, float], policy: LoadPolicy
-) -> tuple[float, float, float, str]:
-    """Return the order of a request: least served by weight comes first."""
-    extra = policy.below_strength_weight - 1.0
-    weight = 1.0 + extra * min(1.0, max(0.0, req.shortfall))
-    share = served.get(req.deployment, 0.0) / weight
-    return (share, -req.shortfall, req.asked_at, req.endpoint_id)
-
-
-def _near_copy(
-    req: LoadRequest,
-    copies: Mapping[str, Sequence[WeightCopy]],
-    near: Mapping[str, int],
-    policy: LoadPolicy,
-) -> str | None:
-    """Return the least used copy in the engine's zone that has room."""
-    sources = [
-        copy.source
-        for copy in copies.get(req.model, ())
-        if copy.zone == req.zone
-        and copy.source != req.endpoint_id
-        and near.get(copy.source, 0) < policy.near_at_once
-    ]
-    return min(sources, key=lambda source: (near.get(source, 0), source), default=None)
+        self._sources: dict[tuple[str, str], list[tuple[int, str]]] = {}
+
+    def admit(self, groups: _Groups, shared: bool) -> list[LoadStart]:
+        """Admit from the front of groups, the least served deployment first."""
+        starts = []
+        open_groups = {key for key, queue in groups.items() if queue}
+        while open_groups:
+            key = min(open_groups, key=lambda item: self._share(groups[item][0]))
+            req = groups[key][0]
+            source = self._source(req, shared)
+            if source is None:
+                open_groups.discard(key)
+                continue
+            groups[key].popleft()
+            if not groups[key]:
+                open_groups.discard(key)
+            starts.append(
+                LoadStart(req.endpoint_id, req.deployment, req.model, req.zone, source)
+            )
+        return starts
+
+    def _source(self, req: LoadRequest, shared: bool) -> str | None:
+        """Take a source for a load; empty for the store, None for none."""
+        near = self._near_copy(req)
+        if near is not None:
+            return near
+        place = (req.model, req.zone)
+        if (shared and place in self.reading) or self.free <= _EPS:
+            return None
+        self.reading.add(place)
+        self.free -= self.policy.rate_of_one
+        self.served[req.deployment] += _store_size(req.model, self.copies)
+        return ""
+
+    def _near_copy(self, req: LoadRequest) -> str | None:
+        """Take the least used copy in the engine's zone that has room."""
+        place = (req.model, req.zone)
+        if place not in self._sources:
+            found = {
+                copy.source
+                for copy in self.copies.get(req.model, ())
+                if copy.zone == req.zone
+            }
+            self._sources[place] = [(self.near[name], name) for name in found]
+            heapify(self._sources[place])
+        heap = self._sources[place]
+        if not heap or heap[0][0] >= self.policy.near_at_once:
+            return None
+        used, source = heap[0]
+        heapreplace(heap, (used + 1, source))
+        return source
+
+    def _share(self, req: LoadRequest) -> tuple[float, float, float, str]:
+        """Return the order of a request: least served by weight comes first."""
+        extra = self.policy.below_strength_weight - 1.0
+        weight = 1.0 + extra * min(1.0, max(0.0, req.shortfall))
+        share = self.served[req.deployment] / weight
+        return (share, -req.shortfall, req.asked_at, req.endpoint_id)
+
+
+def _grouped(requests: Iterable[LoadRequest]) -> _Groups:
+    """Return requests by (deployment, model, zone), oldest first."""
+    groups: _Groups = defaultdict(deque)
+    for req in sorted(requests, key=lambda item: (item.asked_at, item.endpoint_id)):
+        groups[(req.deployment, req.model, req.zone)].append(req)
+    return groups
 
 
 def _store_size(model: str, copies: Mapping[str, Sequence[WeightCopy]]) -> float:
