Tell a dead member of its death for as long as it is remembered

Change: members of a differing bucket are sent with the dead ones, whatever their age; only those who list the member take a death in, so it can't go round for ever. Demand of gateways as a topic with a bound a round.

--- /dev/null
+++ b/src/ebonydeal/_internal/peers/demand.py
@@ -0,0 +1,88 @@
+"""Demand of client accounts among gateways, within a bound of bytes a round."""
+
+from collections.abc import Callable
+from typing import Any
+
+from ebonydeal._internal.routing.demand import DemandReport
+
+MAX_REPORTS = 12
+_MAX_GATEWAYS = 1000
+_DIGITS = 4
+
+
+class DemandTopic:
+    """Newest report of each gateway; the least told ones ride on each digest.
+
+    With few gateways every round carries all that changed. With many, a round
+    carries `MAX_REPORTS`, so that bytes stay bounded and reports get older
+    instead: about gateways / (2 x MAX_REPORTS) rounds.
+
+    Parameters
+    ----------
+    own : callable
+        Returns this gateway's present report.
+    heard : callable
+        Takes in another gateway's newer report.
+    """
+
+    name = "demand"
+
+    def __init__(
+        self,
+        own: Callable[[], DemandReport],
+        heard: Callable[[DemandReport], None],
+    ) -> None:
+        self._own = own
+        self._heard = heard
+        self._reports: dict[str, DemandReport] = {}
+        self._told: dict[str, int] = {}
+
+    def digest(self) -> Any:
+        """Return the own report and the least told ones of others."""
+        chosen = sorted(self._told, key=lambda it: (self._told[it], it))
+        chosen = chosen[: MAX_REPORTS - 1]
+        for gateway in chosen:
+            self._told[gateway] += 1
+        reports = [self._own(), *(self._reports[gateway] for gateway in chosen)]
+        return [_to_wire(report) for report in reports]
+
+    def answer(self, theirs: Any) -> Any | None:
+        """Take in a peer's reports; there is nothing more to send."""
+        self.receive(theirs)
+        return None
+
+    def receive(self, payload: Any) -> None:
+        """Take in a list of reports; older ones and garbage are ignored."""
+        for item in payload if isinstance(payload, list) else ():
+            try:
+                report = DemandReport.from_message(item)
+            except (KeyError, TypeError, ValueError, AttributeError):
+                continue
+            self._take(report)
+
+    def forget(self, gateway: str) -> None:
+        """Drop a gateway that is gone."""
+        self._reports.pop(gateway, None)
+        self._told.pop(gateway, None)
+
+    def _take(self, report: DemandReport) -> None:
+        known = self._reports.get(report.gateway)
+        if known is not None and report.seq <= known.seq:
+            return
+        if report.gateway == self._own().gateway:
+            return
+        if known is None and len(self._reports) >= _MAX_GATEWAYS:
+            return
+        self._reports[report.gateway] = report
+        self._told[report.gateway] = 0
+        self._heard(report)
+
+
+def _to_wire(report: DemandReport) -> dict[str, Any]:
+    """Return the wire shape, with numbers of a few digits only."""
+    message = dict(report.to_message())
+    message["demands"] = {
+        account: [float(f"{value:.{_DIGITS}g}") for value in values]
+        for account, values in report.to_message()["demands"].items()
+    }
+    return message
--- a/src/ebonydeal/_internal/peers/membership.py
+++ b/src/ebonydeal/_internal/peers/membership.py
@@ -96,15 +96,13 @@
         refutation has to travel both ways.
     keep_dead : float
         How long a dead member is remembered, so that late facts don't revive
-        it, and so that it is tried again after a partition.
-    tell_dead : float
-        How long a death is told to others who still list the member.
+        it, and so that it is tried again after a partition and told what it
+        has to refute.
     """
 
     period: float = 1.0
     suspect: float = 5.0
     keep_dead: float = 600.0
-    tell_dead: float = 300.0
 
 
 class Membership:
@@ -203,19 +201,10 @@
                 del self._updates[member_id]
         return [self._members[member_id] for member_id in chosen]
 
-    def in_buckets(self, buckets: Iterable[int], now: float) -> list[Member]:
-        """Return what others need to know of the members in some hash buckets."""
+    def in_buckets(self, buckets: Iterable[int]) -> list[Member]:
+        """Return the members in some hash buckets, also those that are gone."""
         wanted = set(buckets)
-        return [
-            member
-            for member in self._members.values()
-            if bucket_of(member.id) in wanted and self._is_told(member, now)
-        ]
-
-    def _is_told(self, member: Member, now: float) -> bool:
-        if member.status <= MemberStatus.SUSPECT:
-            return True
-        return now - self._since[member.id] < self._times.tell_dead
+        return [it for it in self._members.values() if bucket_of(it.id) in wanted]
 
     def _is_forgotten(self, member: Member, age: float) -> bool:
         return member.id != self.own.id and age >= self._times.keep_dead
--- a/src/ebonydeal/_internal/peers/topics.py
+++ b/src/ebonydeal/_internal/peers/topics.py
@@ -152,9 +152,7 @@
         """Return the members of the buckets that differ."""
         if isinstance(theirs, dict):
             self.receive(theirs.get("u"))
-        now = self._clock.now()
-        differing = self._digest.differing(theirs)
-        found = self._membership.in_buckets(differing, now)
+        found = self._membership.in_buckets(self._digest.differing(theirs))
         return [member.to_wire() for member in found[:MAX_ITEMS]] or None
 
     def receive(self, payload: Any) -> None:
--- /dev/null
+++ b/tests/unit/peers/test_demand.py
@@ -0,0 +1,54 @@
+from ebonydeal._internal.peers.demand import MAX_REPORTS, DemandTopic
+from ebonydeal._internal.routing.demand import Demand, DemandReport
+
+
+def report(gateway: str, seq: int = 1, rate: float = 1.0) -> DemandReport:
+    return DemandReport(gateway, seq, {"inns": Demand(rate, 2.0, 3.0, 4.0)})
+
+
+class TestDemandTopic:
+    def make(self, name: str = "me"):
+        heard: list[DemandReport] = []
+        return DemandTopic(lambda: report(name), heard.append), heard
+
+    def test_reports_pass_through_a_third(self):
+        a, _ = self.make("a")
+        b, _ = self.make("b")
+        c, heard = self.make("c")
+        b.answer(a.digest())
+        assert c.answer(b.digest()) is None
+        assert sorted(heard) == [report("a"), report("b")]
+
+    def test_older_and_own_reports_are_ignored(self):
+        topic, heard = self.make("me")
+        topic.receive([report("x", 2).to_message(), report("x", 1).to_message()])
+        topic.receive([report("x", 2).to_message(), report("me", 9).to_message()])
+        assert heard == [report("x", 2)]
+
+    def test_garbage_is_ignored(self):
+        topic, heard = self.make()
+        for bad in (None, 7, [1], [{}], [{"gateway": "x", "seq": 1, "demands": 3}]):
+            topic.receive(bad)
+        assert heard == []
+
+    def test_digest_is_bounded_and_tells_all_in_turn(self):
+        topic, _ = self.make()
+        names = {f"g{n}" for n in range(40)}
+        topic.receive([report(name).to_message() for name in names])
+        told = set()
+        for _ in range(4):
+            digest = topic.digest()
+            assert len(digest) <= MAX_REPORTS
+            assert digest[0]["gateway"] == "me"
+            told |= {item["gateway"] for item in digest[1:]}
+        assert told == names
+
+    def test_forgotten_gateway_is_not_told(self):
+        topic, _ = self.make()
+        topic.receive([report("x").to_message()])
+        topic.forget("x")
+        assert [item["gateway"] for item in topic.digest()] == ["me"]
+
+    def test_numbers_are_short(self):
+        topic = DemandTopic(lambda: report("me", rate=1 / 3), lambda _: None)
+        assert topic.digest()[0]["demands"]["inns"][0] == 0.3333
--- /dev/null
+++ b/tests/unit/peers/test_membership.py
@@ -0,0 +1,262 @@
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ebonydeal._internal.peers.membership import (
+    Member,
+    Membership,
+    MembershipTimes,
+    MemberStatus,
+)
+from ebonydeal._internal.peers.targets import PeerTargets
+from ebonydeal._internal.peers.topics import MembersTopic
+from tests.lib.clock import ManualClock
+
+ALIVE, SUSPECT = MemberStatus.ALIVE, MemberStatus.SUSPECT
+LEFT, DEAD = MemberStatus.LEFT, MemberStatus.DEAD
+TIMES = MembershipTimes(period=1.0, suspect=5.0, keep_dead=100.0)
+
+
+def member(name: str, incarnation=1, heartbeat=0, status=ALIVE) -> Member:
+    address = f"{name}:9200"
+    return Member(name, incarnation, heartbeat, status, address, "r", "z", ("gateway",))
+
+
+FACTS = st.lists(
+    st.builds(
+        member,
+        st.sampled_from("abc"),
+        st.integers(1, 3),
+        st.integers(0, 2),
+        st.sampled_from([ALIVE, SUSPECT, DEAD, LEFT]),
+    ),
+    max_size=12,
+)
+
+
+def live_view(membership: Membership) -> dict:
+    return {m.id: (m.order, m.address) for m in membership.live()}
+
+
+class TestMerge:
+    @given(FACTS, st.randoms(use_true_random=False))
+    def test_any_order_and_twice_ends_the_same(self, facts, rng):
+        first = [member(name) for name in "abc"]
+        other = facts + [rng.choice(facts) for _ in facts]
+        rng.shuffle(other)
+        views = []
+        for told in (facts, other):
+            membership = Membership(member("me"), TIMES)
+            for fact in first + told:
+                membership.merge(fact, 0.0)
+            views.append((live_view(membership), membership.hashes.top()))
+        assert views[0] == views[1]
+
+    def test_restart_of_the_same_id_revives_a_dead_one(self):
+        membership = Membership(member("me"), TIMES)
+        membership.merge(member("a", 1), 0.0)
+        membership.merge(member("a", 1, 0, DEAD), 0.0)
+        assert membership.merge(member("a", 1), 0.0) is False
+        assert membership.live() == []
+        assert membership.merge(member("a", 2), 0.0) is True
+        assert membership.live() == [member("a", 2)]
+
+    def test_death_of_an_unknown_one_is_no_news(self):
+        membership = Membership(member("me"), TIMES)
+        assert membership.merge(member("a", 1, 0, DEAD), 0.0) is False
+        assert membership.get("a") is None
+
+    def test_wire_shape_comes_back(self):
+        fact = member("a", 3, 2, SUSPECT)
+        assert Member.from_wire(fact.to_wire()) == fact
+
+    @pytest.mark.parametrize(
+        "bad",
+        [
+            None,
+            [],
+            ["a"],
+            ["", 1, 0, 0, "", "", "", []],
+            ["a", 1, 0, 4, "", "", "", []],
+            ["a", 1, 0, -1, "", "", "", []],
+            ["a", 1, 0, 0, "", "", "", [1]],
+            ["a", "1", 0, 0, "", "", "", []],
+        ],
+    )
+    def test_garbage_is_no_member(self, bad):
+        assert Member.from_wire(bad) is None
+
+
+class TestSuspicion:
+    def test_suspect_is_removed_only_after_its_time(self):
+        membership = Membership(member("me"), TIMES)
+        membership.merge(member("a"), 0.0)
+        assert membership.failed("a", 1.0) is True
+        assert membership.failed("a", 2.0) is False
+        assert membership.tick(1.0 + membership.suspect_time() - 0.01) == []
+        assert membership.live() == [member("a", 1, 0, SUSPECT)]
+        dead = membership.tick(1.0 + membership.suspect_time())
+        assert dead == [member("a", 1, 0, DEAD)]
+        assert membership.live() == []
+
+    def test_suspected_one_refutes_by_a_higher_heartbeat(self):
+        me = Membership(member("me"), TIMES)
+        other = Membership(member("a"), TIMES)
+        other.merge(me.own, 0.0)
+        other.failed("me", 0.0)
+        assert me.merge(other.get("me"), 0.0) is True
+        assert me.own == member("me", 1, 1)
+        other.merge(me.own, 0.0)
+        assert other.live() == [member("me", 1, 1)]
+        assert other.tick(100.0) == []
+
+    def test_predecessor_of_a_higher_incarnation_is_overtaken(self):
+        me = Membership(member("me", 5), TIMES)
+        assert me.merge(member("me", 9, 4), 0.0) is True
+        assert me.own.order == (10, 0, int(ALIVE))
+
+    def test_process_that_leaves_does_not_refute(self):
+        me = Membership(member("me"), TIMES)
+        me.leave(0.0)
+        assert me.merge(member("me", 1, 0, DEAD), 0.0) is False
+        assert me.own.status is LEFT
+
+    def test_dead_ones_are_forgotten(self):
+        membership = Membership(member("me"), TIMES)
+        membership.merge(member("a"), 0.0)
+        membership.merge(member("a", 1, 0, DEAD), 0.0)
+        membership.tick(99.9)
+        assert membership.gone() == [member("a", 1, 0, DEAD)]
+        membership.tick(100.0)
+        assert membership.get("a") is None
+
+    def test_time_of_suspicion_grows_with_the_size(self):
+        membership = Membership(member("me"), TIMES)
+        assert membership.suspect_time() == 5.0
+        for number in range(350):
+            membership.merge(member(f"n{number}"), 0.0)
+        assert 16.0 < membership.suspect_time() < 18.0
+
+
+class TestUpdates:
+    def test_change_is_told_a_bounded_number_of_times(self):
+        membership = Membership(member("me"), TIMES)
+        for number in range(30):
+            membership.merge(member(f"n{number}"), 0.0)
+        told: list[str] = []
+        for _ in range(100):
+            batch = membership.updates()
+            assert len(batch) <= 8
+            told += [item.id for item in batch]
+        assert set(told) == {"me", *(f"n{n}" for n in range(30))}
+        assert max(told.count(name) for name in set(told)) == 10
+
+
+class TestTargets:
+    def test_seeds_come_first_and_dead_ones_are_tried_again(self):
+        membership = Membership(member("me"), TIMES)
+        targets = PeerTargets("10.0.0.1, 10.0.0.2:7", 9200)
+        rng = random.Random(1)
+        found = {targets.next(membership, rng).address for _ in range(20)}
+        assert found == {"10.0.0.1:9200", "10.0.0.2:7"}
+        membership.merge(member("a"), 0.0)
+        membership.merge(member("b"), 0.0)
+        membership.merge(member("b", 1, 0, DEAD), 0.0)
+        found = [targets.next(membership, rng) for _ in range(400)]
+        assert found.count(("a:9200", "a")) == 350
+        assert {item.address for item in found if not item.member_id} == {
+            "10.0.0.1:9200",
+            "10.0.0.2:7",
+            "b:9200",
+        }
+
+    def test_own_address_is_never_a_target(self):
+        membership = Membership(member("me"), TIMES)
+        targets = PeerTargets("me:9200", 9200)
+        targets.listed([("me", "me")])
+        assert targets.next(membership, random.Random(1)) is None
+
+
+class Net:
+    """Memberships that hold rounds in process, with losses and partitions."""
+
+    def __init__(self, count: int, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.clock = ManualClock(0.0)
+        self.nodes = [Membership(member(f"n{n}"), TIMES) for n in range(count)]
+        self.topics = [MembersTopic(node, self.clock) for node in self.nodes]
+        self.targets = [PeerTargets("n0:9200", 9200) for _ in self.nodes]
+        self.by_address = {node.own.address: i for i, node in enumerate(self.nodes)}
+        self.side = [0] * count
+        self.loss = 0.0
+
+    def reachable(self, a: int, b: int) -> bool:
+        return self.side[a] == self.side[b] and self.rng.random() >= self.loss
+
+    def round(self, a: int) -> None:
+        now = self.clock.now()
+        self.nodes[a].tick(now)
+        target = self.targets[a].next(self.nodes[a], self.rng)
+        if target is None:
+            return
+        b = self.by_address[target.address]
+        if not self.reachable(a, b):
+            self.nodes[a].failed(target.member_id, now)
+            return
+        self.nodes[b].merge(self.nodes[a].own, now)
+        payload = self.topics[b].answer(self.topics[a].digest())
+        digest = self.topics[b].digest()
+        self.nodes[a].merge(self.nodes[b].own, now)
+        self.topics[a].receive(payload)
+        self.topics[b].receive(self.topics[a].answer(digest))
+
+    async def run(self, seconds: int) -> None:
+        for _ in range(seconds):
+            for a in range(len(self.nodes)):
+                if self.side[a] >= 0:
+                    self.round(a)
+            await self.clock.advance(1.0)
+
+    def live(self, a: int) -> set[str]:
+        return {m.id for m in self.nodes[a].live() if m.status is ALIVE}
+
+
+class TestConvergence:
+    @pytest.mark.parametrize("seed", range(5))
+    async def test_partition_heals(self, seed):
+        net = Net(12, seed)
+        await net.run(15)
+        everyone = {f"n{n}" for n in range(12)}
+        assert all(net.live(a) == everyone - {f"n{a}"} for a in range(12))
+        net.side = [0] * 7 + [1] * 5
+        await net.run(60)
+        assert net.live(1) == {f"n{n}" for n in range(7)} - {"n1"}
+        assert net.live(11) == {f"n{n}" for n in range(7, 12)} - {"n11"}
+        net.side = [0] * 12
+        await net.run(40)
+        assert all(net.live(a) == everyone - {f"n{a}"} for a in range(12))
+
+    @pytest.mark.parametrize("seed", range(5))
+    async def test_dead_node_is_removed_everywhere_and_no_other(self, seed):
+        net = Net(12, seed)
+        net.loss = 0.1
+        await net.run(20)
+        net.side[4] = -1
+        await net.run(60)
+        net.loss = 0.0
+        await net.run(20)
+        everyone = {f"n{n}" for n in range(12)} - {"n4"}
+        for a in set(range(12)) - {4}:
+            assert net.live(a) == everyone - {f"n{a}"}
+            assert net.nodes[a].get("n4").status is DEAD
+
+    async def test_restart_is_seen_by_all(self):
+        net = Net(8, 3)
+        await net.run(15)
+        net.nodes[5] = Membership(member("n5", incarnation=2), TIMES)
+        net.topics[5] = MembersTopic(net.nodes[5], net.clock)
+        await net.run(15)
+        for a in set(range(8)) - {5}:
+            assert net.nodes[a].get("n5") == member("n5", incarnation=2)
