Measure reclaim decisions and peer rounds from the command line

Cause: targets of recomputed tokens, and bytes and spread at 350 nodes, need runs. Change: ebonydeal bench reclaim and ebonydeal bench peers; demand is bounded by bytes instead of reports; a membership can start with known members.

--- /dev/null
+++ b/src/ebonydeal/_internal/benchmarks/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Bytes, processor time and spread of peer rounds against the size."""
--- /dev/null
+++ b/src/ebonydeal/_internal/benchmarks/peers/net.py
@@ -0,0 +1,181 @@
+"""Many nodes in one process: the real messages, without sockets."""
+
+import json
+import random
+from typing import Any
+
+from ebonydeal._internal.benchmarks.clockwork import Clockwork
+from ebonydeal._internal.directory.marks import MarkSet
+from ebonydeal._internal.models.endpoints import LeavingMark
+from ebonydeal._internal.peers.demand import DemandTopic
+from ebonydeal._internal.peers.exchange import Exchange
+from ebonydeal._internal.peers.membership import (
+    Member,
+    Membership,
+    MembershipTimes,
+    MemberStatus,
+)
+from ebonydeal._internal.peers.service import (
+    ANSWER_HEADER_BYTES,
+    CALL_TIMEOUT_S,
+    PUSH_GATHER_S,
+    PUSH_TRIES,
+    REQUEST_HEADER_BYTES,
+    push_width,
+)
+from ebonydeal._internal.peers.targets import PeerTargets
+from ebonydeal._internal.peers.topics import MarksTopic, MembersTopic, mark_to_wire
+from ebonydeal._internal.routing.demand import Demand, DemandReport
+
+PERIOD_S = 1.0
+HOP_S = 0.01
+ACCOUNTS = 5
+_JITTER = (0.7, 1.3)
+
+
+class _ModelClock:
+    """Shows the model's time to topics."""
+
+    def __init__(self, work: Clockwork) -> None:
+        self._work = work
+
+    def now(self) -> float:
+        return self._work.now
+
+    def wall(self) -> float:
+        return self._work.now
+
+    async def sleep(self, seconds: float) -> None:
+        raise NotImplementedError("the model has no tasks")
+
+
+def _member(number: int) -> Member:
+    """Return a member like those of a real fleet."""
+    return Member(
+        id=f"node-{number:04d}",
+        incarnation=1_700_000_000_000 + number,
+        heartbeat=0,
+        status=MemberStatus.ALIVE,
+        address=f"10.0.{number // 250}.{number % 250}:9200",
+        region="region",
+        zone=f"zone-{number % 3}",
+        roles=("gateway",),
+    )
+
+
+class Node:
+    """One process's knowledge, and what it has sent."""
+
+    def __init__(self, number: int, net: "Net") -> None:
+        self.net = net
+        self.rng = random.Random(f"{net.seed}-{number}")
+        self.bytes_out = 0
+        own = net.members[number]
+        others = (member for member in net.members if member is not own)
+        times = MembershipTimes(period=PERIOD_S)
+        self.membership = Membership(own, times, known=others)
+        self.targets = PeerTargets("10.0.0.0:9200", 9200)
+        self.marks = MarkSet()
+        self.marked_at: dict[str, float] = {}
+        self.exchange = Exchange(self.membership)
+        self.exchange.register(MembersTopic(self.membership, _ModelClock(net.work)))
+        self.exchange.register(MarksTopic(self.marks, self.mark))
+        if net.with_demand:
+            self.exchange.register(DemandTopic(self._report, lambda _: None))
+
+    def mark(self, mark: LeavingMark) -> bool:
+        """Take in a mark; push it on if it is news."""
+        news = self.marks.merge(mark, self.net.work.now)
+        if news:
+            self.marked_at[mark.endpoint_id or mark.zone] = self.net.work.now
+            self.net.work.at(self.net.work.now + PUSH_GATHER_S, self._push, mark)
+        return news
+
+    def round(self) -> None:
+        """Hold one round, and plan the next one."""
+        net = self.net
+        net.work.at(net.work.now + PERIOD_S * self.rng.uniform(*_JITTER), self.round)
+        self.membership.tick(net.work.now)
+        target = self.targets.next(self.membership, self.rng)
+        if target is None:
+            return
+        peer = net.by_address[target.address]
+        answer = self._call(peer, self.exchange.ask(), opening=True)
+        if answer is None:
+            self.membership.failed(target.member_id, net.work.now)
+            return
+        closing = self.exchange.closing(answer, target.member_id, net.work.now)
+        if closing is not None:
+            self.exchange.receive(self._call(peer, closing, opening=False) or {})
+
+    def _call(
+        self, peer: "Node", message: dict[str, Any], *, opening: bool
+    ) -> dict[str, Any] | None:
+        """Send a message and return the answer; None if either is lost."""
+        self.bytes_out += len(json.dumps(message)) + REQUEST_HEADER_BYTES
+        if self.net.is_lost():
+            return None
+        now = self.net.work.now
+        take = peer.exchange.answer if opening else peer.exchange.take_push
+        reply = take(json.loads(json.dumps(message)), now)
+        peer.bytes_out += len(json.dumps(reply)) + ANSWER_HEADER_BYTES
+        return None if self.net.is_lost() else reply
+
+    def _push(self, mark: LeavingMark) -> None:
+        live = self.membership.live()
+        self.rng.shuffle(live)
+        width = push_width(len(live))
+        for member in live[:width]:
+            self._push_to(member, live[width:], mark, PUSH_TRIES)
+
+    def _push_to(
+        self, member: Member, spare: list[Member], mark: LeavingMark, tries: int
+    ) -> None:
+        """Push to one peer; after a timeout, to another in its place."""
+        message = self.exchange.news({"marks": [mark_to_wire(mark)]})
+        peer = self.net.by_address[member.address]
+        if self._call(peer, message, opening=False) is None and spare and tries > 1:
+            other = self.rng.choice(spare)
+            later = self.net.work.now + CALL_TIMEOUT_S
+            self.net.work.at(later, self._push_to, other, spare, mark, tries - 1)
+
+    def _report(self) -> DemandReport:
+        now = self.net.work.now
+        demand = Demand(123.4 + now % 7, 45_678.0, 321.0, 300.0)
+        names = [f"account-{n}" for n in range(ACCOUNTS)]
+        seq = int(now * 1000)
+        return DemandReport(self.membership.own.id, seq, dict.fromkeys(names, demand))
+
+
+class Net:
+    """All nodes; a message takes `HOP_S` only where a push is timed."""
+
+    def __init__(
+        self, count: int, seed: int, *, loss: float = 0.0, with_demand: bool = True
+    ) -> None:
+        self.seed = seed
+        self.work = Clockwork()
+        self.loss = 0.0
+        self.with_demand = with_demand
+        self.wanted_loss = loss
+        self.rng = random.Random(seed)
+        self.members = [_member(number) for number in range(count)]
+        self.nodes = [Node(number, self) for number in range(count)]
+        self.by_address = {node.membership.own.address: node for node in self.nodes}
+        for node in self.nodes:
+            self.work.at(self.rng.uniform(0.0, PERIOD_S), node.round)
+
+    def is_lost(self) -> bool:
+        """Return whether the next message is lost."""
+        return self.loss > 0.0 and self.rng.random() < self.loss
+
+    def settle(self, seconds: float) -> None:
+        """Run until the first exchanges are over; then start to lose and count."""
+        self.work.run(until=seconds)
+        self.loss = self.wanted_loss
+        for node in self.nodes:
+            node.bytes_out = 0
+
+    def bytes_per_s(self, seconds: float) -> list[float]:
+        """Return what each node sent a second over the last ``seconds``."""
+        return [node.bytes_out / seconds for node in self.nodes]
--- a/src/ebonydeal/_internal/benchmarks/reclaim/engines.py
+++ b/src/ebonydeal/_internal/benchmarks/reclaim/engines.py
@@ -1,12 +1,10 @@
 """A small model of engines: slots, prefix cache, prefill, decode and export."""
 
-import heapq
-import itertools
 from collections import OrderedDict, deque
-from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
+from ebonydeal._internal.benchmarks.clockwork import Clockwork
 from ebonydeal._internal.benchmarks.reclaim.mixes import Job
 from ebonydeal._internal.utils.prefix import BLOCK_TOKENS
 
@@ -38,26 +36,6 @@
     import_share: float = 0.5
 
 
-class Clockwork:
-    """Events in the order of their time."""
-
-    def __init__(self) -> None:
-        self.now = 0.0
-        self._heap: list[tuple[float, int, Callable[..., None], tuple]] = []
-        self._count = itertools.count()
-
-    def at(self, time: float, call: Callable[..., None], *args: Any) -> None:
-        """Do ``call(*args)`` at ``time``."""
-        entry = (max(self.now, time), next(self._count), call, args)
-        heapq.heappush(self._heap, entry)
-
-    def run(self) -> None:
-        """Do everything that is to come."""
-        while self._heap:
-            self.now, _, call, args = heapq.heappop(self._heap)
-            call(*args)
-
-
 @dataclass(eq=False)
 class Stream:
     """A request on its way; ``turn`` makes events of an earlier place void."""
--- a/src/ebonydeal/_internal/benchmarks/reclaim/pool.py
+++ b/src/ebonydeal/_internal/benchmarks/reclaim/pool.py
@@ -7,8 +7,8 @@
 
 from xxhash import xxh3_64_intdigest
 
+from ebonydeal._internal.benchmarks.clockwork import Clockwork
 from ebonydeal._internal.benchmarks.reclaim.engines import (
-    Clockwork,
     EngineModel,
     EngineSpec,
     Stream,
--- a/src/ebonydeal/_internal/commands/bench.py
+++ b/src/ebonydeal/_internal/commands/bench.py
@@ -4,6 +4,7 @@
 
 from ebonydeal._internal.commands.bench_gateway import gateway_command
 from ebonydeal._internal.commands.bench_load import load_command
+from ebonydeal._internal.commands.bench_peers import peers_command
 from ebonydeal._internal.commands.bench_reclaim import reclaim_command
 
 
@@ -15,3 +16,4 @@
 bench_command.add_command(gateway_command)
 bench_command.add_command(load_command)
 bench_command.add_command(reclaim_command)
+bench_command.add_command(peers_command)
--- a/src/ebonydeal/_internal/peers/demand.py
+++ b/src/ebonydeal/_internal/peers/demand.py
@@ -1,11 +1,12 @@
 """Demand of client accounts among gateways, within a bound of bytes a round."""
 
+import json
 from collections.abc import Callable
 from typing import Any
 
 from ebonydeal._internal.routing.demand import DemandReport
 
-MAX_REPORTS = 12
+MAX_BYTES = 1100
 _MAX_GATEWAYS = 1000
 _DIGITS = 4
 
@@ -13,9 +14,8 @@
 class DemandTopic:
     """Newest report of each gateway; the least told ones ride on each digest.
 
-    With few gateways every round carries all that changed. With many, a round
-    carries `MAX_REPORTS`, so that bytes stay bounded and reports get older
-    instead: about gateways / (2 x MAX_REPORTS) rounds.
+    A message carries at most `MAX_BYTES` of reports, so with many gateways or
+    client accounts the reports get older, not the messages longer.
 
     Parameters
     ----------
@@ -38,13 +38,17 @@
         self._told: dict[str, int] = {}
 
     def digest(self) -> Any:
-        """Return the own report and the least told ones of others."""
-        chosen = sorted(self._told, key=lambda it: (self._told[it], it))
-        chosen = chosen[: MAX_REPORTS - 1]
-        for gateway in chosen:
+        """Return the own report and, within the bound, the least told others."""
+        reports = [_to_wire(self._own())]
+        left = MAX_BYTES - len(json.dumps(reports[0]))
+        for gateway in sorted(self._told, key=lambda it: (self._told[it], it)):
+            report = _to_wire(self._reports[gateway])
+            left -= len(json.dumps(report))
+            if left < 0:
+                break
+            reports.append(report)
             self._told[gateway] += 1
-        reports = [self._own(), *(self._reports[gateway] for gateway in chosen)]
-        return [_to_wire(report) for report in reports]
+        return reports
 
     def answer(self, theirs: Any) -> Any | None:
         """Take in a peer's reports; there is nothing more to send."""
--- a/src/ebonydeal/_internal/peers/membership.py
+++ b/src/ebonydeal/_internal/peers/membership.py
@@ -106,15 +106,33 @@
 
 
 class Membership:
-    """The members that one process knows, itself included."""
+    """The members that one process knows, itself included.
 
-    def __init__(self, own: Member, times: MembershipTimes | None = None) -> None:
+    Parameters
+    ----------
+    own : Member
+        The process itself.
+    times : MembershipTimes, optional
+        How long states are held.
+    known : iterable of Member
+        Members that everybody knows already, so that they aren't told as news.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        times: MembershipTimes | None = None,
+        known: Iterable[Member] = (),
+    ) -> None:
         self.own = own
         self._times = times or MembershipTimes()
         self._members: dict[str, Member] = {}
         self._since: dict[str, float] = {}
         self._updates: dict[str, int] = {}
         self.hashes = BucketHashes()
+        for member in known:
+            self._put(member, 0.0)
+        self._updates.clear()
         self._put(own, 0.0)
 
     # --- reading ---------------------------------------------------------------
--- a/src/ebonydeal/_internal/peers/service.py
+++ b/src/ebonydeal/_internal/peers/service.py
@@ -59,6 +59,11 @@
 _HIGHEST_JITTER = 1.3
 
 
+def push_width(live: int) -> int:
+    """Return to how many of ``live`` peers a push goes first."""
+    return PUSH_FANOUT if live > 2 * PUSH_FANOUT else live
+
+
 class PeerService(Service):
     """The system's own processes among each other.
 
@@ -284,7 +289,7 @@
         live = self.membership.live()
         self._rng.shuffle(live)
         message = self._exchange.news(payloads)
-        wanted = PUSH_FANOUT if len(live) > 2 * PUSH_FANOUT else len(live)
+        wanted = push_width(len(live))
         for _ in range(PUSH_TRIES):
             chosen, live = live[:wanted], live[wanted:]
             results = await asyncio.gather(
--- a/tests/unit/peers/test_demand.py
+++ b/tests/unit/peers/test_demand.py
@@ -1,4 +1,6 @@
-from ebonydeal._internal.peers.demand import MAX_REPORTS, DemandTopic
+import json
+
+from ebonydeal._internal.peers.demand import MAX_BYTES, DemandTopic
 from ebonydeal._internal.routing.demand import Demand, DemandReport
 
 
@@ -38,7 +40,8 @@
         told = set()
         for _ in range(4):
             digest = topic.digest()
-            assert len(digest) <= MAX_REPORTS
+            assert len(digest) > 10
+            assert sum(len(json.dumps(item)) for item in digest) <= MAX_BYTES
             assert digest[0]["gateway"] == "me"
             told |= {item["gateway"] for item in digest[1:]}
         assert told == names
