Add the quickstart: the whole system in one process, judged from outside

Cause: users need to see the promises kept within a minute, and tests need the whole path. Change: 'ebonydeal quickstart' starts the stand-in world, three journals and three gateways as one supervisor tree, sends four kinds of requests, takes back a zone midway and prints the independent check's figures.

--- a/src/ebonydeal/_internal/cli/main.py
+++ b/src/ebonydeal/_internal/cli/main.py
@@ -6,6 +6,7 @@
 from ebonydeal._internal.commands.bench import bench_command
 from ebonydeal._internal.commands.explain import explain_command
 from ebonydeal._internal.commands.key import key_command
+from ebonydeal._internal.commands.quickstart import quickstart_command
 from ebonydeal._internal.commands.settings import settings_command
 from ebonydeal._internal.commands.standin import standin_command
 
@@ -18,6 +19,7 @@
 
 main.add_command(bench_command)
 main.add_command(explain_command)
+main.add_command(quickstart_command)
 main.add_command(standin_command)
 main.add_command(key_command)
 main.add_command(settings_command)
--- /dev/null
+++ b/src/ebonydeal/_internal/commands/quickstart.py
@@ -0,0 +1,68 @@
+"""``ebonydeal quickstart``: the whole system in one process, under load."""
+
+import asyncio
+import json
+import sys
+
+import click
+from mode import Service
+
+from ebonydeal._internal.cli.run import run_program
+from ebonydeal._internal.commands.quickstart_run import (
+    QuickstartOptions,
+    build,
+    gateway_urls,
+    run_quickstart,
+)
+from ebonydeal._internal.observe.logs import configure_logs
+from ebonydeal._internal.settings.sections import LogSettings
+from ebonydeal._internal.standin.admin import WorldAdmin
+from ebonydeal._internal.utils.clock import SystemClock
+
+
+class _Serve(Service):
+    """The quick system, left running for a user to try."""
+
+    def __init__(self, options: QuickstartOptions) -> None:
+        super().__init__()
+        self._tree, self._key = build(options, SystemClock(), click.echo)
+        self._admin = WorldAdmin(self._tree.world)
+        self.add_dependency(self._tree)
+        self.add_dependency(self._admin)
+
+    async def on_started(self) -> None:
+        """Print what a user needs to try it."""
+        for url in gateway_urls(self._tree):
+            click.echo(f"gateway: {url}")
+        click.echo(f"platform pages: {self._admin.url}/endpoints and /log")
+        click.echo(f"API key: {self._key}")
+        click.echo("Stop with Ctrl-C.")
+
+
+@click.command("quickstart")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option(
+    "--seconds", type=click.FloatRange(2, 600), default=20.0, show_default=True
+)
+@click.option("--gateways", type=click.IntRange(1, 9), default=3, show_default=True)
+@click.option("--serve", is_flag=True, help="Leave it running, without load.")
+@click.option("--json", "only_json", is_flag=True, help="Print the figures only.")
+def quickstart_command(
+    seed: int, seconds: float, gateways: int, serve: bool, only_json: bool
+) -> None:
+    """Run the whole system on a stand-in platform, and take a zone back midway.
+
+    The last line printed is one JSON object. The exit code is 0 only if nothing
+    was lost, doubled or wrong and requests of every kind were sent.
+    """
+    configure_logs(LogSettings(level="error"))
+    options = QuickstartOptions(seed=seed, seconds=seconds, gateways=gateways)
+    if serve:
+        sys.exit(run_program(lambda: _Serve(options)))
+    result = asyncio.run(run_quickstart(options, _silent if only_json else click.echo))
+    click.echo(json.dumps(result))
+    sys.exit(0 if result["ok"] else 1)
+
+
+def _silent(_line: str) -> None:
+    """Print nothing."""
--- a/src/ebonydeal/_internal/standin/balancer.py
+++ b/src/ebonydeal/_internal/standin/balancer.py
@@ -5,7 +5,7 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout
 from mode import Service
 
-_PERIOD_S = 0.25
+_PERIOD_S = 0.1
 _TIMEOUT_S = 2.0
 
 
--- /dev/null
+++ b/tests/functional/commands/test_quickstart.py
@@ -0,0 +1,141 @@
+import asyncio
+import random
+
+from ebonydeal._internal.commands.quickstart_run import (
+    QuickstartOptions,
+    build,
+    demo_document,
+    gateway_urls,
+    run_quickstart,
+    wait_ready,
+)
+from ebonydeal._internal.config.examples import example_document
+from ebonydeal._internal.standin.balancer import Balancer
+from ebonydeal._internal.standin.check import check
+from ebonydeal._internal.standin.faults import Fault
+from ebonydeal._internal.standin.load import LoadRun, LoadSpec
+from ebonydeal._internal.standin.server import reset_connections
+from ebonydeal._internal.utils.clock import SystemClock
+from ebonydeal._internal.utils.keys import key_matches
+
+SMALL = {
+    "max_tokens": 120,
+    "streams_per_s": 6.0,
+    "lookups_per_s": 6.0,
+    "deferred_per_s": 2.0,
+    "commits_per_s": 3.0,
+}
+
+
+def silent(_line):
+    pass
+
+
+async def run_with_fault(fault, seconds=2.0):
+    """Run the small load, call ``fault(tree)`` midway, and judge."""
+    clock = SystemClock()
+    tree, key = build(QuickstartOptions(speed=2.0), clock, silent)
+    await tree.start()
+    balancer = Balancer(gateway_urls(tree))
+    await balancer.start()
+    try:
+        await wait_ready(tree, balancer, clock)
+        spec = LoadSpec.from_document(
+            example_document("cadwaladr"), "breakfast", key, seconds=seconds, **SMALL
+        )
+        load = LoadRun(spec, balancer, clock)
+        running = asyncio.ensure_future(load.run())
+        while not any(record.got and not record.is_whole for record in load.records):
+            await asyncio.sleep(0.01)
+        await fault(tree)
+        records = await running
+        return records, check(records, tree.world.logs()), tree
+    finally:
+        await balancer.stop()
+        await tree.stop()
+
+
+class TestWholePath:
+    async def test_zone_is_reclaimed_under_load(self):
+        options = QuickstartOptions(
+            seconds=3.0, notice_seconds=0.5, speed=2.0, load=SMALL
+        )
+        result = await run_quickstart(options, silent)
+        assert result["findings"] == []
+        assert result["ok"] is True
+        assert result["completed"] == result["sent"] > 0
+        assert all(kind["sent"] > 0 for kind in result["by_kind"].values())
+        assert (result["lost"], result["duplicated"], result["unknown"]) == (0, 0, 0)
+
+    async def test_gateway_dies_under_load(self):
+        async def kill(tree):
+            program = tree.programs["gateway-1"]
+            while not any(live.delivered for live in program.relay.live):
+                await asyncio.sleep(0.01)
+            await reset_connections(program._server)
+            await tree.stop_node("gateway-1")
+
+        records, verdict, _tree = await run_with_fault(kill)
+        assert verdict.findings == ()
+        assert verdict.completed == len(records) > 0
+        assert sum(record.breaks for record in records) > 0
+
+    async def test_engine_dies_in_the_middle_of_a_stream(self):
+        async def kill(tree):
+            busy = [e for e in tree.world.endpoints() if e.kind == "engine"]
+            busiest = max(busy, key=lambda engine: engine.slots.running)
+            assert busiest.slots.running > 0
+            await tree.world.kill_endpoint(busiest.endpoint_id)
+
+        records, verdict, _tree = await run_with_fault(kill)
+        assert verdict.findings == ()
+        assert verdict.completed == len(records) > 0
+        assert verdict.recomputed_tokens > 0
+
+    async def test_gateway_is_stopped_as_planned_under_load(self):
+        async def stop(tree):
+            await tree.stop_node("gateway-2")
+
+        records, verdict, _tree = await run_with_fault(stop)
+        assert verdict.findings == ()
+        assert verdict.completed == len(records) > 0
+        assert sum(record.breaks for record in records) == 0
+
+    async def test_journal_is_stopped_as_planned_under_load(self):
+        async def stop(tree):
+            await tree.stop_node("journal-2")
+
+        records, verdict, _tree = await run_with_fault(stop)
+        assert verdict.findings == ()
+        assert verdict.completed == len(records) > 0
+
+    async def test_table_service_is_out_while_a_zone_is_reclaimed(self):
+        async def fail(tree):
+            faults = tree.world.tables.tables.faults
+            faults.down = True
+            tree.world.reclaim_zone(tree.world.spec.places[0].zone, 0.5)
+            await asyncio.sleep(2.0)
+            faults.down = False
+
+        records, verdict, _tree = await run_with_fault(fail)
+        assert verdict.findings == ()
+        assert verdict.completed == len(records) > 0
+
+    async def test_answers_of_table_writes_are_lost(self):
+        async def lose(tree):
+            faults = tree.world.tables.tables.faults
+            faults.writes.extend([Fault.LOST_ANSWER, Fault.NONE, Fault.DUPLICATE] * 4)
+            await asyncio.sleep(1.0)
+            tree.world.tables.tables.land_late()
+
+        records, verdict, _tree = await run_with_fault(lose)
+        assert verdict.findings == ()
+        assert verdict.completed == len(records) > 0
+
+
+class TestDemoDocument:
+    def test_only_the_demo_account_has_a_key(self):
+        document, key = demo_document(random.Random(1))
+        hashes = {item["name"]: item["key_hashes"] for item in document["accounts"]}
+        assert key_matches(key, hashes.pop("breakfast")[0])
+        assert not any(hashes.values())
