Run controller and console in the quickstart too

Cause: the whole system includes both, and lost instances should be replaced. Change: the document's endpoints are started by the controller, so that the reclaimed zone's are replaced while the load goes on; the run waits until every deployment is warm. The console runs beside them.

--- a/src/ebonydeal/_internal/commands/quickstart.py
+++ b/src/ebonydeal/_internal/commands/quickstart.py
@@ -10,10 +10,9 @@
 from ebonydeal._internal.cli.run import run_program
 from ebonydeal._internal.commands.quickstart_run import (
     QuickstartOptions,
-    build,
-    gateway_urls,
     run_quickstart,
 )
+from ebonydeal._internal.commands.quickstart_system import ACCOUNT, OPERATOR, build
 from ebonydeal._internal.observe.logs import configure_logs
 from ebonydeal._internal.settings.sections import LogSettings
 from ebonydeal._internal.standin.admin import WorldAdmin
@@ -23,19 +22,22 @@
 class _Serve(Service):
     """The quick system, left running for a user to try."""
 
-    def __init__(self, options: QuickstartOptions) -> None:
+    def __init__(self, seed: int, gateways: int) -> None:
         super().__init__()
-        self._tree, self._key = build(options, SystemClock(), click.echo)
-        self._admin = WorldAdmin(self._tree.world)
-        self.add_dependency(self._tree)
+        self._system = build(seed, gateways, SystemClock(), click.echo)
+        self._admin = WorldAdmin(self._system.tree.world)
+        self.add_dependency(self._system.tree)
         self.add_dependency(self._admin)
 
     async def on_started(self) -> None:
         """Print what a user needs to try it."""
-        for url in gateway_urls(self._tree):
+        system = self._system
+        for url in system.gateway_urls():
             click.echo(f"gateway: {url}")
+        click.echo(f"API key of {ACCOUNT}: {system.api_key}")
+        click.echo(f"console: {system.console_url()}")
+        click.echo(f"operator token of {OPERATOR}: {system.operator_token}")
         click.echo(f"platform pages: {self._admin.url}/endpoints and /log")
-        click.echo(f"API key: {self._key}")
         click.echo("Stop with Ctrl-C.")
 
 
@@ -56,9 +58,9 @@
     was lost, doubled or wrong and requests of every kind were sent.
     """
     configure_logs(LogSettings(level="error"))
-    options = QuickstartOptions(seed=seed, seconds=seconds, gateways=gateways)
     if serve:
-        sys.exit(run_program(lambda: _Serve(options)))
+        sys.exit(run_program(lambda: _Serve(seed, gateways)))
+    options = QuickstartOptions(seed=seed, seconds=seconds, gateways=gateways)
     result = asyncio.run(run_quickstart(options, _silent if only_json else click.echo))
     click.echo(json.dumps(result))
     sys.exit(0 if result["ok"] else 1)
--- /dev/null
+++ b/src/ebonydeal/_internal/commands/quickstart_system.py
@@ -0,0 +1,171 @@
+"""What the quickstart consists of: document, own processes, and when it is up."""
+
+import random
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from ebonydeal._internal.commands.quickstart_tree import NodeSpec, Quickstart
+from ebonydeal._internal.config.examples import example_document
+from ebonydeal._internal.console.program import SECTIONS as CONSOLE_SECTIONS
+from ebonydeal._internal.console.program import ConsoleProgram
+from ebonydeal._internal.controller.program import SECTIONS as CONTROLLER_SECTIONS
+from ebonydeal._internal.controller.program import ControllerProgram
+from ebonydeal._internal.gateway.program import GatewayProgram
+from ebonydeal._internal.gateway.wiring import SECTIONS as GATEWAY_SECTIONS
+from ebonydeal._internal.journal.program import SECTIONS as JOURNAL_SECTIONS
+from ebonydeal._internal.journal.program import JournalProgram
+from ebonydeal._internal.models.endpoints import EndpointState
+from ebonydeal._internal.models.places import Place
+from ebonydeal._internal.standin.attempts import EngineSpec
+from ebonydeal._internal.standin.balancer import Balancer
+from ebonydeal._internal.standin.world import StandinWorld
+from ebonydeal._internal.standin.worldspec import WorldSpec
+from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.keys import hash_key
+
+Tell = Callable[[str], None]
+DOCUMENT = "cadwaladr"
+ACCOUNT = "breakfast"
+OPERATOR = "demo"
+_JOURNALS = 3
+_KEY_BITS = 128
+_LOAD_SECONDS = 0.5
+_LIST_LAG_S = 0.5
+_READY_POLL_S = 0.1
+_READY_S = 30.0
+# Every process has read the list once more by then.
+_SPREAD_S = 1.0
+_MOST_SHARDS = 10_000
+
+
+class System(NamedTuple):
+    """A built tree, and the secrets that a user needs.
+
+    ``api_key`` is of the client account `ACCOUNT`, ``operator_token`` of the
+    console's operator `OPERATOR`.
+    """
+
+    tree: Quickstart
+    document: dict[str, Any]
+    api_key: str
+    operator_token: str
+
+    def gateway_urls(self) -> tuple[str, ...]:
+        """Return the base URLs of the gateways that run."""
+        return tuple(
+            f"http://{program.address}"
+            for node_id, program in self.tree.programs.items()
+            if node_id.startswith("gateway-")
+        )
+
+    def console_url(self) -> str:
+        """Return the console's base URL."""
+        return f"http://{self.tree.programs['console-1'].address}"
+
+
+def demo_document(rng: random.Random) -> tuple[dict[str, Any], str]:
+    """Return the document with one fresh API key, and that key."""
+    document = example_document(DOCUMENT)
+    key = f"demo-{rng.getrandbits(_KEY_BITS):032x}"
+    for account in document["accounts"]:
+        is_demo = account["name"] == ACCOUNT
+        account["key_hashes"] = [hash_key(key)] if is_demo else []
+    return document, key
+
+
+def node_specs(
+    places: tuple[Place, ...], gateways: int, operator_token: str
+) -> tuple[NodeSpec, ...]:
+    """Return the own processes, spread over the zones in turn."""
+    operators = f"{OPERATOR}:{hash_key(operator_token)}"
+    console = {"console": {"operators": operators}}
+    kinds: list[tuple[str, int, Any, dict[str, type], dict[str, Any]]] = [
+        ("journal", _JOURNALS, JournalProgram, JOURNAL_SECTIONS, {}),
+        ("controller", 1, ControllerProgram, CONTROLLER_SECTIONS, {}),
+        ("console", 1, ConsoleProgram, CONSOLE_SECTIONS, console),
+        ("gateway", gateways, GatewayProgram, GATEWAY_SECTIONS, {}),
+    ]
+    return tuple(
+        NodeSpec(
+            f"{name}-{number + 1}",
+            places[number % len(places)],
+            program,
+            sections,
+            changes,
+        )
+        for name, count, program, sections, changes in kinds
+        for number in range(count)
+    )
+
+
+def build(
+    seed: int, gateways: int, clock: Clock, tell: Tell, *, speed: float = 1.0
+) -> System:
+    """Return the whole system, not started.
+
+    No endpoint is there at first: the controller starts what the document asks
+    for.
+    """
+    rng = random.Random(seed)
+    document, key = demo_document(rng)
+    token = f"operator-{rng.getrandbits(_KEY_BITS):032x}"
+    spec = WorldSpec.from_document(
+        document,
+        {},
+        seed=seed,
+        speed=speed,
+        list_lag=_LIST_LAG_S,
+        engine=EngineSpec(load_seconds=_LOAD_SECONDS),
+    )
+    nodes = node_specs(spec.places, gateways, token)
+    world = StandinWorld(spec, clock=clock)
+    tree = Quickstart(world, nodes, document, clock, rng, tell)
+    return System(tree, document, key, token)
+
+
+def owned_shards(world: StandinWorld) -> int:
+    """Return how many journal shards have an owner."""
+    rows = world.tables.tables.rows.scan("shards/", "", _MOST_SHARDS)
+    return sum(1 for row in rows if row.value.get("address"))
+
+
+def cold_deployments(world: StandinWorld, document: dict[str, Any]) -> list[str]:
+    """Return the deployments that have too few warm endpoints listed."""
+    cold = []
+    for item in document["deployments"]:
+        adapters = {adapter["name"] for adapter in item.get("adapters", ())}
+        wanted = adapters | set(item.get("models", ()))
+        warm = sum(
+            1
+            for view in world.views()
+            if view.deployment == item["name"]
+            and view.state is EndpointState.READY
+            and wanted <= set(view.models)
+        )
+        if warm < item["replicas"]["min"]:
+            cold.append(item["name"])
+    return cold
+
+
+async def wait_ready(system: System, balancer: Balancer, clock: Clock) -> None:
+    """Wait until gateways, journal shards and endpoints are all up.
+
+    Raises TimeoutError.
+    """
+    world = system.tree.world
+    gateways = len(system.gateway_urls())
+    shards: int = JOURNAL_SECTIONS["journal"]().shards
+    until = clock.now() + _READY_S
+    while (
+        balancer.ready < gateways
+        or owned_shards(world) < shards
+        or cold_deployments(world, system.document)
+    ):
+        if clock.now() > until:
+            raise TimeoutError(
+                f"{balancer.ready} of {gateways} gateways ready, "
+                f"{owned_shards(world)} of {shards} journal shards owned, "
+                f"cold deployments: {cold_deployments(world, system.document)}"
+            )
+        await clock.sleep(_READY_POLL_S)
+    await clock.sleep(_LIST_LAG_S + _SPREAD_S)
--- a/src/ebonydeal/_internal/commands/quickstart_tree.py
+++ b/src/ebonydeal/_internal/commands/quickstart_tree.py
@@ -30,7 +30,12 @@
     },
     "gateway": {"port": 0, "settle_seconds": 0.4},
     "console": {"port": 0},
-    "controller": {"port": 0},
+    "controller": {
+        "period": 0.5,
+        "notice_period": 0.2,
+        "lease_ttl": 3.0,
+        "longest_order": 3.0,
+    },
     "directory": {
         "list_period": 0.3,
         "list_lag": 2.0,
@@ -58,13 +63,15 @@
 class NodeSpec(NamedTuple):
     """One own process of the quick run: its id, place and program class.
 
-    ``sections`` are the settings classes of the program by name.
+    ``sections`` are the settings classes of the program by name, ``changes`` the
+    keys of each in which just this process differs.
     """
 
     node_id: str
     place: Place
     program: Any
     sections: dict[str, type]
+    changes: dict[str, dict[str, Any]] = {}
 
 
 def node_settings(
@@ -79,6 +86,8 @@
     settings["peers"] = settings["peers"]._replace(
         seeds=",".join(seeds), credential=credential
     )
+    for name, changes in spec.changes.items():
+        settings[name] = settings[name]._replace(**changes)
     return settings
 
 
@@ -125,10 +134,8 @@
 
     async def on_started(self) -> None:
         """Put the document in force, then start the own processes."""
-        self._tell(
-            f"platform: {len(self.world.endpoints())} endpoints in "
-            f"{len(self.world.spec.places)} availability zones"
-        )
+        zones = ", ".join(place.zone for place in self.world.spec.places)
+        self._tell(f"platform: availability zones {zones}")
         version = await self._accept_document()
         self._tell(f"configuration: version {version} is in force")
         for spec in self._nodes:
--- a/tests/functional/commands/test_quickstart.py
+++ b/tests/functional/commands/test_quickstart.py
@@ -3,13 +3,13 @@
 
 from ebonydeal._internal.commands.quickstart_run import (
     QuickstartOptions,
+    run_quickstart,
+)
+from ebonydeal._internal.commands.quickstart_system import (
     build,
     demo_document,
-    gateway_urls,
-    run_quickstart,
     wait_ready,
 )
-from ebonydeal._internal.config.examples import example_document
 from ebonydeal._internal.standin.balancer import Balancer
 from ebonydeal._internal.standin.check import check
 from ebonydeal._internal.standin.faults import Fault
@@ -34,14 +34,15 @@
 async def run_with_fault(fault, seconds=2.0):
     """Run the small load, call ``fault(tree)`` midway, and judge."""
     clock = SystemClock()
-    tree, key = build(QuickstartOptions(speed=2.0), clock, silent)
+    system = build(1, 3, clock, silent, speed=2.0)
+    tree = system.tree
     await tree.start()
-    balancer = Balancer(gateway_urls(tree))
+    balancer = Balancer(system.gateway_urls())
     await balancer.start()
     try:
-        await wait_ready(tree, balancer, clock)
+        await wait_ready(system, balancer, clock)
         spec = LoadSpec.from_document(
-            example_document("cadwaladr"), "breakfast", key, seconds=seconds, **SMALL
+            system.document, "breakfast", system.api_key, seconds=seconds, **SMALL
         )
         load = LoadRun(spec, balancer, clock)
         running = asyncio.ensure_future(load.run())
