--- a/src/ebonydeal/_internal/commands/quickstart_system.py
+++ b/src/ebonydeal/_internal/commands/quickstart_system.py
@@ -1,6 +1,7 @@
 """What the quickstart consists of: document, own processes, and when it is up."""
 
 import random
+import secrets
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -28,13 +29,13 @@
 ACCOUNT = "breakfast"
 OPERATOR = "demo"
 _JOURNALS = 3
-_KEY_BITS = 128
+_KEY_BYTES = 16
 _LOAD_SECONDS = 0.5
 _LIST_LAG_S = 0.5
 _READY_POLL_S = 0.1
 _READY_S = 30.0
 # Every process has read the list once more by then.
-_SPREAD_S = 1.0
+_SPREAD_S = 0.6
 _MOST_SHARDS = 10_000
 
 
@@ -63,10 +64,10 @@
         return f"http://{self.tree.programs['console-1'].address}"
 
 
-def demo_document(rng: random.Random) -> tuple[dict[str, Any], str]:
+def demo_document() -> tuple[dict[str, Any], str]:
     """Return the document with one fresh API key, and that key."""
     document = example_document(DOCUMENT)
-    key = f"demo-{rng.getrandbits(_KEY_BITS):032x}"
+    key = f"demo-{secrets.token_hex(_KEY_BYTES)}"
     for account in document["accounts"]:
         is_demo = account["name"] == ACCOUNT
         account["key_hashes"] = [hash_key(key)] if is_demo else []
@@ -107,8 +108,8 @@
     for.
     """
     rng = random.Random(seed)
-    document, key = demo_document(rng)
-    token = f"operator-{rng.getrandbits(_KEY_BITS):032x}"
+    document, key = demo_document()
+    token = f"operator-{secrets.token_hex(_KEY_BYTES)}"
     spec = WorldSpec.from_document(
         document,
         {},
--- a/src/ebonydeal/_internal/commands/quickstart_tree.py
+++ b/src/ebonydeal/_internal/commands/quickstart_tree.py
@@ -1,6 +1,7 @@
 """A whole small system in one process, for the quickstart."""
 
 import random
+import secrets
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -17,6 +18,7 @@
 from ebonydeal._internal.utils.clock import Clock
 
 Sections = dict[str, Any]
+_CREDENTIAL_BYTES = 16
 # Sections in which a quick run differs from the defaults, which are meant for
 # real fleets; each only where the program has such a section.
 QUICK: dict[str, dict[str, Any]] = {
@@ -105,7 +107,7 @@
     clock : Clock
         Of all of them.
     rng : random.Random
-        For credentials, ids and jitter.
+        For ids and jitter.
     tell : callable
         Called with a line for each step.
     """
@@ -123,7 +125,7 @@
         self.world = world
         self.programs: dict[str, Any] = {}
         self.metrics: dict[str, Metrics] = {}
-        self.credential = f"{rng.getrandbits(128):032x}"
+        self.credential = secrets.token_hex(_CREDENTIAL_BYTES)
         self._nodes = nodes
         self._document = document
         self._clock = clock
--- a/tests/functional/commands/test_quickstart.py
+++ b/tests/functional/commands/test_quickstart.py
@@ -1,59 +1,16 @@
 import asyncio
-import random
 
 from ebonydeal._internal.commands.quickstart_run import (
     QuickstartOptions,
     run_quickstart,
 )
 from ebonydeal._internal.commands.quickstart_system import (
-    build,
     demo_document,
-    wait_ready,
 )
-from ebonydeal._internal.standin.balancer import Balancer
-from ebonydeal._internal.standin.check import check
 from ebonydeal._internal.standin.faults import Fault
-from ebonydeal._internal.standin.load import LoadRun, LoadSpec
 from ebonydeal._internal.standin.server import reset_connections
-from ebonydeal._internal.utils.clock import SystemClock
 from ebonydeal._internal.utils.keys import key_matches
-
-SMALL = {
-    "max_tokens": 120,
-    "streams_per_s": 6.0,
-    "lookups_per_s": 6.0,
-    "deferred_per_s": 2.0,
-    "commits_per_s": 3.0,
-}
-
-
-def silent(_line):
-    pass
-
-
-async def run_with_fault(fault, seconds=2.0):
-    """Run the small load, call ``fault(tree)`` midway, and judge."""
-    clock = SystemClock()
-    system = build(1, 3, clock, silent, speed=2.0)
-    tree = system.tree
-    await tree.start()
-    balancer = Balancer(system.gateway_urls())
-    await balancer.start()
-    try:
-        await wait_ready(system, balancer, clock)
-        spec = LoadSpec.from_document(
-            system.document, "breakfast", system.api_key, seconds=seconds, **SMALL
-        )
-        load = LoadRun(spec, balancer, clock)
-        running = asyncio.ensure_future(load.run())
-        while not any(record.got and not record.is_whole for record in load.records):
-            await asyncio.sleep(0.01)
-        await fault(tree)
-        records = await running
-        return records, check(records, tree.world.logs()), tree
-    finally:
-        await balancer.stop()
-        await tree.stop()
+from tests.lib.fakes_quickstart import SMALL, run_with_fault, silent
 
 
 class TestWholePath:
@@ -136,7 +93,7 @@
 
 class TestDemoDocument:
     def test_only_the_demo_account_has_a_key(self):
-        document, key = demo_document(random.Random(1))
+        document, key = demo_document()
         hashes = {item["name"]: item["key_hashes"] for item in document["accounts"]}
         assert key_matches(key, hashes.pop("breakfast")[0])
         assert not any(hashes.values())
