--- /dev/null
+++ b/src/ebonydeal/_internal/commands/quickstart_run.py
@@ -0,0 +1,133 @@
+"""The quickstart's run: load on the small system while a zone is taken back."""
+
+import asyncio
+import time
+from collections import Counter
+from typing import Any, NamedTuple
+
+from ebonydeal._internal.commands.quickstart_system import (
+    ACCOUNT,
+    System,
+    Tell,
+    build,
+    wait_ready,
+)
+from ebonydeal._internal.standin.balancer import Balancer
+from ebonydeal._internal.standin.calls import CallRecord
+from ebonydeal._internal.standin.check import check
+from ebonydeal._internal.standin.load import LoadRun, LoadSpec
+from ebonydeal._internal.standin.report import summary
+from ebonydeal._internal.utils.clock import Clock, SystemClock
+
+DEFAULT_LOAD: dict[str, Any] = {"max_tokens": 240, "streams_per_s": 4.0}
+
+
+class QuickstartOptions(NamedTuple):
+    """What a quick run does.
+
+    Attributes
+    ----------
+    seed : int
+        Of prompts, arrivals, ids and choices.
+    seconds : float
+        How long new requests are sent.
+    gateways : int
+        How many gateways.
+    notice_seconds : float
+        From the notice of the zone's reclaim until its endpoints die.
+    reclaim : bool
+        Whether a zone is taken back midway.
+    speed : float
+        Factor on the pace of the endpoints.
+    load : dict
+        Changes of `LoadSpec`.
+    """
+
+    seed: int = 1
+    seconds: float = 20.0
+    gateways: int = 3
+    notice_seconds: float = 2.0
+    reclaim: bool = True
+    speed: float = 1.0
+    load: dict[str, Any] = DEFAULT_LOAD
+
+
+async def run_quickstart(options: QuickstartOptions, tell: Tell) -> dict[str, Any]:
+    """Run it all and return the figures."""
+    clock = SystemClock()
+    began = time.monotonic()
+    system = build(options.seed, options.gateways, clock, tell, speed=options.speed)
+    await system.tree.start()
+    try:
+        records = await _run_load(system, options, clock, tell)
+        logs = system.tree.world.logs()
+        counted = system.tree.counted()
+        fleet = _fleet(system)
+    finally:
+        await system.tree.stop()
+    result = summary(records, check(records, logs))
+    kinds = [counts["sent"] for counts in result["by_kind"].values()]
+    result["ok"] = result["ok"] and all(kinds)
+    result["fleet"] = fleet
+    result["counted"] = counted
+    result["seconds"] = round(time.monotonic() - began, 1)
+    return result
+
+
+def _fleet(system: System) -> dict[str, Any]:
+    """Return what was started and stopped, by zone, and the present spend."""
+    cloud = system.tree.world.cloud
+    running = Counter(item.zone for item in cloud.running())
+    return {
+        "started": len(cloud.instances),
+        "stopped": len(cloud.instances) - running.total(),
+        "running_by_zone": dict(sorted(running.items())),
+        "spend_per_hour": round(cloud.spend_per_hour(), 2),
+    }
+
+
+async def _run_load(
+    system: System, options: QuickstartOptions, clock: Clock, tell: Tell
+) -> list[CallRecord]:
+    """Send the load, take a zone back midway, return the callers' logs."""
+    balancer = Balancer(system.gateway_urls())
+    await balancer.start()
+    try:
+        await wait_ready(system, balancer, clock)
+        tell(f"fleet: {len(system.tree.world.endpoints())} endpoints are up")
+        spec = LoadSpec.from_document(
+            system.document,
+            ACCOUNT,
+            system.api_key,
+            seconds=options.seconds,
+            seed=options.seed,
+            **options.load,
+        )
+        tell(f"load: four kinds of requests for {options.seconds:g} s")
+        reclaim = asyncio.create_task(_reclaim(system, options, clock, tell))
+        try:
+            records = await LoadRun(spec, balancer, clock).run()
+            await reclaim
+        finally:
+            reclaim.cancel()
+    finally:
+        await balancer.stop()
+    whole = sum(record.is_whole for record in records)
+    tell(f"load: {whole} of {len(records)} requests were answered")
+    return records
+
+
+async def _reclaim(
+    system: System, options: QuickstartOptions, clock: Clock, tell: Tell
+) -> None:
+    """Take back the first availability zone midway."""
+    if not options.reclaim:
+        return
+    await clock.sleep(options.seconds / 2)
+    world = system.tree.world
+    zone = world.spec.places[0].zone
+    count = sum(1 for view in world.views() if view.place.zone == zone)
+    tell(f"reclaim: zone {zone}, {count} endpoints, {options.notice_seconds:g} s left")
+    world.reclaim_zone(zone, options.notice_seconds)
+    await clock.sleep(options.notice_seconds)
+    tell(f"reclaim: zone {zone} is gone")
