Offer freed shards, and keep bodies apart by their digest

Cause: after a hand-over the next owner waited for its next reading; a second body under a key whose first record was in doubt replaced the first's object, so that the first would have run with the second's body. Change: the owner offers a freed shard to the best node; object names carry the body's digest; an endpoint that leaves while a body is read gets nothing; long calls are asked for in parts; takeover is timed until the shard serves. In the test of the offer the clock does not move between a hand-over and the next owner.

--- a/src/ebonydeal/_internal/journal/attempts.py
+++ b/src/ebonydeal/_internal/journal/attempts.py
@@ -121,6 +121,8 @@
                 parse_body(body)
             except EbonydealError as exc:
                 return await self._end(job, exc.kind, exc.detail)
+        if self._picker.is_leaving(view):
+            return self._again(job, view, RetryReason.LEAVING)
         if job.request.idempotent:
             return await self._run_idempotent(job, view, body)
         return await self._run_once(job, view, body)
--- a/src/ebonydeal/_internal/journal/bodies.py
+++ b/src/ebonydeal/_internal/journal/bodies.py
@@ -4,6 +4,8 @@
 there instead.
 """
 
+from xxhash import xxh3_128_hexdigest
+
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.journal.rows import (
     bodies_prefix,
@@ -29,12 +31,13 @@
         self._inline = cfg.inline_bytes
         self._most = int(cfg.max_row_bytes * _ROW_SHARE)
 
-    async def _keep(self, request_id: str, what: str, text: str) -> str:
+    async def _keep(self, request_id: str, text: str) -> str:
         """Return the object that holds ``text``, or "" to keep it inline."""
         data = text.encode()
         if len(data) <= self._inline:
             return ""
-        name = body_object(self._shard, self._epoch, request_id, what)
+        digest = xxh3_128_hexdigest(data)
+        name = body_object(self._shard, self._epoch, request_id, digest)
         try:
             await self._objects.put(name, data)
         except EbonydealError:
@@ -49,7 +52,7 @@
         Raises ``JOURNAL_UNAVAILABLE`` when its body has nowhere to be kept.
         """
         try:
-            name = await self._keep(request.request_id, "request", request.body)
+            name = await self._keep(request.request_id, request.body)
         except EbonydealError as exc:
             raise EbonydealError(
                 ErrorKind.JOURNAL_UNAVAILABLE,
@@ -61,7 +64,7 @@
 
     async def keep_answer(self, request_id: str, answer: StoredAnswer) -> StoredAnswer:
         """Return ``answer`` as it goes into a record; raises the store's errors."""
-        name = await self._keep(request_id, "answer", answer.body)
+        name = await self._keep(request_id, answer.body)
         if not name:
             return answer
         return answer._replace(body="", body_object=name)
--- a/src/ebonydeal/_internal/journal/node.py
+++ b/src/ebonydeal/_internal/journal/node.py
@@ -1,6 +1,7 @@
 """One process among the journal's owners: its lease, its shards, its view."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 from mode import Service
@@ -16,10 +17,10 @@
     renew_every,
 )
 from ebonydeal._internal.journal.owner import OwnerParts, ShardOwner
-from ebonydeal._internal.journal.rows import NODES, SHARDS, node_key
-from ebonydeal._internal.journal.shards import FreeSince, HeldShard, plan
+from ebonydeal._internal.journal.rows import NODES, SHARDS, node_key, shard_key
+from ebonydeal._internal.journal.shards import FreeSince, HeldShard, plan, ranking
 from ebonydeal._internal.models.places import Place
-from ebonydeal._internal.observe.counters import Event, RetryReason, Timing
+from ebonydeal._internal.observe.counters import Event, RetryReason
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.platform.interfaces import Delete, Put, Row, RowVersion
 from ebonydeal._internal.utils.ids import shard_from_id
@@ -32,6 +33,8 @@
 MIN_GRACE_S = 1.0
 RENEW_SHARE = 0.2
 
+Offer = Callable[[str, int], Awaitable[None]]
+
 
 class View(NamedTuple):
     """The last reading of the rows that name nodes and owners."""
@@ -53,10 +56,18 @@
         Shared by all owners.
     drain_seconds : float
         Longest graceful shutdown.
+    offer : coroutine function, optional
+        Tells the node at an address that a shard is free, so that it need not
+        wait for its next reading. A lost offer costs that time only.
     """
 
     def __init__(
-        self, me: Identity, place: Place, parts: OwnerParts, drain_seconds: float
+        self,
+        me: Identity,
+        place: Place,
+        parts: OwnerParts,
+        drain_seconds: float,
+        offer: Offer | None = None,
     ) -> None:
         super().__init__()
         self.me = me
@@ -66,6 +77,7 @@
         self._cfg = parts.cfg
         self._clock = parts.clock
         self._drain_seconds = drain_seconds
+        self._offer = offer
         self._watch = LeaseWatch(parts.cfg.lease_seconds)
         self._free_since = FreeSince()
         self._since: dict[int, float] = {}
@@ -191,7 +203,10 @@
             self._cfg.settle_seconds,
             max(MIN_GRACE_S, 2 * self._read_every()),
         )
-        await asyncio.gather(*(self._claim(shard) for shard in decided.claim))
+        seen = self._view.rows
+        await asyncio.gather(
+            *(self._claim(shard, seen.get(shard)) for shard in decided.claim)
+        )
         if decided.hand_over is not None and self._moving is None:
             self._moving = self.add_future(self._move(decided.hand_over))
 
@@ -209,23 +224,20 @@
             if row is not None and row.epoch > owner.epoch:
                 owner.lose()
 
-    async def _claim(self, shard: int) -> None:
-        """Claim one shard and start its owner."""
-        started = self._clock.now()
-        seen = self._view.rows.get(shard)
+    async def _claim(self, shard: int, seen: Row | None) -> None:
+        """Claim a shard whose row is as ``seen``, and start its owner."""
         parts = self._parts
         parts.metrics.count(Event.TABLE_WRITES)
         claim = await claim_shard(
             parts.tables, shard, seen, self.me, clock=self._clock, rng=parts.rng
         )
-        if claim is None or self._leaving:
+        if claim is None or self._leaving or shard in self.owners:
             return
         owner = ShardOwner(claim, parts, self._on_lost)
         self.owners[shard] = owner
         self._since[shard] = self._clock.now()
         await self.add_runtime_dependency(owner)
         parts.metrics.count(Event.TAKEOVERS)
-        parts.metrics.timed(Timing.TAKEOVER, self._clock.now() - started)
 
     def _on_lost(self, shard: int) -> None:
         """Forget an owner that has been fenced or has released its shard."""
@@ -241,7 +253,37 @@
     async def hand_over(self, shard: int, limit: float) -> bool:
         """Finish a shard's runs and free it; return whether it is free."""
         owner = self.owners.get(shard)
-        return owner is not None and await owner.hand_over(limit)
+        if owner is None or not await owner.hand_over(limit):
+            return False
+        await self._offer_to_best(shard)
+        return True
+
+    async def _offer_to_best(self, shard: int) -> None:
+        """Tell the best other node that a shard is free."""
+        others = {
+            node_id: node
+            for node_id, node in self._view.nodes.items()
+            if node_id != self.me.node_id
+        }
+        if self._offer is None or not others:
+            return
+        best = others[ranking(shard, others)[0]]
+        try:
+            await self._offer(best.address, shard)
+        except EbonydealError as exc:
+            logger.info("An offer was not heard.", shard=shard, error=str(exc))
+
+    async def offered(self, shard: int) -> bool:
+        """Claim a shard that its owner has freed; return whether it is here."""
+        if shard in self.owners:
+            return True
+        if self._leaving or not 0 <= shard < self._cfg.shards:
+            return False
+        row = await self._parts.tables.get(shard_key(shard))
+        if row is None or row.value.get("owner"):
+            return False
+        await self._claim(shard, row)
+        return shard in self.owners
 
     async def leave(self) -> None:
         """Hand over all shards and end the lease: the graceful shutdown."""
--- a/src/ebonydeal/_internal/journal/owner.py
+++ b/src/ebonydeal/_internal/journal/owner.py
@@ -27,7 +27,7 @@
     Unknown,
 )
 from ebonydeal._internal.models.requests import Request, StoredAnswer
-from ebonydeal._internal.observe.counters import Metrics
+from ebonydeal._internal.observe.counters import Metrics, Timing
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.platform.interfaces import Objects, Tables
 from ebonydeal._internal.settings.journal import JournalSettings
@@ -93,6 +93,7 @@
         self.serving = False
         self.draining = False
         self._lost = False
+        self._claimed_at = parts.clock.now()
         self._parts = parts
         self._cfg = parts.cfg
         self._clock = parts.clock
@@ -165,6 +166,8 @@
                 self._parts.dispatch.submit(self, request_id, may_have_run=True)
         if cut_off:
             self.add_future(self._record_quietly(cut_off))
+        took = self._clock.now() - self._claimed_at
+        self._parts.metrics.timed(Timing.TAKEOVER, took)
         logger.info(
             "Serving a shard.", shard=self.shard, epoch=self.epoch, rows=replayed.rows
         )
--- a/src/ebonydeal/_internal/journal/program.py
+++ b/src/ebonydeal/_internal/journal/program.py
@@ -1,7 +1,8 @@
 """Supervisor tree of ``ebonydeal-journal``."""
 
 import random
-from typing import Any, NamedTuple
+from collections.abc import Iterable
+from typing import Any, NamedTuple, Protocol
 
 from mode import Service
 
@@ -13,7 +14,7 @@
 from ebonydeal._internal.journal.owner import OwnerParts
 from ebonydeal._internal.journal.pacing import Budget, Pacer
 from ebonydeal._internal.journal.picker import RoutedPicker
-from ebonydeal._internal.journal.service import journal_app
+from ebonydeal._internal.journal.service import journal_app, offer_by
 from ebonydeal._internal.models.places import Place
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.peers.service import PeerService
@@ -35,6 +36,7 @@
     TlsSettings,
 )
 from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.peerclient import PeerClient
 from ebonydeal._internal.utils.tls import TlsContexts
 from ebonydeal._internal.utils.web import HttpServer
 
@@ -74,6 +76,13 @@
         )
 
 
+class Closable(Protocol):
+    """A client that owns connections."""
+
+    async def close(self) -> None:
+        """Close them."""
+
+
 class JournalProgram(Service):
     """Everything of one journal process.
 
@@ -89,8 +98,8 @@
         dispatcher: Dispatcher,
         node: JournalNode,
         server: HttpServer,
-        platform: Platform,
         tls: TlsContexts,
+        clients: Iterable[Closable],
     ) -> None:
         super().__init__()
         self.directory = directory
@@ -98,8 +107,8 @@
         self.dispatcher = dispatcher
         self.node = node
         self.server = server
-        self._platform = platform
         self._tls = tls
+        self._clients = tuple(clients)
 
     @classmethod
     def from_config(
@@ -159,8 +168,10 @@
             metrics,
         )
         me = Identity(own.id, "", int(clock.wall() * _MS))
-        node = JournalNode(me, place, parts, own.drain_seconds)
-        app = journal_app(node, settings["peers"].credential, metrics)
+        credential = settings["peers"].credential
+        between = PeerClient(credential, tls.client)
+        node = JournalNode(me, place, parts, own.drain_seconds, offer_by(between))
+        app = journal_app(node, credential, metrics)
         server = HttpServer(
             app,
             own.host,
@@ -168,7 +179,8 @@
             ssl_context=tls.server,
             drain_seconds=own.drain_seconds,
         )
-        return cls(directory, peers, dispatcher, node, server, platform, tls)
+        clients = (*platform, between)
+        return cls(directory, peers, dispatcher, node, server, tls, clients)
 
     @property
     def address(self) -> str:
@@ -196,5 +208,5 @@
 
     async def on_shutdown(self) -> None:
         """Close the clients."""
-        for client in self._platform:
+        for client in self._clients:
             await client.close()
--- a/src/ebonydeal/_internal/journal/rows.py
+++ b/src/ebonydeal/_internal/journal/rows.py
@@ -50,10 +50,11 @@
     return f"bodies/{shard:04x}/"
 
 
-def body_object(shard: int, epoch: int, request_id: str, what: str) -> str:
-    """Return the object of a large ``request`` or ``answer`` body.
+def body_object(shard: int, epoch: int, request_id: str, digest: str) -> str:
+    """Return the object of a large body with this digest.
 
     The epoch keeps a new owner's objects apart from those that a former owner
-    left behind, which are swept.
+    left behind, which are swept. The digest keeps another body under the same
+    idempotency key from replacing one whose record is still in doubt.
     """
-    return f"{bodies_prefix(shard)}{epoch:08d}-{request_id}-{what}"
+    return f"{bodies_prefix(shard)}{epoch:08d}-{request_id}-{digest}"
--- a/src/ebonydeal/_internal/journal/service.py
+++ b/src/ebonydeal/_internal/journal/service.py
@@ -1,18 +1,20 @@
-"""The journal's listener: accept, call, status and cancel for gateways."""
+"""The journal's listener: calls of gateways, and offers of other nodes."""
 
 import hmac
 
 from aiohttp import web
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
-from ebonydeal._internal.journal.node import JournalNode
+from ebonydeal._internal.journal.node import JournalNode, Offer
 from ebonydeal._internal.models.requests import Request
 from ebonydeal._internal.observe.counters import Metrics
-from ebonydeal._internal.utils.peerclient import PEER_HEADER
+from ebonydeal._internal.utils.peerclient import PEER_HEADER, PeerClient
 from ebonydeal._internal.utils.web import Handler, new_app, read_json
 
 MAX_BODY = 8 * 1024 * 1024
 MAX_WAIT_S = 60.0
+OFFER_PATH = "/journal/v1/offer"
+OFFER_TIMEOUT_S = 3.0
 
 
 def check_peer(req: web.Request, credential: str) -> None:
@@ -48,7 +50,7 @@
 
 
 class JournalApi:
-    """Handlers of the four calls."""
+    """Handlers of the journal's calls."""
 
     def __init__(self, node: JournalNode, credential: str) -> None:
         self._node = node
@@ -61,6 +63,7 @@
             ("call", self.call),
             ("status", self.status),
             ("cancel", self.cancel),
+            ("offer", self.offer),
         ):
             app.router.add_post(f"/journal/v1/{name}", self._checked(handler))
 
@@ -93,6 +96,13 @@
         owner = self._node.owner_of(request_id)
         return web.json_response(await owner.status(request_id, _text(body, "account")))
 
+    async def offer(self, req: web.Request) -> web.Response:
+        """Claim a shard that the asking node has just freed."""
+        shard = (await read_json(req)).get("shard")
+        if not isinstance(shard, int):
+            raise EbonydealError(ErrorKind.BAD_REQUEST, "'shard' must be a number")
+        return web.json_response({"taken": await self._node.offered(shard)})
+
     async def cancel(self, req: web.Request) -> web.Response:
         """Stop a request, and answer with its status."""
         body = await read_json(req)
@@ -101,6 +111,15 @@
         return web.json_response(await owner.cancel(request_id, _text(body, "account")))
 
 
+def offer_by(peers: PeerClient) -> Offer:
+    """Return the way to offer a freed shard to another node."""
+
+    async def offer(address: str, shard: int) -> None:
+        await peers.call(address, OFFER_PATH, {"shard": shard}, OFFER_TIMEOUT_S)
+
+    return offer
+
+
 def journal_app(
     node: JournalNode, credential: str, metrics: Metrics
 ) -> web.Application:
--- a/src/ebonydeal/_internal/peers/journal_client.py
+++ b/src/ebonydeal/_internal/peers/journal_client.py
@@ -26,6 +26,7 @@
 RETRY_FIRST_S = 0.1
 RETRY_MOST_S = 1.0
 CALL_MARGIN_S = 5.0
+MOST_WAIT_S = 25.0
 _FINAL = ("completed", "unknown", "ended")
 # The owner is changing, busy or gone: another look finds the next one.
 _RETRIED = (
@@ -187,10 +188,16 @@
         Raises as `accept`; a state that is not final means that time was up, and
         `status` tells more later.
         """
-        message = {"request": request.to_message(), "wait": wait}
-        total = wait + self._patience
-        body = await self._ask("call", request.request_id, message, total, wait)
-        return JournalStatus.from_message(body)
+        message: dict[str, Any] = {"request": request.to_message()}
+        end = self._clock.now() + wait
+        while True:
+            part = min(MOST_WAIT_S, max(0.0, end - self._clock.now()))
+            message["wait"] = part
+            total = part + self._patience
+            body = await self._ask("call", request.request_id, message, total, part)
+            status = JournalStatus.from_message(body)
+            if status.is_final or self._clock.now() >= end:
+                return status
 
     async def status(self, request_id: str, account: str) -> JournalStatus:
         """Return what is known; raises NOT_FOUND and ``JOURNAL_UNAVAILABLE``."""
--- a/tests/functional/journal/test_nodes.py
+++ b/tests/functional/journal/test_nodes.py
@@ -109,6 +109,29 @@
         assert [row.value["owner"] for row in rows] == ["", "", "", ""]
         assert await world.tables.scan("nodes/") == []
 
+    async def test_a_freed_shard_is_offered_to_the_next_node(self, world, processes):
+        one = await processes("n-1")
+        two = await processes("n-2")
+        await until(world, lambda: held(one) | held(two) == {0, 1, 2, 3})
+        await world.clock.advance(30.0)
+        shard = min(held(one))
+        before = world.clock.now()
+        moved = asyncio.ensure_future(one.node.hand_over(shard, 10.0))
+        for _ in range(TRIES):
+            if shard in held(two):
+                break
+            await asyncio.sleep(0.001)
+        assert await moved and shard in held(two)
+        assert world.clock.now() == before
+
+    async def test_an_offer_of_an_owned_shard_is_not_taken(self, world, processes):
+        one = await processes("n-1")
+        two = await processes("n-2")
+        await until(world, lambda: held(one) | held(two) == {0, 1, 2, 3})
+        shard = min(held(one))
+        assert not await two.node.offered(shard)
+        assert shard in held(one)
+
     async def test_an_outage_of_the_table_moves_nothing(self, world, processes):
         one = await processes("n-1")
         two = await processes("n-2")
