--- a/src/ebonydeal/_internal/gateway/wiring.py
+++ b/src/ebonydeal/_internal/gateway/wiring.py
@@ -9,12 +9,12 @@
 
 from ebonydeal._internal.config.follower import ConfigFollower
 from ebonydeal._internal.directory.service import Directory
-from ebonydeal._internal.directory.table import Change
 from ebonydeal._internal.gateway.budget import RetryBudget
 from ebonydeal._internal.gateway.demand import DemandTopic
 from ebonydeal._internal.gateway.desk import AdmissionDesk
 from ebonydeal._internal.gateway.parts import GatewayConfig, GatewayPorts
 from ebonydeal._internal.gateway.routes import RouterRoutes
+from ebonydeal._internal.gateway.watchset import WatchSet
 from ebonydeal._internal.models.places import Place
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.observe.trail import Trails
@@ -29,6 +29,7 @@
 from ebonydeal._internal.routing.admission import Admission
 from ebonydeal._internal.routing.retries import RetryPolicy
 from ebonydeal._internal.routing.router import Router
+from ebonydeal._internal.routing.subset import Member
 from ebonydeal._internal.settings.directory import DirectorySettings
 from ebonydeal._internal.settings.gateway import GatewaySettings
 from ebonydeal._internal.settings.journal import JournalSettings
@@ -169,23 +170,44 @@
     return _Parts(clients, tls, directory, peers, follower, journal, client)
 
 
-def _new_routes(
-    settings: dict[str, Any], directory: Directory, clock: Clock, rng: Random
-) -> RouterRoutes:
-    """Build the router and let it follow the directory."""
+class _Routing(NamedTuple):
+    """The router behind its port, and what keeps it in step."""
+
+    routes: RouterRoutes
+    watch: WatchSet
+
+
+def _new_routing(
+    settings: dict[str, Any], parts: _Parts, clock: Clock, rng: Random
+) -> _Routing:
+    """Build the router and let it follow directory and peers."""
+    node: NodeSettings = settings["node"]
+    place = Place(node.region, node.zone)
+    directory = parts.directory
     router = Router.from_config(settings["routing"], rng)
 
+    def gateways() -> list[Member]:
+        return [
+            Member(peer.id, Place(peer.region, peer.zone))
+            for peer in parts.peers.members()
+            if _ROLE in peer.roles
+        ]
+
     def cache_events(endpoint_id: str, events: list[CacheEvent]) -> None:
         router.cache_events(endpoint_id, events, clock.wall())
 
-    def changed(change: Change) -> None:
-        for view in change.removed:
-            router.forget(view.endpoint_id)
-
+    watch = WatchSet(
+        Member(node.id, place),
+        gateways,
+        directory,
+        settings["routing"],
+        router.keep,
+        clock,
+    )
+    directory.set_watch(watch.watches)
     directory.on_cache_events(cache_events)
-    directory.on_change(changed)
-    node: NodeSettings = settings["node"]
-    return RouterRoutes(router, directory, Place(node.region, node.zone))
+    directory.on_change(lambda _change: watch.refresh())
+    return _Routing(RouterRoutes(router, directory, place, watch.watches), watch)
 
 
 class _Closer(Service):
@@ -212,7 +234,7 @@
     trails = Trails(gateway.explain_requests)
     admission = Admission.from_config(settings["admission"], node.id, rng)
     parts.peers.register(DemandTopic(admission.limits, clock))
-    routes = _new_routes(settings, parts.directory, clock, rng)
+    routes, watch = _new_routing(settings, parts, clock, rng)
     desk = AdmissionDesk(
         admission, routes.capacity, parts.follower, metrics, trails, clock, rng
     )
@@ -233,6 +255,7 @@
             parts.directory,
             parts.peers,
             parts.follower,
+            watch,
             desk,
         ),
     )
--- a/src/ebonydeal/_internal/settings/routing.py
+++ b/src/ebonydeal/_internal/settings/routing.py
@@ -29,6 +29,9 @@
     cache_blocks: Annotated[
         int, Key("Most cache blocks remembered for one endpoint.", "", 16, 10000000)
     ] = 20000
+    candidates: Annotated[
+        int, Key("Most endpoints scored for one request.", "", 2, 10000)
+    ] = 24
     affinity: Annotated[
         float, Key("Worth of keeping a prefix at its home, in prefills.", "", 0, 10)
     ] = 1.0
@@ -72,10 +75,10 @@
     ] = 1.0
     floor_share: Annotated[
         float, Key("Share of each limit split evenly over gateways.", "", 0, 1)
-    ] = 0.1
+    ] = 0.02
     demand_window: Annotated[
         float, Key("Time over which demand is averaged.", "seconds", 0.1, 600)
-    ] = 3.0
+    ] = 2.0
     peer_hold: Annotated[
         float, Key("Time that a silent gateway keeps its share.", "seconds", 0.1, 600)
     ] = 5.0
