--- a/src/ebonydeal/_internal/journal/appender.py
+++ b/src/ebonydeal/_internal/journal/appender.py
@@ -143,6 +143,7 @@
             while await self._wait_for_turn():
                 await self._commit(self._queue.take_batch())
         finally:
+            self._pacer.leave(self)
             self._queue.fail_all(fenced_error(self._shard))
 
     def close(self) -> None:
@@ -200,12 +201,13 @@
         while not self.fenced.is_set():
             self._queue.changed.clear()
             if not self._queue.entries:
+                self._pacer.leave(self)
                 await self._queue.changed.wait()
                 continue
             urgent = self._queue.is_urgent
-            wait = self._pacer.wait(self._clock.now(), urgent)
+            wait = self._pacer.wait(self, self._clock.now(), urgent)
             if wait <= 0.0:
-                self._pacer.take(self._clock.now(), urgent)
+                self._pacer.take(self, self._clock.now(), urgent)
                 return True
             await self._sleep_or_change(wait, urgent)
         return False
--- a/src/ebonydeal/_internal/journal/claims.py
+++ b/src/ebonydeal/_internal/journal/claims.py
@@ -7,7 +7,7 @@
 import random
 from typing import Any, NamedTuple
 
-from ebonydeal._internal.errors import EbonydealError
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.journal.rows import shard_key
 from ebonydeal._internal.platform.interfaces import (
     Condition,
@@ -62,14 +62,19 @@
 
     @classmethod
     def from_value(cls, value: dict[str, Any]) -> "ShardRow":
-        """Build from the row's value; raises KeyError or ValueError."""
-        return cls(
-            owner=str(value["owner"]),
-            address=str(value["address"]),
-            epoch=int(value["epoch"]),
-            incarnation=int(value.get("incarnation", 0)),
-            claim=str(value.get("claim", "")),
-        )
+        """Build from the row's value; raises INTERNAL on garbage."""
+        try:
+            return cls(
+                owner=str(value["owner"]),
+                address=str(value["address"]),
+                epoch=int(value["epoch"]),
+                incarnation=int(value.get("incarnation", 0)),
+                claim=str(value.get("claim", "")),
+            )
+        except (KeyError, TypeError, ValueError) as exc:
+            raise EbonydealError(
+                ErrorKind.INTERNAL, f"a shard row can't be read: {exc!r}"
+            ) from exc
 
 
 async def claim_shard(
--- a/src/ebonydeal/_internal/journal/dispatcher.py
+++ b/src/ebonydeal/_internal/journal/dispatcher.py
@@ -61,6 +61,8 @@
         )
         self._queue: WorkQueue[Job] = WorkQueue()
         self._jobs: dict[tuple[int, str], Job] = {}
+        # Jobs with a task or a confirmed stop: few, where `_jobs` may be many.
+        self._active: set[Job] = set()
         self._draining: set[int] = set()
         self._changed = asyncio.Event()
 
@@ -116,19 +118,19 @@
 
     def _is_busy(self, book: Book) -> bool:
         """Return whether a shard has runs that a new owner couldn't go on with."""
-        jobs = [job for job in self._jobs.values() if job.book is book]
-        return any(job.task is not None or job.partial for job in jobs)
+        return any(job.book is book for job in self._active)
 
     def _forget(self, job: Job) -> None:
         key = (job.book.shard, job.request_id)
         if self._jobs.get(key) is job:
             del self._jobs[key]
+        self._active.discard(job)
         job.ended.set()
 
     # --- leaving endpoints ----------------------------------------------------------
     def leaving(self, mark: LeavingMark) -> None:
         """Let runs on a leaving endpoint finish within the notice, else stop them."""
-        for job in self._jobs.values():
+        for job in self._active:
             if job.sending and job.is_covered(mark):
                 self.add_future(self._leave(job, mark))
 
@@ -168,11 +170,10 @@
             changed.cancel()
 
     def _has_room(self) -> bool:
-        jobs = self._jobs.values()
-        sending = sum(job.sending for job in jobs)
-        tasks = sum(job.task is not None for job in jobs)
         most = self._cfg.max_running
-        return sending < most and tasks < most * TASKS_PER_SLOT
+        if len(self._active) >= most * TASKS_PER_SLOT:
+            return False
+        return sum(job.sending for job in self._active) < most
 
     def _start_next(self) -> bool:
         """Start or put off one job; return whether there may be another."""
@@ -190,6 +191,7 @@
             self._put_off(job)
             return True
         job.task = asyncio.ensure_future(self._attempt(job, view))
+        self._active.add(job)
         return True
 
     def _put_off(self, job: Job) -> None:
@@ -202,6 +204,8 @@
         self._push(job, 0.0)
 
     def _push(self, job: Job, delay: float) -> None:
+        if not job.partial:
+            self._active.discard(job)
         now = self._clock.now()
         request = job.request
         self._queue.push(request.deployment, order_of(request), job, now + delay)
--- a/src/ebonydeal/_internal/journal/fold.py
+++ b/src/ebonydeal/_internal/journal/fold.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Iterable
 from enum import StrEnum
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from ebonydeal._internal.models.records import (
     Accepted,
@@ -71,25 +71,6 @@
         """Whether nothing but expiry can happen any more."""
         return self.phase in FINAL
 
-    @classmethod
-    def from_message(cls, message: dict[str, Any]) -> "RequestState":
-        """Build from the wire shape; raises KeyError, TypeError or ValueError."""
-        fields = dict(message)
-        fields["request"] = Request.from_message(fields["request"])
-        fields["phase"] = Phase(fields["phase"])
-        if fields["answer"] is not None:
-            fields["answer"] = StoredAnswer(**fields["answer"])
-        return cls(**fields)
-
-    def to_message(self) -> dict[str, Any]:
-        """Return the wire shape."""
-        fields = self._asdict()
-        fields["request"] = self.request.to_message()
-        fields["phase"] = str(self.phase)
-        if self.answer is not None:
-            fields["answer"] = self.answer._asdict()
-        return fields
-
 
 def _close(state: RequestState, phase: Phase, at: float) -> RequestState:
     """Return ``state`` in a final phase, without the body text."""
--- a/src/ebonydeal/_internal/journal/node.py
+++ b/src/ebonydeal/_internal/journal/node.py
@@ -150,8 +150,10 @@
             try:
                 await self.read()
                 await self.act()
-            except EbonydealError:
+            except EbonydealError as exc:
                 self._parts.metrics.retried(RetryReason.STORE)
+                if exc.kind is ErrorKind.INTERNAL:
+                    logger.error("Rows can't be read.", error=str(exc))
             await self._clock.sleep(self._jittered(self._read_every()))
 
     def _read_every(self) -> float:
--- a/src/ebonydeal/_internal/journal/pacing.py
+++ b/src/ebonydeal/_internal/journal/pacing.py
@@ -29,14 +29,15 @@
         self._tokens = min(self._burst, self._tokens + gained)
         self._at = max(self._at, now)
 
-    def wait(self, now: float) -> float:
-        """Return seconds until a whole token is there."""
+    def wait(self, now: float, ahead: int) -> float:
+        """Return seconds until there is a token for one behind ``ahead`` others."""
         self._refill(now)
-        if self._tokens >= 1.0:
+        missing = 1.0 + ahead - self._tokens
+        if missing <= 0.0:
             return 0.0
         if self.rate <= 0.0:
             return float("inf")
-        return (1.0 - self._tokens) / self.rate
+        return missing / self.rate
 
     def take(self, now: float) -> None:
         """Use one token; may go below zero, which the refill pays back."""
@@ -49,28 +50,52 @@
 
 
 class Pacer:
-    """Spends one node's share of the write budget over all its shards."""
+    """Spends one node's share of the write budget over all its shards.
+
+    Shards stand in line, so that none of them waits for more than a turn of each
+    other one.
+    """
 
     def __init__(self, budget: Budget, now: float, owners: int = 1) -> None:
         self._budget = budget
         self._patient = _Bucket(budget.patient / owners, _BURST, now)
         self._urgent = _Bucket(budget.urgent / owners, _BURST, now)
+        self._line: dict[object, bool] = {}
 
     def set_owners(self, owners: int) -> None:
         """Divide the budget by the number of live owners."""
         self._patient.rate = self._budget.patient / max(1, owners)
         self._urgent.rate = self._budget.urgent / max(1, owners)
 
-    def wait(self, now: float, urgent: bool) -> float:
-        """Return seconds until a batch may be written; 0.0 for at once."""
-        wait = self._patient.wait(now)
+    def wait(self, who: object, now: float, urgent: bool) -> float:
+        """Return seconds until ``who`` may write a batch; 0.0 for at once.
+
+        The first asking puts it into the line.
+        """
+        self._line[who] = urgent
+        wait = self._patient.wait(now, self._ahead(who, False))
         if urgent:
-            wait = min(wait, self._urgent.wait(now))
+            wait = min(wait, self._urgent.wait(now, self._ahead(who, True)))
         return 0.0 if wait < _EPSILON else wait
 
-    def take(self, now: float, urgent: bool) -> None:
+    def _ahead(self, who: object, urgent_only: bool) -> int:
+        """Return how many stand in line before ``who``."""
+        count = 0
+        for other, urgent in self._line.items():
+            if other is who:
+                break
+            count += urgent or not urgent_only
+        return count
+
+    def take(self, who: object, now: float, urgent: bool) -> None:
         """Count one write, from the bucket that has a token."""
-        if urgent and self._patient.wait(now) > _EPSILON:
+        ahead = self._ahead(who, False)
+        if urgent and self._patient.wait(now, ahead) > _EPSILON:
             self._urgent.take(now)
         else:
             self._patient.take(now)
+        self.leave(who)
+
+    def leave(self, who: object) -> None:
+        """Take ``who`` out of the line: it has nothing to write."""
+        self._line.pop(who, None)
--- a/src/ebonydeal/_internal/journal/snapshots.py
+++ b/src/ebonydeal/_internal/journal/snapshots.py
@@ -82,28 +82,43 @@
     snapshot: str = ""
 
 
+class _File(NamedTuple):
+    """Content of a snapshot object; new fields go to the end, with defaults."""
+
+    format: int
+    requests: list[RequestState]
+
+
+_DECODER = msgspec.json.Decoder(_File)
+
+
 def encode_states(states: Iterable[RequestState]) -> bytes:
     """Return a snapshot's bytes."""
-    requests = [state.to_message() for state in states]
-    return msgspec.json.encode({"format": _FORMAT, "requests": requests})
+    return msgspec.json.encode(_File(_FORMAT, list(states)))
 
 
 def decode_states(data: bytes) -> dict[str, RequestState]:
     """Return request id to state; raises INTERNAL on garbage."""
     try:
-        message = msgspec.json.decode(data)
-        if message["format"] != _FORMAT:
-            raise ValueError(message["format"])
-        states = [RequestState.from_message(item) for item in message["requests"]]
-    except (KeyError, TypeError, ValueError) as exc:
+        found = _DECODER.decode(data)
+    except msgspec.MsgspecError as exc:
         raise EbonydealError(
-            ErrorKind.INTERNAL, f"a snapshot can't be read: {exc!r}"
+            ErrorKind.INTERNAL, f"a snapshot can't be read: {exc}"
         ) from exc
-    return {state.request.request_id: state for state in states}
+    if found.format != _FORMAT:
+        raise EbonydealError(
+            ErrorKind.INTERNAL, f"a snapshot has the unknown format {found.format}"
+        )
+    return {state.request.request_id: state for state in found.requests}
 
 
 def _fold_row(states: dict[str, RequestState], row: Row) -> None:
-    records = [record_from_message(item) for item in row.value["records"]]
+    try:
+        records = [record_from_message(item) for item in row.value["records"]]
+    except (KeyError, TypeError, ValueError) as exc:
+        raise EbonydealError(
+            ErrorKind.INTERNAL, f"row {row.key} can't be read: {exc!r}"
+        ) from exc
     apply_all(states, records)
 
 
--- a/src/ebonydeal/_internal/journal/upkeep.py
+++ b/src/ebonydeal/_internal/journal/upkeep.py
@@ -12,6 +12,8 @@
 from ebonydeal._internal.utils.clock import Clock
 
 EXPIRE_AT_ONCE = 500
+EXPIRE_EVERY_S = 30.0
+_EXPIRE_SHARE = 0.01
 
 
 class Upkeep:
@@ -49,6 +51,7 @@
         self._clock = clock
         self._metrics = metrics
         self._forget: list[str] = []
+        self._expire_at = 0.0
 
     def note_objects(self, request_id: str) -> None:
         """Remember the objects of a request that is being forgotten."""
@@ -61,7 +64,12 @@
 
         Objects go only after the record is durable.
         """
-        before = self._clock.wall() - self._cfg.retention_seconds
+        now = self._clock.now()
+        if now < self._expire_at:
+            return
+        retention = self._cfg.retention_seconds
+        self._expire_at = now + min(EXPIRE_EVERY_S, retention * _EXPIRE_SHARE)
+        before = self._clock.wall() - retention
         records = expired(self._states, before, EXPIRE_AT_ONCE)
         if records:
             await appender.append(records)
--- a/src/ebonydeal/_internal/settings/journal.py
+++ b/src/ebonydeal/_internal/settings/journal.py
@@ -28,7 +28,7 @@
     writes_per_s: Annotated[
         float,
         Key("Table writes of all owners for patient records.", "writes/s", 1, 100000),
-    ] = 25.0
+    ] = 20.0
     urgent_writes_per_s: Annotated[
         float,
         Key("Further writes while a caller waits on its call.", "writes/s", 0, 100000),
--- a/tests/functional/journal/test_shard.py
+++ b/tests/functional/journal/test_shard.py
@@ -5,6 +5,8 @@
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.journal.fold import Phase
+from ebonydeal._internal.journal.rows import journal_key
+from ebonydeal._internal.platform.interfaces import Put
 from tests.lib.clock import settle
 from tests.lib.journal_fakes import World, make_note, make_request
 
@@ -53,6 +55,20 @@
         assert caught.value.kind is ErrorKind.NOT_FOUND
 
 
+class TestGarbage:
+    async def test_a_row_that_is_none_of_ours_stops_its_shard_alone(self, world):
+        node = await world.node()
+        await node.owner.accept(make_request())
+        await world.tables.transact([], [Put(journal_key(0, 0), {"records": [{}]})])
+        await node.kill()
+        other = await world.node("n-2")
+        await world.clock.advance(5.0)
+        assert not other.owner.serving
+        assert not other.owner.crashed
+        await other.take(1)
+        assert other.owner.serving
+
+
 class TestKeyedCalls:
     async def test_a_repeat_gets_the_stored_answer(self, world):
         node = await world.node()
--- a/tests/unit/journal/test_fold.py
+++ b/tests/unit/journal/test_fold.py
@@ -1,6 +1,8 @@
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.journal.fold import (
     Phase,
     RequestState,
@@ -110,6 +112,14 @@
         assert record_from_message(record_to_message(record)) == record
 
 
+class TestSnapshotFile:
+    @pytest.mark.parametrize("data", [b"", b"{}", b"[2, []]", b"[1, [1]]", b"[1"])
+    def test_garbage_is_an_error_of_its_own(self, data):
+        with pytest.raises(EbonydealError) as caught:
+            decode_states(data)
+        assert caught.value.kind is ErrorKind.INTERNAL
+
+
 class TestExpired:
     def test_old_final_requests_go(self):
         states = {}
--- a/tests/unit/journal/test_protocol.py
+++ b/tests/unit/journal/test_protocol.py
@@ -254,7 +254,10 @@
 
 
 class TestClaim:
-    async def test_of_two_one_wins(self, world):
+    @pytest.mark.parametrize("claimed_before", [False, True])
+    async def test_of_two_one_wins(self, world, claimed_before):
+        if claimed_before:
+            await claim(world)
         seen = await world.tables.get(shard_key(0))
         claims = [
             claim_shard(
@@ -268,7 +271,7 @@
             for name in ("n-1", "n-1")
         ]
         won = [item for item in await asyncio.gather(*claims) if item is not None]
-        assert [item.epoch for item in won] == [1]
+        assert [item.epoch for item in won] == [2 if claimed_before else 1]
 
     async def test_a_lost_answer_is_found_by_its_token(self, world):
         world.tables.faults.writes.append(Fault.LOST_ANSWER)
--- a/tests/unit/journal/test_shards.py
+++ b/tests/unit/journal/test_shards.py
@@ -117,29 +117,40 @@
 class TestPacer:
     def test_at_light_load_a_batch_goes_at_once(self):
         pacer = Pacer(Budget(2.0, 0.0), 0.0)
-        pacer.take(0.0, False)
-        assert pacer.wait(1.0, False) == 0.0
+        pacer.take("a", 0.0, False)
+        assert pacer.wait("a", 1.0, False) == 0.0
 
-    def test_the_budget_is_kept(self):
+    def test_the_budget_is_kept_and_shared(self):
         pacer = Pacer(Budget(10.0, 0.0), 0.0, owners=2)
-        now, count = 0.0, 0
+        now, counts = 0.0, {"a": 0, "b": 0, "c": 0}
         while now < 100.0:
-            wait = pacer.wait(now, False)
-            if wait:
-                now += wait
+            waits = {who: pacer.wait(who, now, False) for who in counts}
+            first = min(waits, key=waits.get)
+            if waits[first]:
+                now += waits[first]
                 continue
-            pacer.take(now, False)
-            count += 1
-        assert 500 <= count <= 503
+            pacer.take(first, now, False)
+            counts[first] += 1
+        assert 500 <= sum(counts.values()) <= 503
+        assert max(counts.values()) - min(counts.values()) <= 1
 
     def test_urgent_batches_have_tokens_of_their_own(self):
         pacer = Pacer(Budget(1.0, 1.0), 0.0)
         for _ in range(2):
-            pacer.take(0.0, False)
-        assert pacer.wait(0.0, False) == 1.0
-        assert pacer.wait(0.0, True) == 0.0
-        pacer.take(0.0, True)
-        assert pacer.wait(0.0, False) == 1.0
+            pacer.take("a", 0.0, False)
+        assert pacer.wait("a", 0.0, False) == 1.0
+        assert pacer.wait("b", 0.0, True) == 0.0
+        pacer.take("b", 0.0, True)
+        assert pacer.wait("a", 0.0, False) == 1.0
+
+    def test_one_that_leaves_the_line_holds_up_nobody(self):
+        pacer = Pacer(Budget(1.0, 0.0), 0.0)
+        for _ in range(2):
+            pacer.take("a", 0.0, False)
+        assert pacer.wait("a", 0.0, False) == 1.0
+        assert pacer.wait("b", 0.0, False) == 2.0
+        pacer.leave("a")
+        assert pacer.wait("b", 0.0, False) == 1.0
 
 
 class TestWorkQueue:
