Tell rare readings from gaps; bound what a shard keeps

Cause: with more than about 75 nodes the planned time between two readings counted as a gap, so that no lease would ever have lapsed; found by reading the code for full size. Leases of 500 nodes would have been renewed each 125 s. A shard's retained requests had no bound. Change: a gap is measured against the planned time; leases have a write budget of their own (lease_writes_per_s); max_requests refuses with journal_behind. Conclusion: the readings' own cost at hundreds of nodes stays to be measured.

--- a/src/ebonydeal/_internal/journal/leases.py
+++ b/src/ebonydeal/_internal/journal/leases.py
@@ -9,6 +9,7 @@
 
 JOURNAL_ROLE = "journal"
 SILENT_RENEWALS = 3
+MISSED_READINGS = 2.5
 
 
 class NodeLease(NamedTuple):
@@ -85,15 +86,18 @@
         self._seen: dict[str, _Seen] = {}
         self._read_at: float | None = None
 
-    def observe(self, leases: dict[str, NodeLease], now: float) -> None:
+    def observe(
+        self, leases: dict[str, NodeLease], now: float, every: float = 0.0
+    ) -> None:
         """Take a reading of all lease rows; those that are gone are released.
 
         Time in which nothing could be read (an outage, a pause of this process)
-        is no silence of the others: they get that time again.
+        is no silence of the others: they get that time again. ``every`` is the
+        planned time between readings, seconds.
         """
         gap = 0.0 if self._read_at is None else now - self._read_at
         self._read_at = now
-        if gap > self._lease_seconds / 2:
+        if gap > max(self._lease_seconds / 2, MISSED_READINGS * every):
             self._seen = {
                 node_id: seen._replace(changed_at=seen.changed_at + gap)
                 for node_id, seen in self._seen.items()
--- a/src/ebonydeal/_internal/journal/node.py
+++ b/src/ebonydeal/_internal/journal/node.py
@@ -31,7 +31,6 @@
 NODES_PER_READING = 50
 JITTER = 0.2
 MIN_GRACE_S = 1.0
-RENEW_SHARE = 0.2
 
 Offer = Callable[[str, int], Awaitable[None]]
 
@@ -119,7 +118,7 @@
             await self._clock.sleep(self._jittered(every))
 
     def _renew_every(self) -> float:
-        budget = self._cfg.writes_per_s * RENEW_SHARE
+        budget = self._cfg.lease_writes_per_s
         return renew_every(self._cfg.renew_seconds, len(self._view.nodes), budget)
 
     def _jittered(self, seconds: float) -> float:
@@ -167,7 +166,7 @@
         shards = await self._scan(SHARDS)
         now = self._clock.now()
         leases = read_leases((row.key[len(NODES) :], row.value) for row in nodes)
-        self._watch.observe(leases, now)
+        self._watch.observe(leases, now, self._read_every())
         rows = {int(row.key[len(SHARDS) :], 16): row for row in shards}
         self._view = View(self._watch.live(now), rows)
         self._parts.pacer.set_owners(len(self._view.nodes))
--- a/src/ebonydeal/_internal/journal/owner.py
+++ b/src/ebonydeal/_internal/journal/owner.py
@@ -226,6 +226,10 @@
         self._check_serving()
         request_id = request.request_id
         if request_id not in self.states:
+            if len(self.states) >= self._cfg.max_requests:
+                raise EbonydealError(
+                    ErrorKind.JOURNAL_BEHIND, "The shard keeps too many requests."
+                )
             task = self._accepting.get(request_id)
             if task is None:
                 task = asyncio.ensure_future(self._append_accepted(request, urgent))
--- a/src/ebonydeal/_internal/settings/journal.py
+++ b/src/ebonydeal/_internal/settings/journal.py
@@ -21,6 +21,9 @@
     renew_seconds: Annotated[
         float, Key("Time between renewals of a node lease.", "seconds", 0.1, 120)
     ] = 3.0
+    lease_writes_per_s: Annotated[
+        float, Key("Table writes of all nodes' leases.", "writes/s", 0.1, 100000)
+    ] = 60.0
     settle_seconds: Annotated[
         float,
         Key("How long a node is up before shards move to it.", "seconds", 0, 3600),
@@ -42,6 +45,9 @@
     max_pending: Annotated[
         int, Key("Records of a shard that may wait.", "records", 1, 1000000)
     ] = 4000
+    max_requests: Annotated[
+        int, Key("Requests of a shard that are kept at once.", "", 1, 100000000)
+    ] = 200000
     append_patience: Annotated[
         float, Key("Longest wait of an accept for its write.", "seconds", 0.1, 120)
     ] = 5.0
--- a/tests/functional/journal/test_shard.py
+++ b/tests/functional/journal/test_shard.py
@@ -8,7 +8,7 @@
 from ebonydeal._internal.journal.rows import journal_key
 from ebonydeal._internal.platform.interfaces import Put
 from tests.lib.clock import settle
-from tests.lib.journal_fakes import World, make_note, make_request
+from tests.lib.journal_fakes import FAST, World, make_note, make_request
 
 
 @pytest.fixture
@@ -47,6 +47,16 @@
         status = await other.owner.status("r-0000-1", "gwesty")
         assert status["state"] == "completed"
 
+    async def test_a_full_shard_takes_no_more(self):
+        world = World(FAST._replace(max_requests=1))
+        node = await world.node()
+        await node.owner.accept(make_request())
+        await node.owner.accept(make_request())
+        with pytest.raises(EbonydealError) as caught:
+            await node.owner.accept(make_request("r-0000-2"))
+        assert caught.value.kind is ErrorKind.JOURNAL_BEHIND
+        await world.close()
+
     async def test_other_accounts_see_nothing(self, world):
         node = await world.node()
         await node.owner.accept(make_request())
--- a/tests/unit/journal/test_shards.py
+++ b/tests/unit/journal/test_shards.py
@@ -49,6 +49,12 @@
         watch.observe({"a": lease()}, 300.0)
         assert set(watch.live(300.0)) == {"a"}
 
+    def test_rare_readings_are_no_gaps(self):
+        watch = LeaseWatch(9.0)
+        for now in range(0, 150, 30):
+            watch.observe({"a": lease()}, float(now), every=30.0)
+        assert watch.live(120.0) == {}
+
     def test_a_new_incarnation_starts_anew(self):
         watch = LeaseWatch(9.0)
         watch.observe({"a": lease(beat=1)}, 0.0)
