Keep what owners share in a module of its own

Change: the dispatch protocol and the shared parts moved to parts.py. Conclusion: no behaviour changed.

--- a/src/ebonydeal/_internal/benchmarks/journal/rig.py
+++ b/src/ebonydeal/_internal/benchmarks/journal/rig.py
@@ -7,8 +7,9 @@
 from ebonydeal._internal.journal.claims import Identity, claim_shard
 from ebonydeal._internal.journal.dispatcher import Dispatcher
 from ebonydeal._internal.journal.node import JournalNode
-from ebonydeal._internal.journal.owner import OwnerParts, ShardOwner
+from ebonydeal._internal.journal.owner import ShardOwner
 from ebonydeal._internal.journal.pacing import Budget, Pacer
+from ebonydeal._internal.journal.parts import OwnerParts
 from ebonydeal._internal.models.endpoints import EndpointView
 from ebonydeal._internal.models.places import Place
 from ebonydeal._internal.models.requests import Priority, Request, RequestKind
--- a/src/ebonydeal/_internal/journal/node.py
+++ b/src/ebonydeal/_internal/journal/node.py
@@ -16,7 +16,8 @@
     read_leases,
     renew_every,
 )
-from ebonydeal._internal.journal.owner import OwnerParts, ShardOwner
+from ebonydeal._internal.journal.owner import ShardOwner
+from ebonydeal._internal.journal.parts import OwnerParts
 from ebonydeal._internal.journal.rows import NODES, SHARDS, node_key, shard_key
 from ebonydeal._internal.journal.shards import FreeSince, HeldShard, plan, ranking
 from ebonydeal._internal.models.places import Place
--- a/src/ebonydeal/_internal/journal/owner.py
+++ b/src/ebonydeal/_internal/journal/owner.py
@@ -5,9 +5,7 @@
 """
 
 import asyncio
-import random
 from collections.abc import Callable, Sequence
-from typing import NamedTuple, Protocol
 
 from mode import Service
 
@@ -16,7 +14,7 @@
 from ebonydeal._internal.journal.bodies import Bodies
 from ebonydeal._internal.journal.claims import Claim, release_shard
 from ebonydeal._internal.journal.fold import Phase, RequestState, apply_all
-from ebonydeal._internal.journal.pacing import Pacer
+from ebonydeal._internal.journal.parts import OwnerParts
 from ebonydeal._internal.journal.snapshots import Replayed, replay
 from ebonydeal._internal.journal.status import StatusMessage, status_message
 from ebonydeal._internal.journal.upkeep import Upkeep
@@ -27,11 +25,8 @@
     Unknown,
 )
 from ebonydeal._internal.models.requests import Request, StoredAnswer
-from ebonydeal._internal.observe.counters import Metrics, Timing
+from ebonydeal._internal.observe.counters import Timing
 from ebonydeal._internal.observe.logs import get_logger
-from ebonydeal._internal.platform.interfaces import Objects, Tables
-from ebonydeal._internal.settings.journal import JournalSettings
-from ebonydeal._internal.utils.clock import Clock
 
 logger = get_logger("journal")
 
@@ -40,35 +35,6 @@
 STORE_RETRY_S = 1.0
 
 
-class Dispatch(Protocol):
-    """What an owner asks of the dispatcher."""
-
-    def submit(self, book: "ShardOwner", request_id: str, may_have_run: bool) -> None:
-        """Run an accepted request when its turn comes."""
-
-    async def cancel(self, book: "ShardOwner", request_id: str) -> None:
-        """Stop a request; returns once its end is durable or it can't be stopped."""
-
-    async def drain(self, book: "ShardOwner", limit: float) -> bool:
-        """Start no more of a shard's work; return whether all runs ended in time."""
-
-    def drop(self, book: "ShardOwner") -> None:
-        """Forget a shard's work at once; its runs are cancelled."""
-
-
-class OwnerParts(NamedTuple):
-    """What all owners of one process share."""
-
-    tables: Tables
-    objects: Objects
-    dispatch: Dispatch
-    pacer: Pacer
-    cfg: JournalSettings
-    clock: Clock
-    rng: random.Random
-    metrics: Metrics
-
-
 class ShardOwner(Service):
     """Owns one shard for one epoch.
 
--- a/src/ebonydeal/_internal/journal/program.py
+++ b/src/ebonydeal/_internal/journal/program.py
@@ -11,8 +11,8 @@
 from ebonydeal._internal.journal.claims import Identity
 from ebonydeal._internal.journal.dispatcher import Dispatcher
 from ebonydeal._internal.journal.node import JournalNode
-from ebonydeal._internal.journal.owner import OwnerParts
 from ebonydeal._internal.journal.pacing import Budget, Pacer
+from ebonydeal._internal.journal.parts import OwnerParts
 from ebonydeal._internal.journal.picker import RoutedPicker
 from ebonydeal._internal.journal.service import journal_app, offer_by
 from ebonydeal._internal.models.places import Place
