Test a stop during an outage and the way to the right owner

Cause: neither had a test; a mutant that takes no proof for proof made a test hang in place of failing. Change: two tests of nodes; that test lets time pass and looks at the result. Conclusion: a stop without a table ends, and the accepted request is answered by the next owner.

--- a/tests/functional/journal/test_nodes.py
+++ b/tests/functional/journal/test_nodes.py
@@ -132,6 +132,21 @@
         assert not await two.node.offered(shard)
         assert shard in held(one)
 
+    async def test_a_stop_during_an_outage_ends_and_loses_nothing(
+        self, world, processes, client
+    ):
+        one = await processes("n-1")
+        await until(world, lambda: len(held(one)) == 4)
+        request_id = client.request_id("gwesty", "")
+        await finish(world, client.accept(make_request(request_id)))
+        world.tables.faults.down = True
+        await finish(world, one.stop())
+        world.tables.faults.down = False
+        two = await processes("n-2")
+        await until(world, lambda: len(held(two)) == 4)
+        status = await finish(world, client.status(request_id, "gwesty"))
+        assert status.state == "completed"
+
     async def test_an_outage_of_the_table_moves_nothing(self, world, processes):
         one = await processes("n-1")
         two = await processes("n-2")
@@ -218,6 +233,19 @@
             await finish(world, client.call(make_note(request_id), 1.0))
         assert caught.value.kind is ErrorKind.STORE_IN_DOUBT
 
+    async def test_a_wrong_owner_names_the_right_one(self, world, processes, client):
+        one = await processes("n-1")
+        await until(world, lambda: len(held(one)) == 4)
+        two = await processes("n-2")
+        await until(world, lambda: held(one) and held(two))
+        await world.clock.advance(10.0)
+        shard = min(held(two))
+        client._owners[shard] = one.server.address
+        request_id = f"r-{shard:04x}-1"
+        status = await finish(world, client.accept(make_request(request_id)))
+        assert status.state == "accepted"
+        assert client._owners[shard] == two.server.address
+
 
 class TestListener:
     async def test_wants_the_peers_credential(self, world, processes):
--- a/tests/functional/journal/test_shard.py
+++ b/tests/functional/journal/test_shard.py
@@ -115,7 +115,9 @@
     async def test_no_proof_is_unknown(self, world):
         node = await world.node()
         world.services.failures.append(ErrorKind.ENDPOINT_FAILED)
-        status = await node.owner.call(make_note(), 5.0)
+        call = asyncio.ensure_future(node.owner.call(make_note(), 5.0))
+        await world.clock.advance(10.0)
+        status = call.result()
         assert status["state"] == "unknown"
         assert status["error"]["outcome"] == "unknown"
         await world.clock.advance(60.0)
