Weigh accepted work by its deployment; follow the configuration

It refused settings files with other programs' sections. Runs went on when the dispatcher stopped. Conclusion: deferred work goes where its deployment's weights say.

--- a/src/ebonydeal/_internal/cli/journal.py
+++ b/src/ebonydeal/_internal/cli/journal.py
@@ -9,10 +9,11 @@
 
 from ebonydeal import __version__
 from ebonydeal._internal.cli.run import run_program
-from ebonydeal._internal.journal.program import SECTIONS, JournalProgram
+from ebonydeal._internal.journal.program import JournalProgram
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.observe.logs import configure_logs
 from ebonydeal._internal.settings.parse import parse_settings
+from ebonydeal._internal.settings.registry import ALL_SECTIONS
 from ebonydeal._internal.utils.clock import SystemClock
 
 EXIT_SETTINGS = 2
@@ -29,7 +30,7 @@
 )
 def main(file: Path) -> None:
     """Keep accepted requests, and run them to their end."""
-    parsed = parse_settings(file.read_text(), str(file), SECTIONS)
+    parsed = parse_settings(file.read_text(), str(file), ALL_SECTIONS)
     if not is_successful(parsed):
         for problem in parsed.failure():
             click.echo(str(problem), err=True)
--- a/src/ebonydeal/_internal/journal/dispatcher.py
+++ b/src/ebonydeal/_internal/journal/dispatcher.py
@@ -69,6 +69,12 @@
     def _wake(self) -> None:
         self._changed.set()
 
+    async def on_stop(self) -> None:
+        """Cancel what still runs; owners have drained what they could."""
+        for job in list(self._active):
+            if job.task is not None:
+                job.task.cancel()
+
     # --- the owners' side --------------------------------------------------------
     def submit(self, book: Book, request_id: str, may_have_run: bool) -> None:
         """Run an accepted request when its turn comes; a known one is ignored."""
--- a/src/ebonydeal/_internal/journal/owner.py
+++ b/src/ebonydeal/_internal/journal/owner.py
@@ -25,7 +25,7 @@
     Unknown,
 )
 from ebonydeal._internal.models.requests import Request, StoredAnswer
-from ebonydeal._internal.observe.counters import Timing
+from ebonydeal._internal.observe.counters import RetryReason, Timing
 from ebonydeal._internal.observe.logs import get_logger
 
 logger = get_logger("journal")
@@ -129,6 +129,7 @@
                 wall = self._clock.wall()
                 cut_off.append(Unknown(request_id, state.attempt, why, wall))
             else:
+                self._parts.metrics.retried(RetryReason.TAKEOVER)
                 self._parts.dispatch.submit(self, request_id, may_have_run=True)
         if cut_off:
             self.add_future(self._record_quietly(cut_off))
--- a/src/ebonydeal/_internal/journal/picker.py
+++ b/src/ebonydeal/_internal/journal/picker.py
@@ -6,14 +6,16 @@
 
 import json
 from collections import Counter
+from collections.abc import Callable
 from typing import Protocol
 
 from ebonydeal._internal.errors import ErrorKind
+from ebonydeal._internal.models.document import Document, Weights
 from ebonydeal._internal.models.endpoints import EndpointView
 from ebonydeal._internal.models.places import Place
 from ebonydeal._internal.models.requests import Request, RequestKind
 from ebonydeal._internal.routing.router import Router
-from ebonydeal._internal.routing.types import Choice, RouteRequest
+from ebonydeal._internal.routing.types import NEUTRAL, Choice, RouteRequest
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.prefix import prefix_blocks, prompt_text
 
@@ -30,8 +32,21 @@
         """Return whether an endpoint is known to be going away."""
 
 
+WeightsOf = Callable[[str], Weights]
+
+
+def weights_from(document: Callable[[], Document]) -> WeightsOf:
+    """Return what counts for a deployment by the document in force."""
+
+    def weights_of(deployment: str) -> Weights:
+        found = document().deployments.get(deployment)
+        return NEUTRAL if found is None else found.weights
+
+    return weights_of
+
+
 def route_request(
-    request: Request, place: Place, exclude: frozenset[str]
+    request: Request, place: Place, exclude: frozenset[str], weights: Weights
 ) -> RouteRequest:
     """Return what the router needs to know of an accepted request."""
     model = ""
@@ -53,6 +68,7 @@
         max_tokens=request.max_tokens,
         place=place,
         exclude=exclude,
+        weights=weights,
     )
 
 
@@ -60,12 +76,18 @@
     """`Picker` over the directory's views and the router's choice."""
 
     def __init__(
-        self, views: Views, router: Router, place: Place, clock: Clock
+        self,
+        views: Views,
+        router: Router,
+        place: Place,
+        clock: Clock,
+        weights_of: WeightsOf = lambda _deployment: NEUTRAL,
     ) -> None:
         self._views = views
         self._router = router
         self._place = place
         self._clock = clock
+        self._weights_of = weights_of
         self._sent: Counter[str] = Counter()
         self._choices: dict[str, tuple[Choice, RouteRequest]] = {}
 
@@ -75,7 +97,8 @@
         views = tuple(view for view in listed if self._has_room(view))
         if not views:
             return None
-        ask = route_request(request, self._place, exclude)
+        weights = self._weights_of(request.deployment)
+        ask = route_request(request, self._place, exclude, weights)
         choice = self._router.choose(ask, views, self._clock.wall())
         if choice is None:
             return None
--- a/src/ebonydeal/_internal/journal/program.py
+++ b/src/ebonydeal/_internal/journal/program.py
@@ -6,6 +6,7 @@
 
 from mode import Service
 
+from ebonydeal._internal.config.follower import ConfigFollower
 from ebonydeal._internal.directory.service import Directory
 from ebonydeal._internal.directory.table import Change
 from ebonydeal._internal.journal.claims import Identity
@@ -13,7 +14,7 @@
 from ebonydeal._internal.journal.node import JournalNode
 from ebonydeal._internal.journal.pacing import Budget, Pacer
 from ebonydeal._internal.journal.parts import OwnerParts
-from ebonydeal._internal.journal.picker import RoutedPicker
+from ebonydeal._internal.journal.picker import RoutedPicker, weights_from
 from ebonydeal._internal.journal.service import journal_app, offer_by
 from ebonydeal._internal.models.places import Place
 from ebonydeal._internal.observe.counters import Metrics
@@ -25,6 +26,7 @@
 from ebonydeal._internal.platform.services import HttpPlainServices
 from ebonydeal._internal.platform.tables import HttpTables
 from ebonydeal._internal.routing.router import Router
+from ebonydeal._internal.settings.config import ConfigSettings
 from ebonydeal._internal.settings.directory import DirectorySettings
 from ebonydeal._internal.settings.journal import JournalSettings
 from ebonydeal._internal.settings.routing import RoutingSettings
@@ -49,6 +51,7 @@
     "directory": DirectorySettings,
     "routing": RoutingSettings,
     "journal": JournalSettings,
+    "config": ConfigSettings,
 }
 _MS = 1000
 
@@ -86,15 +89,16 @@
 class JournalProgram(Service):
     """Everything of one journal process.
 
-    Children, in the order of their start: TLS files, directory, peers, listener,
-    dispatcher, node. A stop first hands over all shards, while the listener
-    still answers those who wait.
+    Children, in the order of their start: TLS files, directory, peers,
+    configuration, listener, dispatcher, node. A stop first hands over all shards,
+    while the listener still answers those who wait.
     """
 
     def __init__(
         self,
         directory: Directory,
         peers: PeerService,
+        follower: ConfigFollower,
         dispatcher: Dispatcher,
         node: JournalNode,
         server: HttpServer,
@@ -104,6 +108,7 @@
         super().__init__()
         self.directory = directory
         self.peers = peers
+        self.follower = follower
         self.dispatcher = dispatcher
         self.node = node
         self.server = server
@@ -147,9 +152,20 @@
             ssl_server=tls.server,
             ssl_client=tls.client,
         )
+        follower = ConfigFollower.from_config(
+            settings["config"],
+            platform.tables,
+            metrics,
+            clock,
+            rng,
+            nodes=lambda: 1 + len(peers.members()),
+        )
+        peers.register(follower.topic)
         router = Router.from_config(settings["routing"], rng)
         dispatcher = Dispatcher(
-            RoutedPicker(directory, router, place, clock),
+            RoutedPicker(
+                directory, router, place, clock, weights_from(lambda: follower.document)
+            ),
             platform.engine,
             platform.services,
             cfg=cfg,
@@ -180,7 +196,7 @@
             drain_seconds=own.drain_seconds,
         )
         clients = (*platform, between)
-        return cls(directory, peers, dispatcher, node, server, tls, clients)
+        return cls(directory, peers, follower, dispatcher, node, server, tls, clients)
 
     @property
     def address(self) -> str:
@@ -194,6 +210,7 @@
         await self.add_runtime_dependency(self._tls)
         await self.add_runtime_dependency(self.directory)
         await self.add_runtime_dependency(self.peers)
+        await self.add_runtime_dependency(self.follower)
         await self.add_runtime_dependency(self.server)
         await self.add_runtime_dependency(self.dispatcher)
         self.node.me = self.node.me._replace(address=self.address)
