--- a/src/ebonydeal/_internal/journal/owner.py
+++ b/src/ebonydeal/_internal/journal/owner.py
@@ -5,9 +5,7 @@
 """
 
 import asyncio
-import random
 from collections.abc import Callable, Sequence
-from typing import NamedTuple, Protocol
 
 from mode import Service
 
@@ -16,7 +14,7 @@
 from ebonydeal._internal.journal.bodies import Bodies
 from ebonydeal._internal.journal.claims import Claim, release_shard
 from ebonydeal._internal.journal.fold import Phase, RequestState, apply_all
-from ebonydeal._internal.journal.pacing import Pacer
+from ebonydeal._internal.journal.parts import OwnerParts
 from ebonydeal._internal.journal.snapshots import Replayed, replay
 from ebonydeal._internal.journal.status import StatusMessage, status_message
 from ebonydeal._internal.journal.upkeep import Upkeep
@@ -27,11 +25,8 @@
     Unknown,
 )
 from ebonydeal._internal.models.requests import Request, StoredAnswer
-from ebonydeal._internal.observe.counters import Metrics
+from ebonydeal._internal.observe.counters import RetryReason, Timing
 from ebonydeal._internal.observe.logs import get_logger
-from ebonydeal._internal.platform.interfaces import Objects, Tables
-from ebonydeal._internal.settings.journal import JournalSettings
-from ebonydeal._internal.utils.clock import Clock
 
 logger = get_logger("journal")
 
@@ -40,35 +35,6 @@
 STORE_RETRY_S = 1.0
 
 
-class Dispatch(Protocol):
-    """What an owner asks of the dispatcher."""
-
-    def submit(self, book: "ShardOwner", request_id: str, may_have_run: bool) -> None:
-        """Run an accepted request when its turn comes."""
-
-    async def cancel(self, book: "ShardOwner", request_id: str) -> None:
-        """Stop a request; returns once its end is durable or it can't be stopped."""
-
-    async def drain(self, book: "ShardOwner", limit: float) -> bool:
-        """Start no more of a shard's work; return whether all runs ended in time."""
-
-    def drop(self, book: "ShardOwner") -> None:
-        """Forget a shard's work at once; its runs are cancelled."""
-
-
-class OwnerParts(NamedTuple):
-    """What all owners of one process share."""
-
-    tables: Tables
-    objects: Objects
-    dispatch: Dispatch
-    pacer: Pacer
-    cfg: JournalSettings
-    clock: Clock
-    rng: random.Random
-    metrics: Metrics
-
-
 class ShardOwner(Service):
     """Owns one shard for one epoch.
 
@@ -93,6 +59,7 @@
         self.serving = False
         self.draining = False
         self._lost = False
+        self._claimed_at = parts.clock.now()
         self._parts = parts
         self._cfg = parts.cfg
         self._clock = parts.clock
@@ -162,9 +129,12 @@
                 wall = self._clock.wall()
                 cut_off.append(Unknown(request_id, state.attempt, why, wall))
             else:
+                self._parts.metrics.retried(RetryReason.TAKEOVER)
                 self._parts.dispatch.submit(self, request_id, may_have_run=True)
         if cut_off:
             self.add_future(self._record_quietly(cut_off))
+        took = self._clock.now() - self._claimed_at
+        self._parts.metrics.timed(Timing.TAKEOVER, took)
         logger.info(
             "Serving a shard.", shard=self.shard, epoch=self.epoch, rows=replayed.rows
         )
@@ -212,9 +182,7 @@
         if self._lost:
             raise EbonydealError(ErrorKind.WRONG_OWNER, owner="")
         if not self.serving:
-            raise EbonydealError(
-                ErrorKind.WRONG_OWNER, "The shard is changing owners."
-            )
+            raise EbonydealError(ErrorKind.WRONG_OWNER, "The shard is changing owners.")
 
     async def accept(self, request: Request, urgent: bool = False) -> RequestState:
         """Return the request's state once its accepted record is durable.
@@ -225,6 +193,10 @@
         self._check_serving()
         request_id = request.request_id
         if request_id not in self.states:
+            if len(self.states) >= self._cfg.max_requests:
+                raise EbonydealError(
+                    ErrorKind.JOURNAL_BEHIND, "The shard keeps too many requests."
+                )
             task = self._accepting.get(request_id)
             if task is None:
                 task = asyncio.ensure_future(self._append_accepted(request, urgent))
