--- a/src/ebonydeal/_internal/config/references.py
+++ b/src/ebonydeal/_internal/config/references.py
@@ -1,6 +1,6 @@
 """References, ranges across fields and feasibility of a well-formed document."""
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Collection, Iterator, Sequence
 from typing import Any
 
 from ebonydeal._internal.config.problems import Path, Problem
@@ -8,13 +8,16 @@
 
 Item = dict[str, Any]
 
+# Fields that can't be judged without another.
+_NEEDING = {"models": ("adapters", "kind")}
+
 
 def reference_problems(
     document: dict[str, Any],
     offers: Sequence[Offer] | None,
-    unsound: frozenset[tuple[str, int]] = frozenset(),
+    refused: Collection[Path] = (),
 ) -> list[Problem]:
-    """Return every problem between and inside the items that the schema passed.
+    """Return every problem between and inside the items.
 
     Parameters
     ----------
@@ -22,34 +25,46 @@
         Its sections must be lists.
     offers : sequence of Offer or None
         For the feasibility of prices.
-    unsound : frozenset of (section, index)
-        Items that the schema refused. They are left out, but what they are
-        named still counts as known.
+    refused : collection of paths
+        What the schema refused. These fields are left out here, and the rest
+        of their items is still checked.
     """
-    problems = list(_unique_names(document, unsound))
+    problems = list(_unique_names(document, refused))
     zones = {zone for _, zone in _zones(document)}
     accounts = {name for _, name in _names(document, "accounts")}
-    sound = [
-        (index, item)
-        for index, item in enumerate(document["deployments"])
-        if ("deployments", index) not in unsound
-    ]
-    for index, item in sound:
+    deployments = _sound_parts(document, "deployments", refused)
+    for index, item in deployments:
         path: Path = ("deployments", index)
-        problems.extend(_unknown(item["zones"], zones, (*path, "zones"), "zone"))
-        problems.extend(
-            _unknown(item["accounts"], accounts, (*path, "accounts"), "account")
-        )
+        names = item.get("zones", [])
+        problems.extend(_unknown(names, zones, (*path, "zones"), "zone"))
+        names = item.get("accounts", [])
+        problems.extend(_unknown(names, accounts, (*path, "accounts"), "account"))
         problems.extend(_replica_problems(item, path))
         problems.extend(_kind_problems(item, path))
         problems.extend(_adapter_problems(item, path))
         problems.extend(_call_problems(item, path))
         if offers is not None:
             problems.extend(_price_problems(item, path, offers))
-    problems.extend(_shared_models(sound))
+    problems.extend(_shared_models(deployments))
     return problems
 
 
+def _sound_parts(
+    document: dict[str, Any], section: str, refused: Collection[Path]
+) -> list[tuple[int, Item]]:
+    """Return a section's items without the fields that the schema refused."""
+    bad: dict[int, set[str]] = {}
+    for path in refused:
+        match path:
+            case (str(name), int(index), str(field), *_) if name == section:
+                bad.setdefault(index, set()).update((field, *_NEEDING.get(field, ())))
+    return [
+        (index, {k: v for k, v in item.items() if k not in bad.get(index, ())})
+        for index, item in enumerate(document[section])
+        if isinstance(item, dict)
+    ]
+
+
 def _names(document: dict[str, Any], section: str) -> list[tuple[Path, str]]:
     """Return the names of a section, also of unsound items, with their paths."""
     return [
@@ -71,12 +86,12 @@
 
 
 def _unique_names(
-    document: dict[str, Any], unsound: frozenset[tuple[str, int]]
+    document: dict[str, Any], refused: Collection[Path]
 ) -> Iterator[Problem]:
     """Yield names that stand twice; case is not enough to tell two apart."""
     for section in ("regions", "accounts", "deployments"):
         yield from _repeated(_names(document, section))
-    if not any(section == "regions" for section, _ in unsound):
+    if not any(path[:1] == ("regions",) for path in refused):
         yield from _repeated(_zones(document))
 
 
@@ -115,11 +130,13 @@
 
 def _kind_problems(item: Item, path: Path) -> Iterator[Problem]:
     """Yield keys that don't go with the kind."""
-    if item["kind"] == "engine":
-        if not item.get("models"):
+    kind = item.get("kind")
+    if kind == "engine":
+        if item.get("models", []) == []:
             yield Problem((*path, "models"), "an engine must have at least one model")
         if item.get("calls"):
             yield Problem((*path, "calls"), "only a plain service has calls")
+    if kind != "service":
         return
     for key in ("models", "adapters"):
         if item.get(key):
@@ -157,9 +174,11 @@
 
 def _price_problems(item: Item, path: Path, offers: Sequence[Offer]) -> list[Problem]:
     """Return whether the ceiling is under what the cloud asks for now."""
+    ceiling = item.get("price_ceiling_per_hour")
+    if not item.get("zones") or ceiling is None:
+        return []
     prices = [offer.price_per_hour for offer in offers if offer.zone in item["zones"]]
     where = (*path, "price_ceiling_per_hour")
-    ceiling = item["price_ceiling_per_hour"]
     if not prices:
         return [Problem((*path, "zones"), "no instance is offered in these zones")]
     cheapest = min(prices)
@@ -192,9 +211,9 @@
 
 def _clash(first: Item, second: Item, model: str, index: int) -> Iterator[Problem]:
     """Yield the problem of two deployments that serve ``model`` to one account."""
-    accounts = set(first["accounts"]) & set(second["accounts"])
+    accounts = set(first.get("accounts", ())) & set(second.get("accounts", ()))
     if accounts:
-        message = (
-            f"'{first['name']}' already serves {model} to {', '.join(sorted(accounts))}"
-        )
+        name = first.get("name", "?")
+        listed = ", ".join(sorted(accounts))
+        message = f"'{name}' already serves {model} to {listed}"
         yield Problem(("deployments", index, "models"), message)
--- a/src/ebonydeal/_internal/config/validate.py
+++ b/src/ebonydeal/_internal/config/validate.py
@@ -2,7 +2,7 @@
 
 Three passes: values that JSON can't carry or the table can't keep, the published
 schema, then references, ranges across fields and feasibility. The last pass leaves
-out items that the schema refused.
+out fields that the schema refused.
 """
 
 import json
@@ -63,8 +63,8 @@
         errors = _validator().iter_errors(document)
         problems = [item for error in errors for item in _from_error(error)]
         if _comparable(document):
-            unsound = _unsound(problems)
-            problems += reference_problems(document, offers, unsound)
+            refused = {problem.path for problem in problems}
+            problems += reference_problems(document, offers, refused)
     if problems:
         return Failure(sorted(problems, key=_order)[:_MAX_PROBLEMS])
     return Success(document)
@@ -77,16 +77,6 @@
     )
 
 
-def _unsound(problems: list[Problem]) -> frozenset[tuple[str, int]]:
-    """Return the items that have problems, by section and index."""
-    found = set()
-    for problem in problems:
-        match problem.path:
-            case (str(section), int(index), *_):
-                found.add((section, index))
-    return frozenset(found)
-
-
 def _order(problem: Problem) -> tuple[tuple[int, str], ...]:
     """Return a sort key: list indexes by number, keys by name."""
     return tuple(
@@ -173,7 +163,7 @@
         case "maximum":
             return f"must be at most {rule:g}, not {_shown(value)}"
         case "minItems":
-            return f"must have at least {rule}"
+            return f"must have at least {rule} entry"
         case "maxItems":
             return f"must have at most {rule}, not {len(value)}"
         case "minLength":
--- a/src/ebonydeal/_internal/console/fields.py
+++ b/src/ebonydeal/_internal/console/fields.py
@@ -10,6 +10,12 @@
 class NumberField(FloatField):
     """A number with a point or, as in Italian, a comma; empty means default."""
 
+    def _value(self) -> str:
+        """Return the text to show: what was typed, or the shortest form."""
+        if self.raw_data:
+            return str(self.raw_data[0])
+        return "" if self.data is None else f"{self.data:.12g}"
+
     def process_formdata(self, valuelist: list[str]) -> None:
         """Read the posted text."""
         text = valuelist[0].strip() if valuelist else ""
--- a/src/ebonydeal/_internal/console/forms.py
+++ b/src/ebonydeal/_internal/console/forms.py
@@ -155,9 +155,10 @@
     accounts = ChecksField("Client accounts")
     zones = ChecksField("Availability zones")
     priority = SelectField(
-        "Priority of requests that ask for none",
+        "Usual priority",
         choices=_PRIORITIES,
         validate_choice=False,
+        description="Of requests that ask for none.",
     )
     price_ceiling_per_hour = NumberField(
         "Price ceiling an hour", description="For all its instances together."
@@ -168,7 +169,7 @@
     between_tokens_s = NumberField("Between tokens", description="Seconds, 95 in 100.")
     weight_cost = NumberField("Weight of cost", description="1 is neutral.")
     weight_recompute = NumberField(
-        "Weight of recomputed tokens", description="1 is neutral."
+        "Weight of recomputing", description="1 is neutral; of tokens."
     )
     deadline_work = BooleanField("Accepted-for-later requests may wait for cheap hours")
     engines_check_fence = BooleanField(
--- a/src/ebonydeal/_internal/console/program.py
+++ b/src/ebonydeal/_internal/console/program.py
@@ -74,6 +74,8 @@
         Closed at the end.
     server : HttpServer
         The operators' listener.
+    follower : ConfigFollower
+        One of the children.
     """
 
     def __init__(
@@ -81,8 +83,10 @@
         children: tuple[Service, ...],
         clients: tuple[Any, ...],
         server: HttpServer,
+        follower: ConfigFollower,
     ) -> None:
         super().__init__()
+        self.follower = follower
         self._children_wanted = children
         self._clients = clients
         self._server = server
@@ -143,9 +147,9 @@
             ssl_context=tls.server,
             drain_seconds=own.drain_seconds,
         )
-        return cls(
-            (tls, peers, follower, server), (tables, instances, cloud, client), server
-        )
+        children = (tls, peers, follower, server)
+        clients = (tables, instances, cloud, client)
+        return cls(children, clients, server, follower)
 
     @property
     def address(self) -> str:
--- a/tests/unit/config/test_validate.py
+++ b/tests/unit/config/test_validate.py
@@ -97,11 +97,19 @@
     def test_references_beside_a_wrong_shape(self):
         document = changed(zones=["nowhere"])
         document["deployments"][1]["colour"] = "ebony"
+        document["deployments"][1]["replicas"] = {"min": 3, "max": 1}
         document["accounts"][0]["priority"] = "urgent"
         assert [where for where, _ in problems(document)] == [
             "accounts[0].priority",
             "deployments[0].zones[0]",
             "deployments[1].colour",
+            "deployments[1].replicas.min",
+        ]
+
+    def test_no_false_reasons_beside_wrong_models(self):
+        document = changed(models=["covers 13b"])
+        assert [where for where, _ in problems(document)] == [
+            "deployments[0].models[0]"
         ]
 
     def test_two_deployments_for_one_model_and_account(self):
