Test every fault at every table call of a proposal

Cause: a lost answer may come at any step of the commit. Conclusion: told as accepted only when in force, never twice.

--- /dev/null
+++ b/tests/unit/config/test_commit_faults.py
@@ -0,0 +1,120 @@
+"""Every fault at every table call of a proposal."""
+
+import random
+
+import pytest
+from returns.result import Success
+
+from ebonydeal._internal.config.examples import example_document
+from ebonydeal._internal.config.store import ConfigStore
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from tests.lib.config_fakes import FakeTables, QuickClock
+
+FAULTS = ["down", "lost", "late"]
+# Table calls of a proposal with an id: own version, head, commit; from the second
+# version on the items and the head again come before the commit.
+CALLS = {0: 3, 1: 5}
+POINTS = [
+    (base, step, fault)
+    for base, calls in CALLS.items()
+    for step in range(calls)
+    for fault in FAULTS
+]
+
+
+def edited(most):
+    document = example_document("cadwaladr")
+    document["deployments"][0]["replicas"]["max"] = most
+    return document
+
+
+async def prepared(base):
+    tables = FakeTables()
+    store = ConfigStore(tables, QuickClock(), random.Random(1))
+    for version in range(base):
+        await store.propose(edited(90 + version), version, "nia", "")
+    tables.calls.clear()
+    tables.written.clear()
+    return tables, store
+
+
+async def attempt(store, base):
+    """Return the outcome as a version, or the error's kind."""
+    try:
+        result = await store.propose(edited(50), base, "rhys", "", proposal="p-1")
+    except EbonydealError as exc:
+        return exc.kind
+    return result.unwrap()
+
+
+class TestCalls:
+    @pytest.mark.parametrize("base", CALLS)
+    async def test_a_proposal_makes_so_many_calls(self, base):
+        tables, store = await prepared(base)
+        assert await attempt(store, base) == base + 1
+        assert len(tables.calls) == CALLS[base]
+
+
+class TestOneFault:
+    @pytest.mark.parametrize(("base", "step", "fault"), POINTS)
+    async def test_told_the_truth_and_done_once(self, base, step, fault):
+        tables, store = await prepared(base)
+        tables.faults = ["ok"] * step + [fault]
+        outcome = await attempt(store, base)
+        if step == CALLS[base] - 1:
+            assert outcome == base + 1
+        else:
+            assert outcome == ErrorKind.STORE_UNAVAILABLE
+            assert tables.written == []
+        tables.land()
+        assert await attempt(store, base) == base + 1
+        assert tables.written.count("config/head") == 1
+
+    @pytest.mark.parametrize("base", CALLS)
+    @pytest.mark.parametrize("fault", FAULTS)
+    async def test_then_an_outage(self, base, fault):
+        tables, store = await prepared(base)
+        tables.write_faults = [fault, *["down"] * 30]
+        outcome = await attempt(store, base)
+        known = fault == "down"
+        assert outcome == (
+            ErrorKind.STORE_UNAVAILABLE if known else ErrorKind.STORE_IN_DOUBT
+        )
+        tables.write_faults = []
+        tables.land()
+        assert await attempt(store, base) == base + 1
+        assert tables.written.count("config/head") == 1
+
+
+class TestPairsOfFaults:
+    @pytest.mark.parametrize("first", FAULTS)
+    @pytest.mark.parametrize("second", FAULTS)
+    @pytest.mark.parametrize("reading", ["ok", "down"])
+    async def test_two_at_the_commit(self, first, second, reading):
+        tables, store = await prepared(1)
+        tables.faults = ["ok"] * 4 + [first, second, reading]
+        assert await attempt(store, 1) == 2
+        tables.land()
+        assert await store.load() == await store.load(2)
+        assert tables.written.count("config/head") == 1
+
+    @pytest.mark.parametrize("fault", FAULTS)
+    async def test_another_wins_after_the_fault(self, fault):
+        tables, store = await prepared(1)
+        task = store.propose(edited(50), 1, "rhys", "", proposal="p-1")
+        for _ in range(5):
+            task.send(None)
+        tables.faults = [fault]
+        task.send(None)  # the fault; then about to try again
+        other = ConfigStore(tables, QuickClock(), random.Random(2))
+        other_won = await other.propose(edited(70), 1, "nia", "") == Success(2)
+        assert other_won == (fault != "lost")
+        tables.land()
+        with pytest.raises(StopIteration) as stop:
+            while True:
+                task.send(None)
+        if other_won:
+            conflict = stop.value.value.failure()
+            assert [info.by for info in conflict.versions] == ["nia"]
+        else:
+            assert stop.value.value == Success(2)
