--- a/src/ebonydeal/_internal/config/references.py
+++ b/src/ebonydeal/_internal/config/references.py
@@ -43,12 +43,23 @@
         problems.extend(_kind_problems(item, path))
         problems.extend(_adapter_problems(item, path))
         problems.extend(_call_problems(item, path))
-        if offers is not None:
-            problems.extend(_price_problems(item, path, offers))
     problems.extend(_shared_models(deployments))
+    if offers is not None:
+        problems.extend(price_problems(document, offers, refused))
     return problems
 
 
+def price_problems(
+    document: dict[str, Any], offers: Sequence[Offer], refused: Collection[Path] = ()
+) -> list[Problem]:
+    """Return the deployments that present offers can't satisfy."""
+    return [
+        problem
+        for index, item in _sound_parts(document, "deployments", refused)
+        for problem in _price_problems(item, ("deployments", index), offers)
+    ]
+
+
 def _sound_parts(
     document: dict[str, Any], section: str, refused: Collection[Path]
 ) -> list[tuple[int, Item]]:
--- a/src/ebonydeal/_internal/config/store.py
+++ b/src/ebonydeal/_internal/config/store.py
@@ -16,6 +16,7 @@
     split,
 )
 from ebonydeal._internal.config.problems import Problem
+from ebonydeal._internal.config.references import price_problems
 from ebonydeal._internal.config.rows import (
     EMPTY,
     HEAD,
@@ -137,9 +138,9 @@
         bound = _bound(proposal or self.new_proposal(), document)
         if proposal and await self._is_own(base_version + 1, bound):
             return Success(base_version + 1)
-        checked = validate(document, offers)
-        if isinstance(checked, Failure):
-            return Failure(checked.failure())
+        dear = price_problems(document, offers) if offers is not None else []
+        if dear:
+            return Failure(dear)
         content = await read_content(self._tables)
         if content.version != base_version:
             return Failure(await self._conflict(base_version))
