Read posted forms with care

Cause: a file in the place of a text field, or a body of no charset, ended in an internal error. Change: one reader of posts; any input of a form is read or refused. Conclusion: bad posts are 400 or a reason beside the field.

--- a/src/ebonydeal/_internal/console/edit_pages.py
+++ b/src/ebonydeal/_internal/console/edit_pages.py
@@ -21,6 +21,7 @@
 )
 from ebonydeal._internal.console.item_forms import ItemFormView
 from ebonydeal._internal.console.parts import ConsoleParts, operator_of
+from ebonydeal._internal.console.posted import FormData, read_form
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.platform.interfaces import Offer
 
@@ -31,7 +32,7 @@
 class Posted(NamedTuple):
     """What every form of the console posts beside its own fields."""
 
-    data: MultiDictProxy[Any]
+    data: FormData
     action: str
     base: int
     proposal: str
@@ -40,25 +41,25 @@
     @classmethod
     async def read(cls, req: web.Request) -> "Posted":
         """Read a posted form; raises BAD_REQUEST."""
-        data = await req.post()
+        data = await read_form(req)
         try:
-            base = int(str(data.get("base", "")))
+            base = int(data.get("base", ""))
         except ValueError as exc:
             raise EbonydealError(
                 ErrorKind.BAD_REQUEST, "The form has no base version."
             ) from exc
         return cls(
             data=data,
-            action=str(data.get("action", "preview")),
+            action=data.get("action", "preview"),
             base=base,
-            proposal=str(data.get("proposal", "")),
-            note=str(data.get("note", ""))[:_MAX_NOTE],
+            proposal=data.get("proposal", ""),
+            note=data.get("note", "")[:_MAX_NOTE],
         )
 
     def carried(self) -> list[tuple[str, str]]:
         """Return the form's own fields, for hidden inputs."""
         return [
-            (name, str(value))
+            (name, value)
             for name, value in self.data.items()
             if name not in _NOT_CARRIED
         ]
@@ -146,7 +147,7 @@
 
     async def _post_document(self, req: web.Request) -> web.Response:
         posted = await Posted.read(req)
-        text = str(posted.data.get("text", ""))
+        text = posted.data.get("text", "")
         if posted.action == "back":
             return self._document_form(req, posted.base, text, [])
         return await self._post_simple(req, PutDocument(text))
@@ -179,7 +180,7 @@
             return self._refused(req, base, edit, problems)
         note = posted.note if posted else ""
         carried = posted.carried() if posted else []
-        empty: MultiDict[Any] = MultiDict()
+        empty: MultiDict[str] = MultiDict()
         blank = Posted(MultiDictProxy(empty), "preview", base.version, "", note)
         page = _Step(req, base, edit, document, offers, blank, carried)
         return self._preview(page, conflict)
--- a/src/ebonydeal/_internal/console/guard.py
+++ b/src/ebonydeal/_internal/console/guard.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from ebonydeal._internal.console.parts import ConsoleParts
+from ebonydeal._internal.console.posted import read_form
 from ebonydeal._internal.console.sessions import SESSION, Session
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 
@@ -70,7 +71,7 @@
 
 async def _check_csrf(req: web.Request, session: Session) -> None:
     """Refuse a post without the session's form token."""
-    given = str((await req.post()).get("csrf", "")).encode()
+    given = (await read_form(req)).get("csrf", "").encode()
     if not hmac.compare_digest(given, session.csrf.encode()):
         raise EbonydealError(
             ErrorKind.FORBIDDEN, "The form is from another session; load it again."
--- a/src/ebonydeal/_internal/console/item_forms.py
+++ b/src/ebonydeal/_internal/console/item_forms.py
@@ -3,7 +3,6 @@
 from typing import Any
 
 from aiohttp import web
-from multidict import MultiDictProxy
 
 from ebonydeal._internal.config.delta import ItemKey, join
 from ebonydeal._internal.config.problems import Problem
@@ -18,6 +17,7 @@
 )
 from ebonydeal._internal.console.merge import Merged, merge
 from ebonydeal._internal.console.parts import ConsoleParts
+from ebonydeal._internal.console.posted import FormData
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 
 
@@ -35,7 +35,7 @@
             raise EbonydealError(ErrorKind.NOT_FOUND, f"No {name} is there.")
         return self._page(req, content, FORMS[section].show(item))
 
-    def posted(self, req: web.Request, data: MultiDictProxy[Any]) -> ItemForm:
+    def posted(self, req: web.Request, data: FormData) -> ItemForm:
         """Return the form as it was posted, read field by field."""
         form = FORMS[_place(req)[0]](data)
         form.validate()
--- a/src/ebonydeal/_internal/console/view_pages.py
+++ b/src/ebonydeal/_internal/console/view_pages.py
@@ -6,6 +6,7 @@
 
 from ebonydeal._internal.config.delta import join
 from ebonydeal._internal.console.parts import ConsoleParts
+from ebonydeal._internal.console.posted import read_form
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 
 _FAILED_LOGIN_S = 1.0
@@ -39,7 +40,7 @@
 
     async def _login(self, req: web.Request) -> web.Response:
         """Open a session for the operator whose token was posted."""
-        token = str((await req.post()).get("token", ""))
+        token = (await read_form(req)).get("token", "")
         operator = self._parts.operators.by_token(token)
         if operator is None:
             self._parts.metrics.refused(ErrorKind.UNAUTHORIZED)
--- a/tests/functional/console/test_access.py
+++ b/tests/functional/console/test_access.py
@@ -1,9 +1,11 @@
 """Who gets in, and what a page may do."""
 
 import pytest
+from aiohttp import FormData
 
 from ebonydeal._internal.errors import ErrorKind
 from tests.lib.console import TOKENS
+from tests.lib.html_forms import changed
 
 PAGES = ["/", "/deployments", "/accounts", "/document", "/history", "/add/accounts"]
 
@@ -114,3 +116,40 @@
         assert page.tags.count("h1") == 1
         assert len(page.ids) == len(set(page.ids))
         assert page.labels <= set(page.ids)
+
+
+class TestBrokenPosts:
+    async def post(self, filled, **options):
+        browser = await filled.browser("nia")
+        resp = await browser.client.post("/add/deployments", **options)
+        return resp.status
+
+    async def test_multipart_without_boundary(self, filled):
+        headers = {"Content-Type": "multipart/form-data"}
+        assert await self.post(filled, data=b"x", headers=headers) == 400
+
+    async def test_unknown_charset(self, filled):
+        headers = {"Content-Type": "application/x-www-form-urlencoded; charset=welsh"}
+        assert await self.post(filled, data=b"csrf=x", headers=headers) == 400
+
+    async def test_bytes_that_are_no_text(self, filled):
+        headers = {"Content-Type": "application/x-www-form-urlencoded"}
+        assert await self.post(filled, data=b"csrf=\xff", headers=headers) == 400
+
+    async def test_file_in_the_place_of_a_field(self, filled):
+        browser = await filled.browser("nia")
+        page = await browser.get("/add/deployments")
+        data = FormData()
+        for name, value in page.main_form():
+            if name != "models":
+                data.add_field(name, value)
+        data.add_field("models", b"x", filename="m.bin")
+        resp = await browser.client.post("/add/deployments", data=data)
+        assert resp.status == 422
+
+    @pytest.mark.parametrize("base", ["", "x", "-1", "99"])
+    async def test_base_that_is_none(self, filled, base):
+        browser = await filled.browser("nia")
+        page = await browser.get("/add/accounts")
+        await browser.post("/add/accounts", changed(page.main_form(), base=base))
+        assert browser.status in (400, 404)
