Bound notes and proposal ids; show what was spent

Cause: a note that UTF-8 can't carry ended in an internal error, and rows of the controller were shown unread. Change: checked text, spend column, garbage rows shown as unknown. Conclusion: bad input is a 400 with its reason.

--- a/src/ebonydeal/_internal/console/api.py
+++ b/src/ebonydeal/_internal/console/api.py
@@ -11,7 +11,7 @@
 from ebonydeal._internal.config.rows import VersionInfo
 from ebonydeal._internal.config.store import Conflict
 from ebonydeal._internal.config.validate import validate
-from ebonydeal._internal.console.parts import ConsoleParts
+from ebonydeal._internal.console.parts import MAX_NOTE, MAX_PROPOSAL, ConsoleParts
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.endpoints import EndpointView
 from ebonydeal._internal.utils.web import error_response, read_json
@@ -19,7 +19,6 @@
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 OPERATOR = web.RequestKey("operator", str)
-_MAX_NOTE = 500
 _HISTORY = 100
 
 
@@ -111,7 +110,10 @@
 
     async def _diff(self, req: web.Request) -> web.Response:
         """``GET /api/diff?a=N&b=M``; ``b`` is the head by default."""
-        old = await self._parts.store.load(_number(req, "a", None))
+        a = _number(req, "a", None)
+        if a is None:
+            raise EbonydealError(ErrorKind.BAD_REQUEST, "'a' is missing")
+        old = await self._parts.store.load(a)
         new = await self._parts.store.load(_number(req, "b", None))
         lines = differences(old.items, new.items)
         return web.json_response(
@@ -159,8 +161,8 @@
             pass
         case {"document": _, "base_version": int(base)}:
             note, proposal = body.get("note", ""), body.get("proposal", "")
-            if isinstance(note, str) and isinstance(proposal, str):
-                return base, note[:_MAX_NOTE], proposal
+            if _is_text(note) and _is_text(proposal):
+                return base, note[:MAX_NOTE], proposal[:MAX_PROPOSAL]
     raise EbonydealError(
         ErrorKind.BAD_REQUEST,
         "the body must have 'document' and 'base_version' (a whole number), and may "
@@ -168,6 +170,14 @@
     )
 
 
+def _is_text(value: Any) -> bool:
+    """Return whether a value is text that the table can keep."""
+    try:
+        return isinstance(value, str) and value.encode() is not None
+    except UnicodeEncodeError:
+        return False
+
+
 def _refused(problems: list[Problem]) -> web.Response:
     """Return the answer to an unsound document."""
     error = EbonydealError(
--- a/src/ebonydeal/_internal/console/edit_pages.py
+++ b/src/ebonydeal/_internal/console/edit_pages.py
@@ -20,13 +20,17 @@
     edited,
 )
 from ebonydeal._internal.console.item_forms import ItemFormView
-from ebonydeal._internal.console.parts import ConsoleParts, operator_of
+from ebonydeal._internal.console.parts import (
+    MAX_NOTE,
+    MAX_PROPOSAL,
+    ConsoleParts,
+    operator_of,
+)
 from ebonydeal._internal.console.posted import FormData, read_form
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.platform.interfaces import Offer
 
 _NOT_CARRIED = ("csrf", "action", "base", "proposal", "note")
-_MAX_NOTE = 500
 
 
 class Posted(NamedTuple):
@@ -52,8 +56,8 @@
             data=data,
             action=data.get("action", "preview"),
             base=base,
-            proposal=data.get("proposal", ""),
-            note=data.get("note", "")[:_MAX_NOTE],
+            proposal=data.get("proposal", "")[:MAX_PROPOSAL],
+            note=data.get("note", "")[:MAX_NOTE],
         )
 
     def carried(self) -> list[tuple[str, str]]:
--- a/src/ebonydeal/_internal/console/parts.py
+++ b/src/ebonydeal/_internal/console/parts.py
@@ -18,6 +18,10 @@
 from ebonydeal._internal.platform.interfaces import Offer
 from ebonydeal._internal.utils.clock import Clock
 
+# Most characters of a note and of a proposal id.
+MAX_NOTE = 500
+MAX_PROPOSAL = 64
+
 Offers = Callable[[], Awaitable[list[Offer]]]
 
 
--- a/src/ebonydeal/_internal/console/render.py
+++ b/src/ebonydeal/_internal/console/render.py
@@ -8,12 +8,17 @@
 from jinja2 import Environment, PackageLoader, StrictUndefined
 
 from ebonydeal import __version__
+from ebonydeal._internal.config.rows import GARBAGE
 from ebonydeal._internal.console.sessions import SESSION
 
 
 def _when(seconds: float) -> str:
-    """Return wall clock seconds as a UTC time for people."""
-    return datetime.fromtimestamp(float(seconds), UTC).strftime("%Y-%m-%d %H:%M:%S UTC")
+    """Return wall clock seconds as a UTC time for people; "?" for what is none."""
+    try:
+        at = datetime.fromtimestamp(float(seconds), UTC)
+    except GARBAGE + (OSError,):
+        return "?"
+    return at.strftime("%Y-%m-%d %H:%M:%S UTC")
 
 
 def _as_json(value: Any) -> str:
@@ -21,6 +26,11 @@
     return json.dumps(value, indent=2, ensure_ascii=False)
 
 
+def _money(value: Any) -> str:
+    """Return an amount with two decimals; a dash for what is none."""
+    return f"{value:,.2f}" if isinstance(value, int | float) else "–"
+
+
 def _environment() -> Environment:
     """Return the template environment."""
     env = Environment(
@@ -31,6 +41,7 @@
         lstrip_blocks=True,
     )
     env.filters["when"] = _when
+    env.filters["money"] = _money
     env.filters["as_json"] = _as_json
     env.globals["product_version"] = __version__
     return env
--- a/src/ebonydeal/_internal/console/view_pages.py
+++ b/src/ebonydeal/_internal/console/view_pages.py
@@ -4,7 +4,7 @@
 
 from aiohttp import web
 
-from ebonydeal._internal.config.delta import join
+from ebonydeal._internal.config.delta import apply, differences, join
 from ebonydeal._internal.console.parts import ConsoleParts
 from ebonydeal._internal.console.posted import read_form
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
@@ -109,11 +109,12 @@
         except ValueError as exc:
             raise EbonydealError(ErrorKind.NOT_FOUND, "No such version.") from exc
         info = await self._parts.store.version(version)
+        before = (await self._parts.store.load(version - 1)).items
         return self._parts.render.page(
             req,
             "version",
             info=info,
-            lines=await self._parts.store.diff(version - 1, version),
+            lines=differences(before, apply(before, info.delta)),
             head=(await self._parts.current()).version,
             accepted="accepted" in req.query,
         )
--- a/tests/functional/console/test_api.py
+++ b/tests/functional/console/test_api.py
@@ -79,6 +79,7 @@
             {"document": {}, "base_version": True},
             {"document": {}, "base_version": 1, "note": 3},
             {"document": {}, "base_version": 1, "proposal": []},
+            {"document": {}, "base_version": 1, "note": "\ud800"},
         ],
     )
     async def test_garbage(self, filled, body):
@@ -92,7 +93,9 @@
         assert status == 422
         assert answer["problems"]
 
-    @pytest.mark.parametrize("path", ["/api/diff?a=x", "/api/document?version=1.5"])
+    @pytest.mark.parametrize(
+        "path", ["/api/diff", "/api/diff?a=x", "/api/document?version=1.5"]
+    )
     async def test_bad_numbers(self, filled, path):
         browser = await filled.browser()
         resp = await browser.client.get(path, headers=HEADERS)
--- a/tests/functional/console/test_status.py
+++ b/tests/functional/console/test_status.py
@@ -106,6 +106,19 @@
         page = await browser.get("/")
         assert page.text.index("w300.0") < page.text.index("w100.0")
 
+    async def test_spend_and_rows_that_are_garbage(self, filled):
+        rows = [
+            Put("spend/kitchen", {"deployment": "kitchen", "total": 1234.5}),
+            Put("spend/paperwork", {"deployment": "paperwork", "total": "much"}),
+            Put("trail/kitchen:0000", {"at": "never", "kind": "lost", "why": "w"}),
+        ]
+        await filled.tables.transact([], rows)
+        browser = await filled.browser("nia")
+        page = await browser.get("/")
+        assert browser.status == 200
+        assert "1,234.50" in page.text
+        assert "? lost" in page.text
+
 
 class TestExplain:
     async def test_steps_of_whichever_gateway_knows(self, filled):
