--- a/src/ebonydeal/_internal/commands/document.py
+++ b/src/ebonydeal/_internal/commands/document.py
@@ -23,6 +23,8 @@
 from ebonydeal._internal.config.validate import schema, validate
 from ebonydeal._internal.utils.ids import new_token
 
+_MOST_NAMED = 3
+
 file_argument = click.argument("file", type=click.Path(path_type=Path))
 
 
@@ -144,7 +146,7 @@
             info["version"],
             datetime.fromtimestamp(info["at"], UTC).strftime("%Y-%m-%d %H:%M:%SZ"),
             info["by"],
-            ", ".join([*info["changed"], *(f"-{key}" for key in info["removed"])]),
+            _changes([*info["changed"], *(f"-{key}" for key in info["removed"])]),
             info["note"],
         ]
         for info in answer["versions"]
@@ -152,6 +154,13 @@
     print_table(["version", "when", "who", "changed", "note"], rows)
 
 
+def _changes(items: list[str]) -> str:
+    """Return a few changed items by name, many by number."""
+    if len(items) > _MOST_NAMED:
+        return f"{len(items)} items"
+    return ", ".join(items)
+
+
 @document_command.command("example")
 @click.argument("name", type=click.Choice(EXAMPLE_NAMES))
 def example(name: str) -> None:
