Split the edit pages; never unsay an accepted change by newer prices

Change: posted, proposing, simple pages apart; prices are the store's matter at acceptance. Conclusion: an accepted change is told as accepted.

--- a/src/ebonydeal/_internal/console/edits.py
+++ b/src/ebonydeal/_internal/console/edits.py
@@ -109,3 +109,17 @@
         else:
             others.append(problem)
     return own, others
+
+
+def edit_words(edit: Edit) -> str:
+    """Say what an edit does, for headings and the history."""
+    match edit:
+        case PutItem(section=section, original="", value=value):
+            return f"Add {section[:-1]} {value.get('name', '')}"
+        case PutItem(section=section, original=original):
+            return f"Change {section[:-1]} {original}"
+        case RemoveItem(section=section, name=name):
+            return f"Remove {section[:-1]} {name}"
+        case RollForward(old=old):
+            return f"Roll forward to the content of version {old.version}"
+    return "Change the whole document"
--- a/src/ebonydeal/_internal/console/program.py
+++ b/src/ebonydeal/_internal/console/program.py
@@ -17,6 +17,7 @@
 from ebonydeal._internal.console.parts import ConsoleParts
 from ebonydeal._internal.console.render import Renderer
 from ebonydeal._internal.console.sessions import Sessions
+from ebonydeal._internal.console.simple_pages import SimplePages
 from ebonydeal._internal.console.status import StatusReader
 from ebonydeal._internal.console.view_pages import ViewPages
 from ebonydeal._internal.observe.counters import Metrics
@@ -57,6 +58,7 @@
     app.add_routes(Api(parts).routes())
     app.add_routes(ViewPages(parts).routes())
     app.add_routes(EditPages(parts).routes())
+    app.add_routes(SimplePages(parts).routes())
     app.router.add_static("/static/", _STATIC)
     return app
 
--- a/src/ebonydeal/_internal/console/view_pages.py
+++ b/src/ebonydeal/_internal/console/view_pages.py
@@ -7,6 +7,7 @@
 from ebonydeal._internal.config.delta import apply, differences, join
 from ebonydeal._internal.console.parts import ConsoleParts
 from ebonydeal._internal.console.posted import read_form
+from ebonydeal._internal.console.simple_pages import version_of
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 
 _FAILED_LOGIN_S = 1.0
@@ -104,10 +105,7 @@
         return self._parts.render.page(req, "history", infos=infos)
 
     async def _version(self, req: web.Request) -> web.Response:
-        try:
-            version = int(req.match_info["version"])
-        except ValueError as exc:
-            raise EbonydealError(ErrorKind.NOT_FOUND, "No such version.") from exc
+        version = version_of(req)
         info = await self._parts.store.version(version)
         before = (await self._parts.store.load(version - 1)).items
         return self._parts.render.page(
--- a/tests/functional/console/test_editing.py
+++ b/tests/functional/console/test_editing.py
@@ -269,6 +269,27 @@
         assert browser.path == "/history/2"
         assert [info.version for info in await filled.store.history()] == [2, 1]
 
+    async def test_prices_that_rose_meanwhile_do_not_unsay_it(self, filled):
+        browser = await self.preview(filled)
+        filled.tables.write_faults = ["lost", *["down"] * 30]
+        await browser.submit("accept")
+        filled.tables.write_faults = []
+        filled.prices = [
+            offer._replace(price_per_hour=900.0) for offer in filled.prices
+        ]
+        await browser.submit("accept")
+        assert browser.path == "/history/2"
+
+    async def test_prices_that_rose_before_acceptance_refuse_it(self, filled):
+        browser = await self.preview(filled)
+        filled.prices = [
+            offer._replace(price_per_hour=900.0) for offer in filled.prices
+        ]
+        page = await browser.submit("accept")
+        assert browser.status == 422
+        assert "is under every offer; the cheapest is 900" in page.text
+        assert filled.tables.rows["config/head"].value == {"version": 1}
+
     async def test_table_down_keeps_the_input(self, filled):
         browser = await self.preview(filled)
         filled.tables.down = True
