--- a/src/ebonydeal/_internal/gateway/health.py
+++ b/src/ebonydeal/_internal/gateway/health.py
@@ -6,6 +6,8 @@
 from ebonydeal._internal.models.endpoints import EndpointView
 
 _MAX_ENDPOINTS = 4096
+# Idle endpoints are asked for their load every few seconds.
+_LOAD_FRESH_S = 12.0
 Incarnation = tuple[str, int]
 
 
@@ -18,10 +20,11 @@
     """The last word of each endpoint: worked, or failed.
 
     A request that lost its endpoint may go on without drawing on the retry
-    budget if the next endpoint's last word is that it works. When everything
-    fails each endpoint's last word soon is a failure, so that this can't
-    multiply the sends in a brown-out: at most the requests in flight at that
-    moment are sent once more.
+    budget if the next endpoint's last word is that it works, or if it has given
+    no word lately but reports its load. When everything fails each endpoint's
+    last word soon is a failure, which no load report outweighs, so that this
+    can't multiply the sends in a brown-out: at most the requests in flight at
+    that moment are sent once more.
 
     Parameters
     ----------
@@ -42,9 +45,11 @@
         self._note(view, False, now)
 
     def works(self, view: EndpointView, now: float) -> bool:
-        """Return whether the last word is fresh and good."""
+        """Return whether an endpoint is known to work; ``now`` is wall clock."""
         word = self._words.get(incarnation_of(view))
-        return word is not None and word[0] and now - word[1] <= self._fresh
+        if word is not None and now - word[1] <= self._fresh:
+            return word[0]
+        return view.load is not None and now - view.load.at <= _LOAD_FRESH_S
 
     def any_works(
         self, views: Iterable[EndpointView], avoid: Set[Incarnation], now: float
