--- a/tests/unit/controller/test_deadline.py
+++ b/tests/unit/controller/test_deadline.py
@@ -76,8 +76,10 @@
         assert found == DeadlineChoice(2, True, math.inf)
 
 
+MARKETS = ((True, 2.0), (False, 9.0))
+
+
 class TestDecidePlacement:
-    MARKETS = ((True, 2.0), (False, 9.0))
     OFFERS = offers_by_key(
         [Offer(zone, "l", r, p, 0.0, 8) for zone in "ab" for r, p in MARKETS]
     )
