Keep deadline work on the instances that it runs on

Cause: replicas for deadline work moved to whatever was cheapest in each step. Change: running ones count as cheaper by the same share as for serving.

--- a/src/ebonydeal/_internal/controller/capacity.py
+++ b/src/ebonydeal/_internal/controller/capacity.py
@@ -135,8 +135,10 @@
         choice.price_limit,
         choice.firm,
         offers,
+        current,
         blocked,
         terms.ceiling,
+        placement_policy.keep_discount,
     )
 
 
--- a/src/ebonydeal/_internal/controller/extra.py
+++ b/src/ebonydeal/_internal/controller/extra.py
@@ -1,5 +1,6 @@
 """Replicas for deadline work, on top of the placement that holds the target."""
 
+import math
 from collections import Counter
 from collections.abc import Mapping, Set
 
@@ -24,8 +25,10 @@
     price_limit: float,
     firm: bool,
     offers: Mapping[OfferKey, Offer],
+    current: Mapping[OfferKey, int],
     blocked: Set[OfferKey],
     ceiling: float,
+    keep_discount: float,
 ) -> Placement:
     """Add up to ``number`` replicas, cheapest first, within the ceiling.
 
@@ -41,27 +44,56 @@
         Highest price an hour that is paid for one.
     firm : bool
         Whether on-demand may be bought.
-    offers, blocked : mapping and set
-        What can be bought, and what can't be started now.
+    offers, current, blocked
+        What can be bought, what runs, and what can't be started now.
     ceiling : float
         Most that all instances together may cost an hour.
+    keep_discount : float
+        Share by which a running instance counts as cheaper than a new one.
     """
-    usable = sorted(
-        (offer.price_per_hour, key)
-        for key, offer in offers.items()
-        if key not in blocked and (key.reclaimable or firm)
-    )
-    if not usable or number <= 0:
-        return placement
-    price, key = usable[0]
-    if price > price_limit + _EPS:
-        return placement
-    room = affordable(ceiling - placement.cost_per_hour, price)
-    added = max(0, int(min(number, room)))
     counts = Counter(placement.counts)
-    counts[key] += added
+    cost = placement.cost_per_hour
+    left = number
+    for _score, price, key, room in _choices(
+        counts, firm, offers, current, blocked, keep_discount
+    ):
+        if price > price_limit + _EPS:
+            continue
+        added = max(0, int(min(left, room, affordable(ceiling - cost, price))))
+        counts[key] += added
+        cost += added * price
+        left -= added
+    # Only what the price allowed and the ceiling did not is held back.
+    wanted = any(
+        price <= price_limit + _EPS
+        for _score, price, _key, _room in _choices(
+            counts, firm, offers, {}, blocked, keep_discount
+        )
+    )
     return placement._replace(
-        counts={item: count for item, count in counts.items() if count},
-        cost_per_hour=placement.cost_per_hour + added * price,
-        held=placement.held + number - added,
+        counts=dict(+counts),
+        cost_per_hour=cost,
+        held=placement.held + (left if wanted and left > 0 else 0),
     )
+
+
+def _choices(
+    counts: Mapping[OfferKey, int],
+    firm: bool,
+    offers: Mapping[OfferKey, Offer],
+    current: Mapping[OfferKey, int],
+    blocked: Set[OfferKey],
+    keep_discount: float,
+) -> list[tuple[float, float, OfferKey, float]]:
+    """Return (score, price, key, room) of what may be added, best first."""
+    choices = []
+    for key, offer in offers.items():
+        if not (key.reclaimable or firm):
+            continue
+        price = offer.price_per_hour
+        kept = current.get(key, 0) - counts.get(key, 0)
+        if kept > 0:
+            choices.append((price * (1.0 - keep_discount), price, key, float(kept)))
+        if key not in blocked:
+            choices.append((price, price, key, math.inf))
+    return sorted(choices)
