Give added replicas an hour of deadline work each

Cause: when the price allowed, up to a hundred replicas were started for a few minutes of work; two fifths of such a step are start and warm-up. Change: no more replicas than find an hour of work each, and never fewer than the tightest deadline needs.

--- a/src/ebonydeal/_internal/benchmarks/spend/policies.py
+++ b/src/ebonydeal/_internal/benchmarks/spend/policies.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping, Sequence, Set
 from typing import NamedTuple, Protocol
 
-from ebonydeal._internal.benchmarks.spend.traces import SLOTS, STEP_S
+from ebonydeal._internal.benchmarks.spend.traces import SLOTS
 from ebonydeal._internal.controller.capacity import (
     Terms,
     cheapest,
@@ -104,7 +104,7 @@
         self.name = f"ebonydeal, {rule}"
         self._demand = _Demand()
         self._terms = Terms(frozenset(), ceiling, HIGH, True, 1.0)
-        self._deadline = DeadlinePolicy(rule=rule, step_s=STEP_S)
+        self._deadline = DeadlinePolicy(rule=rule)
         self._only = on_demand_only
         if on_demand_only:
             self.name = "on-demand only"
--- a/src/ebonydeal/_internal/controller/deadline.py
+++ b/src/ebonydeal/_internal/controller/deadline.py
@@ -35,15 +35,16 @@
         Time kept free before a deadline: starts, loads, one reclaim.
     margin_share : float
         Share of the remaining work that is added for reclaims on the way.
-    step_s : float
-        Time until the next decision.
+    run_s : float
+        How long a replica that is added should find work: starting and warming
+        it up is not worth less.
     """
 
     rule: Rule = Rule.QUANTILE
     fixed_share: float = 0.35
     margin_s: float = 1800.0
     margin_share: float = 0.1
-    step_s: float = 300.0
+    run_s: float = 3600.0
 
 
 class Backlog(NamedTuple):
@@ -157,14 +158,15 @@
     """
     if most <= 0 or not any(item.work_s > _EPS for item in backlog):
         return DeadlineChoice(0, False, 0.0)
-    committed, total = 0.0, 0.0
+    committed, total, rate = 0.0, 0.0, 0.0
     for item in sorted(backlog):
         total += item.work_s * (1.0 + policy.margin_share)
         left = item.deadline - policy.margin_s - now
         share = total / (most * left) if left > 0 else math.inf
         committed = max(committed, share)
+        rate = max(rate, total / max(left, 1.0))
     limit = price_limit(market, committed, policy)
-    useful = min(most, math.ceil(total / policy.step_s))
+    useful = min(most, math.ceil(max(rate, total / policy.run_s)))
     if committed >= 1.0 - _EPS:
         return DeadlineChoice(useful, True, math.inf)
     if market.now <= limit + _EPS:
