Let standbys and settled engines cost little

Cause: every controller process asked the cloud and the list each round, also where it led nothing; each settled engine cost a task each round. Change: a process surveys only what it leads; leases are looked at once in a third of their time; tasks are made only for engines whose order has a next step.

--- a/src/ebonydeal/_internal/controller/lease.py
+++ b/src/ebonydeal/_internal/controller/lease.py
@@ -25,7 +25,7 @@
 from ebonydeal._internal.utils.ids import new_token
 
 LEASE_PREFIX = "leases/"
-_RENEW_SHARE = 1 / 3
+_LOOK_SHARE = 1 / 3
 
 
 class Holder(NamedTuple):
@@ -139,7 +139,7 @@
         self._ttl = ttl
         self._seen: Sighting | None = None
         self._valid_until = 0.0
-        self._renew_at = 0.0
+        self._look_at = 0.0
 
     def condition(self) -> FieldEquals:
         """Return the condition that every write of the leader carries."""
@@ -157,8 +157,8 @@
         until it expires. A lease that was renewed less than a third of its time
         ago is left as it is: another's claim shows in the next write anyway.
         """
-        if self.believed() and self._clock.now() < self._renew_at:
-            return True
+        if self._clock.now() < self._look_at:
+            return self.believed()
         try:
             await self._step()
         except EbonydealError as exc:
@@ -173,6 +173,7 @@
         """Note that a conditioned write showed another epoch."""
         self.epoch = None
         self._seen = None
+        self._look_at = 0.0
 
     async def give_back(self) -> None:
         """Clear the holder, so that the next one need not wait."""
@@ -192,6 +193,7 @@
         match move:
             case Wait():
                 self.epoch = None
+                self._look_at = began + self._ttl * _LOOK_SHARE
             case Renew(epoch, condition):
                 await self._write(epoch, condition, began)
             case Claim(epoch, condition):
@@ -222,7 +224,7 @@
             self.since = began
         self.epoch = epoch
         self._valid_until = began + self._ttl
-        self._renew_at = began + self._ttl * _RENEW_SHARE
+        self._look_at = began + self._ttl * _LOOK_SHARE
 
     async def _took_effect(self, epoch: int) -> bool:
         """Return whether the row names us with ``epoch``."""
--- a/src/ebonydeal/_internal/controller/order_keeper.py
+++ b/src/ebonydeal/_internal/controller/order_keeper.py
@@ -12,6 +12,7 @@
     ReadBack,
     SendOrder,
     Settled,
+    Step,
     after_read,
     after_send,
     next_step,
@@ -100,19 +101,41 @@
             async with limit:
                 return await self._settle(
                     engines[endpoint_id],
-                    wanted[endpoint_id],
+                    wanted,
                     endpoint_id in may_load,
                     leadership,
                     checks_fence,
                 )
 
-        ids = [endpoint_id for endpoint_id in engines if endpoint_id in wanted]
-        done = await asyncio.gather(*(one(endpoint_id) for endpoint_id in ids))
-        return {
-            endpoint_id
-            for endpoint_id, settled in zip(ids, done, strict=True)
-            if settled
-        }
+        settled = set()
+        busy = []
+        for endpoint_id in engines:
+            if endpoint_id not in wanted:
+                continue
+            step = self._step(endpoint_id, wanted, leadership, checks_fence)
+            if isinstance(step, Settled):
+                settled.add(endpoint_id)
+            elif not isinstance(step, HoldOrder):
+                busy.append(endpoint_id)
+        done = await asyncio.gather(*(one(endpoint_id) for endpoint_id in busy))
+        return settled | {name for name, ok in zip(busy, done, strict=True) if ok}
+
+    def _step(
+        self,
+        endpoint_id: str,
+        wanted: Mapping[str, EngineOrder],
+        leadership: Leadership,
+        checks_fence: bool,
+    ) -> Step:
+        """Return the next step for one engine."""
+        return next_step(
+            wanted[endpoint_id],
+            self._memories.get(endpoint_id, OrderMemory()),
+            leadership,
+            checks_fence,
+            self._policy,
+            self._clock.now(),
+        )
 
     def found(self, endpoint_id: str) -> EngineOrder | None:
         """Return the order last read from an engine."""
@@ -121,37 +144,28 @@
     async def _settle(
         self,
         view: EndpointView,
-        wanted: EngineOrder,
+        wanted: Mapping[str, EngineOrder],
         may_load: bool,
         leadership: Leadership,
         checks_fence: bool,
     ) -> bool:
         """Do a few steps for one engine; return whether it is settled."""
+        order = wanted[view.endpoint_id]
         for _ in range(_STEPS):
             memory = self._memories.get(view.endpoint_id, OrderMemory())
-            step = next_step(
-                wanted,
-                memory,
-                leadership,
-                checks_fence,
-                self._policy,
-                self._clock.now(),
-            )
             try:
-                match step:
+                match self._step(view.endpoint_id, wanted, leadership, checks_fence):
                     case Settled():
                         return True
                     case HoldOrder():
                         return False
                     case ReadBack():
-                        await self._read(view, wanted, memory)
+                        await self._read(view, order, memory)
                     case SendOrder():
-                        loads = (
-                            set(wanted.models) - set(_models(memory)) - set(view.models)
-                        )
-                        if loads and not may_load:
+                        has = {*_models(memory), *view.models}
+                        if set(order.models) - has and not may_load:
                             return False
-                        await self._send(view, wanted, memory)
+                        await self._send(view, order, memory)
             except EbonydealError as exc:
                 self._note_failure(view, exc)
                 return False
--- a/src/ebonydeal/_internal/controller/service.py
+++ b/src/ebonydeal/_internal/controller/service.py
@@ -97,6 +97,8 @@
         document = self._document()
         if document.version == 0 or not self._leads:
             return
+        if not await self._look_at_leases(document):
+            return
         try:
             survey = await take_survey(
                 self._cloud, self._instance_list, self.notices.book
@@ -107,10 +109,29 @@
         self.notices.know(list(survey.endpoints.values()))
         await self.desk.decide()
         for name in await self._names(document, survey):
-            worker = self.workers.get(name)
-            if worker is None:
-                worker = self.workers[name] = DeploymentWorker(name, self._ctx)
-            await self._round_of(worker, document, survey)
+            await self._round_of(self._worker(name), document, survey)
+
+    async def _look_at_leases(self, document: Document) -> bool:
+        """Take and renew leases; return whether there is anything to lead.
+
+        A process that only stands by asks the cloud and the list nothing, but
+        for a look now and then for what a dropped deployment left.
+        """
+        number = self._round_number
+        self._round_number += 1
+        leads = number % _LOOK_FOR_DROPPED == 0
+        for name in sorted(set(document.deployments) | set(self.workers)):
+            try:
+                leads = await self._worker(name).lease.step() or leads
+            except EbonydealError as exc:
+                logger.warning("A lease failed.", deployment=name, kind=str(exc.kind))
+        return leads
+
+    def _worker(self, name: str) -> DeploymentWorker:
+        """Return the worker of a deployment, made when first asked for."""
+        if name not in self.workers:
+            self.workers[name] = DeploymentWorker(name, self._ctx)
+        return self.workers[name]
 
     async def _names(self, document: Document, survey: Survey) -> list[str]:
         """Return the deployments to look after, dropped ones included.
@@ -120,9 +141,8 @@
         """
         names = set(document.deployments) | set(survey.instances)
         names |= {name for name, worker in self.workers.items() if worker.records.rows}
-        if self._round_number % _LOOK_FOR_DROPPED == 0:
+        if self._round_number % _LOOK_FOR_DROPPED == 1:
             names |= await self._leased()
-        self._round_number += 1
         return sorted(names)
 
     async def _leased(self) -> set[str]:
