Don't take silence for low load, or a missing offer for a reason to go

Cause: a new leader started from the load of the first round; replicas that did not report counted as idle; what ran on an offer that is listed no longer was not wanted any more. Change: a new leader holds the strength it finds for hold_down; silent replicas count like the mean of the rest, and if all are silent the target stays; a row's own price stands in for a missing offer.

--- a/src/ebonydeal/_internal/controller/surplus.py
+++ b/src/ebonydeal/_internal/controller/surplus.py
@@ -71,10 +71,10 @@
     aim = Counter[str]()
     for key, number in wanted.counts.items():
         aim[key.zone] += number
-    return _standing(zones) >= min(wanted.target, _standing(aim))
+    return standing(zones) >= min(wanted.target, standing(aim))
 
 
-def _standing(zones: Counter[str]) -> int:
+def standing(zones: Counter[str]) -> int:
     """Return how many remain after the loss of the fullest zone."""
     return sum(zones.values()) - max(zones.values(), default=0)
 
--- a/src/ebonydeal/_internal/controller/worker.py
+++ b/src/ebonydeal/_internal/controller/worker.py
@@ -13,11 +13,7 @@
 )
 from ebonydeal._internal.controller.context import Context
 from ebonydeal._internal.controller.deadline import Backlog, DeadlinePolicy
-from ebonydeal._internal.controller.demand import (
-    DemandState,
-    Load,
-    desired_replicas,
-)
+from ebonydeal._internal.controller.demand_keeper import DemandKeeper
 from ebonydeal._internal.controller.execute import Executor
 from ebonydeal._internal.controller.fleet import Observed, Wanted
 from ebonydeal._internal.controller.lease import LeaseKeeper
@@ -28,6 +24,7 @@
 from ebonydeal._internal.controller.records import Records
 from ebonydeal._internal.controller.refusals import Refusals
 from ebonydeal._internal.controller.replicas import ReplicaKeeper, views_by_token
+from ebonydeal._internal.controller.surplus import standing
 from ebonydeal._internal.controller.survey import Survey
 from ebonydeal._internal.controller.values import (
     LIVE_STATES,
@@ -84,7 +81,7 @@
         self._loads = LoadWatcher(ctx.engine, ctx.clock)
         self._ledger = Ledger(name, ctx.clock, ctx.cfg.spend_period)
         self._prices = PriceMemory()
-        self._demand = DemandState()
+        self._demand = DemandKeeper(ctx.demand_policy())
         self._unreplaced: list[str] = []
         self._last_offers: dict[OfferKey, Offer] = {}
         self._views: dict[str, EndpointView] = {}
@@ -130,6 +127,9 @@
         """Start anew after the lease was taken."""
         self._epoch = self.lease.epoch or 0
         self._unreplaced.clear()
+        rows = self.records.rows.values()
+        ready = Counter(r.zone for r in rows if r.state is InstanceState.READY)
+        self._demand.begin(standing(ready), self._ctx.clock.now())
         self._ctx.metrics.count(Event.TAKEOVERS)
         logger.info("Leading.", deployment=self.name, epoch=self._epoch)
         for row in self.records.rows.values():
@@ -165,8 +165,9 @@
         now = self._ctx.clock.now()
         for row in self.records.rows.values():
             key = OfferKey.of(row)
-            if key not in offers and key in self._last_offers and key.zone in zones:
-                offers[key] = self._last_offers[key]
+            if key not in offers and key.zone in zones:
+                unlisted = Offer(*key, row.price_per_hour, 0.0, 1)
+                offers[key] = self._last_offers.get(key, unlisted)
                 self._refusals.avoid(key, now, self._ctx.cfg.period * 2)
         return offers
 
@@ -181,19 +182,9 @@
             self.target, self.placement = 0, Placement({}, 0.0, 0, 0)
             return
         ctx, now = self._ctx, self._ctx.clock.now()
-        serving = {
-            self._views[row.token].endpoint_id
-            for row in self.records.rows.values()
-            if row.token in self._views
-        }
-        self.target, self._demand = desired_replicas(
-            self._demand,
-            Load.from_reports(self._loads.reports(serving)),
-            deployment.first_token_s,
-            deployment.min_replicas,
-            deployment.max_replicas,
-            ctx.demand_policy(),
-            now,
+        serving = self._serving()
+        self.target = self._demand.target(
+            deployment, self._loads.reports(serving), len(serving), now
         )
         wall = ctx.clock.wall()
         for key in offers:
@@ -217,6 +208,15 @@
             wall,
         )
 
+    def _serving(self) -> set[str]:
+        """Return the ids of the replicas that may have requests in flight."""
+        return {
+            self._views[row.token].endpoint_id
+            for row in self.records.rows.values()
+            if row.token in self._views
+            and row.state in (InstanceState.READY, InstanceState.DRAINING)
+        }
+
     def _current(self, survey: Survey) -> Counter[OfferKey]:
         """Return the live instances that are not under a notice."""
         leaving = self._leaving(survey)
--- a/tests/functional/controller/test_replicas.py
+++ b/tests/functional/controller/test_replicas.py
@@ -1,5 +1,6 @@
 from ebonydeal._internal.benchmarks.spend.world import WorldCloud
 from ebonydeal._internal.controller.values import MANAGER
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from tests.lib.controller_fakes import (
     Site,
     make_deployment,
@@ -68,3 +69,47 @@
         assert sorted(row["token"][:6] for row in site.kept()) == ["first-"] * 6
         assert site.ready() == 6
         assert {row["state"] for row in site.kept()} == {"ready"}
+
+
+class TestLoad:
+    async def busy_site(self):
+        site = Site()
+        leader = site.controller("n1")
+        await site.rounds(leader, 30)
+        for item in site.world.live():
+            item.running = 8
+        await site.rounds(leader, 40)
+        strength = site.ready()
+        assert strength > 6
+        return site, strength
+
+    async def test_a_new_leader_keeps_the_strength_it_finds(self):
+        site, strength = await self.busy_site()
+        for item in site.world.live():
+            item.running = 0
+        await site.rounds(site.controller("n2"), 30)
+        assert site.rows.rows["leases/controller-kitchen"].value["epoch"] == 2
+        assert site.ready() == strength
+
+    async def test_silent_engines_are_not_taken_for_idle_ones(self):
+        site, strength = await self.busy_site()
+
+        async def silent(when: str, operation: str) -> None:
+            if operation == "load":
+                raise EbonydealError(ErrorKind.CONNECT_FAILED, "silent")
+
+        await site.rounds(site.controller("n2", silent), 200)
+        assert site.ready() == strength
+
+    async def test_no_offers_are_no_reason_to_release(self):
+        site, strength = await self.busy_site()
+        site.world.offers = []
+        await site.rounds(site.controller("n2"), 40)
+        assert site.ready() == strength
+
+    async def test_strength_falls_once_the_load_has_been_low_for_long(self):
+        site, strength = await self.busy_site()
+        for item in site.world.live():
+            item.running = 0
+        await site.rounds(site.controller("n2"), 200)
+        assert site.ready() == 6 < strength
