Declare an instance lost only on good proof

Cause: one answer of the cloud that lacked instances made the leader delete their rows, start as many again, and release the first ones as unrecorded; and a moment without any view counted as no load, whose end then looked like a steep rise. Change: an instance is lost when it is missing from two lists in a row while its engine is silent, or for list_grace; replicas are counted by rows, not by views.

--- a/src/ebonydeal/_internal/controller/fleet.py
+++ b/src/ebonydeal/_internal/controller/fleet.py
@@ -72,6 +72,9 @@
         Tokens under a reclaim notice, with its deadline (wall seconds).
     prices : mapping of OfferKey to float
         Present prices.
+    gone : set of str
+        Tokens of instances that are not listed, and surely not by a lapse of
+        the list.
     """
 
     instances: Mapping[str, CloudInstance]
@@ -80,6 +83,7 @@
     idle: Set[str]
     leaving: Mapping[str, float]
     prices: Mapping[OfferKey, float]
+    gone: Set[str] = frozenset()
 
     def price(self, row: InstanceRow) -> float:
         """Return the present price of a row's instance, an hour."""
--- a/src/ebonydeal/_internal/controller/reconcile.py
+++ b/src/ebonydeal/_internal/controller/reconcile.py
@@ -132,7 +132,7 @@
     """Yield the next step of an instance that warms up or serves."""
     age = now - row.at
     if missing:
-        if age > policy.list_grace:
+        if row.token in observed.gone and age > policy.list_grace:
             yield Forget(row, lost=True)
     elif row.token in observed.leaving:
         yield Drain(row, "reclaim notice", observed.leaving[row.token])
--- a/src/ebonydeal/_internal/controller/replicas.py
+++ b/src/ebonydeal/_internal/controller/replicas.py
@@ -26,17 +26,22 @@
 
 def views_by_token(
     deployment: Deployment | None,
+    rows: Mapping[str, InstanceRow],
     instances: Mapping[str, CloudInstance],
     endpoints: Mapping[str, EndpointView],
 ) -> dict[str, EndpointView]:
     """Return the endpoint on each instance, by token.
 
     An instance that the list doesn't show yet is reached at the address that
-    the cloud gave.
+    the cloud gave; one that the cloud's answer lacks, as the list shows it.
     """
     kind = EndpointKind.ENGINE if deployment is None else EndpointKind(deployment.kind)
     regions = {} if deployment is None else {p.zone: p for p in deployment.zones}
-    views = {}
+    views = {
+        token: endpoints[row.instance_id]
+        for token, row in rows.items()
+        if token not in instances and row.instance_id in endpoints
+    }
     for token, instance in instances.items():
         listed = endpoints.get(instance.instance_id)
         if listed is not None:
--- a/src/ebonydeal/_internal/controller/worker.py
+++ b/src/ebonydeal/_internal/controller/worker.py
@@ -32,6 +32,7 @@
     InstanceState,
     OfferKey,
 )
+from ebonydeal._internal.controller.vanished import Vanished
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.document import Deployment
 from ebonydeal._internal.models.endpoints import EndpointView, LeavingMark
@@ -81,6 +82,7 @@
         self._loads = LoadWatcher(ctx.engine, ctx.clock)
         self._ledger = Ledger(name, ctx.clock, ctx.cfg.spend_period)
         self._prices = PriceMemory()
+        self._vanished = Vanished(ctx.cfg.list_grace)
         self._demand = DemandKeeper(ctx.demand_policy())
         self._unreplaced: list[str] = []
         self._last_offers: dict[OfferKey, Offer] = {}
@@ -107,7 +109,9 @@
         if self.lease.epoch != self._epoch:
             self._begin_epoch()
         instances = survey.instances.get(self.name, {})
-        self._views = views_by_token(deployment, instances, survey.endpoints)
+        self._views = views_by_token(
+            deployment, self.records.rows, instances, survey.endpoints
+        )
         await self._look_at_loads()
         offers = self._offers(deployment, survey)
         await self._decide(deployment, survey, offers)
@@ -211,10 +215,9 @@
     def _serving(self) -> set[str]:
         """Return the ids of the replicas that may have requests in flight."""
         return {
-            self._views[row.token].endpoint_id
+            row.instance_id
             for row in self.records.rows.values()
-            if row.token in self._views
-            and row.state in (InstanceState.READY, InstanceState.DRAINING)
+            if row.state in (InstanceState.READY, InstanceState.DRAINING)
         }
 
     def _current(self, survey: Survey) -> Counter[OfferKey]:
@@ -248,6 +251,7 @@
             idle=self._idle(),
             leaving=self._leaving(survey),
             prices={key: offer.price_per_hour for key, offer in offers.items()},
+            gone=self._gone(survey),
         )
         ceiling = 0.0 if deployment is None else deployment.price_ceiling
         wanted = Wanted(self.placement.counts, self.target, ceiling)
@@ -285,6 +289,18 @@
                 leaving[token] = deadline
         return leaving
 
+    def _gone(self, survey: Survey) -> set[str]:
+        """Return the tokens of instances that vanished."""
+        rows = self.records.rows
+        instances = survey.instances.get(self.name, {})
+        answering = {
+            row.token
+            for row in rows.values()
+            if self._loads.report(row.instance_id) is not None
+        }
+        now = self._ctx.clock.now()
+        return self._vanished.gone(set(rows), instances, answering, now)
+
     def _idle(self) -> set[str]:
         """Return the draining tokens whose replica says that it runs nothing."""
         idle = set()
--- a/tests/functional/controller/test_replicas.py
+++ b/tests/functional/controller/test_replicas.py
@@ -113,3 +113,15 @@
             item.running = 0
         await site.rounds(site.controller("n2"), 200)
         assert site.ready() == 6 < strength
+
+    async def test_one_empty_answer_of_the_cloud_loses_no_instance(self):
+        site, strength = await self.busy_site()
+        leader = site.controller("n2")
+        await site.rounds(leader, 10)
+        starts = site.world.starts
+        machines, site.world.machines = site.world.machines, {}
+        await site.rounds(leader, 1, 2.0)
+        site.world.machines = machines
+        await site.rounds(leader, 20)
+        assert site.ready() == strength
+        assert site.world.starts == starts
--- a/tests/unit/controller/test_reconcile.py
+++ b/tests/unit/controller/test_reconcile.py
@@ -45,7 +45,10 @@
 def observed(rows, missing=(), extra=(), **changes) -> Observed:
     machines = [machine(r.token, OfferKey.of(r)) for r in rows]
     listed = {m.token: m for m in [*machines, *extra] if m.token not in missing}
-    base = Observed(listed, {r.token: r for r in rows}, set(), set(), {}, dict(PRICES))
+    by_token = {r.token: r for r in rows}
+    base = Observed(
+        listed, by_token, set(), set(), {}, dict(PRICES), frozenset(missing)
+    )
     return base._replace(**changes)
 
 
@@ -88,6 +91,10 @@
         young = row("w", A, WARMING, at=NOW - 1)
         assert actions([young], counts={A: 1}, missing={"w"}) == []
 
+    def test_one_that_is_missing_but_not_gone_is_left_alone(self):
+        ready = row("r", A, READY)
+        assert actions([ready], counts={A: 1}, missing={"r"}, gone=set()) == []
+
     def test_without_a_row_ours_go_and_others_are_taken_over(self):
         late = machine("late", A)
         theirs = machine("theirs", A, managed=False)
