--- a/src/ebonydeal/_internal/controller/capacity.py
+++ b/src/ebonydeal/_internal/controller/capacity.py
@@ -1,6 +1,6 @@
 """How many instances a deployment should have, and where: the decisions joined."""
 
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Mapping, Sequence, Set
 from typing import NamedTuple
 
@@ -20,9 +20,6 @@
 from ebonydeal._internal.models.document import Deployment
 from ebonydeal._internal.platform.interfaces import Offer
 
-PRICE_STEP_S = 300.0
-_PRICES_KEPT = 288
-
 
 class Terms(NamedTuple):
     """What the document says of a deployment, as far as capacity needs it."""
@@ -45,31 +42,6 @@
         )
 
 
-class PriceMemory:
-    """Cheapest reclaimable prices of the last day, one each ``PRICE_STEP_S``."""
-
-    def __init__(self) -> None:
-        self._prices: deque[float] = deque(maxlen=_PRICES_KEPT)
-        self._at: float | None = None
-
-    def note(self, price: float, now: float) -> None:
-        """Remember a price, at most one a step."""
-        if self._at is None or now - self._at >= PRICE_STEP_S:
-            self._prices.append(price)
-            self._at = now
-
-    def recent(self) -> tuple[float, ...]:
-        """Return the remembered prices."""
-        return tuple(self._prices)
-
-
-def usable_offers(
-    offers: Mapping[OfferKey, Offer], zones: Set[str]
-) -> dict[OfferKey, Offer]:
-    """Return the offers in the deployment's zones."""
-    return {key: offer for key, offer in offers.items() if key.zone in zones}
-
-
 def cheapest(offers: Mapping[OfferKey, Offer], reclaimable: bool) -> float | None:
     """Return the lowest price in one market, or None without offers."""
     prices = [
--- a/src/ebonydeal/_internal/controller/worker.py
+++ b/src/ebonydeal/_internal/controller/worker.py
@@ -5,11 +5,8 @@
 from ebonydeal._internal.controller.actions import Drain, Forget, Start
 from ebonydeal._internal.controller.backlog import read_backlog
 from ebonydeal._internal.controller.capacity import (
-    PriceMemory,
     Terms,
-    cheapest,
     decide_placement,
-    usable_offers,
 )
 from ebonydeal._internal.controller.context import Context
 from ebonydeal._internal.controller.deadline import Backlog, DeadlinePolicy
@@ -19,6 +16,7 @@
 from ebonydeal._internal.controller.lease import LeaseKeeper
 from ebonydeal._internal.controller.ledger import Ledger
 from ebonydeal._internal.controller.loads import LoadWatcher
+from ebonydeal._internal.controller.offers import OfferBook
 from ebonydeal._internal.controller.placement import Placement
 from ebonydeal._internal.controller.reconcile import plan
 from ebonydeal._internal.controller.records import Records
@@ -68,6 +66,7 @@
         self._refusals = Refusals(
             ctx.cfg.refused_first, ctx.cfg.refused_longest, ctx.rng
         )
+        self._offers = OfferBook(self._refusals, ctx.clock, ctx.cfg.period)
         self._executor = Executor(
             name,
             self.records,
@@ -81,11 +80,9 @@
         self._replicas = ReplicaKeeper(name, self.lease, ctx)
         self._loads = LoadWatcher(ctx.engine, ctx.clock)
         self._ledger = Ledger(name, ctx.clock, ctx.cfg.spend_period)
-        self._prices = PriceMemory()
         self._vanished = Vanished(ctx.cfg.list_grace)
         self._demand = DemandKeeper(ctx.demand_policy())
         self._unreplaced: list[str] = []
-        self._last_offers: dict[OfferKey, Offer] = {}
         self._views: dict[str, EndpointView] = {}
         self._epoch = 0
 
@@ -113,7 +110,8 @@
             deployment, self.records.rows, instances, survey.endpoints
         )
         await self._look_at_loads()
-        offers = self._offers(deployment, survey)
+        zones = frozenset() if deployment is None else _zones(deployment)
+        offers = self._offers.usable(survey.offers, zones, self.records.rows.values())
         await self._decide(deployment, survey, offers)
         warm = await self._replicas.round(
             deployment,
@@ -155,26 +153,6 @@
         }
         await self._loads.ask(views, first)
 
-    def _offers(
-        self, deployment: Deployment | None, survey: Survey
-    ) -> dict[OfferKey, Offer]:
-        """Return usable offers, with the last price of what still runs.
-
-        An offer that is listed no longer can't be bought, but what runs on it
-        goes on.
-        """
-        zones = frozenset() if deployment is None else _zones(deployment)
-        offers = usable_offers(survey.offers, zones)
-        self._last_offers.update(offers)
-        now = self._ctx.clock.now()
-        for row in self.records.rows.values():
-            key = OfferKey.of(row)
-            if key not in offers and key.zone in zones:
-                unlisted = Offer(*key, row.price_per_hour, 0.0, 1)
-                offers[key] = self._last_offers.get(key, unlisted)
-                self._refusals.avoid(key, now, self._ctx.cfg.period * 2)
-        return offers
-
     async def _decide(
         self,
         deployment: Deployment | None,
@@ -191,14 +169,8 @@
             deployment, self._loads.reports(serving), len(serving), now
         )
         wall = ctx.clock.wall()
-        for key in offers:
-            if key.reclaimable and key.zone in survey.notices.zones(
-                wall, ctx.cfg.zone_avoid
-            ):
-                self._refusals.avoid(key, now, ctx.cfg.zone_avoid)
-        price = cheapest(offers, reclaimable=True)
-        if price is not None:
-            self._prices.note(price, now)
+        reclaimed = survey.notices.zones(wall, ctx.cfg.zone_avoid)
+        self._offers.avoid_zones(offers, reclaimed)
         self.placement = decide_placement(
             self.target,
             Terms.from_deployment(deployment),
@@ -206,7 +178,7 @@
             self._current(survey),
             self._refusals.blocked(now),
             await self._backlog(deployment, wall),
-            self._prices.recent(),
+            self._offers.recent(),
             ctx.placement_policy(),
             DeadlinePolicy(),
             wall,
