Hold the strength of a fleet that is taken over

Cause: instances that others had started were taken over and, as none was ready yet, all beyond the least number were drained before their load was known. Change: their strength is held for hold_down, as after a change of leaders; tests of the program's entry point.

--- a/src/ebonydeal/_internal/controller/worker.py
+++ b/src/ebonydeal/_internal/controller/worker.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from ebonydeal._internal.controller.actions import Drain, Forget, Start
+from ebonydeal._internal.controller.actions import Drain, Enlist, Forget, Start
 from ebonydeal._internal.controller.backlog import read_backlog
 from ebonydeal._internal.controller.capacity import (
     Terms,
@@ -129,15 +129,19 @@
         """Start anew after the lease was taken."""
         self._epoch = self.lease.epoch or 0
         self._unreplaced.clear()
-        rows = self.records.rows.values()
-        ready = Counter(r.zone for r in rows if r.state is InstanceState.READY)
-        self._demand.begin(standing(ready), self._ctx.clock.now())
+        self._hold_strength(InstanceState.READY)
         self._ctx.metrics.count(Event.TAKEOVERS)
         logger.info("Leading.", deployment=self.name, epoch=self._epoch)
         for row in self.records.rows.values():
             if row.state is InstanceState.DRAINING:
                 self._mark_leaving(row)
 
+    def _hold_strength(self, *states: InstanceState) -> None:
+        """Hold what is there for a while: its load is not known yet."""
+        rows = self.records.rows.values()
+        zones = Counter(row.zone for row in rows if row.state in states)
+        self._demand.begin(standing(zones), self._ctx.clock.now())
+
     async def _look_at_loads(self) -> None:
         """Ask replicas for their load: draining ones first."""
         states = {token: row.state for token, row in self.records.rows.items()}
@@ -249,6 +253,8 @@
         if self.lease.epoch is None:
             return
         await self._executor.run(actions, self._epoch, offers, instances)
+        if any(isinstance(action, Enlist) for action in actions):
+            self._hold_strength(*LIVE_STATES)
         still = [token for token in self._unreplaced if token not in begun]
         self._unreplaced = (still + self._executor.refused)[-_MOST_UNREPLACED:]
 
--- /dev/null
+++ b/tests/functional/controller/test_entry.py
@@ -0,0 +1,19 @@
+from click.testing import CliRunner
+
+from ebonydeal import __version__
+from ebonydeal._internal.cli.controller import main
+
+
+class TestEntry:
+    def test_version(self):
+        shown = CliRunner().invoke(main, ["--version"])
+        assert shown.exit_code == 0
+        assert __version__ in shown.output
+
+    def test_every_mistake_in_the_settings_is_named(self, tmp_path):
+        file = tmp_path / "node.ini"
+        file.write_text("[controller]\nlease_ttl = soon\nperiodd = 1\n")
+        shown = CliRunner().invoke(main, ["--settings", str(file)])
+        assert shown.exit_code == 2
+        assert "[controller] lease_ttl: 'soon' is not accepted" in shown.output
+        assert "did you mean 'period'?" in shown.output
--- a/tests/functional/controller/test_replicas.py
+++ b/tests/functional/controller/test_replicas.py
@@ -125,3 +125,15 @@
         await site.rounds(leader, 20)
         assert site.ready() == strength
         assert site.world.starts == starts
+
+    async def test_a_fleet_that_is_taken_over_is_not_cut_before_its_load_is_known(self):
+        site = Site()
+        cloud = WorldCloud(site.world)
+        for number in range(18):
+            offer = make_offers()[2 * (number % 3)]
+            await cloud.start(f"first-{number}", offer, {"deployment": "kitchen"})
+        leader = site.controller("n1")
+        await site.rounds(leader, 60)
+        assert (site.ready(), site.world.starts) == (18, 18)
+        await site.rounds(leader, 200)
+        assert (site.ready(), site.world.starts) == (6, 18)
