--- a/src/ebonydeal/_internal/controller/worker.py
+++ b/src/ebonydeal/_internal/controller/worker.py
@@ -2,32 +2,27 @@
 
 from collections import Counter
 
-from ebonydeal._internal.controller.actions import Drain, Forget, Start
+from ebonydeal._internal.controller.actions import Drain, Enlist, Forget, Start
 from ebonydeal._internal.controller.backlog import read_backlog
 from ebonydeal._internal.controller.capacity import (
-    PriceMemory,
     Terms,
-    cheapest,
     decide_placement,
-    usable_offers,
 )
 from ebonydeal._internal.controller.context import Context
 from ebonydeal._internal.controller.deadline import Backlog, DeadlinePolicy
-from ebonydeal._internal.controller.demand import (
-    DemandState,
-    Load,
-    desired_replicas,
-)
+from ebonydeal._internal.controller.demand_keeper import DemandKeeper
 from ebonydeal._internal.controller.execute import Executor
 from ebonydeal._internal.controller.fleet import Observed, Wanted
 from ebonydeal._internal.controller.lease import LeaseKeeper
 from ebonydeal._internal.controller.ledger import Ledger
 from ebonydeal._internal.controller.loads import LoadWatcher
+from ebonydeal._internal.controller.offers import OfferBook
 from ebonydeal._internal.controller.placement import Placement
 from ebonydeal._internal.controller.reconcile import plan
 from ebonydeal._internal.controller.records import Records
 from ebonydeal._internal.controller.refusals import Refusals
 from ebonydeal._internal.controller.replicas import ReplicaKeeper, views_by_token
+from ebonydeal._internal.controller.surplus import standing
 from ebonydeal._internal.controller.survey import Survey
 from ebonydeal._internal.controller.values import (
     LIVE_STATES,
@@ -35,6 +30,7 @@
     InstanceState,
     OfferKey,
 )
+from ebonydeal._internal.controller.vanished import Vanished
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.document import Deployment
 from ebonydeal._internal.models.endpoints import EndpointView, LeavingMark
@@ -70,6 +66,7 @@
         self._refusals = Refusals(
             ctx.cfg.refused_first, ctx.cfg.refused_longest, ctx.rng
         )
+        self._offers = OfferBook(self._refusals, ctx.clock, ctx.cfg.period)
         self._executor = Executor(
             name,
             self.records,
@@ -83,10 +80,9 @@
         self._replicas = ReplicaKeeper(name, self.lease, ctx)
         self._loads = LoadWatcher(ctx.engine, ctx.clock)
         self._ledger = Ledger(name, ctx.clock, ctx.cfg.spend_period)
-        self._prices = PriceMemory()
-        self._demand = DemandState()
+        self._vanished = Vanished(ctx.cfg.list_grace)
+        self._demand = DemandKeeper(ctx.demand_policy())
         self._unreplaced: list[str] = []
-        self._last_offers: dict[OfferKey, Offer] = {}
         self._views: dict[str, EndpointView] = {}
         self._epoch = 0
 
@@ -110,9 +106,12 @@
         if self.lease.epoch != self._epoch:
             self._begin_epoch()
         instances = survey.instances.get(self.name, {})
-        self._views = views_by_token(deployment, instances, survey.endpoints)
+        self._views = views_by_token(
+            deployment, self.records.rows, instances, survey.endpoints
+        )
         await self._look_at_loads()
-        offers = self._offers(deployment, survey)
+        zones = frozenset() if deployment is None else _zones(deployment)
+        offers = self._offers.usable(survey.offers, zones, self.records.rows.values())
         await self._decide(deployment, survey, offers)
         warm = await self._replicas.round(
             deployment,
@@ -130,12 +129,19 @@
         """Start anew after the lease was taken."""
         self._epoch = self.lease.epoch or 0
         self._unreplaced.clear()
+        self._hold_strength(InstanceState.READY)
         self._ctx.metrics.count(Event.TAKEOVERS)
         logger.info("Leading.", deployment=self.name, epoch=self._epoch)
         for row in self.records.rows.values():
             if row.state is InstanceState.DRAINING:
                 self._mark_leaving(row)
 
+    def _hold_strength(self, *states: InstanceState) -> None:
+        """Hold what is there for a while: its load is not known yet."""
+        rows = self.records.rows.values()
+        zones = Counter(row.zone for row in rows if row.state in states)
+        self._demand.begin(standing(zones), self._ctx.clock.now())
+
     async def _look_at_loads(self) -> None:
         """Ask replicas for their load: draining ones first."""
         states = {token: row.state for token, row in self.records.rows.items()}
@@ -151,25 +157,6 @@
         }
         await self._loads.ask(views, first)
 
-    def _offers(
-        self, deployment: Deployment | None, survey: Survey
-    ) -> dict[OfferKey, Offer]:
-        """Return usable offers, with the last price of what still runs.
-
-        An offer that is listed no longer can't be bought, but what runs on it
-        goes on.
-        """
-        zones = frozenset() if deployment is None else _zones(deployment)
-        offers = usable_offers(survey.offers, zones)
-        self._last_offers.update(offers)
-        now = self._ctx.clock.now()
-        for row in self.records.rows.values():
-            key = OfferKey.of(row)
-            if key not in offers and key in self._last_offers and key.zone in zones:
-                offers[key] = self._last_offers[key]
-                self._refusals.avoid(key, now, self._ctx.cfg.period * 2)
-        return offers
-
     async def _decide(
         self,
         deployment: Deployment | None,
@@ -181,29 +168,13 @@
             self.target, self.placement = 0, Placement({}, 0.0, 0, 0)
             return
         ctx, now = self._ctx, self._ctx.clock.now()
-        serving = {
-            self._views[row.token].endpoint_id
-            for row in self.records.rows.values()
-            if row.token in self._views
-        }
-        self.target, self._demand = desired_replicas(
-            self._demand,
-            Load.from_reports(self._loads.reports(serving)),
-            deployment.first_token_s,
-            deployment.min_replicas,
-            deployment.max_replicas,
-            ctx.demand_policy(),
-            now,
+        serving = self._serving()
+        self.target = self._demand.target(
+            deployment, self._loads.reports(serving), len(serving), now
         )
         wall = ctx.clock.wall()
-        for key in offers:
-            if key.reclaimable and key.zone in survey.notices.zones(
-                wall, ctx.cfg.zone_avoid
-            ):
-                self._refusals.avoid(key, now, ctx.cfg.zone_avoid)
-        price = cheapest(offers, reclaimable=True)
-        if price is not None:
-            self._prices.note(price, now)
+        reclaimed = survey.notices.zones(wall, ctx.cfg.zone_avoid)
+        self._offers.avoid_zones(offers, reclaimed)
         self.placement = decide_placement(
             self.target,
             Terms.from_deployment(deployment),
@@ -211,12 +182,20 @@
             self._current(survey),
             self._refusals.blocked(now),
             await self._backlog(deployment, wall),
-            self._prices.recent(),
+            self._offers.recent(),
             ctx.placement_policy(),
             DeadlinePolicy(),
             wall,
         )
 
+    def _serving(self) -> set[str]:
+        """Return the ids of the replicas that may have requests in flight."""
+        return {
+            row.instance_id
+            for row in self.records.rows.values()
+            if row.state in (InstanceState.READY, InstanceState.DRAINING)
+        }
+
     def _current(self, survey: Survey) -> Counter[OfferKey]:
         """Return the live instances that are not under a notice."""
         leaving = self._leaving(survey)
@@ -248,6 +227,7 @@
             idle=self._idle(),
             leaving=self._leaving(survey),
             prices={key: offer.price_per_hour for key, offer in offers.items()},
+            gone=self._gone(survey),
         )
         ceiling = 0.0 if deployment is None else deployment.price_ceiling
         wanted = Wanted(self.placement.counts, self.target, ceiling)
@@ -273,6 +253,8 @@
         if self.lease.epoch is None:
             return
         await self._executor.run(actions, self._epoch, offers, instances)
+        if any(isinstance(action, Enlist) for action in actions):
+            self._hold_strength(*LIVE_STATES)
         still = [token for token in self._unreplaced if token not in begun]
         self._unreplaced = (still + self._executor.refused)[-_MOST_UNREPLACED:]
 
@@ -285,6 +267,18 @@
                 leaving[token] = deadline
         return leaving
 
+    def _gone(self, survey: Survey) -> set[str]:
+        """Return the tokens of instances that vanished."""
+        rows = self.records.rows
+        instances = survey.instances.get(self.name, {})
+        answering = {
+            row.token
+            for row in rows.values()
+            if self._loads.report(row.instance_id) is not None
+        }
+        now = self._ctx.clock.now()
+        return self._vanished.gone(set(rows), instances, answering, now)
+
     def _idle(self) -> set[str]:
         """Return the draining tokens whose replica says that it runs nothing."""
         idle = set()
