Let exports wait while that is safe, and rank them by expected saving

Cause: at 10 s notice twice as many streams were exported as outlast it, each with the chance to break, and reviews of single streams met at the deadline. Change: one order by tokens saved x chance to outlast the notice per second of transfer; a source's exports wait until a reserve of time is left; a stream runs on while ending soon saves more than its growth costs; a review plans a source's streams together.

--- a/src/ebonydeal/_internal/routing/reclaim.py
+++ b/src/ebonydeal/_internal/routing/reclaim.py
@@ -6,8 +6,10 @@
 recomputes what the target's prefix cache doesn't hold.
 """
 
+import math
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
+from statistics import NormalDist
 from typing import NamedTuple
 
 from ebonydeal._internal.models.endpoints import EndpointView
@@ -27,6 +29,7 @@
 ]
 
 _LEAST_REVIEW_S = 0.1
+_LEAST_TRANSFER_S = 0.001
 
 
 class RunningStream(NamedTuple):
@@ -61,7 +64,11 @@
 
 @dataclass(frozen=True)
 class Finish:
-    """Let the stream end where it runs; plan again at ``review_at``."""
+    """Let the stream run where it is; if it still does, plan again at ``review_at``.
+
+    It is expected to end there, or its export can wait safely: each stream that
+    ends meanwhile needs no move.
+    """
 
     request_id: str
     review_at: float
@@ -103,9 +110,18 @@
     ----------
     margin : float
         Seconds kept free before the deadline, for late clocks and calls.
-    finish_share : float
-        A stream is left to finish if it is expected to need at most this share
-        of the notice.
+    estimate_sigma : float
+        Spread of the estimates of remaining tokens: true over estimated length
+        is taken as log-normal.
+    break_chance : float
+        Chance that an export fails. A stream that is less likely than this to
+        outlast the notice isn't exported.
+    hopeless : float
+        A stream that is expected to need more than this many times the notice
+        is exported at once; for any other the export waits as long as is safe.
+    reserve : float
+        Exports that wait start early enough for this many times their
+        expected time.
     overhead : float
         Seconds of an export and import beside the transfer.
     export_share, import_share : float
@@ -116,8 +132,11 @@
         for the shared prefix that another one is about to compute there.
     """
 
-    margin: float = 0.3
-    finish_share: float = 0.8
+    margin: float = 0.1
+    estimate_sigma: float = 0.5
+    break_chance: float = 0.05
+    hopeless: float = 3.0
+    reserve: float = 2.0
     overhead: float = 0.05
     export_share: float = 1.0
     import_share: float = 0.5
@@ -140,7 +159,8 @@
 ) -> float:
     """Return the time to export and import a stream's cache, in seconds."""
     whole = stream.kv_gb / source_rate if source_rate > 0 else float("inf")
-    return whole * (limits.export_share + limits.import_share) + limits.overhead
+    seconds = whole * (limits.export_share + limits.import_share) + limits.overhead
+    return max(_LEAST_TRANSFER_S, seconds)
 
 
 def plan_moves(
@@ -178,22 +198,29 @@
     Returns
     -------
     list of Move
-        One for each stream; exports in their order at each source.
+        One for each stream; exports in their order at each source. At a review,
+        plan again for all streams of that source that have no export or
+        recompute under way, since they share its time.
     """
     limits = limits or ReclaimLimits()
     usable = max(0.0, notice_seconds - limits.margin)
     pool = TargetPool(targets, leaving_zones)
-    finishing, moving = _split_finishing(streams, usable, limits)
-    moves: list[Move] = [
-        Finish(stream.request_id, _review_at(stream, now, usable, source_rate, limits))
-        for stream in finishing
-    ]
+    line = _ExportLine(usable, source_rate, now, dict(source_busy or {}))
     ordered = sorted(
-        moving, key=lambda it: _saved_per_s(it, source_rate, pool, limits), reverse=True
+        streams, key=lambda it: _worth(it, line, pool, limits), reverse=True
     )
-    line = _ExportLine(usable, source_rate, now, dict(source_busy or {}))
-    exports, left = _plan_exports(ordered, line, pool, limits)
-    return moves + exports + _plan_recomputes(left, pool, now, limits)
+    if usable <= 0.0:
+        return _plan_recomputes(ordered, pool, now, limits)
+    waits, ordered = _split_waiting(ordered, line, limits)
+    likely = [
+        it for it in ordered if _outlasts(it, usable, limits) > limits.break_chance
+    ]
+    exports, left = _plan_exports(likely, line, pool, limits)
+    planned = {move.request_id for move in (*waits, *exports)}
+    others = [it for it in ordered if it.request_id not in planned]
+    finishes = [_review(it, line, limits) for it in others if _gains(it, pool)]
+    left = [it for it in others if not _gains(it, pool)]
+    return [*waits, *exports, *finishes, *_plan_recomputes(left, pool, now, limits)]
 
 
 def replan(
@@ -226,54 +253,58 @@
     return moves + _plan_recomputes(lost + left, pool, now, limits)
 
 
-def _split_finishing(
-    streams: Iterable[RunningStream], usable: float, limits: ReclaimLimits
-) -> tuple[list[RunningStream], list[RunningStream]]:
-    """Return the streams that can finish in time, and the others."""
-    finishing: list[RunningStream] = []
-    moving: list[RunningStream] = []
-    for stream in streams:
-        seconds = _seconds_to_finish(stream)
-        fits = usable > 0.0 and seconds <= usable * limits.finish_share
-        (finishing if fits else moving).append(stream)
-    return finishing, moving
-
-
 def _seconds_to_finish(stream: RunningStream) -> float:
     if stream.tokens_per_s <= 0:
         return float("inf")
     return stream.remaining_tokens_estimate / stream.tokens_per_s
 
 
-def _review_at(
-    stream: RunningStream,
-    now: float,
-    usable: float,
-    source_rate: float,
-    limits: ReclaimLimits,
-) -> float:
-    """Return when to look again at a stream that should have finished by then.
+def _outlasts(stream: RunningStream, seconds: float, limits: ReclaimLimits) -> float:
+    """Return the chance that a stream runs for longer than ``seconds``."""
+    expected = _seconds_to_finish(stream)
+    if expected <= 0.0 or seconds <= 0.0:
+        return 1.0 if expected > seconds else 0.0
+    if math.isinf(expected):
+        return 1.0
+    deviations = math.log(seconds / expected) / limits.estimate_sigma
+    return 1.0 - NormalDist().cdf(deviations)
+
 
-    After its expected end, but early enough to export it still. The review is
-    always later than now, so that planning comes to an end.
+def _gains(stream: RunningStream, pool: TargetPool) -> bool:
+    """Return whether it is better to let a stream run than to resume it at once.
+
+    Each second it may end, which saves its whole context, but makes the context
+    longer if it doesn't: it gains while the context is longer than the rest.
     """
-    expected = _seconds_to_finish(stream) / limits.finish_share
-    latest = usable - transfer_seconds(stream, source_rate, limits)
-    if latest < _LEAST_REVIEW_S:
-        latest = usable
-    return now + max(_LEAST_REVIEW_S, min(latest, expected))
+    cost = stream.context_tokens - pool.best_hit(stream.prefix)
+    return cost > stream.remaining_tokens_estimate and stream.tokens_per_s > 0
 
 
-def _saved_per_s(
-    stream: RunningStream, source_rate: float, pool: TargetPool, limits: ReclaimLimits
+def _worth(
+    stream: RunningStream, line: "_ExportLine", pool: TargetPool, limits: ReclaimLimits
 ) -> tuple[float, str]:
-    """Return the tokens that an export saves per second of transfer.
+    """Return the tokens that an export is expected to save per second of transfer.
 
-    What some target's prefix cache already holds needn't be saved. The id makes
-    the order the same everywhere.
+    Nothing is saved of a stream that ends in time, nor what some target's prefix
+    cache already holds. The id makes the order the same everywhere.
     """
-    saved = stream.context_tokens - pool.best_hit(stream.prefix)
-    return saved / transfer_seconds(stream, source_rate, limits), stream.request_id
+    missed = stream.context_tokens - pool.best_hit(stream.prefix)
+    saved = missed * _outlasts(stream, line.usable, limits)
+    return saved / transfer_seconds(stream, line.source_rate, limits), stream.request_id
+
+
+def _review(
+    stream: RunningStream, line: "_ExportLine", limits: ReclaimLimits
+) -> Finish:
+    """Let a stream run until its source has time to export it, or to the end.
+
+    The review is always later than now, so that planning comes to an end.
+    """
+    at = line.busy.get(stream.endpoint_id, 0.0)
+    seconds = transfer_seconds(stream, line.source_rate, limits)
+    if at < _LEAST_REVIEW_S or at + seconds > line.usable:
+        at = max(_LEAST_REVIEW_S, line.usable)
+    return Finish(stream.request_id, line.now + at)
 
 
 class _ExportLine(NamedTuple):
@@ -285,6 +316,37 @@
     busy: dict[str, float]
 
 
+def _split_waiting(
+    ordered: Sequence[RunningStream], line: _ExportLine, limits: ReclaimLimits
+) -> tuple[list[Move], list[RunningStream]]:
+    """Return those whose export can wait, with their review, and the others.
+
+    A source's exports wait together, until only ``reserve`` times their expected
+    time and that of the longest one is left before the deadline.
+    """
+    expected: dict[str, float] = dict(line.busy)
+    longest: dict[str, float] = {}
+    for stream in ordered:
+        source = stream.endpoint_id
+        seconds = transfer_seconds(stream, line.source_rate, limits)
+        longest[source] = max(longest.get(source, 0.0), seconds)
+        chance = _outlasts(stream, line.usable, limits)
+        if chance > 0.0:
+            expected[source] = expected.get(source, 0.0) + chance * seconds
+    waits: list[Move] = []
+    others = []
+    for stream in ordered:
+        source = stream.endpoint_id
+        needed = limits.reserve * expected.get(source, 0.0) + longest[source]
+        slack = line.usable - needed
+        hopeless = _seconds_to_finish(stream) > limits.hopeless * line.usable
+        if hopeless or slack < _LEAST_REVIEW_S:
+            others.append(stream)
+        else:
+            waits.append(Finish(stream.request_id, line.now + slack))
+    return waits, others
+
+
 def _plan_exports(
     ordered: Iterable[RunningStream],
     line: _ExportLine,
