Measure real peer services on loopback beside the model

Cause: the model of rounds has no sockets and no HTTP. Change: ebonydeal bench peers starts 3, 9 and 24 services and marks a zone.

--- a/src/ebonydeal/_internal/commands/bench_peers.py
+++ b/src/ebonydeal/_internal/commands/bench_peers.py
@@ -1,10 +1,12 @@
 """``ebonydeal bench peers``: what rounds between own processes cost."""
 
+import asyncio
 from collections.abc import Sequence
 from pathlib import Path
 
 import click
 
+from ebonydeal._internal.benchmarks.peers.loopback import Loopback, measure_loopback
 from ebonydeal._internal.benchmarks.peers.suite import (
     LOSSES,
     SIZES,
@@ -17,6 +19,8 @@
 )
 
 _LIMIT = 4096
+_LOOPBACK_SIZES = (3, 9, 24)
+_LOOPBACK_S = 6.0
 
 
 def _traffic_table(rows: Sequence[Traffic], title: str) -> str:
@@ -45,6 +49,19 @@
     return "\n".join(lines)
 
 
+def _loopback_table(rows: Sequence[Loopback]) -> str:
+    lines = [
+        "real services on loopback, all in this process",
+        "nodes  mean B/s  cpu us/s  a mark reaches all s",
+    ]
+    for row in rows:
+        lines.append(
+            f"{row.nodes:>5} {row.bytes_per_s:>9,.0f} {row.cpu_us:>9,.0f} "
+            f"{row.spread_s:>21.3f}"
+        )
+    return "\n".join(lines)
+
+
 @click.command("peers")
 @click.option("--seed", type=int, default=1, help="First seed.")
 @click.option("--runs", type=click.IntRange(1, 50), default=3, help="Seeds a row.")
@@ -57,8 +74,10 @@
 def peers_command(seed: int, runs: int, output: Path | None) -> None:
     """Measure bytes, processor time and spread of peer rounds by size.
 
-    The real messages are driven in one process, without sockets.
+    The real messages are driven in one process without sockets, and a few real
+    services on loopback.
     """
+    real = [asyncio.run(measure_loopback(n, _LOOPBACK_S)) for n in _LOOPBACK_SIZES]
     bare = [measure_traffic(size, seed, with_demand=False) for size in SIZES]
     full = [measure_traffic(size, seed, with_demand=True) for size in SIZES]
     seeds = range(seed, seed + runs)
@@ -74,6 +93,7 @@
             _traffic_table(bare, "membership and marks only, nothing new"),
             _traffic_table(full, "with demand of 5 client accounts"),
             _spread_table(spreads),
+            _loopback_table(real),
             f"worst node {worst:,.0f} B/s, at most {_LIMIT:,}: {verdict}\n"
             f"last node knows a mark after {late:.2f} s, at most 3: "
             f"{'met' if late <= 3.0 else 'NOT MET'}",
