--- a/tests/functional/peers/test_service.py
+++ b/tests/functional/peers/test_service.py
@@ -117,6 +117,25 @@
                     a.directory.mark(mark)
                     await until(lambda: list(b.directory.marks) == [mark])
 
+    async def test_unreachable_seed_does_not_keep_others_apart(self):
+        async with Node(1) as a:
+            nobody = "127.0.0.1:1"
+            async with Node(2, f"{nobody},{a.peers.address}") as b:
+                for _ in range(12):
+                    await b.peers.round()
+                assert b.knows() == {"node-1"}
+                assert a.knows() == {"node-2"}
+
+    async def test_address_taken_by_another_node_makes_a_suspect(self):
+        async with Node(1) as a, Node(2, a.peers.address) as b:
+            await join_all(a, b)
+            gone = b.peers.membership.own._replace(id="gone")
+            a.peers.membership.merge(gone, a.clock.now())
+            for _ in range(12):
+                await a.peers.round()
+            assert a.peers.membership.get("gone").status is MemberStatus.SUSPECT
+            assert a.peers.membership.get("node-2").status is MemberStatus.ALIVE
+
     async def test_planned_stop_is_told_and_not_suspected(self):
         async with Node(1) as a:
             async with Node(2, a.peers.address) as b:
