--- a/src/ebonydeal/_internal/benchmarks/clockwork.py
+++ b/src/ebonydeal/_internal/benchmarks/clockwork.py
@@ -20,7 +20,9 @@
         heapq.heappush(self._heap, entry)
 
     def run(self, until: float = float("inf")) -> None:
-        """Do everything that is to come up to ``until``."""
+        """Do everything that is to come up to ``until``, which is now then."""
         while self._heap and self._heap[0][0] <= until:
             self.now, _, call, args = heapq.heappop(self._heap)
             call(*args)
+        if until < float("inf"):
+            self.now = until
--- a/src/ebonydeal/_internal/peers/demand.py
+++ b/src/ebonydeal/_internal/peers/demand.py
@@ -6,7 +6,7 @@
 
 from ebonydeal._internal.routing.demand import DemandReport
 
-MAX_BYTES = 1100
+MAX_BYTES = 900
 _MAX_GATEWAYS = 1000
 _DIGITS = 4
 
