Carry the topic of the instance list in the bench of peer rounds too

Cause: services carry it since lists are shared, so its hash belongs to the bytes. Change: the model registers it, empty.

--- a/src/ebonydeal/_internal/commands/bench_peers.py
+++ b/src/ebonydeal/_internal/commands/bench_peers.py
@@ -90,7 +90,9 @@
     text = "\n\n".join(
         [
             f"ebonydeal bench peers --seed {seed} --runs {runs}",
-            _traffic_table(bare, "membership and marks only, nothing new"),
+            _traffic_table(
+                bare, "membership, marks and an empty instance list, nothing new"
+            ),
             _traffic_table(full, "with demand of 5 client accounts"),
             _spread_table(spreads),
             _loopback_table(real),
