Give the asking of endpoints a service of its own

Change: EndpointAsker polls loads and cache events; callbacks are called in one place; suspects are looked at only if there are any. Conclusion: no change of what it does.

--- a/src/ebonydeal/_internal/directory/marks.py
+++ b/src/ebonydeal/_internal/directory/marks.py
@@ -41,6 +41,11 @@
     max_zone_marks: int = MAX_ZONE_MARKS
 
 
+def mark_of(view: EndpointView, source: str, now: float) -> LeavingMark:
+    """Return a mark of one view's incarnation, without a deadline."""
+    return LeavingMark(view.endpoint_id, view.incarnation, "", 0.0, source, now)
+
+
 def mark_key(mark: LeavingMark) -> str:
     """Return the key under which marks of the same subject are joined.
 
--- a/src/ebonydeal/_internal/directory/service.py
+++ b/src/ebonydeal/_internal/directory/service.py
@@ -11,15 +11,15 @@
 
 from mode import Service
 
-from ebonydeal._internal.directory.marks import MarkLimits, MarkSet
+from ebonydeal._internal.directory.asking import EndpointAsker
+from ebonydeal._internal.directory.callbacks import call_all
+from ebonydeal._internal.directory.marks import MarkLimits, MarkSet, mark_of
 from ebonydeal._internal.directory.notices import NoticeResolver
-from ebonydeal._internal.directory.polling import PollPlan
 from ebonydeal._internal.directory.sharing import Fact, SharedList, is_turn
 from ebonydeal._internal.directory.suspects import Suspects
 from ebonydeal._internal.directory.table import Change, EndpointTable
-from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.errors import EbonydealError
 from ebonydeal._internal.models.endpoints import (
-    EndpointKind,
     EndpointState,
     EndpointView,
     LeavingMark,
@@ -38,7 +38,6 @@
 
 logger = get_logger("directory")
 
-POLL_TICK_S = 0.25
 NOTICE_LOOKS = 6
 _LOWEST_JITTER = 0.5
 _HIGHEST_JITTER = 1.5
@@ -80,7 +79,6 @@
         self._cfg = cfg
         self._instances = instances
         self._cloud = cloud
-        self._engine = engine
         self._metrics = metrics
         self._clock = clock
         self._rng = rng
@@ -92,9 +90,9 @@
         self._leaving: set[str] = set()
         self._suspects = Suspects(cfg.refusals_suspect, cfg.suspect_seconds)
         self._notices = NoticeResolver(cfg.list_lag)
-        self._loads = PollPlan(cfg.load_period)
-        self._events = PollPlan(cfg.events_period)
-        self._event_seq: dict[str, int] = {}
+        self._asker: EndpointAsker | None = None
+        if engine is not None:
+            self._asker = EndpointAsker(cfg, engine, self, clock, rng)
         self._watch: Callable[[EndpointView], bool] | None = None
         self._mark_callbacks: list[MarkCallback] = []
         self._change_callbacks: list[ChangeCallback] = []
@@ -137,6 +135,8 @@
             for view in self._table.of(deployment)
             if view.endpoint_id not in self._leaving
         ]
+        if not self._suspects:
+            return tuple(views)
         now = self._clock.now()
         trusted = [
             view
@@ -178,14 +178,14 @@
             return False
         self._metrics.count(Event.LEAVING_MARKED)
         logger.info("Leaving.", endpoint=mark.endpoint_id, zone=mark.zone)
-        for callback in self._mark_callbacks:
-            _call(callback, mark)
+        call_all(self._mark_callbacks, mark)
         return True
 
     def observe_load(self, endpoint_id: str, load: LoadReport) -> None:
         """Take in a load report, for example one that rode on an answer."""
         self._suspects.answered(endpoint_id)
-        self._loads.heard(endpoint_id, self._clock.now())
+        if self._asker is not None:
+            self._asker.heard(endpoint_id)
         self._table.observe_load(endpoint_id, load)
 
     def connect_failed(self, endpoint_id: str) -> None:
@@ -231,6 +231,11 @@
         self._event_callbacks.append(callback)
 
     # --- following ---------------------------------------------------------------
+    async def on_start(self) -> None:
+        """Start to ask endpoints, where they can be asked."""
+        if self._asker is not None:
+            await self.add_runtime_dependency(self._asker)
+
     @Service.task
     async def _follow_list(self) -> None:
         await self._repeat(self._cfg.list_period, self._read_list, "instance list")
@@ -240,16 +245,6 @@
         if self._cloud is not None:
             await self._repeat(self._cfg.notices_period, self._read_notices, "notices")
 
-    @Service.task
-    async def _follow_loads(self) -> None:
-        if self._engine is not None:
-            await self._repeat(POLL_TICK_S, self._poll_loads, "load")
-
-    @Service.task
-    async def _follow_events(self) -> None:
-        if self._engine is not None:
-            await self._repeat(POLL_TICK_S, self._poll_events, "cache events")
-
     async def _repeat(
         self, period: float, step: Callable[[], Awaitable[None]], what: str
     ) -> None:
@@ -280,8 +275,7 @@
         """Pass on what is news of the list."""
         if not news:
             return
-        for callback in self._facts_callbacks:
-            _call(callback, news)
+        call_all(self._facts_callbacks, news)
 
     def apply_list(self, listed: list[EndpointView]) -> None:
         """Take in a whole instance list."""
@@ -294,14 +288,13 @@
                 self._leaving.add(view.endpoint_id)
         for view in self._table.all():
             if view.state is EndpointState.LEAVING and not self.is_leaving(view):
-                self.mark(_mark_of(view, "list", now))
+                self.mark(mark_of(view, "list", now))
         for mark in self._notices.resolve(self._table, now):
             self.mark(mark)
         self.marks.forget(now)
         self._listed.set()
         if change:
-            for callback in self._change_callbacks:
-                _call(callback, change)
+            call_all(self._change_callbacks, change)
 
     async def _read_notices(self) -> None:
         assert self._cloud is not None
@@ -312,58 +305,21 @@
         for mark in self._notices.take(notices, self._table, now):
             self.mark(mark)
 
-    def _watched(self) -> list[EndpointView]:
+    # --- asking endpoints -----------------------------------------------------------
+    def watched(self) -> list[EndpointView]:
+        """Return the endpoints that are asked for load and cache events."""
         watch = self._watch
         views = [v for v in self._table.all() if v.endpoint_id not in self._leaving]
         return views if watch is None else [view for view in views if watch(view)]
 
-    async def _poll_loads(self) -> None:
-        ids = [view.endpoint_id for view in self._watched()]
-        await self._poll(self._loads, ids, self._poll_load)
+    @property
+    def wants_cache_events(self) -> bool:
+        """Whether anybody listens to cache events."""
+        return bool(self._event_callbacks)
 
-    async def _poll_events(self) -> None:
-        if not self._event_callbacks:
-            return
-        engines = [view for view in self._watched() if view.kind is EndpointKind.ENGINE]
-        ids = [view.endpoint_id for view in engines]
-        await self._poll(self._events, ids, self._poll_cache)
-
-    async def _poll(
-        self,
-        plan: PollPlan,
-        ids: list[str],
-        ask: Callable[[EndpointView], Awaitable[None]],
-    ) -> None:
-        limit = max(1, int(self._cfg.polls_per_s * POLL_TICK_S))
-        now = self._clock.now()
-        views = [self._table.get(item) for item in plan.due(ids, now, limit)]
-        asked = [view for view in views if view is not None]
-        for view in asked:
-            plan.heard(view.endpoint_id, now)
-        await asyncio.gather(*(self._ask(view, ask) for view in asked))
-
-    async def _ask(
-        self, view: EndpointView, ask: Callable[[EndpointView], Awaitable[None]]
-    ) -> None:
-        try:
-            await ask(view)
-        except EbonydealError as exc:
-            if exc.kind is ErrorKind.CONNECT_FAILED:
-                self.connect_failed(view.endpoint_id)
-
-    async def _poll_load(self, view: EndpointView) -> None:
-        assert self._engine is not None
-        self.observe_load(view.endpoint_id, await self._engine.load(view))
-
-    async def _poll_cache(self, view: EndpointView) -> None:
-        assert self._engine is not None
-        after = self._event_seq.get(view.endpoint_id, 0)
-        events = await self._engine.cache_events(view, after)
-        if not events:
-            return
-        self._event_seq[view.endpoint_id] = max(event.seq for event in events)
-        for callback in self._event_callbacks:
-            _call(callback, view.endpoint_id, events)
+    def take_cache_events(self, endpoint_id: str, events: list[CacheEvent]) -> None:
+        """Pass on cache events of one engine."""
+        call_all(self._event_callbacks, endpoint_id, events)
 
     # --- state --------------------------------------------------------------------
     def _apply(self, mark: LeavingMark) -> None:
@@ -380,24 +336,10 @@
     def _forget(self, endpoint_id: str) -> None:
         self._leaving.discard(endpoint_id)
         self._suspects.answered(endpoint_id)
-        self._loads.forget(endpoint_id)
-        self._events.forget(endpoint_id)
-        self._event_seq.pop(endpoint_id, None)
+        if self._asker is not None:
+            self._asker.forget(endpoint_id)
 
 
 def _one_reader() -> int:
     """Return the number of readers of a process that shares with nobody."""
     return 1
-
-
-def _mark_of(view: EndpointView, source: str, now: float) -> LeavingMark:
-    """Return a mark of one view's incarnation."""
-    return LeavingMark(view.endpoint_id, view.incarnation, "", 0.0, source, now)
-
-
-def _call(callback: Callable[..., None], *args: object) -> None:
-    """Call back; a fault of the other part must not stop the following."""
-    try:
-        callback(*args)
-    except Exception as exc:
-        logger.error("A callback failed.", exc_info=exc)
--- a/src/ebonydeal/_internal/directory/suspects.py
+++ b/src/ebonydeal/_internal/directory/suspects.py
@@ -18,6 +18,10 @@
         self._refusals: dict[str, int] = {}
         self._until: dict[str, float] = {}
 
+    def __bool__(self) -> bool:
+        """Return whether there may be any suspect."""
+        return bool(self._until)
+
     def refused(self, endpoint_id: str, now: float) -> bool:
         """Count a refused connection; return whether it is suspected now."""
         count = self._refusals.get(endpoint_id, 0) + 1
@@ -34,4 +38,4 @@
 
     def suspected(self, endpoint_id: str, now: float) -> bool:
         """Return whether an endpoint should be left out."""
-        return bool(self._until) and now < self._until.get(endpoint_id, now)
+        return now < self._until.get(endpoint_id, now)
