Split the reclaim decisions' values and estimates from the plan

Change: reclaim_streams holds streams, moves, limits and estimates. Conclusion: no change of what it does.

--- a/src/ebonydeal/_internal/routing/reclaim.py
+++ b/src/ebonydeal/_internal/routing/reclaim.py
@@ -6,13 +6,21 @@
 recomputes what the target's prefix cache doesn't hold.
 """
 
-import math
 from collections.abc import Collection, Iterable, Mapping, Sequence
-from dataclasses import dataclass
-from statistics import NormalDist
 from typing import NamedTuple
 
-from ebonydeal._internal.models.endpoints import EndpointView
+from ebonydeal._internal.routing.reclaim_streams import (
+    ExportFault,
+    ExportTo,
+    Finish,
+    Move,
+    ReclaimLimits,
+    Recompute,
+    RunningStream,
+    outlasts,
+    seconds_to_finish,
+    transfer_seconds,
+)
 from ebonydeal._internal.routing.reclaim_targets import Target, TargetPool
 
 __all__ = [
@@ -29,138 +37,6 @@
 ]
 
 _LEAST_REVIEW_S = 0.1
-_LEAST_TRANSFER_S = 0.001
-
-
-class RunningStream(NamedTuple):
-    """A stream on an endpoint that is leaving.
-
-    Attributes
-    ----------
-    request_id : str
-        Which request.
-    endpoint_id : str
-        Where it runs.
-    context_tokens : int
-        Prompt and generated tokens so far.
-    remaining_tokens_estimate : float
-        Tokens that are expected to follow.
-    tokens_per_s : float
-        Its generation rate.
-    kv_gb : float
-        Size of its KV cache, gigabytes.
-    prefix : tuple of str
-        Chained hashes of the prompt's blocks (`utils.prefix`); empty if unknown.
-    """
-
-    request_id: str
-    endpoint_id: str
-    context_tokens: int
-    remaining_tokens_estimate: float
-    tokens_per_s: float
-    kv_gb: float
-    prefix: tuple[str, ...] = ()
-
-
-@dataclass(frozen=True)
-class Finish:
-    """Let the stream run where it is; if it still does, plan again at ``review_at``.
-
-    It is expected to end there, or its export can wait safely: each stream that
-    ends meanwhile needs no move.
-    """
-
-    request_id: str
-    review_at: float
-
-
-@dataclass(frozen=True)
-class ExportTo:
-    """Export the KV cache at ``start_at`` and go on at ``target``.
-
-    ``seconds`` is the time that export and import are expected to take.
-    """
-
-    request_id: str
-    target: EndpointView
-    start_at: float
-    seconds: float
-
-
-@dataclass(frozen=True)
-class Recompute:
-    """Go on at ``target`` by prefill, at ``start_at``.
-
-    ``target`` is None where none has room: the router finds one, or the stream
-    waits in a queue.
-    """
-
-    request_id: str
-    target: EndpointView | None
-    start_at: float
-
-
-Move = Finish | ExportTo | Recompute
-
-
-class ReclaimLimits(NamedTuple):
-    """What the planner assumes.
-
-    Attributes
-    ----------
-    margin : float
-        Seconds kept free before the deadline, for late clocks and calls.
-    estimate_sigma : float
-        Spread of the estimates of remaining tokens: true over estimated length
-        is taken as log-normal.
-    break_chance : float
-        Chance that an export fails. A stream that is less likely than this to
-        outlast the notice isn't exported.
-    hopeless : float
-        A stream that is expected to need more than this many times the notice
-        is exported at once; for any other the export waits as long as is safe.
-    reserve : float
-        Exports that wait start early enough for this many times their
-        expected time.
-    overhead : float
-        Seconds of an export and import beside the transfer.
-    export_share, import_share : float
-        Time of the export and of the import, as shares of the cache's size over
-        the source's rate.
-    prefill_per_s : float
-        Tokens a second that a target prefills; decides how long a stream waits
-        for the shared prefix that another one is about to compute there.
-    """
-
-    margin: float = 0.1
-    estimate_sigma: float = 0.5
-    break_chance: float = 0.05
-    hopeless: float = 3.0
-    reserve: float = 2.0
-    overhead: float = 0.05
-    export_share: float = 1.0
-    import_share: float = 0.5
-    prefill_per_s: float = 8000.0
-
-
-class ExportFault(NamedTuple):
-    """An export that didn't succeed.
-
-    ``handle_left`` says that the exported cache still stands at a live source
-    (only the import failed), so that another target may fetch it.
-    """
-
-    request_id: str
-    handle_left: bool
-
-
-def transfer_seconds(
-    stream: RunningStream, source_rate: float, limits: ReclaimLimits
-) -> float:
-    """Return the time to export and import a stream's cache, in seconds."""
-    whole = stream.kv_gb / source_rate if source_rate > 0 else float("inf")
-    seconds = whole * (limits.export_share + limits.import_share) + limits.overhead
-    return max(_LEAST_TRANSFER_S, seconds)
 
 
 def plan_moves(
@@ -213,7 +89,7 @@
         return _plan_recomputes(ordered, pool, now, limits)
     waits, ordered = _split_waiting(ordered, line, limits)
     likely = [
-        it for it in ordered if _outlasts(it, usable, limits) > limits.break_chance
+        it for it in ordered if outlasts(it, usable, limits) > limits.break_chance
     ]
     exports, left = _plan_exports(likely, line, pool, limits)
     planned = {move.request_id for move in (*waits, *exports)}
@@ -253,23 +129,6 @@
     return moves + _plan_recomputes(lost + left, pool, now, limits)
 
 
-def _seconds_to_finish(stream: RunningStream) -> float:
-    if stream.tokens_per_s <= 0:
-        return float("inf")
-    return stream.remaining_tokens_estimate / stream.tokens_per_s
-
-
-def _outlasts(stream: RunningStream, seconds: float, limits: ReclaimLimits) -> float:
-    """Return the chance that a stream runs for longer than ``seconds``."""
-    expected = _seconds_to_finish(stream)
-    if expected <= 0.0 or seconds <= 0.0:
-        return 1.0 if expected > seconds else 0.0
-    if math.isinf(expected):
-        return 1.0
-    deviations = math.log(seconds / expected) / limits.estimate_sigma
-    return 1.0 - NormalDist().cdf(deviations)
-
-
 def _gains(stream: RunningStream, pool: TargetPool) -> bool:
     """Return whether it is better to let a stream run than to resume it at once.
 
@@ -289,7 +148,7 @@
     cache already holds. The id makes the order the same everywhere.
     """
     missed = stream.context_tokens - pool.best_hit(stream.prefix)
-    saved = missed * _outlasts(stream, line.usable, limits)
+    saved = missed * outlasts(stream, line.usable, limits)
     return saved / transfer_seconds(stream, line.source_rate, limits), stream.request_id
 
 
@@ -330,7 +189,7 @@
         source = stream.endpoint_id
         seconds = transfer_seconds(stream, line.source_rate, limits)
         longest[source] = max(longest.get(source, 0.0), seconds)
-        chance = _outlasts(stream, line.usable, limits)
+        chance = outlasts(stream, line.usable, limits)
         if chance > 0.0:
             expected[source] = expected.get(source, 0.0) + chance * seconds
     waits: list[Move] = []
@@ -339,7 +198,7 @@
         source = stream.endpoint_id
         needed = limits.reserve * expected.get(source, 0.0) + longest[source]
         slack = line.usable - needed
-        hopeless = _seconds_to_finish(stream) > limits.hopeless * line.usable
+        hopeless = seconds_to_finish(stream) > limits.hopeless * line.usable
         if hopeless or slack < _LEAST_REVIEW_S:
             others.append(stream)
         else:
