Measure reclaim on streams that outlast the notice too

Cause: streams of both mixes mostly end within ten seconds, so few are left to decide about at that notice. Change: a third mix, Palermo's pool with answers of half a minute.

--- a/src/ebonydeal/_internal/benchmarks/reclaim/mixes.py
+++ b/src/ebonydeal/_internal/benchmarks/reclaim/mixes.py
@@ -98,7 +98,9 @@
     output_mu=5.1,
     output_sigma=0.6,
 )
-MIXES = (CADWALADR, PALERMO)
+LONG = PALERMO._replace(name="long", bursts_per_s=1.6, output_mu=7.3)
+"""Palermo's pool with answers of half a minute, which outlast most notices."""
+MIXES = (CADWALADR, PALERMO, LONG)
 
 
 def _blocks(name: str, tokens: int) -> tuple[str, ...]:
