Draw partitions and losses for the membership's convergence

Cause: only chosen partitions were tested. Change: a property over up to three phases of partitions into three sides with up to 30 % lost rounds; the test's net needs no event loop any more.

--- a/tests/unit/peers/test_membership.py
+++ b/tests/unit/peers/test_membership.py
@@ -1,7 +1,7 @@
 import random
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from ebonydeal._internal.peers.exchange import Exchange
@@ -13,7 +13,6 @@
 )
 from ebonydeal._internal.peers.targets import PeerTargets
 from ebonydeal._internal.peers.topics import MembersTopic
-from tests.lib.clock import ManualClock
 
 ALIVE, SUSPECT = MemberStatus.ALIVE, MemberStatus.SUSPECT
 LEFT, DEAD = MemberStatus.LEFT, MemberStatus.DEAD
@@ -180,12 +179,28 @@
         assert targets.next(membership, random.Random(1)) is None
 
 
+class RoundClock:
+    """Time that stands still within a round."""
+
+    def __init__(self) -> None:
+        self.seconds = 0.0
+
+    def now(self) -> float:
+        return self.seconds
+
+    def wall(self) -> float:
+        return self.seconds
+
+    async def sleep(self, seconds: float) -> None:
+        raise NotImplementedError
+
+
 class Net:
     """Memberships that hold rounds in process, with losses and partitions."""
 
     def __init__(self, count: int, seed: int) -> None:
         self.rng = random.Random(seed)
-        self.clock = ManualClock(0.0)
+        self.clock = RoundClock()
         self.nodes = [Membership(member(f"n{n}"), TIMES) for n in range(count)]
         self.exchanges = [self.exchange(node) for node in self.nodes]
         self.targets = [PeerTargets("n0:9200", 9200) for _ in self.nodes]
@@ -217,12 +232,12 @@
         if closing is not None:
             ours.receive(theirs.take_push(closing, now))
 
-    async def run(self, seconds: int) -> None:
+    def run(self, seconds: int) -> None:
         for _ in range(seconds):
             for a in range(len(self.nodes)):
                 if self.side[a] >= 0:
                     self.round(a)
-            await self.clock.advance(1.0)
+            self.clock.seconds += 1.0
 
     def live(self, a: int) -> set[str]:
         return {m.id for m in self.nodes[a].live() if m.status is ALIVE}
@@ -230,38 +245,63 @@
 
 class TestConvergence:
     @pytest.mark.parametrize("seed", range(5))
-    async def test_partition_heals(self, seed):
+    def test_partition_heals(self, seed):
         net = Net(12, seed)
-        await net.run(15)
+        net.run(15)
         everyone = {f"n{n}" for n in range(12)}
         assert all(net.live(a) == everyone - {f"n{a}"} for a in range(12))
         net.side = [0] * 7 + [1] * 5
-        await net.run(60)
+        net.run(60)
         assert net.live(1) == {f"n{n}" for n in range(7)} - {"n1"}
         assert net.live(11) == {f"n{n}" for n in range(7, 12)} - {"n11"}
         net.side = [0] * 12
-        await net.run(40)
+        net.run(40)
         assert all(net.live(a) == everyone - {f"n{a}"} for a in range(12))
 
     @pytest.mark.parametrize("seed", range(5))
-    async def test_dead_node_is_removed_everywhere_and_no_other(self, seed):
+    def test_dead_node_is_removed_everywhere_and_no_other(self, seed):
         net = Net(12, seed)
         net.loss = 0.1
-        await net.run(20)
+        net.run(20)
         net.side[4] = -1
-        await net.run(60)
+        net.run(60)
         net.loss = 0.0
-        await net.run(20)
+        net.run(20)
         everyone = {f"n{n}" for n in range(12)} - {"n4"}
         for a in set(range(12)) - {4}:
             assert net.live(a) == everyone - {f"n{a}"}
             assert net.nodes[a].get("n4").status is DEAD
 
-    async def test_restart_is_seen_by_all(self):
+    def test_restart_is_seen_by_all(self):
         net = Net(8, 3)
-        await net.run(15)
+        net.run(15)
         net.nodes[5] = Membership(member("n5", incarnation=2), TIMES)
         net.exchanges[5] = net.exchange(net.nodes[5])
-        await net.run(15)
+        net.run(15)
         for a in set(range(8)) - {5}:
             assert net.nodes[a].get("n5") == member("n5", incarnation=2)
+
+    @given(
+        st.integers(0, 1000),
+        st.lists(
+            st.tuples(
+                st.lists(st.integers(0, 2), min_size=7, max_size=7),
+                st.sampled_from([0.0, 0.1, 0.3]),
+                st.integers(1, 40),
+            ),
+            max_size=3,
+        ),
+    )
+    @settings(max_examples=40)
+    def test_any_partitions_and_losses_heal(self, seed, phases):
+        net = Net(7, seed)
+        for sides, loss, seconds in phases:
+            net.side, net.loss = sides, loss
+            net.run(seconds)
+        net.side, net.loss = [0] * 7, 0.0
+        net.run(60)
+        everyone = {f"n{n}" for n in range(7)}
+        assert [net.live(a) for a in range(7)] == [
+            everyone - {f"n{a}"} for a in range(7)
+        ]
+        assert len({node.hashes.top() for node in net.nodes}) == 1
