Learn from late first tokens how long others' prefills queue

Cause: a gateway sees a ninth of the sends; load reports don't tell how many tokens wait for prefill and are older than the queue. Change: what a first token waited beyond its own prefill is averaged by endpoint, loses half its weight every 5 s, and counts as queued tokens.

--- a/src/ebonydeal/_internal/routing/ledger.py
+++ b/src/ebonydeal/_internal/routing/ledger.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 _LEARN = 0.05
+_LEARN_QUEUE = 0.3
 _RATE_DECAY = 0.999
 _RATE_LEAST_TOKENS = 64
 _REMEMBERED_ENDS = 256
@@ -33,6 +34,19 @@
         default_factory=lambda: deque(maxlen=_REMEMBERED_ENDS)
     )
 
+    queue_s: float = 0.0
+    queue_at: float = 0.0
+
+    def queued(self, seconds: float, now: float, half_life: float) -> None:
+        """Learn how long a request waited for others before its own prefill."""
+        known = self.queue_now(now, half_life)
+        self.queue_s = known + _LEARN_QUEUE * (max(0.0, seconds) - known)
+        self.queue_at = now
+
+    def queue_now(self, now: float, half_life: float) -> float:
+        """Return the wait to expect, less the older the last one is."""
+        return self.queue_s * 0.5 ** (max(0.0, now - self.queue_at) / half_life)
+
     def since(self, at: float) -> int:
         """Return how many unfinished attempts were sent after ``at``."""
         return sum(1 for item in self.attempts.values() if item.sent_at > at)
--- a/src/ebonydeal/_internal/routing/router.py
+++ b/src/ebonydeal/_internal/routing/router.py
@@ -121,7 +121,9 @@
         delay = now - attempt.sent_at
         rates.prefilled(prefilled_tokens, delay)
         queued = delay - prefilled_tokens / rates.prefill
-        in_flight = len(self._sent_to(endpoint_id).attempts)
+        sent = self._sent_to(endpoint_id)
+        sent.queued(queued, now, self._cfg.report_half_life)
+        in_flight = len(sent.attempts)
         self._limit(endpoint_id).started(queued, attempt.target_s, in_flight, now)
         self._cache(endpoint_id).answered(
             attempt.blocks, attempt.cached_tokens, cached_tokens, now
@@ -233,11 +235,12 @@
         sent = self._sent_to(view.endpoint_id)
         rates = self._rates_of(ask.deployment)
         cached = self._cache(view.endpoint_id).cached_tokens(ask.blocks, now)
+        queue_s = sent.queue_now(now, self._cfg.report_half_life)
         slots = float(view.load.slots) if view.load else _ASSUMED_SLOTS
         return Estimate(
             load=_expected_load(view, sent, now),
             slots=slots,
-            prefill_queue=sent.prefilling(),
+            prefill_queue=sent.prefilling() + queue_s * rates.prefill,
             cached_tokens=min(cached, float(ask.prompt_tokens)),
             prefill_rate=rates.prefill,
             service_s=rates.service_s,
--- a/src/ebonydeal/_internal/settings/routing.py
+++ b/src/ebonydeal/_internal/settings/routing.py
@@ -21,7 +21,8 @@
         float, Key("Cost of delay beyond the latency target, against within.", "", 0)
     ] = 4.0
     report_half_life: Annotated[
-        float, Key("Age at which a load report counts half.", "seconds", 0.1, 600)
+        float,
+        Key("Age at which what is known of load counts half.", "seconds", 0.1, 600),
     ] = 5.0
     cache_half_life: Annotated[
         float, Key("Age at which a cache event counts half.", "seconds", 1, 86400)
--- a/tests/unit/routing/test_router.py
+++ b/tests/unit/routing/test_router.py
@@ -113,3 +113,18 @@
         router.cache_event("a", 41, False, BLOCKS[10], NOW)
         after = router.choose(make_ask(blocks=BLOCKS), (view,), NOW)
         assert after.terms.cached_tokens == 160.0
+
+    def test_slow_first_tokens_of_others_work_move_requests_away(self):
+        router = make_router(near_equal=0.0)
+        views = (make_view("a", price_per_hour=0.9), make_view("b"))
+        ask = make_ask()
+        first = router.choose(ask, views, NOW)
+        assert first.endpoint.endpoint_id == "a"
+        router.sent(first, ask, NOW)
+        router.first_token("r", "a", 0, 100, NOW + 2.0)
+        router.finished("r", "a", NOW + 3.0)
+        later = router.choose(make_ask("s"), views, NOW + 3.0)
+        assert later.endpoint.endpoint_id == "b"
+        # The wait is believed less as it grows old.
+        much_later = router.choose(make_ask("s"), views, NOW + 120.0)
+        assert much_later.endpoint.endpoint_id == "a"
