Draw old load reports to the mean, and count own sends as a sample of all

Change: a report counts half at 2 s of age, drawn to the mean of all; own sends since, against the mean, weigh by the square root of the number of gateways (learned from reported load over own). Ends since the report are left out.

--- a/src/ebonydeal/_internal/routing/ledger.py
+++ b/src/ebonydeal/_internal/routing/ledger.py
@@ -1,6 +1,5 @@
 """What this gateway sent to each endpoint, and what it learned from answers."""
 
-from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -8,7 +7,6 @@
 _LEARN_QUEUE = 0.3
 _RATE_DECAY = 0.999
 _RATE_LEAST_TOKENS = 64
-_REMEMBERED_ENDS = 256
 
 
 @dataclass
@@ -30,9 +28,6 @@
     """Own attempts at one endpoint."""
 
     attempts: dict[str, Attempt] = field(default_factory=dict)
-    ends: deque[tuple[float, float]] = field(
-        default_factory=lambda: deque(maxlen=_REMEMBERED_ENDS)
-    )
 
     queue_s: float = 0.0
     queue_at: float = 0.0
@@ -51,15 +46,6 @@
         """Return how many unfinished attempts were sent after ``at``."""
         return sum(1 for item in self.attempts.values() if item.sent_at > at)
 
-    def ended_since(self, at: float) -> int:
-        """Return how many that ran at ``at`` have ended since."""
-        count = 0
-        for end, sent in reversed(self.ends):
-            if end <= at:
-                break
-            count += sent <= at
-        return count
-
     def prefilling(self) -> float:
         """Return the tokens that own attempts still have to prefill."""
         return sum(
@@ -68,12 +54,9 @@
             if item.first_token_at is None
         )
 
-    def end(self, request_id: str, now: float) -> Attempt | None:
+    def end(self, request_id: str) -> Attempt | None:
         """Remove an attempt."""
-        attempt = self.attempts.pop(request_id, None)
-        if attempt is not None:
-            self.ends.append((now, attempt.sent_at))
-        return attempt
+        return self.attempts.pop(request_id, None)
 
 
 @dataclass
@@ -81,11 +64,14 @@
     """Learned speeds of one deployment.
 
     ``prefill`` in tokens per second of one endpoint; ``service_s`` from first
-    token to the end of an answer, seconds.
+    token to the end of an answer, seconds; ``gateways`` how many like this one
+    the endpoints seem to serve, from ``looks`` looks at their load.
     """
 
     prefill: float
     service_s: float
+    gateways: float = 1.0
+    looks: int = 0
 
     def prefilled(self, tokens: int, seconds: float) -> None:
         """Learn from a first token; waiting makes a single one look too slow."""
--- a/src/ebonydeal/_internal/routing/router.py
+++ b/src/ebonydeal/_internal/routing/router.py
@@ -9,6 +9,7 @@
 from ebonydeal._internal.routing.concurrency import ConcurrencyLimit
 from ebonydeal._internal.routing.home import Branches, home_of
 from ebonydeal._internal.routing.ledger import Attempt, Rates, Sent
+from ebonydeal._internal.routing.load import Crowd, expected_load, make_crowd
 from ebonydeal._internal.routing.outliers import Outliers
 from ebonydeal._internal.routing.prefix_view import CacheView
 from ebonydeal._internal.routing.score import Estimate, price_per_second, score
@@ -75,9 +76,11 @@
             self._rng,
         )
         second = price_per_second(near)
+        pairs = ((view, self._sent_to(view.endpoint_id)) for view in near)
+        crowd = make_crowd(pairs, self._rates_of(ask.deployment))
         scored = []
         for view in near:
-            expected = self._estimate(ask, view, now)
+            expected = self._estimate(ask, view, crowd, now)
             if view.endpoint_id == home:
                 worth = saved * self._cfg.affinity
                 expected = expected._replace(home_tokens=worth)
@@ -131,7 +134,7 @@
 
     def finished(self, request_id: str, endpoint_id: str, now: float) -> None:
         """Note the whole answer."""
-        attempt = self._sent_to(endpoint_id).end(request_id, now)
+        attempt = self._sent_to(endpoint_id).end(request_id)
         if attempt is None:
             return
         self._outliers.succeeded(endpoint_id, now)
@@ -142,7 +145,7 @@
         self, request_id: str, endpoint_id: str, kind: ErrorKind, now: float
     ) -> None:
         """Note that a try failed, or that its caller left."""
-        if self._sent_to(endpoint_id).end(request_id, now) is None:
+        if self._sent_to(endpoint_id).end(request_id) is None:
             return
         self._outliers.failed(endpoint_id, kind, now)
         if kind is ErrorKind.ENDPOINT_REFUSED:
@@ -230,15 +233,18 @@
             self._rates[deployment] = Rates(cfg.prefill_rate, cfg.service_time)
         return self._rates[deployment]
 
-    def _estimate(self, ask: RouteRequest, view: EndpointView, now: float) -> Estimate:
+    def _estimate(
+        self, ask: RouteRequest, view: EndpointView, crowd: Crowd, now: float
+    ) -> Estimate:
         """Put together what is expected of one endpoint."""
         sent = self._sent_to(view.endpoint_id)
         rates = self._rates_of(ask.deployment)
         cached = self._cache(view.endpoint_id).cached_tokens(ask.blocks, now)
-        queue_s = sent.queue_now(now, self._cfg.report_half_life)
+        half_life = self._cfg.report_half_life
+        queue_s = sent.queue_now(now, half_life)
         slots = float(view.load.slots) if view.load else _ASSUMED_SLOTS
         return Estimate(
-            load=_expected_load(view, sent, now),
+            load=expected_load(view, sent, crowd, half_life, now),
             slots=slots,
             prefill_queue=sent.prefilling() + queue_s * rates.prefill,
             cached_tokens=min(cached, float(ask.prompt_tokens)),
@@ -269,14 +275,3 @@
     if view.state is not EndpointState.READY or view.endpoint_id in ask.exclude:
         return False
     return not ask.model or ask.model in view.models
-
-
-def _expected_load(view: EndpointView, sent: Sent, now: float) -> float:
-    """Return the requests expected at an endpoint."""
-    own = float(len(sent.attempts))
-    if view.load is None:
-        return own
-    at = min(view.load.at, now)
-    reported = view.load.running + view.load.waiting
-    expected = reported + sent.since(at) - sent.ended_since(at)
-    return max(own, expected)
--- a/src/ebonydeal/_internal/settings/routing.py
+++ b/src/ebonydeal/_internal/settings/routing.py
@@ -23,7 +23,7 @@
     report_half_life: Annotated[
         float,
         Key("Age at which what is known of load counts half.", "seconds", 0.1, 600),
-    ] = 5.0
+    ] = 2.0
     cache_half_life: Annotated[
         float, Key("Age at which a cache event counts half.", "seconds", 1, 86400)
     ] = 600.0
--- /dev/null
+++ b/tests/unit/routing/test_load.py
@@ -0,0 +1,49 @@
+from random import Random
+
+from ebonydeal._internal.routing.ledger import Rates, Sent
+from ebonydeal._internal.routing.load import Crowd, expected_load, make_crowd
+from ebonydeal._internal.routing.router import Router
+from ebonydeal._internal.settings.routing import RoutingSettings
+from tests.unit.routing.helpers import NOW, make_ask, make_load, make_view
+
+
+class TestExpectedLoad:
+    def test_fresh_report_is_believed(self):
+        view = make_view("a", load=make_load(6, 3))
+        assert expected_load(view, Sent(), Crowd(2.0, 0.0, 1.0), 2.0, NOW) == 9.0
+
+    def test_old_report_is_drawn_to_the_mean(self):
+        view = make_view("a", load=make_load(8, 0))
+        crowd = Crowd(4.0, 0.0, 1.0)
+        assert expected_load(view, Sent(), crowd, 2.0, NOW + 2.0) == 6.0
+        assert expected_load(view, Sent(), crowd, 2.0, NOW + 40.0) < 4.01
+
+    def test_report_from_the_future_counts_as_fresh(self):
+        view = make_view("a", load=make_load(8, 0, at=NOW + 100.0))
+        assert expected_load(view, Sent(), Crowd(0, 0, 1.0), 2.0, NOW) == 8.0
+
+    def test_no_report_leaves_own_requests(self):
+        crowd = make_crowd([(make_view("a"), Sent())], Rates(1.0, 1.0))
+        assert crowd == Crowd(0.0, 0.0, 1.0)
+        assert expected_load(make_view("a"), Sent(), crowd, 2.0, NOW) == 0.0
+
+
+class TestHerd:
+    def test_gateways_do_not_all_follow_one_idle_report(self):
+        # One endpoint of four looks idle to nine gateways; none hears more.
+        loads = (0, 12, 12, 12)
+        views = tuple(
+            make_view(f"e{n}", load=make_load(min(8, load), max(0, load - 8)))
+            for n, load in enumerate(loads)
+        )
+        routers = [Router.from_config(RoutingSettings(), Random(n)) for n in range(9)]
+        to_idle = 0
+        for step in range(8):
+            for number, router in enumerate(routers):
+                ask = make_ask(f"r{step}-{number}")
+                now = NOW + 0.1 * step
+                choice = router.choose(ask, views, now)
+                router.sent(choice, ask, now)
+                to_idle += choice.endpoint.endpoint_id == "e0"
+        # All 72 would be the herd; an even share is 18, and twelve fill the gap.
+        assert 18 <= to_idle <= 45
