Count who waits behind a prefill; leave lateness that can't be avoided

Cause: with slots short for long, rough estimates of long queues outweighed the prefix cache, and recomputing made the queues longer. Change: a prefill costs `late_factor` seconds more for each slot's worth of requests that wait at the endpoint; where even the least delay misses the target, lateness counts like any delay.

--- a/src/ebonydeal/_internal/routing/router.py
+++ b/src/ebonydeal/_internal/routing/router.py
@@ -12,7 +12,7 @@
 from ebonydeal._internal.routing.load import Crowd, expected_load, make_crowd
 from ebonydeal._internal.routing.outliers import Outliers
 from ebonydeal._internal.routing.prefix_view import CacheView
-from ebonydeal._internal.routing.score import Estimate, price_per_second, score
+from ebonydeal._internal.routing.score import Estimate, delay_price, delay_s, score
 from ebonydeal._internal.routing.types import Choice, RouteRequest, Scored
 from ebonydeal._internal.settings.routing import RoutingSettings
 from ebonydeal._internal.utils.prefix import BLOCK_TOKENS
@@ -75,16 +75,17 @@
             lambda name: self._cache(name).holds_any(own),
             self._rng,
         )
-        second = price_per_second(near)
         pairs = ((view, self._sent_to(view.endpoint_id)) for view in near)
         crowd = make_crowd(pairs, self._rates_of(ask.deployment))
+        estimates = [self._estimate(ask, view, crowd, now) for view in near]
+        least = min(delay_s(ask, expected) for expected in estimates)
+        price = delay_price(near, ask.first_token_s, least, self._cfg.late_factor)
         scored = []
-        for view in near:
-            expected = self._estimate(ask, view, crowd, now)
+        for view, expected in zip(near, estimates, strict=True):
             if view.endpoint_id == home:
                 worth = saved * self._cfg.affinity
                 expected = expected._replace(home_tokens=worth)
-            scored.append(score(ask, view, expected, second, self._cfg.late_factor))
+            scored.append(score(ask, view, expected, price))
         scored.sort(key=lambda item: item.score)
         best = self._pick(scored)
         rest = tuple(item for item in scored[: _SHOWN_ALTERNATIVES + 1] if item != best)
--- a/src/ebonydeal/_internal/routing/score.py
+++ b/src/ebonydeal/_internal/routing/score.py
@@ -58,26 +58,65 @@
     return sum(prices) / len(prices) / _HOUR
 
 
+class DelayPrice(NamedTuple):
+    """What delay costs.
+
+    Attributes
+    ----------
+    second : float
+        Price of a replica's second.
+    late : float
+        Times that for each second beyond the latency target.
+    crowd : float
+        Times that for a second by which all requests of one endpoint that wait
+        for a slot are delayed.
+    """
+
+    second: float
+    late: float
+    crowd: float
+
+
+def delay_price(
+    views: tuple[EndpointView, ...], target_s: float, least_s: float, factor: float
+) -> DelayPrice:
+    """Return the price of delay for one request.
+
+    Where even the least delay misses the target, being later still doesn't
+    count extra: estimates of long queues are rough, and work that is saved
+    shortens all of them.
+    """
+    late = factor if least_s <= target_s else 1.0
+    return DelayPrice(price_per_second(views), late, factor)
+
+
+def delay_s(ask: RouteRequest, expected: Estimate) -> float:
+    """Return the expected delay before the first token, seconds."""
+    queue_s = expected.prefill_queue / expected.prefill_rate
+    return queue_s + _prefill_s(ask, expected) + _slot_wait(expected)
+
+
 def score(
     ask: RouteRequest,
     view: EndpointView,
     expected: Estimate,
-    second: float,
-    late_factor: float,
+    rates: DelayPrice,
 ) -> Scored:
-    """Score one endpoint; ``second`` is the price of a replica's second."""
-    missed = max(0.0, ask.prompt_tokens - expected.cached_tokens)
-    prefill_s = missed / expected.prefill_rate
-    queue_s = expected.prefill_queue / expected.prefill_rate
-    delay = queue_s + prefill_s + _slot_wait(expected)
+    """Score one endpoint."""
+    second = rates.second
+    prefill_s = _prefill_s(ask, expected)
+    delay = delay_s(ask, expected)
     late = max(0.0, delay - ask.first_token_s)
+    # Whoever waits for a slot here waits for this prefill, too.
+    delayed = max(0.0, expected.load + 1.0 - expected.slots)
+    crowding = rates.crowd * delayed / max(1.0, expected.slots)
     at_stake = ask.prompt_tokens + ask.max_tokens / 2.0
     chance = view.evict_per_hour / _HOUR * expected.service_s
     own_second = view.price_per_hour / _HOUR
     used_s = prefill_s + expected.service_s / max(1.0, expected.slots)
     terms = Terms(
-        wait=second * (delay + (late_factor - 1.0) * late),
-        prefill=second * prefill_s * ask.weights.recompute,
+        wait=second * (delay + (rates.late - 1.0) * late),
+        prefill=second * prefill_s * (ask.weights.recompute + crowding),
         distance=second * _ROUND_TRIP_S[distance(ask.place, view.place)],
         eviction=second
         * min(1.0, chance)
@@ -102,3 +141,9 @@
     if behind <= 0.0:
         return 0.0
     return behind * expected.service_s / max(1.0, expected.slots)
+
+
+def _prefill_s(ask: RouteRequest, expected: Estimate) -> float:
+    """Return the time to compute what the cache misses, seconds."""
+    missed = max(0.0, ask.prompt_tokens - expected.cached_tokens)
+    return missed / expected.prefill_rate
--- /dev/null
+++ b/tests/unit/routing/test_score.py
@@ -0,0 +1,55 @@
+from ebonydeal._internal.routing.score import (
+    DelayPrice,
+    Estimate,
+    delay_price,
+    delay_s,
+    price_per_second,
+    score,
+)
+from tests.unit.routing.helpers import make_ask, make_view
+
+IDLE = Estimate(0.0, 8.0, 0.0, 0.0, 1000.0, 2.0)
+HOUR = 3600.0
+
+
+class TestDelay:
+    def test_parts_add_up(self):
+        # 100 tokens of its own and 200 queued, 3 requests behind 8 slots.
+        busy = IDLE._replace(load=10.0, prefill_queue=200.0)
+        assert delay_s(make_ask(), busy) == 0.1 + 0.2 + 3 * 2.0 / 8
+
+
+class TestPrice:
+    def test_free_endpoints_still_have_a_unit(self):
+        views = (make_view("a", price_per_hour=0.0),)
+        assert price_per_second(views) == 1.0 / HOUR
+
+    def test_lateness_counts_only_where_the_target_can_be_met(self):
+        views = (make_view("a", price_per_hour=HOUR),)
+        assert delay_price(views, 0.5, 0.4, 4.0) == DelayPrice(1.0, 4.0, 4.0)
+        assert delay_price(views, 0.5, 0.6, 4.0) == DelayPrice(1.0, 1.0, 4.0)
+
+
+class TestScore:
+    def test_delay_within_and_beyond_the_target(self):
+        ask = make_ask(prompt_tokens=1000, first_token_s=0.4)
+        view = make_view("a", price_per_hour=0.0)
+        terms = score(ask, view, IDLE, DelayPrice(1.0, 4.0, 4.0)).terms
+        assert round(terms.wait, 9) == 1.0 + 3.0 * 0.6
+        assert terms.prefill == 1.0
+
+    def test_prefill_costs_more_where_others_wait_for_slots(self):
+        ask = make_ask(prompt_tokens=1000)
+        busy = IDLE._replace(load=15.0)
+        terms = score(ask, make_view("a"), busy, DelayPrice(1.0, 1.0, 4.0)).terms
+        assert terms.prefill == 1.0 + 4.0
+
+    def test_weights_multiply_their_terms(self):
+        view = make_view("a", price_per_hour=HOUR, evict_per_hour=1.0)
+        price = DelayPrice(1.0, 4.0, 4.0)
+        plain = score(make_ask(), view, IDLE, price).terms
+        weights = make_ask().weights._replace(cost=2.0, recompute=3.0)
+        heavy = score(make_ask(weights=weights), view, IDLE, price).terms
+        assert heavy.price == 2.0 * plain.price
+        assert round(heavy.prefill / plain.prefill, 9) == 3.0
+        assert round(heavy.eviction / plain.eviction, 9) == 3.0
