Measure refusals of admission under overload

Cause: the bench printed no refusals: its engine model queues without bound. Change: admission alone against one unbounded queue, by class, with refusals by reason; the empty column of the other table goes. Conclusion: under overload higher classes keep their deadlines, and whoever can't start in time is told at once.

--- a/src/ebonydeal/_internal/benchmarks/routing/report.py
+++ b/src/ebonydeal/_internal/benchmarks/routing/report.py
@@ -1,8 +1,13 @@
 """The routing bench as text tables."""
 
+from collections import Counter
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
+from ebonydeal._internal.benchmarks.routing.admission_run import (
+    run_admission,
+    run_queue,
+)
 from ebonydeal._internal.benchmarks.routing.decision_time import ENDPOINTS, measure
 from ebonydeal._internal.benchmarks.routing.limits_run import LimitRun, make_stories
 from ebonydeal._internal.benchmarks.routing.loop import Conditions, Outcome
@@ -19,6 +24,7 @@
     policies,
     run_seeds,
 )
+from ebonydeal._internal.models.requests import Priority
 from ebonydeal._internal.settings.routing import (
     AdmissionSettings,
     RetrySettings,
@@ -31,6 +37,7 @@
 BASELINE = "random of two"
 _LIMIT_KINDS = ("requests_per_s", "tokens_per_s", "concurrency")
 _FEW_ROUNDS = 300
+_OVERLOADS = (0.9, 1.5, 3.0)
 
 
 class Plan(NamedTuple):
@@ -95,7 +102,6 @@
         "p99 s",
         "in time",
         "cost per 1000 in time",
-        "refused",
     )
     return Table(title, header, tuple(rows))
 
@@ -111,8 +117,6 @@
         over(lambda run: run.p99),
         over(lambda run: run.in_time / run.answers),
         over(lambda run: run.cost_per_1000),
-        # The engine model queues without bound, so nothing is refused here.
-        "0",
     )
 
 
@@ -171,6 +175,33 @@
     return Table(title, header, tuple(rows))
 
 
+def admission_table(plan: Plan) -> Table:
+    """Show starts in time and refusals by class under overload."""
+    rows = []
+    for load in _OVERLOADS:
+        for name, run in (("admission", run_admission), ("one queue", run_queue)):
+            runs = [run(load, seed) for seed in plan.seeds]
+            for priority in Priority:
+                own = [outcome[priority] for outcome in runs]
+                refused: Counter[str] = Counter()
+                for outcome in own:
+                    refused.update(outcome.refused)
+                rows.append(
+                    (
+                        f"load {load:g}, {name}: {priority.name.lower()}",
+                        str(figure([item.in_time / item.offered for item in own])),
+                        str(figure([item.late / item.offered for item in own])),
+                        ", ".join(f"{kind} {refused[kind]}" for kind in sorted(refused))
+                        or "none",
+                    )
+                )
+    title = (
+        "admission: shares started in time and too late, and refusals of all seeds "
+        "by reason; deadlines 2, 10 and 60 s"
+    )
+    return Table(title, ("case", "in time", "late", "refused"), tuple(rows))
+
+
 def retries_table(plan: Plan) -> Table:
     """Show sends per request by phase, with the budget and without."""
     rows = []
@@ -204,5 +235,6 @@
         own = sensitivity(user, plan)
         points += own
         tables.append(sensitivity_table(own))
-    tables += [limits_table(plan), retries_table(plan), decision_table(plan.seeds[0])]
+    tables += [admission_table(plan), limits_table(plan), retries_table(plan)]
+    tables.append(decision_table(plan.seeds[0]))
     return tables, points
--- a/tests/unit/routing/test_bench.py
+++ b/tests/unit/routing/test_bench.py
@@ -2,6 +2,7 @@
 from click.testing import CliRunner
 
 from ebonydeal._internal.benchmarks.routing import report
+from ebonydeal._internal.benchmarks.routing.admission_run import run_admission
 from ebonydeal._internal.benchmarks.routing.engine import EngineModel, Job
 from ebonydeal._internal.benchmarks.routing.loop import Conditions
 from ebonydeal._internal.benchmarks.routing.retry_run import PHASES, run_retries
@@ -13,6 +14,7 @@
 )
 from ebonydeal._internal.benchmarks.routing.traces import PALERMO, palermo_trace
 from ebonydeal._internal.cli.main import main
+from ebonydeal._internal.models.requests import Priority
 from ebonydeal._internal.settings.routing import RetrySettings, RoutingSettings
 
 
@@ -59,6 +61,16 @@
         assert outcomes[2].sends <= 1.1 * outcomes[2].requests
 
 
+class TestAdmissionRun:
+    def test_under_overload_nobody_starts_late_and_every_request_is_answered(self):
+        outcomes = run_admission(1.5, 1)
+        for outcome in outcomes.values():
+            answered = outcome.in_time + sum(outcome.refused.values())
+            assert (outcome.late, answered) == (0, outcome.offered)
+        first = outcomes[Priority.INTERACTIVE]
+        assert first.in_time == first.offered
+
+
 class TestFigure:
     def test_interval_of_equal_values_is_nothing(self):
         assert figure([2.0, 2.0, 2.0]) == (2.0, 0.0)
@@ -71,6 +83,7 @@
     def test_prints_and_writes_the_same_tables(self, tmp_path, monkeypatch):
         monkeypatch.setattr(report, "ENDPOINTS", (5,))
         monkeypatch.setattr(report, "_LIMIT_KINDS", ())
+        monkeypatch.setattr(report, "_OVERLOADS", (3.0,))
         monkeypatch.setattr(report, "LAGS", (1.0,))
         monkeypatch.setattr(report, "LOSSES", ())
         out = str(tmp_path)
