--- a/src/ebonydeal/_internal/routing/queues.py
+++ b/src/ebonydeal/_internal/routing/queues.py
@@ -7,11 +7,13 @@
 """
 
 from bisect import bisect_left, insort
+from heapq import heappop, heappush
 from typing import NamedTuple
 
 from ebonydeal._internal.models.requests import Priority
 
 _LOWER_TURN = 16
+_MOST_STALE = 8
 
 
 class Waiting(NamedTuple):
@@ -54,6 +56,7 @@
     def __init__(self) -> None:
         self._classes = {priority: _Class() for priority in Priority}
         self._by_id: dict[str, Waiting] = {}
+        self._expiries: list[tuple[float, str]] = []
         self._seq = 0
         self._starts = 0
 
@@ -88,6 +91,11 @@
         item = Waiting(tag, self._seq, request_id, account, priority, latest_start)
         insort(group.items, item)
         self._by_id[request_id] = item
+        heappush(self._expiries, (latest_start, request_id))
+        if len(self._expiries) > _MOST_STALE * (len(self._by_id) + 1):
+            # Requests that started long before their time leave entries behind.
+            live = ((item.latest_start, name) for name, item in self._by_id.items())
+            self._expiries = sorted(live)
 
     def pop(self) -> Waiting | None:
         """Remove and return the next to start."""
@@ -133,4 +141,6 @@
 
     def next_expiry(self) -> float | None:
         """Return the earliest ``latest_start``."""
-        return min((item.latest_start for item in self._by_id.values()), default=None)
+        while self._expiries and self._expiries[0][1] not in self._by_id:
+            heappop(self._expiries)
+        return self._expiries[0][0] if self._expiries else None
