--- a/src/ebonydeal/_internal/settings/routing.py
+++ b/src/ebonydeal/_internal/settings/routing.py
@@ -21,8 +21,9 @@
         float, Key("Cost of delay beyond the latency target, against within.", "", 0)
     ] = 4.0
     report_half_life: Annotated[
-        float, Key("Age at which a load report counts half.", "seconds", 0.1, 600)
-    ] = 5.0
+        float,
+        Key("Age at which what is known of load counts half.", "seconds", 0.1, 600),
+    ] = 2.0
     cache_half_life: Annotated[
         float, Key("Age at which a cache event counts half.", "seconds", 1, 86400)
     ] = 600.0
@@ -35,6 +36,9 @@
     affinity: Annotated[
         float, Key("Worth of keeping a prefix at its home, in prefills.", "", 0, 10)
     ] = 1.0
+    cache_total: Annotated[
+        int, Key("Most cache blocks remembered for all endpoints.", "", 256, 10**9)
+    ] = 200000
     prefill_rate: Annotated[
         float, Key("Prefill rate assumed before any answer.", "tokens/s", 1)
     ] = 4000.0
