Test an export that stops its source

Cause: a trial that dropped the rule 'a broken try waits for its Move' passed all tests. Change: the scripts of the relay test include an export; one test checks that the KV handle survives the break of the source.

--- a/tests/unit/gateway/test_streams.py
+++ b/tests/unit/gateway/test_streams.py
@@ -14,7 +14,7 @@
 from ebonydeal._internal.models.requests import Priority, Request, RequestKind
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.observe.trail import Trails
-from ebonydeal._internal.platform.interfaces import Chunk
+from ebonydeal._internal.platform.interfaces import Chunk, Resume
 from ebonydeal._internal.settings.gateway import GatewaySettings
 from tests.lib.clock import ManualClock, settle
 from tests.lib.gateway_fakes import (
@@ -28,7 +28,7 @@
     view,
 )
 
-FAULTS = ("fail", "garbage", "bug", "early", "gap", "repeat", "move", "stall")
+FAULTS = ("fail", "garbage", "bug", "early", "gap", "repeat", "move", "stall", "export")
 SCRIPT = st.lists(st.tuples(st.integers(0, 9), st.sampled_from(FAULTS)), max_size=8)
 
 
@@ -60,11 +60,14 @@
     def __init__(self, script, split_end: bool) -> None:
         super().__init__()
         self.script = list(script)
+        self.resumes: list = []
         self.split_end = split_end
         self.post = lambda message: None
+        self.begin_move = lambda: None
 
     async def stream(self, endpoint, path, body, attempt_id, resume=None):
         self.open += 1
+        self.resumes.append(resume)
         try:
             start = len(resume.delivered) if resume else 0
             assert list(resume.delivered if resume else ()) == self.text[:start]
@@ -97,6 +100,10 @@
                 return [Chunk(n, "again") for n in range(position)]
             case "move":
                 self.post(Move(None, ""))
+            case "export":
+                self.begin_move()
+                asyncio.get_running_loop().call_later(0.001, self.post, Move(None, ""))
+                raise EbonydealError(ErrorKind.ENDPOINT_FAILED)
             case "stall":
                 error = EbonydealError(ErrorKind.ENDPOINT_STALLED)
                 self.post(Broke(error))
@@ -153,6 +160,7 @@
         stage = Stage(engine)
         live = stage.live()
         engine.post = lambda message: live.attempt.mailbox.post(message)
+        engine.begin_move = lambda: setattr(live, "moving", True)
         pieces = await stage.run(live)
         tokens = [piece for piece in pieces if piece.is_token]
         assert [piece.text for piece in tokens] == engine.text
@@ -203,6 +211,17 @@
             await stage.run(stage.live())
         assert caught.value.kind is ErrorKind.NO_ENDPOINT
 
+    async def test_export_that_stops_its_source(self):
+        engine = ScriptedEngine([(3, "export")], False)
+        stage = Stage(engine)
+        live = stage.live()
+        target = Move(view("e2"), "kv-1")
+        engine.post = lambda _message: live.attempt.mailbox.post(target)
+        engine.begin_move = lambda: setattr(live, "moving", True)
+        await stage.run(live)
+        assert engine.resumes[1] == Resume(tuple(engine.text[:3]), "kv-1")
+        assert stage.metrics.retries() == {"leaving": 1}
+
     async def test_moved_to_a_target_that_leaves_meanwhile(self):
         engine = ScriptedEngine([(2, "move")], False)
         stage = Stage(engine)
