--- a/src/ebonydeal/_internal/controller/replicas.py
+++ b/src/ebonydeal/_internal/controller/replicas.py
@@ -21,7 +21,7 @@
     WeightCopy,
 )
 
-ROLE_BOTH = "both"
+ROLE_SERVE = "serve"
 
 
 def views_by_token(
@@ -122,7 +122,7 @@
         assert epoch is not None
         models = _models(deployment)
         engines = {view.endpoint_id: view for view in views.values()}
-        order = EngineOrder(epoch, models, ROLE_BOTH)
+        order = EngineOrder(epoch, models, ROLE_SERVE)
         self._report_loads(deployment, rows, views, shortfall)
         return await self._orders.round(
             engines,
@@ -151,7 +151,10 @@
                 asked_at=rows[token].at,
             )
             for token, view in views.items()
-            if models and not set(models) <= set(view.models)
+            if models
+            and not set(models) <= set(view.models)
+            # One that can't be reached yet would hold a share of the store idle.
+            and self._orders.found(view.endpoint_id) is not None
         ]
         ready = [
             WeightCopy(view.endpoint_id, model, 0.0, view.place.zone)
--- a/src/ebonydeal/_internal/peers/membership.py
+++ b/src/ebonydeal/_internal/peers/membership.py
@@ -96,27 +96,43 @@
         refutation has to travel both ways.
     keep_dead : float
         How long a dead member is remembered, so that late facts don't revive
-        it, and so that it is tried again after a partition.
-    tell_dead : float
-        How long a death is told to others who still list the member.
+        it, and so that it is tried again after a partition and told what it
+        has to refute.
     """
 
     period: float = 1.0
     suspect: float = 5.0
     keep_dead: float = 600.0
-    tell_dead: float = 300.0
 
 
 class Membership:
-    """The members that one process knows, itself included."""
+    """The members that one process knows, itself included.
 
-    def __init__(self, own: Member, times: MembershipTimes | None = None) -> None:
+    Parameters
+    ----------
+    own : Member
+        The process itself.
+    times : MembershipTimes, optional
+        How long states are held.
+    known : iterable of Member
+        Members that everybody knows already, so that they aren't told as news.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        times: MembershipTimes | None = None,
+        known: Iterable[Member] = (),
+    ) -> None:
         self.own = own
         self._times = times or MembershipTimes()
         self._members: dict[str, Member] = {}
         self._since: dict[str, float] = {}
         self._updates: dict[str, int] = {}
         self.hashes = BucketHashes()
+        for member in known:
+            self._put(member, 0.0)
+        self._updates.clear()
         self._put(own, 0.0)
 
     # --- reading ---------------------------------------------------------------
@@ -203,19 +219,10 @@
                 del self._updates[member_id]
         return [self._members[member_id] for member_id in chosen]
 
-    def in_buckets(self, buckets: Iterable[int], now: float) -> list[Member]:
-        """Return what others need to know of the members in some hash buckets."""
+    def in_buckets(self, buckets: Iterable[int]) -> list[Member]:
+        """Return the members in some hash buckets, also those that are gone."""
         wanted = set(buckets)
-        return [
-            member
-            for member in self._members.values()
-            if bucket_of(member.id) in wanted and self._is_told(member, now)
-        ]
-
-    def _is_told(self, member: Member, now: float) -> bool:
-        if member.status <= MemberStatus.SUSPECT:
-            return True
-        return now - self._since[member.id] < self._times.tell_dead
+        return [it for it in self._members.values() if bucket_of(it.id) in wanted]
 
     def _is_forgotten(self, member: Member, age: float) -> bool:
         return member.id != self.own.id and age >= self._times.keep_dead
