--- a/src/ebonydeal/_internal/gateway/api.py
+++ b/src/ebonydeal/_internal/gateway/api.py
@@ -19,7 +19,7 @@
 from ebonydeal._internal.observe.trail import Step, Trails
 from ebonydeal._internal.settings.gateway import GatewaySettings
 from ebonydeal._internal.utils.clock import Clock
-from ebonydeal._internal.utils.web import Handler, new_app
+from ebonydeal._internal.utils.web import Handler, error_response, new_app
 
 REQUEST_ID_HEADER = "X-Request-Id"
 OPERATOR_HEADER = "X-Operator-Token"
@@ -124,12 +124,16 @@
         return web.json_response({"object": "list", "data": data})
 
     async def _ready(self, _req: web.Request) -> web.Response:
-        """``GET /health/ready``: whether the balancer should send requests."""
+        """``GET /health/ready``: whether the balancer should send requests.
+
+        A look of the balancer's is no refused request, so it isn't counted.
+        """
         if self._parts.draining():
-            raise EbonydealError(ErrorKind.DRAINING, "this gateway is stopping")
+            detail = "this gateway is stopping"
+            return error_response(EbonydealError(ErrorKind.DRAINING, detail))
         if self._parts.intake.document.version == 0:
             detail = "no configuration is in force yet"
-            raise EbonydealError(ErrorKind.NO_ENDPOINT, detail)
+            return error_response(EbonydealError(ErrorKind.NO_ENDPOINT, detail))
         return web.json_response({"ready": True})
 
     async def _explain(self, req: web.Request) -> web.Response:
--- a/src/ebonydeal/_internal/journal/owner.py
+++ b/src/ebonydeal/_internal/journal/owner.py
@@ -212,9 +212,7 @@
         if self._lost:
             raise EbonydealError(ErrorKind.WRONG_OWNER, owner="")
         if not self.serving:
-            raise EbonydealError(
-                ErrorKind.WRONG_OWNER, "The shard is changing owners."
-            )
+            raise EbonydealError(ErrorKind.WRONG_OWNER, "The shard is changing owners.")
 
     async def accept(self, request: Request, urgent: bool = False) -> RequestState:
         """Return the request's state once its accepted record is durable.
