Close kept connections while draining; infer a deferred body's kind

Cause: callers with kept connections went on to a gateway that was stopping; a deferred chat whose text held the word prompt in quotes was read as a completion; the drain test hung on 0.2 s of real time and failed once on a busy machine.

--- a/src/ebonydeal/_internal/gateway/api.py
+++ b/src/ebonydeal/_internal/gateway/api.py
@@ -39,11 +39,20 @@
     draining: Callable[[], bool]
 
 
-async def _set_request_id(req: web.Request, resp: web.StreamResponse) -> None:
-    """Put the request id on every answer."""
-    request_id = req.get(REQUEST_ID)
-    if request_id is not None:
-        resp.headers[REQUEST_ID_HEADER] = request_id
+def _finish_headers(parts: ApiParts) -> Callable:
+    """Return what completes the headers of every answer."""
+
+    async def prepare(req: web.Request, resp: web.StreamResponse) -> None:
+        request_id = req.get(REQUEST_ID)
+        if request_id is not None:
+            resp.headers[REQUEST_ID_HEADER] = request_id
+        if parts.draining():
+            # So that callers who keep their connections go elsewhere too. The
+            # library has set its own headers by now, hence both.
+            resp.force_close()
+            resp.headers["Connection"] = "close"
+
+    return prepare
 
 
 def _trail_middleware(parts: ApiParts) -> Callable:
@@ -93,7 +102,7 @@
         parts = self._parts
         app = new_app(parts.metrics, self._cfg.max_body_bytes)
         app.middlewares.append(_trail_middleware(parts))
-        app.on_response_prepare.append(_set_request_id)
+        app.on_response_prepare.append(_finish_headers(parts))
         router = app.router
         router.add_post(PATHS[RequestKind.CHAT], parts.generation.chat)
         router.add_post(PATHS[RequestKind.COMPLETION], parts.generation.completion)
--- a/src/ebonydeal/_internal/gateway/deferred.py
+++ b/src/ebonydeal/_internal/gateway/deferred.py
@@ -7,8 +7,7 @@
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.gateway.intake import REQUEST_ID, Intake
 from ebonydeal._internal.gateway.parse import parse_generation
-from ebonydeal._internal.gateway.ports import AdmissionPort, JournalPort
-from ebonydeal._internal.models.requests import RequestKind
+from ebonydeal._internal.gateway.ports import JournalPort
 from ebonydeal._internal.observe.counters import Event, Metrics
 from ebonydeal._internal.peers.journal_client import JournalStatus
 from ebonydeal._internal.utils.clock import Clock
@@ -21,7 +20,6 @@
     """What the handlers of deferred requests work with."""
 
     intake: Intake
-    admission: AdmissionPort
     journal: JournalPort
     metrics: Metrics
     clock: Clock
@@ -86,7 +84,7 @@
         parts = self._parts
         account = parts.intake.account(req)
         raw = await parts.intake.body(req)
-        call = parse_generation(_kind(raw), raw, req.headers).alt(_raise).unwrap()
+        call = parse_generation(None, raw, req.headers).alt(_raise).unwrap()
         if call.stream:
             raise EbonydealError(
                 ErrorKind.BAD_REQUEST, "a deferred request can't be a stream"
@@ -123,11 +121,6 @@
         return await self._parts.journal.status(request_id, account.name)
 
 
-def _kind(raw: bytes) -> RequestKind:
-    """Return which of the two bodies this is: only a completion has a prompt."""
-    return RequestKind.COMPLETION if b'"prompt"' in raw else RequestKind.CHAT
-
-
 def _raise(error: EbonydealError) -> None:
     """Raise a failure of the parser where the error table catches it."""
     raise error
--- a/src/ebonydeal/_internal/gateway/parse.py
+++ b/src/ebonydeal/_internal/gateway/parse.py
@@ -204,10 +204,13 @@
 
 
 def _read_generation(
-    kind: RequestKind, raw: bytes, headers: Mapping[str, str]
+    kind: RequestKind | None, raw: bytes, headers: Mapping[str, str]
 ) -> GenerationCall:
     """Check a generation body; raises BAD_REQUEST."""
     body = _read_object(raw)
+    if kind is None:
+        is_chat = "messages" in body or "prompt" not in body
+        kind = RequestKind.CHAT if is_chat else RequestKind.COMPLETION
     if kind is RequestKind.CHAT:
         _check_messages(body)
     else:
@@ -226,14 +229,14 @@
 
 
 def parse_generation(
-    kind: RequestKind, raw: bytes, headers: Mapping[str, str]
+    kind: RequestKind | None, raw: bytes, headers: Mapping[str, str]
 ) -> Result[GenerationCall, EbonydealError]:
     """Check a chat or completion body and its headers.
 
     Parameters
     ----------
-    kind : RequestKind
-        Chat or completion.
+    kind : RequestKind or None
+        Chat or completion; None where the body tells.
     raw : bytes
         Body as received; its size is checked by the listener.
     headers : mapping of str to str
--- a/src/ebonydeal/_internal/gateway/program.py
+++ b/src/ebonydeal/_internal/gateway/program.py
@@ -234,7 +234,6 @@
         return Deferred(
             DeferredParts(
                 self._intake,
-                self.ports.admission,
                 self.ports.journal,
                 self._metrics,
                 self._clock,
--- a/tests/functional/gateway/test_listener.py
+++ b/tests/functional/gateway/test_listener.py
@@ -8,6 +8,7 @@
 from ebonydeal._internal.models.requests import StoredAnswer
 from ebonydeal._internal.peers.journal_client import JournalStatus
 from tests.functional.gateway.test_generation import BODY, STREAM, until
+from tests.lib.clock import ManualClock
 from tests.lib.gateway_fakes import AUTH, MODEL, Bench, FakeEngine
 
 CHAT = "/v1/chat/completions"
@@ -156,7 +157,7 @@
         engine = FakeEngine(count=20)
         held = asyncio.Event()
         engine.pace = held.wait
-        bench = Bench(engine, settle_seconds=0.2)
+        bench = Bench(engine, clock=ManualClock(), settle_seconds=5.0)
         await bench.program.start()
         async with ClientSession(headers=AUTH) as http:
             calls = [
@@ -171,10 +172,11 @@
             ready = await http.get(bench.url + "/health/ready")
             late = asyncio.ensure_future(http.post(bench.url + CHAT, json=BODY))
             await until(lambda: len(engine.ran) == 21)
+            await bench.clock.advance(5.0)
             held.set()
             answers = [await (await call).text() for call in (*calls, late)]
             await stopping
-        assert ready.status == 503
+        assert (ready.status, ready.headers["Connection"]) == (503, "close")
         assert all("w19 " in answer for answer in answers)
         assert bench.metrics.refusals() == {}
         assert bench.metrics.events()["answered"] == 21
--- a/tests/functional/gateway/test_program.py
+++ b/tests/functional/gateway/test_program.py
@@ -3,6 +3,7 @@
 
 import openai
 import pytest
+from aiohttp import ClientSession
 
 from ebonydeal._internal.config.examples import example_document
 from ebonydeal._internal.config.store import ConfigStore
@@ -15,9 +16,10 @@
 from ebonydeal._internal.standin.worldspec import WorldSpec
 from ebonydeal._internal.utils.clock import SystemClock
 from ebonydeal._internal.utils.keys import hash_key
-from tests.functional.gateway.test_generation import until
+from tests.functional.gateway.test_generation import read_events, text_of, until
 
 KEY = "sk-whole"
+AUTH = {"Authorization": f"Bearer {KEY}"}
 TOKENS = 200
 QUICK = {
     "gateway": {"port": 0, "settle_seconds": 0.0},
@@ -54,20 +56,27 @@
         )
         await tables.close()
         assert result.unwrap() == 1
-        sections = {name: cls() for name, cls in SECTIONS.items()}
-        for name, changes in QUICK.items():
-            sections[name] = sections[name]._replace(**changes)
-        sections["platform"] = platform
-        self.program = GatewayProgram.from_config(sections, self.metrics, clock, rng)
-        await self.program.start()
+        self.program = await self.start_gateway("gw-1", self.metrics)
         self.api = openai.AsyncOpenAI(
             base_url=f"http://{self.program.address}/v1", api_key=KEY, max_retries=0
         )
         await until(self.is_ready)
         return self
 
-    def is_ready(self) -> bool:
-        ports = self.program.ports
+    async def start_gateway(self, name: str, metrics: Metrics) -> GatewayProgram:
+        sections = {name: cls() for name, cls in SECTIONS.items()}
+        for section, changes in QUICK.items():
+            sections[section] = sections[section]._replace(**changes)
+        sections["platform"] = self.world.platform_settings()
+        sections["node"] = sections["node"]._replace(id=name)
+        program = GatewayProgram.from_config(
+            sections, metrics, SystemClock(), random.Random(name)
+        )
+        await program.start()
+        return program
+
+    def is_ready(self, program: GatewayProgram | None = None) -> bool:
+        ports = (program or self.program).ports
         views = ports.directory.views(self.engines["name"])
         return ports.config.document.version == 1 and len(views) == 6
 
@@ -124,3 +133,30 @@
             assert events["kv_imported"] > 0
             assert events.get("tokens_recomputed_reclaim", 0) == 0
         assert sum(system.metrics.retries().values()) > 0
+
+    async def test_caller_goes_on_at_another_gateway(self):
+        words = "Covers of the coast?"
+        async with System() as system, ClientSession(headers=AUTH) as http:
+            metrics = Metrics()
+            other = await system.start_gateway("gw-2", metrics)
+            await until(lambda: system.is_ready(other))
+            body = {
+                "model": system.model,
+                "messages": [{"role": "user", "content": words}],
+                "max_tokens": TOKENS,
+                "stream": True,
+            }
+            resp = await http.post(f"{system.api.base_url}chat/completions", json=body)
+            raw = b""
+            for _ in range(4):
+                raw += await resp.content.readuntil(b"\n\n")
+            resp.close()
+            last = {"Last-Event-ID": read_events(raw)[-1][0]}
+            url = f"http://{other.address}/v1/chat/completions"
+            async with http.post(url, json=body, headers=last) as resp:
+                raw += await resp.read()
+            await other.stop()
+        wanted = expected_tokens(system.model, f"user: {words}", TOKENS)
+        assert text_of(read_events(raw)) == "".join(wanted)
+        assert metrics.events()["streams_reconnected"] == 1
+        assert metrics.refusals() == {}
--- a/tests/unit/gateway/test_parse.py
+++ b/tests/unit/gateway/test_parse.py
@@ -53,6 +53,12 @@
         call = parse({"model": "m", "prompt": "a b"}, kind=RequestKind.COMPLETION)
         assert call.unwrap().prompt_tokens == 2
 
+    def test_body_tells_its_kind(self):
+        chat = parse({**CHAT, "prompt": 7}, kind=None).unwrap()
+        text = parse({"model": "m", "prompt": "a"}, kind=None).unwrap()
+        assert (chat.kind, text.kind) == (RequestKind.CHAT, RequestKind.COMPLETION)
+        assert kind_of(parse({"model": "m"}, kind=None)) is ErrorKind.BAD_REQUEST
+
     @pytest.mark.parametrize(
         "change",
         [
