--- a/src/ebonydeal/_internal/gateway/generation.py
+++ b/src/ebonydeal/_internal/gateway/generation.py
@@ -17,6 +17,7 @@
 from ebonydeal._internal.gateway.events import EventHint, EventIds, read_event_id
 from ebonydeal._internal.gateway.intake import REQUEST_ID, Intake, new_job
 from ebonydeal._internal.gateway.live import LiveStream, Piece
+from ebonydeal._internal.gateway.output import StreamOutput
 from ebonydeal._internal.gateway.parse import GenerationCall, parse_generation
 from ebonydeal._internal.gateway.ports import AdmissionPort, PeerPort, Ticket
 from ebonydeal._internal.gateway.reconnect import (
@@ -34,10 +35,6 @@
 from ebonydeal._internal.utils.clock import Clock
 
 LAST_EVENT_HEADER = "Last-Event-ID"
-_STREAM_HEADERS = {
-    "Content-Type": "text/event-stream; charset=utf-8",
-    "Cache-Control": "no-cache",
-}
 
 
 class GenerationParts(NamedTuple):
@@ -54,37 +51,6 @@
     clock: Clock
 
 
-class _Output:
-    """A caller's stream: written piece by piece, begun with the first one."""
-
-    def __init__(
-        self, req: web.Request, live: LiveStream, ids: EventIds, shape: AnswerShape
-    ) -> None:
-        self._req = req
-        self._live = live
-        self._ids = ids
-        self._shape = shape
-        self.resp: web.StreamResponse | None = None
-
-    def event(self, piece: Piece) -> bytes:
-        """Return a piece's event."""
-        attempt = self._live.attempt
-        source = ("", 0, "")
-        if attempt is not None:
-            view = attempt.route.endpoint
-            source = (view.endpoint_id, view.incarnation, attempt.attempt_id)
-        return self._shape.event(piece, self._ids.make(source, piece))
-
-    async def write(self, data: bytes, now: float) -> None:
-        """Write data; waits while the caller takes none."""
-        if self.resp is None:
-            self.resp = web.StreamResponse(headers=_STREAM_HEADERS)
-            await self.resp.prepare(self._req)
-        self._live.writing_since = now
-        await self.resp.write(data)
-        self._live.writing_since = None
-
-
 class Generation:
     """Handlers of chat completions and completions.
 
@@ -241,18 +207,17 @@
         ids = EventIds(
             self._credential, request.account, request.request_id, self._peers.address
         )
-        out = _Output(req, live, ids, shape)
+        out = StreamOutput(req, live, ids, shape)
         try:
-            await self._send(out, live, hint, ids, started)
-            tail = DONE
+            last = await self._send(out, live, hint, ids, started)
             if call.usage:
-                tail = shape.usage_event(self._usage(live)) + DONE
-            await out.write(tail, self._parts.clock.now())
+                last += shape.usage_event(self._usage(live))
+            await out.end(last + DONE, self._parts.clock.now())
         except EbonydealError as exc:
             if out.resp is None:
                 raise
             self._refuse(live, exc)
-            await out.write(error_event(for_caller(exc)), self._parts.clock.now())
+            await out.end(error_event(for_caller(exc)), self._parts.clock.now())
         except (ConnectionError, asyncio.CancelledError):
             self._left(live)
             raise
@@ -263,13 +228,13 @@
 
     async def _send(
         self,
-        out: _Output,
+        out: StreamOutput,
         live: LiveStream,
         hint: EventHint | None,
         ids: EventIds,
         started: float,
-    ) -> None:
-        """Write the pieces that the caller lacks."""
+    ) -> bytes:
+        """Write the pieces that the caller lacks; return the last ones unwritten."""
         clock = self._parts.clock
         skip = None
         if hint is not None and not live.delivered:
@@ -283,10 +248,14 @@
                 )
                 if data:
                     started = self._first(started)
+                if live.finish:
+                    return data
+                if data:
                     await out.write(data, clock.now())
+        return b""
 
     async def _replay(
-        self, out: _Output, live: LiveStream, hint: EventHint, ids: EventIds
+        self, out: StreamOutput, live: LiveStream, hint: EventHint, ids: EventIds
     ) -> None:
         """Write the kept pieces that the caller lacks."""
         has = caller_has(hint, live.delivered, live.finish)
--- /dev/null
+++ b/src/ebonydeal/_internal/gateway/output.py
@@ -0,0 +1,67 @@
+"""A caller's stream of server-sent events."""
+
+from aiohttp import web
+
+from ebonydeal._internal.gateway.answers import AnswerShape
+from ebonydeal._internal.gateway.events import EventIds
+from ebonydeal._internal.gateway.live import LiveStream, Piece
+
+_STREAM_HEADERS = {
+    "Content-Type": "text/event-stream; charset=utf-8",
+    "Cache-Control": "no-cache",
+}
+
+
+class StreamOutput:
+    """A caller's stream: written piece by piece, begun with the first one.
+
+    Parameters
+    ----------
+    req : web.Request
+        The caller's request.
+    live : LiveStream
+        The answer; it is told while the caller takes no data.
+    ids : EventIds
+        Makes the ids of events.
+    shape : AnswerShape
+        Makes the events.
+    """
+
+    def __init__(
+        self, req: web.Request, live: LiveStream, ids: EventIds, shape: AnswerShape
+    ) -> None:
+        self._req = req
+        self._live = live
+        self._ids = ids
+        self._shape = shape
+        self.resp: web.StreamResponse | None = None
+
+    def event(self, piece: Piece) -> bytes:
+        """Return a piece's event."""
+        attempt = self._live.attempt
+        source = ("", 0, "")
+        if attempt is not None:
+            view = attempt.route.endpoint
+            source = (view.endpoint_id, view.incarnation, attempt.attempt_id)
+        return self._shape.event(piece, self._ids.make(source, piece))
+
+    async def _begin(self) -> web.StreamResponse:
+        """Return the response, begun."""
+        if self.resp is None:
+            self.resp = web.StreamResponse(headers=_STREAM_HEADERS)
+            await self.resp.prepare(self._req)
+        return self.resp
+
+    async def write(self, data: bytes, now: float) -> None:
+        """Write data; waits while the caller takes none."""
+        resp = await self._begin()
+        self._live.writing_since = now
+        await resp.write(data)
+        self._live.writing_since = None
+
+    async def end(self, data: bytes, now: float) -> None:
+        """Write the last data and the end of the response, in one go."""
+        resp = await self._begin()
+        self._live.writing_since = now
+        await resp.write_eof(data)
+        self._live.writing_since = None
