--- /dev/null
+++ b/tests/lib/matrix.py
@@ -0,0 +1,182 @@
+"""Rows and columns of the fault matrix, and one process behind a gate."""
+
+import asyncio
+from collections.abc import AsyncIterator, Coroutine
+from contextvars import ContextVar
+from enum import StrEnum
+from typing import Any, NamedTuple
+
+from ebonydeal._internal.errors import EbonydealError
+from ebonydeal._internal.utils.clock import Clock
+
+
+CLOSING_ROUNDS = 5
+
+
+class Row(StrEnum):
+    """A fault of the outside world."""
+
+    CRASH = "crash"
+    NOTICE = "reclaim notice"
+    ZONE_WAVE = "zone wave"
+    START_REFUSED = "start refused"
+    TABLE_DOWN = "table down"
+    TABLE_SLOW = "table slow"
+    TABLE_LOST = "table: answer lost after effect"
+    TABLE_REFUSED = "table: refused before effect"
+    OBJECTS_DOWN = "object store down"
+    OBJECTS_SLOW = "object store slow"
+    OBJECTS_LOST = "object store: answer lost after effect"
+    OBJECTS_REFUSED = "object store: refused before effect"
+    PAUSED = "lease lapsed while paused"
+    TWO_OPERATORS = "two operators"
+    LATE = "late answer"
+    DUPLICATED = "duplicated answer"
+    REORDERED = "reordered answer"
+    LOAD = "load reports late or with gaps"
+    CACHE = "cache events late or with gaps"
+    UNREACHABLE = "peer unreachable"
+
+
+class Column(StrEnum):
+    """A step of one of the paths."""
+
+    ACCEPT = "accept"
+    COMMIT = "commit"
+    DISPATCH = "dispatch"
+    STREAM = "stream"
+    COMPLETE = "complete"
+    ANSWER = "answer"
+    SNAPSHOT = "snapshot"
+    TRIM = "trim"
+    HAND_OVER = "hand-over"
+    CONFIG_COMMIT = "config commit"
+    CONFIG_SPREAD = "config spread"
+    ORDER = "order"
+
+
+class Channel(StrEnum):
+    """Where a step meets the outside world."""
+
+    TABLE = "table"
+    OBJECTS = "objects"
+    ENDPOINT = "endpoint"
+    PEER = "peer"
+
+
+class When(StrEnum):
+    """Before the operation takes effect, or after it and before its answer."""
+
+    BEFORE = "before"
+    AFTER = "after"
+
+
+class Strike(NamedTuple):
+    """One fault at one step of one channel; ``victim`` is a request, or any."""
+
+    row: Row
+    column: Column
+    channel: Channel
+    when: When = When.BEFORE
+    victim: str = ""
+
+    def __str__(self) -> str:
+        where = f"{self.channel} {self.victim}".strip()
+        return f"{self.row} at {self.column}, {self.when} ({where})"
+
+
+def run_cell(coro: Coroutine[Any, Any, Any]) -> Any:
+    """Run a cell to its end in a loop of its own, and drop what still waits.
+
+    Dead processes never end by themselves; their tasks are cancelled, and not
+    waited for.
+    """
+    loop = asyncio.new_event_loop()
+    loop.set_exception_handler(lambda _loop, _context: None)
+    try:
+        return loop.run_until_complete(coro)
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        for _ in range(CLOSING_ROUNDS):
+            loop.run_until_complete(asyncio.sleep(0))
+        loop.close()
+
+
+class Gate:
+    """Holds a process up while it is paused, and for ever once it is dead."""
+
+    def __init__(self) -> None:
+        self.running = asyncio.Event()
+        self.running.set()
+        self.died = asyncio.Event()
+
+    @property
+    def dead(self) -> bool:
+        return self.died.is_set()
+
+    def kill(self) -> None:
+        """End as a crash does: nothing more is sent and nothing is received."""
+        self.died.set()
+
+    async def passed(self) -> None:
+        """Return when the process runs."""
+        await self.running.wait()
+        if self.dead:
+            await asyncio.Event().wait()
+
+
+# The process that does an operation; the column that a caller is at.
+ACTOR: ContextVar[Any] = ContextVar("actor", default=None)
+ASKING: ContextVar[Column] = ContextVar("asking", default=Column.ACCEPT)
+
+
+class Behind:
+    """Passes calls on to ``inner``, through a process's gate both ways."""
+
+    def __init__(self, inner: Any, process: Any) -> None:
+        self._inner = inner
+        self._process = process
+
+    def __getattr__(self, name: str) -> Any:
+        method = getattr(self._inner, name)
+
+        async def gated(*args: Any, **kwargs: Any) -> Any:
+            await self._process.gate.passed()
+            ACTOR.set(self._process)
+            try:
+                result = await method(*args, **kwargs)
+            except EbonydealError:
+                await self._process.gate.passed()
+                raise
+            await self._process.gate.passed()
+            return result
+
+        return gated
+
+
+class BehindEngine(Behind):
+    """The same for an engine, whose streams are iterated."""
+
+    async def stream(self, *args: Any, **kwargs: Any) -> AsyncIterator[Any]:
+        gate = self._process.gate
+        await gate.passed()
+        ACTOR.set(self._process)
+        async for item in self._inner.stream(*args, **kwargs):
+            await gate.passed()
+            yield item
+        await gate.passed()
+
+
+class BehindClock:
+    """A process's clock: sleeps don't end while it is paused."""
+
+    def __init__(self, inner: Clock, gate: Gate) -> None:
+        self._inner = inner
+        self._gate = gate
+        self.now = inner.now
+        self.wall = inner.wall
+
+    async def sleep(self, seconds: float) -> None:
+        await self._inner.sleep(seconds)
+        await self._gate.passed()
--- /dev/null
+++ b/tests/lib/matrix_endpoints.py
@@ -0,0 +1,189 @@
+"""Engines and plain services that keep a log, for the fault matrix.
+
+The answer follows from the request's own content, so that a foreign answer
+shows. The log is what the promises are checked against.
+"""
+
+import json
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.models.endpoints import EndpointView, LeavingMark
+from ebonydeal._internal.platform.interfaces import (
+    CancelWord,
+    Chunk,
+    Resume,
+    ServiceAnswer,
+)
+from tests.lib.clock import ManualClock
+from tests.lib.matrix import Channel, Column, When
+
+TOKENS = 4
+TOKEN_S = 1.0
+SERVICE_S = 1.0
+
+
+def tokens_of(tag: str) -> list[str]:
+    return [f"{tag}.{number} " for number in range(TOKENS)]
+
+
+def tag_of(body: dict[str, Any]) -> str:
+    return body["messages"][0]["content"]
+
+
+@dataclass
+class Run:
+    """One attempt at one endpoint; times are those of the world's clock."""
+
+    endpoint_id: str
+    attempt_id: str
+    tag: str
+    started: float
+    resumed: bool = False
+    state: str = "running"
+
+
+@dataclass
+class Directory:
+    """All endpoints, the marks on them, and those that are gone."""
+
+    clock: ManualClock
+    endpoints: list[EndpointView]
+    marked: dict[str, float] = field(default_factory=dict)
+    gone: set[str] = field(default_factory=set)
+
+    def views(self, deployment: str) -> tuple[EndpointView, ...]:
+        return tuple(
+            view
+            for view in self.endpoints
+            if view.deployment == deployment and not self.is_leaving(view)
+        )
+
+    def is_leaving(self, view: EndpointView) -> bool:
+        return view.endpoint_id in self.marked
+
+    def mark(self, mark: LeavingMark) -> list[str]:
+        """Take a mark in; return the endpoints it covers."""
+        covered = [
+            view.endpoint_id
+            for view in self.endpoints
+            if mark.endpoint_id == view.endpoint_id
+            or (not mark.endpoint_id and mark.zone == view.place.zone)
+        ]
+        for name in covered:
+            self.marked.setdefault(name, self.clock.now())
+        return covered
+
+    def check_reached(self, name: str) -> None:
+        if name in self.gone:
+            raise EbonydealError(ErrorKind.CONNECT_FAILED, f"{name} is gone")
+
+    def check_alive(self, name: str) -> None:
+        if name in self.gone:
+            raise EbonydealError(ErrorKind.ENDPOINT_FAILED, f"{name} is gone")
+
+
+class LoggingEngines:
+    """All engines; ``reach`` is awaited at each step and may strike."""
+
+    def __init__(self, directory: Directory, clock: ManualClock, reach: Any) -> None:
+        self.runs: list[Run] = []
+        self._directory = directory
+        self._clock = clock
+        self._reach = reach
+        self.twist: dict[str, str] = {}
+
+    async def stream(
+        self,
+        endpoint: EndpointView,
+        path: str,
+        body: dict[str, Any],
+        attempt_id: str,
+        resume: Resume | None = None,
+    ) -> AsyncIterator[Chunk]:
+        name = endpoint.endpoint_id
+        self._directory.check_reached(name)
+        run = Run(name, attempt_id, tag_of(body), self._clock.now(), bool(resume))
+        await self._reach(Column.DISPATCH, Channel.ENDPOINT, When.BEFORE, run)
+        self._directory.check_reached(name)
+        run.started = self._clock.now()
+        self.runs.append(run)
+        await self._reach(Column.DISPATCH, Channel.ENDPOINT, When.AFTER, run)
+        start = len(resume.delivered) if resume else 0
+        async for chunk in self._generate(run, start):
+            if run.state == "running":
+                yield chunk
+
+    async def _generate(self, run: Run, start: int) -> AsyncIterator[Chunk]:
+        texts = tokens_of(run.tag)
+        for position in range(start, TOKENS):
+            await self._clock.sleep(TOKEN_S)
+            column = Column.COMPLETE if position == TOKENS - 1 else Column.STREAM
+            if position > 1:
+                await self._reach(column, Channel.ENDPOINT, When.BEFORE, run)
+            self._directory.check_alive(run.endpoint_id)
+            finish = "stop" if position == TOKENS - 1 else ""
+            prefilled = 7 if position == start else 0
+            chunk = Chunk(position, texts[position], finish, 0, prefilled)
+            for twisted in self._twisted(run, chunk):
+                yield twisted
+            if position > 1:
+                await self._reach(column, Channel.ENDPOINT, When.AFTER, run)
+        if run.state == "running":
+            run.state = "finished"
+
+    def _twisted(self, run: Run, chunk: Chunk) -> list[Chunk]:
+        """Return what arrives in the place of a chunk."""
+        twist = self.twist.pop(run.attempt_id, "")
+        if twist == "duplicated":
+            return [chunk, chunk]
+        if twist == "reordered":
+            after = chunk._replace(position=chunk.position + 1, text="x", finish="")
+            return [after, chunk]
+        return [chunk]
+
+    async def cancel(self, endpoint: EndpointView, attempt_id: str) -> CancelWord:
+        self._directory.check_alive(endpoint.endpoint_id)
+        for run in self.runs:
+            if run.attempt_id == attempt_id:
+                if run.state == "running":
+                    run.state = "stopped"
+                return CancelWord(run.state, 0)
+        return CancelWord("unknown", 0)
+
+
+class LoggingServices:
+    """All plain services."""
+
+    def __init__(self, directory: Directory, clock: ManualClock, reach: Any) -> None:
+        self.runs: list[Run] = []
+        self._directory = directory
+        self._clock = clock
+        self._reach = reach
+
+    async def call(  # type: ignore[no-untyped-def]
+        self, endpoint, method, path, headers, body, attempt_id, timeout
+    ) -> ServiceAnswer:
+        name = endpoint.endpoint_id
+        self._directory.check_reached(name)
+        run = Run(name, attempt_id, json.loads(body)["tag"], self._clock.now())
+        await self._reach(Column.DISPATCH, Channel.ENDPOINT, When.BEFORE, run)
+        self._directory.check_reached(name)
+        run.started = self._clock.now()
+        self.runs.append(run)
+        await self._reach(Column.DISPATCH, Channel.ENDPOINT, When.AFTER, run)
+        try:
+            return await self._work(run)
+        finally:
+            if run.state == "running":
+                run.state = "cut"
+
+    async def _work(self, run: Run) -> ServiceAnswer:
+        await self._clock.sleep(SERVICE_S)
+        await self._reach(Column.COMPLETE, Channel.ENDPOINT, When.BEFORE, run)
+        self._directory.check_alive(run.endpoint_id)
+        run.state = "finished"
+        await self._reach(Column.COMPLETE, Channel.ENDPOINT, When.AFTER, run)
+        return ServiceAnswer(200, "text/plain", f"done {run.tag}".encode())
--- /dev/null
+++ b/tests/lib/matrix_strikes.py
@@ -0,0 +1,183 @@
+"""Strikes of the fault matrix on the path of accepted requests."""
+
+import asyncio
+from typing import Any
+
+from ebonydeal._internal.models.endpoints import LeavingMark, LoadReport
+from ebonydeal._internal.standin.faults import Fault, Operation
+from tests.lib.matrix import ACTOR, Channel, Column, Row, Strike, When
+from tests.lib.matrix_endpoints import Run
+
+OUTAGE_S = 60.0
+SLOW_S = 3.0
+NOTICE_S = 5.0
+PAUSE_S = 40.0
+LATE_S = 40.0
+LATE_WRITE_S = 25.0
+
+_WRITE_FAULTS = {
+    Row.TABLE_LOST: Fault.LOST_ANSWER,
+    Row.TABLE_REFUSED: Fault.REFUSED,
+    Row.OBJECTS_LOST: Fault.LOST_ANSWER,
+    Row.OBJECTS_REFUSED: Fault.REFUSED,
+    Row.LATE: Fault.LATE,
+    Row.DUPLICATED: Fault.DUPLICATE,
+    Row.REORDERED: Fault.LATE,
+}
+_ANNOUNCED = (Row.NOTICE, Row.ZONE_WAVE, Row.LOAD, Row.CACHE)
+
+
+class Striker:
+    """Strikes once at each step asked for, and knows what is still due."""
+
+    def __init__(self, world: Any, strikes: tuple[Strike, ...]) -> None:
+        self.due = list(strikes)
+        self.announced_only = all(item.row in _ANNOUNCED for item in strikes)
+        self._world = world
+        self._landing_next = False
+
+    async def reach(
+        self, column: Column | None, channel: Channel, when: When, what: Any
+    ) -> None:
+        """Come to a step; every operation of every process passes here."""
+        self._land_reordered(channel, when, what)
+        for strike in list(self.due):
+            here = (strike.column, strike.channel, strike.when)
+            if here == (column, channel, when) and _hits(strike, what):
+                self.due.remove(strike)
+                await self._strike(strike, what)
+
+    def _land_reordered(self, channel: Channel, when: When, what: Any) -> None:
+        """Let a write that was overtaken land right after the next one."""
+        write = channel is Channel.TABLE and when is When.AFTER and what.is_write
+        if self._landing_next and write:
+            self._landing_next = False
+            self._world.tables.land_late()
+
+    def lift(self) -> None:
+        """End all lasting faults."""
+        world = self._world
+        for store in (world.tables, world.objects):
+            store.faults.down = False
+            store.faults.delay = 0.0
+        world.network.unreachable.clear()
+
+    def _later(self, seconds: float, act: Any) -> None:
+        async def wait() -> None:
+            await self._world.clock.sleep(seconds)
+            act()
+
+        asyncio.ensure_future(wait())
+
+    # --- the faults ------------------------------------------------------------
+    async def _strike(self, strike: Strike, what: Any) -> None:
+        world = self._world
+        match strike.row:
+            case Row.CRASH:
+                asyncio.ensure_future(world.replace())
+                await self._stop(what, lambda process: process.gate.kill())
+            case Row.PAUSED:
+                await self._stop(what, self._pause)
+            case Row.NOTICE | Row.ZONE_WAVE:
+                self._announce(strike, what)
+            case Row.TABLE_DOWN | Row.OBJECTS_DOWN:
+                store = self._store(strike.row)
+                store.faults.down = True
+                self._later(OUTAGE_S, lambda: setattr(store.faults, "down", False))
+            case Row.TABLE_SLOW | Row.OBJECTS_SLOW:
+                store = self._store(strike.row)
+                store.faults.delay = SLOW_S
+                self._later(OUTAGE_S, lambda: setattr(store.faults, "delay", 0.0))
+            case Row.UNREACHABLE:
+                process = world.owner()
+                if process is not None:
+                    address = process.address
+                    world.network.unreachable.add(address)
+                    away = world.network.unreachable
+                    self._later(OUTAGE_S, lambda: away.discard(address))
+            case Row.LOAD:
+                self._report_badly()
+            case Row.CACHE:
+                self._send_cache_events()
+            case row:
+                await self._disturb(row, strike.channel, what)
+
+    def _store(self, row: Row) -> Any:
+        is_table = row in (Row.TABLE_DOWN, Row.TABLE_SLOW)
+        return self._world.tables if is_table else self._world.objects
+
+    async def _stop(self, what: Any, act: Any) -> None:
+        """Kill or pause the process at this step; its operation stays there."""
+        process = ACTOR.get() or self._world.owner()
+        if process is not None:
+            act(process)
+            if ACTOR.get() is not None:
+                await process.gate.passed()
+
+    def _pause(self, process: Any) -> None:
+        process.gate.running.clear()
+        self._later(PAUSE_S, process.gate.running.set)
+
+    def _announce(self, strike: Strike, what: Any) -> None:
+        """Give notice of one endpoint or of a zone, and carry it out later."""
+        world = self._world
+        wall = world.clock.wall()
+        name = what.endpoint_id if isinstance(what, Run) else "e-1"
+        zone = ""
+        if strike.row is Row.ZONE_WAVE:
+            name, zone = "", "z1"
+        mark = LeavingMark(name, 1, zone, wall + NOTICE_S, "cloud", wall)
+        covered = world.directory.mark(mark)
+        for process in world.processes:
+            process.dispatcher.leaving(mark)
+        self._later(NOTICE_S, lambda: world.directory.gone.update(covered))
+
+    def _report_badly(self) -> None:
+        """One engine's report is missing, one old and wrong, one from the future."""
+        world = self._world
+        views = world.directory.endpoints
+        report = [None, _load(world, -60.0, 8), _load(world, 5.0, 0)]
+        for number, load in enumerate(report):
+            views[number] = views[number]._replace(load=load)
+
+    def _send_cache_events(self) -> None:
+        """Late, doubled, out of order, with gaps, and of blocks nobody knows."""
+        now = self._world.clock.wall()
+        events = [(9, True, "b9"), (3, False, "b3"), (3, False, "b3"), (40, True, "b")]
+        for process in self._world.processes:
+            for endpoint in ("e-1", "e-2", "e-3", "gone"):
+                process.router.cache_events(endpoint, events, now)
+
+    async def _disturb(self, row: Row, channel: Channel, what: Any) -> None:
+        """Lose, delay, double or reorder one message."""
+        world = self._world
+        if channel is Channel.PEER:
+            world.network.twists.append(_twist(row))
+        elif isinstance(what, Operation):
+            store = world.tables if channel is Channel.TABLE else world.objects
+            store.faults.plan[what.number] = _WRITE_FAULTS[row]
+            if row is Row.REORDERED:
+                self._landing_next = True
+            elif row in (Row.LATE, Row.DUPLICATED):
+                self._later(LATE_WRITE_S, store.land_late)
+        elif row is Row.LATE:
+            await world.clock.sleep(LATE_S)
+        elif isinstance(what, Run):
+            world.engines.twist[what.attempt_id] = _twist(row)
+
+
+def _hits(strike: Strike, what: Any) -> bool:
+    match what:
+        case Run(tag=name) | Operation(name=name):
+            return strike.victim in ("", name)
+    return not strike.victim
+
+
+def _twist(row: Row) -> str:
+    return {Row.LATE: "late", Row.DUPLICATED: "duplicated"}.get(row, "reordered")
+
+
+def _load(world: Any, age: float, running: int) -> Any:
+    from ebonydeal._internal.models.endpoints import LoadReport
+
+    return LoadReport(running, 0, 8, 0.0, 40.0, world.clock.wall() + age)
