--- a/tests/lib/matrix.py
+++ b/tests/lib/matrix.py
@@ -8,9 +8,10 @@
 
 from ebonydeal._internal.errors import EbonydealError
 from ebonydeal._internal.utils.clock import Clock
-
+from tests.lib.clock import ManualClock, settle
 
 CLOSING_ROUNDS = 5
+SETTLING_ROUNDS = 8
 
 
 class Row(StrEnum):
@@ -103,6 +104,29 @@
         loop.close()
 
 
+class MatrixClock(ManualClock):
+    """A manual clock that lets tasks run for fewer rounds at each step.
+
+    What doesn't come to rest in that time does so a step later: a process may
+    always be slow.
+    """
+
+    async def advance(self, seconds: float) -> None:
+        end = self._now + seconds
+        while True:
+            await settle(SETTLING_ROUNDS)
+            due = [item for item in self._sleepers if item[0] <= end]
+            if not due:
+                break
+            first = min(due, key=lambda item: item[0])
+            self._sleepers.remove(first)
+            self._now = max(self._now, first[0])
+            if not first[1].done():
+                first[1].set_result(None)
+        self._now = end
+        await settle(SETTLING_ROUNDS)
+
+
 class Gate:
     """Holds a process up while it is paused, and for ever once it is dead."""
 
--- /dev/null
+++ b/tests/lib/matrix_orders.py
@@ -0,0 +1,197 @@
+"""Orders and starts of a controller under one or more faults.
+
+Two real controllers lead one deployment in turn, over a cloud, engines and a
+table in memory. The first one is struck; the other must take up from there.
+"""
+
+import asyncio
+from typing import Any
+
+from ebonydeal._internal.benchmarks.spend.world import AFTER, BEFORE, WorldTimes
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.platform.interfaces import EngineOrder
+from tests.lib.clock import settle
+from tests.lib.controller_fakes import Site, make_deployment, make_document
+from tests.lib.matrix import Row, Strike, When
+
+TIMES = WorldTimes(boot=5.0, load=5.0, list_lag=0.0)
+ROUND_S = 5.0
+ROUNDS = 14
+OUTAGE_ROUNDS = 6
+SLOW_S = 3.0
+NOTICE_S = 30.0
+TABLE = ("transact", "get", "scan")
+ENGINE = ("order", "order_state", "load")
+DOWN = EbonydealError(ErrorKind.STORE_UNAVAILABLE, "down")
+LOST = EbonydealError(ErrorKind.STORE_IN_DOUBT, "lost")
+AWAY = EbonydealError(ErrorKind.CONNECT_FAILED, "away")
+LOAD_LOST = EbonydealError(ErrorKind.ENDPOINT_STALLED, "no report")
+
+
+class OrderWorld:
+    """A site, its two controllers, and the strikes that are due."""
+
+    def __init__(self, strikes: tuple[Strike, ...], checks_fence: bool) -> None:
+        self.due = list(strikes)
+        self.site = Site(checks_fence=checks_fence, times=TIMES)
+        self.site.document = self._document(())
+        self.site.world.nodes = [("n1", "n1:1"), ("n2", "n2:1")]
+        self.armed = False
+        self.stopped: asyncio.Event | None = None
+        self.until: dict[str, float] = {}
+        self.table_next: EbonydealError | None = None
+        self.doubled: EngineOrder | None = None
+        self.first = self.site.controller("n1", self._hook)
+        self.second = self.site.controller("n2")
+
+    def _document(self, adapters: tuple[str, ...]) -> Any:
+        fence = self.site.world.checks_fence
+        item = make_deployment(min_replicas=2, checks_fence=fence, adapters=adapters)
+        return make_document(item)
+
+    # --- strikes -------------------------------------------------------------
+    async def _hook(self, when: str, operation: str) -> None:
+        if self.stopped is not None:
+            await self.stopped.wait()
+        await self._lasting(when, operation)
+        if not self.armed or operation != "order":
+            return
+        for strike in list(self.due):
+            if strike.when == (When.BEFORE if when == BEFORE else When.AFTER):
+                self.due.remove(strike)
+                await self._strike(strike)
+
+    async def _lasting(self, when: str, operation: str) -> None:
+        now = self.site.clock.now()
+        if operation in TABLE:
+            await self._table(when, now)
+        if when == BEFORE and operation in ENGINE:
+            if now < self.until.get("away", 0.0):
+                raise AWAY
+            if operation == "load" and now < self.until.get("load", 0.0):
+                raise LOAD_LOST
+
+    async def _table(self, when: str, now: float) -> None:
+        if when == BEFORE and now < self.until.get("down", 0.0):
+            raise DOWN
+        if when == BEFORE and now < self.until.get("slow", 0.0):
+            await self.site.clock.sleep(SLOW_S)
+        failure = self.table_next
+        side = BEFORE if failure is DOWN else AFTER
+        if failure is not None and when == side:
+            self.table_next = None
+            raise failure
+
+    def _lasts(self, name: str) -> None:
+        self.until[name] = self.site.clock.now() + OUTAGE_ROUNDS * ROUND_S
+
+    async def _strike(self, strike: Strike) -> None:
+        world = self.site.world
+        match strike.row:
+            case Row.CRASH | Row.PAUSED | Row.LATE:
+                self.stopped = asyncio.Event()
+                await self.stopped.wait()
+            case Row.NOTICE:
+                world.reclaim_zone("z2", NOTICE_S)
+            case Row.ZONE_WAVE:
+                world.reclaim_zone("z2", 0.0)
+                world.take_zone("z2")
+            case Row.START_REFUSED:
+                world.full.update({("z1", True), ("z1", False), ("z2", True)})
+            case Row.TABLE_DOWN:
+                self._lasts("down")
+            case Row.TABLE_SLOW:
+                self._lasts("slow")
+            case Row.TABLE_LOST:
+                self.table_next = LOST
+            case Row.TABLE_REFUSED:
+                self.table_next = DOWN
+            case Row.TWO_OPERATORS:
+                self.site.document = self._document(("welsh", "breakfast"))
+            case Row.LOAD:
+                self._lasts("load")
+            case Row.UNREACHABLE:
+                self._lasts("away")
+            case Row.DUPLICATED | Row.REORDERED:
+                asyncio.ensure_future(self._land_again(strike.row))
+
+    async def _land_again(self, row: Row) -> None:
+        """Let the last order land a second time, after others."""
+        await self.site.clock.sleep(ROUND_S * (2 if row is Row.DUPLICATED else 5))
+        world = self.site.world
+        if not world.orders:
+            return
+        instance_id, order = world.orders[0]
+        machine = world.find(instance_id)
+        if machine is None or (world.checks_fence and order.fence < machine.fence):
+            return
+        machine.order = order
+
+    # --- the run ---------------------------------------------------------------
+    async def rounds(self, controller: Any, number: int) -> bool:
+        """Do rounds while time goes on; return whether all came to an end."""
+        for _ in range(number):
+            task = asyncio.ensure_future(self.site.rounds(controller, 1, 0.0))
+            for _ in range(4):
+                await settle(60)
+                await self.site.clock.advance(ROUND_S / 4)
+            for _ in range(40):
+                if task.done() or self.stopped is not None:
+                    break
+                await self.site.clock.advance(ROUND_S)
+            if not task.done():
+                return False
+            task.result()
+        return True
+
+    def broken_promises(self) -> list[str]:
+        world = self.site.world
+        broken = []
+        wanted = set(self.site.document.deployments["kitchen"].models)
+        wanted |= set(self.site.document.deployments["kitchen"].adapters)
+        for machine in world.live():
+            if set(machine.order.models) != wanted:
+                broken.append(f"{machine.instance_id} has {machine.order.models}")
+        recorded = {row["token"] for row in self.site.kept()}
+        started = {machine.token for machine in world.live()}
+        if recorded != started:
+            broken.append(f"started {sorted(started)}, recorded {sorted(recorded)}")
+        target = self.second.workers["kitchen"].target
+        if self.site.ready() < target:
+            broken.append(f"{self.site.ready()} of {target} replicas are ready")
+        return broken + self._late_orders()
+
+    def _late_orders(self) -> list[str]:
+        """Return where an older holder's order came after a newer one's."""
+        if not self.site.world.checks_fence:
+            return []
+        fences: dict[str, int] = {}
+        late = []
+        for instance_id, order in self.site.world.orders:
+            if order.fence < fences.get(instance_id, 0):
+                late.append(f"{instance_id} took an order of {order.fence}")
+            fences[instance_id] = max(order.fence, fences.get(instance_id, 0))
+        return late
+
+
+async def run_order(
+    strikes: tuple[Strike, ...], checks_fence: bool
+) -> tuple[list[str], list[Strike]]:
+    """Bring a deployment up, change it under the strikes, and change the leader."""
+    world = OrderWorld(strikes, checks_fence)
+    await world.rounds(world.first, 6)
+    world.armed = True
+    world.site.document = world._document(("welsh",))
+    await world.rounds(world.first, ROUNDS)
+    world.armed = False
+    crashed = any(strike.row is Row.CRASH for strike in strikes)
+    if world.stopped is None:
+        await world.first.on_stop()
+    await world.rounds(world.second, ROUNDS)
+    if world.stopped is not None and not crashed:
+        world.stopped.set()
+        world.stopped = None
+        await settle(100)
+        await world.rounds(world.first, 2)
+    await world.rounds(world.second, ROUNDS)
+    return world.broken_promises(), world.due
--- a/tests/lib/matrix_strikes.py
+++ b/tests/lib/matrix_strikes.py
@@ -178,6 +178,5 @@
 
 
 def _load(world: Any, age: float, running: int) -> Any:
-    from ebonydeal._internal.models.endpoints import LoadReport
 
     return LoadReport(running, 0, 8, 0.0, 40.0, world.clock.wall() + age)
