--- a/tests/lib/matrix.py
+++ b/tests/lib/matrix.py
@@ -62,6 +62,7 @@
     TABLE = "table"
     OBJECTS = "objects"
     ENDPOINT = "endpoint"
+    HOST = "the endpoint itself"
     PEER = "peer"
 
 
--- a/tests/lib/matrix_endpoints.py
+++ b/tests/lib/matrix_endpoints.py
@@ -186,4 +186,5 @@
         self._directory.check_alive(run.endpoint_id)
         run.state = "finished"
         await self._reach(Column.COMPLETE, Channel.ENDPOINT, When.AFTER, run)
+        self._directory.check_alive(run.endpoint_id)
         return ServiceAnswer(200, "text/plain", f"done {run.tag}".encode())
--- a/tests/lib/matrix_journal.py
+++ b/tests/lib/matrix_journal.py
@@ -29,7 +29,7 @@
 )
 from tests.lib.matrix_processes import CFG, Network, Process
 from tests.lib.matrix_steps import object_column, table_column
-from tests.lib.matrix_strikes import Striker
+from tests.lib.matrix_strikes import SCAN_S, Striker
 
 ACCOUNT = "gwesty"
 WAIT_S = 5.0
@@ -37,6 +37,7 @@
 REPLACED_S = 5.0
 LONGEST_S = 400.0
 AFTER_MARK_S = 3.0
+MORE = 4
 
 
 @dataclass
@@ -50,6 +51,7 @@
     told: list[tuple[str, int]] = field(default_factory=list)
     status: JournalStatus | None = None
     gave_up: bool = False
+    lost: bool = False
 
     @property
     def done(self) -> bool:
@@ -108,11 +110,15 @@
         self.network = Network(self.clock, reach)
         self.processes: list[Process] = []
         self.callers: list[Caller] = []
+        self.quiet = self.client()
         self._hook(self.tables, Channel.TABLE, table_column)
         self._hook(self.objects, Channel.OBJECTS, object_column)
 
     def _hook(self, store: Any, channel: Channel, column_of: Any) -> None:
         async def before(operation: Any) -> None:
+            slow = self.clock.now() < self.striker.slow_scans_until
+            if operation.name == "scan" and slow:
+                await self.clock.sleep(SCAN_S)
             await self.striker.reach(
                 column_of(operation), channel, When.BEFORE, operation
             )
@@ -164,16 +170,32 @@
         return True
 
     # --- callers -----------------------------------------------------------------
-    def submit(self, request: Request, patient: bool = True) -> Caller:
+    def ask_quietly(self) -> None:
+        """Submit through a gateway that last asked before all faults."""
+        number = len(self.callers)
+        self.submit(make_note(f"quiet{number}"), client=self.quiet)
+
+    def ask_for_more(self) -> None:
+        """Submit new work of each kind."""
+        number = len(self.callers)
+        for count in range(MORE):
+            self.submit(make_chat(f"more{number}.{count}", idempotent=True))
+            self.submit(make_note(f"morenote{number}.{count}"))
+
+    def submit(
+        self,
+        request: Request,
+        patient: bool = True,
+        client: JournalClient | None = None,
+    ) -> Caller:
         tag = request.request_id.removeprefix("r-0000-")
         caller = Caller(request, tag, patient)
         self.callers.append(caller)
-        asyncio.ensure_future(self._call(caller))
+        asyncio.ensure_future(self._call(caller, client or self.client()))
         return caller
 
-    async def _call(self, caller: Caller) -> None:
+    async def _call(self, caller: Caller, client: JournalClient) -> None:
         """Submit until accepted, then poll through another gateway."""
-        client = self.client()
         while not caller.accepted:
             try:
                 if caller.request.kind is RequestKind.SERVICE:
@@ -200,7 +222,8 @@
             try:
                 caller.status = await client.status(caller.request.request_id, ACCOUNT)
             except EbonydealError as exc:
-                assert exc.answer.status != 404, f"{caller.tag} is lost"
+                if exc.answer.status == 404:
+                    caller.lost = True
             await self.clock.sleep(POLL_S)
 
     def runs(self, tag: str) -> list[Run]:
@@ -220,6 +243,8 @@
         return [text for text in broken if text]
 
     def _unanswered(self, caller: Caller, announced_only: bool) -> str:
+        if caller.lost:
+            return f"{caller.tag} was accepted and is lost"
         if not caller.done:
             return f"{caller.tag} has no end"
         status = caller.status
@@ -295,6 +320,9 @@
     for name in ("n-1", "n-2"):
         await world.start(name)
     await world.until(lambda: world.owner() is not None)
+    world.ask_quietly()
+    await world.until(lambda: world.callers[0].done)
+    world.striker.armed = True
     await _first_requests(world)
     await _planned_stop(world)
     await _last_owner(world)
--- a/tests/lib/matrix_strikes.py
+++ b/tests/lib/matrix_strikes.py
@@ -10,8 +10,11 @@
 
 OUTAGE_S = 60.0
 SLOW_S = 3.0
-NOTICE_S = 5.0
+NOTICE_S = 12.0
+ZONE_NOTICE_S = 5.0
+NEW_WORK_S = 4.0
 PAUSE_S = 40.0
+SCAN_S = 3.0
 LATE_S = 40.0
 LATE_WRITE_S = 25.0
 
@@ -33,6 +36,8 @@
     def __init__(self, world: Any, strikes: tuple[Strike, ...]) -> None:
         self.due = list(strikes)
         self.announced_only = all(item.row in _ANNOUNCED for item in strikes)
+        self.armed = False
+        self.slow_scans_until = 0.0
         self._world = world
         self._landing_next = False
 
@@ -40,9 +45,14 @@
         self, column: Column | None, channel: Channel, when: When, what: Any
     ) -> None:
         """Come to a step; every operation of every process passes here."""
+        if not self.armed:
+            return
         self._land_reordered(channel, when, what)
         for strike in list(self.due):
-            here = (strike.column, strike.channel, strike.when)
+            meets = strike.channel
+            if meets is Channel.HOST:
+                meets = Channel.ENDPOINT
+            here = (strike.column, meets, strike.when)
             if here == (column, channel, when) and _hits(strike, what):
                 self.due.remove(strike)
                 await self._strike(strike, what)
@@ -73,6 +83,8 @@
     async def _strike(self, strike: Strike, what: Any) -> None:
         world = self._world
         match strike.row:
+            case Row.CRASH if strike.channel is Channel.HOST:
+                world.directory.gone.add(what.endpoint_id)
             case Row.CRASH:
                 asyncio.ensure_future(world.replace())
                 await self._stop(what, lambda process: process.gate.kill())
@@ -115,22 +127,32 @@
                 await process.gate.passed()
 
     def _pause(self, process: Any) -> None:
+        """Pause; a gateway that knows nothing of it asks right after."""
         process.gate.running.clear()
-        self._later(PAUSE_S, process.gate.running.set)
+
+        def resume() -> None:
+            # What it had begun goes on before it looks at who owns the shard.
+            self.slow_scans_until = self._world.clock.now() + SCAN_S
+            process.gate.running.set()
+            self._world.ask_quietly()
+
+        self._later(PAUSE_S, resume)
 
     def _announce(self, strike: Strike, what: Any) -> None:
         """Give notice of one endpoint or of a zone, and carry it out later."""
         world = self._world
         wall = world.clock.wall()
         name = what.endpoint_id if isinstance(what, Run) else "e-1"
-        zone = ""
+        zone, notice = "", NOTICE_S
         if strike.row is Row.ZONE_WAVE:
-            name, zone = "", "z1"
-        mark = LeavingMark(name, 1, zone, wall + NOTICE_S, "cloud", wall)
+            name, zone, notice = "", "z1", ZONE_NOTICE_S
+        mark = LeavingMark(name, 1, zone, wall + notice, "cloud", wall)
         covered = world.directory.mark(mark)
         for process in world.processes:
             process.dispatcher.leaving(mark)
-        self._later(NOTICE_S, lambda: world.directory.gone.update(covered))
+        self._later(notice, lambda: world.directory.gone.update(covered))
+        if strike.row is Row.NOTICE:
+            self._later(NEW_WORK_S, world.ask_for_more)
 
     def _report_badly(self) -> None:
         """One engine's report is missing, one old and wrong, one from the future."""
--- a/tests/lib/matrix_table.py
+++ b/tests/lib/matrix_table.py
@@ -17,13 +17,14 @@
 )
 CHECKS_FENCE = "checks fence"
 IGNORES_FENCE = "ignores fence"
-_T, _O, _E, _P = Channel.TABLE, Channel.OBJECTS, Channel.ENDPOINT, Channel.PEER
+_T, _O, _P = Channel.TABLE, Channel.OBJECTS, Channel.PEER
+_E, _H = Channel.ENDPOINT, Channel.HOST
 _CHANNELS: dict[Column, tuple[Channel, ...]] = {
     Column.ACCEPT: (_P, _O, _T),
     Column.COMMIT: (_T,),
-    Column.DISPATCH: (_O, _T, _E),
-    Column.STREAM: (_E,),
-    Column.COMPLETE: (_E, _O, _T),
+    Column.DISPATCH: (_O, _T, _E, _H),
+    Column.STREAM: (_E, _H),
+    Column.COMPLETE: (_E, _H, _O, _T),
     Column.ANSWER: (_P, _O, _T),
     Column.SNAPSHOT: (_O, _T),
     Column.TRIM: (_T,),
@@ -36,6 +37,9 @@
     (Column.DISPATCH, _E): ("covers1", "draft1", "note1"),
     (Column.STREAM, _E): ("covers1", "draft1"),
     (Column.COMPLETE, _E): ("covers1", "draft1", "note1"),
+    (Column.DISPATCH, _H): ("covers1", "draft1", "note1"),
+    (Column.STREAM, _H): ("covers1", "draft1"),
+    (Column.COMPLETE, _H): ("covers1", "draft1", "note1"),
     (Column.HAND_OVER, _O): ("get", "names"),
     (Column.ORDER, _E): (CHECKS_FENCE, IGNORES_FENCE),
 }
@@ -134,6 +138,8 @@
 
 def _whens(row: Row, column: Column, channel: Channel) -> tuple[When, ...]:
     """Return at which sides of a channel's operation a fault can strike."""
+    if channel is Channel.HOST and row is not Row.CRASH:
+        return ()
     if row in _STOPS or column is Column.ORDER:
         return (When.BEFORE, When.AFTER)
     if row in _LASTING:
