--- a/src/ebonydeal/_internal/gateway/routes.py
+++ b/src/ebonydeal/_internal/gateway/routes.py
@@ -1,5 +1,6 @@
 """`RoutePort` on top of the router and the directory."""
 
+from collections.abc import Callable
 from typing import Any
 
 from ebonydeal._internal.errors import ErrorKind
@@ -22,22 +23,32 @@
         The endpoints.
     place : Place
         Where this gateway runs.
+    watches : callable
+        Whether this gateway sends to an endpoint while others of the set work.
     """
 
-    def __init__(self, router: Router, directory: DirectoryPort, place: Place) -> None:
+    def __init__(
+        self,
+        router: Router,
+        directory: DirectoryPort,
+        place: Place,
+        watches: Callable[[EndpointView], bool] = lambda _view: True,
+    ) -> None:
         self._router = router
         self._directory = directory
         self._place = place
+        self._watches = watches
 
     def choose(self, ask: RouteAsk, now: float) -> Route | None:
         """Return the best endpoint, already counted as sent, or None."""
         views = self._directory.views(ask.deployment.name)
         usable = tuple(view for view in views if incarnation_of(view) not in ask.avoid)
-        warm = tuple(view for view in usable if _is_free(view, ask))
         request = route_request(ask, self._place)
-        choice = self._router.choose(request, warm, now) if warm else None
-        if choice is None:
-            choice = self._router.choose(request, usable, now)
+        choice = None
+        # The preferred one, else the watched ones, else whatever there is.
+        for group in (_warm(usable, ask), self._watched(usable), usable):
+            if group and choice is None:
+                choice = self._router.choose(request, group, now)
         if choice is None:
             return None
         self._router.sent(choice, request, now)
@@ -50,7 +61,11 @@
 
     def capacity(self, deployment: str) -> int:
         """Return how many requests of a deployment may be in flight here."""
-        return self._router.capacity(self._directory.views(deployment))
+        return self._router.capacity(self._watched(self._directory.views(deployment)))
+
+    def _watched(self, views: tuple[EndpointView, ...]) -> tuple[EndpointView, ...]:
+        """Return those of ``views`` that this gateway watches."""
+        return tuple(view for view in views if self._watches(view))
 
     def first_token(
         self, route: Route, seconds: float, cached: int, prefilled: int, now: float
@@ -74,11 +89,16 @@
             self._router.failed(route.choice, route.endpoint.endpoint_id, kind, now)
 
 
-def _is_free(view: EndpointView, ask: RouteAsk) -> bool:
-    """Return whether this is the preferred endpoint and has a free slot."""
-    if incarnation_of(view) != ask.prefer:
-        return False
-    return view.load is None or view.load.running < view.load.slots
+def _warm(views: tuple[EndpointView, ...], ask: RouteAsk) -> tuple[EndpointView, ...]:
+    """Return the preferred endpoint alone, if it is there and has a free slot."""
+    if ask.prefer is None:
+        return ()
+    return tuple(
+        view
+        for view in views
+        if incarnation_of(view) == ask.prefer
+        and (view.load is None or view.load.running < view.load.slots)
+    )
 
 
 def route_request(ask: RouteAsk, place: Place) -> RouteRequest:
