Begin a replay anew when a later owner trimmed meanwhile

It opened with a view that lacked accepted requests, said that they were unknown, and swept their answers from the object store, where the present owner still needed them.

--- a/src/ebonydeal/_internal/journal/snapshots.py
+++ b/src/ebonydeal/_internal/journal/snapshots.py
@@ -123,9 +123,24 @@
     """Read a shard that has just been claimed.
 
     Rows below the snapshot are never read: a write that landed late may have
-    filled a trimmed row again. Raises the stores' errors; the caller repeats.
+    filled a trimmed row again. A snapshot that is the same before and after the
+    rows were read shows that none of them was trimmed meanwhile by a later
+    owner; else the whole reading begins anew. Raises the stores' errors; the
+    caller repeats.
     """
-    found = await tables.get(snapshot_key(shard))
+    before = await tables.get(snapshot_key(shard))
+    while True:
+        replayed = await _replay_from(tables, objects, shard, before)
+        after = await tables.get(snapshot_key(shard))
+        if after == before:
+            return replayed
+        before = after
+
+
+async def _replay_from(
+    tables: Tables, objects: Objects, shard: int, found: Row | None
+) -> Replayed:
+    """Read a snapshot and the rows after it."""
     snapshot = _NO_SNAPSHOT
     if found is not None:
         snapshot = SnapshotRow.from_value(found.value)
