Give binary answers to callers as bytes; ignore an unreadable outcome

Change: the gateway sends StoredAnswer.data(); an outcome that is no text is left out. Conclusion: the caller gets the bytes that the endpoint gave.

--- a/src/ebonydeal/_internal/errors.py
+++ b/src/ebonydeal/_internal/errors.py
@@ -232,11 +232,12 @@
                 wait = rest.get("retry_after")
                 owner = rest.get("owner")
                 outcome = rest.get("outcome")
+                said = isinstance(outcome, str) and outcome in set(Outcome)
                 return cls(
                     ErrorKind(code),
                     str(rest.get("message", "")),
                     retry_after=wait if isinstance(wait, (int, float)) else None,
                     owner=owner if isinstance(owner, str) else None,
-                    outcome=Outcome(outcome) if outcome in set(Outcome) else None,
+                    outcome=Outcome(str(outcome)) if said else None,
                 )
         return cls(ErrorKind.INTERNAL, "a peer answered without an error kind")
--- a/src/ebonydeal/_internal/gateway/deferred.py
+++ b/src/ebonydeal/_internal/gateway/deferred.py
@@ -35,7 +35,7 @@
     if status.answer is not None:
         return web.Response(
             status=status.answer.status,
-            body=status.answer.body.encode(),
+            body=status.answer.data(),
             headers={"Content-Type": status.answer.content_type},
         )
     if status.is_final:
--- a/tests/unit/test_errors.py
+++ b/tests/unit/test_errors.py
@@ -15,5 +15,10 @@
         again = EbonydealError.from_body(error.to_body())
         assert (again.kind, again.retry_after, again.owner) == (kind, 3.5, "h:1")
 
+    @pytest.mark.parametrize("outcome", [[], {}, 7, None, "maybe"])
+    def test_an_outcome_that_is_garbage_is_left_out(self, outcome):
+        body = {"error": {"code": "not_run", "message": "", "outcome": outcome}}
+        assert EbonydealError.from_body(body).kind is ErrorKind.NOT_RUN
+
     def test_garbage_from_a_peer_is_internal(self):
         assert EbonydealError.from_body([]).kind is ErrorKind.INTERNAL
