Work out each role's needs at full size from measured slopes

Change: `ebonydeal bench capacity` measures 23 slopes (in process, peer rounds on loopback, idle journals, controller rounds, the relay) and prints, for each role, state, bytes, processor time, memory and table operations at the size designed for and at twice that.

--- /dev/null
+++ b/src/ebonydeal/_internal/benchmarks/capacity/exchanges.py
@@ -0,0 +1,131 @@
+"""Slopes that need sockets or whole parts: rounds, calls, idle journals, plans."""
+
+import asyncio
+import time
+from statistics import median
+
+from ebonydeal._internal.benchmarks.capacity.fit import Point, Slope, fit
+from ebonydeal._internal.benchmarks.gateway.cost import CostSpec, measure
+from ebonydeal._internal.benchmarks.journal.rounds import idle
+from ebonydeal._internal.benchmarks.peers.loopback import measure_loopback
+from ebonydeal._internal.benchmarks.peers.suite import measure_traffic
+from ebonydeal._internal.benchmarks.spend.slopes import measure as measure_rounds
+from ebonydeal._internal.platform.tables import HttpTables
+from ebonydeal._internal.settings.journal import JournalSettings
+from ebonydeal._internal.settings.sections import PlatformSettings
+from ebonydeal._internal.standin.stores import TablesServer
+
+_US = 1_000_000
+_PEER_SIZES = (9, 24, 48, 96)
+_PEER_SECONDS = 4.0
+_TRAFFIC_SIZES = (9, 90, 350)
+_JOURNAL_SIZES = (3, 9, 18)
+_JOURNAL_SECONDS = 12.0
+_JOURNAL_LATENCY = 0.01
+_REPLICA_SIZES = (50, 200, 500, 1000)
+_CALL_COUNTS = (200, 400, 800)
+
+
+def measure_exchanges(seed: int) -> list[Slope]:
+    """Return slopes of whole parts; takes some minutes."""
+    return [
+        *_peers(seed),
+        _calls(),
+        *_idle_journals(seed),
+        *_controller(seed),
+        *_gateway(seed),
+    ]
+
+
+def _peers(seed: int) -> list[Slope]:
+    real = [asyncio.run(measure_loopback(n, _PEER_SECONDS)) for n in _PEER_SIZES]
+    full = [measure_traffic(n, seed, with_demand=True) for n in _TRAFFIC_SIZES]
+    return [
+        fit(
+            "peers.cpu",
+            "us of processor time a second for rounds, with HTTP on loopback",
+            "own process",
+            [Point(row.nodes, row.cpu_us) for row in real],
+        ),
+        fit(
+            "peers.bytes",
+            "bytes a second that one process sends to peers, 5 client accounts",
+            "own process",
+            [Point(row.nodes, row.mean) for row in full],
+        ),
+    ]
+
+
+async def _time_calls(count: int) -> float:
+    """Return processor microseconds of ``count`` table reads, both ends."""
+    server = TablesServer()
+    await server.start()
+    tables = HttpTables.from_config(PlatformSettings(tables_url=server.url))
+    try:
+        await tables.get("warm")
+        start = time.process_time()
+        for _ in range(count):
+            await tables.get("none")
+        return (time.process_time() - start) * _US
+    finally:
+        await tables.close()
+        await server.stop()
+
+
+def _calls() -> Slope:
+    points = [Point(n, asyncio.run(_time_calls(n))) for n in _CALL_COUNTS]
+    return fit("call.cpu", "us of processor time, both ends", "small call", points)
+
+
+def _idle_journals(seed: int) -> list[Slope]:
+    cfg = JournalSettings()
+    rows = [
+        asyncio.run(idle(cfg, n, _JOURNAL_SECONDS, _JOURNAL_LATENCY, seed))
+        for n in _JOURNAL_SIZES
+    ]
+    return [
+        fit(
+            "journal.reads",
+            "table reads a second of all idle journals",
+            "journal",
+            [Point(row.nodes, row.reads_per_s) for row in rows],
+        ),
+        fit(
+            "journal.writes",
+            "table writes a second of all idle journals",
+            "journal",
+            [Point(row.nodes, row.writes_per_s) for row in rows],
+        ),
+    ]
+
+
+def _controller(seed: int) -> list[Slope]:
+    rows = [asyncio.run(measure_rounds(n, seed)) for n in _REPLICA_SIZES]
+    return [
+        fit(
+            "round.cpu",
+            "us of processor time of one quiet controller round",
+            "replica",
+            [Point(row.replicas, row.cpu_ms * 1000) for row in rows],
+        ),
+        fit(
+            "round.tables",
+            "table operations of one quiet controller round",
+            "replica",
+            [Point(row.replicas, row.operations) for row in rows],
+        ),
+    ]
+
+
+def _gateway(seed: int) -> list[Slope]:
+    """Fit processor time against answer length: request cost and token cost."""
+    points = []
+    for tokens in (20, 100, 200):
+        spec = CostSpec(rounds=3, requests=40, tokens=tokens, at_once=20, seed=seed)
+        cost = next(item for item in measure(spec) if item.name == "gateway")
+        one = median(cost.per_request)
+        each = median(cost.per_token)
+        points.append(Point(tokens, one + each * (tokens - 1)))
+    return [
+        fit("relay.cpu", "us of processor time of one stream", "token", points),
+    ]
--- a/src/ebonydeal/_internal/benchmarks/capacity/measures.py
+++ b/src/ebonydeal/_internal/benchmarks/capacity/measures.py
@@ -7,6 +7,7 @@
 import json
 import random
 from collections.abc import Callable
+from resource import RUSAGE_SELF, getrusage
 from typing import Any
 
 from ebonydeal._internal.benchmarks.capacity.fit import Point, Slope, fit
@@ -57,6 +58,7 @@
         *_routing(),
         *_journal(),
         *_controller(),
+        _resident(),
     ]
 
 
@@ -72,6 +74,13 @@
     return fit(key, what, per, points)
 
 
+def _resident() -> Slope:
+    """Return what a process with all parts imported holds, whatever the size."""
+    usage = getrusage(RUSAGE_SELF).ru_maxrss / 1000.0
+    points = [Point(size, usage) for size in (0, 1, 2)]
+    return fit("rss", "MB resident of this process, the upper bound", "-", points)
+
+
 # --- instance list ---------------------------------------------------------------
 def _list_body(size: int) -> str:
     return json.dumps({"endpoints": [endpoint_message(n) for n in range(size)]})
--- a/src/ebonydeal/_internal/commands/bench.py
+++ b/src/ebonydeal/_internal/commands/bench.py
@@ -2,6 +2,7 @@
 
 import click
 
+from ebonydeal._internal.commands.bench_capacity import capacity_command
 from ebonydeal._internal.commands.bench_gateway import gateway_command
 from ebonydeal._internal.commands.bench_journal import journal_command
 from ebonydeal._internal.commands.bench_load import load_command
@@ -23,3 +24,4 @@
 bench_command.add_command(spend_command)
 bench_command.add_command(reclaim_command)
 bench_command.add_command(peers_command)
+bench_command.add_command(capacity_command)
--- /dev/null
+++ b/src/ebonydeal/_internal/commands/bench_capacity.py
@@ -0,0 +1,32 @@
+"""``ebonydeal bench capacity``: slopes, and what they come to at full size."""
+
+from pathlib import Path
+
+import click
+
+from ebonydeal._internal.benchmarks.capacity.exchanges import measure_exchanges
+from ebonydeal._internal.benchmarks.capacity.measures import measure_in_process
+from ebonydeal._internal.benchmarks.capacity.plan import FULL_PLAN
+from ebonydeal._internal.benchmarks.capacity.report import put_into, tables
+from ebonydeal._internal.observe.logs import configure_logs
+from ebonydeal._internal.settings.sections import LogSettings
+
+
+@click.command("capacity")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option(
+    "--page",
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    help="Put the tables into this page, between its markers.",
+)
+def capacity_command(seed: int, page: Path | None) -> None:
+    """Measure every slope, and print the tables of docs/CAPACITY.md.
+
+    Takes some minutes; uses loopback and under a gigabyte of memory.
+    """
+    configure_logs(LogSettings(level="error"))
+    slopes = [*measure_in_process(), *measure_exchanges(seed)]
+    text = tables(slopes, FULL_PLAN)
+    click.echo(text)
+    if page is not None:
+        page.write_text(put_into(page.read_text(), text))
