--- a/src/ebonydeal/_internal/journal/program.py
+++ b/src/ebonydeal/_internal/journal/program.py
@@ -1,19 +1,21 @@
 """Supervisor tree of ``ebonydeal-journal``."""
 
 import random
-from typing import Any, NamedTuple
+from collections.abc import Iterable
+from typing import Any, NamedTuple, Protocol
 
 from mode import Service
 
+from ebonydeal._internal.config.follower import ConfigFollower
 from ebonydeal._internal.directory.service import Directory
 from ebonydeal._internal.directory.table import Change
 from ebonydeal._internal.journal.claims import Identity
 from ebonydeal._internal.journal.dispatcher import Dispatcher
 from ebonydeal._internal.journal.node import JournalNode
-from ebonydeal._internal.journal.owner import OwnerParts
 from ebonydeal._internal.journal.pacing import Budget, Pacer
-from ebonydeal._internal.journal.picker import RoutedPicker
-from ebonydeal._internal.journal.service import journal_app
+from ebonydeal._internal.journal.parts import OwnerParts
+from ebonydeal._internal.journal.picker import RoutedPicker, weights_from
+from ebonydeal._internal.journal.service import journal_app, offer_by
 from ebonydeal._internal.models.places import Place
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.peers.service import PeerService
@@ -24,6 +26,7 @@
 from ebonydeal._internal.platform.services import HttpPlainServices
 from ebonydeal._internal.platform.tables import HttpTables
 from ebonydeal._internal.routing.router import Router
+from ebonydeal._internal.settings.config import ConfigSettings
 from ebonydeal._internal.settings.directory import DirectorySettings
 from ebonydeal._internal.settings.journal import JournalSettings
 from ebonydeal._internal.settings.routing import RoutingSettings
@@ -35,6 +38,7 @@
     TlsSettings,
 )
 from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.peerclient import PeerClient
 from ebonydeal._internal.utils.tls import TlsContexts
 from ebonydeal._internal.utils.web import HttpServer
 
@@ -47,6 +51,7 @@
     "directory": DirectorySettings,
     "routing": RoutingSettings,
     "journal": JournalSettings,
+    "config": ConfigSettings,
 }
 _MS = 1000
 
@@ -74,32 +79,41 @@
         )
 
 
+class Closable(Protocol):
+    """A client that owns connections."""
+
+    async def close(self) -> None:
+        """Close them."""
+
+
 class JournalProgram(Service):
     """Everything of one journal process.
 
-    Children, in the order of their start: TLS files, directory, peers, listener,
-    dispatcher, node. A stop first hands over all shards, while the listener
-    still answers those who wait.
+    Children, in the order of their start: TLS files, directory, peers,
+    configuration, listener, dispatcher, node. A stop first hands over all shards,
+    while the listener still answers those who wait.
     """
 
     def __init__(
         self,
         directory: Directory,
         peers: PeerService,
+        follower: ConfigFollower,
         dispatcher: Dispatcher,
         node: JournalNode,
         server: HttpServer,
-        platform: Platform,
         tls: TlsContexts,
+        clients: Iterable[Closable],
     ) -> None:
         super().__init__()
         self.directory = directory
         self.peers = peers
+        self.follower = follower
         self.dispatcher = dispatcher
         self.node = node
         self.server = server
-        self._platform = platform
         self._tls = tls
+        self._clients = tuple(clients)
 
     @classmethod
     def from_config(
@@ -138,9 +152,20 @@
             ssl_server=tls.server,
             ssl_client=tls.client,
         )
+        follower = ConfigFollower.from_config(
+            settings["config"],
+            platform.tables,
+            metrics,
+            clock,
+            rng,
+            nodes=lambda: 1 + len(peers.members()),
+        )
+        peers.register(follower.topic)
         router = Router.from_config(settings["routing"], rng)
         dispatcher = Dispatcher(
-            RoutedPicker(directory, router, place, clock),
+            RoutedPicker(
+                directory, router, place, clock, weights_from(lambda: follower.document)
+            ),
             platform.engine,
             platform.services,
             cfg=cfg,
@@ -159,8 +184,10 @@
             metrics,
         )
         me = Identity(own.id, "", int(clock.wall() * _MS))
-        node = JournalNode(me, place, parts, own.drain_seconds)
-        app = journal_app(node, settings["peers"].credential, metrics)
+        credential = settings["peers"].credential
+        between = PeerClient(credential, tls.client)
+        node = JournalNode(me, place, parts, own.drain_seconds, offer_by(between))
+        app = journal_app(node, credential, metrics)
         server = HttpServer(
             app,
             own.host,
@@ -168,7 +195,8 @@
             ssl_context=tls.server,
             drain_seconds=own.drain_seconds,
         )
-        return cls(directory, peers, dispatcher, node, server, platform, tls)
+        clients = (*platform, between)
+        return cls(directory, peers, follower, dispatcher, node, server, tls, clients)
 
     @property
     def address(self) -> str:
@@ -182,6 +210,7 @@
         await self.add_runtime_dependency(self._tls)
         await self.add_runtime_dependency(self.directory)
         await self.add_runtime_dependency(self.peers)
+        await self.add_runtime_dependency(self.follower)
         await self.add_runtime_dependency(self.server)
         await self.add_runtime_dependency(self.dispatcher)
         self.node.me = self.node.me._replace(address=self.address)
@@ -196,5 +225,5 @@
 
     async def on_shutdown(self) -> None:
         """Close the clients."""
-        for client in self._platform:
+        for client in self._clients:
             await client.close()
