Take no lease again while stepping down

Cause: a round that ran on while the leases were given back could take one again, and the next leader then had to wait for it to lapse. Change: the look at the leases ends as soon as the process steps down. Conclusion: found by reading; no test strikes that moment.

--- a/src/ebonydeal/_internal/controller/service.py
+++ b/src/ebonydeal/_internal/controller/service.py
@@ -121,6 +121,8 @@
         self._round_number += 1
         leads = number % _LOOK_FOR_DROPPED == 0
         for name in sorted(set(document.deployments) | set(self.workers)):
+            if not self._leads:
+                return False
             try:
                 leads = await self._worker(name).lease.step() or leads
             except EbonydealError as exc:
