Forget gateways that have been silent for long

Cause: instances are replaced all the time, and each new id stayed among the gateways heard of for ever. Change: one that is silent for longer than its part is held is dropped. Conclusion: memory follows the gateways there are.

--- a/src/ebonydeal/_internal/routing/limits.py
+++ b/src/ebonydeal/_internal/routing/limits.py
@@ -125,6 +125,13 @@
             self._heard[report.gateway] = _Heard(report, now, {})
             parts = {name: self._part(name, report, now) for name in report.demands}
             self._heard[report.gateway] = _Heard(report, now, parts)
+            self._forget_long_silent(now)
+
+    def _forget_long_silent(self, now: float) -> None:
+        """Drop gateways that no longer count; instances come and go for ever."""
+        for name, heard in list(self._heard.items()):
+            if now - heard.at > _LISTED_HOLD:
+                del self._heard[name]
 
     def gone(self, gateway: str) -> None:
         """Forget a gateway that is known to have stopped."""
--- a/tests/unit/routing/test_limits.py
+++ b/tests/unit/routing/test_limits.py
@@ -119,3 +119,12 @@
         story = Story("split", "requests_per_s", 60, split_at=20.0, heal_at=50.0)
         outcome = LimitRun(story, AdmissionSettings(), 1).run()
         assert outcome.worst_high <= 1.1
+
+
+class TestMemory:
+    def test_replaced_gateways_are_forgotten(self):
+        limits = make_limits(concurrency=10)
+        for number in range(50):
+            report = DemandReport(f"gw-{number + 2}", 1, {"desk": Demand(0, 0, 1, 1)})
+            limits.heard(report, NOW + 60.0 * number)
+        assert len(limits._heard) == 3
