--- a/src/ebonydeal/_internal/gateway/api.py
+++ b/src/ebonydeal/_internal/gateway/api.py
@@ -19,7 +19,7 @@
 from ebonydeal._internal.observe.trail import Step, Trails
 from ebonydeal._internal.settings.gateway import GatewaySettings
 from ebonydeal._internal.utils.clock import Clock
-from ebonydeal._internal.utils.web import Handler, new_app
+from ebonydeal._internal.utils.web import Handler, error_response, new_app
 
 REQUEST_ID_HEADER = "X-Request-Id"
 OPERATOR_HEADER = "X-Operator-Token"
@@ -39,11 +39,20 @@
     draining: Callable[[], bool]
 
 
-async def _set_request_id(req: web.Request, resp: web.StreamResponse) -> None:
-    """Put the request id on every answer."""
-    request_id = req.get(REQUEST_ID)
-    if request_id is not None:
-        resp.headers[REQUEST_ID_HEADER] = request_id
+def _finish_headers(parts: ApiParts) -> Callable:
+    """Return what completes the headers of every answer."""
+
+    async def prepare(req: web.Request, resp: web.StreamResponse) -> None:
+        request_id = req.get(REQUEST_ID)
+        if request_id is not None:
+            resp.headers[REQUEST_ID_HEADER] = request_id
+        if parts.draining():
+            # So that callers who keep their connections go elsewhere too. The
+            # library has set its own headers by now, hence both.
+            resp.force_close()
+            resp.headers["Connection"] = "close"
+
+    return prepare
 
 
 def _trail_middleware(parts: ApiParts) -> Callable:
@@ -93,7 +102,7 @@
         parts = self._parts
         app = new_app(parts.metrics, self._cfg.max_body_bytes)
         app.middlewares.append(_trail_middleware(parts))
-        app.on_response_prepare.append(_set_request_id)
+        app.on_response_prepare.append(_finish_headers(parts))
         router = app.router
         router.add_post(PATHS[RequestKind.CHAT], parts.generation.chat)
         router.add_post(PATHS[RequestKind.COMPLETION], parts.generation.completion)
@@ -124,12 +133,16 @@
         return web.json_response({"object": "list", "data": data})
 
     async def _ready(self, _req: web.Request) -> web.Response:
-        """``GET /health/ready``: whether the balancer should send requests."""
+        """``GET /health/ready``: whether the balancer should send requests.
+
+        A look of the balancer's is no refused request, so it isn't counted.
+        """
         if self._parts.draining():
-            raise EbonydealError(ErrorKind.DRAINING, "this gateway is stopping")
+            detail = "this gateway is stopping"
+            return error_response(EbonydealError(ErrorKind.DRAINING, detail))
         if self._parts.intake.document.version == 0:
             detail = "no configuration is in force yet"
-            raise EbonydealError(ErrorKind.NO_ENDPOINT, detail)
+            return error_response(EbonydealError(ErrorKind.NO_ENDPOINT, detail))
         return web.json_response({"ready": True})
 
     async def _explain(self, req: web.Request) -> web.Response:
--- a/src/ebonydeal/_internal/routing/reclaim.py
+++ b/src/ebonydeal/_internal/routing/reclaim.py
@@ -7,10 +7,20 @@
 """
 
 from collections.abc import Collection, Iterable, Mapping, Sequence
-from dataclasses import dataclass
 from typing import NamedTuple
 
-from ebonydeal._internal.models.endpoints import EndpointView
+from ebonydeal._internal.routing.reclaim_streams import (
+    ExportFault,
+    ExportTo,
+    Finish,
+    Move,
+    ReclaimLimits,
+    Recompute,
+    RunningStream,
+    outlasts,
+    seconds_to_finish,
+    transfer_seconds,
+)
 from ebonydeal._internal.routing.reclaim_targets import Target, TargetPool
 
 __all__ = [
@@ -29,120 +39,6 @@
 _LEAST_REVIEW_S = 0.1
 
 
-class RunningStream(NamedTuple):
-    """A stream on an endpoint that is leaving.
-
-    Attributes
-    ----------
-    request_id : str
-        Which request.
-    endpoint_id : str
-        Where it runs.
-    context_tokens : int
-        Prompt and generated tokens so far.
-    remaining_tokens_estimate : float
-        Tokens that are expected to follow.
-    tokens_per_s : float
-        Its generation rate.
-    kv_gb : float
-        Size of its KV cache, gigabytes.
-    prefix : tuple of str
-        Chained hashes of the prompt's blocks (`utils.prefix`); empty if unknown.
-    """
-
-    request_id: str
-    endpoint_id: str
-    context_tokens: int
-    remaining_tokens_estimate: float
-    tokens_per_s: float
-    kv_gb: float
-    prefix: tuple[str, ...] = ()
-
-
-@dataclass(frozen=True)
-class Finish:
-    """Let the stream end where it runs; plan again at ``review_at``."""
-
-    request_id: str
-    review_at: float
-
-
-@dataclass(frozen=True)
-class ExportTo:
-    """Export the KV cache at ``start_at`` and go on at ``target``.
-
-    ``seconds`` is the time that export and import are expected to take.
-    """
-
-    request_id: str
-    target: EndpointView
-    start_at: float
-    seconds: float
-
-
-@dataclass(frozen=True)
-class Recompute:
-    """Go on at ``target`` by prefill, at ``start_at``.
-
-    ``target`` is None where none has room: the router finds one, or the stream
-    waits in a queue.
-    """
-
-    request_id: str
-    target: EndpointView | None
-    start_at: float
-
-
-Move = Finish | ExportTo | Recompute
-
-
-class ReclaimLimits(NamedTuple):
-    """What the planner assumes.
-
-    Attributes
-    ----------
-    margin : float
-        Seconds kept free before the deadline, for late clocks and calls.
-    finish_share : float
-        A stream is left to finish if it is expected to need at most this share
-        of the notice.
-    overhead : float
-        Seconds of an export and import beside the transfer.
-    export_share, import_share : float
-        Time of the export and of the import, as shares of the cache's size over
-        the source's rate.
-    prefill_per_s : float
-        Tokens a second that a target prefills; decides how long a stream waits
-        for the shared prefix that another one is about to compute there.
-    """
-
-    margin: float = 0.3
-    finish_share: float = 0.8
-    overhead: float = 0.05
-    export_share: float = 1.0
-    import_share: float = 0.5
-    prefill_per_s: float = 8000.0
-
-
-class ExportFault(NamedTuple):
-    """An export that didn't succeed.
-
-    ``handle_left`` says that the exported cache still stands at a live source
-    (only the import failed), so that another target may fetch it.
-    """
-
-    request_id: str
-    handle_left: bool
-
-
-def transfer_seconds(
-    stream: RunningStream, source_rate: float, limits: ReclaimLimits
-) -> float:
-    """Return the time to export and import a stream's cache, in seconds."""
-    whole = stream.kv_gb / source_rate if source_rate > 0 else float("inf")
-    return whole * (limits.export_share + limits.import_share) + limits.overhead
-
-
 def plan_moves(
     streams: Iterable[RunningStream],
     notice_seconds: float,
@@ -178,22 +74,29 @@
     Returns
     -------
     list of Move
-        One for each stream; exports in their order at each source.
+        One for each stream; exports in their order at each source. At a review,
+        plan again for all streams of that source that have no export or
+        recompute under way, since they share its time.
     """
     limits = limits or ReclaimLimits()
     usable = max(0.0, notice_seconds - limits.margin)
     pool = TargetPool(targets, leaving_zones)
-    finishing, moving = _split_finishing(streams, usable, limits)
-    moves: list[Move] = [
-        Finish(stream.request_id, _review_at(stream, now, usable, source_rate, limits))
-        for stream in finishing
-    ]
+    line = _ExportLine(usable, source_rate, now, dict(source_busy or {}))
     ordered = sorted(
-        moving, key=lambda it: _saved_per_s(it, source_rate, pool, limits), reverse=True
+        streams, key=lambda it: _worth(it, line, pool, limits), reverse=True
     )
-    line = _ExportLine(usable, source_rate, now, dict(source_busy or {}))
-    exports, left = _plan_exports(ordered, line, pool, limits)
-    return moves + exports + _plan_recomputes(left, pool, now, limits)
+    if usable <= 0.0:
+        return _plan_recomputes(ordered, pool, now, limits)
+    waits, ordered = _split_waiting(ordered, line, limits)
+    likely = [
+        it for it in ordered if outlasts(it, usable, limits) > limits.break_chance
+    ]
+    exports, left = _plan_exports(likely, line, pool, limits)
+    planned = {move.request_id for move in (*waits, *exports)}
+    others = [it for it in ordered if it.request_id not in planned]
+    finishes = [_review(it, line, limits) for it in others if _gains(it, pool)]
+    left = [it for it in others if not _gains(it, pool)]
+    return [*waits, *exports, *finishes, *_plan_recomputes(left, pool, now, limits)]
 
 
 def replan(
@@ -226,54 +129,41 @@
     return moves + _plan_recomputes(lost + left, pool, now, limits)
 
 
-def _split_finishing(
-    streams: Iterable[RunningStream], usable: float, limits: ReclaimLimits
-) -> tuple[list[RunningStream], list[RunningStream]]:
-    """Return the streams that can finish in time, and the others."""
-    finishing: list[RunningStream] = []
-    moving: list[RunningStream] = []
-    for stream in streams:
-        seconds = _seconds_to_finish(stream)
-        fits = usable > 0.0 and seconds <= usable * limits.finish_share
-        (finishing if fits else moving).append(stream)
-    return finishing, moving
-
+def _gains(stream: RunningStream, pool: TargetPool) -> bool:
+    """Return whether it is better to let a stream run than to resume it at once.
 
-def _seconds_to_finish(stream: RunningStream) -> float:
-    if stream.tokens_per_s <= 0:
-        return float("inf")
-    return stream.remaining_tokens_estimate / stream.tokens_per_s
+    Each second it may end, which saves its whole context, but makes the context
+    longer if it doesn't: it gains while the context is longer than the rest.
+    """
+    cost = stream.context_tokens - pool.best_hit(stream.prefix)
+    return cost > stream.remaining_tokens_estimate and stream.tokens_per_s > 0
 
 
-def _review_at(
-    stream: RunningStream,
-    now: float,
-    usable: float,
-    source_rate: float,
-    limits: ReclaimLimits,
-) -> float:
-    """Return when to look again at a stream that should have finished by then.
+def _worth(
+    stream: RunningStream, line: "_ExportLine", pool: TargetPool, limits: ReclaimLimits
+) -> tuple[float, str]:
+    """Return the tokens that an export is expected to save per second of transfer.
 
-    After its expected end, but early enough to export it still. The review is
-    always later than now, so that planning comes to an end.
+    Nothing is saved of a stream that ends in time, nor what some target's prefix
+    cache already holds. The id makes the order the same everywhere.
     """
-    expected = _seconds_to_finish(stream) / limits.finish_share
-    latest = usable - transfer_seconds(stream, source_rate, limits)
-    if latest < _LEAST_REVIEW_S:
-        latest = usable
-    return now + max(_LEAST_REVIEW_S, min(latest, expected))
+    missed = stream.context_tokens - pool.best_hit(stream.prefix)
+    saved = missed * outlasts(stream, line.usable, limits)
+    return saved / transfer_seconds(stream, line.source_rate, limits), stream.request_id
 
 
-def _saved_per_s(
-    stream: RunningStream, source_rate: float, pool: TargetPool, limits: ReclaimLimits
-) -> tuple[float, str]:
-    """Return the tokens that an export saves per second of transfer.
+def _review(
+    stream: RunningStream, line: "_ExportLine", limits: ReclaimLimits
+) -> Finish:
+    """Let a stream run until its source has time to export it, or to the end.
 
-    What some target's prefix cache already holds needn't be saved. The id makes
-    the order the same everywhere.
+    The review is always later than now, so that planning comes to an end.
     """
-    saved = stream.context_tokens - pool.best_hit(stream.prefix)
-    return saved / transfer_seconds(stream, source_rate, limits), stream.request_id
+    at = line.busy.get(stream.endpoint_id, 0.0)
+    seconds = transfer_seconds(stream, line.source_rate, limits)
+    if at < _LEAST_REVIEW_S or at + seconds > line.usable:
+        at = max(_LEAST_REVIEW_S, line.usable)
+    return Finish(stream.request_id, line.now + at)
 
 
 class _ExportLine(NamedTuple):
@@ -285,6 +175,37 @@
     busy: dict[str, float]
 
 
+def _split_waiting(
+    ordered: Sequence[RunningStream], line: _ExportLine, limits: ReclaimLimits
+) -> tuple[list[Move], list[RunningStream]]:
+    """Return those whose export can wait, with their review, and the others.
+
+    A source's exports wait together, until only ``reserve`` times their expected
+    time and that of the longest one is left before the deadline.
+    """
+    expected: dict[str, float] = dict(line.busy)
+    longest: dict[str, float] = {}
+    for stream in ordered:
+        source = stream.endpoint_id
+        seconds = transfer_seconds(stream, line.source_rate, limits)
+        longest[source] = max(longest.get(source, 0.0), seconds)
+        chance = outlasts(stream, line.usable, limits)
+        if chance > 0.0:
+            expected[source] = expected.get(source, 0.0) + chance * seconds
+    waits: list[Move] = []
+    others = []
+    for stream in ordered:
+        source = stream.endpoint_id
+        needed = limits.reserve * expected.get(source, 0.0) + longest[source]
+        slack = line.usable - needed
+        hopeless = seconds_to_finish(stream) > limits.hopeless * line.usable
+        if hopeless or slack < _LEAST_REVIEW_S:
+            others.append(stream)
+        else:
+            waits.append(Finish(stream.request_id, line.now + slack))
+    return waits, others
+
+
 def _plan_exports(
     ordered: Iterable[RunningStream],
     line: _ExportLine,
