Count deferred requests against account limits; hedge elsewhere only

Cause: deferred requests passed every limit of their account; a hedge could go to the endpoint that was slow already. Change: accepting a deferred request takes from the account's request rate and concurrency, without a slot; a hedge is made only where routing has another endpoint.

--- a/src/ebonydeal/_internal/gateway/deferred.py
+++ b/src/ebonydeal/_internal/gateway/deferred.py
@@ -7,7 +7,7 @@
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.gateway.intake import REQUEST_ID, Intake
 from ebonydeal._internal.gateway.parse import parse_generation
-from ebonydeal._internal.gateway.ports import JournalPort
+from ebonydeal._internal.gateway.ports import AdmissionPort, JournalPort
 from ebonydeal._internal.observe.counters import Event, Metrics
 from ebonydeal._internal.peers.journal_client import JournalStatus
 from ebonydeal._internal.utils.clock import Clock
@@ -20,6 +20,7 @@
     """What the handlers of deferred requests work with."""
 
     intake: Intake
+    admission: AdmissionPort
     journal: JournalPort
     metrics: Metrics
     clock: Clock
@@ -95,7 +96,11 @@
         request, deployment = parts.intake.generation(
             call, account, req[REQUEST_ID], times, raw
         )
-        status = await parts.journal.accept(request)
+        ticket = parts.admission.admit_later(request)
+        try:
+            status = await parts.journal.accept(request)
+        finally:
+            ticket.release(0)
         parts.metrics.count(Event.ANSWERED)
         return _not_yet(status)
 
--- a/src/ebonydeal/_internal/gateway/desk.py
+++ b/src/ebonydeal/_internal/gateway/desk.py
@@ -6,7 +6,7 @@
 
 from mode import Service
 
-from ebonydeal._internal.errors import EbonydealError
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.gateway.ports import ConfigPort, Ticket
 from ebonydeal._internal.models.document import Deployment
 from ebonydeal._internal.models.requests import Request
@@ -19,6 +19,7 @@
     Refuse,
     Wait,
 )
+from ebonydeal._internal.routing.limits import AccountLimits
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.ids import new_token
 
@@ -37,6 +38,19 @@
         self._desk.release(self._id, tokens)
 
 
+class _LaterTicket:
+    """A deferred request's share of its account's limits while it is accepted."""
+
+    def __init__(self, limits: AccountLimits, account: str, clock: Clock) -> None:
+        self._limits = limits
+        self._account = account
+        self._clock = clock
+
+    def release(self, tokens: int) -> None:
+        """Give the share back."""
+        self._limits.settle(self._account, 0.0, float(tokens), self._clock.wall())
+
+
 class AdmissionDesk(Service):
     """Lets requests wait until the admission decisions let them start.
 
@@ -100,6 +114,21 @@
         self._metrics.timed(Timing.QUEUE, self._clock.now() - started)
         return _Ticket(self, ask.request_id)
 
+    def admit_later(self, request: Request) -> Ticket:
+        """Count a request that runs later; raises RATE_LIMITED at once.
+
+        It needs no endpoint now, so it neither waits nor takes a slot.
+        """
+        self._follow_config()
+        limits = self._admission.limits
+        over = limits.take(request.account, 0.0, self._clock.wall())
+        if over is not None:
+            detail = f"client account limit {over.limit}."
+            raise EbonydealError(
+                ErrorKind.RATE_LIMITED, detail, retry_after=over.retry_after
+            )
+        return _LaterTicket(limits, request.account, self._clock)
+
     async def _wait(self, ticket_id: str) -> None:
         """Wait for a queued request's turn; raises its refusal."""
         fut = asyncio.get_running_loop().create_future()
--- a/src/ebonydeal/_internal/gateway/direct.py
+++ b/src/ebonydeal/_internal/gateway/direct.py
@@ -148,10 +148,7 @@
         try:
             await asyncio.wait({first, timer}, return_when=asyncio.FIRST_COMPLETED)
             if not first.done() and self._may_hedge(call, avoid):
-                parts.metrics.retried(RetryReason.HEDGE)
-                now = parts.clock.wall()
-                parts.trails.note(call.request.request_id, now, Step.HEDGED)
-                tasks.add(self._start(call, avoid))
+                tasks |= self._start_hedge(call, avoid)
             return await _first_success(tasks)
         finally:
             await _cancel_all({timer, *tasks})
@@ -166,6 +163,21 @@
             call.deployment.name, call.request.deadline, now
         )
 
+    def _start_hedge(
+        self, call: DirectCall, avoid: set[Incarnation]
+    ) -> set[asyncio.Task[ServiceAnswer]]:
+        """Start a second try at another endpoint, if routing has one."""
+        parts = self._parts
+        now = parts.clock.wall()
+        ask = RouteAsk(call.request, call.deployment, "", avoid=frozenset(avoid))
+        route = parts.routes.choose(ask, now)
+        if route is None:
+            return set()
+        avoid.add(incarnation_of(route.endpoint))
+        parts.metrics.retried(RetryReason.HEDGE)
+        parts.trails.note(call.request.request_id, now, Step.HEDGED)
+        return {asyncio.create_task(self._once(call, route))}
+
     def _start(
         self, call: DirectCall, avoid: set[Incarnation]
     ) -> asyncio.Task[ServiceAnswer]:
--- a/src/ebonydeal/_internal/gateway/ports.py
+++ b/src/ebonydeal/_internal/gateway/ports.py
@@ -100,6 +100,9 @@
     async def admit(self, request: Request, deployment: Deployment) -> Ticket:
         """Return when admitted; raises the refusal's `EbonydealError`."""
 
+    def admit_later(self, request: Request) -> Ticket:
+        """Count a request that runs later; raises RATE_LIMITED at once."""
+
 
 class TryFailure(NamedTuple):
     """A try that failed.
--- a/src/ebonydeal/_internal/gateway/program.py
+++ b/src/ebonydeal/_internal/gateway/program.py
@@ -234,6 +234,7 @@
         return Deferred(
             DeferredParts(
                 self._intake,
+                self.ports.admission,
                 self.ports.journal,
                 self._metrics,
                 self._clock,
--- a/tests/functional/gateway/test_listener.py
+++ b/tests/functional/gateway/test_listener.py
@@ -99,6 +99,13 @@
         assert (request.priority.name, request.idempotent) == ("BATCH", True)
         assert bench.engine.ran == []
 
+    async def test_over_the_account_limit(self):
+        async with Bench() as bench:
+            bench.admission.refusal = EbonydealError(ErrorKind.RATE_LIMITED)
+            status, _text, headers = await ask(bench, "POST", "/v1/deferred", json=BODY)
+        assert (status, headers["X-Outcome"]) == (429, "not_run")
+        assert bench.journal.accepted == []
+
     async def test_completion_body(self):
         async with Bench() as bench:
             body = {"model": MODEL, "prompt": "Covers:"}
--- a/tests/functional/gateway/test_services.py
+++ b/tests/functional/gateway/test_services.py
@@ -57,6 +57,25 @@
         assert text == "s1"
         assert len(bench.services.calls) == 1
 
+    async def test_hedge_never_goes_to_the_same_endpoint(self):
+        async with Bench(hedge_seconds=0.01) as bench:
+            bench.services.answers["s1"] = event = asyncio.Event()
+            choose = bench.routes.choose
+
+            def only_s1(ask, now):
+                route = choose(ask, now)
+                return route if route and route.endpoint.endpoint_id == "s1" else None
+
+            bench.routes.choose = only_s1
+            call = asyncio.ensure_future(self.call(bench, "GET", "tracking/bags/7"))
+            while bench.retries.hedges == 1:
+                await asyncio.sleep(0.01)
+            event.set()
+            _status, text, _headers = await call
+        assert text == "s1"
+        assert len(bench.services.calls) == 1
+        assert bench.metrics.retries() == {}
+
     async def test_gives_up_at_once(self):
         async with Bench() as bench:
             bench.retries.left = 1
--- a/tests/lib/gateway_fakes.py
+++ b/tests/lib/gateway_fakes.py
@@ -263,6 +263,11 @@
         self.admitted.append(request)
         return FakeTicket(self)
 
+    def admit_later(self, request: Request) -> FakeTicket:
+        if self.refusal:
+            raise self.refusal
+        return FakeTicket(self)
+
 
 class FakeDirectory:
     def __init__(self, *views: EndpointView) -> None:
--- a/tests/unit/gateway/test_desk.py
+++ b/tests/unit/gateway/test_desk.py
@@ -108,3 +108,16 @@
         assert caught.value.kind is ErrorKind.RATE_LIMITED
         ticket.release(1)
         assert (await office.ask("r-3")) is not None
+
+    async def test_deferred_needs_no_slot_but_counts(self):
+        office = Office(0)
+        account = office.config.document.accounts["kitchen"]
+        limited = account._replace(requests_per_s=1.0)
+        office.config.document.accounts["kitchen"] = limited
+        office.desk.admit_later(request()).release(0)
+        with pytest.raises(EbonydealError) as caught:
+            office.desk.admit_later(request())
+        assert caught.value.kind is ErrorKind.RATE_LIMITED
+        assert caught.value.retry_after > 0
+        await office.clock.advance(1.5)
+        office.desk.admit_later(request()).release(0)
