--- a/src/ebonydeal/_internal/cli/main.py
+++ b/src/ebonydeal/_internal/cli/main.py
@@ -7,6 +7,7 @@
 from ebonydeal._internal.commands.document import document_command
 from ebonydeal._internal.commands.explain import explain_command
 from ebonydeal._internal.commands.key import key_command
+from ebonydeal._internal.commands.quickstart import quickstart_command
 from ebonydeal._internal.commands.reclaims import reclaims_command
 from ebonydeal._internal.commands.settings import settings_command
 from ebonydeal._internal.commands.spend import spend_command
@@ -22,6 +23,7 @@
 
 main.add_command(bench_command)
 main.add_command(explain_command)
+main.add_command(quickstart_command)
 main.add_command(standin_command)
 main.add_command(key_command)
 main.add_command(settings_command)
