Keep the fault matrix's own tasks, and document what it taught

Cause: the loop holds tasks weakly, so a caller that waited for a dead process could be collected: its request then seemed to have no end. A fault of the harness, not of the system: the owner had the answer all the time. Change: spawned tasks are kept until the cell ends. The check on a fenced row that is taken for an own one asks again for an accepted request that is lost.

--- a/tests/lib/matrix.py
+++ b/tests/lib/matrix.py
@@ -87,6 +87,21 @@
         return f"{self.row} at {self.column}, {self.when} ({where})"
 
 
+_SPAWNED: set[asyncio.Task[Any]] = set()
+
+
+def spawn(coro: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+    """Start a task that is kept until it ends, or until the cell does.
+
+    The loop itself holds tasks weakly: one that waits for a dead process would
+    vanish without a trace.
+    """
+    task = asyncio.ensure_future(coro)
+    _SPAWNED.add(task)
+    task.add_done_callback(_SPAWNED.discard)
+    return task
+
+
 def run_cell(coro: Coroutine[Any, Any, Any]) -> Any:
     """Run a cell to its end in a loop of its own, and drop what still waits.
 
@@ -103,6 +118,7 @@
         for _ in range(CLOSING_ROUNDS):
             loop.run_until_complete(asyncio.sleep(0))
         loop.close()
+        _SPAWNED.clear()
 
 
 class MatrixClock(ManualClock):
