--- a/src/ebonydeal/_internal/console/program.py
+++ b/src/ebonydeal/_internal/console/program.py
@@ -17,6 +17,7 @@
 from ebonydeal._internal.console.parts import ConsoleParts
 from ebonydeal._internal.console.render import Renderer
 from ebonydeal._internal.console.sessions import Sessions
+from ebonydeal._internal.console.simple_pages import SimplePages
 from ebonydeal._internal.console.status import StatusReader
 from ebonydeal._internal.console.view_pages import ViewPages
 from ebonydeal._internal.observe.counters import Metrics
@@ -57,6 +58,7 @@
     app.add_routes(Api(parts).routes())
     app.add_routes(ViewPages(parts).routes())
     app.add_routes(EditPages(parts).routes())
+    app.add_routes(SimplePages(parts).routes())
     app.router.add_static("/static/", _STATIC)
     return app
 
@@ -74,6 +76,8 @@
         Closed at the end.
     server : HttpServer
         The operators' listener.
+    follower : ConfigFollower
+        One of the children.
     """
 
     def __init__(
@@ -81,8 +85,10 @@
         children: tuple[Service, ...],
         clients: tuple[Any, ...],
         server: HttpServer,
+        follower: ConfigFollower,
     ) -> None:
         super().__init__()
+        self.follower = follower
         self._children_wanted = children
         self._clients = clients
         self._server = server
@@ -143,9 +149,9 @@
             ssl_context=tls.server,
             drain_seconds=own.drain_seconds,
         )
-        return cls(
-            (tls, peers, follower, server), (tables, instances, cloud, client), server
-        )
+        children = (tls, peers, follower, server)
+        clients = (tables, instances, cloud, client)
+        return cls(children, clients, server, follower)
 
     @property
     def address(self) -> str:
--- a/src/ebonydeal/_internal/console/view_pages.py
+++ b/src/ebonydeal/_internal/console/view_pages.py
@@ -4,8 +4,10 @@
 
 from aiohttp import web
 
-from ebonydeal._internal.config.delta import join
+from ebonydeal._internal.config.delta import apply, differences, join
 from ebonydeal._internal.console.parts import ConsoleParts
+from ebonydeal._internal.console.posted import read_form
+from ebonydeal._internal.console.simple_pages import version_of
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 
 _FAILED_LOGIN_S = 1.0
@@ -39,7 +41,7 @@
 
     async def _login(self, req: web.Request) -> web.Response:
         """Open a session for the operator whose token was posted."""
-        token = str((await req.post()).get("token", ""))
+        token = (await read_form(req)).get("token", "")
         operator = self._parts.operators.by_token(token)
         if operator is None:
             self._parts.metrics.refused(ErrorKind.UNAUTHORIZED)
@@ -103,16 +105,14 @@
         return self._parts.render.page(req, "history", infos=infos)
 
     async def _version(self, req: web.Request) -> web.Response:
-        try:
-            version = int(req.match_info["version"])
-        except ValueError as exc:
-            raise EbonydealError(ErrorKind.NOT_FOUND, "No such version.") from exc
+        version = version_of(req)
         info = await self._parts.store.version(version)
+        before = (await self._parts.store.load(version - 1)).items
         return self._parts.render.page(
             req,
             "version",
             info=info,
-            lines=await self._parts.store.diff(version - 1, version),
+            lines=differences(before, apply(before, info.delta)),
             head=(await self._parts.current()).version,
             accepted="accepted" in req.query,
         )
--- a/src/ebonydeal/_internal/controller/lease.py
+++ b/src/ebonydeal/_internal/controller/lease.py
@@ -25,6 +25,7 @@
 from ebonydeal._internal.utils.ids import new_token
 
 LEASE_PREFIX = "leases/"
+_LOOK_SHARE = 1 / 3
 
 
 class Holder(NamedTuple):
@@ -138,6 +139,7 @@
         self._ttl = ttl
         self._seen: Sighting | None = None
         self._valid_until = 0.0
+        self._look_at = 0.0
 
     def condition(self) -> FieldEquals:
         """Return the condition that every write of the leader carries."""
@@ -152,8 +154,11 @@
 
         Returns whether the lease is held. A lost answer is settled by reading
         the row back; while the table can't be reached the last word holds
-        until it expires.
+        until it expires. A lease that was renewed less than a third of its time
+        ago is left as it is: another's claim shows in the next write anyway.
         """
+        if self._clock.now() < self._look_at:
+            return self.believed()
         try:
             await self._step()
         except EbonydealError as exc:
@@ -168,6 +173,7 @@
         """Note that a conditioned write showed another epoch."""
         self.epoch = None
         self._seen = None
+        self._look_at = 0.0
 
     async def give_back(self) -> None:
         """Clear the holder, so that the next one need not wait."""
@@ -187,6 +193,7 @@
         match move:
             case Wait():
                 self.epoch = None
+                self._look_at = began + self._ttl * _LOOK_SHARE
             case Renew(epoch, condition):
                 await self._write(epoch, condition, began)
             case Claim(epoch, condition):
@@ -217,6 +224,7 @@
             self.since = began
         self.epoch = epoch
         self._valid_until = began + self._ttl
+        self._look_at = began + self._ttl * _LOOK_SHARE
 
     async def _took_effect(self, epoch: int) -> bool:
         """Return whether the row names us with ``epoch``."""
--- a/src/ebonydeal/_internal/routing/router.py
+++ b/src/ebonydeal/_internal/routing/router.py
@@ -9,15 +9,17 @@
 from ebonydeal._internal.routing.concurrency import ConcurrencyLimit
 from ebonydeal._internal.routing.home import Branches, home_of
 from ebonydeal._internal.routing.ledger import Attempt, Rates, Sent
+from ebonydeal._internal.routing.load import Crowd, expected_load, make_crowd
 from ebonydeal._internal.routing.outliers import Outliers
 from ebonydeal._internal.routing.prefix_view import CacheView
-from ebonydeal._internal.routing.score import Estimate, price_per_second, score
+from ebonydeal._internal.routing.score import Estimate, delay_price, delay_s, score
 from ebonydeal._internal.routing.types import Choice, RouteRequest, Scored
 from ebonydeal._internal.settings.routing import RoutingSettings
 from ebonydeal._internal.utils.prefix import BLOCK_TOKENS
 
 _SHOWN_ALTERNATIVES = 3
 _ASSUMED_SLOTS = 16.0
+_LEAST_BLOCKS = 256
 
 
 class Router:
@@ -74,14 +76,17 @@
             lambda name: self._cache(name).holds_any(own),
             self._rng,
         )
-        second = price_per_second(near)
+        pairs = ((view, self._sent_to(view.endpoint_id)) for view in near)
+        crowd = make_crowd(pairs, self._rates_of(ask.deployment))
+        estimates = [self._estimate(ask, view, crowd, now) for view in near]
+        least = min(delay_s(ask, expected) for expected in estimates)
+        price = delay_price(near, ask.first_token_s, least, self._cfg.late_factor)
         scored = []
-        for view in near:
-            expected = self._estimate(ask, view, now)
+        for view, expected in zip(near, estimates, strict=True):
             if view.endpoint_id == home:
                 worth = saved * self._cfg.affinity
                 expected = expected._replace(home_tokens=worth)
-            scored.append(score(ask, view, expected, second, self._cfg.late_factor))
+            scored.append(score(ask, view, expected, price))
         scored.sort(key=lambda item: item.score)
         best = self._pick(scored)
         rest = tuple(item for item in scored[: _SHOWN_ALTERNATIVES + 1] if item != best)
@@ -121,7 +126,9 @@
         delay = now - attempt.sent_at
         rates.prefilled(prefilled_tokens, delay)
         queued = delay - prefilled_tokens / rates.prefill
-        in_flight = len(self._sent_to(endpoint_id).attempts)
+        sent = self._sent_to(endpoint_id)
+        sent.queued(queued, now, self._cfg.report_half_life)
+        in_flight = len(sent.attempts)
         self._limit(endpoint_id).started(queued, attempt.target_s, in_flight, now)
         self._cache(endpoint_id).answered(
             attempt.blocks, attempt.cached_tokens, cached_tokens, now
@@ -129,7 +136,7 @@
 
     def finished(self, request_id: str, endpoint_id: str, now: float) -> None:
         """Note the whole answer."""
-        attempt = self._sent_to(endpoint_id).end(request_id, now)
+        attempt = self._sent_to(endpoint_id).end(request_id)
         if attempt is None:
             return
         self._outliers.succeeded(endpoint_id, now)
@@ -140,7 +147,7 @@
         self, request_id: str, endpoint_id: str, kind: ErrorKind, now: float
     ) -> None:
         """Note that a try failed, or that its caller left."""
-        if self._sent_to(endpoint_id).end(request_id, now) is None:
+        if self._sent_to(endpoint_id).end(request_id) is None:
             return
         self._outliers.failed(endpoint_id, kind, now)
         if kind is ErrorKind.ENDPOINT_REFUSED:
@@ -217,9 +224,12 @@
 
     def _cache(self, endpoint_id: str) -> CacheView:
         if endpoint_id not in self._caches:
-            self._caches[endpoint_id] = CacheView(
-                self._cfg.cache_blocks, self._cfg.cache_half_life
-            )
+            cfg = self._cfg
+            share = cfg.cache_total // (len(self._caches) + 1)
+            most = max(_LEAST_BLOCKS, min(cfg.cache_blocks, share))
+            for cache in self._caches.values():
+                cache.bound(most)
+            self._caches[endpoint_id] = CacheView(most, cfg.cache_half_life)
         return self._caches[endpoint_id]
 
     def _rates_of(self, deployment: str) -> Rates:
@@ -228,16 +238,20 @@
             self._rates[deployment] = Rates(cfg.prefill_rate, cfg.service_time)
         return self._rates[deployment]
 
-    def _estimate(self, ask: RouteRequest, view: EndpointView, now: float) -> Estimate:
+    def _estimate(
+        self, ask: RouteRequest, view: EndpointView, crowd: Crowd, now: float
+    ) -> Estimate:
         """Put together what is expected of one endpoint."""
         sent = self._sent_to(view.endpoint_id)
         rates = self._rates_of(ask.deployment)
         cached = self._cache(view.endpoint_id).cached_tokens(ask.blocks, now)
+        half_life = self._cfg.report_half_life
+        queue_s = sent.queue_now(now, half_life)
         slots = float(view.load.slots) if view.load else _ASSUMED_SLOTS
         return Estimate(
-            load=_expected_load(view, sent, now),
+            load=expected_load(view, sent, crowd, half_life, now),
             slots=slots,
-            prefill_queue=sent.prefilling(),
+            prefill_queue=sent.prefilling() + queue_s * rates.prefill,
             cached_tokens=min(cached, float(ask.prompt_tokens)),
             prefill_rate=rates.prefill,
             service_s=rates.service_s,
@@ -266,14 +280,3 @@
     if view.state is not EndpointState.READY or view.endpoint_id in ask.exclude:
         return False
     return not ask.model or ask.model in view.models
-
-
-def _expected_load(view: EndpointView, sent: Sent, now: float) -> float:
-    """Return the requests expected at an endpoint."""
-    own = float(len(sent.attempts))
-    if view.load is None:
-        return own
-    at = min(view.load.at, now)
-    reported = view.load.running + view.load.waiting
-    expected = reported + sent.since(at) - sent.ended_since(at)
-    return max(own, expected)
--- a/tests/functional/journal/test_shard.py
+++ b/tests/functional/journal/test_shard.py
@@ -5,8 +5,10 @@
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.journal.fold import Phase
+from ebonydeal._internal.journal.rows import journal_key
+from ebonydeal._internal.platform.interfaces import Put
 from tests.lib.clock import settle
-from tests.lib.journal_fakes import World, make_note, make_request
+from tests.lib.journal_fakes import FAST, World, make_note, make_request
 
 
 @pytest.fixture
@@ -45,6 +47,16 @@
         status = await other.owner.status("r-0000-1", "gwesty")
         assert status["state"] == "completed"
 
+    async def test_a_full_shard_takes_no_more(self):
+        world = World(FAST._replace(max_requests=1))
+        node = await world.node()
+        await node.owner.accept(make_request())
+        await node.owner.accept(make_request())
+        with pytest.raises(EbonydealError) as caught:
+            await node.owner.accept(make_request("r-0000-2"))
+        assert caught.value.kind is ErrorKind.JOURNAL_BEHIND
+        await world.close()
+
     async def test_other_accounts_see_nothing(self, world):
         node = await world.node()
         await node.owner.accept(make_request())
@@ -53,6 +65,20 @@
         assert caught.value.kind is ErrorKind.NOT_FOUND
 
 
+class TestGarbage:
+    async def test_a_row_that_is_none_of_ours_stops_its_shard_alone(self, world):
+        node = await world.node()
+        await node.owner.accept(make_request())
+        await world.tables.transact([], [Put(journal_key(0, 0), {"records": [{}]})])
+        await node.kill()
+        other = await world.node("n-2")
+        await world.clock.advance(5.0)
+        assert not other.owner.serving
+        assert not other.owner.crashed
+        await other.take(1)
+        assert other.owner.serving
+
+
 class TestKeyedCalls:
     async def test_a_repeat_gets_the_stored_answer(self, world):
         node = await world.node()
@@ -89,7 +115,9 @@
     async def test_no_proof_is_unknown(self, world):
         node = await world.node()
         world.services.failures.append(ErrorKind.ENDPOINT_FAILED)
-        status = await node.owner.call(make_note(), 5.0)
+        call = asyncio.ensure_future(node.owner.call(make_note(), 5.0))
+        await world.clock.advance(10.0)
+        status = call.result()
         assert status["state"] == "unknown"
         assert status["error"]["outcome"] == "unknown"
         await world.clock.advance(60.0)
