Start what a strike sets off without the struck process as actor

Cause: a caller that was started inside a strike kept the paused process as the actor of its context; a crash at that caller's answer then stopped the caller itself, and its request seemed to have no end. Objects of bodies are told apart by digest since their names changed. Change: spawned tasks begin in a context of their own.

--- a/tests/lib/matrix.py
+++ b/tests/lib/matrix.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Coroutine
-from contextvars import ContextVar
+from contextvars import Context, ContextVar
 from enum import StrEnum
 from typing import Any, NamedTuple
 
@@ -94,9 +94,10 @@
     """Start a task that is kept until it ends, or until the cell does.
 
     The loop itself holds tasks weakly: one that waits for a dead process would
-    vanish without a trace.
+    vanish without a trace. It starts with no actor: what a strike sets off is
+    not done by the process that was struck.
     """
-    task = asyncio.ensure_future(coro)
+    task = asyncio.get_running_loop().create_task(coro, context=Context())
     _SPAWNED.add(task)
     task.add_done_callback(_SPAWNED.discard)
     return task
--- a/tests/lib/matrix_journal.py
+++ b/tests/lib/matrix_journal.py
@@ -8,8 +8,11 @@
 import json
 import random
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
+from xxhash import xxh3_128_hexdigest
+
 from ebonydeal._internal.errors import EbonydealError, Outcome
 from ebonydeal._internal.models.endpoints import EndpointKind
 from ebonydeal._internal.models.places import Place
@@ -110,9 +113,13 @@
         self.network = Network(self.clock, reach)
         self.processes: list[Process] = []
         self.callers: list[Caller] = []
+        self.digests: set[str] = set()
         self.quiet = self.client()
         self._hook(self.tables, Channel.TABLE, table_column)
-        self._hook(self.objects, Channel.OBJECTS, object_column)
+        self._hook(self.objects, Channel.OBJECTS, self._object_column)
+
+    def _object_column(self, operation: Any) -> Column | None:
+        return object_column(operation, self.digests)
 
     def _hook(self, store: Any, channel: Channel, column_of: Any) -> None:
         async def before(operation: Any) -> None:
@@ -190,13 +197,14 @@
     ) -> Caller:
         tag = request.request_id.removeprefix("r-0000-")
         caller = Caller(request, tag, patient)
+        self.digests.add(xxh3_128_hexdigest(request.body.encode()))
         self.callers.append(caller)
         task = spawn(self._call(caller, client or self.client()))
-        task.add_done_callback(lambda done: self._note_failure(caller, done))
+        task.add_done_callback(partial(self.note_failure, caller))
         return caller
 
     @staticmethod
-    def _note_failure(caller: Caller, task: asyncio.Task[None]) -> None:
+    def note_failure(caller: Caller, task: asyncio.Task[None]) -> None:
         """Keep what ended a caller otherwise than by an answer."""
         if not task.cancelled() and task.exception() is not None:
             caller.told.append((repr(task.exception()), 0))
@@ -381,7 +389,8 @@
     for caller, former in zip(world.callers, before, strict=True):
         if former is not None:
             caller.status = None
-            spawn(world.poll(caller))
+            task = spawn(world.poll(caller))
+            task.add_done_callback(partial(world.note_failure, caller))
     await world.until(lambda: all(caller.done for caller in world.callers))
     await settle()
     return [
--- a/tests/lib/matrix_steps.py
+++ b/tests/lib/matrix_steps.py
@@ -38,8 +38,11 @@
     return None
 
 
-def object_column(operation: Operation) -> Column | None:
-    """Return the column of an operation on the object store."""
+def object_column(operation: Operation, requests: set[str]) -> Column | None:
+    """Return the column of an operation on the object store.
+
+    ``requests`` holds the digests of request bodies; others are of answers.
+    """
     if operation.key.startswith("snapshots/"):
         return {
             "put": Column.SNAPSHOT,
@@ -47,7 +50,7 @@
             "get": Column.HAND_OVER,
             "names": Column.HAND_OVER,
         }[operation.name]
-    is_request = operation.key.endswith("-request")
+    is_request = operation.key.rpartition("-")[2] in requests
     match operation.name:
         case "put":
             return Column.ACCEPT if is_request else Column.COMPLETE
