--- a/tests/lib/matrix_config.py
+++ b/tests/lib/matrix_config.py
@@ -7,7 +7,6 @@
 import asyncio
 import json
 import random
-from dataclasses import dataclass, field
 from typing import Any
 
 from returns.result import Success
@@ -34,6 +33,7 @@
     When,
     spawn,
 )
+from tests.lib.matrix_places import Place, Proposal
 
 PLACES = 3
 ROUND_S = 1.0
@@ -73,27 +73,6 @@
         self.store = ConfigStore(tables, clock, rng)
 
 
-@dataclass
-class Place:
-    """What its users see: the versions in force, with their times."""
-
-    name: str
-    instance: Instance
-    seen: list[tuple[float, int, int]] = field(default_factory=list)
-    starts: int = 0
-
-
-@dataclass
-class Proposal:
-    """One operator's change, and what the operator was told last."""
-
-    operator: str
-    most: int
-    id: str
-    version: int = 0
-    refused: bool = False
-
-
 class ConfigWorld:
     """Everything outside the processes, and the strikes that are due."""
 
--- a/tests/lib/matrix_journal.py
+++ b/tests/lib/matrix_journal.py
@@ -7,7 +7,6 @@
 import asyncio
 import json
 import random
-from dataclasses import dataclass, field
 from functools import partial
 from typing import Any
 
@@ -16,13 +15,14 @@
 from ebonydeal._internal.errors import EbonydealError, Outcome
 from ebonydeal._internal.models.endpoints import EndpointKind
 from ebonydeal._internal.models.places import Place
-from ebonydeal._internal.models.requests import Priority, Request, RequestKind
+from ebonydeal._internal.models.requests import Request, RequestKind
 from ebonydeal._internal.observe.counters import Metrics
-from ebonydeal._internal.peers.journal_client import JournalClient, JournalStatus
+from ebonydeal._internal.peers.journal_client import JournalClient
 from ebonydeal._internal.standin.memory import MemoryObjects, MemoryTables
 from tests.lib.clock import settle
 from tests.lib.endpoints import make_view
 from tests.lib.matrix import ASKING, Channel, Column, MatrixClock, Strike, When, spawn
+from tests.lib.matrix_callers import ACCOUNT, Caller, make_chat, make_note
 from tests.lib.matrix_endpoints import (
     Directory,
     LoggingEngines,
@@ -34,7 +34,6 @@
 from tests.lib.matrix_steps import object_column, table_column
 from tests.lib.matrix_strikes import SCAN_S, Striker
 
-ACCOUNT = "gwesty"
 WAIT_S = 5.0
 POLL_S = 2.0
 REPLACED_S = 5.0
@@ -43,61 +42,6 @@
 MORE = 4
 
 
-@dataclass
-class Caller:
-    """A client account's view of one request: what it was told, in order."""
-
-    request: Request
-    tag: str
-    patient: bool = True
-    accepted: bool = False
-    told: list[tuple[str, int]] = field(default_factory=list)
-    status: JournalStatus | None = None
-    gave_up: bool = False
-    lost: bool = False
-
-    @property
-    def done(self) -> bool:
-        return self.gave_up or (self.status is not None and self.status.is_final)
-
-
-def make_chat(tag: str, idempotent: bool) -> Request:
-    body = {"model": "m", "messages": [{"role": "user", "content": tag}]}
-    return _request(
-        tag, RequestKind.CHAT, "pool", "/v1/chat/completions", body, idempotent
-    )
-
-
-def make_note(tag: str) -> Request:
-    return _request(
-        tag, RequestKind.SERVICE, "tracking", "/pickups", {"tag": tag}, False
-    )
-
-
-def _request(
-    tag: str, kind: RequestKind, deployment: str, path: str, body: Any, idempotent: bool
-) -> Request:
-    return Request(
-        request_id=f"r-0000-{tag}",
-        account=ACCOUNT,
-        deployment=deployment,
-        kind=kind,
-        method="POST",
-        path=path,
-        headers={},
-        body=json.dumps(body),
-        body_object="",
-        body_digest=f"digest of {tag}",
-        key=tag,
-        idempotent=idempotent,
-        priority=Priority.BATCH,
-        accepted_at=1_000_000.0,
-        deadline=0.0,
-        prompt_tokens=10,
-        max_tokens=10,
-    )
-
-
 class JournalWorld:
     """Everything outside the processes, and the strikes that are due."""
 
