Bring control bytes down; ask replicas for load once a period

Change: configuration and facts of the instance list wait for the rounds once more than 16 peers live (marks are still pushed); `[controller] load_period` bounds how often a replica is asked; configuration changes and rounds without demand are measured in place of assumed.

--- a/src/ebonydeal/_internal/benchmarks/capacity/exchanges.py
+++ b/src/ebonydeal/_internal/benchmarks/capacity/exchanges.py
@@ -40,6 +40,7 @@
 def _peers(seed: int) -> list[Slope]:
     real = [asyncio.run(measure_loopback(n, _PEER_SECONDS)) for n in _PEER_SIZES]
     full = [measure_traffic(n, seed, with_demand=True) for n in _TRAFFIC_SIZES]
+    bare = [measure_traffic(n, seed, with_demand=False) for n in _TRAFFIC_SIZES]
     return [
         fit(
             "peers.cpu",
@@ -53,6 +54,12 @@
             "own process",
             [Point(row.nodes, row.mean) for row in full],
         ),
+        fit(
+            "peers.bare",
+            "the same without demand, as all but gateways send",
+            "own process",
+            [Point(row.nodes, row.mean) for row in bare],
+        ),
     ]
 
 
--- a/src/ebonydeal/_internal/benchmarks/capacity/measures.py
+++ b/src/ebonydeal/_internal/benchmarks/capacity/measures.py
@@ -4,6 +4,7 @@
 values; nothing is simulated.
 """
 
+import copy
 import json
 import random
 from collections.abc import Callable
@@ -21,6 +22,9 @@
     request,
 )
 from ebonydeal._internal.benchmarks.capacity.timing import cpu_us, memory_bytes
+from ebonydeal._internal.config.delta import between, split
+from ebonydeal._internal.config.examples import example_document
+from ebonydeal._internal.config.rows import VersionInfo
 from ebonydeal._internal.controller.reconcile import (
     Observed,
     ReconcilePolicy,
@@ -58,6 +62,7 @@
         *_routing(),
         *_journal(),
         *_controller(),
+        _config_change(),
         _resident(),
     ]
 
@@ -74,6 +79,29 @@
     return fit(key, what, per, points)
 
 
+def _change_bytes(deployments: int) -> float:
+    """Return the bytes of a version that changes so many deployments."""
+    old = example_document("palermo")
+    base = old["deployments"][0]
+    old["deployments"] = [{**base, "name": f"d-{n}"} for n in range(deployments)]
+    new = copy.deepcopy(old)
+    for item in new["deployments"]:
+        item["price_ceiling_per_hour"] += 1.0
+    delta = between(split(old), split(new))
+    info = VersionInfo(12_345, "operator", _AT, "raise the ceiling", "p" * 18, delta)
+    return float(len(json.dumps(info.to_row())))
+
+
+def _config_change() -> Slope:
+    return _line(
+        "change.bytes",
+        "bytes of one configuration version",
+        "deployment changed",
+        (1, 2, 5),
+        _change_bytes,
+    )
+
+
 def _resident() -> Slope:
     """Return what a process with all parts imported holds, whatever the size."""
     usage = getrusage(RUSAGE_SELF).ru_maxrss / 1000.0
--- a/src/ebonydeal/_internal/benchmarks/capacity/report.py
+++ b/src/ebonydeal/_internal/benchmarks/capacity/report.py
@@ -93,6 +93,7 @@
         gateways=plan.gateways * 2,
         journals=plan.journals * 2,
         controllers=plan.controllers * 2,
+        consoles=plan.consoles * 2,
         config_poll_s=plan.config_poll_s * 2,
     )
     parts = ["### Slopes", slopes_table(slopes)]
--- a/src/ebonydeal/_internal/benchmarks/capacity/roles.py
+++ b/src/ebonydeal/_internal/benchmarks/capacity/roles.py
@@ -10,11 +10,9 @@
 _US = 1_000_000.0
 _MB = 1_000_000.0
 # Bytes that are no slope: one HTTP exchange of a small message with headers, one
-# fact of the instance list on the wire, one configuration change with its row,
-# one log of a decision, one remembered prefix block.
+# fact of the instance list on the wire, one remembered prefix block.
 CALL_BYTES = 500.0
 FACT_BYTES = 180.0
-CHANGE_BYTES = 1200.0
 BLOCK_BYTES = 150.0
 PREFIX_BLOCKS = 200_000.0
 LIVE_SECONDS = 60.0
@@ -45,7 +43,7 @@
 
 
 class Role(NamedTuple):
-    """All control of one process of a role, and its table operations."""
+    """All control of one process of a role, and its table operations a second."""
 
     name: str
     processes: int
@@ -84,12 +82,15 @@
         return self._slopes[key].slope
 
 
-def _peers(slopes: Slopes, size: Size) -> Item:
+def _peers(slopes: Slopes, size: Size, plan: RolePlan, *, demand: bool) -> Item:
+    rounds_s = 1.0 / plan.peer_period
+    key = "peers.bytes" if demand else "peers.bare"
     return Item(
-        "peer rounds: membership, marks, demand",
+        "peer rounds: membership, marks" + (", demand" if demand else ""),
         "digests by hash, bounded reports",
-        slopes.at("peers.bytes", size.nodes),
-        slopes.at("peers.cpu", size.nodes) + slopes.at("members.tick", size.nodes),
+        rounds_s * slopes.at(key, size.nodes),
+        rounds_s
+        * (slopes.at("peers.cpu", size.nodes) + slopes.at("members.tick", size.nodes)),
         slopes.at("members.memory", size.nodes) / _MB,
     )
 
@@ -98,23 +99,21 @@
     readers = plan.gateways + plan.journals
     reads_s = 1.0 / (plan.list_period * readers)
     facts_s = size.endpoint_changes_per_s
-    spread = facts_s * plan.push_fanout * (FACT_BYTES + CALL_BYTES)
     return Item(
         "instance list",
-        "one reading in turn, differences pushed",
-        reads_s * slopes.at("list.bytes", size.replicas) + spread,
-        reads_s * slopes.at("list.cpu", size.replicas)
-        + facts_s * plan.push_fanout * slopes.step("call.cpu"),
+        "one reading in turn, differences in the rounds",
+        reads_s * slopes.at("list.bytes", size.replicas) + facts_s * FACT_BYTES,
+        reads_s * slopes.at("list.cpu", size.replicas),
         2 * slopes.at("list.memory", size.replicas) / _MB,
     )
 
 
 def _config(slopes: Slopes, size: Size, plan: RolePlan) -> Item:
-    calls_s = 1.0 / plan.config_poll_s + size.changes_per_s
+    calls_s = 2.0 / plan.config_poll_s
     return Item(
         "configuration",
-        "deltas by item, a poll of the head alone",
-        size.changes_per_s * CHANGE_BYTES + calls_s * CALL_BYTES,
+        "deltas by item, a poll of the head, several versions a reading",
+        2 * size.changes_per_s * slopes.at("change.bytes", 1) + calls_s * CALL_BYTES,
         calls_s * slopes.step("call.cpu"),
         5.0,
     )
@@ -139,12 +138,12 @@
     """Return what one gateway needs."""
     items = (
         _process(slopes),
-        _peers(slopes, size),
+        _peers(slopes, size, plan, demand=True),
         _list(slopes, size, plan),
         _config(slopes, size, plan),
         _watch(slopes, plan),
     )
-    reads = 1.0 / plan.config_poll_s + size.changes_per_s
+    reads = 2.0 / plan.config_poll_s
     return Role("gateway", plan.gateways, items, reads, 0.0)
 
 
@@ -169,13 +168,13 @@
     )
     items = (
         _process(slopes),
-        _peers(slopes, size),
+        _peers(slopes, size, plan, demand=False),
         _list(slopes, size, plan),
         _config(slopes, size, plan),
         leases,
         state,
     )
-    polls = 1.0 / plan.config_poll_s + size.changes_per_s
+    polls = 2.0 / plan.config_poll_s
     return Role("journal", plan.journals, items, reads + polls, writes)
 
 
@@ -185,9 +184,10 @@
     churn = size.endpoint_changes_per_s / plan.controllers
     rounds = Item(
         "rounds of its deployments",
-        "one lease a deployment, bounded questions to engines",
-        replicas / plan.round_period * 0.1 * CALL_BYTES,
-        slopes.step("round.cpu") * replicas / plan.round_period,
+        "one lease a deployment, each replica asked once a period",
+        replicas / plan.ask_period * CALL_BYTES,
+        slopes.step("round.cpu") * replicas / plan.round_period
+        + replicas / plan.ask_period * slopes.step("call.cpu"),
         slopes.at("plan.memory", replicas) / _MB,
     )
     changes = Item(
@@ -199,12 +199,14 @@
     )
     items = (
         _process(slopes),
+        _peers(slopes, size, plan, demand=False),
         _config(slopes, size, plan),
         rounds,
         changes,
     )
     tables = slopes.at("round.tables", 0) / plan.round_period
-    return Role("controller", plan.controllers, items, tables, churn * 4)
+    polls = 2.0 / plan.config_poll_s
+    return Role("controller", plan.controllers, items, tables + polls, churn * 4)
 
 
 def console(slopes: Slopes, size: Size, plan: RolePlan) -> Role:
@@ -213,12 +215,13 @@
     work = Item(
         "accepting documents",
         "one transaction a change, only changed items",
-        changes * 4 * CHANGE_BYTES,
+        changes * 4 * slopes.at("change.bytes", 1),
         changes * 20_000.0,
         20.0,
     )
     items = (_process(slopes), _config(slopes, size, plan), work)
-    return Role("console", plan.consoles, items, changes * 2, changes)
+    polls = 2.0 / plan.config_poll_s
+    return Role("console", plan.consoles, items, changes * 2 + polls, changes)
 
 
 def all_roles(slopes: Slopes, size: Size, plan: RolePlan) -> tuple[Role, ...]:
--- a/src/ebonydeal/_internal/config/peer_routes.py
+++ b/src/ebonydeal/_internal/config/peer_routes.py
@@ -33,8 +33,8 @@
     def register(self, topic: ConfigTopic) -> None:
         """Carry a further topic."""
 
-    def push(self, topic: str, items: list[Any]) -> None:
-        """Send payload items of a topic to several peers at once, soon."""
+    def push_if_few(self, topic: str, items: list[Any]) -> None:
+        """Send payload items of a topic at once, unless the peers are many."""
 
     def add_routes(self, routes: Iterable[web.AbstractRouteDef]) -> None:
         """Serve further routes on the peer listener."""
@@ -60,7 +60,8 @@
     """Let peers carry the configuration, and tell them status; before the start.
 
     A version that is news here is pushed to several peers at once, so that it is
-    everywhere before most have polled; rounds carry what a push missed.
+    everywhere before most have polled; rounds carry what a push missed, and all
+    of it in large groups.
 
     Parameters
     ----------
@@ -85,7 +86,7 @@
         return web.json_response({"steps": steps})
 
     def push(info: VersionInfo) -> None:
-        peers.push(follower.topic.name, [info.to_row()])
+        peers.push_if_few(follower.topic.name, [info.to_row()])
 
     peers.register(follower.topic)
     follower.on_version(push)
--- a/src/ebonydeal/_internal/controller/loads.py
+++ b/src/ebonydeal/_internal/controller/loads.py
@@ -21,11 +21,14 @@
         Adapter; plain services answer the same question.
     clock : Clock
         Source of time.
+    period : float
+        Seconds before a replica that isn't asked first is asked again.
     """
 
-    def __init__(self, engine: ControlledEngine, clock: Clock) -> None:
+    def __init__(self, engine: ControlledEngine, clock: Clock, period: float) -> None:
         self._engine = engine
         self._clock = clock
+        self._period = period
         self._asked: dict[str, float] = {}
         self._reports: dict[str, LoadReport] = {}
 
@@ -34,9 +37,10 @@
         for endpoint_id in set(self._asked) - set(views):
             del self._asked[endpoint_id]
             self._reports.pop(endpoint_id, None)
+        due = self._clock.now() - self._period
         order = sorted(
-            views,
-            key=lambda item: (item not in first, self._asked.get(item, 0.0), item),
+            (item for item in views if item in first or self._last(item) <= due),
+            key=lambda item: (item not in first, self._last(item), item),
         )
         limit = asyncio.Semaphore(_AT_ONCE)
 
@@ -46,6 +50,10 @@
 
         await asyncio.gather(*(one(item) for item in order[:PER_ROUND]))
 
+    def _last(self, endpoint_id: str) -> float:
+        """Return when a replica was last asked."""
+        return self._asked.get(endpoint_id, float("-inf"))
+
     async def _ask_one(self, view: EndpointView) -> None:
         """Ask one replica; silence leaves no report."""
         self._asked[view.endpoint_id] = self._clock.now()
--- a/src/ebonydeal/_internal/controller/worker.py
+++ b/src/ebonydeal/_internal/controller/worker.py
@@ -78,7 +78,7 @@
             self._mark_leaving,
         )
         self._replicas = ReplicaKeeper(name, self.lease, ctx)
-        self._loads = LoadWatcher(ctx.engine, ctx.clock)
+        self._loads = LoadWatcher(ctx.engine, ctx.clock, ctx.cfg.load_period)
         self._ledger = Ledger(name, ctx.clock, ctx.cfg.spend_period)
         self._vanished = Vanished(ctx.cfg.list_grace)
         self._demand = DemandKeeper(ctx.demand_policy())
--- a/src/ebonydeal/_internal/peers/service.py
+++ b/src/ebonydeal/_internal/peers/service.py
@@ -197,6 +197,15 @@
         self._pushes.setdefault(topic, []).extend(items)
         self._push_wanted.set()
 
+    def push_if_few(self, topic: str, items: list[Any]) -> None:
+        """Push news that can wait for the rounds in a large group.
+
+        Each process passes a push on, so its bytes grow with the width; rounds
+        bring each item once, some seconds later.
+        """
+        if len(self.membership.live()) <= 2 * PUSH_FANOUT:
+            self.push(topic, items)
+
     # --- life ------------------------------------------------------------------
     async def on_start(self) -> None:
         """Bind the listener, then tell its address."""
@@ -282,7 +291,7 @@
         self.push(MarksTopic.name, [mark_to_wire(mark)])
 
     def _push_facts(self, facts: list[Fact]) -> None:
-        self.push(EndpointsTopic.name, [fact.to_wire() for fact in facts])
+        self.push_if_few(EndpointsTopic.name, [fact.to_wire() for fact in facts])
 
     async def _push_to_some(self, payloads: dict[str, Any]) -> None:
         """Push to random peers; where one can't be reached, try others."""
--- a/src/ebonydeal/_internal/settings/controller.py
+++ b/src/ebonydeal/_internal/settings/controller.py
@@ -13,6 +13,9 @@
     period: Annotated[
         float, Key("Time between rounds of decisions.", "seconds", 0.05, 300)
     ] = 2.0
+    load_period: Annotated[
+        float, Key("Time between questions for a replica's load.", "seconds", 0, 600)
+    ] = 2.0
     notice_period: Annotated[
         float, Key("Time between looks for reclaim notices.", "seconds", 0.05, 10)
     ] = 0.5
--- a/tests/functional/peers/test_service.py
+++ b/tests/functional/peers/test_service.py
@@ -6,7 +6,7 @@
 from ebonydeal._internal.directory.service import Directory
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.observe.counters import Event, Metrics
-from ebonydeal._internal.peers.membership import MemberStatus
+from ebonydeal._internal.peers.membership import Member, MemberStatus
 from ebonydeal._internal.peers.service import PUSH_PATH, ROUND_PATH, PeerService
 from ebonydeal._internal.settings.directory import DirectorySettings
 from ebonydeal._internal.settings.sections import NodeSettings, PeerSettings
@@ -210,3 +210,16 @@
             await b.peers.round()
             assert a.metrics.value("events", str(Event.PEER_BYTES_OUT)) > 300
             assert b.metrics.value("events", str(Event.PEER_BYTES_OUT)) > 300
+
+
+class TestPushIfFew:
+    async def test_large_group_waits_for_rounds(self):
+        async with Node(1) as a:
+            a.peers.push_if_few("config", [1])
+            assert a.peers._pushes == {"config": [1]}
+            a.peers._pushes.clear()
+            for number in range(2, 20):
+                member = [f"x-{number}", 1, 0, 0, "127.0.0.1:1", "r", "z", []]
+                a.peers.membership.merge(Member.from_wire(member), a.clock.now())
+            a.peers.push_if_few("config", [1])
+            assert a.peers._pushes == {}
