Let one settings file serve every program

Cause: the file that 'ebonydeal settings example' prints was refused by the gateway and the controller (unknown sections), and lacked [admission] and [retries], which 'settings check' refused as unknown.

--- a/src/ebonydeal/_internal/settings/registry.py
+++ b/src/ebonydeal/_internal/settings/registry.py
@@ -10,7 +10,11 @@
 from ebonydeal._internal.settings.directory import DirectorySettings
 from ebonydeal._internal.settings.gateway import GatewaySettings
 from ebonydeal._internal.settings.journal import JournalSettings
-from ebonydeal._internal.settings.routing import RoutingSettings
+from ebonydeal._internal.settings.routing import (
+    AdmissionSettings,
+    RetrySettings,
+    RoutingSettings,
+)
 from ebonydeal._internal.settings.sections import (
     LogSettings,
     NodeSettings,
@@ -28,6 +32,8 @@
     "config": ConfigSettings,
     "directory": DirectorySettings,
     "routing": RoutingSettings,
+    "admission": AdmissionSettings,
+    "retries": RetrySettings,
     "gateway": GatewaySettings,
     "journal": JournalSettings,
     "controller": ControllerSettings,
