--- a/tests/lib/matrix_config.py
+++ b/tests/lib/matrix_config.py
@@ -7,7 +7,6 @@
 import asyncio
 import json
 import random
-from dataclasses import dataclass, field
 from typing import Any
 
 from returns.result import Success
@@ -32,7 +31,9 @@
     Row,
     Strike,
     When,
+    spawn,
 )
+from tests.lib.matrix_places import Place, Proposal
 
 PLACES = 3
 ROUND_S = 1.0
@@ -72,27 +73,6 @@
         self.store = ConfigStore(tables, clock, rng)
 
 
-@dataclass
-class Place:
-    """What its users see: the versions in force, with their times."""
-
-    name: str
-    instance: Instance
-    seen: list[tuple[float, int, int]] = field(default_factory=list)
-    starts: int = 0
-
-
-@dataclass
-class Proposal:
-    """One operator's change, and what the operator was told last."""
-
-    operator: str
-    most: int
-    id: str
-    version: int = 0
-    refused: bool = False
-
-
 class ConfigWorld:
     """Everything outside the processes, and the strikes that are due."""
 
@@ -115,7 +95,7 @@
             place = Place(f"g-{number}", Instance(self, f"g-{number}"))
             self.places.append(place)
             await self._start(place)
-            asyncio.ensure_future(self._rounds(place))
+            spawn(self._rounds(place))
 
     async def _start(self, place: Place) -> None:
         instance, start = place.instance, place.starts
@@ -174,14 +154,14 @@
         self._number += 1
         proposal = Proposal(operator, most, f"p-{self._number}")
         self.proposals.append(proposal)
-        asyncio.ensure_future(self._submit(proposal, base))
+        spawn(self._submit(proposal, base))
         return proposal
 
     async def _submit(self, proposal: Proposal, base: int) -> None:
         """Submit through consoles until the outcome is known."""
         while not proposal.version and not proposal.refused:
             console = Instance(self, f"{proposal.id} {self.clock.now()}")
-            task = asyncio.ensure_future(self._try(console, proposal, base))
+            task = spawn(self._try(console, proposal, base))
             died = asyncio.ensure_future(console.gate.died.wait())
             await asyncio.wait({task, died}, return_when=asyncio.FIRST_COMPLETED)
             await self.clock.sleep(2.0)
@@ -220,7 +200,7 @@
             await self.clock.sleep(seconds)
             act()
 
-        asyncio.ensure_future(wait())
+        spawn(wait())
 
     async def _strike(self, strike: Strike, what: Any) -> None:
         faults = self.tables.faults
