Count the uncertainty of load in the expected wait for a slot

Cause: the wait was taken from the point estimate of load, so it was zero up to the last slot. The choices of other gateways since the report can't be seen. The affinity term was zero at all of the late choices looked at but three. Change: the wait is the mean over a spread of loads. It grows with the age of the report and the share of other gateways, and is zero where all is known.

--- a/src/ebonydeal/_internal/routing/load.py
+++ b/src/ebonydeal/_internal/routing/load.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Iterable
-from math import sqrt
+from math import exp, sqrt
 from typing import NamedTuple
 
 from ebonydeal._internal.models.endpoints import EndpointView
@@ -72,3 +72,21 @@
     # root of the number of gateways, not the number itself.
     ahead = sqrt(crowd.gateways) * (sent.since(at) - crowd.sent_since)
     return max(own, base + ahead)
+
+
+def load_spread(
+    view: EndpointView, load: float, crowd: Crowd, service_s: float, now: float
+) -> float:
+    """Return the standard deviation of an expected load, requests.
+
+    What other gateways sent and saw end since the report isn't known. With
+    random arrivals and ends about a steady mean, its variance grows from
+    nothing to the load's own as the report gets older than ``service_s``, the
+    run time in seconds. Own requests are known.
+    """
+    if view.load is None or service_s <= 0.0:
+        return 0.0
+    age = max(0.0, now - view.load.at)
+    renewed = 1.0 - exp(-2.0 * age / service_s)
+    others = 1.0 - 1.0 / max(1.0, crowd.gateways)
+    return sqrt(load * others * renewed)
--- a/src/ebonydeal/_internal/routing/router.py
+++ b/src/ebonydeal/_internal/routing/router.py
@@ -9,7 +9,12 @@
 from ebonydeal._internal.routing.concurrency import ConcurrencyLimit
 from ebonydeal._internal.routing.home import Branches, home_of
 from ebonydeal._internal.routing.ledger import Attempt, Rates, Sent
-from ebonydeal._internal.routing.load import Crowd, expected_load, make_crowd
+from ebonydeal._internal.routing.load import (
+    Crowd,
+    expected_load,
+    load_spread,
+    make_crowd,
+)
 from ebonydeal._internal.routing.outliers import Outliers
 from ebonydeal._internal.routing.prefix_view import CacheView
 from ebonydeal._internal.routing.score import Estimate, delay_price, delay_s, score
@@ -248,13 +253,15 @@
         half_life = self._cfg.report_half_life
         queue_s = sent.queue_now(now, half_life)
         slots = float(view.load.slots) if view.load else _ASSUMED_SLOTS
+        load = expected_load(view, sent, crowd, half_life, now)
         return Estimate(
-            load=expected_load(view, sent, crowd, half_life, now),
+            load=load,
             slots=slots,
             prefill_queue=sent.prefilling() + queue_s * rates.prefill,
             cached_tokens=min(cached, float(ask.prompt_tokens)),
             prefill_rate=rates.prefill,
             service_s=rates.service_s,
+            load_spread=load_spread(view, load, crowd, rates.service_s, now),
         )
 
     def _pick(self, scored: list[Scored]) -> Scored:
--- a/src/ebonydeal/_internal/routing/score.py
+++ b/src/ebonydeal/_internal/routing/score.py
@@ -6,6 +6,7 @@
 whole replica that computes it.
 """
 
+from math import erf, exp, pi, sqrt
 from typing import NamedTuple
 
 from ebonydeal._internal.models.endpoints import EndpointView
@@ -39,6 +40,8 @@
         From first token to the end, seconds.
     home_tokens : float
         Tokens that later requests are expected to save if this one comes here.
+    load_spread : float
+        Standard deviation of ``load``, requests.
     """
 
     load: float
@@ -48,6 +51,7 @@
     prefill_rate: float
     service_s: float
     home_tokens: float = 0.0
+    load_spread: float = 0.0
 
 
 def price_per_second(views: tuple[EndpointView, ...]) -> float:
@@ -136,11 +140,24 @@
 
 
 def _slot_wait(expected: Estimate) -> float:
-    """Return the expected wait for a slot, seconds."""
+    """Return the expected wait for a slot, seconds.
+
+    An endpoint believed to be nearly full often is full: only those that turn
+    out longer count, so a load that isn't known well costs a wait.
+    """
     behind = expected.load + 1.0 - expected.slots
-    if behind <= 0.0:
-        return 0.0
-    return behind * expected.service_s / max(1.0, expected.slots)
+    waiting = _mean_above_zero(behind, expected.load_spread)
+    return waiting * expected.service_s / max(1.0, expected.slots)
+
+
+def _mean_above_zero(mean: float, spread: float) -> float:
+    """Return the mean of ``max(0, x)`` for a normal ``x``."""
+    if spread <= 0.0:
+        return max(0.0, mean)
+    ratio = mean / spread
+    density = exp(-ratio * ratio / 2.0) / sqrt(2.0 * pi)
+    share = (1.0 + erf(ratio / sqrt(2.0))) / 2.0
+    return mean * share + spread * density
 
 
 def _prefill_s(ask: RouteRequest, expected: Estimate) -> float:
--- a/tests/unit/routing/test_load.py
+++ b/tests/unit/routing/test_load.py
@@ -1,7 +1,13 @@
+from math import exp, sqrt
 from random import Random
 
 from ebonydeal._internal.routing.ledger import Rates, Sent
-from ebonydeal._internal.routing.load import Crowd, expected_load, make_crowd
+from ebonydeal._internal.routing.load import (
+    Crowd,
+    expected_load,
+    load_spread,
+    make_crowd,
+)
 from ebonydeal._internal.routing.router import Router
 from ebonydeal._internal.settings.routing import RoutingSettings
 from tests.unit.routing.helpers import NOW, make_ask, make_load, make_view
@@ -28,6 +34,37 @@
         assert expected_load(make_view("a"), Sent(), crowd, 2.0, NOW) == 0.0
 
 
+class TestLoadSpread:
+    def test_fresh_reports_and_own_requests_are_certain(self):
+        view = make_view("a", load=make_load(6, 0))
+        assert load_spread(view, 6.0, Crowd(6.0, 0.0, 3.0), 2.0, NOW) == 0.0
+        assert load_spread(view, 6.0, Crowd(6.0, 0.0, 1.0), 2.0, NOW + 9.0) == 0.0
+
+    def test_others_requests_grow_uncertain_as_the_report_ages(self):
+        view = make_view("a", load=make_load(6, 0))
+        spread = load_spread(view, 6.0, Crowd(6.0, 0.0, 3.0), 2.0, NOW + 1.0)
+        assert spread == sqrt(6.0 * (1.0 - 1.0 / 3.0) * (1.0 - exp(-1.0)))
+
+    def test_no_report_leaves_own_requests(self):
+        crowd = Crowd(6.0, 0.0, 3.0)
+        assert load_spread(make_view("a"), 6.0, crowd, 2.0, NOW) == 0.0
+
+
+class TestNearlyFull:
+    def choose(self, age: float) -> str:
+        cheap = make_view("cheap", load=make_load(7, 0, NOW - age))
+        idle = make_view("idle", price_per_hour=1.1, load=make_load(0, 0, NOW - age))
+        router = Router.from_config(RoutingSettings(near_equal=0.0), Random(1))
+        choice = router.choose(make_ask(), (cheap, idle), NOW)
+        return choice.endpoint.endpoint_id
+
+    def test_price_decides_while_a_slot_is_known_to_be_free(self):
+        assert self.choose(0.0) == "cheap"
+
+    def test_idle_one_is_taken_when_the_cheap_one_may_have_filled(self):
+        assert self.choose(1.0) == "idle"
+
+
 class TestHerd:
     def test_gateways_do_not_all_follow_one_idle_report(self):
         # One endpoint of four looks idle to nine gateways; none hears more.
--- a/tests/unit/routing/test_score.py
+++ b/tests/unit/routing/test_score.py
@@ -1,3 +1,5 @@
+from math import pi, sqrt
+
 from ebonydeal._internal.routing.score import (
     DelayPrice,
     Estimate,
@@ -18,6 +20,18 @@
         busy = IDLE._replace(load=10.0, prefill_queue=200.0)
         assert delay_s(make_ask(), busy) == 0.1 + 0.2 + 3 * 2.0 / 8
 
+    def test_uncertain_load_costs_a_wait_before_all_slots_are_taken(self):
+        # Just full, give or take 2: the mean of what is above is 2 / sqrt(2 pi).
+        full = IDLE._replace(load=7.0, load_spread=2.0)
+        waiting = 2.0 / sqrt(2.0 * pi)
+        assert round(delay_s(make_ask(), full), 9) == round(0.1 + waiting / 4, 9)
+
+    def test_uncertainty_hardly_counts_far_from_the_limit(self):
+        light = IDLE._replace(load=1.0, load_spread=1.0)
+        assert round(delay_s(make_ask(), light), 6) == 0.1
+        heavy = IDLE._replace(load=27.0, load_spread=2.0)
+        assert round(delay_s(make_ask(), heavy), 6) == 0.1 + 20 * 2.0 / 8
+
 
 class TestPrice:
     def test_free_endpoints_still_have_a_unit(self):
