Let what others may have sent count in the spread of an expected load

Change: the mean load of all is added to the variance. The test of the formula is changed with it and is as strict (equality).

--- a/src/ebonydeal/_internal/routing/load.py
+++ b/src/ebonydeal/_internal/routing/load.py
@@ -80,13 +80,13 @@
     """Return the standard deviation of an expected load, requests.
 
     What other gateways sent and saw end since the report isn't known. With
-    random arrivals and ends about a steady mean, its variance grows from
-    nothing to the load's own as the report gets older than ``service_s``, the
-    run time in seconds. Own requests are known.
+    random arrivals and ends, its variance grows as the report gets older than
+    ``service_s``, the run time in seconds: ends with what is there, arrivals
+    with what any endpoint gets, the mean of all. Own requests are known.
     """
     if view.load is None or service_s <= 0.0:
         return 0.0
     age = max(0.0, now - view.load.at)
     renewed = 1.0 - exp(-2.0 * age / service_s)
     others = 1.0 - 1.0 / max(1.0, crowd.gateways)
-    return sqrt(load * others * renewed)
+    return sqrt((load + crowd.load) * others * renewed)
--- a/tests/unit/routing/test_load.py
+++ b/tests/unit/routing/test_load.py
@@ -42,8 +42,8 @@
 
     def test_others_requests_grow_uncertain_as_the_report_ages(self):
         view = make_view("a", load=make_load(6, 0))
-        spread = load_spread(view, 6.0, Crowd(6.0, 0.0, 3.0), 2.0, NOW + 1.0)
-        assert spread == sqrt(6.0 * (1.0 - 1.0 / 3.0) * (1.0 - exp(-1.0)))
+        spread = load_spread(view, 6.0, Crowd(2.0, 0.0, 3.0), 2.0, NOW + 1.0)
+        assert spread == sqrt(8.0 * (1.0 - 1.0 / 3.0) * (1.0 - exp(-1.0)))
 
     def test_no_report_leaves_own_requests(self):
         crowd = Crowd(6.0, 0.0, 3.0)
