--- a/tests/lib/matrix_journal.py
+++ b/tests/lib/matrix_journal.py
@@ -7,19 +7,22 @@
 import asyncio
 import json
 import random
-from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
+from xxhash import xxh3_128_hexdigest
+
 from ebonydeal._internal.errors import EbonydealError, Outcome
 from ebonydeal._internal.models.endpoints import EndpointKind
 from ebonydeal._internal.models.places import Place
-from ebonydeal._internal.models.requests import Priority, Request, RequestKind
+from ebonydeal._internal.models.requests import Request, RequestKind
 from ebonydeal._internal.observe.counters import Metrics
-from ebonydeal._internal.peers.journal_client import JournalClient, JournalStatus
+from ebonydeal._internal.peers.journal_client import JournalClient
 from ebonydeal._internal.standin.memory import MemoryObjects, MemoryTables
 from tests.lib.clock import settle
 from tests.lib.endpoints import make_view
-from tests.lib.matrix import ASKING, Channel, Column, MatrixClock, Strike, When
+from tests.lib.matrix import ASKING, Channel, Column, MatrixClock, Strike, When, spawn
+from tests.lib.matrix_callers import ACCOUNT, Caller, make_chat, make_note
 from tests.lib.matrix_endpoints import (
     Directory,
     LoggingEngines,
@@ -31,7 +34,6 @@
 from tests.lib.matrix_steps import object_column, table_column
 from tests.lib.matrix_strikes import SCAN_S, Striker
 
-ACCOUNT = "gwesty"
 WAIT_S = 5.0
 POLL_S = 2.0
 REPLACED_S = 5.0
@@ -40,61 +42,6 @@
 MORE = 4
 
 
-@dataclass
-class Caller:
-    """A client account's view of one request: what it was told, in order."""
-
-    request: Request
-    tag: str
-    patient: bool = True
-    accepted: bool = False
-    told: list[tuple[str, int]] = field(default_factory=list)
-    status: JournalStatus | None = None
-    gave_up: bool = False
-    lost: bool = False
-
-    @property
-    def done(self) -> bool:
-        return self.gave_up or (self.status is not None and self.status.is_final)
-
-
-def make_chat(tag: str, idempotent: bool) -> Request:
-    body = {"model": "m", "messages": [{"role": "user", "content": tag}]}
-    return _request(
-        tag, RequestKind.CHAT, "pool", "/v1/chat/completions", body, idempotent
-    )
-
-
-def make_note(tag: str) -> Request:
-    return _request(
-        tag, RequestKind.SERVICE, "tracking", "/pickups", {"tag": tag}, False
-    )
-
-
-def _request(
-    tag: str, kind: RequestKind, deployment: str, path: str, body: Any, idempotent: bool
-) -> Request:
-    return Request(
-        request_id=f"r-0000-{tag}",
-        account=ACCOUNT,
-        deployment=deployment,
-        kind=kind,
-        method="POST",
-        path=path,
-        headers={},
-        body=json.dumps(body),
-        body_object="",
-        body_digest=f"digest of {tag}",
-        key="" if idempotent else tag,
-        idempotent=idempotent,
-        priority=Priority.BATCH,
-        accepted_at=1_000_000.0,
-        deadline=0.0,
-        prompt_tokens=10,
-        max_tokens=10,
-    )
-
-
 class JournalWorld:
     """Everything outside the processes, and the strikes that are due."""
 
@@ -110,9 +57,13 @@
         self.network = Network(self.clock, reach)
         self.processes: list[Process] = []
         self.callers: list[Caller] = []
+        self.digests: set[str] = set()
         self.quiet = self.client()
         self._hook(self.tables, Channel.TABLE, table_column)
-        self._hook(self.objects, Channel.OBJECTS, object_column)
+        self._hook(self.objects, Channel.OBJECTS, self._object_column)
+
+    def _object_column(self, operation: Any) -> Column | None:
+        return object_column(operation, self.digests)
 
     def _hook(self, store: Any, channel: Channel, column_of: Any) -> None:
         async def before(operation: Any) -> None:
@@ -190,10 +141,18 @@
     ) -> Caller:
         tag = request.request_id.removeprefix("r-0000-")
         caller = Caller(request, tag, patient)
+        self.digests.add(xxh3_128_hexdigest(request.body.encode()))
         self.callers.append(caller)
-        asyncio.ensure_future(self._call(caller, client or self.client()))
+        task = spawn(self._call(caller, client or self.client()))
+        task.add_done_callback(partial(self.note_failure, caller))
         return caller
 
+    @staticmethod
+    def note_failure(caller: Caller, task: asyncio.Task[None]) -> None:
+        """Keep what ended a caller otherwise than by an answer."""
+        if not task.cancelled() and task.exception() is not None:
+            caller.told.append((repr(task.exception()), 0))
+
     async def _call(self, caller: Caller, client: JournalClient) -> None:
         """Submit until accepted, then poll through another gateway."""
         while not caller.accepted:
@@ -213,7 +172,7 @@
 
     def _tell(self, caller: Caller, exc: EbonydealError) -> None:
         runs = len(self.runs(caller.tag))
-        caller.told.append((str(exc.answer.outcome), runs))
+        caller.told.append((str(exc.outcome), runs))
 
     async def poll(self, caller: Caller) -> None:
         client = self.client()
@@ -246,7 +205,7 @@
         if caller.lost:
             return f"{caller.tag} was accepted and is lost"
         if not caller.done:
-            return f"{caller.tag} has no end"
+            return f"{caller.tag} has no end, told {caller.told[-2:]}"
         status = caller.status
         if status is None:
             return ""
@@ -317,17 +276,17 @@
 async def run_journal(strikes: tuple[Strike, ...]) -> tuple[list[str], list[Strike]]:
     """Walk the whole path; return broken promises and strikes that never came."""
     world = JournalWorld(strikes)
-    for name in ("n-1", "n-2"):
-        await world.start(name)
+    await world.start("n-1")
     await world.until(lambda: world.owner() is not None)
+    await world.start("n-2")
     world.ask_quietly()
     await world.until(lambda: world.callers[0].done)
     world.striker.armed = True
     await _first_requests(world)
     await _planned_stop(world)
-    await _last_owner(world)
+    changed = await _last_owner(world)
     broken = world.broken_promises(world.striker.announced_only)
-    return broken, world.striker.due
+    return broken + changed, world.striker.due
 
 
 async def _first_requests(world: JournalWorld) -> None:
@@ -336,6 +295,8 @@
     world.submit(make_note("note1"))
     world.submit(make_chat("draft1", idempotent=False))
     world.submit(make_note("once1"), patient=False)
+    plain = make_chat("plain1", idempotent=True)._replace(key="")
+    world.submit(plain, patient=False)
     await world.until(lambda: all(caller.done for caller in world.callers))
     await world.clock.advance(3.0)
 
@@ -348,13 +309,17 @@
     world.submit(make_chat("draft2", idempotent=False))
     await world.clock.advance(0.5)
     owner = world.owner()
+    await world.start("n-standby")
     if owner is not None:
-        asyncio.ensure_future(owner.node.leave())
+        spawn(owner.node.leave())
     await world.until(lambda: all(caller.done for caller in world.callers))
 
 
-async def _last_owner(world: JournalWorld) -> None:
+async def _last_owner(world: JournalWorld) -> list[str]:
     """Let all late writes land, kill what owns, and ask a new owner for all."""
+    await world.until(lambda: world.clock.now() > world.striker.over)
+    await world.clock.advance(SCAN_S)
+    await world.until(lambda: all(caller.done for caller in world.callers))
     world.striker.lift()
     world.tables.land_late()
     world.objects.land_late()
@@ -368,10 +333,13 @@
     for caller, former in zip(world.callers, before, strict=True):
         if former is not None:
             caller.status = None
-            asyncio.ensure_future(world.poll(caller))
+            task = spawn(world.poll(caller))
+            task.add_done_callback(partial(world.note_failure, caller))
     await world.until(lambda: all(caller.done for caller in world.callers))
-    for caller, former in zip(world.callers, before, strict=True):
-        if former is not None and former.is_final and caller.status is not None:
-            same = caller.status[:3] == former[:3]
-            assert same, f"{caller.tag} has changed"
     await settle()
+    return [
+        f"{caller.tag} has changed"
+        for caller, former in zip(world.callers, before, strict=True)
+        if former is not None and former.is_final
+        if caller.status is not None and caller.status[:3] != former[:3]
+    ]
