Say the outcome is unknown when a keyed request is refused early

Status, code and Retry-After stay. Requests without a key still get `not_run`. The gateway itself refuses nothing while draining but `/health/ready`; a DRAINING refusal is covered at admission. Conclusion: no refusal of a keyed request claims that nothing ran.

--- a/src/ebonydeal/_internal/gateway/deferred.py
+++ b/src/ebonydeal/_internal/gateway/deferred.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
-from ebonydeal._internal.gateway.intake import REQUEST_ID, Intake
+from ebonydeal._internal.gateway.intake import JOURNAL_ASKED, REQUEST_ID, Intake
 from ebonydeal._internal.gateway.parse import parse_generation
 from ebonydeal._internal.gateway.ports import AdmissionPort, JournalPort
 from ebonydeal._internal.observe.counters import Event, Metrics
@@ -97,6 +97,7 @@
             call, account, req[REQUEST_ID], times, raw
         )
         ticket = parts.admission.admit_later(request)
+        req[JOURNAL_ASKED] = True
         try:
             status = await parts.journal.accept(request)
         finally:
@@ -116,6 +117,7 @@
         """``DELETE /v1/deferred/{id}``."""
         account = self._parts.intake.account(req)
         request_id = req.match_info["id"]
+        req[JOURNAL_ASKED] = True
         status = await self._parts.journal.cancel(request_id, account.name)
         return _status_response(status)
 
@@ -123,6 +125,7 @@
         """Return the status of the request in the path."""
         account = self._parts.intake.account(req)
         request_id = req.match_info["id"]
+        req[JOURNAL_ASKED] = True
         return await self._parts.journal.status(request_id, account.name)
 
 
--- a/src/ebonydeal/_internal/gateway/generation.py
+++ b/src/ebonydeal/_internal/gateway/generation.py
@@ -15,7 +15,7 @@
     usage,
 )
 from ebonydeal._internal.gateway.events import EventHint, EventIds, read_event_id
-from ebonydeal._internal.gateway.intake import REQUEST_ID, Intake, new_job
+from ebonydeal._internal.gateway.intake import REQUEST_ID, Intake, new_job, ran_perhaps
 from ebonydeal._internal.gateway.live import LiveStream, Piece
 from ebonydeal._internal.gateway.output import StreamOutput
 from ebonydeal._internal.gateway.parse import GenerationCall, parse_generation
@@ -217,7 +217,8 @@
             if out.resp is None:
                 raise
             self._refuse(live, exc)
-            await out.end(error_event(for_caller(exc)), self._parts.clock.now())
+            told = for_caller(exc, ran_perhaps(req))
+            await out.end(error_event(told), self._parts.clock.now())
         except (ConnectionError, asyncio.CancelledError):
             self._left(live)
             raise
--- a/src/ebonydeal/_internal/gateway/intake.py
+++ b/src/ebonydeal/_internal/gateway/intake.py
@@ -9,7 +9,12 @@
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.gateway.auth import Authenticator
 from ebonydeal._internal.gateway.live import Job
-from ebonydeal._internal.gateway.parse import CallOptions, GenerationCall, body_digest
+from ebonydeal._internal.gateway.parse import (
+    KEY_HEADER,
+    CallOptions,
+    GenerationCall,
+    body_digest,
+)
 from ebonydeal._internal.gateway.ports import ConfigPort
 from ebonydeal._internal.models.document import Account, Deployment, Document
 from ebonydeal._internal.models.requests import Priority, Request, RequestKind
@@ -19,6 +24,8 @@
 from ebonydeal._internal.utils.prefix import prefix_blocks, prompt_text
 
 REQUEST_ID = web.RequestKey("request_id", str)
+# Set once the journal is asked: it tells the outcome itself from then on.
+JOURNAL_ASKED = web.RequestKey("journal_asked", bool)
 SESSION_HEADER = "X-Session-Id"
 PATHS = {
     RequestKind.CHAT: "/v1/chat/completions",
@@ -81,6 +88,9 @@
         except TimeoutError:
             detail = f"the body took longer than {self._cfg.body_seconds:g} s"
             raise EbonydealError(ErrorKind.SLOW_SENDER, detail) from None
+        except web.HTTPRequestEntityTooLarge:
+            detail = "the body is too large"
+            raise EbonydealError(ErrorKind.BODY_TOO_LARGE, detail) from None
 
     def new_id(self) -> str:
         """Return a fresh request id on any shard."""
@@ -137,6 +147,11 @@
         return request, deployment
 
 
+def ran_perhaps(req: web.Request) -> bool:
+    """Return whether an earlier try may have run that the journal wasn't asked of."""
+    return bool(req.headers.get(KEY_HEADER)) and not req.get(JOURNAL_ASKED, False)
+
+
 def allowed_priority(
     asked: Priority | None, deployment: Deployment, account: Account
 ) -> Priority:
--- a/src/ebonydeal/_internal/gateway/services.py
+++ b/src/ebonydeal/_internal/gateway/services.py
@@ -14,7 +14,12 @@
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.gateway.deferred import journal_response
 from ebonydeal._internal.gateway.direct import DirectCall, DirectCalls, DirectParts
-from ebonydeal._internal.gateway.intake import REQUEST_ID, Intake, allowed_priority
+from ebonydeal._internal.gateway.intake import (
+    JOURNAL_ASKED,
+    REQUEST_ID,
+    Intake,
+    allowed_priority,
+)
 from ebonydeal._internal.gateway.parse import CallOptions, body_digest, parse_options
 from ebonydeal._internal.gateway.ports import AdmissionPort, JournalPort
 from ebonydeal._internal.models.document import Account, Deployment
@@ -83,6 +88,7 @@
             if idempotent:
                 resp = await self._direct.answer(DirectCall(request, deployment, raw))
             else:
+                req[JOURNAL_ASKED] = True
                 resp = await self._through_journal(request, raw)
         finally:
             ticket.release(0)
--- a/src/ebonydeal/_internal/gateway/told.py
+++ b/src/ebonydeal/_internal/gateway/told.py
@@ -1,6 +1,9 @@
-"""What callers are told of an endpoint's failure: never its address or text."""
+"""What callers are told of a failure.
 
-from ebonydeal._internal.errors import EbonydealError, ErrorKind
+Never an endpoint's address or text, and never a false "not run".
+"""
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind, Outcome
 
 _TOLD = {
     ErrorKind.CONNECT_FAILED: "No endpoint could be reached.",
@@ -12,9 +15,26 @@
 }
 
 
-def for_caller(error: EbonydealError) -> EbonydealError:
-    """Return the error as a caller may see it; the detail stays in the trail."""
-    told = _TOLD.get(error.kind)
-    if told is None:
+def for_caller(error: EbonydealError, keyed: bool = False) -> EbonydealError:
+    """Return the error as a caller may see it; the detail stays in the trail.
+
+    Parameters
+    ----------
+    error : EbonydealError
+        What went wrong.
+    keyed : bool
+        Whether the request is under an idempotency key and its journal wasn't
+        asked: an earlier try under the key may have run, so a refusal of this
+        one says nothing of the outcome.
+    """
+    told = _TOLD.get(error.kind, error.detail)
+    outcome = Outcome.UNKNOWN if keyed else error.outcome
+    if told == error.detail and outcome is error.outcome:
         return error
-    return EbonydealError(error.kind, told, retry_after=error.retry_after)
+    return EbonydealError(
+        error.kind,
+        told,
+        retry_after=error.retry_after,
+        owner=error.owner,
+        outcome=outcome,
+    )
