--- a/tests/functional/gateway/test_program.py
+++ b/tests/functional/gateway/test_program.py
@@ -6,7 +6,9 @@
 from aiohttp import ClientSession
 
 from ebonydeal._internal.config.examples import example_document
+from ebonydeal._internal.config.peer_routes import EXPLAIN_PATH, STATUS_PATH
 from ebonydeal._internal.config.store import ConfigStore
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.gateway.program import GatewayProgram
 from ebonydeal._internal.gateway.wiring import SECTIONS
 from ebonydeal._internal.observe.counters import Metrics
@@ -160,3 +162,23 @@
         assert text_of(read_events(raw)) == "".join(wanted)
         assert metrics.events()["streams_reconnected"] == 1
         assert metrics.refusals() == {}
+
+    async def test_tells_peers_status_and_trails(self):
+        async with System() as system:
+            raw = await system.api.chat.completions.with_raw_response.create(
+                model=system.model,
+                messages=[{"role": "user", "content": "Covers of the coast?"}],
+                max_tokens=2,
+            )
+            ask = system.program.ports.peers.ask
+            address = system.program.ports.peers.address
+            status = await ask(address, STATUS_PATH, {})
+            request_id = raw.headers["X-Request-Id"]
+            trail = await ask(address, EXPLAIN_PATH, {"request_id": request_id})
+            with pytest.raises(EbonydealError) as caught:
+                await ask(address, EXPLAIN_PATH, {"request_id": "r-0000-none"})
+        assert (status["version"], status["refusals"]) == (1, {})
+        assert status["events"]["answered"] == 1
+        assert trail["steps"] == system.program.ports.trails.steps(request_id)
+        assert [step["step"] for step in trail["steps"]][0] == "received"
+        assert caught.value.kind is ErrorKind.NOT_FOUND
