Carry demand between gateways by the bounded topic

Cause: the gateway had its own demand topic beside peers/demand.py; it told the number of every gateway in each digest and every newer report in each answer, so messages grew with the number of gateways.

--- a/src/ebonydeal/_internal/gateway/wiring.py
+++ b/src/ebonydeal/_internal/gateway/wiring.py
@@ -11,7 +11,6 @@
 from ebonydeal._internal.config.peer_routes import join_peers
 from ebonydeal._internal.directory.service import Directory
 from ebonydeal._internal.gateway.budget import RetryBudget
-from ebonydeal._internal.gateway.demand import DemandTopic
 from ebonydeal._internal.gateway.desk import AdmissionDesk
 from ebonydeal._internal.gateway.parts import GatewayConfig, GatewayPorts
 from ebonydeal._internal.gateway.routes import RouterRoutes
@@ -19,6 +18,7 @@
 from ebonydeal._internal.models.places import Place
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.observe.trail import Trails
+from ebonydeal._internal.peers.demand import DemandTopic
 from ebonydeal._internal.peers.journal_client import JournalClient
 from ebonydeal._internal.peers.service import PeerService
 from ebonydeal._internal.platform.cloud import HttpCloud
@@ -28,6 +28,7 @@
 from ebonydeal._internal.platform.services import HttpPlainServices
 from ebonydeal._internal.platform.tables import HttpTables
 from ebonydeal._internal.routing.admission import Admission
+from ebonydeal._internal.routing.limits import AccountLimits
 from ebonydeal._internal.routing.retries import RetryPolicy
 from ebonydeal._internal.routing.router import Router
 from ebonydeal._internal.routing.subset import Member
@@ -210,6 +211,14 @@
     return _Routing(RouterRoutes(router, directory, place, watch.watches), watch)
 
 
+def new_demand_topic(limits: AccountLimits, clock: Clock) -> DemandTopic:
+    """Return the topic that carries the accounts' demand between gateways."""
+    return DemandTopic(
+        lambda: limits.report(clock.wall()),
+        lambda report: limits.heard(report, clock.wall()),
+    )
+
+
 class _Closer(Service):
     """Closes the clients when all that use them have stopped."""
 
@@ -234,7 +243,7 @@
     trails = Trails(gateway.explain_requests)
     join_peers(parts.peers, parts.follower, metrics, trails.steps)
     admission = Admission.from_config(settings["admission"], node.id, rng)
-    parts.peers.register(DemandTopic(admission.limits, clock))
+    parts.peers.register(new_demand_topic(admission.limits, clock))
     routes, watch = _new_routing(settings, parts, clock, rng)
     desk = AdmissionDesk(
         admission, routes.capacity, parts.follower, metrics, trails, clock, rng
