--- a/src/ebonydeal/_internal/cli/controller.py
+++ b/src/ebonydeal/_internal/cli/controller.py
@@ -5,36 +5,28 @@
 from pathlib import Path
 
 import click
-from returns.pipeline import is_successful
 
 from ebonydeal import __version__
 from ebonydeal._internal.cli.run import run_program
-from ebonydeal._internal.controller.program import SECTIONS, ControllerProgram
+from ebonydeal._internal.commands.settings import load_settings
+from ebonydeal._internal.controller.program import ControllerProgram
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.observe.logs import configure_logs
-from ebonydeal._internal.settings.parse import parse_settings
 from ebonydeal._internal.utils.clock import SystemClock
 
-EXIT_SETTINGS = 2
-
 
 @click.command(context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(__version__)
 @click.option(
     "--settings",
     "file",
-    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    type=click.Path(path_type=Path),
     required=True,
     help="INI file with this node's settings.",
 )
 def main(file: Path) -> None:
     """Start, place and release the instances under endpoints, at the lowest cost."""
-    parsed = parse_settings(file.read_text(), str(file), SECTIONS)
-    if not is_successful(parsed):
-        for problem in parsed.failure():
-            click.echo(str(problem), err=True)
-        sys.exit(EXIT_SETTINGS)
-    settings = parsed.unwrap()
+    settings = load_settings(file)
     configure_logs(settings["logs"])
     sys.exit(
         run_program(
--- /dev/null
+++ b/tests/functional/journal/test_entry.py
@@ -0,0 +1,48 @@
+import pytest
+from click.testing import CliRunner
+
+from ebonydeal import __version__
+from ebonydeal._internal.cli import journal
+from ebonydeal._internal.commands.settings import settings_command
+from ebonydeal._internal.journal.program import JournalProgram
+
+
+class TestEntry:
+    def test_version(self):
+        shown = CliRunner().invoke(journal.main, ["--version"])
+        assert shown.exit_code == 0
+        assert __version__ in shown.output
+
+    def test_a_file_with_all_sections_serves(self, tmp_path, monkeypatch):
+        built = []
+
+        def build_only(build):
+            built.append(build())
+            return 0
+
+        monkeypatch.setattr(journal, "run_program", build_only)
+        file = tmp_path / "node.ini"
+        file.write_text(CliRunner().invoke(settings_command, ["example"]).output)
+        shown = CliRunner().invoke(journal.main, ["--settings", str(file)])
+        assert (shown.exit_code, shown.output) == (0, "")
+        assert [type(program) for program in built] == [JournalProgram]
+
+    @pytest.mark.parametrize(
+        ("text", "words"),
+        [
+            ("[journal]\nshards = many\n", "[journal] shards: 'many' is not accepted"),
+            ("[journal]\nshardss = 1\n", "did you mean 'shards'?"),
+        ],
+    )
+    def test_a_mistake_in_the_settings_is_named(self, tmp_path, text, words):
+        file = tmp_path / "node.ini"
+        file.write_text(text)
+        shown = CliRunner().invoke(journal.main, ["--settings", str(file)])
+        assert shown.exit_code == 2
+        assert words in shown.output
+
+    def test_a_missing_file_is_named(self, tmp_path):
+        file = tmp_path / "none.ini"
+        shown = CliRunner().invoke(journal.main, ["--settings", str(file)])
+        assert shown.exit_code == 2
+        assert f"{file}: can't be read" in shown.output
