--- a/src/ebonydeal/_internal/controller/program.py
+++ b/src/ebonydeal/_internal/controller/program.py
@@ -6,6 +6,7 @@
 from mode import Service
 
 from ebonydeal._internal.config.follower import ConfigFollower
+from ebonydeal._internal.config.peer_routes import join_peers
 from ebonydeal._internal.controller.lease import new_holder
 from ebonydeal._internal.controller.notices import MarkCallback
 from ebonydeal._internal.controller.routes import controller_routes
@@ -116,7 +117,7 @@
         follower = ConfigFollower(
             platform.tables, metrics, clock, rng, lambda: len(peers.members()) + 1
         )
-        peers.register(follower.topic)
+        join_peers(peers, follower, metrics)
         peers.add_routes(controller_routes(platform.tables))
         controller = Controller(
             settings["controller"],
--- a/src/ebonydeal/_internal/journal/program.py
+++ b/src/ebonydeal/_internal/journal/program.py
@@ -7,6 +7,7 @@
 from mode import Service
 
 from ebonydeal._internal.config.follower import ConfigFollower
+from ebonydeal._internal.config.peer_routes import join_peers
 from ebonydeal._internal.directory.service import Directory
 from ebonydeal._internal.directory.table import Change
 from ebonydeal._internal.journal.claims import Identity
@@ -160,7 +161,7 @@
             rng,
             nodes=lambda: 1 + len(peers.members()),
         )
-        peers.register(follower.topic)
+        join_peers(peers, follower, metrics)
         router = Router.from_config(settings["routing"], rng)
         dispatcher = Dispatcher(
             RoutedPicker(
--- a/tests/functional/controller/test_program.py
+++ b/tests/functional/controller/test_program.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from ebonydeal._internal.config.examples import example_document
+from ebonydeal._internal.config.peer_routes import STATUS_PATH
 from ebonydeal._internal.config.store import ConfigStore
 from ebonydeal._internal.controller.events import read_spend, read_trail
 from ebonydeal._internal.controller.program import SECTIONS, ControllerProgram
@@ -11,6 +12,7 @@
 from ebonydeal._internal.standin.world import StandinWorld
 from ebonydeal._internal.standin.worldspec import WorldSpec
 from ebonydeal._internal.utils.clock import SystemClock
+from ebonydeal._internal.utils.peerclient import PeerClient
 from tests.lib.fakes_endpoints import running
 
 PACE = {"period": 0.05, "notice_period": 0.05, "lease_ttl": 1.0, "spend_period": 1.0}
@@ -30,6 +32,23 @@
             await asyncio.sleep(0.02)
 
 
+class TestPeers:
+    async def test_peers_are_told_of_configuration_and_counters(self):
+        document = example_document("cadwaladr")
+        spec = WorldSpec.from_document(document, {}, speed=50.0)
+        async with running(StandinWorld(spec)) as world:
+            metrics = Metrics()
+            program = ControllerProgram.from_config(
+                settings(world), metrics, SystemClock(), random.Random(2)
+            )
+            client = PeerClient(settings(world)["peers"].credential)
+            async with running(program):
+                told = await client.call(program.address, STATUS_PATH, {}, 5.0)
+            await client.close()
+            assert told["version"] == 0
+            assert set(told) == {"version", "spread_s", "refusals", "retries", "events"}
+
+
 class TestProgram:
     async def test_a_fleet_is_taken_over_filled_and_repaired(self):
         document = example_document("cadwaladr")
