--- a/src/ebonydeal/_internal/controller/program.py
+++ b/src/ebonydeal/_internal/controller/program.py
@@ -30,6 +30,7 @@
     TlsSettings,
 )
 from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.tls import TlsContexts
 
 SECTIONS: dict[str, type] = {
     "node": NodeSettings,
@@ -66,8 +67,8 @@
 class ControllerProgram(Service):
     """Everything of one controller process.
 
-    Children, in the order of their start: directory, peers, configuration,
-    controller. A stop first gives all leases back.
+    Children, in the order of their start: TLS files, directory, peers,
+    configuration, controller. A stop first gives all leases back.
     """
 
     def __init__(
@@ -76,6 +77,7 @@
         peers: PeerService,
         follower: ConfigFollower,
         controller: Controller,
+        tls: TlsContexts,
         platform: Platform,
     ) -> None:
         super().__init__()
@@ -83,6 +85,7 @@
         self.peers = peers
         self.follower = follower
         self.controller = controller
+        self._tls = tls
         self._platform = platform
 
     @classmethod
@@ -96,6 +99,7 @@
         """Build the tree from typed settings sections (see `SECTIONS`)."""
         own: NodeSettings = settings["node"]
         platform = Platform.from_config(settings["platform"])
+        tls = TlsContexts.from_config(settings["tls"], clock)
         directory = Directory.from_config(
             settings["directory"],
             platform.instances,
@@ -113,6 +117,8 @@
             instances=platform.instances,
             directory=directory,
             roles=("controller",),
+            ssl_server=tls.server,
+            ssl_client=tls.client,
         )
         follower = ConfigFollower(
             platform.tables, metrics, clock, rng, lambda: len(peers.members()) + 1
@@ -133,7 +139,7 @@
             clock,
             rng,
         )
-        return cls(directory, peers, follower, controller, platform)
+        return cls(directory, peers, follower, controller, tls, platform)
 
     @property
     def address(self) -> str:
@@ -142,6 +148,7 @@
 
     async def on_start(self) -> None:
         """Start the children."""
+        await self.add_runtime_dependency(self._tls)
         await self.add_runtime_dependency(self.directory)
         await self.add_runtime_dependency(self.peers)
         await self.add_runtime_dependency(self.follower)
--- a/tests/functional/controller/test_program.py
+++ b/tests/functional/controller/test_program.py
@@ -2,18 +2,23 @@
 import random
 from collections import Counter
 
+import pytest
+
 from ebonydeal._internal.config.examples import example_document
 from ebonydeal._internal.config.peer_routes import STATUS_PATH
 from ebonydeal._internal.config.store import ConfigStore
 from ebonydeal._internal.controller.events import read_spend, read_trail
 from ebonydeal._internal.controller.program import SECTIONS, ControllerProgram
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.observe.counters import Event, Metrics
 from ebonydeal._internal.platform.tables import HttpTables
 from ebonydeal._internal.standin.world import StandinWorld
 from ebonydeal._internal.standin.worldspec import WorldSpec
 from ebonydeal._internal.utils.clock import SystemClock
 from ebonydeal._internal.utils.peerclient import PeerClient
+from ebonydeal._internal.utils.tls import TlsContexts
 from tests.lib.fakes_endpoints import running
+from tests.lib.tls_nodes import seen_serial, tls_settings, until_renewed
 
 PACE = {"period": 0.05, "notice_period": 0.05, "lease_ttl": 1.0, "spend_period": 1.0}
 
@@ -48,6 +53,32 @@
             assert told["version"] == 0
             assert set(told) == {"version", "spread_s", "refusals", "retries", "events"}
 
+    async def test_with_tls_only_tls_is_answered(self, tmp_path):
+        spec = WorldSpec.from_document(example_document("cadwaladr"), {}, speed=50.0)
+        sections, issue = tls_settings(tmp_path)
+        async with running(StandinWorld(spec)) as world:
+            program = ControllerProgram.from_config(
+                {**settings(world), "tls": sections},
+                Metrics(),
+                SystemClock(),
+                random.Random(2),
+            )
+            credential = settings(world)["peers"].credential
+            context = TlsContexts.from_config(sections, SystemClock()).client
+            secret, plain = PeerClient(credential, context), PeerClient(credential)
+            async with running(program):
+                told = await secret.call(program.address, STATUS_PATH, {}, 5.0)
+                with pytest.raises(EbonydealError) as caught:
+                    await plain.call(program.address, STATUS_PATH, {}, 5.0)
+                first = await seen_serial(program.address, context)
+                renewed = issue()
+                await until_renewed(program.address, context, renewed)
+            await secret.close()
+            await plain.close()
+        assert told["version"] == 0
+        assert caught.value.kind is ErrorKind.STORE_IN_DOUBT
+        assert first != renewed
+
 
 class TestProgram:
     async def test_a_fleet_is_taken_over_filled_and_repaired(self):
--- a/tests/functional/journal/test_program.py
+++ b/tests/functional/journal/test_program.py
@@ -1,14 +1,22 @@
 import random
 
+import pytest
+
 from ebonydeal._internal.config.examples import example_document
 from ebonydeal._internal.config.peer_routes import STATUS_PATH
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.journal.program import SECTIONS, JournalProgram
 from ebonydeal._internal.observe.counters import Metrics
+from ebonydeal._internal.peers.journal_client import JournalClient
+from ebonydeal._internal.platform.tables import HttpTables
 from ebonydeal._internal.standin.world import StandinWorld
 from ebonydeal._internal.standin.worldspec import WorldSpec
 from ebonydeal._internal.utils.clock import SystemClock
 from ebonydeal._internal.utils.peerclient import PeerClient
+from ebonydeal._internal.utils.tls import TlsContexts
 from tests.lib.fakes_endpoints import running
+from tests.lib.journal_fakes import make_request
+from tests.lib.tls_nodes import seen_serial, tls_settings, until_renewed
 
 
 def new_world() -> StandinWorld:
@@ -42,3 +50,48 @@
             await client.close()
             assert told["version"] == 0
             assert set(told) == {"version", "spread_s", "refusals", "retries", "events"}
+
+
+class TestTls:
+    async def test_a_client_with_the_context_is_answered(self, tmp_path):
+        cfg, issue = tls_settings(tmp_path)
+        context = TlsContexts.from_config(cfg, SystemClock()).client
+        async with running(new_world()) as world:
+            sections = {**settings(world), "tls": cfg}
+            tables = HttpTables.from_config(sections["platform"])
+            client = JournalClient.from_config(
+                sections["journal"],
+                sections["peers"].credential,
+                tables,
+                clock=SystemClock(),
+                rng=random.Random(3),
+                metrics=Metrics(),
+                ssl_context=context,
+            )
+            async with running(program(sections)) as journal:
+                request_id = client.request_id("gwesty", "")
+                accepted = await client.accept(make_request(request_id))
+                status = await client.status(request_id, "gwesty")
+                for address in (journal.address, journal.peers.address):
+                    first = await seen_serial(address, context)
+                    await until_renewed(address, context, issue())
+                    assert await seen_serial(address, context) != first
+            await client.close()
+            await tables.close()
+        assert accepted.state == "accepted"
+        assert (status.request_id, status.state) == (request_id, "accepted")
+
+    async def test_plain_http_is_refused(self, tmp_path):
+        cfg, _issue = tls_settings(tmp_path)
+        async with running(new_world()) as world:
+            sections = {**settings(world), "tls": cfg}
+            plain = PeerClient(sections["peers"].credential)
+            kinds = []
+            async with running(program(sections)) as journal:
+                for address in (journal.address, journal.peers.address):
+                    with pytest.raises(EbonydealError) as caught:
+                        await plain.call(address, "/journal/v1/status", {}, 5.0)
+                    kinds.append(caught.value.kind)
+            await plain.close()
+        # No answer at all: an HTTP error would carry a kind of its own.
+        assert kinds == [ErrorKind.STORE_IN_DOUBT] * 2
