Tell the controller of deadline work that waits

Cause: the controller plans deadline work from rows backlog/{deployment}:{node} and nobody wrote them, so it never saw any.

Before, no row was written. Conclusion: deadline decisions rest on real backlog. The work is estimated from latency targets, not measured.

--- /dev/null
+++ b/src/ebonydeal/_internal/journal/backlog.py
@@ -0,0 +1,91 @@
+"""Deadline work that waits, as the controller reads it. Pure.
+
+Work is told in replica seconds, estimated from above: every request takes its
+most output tokens at the deployment's latency targets, while a replica serves
+as many requests at once as it has slots.
+"""
+
+from collections.abc import Callable, Iterable
+
+from ebonydeal._internal.models.document import Deployment, Document
+from ebonydeal._internal.models.requests import Request
+
+BACKLOG = "backlog/"
+SERVICE_CALL_S = 4.0
+MOST_ENTRIES = 200
+
+SlotsOf = Callable[[str], int]
+Jobs = list[list[float]]
+
+
+def backlog_key(deployment: str, node_id: str) -> str:
+    """Return the row of a deployment's work at a node."""
+    return f"{BACKLOG}{deployment}:{node_id}"
+
+
+def is_row_of(key: str, node_id: str) -> bool:
+    """Return whether a backlog row is a node's own."""
+    return key.removeprefix(BACKLOG).partition(":")[2] == node_id
+
+
+def work_seconds(request: Request, deployment: Deployment, slots: int) -> float:
+    """Return the replica seconds that a request takes, from above."""
+    if request.max_tokens <= 0:
+        return SERVICE_CALL_S / max(1, slots)
+    tokens_s = request.max_tokens * deployment.between_tokens_s
+    return (deployment.first_token_s + tokens_s) / max(1, slots)
+
+
+def merged(work: dict[float, float], most: int = MOST_ENTRIES) -> Jobs:
+    """Return (deadline, replica seconds) in order of deadlines, ``most`` at most.
+
+    Neighbours are merged under the earliest of their deadlines, so that no work
+    looks less pressing than it is.
+    """
+    deadlines = sorted(work)
+    size = -(-len(deadlines) // most)
+    jobs: Jobs = []
+    for start in range(0, len(deadlines), max(1, size)):
+        group = deadlines[start : start + size]
+        total = sum(work[deadline] for deadline in group)
+        jobs.append([group[0], round(total, 3)])
+    return jobs
+
+
+class Backlog:
+    """Sums up waiting requests by deployment and deadline.
+
+    Parameters
+    ----------
+    document : Document
+        Only its deployments with ``deadline_work`` count.
+    slots_of : callable
+        Returns how many requests a replica of a deployment serves at once.
+    """
+
+    def __init__(self, document: Document, slots_of: SlotsOf) -> None:
+        self._deployments = document.deployments
+        self._slots_of = slots_of
+        self._slots: dict[str, int] = {}
+        self._work: dict[str, dict[float, float]] = {}
+
+    def add(self, requests: Iterable[Request]) -> None:
+        """Count requests; those without a deadline are left out."""
+        for request in requests:
+            deployment = self._deployments.get(request.deployment)
+            if not request.deadline or deployment is None:
+                continue
+            if deployment.deadline_work:
+                self._add(request, deployment)
+
+    def _add(self, request: Request, deployment: Deployment) -> None:
+        name = request.deployment
+        if name not in self._slots:
+            self._slots[name] = self._slots_of(name)
+        seconds = work_seconds(request, deployment, self._slots[name])
+        work = self._work.setdefault(name, {})
+        work[request.deadline] = work.get(request.deadline, 0.0) + seconds
+
+    def jobs(self) -> dict[str, Jobs]:
+        """Return the rows' jobs by deployment; none for those without work."""
+        return {name: merged(work) for name, work in self._work.items()}
--- a/src/ebonydeal/_internal/journal/dispatcher.py
+++ b/src/ebonydeal/_internal/journal/dispatcher.py
@@ -13,6 +13,7 @@
 from ebonydeal._internal.journal.jobs import Book, Job, Picker
 from ebonydeal._internal.journal.workqueue import WorkQueue, order_of
 from ebonydeal._internal.models.endpoints import EndpointKind, EndpointView, LeavingMark
+from ebonydeal._internal.models.requests import Request
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.platform.interfaces import Engine, PlainServices
@@ -133,6 +134,10 @@
         self._active.discard(job)
         job.ended.set()
 
+    def waiting(self) -> list[Request]:
+        """Return the requests that no endpoint works on now."""
+        return [job.request for job in self._jobs.values() if not job.sending]
+
     # --- leaving endpoints ----------------------------------------------------------
     def leaving(self, mark: LeavingMark) -> None:
         """Let runs on a leaving endpoint finish within the notice, else stop them."""
--- a/src/ebonydeal/_internal/journal/node.py
+++ b/src/ebonydeal/_internal/journal/node.py
@@ -106,6 +106,11 @@
             ErrorKind.WRONG_OWNER, f"shard {shard:04x} is not here", owner=address
         )
 
+    @property
+    def live_nodes(self) -> int:
+        """How many journal nodes the last reading showed."""
+        return len(self._view.nodes)
+
     # --- lease -------------------------------------------------------------------
     @Service.task
     async def _renew(self) -> None:
--- a/src/ebonydeal/_internal/journal/picker.py
+++ b/src/ebonydeal/_internal/journal/picker.py
@@ -45,6 +45,13 @@
     return weights_of
 
 
+def slots_from(views: Views, deployment: str) -> int:
+    """Return how many requests an endpoint serves at once: the least known."""
+    loads = [view.load for view in views.views(deployment)]
+    known = [load.slots for load in loads if load is not None and load.slots > 0]
+    return min(known, default=ASSUMED_SLOTS)
+
+
 def route_request(
     request: Request, place: Place, exclude: frozenset[str], weights: Weights
 ) -> RouteRequest:
--- a/src/ebonydeal/_internal/journal/program.py
+++ b/src/ebonydeal/_internal/journal/program.py
@@ -10,12 +10,13 @@
 from ebonydeal._internal.config.peer_routes import join_peers
 from ebonydeal._internal.directory.service import Directory
 from ebonydeal._internal.directory.table import Change
+from ebonydeal._internal.journal.backlog_rows import BacklogRows
 from ebonydeal._internal.journal.claims import Identity
 from ebonydeal._internal.journal.dispatcher import Dispatcher
 from ebonydeal._internal.journal.node import JournalNode
 from ebonydeal._internal.journal.pacing import Budget, Pacer
 from ebonydeal._internal.journal.parts import OwnerParts
-from ebonydeal._internal.journal.picker import RoutedPicker, weights_from
+from ebonydeal._internal.journal.picker import RoutedPicker, slots_from, weights_from
 from ebonydeal._internal.journal.service import journal_app, offer_by
 from ebonydeal._internal.models.places import Place
 from ebonydeal._internal.observe.counters import Metrics
@@ -91,8 +92,8 @@
     """Everything of one journal process.
 
     Children, in the order of their start: TLS files, directory, peers,
-    configuration, listener, dispatcher, node. A stop first hands over all shards,
-    while the listener still answers those who wait.
+    configuration, listener, dispatcher, node, backlog rows. A stop first hands over
+    all shards, while the listener still answers those who wait.
     """
 
     def __init__(
@@ -102,6 +103,7 @@
         follower: ConfigFollower,
         dispatcher: Dispatcher,
         node: JournalNode,
+        backlog: BacklogRows,
         server: HttpServer,
         tls: TlsContexts,
         clients: Iterable[Closable],
@@ -112,6 +114,7 @@
         self.follower = follower
         self.dispatcher = dispatcher
         self.node = node
+        self.backlog = backlog
         self.server = server
         self._tls = tls
         self._clients = tuple(clients)
@@ -188,6 +191,17 @@
         credential = settings["peers"].credential
         between = PeerClient(credential, tls.client)
         node = JournalNode(me, place, parts, own.drain_seconds, offer_by(between))
+        backlog = BacklogRows(
+            dispatcher.waiting,
+            lambda: follower.document,
+            lambda name: slots_from(directory, name),
+            own.id,
+            lambda: node.live_nodes,
+            platform.tables,
+            clock=clock,
+            rng=rng,
+            metrics=metrics,
+        )
         app = journal_app(node, credential, metrics)
         server = HttpServer(
             app,
@@ -197,7 +211,9 @@
             drain_seconds=own.drain_seconds,
         )
         clients = (*platform, between)
-        return cls(directory, peers, follower, dispatcher, node, server, tls, clients)
+        return cls(
+            directory, peers, follower, dispatcher, node, backlog, server, tls, clients
+        )
 
     @property
     def address(self) -> str:
@@ -216,6 +232,7 @@
         await self.add_runtime_dependency(self.dispatcher)
         self.node.me = self.node.me._replace(address=self.address)
         await self.add_runtime_dependency(self.node)
+        await self.add_runtime_dependency(self.backlog)
 
     def _endpoints_changed(self, _change: Change) -> None:
         self.dispatcher.endpoints_changed()
--- a/tests/functional/journal/test_program.py
+++ b/tests/functional/journal/test_program.py
@@ -1,9 +1,12 @@
+import asyncio
 import random
 
 import pytest
 
 from ebonydeal._internal.config.examples import example_document
 from ebonydeal._internal.config.peer_routes import STATUS_PATH
+from ebonydeal._internal.config.store import ConfigStore
+from ebonydeal._internal.controller.backlog import read_backlog
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.journal.program import SECTIONS, JournalProgram
 from ebonydeal._internal.observe.counters import Metrics
@@ -52,6 +55,50 @@
             assert set(told) == {"version", "spread_s", "refusals", "retries", "events"}
 
 
+class TestBacklog:
+    async def test_the_controller_reads_what_the_program_keeps(self):
+        document = example_document("cadwaladr")
+        deployment = next(
+            item["name"]
+            for item in document["deployments"]
+            if item.get("deadline_work")
+        )
+        deadline = SystemClock().wall() + 3600.0
+        async with running(new_world()) as world:
+            sections = settings(world)
+            sections["config"] = sections["config"]._replace(shortest_poll=0.05)
+            tables = HttpTables.from_config(sections["platform"])
+            store = ConfigStore(tables, SystemClock(), random.Random(1))
+            assert (await store.propose(document, 0, "test", "first")).unwrap() == 1
+            client = JournalClient.from_config(
+                sections["journal"],
+                sections["peers"].credential,
+                tables,
+                clock=SystemClock(),
+                rng=random.Random(3),
+                metrics=Metrics(),
+            )
+            async with running(program(sections)) as journal:
+                async with asyncio.timeout(30):
+                    while journal.follower.document.version < 1:
+                        await asyncio.sleep(0.02)
+                request = make_request(
+                    client.request_id("gwesty", ""),
+                    deployment=deployment,
+                    deadline=deadline,
+                )
+                await client.accept(request)
+                await journal.backlog.publish()
+                wall = SystemClock().wall()
+                backlog = await read_backlog(tables, deployment, wall)
+            left = await read_backlog(tables, deployment, wall)
+            await client.close()
+            await tables.close()
+        assert [item.deadline for item in backlog] == [deadline]
+        assert backlog[0].work_s > 0.0
+        assert left == []
+
+
 class TestTls:
     async def test_a_client_with_the_context_is_answered(self, tmp_path):
         cfg, issue = tls_settings(tmp_path)
--- /dev/null
+++ b/tests/unit/journal/test_backlog.py
@@ -0,0 +1,75 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ebonydeal._internal.journal.backlog import (
+    MOST_ENTRIES,
+    Backlog,
+    backlog_key,
+    is_row_of,
+    merged,
+    work_seconds,
+)
+from tests.lib.controller_fakes import make_deployment, make_document
+from tests.lib.journal_fakes import make_note, make_request
+
+POOL = make_deployment(
+    name="pool", deadline_work=True, first_token_s=0.5, between_tokens_s=0.05
+)
+
+
+class TestWork:
+    def test_a_generation_takes_its_most_tokens_at_the_targets(self):
+        request = make_request(max_tokens=100)
+        assert work_seconds(request, POOL, 4) == pytest.approx((0.5 + 5.0) / 4)
+
+    def test_a_service_call_takes_an_assumed_time(self):
+        assert work_seconds(make_note(max_tokens=0), POOL, 4) == 1.0
+
+
+class TestMerged:
+    def test_few_stay_as_they_are(self):
+        assert merged({30.0: 2.0, 10.0: 1.0}) == [[10.0, 1.0], [30.0, 2.0]]
+
+    def test_neighbours_keep_the_earliest_deadline(self):
+        work = {1.0: 1.0, 2.0: 2.0, 3.0: 4.0}
+        assert merged(work, 2) == [[1.0, 3.0], [3.0, 4.0]]
+
+    @given(st.lists(st.integers(1, 10**6), max_size=700, unique=True))
+    def test_no_work_is_lost_or_later(self, deadlines):
+        jobs = merged({float(deadline): 1.0 for deadline in deadlines})
+        assert len(jobs) <= MOST_ENTRIES
+        assert sum(work for _, work in jobs) == len(deadlines)
+        for limit, _ in jobs:
+            due = sum(deadline <= limit for deadline in deadlines)
+            assert sum(work for at, work in jobs if at <= limit) >= due
+
+
+class TestBacklog:
+    def test_counts_by_deployment_and_deadline(self):
+        backlog = Backlog(make_document(POOL), lambda _name: 1)
+        request = make_request(max_tokens=10, deadline=50.0)
+        backlog.add([request, request, request._replace(deadline=90.0)])
+        assert backlog.jobs() == {"pool": [[50.0, 2.0], [90.0, 1.0]]}
+
+    def test_leaves_out_what_has_no_deadline_or_no_deadline_work(self):
+        hurried = make_deployment(name="hurried", deadline_work=False)
+        backlog = Backlog(make_document(POOL, hurried), lambda _name: 1)
+        request = make_request(deadline=50.0)
+        backlog.add(
+            [
+                request._replace(deadline=0.0),
+                request._replace(deployment="hurried"),
+                request._replace(deployment="gone"),
+            ]
+        )
+        assert backlog.jobs() == {}
+
+
+class TestKeys:
+    def test_a_row_is_its_own_nodes_only(self):
+        key = backlog_key("pool", "n-1")
+        assert key == "backlog/pool:n-1"
+        assert is_row_of(key, "n-1")
+        assert not is_row_of(key, "1")
+        assert not is_row_of(key, "n-11")
