Delete backlog rows of nodes that are gone

Cause: a node that is reclaimed leaves its rows, and new ones have other ids, so rows would pile up; the controller reads 1000 of a deployment at most and would then miss live ones. Conclusion: the number of rows follows the nodes that live.

--- a/src/ebonydeal/_internal/journal/backlog.py
+++ b/src/ebonydeal/_internal/journal/backlog.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable, Iterable
+from typing import Any
 
 from ebonydeal._internal.models.document import Deployment, Document
 from ebonydeal._internal.models.requests import Request
@@ -13,6 +14,7 @@
 BACKLOG = "backlog/"
 SERVICE_CALL_S = 4.0
 MOST_ENTRIES = 200
+LAPSED_S = 3600.0
 
 SlotsOf = Callable[[str], int]
 Jobs = list[list[float]]
@@ -28,6 +30,19 @@
     return key.removeprefix(BACKLOG).partition(":")[2] == node_id
 
 
+def is_lapsed(value: dict[str, Any], wall: float) -> bool:
+    """Return whether a row of a node that is gone counts no more.
+
+    Its deadlines have passed and it was not renewed for ``LAPSED_S``. A row in
+    another shape is left alone.
+    """
+    match value:
+        case {"jobs": list(jobs), "at": float(at) | int(at)}:
+            deadlines = [job[0] for job in jobs if isinstance(job, list) and job]
+            return max([at, *deadlines]) + LAPSED_S < wall
+    return False
+
+
 def work_seconds(request: Request, deployment: Deployment, slots: int) -> float:
     """Return the replica seconds that a request takes, from above."""
     if request.max_tokens <= 0:
--- a/src/ebonydeal/_internal/journal/backlog_rows.py
+++ b/src/ebonydeal/_internal/journal/backlog_rows.py
@@ -14,6 +14,7 @@
     Jobs,
     SlotsOf,
     backlog_key,
+    is_lapsed,
     is_row_of,
 )
 from ebonydeal._internal.journal.leases import renew_every
@@ -21,7 +22,14 @@
 from ebonydeal._internal.models.requests import Request
 from ebonydeal._internal.observe.counters import Event, Metrics, RetryReason
 from ebonydeal._internal.observe.logs import get_logger
-from ebonydeal._internal.platform.interfaces import Delete, Put, Tables, Write
+from ebonydeal._internal.platform.interfaces import (
+    Delete,
+    Put,
+    Row,
+    RowVersion,
+    Tables,
+    Write,
+)
 from ebonydeal._internal.utils.clock import Clock
 
 logger = get_logger("journal")
@@ -118,18 +126,29 @@
                 await self._write(writes)
 
     async def _find_former(self) -> None:
-        """Learn of rows that this node's last process left behind, once."""
+        """Learn of this node's former rows, and drop lapsed ones; once a process."""
         start = ""
+        lapsed: list[Row] = []
         while not self._known:
             self._metrics.count(Event.TABLE_READS)
             page = await self._tables.scan(BACKLOG, start, _SCAN_ROWS)
             for row in page:
                 if is_row_of(row.key, self._node_id):
                     self._rows[row.key] = _Written(None, 0.0)
+                elif is_lapsed(row.value, self._clock.wall()):
+                    lapsed.append(row)
             if len(page) < _SCAN_ROWS:
                 self._known = True
-                return
-            start = page[-1].key + "\0"
+            else:
+                start = page[-1].key + "\0"
+        if lapsed:
+            await self._drop(lapsed[:MOST_ROWS])
+
+    async def _drop(self, rows: Sequence[Row]) -> None:
+        """Delete rows of nodes that are gone; none if one has changed meanwhile."""
+        self._metrics.count(Event.TABLE_WRITES)
+        conditions = [RowVersion(row.key, row.version) for row in rows]
+        await self._tables.transact(conditions, [Delete(row.key) for row in rows])
 
     async def _jobs(self) -> dict[str, Jobs]:
         """Return the rows' jobs by key."""
--- a/tests/functional/journal/test_backlog_rows.py
+++ b/tests/functional/journal/test_backlog_rows.py
@@ -6,6 +6,7 @@
 from ebonydeal._internal.controller.deadline import Backlog
 from ebonydeal._internal.journal.backlog_rows import EVERY_S, RENEW_S, BacklogRows
 from ebonydeal._internal.observe.counters import Event
+from ebonydeal._internal.platform.interfaces import Put
 from tests.lib.clock import settle
 from tests.lib.controller_fakes import make_deployment, make_document
 from tests.lib.journal_fakes import World, make_request
@@ -150,6 +151,16 @@
         await again.publish()
         assert await bench.stored() == ["backlog/pool:n-1"]
 
+    async def test_lapsed_rows_of_gone_nodes_are_removed(self, bench):
+        wall = bench.world.clock.wall()
+        tables = bench.world.tables
+        gone = {"jobs": [[wall - 9000.0, 1.0]], "at": wall - 9000.0}
+        ahead = {"jobs": [[wall + 9000.0, 1.0]], "at": wall - 9000.0}
+        puts = [Put("backlog/pool:n-8", gone), Put("backlog/pool:n-9", ahead)]
+        await tables.transact([], puts)
+        await bench.rows.publish()
+        assert await bench.stored() == ["backlog/pool:n-9"]
+
 
 class TestOutage:
     async def test_rows_come_late_and_the_node_goes_on(self, bench):
--- a/tests/unit/journal/test_backlog.py
+++ b/tests/unit/journal/test_backlog.py
@@ -3,9 +3,11 @@
 from hypothesis import strategies as st
 
 from ebonydeal._internal.journal.backlog import (
+    LAPSED_S,
     MOST_ENTRIES,
     Backlog,
     backlog_key,
+    is_lapsed,
     is_row_of,
     merged,
     work_seconds,
@@ -73,3 +75,18 @@
         assert is_row_of(key, "n-1")
         assert not is_row_of(key, "1")
         assert not is_row_of(key, "n-11")
+
+
+class TestLapsed:
+    @pytest.mark.parametrize(
+        ("value", "lapsed"),
+        [
+            ({"jobs": [[50.0, 1.0]], "at": 40.0}, True),
+            ({"jobs": [], "at": 40}, True),
+            ({"jobs": [[50.0, 1.0], [101.0, 1.0]], "at": 40.0}, False),
+            ({"jobs": [[50.0, 1.0]], "at": 101.0}, False),
+            ({"jobs": None}, False),
+        ],
+    )
+    def test_once_deadlines_and_renewal_are_long_past(self, value, lapsed):
+        assert is_lapsed(value, 100.0 + LAPSED_S) is lapsed
