Build the four programs' entry points in one place

Cause: the same twenty lines stood in four modules (found by a search for duplicates). Change: cli/program.py makes a program's command; tests patch run_program where it is looked up now, with the same assertions.

--- a/tests/functional/controller/test_entry.py
+++ b/tests/functional/controller/test_entry.py
@@ -1,7 +1,7 @@
 from click.testing import CliRunner
 
 from ebonydeal import __version__
-from ebonydeal._internal.cli import controller
+from ebonydeal._internal.cli import program
 from ebonydeal._internal.cli.controller import main
 from ebonydeal._internal.commands.settings import settings_command
 from ebonydeal._internal.controller.program import ControllerProgram
@@ -20,12 +20,12 @@
             built.append(build())
             return 0
 
-        monkeypatch.setattr(controller, "run_program", build_only)
+        monkeypatch.setattr(program, "run_program", build_only)
         file = tmp_path / "node.ini"
         file.write_text(CliRunner().invoke(settings_command, ["example"]).output)
         shown = CliRunner().invoke(main, ["--settings", str(file)])
         assert (shown.exit_code, shown.output) == (0, "")
-        assert [type(program) for program in built] == [ControllerProgram]
+        assert [type(built_one) for built_one in built] == [ControllerProgram]
 
     def test_every_mistake_in_the_settings_is_named(self, tmp_path):
         file = tmp_path / "node.ini"
--- a/tests/functional/gateway/test_entry.py
+++ b/tests/functional/gateway/test_entry.py
@@ -3,7 +3,7 @@
 import pytest
 from click.testing import CliRunner
 
-from ebonydeal._internal.cli import gateway
+from ebonydeal._internal.cli import gateway, program
 from ebonydeal._internal.cli.main import main as ebonydeal
 from ebonydeal._internal.gateway.program import GatewayProgram
 
@@ -20,8 +20,8 @@
             asyncio.run(build_only(build))
             return 0
 
-        monkeypatch.setattr(gateway, "run_program", run)
-        monkeypatch.setattr(gateway, "configure_logs", lambda cfg: None)
+        monkeypatch.setattr(program, "run_program", run)
+        monkeypatch.setattr(program, "configure_logs", lambda cfg: None)
         return programs
 
     def run(self, file):
@@ -34,7 +34,7 @@
         file.write_text(text)
         result = self.run(file)
         assert (result.exit_code, result.stderr) == (0, "")
-        assert [type(program) for program in built] == [GatewayProgram]
+        assert [type(built_one) for built_one in built] == [GatewayProgram]
 
     def test_every_mistake_is_named(self, built, tmp_path):
         file = tmp_path / "node.ini"
--- a/tests/functional/journal/test_entry.py
+++ b/tests/functional/journal/test_entry.py
@@ -2,7 +2,7 @@
 from click.testing import CliRunner
 
 from ebonydeal import __version__
-from ebonydeal._internal.cli import journal
+from ebonydeal._internal.cli import journal, program
 from ebonydeal._internal.commands.settings import settings_command
 from ebonydeal._internal.journal.program import JournalProgram
 
@@ -20,12 +20,12 @@
             built.append(build())
             return 0
 
-        monkeypatch.setattr(journal, "run_program", build_only)
+        monkeypatch.setattr(program, "run_program", build_only)
         file = tmp_path / "node.ini"
         file.write_text(CliRunner().invoke(settings_command, ["example"]).output)
         shown = CliRunner().invoke(journal.main, ["--settings", str(file)])
         assert (shown.exit_code, shown.output) == (0, "")
-        assert [type(program) for program in built] == [JournalProgram]
+        assert [type(built_one) for built_one in built] == [JournalProgram]
 
     @pytest.mark.parametrize(
         ("text", "words"),
--- a/tests/unit/capacity/test_capacity.py
+++ b/tests/unit/capacity/test_capacity.py
@@ -18,7 +18,8 @@
     "list.bytes list.cpu list.memory members.memory members.cpu members.tick "
     "members.bytes route.cpu journal.memory journal.cpu journal.bytes "
     "journal.snapshot plan.cpu plan.memory rss peers.cpu peers.bytes call.cpu "
-    "peers.bare change.bytes journal.reads journal.writes round.cpu round.tables relay.cpu"
+    "peers.bare change.bytes journal.reads journal.writes round.cpu "
+    "round.tables relay.cpu"
 ).split()
 
 
--- a/tests/unit/settings/test_programs.py
+++ b/tests/unit/settings/test_programs.py
@@ -2,6 +2,7 @@
 from click.testing import CliRunner
 
 from ebonydeal._internal.cli import console, controller, gateway, journal
+from ebonydeal._internal.cli import program as program_module
 from ebonydeal._internal.console.program import SECTIONS as CONSOLE
 from ebonydeal._internal.controller.program import SECTIONS as CONTROLLER
 from ebonydeal._internal.gateway.wiring import SECTIONS as GATEWAY
@@ -25,7 +26,7 @@
             started.append(build)
             return 0
 
-        monkeypatch.setattr(program, "run_program", run)
+        monkeypatch.setattr(program_module, "run_program", run)
         file = tmp_path / "node.ini"
         file.write_text(example_text(ALL_SECTIONS))
         result = CliRunner().invoke(program.main, ["--settings", str(file)])
