Tell engines the priority of a request

Cause: docs/INTERFACES.md names a body field `priority`, which the gateway didn't set; a caller's own field of that name went through unchecked. Change: each try's body carries the class that the account and the deployment allow; it replaces a field of that name in the caller's body. Conclusion: engines can serve interactive requests first.

--- a/src/ebonydeal/_internal/gateway/intake.py
+++ b/src/ebonydeal/_internal/gateway/intake.py
@@ -32,6 +32,7 @@
     RequestKind.COMPLETION: "/v1/completions",
 }
 _ENGINE = "engine"
+_PRIORITY_FIELD = "priority"
 
 
 class Deadlines(NamedTuple):
@@ -163,4 +164,6 @@
 def new_job(call: GenerationCall, request: Request, deployment: Deployment) -> Job:
     """Return what the relay is asked for."""
     blocks = prefix_blocks(call.model, prompt_text(call.body))
-    return Job(request, deployment, call.model, call.body, blocks)
+    # The class that was allowed, whatever the caller's own body says.
+    body = {**call.body, _PRIORITY_FIELD: int(request.priority)}
+    return Job(request, deployment, call.model, body, blocks)
--- a/tests/functional/gateway/test_generation.py
+++ b/tests/functional/gateway/test_generation.py
@@ -101,6 +101,24 @@
             await api.chat.completions.create(**BODY, extra_body={"top_k": 7})
         assert bench.engine.ran[0].body["top_k"] == 7
 
+    @pytest.mark.parametrize(
+        "headers, body, priority",
+        [
+            ({}, {}, 1),
+            ({"X-Priority": "interactive"}, {}, 0),
+            ({"X-Priority": "batch"}, {}, 2),
+            ({}, {"priority": 0}, 1),
+        ],
+    )
+    async def test_priority_reaches_the_engine(self, headers, body, priority):
+        async with Bench() as bench, client(bench) as api:
+            bench.engine.faults["e1"] = (3, FAILED)
+            await api.chat.completions.create(
+                **BODY, extra_headers=headers, extra_body=body
+            )
+        assert [ran.endpoint for ran in bench.engine.ran] == ["e1", "e2"]
+        assert [ran.body["priority"] for ran in bench.engine.ran] == [priority] * 2
+
 
 class TestResume:
     @pytest.mark.parametrize(
