Plan all streams of one source together at a review

Cause: a stream whose review came was planned alone, as if no other stream and no export under way took its source's time. Change: the newest plan of each stream is kept until it begins. A review plans all streams of that source whose move has not begun, with the seconds that its exports under way still take; a replaced plan does nothing when it falls due. The effect on recomputed tokens was not measured. Conclusion: a source's time is shared out once, not once for each stream.

--- /dev/null
+++ b/src/ebonydeal/_internal/gateway/planned.py
@@ -0,0 +1,72 @@
+"""Streams with a planned move that has not begun, and the exports under way."""
+
+from typing import NamedTuple
+
+from ebonydeal._internal.gateway.moves import Affected, stream_key
+
+
+class Planned(NamedTuple):
+    """The newest plan of one stream.
+
+    Attributes
+    ----------
+    item : Affected
+        The stream.
+    number : int
+        A higher one replaces a lower one.
+    zones : frozenset of str
+        Availability zones being reclaimed.
+    """
+
+    item: Affected
+    number: int
+    zones: frozenset[str]
+
+
+class PlannedMoves:
+    """Keeps the newest plan of each stream, so that a source is planned as one."""
+
+    def __init__(self) -> None:
+        self._number = 0
+        self._planned: dict[str, Planned] = {}
+        self._exports: dict[str, tuple[str, float]] = {}
+
+    def add(self, item: Affected, zones: frozenset[str]) -> int:
+        """Keep a plan in place of the stream's former one; return its number."""
+        self._number += 1
+        self._planned[stream_key(item)] = Planned(item, self._number, zones)
+        return self._number
+
+    def begin(self, item: Affected, number: int) -> bool:
+        """Return whether a due move still holds; it is no longer planned then."""
+        key = stream_key(item)
+        planned = self._planned.get(key)
+        if planned is None or planned.number != number:
+            return False
+        del self._planned[key]
+        return item.is_current
+
+    def at_source(self, endpoint_id: str) -> list[Planned]:
+        """Return the streams of an endpoint whose planned move has not begun."""
+        return [
+            planned
+            for planned in self._planned.values()
+            if planned.item.attempt.route.endpoint.endpoint_id == endpoint_id
+            and planned.item.is_current
+        ]
+
+    def export_begins(self, item: Affected, until: float) -> None:
+        """Note an export, and when it is expected to be over."""
+        source = item.attempt.route.endpoint.endpoint_id
+        self._exports[stream_key(item)] = (source, until)
+
+    def export_ended(self, item: Affected) -> None:
+        """Forget an export."""
+        self._exports.pop(stream_key(item), None)
+
+    def busy(self, now: float) -> dict[str, float]:
+        """Return the seconds that exports under way still take at each endpoint."""
+        seconds: dict[str, float] = {}
+        for source, until in self._exports.values():
+            seconds[source] = seconds.get(source, 0.0) + max(0.0, until - now)
+        return seconds
--- a/src/ebonydeal/_internal/gateway/reclaim.py
+++ b/src/ebonydeal/_internal/gateway/reclaim.py
@@ -17,6 +17,7 @@
     stream_key,
     targets,
 )
+from ebonydeal._internal.gateway.planned import PlannedMoves
 from ebonydeal._internal.gateway.ports import DirectoryPort
 from ebonydeal._internal.gateway.streams import Relay
 from ebonydeal._internal.models.endpoints import EndpointView, LeavingMark
@@ -94,6 +95,7 @@
         super().__init__()
         self._parts = parts
         self._cfg = cfg
+        self._planned = PlannedMoves()
         self._marks: asyncio.Queue[LeavingMark] = asyncio.Queue()
         parts.directory.on_mark(self._marks.put_nowait)
 
@@ -138,8 +140,16 @@
         """Decide for streams of one deployment and start what was decided."""
         by_key = {stream_key(item): item for item in group}
         for move in self._moves(group, wave):
-            work = self._carry_out(by_key[move.request_id], move, wave)
-            self._parts.background(work)
+            item = by_key[move.request_id]
+            number = self._planned.add(item, wave.zones)
+            self._parts.background(self._carry_out(item, move, wave, number))
+
+    def _review(self, item: Affected, wave: _Wave) -> None:
+        """Plan again for a stream and all that share its source's time."""
+        others = self._planned.at_source(item.attempt.route.endpoint.endpoint_id)
+        zones = wave.zones.union(*(planned.zones for planned in others))
+        group = [item, *(planned.item for planned in others)]
+        self._plan(group, wave._replace(zones=zones))
 
     def _moves(self, group: list[Affected], wave: _Wave) -> list[Move]:
         """Return the plan; if it can't be made, the one that always can."""
@@ -156,27 +166,28 @@
                 ),
                 clock.wall(),
                 leaving_zones=wave.zones,
+                source_busy=self._planned.busy(clock.wall()),
             )
         except Exception as exc:
             logger.error("A plan failed.", exc_info=exc)
             return [Recompute(stream_key(item), None, clock.wall()) for item in group]
 
     # --- acting ---
-    async def _carry_out(self, item: Affected, move: Move, wave: _Wave) -> None:
-        """Do what was decided for one stream, when it is due."""
+    async def _carry_out(
+        self, item: Affected, move: Move, wave: _Wave, number: int
+    ) -> None:
+        """Do what was decided for one stream when it is due, if it still holds."""
+        at = move.review_at if isinstance(move, Finish) else move.start_at
+        await self._wait_until(at)
+        if not self._planned.begin(item, number):
+            return
         match move:
-            case Finish(review_at=at):
-                await self._wait_until(at)
-                if item.is_current:
-                    self._plan([item], wave)
-            case Recompute(target=target, start_at=at):
-                await self._wait_until(at)
-                if item.is_current:
-                    item.attempt.mailbox.post(attempts.Move(target, ""))
-            case ExportTo(start_at=at):
-                await self._wait_until(at)
-                if item.is_current:
-                    await self._export(item, move, wave)
+            case Finish():
+                self._review(item, wave)
+            case Recompute(target=target):
+                item.attempt.mailbox.post(attempts.Move(target, ""))
+            case ExportTo():
+                await self._export(item, move, wave)
 
     async def _wait_until(self, at: float) -> None:
         """Wait for a wall clock time."""
@@ -187,10 +198,13 @@
     async def _export(self, item: Affected, move: ExportTo, wave: _Wave) -> None:
         """Move a stream's KV cache; where that fails, let it recompute."""
         item.live.moving = True
+        until = self._parts.clock.wall() + move.seconds
+        self._planned.export_begins(item, until)
         last = attempts.Move(None, "")
         try:
             last = await self._transfer(item, move, wave)
         finally:
+            self._planned.export_ended(item)
             item.attempt.mailbox.post(last)
 
     async def _transfer(
--- a/tests/functional/gateway/test_reclaim.py
+++ b/tests/functional/gateway/test_reclaim.py
@@ -1,7 +1,10 @@
 import asyncio
 import time
+from collections import Counter
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.gateway import reclaim
+from ebonydeal._internal.routing.reclaim import ExportTo, Finish, Recompute
 from tests.functional.gateway.test_generation import BODY, client, until
 from tests.lib.gateway_fakes import Bench, FakeEngine
 
@@ -86,3 +89,56 @@
             gate.open()
             await call
         assert len(engine.ran) == 1
+
+
+class TestReview:
+    async def test_streams_of_a_source_are_planned_together(self, monkeypatch):
+        engine = FakeEngine()
+        passed: Counter[asyncio.Task | None] = Counter()
+        opened, exporting = asyncio.Event(), asyncio.Event()
+        plans: list[tuple[set[str], dict[str, float]]] = []
+
+        async def three_each():
+            task = asyncio.current_task()
+            passed[task] += 1
+            if passed[task] > 3:
+                await opened.wait()
+
+        async def export_kv(endpoint, attempt_id):
+            await exporting.wait()
+            return "kv"
+
+        def plan(streams, notice, rate, targets, now, *, source_busy, **_more):
+            keys = [stream.request_id for stream in streams]
+            plans.append((set(keys), source_busy))
+            target = next(it.view for it in targets if it.view.endpoint_id == "e2")
+            if len(plans) == 1:
+                # The second one is due long after the first one's review.
+                return [Finish(keys[0], now), Recompute(keys[1], target, now + 60.0)]
+            if len(plans) == 2:
+                first = ExportTo(keys[0], target, now, 30.0)
+                return [first, Finish(keys[1], now + 0.02)]
+            return [Recompute(key, target, now) for key in keys]
+
+        engine.pace = three_each
+        engine.export_kv = export_kv
+        monkeypatch.setattr(reclaim, "plan_moves", plan)
+        async with Bench(engine) as bench, client(bench) as api:
+            create = api.chat.completions.create
+            calls = [asyncio.ensure_future(create(**BODY)) for _ in range(2)]
+            live = bench.program.relay.live
+            await until(lambda: [len(it.delivered) for it in live] == [3, 3])
+            bench.directory.mark("e1", time.time() + 100.0)
+            await until(lambda: len(engine.ran) == 3)
+            exporting.set()
+            await until(lambda: len(engine.ran) == 4)
+            opened.set()
+            answers = [await call for call in calls]
+        both = {ran.attempt_id for ran in engine.ran[:2]}
+        assert [len(keys) for keys, _busy in plans] == [2, 2, 1]
+        assert plans[0][0] == plans[1][0] == both
+        assert plans[0][1] == plans[1][1] == {}
+        assert 0.0 < plans[2][1]["e1"] <= 30.0
+        text = "".join(engine.text)
+        assert [it.choices[0].message.content for it in answers] == [text] * 2
+        assert sorted(ran.resume.kv_handle for ran in engine.ran[2:]) == ["", "kv"]
