--- a/src/ebonydeal/_internal/commands/client.py
+++ b/src/ebonydeal/_internal/commands/client.py
@@ -129,7 +129,7 @@
             "--console",
             "url",
             envvar="EBONYDEAL_CONSOLE",
-            default="http://127.0.0.1:9300",
+            default="http://127.0.0.1:9400",
             show_default=True,
             help="Console's URL; also EBONYDEAL_CONSOLE.",
         ),
--- a/src/ebonydeal/_internal/settings/console.py
+++ b/src/ebonydeal/_internal/settings/console.py
@@ -10,7 +10,7 @@
 
     port: Annotated[
         int, Key("Port of the operators' listener; 0 picks one.", "", 0, 65535)
-    ] = 9300
+    ] = 9400
     operators: Annotated[
         str,
         Key(
