Let gateway and controller follow `[config]`; drop dead code

Cause: a last read of the whole. Three pieces had no caller in the product (one cache event in Router, an exception in the relay, a wait in the directory), and one least-squares line was written out beside the library's. Change: both use ConfigFollower.from_config; the pieces are removed, the directory keeps a plain flag; spend's slope uses statistics. Conclusion: with default settings nothing changes.

--- a/src/ebonydeal/_internal/benchmarks/spend/slopes.py
+++ b/src/ebonydeal/_internal/benchmarks/spend/slopes.py
@@ -1,6 +1,7 @@
 """Processor time and table operations of a controller against its replicas."""
 
 import time
+from statistics import linear_regression
 from typing import NamedTuple
 
 from ebonydeal._internal.benchmarks.spend.fleet_run import FleetRun
@@ -53,9 +54,7 @@
     """Return the least squares slope of ``field`` against replicas."""
     xs = [float(point.replicas) for point in points]
     ys = [float(getattr(point, field)) for point in points]
-    mean_x, mean_y = sum(xs) / len(xs), sum(ys) / len(ys)
-    above = sum((x - mean_x) * (y - mean_y) for x, y in zip(xs, ys, strict=True))
-    return above / sum((x - mean_x) ** 2 for x in xs)
+    return linear_regression(xs, ys).slope
 
 
 def slopes_table(points: list[Point]) -> str:
--- a/src/ebonydeal/_internal/controller/program.py
+++ b/src/ebonydeal/_internal/controller/program.py
@@ -20,6 +20,7 @@
 from ebonydeal._internal.platform.instances import HttpInstanceList
 from ebonydeal._internal.platform.tables import HttpTables
 from ebonydeal._internal.platform.weights import HttpWeightStore
+from ebonydeal._internal.settings.config import ConfigSettings
 from ebonydeal._internal.settings.controller import ControllerSettings
 from ebonydeal._internal.settings.directory import DirectorySettings
 from ebonydeal._internal.settings.sections import (
@@ -39,6 +40,7 @@
     "logs": LogSettings,
     "tls": TlsSettings,
     "directory": DirectorySettings,
+    "config": ConfigSettings,
     "controller": ControllerSettings,
 }
 
@@ -120,8 +122,13 @@
             ssl_server=tls.server,
             ssl_client=tls.client,
         )
-        follower = ConfigFollower(
-            platform.tables, metrics, clock, rng, lambda: len(peers.members()) + 1
+        follower = ConfigFollower.from_config(
+            settings["config"],
+            platform.tables,
+            metrics,
+            clock,
+            rng,
+            lambda: 1 + len(peers.members()),
         )
         join_peers(peers, follower, metrics)
         peers.add_routes(controller_routes(platform.tables))
--- a/src/ebonydeal/_internal/directory/service.py
+++ b/src/ebonydeal/_internal/directory/service.py
@@ -5,7 +5,6 @@
 incarnation whatever the list says later.
 """
 
-import asyncio
 import random
 from collections.abc import Awaitable, Callable
 
@@ -97,7 +96,7 @@
         self._mark_callbacks: list[MarkCallback] = []
         self._change_callbacks: list[ChangeCallback] = []
         self._event_callbacks: list[EventsCallback] = []
-        self._listed = asyncio.Event()
+        self._listed = False
 
     @classmethod
     def from_config(
@@ -118,11 +117,7 @@
     @property
     def ready(self) -> bool:
         """Whether an instance list has been read."""
-        return self._listed.is_set()
-
-    async def wait_until_listed(self) -> None:
-        """Wait for the first instance list."""
-        await self._listed.wait()
+        return self._listed
 
     def views(self, deployment: str) -> tuple[EndpointView, ...]:
         """Return a deployment's endpoints, without leaving and suspected ones.
@@ -292,7 +287,7 @@
         for mark in self._notices.resolve(self._table, now):
             self.mark(mark)
         self.marks.forget(now)
-        self._listed.set()
+        self._listed = True
         if change:
             call_all(self._change_callbacks, change)
 
--- a/src/ebonydeal/_internal/gateway/streams.py
+++ b/src/ebonydeal/_internal/gateway/streams.py
@@ -55,14 +55,6 @@
     rng: Random
 
 
-class _Over(Exception):
-    """A try is over; carries the message that ended it."""
-
-    def __init__(self, message: Broke | Move) -> None:
-        super().__init__()
-        self.message = message
-
-
 class Relay:
     """Generates answers, going on elsewhere when a try ends early.
 
--- a/src/ebonydeal/_internal/gateway/wiring.py
+++ b/src/ebonydeal/_internal/gateway/wiring.py
@@ -32,6 +32,7 @@
 from ebonydeal._internal.routing.retries import RetryPolicy
 from ebonydeal._internal.routing.router import Router
 from ebonydeal._internal.routing.subset import Member
+from ebonydeal._internal.settings.config import ConfigSettings
 from ebonydeal._internal.settings.directory import DirectorySettings
 from ebonydeal._internal.settings.gateway import GatewaySettings
 from ebonydeal._internal.settings.journal import JournalSettings
@@ -59,6 +60,7 @@
     "tls": TlsSettings,
     "gateway": GatewaySettings,
     "directory": DirectorySettings,
+    "config": ConfigSettings,
     "routing": RoutingSettings,
     "admission": AdmissionSettings,
     "retries": RetrySettings,
@@ -155,8 +157,13 @@
         ssl_server=tls.server,
         ssl_client=tls.client,
     )
-    follower = ConfigFollower(
-        clients.tables, metrics, clock, rng, lambda: len(peers.members()) + 1
+    follower = ConfigFollower.from_config(
+        settings["config"],
+        clients.tables,
+        metrics,
+        clock,
+        rng,
+        lambda: 1 + len(peers.members()),
     )
     journal = JournalClient.from_config(
         settings["journal"],
--- a/src/ebonydeal/_internal/routing/router.py
+++ b/src/ebonydeal/_internal/routing/router.py
@@ -165,12 +165,6 @@
         """
         return sum(int(self._limit(view.endpoint_id).limit) for view in views)
 
-    def cache_event(
-        self, endpoint_id: str, seq: int, stored: bool, block: str, now: float
-    ) -> None:
-        """Take an engine's cache event."""
-        self._cache(endpoint_id).events(((seq, stored, block),), now)
-
     def cache_events(
         self, endpoint_id: str, events: Iterable[tuple[int, bool, str]], now: float
     ) -> None:
--- a/tests/unit/routing/test_router.py
+++ b/tests/unit/routing/test_router.py
@@ -107,10 +107,10 @@
         router = make_router()
         view = make_view("a")
         for seq, block in enumerate(BLOCKS, 1):
-            router.cache_event("a", seq, True, block, NOW)
+            router.cache_events("a", [(seq, True, block)], NOW)
         before = router.choose(make_ask(blocks=BLOCKS), (view,), NOW)
         assert before.terms.cached_tokens == 640.0
-        router.cache_event("a", 41, False, BLOCKS[10], NOW)
+        router.cache_events("a", [(41, False, BLOCKS[10])], NOW)
         after = router.choose(make_ask(blocks=BLOCKS), (view,), NOW)
         assert after.terms.cached_tokens == 160.0
 
--- a/tests/unit/settings/test_programs.py
+++ b/tests/unit/settings/test_programs.py
@@ -7,6 +7,7 @@
 from ebonydeal._internal.controller.program import SECTIONS as CONTROLLER
 from ebonydeal._internal.gateway.wiring import SECTIONS as GATEWAY
 from ebonydeal._internal.journal.program import SECTIONS as JOURNAL
+from ebonydeal._internal.settings.config import ConfigSettings
 from ebonydeal._internal.settings.registry import ALL_SECTIONS
 from ebonydeal._internal.settings.text import example_text
 
@@ -18,6 +19,10 @@
     def test_every_section_of_a_program_is_in_the_example(self, sections):
         assert sections.items() <= ALL_SECTIONS.items()
 
+    @pytest.mark.parametrize("sections", [CONSOLE, CONTROLLER, GATEWAY, JOURNAL])
+    def test_every_program_follows_the_configuration_by_its_settings(self, sections):
+        assert sections["config"] is ConfigSettings
+
     @pytest.mark.parametrize("program", PROGRAMS)
     def test_the_example_is_accepted(self, program, tmp_path, monkeypatch):
         started = []
