--- /dev/null
+++ b/tests/functional/relay/test_plain.py
@@ -0,0 +1,244 @@
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from tests.lib.relay_fakes import (
+    KEY,
+    NOT_RUN,
+    Client,
+    RawEndpoint,
+    answer,
+    ask,
+    document,
+    route,
+    running,
+    until,
+)
+
+UNSIGNED = (
+    b"HTTP/1.1 200 OK\r\nEbonydeal-Request-Id: {id}\r\nContent-Length: 2\r\n\r\nok"
+)
+OTHERS = answer().replace(b"{id}", b"r-other")
+SHORT = answer().replace(b"hello", b"hel")
+ENCODED = answer(extra=b"Content-Encoding: gzip\r\n")
+GARBAGE = b"\x00\x01 not http\r\n\r\n"
+
+
+async def reset(_reader, writer, _headers):
+    writer.transport.abort()
+
+
+async def cut(_reader, writer, headers):
+    writer.write(SHORT.replace(b"{id}", headers["ebonydeal-request-id"].encode()))
+    await writer.drain()
+    writer.close()
+
+
+async def mute(reader, _writer, _headers):
+    await reader.read()
+
+
+BAD = [UNSIGNED, OTHERS, ENCODED, GARBAGE, reset, cut]
+
+
+class TestAnswer:
+    async def test_is_the_endpoints_own(self):
+        one = RawEndpoint("i1", [answer(body=b"42", extra=b"X-Own: 1\r\n")])
+        async with running(one) as (program, _store):
+            status, headers, body = await ask(
+                program, "/once/a?b=1", method="POST", body=b"data"
+            )
+        assert (status, body) == (200, b"42")
+        assert headers["x-own"] == "1"
+        assert headers["ebonydeal-server-signature"] == "sig"
+        assert one.seen[0].startswith("POST /once/a?b=1 HTTP/1.1")
+        assert one.bodies == [b"data"]
+        assert KEY not in one.seen[0]
+        assert "Ebonydeal-Tenant: acme" in one.seen[0]
+        assert "Ebonydeal-Expect-Replica: i1" in one.seen[0]
+
+    async def test_a_failure_of_a_call_that_runs_once_is_passed_on(self):
+        one = RawEndpoint("i1", [answer(status=b"500 Broken", body=b"no")])
+        async with running(one) as (program, _store):
+            status, headers, body = await ask(program, "/once/", method="POST")
+        assert (status, body) == (500, b"no")
+        assert "ebonydeal-server-signature" in headers
+
+    async def test_chunked_body_reaches_the_endpoint(self):
+        one = RawEndpoint("i1")
+        async with running(one) as (program, _store), Client(program) as client:
+            await client.send(
+                "/safe/",
+                headers=[("Transfer-Encoding", "chunked")],
+            )
+            client.writer.write(b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+            status, _headers, _body = await client.receive()
+        assert status == 200
+        assert one.bodies == [b"abcde"]
+
+
+class TestOnce:
+    @pytest.mark.parametrize("bad", BAD)
+    async def test_never_a_second_send_and_no_promise(self, bad):
+        one, two = RawEndpoint("i1", [bad]), RawEndpoint("i2", [bad])
+        async with running(one, two) as (program, _store):
+            status, headers, _body = await ask(program, "/once/", method="POST")
+        assert status in (502, 504)
+        assert len(one.seen) + len(two.seen) == 1
+        assert "retry-after" not in headers
+        assert "ebonydeal-server-signature" not in headers
+
+    async def test_proof_that_it_did_not_run_allows_another(self):
+        one, two = RawEndpoint("i1", [NOT_RUN]), RawEndpoint("i2", [NOT_RUN])
+        async with running(one, two) as (program, _store):
+            status, _headers, body = await ask(program, "/once/", method="POST")
+            assert status in (200, 503)
+            assert len(one.seen) + len(two.seen) == 2
+
+    async def test_refused_connection_is_tried_elsewhere(self):
+        one, two = RawEndpoint("i1"), RawEndpoint("i2")
+        async with running(one, two) as (program, _store):
+            await one.stop()
+            for n in range(4):
+                status, _headers, _body = await ask(
+                    program, "/once/", rid=f"r{n}", method="POST"
+                )
+                assert status == 200
+        assert two.ids() == ["r0", "r1", "r2", "r3"]
+
+    async def test_no_answer_until_the_routes_timeout(self):
+        one = RawEndpoint("i1", [mute])
+        async with running(one) as (program, _store):
+            status, headers, _body = await ask(program, "/quick/", method="POST")
+            await asyncio.wait_for(one.closed.wait(), 2)
+        assert status == 504
+        assert "retry-after" not in headers
+
+
+class TestIdempotent:
+    @pytest.mark.parametrize("bad", [*BAD, answer(status=b"500 Broken")])
+    async def test_is_sent_again_elsewhere(self, bad):
+        one, two = RawEndpoint("i1", [bad]), RawEndpoint("i2", [bad])
+        async with running(one, two) as (program, _store):
+            # The second endpoint's first answer is bad too, its own next good.
+            one.script, two.script = [bad], []
+            first = await ask(program, "/safe/")
+            two.script, one.script = [bad], []
+            second = await ask(program, "/safe/", rid="r2")
+        assert first[0] == second[0] == 200
+
+    async def test_a_failure_everywhere_is_the_endpoints_own(self):
+        broken = answer(status=b"500 Broken", body=b"no")
+        one, two = RawEndpoint("i1", [broken]), RawEndpoint("i2", [broken])
+        async with running(one, two) as (program, _store):
+            status, headers, body = await ask(program, "/safe/")
+        assert (status, body) == (500, b"no")
+        assert headers["ebonydeal-server-signature"] == "sig"
+
+    async def test_not_on_more_endpoints_than_the_route_allows(self):
+        ends = [RawEndpoint(f"i{n}", [reset, reset]) for n in range(4)]
+        async with running(*ends) as (program, _store):
+            status, _headers, _body = await ask(program, "/safe/")
+        assert status == 502
+        assert sum(len(end.seen) for end in ends) == 2
+
+
+class TestConnections:
+    async def test_is_kept_for_the_next_request(self):
+        one = RawEndpoint("i1")
+        async with running(one) as (program, _store):
+            for n in range(3):
+                await ask(program, "/safe/", rid=f"r{n}")
+        assert one.connections == 1
+
+    async def test_a_second_answer_belongs_to_nobody(self):
+        async def twice(_reader, writer, headers):
+            text = answer(headers)
+            writer.write(text + text.replace(b"hello", b"wrong"))
+            await writer.drain()
+
+        one = RawEndpoint("i1", [twice])
+        async with running(one) as (program, _store):
+            assert (await ask(program, "/safe/"))[2] == b"hello"
+            await asyncio.sleep(0.05)
+            assert (await ask(program, "/once/", rid="r2", method="POST"))[2] == (
+                b"hello"
+            )
+        assert one.connections == 2
+
+    async def test_body_without_length_that_ends_by_reset_is_no_answer(self):
+        unframed = answer().split(b"Content-Length")[0] + b"\r\nhel"
+
+        async def half(_reader, writer, headers):
+            rid = headers["ebonydeal-request-id"].encode()
+            writer.write(unframed.replace(b"{id}", rid))
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            writer.transport.abort()
+
+        one = RawEndpoint("i1", [half])
+        async with running(one) as (program, _store):
+            status, _headers, _body = await ask(program, "/once/", method="POST")
+        assert status == 502
+
+    async def test_endpoint_is_let_go_when_the_client_leaves(self):
+        one = RawEndpoint("i1", [mute])
+        async with running(one) as (program, _store):
+            async with Client(program) as client:
+                await client.send("/once/", method="POST")
+                await until(lambda: one.seen)
+            await asyncio.wait_for(one.closed.wait(), 2)
+
+
+class TestRefusals:
+    async def test_unknown_route_key_and_malformed_request(self):
+        one = RawEndpoint("i1")
+        async with running(one) as (program, _store):
+            assert (await ask(program, "/none/"))[0] == 404
+            assert (await ask(program, "/safe/", key="bad"))[0] == 401
+            assert (await ask(program, "/safe/", key=""))[0] == 401
+            bad = [("Ebonydeal-Token-Usage", "x")]
+            status, headers, _body = await ask(program, "/safe/", headers=bad)
+            assert (status, headers["connection"]) == (400, "close")
+        assert one.seen == []
+
+    async def test_anonymous_route_needs_no_key(self):
+        one = RawEndpoint("i1")
+        doc = document(routes=[route("/open/", "idempotent", allow_anonymous=True)])
+        async with running(one, doc=doc) as (program, _store):
+            assert (await ask(program, "/open/", key=""))[0] == 200
+
+    async def test_length_and_chunks_at_once_hide_no_second_request(self):
+        one = RawEndpoint("i1")
+        hidden = b"0\r\n\r\nGET /safe/ HTTP/1.1\r\nHost: a.example\r\n\r\n"
+        async with running(one) as (program, _store), Client(program) as client:
+            await client.send(
+                "/safe/",
+                method="POST",
+                body=hidden,
+                headers=[("Transfer-Encoding", "chunked")],
+            )
+            status, _headers, _body = await client.receive()
+        assert status == 400
+        assert one.seen == []
+
+    async def test_too_large_a_body(self):
+        one = RawEndpoint("i1")
+        async with running(one) as (program, _store):
+            status, _headers, _body = await ask(
+                program, "/once/", method="POST", body=b"x" * 200_000
+            )
+        assert status == 413
+        assert one.seen == []
+
+    async def test_no_endpoint_tells_when_to_come_back(self):
+        async with running() as (program, _store):
+            status, headers, _body = await ask(program, "/once/", method="POST")
+        assert status == 503
+        assert 0.0 < float(headers["retry-after"]) <= 1.0
--- a/tests/functional/standin/test_world.py
+++ b/tests/functional/standin/test_world.py
@@ -4,10 +4,10 @@
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.places import Place
-from ebonydeal._internal.platform.cloud import HttpCloud
-from ebonydeal._internal.platform.instances import HttpInstanceList
-from ebonydeal._internal.platform.interfaces import Offer
-from ebonydeal._internal.platform.weights import HttpWeightStore
+from ebonydeal._internal.outside.cloud import HttpCloud
+from ebonydeal._internal.outside.instances import HttpInstanceList
+from ebonydeal._internal.outside.interfaces import Offer
+from ebonydeal._internal.outside.weights import HttpWeightStore
 from ebonydeal._internal.standin.world import StandinWorld
 from ebonydeal._internal.standin.worldspec import (
     FleetSpec,
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -8,7 +8,7 @@
 
 from ebonydeal._internal.config.examples import DEMO_KEYS, example_document
 from ebonydeal._internal.config.store import ConfigStore
-from ebonydeal._internal.platform.tables import HttpTables
+from ebonydeal._internal.outside.tables import HttpTables
 from ebonydeal._internal.standin.world import StandinWorld
 from ebonydeal._internal.standin.worldspec import WorldSpec
 from ebonydeal._internal.utils.clock import SystemClock
--- a/tests/lib/config_fakes.py
+++ b/tests/lib/config_fakes.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
-from ebonydeal._internal.platform.interfaces import (
+from ebonydeal._internal.outside.interfaces import (
     Delete,
     FieldEquals,
     Put,
--- a/tests/lib/controller_fakes.py
+++ b/tests/lib/controller_fakes.py
@@ -22,7 +22,7 @@
 from ebonydeal._internal.models.places import Place
 from ebonydeal._internal.models.requests import Priority
 from ebonydeal._internal.observe.counters import Metrics
-from ebonydeal._internal.platform.interfaces import (
+from ebonydeal._internal.outside.interfaces import (
     Condition,
     Delete,
     FieldEquals,
--- a/tests/lib/gateway_fakes.py
+++ b/tests/lib/gateway_fakes.py
@@ -27,13 +27,13 @@
 from ebonydeal._internal.models.requests import Priority, Request
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.observe.trail import Trails
-from ebonydeal._internal.peers.journal_client import JournalStatus
-from ebonydeal._internal.platform.interfaces import (
+from ebonydeal._internal.outside.interfaces import (
     CancelWord,
     Chunk,
     Resume,
     ServiceAnswer,
 )
+from ebonydeal._internal.peers.journal_client import JournalStatus
 from ebonydeal._internal.settings.gateway import GatewaySettings
 from ebonydeal._internal.settings.sections import NodeSettings
 from ebonydeal._internal.utils.clock import Clock, SystemClock
--- a/tests/lib/journal_fakes.py
+++ b/tests/lib/journal_fakes.py
@@ -19,7 +19,7 @@
 from ebonydeal._internal.models.places import Place
 from ebonydeal._internal.models.requests import Priority, Request, RequestKind
 from ebonydeal._internal.observe.counters import Metrics
-from ebonydeal._internal.platform.interfaces import (
+from ebonydeal._internal.outside.interfaces import (
     CancelWord,
     Chunk,
     Resume,
--- a/tests/lib/matrix_endpoints.py
+++ b/tests/lib/matrix_endpoints.py
@@ -11,7 +11,7 @@
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.endpoints import EndpointView, LeavingMark
-from ebonydeal._internal.platform.interfaces import (
+from ebonydeal._internal.outside.interfaces import (
     CancelWord,
     Chunk,
     Resume,
--- a/tests/lib/matrix_orders.py
+++ b/tests/lib/matrix_orders.py
@@ -9,7 +9,7 @@
 
 from ebonydeal._internal.benchmarks.spend.world import AFTER, BEFORE, WorldTimes
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
-from ebonydeal._internal.platform.interfaces import EngineOrder
+from ebonydeal._internal.outside.interfaces import EngineOrder
 from tests.lib.clock import settle
 from tests.lib.controller_fakes import Site, make_deployment, make_document
 from tests.lib.matrix import Row, Strike, When, spawn
--- a/tests/lib/matrix_steps.py
+++ b/tests/lib/matrix_steps.py
@@ -1,6 +1,6 @@
 """Which column of the matrix an operation on a store belongs to."""
 
-from ebonydeal._internal.platform.interfaces import Delete, Put
+from ebonydeal._internal.outside.interfaces import Delete, Put
 from ebonydeal._internal.standin.faults import Operation
 from tests.lib.matrix import ACTOR, ASKING, Column
 
--- /dev/null
+++ b/tests/lib/relay_fakes.py
@@ -0,0 +1,361 @@
+"""A relay with stand-ins of the store, the duties and raw endpoints."""
+
+import asyncio
+import json
+import random
+from contextlib import asynccontextmanager
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.models.duties import DutyAnswer, EndpointReport
+from ebonydeal._internal.models.shared import Changes, SharedRow, TransactResult
+from ebonydeal._internal.observe.counters import Metrics
+from ebonydeal._internal.platform.wire import PlatformWire
+from ebonydeal._internal.relay.ports import RelayPorts
+from ebonydeal._internal.relay.program import RelayProgram
+from ebonydeal._internal.settings.registry import ALL_SECTIONS
+from ebonydeal._internal.utils.clock import SystemClock
+
+KEY = "key-1"
+HOST = "a.example"
+
+
+class MemoryStore:
+    """The platform's store in memory, with long polls and faults."""
+
+    def __init__(self):
+        self.tables = {}
+        self.log = []
+        self.version = 0
+        self.down = False
+        self.lose_answers = 0
+        self.forgotten = 0
+        self._changed = asyncio.Condition()
+
+    def _check(self):
+        if self.down:
+            raise EbonydealError(ErrorKind.STORE_UNAVAILABLE, "down")
+
+    async def put(self, table, key, value):
+        """Write as the operator or an endpoint does."""
+        self.version += 1
+        row = SharedRow(key, value, self.version)
+        if value is None:
+            self.tables.get(table, {}).pop(key, None)
+        else:
+            self.tables.setdefault(table, {})[key] = row
+        self.log.append((table, row))
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def rows(self, table, start=""):
+        self._check()
+        rows = [r for k, r in self.tables.get(table, {}).items() if k >= start]
+        return sorted(rows), self.version
+
+    async def changes(self, table, after, wait):
+        self._check()
+        try:
+            async with asyncio.timeout(wait):
+                while not (found := self._since(table, after)):
+                    async with self._changed:
+                        await self._changed.wait()
+                    self._check()
+        except TimeoutError:
+            return Changes((), self.version)
+        if after < self.forgotten:
+            return None
+        return Changes(tuple(found), found[-1].version)
+
+    def _since(self, table, after):
+        return [r for t, r in self.log if t == table and r.version > after]
+
+    async def transact(self, changes):
+        self._check()
+        for c in changes:
+            row = self.tables.get(c.table, {}).get(c.key)
+            if c.expected >= 0 and (row.version if row else 0) != c.expected:
+                return TransactResult(False, 0, (row,) if row else ())
+        for c in changes:
+            await self.put(c.table, c.key, c.value)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise EbonydealError(ErrorKind.STORE_IN_DOUBT, "no answer")
+        return TransactResult(True, self.version, ())
+
+    async def go_down(self):
+        self.down = True
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def close(self):
+        pass
+
+
+class MemoryDuties:
+    """Remembers the calls of the duties."""
+
+    def __init__(self):
+        self.usage = []
+        self.orders = []
+        self.dry = False
+
+    async def report_usage(self, window, counts, fence):
+        self.usage.append((window, counts, fence))
+        return DutyAnswer(True, False, "")
+
+    async def order(self, service, zone, count, reclaimable, fence):
+        if self.dry and reclaimable:
+            return DutyAnswer(False, True, "none")
+        self.orders.append((service, zone, count, reclaimable, fence))
+        return DutyAnswer(True, False, "")
+
+    async def endpoint_report(self, address):
+        return EndpointReport(0, 0, 0, 1, None, ())
+
+    async def close(self):
+        pass
+
+
+class RawEndpoint:
+    """An endpoint whose answers are given byte by byte.
+
+    ``script`` holds one item a request: bytes to send, or a coroutine function
+    that gets the reader, the writer and the request's header block.
+    """
+
+    def __init__(self, name, script=()):
+        self.name = name
+        self.script = list(script)
+        self.seen = []
+        self.bodies = []
+        self.closed = asyncio.Event()
+        self.connections = 0
+        self._server = None
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        return self
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                headers = parse_head(head)
+                length = int(headers.get("content-length", 0))
+                self.bodies.append(await reader.readexactly(length))
+                self.seen.append(head)
+                step = self.script.pop(0) if self.script else answer(headers)
+                if callable(step):
+                    await step(reader, writer, headers)
+                else:
+                    writer.write(step.replace(b"{id}", request_id(headers)))
+                    await writer.drain()
+                if writer.is_closing():
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.closed.set()
+            writer.close()
+
+    def ids(self):
+        return [request_id(parse_head(head)).decode() for head in self.seen]
+
+    def row(self, service="s", zone="z", state="ready", **extra):
+        message = {
+            "service": service,
+            "address": self.address,
+            "zone": zone,
+            "max_slots": 8,
+            "state": state,
+            **extra,
+        }
+        return json.dumps(message).encode()
+
+    async def stop(self):
+        self._server.close()
+
+
+def parse_head(head):
+    lines = head.split("\r\n")[1:]
+    pairs = (line.split(": ", 1) for line in lines if ": " in line)
+    return {name.lower(): value for name, value in pairs}
+
+
+def request_id(headers):
+    return headers.get("ebonydeal-request-id", "").encode()
+
+
+def answer(headers=None, body=b"hello", status=b"200 OK", extra=b""):
+    """Return a sound answer; ``{id}`` stands for the request's id."""
+    rid = b"{id}" if headers is None else request_id(headers)
+    return (
+        b"HTTP/1.1 %b\r\nEbonydeal-Request-Id: %b\r\n"
+        b"Ebonydeal-Server-Signature: sig\r\n%bContent-Length: %d\r\n\r\n%b"
+        % (status, rid, extra, len(body), body)
+    )
+
+
+def events(first, last):
+    return b"".join(b"id: %d\ndata: x%d\n\n" % (n, n) for n in range(first, last + 1))
+
+
+def stream_head(extra=b""):
+    return (
+        b"HTTP/1.1 200 OK\r\nEbonydeal-Request-Id: {id}\r\n"
+        b"Ebonydeal-Server-Signature: sig\r\nContent-Type: text/event-stream\r\n"
+        b"%bTransfer-Encoding: chunked\r\n\r\n" % extra
+    )
+
+
+def chunk(data):
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+NOT_RUN = b"HTTP/1.1 503 Busy\r\nEbonydeal-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+def route(prefix, kind, **extra):
+    base = {
+        "name": prefix,
+        "host": HOST,
+        "prefix": prefix,
+        "route_type": kind,
+        "timeout_ms": 3000,
+        "target_latency_ms": 1000,
+        "priority": 0,
+        "service": "s",
+        "max_attempts": 2,
+    }
+    return {**base, **extra}
+
+
+def document(version=1, routes=None, **extra):
+    if routes is None:
+        routes = [
+            route("/safe/", "idempotent"),
+            route("/once/", "non_idempotent"),
+            route("/live/", "streaming", gap_aim_ms=400),
+            route("/again/", "streaming", can_resume=True, gap_aim_ms=400),
+            route("/quick/", "non_idempotent", timeout_ms=150),
+        ]
+    base = {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": "s", "health_path": "/h"}],
+        "limits": {"max_body_bytes": 100_000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "acme", "api_keys": [KEY]}],
+    }
+    return json.dumps({**base, **extra}).encode()
+
+
+def settings(node="n1", **relay):
+    sections = {name: cls() for name, cls in ALL_SECTIONS.items()}
+    sections["node"] = sections["node"]._replace(id=node, zone="z")
+    free = {
+        "address": "127.0.0.1:0",
+        "ready_address": "127.0.0.1:0",
+        "peer_address": "127.0.0.1:0",
+        "settle_s": 0.0,
+        **relay,
+    }
+    sections["relay"] = sections["relay"]._replace(**free)
+    return sections
+
+
+def relay(store, duties=None, node="n1", seed=1, **cfg):
+    ports = RelayPorts(PlatformWire(), store, duties or MemoryDuties())
+    return RelayProgram(
+        settings(node, **cfg), ports, Metrics(), SystemClock(), random.Random(seed)
+    )
+
+
+@asynccontextmanager
+async def running(*endpoints, doc=None, store=None, **cfg):
+    """Run a relay before endpoints; yields (relay, store)."""
+    store = store or MemoryStore()
+    for endpoint in endpoints:
+        await endpoint.start()
+        await store.put("servers", endpoint.name, endpoint.row())
+    await store.put("op", "config", doc or document())
+    program = relay(store, **cfg)
+    await program.start()
+    await until(lambda: program.ready)
+    try:
+        yield program, store
+    finally:
+        await program.stop()
+        for endpoint in endpoints:
+            await endpoint.stop()
+
+
+async def until(check, seconds=5.0):
+    """Wait until ``check`` holds; fail if it never does."""
+    for _ in range(int(seconds / 0.01)):
+        if check():
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError("it never came true")
+
+
+class Client:
+    """One client connection that shows every byte."""
+
+    def __init__(self, program):
+        self._port = program.clients.port
+        self.reader = self.writer = None
+
+    async def __aenter__(self):
+        self.reader, self.writer = await asyncio.open_connection(
+            "127.0.0.1", self._port
+        )
+        return self
+
+    async def __aexit__(self, *_exc):
+        self.writer.close()
+
+    async def send(
+        self, path, rid="r1", method="GET", body=b"", headers=(), key=KEY, wait=3000
+    ):
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            f"Host: {HOST}",
+            f"Ebonydeal-Request-Id: {rid}",
+            f"Ebonydeal-Deadline-Ms: {wait}",
+        ]
+        if key:
+            lines.append(f"Authorization: Bearer {key}")
+        if body or method == "POST":
+            lines.append(f"Content-Length: {len(body)}")
+        lines += [f"{name}: {value}" for name, value in headers]
+        self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        await self.writer.drain()
+
+    async def receive(self):
+        """Return (status, headers, body); an incomplete body raises."""
+        head = (await self.reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        status = int(head.split()[1])
+        headers = parse_head(head)
+        if headers.get("transfer-encoding") != "chunked":
+            length = int(headers.get("content-length", 0))
+            return status, headers, await self.reader.readexactly(length)
+        body = b""
+        while True:
+            size = int((await self.reader.readuntil(b"\r\n")).strip(), 16)
+            data = await self.reader.readexactly(size + 2)
+            if size == 0:
+                return status, headers, body
+            body += data[:-2]
+
+    async def ask(self, path, **kwargs):
+        await self.send(path, **kwargs)
+        return await self.receive()
+
+
+async def ask(program, path, **kwargs):
+    """Ask on a connection of its own."""
+    async with Client(program) as client:
+        return await client.ask(path, **kwargs)
--- a/tests/unit/config/test_store.py
+++ b/tests/unit/config/test_store.py
@@ -9,7 +9,7 @@
 from ebonydeal._internal.config.examples import example_document
 from ebonydeal._internal.config.store import ConfigStore, Conflict
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
-from ebonydeal._internal.platform.interfaces import Offer
+from ebonydeal._internal.outside.interfaces import Offer
 from tests.lib.config_fakes import FakeTables, QuickClock
 
 
--- a/tests/unit/config/test_validate.py
+++ b/tests/unit/config/test_validate.py
@@ -10,7 +10,7 @@
 
 from ebonydeal._internal.config.examples import EXAMPLE_NAMES, example_document
 from ebonydeal._internal.config.validate import schema, validate
-from ebonydeal._internal.platform.interfaces import Offer
+from ebonydeal._internal.outside.interfaces import Offer
 
 ZONES = ("de-cymru-1", "de-cymru-2", "de-cymru-3")
 
--- a/tests/unit/controller/test_deadline.py
+++ b/tests/unit/controller/test_deadline.py
@@ -17,7 +17,7 @@
 )
 from ebonydeal._internal.controller.placement import PlacementPolicy
 from ebonydeal._internal.controller.values import OfferKey, offers_by_key
-from ebonydeal._internal.platform.interfaces import Offer
+from ebonydeal._internal.outside.interfaces import Offer
 
 MARKET = Market(2.0, 10.0, (1.0, 2.0, 3.0, 4.0))
 HOUR = 3600.0
--- a/tests/unit/controller/test_lease.py
+++ b/tests/unit/controller/test_lease.py
@@ -5,7 +5,7 @@
 from ebonydeal._internal.benchmarks.spend.world import AFTER
 from ebonydeal._internal.controller.lease import Holder, LeaseKeeper
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
-from ebonydeal._internal.platform.interfaces import Put
+from ebonydeal._internal.outside.interfaces import Put
 from tests.lib.clock import ManualClock
 from tests.lib.controller_fakes import HookedTables, RowsData
 
--- a/tests/unit/controller/test_notices.py
+++ b/tests/unit/controller/test_notices.py
@@ -3,7 +3,7 @@
 from ebonydeal._internal.controller.notices import NoticeBook
 from ebonydeal._internal.controller.refusals import Refusals
 from ebonydeal._internal.controller.values import OfferKey
-from ebonydeal._internal.platform.interfaces import CloudInstance, ReclaimNotice
+from ebonydeal._internal.outside.interfaces import CloudInstance, ReclaimNotice
 
 NOW = 1000.0
 
--- a/tests/unit/controller/test_orders.py
+++ b/tests/unit/controller/test_orders.py
@@ -10,7 +10,7 @@
     after_send,
     next_step,
 )
-from ebonydeal._internal.platform.interfaces import EngineOrder
+from ebonydeal._internal.outside.interfaces import EngineOrder
 
 POLICY = OrderPolicy(quiet=20.0, longest_order=10.0, audit_period=30.0)
 WANTED = EngineOrder(5, ("m", "n"), "serve")
--- a/tests/unit/controller/test_placement.py
+++ b/tests/unit/controller/test_placement.py
@@ -7,7 +7,7 @@
 
 from ebonydeal._internal.controller.placement import PlacementPolicy, place
 from ebonydeal._internal.controller.values import OfferKey, offers_by_key
-from ebonydeal._internal.platform.interfaces import Offer
+from ebonydeal._internal.outside.interfaces import Offer
 
 POLICY = PlacementPolicy()
 ZONES = ("a", "b", "c", "d")
--- a/tests/unit/controller/test_reconcile.py
+++ b/tests/unit/controller/test_reconcile.py
@@ -21,7 +21,7 @@
     InstanceState,
     OfferKey,
 )
-from ebonydeal._internal.platform.interfaces import CloudInstance
+from ebonydeal._internal.outside.interfaces import CloudInstance
 
 POLICY = ReconcilePolicy()
 A, B, C = (OfferKey(zone, "l", True) for zone in "abc")
--- a/tests/unit/controller/test_weights.py
+++ b/tests/unit/controller/test_weights.py
@@ -7,7 +7,7 @@
     RunningLoad,
     admit_loads,
 )
-from ebonydeal._internal.platform.interfaces import WeightCopy
+from ebonydeal._internal.outside.interfaces import WeightCopy
 
 POLICY = LoadPolicy(rate_of_one=2.0, near_at_once=2, reserve=0.25)
 COPIES = {"m": [WeightCopy("store", "m", 10.0, "")]}
--- a/tests/unit/docs/test_deploy.py
+++ b/tests/unit/docs/test_deploy.py
@@ -1,9 +1,12 @@
+import importlib.util
+import re
+import tomllib
 from configparser import ConfigParser
 
 import pytest
 
 from ebonydeal._internal.settings.gateway import GatewaySettings
-from ebonydeal._internal.settings.parse import ENV_PREFIX
+from ebonydeal._internal.settings.parse import ENV_PREFIX, parse_settings
 from ebonydeal._internal.settings.registry import ALL_SECTIONS
 from ebonydeal._internal.settings.sections import NodeSettings
 from tests.lib.pages import ROOT
@@ -32,8 +35,9 @@
 
 class TestUnits:
     def test_there_is_one_for_each_program(self):
+        units = {f"ebonydeal-{program}.service" for program in PROGRAMS}
         files = {file.name for file in (ROOT / "deploy").iterdir()}
-        assert files == {f"ebonydeal-{program}.service" for program in PROGRAMS}
+        assert files == units | {"system.toml", "relay.ini"}
 
     @pytest.mark.parametrize("program", PROGRAMS)
     def test_starts_its_program(self, program):
@@ -56,6 +60,26 @@
             assert len({env[key] for env in envs}) == len(PROGRAMS)
 
 
+class TestPlatformFiles:
+    """The deploy file of the users' platform, and the settings it renders."""
+
+    def test_runs_the_relay_from_the_built_package(self):
+        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+        role = deploy["roles"]["relay"]
+        words = role["run"].split()
+        assert words[:3] == ["python3", "-m", "ebonydeal._internal.cli.relay"]
+        assert importlib.util.find_spec(words[2]) is not None
+        assert role["template"] == "deploy/relay.ini"
+        assert "target/deps" in deploy["build"]
+
+    def test_template_renders_the_products_own_settings(self):
+        text = (ROOT / "deploy/relay.ini").read_text()
+        assert len(text.encode()) < 64 * 1024
+        filled = re.sub(r"\{\{[^}]*\}\}", "1", text)
+        settings = parse_settings(filled, "relay.ini", ALL_SECTIONS).unwrap()
+        assert settings["relay"].address == "1"
+
+
 class TestPage:
     def test_its_settings_are_real(self):
         text = (ROOT / "docs/operate/deploy.md").read_text()
--- a/tests/unit/gateway/test_streams.py
+++ b/tests/unit/gateway/test_streams.py
@@ -14,7 +14,7 @@
 from ebonydeal._internal.models.requests import Priority, Request, RequestKind
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.observe.trail import Trails
-from ebonydeal._internal.platform.interfaces import Chunk, Resume
+from ebonydeal._internal.outside.interfaces import Chunk, Resume
 from ebonydeal._internal.settings.gateway import GatewaySettings
 from tests.lib.clock import ManualClock, settle
 from tests.lib.gateway_fakes import (
--- a/tests/unit/journal/test_replay.py
+++ b/tests/unit/journal/test_replay.py
@@ -8,7 +8,7 @@
     trim,
 )
 from ebonydeal._internal.models.records import Accepted, record_to_message
-from ebonydeal._internal.platform.interfaces import Put
+from ebonydeal._internal.outside.interfaces import Put
 from ebonydeal._internal.standin.memory import MemoryObjects, MemoryTables
 from tests.lib.journal_fakes import make_request
 
--- /dev/null
+++ b/tests/unit/platform/test_headers.py
@@ -0,0 +1,141 @@
+import pytest
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.models.forwarding import PromptPart, Sending
+from ebonydeal._internal.platform.headers import outgoing, read_answer, read_request
+
+FORGED = (
+    "Ebonydeal-Tenant",
+    "Ebonydeal-Expect-Replica",
+    "Ebonydeal-Expect-Version",
+    "Ebonydeal-Request-Priority",
+    "Ebonydeal-Hold",
+    "Ebonydeal-Pin-Ms",
+    "Ebonydeal-Kv-Backup",
+    "Kv-From",
+    "Kv-Fetch",
+    "Ebonydeal-Not-Executed",
+)
+HOPS = ("Connection", "Keep-Alive", "TE", "Trailer", "Transfer-Encoding", "Upgrade")
+SEND = Sending("i-1", "acme", 1.5, 2, "")
+
+
+def request(*extra):
+    pairs = [
+        ("Host", "a.example:80"),
+        ("Ebonydeal-Request-Id", "r1"),
+        ("Ebonydeal-Deadline-Ms", "4000"),
+        ("Authorization", "Bearer secret"),
+        *extra,
+    ]
+    return read_request("POST", "/p/x?q=1", pairs)
+
+
+def names(block):
+    return [name.lower() for name, _value in block]
+
+
+class TestRequest:
+    def test_is_read_whole(self):
+        req = request(
+            ("Ebonydeal-Token-Usage", "1460,80"),
+            ("Ebonydeal-Prompt-Prefix", "5c:800, 91:410"),
+            ("Ebonydeal-Length-Hint", "40"),
+            ("Last-Event-Id", "7"),
+        )
+        assert (req.prompt_tokens, req.output_tokens) == (1460, 80)
+        assert req.parts == (PromptPart("5c", 800), PromptPart("91", 410))
+        assert (req.length_hint, req.last_event) == (40, "7")
+        assert (req.credential, req.allowed) == ("secret", 4.0)
+        assert (req.path, req.target) == ("/p/x", "/p/x?q=1")
+
+    @pytest.mark.parametrize(
+        "pair",
+        [
+            ("Ebonydeal-Token-Usage", "many"),
+            ("Ebonydeal-Token-Usage", "1,-2"),
+            ("Ebonydeal-Prompt-Prefix", "5c"),
+            ("Ebonydeal-Prompt-Prefix", "5c:x"),
+        ],
+    )
+    def test_malformed_header_is_refused_by_name(self, pair):
+        with pytest.raises(EbonydealError) as caught:
+            request(pair)
+        assert caught.value.kind is ErrorKind.BAD_REQUEST
+        assert pair[0] in caught.value.detail
+
+    def test_without_an_id_is_refused(self):
+        with pytest.raises(EbonydealError):
+            read_request("GET", "/", [("Host", "a")])
+
+    def test_without_a_deadline_has_none(self):
+        pairs = [("Ebonydeal-Request-Id", "r")]
+        assert read_request("GET", "/", pairs).allowed is None
+
+
+class TestOutgoing:
+    @pytest.mark.parametrize("name", FORGED)
+    def test_clients_value_of_a_system_header_is_dropped(self, name):
+        req = request((name, "forged"), (name.lower(), "forged"))
+        assert all(value != "forged" for _n, value in outgoing(req, SEND))
+
+    @pytest.mark.parametrize("name", HOPS)
+    def test_header_of_one_connection_is_dropped(self, name):
+        block = outgoing(request((name, "x")), SEND)
+        assert name.lower() not in names(block)
+
+    def test_header_named_by_connection_is_dropped(self):
+        req = request(("Connection", "close, X-Hop"), ("X-Hop", "1"), ("X-Kept", "1"))
+        assert "x-hop" not in names(outgoing(req, SEND))
+        assert "x-kept" in names(outgoing(req, SEND))
+
+    def test_key_is_never_passed_on(self):
+        block = outgoing(request(), SEND)
+        assert "authorization" not in names(block)
+        assert all("secret" not in value for _name, value in block)
+
+    def test_system_values_stand_once(self):
+        block = outgoing(request(("Ebonydeal-Tenant", "other")), SEND)
+        listed = dict(block)
+        assert names(block).count("ebonydeal-tenant") == 1
+        assert listed["Ebonydeal-Tenant"] == "acme"
+        assert listed["Ebonydeal-Expect-Replica"] == "i-1"
+        assert listed["Ebonydeal-Deadline-Ms"] == "1500"
+        assert listed["Ebonydeal-Request-Priority"] == "2"
+
+    def test_other_headers_and_host_pass_unchanged(self):
+        listed = outgoing(request(("X-A", "1"), ("X-A", "2")), SEND)
+        assert [v for n, v in listed if n == "X-A"] == ["1", "2"]
+        assert ("Host", "a.example:80") in listed
+        assert ("Ebonydeal-Request-Id", "r1") in listed
+
+    def test_time_left_is_never_zero(self):
+        listed = dict(outgoing(request(), SEND._replace(allowed=0.0)))
+        assert listed["Ebonydeal-Deadline-Ms"] == "1"
+
+
+class TestAnswer:
+    def test_proof_that_it_did_not_run(self):
+        assert read_answer(503, [("Ebonydeal-Not-Executed", "1")]).not_run
+        assert read_answer(421, []).not_run
+        assert not read_answer(503, []).not_run
+
+    def test_marks_of_a_sound_answer(self):
+        head = read_answer(
+            200,
+            [
+                ("Ebonydeal-Request-Id", "r1"),
+                ("Ebonydeal-Server-Signature", "s"),
+                ("Keep-Alive", "timeout=5, max=9"),
+                ("Connection", "keep-alive"),
+            ],
+        )
+        assert (head.signed, head.request_id, head.idle_time) == (True, "r1", 5.0)
+        assert names(head.headers) == [
+            "ebonydeal-request-id",
+            "ebonydeal-server-signature",
+        ]
+
+    def test_encoded_body(self):
+        assert read_answer(200, [("Content-Encoding", "gzip")]).encoded
+        assert not read_answer(200, [("Content-Encoding", "identity")]).encoded
--- /dev/null
+++ b/tests/unit/platform/test_rows.py
@@ -0,0 +1,103 @@
+import json
+
+import pytest
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.models.forwarding import Repeat, Target
+from ebonydeal._internal.models.shared import SharedRow
+from ebonydeal._internal.platform.rows import (
+    decode_member,
+    decode_row,
+    decode_table,
+    encode_value,
+)
+
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r",
+            "host": "A.example",
+            "prefix": "/p/",
+            "route_type": "streaming",
+            "timeout_ms": 4000,
+            "target_latency_ms": 600,
+            "priority": 1,
+            "traffic_split": [
+                {"service": "a", "weight": 90},
+                {"service": "b", "weight": 10},
+            ],
+            "max_attempts": 2,
+            "sticky": True,
+            "can_resume": True,
+            "gap_aim_ms": 400,
+        }
+    ],
+    "services": [
+        {
+            "name": "a",
+            "health_path": "/healthz",
+            "max_connections": 370,
+            "engine": {"max_slots": 64, "kv_capacity_tokens": 1000},
+            "autoscale": {"min": 1, "max": 3, "zone_prices": {"z1": 0.85}},
+        }
+    ],
+    "limits": {"idle_timeout_ms": 15000},
+    "tenants": [{"name": "acme", "api_keys": ["k"], "unit": "tokens", "rate_per_s": 5}],
+}
+MEMBER = {"service": "a", "address": "10.0.0.1:80", "zone": "z", "state": "ready"}
+
+
+class TestTable:
+    def test_is_read_in_the_products_units(self):
+        table = decode_table(json.dumps(CONFIG).encode())
+        (route,) = table.routes
+        assert (route.host, route.repeat) == ("a.example", Repeat.STREAM)
+        assert (route.timeout, route.objective, route.gap) == (4.0, 0.6, 0.4)
+        assert route.targets == (Target("a", 90.0), Target("b", 10.0))
+        assert table.services["a"].scaling.spot_price is None
+        assert table.accounts[0].in_tokens
+        assert table.limits.idle_time == 15.0
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            b"",
+            b"[]",
+            b"{",
+            b"null",
+            b'{"version": "x"}',
+            b'{"version": 1, "routes": [1]}',
+            b'{"version": 1, "routes": [{"host": "a"}]}',
+            b'{"version": 1, "services": {"a": 1}}',
+            b'{"version": 1, "tenants": [[]]}',
+            b"[" * 100_000,
+        ],
+    )
+    def test_unknown_shape_is_refused_and_nothing_else(self, value):
+        with pytest.raises(EbonydealError) as caught:
+            decode_table(value)
+        assert caught.value.kind is ErrorKind.BAD_DOCUMENT
+
+
+class TestMember:
+    def test_ready_and_leaving(self):
+        ready = SharedRow("i-1", json.dumps(MEMBER).encode(), 9)
+        assert not decode_member(ready).leaving
+        message = {**MEMBER, "state": "draining", "leaves_ms": 2500, "spot": True}
+        leaving = decode_member(SharedRow("i-1", json.dumps(message).encode(), 10))
+        assert leaving.leaving and leaving.reclaimable
+        assert (leaving.leaves_in, leaving.revision) == (2.5, 10)
+
+    @pytest.mark.parametrize("value", [b"", b"1", b"{}", b'{"service": "a"}'])
+    def test_unreadable_is_refused_by_its_id(self, value):
+        with pytest.raises(EbonydealError, match="i-9"):
+            decode_member(SharedRow("i-9", value, 1))
+
+
+class TestRow:
+    def test_value_and_removal(self):
+        row = {"table": "t", "key": "k", "value": encode_value(b"v"), "ver": 3}
+        assert decode_row(row) == SharedRow("k", b"v", 3)
+        gone = {"table": "t", "key": "k", "tombstone": True, "ver": 4}
+        assert decode_row(gone) == SharedRow("k", None, 4)
--- /dev/null
+++ b/tests/unit/routing/test_duty_lease.py
@@ -0,0 +1,199 @@
+"""The lease's protocol against a store, lost answers, pauses and restarts."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from ebonydeal._internal.routing.duty_lease import (
+    DutyLease,
+    LeaseRow,
+    Look,
+    Rest,
+    Write,
+)
+
+TTL = 3.0
+NODES = ("a", "b", "c")
+
+
+class Store:
+    """One row, changed under a condition."""
+
+    def __init__(self):
+        self.row = None
+        self.version = 0
+        self.counter = 0
+
+    def write(self, step):
+        if step.expected != self.version:
+            return False
+        self.counter += 1
+        self.row, self.version = step.row, self.counter
+        return True
+
+
+def lease(node="a", incarnation="1", wanted=True):
+    made = DutyLease(node, incarnation, f"{node}:1", TTL)
+    made.wanted = wanted
+    return made
+
+
+def run(one, store, now):
+    """Take one step; return it."""
+    step = one.next_step(now)
+    match step:
+        case Look():
+            one.saw(store.row, store.version, now)
+        case Write(row=row) if store.write(step):
+            one.wrote(row, store.version)
+        case Write():
+            one.saw(store.row, store.version, now)
+    return step
+
+
+def take(one, store, now):
+    while not one.holds(now):
+        run(one, store, now)
+
+
+class TestTaking:
+    def test_first_comer_gets_fence_one(self):
+        one, store = lease(), Store()
+        take(one, store, 10.0)
+        assert (one.fence, store.row.holder) == (1, "a")
+
+    def test_another_waits_for_the_whole_time_to_live(self):
+        store = Store()
+        take(lease("a"), store, 10.0)
+        other = lease("b")
+        run(other, store, 10.1)
+        assert isinstance(run(other, store, 10.1 + TTL - 0.01), Look)
+        run(other, store, 10.1 + TTL)
+        assert other.holds(10.1 + TTL) and other.fence == 2
+
+    def test_a_renewal_starts_the_wait_anew(self):
+        store = Store()
+        first, other = lease("a"), lease("b")
+        take(first, store, 10.0)
+        run(other, store, 10.5)
+        run(first, store, 11.1)
+        run(other, store, 12.0)
+        run(other, store, 13.6)
+        assert not other.holds(13.6) and first.fence == 1
+
+    def test_who_restarts_takes_its_own_back_at_once_with_a_new_fence(self):
+        store = Store()
+        take(lease("a", "1"), store, 10.0)
+        again = lease("a", "2")
+        take(again, store, 10.2)
+        assert again.fence == 2
+
+    def test_a_released_lease_is_taken_at_once(self):
+        store = Store()
+        first = lease("a")
+        take(first, store, 10.0)
+        assert store.write(first.release())
+        other = lease("b")
+        take(other, store, 10.1)
+        assert other.fence == 2
+
+    def test_who_does_not_want_it_rests(self):
+        store = Store()
+        one = lease(wanted=False)
+        run(one, store, 1.0)
+        assert isinstance(run(one, store, 1.0), Rest)
+        assert store.row is None
+
+
+class TestHolding:
+    def test_right_ends_before_anothers_can_begin(self):
+        store = Store()
+        first, other = lease("a"), lease("b")
+        take(first, store, 10.0)
+        run(other, store, 10.0)
+        assert not first.holds(10.0 + TTL)
+        assert not other.holds(10.0 + TTL - 0.01)
+
+    def test_in_doubt_looks_before_it_acts(self):
+        store = Store()
+        one = lease()
+        run(one, store, 10.0)
+        step = one.next_step(10.0)
+        assert isinstance(step, Write)
+        store.write(step)
+        one.in_doubt()
+        assert not one.holds(10.0)
+        assert isinstance(run(one, store, 10.2), Look)
+        # The write took effect; the right counts from before it was sent.
+        assert one.holds(10.2) and not one.holds(10.0 + TTL)
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Relays on one clock; a holder never acts beside a newer one's right."""
+
+    def __init__(self):
+        super().__init__()
+        self.store = Store()
+        self.now = 100.0
+        self.born = 0
+        self.leases = {}
+        self.used = {}
+        for node in NODES:
+            self.restart(node)
+
+    def restart(self, node):
+        self.born += 1
+        self.leases[node] = lease(node, str(self.born))
+
+    @rule(by=st.floats(0.01, 4.0))
+    def time_passes(self, by):
+        self.now += by
+
+    @rule(node=st.sampled_from(NODES))
+    def step(self, node):
+        run(self.leases[node], self.store, self.now)
+
+    @rule(node=st.sampled_from(NODES), took_effect=st.booleans())
+    def answer_is_lost(self, node, took_effect):
+        one = self.leases[node]
+        step = one.next_step(self.now)
+        if isinstance(step, Write):
+            if took_effect:
+                self.store.write(step)
+            one.in_doubt()
+
+    @rule(node=st.sampled_from(NODES))
+    def dies_and_restarts(self, node):
+        self.restart(node)
+
+    @rule(node=st.sampled_from(NODES))
+    def stops(self, node):
+        one = self.leases[node]
+        step = one.release()
+        if step is not None:
+            self.store.write(step)
+            one.in_doubt()
+
+    @invariant()
+    def one_holder_at_a_time(self):
+        holders = [n for n, one in self.leases.items() if one.holds(self.now)]
+        assert len(holders) <= 1
+
+    @invariant()
+    def a_fence_is_of_one_incarnation(self):
+        row = self.store.row
+        if row is not None and row.holder:
+            owner = (row.holder, row.incarnation)
+            assert self.used.setdefault(row.fence, owner) == owner
+
+
+LeaseMachine.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=40, derandomize=True, deadline=None
+)
+TestLeaseMachine = LeaseMachine.TestCase
+
+
+class TestRow:
+    def test_reads_what_it_writes(self):
+        row = LeaseRow("a", "i", "h:1", 4)
+        assert LeaseRow.decode(row.encode()) == row
--- /dev/null
+++ b/tests/unit/routing/test_quota_broker.py
@@ -0,0 +1,122 @@
+import random
+
+from ebonydeal._internal.models.forwarding import ForwardAccount
+from ebonydeal._internal.routing.quota_broker import (
+    LocalQuota,
+    QuotaBounds,
+    QuotaBroker,
+)
+
+BOUNDS = QuotaBounds(window=8.0, overshoot=0.1, slack=110_000.0)
+ACCOUNT = ForwardAccount("acme", (), None, 40_000.0, 40_000.0, True, 200.0)
+
+
+def allowed(account=ACCOUNT):
+    """The most that may be admitted in any window, as the operator says."""
+    limit = account.rate * BOUNDS.window + account.burst
+    return limit * (1 + BOUNDS.overshoot) + BOUNDS.slack
+
+
+class TestBroker:
+    def test_grants_within_the_burst_then_says_when(self):
+        broker = QuotaBroker(BOUNDS)
+        broker.begin(fresh=True)
+        burst = BOUNDS.burst(ACCOUNT)
+        assert broker.grant(ACCOUNT, burst, 1.0).amount == burst
+        refused = broker.grant(ACCOUNT, 20_000.0, 1.0)
+        assert refused.amount == 0.0
+        assert refused.wait == 0.5
+        assert broker.grant(ACCOUNT, 20_000.0, 1.5).amount == 20_000.0
+
+    def test_after_another_coordinator_starts_empty(self):
+        broker = QuotaBroker(BOUNDS)
+        broker.begin(fresh=False)
+        assert broker.grant(ACCOUNT, 1000.0, 5.0).amount == 0.0
+        assert broker.grant(ACCOUNT, 1000.0, 5.1).amount == 1000.0
+
+    def test_a_request_larger_than_the_bucket_passes_when_it_is_full(self):
+        broker = QuotaBroker(BOUNDS)
+        broker.begin(fresh=True)
+        huge = 10 * BOUNDS.burst(ACCOUNT)
+        assert broker.grant(ACCOUNT, huge, 1.0).amount == huge
+
+    def test_nothing_in_advance_near_the_limit(self):
+        broker = QuotaBroker(BOUNDS)
+        broker.begin(fresh=True)
+        assert broker.advance(ACCOUNT, 5000.0, 0.0, 1.0) == 5000.0
+        assert broker.advance(ACCOUNT, 5000.0, 5000.0, 1.0) == 0.0
+        broker.grant(ACCOUNT, BOUNDS.burst(ACCOUNT) - 10_000.0, 1.0)
+        assert broker.advance(ACCOUNT, 5000.0, 0.0, 1.0) == 0.0
+
+    def test_a_lower_limit_binds_at_once(self):
+        broker = QuotaBroker(BOUNDS)
+        broker.begin(fresh=True)
+        lower = ACCOUNT._replace(rate=4000.0, burst=4000.0)
+        broker.grant(ACCOUNT, 1.0, 1.0)
+        assert broker.grant(lower, BOUNDS.burst(lower) + 1.0, 1.0).amount > 0.0
+        assert broker.grant(lower, 1000.0, 1.0).amount == 0.0
+
+
+class TestAllRelays:
+    def play(self, seed, demand, takeover=False):
+        """Nine relays ask at random; return the most admitted in a window."""
+        rng = random.Random(seed)
+        broker = QuotaBroker(BOUNDS)
+        broker.begin(fresh=True)
+        relays = [LocalQuota(BOUNDS) for _ in range(9)]
+        admitted = []
+        now = 100.0
+        while now < 130.0:
+            now += rng.expovariate(demand / 9000.0)
+            if takeover and now >= 110.0:
+                takeover = False
+                broker = QuotaBroker(BOUNDS)
+                broker.begin(fresh=False)
+            local = rng.choice(relays)
+            need = rng.uniform(500.0, 17_500.0)
+            local.add("acme", broker.advance(ACCOUNT, demand / 9, 0.0, now), now)
+            if not local.take("acme", need, now):
+                if broker.grant(ACCOUNT, need, now).amount < need:
+                    continue
+            admitted.append((now, need))
+        return max(
+            sum(n for at, n in admitted if start <= at <= start + BOUNDS.window)
+            for start, _n in admitted
+        )
+
+    def test_the_sum_stays_within_the_limit_under_any_demand(self):
+        for seed in range(5):
+            assert self.play(seed, demand=400_000.0) <= allowed()
+
+    def test_also_when_the_coordinator_changes(self):
+        for seed in range(5):
+            assert self.play(seed, demand=400_000.0, takeover=True) <= allowed()
+
+
+class TestAlone:
+    def test_relays_that_hear_nobody_share_the_rate_evenly(self):
+        relays = [LocalQuota(BOUNDS) for _ in range(9)]
+        rng = random.Random(1)
+        admitted = []
+        now = 100.0
+        while now < 120.0:
+            now += 0.01
+            need = rng.uniform(500.0, 17_500.0)
+            if rng.choice(relays).take_alone(ACCOUNT, need, 9, now) == 0.0:
+                admitted.append((now, need))
+        most = max(
+            sum(n for at, n in admitted if start <= at <= start + BOUNDS.window)
+            for start, _n in admitted
+        )
+        assert most <= allowed()
+
+    def test_tells_when_to_come_back(self):
+        local = LocalQuota(BOUNDS)
+        assert local.take_alone(ACCOUNT, 50_000.0, 1, 10.0) == 0.0
+        assert local.take_alone(ACCOUNT, 1000.0, 1, 10.0) > 0.0
+
+    def test_an_unused_balance_lapses(self):
+        local = LocalQuota(BOUNDS, keep=4.0)
+        local.add("acme", 1000.0, 10.0)
+        assert local.take("acme", 400.0, 13.0)
+        assert not local.take("acme", 400.0, 14.1)
--- a/tests/unit/standin/test_memory.py
+++ b/tests/unit/standin/test_memory.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
-from ebonydeal._internal.platform.interfaces import (
+from ebonydeal._internal.outside.interfaces import (
     Delete,
     FieldEquals,
     Put,
