Keep on-demand endpoints until reclaimable ones serve; go on over a store outage

Cause: a new coordinator ordered reclaimable endpoints up to the zone's bound, which pushed on-demand ones out before the others had booted; after a store outage the last holder never renewed its lease, so orders stood still for nine seconds; counts of usage were lost when all processes were killed.

Change: the planner keeps on-demand endpoints first and gives reclaimable ones the room left; the holder renews while its row stands; where the platform checks fences it orders on meanwhile; each renewal stores the open usage windows.

--- a/src/ebonydeal/_internal/relay/coordinator.py
+++ b/src/ebonydeal/_internal/relay/coordinator.py
@@ -48,6 +48,8 @@
 # A relay not heard for this long is held to be gone.
 _SILENT_S = 3.0
 _ROWS_KEPT = 6
+_OPEN_KEY = "open"
+_MOST_OPEN_BYTES = 48_000
 
 
 class _Relay(NamedTuple):
@@ -81,6 +83,8 @@
         Usage windows.
     bounds : QuotaBounds
         What limits tolerate.
+    checks_fence : bool
+        Whether the platform refuses calls with an old fencing number.
     """
 
     def __init__(
@@ -89,11 +93,14 @@
         lease: DutyLease,
         ledger: UsageLedger,
         bounds: QuotaBounds,
+        checks_fence: bool,
     ) -> None:
         super().__init__()
         self._parts = parts
         self.lease = lease
         self._ledger = ledger
+        self._checks_fence = checks_fence
+        self._refused_fence = 0
         self._broker = QuotaBroker(bounds)
         self._relays: dict[str, _Relay] = {}
         self._held_since: float | None = None
@@ -109,11 +116,26 @@
     def warm(self) -> bool:
         """Whether relays had time to tell what they know."""
         since = self._held_since
-        return (
-            self.holds
-            and since is not None
-            and self._parts.clock.now() - since >= _WARM_UP_S
-        )
+        return since is not None and self._parts.clock.now() - since >= _WARM_UP_S
+
+    @property
+    def may_order(self) -> bool:
+        """Whether endpoints may be ordered.
+
+        Where the platform checks fencing numbers, the last holder goes on
+        while the store is away and can renew nobody's lease: a newer holder's
+        number makes the platform refuse it.
+        """
+        if not self.warm or not self.lease.mine:
+            return False
+        if self.holds:
+            return True
+        return self._checks_fence and self.lease.fence != self._refused_fence
+
+    def order_refused(self) -> None:
+        """Note a refusal that may come from a newer holder."""
+        if not self.holds:
+            self._refused_fence = self.lease.fence
 
     def heard_lately(self) -> list[ExchangeMessage]:
         """Return the last word of each relay that is alive."""
@@ -198,6 +220,8 @@
             held = self.holds
             try:
                 await self._lease_step()
+                if self.holds and self._held_since is None:
+                    await self._read_open_windows()
             except EbonydealError as exc:
                 self._lease_failed(exc)
                 await self._parts.clock.sleep(_LOOK_S * self._parts.rng.uniform(0.5, 1))
@@ -227,8 +251,12 @@
 
     async def _write(self, write: Write) -> None:
         change = RowChange(LEASE_TABLE, _LEASE_KEY, write.row.encode(), write.expected)
+        changes = [change]
+        if self.lease.mine and write.row.fence == self.lease.fence:
+            # With the renewal, what was told of usage outlives all processes.
+            changes.append(RowChange(USAGE_TABLE, _OPEN_KEY, self._open_windows()))
         try:
-            result = await self._parts.store.transact([change])
+            result = await self._parts.store.transact(changes)
         except EbonydealError as exc:
             if exc.kind is ErrorKind.STORE_IN_DOUBT:
                 self.lease.in_doubt()
@@ -241,6 +269,24 @@
         value = None if row is None or row.value is None else _decoded(row.value)
         self.lease.saw(value, NO_ROW if row is None else row.version, now)
 
+    def _open_windows(self) -> bytes:
+        """Return what relays told of windows that aren't reported yet."""
+        told = json.dumps(self._ledger.open_windows()).encode()
+        return told if len(told) <= _MOST_OPEN_BYTES else b"{}"
+
+    async def _read_open_windows(self) -> None:
+        """Take what the holder before stored of windows not reported yet."""
+        rows, _version = await self._parts.store.rows(USAGE_TABLE, _OPEN_KEY)
+        for row in rows:
+            if row.key != _OPEN_KEY or row.value is None:
+                continue
+            try:
+                for relay, windows in json.loads(row.value).items():
+                    counts = {int(n): dict(c) for n, c in windows.items()}
+                    self._ledger.stored(relay, counts)
+            except (ValueError, TypeError, AttributeError) as exc:
+                logger.error("Stored usage can't be read.", reason=repr(exc))
+
     def _lease_failed(self, exc: EbonydealError) -> None:
         logger.warning("Lease: store call failed.", reason=str(exc))
         self.lease.failed(self._parts.clock.now())
@@ -280,7 +326,7 @@
         while not self.should_stop:
             await self._parts.clock.sleep(_USAGE_STEP_S)
             index = self._parts.view.index
-            if index is None or not self.warm:
+            if index is None or not self.warm or not self.holds:
                 continue
             accounts = [account.name for account in index.table.accounts]
             due = self._ledger.due(self._parts.clock.wall(), accounts)
--- a/src/ebonydeal/_internal/relay/fleet.py
+++ b/src/ebonydeal/_internal/relay/fleet.py
@@ -110,8 +110,9 @@
             index = self._view.index
             if index is None or not self._view.members_known:
                 continue
-            if not self._coordinator.warm:
-                self._ordered.clear()
+            if not self._coordinator.may_order:
+                if not self._coordinator.lease.mine:
+                    self._ordered.clear()
                 continue
             for service in index.table.services.values():
                 if service.scaling is None:
@@ -278,7 +279,7 @@
             return False
         if last is not None and last.wanted == count and count <= have:
             return False
-        if not self._coordinator.holds:
+        if not self._coordinator.may_order:
             return False
         answer = await self._duties.order(
             kind.service, kind.zone, count, kind.spot, self._coordinator.lease.fence
@@ -300,6 +301,8 @@
             self._ordered[kind] = _Order(count, now)
             return False
         self._metrics.count(Event.STARTS_REFUSED)
+        if answer.conflict:
+            self._coordinator.order_refused()
         if kind.spot and count > have:
             self._dry[kind.service] = now + _DRY_S
         return True
--- a/src/ebonydeal/_internal/relay/follower.py
+++ b/src/ebonydeal/_internal/relay/follower.py
@@ -18,8 +18,9 @@
 _WAIT_S = 28.0
 _WAIT_ALONE_S = 2.0
 _BACKOFF_FIRST_S = 0.15
-_BACKOFF_MOST_S = 1.0
+_BACKOFF_MOST_S = 1.5
 _EXPIRY_S = 0.25
+_GROUP_S = 0.15
 
 
 class TableFollower(Service):
@@ -90,6 +91,8 @@
         was_away = self._note_success()
         if changes.rows:
             await self.take(changes.rows, changes.version, was_away)
+            # Changes come in groups: one call brings those that follow.
+            await self._clock.sleep(_GROUP_S)
         return max(after, changes.version)
 
     def _note_failure(self, exc: EbonydealError) -> None:
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -111,6 +111,7 @@
             ),
             UsageLedger(self._cfg.usage_window_s, self._cfg.usage_late_s),
             bounds,
+            self._cfg.checks_fence,
         )
         peers = settings["peers"]
         self._client = PeerClient(peers.credential)
--- a/src/ebonydeal/_internal/relay/stream.py
+++ b/src/ebonydeal/_internal/relay/stream.py
@@ -68,6 +68,7 @@
     splitter: EventSplitter
     closing: bool
     resp: web.StreamResponse | None = None
+    counted: bool = False
 
     async def begin(self, head: AnswerHead) -> web.StreamResponse:
         """Start the answer with the first endpoint's head."""
@@ -112,6 +113,7 @@
                 if outcome is None:
                     assert out.resp is not None
                     return out.resp
+                self._count_failed(job, outcome, out)
                 if isinstance(outcome, Answered) and out.resp is None:
                     if outcome.head.status < 500 or job.once:
                         return to_client(outcome)
@@ -232,5 +234,21 @@
         if out.resp is not None:
             return
         parts.metrics.timed(Timing.FIRST_TOKEN, parts.clock.now() - job.started)
-        if job.account is not None:
-            parts.usage.began(job.account.name, parts.clock.wall())
+        self._count(job, out)
+
+    def _count_failed(self, job: Job, outcome: Outcome, out: _Out) -> None:
+        """Count a run that failed before its first event.
+
+        One that only fell silent most likely still waited in a queue.
+        """
+        match outcome:
+            case Answered():
+                self._count(job, out)
+            case MayHaveRun(kind=kind) if kind is not ErrorKind.ENDPOINT_STALLED:
+                self._count(job, out)
+
+    def _count(self, job: Job, out: _Out) -> None:
+        """Count the request once as begun, however often it is sent."""
+        if job.account is not None and not out.counted:
+            out.counted = True
+            self._parts.usage.began(job.account.name, self._parts.clock.wall())
--- a/src/ebonydeal/_internal/routing/duty_lease.py
+++ b/src/ebonydeal/_internal/routing/duty_lease.py
@@ -119,12 +119,11 @@
         if not self._known:
             return Look()
         if self.mine:
-            if now >= self._until:
-                # The right is over; whether the row still stands is unknown.
-                self._known = False
-                return Look()
             if now < self._renew_at:
                 return Rest(self._renew_at - now)
+            # Also when the right is over: while the row stands as it was,
+            # nobody else had it, and after an outage of the store its last
+            # holder is the one who knows most.
             return self._write(now, self.fence)
         if not self.wanted:
             return Rest(self._ttl / _RENEWALS)
--- a/src/ebonydeal/_internal/routing/fleet_plan.py
+++ b/src/ebonydeal/_internal/routing/fleet_plan.py
@@ -10,6 +10,9 @@
 
 from ebonydeal._internal.models.forwarding import Scaling
 
+# With fewer zones the loss of two is the loss of all.
+_ZONES_FOR_TWO = 3
+
 
 class ZoneFleet(NamedTuple):
     """Endpoints in one zone by kind: serving, and ordered but not there yet.
@@ -53,11 +56,32 @@
         Share of an endpoint's capacity that is planned for: beyond it waiting
         before the first event grows fast.
     use_short : float
-        The same while a zone was just taken back.
+        The same while the zone with most of them was just taken back.
+    use_last : float
+        The same while the two zones with most of them were: zones are taken
+        back within seconds of each other, faster than an endpoint boots.
     """
 
     use: float = 0.4
     use_short: float = 0.65
+    use_last: float = 0.9
+
+
+class _Need(NamedTuple):
+    """Endpoints needed: with all zones, without the largest, without two."""
+
+    whole: int
+    short: int
+    last: int
+
+    def met(self, counts: list[int]) -> bool:
+        """Return whether so many endpoints a zone are enough."""
+        ranked = sorted(counts)
+        return (
+            sum(ranked) >= self.whole
+            and sum(ranked[:-1]) >= self.short
+            and (len(ranked) < _ZONES_FOR_TWO or sum(ranked[:-2]) >= self.last)
+        )
 
 
 class ZoneTarget(NamedTuple):
@@ -68,11 +92,10 @@
 
 
 class FleetPlan(NamedTuple):
-    """Wanted endpoints by zone, and what they were derived from."""
+    """Wanted endpoints by zone, and how many the load needs."""
 
     zones: dict[str, ZoneTarget]
     need: int
-    need_short: int
 
 
 def plan_fleet(scaling: Scaling, state: FleetState, terms: FleetTerms) -> FleetPlan:
@@ -82,14 +105,33 @@
         set(prices) | set(state.zones), key=lambda z: (prices.get(z, 1.0), z)
     )
     now = {zone: state.zones.get(zone, ZoneFleet()) for zone in zones}
-    need = max(1, state.least, ceil(state.load / terms.use))
-    need_short = max(1, ceil(state.load / terms.use_short))
+    need = _Need(
+        whole=max(1, state.least, ceil(state.load / terms.use)),
+        short=max(1, ceil(state.load / terms.use_short)),
+        last=max(1, ceil(state.load / terms.use_last)),
+    )
+    kept = _kept_fixed(zones, now, need)
     spot = dict.fromkeys(zones, 0)
     if scaling.spot_price is not None and scaling.spot_price < 1.0:
-        spot = _spread_spot(scaling, zones, now, state.dry, need, need_short)
-    fixed = _fill_fixed(scaling, zones, now, spot, need, need_short)
+        spot = _spread_spot(scaling, zones, now, state.dry, need, kept)
+    fixed = _fill_fixed(scaling, zones, now, spot, need, kept)
     plan = {zone: ZoneTarget(spot[zone], fixed[zone]) for zone in zones}
-    return FleetPlan(plan, need, need_short)
+    return FleetPlan(plan, need.whole)
+
+
+def _kept_fixed(
+    zones: list[str], now: dict[str, ZoneFleet], need: _Need
+) -> dict[str, int]:
+    """Return the on-demand endpoints that stay until reclaimable ones serve."""
+    serving = sum(now[zone].spot for zone in zones)
+    kept = {zone: now[zone].fixed + now[zone].fixed_coming for zone in zones}
+    spare = sum(kept.values()) - max(0, need.whole - serving)
+    while spare > 0 and any(kept.values()):
+        # From the zone with most of them, which makes room there.
+        zone = max(zones, key=lambda z: (kept[z], z))
+        kept[zone] -= 1
+        spare -= 1
+    return kept
 
 
 def _spread_spot(
@@ -97,17 +139,19 @@
     zones: list[str],
     now: dict[str, ZoneFleet],
     dry: frozenset[str],
-    need: int,
-    need_short: int,
+    need: _Need,
+    kept: dict[str, int],
 ) -> dict[str, int]:
-    """Spread reclaimable endpoints so that one zone's loss leaves enough."""
+    """Spread reclaimable endpoints so that the loss of zones leaves enough."""
+    # Both kinds together have one upper bound.
+    room = {zone: max(0, scaling.most - kept[zone]) for zone in zones}
     # A zone that gives no more keeps what it has.
     spot = {
-        zone: min(now[zone].spot, scaling.most) if zone in dry else scaling.least
+        zone: min(now[zone].spot if zone in dry else scaling.least, room[zone])
         for zone in zones
     }
-    while not _enough(spot, need, need_short):
-        open_zones = [z for z in zones if z not in dry and spot[z] < scaling.most]
+    while not need.met(list(spot.values())):
+        open_zones = [z for z in zones if z not in dry and spot[z] < room[z]]
         if not open_zones:
             break
         prices = scaling.zone_prices
@@ -116,29 +160,26 @@
     return spot
 
 
-def _enough(spot: dict[str, int], need: int, need_short: int) -> bool:
-    """Return whether the load is carried, also without the largest zone."""
-    total = sum(spot.values())
-    return total >= need and total - max(spot.values(), default=0) >= need_short
-
-
 def _fill_fixed(
     scaling: Scaling,
     zones: list[str],
     now: dict[str, ZoneFleet],
     spot: dict[str, int],
-    need: int,
-    need_short: int,
+    need: _Need,
+    kept: dict[str, int],
 ) -> dict[str, int]:
     """Return on-demand endpoints: what reclaimable ones can't give, or not yet."""
     total = sum(spot.values())
     largest = max(spot.values(), default=0)
-    wanted = max(need_short - (total - largest), need - total if total == 0 else 0)
-    # Those that are there or coming stay until the reclaimable ones serve.
-    serving = sum(min(now[zone].spot, spot[zone]) for zone in zones)
-    there = sum(now[zone].fixed + now[zone].fixed_coming for zone in zones)
-    wanted = max(wanted, min(there, need - serving), 0)
-    fixed = {zone: max(0, scaling.least - spot[zone]) for zone in zones}
+    wanted = need.short - (total - largest)
+    if total == 0:
+        wanted = need.whole
+    fixed = {
+        zone: min(
+            max(kept[zone], scaling.least - spot[zone]), scaling.most - spot[zone]
+        )
+        for zone in zones
+    }
     while sum(fixed.values()) < wanted:
         open_zones = [z for z in zones if spot[z] + fixed[z] < scaling.most]
         if not open_zones:
--- a/src/ebonydeal/_internal/routing/member_choice.py
+++ b/src/ebonydeal/_internal/routing/member_choice.py
@@ -43,7 +43,7 @@
 # Part of the batch beyond which other relays' unseen sends may fill it.
 _SEATS_KEPT = 0.95
 # Time over which the work asked of a service is averaged.
-_WORK_WINDOW_S = 2.0
+_WORK_WINDOW_S = 4.0
 
 
 class Ask(NamedTuple):
--- a/src/ebonydeal/_internal/routing/quota_broker.py
+++ b/src/ebonydeal/_internal/routing/quota_broker.py
@@ -13,12 +13,12 @@
 
 # Parts of the tolerated overshoot that the buckets use: the rest covers grants
 # that are still unused at relays.
-_OVERSHOOT_USED = 0.5
-_SLACK_USED = 0.4
+_OVERSHOOT_USED = 0.35
+_SLACK_USED = 0.3
 # Above this level of the bucket relays get some in advance.
 _PLENTY = 0.5
 # Seconds of a relay's own demand that it gets in advance.
-_ADVANCE_S = 1.0
+_ADVANCE_S = 0.5
 _LEAST_WAIT_S = 0.05
 _MOST_WAIT_S = 10.0
 
--- a/src/ebonydeal/_internal/routing/usage_ledger.py
+++ b/src/ebonydeal/_internal/routing/usage_ledger.py
@@ -43,6 +43,10 @@
     ) -> None:
         """Take one relay's totals; ``wall`` is its clock when it sent them."""
         self._heard[relay] = max(wall, self._heard.get(relay, 0.0))
+        self.stored(relay, windows)
+
+    def stored(self, relay: str, windows: dict[int, dict[str, int]]) -> None:
+        """Take totals of a relay that may be gone."""
         for window, counts in windows.items():
             told = self._told.setdefault(window, {})
             known = told.get(relay, {})
@@ -53,6 +57,16 @@
         while len(self._told) > _WINDOWS_KEPT:
             del self._told[min(self._told)]
 
+    def open_windows(self) -> dict[str, dict[int, dict[str, int]]]:
+        """Return the totals of windows not reported yet, by relay."""
+        totals: dict[str, dict[int, dict[str, int]]] = {}
+        for window, told in self._told.items():
+            if window <= self.reported:
+                continue
+            for relay, counts in told.items():
+                totals.setdefault(relay, {})[window] = counts
+        return totals
+
     def forget(self, relay: str) -> None:
         """Wait no longer for a relay; what it told stays."""
         self._heard.pop(relay, None)
--- a/src/ebonydeal/_internal/settings/relay.py
+++ b/src/ebonydeal/_internal/settings/relay.py
@@ -52,6 +52,9 @@
     lease_ms: Annotated[
         float, Key("Least time between holders of a duty.", "milliseconds", 1, _MOST_MS)
     ] = 3000.0
+    checks_fence: Annotated[
+        bool, Key("The platform refuses a duty's call with an old fencing number.")
+    ] = True
     usage_window_s: Annotated[
         float, Key("Length of a usage window.", "seconds", 0.1, 86400)
     ] = 5.0
--- a/tests/functional/relay/test_life.py
+++ b/tests/functional/relay/test_life.py
@@ -163,6 +163,7 @@
         stored = {
             int(key): json.loads(row.value)
             for key, row in store.tables[USAGE_TABLE].items()
+            if key.isdigit()
         }
         sent = {window: counts for window, counts, _fence in duties.usage}
         assert all(sent[w] == counts for w, counts in stored.items() if w in sent)
--- a/tests/unit/routing/test_duty_lease.py
+++ b/tests/unit/routing/test_duty_lease.py
@@ -114,6 +114,16 @@
         assert not first.holds(10.0 + TTL)
         assert not other.holds(10.0 + TTL - 0.01)
 
+    def test_last_holder_goes_on_after_an_outage_that_lasted_longer(self):
+        store = Store()
+        first, other = lease("a"), lease("b")
+        take(first, store, 10.0)
+        run(other, store, 10.0)
+        assert not first.holds(16.0)
+        run(other, store, 13.1 - TTL)
+        run(first, store, 16.0)
+        assert first.holds(16.0) and first.fence == 1
+
     def test_in_doubt_looks_before_it_acts(self):
         store = Store()
         one = lease()
--- a/tests/unit/routing/test_route_index.py
+++ b/tests/unit/routing/test_route_index.py
@@ -14,7 +14,6 @@
     pick_service,
 )
 
-
 ONE = (Target("s", 1.0),)
 
 
--- a/tests/unit/routing/test_usage_ledger.py
+++ b/tests/unit/routing/test_usage_ledger.py
@@ -47,3 +47,15 @@
         one.heard("n1/x", {20: {"a": 3}}, 105.9)
         one.reported = 20
         assert one.due(106.0, ACCOUNTS) is None
+
+    def test_what_was_stored_survives_all_processes(self):
+        one = ledger()
+        one.heard("n1/x", {20: {"a": 3}, 21: {"a": 1}}, 106.0)
+        one.reported = 20
+        again = ledger()
+        for relay, windows in one.open_windows().items():
+            again.stored(relay, windows)
+        again.heard("n1/y", {21: {"a": 2}}, 110.4)
+        assert again.due(108.0, ACCOUNTS) == Due(20, {"a": 0, "b": 0})
+        again.reported = 20
+        assert again.due(110.5, ACCOUNTS) == Due(21, {"a": 3, "b": 0})
