Hold the found size until load is seen; refuse early what would be late

Change: the found size holds for on-demand endpoints too until load was seen for five seconds; an order for more stands for five seconds; a stream whose first event is expected well after its objective is refused at once with the time to come back, and served when it does; a client account's rank goes before the route's.

--- a/src/ebonydeal/_internal/relay/fleet.py
+++ b/src/ebonydeal/_internal/relay/fleet.py
@@ -31,6 +31,8 @@
 # Until this much load was seen, the fleet is kept as large as it was found.
 _LEAST_LOAD = 0.05
 _MEASURE_S = 5.0
+# Time for which an order for more stands at least.
+_STEADY_S = 5.0
 # An order that is younger than this was made knowing of the reclaim.
 _TAKEN_S = 1.0
 # Load that is lower than before shrinks the fleet only after this long, as a
@@ -279,6 +281,10 @@
             return False
         if last is not None and last.wanted == count and count <= have:
             return False
+        if count < have and last is not None:
+            # What still boots is not taken back: the plan may want it again.
+            if self._clock.now() - last.at < _STEADY_S:
+                return False
         if not self._coordinator.may_order:
             return False
         answer = await self._duties.order(
--- a/src/ebonydeal/_internal/relay/job.py
+++ b/src/ebonydeal/_internal/relay/job.py
@@ -26,6 +26,7 @@
 from ebonydeal._internal.relay.ports import Wire
 from ebonydeal._internal.relay.usage import UsageMeter
 from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.routing.early_refusal import EarlyRefusal
 from ebonydeal._internal.routing.member_choice import Ask, MemberChoice, Sent
 from ebonydeal._internal.routing.outliers import Outliers
 from ebonydeal._internal.routing.retries import Failure, GiveUp, RetryPolicy
@@ -73,6 +74,7 @@
     view: RelayView
     choice: MemberChoice
     outliers: Outliers
+    refusal: EarlyRefusal
     retries: RetryPolicy
     pools: EndpointPools
     usage: UsageMeter
@@ -122,7 +124,8 @@
                 error = EbonydealError(ErrorKind.NO_ENDPOINT, f"of {job.service}")
                 raise self.proof.refusal(error)
             await parts.clock.sleep(_WAIT_STEP_S)
-        member, missed = found
+        member, missed, expected = found
+        self._refuse_early(expected)
         self.member = member
         if self._tries == 0:
             parts.retries.first_send(job.service, parts.clock.now())
@@ -131,12 +134,40 @@
         self.sent = parts.choice.sent(self._ask(), member, missed, now)
         return member
 
+    def _refuse_early(self, expected: float | None) -> None:
+        """Raise SHED where the answer would surely be late."""
+        job = self.job
+        if expected is None or self._tries or job.req.allowed is None:
+            return
+        wait = self._parts.refusal.wait(
+            job.route.name,
+            job.req.allowed,
+            job.route.objective,
+            self.urgency,
+            expected,
+        )
+        if wait is not None:
+            detail = f"first event expected in {expected:.2f} s"
+            raise EbonydealError(ErrorKind.SHED, detail, retry_after=wait)
+
+    @property
+    def urgency(self) -> int:
+        """0 is served first; a client account's rank goes before the route's."""
+        account = self.job.account
+        if account is not None and account.priority is not None:
+            return account.priority
+        return self.job.route.priority
+
     def _ask(self) -> Ask:
         req = self.job.req
         return Ask(req.parts, req.prompt_tokens or 0, self._parts.zone)
 
-    def _choose_now(self) -> tuple[Member, float] | None:
-        """Return the best endpoint and the tokens it must read, or None."""
+    def _choose_now(self) -> tuple[Member, float, float | None] | None:
+        """Return the best endpoint, or None.
+
+        With it the tokens it must read, and the expected time to the first
+        event where that is known.
+        """
         parts, job = self._parts, self.job
         now = parts.clock.now()
         listed = parts.view.of_service(job.service)
@@ -146,11 +177,12 @@
         allowed = parts.outliers.allowed(listed, now)
         if job.req.prompt_tokens is None:
             member = parts.choice.plain(parts.zone, allowed)
-            return None if member is None else (member, 0.0)
+            return None if member is None else (member, 0.0, None)
         score = parts.choice.engine(self._ask(), allowed, now)
         if score is None:
             return None
-        return parts.view.members[score.endpoint_id], score.missed
+        expected = parts.choice.base + score.wait + score.missed / parts.choice.rate
+        return parts.view.members[score.endpoint_id], score.missed, expected
 
     def sending(self, last_event: str = "") -> Sending:
         """Return what the next send tells its endpoint."""
@@ -160,7 +192,7 @@
             endpoint_id=self.member.endpoint_id,
             account="" if account is None else account.name,
             allowed=self.left,
-            urgency=self.job.route.priority if self.job.route.has_prompt else None,
+            urgency=min(9, self.urgency) if self.job.route.has_prompt else None,
             last_event=last_event,
         )
 
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -28,6 +28,7 @@
 from ebonydeal._internal.relay.usage import UsageMeter
 from ebonydeal._internal.relay.view import RelayView
 from ebonydeal._internal.routing.duty_lease import DutyLease
+from ebonydeal._internal.routing.early_refusal import EarlyRefusal
 from ebonydeal._internal.routing.member_choice import MemberChoice, Told
 from ebonydeal._internal.routing.outliers import Outliers
 from ebonydeal._internal.routing.quota_broker import LocalQuota, QuotaBounds
@@ -81,6 +82,7 @@
             view=self.view,
             choice=self._choice,
             outliers=Outliers(_outlier_settings(settings["routing"]), rng),
+            refusal=EarlyRefusal(),
             retries=self._retries,
             pools=self._pools,
             usage=self.usage,
--- a/src/ebonydeal/_internal/routing/fleet_plan.py
+++ b/src/ebonydeal/_internal/routing/fleet_plan.py
@@ -110,7 +110,7 @@
         short=max(1, ceil(state.load / terms.use_short)),
         last=max(1, ceil(state.load / terms.use_last)),
     )
-    kept = _kept_fixed(zones, now, need)
+    kept = _kept_fixed(zones, now, max(need.short, state.least))
     spot = dict.fromkeys(zones, 0)
     if scaling.spot_price is not None and scaling.spot_price < 1.0:
         spot = _spread_spot(scaling, zones, now, state.dry, need, kept)
@@ -120,12 +120,12 @@
 
 
 def _kept_fixed(
-    zones: list[str], now: dict[str, ZoneFleet], need: _Need
+    zones: list[str], now: dict[str, ZoneFleet], need: int
 ) -> dict[str, int]:
     """Return the on-demand endpoints that stay until reclaimable ones serve."""
     serving = sum(now[zone].spot for zone in zones)
     kept = {zone: now[zone].fixed + now[zone].fixed_coming for zone in zones}
-    spare = sum(kept.values()) - max(0, need.whole - serving)
+    spare = sum(kept.values()) - max(0, need - serving)
     while spare > 0 and any(kept.values()):
         # From the zone with most of them, which makes room there.
         zone = max(zones, key=lambda z: (kept[z], z))
@@ -172,8 +172,6 @@
     total = sum(spot.values())
     largest = max(spot.values(), default=0)
     wanted = need.short - (total - largest)
-    if total == 0:
-        wanted = need.whole
     fixed = {
         zone: min(
             max(kept[zone], scaling.least - spot[zone]), scaling.most - spot[zone]
