Tell the holder all counts of usage, also while relays stop

Cause: of usage windows in which relays were restarted a fifth was missing: a stopping relay never looked for the next holder, its last counts were not told, and a release didn't store the open windows.

--- a/src/ebonydeal/_internal/relay/peers.py
+++ b/src/ebonydeal/_internal/relay/peers.py
@@ -151,6 +151,10 @@
             period = max(_PERIOD_S, self.relay_count / _EXCHANGES_PER_S)
             await parts.clock.sleep(period * parts.rng.uniform(0.8, 1.2))
 
+    async def flush(self) -> None:
+        """Tell the coordinator once more before this process ends."""
+        await self._once()
+
     async def _once(self) -> None:
         """Make one exchange; without an answer, want the lease."""
         parts = self._parts
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -232,6 +232,7 @@
         await self._clock.sleep(self._cfg.settle_s)
         while self.intake.in_flight and self._clock.now() < last:
             await self._clock.sleep(_DRAIN_STEP_S)
+        await self._exchange.flush()
         logger.info(
             "Drained.",
             in_flight=self.intake.in_flight,
--- a/src/ebonydeal/_internal/routing/fleet_plan.py
+++ b/src/ebonydeal/_internal/routing/fleet_plan.py
@@ -62,9 +62,9 @@
         back within seconds of each other, faster than an endpoint boots.
     """
 
-    use: float = 0.4
-    use_short: float = 0.65
-    use_last: float = 0.9
+    use: float = 0.45
+    use_short: float = 0.7
+    use_last: float = 1.0
 
 
 class _Need(NamedTuple):
--- a/src/ebonydeal/_internal/routing/usage_ledger.py
+++ b/src/ebonydeal/_internal/routing/usage_ledger.py
@@ -67,6 +67,11 @@
                 totals.setdefault(relay, {})[window] = counts
         return totals
 
+    def told_by(self, window: int) -> dict[str, int]:
+        """Return each relay's total of a window, for the log."""
+        told = self._told.get(window, {})
+        return {relay: sum(counts.values()) for relay, counts in told.items()}
+
     def forget(self, relay: str) -> None:
         """Wait no longer for a relay; what it told stays."""
         self._heard.pop(relay, None)
