Take a hang-up signal as changed settings

Change: programs read their settings again at SIGHUP; the relay takes bounds and seeds, others say that they read them at the start only; wrong settings are named and the last good ones stay.

--- a/src/ebonydeal/_internal/cli/program.py
+++ b/src/ebonydeal/_internal/cli/program.py
@@ -11,7 +11,7 @@
 
 from ebonydeal import __version__
 from ebonydeal._internal.cli.run import run_program
-from ebonydeal._internal.commands.settings import load_settings
+from ebonydeal._internal.commands.settings import load_settings, reread_settings
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.observe.logs import configure_logs
 from ebonydeal._internal.utils.clock import Clock, SystemClock
@@ -55,7 +55,8 @@
         configure_logs(settings["logs"])
         sys.exit(
             run_program(
-                lambda: build(settings, Metrics(), SystemClock(), random.Random())
+                lambda: build(settings, Metrics(), SystemClock(), random.Random()),
+                lambda: reread_settings(file),
             )
         )
 
--- a/src/ebonydeal/_internal/cli/run.py
+++ b/src/ebonydeal/_internal/cli/run.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 from collections.abc import Callable
+from typing import Any, Protocol, runtime_checkable
 
 from mode import Service
 
@@ -11,13 +12,39 @@
 logger = get_logger("run")
 
 
-async def _serve(build: Callable[[], Service]) -> int:
+Reread = Callable[[], dict[str, Any] | None]
+
+
+@runtime_checkable
+class Reloadable(Protocol):
+    """A program that takes changed settings while it runs."""
+
+    def reload(self, settings: dict[str, Any]) -> None:
+        """Take the settings as they are now."""
+
+
+def _reload(service: Service, reread: Reread) -> None:
+    """Take changed settings; a program that can't goes on as it is."""
+    if not isinstance(service, Reloadable):
+        logger.info("Settings are read at the start only.", program=service.label)
+        return
+    settings = reread()
+    if settings is None:
+        logger.error("Settings refused; the last good ones stay.")
+        return
+    service.reload(settings)
+    logger.info("Settings read again.", program=service.label)
+
+
+async def _serve(build: Callable[[], Service], reread: Reread) -> int:
     """Start the tree, wait for a signal or a crash, stop it gracefully."""
     service = build()
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, stop.set)
+    # Without a handler a hang-up would end the process.
+    loop.add_signal_handler(signal.SIGHUP, _reload, service, reread)
     await service.start()
     logger.info("Started.", program=service.label)
     waits = [
@@ -32,10 +59,13 @@
     return 1 if service.crashed else 0
 
 
-def run_program(build: Callable[[], Service]) -> int:
+def run_program(build: Callable[[], Service], reread: Reread = lambda: None) -> int:
     """Run the service that ``build`` makes inside the loop; return an exit code.
 
+    ``reread`` returns the settings as they are at a hang-up signal, or None
+    where they can't be used.
+
     `mode.Worker` is not used: it takes over logging and signals in ways that
     keep a second service from living in the same process (the quickstart).
     """
-    return asyncio.run(_serve(build))
+    return asyncio.run(_serve(build, reread))
--- a/src/ebonydeal/_internal/commands/settings.py
+++ b/src/ebonydeal/_internal/commands/settings.py
@@ -8,10 +8,13 @@
 from returns.result import Failure
 
 from ebonydeal._internal.commands.exits import ExitCode
+from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.settings.parse import parse_settings
 from ebonydeal._internal.settings.registry import ALL_SECTIONS
 from ebonydeal._internal.settings.text import example_text, settings_text
 
+logger = get_logger("settings")
+
 file_argument = click.argument("file", type=click.Path(path_type=Path))
 
 
@@ -37,6 +40,21 @@
     return parsed.unwrap()
 
 
+def reread_settings(file: Path) -> dict[str, Any] | None:
+    """Return a file's typed sections, or None with every mistake logged."""
+    try:
+        text = file.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        logger.error("Settings can't be read.", file=str(file), reason=str(exc))
+        return None
+    parsed = parse_settings(text, str(file), ALL_SECTIONS)
+    if isinstance(parsed, Failure):
+        for problem in parsed.failure():
+            logger.error("Settings are wrong.", problem=str(problem))
+        return None
+    return parsed.unwrap()
+
+
 @click.group("settings")
 def settings_command() -> None:
     """Check, show or write settings files (INI)."""
--- a/src/ebonydeal/_internal/relay/peers.py
+++ b/src/ebonydeal/_internal/relay/peers.py
@@ -127,11 +127,14 @@
     def __init__(self, parts: ExchangeParts, seeds: tuple[str, ...]) -> None:
         super().__init__()
         self._parts = parts
-        self._seeds = seeds
         self._last_ok = parts.clock.now()
         self.relays: list[str] = list(seeds)
         self.relay_count = max(1, len(seeds))
 
+    def take_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Ask other relays to begin with, beside those that are known."""
+        self.relays.extend(seed for seed in seeds if seed not in self.relays)
+
     @property
     def in_touch(self) -> bool:
         """Whether the coordinator answered lately."""
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -119,7 +119,7 @@
         self._client = PeerClient(peers.credential)
         handler = PeerHandler(peers.credential, self.coordinator, self.view, metrics)
         self.peers = RawListener(handler.handle, self._cfg.peer_address)
-        seeds = tuple(s for s in peers.seeds.split(",") if s)
+        seeds = _seeds(peers.seeds)
         self._exchange = Exchange(
             ExchangeParts(
                 self.coordinator, self._client, clock, rng, self._word, self._heard
@@ -154,6 +154,16 @@
             self.clients,
         ]
 
+    def reload(self, settings: dict[str, Any]) -> None:
+        """Take changed bounds and seeds; addresses stay until the next start."""
+        old = self._cfg
+        self._cfg = settings["relay"]._replace(
+            address=old.address,
+            ready_address=old.ready_address,
+            peer_address=old.peer_address,
+        )
+        self._exchange.take_seeds(_seeds(settings["peers"].seeds))
+
     # --- talk with the coordinator -------------------------------------------
     def _word(self) -> ExchangeMessage:
         """Return what the coordinator is told."""
@@ -251,6 +261,11 @@
         await self.ports.duties.close()
 
 
+def _seeds(text: str) -> tuple[str, ...]:
+    """Return the addresses of a comma separated list."""
+    return tuple(word.strip() for word in text.split(",") if word.strip())
+
+
 def _retry_settings(cfg: RelaySettings, relays: int) -> RetrySettings:
     """Return the part of the shared budget that one relay may spend."""
     return RetrySettings(
--- /dev/null
+++ b/tests/functional/relay/test_entry.py
@@ -0,0 +1,92 @@
+"""The program as a process: signals, and settings that change or are wrong."""
+
+import asyncio
+import os
+import signal
+import sys
+
+import pytest
+
+from ebonydeal._internal.commands.settings import reread_settings
+from tests.lib.relay_fakes import running, settings
+
+FILE = """
+[node]
+id = n1
+[platform]
+tables_url = http://127.0.0.1:9
+cloud_url = http://127.0.0.1:9
+[logs]
+format = json
+[relay]
+address = 127.0.0.1:0
+ready_address = 127.0.0.1:0
+peer_address = 127.0.0.1:0
+settle_s = 0
+"""
+
+
+async def started(file):
+    """Start the program; return it once it says so."""
+    proc = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "ebonydeal._internal.cli.relay",
+        "--settings",
+        str(file),
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+        env={**os.environ, "PYTHONUNBUFFERED": "1"},
+    )
+    await said(proc, b"Started.")
+    return proc
+
+
+async def said(proc, words):
+    """Read lines until one holds ``words``."""
+    while line := await asyncio.wait_for(proc.stdout.readline(), 20):
+        if words in line:
+            return line
+    raise AssertionError(f"it ended without {words!r}")
+
+
+class TestSignals:
+    async def test_hang_up_reads_settings_again_and_ends_nothing(self, tmp_path):
+        file = tmp_path / "relay.ini"
+        file.write_text(FILE)
+        proc = await started(file)
+        try:
+            proc.send_signal(signal.SIGHUP)
+            await said(proc, b"Settings read again.")
+            file.write_text(FILE + "[relai]\n")
+            proc.send_signal(signal.SIGHUP)
+            assert b"relai" in await said(proc, b"Settings are wrong.")
+            await said(proc, b"the last good ones stay")
+            proc.send_signal(signal.SIGTERM)
+            await said(proc, b"Drained.")
+            assert await asyncio.wait_for(proc.wait(), 10) == 0
+        finally:
+            if proc.returncode is None:
+                proc.kill()
+
+
+class TestReload:
+    def test_file_that_is_gone_is_refused(self, tmp_path):
+        assert reread_settings(tmp_path / "none.ini") is None
+
+    async def test_bounds_change_and_addresses_stay(self):
+        async with running() as (program, _store):
+            changed = settings(grace_s=3.0, address="127.0.0.1:1")
+            changed["peers"] = changed["peers"]._replace(seeds="10.0.0.1:1, 10.0.0.2:1")
+            before = program._cfg.address
+            program.reload(changed)
+            assert program._cfg.grace_s == 3.0
+            assert program._cfg.address == before
+            assert "10.0.0.2:1" in program._exchange.relays
+
+
+@pytest.mark.parametrize("text", ["[relay]\naddress\n", "[relay]\ngrace_s = soon\n"])
+def test_wrong_settings_are_named(tmp_path, text):
+    file = tmp_path / "relay.ini"
+    file.write_text(text)
+    assert reread_settings(file) is None
