--- a/src/ebonydeal/_internal/cli/main.py
+++ b/src/ebonydeal/_internal/cli/main.py
@@ -13,6 +13,7 @@
 from ebonydeal._internal.commands.spend import spend_command
 from ebonydeal._internal.commands.standin import standin_command
 from ebonydeal._internal.commands.status import endpoints_command, status_command
+from ebonydeal._internal.commands.story import story_command
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -23,6 +24,7 @@
 
 main.add_command(bench_command)
 main.add_command(explain_command)
+main.add_command(story_command)
 main.add_command(quickstart_command)
 main.add_command(standin_command)
 main.add_command(key_command)
--- a/src/ebonydeal/_internal/cli/run.py
+++ b/src/ebonydeal/_internal/cli/run.py
@@ -25,15 +25,16 @@
 
 def _reload(service: Service, reread: Reread) -> None:
     """Take changed settings; a program that can't goes on as it is."""
+    program = service.label
     if not isinstance(service, Reloadable):
-        logger.info("Settings are read at the start only.", program=service.label)
+        logger.info("Settings are read at the start only.", program=program)
         return
     settings = reread()
     if settings is None:
         logger.error("Settings refused; the last good ones stay.")
         return
     service.reload(settings)
-    logger.info("Settings read again.", program=service.label)
+    logger.info("Settings read again.", program=program)
 
 
 async def _serve(build: Callable[[], Service], reread: Reread) -> int:
--- a/src/ebonydeal/_internal/relay/job.py
+++ b/src/ebonydeal/_internal/relay/job.py
@@ -132,6 +132,20 @@
         self._tries += 1
         now = parts.clock.now()
         self.sent = parts.choice.sent(self._ask(), member, missed, now)
+        logger.info(
+            "Sent.",
+            request=job.req.request_id,
+            service=job.service,
+            endpoint=member.endpoint_id,
+            zone=member.zone,
+            expected_s=None if expected is None else round(expected, 3),
+            to_read=round(missed),
+            running=parts.choice.running(member.endpoint_id),
+            told_age_s=parts.choice.told_age(member.endpoint_id, now),
+            config=parts.view.version,
+            send=self._tries,
+            waited_s=round(now - job.started, 4),
+        )
         return member
 
     def _refuse_early(self, expected: float | None) -> None:
--- a/src/ebonydeal/_internal/relay/messages.py
+++ b/src/ebonydeal/_internal/relay/messages.py
@@ -62,8 +62,12 @@
 
 
 class ViewReply(TypedDict, total=False):
-    """News: the configuration as it was read (base64), and the whole list."""
+    """News: the configuration as it was read (base64), and the whole list.
+
+    ``lease`` is the lease's row as last seen, and its version.
+    """
 
     config: str
+    lease: list
     members: list[list]
     version: int
--- a/src/ebonydeal/_internal/relay/peers.py
+++ b/src/ebonydeal/_internal/relay/peers.py
@@ -25,6 +25,7 @@
 )
 from ebonydeal._internal.relay.ports import Wire
 from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.routing.duty_lease import DutyLease, LeaseRow
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.peerclient import PEER_HEADER, PeerClient
 
@@ -96,6 +97,9 @@
         if view.members_known and view.members_version > message["members"]:
             reply["members"] = [list(member) for member in view.members.values()]
             reply["version"] = view.members_version
+        lease = self._coordinator.lease
+        if lease.row is not None:
+            reply["lease"] = [list(lease.row), lease.version]
         return reply
 
 
@@ -140,6 +144,11 @@
         """Whether the coordinator answered lately."""
         return self._parts.clock.now() - self._last_ok <= _PATIENCE_S + _PERIOD_S
 
+    @property
+    def lease(self) -> DutyLease:
+        """The lease as this relay sees it."""
+        return self._parts.coordinator.lease
+
     @property
     def coordinator_address(self) -> str | None:
         """Where the coordinator is, as far as known."""
@@ -270,5 +279,8 @@
                 members = [Member(*item) for item in reply["members"]]
                 view.replace(members, reply["version"], self._clock.now(), False)
                 logger.info("Endpoints from a peer.", peer=address, count=len(members))
+            if "lease" in reply:
+                row, version = reply["lease"]
+                self._exchange.lease.hear(LeaseRow(*row), int(version))
         except (EbonydealError, KeyError, TypeError, ValueError) as exc:
             logger.error("News can't be read.", peer=address, reason=repr(exc))
--- a/src/ebonydeal/_internal/routing/duty_lease.py
+++ b/src/ebonydeal/_internal/routing/duty_lease.py
@@ -95,6 +95,21 @@
         """The row as last seen."""
         return self._row
 
+    @property
+    def version(self) -> int:
+        """The row's version as last seen."""
+        return self._version
+
+    def hear(self, row: LeaseRow, version: int) -> None:
+        """Take a newer holder's row from another relay.
+
+        Only for finding the holder while the store turns this relay away: a
+        write still needs the row's version, which the store checks.
+        """
+        if row.fence > self.fence and version > self._version:
+            self._row, self._version = row, version
+            self._known = False
+
     @property
     def fence(self) -> int:
         """The fencing number of the row as last seen; 0 without one."""
--- a/src/ebonydeal/_internal/routing/member_choice.py
+++ b/src/ebonydeal/_internal/routing/member_choice.py
@@ -139,6 +139,13 @@
         load = self._loads.get(endpoint_id)
         return 0 if load is None else load.running + load.told.running
 
+    def told_age(self, endpoint_id: str, now: float) -> float | None:
+        """Return how old the others' word on an endpoint is, seconds."""
+        load = self._loads.get(endpoint_id)
+        if load is None or load.told.at <= 0.0:
+            return None
+        return round(now - load.told.at, 3)
+
     def keep_only(self, endpoint_ids: Iterable[str]) -> None:
         """Forget endpoints that are gone."""
         known = set(endpoint_ids)
--- a/src/ebonydeal/_internal/settings/sections.py
+++ b/src/ebonydeal/_internal/settings/sections.py
@@ -49,7 +49,7 @@
 
 
 class LogSettings(NamedTuple):
-    """``[logs]``: what is written to standard error."""
+    """``[logs]``: what is written to standard output."""
 
     format: Annotated[str, Key("Form of a log line.", choices=("human", "json"))] = (
         "human"
--- a/tests/functional/relay/test_life.py
+++ b/tests/functional/relay/test_life.py
@@ -98,6 +98,8 @@
             try:
                 await until(lambda: second.ready)
                 assert (await ask(second, "/safe/"))[0] == 200
+                # It learns who holds the duties too.
+                await until(lambda: second.coordinator.lease.fence == 1)
                 await store.put("op", "config", document(9))
                 await until(lambda: second.view.version == 9)
             finally:
--- a/tests/unit/routing/test_duty_lease.py
+++ b/tests/unit/routing/test_duty_lease.py
@@ -105,6 +105,21 @@
         assert store.row is None
 
 
+class TestHearing:
+    def test_a_newer_holder_is_heard_of_and_an_older_is_not(self):
+        store = Store()
+        first, other = lease("a"), lease("b")
+        take(first, store, 10.0)
+        run(other, store, 10.0)
+        later = LeaseRow("c", "9", "c:1", 5)
+        first.hear(later, 40)
+        assert first.row == later and not first.holds(10.1)
+        first.hear(LeaseRow("b", "1", "b:1", 4), 41)
+        assert first.row == later
+        # What was heard gives no right: the store is asked first.
+        assert isinstance(first.next_step(99.0), Look)
+
+
 class TestHolding:
     def test_right_ends_before_anothers_can_begin(self):
         store = Store()
