Answer requests that come while a stopping relay tells its last counts

Change: what is in flight is waited for again after that, then the listener reads nothing more, and what was read at that moment is answered.

Figures: test_a_request_that_comes_while_the_last_word_is_told failed before.

--- a/src/ebonydeal/_internal/relay/listener.py
+++ b/src/ebonydeal/_internal/relay/listener.py
@@ -56,6 +56,17 @@
         )
         self.port = self._socket.sockets[0].getsockname()[1]
 
+    def close_gently(self) -> None:
+        """Take no connection and read no request any more.
+
+        What was read already is answered. Idle connections stay open unread
+        until the stop, which must follow at once.
+        """
+        if self._socket is not None:
+            self._socket.close()
+        if self._server is not None:
+            self._server.pre_shutdown()
+
     async def on_stop(self) -> None:
         """Close the socket and what is still open."""
         if self._socket is not None:
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -50,7 +50,7 @@
 # Relays assumed before the coordinator tells how many there are.
 _FIRST_RELAYS = 12
 _LEAST_WORK = 0.0005
-_DRAIN_STEP_S = 0.05
+_DRAIN_STEP_S = 0.02
 # Kept back of the grace time for closing sockets and ending the process.
 _EXIT_RESERVE_S = 0.4
 
@@ -240,15 +240,25 @@
         logger.info("Draining.", in_flight=self.intake.in_flight)
         await self.coordinator.release()
         await self._clock.sleep(self._cfg.settle_s)
-        while self.intake.in_flight and self._clock.now() < last:
-            await self._clock.sleep(_DRAIN_STEP_S)
+        await self._finish_by(last)
         await self._exchange.flush()
+        # Requests came while the last word was told.
+        await self._finish_by(last)
+        self.clients.close_gently()
+        # One that was read at that moment is in flight after a turn of the loop.
+        await self._clock.sleep(_DRAIN_STEP_S)
+        await self._finish_by(last)
         logger.info(
             "Drained.",
             in_flight=self.intake.in_flight,
             took_s=round(self._clock.now() - begun, 3),
         )
 
+    async def _finish_by(self, last: float) -> None:
+        """Wait until nothing is in flight, at most until ``last``."""
+        while self.intake.in_flight and self._clock.now() < last:
+            await self._clock.sleep(_DRAIN_STEP_S)
+
     async def on_stop(self) -> None:
         """Drain while all children still work."""
         await self.drain()
--- a/tests/functional/relay/test_life.py
+++ b/tests/functional/relay/test_life.py
@@ -141,6 +141,28 @@
                 await stop
         assert (status, headers["connection"]) == (200, "close")
 
+    async def test_a_request_that_comes_while_the_last_word_is_told(self):
+        telling, told = asyncio.Event(), asyncio.Event()
+
+        async def flush():
+            telling.set()
+            await told.wait()
+
+        async def slow(_reader, writer, headers):
+            told.set()
+            await asyncio.sleep(0.2)
+            writer.write(answer(headers))
+
+        one = RawEndpoint("i1", [answer(), slow])
+        async with running(one) as (program, _store), Client(program) as client:
+            await client.ask("/safe/")
+            program._exchange.flush = flush
+            stop = asyncio.create_task(program.stop())
+            await telling.wait()
+            status, _headers, body = await client.ask("/safe/", rid="r2")
+            await stop
+        assert (status, body) == (200, b"hello")
+
     async def test_idle_connections_do_not_keep_it_up(self):
         one = RawEndpoint("i1")
         async with running(one) as (program, _store), Client(program) as client:
