--- a/src/ebonydeal/_internal/relay/coordinator.py
+++ b/src/ebonydeal/_internal/relay/coordinator.py
@@ -6,7 +6,6 @@
 tell the next one again.
 """
 
-import json
 from random import Random
 from typing import NamedTuple
 
@@ -22,6 +21,7 @@
     GrantReply,
 )
 from ebonydeal._internal.relay.ports import Duties, SharedStore
+from ebonydeal._internal.relay.usage_store import UsageStore
 from ebonydeal._internal.relay.view import RelayView
 from ebonydeal._internal.routing.duty_lease import (
     DutyLease,
@@ -36,9 +36,7 @@
 
 logger = get_logger("relay.coordinator")
 
-# Own tables of the store.
 LEASE_TABLE = "ebonydeal-lease"
-USAGE_TABLE = "ebonydeal-usage"
 _LEASE_KEY = "duties"
 _LOOK_S = 0.5
 _REST_S = 0.1
@@ -47,9 +45,6 @@
 _WARM_UP_S = 1.3
 # A relay not heard for this long is held to be gone.
 _SILENT_S = 3.0
-_ROWS_KEPT = 6
-_OPEN_KEY = "open"
-_MOST_OPEN_BYTES = 48_000
 
 
 class _Relay(NamedTuple):
@@ -99,6 +94,7 @@
         self._parts = parts
         self.lease = lease
         self._ledger = ledger
+        self._usage = UsageStore(parts.store, ledger)
         self._checks_fence = checks_fence
         self._refused_fence = 0
         self._broker = QuotaBroker(bounds)
@@ -221,7 +217,7 @@
             try:
                 await self._lease_step()
                 if self.holds and self._held_since is None:
-                    await self._read_open_windows()
+                    await self._usage.read_open()
             except EbonydealError as exc:
                 self._lease_failed(exc)
                 await self._parts.clock.sleep(_LOOK_S * self._parts.rng.uniform(0.5, 1))
@@ -260,7 +256,7 @@
         changes = [change]
         if self.lease.mine and write.row.fence == self.lease.fence:
             # With the renewal, what was told of usage outlives all processes.
-            changes.append(RowChange(USAGE_TABLE, _OPEN_KEY, self._open_windows()))
+            changes.append(self._usage.open_change())
         try:
             result = await self._parts.store.transact(changes)
         except EbonydealError as exc:
@@ -275,24 +271,6 @@
         value = None if row is None or row.value is None else _decoded(row.value)
         self.lease.saw(value, NO_ROW if row is None else row.version, now)
 
-    def _open_windows(self) -> bytes:
-        """Return what relays told of windows that aren't reported yet."""
-        told = json.dumps(self._ledger.open_windows()).encode()
-        return told if len(told) <= _MOST_OPEN_BYTES else b"{}"
-
-    async def _read_open_windows(self) -> None:
-        """Take what the holder before stored of windows not reported yet."""
-        rows, _version = await self._parts.store.rows(USAGE_TABLE, _OPEN_KEY)
-        for row in rows:
-            if row.key != _OPEN_KEY or row.value is None:
-                continue
-            try:
-                for relay, windows in json.loads(row.value).items():
-                    counts = {int(n): dict(c) for n, c in windows.items()}
-                    self._ledger.stored(relay, counts)
-            except (ValueError, TypeError, AttributeError) as exc:
-                logger.error("Stored usage can't be read.", reason=repr(exc))
-
     def _lease_failed(self, exc: EbonydealError) -> None:
         logger.warning("Lease: store call failed.", reason=str(exc))
         self.lease.failed(self._parts.clock.now())
@@ -320,7 +298,7 @@
             return
         changes = [
             RowChange(LEASE_TABLE, _LEASE_KEY, write.row.encode(), write.expected),
-            RowChange(USAGE_TABLE, _OPEN_KEY, self._open_windows()),
+            self._usage.open_change(),
         ]
         try:
             await self._parts.store.transact(changes)
@@ -348,20 +326,9 @@
     async def _report(self, due: Due) -> None:
         """Store a window once, then send what is stored."""
         fence = self.lease.fence
-        body = json.dumps(due.counts, sort_keys=True).encode()
-        change = RowChange(USAGE_TABLE, f"{due.window:012d}", body, NO_ROW)
-        old = RowChange(USAGE_TABLE, f"{due.window - _ROWS_KEPT:012d}", None)
-        result = await self._parts.store.transact([change, old])
-        if not result.applied:
-            stored = [row.value for row in result.rows if row.value is not None]
-            if not stored:
-                return
-            # Another holder, or a write without answer, was before us: only
-            # what lies in the store may ever be sent.
-            body = stored[0]
-        if not self.holds:
+        counts = await self._usage.store_once(due)
+        if counts is None or not self.holds:
             return
-        counts = {str(k): int(v) for k, v in json.loads(body).items()}
         answer = await self._parts.duties.report_usage(due.window, counts, fence)
         logger.info(
             "Usage reported.",
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -94,7 +94,7 @@
         bounds = QuotaBounds(
             self._cfg.quota_window_s, self._cfg.quota_overshoot, self._cfg.quota_slack
         )
-        self._quota = QuotaGate(LocalQuota(bounds), clock)
+        self._quota = QuotaGate(LocalQuota(), clock)
         self.intake = Intake(parts, self._quota)
         self.clients = RawListener(self.intake.handle, self._cfg.address)
         self._ready = RawListener(self._answer_ready, self._cfg.ready_address)
--- a/src/ebonydeal/_internal/routing/quota_broker.py
+++ b/src/ebonydeal/_internal/routing/quota_broker.py
@@ -119,14 +119,11 @@
 
     Parameters
     ----------
-    bounds : QuotaBounds
-        What is tolerated.
     keep : float
         Seconds after which an unused balance lapses.
     """
 
-    def __init__(self, bounds: QuotaBounds, keep: float = 4.0) -> None:
-        self._bounds = bounds
+    def __init__(self, keep: float = 4.0) -> None:
         self._keep = keep
         self._balance: dict[str, float] = {}
         self._granted_at: dict[str, float] = {}
--- a/tests/functional/relay/test_life.py
+++ b/tests/functional/relay/test_life.py
@@ -1,7 +1,8 @@
 import asyncio
 import json
 
-from ebonydeal._internal.relay.coordinator import LEASE_TABLE, USAGE_TABLE
+from ebonydeal._internal.relay.coordinator import LEASE_TABLE
+from ebonydeal._internal.relay.usage_store import USAGE_TABLE
 from tests.lib.relay_fakes import (
     Client,
     MemoryDuties,
--- a/tests/unit/routing/test_quota_broker.py
+++ b/tests/unit/routing/test_quota_broker.py
@@ -63,7 +63,7 @@
         rng = random.Random(seed)
         broker = QuotaBroker(BOUNDS)
         broker.begin(fresh=True)
-        relays = [LocalQuota(BOUNDS) for _ in range(9)]
+        relays = [LocalQuota() for _ in range(9)]
         admitted = []
         now = 100.0
         while now < 130.0:
@@ -95,7 +95,7 @@
 
 class TestAlone:
     def test_relays_that_hear_nobody_share_the_rate_evenly(self):
-        relays = [LocalQuota(BOUNDS) for _ in range(9)]
+        relays = [LocalQuota() for _ in range(9)]
         rng = random.Random(1)
         admitted = []
         now = 100.0
@@ -111,12 +111,12 @@
         assert most <= allowed()
 
     def test_tells_when_to_come_back(self):
-        local = LocalQuota(BOUNDS)
+        local = LocalQuota()
         assert local.take_alone(ACCOUNT, 50_000.0, 1, 10.0) == 0.0
         assert local.take_alone(ACCOUNT, 1000.0, 1, 10.0) > 0.0
 
     def test_an_unused_balance_lapses(self):
-        local = LocalQuota(BOUNDS, keep=4.0)
+        local = LocalQuota(keep=4.0)
         local.add("acme", 1000.0, 10.0)
         assert local.take("acme", 400.0, 13.0)
         assert not local.take("acme", 400.0, 14.1)
