--- a/tests/unit/docs/test_pages.py
+++ b/tests/unit/docs/test_pages.py
@@ -4,7 +4,7 @@
 import click
 import pytest
 
-from ebonydeal._internal.cli import console, controller, gateway, journal
+from ebonydeal._internal.cli import console, controller, gateway, journal, relay
 from ebonydeal._internal.cli.main import main
 from tests.lib.pages import (
     PAGES,
@@ -23,6 +23,7 @@
     "ebonydeal-journal": journal.main,
     "ebonydeal-controller": controller.main,
     "ebonydeal-console": console.main,
+    "ebonydeal-relay": relay.main,
 }
 SHOWN = [shown for page in PAGES for shown in commands(page)]
 # A page that gives figures of runs says so by one of these words.
