Grant only the part of the relays that are heard

Relays beyond sixty would also have counted as cut off between two exchanges.

Change: the coordinator's buckets fill by the share of relays that it hears, for 15 s after a silent one was last heard; a relay's patience follows its period.

--- a/src/ebonydeal/_internal/relay/coordinator.py
+++ b/src/ebonydeal/_internal/relay/coordinator.py
@@ -45,6 +45,11 @@
 _WARM_UP_S = 1.3
 # A relay not heard for this long is held to be gone.
 _SILENT_S = 3.0
+# A relay that is not heard for this long goes on alone: about its own patience,
+# and above the longest time between two exchanges.
+_ALONE_S = 2.0
+# How long a silent one may be cut off and still serving, unless it comes back.
+_MAY_SERVE_S = 15.0
 
 
 class _Relay(NamedTuple):
@@ -99,6 +104,7 @@
         self._refused_fence = 0
         self._broker = QuotaBroker(bounds)
         self._relays: dict[str, _Relay] = {}
+        self._last_heard: dict[str, float] = {}
         self._held_since: float | None = None
         self._stopping = False
 
@@ -145,6 +151,10 @@
         now = parts.clock.now()
         node = message["node"]
         self._relays[node] = _Relay(message["address"], now, message)
+        self._last_heard[node] = now
+        if message["leaving"]:
+            del self._last_heard[node]
+        self._broker.part = self._part_heard(now)
         # Counts are running totals of one incarnation.
         self._ledger.heard(
             f"{node}/{message['incarnation']}",
@@ -163,6 +173,15 @@
             grants=self._advances(message, now),
         )
 
+    def _part_heard(self, now: float) -> float:
+        """Return the share of the relays that may be serving and are heard."""
+        for node, at in list(self._last_heard.items()):
+            if now - at > _MAY_SERVE_S:
+                del self._last_heard[node]
+        ages = [now - at for at in self._last_heard.values()]
+        heard = sum(age <= _ALONE_S for age in ages)
+        return heard / len(ages) if ages else 1.0
+
     def _forget_silent(self, now: float) -> None:
         for node, relay in list(self._relays.items()):
             if now - relay.at > _SILENT_S:
--- a/src/ebonydeal/_internal/relay/peers.py
+++ b/src/ebonydeal/_internal/relay/peers.py
@@ -41,6 +41,8 @@
 # Exchanges a second that a coordinator is asked for at most; beyond, each
 # relay speaks less often.
 _EXCHANGES_PER_S = 60.0
+_JITTER_LEAST = 0.8
+_JITTER_MOST = 1.2
 # Without an answer for this long, the lease is looked at.
 _PATIENCE_S = 0.8
 _SYNC_S = 0.4
@@ -139,10 +141,16 @@
         """Ask other relays to begin with, beside those that are known."""
         self.relays.extend(seed for seed in seeds if seed not in self.relays)
 
+    @property
+    def _period(self) -> float:
+        """Seconds between exchanges: longer where there are many relays."""
+        return max(_PERIOD_S, self.relay_count / _EXCHANGES_PER_S)
+
     @property
     def in_touch(self) -> bool:
         """Whether the coordinator answered lately."""
-        return self._parts.clock.now() - self._last_ok <= _PATIENCE_S + _PERIOD_S
+        silent = self._parts.clock.now() - self._last_ok
+        return silent <= _PATIENCE_S + self._period * _JITTER_MOST
 
     @property
     def lease(self) -> DutyLease:
@@ -160,8 +168,8 @@
         parts = self._parts
         while not self.should_stop:
             await self._once()
-            period = max(_PERIOD_S, self.relay_count / _EXCHANGES_PER_S)
-            await parts.clock.sleep(period * parts.rng.uniform(0.8, 1.2))
+            jitter = parts.rng.uniform(_JITTER_LEAST, _JITTER_MOST)
+            await parts.clock.sleep(self._period * jitter)
 
     async def flush(self) -> None:
         """Tell the coordinator once more before this process ends."""
--- a/src/ebonydeal/_internal/routing/quota_broker.py
+++ b/src/ebonydeal/_internal/routing/quota_broker.py
@@ -70,6 +70,9 @@
         self._bounds = bounds
         self._buckets: dict[str, _Bucket] = {}
         self._empty_start = False
+        # Share of the relays that ask here: the others go on alone, each with
+        # an even part of the rate.
+        self.part = 1.0
 
     def begin(self, fresh: bool) -> None:
         """Start as coordinator; ``fresh`` where no other was before.
@@ -110,7 +113,7 @@
         if bucket is None:
             level = 0.0 if self._empty_start else most
             bucket = self._buckets[account.name] = _Bucket(level, now)
-        bucket.fill(account.rate, most, now)
+        bucket.fill(account.rate * self.part, most, now)
         return bucket
 
 
--- a/tests/unit/routing/test_quota_broker.py
+++ b/tests/unit/routing/test_quota_broker.py
@@ -57,6 +57,40 @@
         assert broker.grant(lower, 1000.0, 1.0).amount == 0.0
 
 
+class TestRelaysCutOff:
+    def test_those_alone_and_those_heard_stay_within_the_limit_together(self):
+        broker = QuotaBroker(BOUNDS)
+        broker.begin(fresh=True)
+        broker.part = 6 / 9
+        alone = [LocalQuota() for _ in range(3)]
+        rng = random.Random(4)
+        admitted = []
+        now = 100.0
+        while now < 125.0:
+            now += 0.02
+            need = rng.uniform(500.0, 17_500.0)
+            if rng.random() < 6 / 9:
+                passes = broker.grant(ACCOUNT, need, now).amount >= need
+            else:
+                local = rng.choice(alone)
+                passes = local.take_alone(ACCOUNT, need, 9, now) == 0.0
+            if passes:
+                admitted.append((now, need))
+        most = max(
+            sum(n for at, n in admitted if start <= at <= start + BOUNDS.window)
+            for start, _n in admitted
+        )
+        assert most <= allowed()
+
+    def test_a_smaller_part_fills_slower(self):
+        broker = QuotaBroker(BOUNDS)
+        broker.begin(fresh=False)
+        broker.part = 0.5
+        broker.grant(ACCOUNT, 1.0, 10.0)
+        assert broker.grant(ACCOUNT, 30_000.0, 11.0).amount == 0.0
+        assert broker.grant(ACCOUNT, 30_000.0, 11.6).amount == 30_000.0
+
+
 class TestAllRelays:
     def play(self, seed, demand, takeover=False):
         """Nine relays ask at random; return the most admitted in a window."""
