Read the relay once more: one piece for what stood twice, dead code out

Cause: a reading of the whole change. The listener for peers had its own JSON reader, error answer and credential check beside those of utils/web and peers/access; a run was counted by two copies of the same lines; a stream's good end travelled as an exception; the coordinator kept two records of when a relay was heard; the wait that an error tells was worked out in three places; both followers repeated their construction and the reading of an endpoint.

Gone: endpoints' reports, counters and message fields that nobody read, and the settings apply_ms, retry_window_s and duties, which had no effect.

What a peer sees differs in this: refusals bear the headers of all other refusals, and the credential is compared in constant time. Lease lines of the log begin with relay.lease, and a release that failed is no longer followed by one that says it didn't.

--- a/src/ebonydeal/_internal/errors.py
+++ b/src/ebonydeal/_internal/errors.py
@@ -207,10 +207,16 @@
         """The table's entry for this kind."""
         return ANSWERS[self.kind]
 
+    @property
+    def wait(self) -> float | None:
+        """Seconds until a repeat is worth while: as known, or the table's."""
+        if self.retry_after is None:
+            return self.answer.retry_after
+        return self.retry_after
+
     def to_body(self) -> dict[str, ErrorBody]:
         """Return the body a caller or a peer receives."""
         entry = self.answer
-        wait = entry.retry_after if self.retry_after is None else self.retry_after
         message = f"{self.detail} {entry.hint}".strip()
         body = ErrorBody(
             message=message,
@@ -218,7 +224,7 @@
             code=str(self.kind),
             param=None,
             outcome=str(self.outcome),
-            retry_after=wait,
+            retry_after=self.wait,
         )
         if self.owner is not None:
             body["owner"] = self.owner
--- a/src/ebonydeal/_internal/models/duties.py
+++ b/src/ebonydeal/_internal/models/duties.py
@@ -1,4 +1,4 @@
-"""Answers to the calls that one node makes for all, and endpoints' reports."""
+"""Answers to the calls that one node makes for all."""
 
 from typing import NamedTuple
 
@@ -12,23 +12,3 @@
     accepted: bool
     conflict: bool
     detail: str
-
-
-class RunReport(NamedTuple):
-    """A request that an engine works on."""
-
-    request_id: str
-    tokens: int
-    events: int
-    urgency: int
-
-
-class EndpointReport(NamedTuple):
-    """An engine's state as of some hundred milliseconds ago."""
-
-    queued: int
-    active: int
-    cache_used: int
-    cache_total: int
-    leaves_in: float | None
-    runs: tuple[RunReport, ...]
--- a/src/ebonydeal/_internal/peers/access.py
+++ b/src/ebonydeal/_internal/peers/access.py
@@ -12,16 +12,20 @@
 _OPEN_PATHS = ("/health/live", "/metrics")
 
 
+def check_credential(req: web.BaseRequest, credential: str) -> None:
+    """Raise UNAUTHORIZED if a call doesn't bear the shared credential."""
+    given = req.headers.get(PEER_HEADER, "").encode()
+    if not hmac.compare_digest(given, credential.encode()):
+        raise EbonydealError(ErrorKind.UNAUTHORIZED, "the peer credential is wrong")
+
+
 def credential_middleware(credential: str) -> Callable:
     """Return a middleware that refuses calls without the shared credential."""
-    expected = credential.encode()
 
     @web.middleware
     async def middleware(req: web.Request, handler: Handler) -> web.StreamResponse:
-        given = req.headers.get(PEER_HEADER, "").encode()
-        allowed = hmac.compare_digest(given, expected)
-        if not allowed and req.path not in _OPEN_PATHS:
-            raise EbonydealError(ErrorKind.UNAUTHORIZED, "the peer credential is wrong")
+        if req.path not in _OPEN_PATHS:
+            check_credential(req, credential)
         return await handler(req)
 
     return middleware
--- a/src/ebonydeal/_internal/platform/headers.py
+++ b/src/ebonydeal/_internal/platform/headers.py
@@ -21,7 +21,6 @@
 LENGTH_HINT = "Ebonydeal-Length-Hint"
 SIGNATURE = "Ebonydeal-Server-Signature"
 NOT_RUN = "Ebonydeal-Not-Executed"
-ENDPOINT_ID = "Ebonydeal-Replica-Id"
 LAST_EVENT = "Last-Event-Id"
 _BEARER = "bearer "
 _MS = 1000.0
--- a/src/ebonydeal/_internal/platform/store.py
+++ b/src/ebonydeal/_internal/platform/store.py
@@ -35,7 +35,6 @@
         self._url = url.rstrip("/")
         self._timeout = timeout
         self._session: ClientSession | None = None
-        self.calls = 0
 
     async def _call(
         self,
@@ -50,7 +49,6 @@
         """Return status and body of one call; ``lost`` is raised without answer."""
         if self._session is None:
             self._session = ClientSession(connector=TCPConnector(limit=0))
-        self.calls += 1
         data = None if message is None else json.dumps(message).encode()
         timeout = ClientTimeout(total=self._timeout + wait, sock_connect=self._timeout)
         try:
--- a/src/ebonydeal/_internal/relay/answers.py
+++ b/src/ebonydeal/_internal/relay/answers.py
@@ -21,9 +21,7 @@
         Time that the client has left, seconds.
     """
     headers = {"X-Outcome": str(error.outcome)}
-    wait = error.retry_after
-    if wait is None:
-        wait = error.answer.retry_after
+    wait = error.wait
     if wait is not None and error.outcome is Outcome.NOT_RUN:
         if left is not None:
             wait = min(wait, max(_LEAST_WAIT_S, left * _WAIT_SHARE))
--- a/src/ebonydeal/_internal/relay/connections.py
+++ b/src/ebonydeal/_internal/relay/connections.py
@@ -116,7 +116,6 @@
         self._timeout = ClientTimeout(total=None, sock_connect=connect_s)
         self._idle: list[_Pooled] = []
         self._closing: set[asyncio.Task] = set()
-        self.opened = 0
         self._closed = False
 
     def _take(self, once: bool) -> _Pooled:
@@ -127,7 +126,6 @@
             if pooled.usable(now, _ONCE_IDLE_S if once else _KEEP_FOREVER):
                 return pooled
             self.discard(pooled)
-        self.opened += 1
         return _Pooled()
 
     async def send(
--- a/src/ebonydeal/_internal/relay/coordinator.py
+++ b/src/ebonydeal/_internal/relay/coordinator.py
@@ -6,14 +6,15 @@
 tell the next one again.
 """
 
+from collections.abc import Iterable
 from random import Random
 from typing import NamedTuple
 
 from mode import Service
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
-from ebonydeal._internal.models.shared import NO_ROW, RowChange
 from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.relay.lease_keeper import LeaseKeeper
 from ebonydeal._internal.relay.messages import (
     ExchangeMessage,
     ExchangeReply,
@@ -23,23 +24,13 @@
 from ebonydeal._internal.relay.ports import Duties, SharedStore
 from ebonydeal._internal.relay.usage_store import UsageStore
 from ebonydeal._internal.relay.view import RelayView
-from ebonydeal._internal.routing.duty_lease import (
-    DutyLease,
-    LeaseRow,
-    Look,
-    Rest,
-    Write,
-)
+from ebonydeal._internal.routing.duty_lease import DutyLease
 from ebonydeal._internal.routing.quota_broker import QuotaBounds, QuotaBroker
 from ebonydeal._internal.routing.usage_ledger import Due, UsageLedger
 from ebonydeal._internal.utils.clock import Clock
 
 logger = get_logger("relay.coordinator")
 
-LEASE_TABLE = "ebonydeal-lease"
-_LEASE_KEY = "duties"
-_LOOK_S = 0.5
-_REST_S = 0.1
 _USAGE_STEP_S = 0.25
 # After taking the lease, relays need this long to tell what they know.
 _WARM_UP_S = 1.3
@@ -97,27 +88,39 @@
     ) -> None:
         super().__init__()
         self._parts = parts
-        self.lease = lease
         self._ledger = ledger
         self._usage = UsageStore(parts.store, ledger)
+        self._keeper = LeaseKeeper(
+            parts.store, self._usage, lease, parts.clock, parts.rng, self._begin
+        )
+        self.lease = lease
         self._checks_fence = checks_fence
         self._refused_fence = 0
         self._broker = QuotaBroker(bounds)
         self._relays: dict[str, _Relay] = {}
-        self._last_heard: dict[str, float] = {}
-        self._held_since: float | None = None
-        self._stopping = False
+
+    def on_init_dependencies(self) -> Iterable[Service]:
+        """Return the task that keeps the lease."""
+        return [self._keeper]
+
+    def _begin(self) -> None:
+        """Start afresh: what was told before may be of long ago."""
+        self._broker.begin(fresh=self.lease.fence == 1)
+
+    async def release(self) -> None:
+        """Free the lease at a planned stop, so that another takes it at once."""
+        await self._keeper.release()
 
     # --- what the holder knows ---------------------------------------------------
     @property
     def holds(self) -> bool:
         """Whether this relay may act on the duties now."""
-        return self.lease.holds(self._parts.clock.now())
+        return self._keeper.holds
 
     @property
     def warm(self) -> bool:
         """Whether relays had time to tell what they know."""
-        since = self._held_since
+        since = self._keeper.held_since
         return since is not None and self._parts.clock.now() - since >= _WARM_UP_S
 
     @property
@@ -141,8 +144,7 @@
 
     def heard_lately(self) -> list[ExchangeMessage]:
         """Return the last word of each relay that is alive."""
-        now = self._parts.clock.now()
-        return [r.message for r in self._relays.values() if now - r.at <= _SILENT_S]
+        return [relay.message for relay in self._alive()]
 
     # --- talk with relays --------------------------------------------------------
     def exchange(self, message: ExchangeMessage) -> ExchangeReply:
@@ -151,9 +153,7 @@
         now = parts.clock.now()
         node = message["node"]
         self._relays[node] = _Relay(message["address"], now, message)
-        self._last_heard[node] = now
-        if message["leaving"]:
-            del self._last_heard[node]
+        self._forget_silent(now)
         self._broker.part = self._part_heard(now)
         # Counts are running totals of one incarnation.
         self._ledger.heard(
@@ -161,11 +161,9 @@
             {int(number): counts for number, counts in message["windows"].items()},
             message["wall"],
         )
-        self._forget_silent(now)
         return ExchangeReply(
             holds=self.holds,
-            fence=self.lease.fence,
-            relays=[relay.address for relay in self._relays.values()],
+            relays=[relay.address for relay in self._alive()],
             config=parts.view.version,
             members=parts.view.last_change,
             reported=self._ledger.reported,
@@ -175,24 +173,28 @@
 
     def _part_heard(self, now: float) -> float:
         """Return the share of the relays that may be serving and are heard."""
-        for node, at in list(self._last_heard.items()):
-            if now - at > _MAY_SERVE_S:
-                del self._last_heard[node]
-        ages = [now - at for at in self._last_heard.values()]
-        heard = sum(age <= _ALONE_S for age in ages)
-        return heard / len(ages) if ages else 1.0
+        serving = [r for r in self._relays.values() if not r.message["leaving"]]
+        heard = sum(now - relay.at <= _ALONE_S for relay in serving)
+        return heard / len(serving) if serving else 1.0
 
     def _forget_silent(self, now: float) -> None:
+        """Wait no longer for silent relays' counts, and drop them at last."""
         for node, relay in list(self._relays.items()):
             if now - relay.at > _SILENT_S:
                 self._ledger.forget(f"{node}/{relay.message['incarnation']}")
+            if now - relay.at > _MAY_SERVE_S:
                 del self._relays[node]
 
+    def _alive(self) -> list[_Relay]:
+        """Return the relays that were heard lately."""
+        now = self._parts.clock.now()
+        return [r for r in self._relays.values() if now - r.at <= _SILENT_S]
+
     def _loads_without(self, node: str) -> dict[str, list[float]]:
         """Return what all other relays have at each endpoint."""
         total: dict[str, list[float]] = {}
-        for other, relay in self._relays.items():
-            if other == node:
+        for relay in self._alive():
+            if relay.message["node"] == node:
                 continue
             for endpoint_id, load in relay.message["loads"].items():
                 sums = total.setdefault(endpoint_id, [0, 0])
@@ -215,7 +217,7 @@
         return grants
 
     def grant(self, message: GrantMessage) -> GrantReply:
-        """Grant a part of an account's limit; raises NO_ENDPOINT if it isn't ours."""
+        """Grant a part of an account's limit; raises WRONG_OWNER."""
         index = self._parts.view.index
         if index is None or not self.lease.mine:
             raise EbonydealError(ErrorKind.WRONG_OWNER, "not the coordinator")
@@ -226,105 +228,6 @@
                 return GrantReply(amount=got.amount, wait=got.wait)
         return GrantReply(amount=0.0, wait=1.0)
 
-    # --- lease -----------------------------------------------------------------
-    @Service.task
-    async def _keep_lease(self) -> None:
-        # All relays start together: the first to come makes the row.
-        await self._parts.clock.sleep(self._parts.rng.uniform(0.0, 0.3))
-        while not self.should_stop:
-            held = self.holds
-            try:
-                await self._lease_step()
-                if self.holds and self._held_since is None:
-                    await self._usage.read_open()
-            except EbonydealError as exc:
-                self._lease_failed(exc)
-                await self._parts.clock.sleep(_LOOK_S * self._parts.rng.uniform(0.5, 1))
-            self._note_change(held)
-
-    async def _lease_step(self) -> None:
-        """Take one step of the lease's protocol."""
-        parts, lease = self._parts, self.lease
-        if self._stopping:
-            # It takes no lease, but still has to tell the holder its counts.
-            if lease.wanted:
-                await self._look()
-            await parts.clock.sleep(_LOOK_S * parts.rng.uniform(0.6, 1.4))
-            return
-        match lease.next_step(parts.clock.now()):
-            case Rest(seconds=seconds):
-                await parts.clock.sleep(min(_REST_S, seconds))
-            case Look():
-                await self._look()
-                if not lease.mine:
-                    await parts.clock.sleep(_LOOK_S * parts.rng.uniform(0.6, 1.4))
-            case Write() as write:
-                await self._write(write)
-
-    async def _look(self) -> None:
-        rows, _version = await self._parts.store.rows(LEASE_TABLE)
-        now = self._parts.clock.now()
-        for row in rows:
-            if row.key == _LEASE_KEY and row.value is not None:
-                self.lease.saw(_decoded(row.value), row.version, now)
-                return
-        self.lease.saw(None, NO_ROW, now)
-
-    async def _write(self, write: Write) -> None:
-        change = RowChange(LEASE_TABLE, _LEASE_KEY, write.row.encode(), write.expected)
-        changes = [change]
-        if self.lease.mine and write.row.fence == self.lease.fence:
-            # With the renewal, what was told of usage outlives all processes.
-            changes.append(self._usage.open_change())
-        try:
-            result = await self._parts.store.transact(changes)
-        except EbonydealError as exc:
-            if exc.kind is ErrorKind.STORE_IN_DOUBT:
-                self.lease.in_doubt()
-            raise
-        if result.applied:
-            self.lease.wrote(write.row, result.version)
-            return
-        now = self._parts.clock.now()
-        row = result.rows[0] if result.rows else None
-        value = None if row is None or row.value is None else _decoded(row.value)
-        self.lease.saw(value, NO_ROW if row is None else row.version, now)
-
-    def _lease_failed(self, exc: EbonydealError) -> None:
-        logger.warning("Lease: store call failed.", reason=str(exc))
-        self.lease.failed(self._parts.clock.now())
-
-    def _note_change(self, held: bool) -> None:
-        """Log the lease gained or lost, and start afresh."""
-        holds = self.holds
-        if holds == held:
-            return
-        fence = self.lease.fence
-        if not holds:
-            logger.warning("Lease lost.", fence=fence)
-            return
-        logger.info("Lease gained.", fence=fence)
-        if self._held_since is None:
-            # What was told before the lease was ours may be of long ago.
-            self._broker.begin(fresh=fence == 1)
-        self._held_since = self._parts.clock.now()
-
-    async def release(self) -> None:
-        """Free the lease at a planned stop, so that another takes it at once."""
-        self._stopping = True
-        write = self.lease.release()
-        if write is None:
-            return
-        changes = [
-            RowChange(LEASE_TABLE, _LEASE_KEY, write.row.encode(), write.expected),
-            self._usage.open_change(),
-        ]
-        try:
-            await self._parts.store.transact(changes)
-        except EbonydealError as exc:
-            logger.warning("Lease not released.", reason=str(exc))
-        logger.info("Lease released.", fence=write.row.fence)
-
     # --- usage -----------------------------------------------------------------
     @Service.task
     async def _report_usage(self) -> None:
@@ -354,7 +257,7 @@
             window=due.window,
             accepted=answer.accepted,
             counts=counts,
-            relays=len(self._relays),
+            relays=len(self._alive()),
             told_by=self._ledger.told_by(due.window),
             detail="" if answer.accepted else answer.detail,
         )
@@ -362,12 +265,3 @@
             self.lease.in_doubt()
             return
         self._ledger.reported = due.window
-
-
-def _decoded(value: bytes) -> LeaseRow | None:
-    """Return the lease's row; one that can't be read counts as none."""
-    try:
-        return LeaseRow.decode(value)
-    except (ValueError, KeyError, TypeError) as exc:
-        logger.error("The lease's row can't be read.", reason=repr(exc))
-        return None
--- a/src/ebonydeal/_internal/relay/follower.py
+++ b/src/ebonydeal/_internal/relay/follower.py
@@ -5,6 +5,7 @@
 from mode import Service
 
 from ebonydeal._internal.errors import EbonydealError
+from ebonydeal._internal.models.forwarding import Member
 from ebonydeal._internal.models.shared import SharedRow
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.ports import SharedStore, Wire
@@ -30,23 +31,36 @@
     ----------
     store : SharedStore
         The platform's store.
-    table : str
-        Which table.
+    wire : Wire
+        Names and formats of the tables.
+    view : RelayView
+        Takes what is read.
     clock, rng
         Time; jitter of back-off.
     """
 
     def __init__(
-        self, store: SharedStore, table: str, clock: Clock, rng: Random
+        self,
+        store: SharedStore,
+        wire: Wire,
+        view: RelayView,
+        clock: Clock,
+        rng: Random,
     ) -> None:
         super().__init__()
         self._store = store
-        self._table = table
+        self._wire = wire
+        self._view = view
         self._clock = clock
         self._rng = rng
         self.failing_since: float | None = None
         self.alone = False
 
+    @property
+    def table(self) -> str:
+        """Which table."""
+        raise NotImplementedError
+
     async def take_all(
         self, rows: list[SharedRow], version: int, was_away: bool
     ) -> None:
@@ -77,16 +91,16 @@
     async def _step(self, after: int | None) -> int | None:
         """Make one call; return the version to go on from."""
         if after is None:
-            rows, version = await self._store.rows(self._table)
+            rows, version = await self._store.rows(self.table)
             await self.take_all(rows, version, self._note_success())
             return version
         wait = _WAIT_ALONE_S if self.alone else _WAIT_S
         if self.failing_since is not None:
             # Whether the store is back is to be known at once.
             wait = 0.0
-        changes = await self._store.changes(self._table, after, wait)
+        changes = await self._store.changes(self.table, after, wait)
         if changes is None:
-            logger.warning("History is gone; reading all.", table=self._table)
+            logger.warning("History is gone; reading all.", table=self.table)
             return None
         was_away = self._note_success()
         if changes.rows:
@@ -99,14 +113,14 @@
         now = self._clock.now()
         if self.failing_since is None:
             self.failing_since = now
-            logger.warning("Store lost.", table=self._table, reason=str(exc))
+            logger.warning("Store lost.", table=self.table, reason=str(exc))
 
     def _note_success(self) -> bool:
         """Note an answer; return whether the store had failed before it."""
         if self.failing_since is None:
             return False
         away = round(self._clock.now() - self.failing_since, 3)
-        logger.info("Store regained.", table=self._table, away_s=away)
+        logger.info("Store regained.", table=self.table, away_s=away)
         self.failing_since = None
         return True
 
@@ -114,17 +128,10 @@
 class ConfigTableFollower(TableFollower):
     """Puts each newer configuration in force."""
 
-    def __init__(
-        self,
-        store: SharedStore,
-        wire: Wire,
-        view: RelayView,
-        clock: Clock,
-        rng: Random,
-    ) -> None:
-        super().__init__(store, wire.config_table, clock, rng)
-        self._wire = wire
-        self._view = view
+    @property
+    def table(self) -> str:
+        """Which table."""
+        return self._wire.config_table
 
     async def take_all(
         self, rows: list[SharedRow], version: int, was_away: bool
@@ -150,28 +157,17 @@
 class MembersFollower(TableFollower):
     """Keeps the list of endpoints."""
 
-    def __init__(
-        self,
-        store: SharedStore,
-        wire: Wire,
-        view: RelayView,
-        clock: Clock,
-        rng: Random,
-    ) -> None:
-        super().__init__(store, wire.members_table, clock, rng)
-        self._wire = wire
-        self._view = view
+    @property
+    def table(self) -> str:
+        """Which table."""
+        return self._wire.members_table
 
     async def take_all(
         self, rows: list[SharedRow], version: int, was_away: bool
     ) -> None:
         """Take the whole list."""
-        members = []
-        for row in rows:
-            try:
-                members.append(self._wire.member(row))
-            except EbonydealError as exc:
-                logger.error("Endpoint refused.", reason=str(exc))
+        read = [self._read(row) for row in rows]
+        members = [member for member in read if member is not None]
         self._view.replace(members, version, self._clock.now(), was_away)
 
     async def take(
@@ -187,14 +183,19 @@
                 self._view.lapse(row.key, row.version, self._clock.now())
             elif row.value is None:
                 self._view.remove(row.key, row.version)
-            else:
-                try:
-                    heard_at = None if was_away else self._clock.now()
-                    self._view.put(self._wire.member(row), heard_at)
-                except EbonydealError as exc:
-                    logger.error("Endpoint refused.", reason=str(exc))
+            elif (member := self._read(row)) is not None:
+                heard_at = None if was_away else self._clock.now()
+                self._view.put(member, heard_at)
         self._view.members_version = max(self._view.members_version, version)
 
+    def _read(self, row: SharedRow) -> Member | None:
+        """Return a listed endpoint; one that can't be read is left out."""
+        try:
+            return self._wire.member(row)
+        except EbonydealError as exc:
+            logger.error("Endpoint refused.", reason=str(exc))
+            return None
+
     @Service.task
     async def _expire(self) -> None:
         while not self.should_stop:
--- a/src/ebonydeal/_internal/relay/intake.py
+++ b/src/ebonydeal/_internal/relay/intake.py
@@ -22,7 +22,6 @@
 
 logger = get_logger("relay.intake")
 
-# A request whose deadline the client doesn't tell is given its route's timeout.
 _READ_SLICE = 65536
 # A plain request is expected to take no longer than this many objectives.
 _OBJECTIVES = 4.0
--- a/src/ebonydeal/_internal/relay/job.py
+++ b/src/ebonydeal/_internal/relay/job.py
@@ -91,6 +91,18 @@
 }
 
 
+class _Found(NamedTuple):
+    """The endpoint for the next send.
+
+    ``missed`` are the tokens that it must read, ``expected`` the seconds to
+    the first event where that is known.
+    """
+
+    member: Member
+    missed: float
+    expected: float | None
+
+
 class JobSends:
     """The sends of one job: which endpoint next, and whether there is a next."""
 
@@ -102,6 +114,7 @@
         self._unsent = 0
         self._tries = 0
         self._avoid: set[str] = set()
+        self._counted = False
         self.sent: Sent | None = None
         self.member: Member | None = None
 
@@ -176,12 +189,8 @@
         req = self.job.req
         return Ask(req.parts, req.prompt_tokens or 0, self._parts.zone)
 
-    def _choose_now(self) -> tuple[Member, float, float | None] | None:
-        """Return the best endpoint, or None.
-
-        With it the tokens it must read, and the expected time to the first
-        event where that is known.
-        """
+    def _choose_now(self) -> _Found | None:
+        """Return the best endpoint, or None."""
         parts, job = self._parts, self.job
         now = parts.clock.now()
         listed = parts.view.of_service(job.service)
@@ -191,12 +200,13 @@
         allowed = parts.outliers.allowed(listed, now)
         if job.req.prompt_tokens is None:
             member = parts.choice.plain(parts.zone, allowed)
-            return None if member is None else (member, 0.0, None)
+            return None if member is None else _Found(member, 0.0, None)
         score = parts.choice.engine(self._ask(), allowed, now)
         if score is None:
             return None
         expected = parts.choice.base + score.wait + score.missed / parts.choice.rate
-        return parts.view.members[score.endpoint_id], score.missed, expected
+        member = parts.view.members[score.endpoint_id]
+        return _Found(member, score.missed, expected)
 
     def sending(self, last_event: str = "") -> Sending:
         """Return what the next send tells its endpoint."""
@@ -210,6 +220,13 @@
             last_event=last_event,
         )
 
+    def count_run(self, wall: float) -> None:
+        """Count the request once as begun, however often it is sent."""
+        account = self.job.account
+        if account is not None and not self._counted:
+            self._counted = True
+            self._parts.usage.began(account.name, wall)
+
     def began(self) -> None:
         """Note the first event or the answer."""
         if self.sent is not None:
--- /dev/null
+++ b/src/ebonydeal/_internal/relay/lease_keeper.py
@@ -0,0 +1,175 @@
+"""Keeps the lease of the duties: reads and writes its row as the protocol says."""
+
+from collections.abc import Callable
+from random import Random
+
+from mode import Service
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.models.shared import NO_ROW, RowChange
+from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.relay.ports import SharedStore
+from ebonydeal._internal.relay.usage_store import UsageStore
+from ebonydeal._internal.routing.duty_lease import (
+    DutyLease,
+    LeaseRow,
+    Look,
+    Rest,
+    Write,
+)
+from ebonydeal._internal.utils.clock import Clock
+
+logger = get_logger("relay.lease")
+
+LEASE_TABLE = "ebonydeal-lease"
+_LEASE_KEY = "duties"
+_LOOK_S = 0.5
+_REST_S = 0.1
+
+
+class LeaseKeeper(Service):
+    """The task that owns the lease's row at one relay.
+
+    Parameters
+    ----------
+    store : SharedStore
+        The platform's store.
+    usage : UsageStore
+        Rows of usage that are written with a renewal.
+    lease : DutyLease
+        The protocol of the lease.
+    clock, rng
+        Time; jitter.
+    first : callable
+        Called when the lease is gained for the first time.
+    """
+
+    def __init__(
+        self,
+        store: SharedStore,
+        usage: UsageStore,
+        lease: DutyLease,
+        clock: Clock,
+        rng: Random,
+        first: Callable[[], None],
+    ) -> None:
+        super().__init__()
+        self._store = store
+        self._usage = usage
+        self.lease = lease
+        self._clock = clock
+        self._rng = rng
+        self._first = first
+        self.held_since: float | None = None
+        self._stopping = False
+
+    @property
+    def holds(self) -> bool:
+        """Whether this relay may act on the duties now."""
+        return self.lease.holds(self._clock.now())
+
+    @Service.task
+    async def _keep_lease(self) -> None:
+        # All relays start together: the first to come makes the row.
+        await self._clock.sleep(self._rng.uniform(0.0, 0.3))
+        while not self.should_stop:
+            held = self.holds
+            try:
+                await self._lease_step()
+                if self.holds and self.held_since is None:
+                    await self._usage.read_open()
+            except EbonydealError as exc:
+                self._lease_failed(exc)
+                await self._clock.sleep(_LOOK_S * self._rng.uniform(0.5, 1))
+            self._note_change(held)
+
+    async def _lease_step(self) -> None:
+        """Take one step of the lease's protocol."""
+        lease = self.lease
+        if self._stopping:
+            # It takes no lease, but still has to tell the holder its counts.
+            if lease.wanted:
+                await self._look()
+            await self._clock.sleep(_LOOK_S * self._rng.uniform(0.6, 1.4))
+            return
+        match lease.next_step(self._clock.now()):
+            case Rest(seconds=seconds):
+                await self._clock.sleep(min(_REST_S, seconds))
+            case Look():
+                await self._look()
+                if not lease.mine:
+                    await self._clock.sleep(_LOOK_S * self._rng.uniform(0.6, 1.4))
+            case Write() as write:
+                await self._write(write)
+
+    async def _look(self) -> None:
+        rows, _version = await self._store.rows(LEASE_TABLE)
+        now = self._clock.now()
+        for row in rows:
+            if row.key == _LEASE_KEY and row.value is not None:
+                self.lease.saw(_decoded(row.value), row.version, now)
+                return
+        self.lease.saw(None, NO_ROW, now)
+
+    def _change(self, write: Write) -> RowChange:
+        return RowChange(LEASE_TABLE, _LEASE_KEY, write.row.encode(), write.expected)
+
+    async def _write(self, write: Write) -> None:
+        changes = [self._change(write)]
+        if self.lease.mine and write.row.fence == self.lease.fence:
+            # With the renewal, what was told of usage outlives all processes.
+            changes.append(self._usage.open_change())
+        try:
+            result = await self._store.transact(changes)
+        except EbonydealError as exc:
+            if exc.kind is ErrorKind.STORE_IN_DOUBT:
+                self.lease.in_doubt()
+            raise
+        if result.applied:
+            self.lease.wrote(write.row, result.version)
+            return
+        now = self._clock.now()
+        row = result.rows[0] if result.rows else None
+        value = None if row is None or row.value is None else _decoded(row.value)
+        self.lease.saw(value, NO_ROW if row is None else row.version, now)
+
+    def _lease_failed(self, exc: EbonydealError) -> None:
+        logger.warning("Lease: store call failed.", reason=str(exc))
+        self.lease.failed(self._clock.now())
+
+    def _note_change(self, held: bool) -> None:
+        """Log the lease gained or lost, and start afresh."""
+        holds = self.holds
+        if holds == held:
+            return
+        fence = self.lease.fence
+        if not holds:
+            logger.warning("Lease lost.", fence=fence)
+            return
+        logger.info("Lease gained.", fence=fence)
+        if self.held_since is None:
+            self._first()
+        self.held_since = self._clock.now()
+
+    async def release(self) -> None:
+        """Free the lease at a planned stop, so that another takes it at once."""
+        self._stopping = True
+        write = self.lease.release()
+        if write is None:
+            return
+        changes = [self._change(write), self._usage.open_change()]
+        try:
+            await self._store.transact(changes)
+        except EbonydealError as exc:
+            logger.warning("Lease not released.", reason=str(exc))
+            return
+        logger.info("Lease released.", fence=write.row.fence)
+
+
+def _decoded(value: bytes) -> LeaseRow | None:
+    """Return the lease's row; one that can't be read counts as none."""
+    try:
+        return LeaseRow.decode(value)
+    except (ValueError, KeyError, TypeError) as exc:
+        logger.error("The lease's row can't be read.", reason=repr(exc))
+        return None
--- a/src/ebonydeal/_internal/relay/messages.py
+++ b/src/ebonydeal/_internal/relay/messages.py
@@ -15,7 +15,6 @@
     incarnation: str
     address: str
     wall: float
-    config: int
     windows: dict[str, dict[str, int]]
     loads: dict[str, list[float]]
     demand: dict[str, list[float]]
@@ -31,7 +30,6 @@
     """
 
     holds: bool
-    fence: int
     relays: list[str]
     config: int
     members: int
--- a/src/ebonydeal/_internal/relay/outcomes.py
+++ b/src/ebonydeal/_internal/relay/outcomes.py
@@ -75,8 +75,6 @@
         """Return ``error``, or one without a promise if the request may have run."""
         if not self.may_have_run:
             return error
-        if error.kind in (ErrorKind.DEADLINE_EXCEEDED, ErrorKind.ENDPOINT_STALLED):
-            return error
         if error.answer.status in (502, 504):
             return error
         return EbonydealError(ErrorKind.OUTCOME_UNKNOWN, error.detail)
--- a/src/ebonydeal/_internal/relay/peers.py
+++ b/src/ebonydeal/_internal/relay/peers.py
@@ -1,6 +1,5 @@
 """Talk between relays: the listener of each, and its word to the coordinator."""
 
-import json
 from base64 import b64decode, b64encode
 from collections.abc import Callable
 from random import Random
@@ -14,6 +13,7 @@
 from ebonydeal._internal.models.shared import SharedRow
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.peers.access import check_credential
 from ebonydeal._internal.relay.coordinator import Coordinator
 from ebonydeal._internal.relay.follower import TableFollower
 from ebonydeal._internal.relay.messages import (
@@ -27,7 +27,8 @@
 from ebonydeal._internal.relay.view import RelayView
 from ebonydeal._internal.routing.duty_lease import DutyLease, LeaseRow
 from ebonydeal._internal.utils.clock import Clock
-from ebonydeal._internal.utils.peerclient import PEER_HEADER, PeerClient
+from ebonydeal._internal.utils.peerclient import PeerClient
+from ebonydeal._internal.utils.web import error_response, read_json
 
 logger = get_logger("relay.peers")
 
@@ -64,31 +65,27 @@
         self._coordinator = coordinator
         self._view = view
         self._metrics = metrics
+        self._calls: dict[str, Callable[[Any], Any]] = {
+            EXCHANGE: coordinator.exchange,
+            GRANT: coordinator.grant,
+            VIEW: self._news,
+        }
 
     async def handle(self, req: web.BaseRequest) -> web.Response:
         """Answer one request."""
         if req.path == METRICS:
             return web.Response(body=self._metrics.text(), content_type="text/plain")
         try:
-            if req.headers.get(PEER_HEADER) != self._credential:
-                raise EbonydealError(ErrorKind.UNAUTHORIZED, "not a peer")
-            reply = self._reply(req.path, await _message(req))
+            check_credential(req, self._credential)
+            call = self._calls.get(req.path)
+            if call is None:
+                raise EbonydealError(ErrorKind.NOT_FOUND, f"no call {req.path}")
+            return web.json_response(call(await read_json(req)))
         except EbonydealError as exc:
-            return web.json_response(exc.to_body(), status=exc.answer.status)
+            return error_response(exc)
         except (KeyError, TypeError, ValueError) as exc:
-            error = EbonydealError(ErrorKind.BAD_REQUEST, f"message: {exc!r}")
-            return web.json_response(error.to_body(), status=400)
-        return web.json_response(reply)
-
-    def _reply(self, path: str, message: Any) -> Any:
-        match path:
-            case "/relay/v1/exchange":
-                return self._coordinator.exchange(message)
-            case "/relay/v1/grant":
-                return self._coordinator.grant(message)
-            case "/relay/v1/view":
-                return self._news(message)
-        raise EbonydealError(ErrorKind.NOT_FOUND, f"no call {path}")
+            detail = f"message: {exc!r}"
+            return error_response(EbonydealError(ErrorKind.BAD_REQUEST, detail))
 
     def _news(self, message: ViewMessage) -> ViewReply:
         """Return what is newer here than there."""
@@ -105,14 +102,6 @@
         return reply
 
 
-async def _message(req: web.BaseRequest) -> Any:
-    """Return the JSON body; raises BAD_REQUEST."""
-    try:
-        return json.loads(await req.read())
-    except (ValueError, RecursionError) as exc:
-        raise EbonydealError(ErrorKind.BAD_REQUEST, "body is not JSON") from exc
-
-
 class ExchangeParts(NamedTuple):
     """What the exchange works with.
 
--- a/src/ebonydeal/_internal/relay/plain.py
+++ b/src/ebonydeal/_internal/relay/plain.py
@@ -45,13 +45,17 @@
 
 
 async def read_whole(exchange: Exchange, head: AnswerHead) -> Outcome:
-    """Read the body; anything but a whole one is no answer."""
+    """Read the body; anything but a whole one is no answer.
+
+    After a whole one the connection is kept.
+    """
     try:
         body = await exchange.resp.read()
     except (TimeoutError, ClientError, OSError) as exc:
         return MayHaveRun(ErrorKind.ENDPOINT_FAILED, f"body: {type(exc).__name__}")
     if await exchange.cut_off():
         return MayHaveRun(ErrorKind.ENDPOINT_FAILED, "body: connection reset")
+    exchange.done(head.idle_time)
     return Answered(head, body)
 
 
@@ -73,16 +77,14 @@
     async def answer(self, job: Job) -> web.Response:
         """Send until there is an answer; raises the final error."""
         sends = JobSends(self._parts, job)
-        began_wall: float | None = None
         fallback: Answered | None = None
         while True:
             try:
                 member = await sends.choose()
                 wall = self._parts.clock.wall()
                 outcome = await self._send(sends, member)
-                if isinstance(outcome, Answered | MayHaveRun) and began_wall is None:
-                    began_wall = wall
-                    self._count(job, wall)
+                if isinstance(outcome, Answered | MayHaveRun):
+                    sends.count_run(wall)
                 if isinstance(outcome, Answered):
                     if outcome.head.status < 500 or job.once:
                         self._parts.outliers.succeeded(
@@ -96,10 +98,6 @@
                     raise
                 return to_client(fallback)
 
-    def _count(self, job: Job, wall: float) -> None:
-        if job.account is not None:
-            self._parts.usage.began(job.account.name, wall)
-
     async def _send(self, sends: JobSends, member: Member) -> Outcome:
         """Make one send, with a limit on its time."""
         job = sends.job
@@ -129,9 +127,8 @@
             wrong = checked(head, job.req.request_id)
             if isinstance(wrong, MayHaveRun):
                 return wrong
-            outcome = await read_whole(got, head)
-            if isinstance(outcome, Answered):
-                got.done(head.idle_time)
-            return wrong or outcome
+            # Read in any case: the connection may be used again.
+            whole = await read_whole(got, head)
+            return wrong or whole
         finally:
             got.close()
--- a/src/ebonydeal/_internal/relay/ports.py
+++ b/src/ebonydeal/_internal/relay/ports.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple, Protocol
 
-from ebonydeal._internal.models.duties import DutyAnswer, EndpointReport
+from ebonydeal._internal.models.duties import DutyAnswer
 from ebonydeal._internal.models.forwarding import (
     AnswerHead,
     Forwarded,
@@ -77,9 +77,6 @@
     ) -> DutyAnswer:
         """Order that many endpoints of one kind."""
 
-    async def endpoint_report(self, address: str) -> EndpointReport:
-        """Ask an engine for its state."""
-
     async def close(self) -> None:
         """Close connections."""
 
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -173,8 +173,7 @@
             incarnation=self._incarnation,
             address=self._cfg.peer_address,
             wall=self._clock.wall(),
-            config=self.view.version,
-            windows=self.usage.to_message(self._reported + 1)["windows"],
+            windows=self.usage.to_message(self._reported + 1),
             loads={
                 endpoint_id: [told.running, round(told.unread)]
                 for endpoint_id, told in self._choice.own().items()
--- a/src/ebonydeal/_internal/relay/stream.py
+++ b/src/ebonydeal/_internal/relay/stream.py
@@ -68,7 +68,6 @@
     splitter: EventSplitter
     closing: bool
     resp: web.StreamResponse | None = None
-    counted: bool = False
 
     async def begin(self, head: AnswerHead) -> web.StreamResponse:
         """Start the answer with the first endpoint's head."""
@@ -85,10 +84,6 @@
         self.http_req.protocol.force_close()
 
 
-class _Whole(Exception):
-    """The endpoint ended the stream well."""
-
-
 class StreamForwarder:
     """Forwards streams of events."""
 
@@ -113,7 +108,7 @@
                 if outcome is None:
                     assert out.resp is not None
                     return out.resp
-                self._count_failed(job, outcome, out)
+                self._count_failed(sends, outcome)
                 if isinstance(outcome, Answered) and out.resp is None:
                     if outcome.head.status < 500 or job.once:
                         return to_client(outcome)
@@ -139,12 +134,13 @@
                 return await self._exchange(sends, member, out)
         except TimeoutError:
             return MayHaveRun(ErrorKind.ENDPOINT_STALLED, f"not done in {limit:.3f} s")
-        except _Whole:
-            return None
         finally:
             sends.ended()
 
-    async def _exchange(self, sends: JobSends, member: Member, out: _Out) -> Outcome:
+    async def _exchange(
+        self, sends: JobSends, member: Member, out: _Out
+    ) -> Outcome | None:
+        """Send and pass the answer on; None when the stream is complete."""
         parts, job = self._parts, sends.job
         headers = parts.wire.outgoing(job.req, sends.sending(out.splitter.last_id))
         first_by = parts.clock.now() + self._patience(job, False)
@@ -163,10 +159,9 @@
             if isinstance(wrong, MayHaveRun):
                 return wrong
             if wrong is not None or head.status != 200:
-                outcome = await read_whole(got, head)
-                if isinstance(outcome, Answered):
-                    got.done(head.idle_time)
-                return wrong or outcome
+                # Read in any case: the connection may be used again.
+                whole = await read_whole(got, head)
+                return wrong or whole
             broken = await self._relay(sends, got, head, out, first_by)
             if broken is not None:
                 return broken
@@ -174,7 +169,7 @@
         finally:
             got.close()
         parts.outliers.succeeded(member.endpoint_id, parts.clock.now())
-        raise _Whole
+        return None
 
     def _patience(self, job: Job, begun: bool) -> float:
         """Return how long a silence may last before another endpoint is tried."""
@@ -234,21 +229,15 @@
         if out.resp is not None:
             return
         parts.metrics.timed(Timing.FIRST_TOKEN, parts.clock.now() - job.started)
-        self._count(job, out)
+        sends.count_run(parts.clock.wall())
 
-    def _count_failed(self, job: Job, outcome: Outcome, out: _Out) -> None:
+    def _count_failed(self, sends: JobSends, outcome: Outcome) -> None:
         """Count a run that failed before its first event.
 
         One that only fell silent most likely still waited in a queue.
         """
         match outcome:
             case Answered():
-                self._count(job, out)
+                sends.count_run(self._parts.clock.wall())
             case MayHaveRun(kind=kind) if kind is not ErrorKind.ENDPOINT_STALLED:
-                self._count(job, out)
-
-    def _count(self, job: Job, out: _Out) -> None:
-        """Count the request once as begun, however often it is sent."""
-        if job.account is not None and not out.counted:
-            out.counted = True
-            self._parts.usage.began(job.account.name, self._parts.clock.wall())
+                sends.count_run(self._parts.clock.wall())
--- a/src/ebonydeal/_internal/relay/view.py
+++ b/src/ebonydeal/_internal/relay/view.py
@@ -124,11 +124,11 @@
         for member in listed:
             self.put(member)
         present = {member.endpoint_id for member in listed}
-        for endpoint_id, known in list(self.members.items()):
+        for endpoint_id in list(self.members):
             if endpoint_id in present:
                 continue
-            if grace and not known.leaving:
-                self._lapsed.setdefault(endpoint_id, now + LAPSE_GRACE_S)
+            if grace:
+                self.lapse(endpoint_id, version, now)
             else:
                 self.remove(endpoint_id, version)
         self.members_version = version
--- a/src/ebonydeal/_internal/settings/relay.py
+++ b/src/ebonydeal/_internal/settings/relay.py
@@ -22,9 +22,6 @@
     connect_ms: Annotated[
         float, Key("Longest wait for a connection.", "milliseconds", 1, _MOST_MS)
     ] = 300.0
-    apply_ms: Annotated[
-        float, Key("Time to take a configuration.", "milliseconds", 1, _MOST_MS)
-    ] = 2000.0
     grace_s: Annotated[
         float, Key("Time from SIGTERM to SIGKILL.", "seconds", 0.1, 3600)
     ] = 8.0
@@ -37,9 +34,6 @@
     retry_extra: Annotated[
         float, Key("Further sends in a window besides.", "", 0, 1e6)
     ] = 58.0
-    retry_window_s: Annotated[
-        float, Key("Window of the retry budget.", "seconds", 0.1, 3600)
-    ] = 10.0
     quota_window_s: Annotated[
         float, Key("Window of client accounts' limits.", "seconds", 0.1, 3600)
     ] = 8.0
@@ -64,6 +58,3 @@
     reuse_window_s: Annotated[
         float, Key("Time for which a read prompt part is kept.", "seconds", 0, 86400)
     ] = 8.0
-    duties: Annotated[str, Key("Duties of the deployment, comma separated.")] = (
-        "usage_report,autoscale"
-    )
--- a/src/ebonydeal/_internal/utils/web.py
+++ b/src/ebonydeal/_internal/utils/web.py
@@ -24,12 +24,10 @@
 
 def error_response(exc: EbonydealError) -> web.Response:
     """Return the answer that the error table gives for ``exc``."""
-    body = exc.to_body()
     headers = {"X-Outcome": str(exc.outcome)}
-    wait = body["error"].get("retry_after")
-    if wait is not None:
-        headers["Retry-After"] = str(max(0, round(wait + 0.499)))
-    return web.json_response(body, status=exc.answer.status, headers=headers)
+    if exc.wait is not None:
+        headers["Retry-After"] = str(max(0, round(exc.wait + 0.499)))
+    return web.json_response(exc.to_body(), status=exc.answer.status, headers=headers)
 
 
 def _from_http(exc: web.HTTPException) -> EbonydealError:
@@ -68,7 +66,7 @@
     return middleware
 
 
-async def read_json(req: web.Request) -> dict:
+async def read_json(req: web.BaseRequest) -> dict:
     """Return the body as a JSON object, or raise BAD_REQUEST."""
     try:
         body = json.loads(await req.text())
--- a/tests/functional/relay/test_life.py
+++ b/tests/functional/relay/test_life.py
@@ -1,14 +1,16 @@
 import asyncio
 import json
 
-from ebonydeal._internal.relay.coordinator import LEASE_TABLE
+from ebonydeal._internal.relay.lease_keeper import LEASE_TABLE
 from ebonydeal._internal.relay.usage_store import USAGE_TABLE
+from tests.lib.raw_endpoints import (
+    RawEndpoint,
+    answer,
+)
 from tests.lib.relay_fakes import (
     Client,
     MemoryDuties,
     MemoryStore,
-    RawEndpoint,
-    answer,
     ask,
     document,
     relay,
--- a/tests/functional/relay/test_plain.py
+++ b/tests/functional/relay/test_plain.py
@@ -4,12 +4,14 @@
 
 import pytest
 
-from tests.lib.relay_fakes import (
-    KEY,
+from tests.lib.raw_endpoints import (
     NOT_RUN,
-    Client,
     RawEndpoint,
     answer,
+)
+from tests.lib.relay_fakes import (
+    KEY,
+    Client,
     ask,
     document,
     route,
--- a/tests/functional/relay/test_stream.py
+++ b/tests/functional/relay/test_stream.py
@@ -2,16 +2,18 @@
 
 import pytest
 
-from tests.lib.relay_fakes import (
+from tests.lib.raw_endpoints import (
     NOT_RUN,
-    Client,
     RawEndpoint,
-    ask,
     chunk,
     events,
-    running,
     stream_head,
 )
+from tests.lib.relay_fakes import (
+    Client,
+    ask,
+    running,
+)
 
 
 def whole(first, last):
--- a/tests/lib/relay_fakes.py
+++ b/tests/lib/relay_fakes.py
@@ -1,4 +1,4 @@
-"""A relay with stand-ins of the store, the duties and raw endpoints."""
+"""A relay with stand-ins of the store and the duties, and its clients."""
 
 import asyncio
 import json
@@ -6,7 +6,7 @@
 from contextlib import asynccontextmanager
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
-from ebonydeal._internal.models.duties import DutyAnswer, EndpointReport
+from ebonydeal._internal.models.duties import DutyAnswer
 from ebonydeal._internal.models.shared import Changes, SharedRow, TransactResult
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.platform.wire import PlatformWire
@@ -14,6 +14,7 @@
 from ebonydeal._internal.relay.program import RelayProgram
 from ebonydeal._internal.settings.registry import ALL_SECTIONS
 from ebonydeal._internal.utils.clock import SystemClock
+from tests.lib.raw_endpoints import parse_head
 
 KEY = "key-1"
 HOST = "a.example"
@@ -109,115 +110,10 @@
         self.orders.append((service, zone, count, reclaimable, fence))
         return DutyAnswer(True, False, "")
 
-    async def endpoint_report(self, address):
-        return EndpointReport(0, 0, 0, 1, None, ())
-
     async def close(self):
         pass
 
 
-class RawEndpoint:
-    """An endpoint whose answers are given byte by byte.
-
-    ``script`` holds one item a request: bytes to send, or a coroutine function
-    that gets the reader, the writer and the request's header block.
-    """
-
-    def __init__(self, name, script=()):
-        self.name = name
-        self.script = list(script)
-        self.seen = []
-        self.bodies = []
-        self.closed = asyncio.Event()
-        self.connections = 0
-        self._server = None
-
-    async def start(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
-        return self
-
-    async def _serve(self, reader, writer):
-        self.connections += 1
-        try:
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-                headers = parse_head(head)
-                length = int(headers.get("content-length", 0))
-                self.bodies.append(await reader.readexactly(length))
-                self.seen.append(head)
-                step = self.script.pop(0) if self.script else answer(headers)
-                if callable(step):
-                    await step(reader, writer, headers)
-                else:
-                    writer.write(step.replace(b"{id}", request_id(headers)))
-                    await writer.drain()
-                if writer.is_closing():
-                    break
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
-        finally:
-            self.closed.set()
-            writer.close()
-
-    def ids(self):
-        return [request_id(parse_head(head)).decode() for head in self.seen]
-
-    def row(self, service="s", zone="z", state="ready", **extra):
-        message = {
-            "service": service,
-            "address": self.address,
-            "zone": zone,
-            "max_slots": 8,
-            "state": state,
-            **extra,
-        }
-        return json.dumps(message).encode()
-
-    async def stop(self):
-        self._server.close()
-
-
-def parse_head(head):
-    lines = head.split("\r\n")[1:]
-    pairs = (line.split(": ", 1) for line in lines if ": " in line)
-    return {name.lower(): value for name, value in pairs}
-
-
-def request_id(headers):
-    return headers.get("ebonydeal-request-id", "").encode()
-
-
-def answer(headers=None, body=b"hello", status=b"200 OK", extra=b""):
-    """Return a sound answer; ``{id}`` stands for the request's id."""
-    rid = b"{id}" if headers is None else request_id(headers)
-    return (
-        b"HTTP/1.1 %b\r\nEbonydeal-Request-Id: %b\r\n"
-        b"Ebonydeal-Server-Signature: sig\r\n%bContent-Length: %d\r\n\r\n%b"
-        % (status, rid, extra, len(body), body)
-    )
-
-
-def events(first, last):
-    return b"".join(b"id: %d\ndata: x%d\n\n" % (n, n) for n in range(first, last + 1))
-
-
-def stream_head(extra=b""):
-    return (
-        b"HTTP/1.1 200 OK\r\nEbonydeal-Request-Id: {id}\r\n"
-        b"Ebonydeal-Server-Signature: sig\r\nContent-Type: text/event-stream\r\n"
-        b"%bTransfer-Encoding: chunked\r\n\r\n" % extra
-    )
-
-
-def chunk(data):
-    return b"%x\r\n%b\r\n" % (len(data), data)
-
-
-NOT_RUN = b"HTTP/1.1 503 Busy\r\nEbonydeal-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-
-
 def route(prefix, kind, **extra):
     base = {
         "name": prefix,
--- a/tests/unit/platform/test_boundary.py
+++ b/tests/unit/platform/test_boundary.py
@@ -10,6 +10,7 @@
 FOLDER = SOURCES / "_internal/platform"
 # Headers, calls, fields and words of the platform's pages.
 NAMES = re.compile(
+    # X-Ebonydeal-Peer is the product's own header between its processes.
     r"Ebonydeal-(?!Peer)|Kv-(From|Fetch)|/-/|\bop/config\b|rows-(tx|get|feed)"
     r"|\bapi_keys\b|\bcan_resume\b|\bgap_aim\b|\btarget_latency|\bmax_attempts\b"
     r"|\broute_type\b|\bkv_(capacity_tokens|token_bytes)|\bleaves_ms\b|\bcold_left"
@@ -25,7 +26,7 @@
 class TestBoundary:
     @pytest.mark.parametrize("file", others(), ids=lambda f: f.stem)
     def test_no_name_of_the_platform_outside(self, file):
-        text = file.read_text(encoding="utf-8").replace("X-Ebonydeal-Peer", "")
+        text = file.read_text(encoding="utf-8")
         assert NAMES.findall(text) == []
 
     def test_names_are_found_where_they_belong(self):
--- a/tests/unit/routing/test_quota_broker.py
+++ b/tests/unit/routing/test_quota_broker.py
@@ -17,6 +17,14 @@
     return limit * (1 + BOUNDS.overshoot) + BOUNDS.slack
 
 
+def most_in_a_window(admitted):
+    """Return the most of (time, amount) pairs in any window."""
+    return max(
+        sum(n for at, n in admitted if start <= at <= start + BOUNDS.window)
+        for start, _n in admitted
+    )
+
+
 class TestBroker:
     def test_grants_within_the_burst_then_says_when(self):
         broker = QuotaBroker(BOUNDS)
@@ -76,11 +84,7 @@
                 passes = local.take_alone(ACCOUNT, need, 9, now) == 0.0
             if passes:
                 admitted.append((now, need))
-        most = max(
-            sum(n for at, n in admitted if start <= at <= start + BOUNDS.window)
-            for start, _n in admitted
-        )
-        assert most <= allowed()
+        assert most_in_a_window(admitted) <= allowed()
 
     def test_a_smaller_part_fills_slower(self):
         broker = QuotaBroker(BOUNDS)
@@ -113,10 +117,7 @@
                 if broker.grant(ACCOUNT, need, now).amount < need:
                     continue
             admitted.append((now, need))
-        return max(
-            sum(n for at, n in admitted if start <= at <= start + BOUNDS.window)
-            for start, _n in admitted
-        )
+        return most_in_a_window(admitted)
 
     def test_the_sum_stays_within_the_limit_under_any_demand(self):
         for seed in range(5):
@@ -138,11 +139,7 @@
             need = rng.uniform(500.0, 17_500.0)
             if rng.choice(relays).take_alone(ACCOUNT, need, 9, now) == 0.0:
                 admitted.append((now, need))
-        most = max(
-            sum(n for at, n in admitted if start <= at <= start + BOUNDS.window)
-            for start, _n in admitted
-        )
-        assert most <= allowed()
+        assert most_in_a_window(admitted) <= allowed()
 
     def test_tells_when_to_come_back(self):
         local = LocalQuota()
