Keep found endpoints until reclaimable ones serve; add a fault soak

And an endpoint that crashed voided the order of its zone each second.

Change: letting found endpoints go early is out again; a zone's order is void only when all of its reclaimable endpoints went at once. ebonydeal soak starts relays as processes, harms them, the store, links and endpoints by seed, and checks ten promises from what clients, endpoints and the platform saw (soak/).

--- a/src/ebonydeal/_internal/cli/main.py
+++ b/src/ebonydeal/_internal/cli/main.py
@@ -10,6 +10,7 @@
 from ebonydeal._internal.commands.quickstart import quickstart_command
 from ebonydeal._internal.commands.reclaims import reclaims_command
 from ebonydeal._internal.commands.settings import settings_command
+from ebonydeal._internal.commands.soak import soak_command
 from ebonydeal._internal.commands.spend import spend_command
 from ebonydeal._internal.commands.standin import standin_command
 from ebonydeal._internal.commands.status import endpoints_command, status_command
@@ -27,6 +28,7 @@
 main.add_command(story_command)
 main.add_command(quickstart_command)
 main.add_command(standin_command)
+main.add_command(soak_command)
 main.add_command(key_command)
 main.add_command(settings_command)
 main.add_command(document_command)
--- a/src/ebonydeal/_internal/platform/duties.py
+++ b/src/ebonydeal/_internal/platform/duties.py
@@ -6,8 +6,8 @@
 from ebonydeal._internal.models.duties import DutyAnswer
 from ebonydeal._internal.platform.calls import JsonCalls
 
-_HOLDER = "Ebonydeal-Lease-Holder"
-_FENCE = "Ebonydeal-Fencing-Token"
+HOLDER = "Ebonydeal-Lease-Holder"
+FENCE = "Ebonydeal-Fencing-Token"
 
 
 class PlatformDuties:
@@ -29,7 +29,7 @@
         self._holder = holder
 
     async def _post(self, path: str, fence: int, message: Any) -> DutyAnswer:
-        headers = {_HOLDER: self._holder, _FENCE: str(fence)}
+        headers = {HOLDER: self._holder, FENCE: str(fence)}
         reply = await self._calls.call(
             "POST",
             f"{self._url}{path}",
--- /dev/null
+++ b/src/ebonydeal/_internal/platform/rehearsal.py
@@ -0,0 +1,229 @@
+"""The platform's side of the wire, for stand-ins: names and formats only.
+
+What `headers`, `rows`, `store`, `duties` and `engines` send is read here, and what
+they read is written. Stand-ins themselves, and all that they decide, are elsewhere.
+"""
+
+import json
+from base64 import b64decode
+from collections.abc import Iterable, Mapping
+from typing import Any, NamedTuple
+
+from ebonydeal._internal.models.forwarding import Member, Repeat
+from ebonydeal._internal.models.shared import RowChange, SharedRow
+from ebonydeal._internal.platform.duties import FENCE, HOLDER
+from ebonydeal._internal.platform.headers import (
+    ACCOUNT,
+    CARRIED,
+    DEADLINE,
+    EXPECT_ENDPOINT,
+    LAST_EVENT,
+    NOT_RUN,
+    REQUEST_ID,
+    SIGNATURE,
+    TOKENS,
+)
+from ebonydeal._internal.platform.rows import (
+    encode_value,
+)
+
+ROWS_PATH = "/-/rows-get"
+FEED_PATH = "/-/rows-feed"
+WRITE_PATH = "/-/rows-tx"
+USAGE_PATH = "/usage"
+ORDER_PATH = "/scale"
+MOVE_PATH = "/-/kv-move"
+REPORT_PATH = "/-/report"
+_MS = 1000
+_KINDS = {
+    Repeat.IDEMPOTENT: "idempotent",
+    Repeat.ONCE: "non_idempotent",
+    Repeat.STREAM: "streaming",
+}
+
+
+class PlayRoute(NamedTuple):
+    """A route as the operator of a rehearsal declares it; seconds."""
+
+    prefix: str
+    repeat: Repeat
+    resumable: bool = False
+    timeout: float = 5.0
+
+
+class PlayAccount(NamedTuple):
+    """A client account of a rehearsal; ``rate`` and ``burst`` in requests."""
+
+    name: str
+    key: str
+    rate: float = 0.0
+    burst: float = 0.0
+
+
+class Arrival(NamedTuple):
+    """A request as an endpoint gets it."""
+
+    request_id: str
+    expected: str
+    account: str
+    last_event: str
+    carried: str
+
+
+def config_document(
+    version: int,
+    host: str,
+    service: str,
+    routes: Iterable[PlayRoute],
+    accounts: Iterable[PlayAccount],
+) -> bytes:
+    """Return a configuration's row."""
+    document = {
+        "version": version,
+        "routes": [
+            {
+                "name": route.prefix,
+                "host": host,
+                "prefix": route.prefix,
+                "route_type": _KINDS[route.repeat],
+                "timeout_ms": round(route.timeout * _MS),
+                "target_latency_ms": 1000,
+                "priority": 0,
+                "service": service,
+                "max_attempts": 2,
+                "can_resume": route.resumable,
+                "gap_aim_ms": 400,
+                "sticky": route.repeat is Repeat.STREAM,
+            }
+            for route in routes
+        ],
+        "services": [
+            {
+                "name": service,
+                "health_path": "/health",
+                "engine": {"max_slots": 64, "moves": True, "stride": 1},
+            }
+        ],
+        "limits": {"max_body_bytes": 100_000, "idle_timeout_ms": 15_000},
+        "tenants": [
+            {
+                "name": account.name,
+                "api_keys": [account.key],
+                "rate_per_s": account.rate,
+                "burst": account.burst,
+            }
+            for account in accounts
+        ],
+    }
+    return json.dumps(document).encode()
+
+
+def member_document(member: Member) -> bytes:
+    """Return an endpoint's row."""
+    document = {
+        "service": member.service,
+        "address": member.address,
+        "zone": member.zone,
+        "max_slots": member.slots,
+        "state": "draining" if member.leaving else "ready",
+        "spot": member.reclaimable,
+    }
+    return json.dumps(document).encode()
+
+
+def client_headers(
+    host: str, request_id: str, key: str, wait: float, tokens: int
+) -> dict[str, str]:
+    """Return a client's header block; ``wait`` in seconds."""
+    headers = {
+        "Host": host,
+        REQUEST_ID: request_id,
+        DEADLINE: str(round(wait * _MS)),
+        "Authorization": f"Bearer {key}",
+    }
+    if tokens:
+        headers[TOKENS] = f"10,{tokens}"
+    return headers
+
+
+def read_arrival(headers: Mapping[str, str]) -> Arrival:
+    """Return what an endpoint is told of a request."""
+    return Arrival(
+        headers.get(REQUEST_ID, ""),
+        headers.get(EXPECT_ENDPOINT, ""),
+        headers.get(ACCOUNT, ""),
+        headers.get(LAST_EVENT, ""),
+        headers.get(CARRIED, ""),
+    )
+
+
+def answer_headers(request_id: str) -> dict[str, str]:
+    """Return the header block of an endpoint's own answer."""
+    return {REQUEST_ID: request_id, SIGNATURE: "rehearsal"}
+
+
+def not_run_headers() -> dict[str, str]:
+    """Return the header block of an answer that proves that nothing ran."""
+    return {NOT_RUN: "1"}
+
+
+def report_body(leaves_in: float | None) -> dict[str, Any]:
+    """Return an endpoint's report."""
+    return {} if leaves_in is None else {"leaves_ms": round(leaves_in * _MS)}
+
+
+def read_move(message: Mapping[str, Any]) -> tuple[str, str]:
+    """Return the request and the target's address of an order to move a run."""
+    return str(message["id"]), str(message["to"])
+
+
+def moved_body(handle: str) -> dict[str, Any]:
+    """Return the answer to an order to move a run."""
+    return {"handle": handle, "create_revision": 0}
+
+
+def encode_row(row: SharedRow) -> dict[str, Any]:
+    """Return a row as the store answers it."""
+    if row.value is None:
+        return {"key": row.key, "ver": row.version, "tombstone": True}
+    return {"key": row.key, "ver": row.version, "value": encode_value(row.value)}
+
+
+def rows_body(rows: Iterable[SharedRow], version: int) -> dict[str, Any]:
+    """Return the body of an answer with rows."""
+    return {"rows": [encode_row(row) for row in rows], "ver": version}
+
+
+def read_poll(query: Mapping[str, str]) -> tuple[str, int, float]:
+    """Return table, version and seconds to wait of a long poll."""
+    return query["table"], int(query["after"]), int(query["wait_ms"]) / _MS
+
+
+def read_write(message: Mapping[str, Any]) -> list[RowChange]:
+    """Return the changes of a write."""
+    expected = {
+        (place["table"], place["key"]): int(place["ver"])
+        for place in message["precondition"]
+    }
+    changes = [
+        RowChange(place["table"], place["key"], _value(place))
+        for place in (*message["puts"], *message["remove"])
+    ]
+    return [
+        c._replace(expected=expected[(c.table, c.key)])
+        if (c.table, c.key) in expected
+        else c
+        for c in changes
+    ]
+
+
+def _value(place: Mapping[str, Any]) -> bytes | None:
+    return b64decode(place["value"]) if "value" in place else None
+
+
+def read_usage(
+    message: Mapping[str, Any], headers: Mapping[str, str]
+) -> tuple[int, dict[str, int], str, int]:
+    """Return window, counts, holder and fence of a usage report."""
+    counts = {str(k): int(v) for k, v in message["request_counts"].items()}
+    return int(message["window_id"]), counts, headers[HOLDER], int(headers[FENCE])
--- a/src/ebonydeal/_internal/relay/fleet.py
+++ b/src/ebonydeal/_internal/relay/fleet.py
@@ -35,15 +35,11 @@
 # In a wave, waiting requests and cold caches look like load: so much more than
 # before it is believed.
 _WAVE_GROWTH = 1.6
-# Nothing was asked for this long since the start: nobody is served yet.
-_IDLE_S = 0.5
 # Until this much load was seen, the fleet is kept as large as it was found.
 _LEAST_LOAD = 0.05
 _MEASURE_S = 5.0
 # Time for which an order for more stands at least.
 _STEADY_S = 5.0
-# An order that is younger than this was made knowing of the reclaim.
-_TAKEN_S = 1.0
 # Load that is lower than before shrinks the fleet only after this long, as a
 # new endpoint takes its boot time and starts with an empty cache.
 _SHRINK_S = 6.0
@@ -111,8 +107,6 @@
         self._had_spot: dict[tuple[str, str], int] = {}
         self._waved: dict[str, float] = {}
         self._calm: dict[str, float] = {}
-        self._asked: set[str] = set()
-        self._idle_since: dict[str, float] = {}
         self._dry: dict[str, float] = {}
         self._probed: dict[str, int] = {}
         self._found: dict[str, set[str]] = {}
@@ -170,7 +164,6 @@
             dry=dry if service.name in self._dry else frozenset(),
             least=self._least(service.name, zones),
             wave=self._in_wave(service.name, self._clock.now()),
-            idle=self._idle(service.name, self._clock.now()),
         )
 
     def _watch_zones(self, service: str, scaling: Scaling, now: float) -> None:
@@ -183,28 +176,21 @@
             order = self._ordered.get(_Kind(service, zone, True))
             if had and not have and (order is None or order.wanted > 0):
                 self._waved[service] = now
+                # What was ordered there is void.
+                self._ordered.pop(_Kind(service, zone, True), None)
                 logger.info("Zone taken back.", service=service, zone=zone, had=had)
 
     def _in_wave(self, service: str, now: float) -> bool:
         at = self._waved.get(service)
         return at is not None and now - at < _WAVE_S
 
-    def _idle(self, service: str, now: float) -> bool:
-        """Return whether nothing was asked of a service since the start."""
-        if self._load.get(service, 0.0) > 0.0:
-            # For good: a pause in the load is no start.
-            self._asked.add(service)
-        if service in self._asked:
-            return False
-        return now - self._idle_since.setdefault(service, now) >= _IDLE_S
-
     def _least(self, service: str, zones: dict[str, ZoneFleet]) -> int:
         """Return the size below which the fleet isn't planned yet.
 
         Before there is load to measure, the size that operators started with
         is the best word on what will be asked.
         """
-        # They are listed one after the other at the start, and some are let go
+        # They are listed one after the other at the start, and some may be gone
         # before all are.
         seen = self._found.setdefault(service, set())
         now = self._clock.now()
@@ -303,18 +289,9 @@
             else:
                 fleet = fleet._replace(fixed=fleet.fixed + 1)
             zones[member.zone] = fleet
-        taken = {
-            member.zone
-            for member in self._view.members.values()
-            if member.service == service and member.leaving and member.reclaimable
-        }
-        for kind, order in list(self._ordered.items()):
+        for kind, order in self._ordered.items():
             if kind.service != service:
                 continue
-            if kind.spot and kind.zone in taken and now - order.at > _TAKEN_S:
-                # The platform takes the zone back; what was ordered is void.
-                del self._ordered[kind]
-                continue
             if now - order.at > scaling.boot + _BOOT_SLACK_S:
                 continue
             fleet = zones.get(kind.zone, ZoneFleet())
--- a/src/ebonydeal/_internal/routing/fleet_plan.py
+++ b/src/ebonydeal/_internal/routing/fleet_plan.py
@@ -46,8 +46,6 @@
         Endpoints wanted whatever the load.
     wave : bool
         A zone was taken back just now; others may follow.
-    idle : bool
-        Nothing was asked of the service since the system started.
     """
 
     zones: dict[str, ZoneFleet]
@@ -55,7 +53,6 @@
     dry: frozenset[str] = frozenset()
     least: int = 1
     wave: bool = False
-    idle: bool = False
 
 
 class FleetTerms(NamedTuple):
@@ -126,8 +123,6 @@
     )
     offered = scaling.spot_price is not None and scaling.spot_price < 1.0
     kept = _kept_fixed(zones, now, max(need.short, state.least))
-    if offered and state.idle:
-        kept = _kept_idle(scaling, zones, now)
     spot = dict.fromkeys(zones, 0)
     if offered:
         spot = _spread_spot(scaling, zones, now, state.dry, need, kept)
@@ -155,21 +150,6 @@
     return kept
 
 
-def _kept_idle(
-    scaling: Scaling, zones: list[str], now: dict[str, ZoneFleet]
-) -> dict[str, int]:
-    """Return the on-demand endpoints that stay while nothing is asked yet.
-
-    The least that operators allow is enough until reclaimable ones serve; the
-    others would be paid for while those boot.
-    """
-    kept = {}
-    for zone in zones:
-        there = now[zone].fixed + now[zone].fixed_coming
-        kept[zone] = min(there, max(0, max(1, scaling.least) - now[zone].spot))
-    return kept
-
-
 def _spread_spot(
     scaling: Scaling,
     zones: list[str],
--- /dev/null
+++ b/src/ebonydeal/_internal/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: real relays as processes, stand-ins around them, random faults."""
--- /dev/null
+++ b/src/ebonydeal/_internal/soak/checks.py
@@ -0,0 +1,225 @@
+"""The promises, checked on what was seen from outside."""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from ebonydeal._internal.soak.records import Kind, Log, Seen, event_count
+
+# Statuses that promise that a request has not run and never will.
+_NOT_RUN = frozenset({408, 421, 429, 503})
+# Machines are busy while a soak runs: so much later is still in time, seconds.
+_SLACK_S = 1.0
+# What was harmed may have effects for so long after its end, seconds.
+_AFTER_S = 4.0
+
+
+class Terms(NamedTuple):
+    """What the deployment of a soak promises; seconds.
+
+    ``limited`` is the client account with a limit, in requests.
+    """
+
+    drain: float
+    apply: float
+    usage_window: float
+    quota_window: float
+    quota_most: float
+    limited: str
+
+
+class Violation(NamedTuple):
+    """A promise that was broken."""
+
+    promise: str
+    detail: str
+
+
+Check = Callable[[Log, Terms], Iterable[Violation]]
+
+
+def _calm(log: Log, relay: str, begin: float, end: float) -> bool:
+    """Return whether nothing was harmed for a relay from ``begin`` to ``end``."""
+    return not any(
+        trouble.relay in ("", relay)
+        and trouble.begin <= end
+        and trouble.end + _AFTER_S >= begin
+        for trouble in log.troubles
+    )
+
+
+def run_once(log: Log, _terms: Terms) -> Iterable[Violation]:
+    """No request that may run once runs twice."""
+    once = {seen.request_id for seen in log.seen if seen.kind.runs_once}
+    count: dict[str, int] = defaultdict(int)
+    for run in log.runs:
+        if run.request_id in once and not run.carried:
+            count[run.request_id] += 1
+    for request_id, runs in count.items():
+        if runs > 1:
+            yield Violation("run once", f"{request_id} ran {runs} times")
+
+
+def refusals_true(log: Log, _terms: Terms) -> Iterable[Violation]:
+    """What was said not to have run didn't, and never does."""
+    ran = {run.request_id for run in log.runs}
+    for seen in log.seen:
+        if seen.kind.runs_once and seen.status in _NOT_RUN and seen.request_id in ran:
+            yield Violation("refusal", f"{seen.request_id}: {seen.status}, but it ran")
+
+
+def answers_whole(log: Log, _terms: Terms) -> Iterable[Violation]:
+    """A success is the whole answer to that very request."""
+    for seen in log.seen:
+        if seen.kind is Kind.PROBE or seen.status != 200 or not seen.whole:
+            continue
+        if not seen.kind.is_stream and seen.body_id != seen.request_id:
+            detail = f"{seen.request_id} got the answer to {seen.body_id!r}"
+            yield Violation("whole answer", detail)
+
+
+def events_in_order(log: Log, _terms: Terms) -> Iterable[Violation]:
+    """Events come once each, in order, and a whole stream has them all."""
+    for seen in log.seen:
+        if not seen.kind.is_stream or seen.status != 200:
+            continue
+        expected = tuple(range(1, len(seen.numbers) + 1))
+        if seen.numbers != expected:
+            yield Violation("event order", f"{seen.request_id}: {seen.numbers}")
+        elif seen.whole and len(seen.numbers) != event_count(seen.request_id):
+            detail = f"{seen.request_id} ends after {len(seen.numbers)} events"
+            yield Violation("event order", detail)
+
+
+def drained(log: Log, terms: Terms) -> Iterable[Violation]:
+    """An endpoint that leaves gets nothing new after a while."""
+    left = {leave.endpoint: leave.at for leave in log.leaves}
+    for run in log.runs:
+        at = left.get(run.endpoint)
+        if at is None or run.at <= at + terms.drain + _SLACK_S:
+            continue
+        if _calm(log, run.relay, at, run.at):
+            late = run.at - at
+            detail = f"{run.endpoint} got {run.request_id} {late:.2f} s after its word"
+            yield Violation("drain", detail)
+
+
+def config_never_back(log: Log, terms: Terms) -> Iterable[Violation]:
+    """No process answers by an older configuration after a newer one."""
+    newest: dict[int, tuple[int, float]] = {}
+    probes = [seen for seen in log.seen if seen.kind is Kind.PROBE]
+    for seen in sorted(probes, key=lambda it: it.sent):
+        if seen.status != 200:
+            continue
+        version, ended = newest.get(seen.pid, (0, 0.0))
+        if seen.version < version and seen.sent > ended:
+            detail = f"{seen.relay} served {seen.version} after {version}"
+            yield Violation("configuration", detail)
+        elif seen.version > version:
+            newest[seen.pid] = (seen.version, seen.ended)
+    yield from _stale(log, terms, probes)
+
+
+def _stale(log: Log, terms: Terms, probes: list[Seen]) -> Iterable[Violation]:
+    """Tell of probes that were answered by an older version too late."""
+    at = {publish.version: publish.at for publish in log.published}
+    for seen in probes:
+        known = at.get(seen.version)
+        if seen.status != 404 or known is None:
+            continue
+        newer = any(
+            p.version > seen.version and p.at < seen.ended for p in log.published
+        )
+        late = seen.sent > known + terms.apply + _SLACK_S
+        if not newer and late and _calm(log, seen.relay, known, seen.ended):
+            detail = f"{seen.relay} didn't know version {seen.version}"
+            yield Violation("configuration", detail)
+
+
+def within_limits(log: Log, terms: Terms) -> Iterable[Violation]:
+    """A client account gets no more than its limit in any window."""
+    first: dict[str, float] = {}
+    for run in log.runs:
+        if run.account == terms.limited:
+            first[run.request_id] = min(run.at, first.get(run.request_id, run.at))
+    times = sorted(first.values())
+    begin = 0
+    for end, at in enumerate(times):
+        while times[begin] < at - terms.quota_window:
+            begin += 1
+        if end - begin + 1 > terms.quota_most:
+            detail = f"{end - begin + 1} of {terms.limited} in one window"
+            yield Violation("limit", detail)
+            return
+
+
+def usage_told_once(log: Log, _terms: Terms) -> Iterable[Violation]:
+    """A window has one report, and a fencing number one holder."""
+    told: dict[int, dict[str, int]] = {}
+    holders: dict[int, str] = {}
+    for report in log.reports:
+        if told.setdefault(report.window, report.counts) != report.counts:
+            yield Violation("usage", f"window {report.window} was told twice")
+        if holders.setdefault(report.fence, report.holder) != report.holder:
+            yield Violation("usage", f"fence {report.fence} has two holders")
+
+
+def usage_exact(log: Log, terms: Terms) -> Iterable[Violation]:
+    """In calm windows the counts are those of the requests that began."""
+    begun: dict[int, set[tuple[str, str]]] = defaultdict(set)
+    offset = log.runs[0].wall - log.runs[0].at if log.runs else 0.0
+    for run in log.runs:
+        begun[int(run.wall // terms.usage_window)].add((run.account, run.request_id))
+    for report in log.reports:
+        begin = report.window * terms.usage_window - offset
+        if not log.runs or begin < log.runs[0].at:
+            # What was asked before is not in the log.
+            continue
+        if not _calm(log, "", begin - 1.0, begin + terms.usage_window + 1.0):
+            continue
+        if any(not _calm(log, t.relay, begin, begin) for t in log.troubles):
+            continue
+        truth = len(begun[report.window])
+        told = sum(report.counts.values())
+        # Requests that begin at the edge may count on either side.
+        if abs(told - truth) > 3 + 0.1 * truth:
+            detail = f"window {report.window}: {told} told, {truth} began"
+            yield Violation("usage", detail)
+
+
+def stops_cut_nothing(log: Log, _terms: Terms) -> Iterable[Violation]:
+    """A planned stop cuts off no request that was passed on."""
+    passed = {run.request_id for run in log.runs}
+    stops = [trouble for trouble in log.troubles if trouble.kind == "stop"]
+    others = [trouble for trouble in log.troubles if trouble.kind != "stop"]
+    for seen in log.seen:
+        cut = seen.status == 0 or (seen.status == 200 and not seen.whole)
+        if not cut or seen.request_id not in passed:
+            continue
+        for stop in stops:
+            if seen.relay != stop.relay or not stop.begin <= seen.ended <= stop.end:
+                continue
+            alone = all(
+                t.end + _AFTER_S < seen.sent or t.begin > seen.ended for t in others
+            )
+            if alone:
+                yield Violation("planned stop", f"{seen.request_id} was cut off")
+
+
+CHECKS: tuple[Check, ...] = (
+    run_once,
+    refusals_true,
+    answers_whole,
+    events_in_order,
+    drained,
+    config_never_back,
+    within_limits,
+    usage_told_once,
+    usage_exact,
+    stops_cut_nothing,
+)
+
+
+def check_all(log: Log, terms: Terms) -> list[Violation]:
+    """Return every promise that was broken."""
+    return [violation for check in CHECKS for violation in check(log, terms)]
--- /dev/null
+++ b/src/ebonydeal/_internal/soak/endpoints.py
@@ -0,0 +1,146 @@
+"""Endpoints of a soak: they run requests, stream events, leave and crash."""
+
+import asyncio
+import json
+import time
+
+from aiohttp import web
+
+from ebonydeal._internal.models.forwarding import Member
+from ebonydeal._internal.platform.rehearsal import (
+    MOVE_PATH,
+    REPORT_PATH,
+    answer_headers,
+    moved_body,
+    not_run_headers,
+    read_arrival,
+    read_move,
+    report_body,
+)
+from ebonydeal._internal.soak.proxy import Proxy
+from ebonydeal._internal.soak.records import Log, Run, event_count
+
+SERVICE = "play"
+# Clients name the relay that they ask, and it passes this header on.
+RELAY_HEADER = "X-Asked-Relay"
+_PACE_S = 0.03
+_WORK_S = 0.02
+_CLOSE_S = 0.1
+
+
+class PlayEndpoint:
+    """One endpoint behind a proxy of its own.
+
+    ``memory`` holds the handles of runs that were stopped, at all endpoints.
+    """
+
+    def __init__(self, name: str, log: Log, memory: dict[str, str]) -> None:
+        self.name = name
+        self._log = log
+        self._memory = memory
+        self._stopped: dict[str, asyncio.Event] = {}
+        self._handles = 0
+        self._gone_at: float | None = None
+        self._runner: web.ServerRunner | None = None
+        self.proxy = Proxy("127.0.0.1:0")
+
+    async def start(self) -> "PlayEndpoint":
+        """Listen on free ports."""
+        server = web.Server(self._handle, access_log=None, handler_cancellation=True)
+        self._runner = web.ServerRunner(server, shutdown_timeout=_CLOSE_S)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        host, port = self._runner.addresses[0][:2]
+        self.proxy = await Proxy(f"{host}:{port}").start()
+        return self
+
+    def member(self, leaving: bool = False) -> Member:
+        """Return the entry of the list."""
+        return Member(
+            self.name,
+            SERVICE,
+            self.proxy.address,
+            "z1",
+            64,
+            leaving,
+            None,
+            True,
+            0.0,
+            0,
+        )
+
+    def leaves(self, seconds: float) -> None:
+        """Note when it will be gone."""
+        self._gone_at = time.monotonic() + seconds
+
+    async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
+        if req.path == REPORT_PATH:
+            left = None if self._gone_at is None else self._gone_at - time.monotonic()
+            return web.json_response(report_body(left))
+        if req.path == MOVE_PATH:
+            return await self._move(req)
+        return await self._run(req)
+
+    async def _move(self, req: web.BaseRequest) -> web.Response:
+        request_id, _target = read_move(json.loads(await req.read()))
+        stopped = self._stopped.get(request_id)
+        if stopped is None:
+            return web.Response(status=404)
+        stopped.set()
+        self._handles += 1
+        handle = f"{self.name}-{self._handles}"
+        self._memory[f"{self.proxy.address}/{handle}"] = request_id
+        return web.json_response(moved_body(handle))
+
+    async def _run(self, req: web.BaseRequest) -> web.StreamResponse:
+        got = read_arrival(req.headers)
+        await req.read()
+        if got.expected != self.name:
+            return web.Response(status=421)
+        if got.carried and self._memory.pop(got.carried, "") != got.request_id:
+            return web.Response(status=503, headers=not_run_headers())
+        self._log.runs.append(
+            Run(
+                got.request_id,
+                self.name,
+                req.headers.get(RELAY_HEADER, ""),
+                got.account,
+                time.monotonic(),
+                time.time(),
+                bool(got.carried),
+            )
+        )
+        headers = answer_headers(got.request_id)
+        if req.path.startswith(("/live/", "/again/")):
+            return await self._stream(req, got.request_id, got.last_event, headers)
+        await asyncio.sleep(_WORK_S)
+        return web.json_response({"request": got.request_id}, headers=headers)
+
+    async def _stream(
+        self, req: web.BaseRequest, request_id: str, last: str, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        stopped = self._stopped[request_id] = asyncio.Event()
+        resp = web.StreamResponse(headers=headers)
+        resp.content_type = "text/event-stream"
+        resp.enable_chunked_encoding()
+        await resp.prepare(req)
+        try:
+            for number in range(int(last or 0) + 1, event_count(request_id) + 1):
+                await resp.write(f"id: {number}\ndata: {request_id}\n\n".encode())
+                await asyncio.sleep(_PACE_S)
+                if stopped.is_set() and req.transport is not None:
+                    req.transport.abort()
+                    return resp
+            await resp.write_eof()
+        except ConnectionError:
+            return resp
+        finally:
+            self._stopped.pop(request_id, None)
+        return resp
+
+    async def stop(self) -> None:
+        """Be gone at once: open connections are cut."""
+        await self.proxy.stop()
+        if self._runner is not None:
+            await self._runner.cleanup()
--- /dev/null
+++ b/src/ebonydeal/_internal/soak/plan.py
@@ -0,0 +1,60 @@
+"""What a seed does in one soak: series of faults that overlap."""
+
+from enum import StrEnum
+from random import Random
+from typing import NamedTuple
+
+
+class Fault(StrEnum):
+    """Everything that may be done to the system."""
+
+    KILL = "kill"
+    STOP = "stop"
+    PAUSE = "pause"
+    HANG_UP = "hang up"
+    STORE_AWAY = "store away"
+    STORE_LOSES = "store loses answers"
+    STORE_CUT = "relay cut from store"
+    ENDPOINT_LEAVES = "endpoint leaves"
+    ENDPOINT_CRASHES = "endpoint crashes"
+    ENDPOINT_HARMED = "endpoint harmed"
+    CONFIG = "configuration changes"
+
+
+class Step(NamedTuple):
+    """One fault: when it begins, for how long, and which of the things it hits."""
+
+    at: float
+    fault: Fault
+    seconds: float
+    which: int
+
+
+# Mean seconds between the faults of one series.
+_SERIES: tuple[tuple[tuple[Fault, ...], float], ...] = (
+    ((Fault.KILL, Fault.STOP, Fault.PAUSE, Fault.HANG_UP), 3.0),
+    ((Fault.STORE_AWAY, Fault.STORE_LOSES, Fault.STORE_CUT), 5.0),
+    ((Fault.ENDPOINT_LEAVES, Fault.ENDPOINT_CRASHES, Fault.ENDPOINT_HARMED), 3.0),
+    ((Fault.CONFIG,), 2.0),
+)
+# The last seconds are calm, so that what was begun can end.
+_CALM_S = 3.0
+
+
+def make_plan(seed: int, seconds: float) -> list[Step]:
+    """Return the faults of a seed, in order.
+
+    Half of the seeds leave one series out, so that each is also seen alone.
+    """
+    rng = Random(seed)
+    series = list(_SERIES)
+    if rng.random() < 0.5:
+        series.remove(rng.choice(series))
+    steps = []
+    for faults, mean in series:
+        at = rng.uniform(0.5, mean)
+        while at < seconds - _CALM_S:
+            length = rng.uniform(0.3, 2.5)
+            steps.append(Step(at, rng.choice(faults), length, rng.randrange(1000)))
+            at += rng.expovariate(1.0 / mean) + 0.3
+    return sorted(steps)
--- /dev/null
+++ b/src/ebonydeal/_internal/soak/platform.py
@@ -0,0 +1,139 @@
+"""The store and the cloud of a soak, over HTTP, in memory."""
+
+import asyncio
+import json
+import time
+from random import Random
+
+from aiohttp import web
+
+from ebonydeal._internal.models.shared import RowChange, SharedRow
+from ebonydeal._internal.platform.rehearsal import (
+    FEED_PATH,
+    ORDER_PATH,
+    ROWS_PATH,
+    USAGE_PATH,
+    WRITE_PATH,
+    read_poll,
+    read_usage,
+    read_write,
+    rows_body,
+)
+from ebonydeal._internal.soak.records import Log, Report
+
+# Polls that are under way at the end are cut.
+_CLOSE_S = 0.1
+
+
+class PlayPlatform:
+    """Tables with long polls, and the calls of the duties.
+
+    While `away` the store answers 503; `lose` is the share of writes that are
+    done and not answered.
+    """
+
+    def __init__(self, log: Log, rng: Random) -> None:
+        self._log = log
+        self._rng = rng
+        self._tables: dict[str, dict[str, SharedRow]] = {}
+        self._changes: list[tuple[str, SharedRow]] = []
+        self._version = 0
+        self._changed = asyncio.Condition()
+        self._fence = 0
+        self.away = False
+        self.lose = 0.0
+        self._runner: web.ServerRunner | None = None
+        self.address = ""
+
+    async def start(self) -> "PlayPlatform":
+        """Listen on a free port."""
+        server = web.Server(self._handle, access_log=None)
+        self._runner = web.ServerRunner(server, shutdown_timeout=_CLOSE_S)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        host, port = self._runner.addresses[0][:2]
+        self.address = f"{host}:{port}"
+        return self
+
+    async def put(self, table: str, key: str, value: bytes | None) -> float:
+        """Write as the operator or an endpoint does; returns when it was done."""
+        await self._apply([RowChange(table, key, value)])
+        return time.monotonic()
+
+    async def _apply(self, changes: list[RowChange]) -> None:
+        self._version += 1
+        for change in changes:
+            row = SharedRow(change.key, change.value, self._version)
+            rows = self._tables.setdefault(change.table, {})
+            rows[change.key] = row
+            if change.value is None:
+                del rows[change.key]
+            self._changes.append((change.table, row))
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def _handle(self, req: web.BaseRequest) -> web.Response:
+        match req.path:
+            case path if path == USAGE_PATH:
+                return await self._usage(req)
+            case path if path == ORDER_PATH:
+                return web.json_response({})
+        if self.away:
+            return web.Response(status=503)
+        match req.path:
+            case path if path == ROWS_PATH:
+                return self._rows(req)
+            case path if path == FEED_PATH:
+                return await self._feed(req)
+            case path if path == WRITE_PATH:
+                return await self._write(req)
+        return web.Response(status=404)
+
+    def _rows(self, req: web.BaseRequest) -> web.Response:
+        rows = self._tables.get(req.query["table"], {}).values()
+        start = req.query.get("from", "")
+        found = sorted(row for row in rows if row.key >= start)
+        return web.json_response(rows_body(found, self._version))
+
+    async def _feed(self, req: web.BaseRequest) -> web.Response:
+        table, after, wait = read_poll(req.query)
+        try:
+            async with asyncio.timeout(wait):
+                while not (found := self._since(table, after)):
+                    async with self._changed:
+                        await self._changed.wait()
+        except TimeoutError:
+            return web.json_response(rows_body((), self._version))
+        return web.json_response(rows_body(found, found[-1].version))
+
+    def _since(self, table: str, after: int) -> list[SharedRow]:
+        return [r for t, r in self._changes if t == table and r.version > after]
+
+    async def _write(self, req: web.BaseRequest) -> web.Response:
+        changes = read_write(json.loads(await req.read()))
+        for change in changes:
+            row = self._tables.get(change.table, {}).get(change.key)
+            found = 0 if row is None else row.version
+            if change.expected >= 0 and found != change.expected:
+                rows = () if row is None else (row,)
+                return web.json_response(rows_body(rows, self._version), status=412)
+        await self._apply(changes)
+        if self._rng.random() < self.lose and req.transport is not None:
+            req.transport.abort()
+        return web.json_response(rows_body((), self._version))
+
+    async def _usage(self, req: web.BaseRequest) -> web.Response:
+        window, counts, holder, fence = read_usage(
+            json.loads(await req.read()), req.headers
+        )
+        if fence < self._fence:
+            return web.Response(status=409)
+        self._fence = fence
+        self._log.reports.append(Report(window, counts, holder, fence))
+        return web.json_response({})
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
--- /dev/null
+++ b/src/ebonydeal/_internal/soak/processes.py
@@ -0,0 +1,105 @@
+"""Relays of a soak as processes of their own; each is ended by its id."""
+
+import asyncio
+import os
+import signal
+import sys
+from configparser import ConfigParser
+from pathlib import Path
+from socket import socket
+
+from ebonydeal._internal.soak.proxy import Proxy
+
+_KILL_AFTER_S = 12.0
+
+
+def free_port() -> int:
+    """Return a port that was free a moment ago."""
+    with socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+class RelayProcess:
+    """One relay, started again after each end.
+
+    Parameters
+    ----------
+    name : str
+        Its node id.
+    folder : Path
+        Where its settings and its log lie.
+    store : Proxy
+        Its own way to the platform.
+    terms : dict
+        Settings of ``[relay]`` beside its addresses.
+    """
+
+    def __init__(
+        self, name: str, folder: Path, store: Proxy, terms: dict[str, str]
+    ) -> None:
+        self.name = name
+        self.store = store
+        self.address = f"127.0.0.1:{free_port()}"
+        self.peer_address = f"127.0.0.1:{free_port()}"
+        self._ready_address = f"127.0.0.1:{free_port()}"
+        self._terms = terms
+        self._settings = folder / f"{name}.ini"
+        self._log = folder / f"{name}.log"
+        self._process: asyncio.subprocess.Process | None = None
+
+    def write_settings(self, seeds: list[str]) -> None:
+        """Write the settings file."""
+        file = ConfigParser(interpolation=None)
+        url = f"http://{self.store.address}"
+        file["node"] = {"id": self.name, "host": "127.0.0.1", "zone": "z1"}
+        file["platform"] = {"tables_url": url, "cloud_url": url, "timeout": "1.0"}
+        file["peers"] = {"seeds": ",".join(seeds)}
+        file["relay"] = {
+            "address": self.address,
+            "ready_address": self._ready_address,
+            "peer_address": self.peer_address,
+            **self._terms,
+        }
+        with self._settings.open("w", encoding="utf-8") as out:
+            file.write(out)
+
+    @property
+    def pid(self) -> int:
+        """Process id; 0 while it is down."""
+        process = self._process
+        return 0 if process is None or process.returncode is not None else process.pid
+
+    async def start(self) -> None:
+        """Start the process."""
+        with self._log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "ebonydeal._internal.cli.relay",
+                "--settings",
+                str(self._settings),
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, sign: signal.Signals) -> None:
+        """Send a signal to the process, if it is up."""
+        if self.pid:
+            os.kill(self.pid, sign)
+
+    async def ended(self) -> None:
+        """Wait for its end, and kill it if that doesn't come."""
+        if self._process is None:
+            return
+        try:
+            await asyncio.wait_for(self._process.wait(), _KILL_AFTER_S)
+        except TimeoutError:
+            self.send(signal.SIGKILL)
+            await self._process.wait()
+
+    async def stop(self) -> None:
+        """End it for good."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        await self.ended()
--- /dev/null
+++ b/src/ebonydeal/_internal/soak/records.py
@@ -0,0 +1,110 @@
+"""What clients, endpoints and the platform saw in one soak."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class Kind(StrEnum):
+    """Kinds of requests; the value is the prefix of their route."""
+
+    SAFE = "/safe/"
+    ONCE = "/once/"
+    LIVE = "/live/"
+    AGAIN = "/again/"
+    PROBE = "/probe/"
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answer is a stream of events."""
+        return self in (Kind.LIVE, Kind.AGAIN)
+
+    @property
+    def runs_once(self) -> bool:
+        """Whether it may run once at most."""
+        return self in (Kind.ONCE, Kind.LIVE)
+
+
+class Run(NamedTuple):
+    """A request that an endpoint began to run.
+
+    ``relay`` sent it; ``carried`` says that it goes on with a run's memory.
+    """
+
+    request_id: str
+    endpoint: str
+    relay: str
+    account: str
+    at: float
+    wall: float
+    carried: bool
+
+
+class Seen(NamedTuple):
+    """What a client got for one request.
+
+    ``status`` is 0 where no answer began; ``whole`` says that the answer looked
+    complete. ``numbers`` are the ids of a stream's events. ``pid`` is the process
+    that answered, and ``version`` the configuration that a probe asked for.
+    """
+
+    request_id: str
+    kind: Kind
+    relay: str
+    pid: int
+    sent: float
+    ended: float
+    status: int
+    whole: bool
+    body_id: str = ""
+    numbers: tuple[int, ...] = ()
+    version: int = 0
+
+
+class Leave(NamedTuple):
+    """An endpoint's word that it leaves, as the store took it."""
+
+    endpoint: str
+    at: float
+
+
+class Publish(NamedTuple):
+    """A configuration, as the store took it."""
+
+    version: int
+    at: float
+
+
+class Report(NamedTuple):
+    """A usage report that the platform accepted."""
+
+    window: int
+    counts: dict[str, int]
+    holder: str
+    fence: int
+
+
+class Trouble(NamedTuple):
+    """A time in which something was harmed; ``relay`` is empty for all of them."""
+
+    kind: str
+    relay: str
+    begin: float
+    end: float
+
+
+@dataclass
+class Log:
+    """Everything that was seen; times are monotonic seconds of one clock."""
+
+    runs: list[Run] = field(default_factory=list)
+    seen: list[Seen] = field(default_factory=list)
+    leaves: list[Leave] = field(default_factory=list)
+    published: list[Publish] = field(default_factory=list)
+    reports: list[Report] = field(default_factory=list)
+    troubles: list[Trouble] = field(default_factory=list)
+
+
+def event_count(request_id: str) -> int:
+    """Return how many events the stream of a request has."""
+    return 5 + int(request_id[-2:], 16) % 100
--- /dev/null
+++ b/src/ebonydeal/_internal/soak/run.py
@@ -0,0 +1,317 @@
+"""One soak: starts everything, plays a plan, and checks what was seen."""
+
+import asyncio
+import signal
+import time
+from contextlib import AsyncExitStack
+from pathlib import Path
+from random import Random
+from tempfile import TemporaryDirectory
+from typing import NamedTuple
+
+from ebonydeal._internal.models.forwarding import Repeat
+from ebonydeal._internal.platform.rehearsal import (
+    PlayAccount,
+    PlayRoute,
+    config_document,
+    member_document,
+)
+from ebonydeal._internal.platform.rows import (
+    CONFIG_KEY,
+    CONFIG_TABLE,
+    MEMBERS_TABLE,
+)
+from ebonydeal._internal.soak.checks import Terms, Violation, check_all
+from ebonydeal._internal.soak.clients import HOST, Client
+from ebonydeal._internal.soak.endpoints import SERVICE, PlayEndpoint
+from ebonydeal._internal.soak.plan import Fault, Step, make_plan
+from ebonydeal._internal.soak.plants import PLANTS
+from ebonydeal._internal.soak.platform import PlayPlatform
+from ebonydeal._internal.soak.processes import RelayProcess
+from ebonydeal._internal.soak.proxy import Harm, Proxy
+from ebonydeal._internal.soak.records import Kind, Leave, Log, Publish, Trouble
+
+_DRAIN_S = 2.0
+_NOTICE_S = 2.5
+_QUOTA_WINDOW_S = 2.0
+_LIMIT = PlayAccount("small", "key-small", rate=15.0, burst=15.0)
+_OPEN = PlayAccount("large", "key-large")
+_OVERSHOOT = 0.1
+TERMS = Terms(
+    drain=_DRAIN_S,
+    apply=2.0,
+    usage_window=2.0,
+    quota_window=_QUOTA_WINDOW_S,
+    quota_most=(_LIMIT.rate * _QUOTA_WINDOW_S + _LIMIT.burst) * (1.0 + _OVERSHOOT),
+    limited=_LIMIT.name,
+)
+_RELAY_TERMS = {
+    "grace_s": "6",
+    "settle_s": "1",
+    "drain_ms": str(_DRAIN_S * 1000.0),
+    "quota_window_s": str(_QUOTA_WINDOW_S),
+    "quota_overshoot": str(_OVERSHOOT),
+    "quota_slack": "0",
+    "usage_window_s": "2",
+    "usage_late_s": "6",
+}
+_READY_S = 20.0
+_PROBE_S = 0.25
+_KNOWN_VERSIONS = 3
+
+
+class Size(NamedTuple):
+    """How large a soak is."""
+
+    relays: int = 3
+    endpoints: int = 4
+    clients: int = 12
+    seconds: float = 12.0
+
+
+class Verdict(NamedTuple):
+    """What came of one seed."""
+
+    seed: int
+    requests: int
+    served: int
+    moved: int
+    faults: int
+    violations: list[Violation]
+
+
+class _Soak:
+    """Everything that one soak runs."""
+
+    def __init__(self, seed: int, size: Size, folder: Path) -> None:
+        self.log = Log()
+        self._seed = seed
+        self._size = size
+        self._folder = folder
+        self._rng = Random(seed)
+        self._platform = PlayPlatform(self.log, Random(seed + 1))
+        self._memory: dict[str, str] = {}
+        self._relays: list[RelayProcess] = []
+        self._endpoints: list[PlayEndpoint] = []
+        self._named = 0
+        self._version = 0
+
+    async def play(self) -> None:
+        """Start, play the plan under load, and end all processes."""
+        async with AsyncExitStack() as stack:
+            await self._start(stack)
+            client = Client(self.log, self._relays, Random(self._seed + 2))
+            stack.push_async_callback(client.close)
+            await self._until_served(client)
+            self.log.seen.clear()
+            self.log.runs.clear()
+            begun = time.monotonic()
+            tasks = self._load(client)
+            steps = [
+                asyncio.create_task(self._at(begun + step.at, step))
+                for step in make_plan(self._seed, self._size.seconds)
+            ]
+            await asyncio.sleep(self._size.seconds)
+            await asyncio.gather(*steps)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _start(self, stack: AsyncExitStack) -> None:
+        await self._platform.start()
+        stack.push_async_callback(self._platform.stop)
+        for _ in range(self._size.endpoints):
+            await self._add_endpoint()
+        stack.push_async_callback(self._stop_endpoints)
+        await self._publish()
+        for number in range(self._size.relays):
+            proxy = await Proxy(self._platform.address).start()
+            stack.push_async_callback(proxy.stop)
+            relay = RelayProcess(f"n{number}", self._folder, proxy, _RELAY_TERMS)
+            self._relays.append(relay)
+        for relay in self._relays:
+            relay.write_settings([r.peer_address for r in self._relays])
+            await relay.start()
+            stack.push_async_callback(relay.stop)
+
+    async def _until_served(self, client: Client) -> None:
+        """Wait until every relay serves."""
+        end = time.monotonic() + _READY_S
+        for relay in self._relays:
+            while time.monotonic() < end:
+                await client.ask(Kind.SAFE, relay, _OPEN)
+                if self.log.seen[-1].status == 200:
+                    break
+                await asyncio.sleep(0.1)
+            else:
+                raise TimeoutError(f"{relay.name} doesn't serve")
+
+    def _load(self, client: Client) -> list[asyncio.Task[None]]:
+        """Start clients and probes."""
+        plays = [client.play(_OPEN, 0.05) for _ in range(self._size.clients)]
+        plays += [client.play(_LIMIT, 0.05) for _ in range(2)]
+        plays += [self._probe(client, relay) for relay in self._relays]
+        return [asyncio.create_task(play) for play in plays]
+
+    async def _probe(self, client: Client, relay: RelayProcess) -> None:
+        while True:
+            versions = range(max(1, self._version - 1), self._version + 1)
+            for version in versions:
+                await client.probe(relay, _OPEN.key, version)
+            await asyncio.sleep(_PROBE_S)
+
+    # --- the operator and the endpoints --------------------------------------
+    async def _publish(self) -> None:
+        """Put the next configuration in force."""
+        version = self._version + 1
+        routes = [
+            PlayRoute(Kind.SAFE.value, Repeat.IDEMPOTENT),
+            PlayRoute(Kind.ONCE.value, Repeat.ONCE),
+            PlayRoute(Kind.LIVE.value, Repeat.STREAM),
+            PlayRoute(Kind.AGAIN.value, Repeat.STREAM, resumable=True),
+            PlayRoute(f"{Kind.PROBE.value}{version}/", Repeat.IDEMPOTENT),
+        ]
+        document = config_document(version, HOST, SERVICE, routes, [_LIMIT, _OPEN])
+        at = await self._platform.put(CONFIG_TABLE, CONFIG_KEY, document)
+        self.log.published.append(Publish(version, at))
+        self._version = version
+
+    async def _add_endpoint(self) -> None:
+        self._named += 1
+        endpoint = PlayEndpoint(f"e{self._named}", self.log, self._memory)
+        await endpoint.start()
+        self._endpoints.append(endpoint)
+        document = member_document(endpoint.member())
+        await self._platform.put(MEMBERS_TABLE, endpoint.name, document)
+
+    async def _stop_endpoints(self) -> None:
+        for endpoint in self._endpoints:
+            await endpoint.stop()
+
+    # --- faults ----------------------------------------------------------------
+    async def _at(self, when: float, step: Step) -> None:
+        await asyncio.sleep(max(0.0, when - time.monotonic()))
+        await self._do(step)
+
+    async def _do(self, step: Step) -> None:
+        """Carry out one fault, to its end."""
+        relay = self._relays[step.which % len(self._relays)]
+        match step.fault:
+            case Fault.KILL:
+                await self._kill(relay, step)
+            case Fault.STOP:
+                await self._stop(relay, step)
+            case Fault.PAUSE:
+                await self._pause(relay, step)
+            case Fault.HANG_UP:
+                with self._trouble("hang up", relay.name):
+                    relay.send(signal.SIGHUP)
+            case Fault.STORE_AWAY:
+                with self._trouble("store", ""):
+                    self._platform.away = True
+                    await asyncio.sleep(step.seconds)
+                    self._platform.away = False
+            case Fault.STORE_LOSES:
+                with self._trouble("store", ""):
+                    self._platform.lose = 0.5
+                    await asyncio.sleep(step.seconds)
+                    self._platform.lose = 0.0
+            case Fault.STORE_CUT:
+                await self._harm(relay.store, relay.name, step)
+            case Fault.ENDPOINT_HARMED:
+                endpoint = self._endpoints[step.which % len(self._endpoints)]
+                await self._harm(endpoint.proxy, "", step)
+            case Fault.ENDPOINT_LEAVES:
+                await self._leave(step)
+            case Fault.ENDPOINT_CRASHES:
+                await self._crash(step)
+            case Fault.CONFIG:
+                await self._publish()
+
+    def _trouble(self, kind: str, relay: str) -> "_Noted":
+        return _Noted(self.log, kind, relay)
+
+    async def _kill(self, relay: RelayProcess, step: Step) -> None:
+        with self._trouble("kill", relay.name):
+            relay.send(signal.SIGKILL)
+            await relay.ended()
+            await asyncio.sleep(step.seconds / 2.0)
+            await relay.start()
+            await asyncio.sleep(1.0)
+
+    async def _stop(self, relay: RelayProcess, _step: Step) -> None:
+        with self._trouble("stop", relay.name):
+            relay.send(signal.SIGTERM)
+            await relay.ended()
+        with self._trouble("start", relay.name):
+            await relay.start()
+            await asyncio.sleep(1.0)
+
+    async def _pause(self, relay: RelayProcess, step: Step) -> None:
+        with self._trouble("pause", relay.name):
+            relay.send(signal.SIGSTOP)
+            await asyncio.sleep(step.seconds)
+            relay.send(signal.SIGCONT)
+
+    async def _harm(self, proxy: Proxy, relay: str, step: Step) -> None:
+        harms = [harm for harm in Harm if harm is not Harm.NONE]
+        with self._trouble("link", relay):
+            proxy.harm(harms[step.which % len(harms)])
+            await asyncio.sleep(step.seconds)
+            proxy.harm(Harm.NONE)
+
+    async def _leave(self, step: Step) -> None:
+        """Let an endpoint leave with notice, after another has come."""
+        endpoint = self._endpoints.pop(step.which % len(self._endpoints))
+        await self._add_endpoint()
+        endpoint.leaves(_NOTICE_S)
+        document = member_document(endpoint.member(leaving=True))
+        at = await self._platform.put(MEMBERS_TABLE, endpoint.name, document)
+        self.log.leaves.append(Leave(endpoint.name, at))
+        await asyncio.sleep(_NOTICE_S)
+        await endpoint.stop()
+        await self._platform.put(MEMBERS_TABLE, endpoint.name, None)
+
+    async def _crash(self, step: Step) -> None:
+        """Let an endpoint crash; its entry goes later."""
+        endpoint = self._endpoints.pop(step.which % len(self._endpoints))
+        with self._trouble("crash", ""):
+            await endpoint.stop()
+            await self._add_endpoint()
+            await asyncio.sleep(step.seconds)
+            await self._platform.put(MEMBERS_TABLE, endpoint.name, None)
+
+
+class _Noted:
+    """Notes a trouble from its begin to its end."""
+
+    def __init__(self, log: Log, kind: str, relay: str) -> None:
+        self._log = log
+        self._kind = kind
+        self._relay = relay
+        self._begin = 0.0
+
+    def __enter__(self) -> None:
+        self._begin = time.monotonic()
+
+    def __exit__(self, *_exc: object) -> None:
+        end = time.monotonic()
+        self._log.troubles.append(Trouble(self._kind, self._relay, self._begin, end))
+
+
+async def run_seed(seed: int, size: Size, plant: str | None = None) -> Verdict:
+    """Play one seed; with ``plant``, falsify what was seen before it is checked."""
+    with TemporaryDirectory(prefix="ebonydeal-soak-") as folder:
+        soak = _Soak(seed, size, Path(folder))
+        await soak.play()
+    log = soak.log
+    if plant is not None:
+        PLANTS[plant][0](log, TERMS)
+    return Verdict(
+        seed=seed,
+        requests=len(log.seen),
+        served=sum(seen.status == 200 and seen.whole for seen in log.seen),
+        moved=sum(run.carried for run in log.runs),
+        faults=len(make_plan(seed, size.seconds)),
+        violations=check_all(log, TERMS),
+    )
