--- /dev/null
+++ b/tests/functional/soak/test_soak.py
@@ -0,0 +1,28 @@
+"""A short soak: real relays as processes, faults of one seed, no broken promise."""
+
+import json
+
+from click.testing import CliRunner
+
+from ebonydeal._internal.commands.soak import soak_command
+
+SHORT = ["--seconds", "6", "--relays", "2", "--endpoints", "3", "--clients", "6"]
+
+
+def soak(*options):
+    result = CliRunner().invoke(soak_command, [*SHORT, *options])
+    lines = [json.loads(line) for line in result.output.splitlines()]
+    return result.exit_code, lines
+
+
+class TestSoak:
+    def test_a_seed_breaks_no_promise(self):
+        code, (verdict,) = soak("--seed", "3")
+        assert verdict["violations"] == []
+        assert code == 0
+        assert verdict["served"] > 0 and verdict["faults"] > 0
+
+    def test_a_planted_fault_is_found_and_fails_the_run(self):
+        code, (verdict,) = soak("--seed", "3", "--plant", "second-run")
+        assert [v["promise"] for v in verdict["violations"]] == ["run once"]
+        assert code == 1
