Never run a request again after its memory was passed on

Its run was stopped and its memory passed on, the target could not be reached, and a send that never left was followed by another from the beginning, whatever had run before: the verdict on such sends looked at their number only.

Change: whether anything may have run is asked first, for every outcome.

Figures: a functional test and a property test over all sequences of sends and moves failed before and pass now; 400 sequences.

--- a/src/ebonydeal/_internal/commands/soak.py
+++ b/src/ebonydeal/_internal/commands/soak.py
@@ -3,12 +3,14 @@
 import asyncio
 import json
 import sys
+from collections.abc import Iterable
 
 import click
 
 from ebonydeal._internal.observe.logs import configure_logs
 from ebonydeal._internal.settings.sections import LogSettings
 from ebonydeal._internal.soak.plants import PLANTS
+from ebonydeal._internal.soak.regressions import REGRESSIONS
 from ebonydeal._internal.soak.run import Size, Verdict, run_seed
 
 
@@ -22,6 +24,7 @@
 @click.option("--endpoints", type=click.IntRange(2, 60), default=4, show_default=True)
 @click.option("--clients", type=click.IntRange(1, 200), default=12, show_default=True)
 @click.option("--jobs", type=click.IntRange(1, 16), default=1, show_default=True)
+@click.option("--regressions", is_flag=True, help="Play the seeds that ever failed.")
 @click.option(
     "--plant", type=click.Choice(sorted(PLANTS)), help="Falsify what was seen."
 )
@@ -33,6 +36,7 @@
     endpoints: int,
     clients: int,
     jobs: int,
+    regressions: bool,
     plant: str | None,
 ) -> None:
     """Start relays as processes, harm them and all around them, check promises.
@@ -42,12 +46,13 @@
     """
     configure_logs(LogSettings(level="error"))
     size = Size(relays, endpoints, clients, seconds)
-    verdicts = asyncio.run(_play(range(seed, seed + seeds), size, jobs, plant))
+    played = sorted(REGRESSIONS) if regressions else range(seed, seed + seeds)
+    verdicts = asyncio.run(_play(played, size, jobs, plant))
     sys.exit(any(verdict.violations for verdict in verdicts))
 
 
 async def _play(
-    seeds: range, size: Size, jobs: int, plant: str | None
+    seeds: Iterable[int], size: Size, jobs: int, plant: str | None
 ) -> list[Verdict]:
     """Play seeds, several at a time, and print each when it is done."""
     turns = asyncio.Semaphore(jobs)
--- a/src/ebonydeal/_internal/relay/job.py
+++ b/src/ebonydeal/_internal/relay/job.py
@@ -336,6 +336,9 @@
     ) -> EbonydealError | None:
         """Return None to send again, or the error to give up with."""
         job = self.job
+        if not self.proof.may_send:
+            # Also where this send never left: an earlier one may have run.
+            return error
         match outcome:
             case NotSent():
                 self._unsent += 1
@@ -346,8 +349,6 @@
                 self._ran += 1
                 if self._ran >= job.route.most_sends:
                     return error
-        if not self.proof.may_send:
-            return error
         failure = Failure(
             kind=error.kind,
             deployment=job.service,
--- a/src/ebonydeal/_internal/soak/endpoints.py
+++ b/src/ebonydeal/_internal/soak/endpoints.py
@@ -124,8 +124,8 @@
         resp = web.StreamResponse(headers=headers)
         resp.content_type = "text/event-stream"
         resp.enable_chunked_encoding()
-        await resp.prepare(req)
         try:
+            await resp.prepare(req)
             for number in range(int(last or 0) + 1, event_count(request_id) + 1):
                 await resp.write(f"id: {number}\ndata: {request_id}\n\n".encode())
                 await asyncio.sleep(_PACE_S)
--- a/tests/functional/relay/test_moves.py
+++ b/tests/functional/relay/test_moves.py
@@ -100,6 +100,28 @@
         # It may not be run again from its beginning.
         assert len(second.seen) == 1
 
+    async def test_a_target_that_cannot_be_reached_starts_no_second_run(self):
+        case = Moving(events(1, 3), rest(4, 6))
+        three = RawEndpoint("i3", [rest(1, 6)])
+        async with (
+            running(case.one, case.two, doc=DOC, engines=case.engines) as (_p, store),
+            Client(_p) as client,
+        ):
+            await client.send("/live/", method="POST", headers=PROMPT)
+            await client.reader.readuntil(b"data: x3\n\n")
+            first, second = (
+                (case.one, case.two) if case.one.seen else (case.two, case.one)
+            )
+            await three.start()
+            # The target: of those that wait alike, the first by name.
+            await second.stop()
+            await store.put("servers", three.name, three.row())
+            await store.put("servers", first.name, first.row(state="draining"))
+            with pytest.raises(asyncio.IncompleteReadError):
+                await client.reader.readuntil(b"0\r\n\r\n")
+            await three.stop()
+        assert second.seen == [] and three.seen == []
+
     async def test_a_refused_order_leaves_the_run_where_it_is(self):
         case = Moving(events(1, 3), rest(4, 6))
         case.engines.handle = ""
--- a/tests/functional/soak/test_soak.py
+++ b/tests/functional/soak/test_soak.py
@@ -5,6 +5,7 @@
 from click.testing import CliRunner
 
 from ebonydeal._internal.commands.soak import soak_command
+from ebonydeal._internal.soak.regressions import REGRESSIONS
 
 SHORT = ["--seconds", "6", "--relays", "2", "--endpoints", "3", "--clients", "6"]
 
@@ -22,6 +23,11 @@
         assert code == 0
         assert verdict["served"] > 0 and verdict["faults"] > 0
 
+    def test_seeds_that_ever_failed_keep_their_promises(self):
+        code, verdicts = soak("--regressions")
+        assert {v["seed"] for v in verdicts} == set(REGRESSIONS)
+        assert code == 0
+
     def test_a_planted_fault_is_found_and_fails_the_run(self):
         code, (verdict,) = soak("--seed", "3", "--plant", "second-run")
         assert [v["promise"] for v in verdict["violations"]] == ["run once"]
--- /dev/null
+++ b/tests/unit/relay/test_job_sends.py
@@ -0,0 +1,117 @@
+"""No sequence of sends and moves runs a request twice against its kind."""
+
+from random import Random
+from types import SimpleNamespace
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ebonydeal._internal.errors import ANSWERS, EbonydealError
+from ebonydeal._internal.models.forwarding import (
+    Carried,
+    Forwarded,
+    Member,
+    Repeat,
+    Route,
+    Target,
+)
+from ebonydeal._internal.observe.counters import Metrics
+from ebonydeal._internal.relay.job import Job, JobSends
+from ebonydeal._internal.relay.moves import Moved
+from ebonydeal._internal.relay.outcomes import Answered, MayHaveRun
+from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.routing.member_choice import MemberChoice
+from ebonydeal._internal.routing.outliers import Outliers
+from ebonydeal._internal.routing.retries import RetryPolicy
+from ebonydeal._internal.settings.routing import RetrySettings, RoutingSettings
+from tests.lib.clock import ManualClock
+from tests.unit.relay.test_outcomes import PROMISES, outcomes
+
+MEMBERS = [
+    Member(f"i{n}", "s", f"i{n}:1", "z", 8, False, None, True, 0.0, 1) for n in range(4)
+]
+MOVED = Moved(MEMBERS[3], Carried("i0:1", "h1"))
+# What happens to one send; a moved run is stopped and has run.
+events = st.one_of(outcomes, st.just(MOVED))
+
+
+def parts():
+    clock = ManualClock(100.0)
+    view = RelayView(2.0)
+    for member in MEMBERS:
+        view.put(member)
+    # Nothing but the proof may hold a further send back.
+    generous = RetrySettings(budget=1.0, budget_cap=100.0, attempts=100, backoff=0.0)
+    retries = RetryPolicy(generous, Random(1))
+    for _ in range(20):
+        retries.first_send("s", 100.0)
+    return SimpleNamespace(
+        view=view,
+        choice=MemberChoice(8.0),
+        outliers=Outliers(RoutingSettings(), Random(1)),
+        retries=retries,
+        metrics=Metrics(),
+        clock=clock,
+        zone="z",
+    )
+
+
+def job(repeat, resumable):
+    route = Route(
+        "r",
+        "h",
+        "/p/",
+        repeat,
+        9.0,
+        1.0,
+        0,
+        (Target("s", 1.0),),
+        9,
+        False,
+        True,
+        resumable,
+        0.4,
+    )
+    req = Forwarded("r1", "POST", "/p/x", "h", "", 9.0, 10, 5, (), None, "", ())
+    return Job(req, route, "s", None, b"", 100.0, 109.0)
+
+
+class TestSequences:
+    @settings(max_examples=400, derandomize=True, deadline=None)
+    @given(
+        sequence=st.lists(events, min_size=1, max_size=8),
+        repeat=st.sampled_from([Repeat.ONCE, Repeat.STREAM]),
+        delivered=st.booleans(),
+    )
+    def test_what_may_run_once_does(self, sequence, repeat, delivered):
+        sends = JobSends(parts(), job(repeat, resumable=False))
+        sends.member = MEMBERS[0]
+        runs = 0
+        for event in sequence:
+            # Each event is of a send from the beginning, unless memory is carried.
+            carried = sends.sending().carried is not None
+            if event is MOVED:
+                runs += not carried
+                sends.go_on(MOVED)
+                continue
+            runs += isinstance(event, MayHaveRun | Answered) and not carried
+            try:
+                sends.after(event, delivered=delivered)
+            except EbonydealError as exc:
+                if runs:
+                    assert ANSWERS[exc.kind].status not in PROMISES
+                break
+            sends._take(
+                SimpleNamespace(member=MEMBERS[1], missed=0.0, expected=None, source="")
+            )
+            sends._carried = None
+        assert runs <= 1
+
+    @settings(max_examples=200, derandomize=True, deadline=None)
+    @given(sequence=st.lists(outcomes, min_size=1, max_size=3))
+    def test_a_resumable_stream_is_sent_again_after_any_of_them(self, sequence):
+        sends = JobSends(parts(), job(Repeat.STREAM, resumable=True))
+        sends.member = MEMBERS[0]
+        for event in sequence:
+            if not isinstance(event, MayHaveRun):
+                sends.after(event)
