Take others' word on waiting prompts by its age; prefer open connections

Cause: relays tell twice a second, or less often where they are many, how many prompt tokens wait at each endpoint, while most prompts are read in a tenth of a second: engines were avoided for work that was done.

Change: what others had is taken as read by its age; a new connection counts 6 ms. Faults of the soak take turns at one relay.

--- a/src/ebonydeal/_internal/relay/connections.py
+++ b/src/ebonydeal/_internal/relay/connections.py
@@ -206,6 +206,10 @@
             self._limit.good(idle)
         return Exchange(self, pooled, resp)
 
+    def has_idle(self, now: float) -> bool:
+        """Return whether a connection is open that any request may go on."""
+        return bool(self._idle) and self._idle[-1].usable(now, self._limit.seconds)
+
     def give_back(self, pooled: _Pooled, idle_time: float | None) -> None:
         """Keep a connection for the next request."""
         pooled.idle_since = self._clock.now()
@@ -258,6 +262,15 @@
             self._pools[key] = pool
         return pool
 
+    def connected(self) -> frozenset[str]:
+        """Return the endpoints to which an idle connection is open."""
+        now = self._clock.now()
+        return frozenset(
+            endpoint_id
+            for (endpoint_id, _address), pool in self._pools.items()
+            if pool.has_idle(now)
+        )
+
     def keep_only(self, endpoint_ids: Iterable[str]) -> None:
         """Drop idle connections to endpoints that are gone, and old ones."""
         known = set(endpoint_ids)
--- a/src/ebonydeal/_internal/relay/job.py
+++ b/src/ebonydeal/_internal/relay/job.py
@@ -222,7 +222,9 @@
     def _ask(self) -> Ask:
         req, engine = self.job.req, self.engine
         fetches = engine is not None and engine.moves
-        return Ask(req.parts, req.prompt_tokens or 0, self._parts.zone, fetches)
+        connected = self._parts.pools.connected()
+        tokens = req.prompt_tokens or 0
+        return Ask(req.parts, tokens, self._parts.zone, fetches, connected)
 
     def _choose_now(self) -> _Found | None:
         """Return the best endpoint, or None."""
--- a/src/ebonydeal/_internal/routing/member_choice.py
+++ b/src/ebonydeal/_internal/routing/member_choice.py
@@ -37,6 +37,9 @@
 _BATCH_SLOWDOWN_S = 0.1
 # Another zone costs the way there and back, and bytes between zones.
 _OTHER_ZONE_S = 0.003
+# A new connection costs the way there and back and work at both ends, and is paid
+# for with about a fiftieth of a request.
+_CONNECT_S = 0.006
 # An endpoint that leaves cuts off what runs longer than expected, or costs a move.
 _LEAVING_S = 0.05
 # Seconds for one output token assumed before any stream ended, and the weight of
@@ -63,13 +66,15 @@
 class Ask(NamedTuple):
     """What is known of a request when its endpoint is chosen.
 
-    ``fetches`` tells that engines of the service pass memory to each other.
+    ``fetches`` tells that engines of the service pass memory to each other;
+    ``connected`` are endpoints to which an idle connection is open.
     """
 
     parts: tuple[PromptPart, ...]
     prompt_tokens: int
     zone: str
     fetches: bool = False
+    connected: frozenset[str] = frozenset()
 
 
 class _Held(NamedTuple):
@@ -232,13 +237,15 @@
         batch = _BATCH_SLOWDOWN_S * running / seats
         if running >= seats:
             batch += _SLOT_WAIT_S * (1.0 + (running - seats) / seats)
-        wait = (load.unread + load.told.unread) / self.rate
+        wait = load.unread / self.rate + self._told_wait(load.told, now)
         read = missed * _REREAD_WEIGHT / self.rate
         fetch = _FETCH_S + fetched * _FETCH_WEIGHT / self.rate if fetched else 0.0
         zone = 0.0 if member.zone == ask.zone else _OTHER_ZONE_S
         total = wait + read + fetch + batch + zone + member.warming
         if member.leaving:
             total += _LEAVING_S
+        if member.endpoint_id not in ask.connected:
+            total += _CONNECT_S
         return Score(
             total,
             member.endpoint_id,
@@ -251,6 +258,14 @@
             source.endpoint_id if fetched else "",
         )
 
+    def _told_wait(self, told: Told, now: float) -> float:
+        """Return the seconds of reading left of what others had there.
+
+        The word is older than most prompts take to read: without this, engines
+        would be avoided for work that was done long ago.
+        """
+        return max(0.0, told.unread / self.rate - max(0.0, now - told.at))
+
     def _held(self, ask: Ask, endpoint_id: str, home: str, now: float) -> float:
         """Return the tokens of shared parts that an engine is expected to hold."""
         seen = self._load(endpoint_id).parts
--- a/src/ebonydeal/_internal/soak/processes.py
+++ b/src/ebonydeal/_internal/soak/processes.py
@@ -47,6 +47,8 @@
         self._settings = folder / f"{name}.ini"
         self._log = folder / f"{name}.log"
         self._process: asyncio.subprocess.Process | None = None
+        # Faults that overlap must not start two processes of one relay.
+        self.turn = asyncio.Lock()
 
     def write_settings(self, seeds: list[str]) -> None:
         """Write the settings file."""
@@ -71,7 +73,9 @@
         return 0 if process is None or process.returncode is not None else process.pid
 
     async def start(self) -> None:
-        """Start the process."""
+        """Start the process; one that is up stays as it is."""
+        if self.pid:
+            return
         with self._log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
--- a/src/ebonydeal/_internal/soak/run.py
+++ b/src/ebonydeal/_internal/soak/run.py
@@ -204,15 +204,15 @@
             case Fault.PAUSE:
                 await self._pause(relay, step)
             case Fault.HANG_UP:
-                with self._trouble("hang up", relay.name):
+                async with self._trouble("hang up", relay.name):
                     relay.send(signal.SIGHUP)
             case Fault.STORE_AWAY:
-                with self._trouble("store", ""):
+                async with self._trouble("store", ""):
                     self._platform.away = True
                     await asyncio.sleep(step.seconds)
                     self._platform.away = False
             case Fault.STORE_LOSES:
-                with self._trouble("store", ""):
+                async with self._trouble("store", ""):
                     self._platform.lose = 0.5
                     await asyncio.sleep(step.seconds)
                     self._platform.lose = 0.0
@@ -232,7 +232,7 @@
         return _Noted(self.log, kind, relay)
 
     async def _kill(self, relay: RelayProcess, step: Step) -> None:
-        with self._trouble("kill", relay.name):
+        async with relay.turn, self._trouble("kill", relay.name):
             relay.send(signal.SIGKILL)
             await relay.ended()
             await asyncio.sleep(step.seconds / 2.0)
@@ -240,22 +240,23 @@
             await asyncio.sleep(1.0)
 
     async def _stop(self, relay: RelayProcess, _step: Step) -> None:
-        with self._trouble("stop", relay.name):
-            relay.send(signal.SIGTERM)
-            await relay.ended()
-        with self._trouble("start", relay.name):
-            await relay.start()
-            await asyncio.sleep(1.0)
+        async with relay.turn:
+            async with self._trouble("stop", relay.name):
+                relay.send(signal.SIGTERM)
+                await relay.ended()
+            async with self._trouble("start", relay.name):
+                await relay.start()
+                await asyncio.sleep(1.0)
 
     async def _pause(self, relay: RelayProcess, step: Step) -> None:
-        with self._trouble("pause", relay.name):
+        async with relay.turn, self._trouble("pause", relay.name):
             relay.send(signal.SIGSTOP)
             await asyncio.sleep(step.seconds)
             relay.send(signal.SIGCONT)
 
     async def _harm(self, proxy: Proxy, relay: str, step: Step) -> None:
         harms = [harm for harm in Harm if harm is not Harm.NONE]
-        with self._trouble("link", relay):
+        async with self._trouble("link", relay):
             proxy.harm(harms[step.which % len(harms)])
             await asyncio.sleep(step.seconds)
             proxy.harm(Harm.NONE)
@@ -275,7 +276,7 @@
     async def _crash(self, step: Step) -> None:
         """Let an endpoint crash; its entry goes later."""
         endpoint = self._endpoints.pop(step.which % len(self._endpoints))
-        with self._trouble("crash", ""):
+        async with self._trouble("crash", ""):
             await endpoint.stop()
             await self._add_endpoint()
             await asyncio.sleep(step.seconds)
@@ -291,10 +292,10 @@
         self._relay = relay
         self._begin = 0.0
 
-    def __enter__(self) -> None:
+    async def __aenter__(self) -> None:
         self._begin = time.monotonic()
 
-    def __exit__(self, *_exc: object) -> None:
+    async def __aexit__(self, *_exc: object) -> None:
         end = time.monotonic()
         self._log.troubles.append(Trouble(self._kind, self._relay, self._begin, end))
 
--- a/tests/unit/relay/test_job_sends.py
+++ b/tests/unit/relay/test_job_sends.py
@@ -16,6 +16,7 @@
     Target,
 )
 from ebonydeal._internal.observe.counters import Metrics
+from ebonydeal._internal.relay.connections import EndpointPools
 from ebonydeal._internal.relay.job import Job, JobSends
 from ebonydeal._internal.relay.moves import Moved
 from ebonydeal._internal.relay.outcomes import Answered, MayHaveRun
@@ -51,6 +52,7 @@
         outliers=Outliers(RoutingSettings(), Random(1)),
         retries=retries,
         metrics=Metrics(),
+        pools=EndpointPools(clock, 1.0),
         clock=clock,
         zone="z",
     )
--- a/tests/unit/routing/test_member_choice.py
+++ b/tests/unit/routing/test_member_choice.py
@@ -106,6 +106,28 @@
         assert choice.engine(ask, [leaving, MEMBERS[0]], 1.0).endpoint_id == "going"
 
 
+class TestWhatOthersHave:
+    def test_was_read_when_their_word_is_old(self):
+        choice = MemberChoice(8.0)
+        home = home_of(PARTS, MEMBERS)
+        choice.told({home: Told(running=3, unread=100_000.0, at=1.0)})
+        assert choice.engine(ASK, MEMBERS, 1.0).endpoint_id != home
+        # 100,000 tokens take 2 s at the rate assumed first.
+        assert choice.engine(ASK, MEMBERS, 3.0).endpoint_id == home
+
+
+class TestConnected:
+    def test_an_open_connection_decides_between_equals(self):
+        ask = Ask((), 500, "z", connected=frozenset({"i2"}))
+        assert MemberChoice(8.0).engine(ask, MEMBERS, 1.0).endpoint_id == "i2"
+
+    def test_but_not_against_work_that_waits(self):
+        choice = MemberChoice(8.0)
+        choice.told({"i2": Told(running=1, unread=10_000.0, at=1.0)})
+        ask = Ask((), 500, "z", connected=frozenset({"i2"}))
+        assert choice.engine(ask, MEMBERS, 1.0).endpoint_id != "i2"
+
+
 class TestDuration:
     def test_follows_the_pace_of_streams_that_ended(self):
         choice = MemberChoice(8.0)
