Give the sends of a job a module of their own

Change: relay/sends.py holds what decides on each send, relay/job.py the job and what sends are made with.

--- a/src/ebonydeal/_internal/relay/plain.py
+++ b/src/ebonydeal/_internal/relay/plain.py
@@ -8,13 +8,14 @@
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.forwarding import AnswerHead, Member, Repeat
 from ebonydeal._internal.relay.connections import Exchange
-from ebonydeal._internal.relay.job import Job, JobSends, SendParts
+from ebonydeal._internal.relay.job import Job, SendParts
 from ebonydeal._internal.relay.outcomes import (
     Answered,
     MayHaveRun,
     Outcome,
     ProvedNotRun,
 )
+from ebonydeal._internal.relay.sends import JobSends
 
 # Share of the objective after which a repeatable request is tried elsewhere.
 _PATIENCE_SHARE = 0.6
--- /dev/null
+++ b/src/ebonydeal/_internal/relay/sends.py
@@ -0,0 +1,327 @@
+"""The sends of one job: which endpoint next, and whether there is a next."""
+
+from typing import NamedTuple
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.models.forwarding import (
+    Carried,
+    EngineShape,
+    Member,
+    Sending,
+)
+from ebonydeal._internal.observe.counters import RetryReason
+from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.relay.job import Job, SendParts
+from ebonydeal._internal.relay.moves import Moved
+from ebonydeal._internal.relay.outcomes import (
+    Answered,
+    MayHaveRun,
+    NotSent,
+    Outcome,
+    ProvedNotRun,
+    RunProof,
+)
+from ebonydeal._internal.routing.member_choice import Ask, Sent
+from ebonydeal._internal.routing.retries import Failure, GiveUp
+
+logger = get_logger("relay.job")
+
+# Sends that never left this process are free, but an end there must be.
+_MOST_UNSENT = 6
+_WAIT_STEP_S = 0.02
+# Requests' lengths are guesses, right at the median: so much longer is allowed.
+_DURATION_SPREAD = 1.5
+# Share of the objective that a request waits for an endpoint to appear.
+_WAIT_SHARE = 0.2
+
+
+_REASONS = {
+    ErrorKind.CONNECT_FAILED: RetryReason.CONNECT_FAILED,
+    ErrorKind.ENDPOINT_REFUSED: RetryReason.ENDPOINT_REFUSED,
+    ErrorKind.ENDPOINT_STALLED: RetryReason.ENDPOINT_STALLED,
+}
+
+
+class _Found(NamedTuple):
+    """The endpoint for the next send.
+
+    ``missed`` are the tokens that it must read, ``expected`` the seconds to
+    the first event where that is known. ``source`` is the address of an
+    endpoint to fetch parts of the prompt from, or empty.
+    """
+
+    member: Member
+    missed: float
+    expected: float | None
+    source: str = ""
+
+
+class JobSends:
+    """The sends of one job: which endpoint next, and whether there is a next."""
+
+    def __init__(self, parts: SendParts, job: Job) -> None:
+        self._parts = parts
+        self.job = job
+        self.proof = RunProof(not job.once)
+        self._ran = 0
+        self._unsent = 0
+        self._tries = 0
+        self._avoid: set[str] = set()
+        self._counted = False
+        self.sent: Sent | None = None
+        self.member: Member | None = None
+        self._source = ""
+        self._carried: Carried | None = None
+
+    @property
+    def left(self) -> float:
+        """Time left, seconds."""
+        return self.job.until - self._parts.clock.now()
+
+    async def choose(self) -> Member:
+        """Return the next endpoint; raises NO_ENDPOINT or DEADLINE_EXCEEDED."""
+        parts, job = self._parts, self.job
+        patience = parts.clock.now() + job.route.objective * _WAIT_SHARE
+        while True:
+            if self.left <= 0.0:
+                raise self.proof.refusal(_late())
+            found = self._choose_now()
+            if found is not None:
+                break
+            if parts.clock.now() >= patience:
+                error = EbonydealError(ErrorKind.NO_ENDPOINT, f"of {job.service}")
+                raise self.proof.refusal(error)
+            await parts.clock.sleep(_WAIT_STEP_S)
+        self._refuse_early(found.expected)
+        if self._tries == 0:
+            parts.retries.first_send(job.service, parts.clock.now())
+        self._carried = None
+        return self._take(found)
+
+    def go_on(self, moved: Moved) -> Member:
+        """Send the request where its run's memory was passed to."""
+        # The run that was stopped counts as one: without its memory, only a
+        # request that may be repeated is run again.
+        self.proof.may_have_run = True
+        self._carried = moved.carried
+        return self._take(_Found(moved.member, 0.0, None))
+
+    def _take(self, found: _Found) -> Member:
+        """Note the endpoint of the next send."""
+        parts, job = self._parts, self.job
+        member = self.member = found.member
+        self._source = found.source
+        self._tries += 1
+        now = parts.clock.now()
+        self.sent = parts.choice.sent(self._ask(), member, found.missed, now)
+        expected = found.expected
+        logger.info(
+            "Sent.",
+            request=job.req.request_id,
+            service=job.service,
+            endpoint=member.endpoint_id,
+            zone=member.zone,
+            expected_s=None if expected is None else round(expected, 3),
+            to_read=round(found.missed),
+            fetches=bool(found.source),
+            carried=self._carried is not None,
+            running=parts.choice.running(member.endpoint_id),
+            told_age_s=parts.choice.told_age(member.endpoint_id, now),
+            config=parts.view.version,
+            send=self._tries,
+            waited_s=round(now - job.started, 4),
+        )
+        return member
+
+    def _refuse_early(self, expected: float | None) -> None:
+        """Raise SHED where the answer would surely be late."""
+        job = self.job
+        if expected is None or self._tries or job.req.allowed is None:
+            return
+        wait = self._parts.refusal.wait(
+            job.route.name,
+            job.req.allowed,
+            job.route.objective,
+            self.urgency,
+            expected,
+        )
+        if wait is not None:
+            detail = f"first event expected in {expected:.2f} s"
+            raise EbonydealError(ErrorKind.SHED, detail, retry_after=wait)
+
+    @property
+    def urgency(self) -> int:
+        """0 is served first; a client account's rank goes before the route's."""
+        account = self.job.account
+        if account is not None and account.priority is not None:
+            return account.priority
+        return self.job.route.priority
+
+    @property
+    def engine(self) -> EngineShape | None:
+        """What the engines of the service can do; None for plain services."""
+        index = self._parts.view.index
+        service = None if index is None else index.table.services.get(self.job.service)
+        return None if service is None else service.engine
+
+    def _ask(self) -> Ask:
+        req, engine = self.job.req, self.engine
+        fetches = engine is not None and engine.moves
+        connected = self._parts.pools.connected()
+        tokens = req.prompt_tokens or 0
+        return Ask(req.parts, tokens, self._parts.zone, fetches, connected)
+
+    def _choose_now(self) -> _Found | None:
+        """Return the best endpoint, or None."""
+        parts, job = self._parts, self.job
+        now = parts.clock.now()
+        listed = [m for m in self._listed(now) if m.endpoint_id not in self._avoid]
+        allowed = parts.outliers.allowed(listed, now)
+        if job.req.prompt_tokens is None:
+            member = parts.choice.plain(parts.zone, allowed)
+            return None if member is None else _Found(member, 0.0, None)
+        score = parts.choice.engine(self._ask(), allowed, now)
+        if score is None:
+            return None
+        expected = parts.choice.base + score.wait + score.missed / parts.choice.rate
+        members = parts.view.members
+        source = members[score.source].address if score.source else ""
+        return _Found(members[score.endpoint_id], score.missed, expected, source)
+
+    def _listed(self, now: float) -> list[Member]:
+        """Return the endpoints that may get the request.
+
+        One that leaves gets what likely ends in time, since zones that are
+        taken back are missed most in their last seconds; all requests where no
+        other is left.
+        """
+        parts, job = self._parts, self.job
+        listed = list(parts.view.of_service(job.service))
+        leaving = parts.view.leaving_of(job.service, now)
+        if not listed:
+            return [member for member, _left in leaving]
+        needed = self._duration() * _DURATION_SPREAD
+        return listed + [member for member, left in leaving if needed < left]
+
+    def _duration(self) -> float:
+        """Return the seconds that the request is expected to run."""
+        job = self.job
+        if job.req.prompt_tokens is None:
+            return job.route.objective
+        return self._parts.choice.duration(job.req.length_hint or job.req.output_tokens)
+
+    def sending(self, last_event: str = "") -> Sending:
+        """Return what the next send tells its endpoint."""
+        assert self.member is not None
+        account = self.job.account
+        return Sending(
+            endpoint_id=self.member.endpoint_id,
+            account="" if account is None else account.name,
+            allowed=self.left,
+            urgency=min(9, self.urgency) if self.job.route.has_prompt else None,
+            last_event=last_event,
+            carried=self._carried,
+            fetch_from=self._source,
+        )
+
+    def count_run(self, wall: float) -> None:
+        """Count the request once as begun, however often it is sent."""
+        account = self.job.account
+        if account is not None and not self._counted:
+            self._counted = True
+            self._parts.usage.began(account.name, wall)
+
+    def began(self) -> None:
+        """Note the first event or the answer."""
+        if self.sent is not None:
+            self.sent = self._parts.choice.began(self.sent, self._parts.clock.now())
+
+    def ended(self) -> None:
+        """Note that the send is over."""
+        if self.sent is not None:
+            self._parts.choice.ended(self.sent)
+            self.sent = None
+
+    def after(self, outcome: Outcome, delivered: bool = False) -> None:
+        """Return if another send may be made; else raise the final error.
+
+        ``delivered`` says that a part of a stream reached the client.
+        """
+        parts, job = self._parts, self.job
+        assert self.member is not None
+        endpoint = self.member.endpoint_id
+        self.proof.note(outcome)
+        self._avoid.add(endpoint)
+        now = parts.clock.now()
+        error = _error_of(outcome)
+        parts.outliers.failed(endpoint, error.kind, now)
+        self._forget_avoided()
+        verdict = self._verdict(outcome, error, delivered, now)
+        logger.info(
+            "Send failed.",
+            request=job.req.request_id,
+            endpoint=endpoint,
+            outcome=type(outcome).__name__,
+            kind=str(error.kind),
+            detail=error.detail,
+            tries=self._tries,
+            again=verdict is None,
+        )
+        if verdict is not None:
+            raise self.proof.refusal(verdict)
+        reason = _REASONS.get(error.kind, RetryReason.ENDPOINT_FAILED)
+        parts.metrics.retried(reason)
+
+    def _forget_avoided(self) -> None:
+        """Allow endpoints again where none other is left."""
+        listed = self._parts.view.of_service(self.job.service)
+        if all(member.endpoint_id in self._avoid for member in listed):
+            self._avoid.clear()
+
+    def _verdict(
+        self, outcome: Outcome, error: EbonydealError, delivered: bool, now: float
+    ) -> EbonydealError | None:
+        """Return None to send again, or the error to give up with."""
+        job = self.job
+        if not self.proof.may_send:
+            # Also where this send never left: an earlier one may have run.
+            return error
+        match outcome:
+            case NotSent():
+                self._unsent += 1
+                return error if self._unsent >= _MOST_UNSENT else None
+            case ProvedNotRun():
+                pass
+            case MayHaveRun() | Answered():
+                self._ran += 1
+                if self._ran >= job.route.most_sends:
+                    return error
+        failure = Failure(
+            kind=error.kind,
+            deployment=job.service,
+            idempotent=not job.once,
+            ran_before=self.proof.may_have_run,
+            first_byte=delivered and job.once,
+            deadline=job.until,
+        )
+        match self._parts.retries.next_try(failure, self._tries, now):
+            case GiveUp(kind=kind, retry_after=wait, why=why):
+                return EbonydealError(kind, f"{error.detail}; {why}", retry_after=wait)
+        return None
+
+
+def _late() -> EbonydealError:
+    return EbonydealError(ErrorKind.DEADLINE_EXCEEDED, "no time is left")
+
+
+def _error_of(outcome: Outcome) -> EbonydealError:
+    """Return the error kind of a send that gave no good answer."""
+    match outcome:
+        case NotSent(kind=kind, detail=detail):
+            return EbonydealError(kind, detail)
+        case ProvedNotRun(status=status):
+            return EbonydealError(ErrorKind.ENDPOINT_REFUSED, f"status {status}")
+        case MayHaveRun(kind=kind, detail=detail):
+            return EbonydealError(kind, detail)
+        case Answered(head=head):
+            return EbonydealError(ErrorKind.ENDPOINT_FAILED, f"status {head.status}")
--- a/src/ebonydeal/_internal/relay/stream.py
+++ b/src/ebonydeal/_internal/relay/stream.py
@@ -12,7 +12,7 @@
 from ebonydeal._internal.observe.counters import Timing
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.connections import Exchange
-from ebonydeal._internal.relay.job import Job, JobSends, SendParts
+from ebonydeal._internal.relay.job import Job, SendParts
 from ebonydeal._internal.relay.moves import LiveRun, Moved
 from ebonydeal._internal.relay.outcomes import Answered, MayHaveRun, Outcome
 from ebonydeal._internal.relay.plain import (
@@ -21,6 +21,7 @@
     read_whole,
     to_client,
 )
+from ebonydeal._internal.relay.sends import JobSends
 
 logger = get_logger("relay.stream")
 
--- a/tests/unit/relay/test_job_sends.py
+++ b/tests/unit/relay/test_job_sends.py
@@ -17,9 +17,10 @@
 )
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.relay.connections import EndpointPools
-from ebonydeal._internal.relay.job import Job, JobSends
+from ebonydeal._internal.relay.job import Job
 from ebonydeal._internal.relay.moves import Moved
 from ebonydeal._internal.relay.outcomes import Answered, MayHaveRun
+from ebonydeal._internal.relay.sends import JobSends
 from ebonydeal._internal.relay.view import RelayView
 from ebonydeal._internal.routing.member_choice import MemberChoice
 from ebonydeal._internal.routing.outliers import Outliers
