Read the change once more: work done twice on the way of a request, simpler pieces

Cause: a reading of the whole change. Which endpoints have an open connection was looked up a second time after each choice, where nothing used it, and for plain services too. The counts of questions about leaving were rebuilt as one long expression of two dicts at each step; a write of the rehearsal was read in two passes; the soak noted troubles by a class where a context manager does.

Change: each said once. Behaviour is the same.

--- a/src/ebonydeal/_internal/platform/rehearsal.py
+++ b/src/ebonydeal/_internal/platform/rehearsal.py
@@ -10,7 +10,7 @@
 from typing import Any, NamedTuple
 
 from ebonydeal._internal.models.forwarding import Member, Repeat
-from ebonydeal._internal.models.shared import RowChange, SharedRow
+from ebonydeal._internal.models.shared import ANY_VERSION, RowChange, SharedRow
 from ebonydeal._internal.platform.duties import FENCE, HOLDER
 from ebonydeal._internal.platform.headers import (
     ACCOUNT,
@@ -205,15 +205,14 @@
         (place["table"], place["key"]): int(place["ver"])
         for place in message["precondition"]
     }
-    changes = [
-        RowChange(place["table"], place["key"], _value(place))
-        for place in (*message["puts"], *message["remove"])
-    ]
     return [
-        c._replace(expected=expected[(c.table, c.key)])
-        if (c.table, c.key) in expected
-        else c
-        for c in changes
+        RowChange(
+            place["table"],
+            place["key"],
+            _value(place),
+            expected.get((place["table"], place["key"]), ANY_VERSION),
+        )
+        for place in (*message["puts"], *message["remove"])
     ]
 
 
--- a/src/ebonydeal/_internal/relay/leaving.py
+++ b/src/ebonydeal/_internal/relay/leaving.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections import Counter
 
 from mode import Service
 
@@ -34,7 +35,7 @@
         self._engines = engines
         self._view = view
         self._clock = clock
-        self._asked: dict[str, int] = {}
+        self._asked: Counter[str] = Counter()
 
     @Service.task
     async def _run(self) -> None:
@@ -42,27 +43,26 @@
             await self._clock.sleep(_STEP_S)
             if not self._coordinator.lease.mine:
                 continue
-            open_ones = self._open()
-            self._asked = {m.endpoint_id: self._count(m) + 1 for m in open_ones} | {
-                endpoint_id: count
-                for endpoint_id, count in self._asked.items()
-                if endpoint_id in self._view.members
-                and endpoint_id not in {m.endpoint_id for m in open_ones}
-            }
-            await asyncio.gather(*(self._ask(member) for member in open_ones))
+            due = self._due()
+            for member in due:
+                self._asked[member.endpoint_id] += 1
+            self._forget_gone()
+            await asyncio.gather(*(self._ask(member) for member in due))
 
-    def _count(self, member: Member) -> int:
-        return self._asked.get(member.endpoint_id, 0)
+    def _forget_gone(self) -> None:
+        """Drop the counts of endpoints that are listed no more."""
+        for endpoint_id in self._asked.keys() - self._view.members.keys():
+            del self._asked[endpoint_id]
 
-    def _open(self) -> list[Member]:
-        """Return endpoints that are taken back at an unknown time."""
+    def _due(self) -> list[Member]:
+        """Return endpoints that are taken back, and may still tell when."""
         return [
             member
             for member in self._view.members.values()
             if member.leaving
             and member.reclaimable
             and self._view.leaves_at(member.endpoint_id) is None
-            and self._count(member) < _MOST_ASKED
+            and self._asked[member.endpoint_id] < _MOST_ASKED
         ]
 
     async def _ask(self, member: Member) -> None:
--- a/src/ebonydeal/_internal/relay/sends.py
+++ b/src/ebonydeal/_internal/relay/sends.py
@@ -164,10 +164,10 @@
         service = None if index is None else index.table.services.get(self.job.service)
         return None if service is None else service.engine
 
-    def _ask(self) -> Ask:
+    def _ask(self, connected: frozenset[str] = frozenset()) -> Ask:
+        """Return what a choice needs to know; ``connected`` matters to it alone."""
         req, engine = self.job.req, self.engine
         fetches = engine is not None and engine.moves
-        connected = self._parts.pools.connected()
         tokens = req.prompt_tokens or 0
         return Ask(req.parts, tokens, self._parts.zone, fetches, connected)
 
@@ -180,7 +180,8 @@
         if job.req.prompt_tokens is None:
             member = parts.choice.plain(parts.zone, allowed)
             return None if member is None else _Found(member, 0.0, None)
-        score = parts.choice.engine(self._ask(), allowed, now)
+        ask = self._ask(parts.pools.connected())
+        score = parts.choice.engine(ask, allowed, now)
         if score is None:
             return None
         expected = parts.choice.base + score.wait + score.missed / parts.choice.rate
--- a/src/ebonydeal/_internal/soak/run.py
+++ b/src/ebonydeal/_internal/soak/run.py
@@ -3,7 +3,8 @@
 import asyncio
 import signal
 import time
-from contextlib import AsyncExitStack
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 from random import Random
 from tempfile import TemporaryDirectory
@@ -228,8 +229,15 @@
             case Fault.CONFIG:
                 await self._publish()
 
-    def _trouble(self, kind: str, relay: str) -> "_Noted":
-        return _Noted(self.log, kind, relay)
+    @asynccontextmanager
+    async def _trouble(self, kind: str, relay: str) -> AsyncIterator[None]:
+        """Note a trouble from its begin to its end."""
+        begin = time.monotonic()
+        try:
+            yield
+        finally:
+            end = time.monotonic()
+            self.log.troubles.append(Trouble(kind, relay, begin, end))
 
     async def _kill(self, relay: RelayProcess, step: Step) -> None:
         async with relay.turn, self._trouble("kill", relay.name):
@@ -283,23 +291,6 @@
             await self._platform.put(MEMBERS_TABLE, endpoint.name, None)
 
 
-class _Noted:
-    """Notes a trouble from its begin to its end."""
-
-    def __init__(self, log: Log, kind: str, relay: str) -> None:
-        self._log = log
-        self._kind = kind
-        self._relay = relay
-        self._begin = 0.0
-
-    async def __aenter__(self) -> None:
-        self._begin = time.monotonic()
-
-    async def __aexit__(self, *_exc: object) -> None:
-        end = time.monotonic()
-        self._log.troubles.append(Trouble(self._kind, self._relay, self._begin, end))
-
-
 async def run_seed(seed: int, size: Size, plant: str | None = None) -> Verdict:
     """Play one seed; with ``plant``, falsify what was seen before it is checked."""
     with TemporaryDirectory(prefix="ebonydeal-soak-") as folder:
