Let two tests of endpoint faults wait for what they need to see

Cause: both asked for something that has to happen under load (a call running at the notice; a refusal) and looked after a fixed half second, or had the last of a load of 2 s left. Beside other work the load was over by then: assert []. Fourteen at once on eight cores: 2 failed.

Change: the load lasts 5 s, and the call that runs is waited for. Each assertion stands as it was, over more calls.

--- a/tests/functional/commands/test_endpoint_faults.py
+++ b/tests/functional/commands/test_endpoint_faults.py
@@ -32,6 +32,11 @@
         endpoint.faults.next.extend(faults)
 
 
+# Long enough that calls still come after the fault on a busy machine: these wait
+# for what they need to see, which the short load may have behind it by then.
+LONG = {**COMMITS, "seconds": 5.0}
+
+
 class TestCallsThatMayRunOnce:
     async def test_lost_answers_are_unknown_and_never_run_again(self):
         async def fail(tree):
@@ -46,7 +51,7 @@
         async def fail(tree):
             plan(tree, "service", *[PlannedFault(EndpointFault.REFUSE)] * 2)
 
-        records, verdict, tree = await run_with_fault(fail, **COMMITS)
+        records, verdict, tree = await run_with_fault(fail, **LONG)
         refusals = [
             entry
             for log in tree.world.logs()
@@ -61,13 +66,17 @@
         async def reclaim(tree):
             for service in endpoints(tree, "service"):
                 service.faults.slow = 25.0
-            await asyncio.sleep(0.5)
             zone = tree.world.spec.places[0].zone
-            busy = [e for e in endpoints(tree, "service") if e.slots.running]
+            busy = []
+            for _ in range(300):
+                await asyncio.sleep(0.01)
+                busy = [e for e in endpoints(tree, "service") if e.slots.running]
+                if busy:
+                    break
             assert busy
             tree.world.reclaim_zone(zone, 2.0)
 
-        records, verdict, _tree = await run_with_fault(reclaim, **COMMITS)
+        records, verdict, _tree = await run_with_fault(reclaim, **LONG)
         assert verdict.findings == ()
         assert verdict.completed == len(records)
 
