Give decisions typed terms in [policy]; limits, patience and start anew

Relays that restart reset clients for the 0.65 s that they take to load.

Change: terms of the relay's decisions stand in one checked section of the settings. The wait for a first event follows what is expected, learned also for long prompts, and goes on while the endpoint shows life. Listening sockets are open before the program loads.

--- a/src/ebonydeal/_internal/cli/relay_program.py
+++ b/src/ebonydeal/_internal/cli/relay_program.py
@@ -1,8 +1,12 @@
-"""Entry point of ``ebonydeal-relay``."""
+"""The relay on the platform's clients."""
 
 import random
+from collections.abc import Sequence
+from functools import partial
 from typing import Any
 
+import click
+
 from ebonydeal._internal.cli.program import program_command
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.platform.duties import PlatformDuties
@@ -19,9 +23,13 @@
 
 
 def build(
-    settings: dict[str, Any], metrics: Metrics, clock: Clock, rng: random.Random
+    settings: dict[str, Any],
+    metrics: Metrics,
+    clock: Clock,
+    rng: random.Random,
+    opened: Sequence[int] = (),
 ) -> RelayProgram:
-    """Build the relay on the platform's clients."""
+    """Build the relay; ``opened`` are sockets that listen already."""
     cfg = settings["platform"]
     ports = RelayPorts(
         wire=PlatformWire(),
@@ -29,14 +37,13 @@
         duties=PlatformDuties(cfg.cloud_url, cfg.timeout, settings["node"].id),
         engines=PlatformEngines(_ORDER_S),
     )
-    return RelayProgram(settings, ports, metrics, clock, rng)
-
+    return RelayProgram(settings, ports, metrics, clock, rng, opened)
 
-main = program_command(
-    "ebonydeal-relay",
-    "Forward requests by host and path to endpoints, without reading bodies.",
-    build,
-)
 
-if __name__ == "__main__":
-    main()
+def relay_command(opened: Sequence[int]) -> click.Command:
+    """Return the command line of the relay."""
+    return program_command(
+        "ebonydeal-relay",
+        "Forward requests by host and path to endpoints, without reading bodies.",
+        partial(build, opened=opened),
+    )
--- a/src/ebonydeal/_internal/relay/coordinator.py
+++ b/src/ebonydeal/_internal/relay/coordinator.py
@@ -27,7 +27,11 @@
 from ebonydeal._internal.relay.usage_store import UsageStore
 from ebonydeal._internal.relay.view import RelayView
 from ebonydeal._internal.routing.duty_lease import DutyLease
-from ebonydeal._internal.routing.quota_broker import QuotaBounds, QuotaBroker
+from ebonydeal._internal.routing.quota_broker import (
+    QuotaBounds,
+    QuotaBroker,
+    QuotaTerms,
+)
 from ebonydeal._internal.routing.usage_ledger import Due, UsageLedger
 from ebonydeal._internal.utils.clock import Clock
 
@@ -79,6 +83,8 @@
         What limits tolerate.
     checks_fence : bool
         Whether the platform refuses calls with an old fencing number.
+    terms : QuotaTerms, optional
+        Which requests go first near an account's limit.
     """
 
     def __init__(
@@ -88,6 +94,7 @@
         ledger: UsageLedger,
         bounds: QuotaBounds,
         checks_fence: bool,
+        terms: QuotaTerms | None = None,
     ) -> None:
         super().__init__()
         self._parts = parts
@@ -99,7 +106,7 @@
         self.lease = lease
         self._checks_fence = checks_fence
         self._refused_fence = 0
-        self._broker = QuotaBroker(bounds)
+        self._broker = QuotaBroker(bounds, terms)
         self._relays: dict[str, _Relay] = {}
         # Whether the store answers this relay: set by who follows it.
         self.hears_store: Callable[[], bool] = lambda: True
--- a/src/ebonydeal/_internal/relay/fleet.py
+++ b/src/ebonydeal/_internal/relay/fleet.py
@@ -26,23 +26,11 @@
 # An ordered endpoint that isn't listed this long after its boot isn't coming:
 # the order is sent again, which changes nothing where it is only late.
 _BOOT_SLACK_S = 1.0
-# After a refusal no zone is taken to have reclaimable endpoints; one of them is
-# asked again each time this long has passed. A call costs as much as some
-# hundredths of a second of the on-demand endpoints that it may spare.
-_DRY_S = 1.0
-# Zones are taken back in waves: after one, others are expected for this long.
-_WAVE_S = 7.0
-# In a wave, waiting requests and cold caches look like load: so much more than
-# before it is believed.
-_WAVE_GROWTH = 1.6
 # Until this much load was seen, the fleet is kept as large as it was found.
 _LEAST_LOAD = 0.05
 _MEASURE_S = 5.0
 # Time for which an order for more stands at least.
 _STEADY_S = 5.0
-# Load that is lower than before shrinks the fleet only after this long, as a
-# new endpoint takes its boot time and starts with an empty cache.
-_SHRINK_S = 6.0
 _UP = 0.25
 # Orders made for one plan before it is looked at again.
 _MOST_ROUNDS = 4
@@ -182,7 +170,7 @@
 
     def _in_wave(self, service: str, now: float) -> bool:
         at = self._waved.get(service)
-        return at is not None and now - at < _WAVE_S
+        return at is not None and now - at < self._terms.wave
 
     def _least(self, service: str, zones: dict[str, ZoneFleet]) -> int:
         """Return the size below which the fleet isn't planned yet.
@@ -203,7 +191,7 @@
                 for member in self._view.members.values()
                 if member.service == service and not member.reclaimable
             )
-        if since is None or now - since < _MEASURE_S:
+        if self._terms.found and (since is None or now - since < _MEASURE_S):
             fixed = sum(fleet.fixed for fleet in zones.values())
             return max(1, fixed, len(seen))
         return 1
@@ -264,13 +252,15 @@
         seen = work + running / max(1, slots)
         known = self._load.get(service.name, seen)
         smooth = known + _UP * (seen - known)
-        if self._in_wave(service.name, now):
-            smooth = min(smooth, self._calm.get(service.name, smooth) * _WAVE_GROWTH)
+        growth = self._terms.wave_growth
+        if growth and self._in_wave(service.name, now):
+            # Waiting requests and cold caches look like load.
+            smooth = min(smooth, self._calm.get(service.name, smooth) * growth)
         else:
             self._calm[service.name] = max(smooth, _LEAST_LOAD)
         self._load[service.name] = smooth
         peak, at = self._high.get(service.name, (0.0, now))
-        if smooth >= peak or now - at > _SHRINK_S:
+        if smooth >= peak or now - at > self._terms.peak:
             peak, at = smooth, now
         self._high[service.name] = (peak, at)
         return peak
@@ -343,5 +333,5 @@
         if answer.conflict:
             self._coordinator.order_refused()
         if kind.spot and count > have:
-            self._dry[kind.service] = now + _DRY_S
+            self._dry[kind.service] = now + self._terms.dry
         return True
--- a/src/ebonydeal/_internal/relay/intake.py
+++ b/src/ebonydeal/_internal/relay/intake.py
@@ -18,11 +18,15 @@
 from ebonydeal._internal.relay.plain import PlainForwarder
 from ebonydeal._internal.relay.quota import QuotaGate
 from ebonydeal._internal.relay.stream import StreamForwarder
-from ebonydeal._internal.routing.route_index import pick_service
+from ebonydeal._internal.routing.route_index import RouteIndex, pick_service
 
 logger = get_logger("relay.intake")
 
 _READ_SLICE = 65536
+# The first requests after a start come before the configuration, which is read
+# within some ten milliseconds where the store answers.
+_KNOWN_WAIT_S = 0.15
+_KNOWN_STEP_S = 0.005
 # A plain request is expected to take no longer than this many objectives.
 _OBJECTIVES = 4.0
 
@@ -30,9 +34,12 @@
 class Intake:
     """Handler of the clients' listener."""
 
-    def __init__(self, parts: SendParts, quota: QuotaGate) -> None:
+    def __init__(
+        self, parts: SendParts, quota: QuotaGate, quota_wait: float = 0.0
+    ) -> None:
         self._parts = parts
         self._quota = quota
+        self._quota_wait = quota_wait
         self._plain = PlainForwarder(parts)
         self._stream = StreamForwarder(parts)
         self.closing = False
@@ -118,10 +125,7 @@
         self, http_req: web.BaseRequest, req: Forwarded, started: float
     ) -> Job:
         """Return the job; raises what speaks against it."""
-        index = self._parts.view.index
-        if index is None or not self._parts.view.members_known:
-            detail = "no configuration is known yet"
-            raise EbonydealError(ErrorKind.NO_ENDPOINT, detail, retry_after=0.5)
+        index = await self._known(started)
         route = index.route(req.host, req.path)
         if route is None:
             raise EbonydealError(ErrorKind.NOT_FOUND, f"no route for {req.path}")
@@ -134,7 +138,8 @@
             allowed = min(allowed, req.allowed)
         body = await _read_body(http_req, limits.body_bytes, allowed)
         if account is not None:
-            await self._quota.admit(account, _amount(req, account))
+            patience = min(allowed, route.objective * self._quota_wait)
+            await self._quota.admit(account, _amount(req, account), patience)
         return Job(
             req=req,
             route=route,
@@ -145,6 +150,16 @@
             until=started + allowed,
         )
 
+    async def _known(self, started: float) -> RouteIndex:
+        """Return the configuration, once it and endpoints are known."""
+        view, clock = self._parts.view, self._parts.clock
+        while view.index is None or not view.members_known:
+            if clock.now() - started >= _KNOWN_WAIT_S:
+                detail = "no configuration is known yet"
+                raise EbonydealError(ErrorKind.NO_ENDPOINT, detail, retry_after=0.5)
+            await clock.sleep(_KNOWN_STEP_S)
+        return view.index
+
     def _account(self, req: Forwarded, route: Route) -> ForwardAccount | None:
         """Return who asks; raises UNAUTHORIZED."""
         index = self._parts.view.index
--- a/src/ebonydeal/_internal/relay/job.py
+++ b/src/ebonydeal/_internal/relay/job.py
@@ -19,6 +19,7 @@
 from ebonydeal._internal.routing.member_choice import MemberChoice
 from ebonydeal._internal.routing.outliers import Outliers
 from ebonydeal._internal.routing.retries import RetryPolicy
+from ebonydeal._internal.settings.policy import PolicySettings
 from ebonydeal._internal.utils.clock import Clock
 
 
@@ -48,6 +49,33 @@
         return True
 
 
+class SendTerms(NamedTuple):
+    """Terms of waiting and sending again; `PolicySettings` says what each does.
+
+    ``first_*`` are of the wait for a stream's first event, ``gap`` of that for the
+    next one, ``plain`` of that for a plain answer.
+    """
+
+    first_objectives: float = 1.0
+    first_spread: float = 2.0
+    first_longest: float = 3.5
+    gap: float = 1.5
+    plain: float = 0.6
+    use_leaving: bool = True
+
+    @classmethod
+    def from_config(cls, cfg: PolicySettings) -> "SendTerms":
+        """Build from settings."""
+        return cls(
+            cfg.first_patience,
+            cfg.first_spread,
+            cfg.first_longest,
+            cfg.gap_patience,
+            cfg.plain_patience,
+            cfg.use_leaving,
+        )
+
+
 class SendParts(NamedTuple):
     """What sends are made with."""
 
@@ -64,3 +92,4 @@
     clock: Clock
     rng: Random
     zone: str
+    terms: SendTerms = SendTerms()
--- a/src/ebonydeal/_internal/relay/listener.py
+++ b/src/ebonydeal/_internal/relay/listener.py
@@ -1,11 +1,13 @@
 """Listeners of the relay: clients, the balancer, and other relays."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 from aiohttp import web
 from mode import Service
 
+from ebonydeal._internal.utils.earlybind import early_socket
+
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 # Far above what operators let clients be idle, so that it is always the client
@@ -27,10 +29,15 @@
         Answers each request.
     address : str
         ``host:port``; port 0 picks a free one, then read `port`.
+    opened : sequence of int
+        Sockets that listen already; the one on ``address`` is taken over.
     """
 
-    def __init__(self, handler: Handler, address: str) -> None:
+    def __init__(
+        self, handler: Handler, address: str, opened: Sequence[int] = ()
+    ) -> None:
         super().__init__()
+        self._early = early_socket(opened, address)
         host, _sep, port = address.rpartition(":")
         self.host = host
         self.port = int(port)
@@ -51,9 +58,14 @@
             auto_decompress=False,
         )
         loop = asyncio.get_running_loop()
-        self._socket = await loop.create_server(
-            self._server, self.host, self.port, backlog=_BACKLOG, reuse_address=True
-        )
+        if self._early is not None:
+            self._socket = await loop.create_server(
+                self._server, sock=self._early, backlog=_BACKLOG
+            )
+        else:
+            self._socket = await loop.create_server(
+                self._server, self.host, self.port, backlog=_BACKLOG, reuse_address=True
+            )
         self.port = self._socket.sockets[0].getsockname()[1]
 
     def close_gently(self) -> None:
--- a/src/ebonydeal/_internal/relay/moves.py
+++ b/src/ebonydeal/_internal/relay/moves.py
@@ -99,6 +99,7 @@
     clock: Clock
     zone: str
     drain_s: float
+    enabled: bool = True
 
 
 class StreamMoves(Service):
@@ -112,7 +113,8 @@
 
     def enter(self, run: LiveRun) -> None:
         """Watch a run."""
-        self._runs.add(run)
+        if self._parts.enabled:
+            self._runs.add(run)
 
     def leave(self, run: LiveRun) -> None:
         """Watch a run no more."""
--- a/src/ebonydeal/_internal/relay/peers.py
+++ b/src/ebonydeal/_internal/relay/peers.py
@@ -39,7 +39,6 @@
 METRICS = "/metrics"
 
 _CALL_S = 0.5
-_PERIOD_S = 0.5
 # Exchanges a second that a coordinator is asked for at most; beyond, each
 # relay speaks less often.
 _EXCHANGES_PER_S = 60.0
@@ -108,7 +107,8 @@
 class ExchangeParts(NamedTuple):
     """What the exchange works with.
 
-    ``word`` builds this relay's message; ``heard`` takes the reply.
+    ``word`` builds this relay's message; ``heard`` takes the reply. ``period``
+    is the least time between two words, seconds.
     """
 
     coordinator: Coordinator
@@ -117,6 +117,7 @@
     rng: Random
     word: Callable[[], ExchangeMessage]
     heard: Callable[[ExchangeReply], None]
+    period: float = 0.5
 
 
 class Exchange(Service):
@@ -137,7 +138,7 @@
     @property
     def _period(self) -> float:
         """Seconds between exchanges: longer where there are many relays."""
-        return max(_PERIOD_S, self.relay_count / _EXCHANGES_PER_S)
+        return max(self._parts.period, self.relay_count / _EXCHANGES_PER_S)
 
     @property
     def in_touch(self) -> bool:
--- a/src/ebonydeal/_internal/relay/plain.py
+++ b/src/ebonydeal/_internal/relay/plain.py
@@ -17,9 +17,6 @@
 )
 from ebonydeal._internal.relay.sends import JobSends
 
-# Share of the objective after which a repeatable request is tried elsewhere.
-_PATIENCE_SHARE = 0.6
-
 
 def raw_headers(resp: ClientResponse) -> list[tuple[str, str]]:
     """Return an answer's header block as text."""
@@ -104,8 +101,9 @@
         job = sends.job
         limit = sends.left
         tries_left = job.route.most_sends > 1 and not sends.proof.may_have_run
-        if job.route.repeat is Repeat.IDEMPOTENT and tries_left:
-            limit = min(limit, job.route.objective * _PATIENCE_SHARE)
+        share = self._parts.terms.plain
+        if share and job.route.repeat is Repeat.IDEMPOTENT and tries_left:
+            limit = min(limit, job.route.objective * share)
         try:
             async with asyncio.timeout(limit):
                 return await self._exchange(sends, member)
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -1,6 +1,6 @@
 """The supervisor tree of ``ebonydeal-relay``."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from random import Random
 from typing import Any
 
@@ -14,7 +14,7 @@
 from ebonydeal._internal.relay.fleet import Fleet
 from ebonydeal._internal.relay.follower import ConfigTableFollower, MembersFollower
 from ebonydeal._internal.relay.intake import Intake
-from ebonydeal._internal.relay.job import SendParts
+from ebonydeal._internal.relay.job import SendParts, SendTerms
 from ebonydeal._internal.relay.leaving import LeavingTimes
 from ebonydeal._internal.relay.listener import RawListener
 from ebonydeal._internal.relay.messages import ExchangeMessage, ExchangeReply
@@ -32,11 +32,17 @@
 from ebonydeal._internal.relay.view import RelayView
 from ebonydeal._internal.routing.duty_lease import DutyLease
 from ebonydeal._internal.routing.early_refusal import EarlyRefusal
-from ebonydeal._internal.routing.member_choice import MemberChoice, Told
+from ebonydeal._internal.routing.fleet_plan import FleetTerms
+from ebonydeal._internal.routing.member_choice import ChoiceTerms, MemberChoice, Told
 from ebonydeal._internal.routing.outliers import Outliers
-from ebonydeal._internal.routing.quota_broker import LocalQuota, QuotaBounds
+from ebonydeal._internal.routing.quota_broker import (
+    LocalQuota,
+    QuotaBounds,
+    QuotaTerms,
+)
 from ebonydeal._internal.routing.retries import RetryPolicy
 from ebonydeal._internal.routing.usage_ledger import UsageLedger
+from ebonydeal._internal.settings.policy import PolicySettings
 from ebonydeal._internal.settings.relay import RelaySettings
 from ebonydeal._internal.settings.routing import RetrySettings, RoutingSettings
 from ebonydeal._internal.utils.clock import Clock
@@ -68,19 +74,23 @@
         metrics: Metrics,
         clock: Clock,
         rng: Random,
+        opened: Sequence[int] = (),
     ) -> None:
         super().__init__()
         self._cfg: RelaySettings = settings["relay"]
+        self._policy: PolicySettings = settings["policy"]
         self._node = settings["node"]
         self._clock = clock
         self._metrics = metrics
         self.ports = ports
         self.view = RelayView(self._cfg.drain_ms / 1000.0)
         self._pools = EndpointPools(clock, self._cfg.connect_ms / 1000.0)
-        self._choice = MemberChoice(self._cfg.reuse_window_s)
+        self._choice = MemberChoice(
+            self._cfg.reuse_window_s, ChoiceTerms.from_config(self._policy)
+        )
         self.usage = UsageMeter(self._cfg.usage_window_s)
         self._retries = RetryPolicy(_retry_settings(self._cfg, _FIRST_RELAYS), rng)
-        outliers = Outliers(_outlier_settings(settings["routing"]), rng)
+        outliers = Outliers(_outlier_settings(settings["routing"], self._policy), rng)
         self._moves = StreamMoves(
             MovesParts(
                 view=self.view,
@@ -92,6 +102,7 @@
                 clock=clock,
                 zone=self._node.zone,
                 drain_s=self._cfg.drain_ms / 1000.0,
+                enabled=self._policy.moves,
             )
         )
         parts = SendParts(
@@ -99,7 +110,7 @@
             view=self.view,
             choice=self._choice,
             outliers=outliers,
-            refusal=EarlyRefusal(),
+            refusal=EarlyRefusal(self._policy.refuse_limit),
             retries=self._retries,
             pools=self._pools,
             usage=self.usage,
@@ -108,14 +119,18 @@
             clock=clock,
             rng=rng,
             zone=self._node.zone,
+            terms=SendTerms.from_config(self._policy),
         )
         bounds = QuotaBounds(
-            self._cfg.quota_window_s, self._cfg.quota_overshoot, self._cfg.quota_slack
+            self._cfg.quota_window_s,
+            self._cfg.quota_overshoot,
+            self._cfg.quota_slack,
+            self._policy.quota_slack_used,
         )
         self._quota = QuotaGate(LocalQuota(), clock)
-        self.intake = Intake(parts, self._quota)
-        self.clients = RawListener(self.intake.handle, self._cfg.address)
-        self._ready = RawListener(self._answer_ready, self._cfg.ready_address)
+        self.intake = Intake(parts, self._quota, self._policy.quota_wait)
+        self.clients = RawListener(self.intake.handle, self._cfg.address, opened)
+        self._ready = RawListener(self._answer_ready, self._cfg.ready_address, opened)
         self._followers = (
             ConfigTableFollower(ports.store, ports.wire, self.view, clock, rng),
             MembersFollower(ports.store, ports.wire, self.view, clock, rng),
@@ -132,6 +147,7 @@
             UsageLedger(self._cfg.usage_window_s, self._cfg.usage_late_s),
             bounds,
             self._cfg.checks_fence,
+            QuotaTerms.from_config(self._policy),
         )
         peers = settings["peers"]
         self._client = PeerClient(peers.credential)
@@ -143,7 +159,13 @@
         seeds = _seeds(peers.seeds)
         self._exchange = Exchange(
             ExchangeParts(
-                self.coordinator, self._client, clock, rng, self._word, self._heard
+                self.coordinator,
+                self._client,
+                clock,
+                rng,
+                self._word,
+                self._heard,
+                self._policy.exchange_s,
             ),
             seeds,
         )
@@ -164,7 +186,14 @@
             rng,
         )
         self._leaving = LeavingTimes(self.coordinator, ports.engines, self.view, clock)
-        self._fleet = Fleet(self.coordinator, ports.duties, self.view, metrics, clock)
+        self._fleet = Fleet(
+            self.coordinator,
+            ports.duties,
+            self.view,
+            metrics,
+            clock,
+            FleetTerms.from_config(self._policy),
+        )
         self._stopping = False
         self._reported = -1
         self._was_behind = False
@@ -327,5 +356,7 @@
     )
 
 
-def _outlier_settings(cfg: RoutingSettings) -> RoutingSettings:
-    return cfg._replace(eject_failures=3, eject_time=1.0, return_time=2.0)
+def _outlier_settings(cfg: RoutingSettings, policy: PolicySettings) -> RoutingSettings:
+    never = 10**9
+    failures = policy.eject_failures or never
+    return cfg._replace(eject_failures=failures, eject_time=1.0, return_time=2.0)
--- a/src/ebonydeal/_internal/relay/quota.py
+++ b/src/ebonydeal/_internal/relay/quota.py
@@ -51,8 +51,13 @@
         for name, amount in grants.items():
             self._local.add(name, amount, now)
 
-    async def admit(self, account: ForwardAccount, amount: float) -> None:
-        """Return if ``amount`` may be used; raises RATE_LIMITED."""
+    async def admit(
+        self, account: ForwardAccount, amount: float, patience: float
+    ) -> None:
+        """Return if ``amount`` may be used; raises RATE_LIMITED.
+
+        What will be there within ``patience`` seconds is waited for.
+        """
         if account.rate <= 0.0:
             return
         now = self._clock.now()
@@ -62,7 +67,11 @@
         meter.add(amount, now)
         if self._local.take(account.name, amount, now):
             return
-        wait = await self._ask(account, amount)
+        until = now + patience
+        while wait := await self._ask(account, amount):
+            if self._clock.now() + wait > until:
+                break
+            await self._clock.sleep(wait)
         if wait > 0.0:
             detail = (
                 f"client account {account.name} asked for {amount:.0f}"
--- a/src/ebonydeal/_internal/relay/sends.py
+++ b/src/ebonydeal/_internal/relay/sends.py
@@ -69,6 +69,8 @@
         self._avoid: set[str] = set()
         self._counted = False
         self.sent: Sent | None = None
+        # Seconds to the first event of the last send, where that is known.
+        self.expected: float | None = None
         self.member: Member | None = None
         self._source = ""
         self._carried: Carried | None = None
@@ -114,7 +116,7 @@
         self._tries += 1
         now = parts.clock.now()
         self.sent = parts.choice.sent(self._ask(), member, found.missed, now)
-        expected = found.expected
+        expected = self.expected = found.expected
         logger.info(
             "Sent.",
             request=job.req.request_id,
@@ -184,7 +186,8 @@
         score = parts.choice.engine(ask, allowed, now)
         if score is None:
             return None
-        expected = parts.choice.base + score.wait + score.missed / parts.choice.rate
+        speed = parts.choice.speed
+        expected = speed.base + score.wait + speed.reading(score.missed)
         members = parts.view.members
         source = members[score.source].address if score.source else ""
         return _Found(members[score.endpoint_id], score.missed, expected, source)
@@ -201,6 +204,8 @@
         leaving = parts.view.leaving_of(job.service, now)
         if not listed:
             return [member for member, _left in leaving]
+        if not parts.terms.use_leaving:
+            return listed
         needed = self._duration() * _DURATION_SPREAD
         return listed + [member for member, left in leaving if needed < left]
 
@@ -209,7 +214,9 @@
         job = self.job
         if job.req.prompt_tokens is None:
             return job.route.objective
-        return self._parts.choice.duration(job.req.length_hint or job.req.output_tokens)
+        return self._parts.choice.speed.duration(
+            job.req.length_hint or job.req.output_tokens
+        )
 
     def sending(self, last_event: str = "") -> Sending:
         """Return what the next send tells its endpoint."""
--- a/src/ebonydeal/_internal/relay/stream.py
+++ b/src/ebonydeal/_internal/relay/stream.py
@@ -12,6 +12,7 @@
 from ebonydeal._internal.observe.counters import Timing
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.connections import Exchange
+from ebonydeal._internal.relay.first_wait import LEAST_PATIENCE_S, FirstWait
 from ebonydeal._internal.relay.job import Job, SendParts
 from ebonydeal._internal.relay.moves import LiveRun, Moved
 from ebonydeal._internal.relay.outcomes import Answered, MayHaveRun, Outcome
@@ -27,11 +28,6 @@
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _EVENT_ID = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
-# A resumable stream goes on elsewhere after a silence of this many objectives
-# before its first event, or of this many of its longest pauses later.
-_FIRST_PATIENCE = 1.0
-_GAP_PATIENCE = 1.5
-_LEAST_PATIENCE_S = 0.4
 
 
 class EventSplitter:
@@ -170,9 +166,9 @@
         parts, job = self._parts, sends.job
         member = run.member
         headers = parts.wire.outgoing(job.req, sends.sending(out.splitter.last_id))
-        first_by = parts.clock.now() + self._patience(job, False)
+        first = FirstWait.of_send(parts, sends)
         try:
-            async with asyncio.timeout(self._patience(job, False)):
+            async with first.limit():
                 got = await parts.pools.of(member).send(
                     job.req.method, job.req.target, headers, job.body, job.once
                 )
@@ -189,7 +185,7 @@
                 # Read in any case: the connection may be used again.
                 whole = await read_whole(got, head)
                 return wrong or whole
-            broken = await self._relay(sends, run, got, head, out, first_by)
+            broken = await self._relay(sends, run, got, head, out, first)
             if broken is not None:
                 return broken
             got.done(head.idle_time)
@@ -199,19 +195,16 @@
         parts.outliers.succeeded(member.endpoint_id, now)
         if run.events > 1:
             tokens = (run.events - 1) * run.event_tokens
-            parts.choice.paced(tokens, now - run.begun_at)
+            parts.choice.speed.paced(tokens, now - run.begun_at)
         return None
 
-    def _patience(self, job: Job, begun: bool) -> float:
-        """Return how long a silence may last before another endpoint is tried."""
+    def _pause(self, job: Job) -> asyncio.Timeout:
+        """Return the limit of a pause between events, then another is tried."""
         left = max(0.001, job.until - self._parts.clock.now())
         if job.once:
-            return left
-        if begun:
-            wait = job.route.gap * _GAP_PATIENCE
-        else:
-            wait = job.route.objective * _FIRST_PATIENCE
-        return min(left, max(_LEAST_PATIENCE_S, wait))
+            return asyncio.timeout(left)
+        wait = job.route.gap * self._parts.terms.gap
+        return asyncio.timeout(min(left, max(LEAST_PATIENCE_S, wait)))
 
     async def _relay(
         self,
@@ -220,19 +213,18 @@
         got: Exchange,
         head: AnswerHead,
         out: _Out,
-        first_by: float,
+        first: FirstWait,
     ) -> MayHaveRun | None:
         """Pass events on until the end; returns what broke the stream."""
         parts, job = self._parts, sends.job
         content = got.resp.content
         begun = False
         while True:
-            wait = self._patience(job, True) if begun else first_by - parts.clock.now()
             try:
-                async with asyncio.timeout(max(0.0, wait)):
+                async with self._pause(job) if begun else first.limit():
                     data = await content.readany()
             except TimeoutError:
-                return MayHaveRun(ErrorKind.ENDPOINT_STALLED, f"silent {wait:.3f} s")
+                return MayHaveRun(ErrorKind.ENDPOINT_STALLED, "silent")
             except (ClientError, OSError) as exc:
                 detail = f"stream: {type(exc).__name__}"
                 return MayHaveRun(ErrorKind.ENDPOINT_FAILED, detail)
@@ -242,6 +234,7 @@
             events = out.splitter.feed(data)
             if not events:
                 continue
+            parts.choice.heard(run.member.endpoint_id, parts.clock.now())
             run.count(out.splitter.count - before, parts.clock.now())
             if not begun:
                 begun = True
--- a/src/ebonydeal/_internal/routing/early_refusal.py
+++ b/src/ebonydeal/_internal/routing/early_refusal.py
@@ -6,9 +6,6 @@
 urgent requests are refused first.
 """
 
-# Expected first event, in objectives, beyond which a request of the most urgent
-# kind is refused: the expectation is known to within about half of it.
-_LIMIT = 1.5
 # Each step of urgency lowers the limit by this much, down to `_LEAST_LIMIT`.
 _STEP = 0.15
 _LEAST_LIMIT = 1.0
@@ -22,9 +19,18 @@
 
 
 class EarlyRefusal:
-    """Decides for one relay; remembers what clients allow by route."""
+    """Decides for one relay; remembers what clients allow by route.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    limit : float
+        Expected first event, in objectives, beyond which a request of the most
+        urgent kind is refused: the expectation is known to within about half of
+        it. 0 refuses none.
+    """
+
+    def __init__(self, limit: float = 1.5) -> None:
+        self._limit = limit
         self._longest: dict[str, float] = {}
 
     def wait(
@@ -52,9 +58,9 @@
         """
         longest = max(allowed, self._longest.get(route, 0.0))
         self._longest[route] = longest
-        if objective <= 0.0 or allowed < longest * _REPEAT_SHARE:
+        if objective <= 0.0 or not self._limit or allowed < longest * _REPEAT_SHARE:
             return None
-        limit = max(_LEAST_LIMIT, _LIMIT - _STEP * urgency) * objective
+        limit = max(_LEAST_LIMIT, self._limit - _STEP * urgency) * objective
         if expected <= limit:
             return None
         excess = expected - objective / 2.0
--- a/src/ebonydeal/_internal/routing/fleet_plan.py
+++ b/src/ebonydeal/_internal/routing/fleet_plan.py
@@ -14,6 +14,7 @@
 from typing import NamedTuple
 
 from ebonydeal._internal.models.forwarding import Scaling
+from ebonydeal._internal.settings.policy import PolicySettings
 
 # With fewer zones the loss of two is the loss of all.
 _ZONES_FOR_TWO = 3
@@ -70,12 +71,46 @@
         come within a boot time then, until when streams wait.
     use_wave : float
         The same of on-demand endpoints alone, while zones are taken back.
+    cover : bool
+        Whether on-demand endpoints stand in for the zone with most of them.
+    wave : float
+        Seconds after a zone was taken back in which more may follow.
+    wave_growth : float
+        So much more load than before is believed meanwhile; 0 is no bound.
+    peak : float
+        Seconds for which the highest load is planned for.
+    dry : float
+        Seconds between two questions for reclaimable endpoints that were refused.
+    found : bool
+        Whether the fleet is kept as it was found until its load was measured.
     """
 
     use: float = 0.45
     use_short: float = 0.7
     use_last: float = 1.0
     use_wave: float = 0.7
+    cover: bool = True
+    wave: float = 7.0
+    wave_growth: float = 1.6
+    peak: float = 6.0
+    dry: float = 1.0
+    found: bool = True
+
+    @classmethod
+    def from_config(cls, cfg: PolicySettings) -> "FleetTerms":
+        """Build from settings."""
+        return cls(
+            cfg.fleet_use,
+            cfg.fleet_use_short,
+            cfg.fleet_use_last,
+            cfg.fleet_use_wave,
+            cfg.fleet_cover,
+            cfg.fleet_wave_s,
+            cfg.fleet_wave_growth,
+            cfg.fleet_peak_s,
+            cfg.fleet_dry_s,
+            cfg.fleet_found,
+        )
 
 
 class _Need(NamedTuple):
@@ -118,8 +153,8 @@
     now = {zone: state.zones.get(zone, ZoneFleet()) for zone in zones}
     need = _Need(
         whole=max(1, state.least, ceil(state.load / terms.use)),
-        short=max(1, ceil(state.load / terms.use_short)),
-        last=max(1, ceil(state.load / terms.use_last)),
+        short=_at_use(state.load, terms.use_short),
+        last=_at_use(state.load, terms.use_last),
     )
     offered = scaling.spot_price is not None and scaling.spot_price < 1.0
     kept = _kept_fixed(zones, now, max(need.short, state.least))
@@ -127,14 +162,20 @@
     if offered:
         spot = _spread_spot(scaling, zones, now, state.dry, need, kept)
     total = sum(spot.values())
-    wanted = need.short - (total - max(spot.values(), default=0))
-    if offered and state.wave:
+    lost = max(spot.values(), default=0) if terms.cover else 0
+    wanted = need.short - (total - lost)
+    if offered and state.wave and terms.use_wave:
         wanted = ceil(state.load / terms.use_wave)
     fixed = _fill_fixed(scaling, zones, now, spot, wanted, kept)
     plan = {zone: ZoneTarget(spot[zone], fixed[zone]) for zone in zones}
     return FleetPlan(plan, need.whole)
 
 
+def _at_use(load: float, use: float) -> int:
+    """Return the endpoints that carry a load at a use; 0 of use asks for one."""
+    return max(1, ceil(load / use)) if use else 1
+
+
 def _kept_fixed(
     zones: list[str], now: dict[str, ZoneFleet], need: int
 ) -> dict[str, int]:
--- a/src/ebonydeal/_internal/routing/member_choice.py
+++ b/src/ebonydeal/_internal/routing/member_choice.py
@@ -11,48 +11,25 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence
+from math import inf
 from typing import NamedTuple
 
 from xxhash import xxh3_64_intdigest
 
 from ebonydeal._internal.models.forwarding import Member, PromptPart
 from ebonydeal._internal.routing.demand import RateMeter
+from ebonydeal._internal.routing.engine_speed import EngineSpeed
+from ebonydeal._internal.settings.policy import PolicySettings
 
-# Reading rate and fixed time assumed before any answer was seen; both are
-# replaced by what answers show within a few requests.
-_FIRST_RATE = 50_000.0
-_FIRST_BASE_S = 0.08
-# Weights of samples above and below what is held; four to one makes the rate
-# settle near the upper fifth of them.
-_RATE_UP = 0.12
-_RATE_DOWN = 0.03
-_RATE_MOST_STEP = 3.0
-# Shorter prompts show the fixed time, longer ones the rate.
-_BASE_MOST_TOKENS = 600
-_BASE_DRIFT = 0.02
-_RATE_LEAST_TOKENS = 3000
 # A request beyond the batch waits for one that ends, about this long.
 _SLOT_WAIT_S = 0.5
 # Running requests slow a step: share of the fixed time at a full batch.
 _BATCH_SLOWDOWN_S = 0.1
 # Another zone costs the way there and back, and bytes between zones.
 _OTHER_ZONE_S = 0.003
-# A new connection costs the way there and back and work at both ends, and is paid
-# for with about a fiftieth of a request.
-_CONNECT_S = 0.006
 # An endpoint that leaves cuts off what runs longer than expected, or costs a move.
 _LEAVING_S = 0.05
-# Seconds for one output token assumed before any stream ended, and the weight of
-# a stream in the average.
-_FIRST_PACE_S = 0.02
-_PACE_WEIGHT = 0.05
-# Trust that a session's home holds its parts when this relay didn't send them.
-_HOME_TRUST = 0.8
-# A part read again is paid for besides the time that it takes.
-_REREAD_WEIGHT = 1.5
-# Parts are fetched from another engine from this many tokens on: a fetch takes a
-# few milliseconds whatever its size.
-_FETCH_LEAST_TOKENS = 400
+# A fetch takes a few milliseconds whatever its size.
 _FETCH_S = 0.004
 # Fetched tokens are paid for at about a third of what reading them again costs,
 # so sending the request to where they lie is still better.
@@ -63,6 +40,35 @@
 _WORK_WINDOW_S = 4.0
 
 
+class ChoiceTerms(NamedTuple):
+    """Terms of the choice; `PolicySettings` says what each does.
+
+    Connections to endpoints that have none open are paid for with about a fiftieth
+    of a request, and take a way there and back.
+    """
+
+    home_trust: float = 0.8
+    fetch_tokens: int = 400
+    reread_weight: float = 1.5
+    long_prompts: bool = True
+    others_loads: bool = True
+    others_age: bool = True
+    connect_cost: float = 0.006
+
+    @classmethod
+    def from_config(cls, cfg: PolicySettings) -> "ChoiceTerms":
+        """Build from settings."""
+        return cls(
+            cfg.home_trust,
+            cfg.fetch_tokens,
+            cfg.reread_weight,
+            cfg.long_prompts,
+            cfg.others_loads,
+            cfg.others_age,
+            cfg.connect_cost_s,
+        )
+
+
 class Ask(NamedTuple):
     """What is known of a request when its endpoint is chosen.
 
@@ -93,10 +99,15 @@
 
 
 class Sent(NamedTuple):
-    """A request that was sent; give it back to `MemberChoice.ended`."""
+    """A request that was sent; give it back to `MemberChoice.ended`.
+
+    ``missed`` are tokens that the endpoint must read, ``unread`` the same in
+    tokens of a short prompt, which are read faster.
+    """
 
     endpoint_id: str
     missed: float
+    unread: float
     at: float
 
 
@@ -135,15 +146,17 @@
     ----------
     keep : float
         Seconds for which a part that was read is held to be in memory.
+    terms : ChoiceTerms, optional
+        What is weighed, and how much.
     """
 
-    def __init__(self, keep: float) -> None:
+    def __init__(self, keep: float, terms: ChoiceTerms | None = None) -> None:
         self._keep = keep
+        self._terms = terms or ChoiceTerms()
+        self._signs: dict[str, float] = {}
         self._loads: dict[str, _Load] = {}
         self._work: dict[str, RateMeter] = {}
-        self.rate = _FIRST_RATE
-        self.base = _FIRST_BASE_S
-        self._pace = _FIRST_PACE_S
+        self.speed = EngineSpeed(self._terms.long_prompts)
 
     def _load(self, endpoint_id: str) -> _Load:
         load = self._loads.get(endpoint_id)
@@ -154,6 +167,8 @@
     # --- what is known -------------------------------------------------------
     def told(self, loads: dict[str, Told]) -> None:
         """Take what the other relays have at each endpoint."""
+        if not self._terms.others_loads:
+            return
         for endpoint_id, load in self._loads.items():
             load.told = loads.get(endpoint_id, Told())
         for endpoint_id, told in loads.items():
@@ -189,6 +204,15 @@
         for endpoint_id in [e for e in self._loads if e not in known]:
             if not self._loads[endpoint_id].running:
                 del self._loads[endpoint_id]
+                self._signs.pop(endpoint_id, None)
+
+    def heard(self, endpoint_id: str, now: float) -> None:
+        """Note a sign of life of an endpoint."""
+        self._signs[endpoint_id] = now
+
+    def silent_for(self, endpoint_id: str, now: float) -> float:
+        """Return the seconds since an endpoint's last sign of life."""
+        return now - self._signs.get(endpoint_id, -inf)
 
     # --- choice ----------------------------------------------------------------
     def engine(self, ask: Ask, members: Sequence[Member], now: float) -> Score | None:
@@ -198,7 +222,7 @@
         home = home_of(ask.parts, members)
         held = [self._held(ask, m.endpoint_id, home, now) for m in members]
         source = _Held()
-        if ask.fetches:
+        if ask.fetches and self._terms.fetch_tokens:
             # The engine that most likely holds most of the shared parts.
             index = max(range(len(held)), key=held.__getitem__)
             source = _Held(members[index].endpoint_id, held[index])
@@ -226,7 +250,10 @@
     ) -> Score:
         load = self._load(member.endpoint_id)
         fetched = max(0.0, source.tokens - held)
-        if fetched < _FETCH_LEAST_TOKENS or source.endpoint_id == member.endpoint_id:
+        if (
+            fetched < self._terms.fetch_tokens
+            or source.endpoint_id == member.endpoint_id
+        ):
             fetched = 0.0
         missed = max(0.0, ask.prompt_tokens - held - fetched)
         running = load.running + load.told.running
@@ -234,15 +261,15 @@
         batch = _BATCH_SLOWDOWN_S * running / seats
         if running >= seats:
             batch += _SLOT_WAIT_S * (1.0 + (running - seats) / seats)
-        wait = load.unread / self.rate + self._told_wait(load.told, now)
-        read = missed * _REREAD_WEIGHT / self.rate
-        fetch = _FETCH_S + fetched * _FETCH_WEIGHT / self.rate if fetched else 0.0
+        wait = load.unread / self.speed.rate + self._told_wait(load.told, now)
+        read = self.speed.reading(missed) * self._terms.reread_weight
+        fetch = _FETCH_S + fetched * _FETCH_WEIGHT / self.speed.rate if fetched else 0.0
         zone = 0.0 if member.zone == ask.zone else _OTHER_ZONE_S
         total = wait + read + fetch + batch + zone + member.warming
         if member.leaving:
             total += _LEAVING_S
         if member.endpoint_id not in ask.connected:
-            total += _CONNECT_S
+            total += self._terms.connect_cost
         return Score(
             total,
             member.endpoint_id,
@@ -261,7 +288,10 @@
         The word is older than most prompts take to read: without this, engines
         would be avoided for work that was done long ago.
         """
-        return max(0.0, told.unread / self.rate - max(0.0, now - told.at))
+        waits = told.unread / self.speed.rate
+        if not self._terms.others_age:
+            return waits
+        return max(0.0, waits - max(0.0, now - told.at))
 
     def _held(self, ask: Ask, endpoint_id: str, home: str, now: float) -> float:
         """Return the tokens of shared parts that an engine is expected to hold."""
@@ -272,7 +302,7 @@
             if at is not None and now - at <= self._keep:
                 held += part.tokens
             elif endpoint_id == home:
-                held += part.tokens * _HOME_TRUST
+                held += part.tokens * self._terms.home_trust
             else:
                 break
         return held
@@ -282,53 +312,30 @@
         """Note that a request goes to ``member``, which must read ``missed``."""
         load = self._load(member.endpoint_id)
         load.running += 1
-        load.unread += missed
+        unread = self.speed.reading(missed) * self.speed.rate
+        load.unread += unread
         meter = self._work.setdefault(member.service, RateMeter(_WORK_WINDOW_S))
-        meter.add(missed / self.rate, now)
+        meter.add(unread / self.speed.rate, now)
         for part in ask.parts:
             load.parts[part.part_id] = now
             load.parts.move_to_end(part.part_id)
         while load.parts and now - next(iter(load.parts.values())) > self._keep:
             load.parts.popitem(last=False)
-        return Sent(member.endpoint_id, missed, now)
+        return Sent(member.endpoint_id, missed, unread, now)
 
     def began(self, sent: Sent, now: float) -> Sent:
         """Note the first event of a request; returns what `ended` gets."""
         load = self._load(sent.endpoint_id)
-        load.unread = max(0.0, load.unread - sent.missed)
-        self._learn(sent, now)
-        return sent._replace(missed=0.0)
-
-    def _learn(self, sent: Sent, now: float) -> None:
-        """Take the reading rate and the fixed time from one first event."""
-        took = now - sent.at
-        if sent.missed < _BASE_MOST_TOKENS:
-            # The fixed time is the least that is seen, and forgets slowly.
-            self.base = min(took, self.base + _BASE_DRIFT * (took - self.base))
-            return
-        spare = took - self.base
-        if sent.missed < _RATE_LEAST_TOKENS or spare <= 0.0:
-            return
-        rate = min(sent.missed / spare, _RATE_MOST_STEP * self.rate)
-        # Waiting behind others only ever lowers a sample, so those that are
-        # higher say more of what the engine can do.
-        weight = _RATE_UP if rate > self.rate else _RATE_DOWN
-        self.rate += weight * (rate - self.rate)
-
-    def paced(self, tokens: int, seconds: float) -> None:
-        """Note how long a whole stream took after its first event."""
-        if tokens > 0 and seconds > 0.0:
-            self._pace += _PACE_WEIGHT * (seconds / tokens - self._pace)
-
-    def duration(self, tokens: int) -> float:
-        """Return the seconds that an answer of so many tokens is expected to take."""
-        return self.base + tokens * self._pace
+        load.unread = max(0.0, load.unread - sent.unread)
+        self.heard(sent.endpoint_id, now)
+        self.speed.first_event(sent.missed, now - sent.at)
+        return sent._replace(missed=0.0, unread=0.0)
 
     def ended(self, sent: Sent) -> None:
         """Note that a request is over, well or not."""
         load = self._load(sent.endpoint_id)
         load.running = max(0, load.running - 1)
-        load.unread = max(0.0, load.unread - sent.missed)
+        load.unread = max(0.0, load.unread - sent.unread)
 
 
 def home_of(parts: tuple[PromptPart, ...], members: Sequence[Member]) -> str:
--- a/src/ebonydeal/_internal/routing/quota_broker.py
+++ b/src/ebonydeal/_internal/routing/quota_broker.py
@@ -10,11 +10,11 @@
 from typing import NamedTuple
 
 from ebonydeal._internal.models.forwarding import ForwardAccount
+from ebonydeal._internal.settings.policy import PolicySettings
 
-# Parts of the tolerated overshoot that the buckets use: the rest covers grants
+# Part of the tolerated overshoot that the buckets use: the rest covers grants
 # that are still unused at relays.
 _OVERSHOOT_USED = 0.35
-_SLACK_USED = 0.3
 # Part of what a window allows beyond the rate that may come at once. The rest
 # comes evenly with the rate: a window of the bounds may be filled whichever way,
 # and an account that asks for more for seconds would have only its rate.
@@ -23,16 +23,43 @@
 _PLENTY = 0.5
 # Seconds of a relay's own demand that it gets in advance.
 _ADVANCE_S = 0.5
+# Weight of a request in its account's mean size, and how far below nothing, in
+# what may come at once, small requests may bring the level. One large request
+# overdraws by up to about two of these.
+_MEAN_WEIGHT = 0.05
+_SMALL_DEBT = 4.0
 _LEAST_WAIT_S = 0.05
 _MOST_WAIT_S = 10.0
 
 
+class QuotaTerms(NamedTuple):
+    """Terms of the grants; `PolicySettings` says what each does.
+
+    ``slack_used`` leaves room for what relays grant themselves while there is no
+    coordinator, about one request each.
+    """
+
+    slack_used: float = 0.5
+    overdraft: float = 1.0
+    small: float = 0.1
+
+    @classmethod
+    def from_config(cls, cfg: PolicySettings) -> "QuotaTerms":
+        """Build from settings."""
+        return cls(
+            cfg.quota_slack_used,
+            cfg.quota_overdraft,
+            cfg.quota_small,
+        )
+
+
 class QuotaBounds(NamedTuple):
     """By how much limits may be exceeded, and over which window, seconds."""
 
     window: float
     overshoot: float
     slack: float
+    slack_used: float = QuotaTerms().slack_used
 
     def burst(self, account: ForwardAccount) -> float:
         """Return the amount that may come at once."""
@@ -48,7 +75,7 @@
         limit = account.rate * self.window + account.burst
         over = self.overshoot * limit * _OVERSHOOT_USED
         if account.in_tokens:
-            over += self.slack * _SLACK_USED
+            over += self.slack * self.slack_used
         return account.burst + over
 
 
@@ -63,6 +90,8 @@
     def __init__(self, level: float, at: float) -> None:
         self.level = level
         self.at = at
+        # Mean size of the requests that were asked for.
+        self.mean = 0.0
 
     def fill(self, rate: float, most: float, now: float) -> None:
         earned = rate * max(0.0, now - self.at)
@@ -77,10 +106,13 @@
     ----------
     bounds : QuotaBounds
         What is tolerated.
+    terms : QuotaTerms
+        Which requests go first near the limit.
     """
 
-    def __init__(self, bounds: QuotaBounds) -> None:
+    def __init__(self, bounds: QuotaBounds, terms: QuotaTerms | None = None) -> None:
         self._bounds = bounds
+        self._terms = terms or QuotaTerms()
         self._buckets: dict[str, _Bucket] = {}
         self._empty_start = False
         # Share of the relays that ask here: the others go on alone, each with
@@ -97,13 +129,28 @@
         self._empty_start = not fresh
 
     def grant(self, account: ForwardAccount, need: float, now: float) -> Grant:
-        """Grant ``need`` of an account, or say when it may be there."""
+        """Grant ``need`` of an account, or say when it may be there.
+
+        A request that the level doesn't cover may be granted on account of
+        what will be earned: else small requests keep the level low and large
+        ones, which are worth most, are refused. Those that are small beside the
+        account's mean pass while others wait for what was overdrawn.
+        """
         bucket = self._filled(account, now)
         most = self._bounds.burst(account)
-        if bucket.level >= min(need, most):
+        bucket.mean = bucket.mean or need
+        bucket.mean += _MEAN_WEIGHT * (need - bucket.mean)
+        if (
+            need < bucket.mean * self._terms.small
+            and bucket.level > -_SMALL_DEBT * most
+        ):
+            bucket.level -= need
+            return Grant(need, 0.0)
+        level = min(need, most) * (1.0 - self._terms.overdraft)
+        if bucket.level >= level and bucket.level > 0.0:
             bucket.level -= need
             return Grant(need, 0.0)
-        missing = min(need, most) - bucket.level
+        missing = level - bucket.level
         rate = self._bounds.rate(account)
         wait = missing / rate if rate > 0.0 else _MOST_WAIT_S
         return Grant(0.0, min(_MOST_WAIT_S, max(_LEAST_WAIT_S, wait)))
--- a/src/ebonydeal/_internal/settings/registry.py
+++ b/src/ebonydeal/_internal/settings/registry.py
@@ -10,6 +10,7 @@
 from ebonydeal._internal.settings.directory import DirectorySettings
 from ebonydeal._internal.settings.gateway import GatewaySettings
 from ebonydeal._internal.settings.journal import JournalSettings
+from ebonydeal._internal.settings.policy import PolicySettings
 from ebonydeal._internal.settings.relay import RelaySettings
 from ebonydeal._internal.settings.routing import (
     AdmissionSettings,
@@ -40,4 +41,5 @@
     "controller": ControllerSettings,
     "console": ConsoleSettings,
     "relay": RelaySettings,
+    "policy": PolicySettings,
 }
--- a/tests/functional/relay/test_entry.py
+++ b/tests/functional/relay/test_entry.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import signal
+import socket
 import sys
 
 import pytest
@@ -90,3 +91,30 @@
     file = tmp_path / "relay.ini"
     file.write_text(text)
     assert reread_settings(file) is None
+
+
+class TestEarlySockets:
+    async def test_a_client_that_connects_during_the_start_is_answered(self, tmp_path):
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            port = free.getsockname()[1]
+        file = tmp_path / "relay.ini"
+        file.write_text(
+            FILE.replace("address = 127.0.0.1:0", f"address = 127.0.0.1:{port}", 1)
+        )
+        starting = asyncio.ensure_future(started(file))
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                break
+            except ConnectionRefusedError:
+                await asyncio.sleep(0.005)
+        begun_before = not starting.done()
+        writer.write(b"GET /x/ HTTP/1.1\r\nHost: h\r\nEbonydeal-Request-Id: r1\r\n\r\n")
+        head = await asyncio.wait_for(reader.readline(), 20)
+        writer.close()
+        proc = await starting
+        proc.terminate()
+        await proc.wait()
+        # It knows no configuration yet, and says so.
+        assert (begun_before, head.split()[1]) == (True, b"503")
