Prefer some endpoints for long prompts; order by what can come

At the start an endpoint that was found stayed 16 s, since an order beyond its zone's bound was awaited for five seconds; others were paid for while relays heard nobody.

Change: long prompts prefer the first endpoints of an order that all relays share, short ones the others; the curve of long prompts begins as a guess. Orders count as coming only up to a zone's bound and aren't repeated meanwhile; the first holder ever orders at once; a zone's least isn't filled with on-demand endpoints while reclaimable ones are refused; the loss of two zones leaves 0.7 of use.

--- a/src/ebonydeal/_internal/relay/coordinator.py
+++ b/src/ebonydeal/_internal/relay/coordinator.py
@@ -148,7 +148,9 @@
         while the store is away and can renew nobody's lease: a newer holder's
         number makes the platform refuse it.
         """
-        if not self.warm or not self.lease.mine:
+        # The very first holder has nobody to hear of what was ordered before.
+        ready = self.warm or self.lease.fence == 1
+        if not ready or not self.lease.mine:
             return False
         if self.holds:
             return True
--- a/src/ebonydeal/_internal/relay/fleet.py
+++ b/src/ebonydeal/_internal/relay/fleet.py
@@ -45,10 +45,10 @@
 
 
 class _Order(NamedTuple):
-    """What was last ordered, and when."""
+    """What was last ordered, and until when it may still come."""
 
     wanted: int
-    at: float
+    until: float
 
 
 class _Change(NamedTuple):
@@ -136,7 +136,7 @@
                 # was granted.
                 if refused and change.wanted < change.have:
                     break
-                if await self._order(change, load):
+                if await self._order(change, scaling, load):
                     refused = True
             if not refused:
                 return
@@ -212,7 +212,7 @@
         fleet = zones.get(zone, ZoneFleet())
         have = fleet.spot + fleet.spot_coming
         kind = _Kind(service.name, zone, True)
-        if not await self._order(_Change(kind, have + 1, have), load):
+        if not await self._order(_Change(kind, have + 1, have), scaling, load):
             self._dry.pop(service.name, None)
 
     def _changes(
@@ -282,25 +282,29 @@
         for kind, order in self._ordered.items():
             if kind.service != service:
                 continue
-            if now - order.at > scaling.boot + _BOOT_SLACK_S:
+            if now > order.until:
                 continue
             fleet = zones.get(kind.zone, ZoneFleet())
             have = fleet.spot if kind.spot else fleet.fixed
-            coming = max(0, order.wanted - have)
+            # What is beyond the zone's bound is accepted, and doesn't come.
+            room = max(0, scaling.most - fleet.spot - fleet.fixed)
+            coming = min(room, max(0, order.wanted - have))
             if kind.spot:
                 zones[kind.zone] = fleet._replace(spot_coming=coming)
             else:
                 zones[kind.zone] = fleet._replace(fixed_coming=coming)
         return zones
 
-    async def _order(self, change: _Change, load: float) -> bool:
+    async def _order(self, change: _Change, scaling: Scaling, load: float) -> bool:
         """Order if that differs; return whether it was refused."""
         kind, count, have = change
         last = self._ordered.get(kind)
         if count == have and (last is None or last.wanted == count):
             return False
-        if last is not None and last.wanted == count and count <= have:
-            return False
+        if last is not None and last.wanted == count:
+            # More than is there, and not to be sent again before it could come.
+            if count <= have or self._clock.now() <= last.until:
+                return False
         raised = self._raised.get(kind)
         if count < have and raised is not None:
             # What still boots is not taken back: the plan may want it again.
@@ -325,7 +329,8 @@
         )
         if answer.accepted:
             self._metrics.count(Event.ORDERS_SENT)
-            self._ordered[kind] = _Order(count, now)
+            until = now + scaling.boot + _BOOT_SLACK_S
+            self._ordered[kind] = _Order(count, until)
             if count > have:
                 self._raised[kind] = now
             return False
--- a/src/ebonydeal/_internal/routing/engine_speed.py
+++ b/src/ebonydeal/_internal/routing/engine_speed.py
@@ -14,10 +14,12 @@
 _BASE_DRIFT = 0.02
 _RATE_LEAST_TOKENS = 3000
 # From here on a prompt shows what it takes beyond its share: each token is compared
-# with all before it, which at 50,000 tokens adds two fifths.
+# with all before it. Long prompts are few, so the beginning is a guess, a fifth at
+# 25,000 tokens, and each says much.
 _CURVE_LEAST_TOKENS = 12_000
-_CURVE_UP = 0.05
-_CURVE_DOWN = 0.2
+_FIRST_CURVE = 1.2e-10
+_CURVE_UP = 0.1
+_CURVE_DOWN = 0.3
 # Seconds for one output token assumed before any stream ended, and the weight of
 # a stream in the average.
 _FIRST_PACE_S = 0.02
@@ -46,7 +48,7 @@
         self._long_prompts = long_prompts
         self.rate = _FIRST_RATE
         self.base = _FIRST_BASE_S
-        self.curve = 0.0
+        self.curve = _FIRST_CURVE if long_prompts else 0.0
         self._pace = _FIRST_PACE_S
 
     def reading(self, tokens: float) -> float:
--- a/src/ebonydeal/_internal/routing/fleet_plan.py
+++ b/src/ebonydeal/_internal/routing/fleet_plan.py
@@ -73,6 +73,9 @@
         The same of on-demand endpoints alone, while zones are taken back.
     cover : bool
         Whether on-demand endpoints stand in for the zone with most of them.
+    least_fixed : bool
+        Whether a zone's least is filled with on-demand endpoints while
+        reclaimable ones are refused.
     wave : float
         Seconds after a zone was taken back in which more may follow.
     wave_growth : float
@@ -87,9 +90,10 @@
 
     use: float = 0.45
     use_short: float = 0.7
-    use_last: float = 1.0
+    use_last: float = 0.7
     use_wave: float = 0.7
     cover: bool = True
+    least_fixed: bool = False
     wave: float = 7.0
     wave_growth: float = 1.6
     peak: float = 6.0
@@ -105,6 +109,7 @@
             cfg.fleet_use_last,
             cfg.fleet_use_wave,
             cfg.fleet_cover,
+            cfg.fleet_least_fixed,
             cfg.fleet_wave_s,
             cfg.fleet_wave_growth,
             cfg.fleet_peak_s,
@@ -166,7 +171,10 @@
     wanted = need.short - (total - lost)
     if offered and state.wave and terms.use_wave:
         wanted = ceil(state.load / terms.use_wave)
-    fixed = _fill_fixed(scaling, zones, now, spot, wanted, kept)
+    least = dict.fromkeys(zones, scaling.least)
+    if not terms.least_fixed:
+        least.update(dict.fromkeys(state.dry, 0))
+    fixed = _fill_fixed(scaling, zones, now, spot, wanted, kept, least)
     plan = {zone: ZoneTarget(spot[zone], fixed[zone]) for zone in zones}
     return FleetPlan(plan, need.whole)
 
@@ -224,12 +232,11 @@
     spot: dict[str, int],
     wanted: int,
     kept: dict[str, int],
+    least: dict[str, int],
 ) -> dict[str, int]:
     """Return on-demand endpoints: ``wanted``, and those kept until others serve."""
     fixed = {
-        zone: min(
-            max(kept[zone], scaling.least - spot[zone]), scaling.most - spot[zone]
-        )
+        zone: min(max(kept[zone], least[zone] - spot[zone]), scaling.most - spot[zone])
         for zone in zones
     }
     while sum(fixed.values()) < wanted:
--- a/src/ebonydeal/_internal/routing/member_choice.py
+++ b/src/ebonydeal/_internal/routing/member_choice.py
@@ -19,6 +19,7 @@
 from ebonydeal._internal.models.forwarding import Member, PromptPart
 from ebonydeal._internal.routing.demand import RateMeter
 from ebonydeal._internal.routing.engine_speed import EngineSpeed
+from ebonydeal._internal.routing.long_lanes import LongLanes
 from ebonydeal._internal.settings.policy import PolicySettings
 
 # A request beyond the batch waits for one that ends, about this long.
@@ -54,6 +55,8 @@
     others_loads: bool = True
     others_age: bool = True
     connect_cost: float = 0.006
+    lane_s: float = 0.25
+    lane_cost: float = 0.2
 
     @classmethod
     def from_config(cls, cfg: PolicySettings) -> "ChoiceTerms":
@@ -66,6 +69,8 @@
             cfg.others_loads,
             cfg.others_age,
             cfg.connect_cost_s,
+            cfg.lane_s,
+            cfg.lane_cost_s,
         )
 
 
@@ -157,6 +162,7 @@
         self._loads: dict[str, _Load] = {}
         self._work: dict[str, RateMeter] = {}
         self.speed = EngineSpeed(self._terms.long_prompts)
+        self._lanes = LongLanes(self._terms.lane_s)
 
     def _load(self, endpoint_id: str) -> _Load:
         load = self._loads.get(endpoint_id)
@@ -219,15 +225,26 @@
         """Return the best engine for ``ask``, or None without members."""
         if not members:
             return None
-        home = home_of(ask.parts, members)
+        lanes = self._lanes.of(members, now)
+        others = [m for m in members if m.endpoint_id not in lanes]
+        home = home_of(ask.parts, others)
         held = [self._held(ask, m.endpoint_id, home, now) for m in members]
         source = _Held()
         if ask.fetches and self._terms.fetch_tokens:
             # The engine that most likely holds most of the shared parts.
             index = max(range(len(held)), key=held.__getitem__)
             source = _Held(members[index].endpoint_id, held[index])
+        own = ask.prompt_tokens - sum(part.tokens for part in ask.parts[:-1])
+        is_long = self._lanes.is_long(self.speed.reading(own))
         return min(
-            self._score(ask, member, tokens, source, now)
+            self._score(
+                ask,
+                member,
+                tokens,
+                source,
+                now,
+                (member.endpoint_id in lanes) != is_long,
+            )
             for member, tokens in zip(members, held, strict=True)
         )
 
@@ -246,7 +263,13 @@
         return min(members, key=key)
 
     def _score(
-        self, ask: Ask, member: Member, held: float, source: _Held, now: float
+        self,
+        ask: Ask,
+        member: Member,
+        held: float,
+        source: _Held,
+        now: float,
+        out_of_lane: bool,
     ) -> Score:
         load = self._load(member.endpoint_id)
         fetched = max(0.0, source.tokens - held)
@@ -268,6 +291,8 @@
         total = wait + read + fetch + batch + zone + member.warming
         if member.leaving:
             total += _LEAVING_S
+        if out_of_lane:
+            total += self._terms.lane_cost
         if member.endpoint_id not in ask.connected:
             total += self._terms.connect_cost
         return Score(
@@ -316,6 +341,7 @@
         load.unread += unread
         meter = self._work.setdefault(member.service, RateMeter(_WORK_WINDOW_S))
         meter.add(unread / self.speed.rate, now)
+        self._lanes.note(member.service, unread / self.speed.rate, now)
         for part in ask.parts:
             load.parts[part.part_id] = now
             load.parts.move_to_end(part.part_id)
--- a/src/ebonydeal/_internal/settings/policy.py
+++ b/src/ebonydeal/_internal/settings/policy.py
@@ -82,6 +82,25 @@
             10,
         ),
     ] = 0.006
+    lane_s: Annotated[
+        float,
+        Key(
+            "Reading from which on a prompt goes to endpoints kept for long ones;"
+            " 0 is off.",
+            "seconds",
+            0,
+            3600,
+        ),
+    ] = 0.25
+    lane_cost_s: Annotated[
+        float,
+        Key(
+            "Cost of a long prompt elsewhere, or of a short one there.",
+            "seconds",
+            0,
+            60,
+        ),
+    ] = 0.2
     use_leaving: Annotated[
         bool, Key("Send short requests to endpoints that leave but still serve.")
     ] = True
@@ -168,7 +187,7 @@
         Key(
             "The same while the two zones with most of them were; 0 is off.", "", 0, 10
         ),
-    ] = 1.0
+    ] = 0.7
     fleet_use_wave: Annotated[
         float,
         Key(
@@ -183,6 +202,13 @@
         bool,
         Key("On-demand endpoints stand in for the zone that may be taken back next."),
     ] = True
+    fleet_least_fixed: Annotated[
+        bool,
+        Key(
+            "Fill a zone's least with on-demand endpoints while reclaimable ones are"
+            " refused."
+        ),
+    ] = False
     fleet_wave_s: Annotated[
         float,
         Key(
--- a/tests/unit/relay/test_fleet.py
+++ b/tests/unit/relay/test_fleet.py
@@ -78,6 +78,29 @@
     return [(zone, count) for _s, zone, count, spot, _f in orders if not spot]
 
 
+class TestAwaited:
+    async def test_what_is_beyond_a_zones_bound_is_not_awaited(self):
+        market = Market(0.0)
+        for number in range(SCALING.most):
+            market.has(f"f{number}", "a", spot=False)
+        market.has("f", "b", spot=False)
+        await market.play(0.4)
+        orders = {zone: n for _s, zone, n, spot, _f in market.duties.orders if spot}
+        assert orders.get("a", 0) == 0
+        assert orders["b"] + orders["c"] >= SCALING.most + 1
+
+    async def test_an_order_is_not_sent_again_before_it_could_come(self):
+        market = Market(0.3)
+        first = await market.play(0.2)
+        assert first
+        assert await market.play(SCALING.boot) == []
+
+    async def test_one_that_brought_nothing_is_sent_again(self):
+        market = Market(0.3)
+        await market.play(0.2)
+        assert await market.play(SCALING.boot + 2.0) != []
+
+
 class TestWave:
     async def test_a_zone_that_goes_brings_on_demand_ones_for_the_whole_load(self):
         market = await settled()
