Avoid endpoints that fail a part, over all relays; forget outages while fed

Change: relays tell each other how many answers of each endpoint came and failed in about two seconds; one that fails 0.15 or more is left to others, by its share. While fed, a follower forgets its own failures. Endpoints kept for long prompts are taken out again.

--- a/src/ebonydeal/_internal/relay/coordinator.py
+++ b/src/ebonydeal/_internal/relay/coordinator.py
@@ -27,6 +27,7 @@
 from ebonydeal._internal.relay.usage_store import UsageStore
 from ebonydeal._internal.relay.view import RelayView
 from ebonydeal._internal.routing.duty_lease import DutyLease
+from ebonydeal._internal.routing.failure_shares import sum_of
 from ebonydeal._internal.routing.quota_broker import (
     QuotaBounds,
     QuotaBroker,
@@ -188,6 +189,7 @@
             members=parts.view.last_change,
             reported=self._ledger.reported,
             loads=self._loads_without(node),
+            answers=self._answers_without(node),
             grants=self._advances(message, now),
             fresh=self.fresh,
             news=self._news_of(node),
@@ -243,6 +245,16 @@
                 sums[1] += load[1]
         return total
 
+    def _answers_without(self, node: str) -> dict[str, list[float]]:
+        """Return what all other relays got from each endpoint."""
+        return sum_of(
+            [
+                relay.message.get("answers", {})
+                for relay in self._alive()
+                if relay.message["node"] != node
+            ]
+        )
+
     def _advances(self, message: ExchangeMessage, now: float) -> dict[str, float]:
         index = self._parts.view.index
         if index is None:
--- a/src/ebonydeal/_internal/relay/follower.py
+++ b/src/ebonydeal/_internal/relay/follower.py
@@ -107,6 +107,7 @@
         backoff = _BACKOFF_FIRST_S
         while not self.should_stop:
             if after is not None and self.fed():
+                self.note_fed()
                 await self._clock.sleep(_FED_STEP_S)
                 after = max(after, self.known_version)
                 continue
@@ -143,6 +144,14 @@
             await self._clock.sleep(_GROUP_S)
         return max(after, changes.version)
 
+    def note_fed(self) -> None:
+        """Note that another relay, which hears the store, tells what is there.
+
+        Own failures of before say nothing any more: what goes from now on has
+        left, and would be kept for a while if it were taken for a lapse.
+        """
+        self.failing_since = None
+
     def _note_failure(self, exc: EbonydealError) -> None:
         now = self._clock.now()
         if self.failing_since is None:
--- a/src/ebonydeal/_internal/relay/job.py
+++ b/src/ebonydeal/_internal/relay/job.py
@@ -16,6 +16,7 @@
 from ebonydeal._internal.relay.usage import UsageMeter
 from ebonydeal._internal.relay.view import RelayView
 from ebonydeal._internal.routing.early_refusal import EarlyRefusal
+from ebonydeal._internal.routing.failure_shares import FailureShares
 from ebonydeal._internal.routing.member_choice import MemberChoice
 from ebonydeal._internal.routing.outliers import Outliers
 from ebonydeal._internal.routing.retries import RetryPolicy
@@ -83,6 +84,7 @@
     view: RelayView
     choice: MemberChoice
     outliers: Outliers
+    failing: FailureShares
     refusal: EarlyRefusal
     retries: RetryPolicy
     pools: EndpointPools
--- a/src/ebonydeal/_internal/relay/messages.py
+++ b/src/ebonydeal/_internal/relay/messages.py
@@ -8,7 +8,8 @@
 
     ``loads`` by endpoint: requests running, tokens not yet read. ``demand`` by
     account: an amount a second, and the balance still unused. ``work`` by
-    service: seconds of an endpoint's time asked for a second. ``seen`` is the
+    service: seconds of an endpoint's time asked for a second. ``answers`` by
+    endpoint: how many came lately, and how many of them failed. ``seen`` is the
     mark of the last news.
     """
 
@@ -20,6 +21,7 @@
     loads: dict[str, list[float]]
     demand: dict[str, list[float]]
     work: dict[str, float]
+    answers: dict[str, list[float]]
     leaving: bool
     seen: list[int]
 
@@ -44,9 +46,10 @@
 class ExchangeReply(TypedDict):
     """The coordinator's answer.
 
-    ``holds`` says whether it may act on the duties now; ``loads`` are those of
-    all other relays; ``reported`` the last usage window that is done. ``fresh``
-    says that the coordinator hears the store; ``news`` is None without any.
+    ``holds`` says whether it may act on the duties now; ``loads`` and ``answers``
+    are those of all other relays; ``reported`` the last usage window that is done.
+    ``fresh`` says that the coordinator hears the store; ``news`` is None without
+    any.
     """
 
     holds: bool
@@ -55,6 +58,7 @@
     members: int
     reported: int
     loads: dict[str, list[float]]
+    answers: dict[str, list[float]]
     grants: dict[str, float]
     fresh: bool
     news: NewsMessage | None
--- a/src/ebonydeal/_internal/relay/plain.py
+++ b/src/ebonydeal/_internal/relay/plain.py
@@ -85,9 +85,9 @@
                     sends.count_run(wall)
                 if isinstance(outcome, Answered):
                     if outcome.head.status < 500 or job.once:
-                        self._parts.outliers.succeeded(
-                            member.endpoint_id, self._parts.clock.now()
-                        )
+                        now = self._parts.clock.now()
+                        self._parts.outliers.succeeded(member.endpoint_id, now)
+                        self._parts.failing.answered(member.endpoint_id, now)
                         return to_client(outcome)
                     fallback = outcome
                 sends.after(outcome)
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -28,10 +28,16 @@
 )
 from ebonydeal._internal.relay.ports import RelayPorts
 from ebonydeal._internal.relay.quota import QuotaGate
+from ebonydeal._internal.relay.shares import (
+    outlier_terms,
+    retry_share,
+    seed_addresses,
+)
 from ebonydeal._internal.relay.usage import UsageMeter
 from ebonydeal._internal.relay.view import RelayView
 from ebonydeal._internal.routing.duty_lease import DutyLease
 from ebonydeal._internal.routing.early_refusal import EarlyRefusal
+from ebonydeal._internal.routing.failure_shares import FailureShares
 from ebonydeal._internal.routing.fleet_plan import FleetTerms
 from ebonydeal._internal.routing.member_choice import ChoiceTerms, MemberChoice, Told
 from ebonydeal._internal.routing.outliers import Outliers
@@ -44,7 +50,6 @@
 from ebonydeal._internal.routing.usage_ledger import UsageLedger
 from ebonydeal._internal.settings.policy import PolicySettings
 from ebonydeal._internal.settings.relay import RelaySettings
-from ebonydeal._internal.settings.routing import RetrySettings, RoutingSettings
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.ids import new_token
 from ebonydeal._internal.utils.peerclient import PeerClient
@@ -52,10 +57,6 @@
 logger = get_logger("relay")
 
 _SWEEP_S = 1.0
-# Part of the shared retry budget that is spent: relays that come or go, and
-# sends that are counted later than they are made, need the rest.
-_BUDGET_USED = 0.7
-_MOST_TRIES = 4
 # Relays assumed before the coordinator tells how many there are.
 _FIRST_RELAYS = 12
 _LEAST_WORK = 0.0005
@@ -89,8 +90,9 @@
             self._cfg.reuse_window_s, ChoiceTerms.from_config(self._policy)
         )
         self.usage = UsageMeter(self._cfg.usage_window_s)
-        self._retries = RetryPolicy(_retry_settings(self._cfg, _FIRST_RELAYS), rng)
-        outliers = Outliers(_outlier_settings(settings["routing"], self._policy), rng)
+        self._retries = RetryPolicy(retry_share(self._cfg, _FIRST_RELAYS), rng)
+        self._failing = FailureShares(self._policy.avoid_failing)
+        outliers = Outliers(outlier_terms(settings["routing"], self._policy), rng)
         self._moves = StreamMoves(
             MovesParts(
                 view=self.view,
@@ -110,6 +112,7 @@
             view=self.view,
             choice=self._choice,
             outliers=outliers,
+            failing=self._failing,
             refusal=EarlyRefusal(self._policy.refuse_limit),
             retries=self._retries,
             pools=self._pools,
@@ -156,7 +159,7 @@
             peers.credential, self.coordinator, self.view, self._taker, metrics
         )
         self.peers = RawListener(handler.handle, self._cfg.peer_address)
-        seeds = _seeds(peers.seeds)
+        seeds = seed_addresses(peers.seeds)
         self._exchange = Exchange(
             ExchangeParts(
                 self.coordinator,
@@ -229,7 +232,7 @@
             ready_address=old.ready_address,
             peer_address=old.peer_address,
         )
-        self._exchange.take_seeds(_seeds(settings["peers"].seeds))
+        self._exchange.take_seeds(seed_addresses(settings["peers"].seeds))
 
     # --- talk with the coordinator -------------------------------------------
     def _word(self) -> ExchangeMessage:
@@ -251,6 +254,7 @@
                 for name, value in self._choice.work(now).items()
                 if value >= _LEAST_WORK
             },
+            answers=self._failing.own(now),
             leaving=self._stopping,
             seen=list(self._taker.seen),
         )
@@ -267,8 +271,9 @@
                 for endpoint_id, load in reply["loads"].items()
             }
         )
+        self._failing.told(reply.get("answers", {}), now)
         self._quota.granted(reply["grants"])
-        self._retries.configure(_retry_settings(self._cfg, len(reply["relays"])))
+        self._retries.configure(retry_share(self._cfg, len(reply["relays"])))
         for follower in self._followers:
             follower.alone = self.coordinator.lease.mine
         behind = reply["members"] > self.view.last_change
@@ -339,24 +344,3 @@
         await self.ports.store.close()
         await self.ports.duties.close()
         await self.ports.engines.close()
-
-
-def _seeds(text: str) -> tuple[str, ...]:
-    """Return the addresses of a comma separated list."""
-    return tuple(word.strip() for word in text.split(",") if word.strip())
-
-
-def _retry_settings(cfg: RelaySettings, relays: int) -> RetrySettings:
-    """Return the part of the shared budget that one relay may spend."""
-    return RetrySettings(
-        budget=cfg.retry_ratio * _BUDGET_USED,
-        budget_cap=max(1.0, cfg.retry_extra * _BUDGET_USED / max(1, relays)),
-        attempts=_MOST_TRIES,
-        backoff=0.0,
-    )
-
-
-def _outlier_settings(cfg: RoutingSettings, policy: PolicySettings) -> RoutingSettings:
-    never = 10**9
-    failures = policy.eject_failures or never
-    return cfg._replace(eject_failures=failures, eject_time=1.0, return_time=2.0)
--- a/src/ebonydeal/_internal/relay/sends.py
+++ b/src/ebonydeal/_internal/relay/sends.py
@@ -179,11 +179,15 @@
         now = parts.clock.now()
         listed = [m for m in self._listed(now) if m.endpoint_id not in self._avoid]
         allowed = parts.outliers.allowed(listed, now)
+        shares = {
+            m.endpoint_id: parts.failing.share(m.endpoint_id, now) for m in allowed
+        }
+        failing = {name: share for name, share in shares.items() if share}
         if job.req.prompt_tokens is None:
-            member = parts.choice.plain(parts.zone, allowed)
+            member = parts.choice.plain(parts.zone, allowed, failing)
             return None if member is None else _Found(member, 0.0, None)
         ask = self._ask(parts.pools.connected())
-        score = parts.choice.engine(ask, allowed, now)
+        score = parts.choice.engine(ask, allowed, now, failing)
         if score is None:
             return None
         speed = parts.choice.speed
@@ -263,6 +267,7 @@
         now = parts.clock.now()
         error = _error_of(outcome)
         parts.outliers.failed(endpoint, error.kind, now)
+        parts.failing.failed(endpoint, error.kind, now)
         self._forget_avoided()
         verdict = self._verdict(outcome, error, delivered, now)
         logger.info(
--- a/src/ebonydeal/_internal/relay/stream.py
+++ b/src/ebonydeal/_internal/relay/stream.py
@@ -193,6 +193,7 @@
             got.close()
         now = parts.clock.now()
         parts.outliers.succeeded(member.endpoint_id, now)
+        parts.failing.answered(member.endpoint_id, now)
         if run.events > 1:
             tokens = (run.events - 1) * run.event_tokens
             parts.choice.speed.paced(tokens, now - run.begun_at)
--- /dev/null
+++ b/src/ebonydeal/_internal/routing/failure_shares.py
@@ -0,0 +1,111 @@
+"""Which endpoints fail a part of what they get, put together over all relays.
+
+An endpoint that loses every third answer never fails several times in a row for
+long, and one relay sends it too little to tell. So relays tell each other how many
+answers came and failed, and each avoids what fails well above the others.
+"""
+
+from math import exp
+from typing import NamedTuple
+
+from ebonydeal._internal.errors import ErrorKind
+
+# Answers count for about this long: faults come and go within seconds.
+_WINDOW_S = 2.0
+# So many answers must speak of an endpoint before it is avoided.
+_LEAST_ANSWERS = 3.0
+# Failures assumed besides, so that few answers don't say much.
+_PRIOR = 0.5
+_COUNTED = frozenset(
+    {
+        ErrorKind.CONNECT_FAILED,
+        ErrorKind.ENDPOINT_FAILED,
+        ErrorKind.ENDPOINT_GARBAGE,
+        ErrorKind.ENDPOINT_STALLED,
+    }
+)
+_FORGET = 0.05
+
+
+class Answers(NamedTuple):
+    """How many answers of an endpoint were seen lately, and how many failed."""
+
+    seen: float = 0.0
+    failed: float = 0.0
+
+    def plus(self, other: "Answers") -> "Answers":
+        """Return the sum."""
+        return Answers(self.seen + other.seen, self.failed + other.failed)
+
+    def faded(self, seconds: float) -> "Answers":
+        """Return what still counts after so long."""
+        part = exp(-max(0.0, seconds) / _WINDOW_S)
+        return Answers(self.seen * part, self.failed * part)
+
+
+class FailureShares:
+    """What one relay saw of endpoints, and what it heard from the others.
+
+    Parameters
+    ----------
+    least : float
+        Share of failures from which on an endpoint is avoided; 0 is off.
+    """
+
+    def __init__(self, least: float) -> None:
+        self._least = least
+        self._own: dict[str, Answers] = {}
+        self._told: dict[str, Answers] = {}
+        self._at = 0.0
+        self._told_at = 0.0
+
+    def answered(self, endpoint_id: str, now: float) -> None:
+        """Count a good answer."""
+        self._add(endpoint_id, Answers(1.0, 0.0), now)
+
+    def failed(self, endpoint_id: str, kind: ErrorKind, now: float) -> None:
+        """Count a failure; refusals for load don't count."""
+        if kind in _COUNTED:
+            self._add(endpoint_id, Answers(1.0, 1.0), now)
+
+    def _add(self, endpoint_id: str, answers: Answers, now: float) -> None:
+        if self._least:
+            self._fade(now)
+            self._own[endpoint_id] = self._own.get(endpoint_id, Answers()).plus(answers)
+
+    def _fade(self, now: float) -> None:
+        faded = {name: a.faded(now - self._at) for name, a in self._own.items()}
+        self._own = {name: a for name, a in faded.items() if a.seen >= _FORGET}
+        self._at = now
+
+    def own(self, now: float) -> dict[str, list[float]]:
+        """Return what this relay saw, as it is told to others."""
+        self._fade(now)
+        return {
+            name: [round(value, 2) for value in answers]
+            for name, answers in self._own.items()
+        }
+
+    def told(self, answers: dict[str, list[float]], now: float) -> None:
+        """Take what all other relays saw."""
+        self._told = {name: Answers(*values) for name, values in answers.items()}
+        self._told_at = now
+
+    def share(self, endpoint_id: str, now: float) -> float:
+        """Return the share of answers that an endpoint fails, 0 where few came."""
+        own = self._own.get(endpoint_id, Answers()).faded(now - self._at)
+        told = self._told.get(endpoint_id, Answers()).faded(now - self._told_at)
+        whole = own.plus(told)
+        if whole.seen < _LEAST_ANSWERS:
+            return 0.0
+        share = whole.failed / (whole.seen + _PRIOR)
+        return share if self._least and share >= self._least else 0.0
+
+
+def sum_of(answers: list[dict[str, list[float]]]) -> dict[str, list[float]]:
+    """Return what several relays saw together."""
+    total: dict[str, Answers] = {}
+    for counts in answers:
+        for name, (count, bad) in counts.items():
+            total[name] = total.get(name, Answers()).plus(Answers(count, bad))
+    return {name: list(value) for name, value in total.items()}
--- a/src/ebonydeal/_internal/routing/member_choice.py
+++ b/src/ebonydeal/_internal/routing/member_choice.py
@@ -10,8 +10,9 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from math import inf
+from types import MappingProxyType
 from typing import NamedTuple
 
 from xxhash import xxh3_64_intdigest
@@ -19,7 +20,6 @@
 from ebonydeal._internal.models.forwarding import Member, PromptPart
 from ebonydeal._internal.routing.demand import RateMeter
 from ebonydeal._internal.routing.engine_speed import EngineSpeed
-from ebonydeal._internal.routing.long_lanes import LongLanes
 from ebonydeal._internal.settings.policy import PolicySettings
 
 # A request beyond the batch waits for one that ends, about this long.
@@ -35,6 +35,10 @@
 # Fetched tokens are paid for at about a third of what reading them again costs,
 # so sending the request to where they lie is still better.
 _FETCH_WEIGHT = 0.5
+# An endpoint that fails all of its answers costs as much as waiting this long, about
+# the objective of a stream; shares of plain endpoints are alike within a step.
+_FAILING_S = 1.0
+_FAILING_STEP = 0.1
 # Part of the batch beyond which other relays' unseen sends may fill it.
 _SEATS_KEPT = 0.95
 # Time over which the work asked of a service is averaged.
@@ -55,8 +59,6 @@
     others_loads: bool = True
     others_age: bool = True
     connect_cost: float = 0.006
-    lane_s: float = 0.25
-    lane_cost: float = 0.2
 
     @classmethod
     def from_config(cls, cfg: PolicySettings) -> "ChoiceTerms":
@@ -69,8 +71,6 @@
             cfg.others_loads,
             cfg.others_age,
             cfg.connect_cost_s,
-            cfg.lane_s,
-            cfg.lane_cost_s,
         )
 
 
@@ -162,7 +162,6 @@
         self._loads: dict[str, _Load] = {}
         self._work: dict[str, RateMeter] = {}
         self.speed = EngineSpeed(self._terms.long_prompts)
-        self._lanes = LongLanes(self._terms.lane_s)
 
     def _load(self, endpoint_id: str) -> _Load:
         load = self._loads.get(endpoint_id)
@@ -221,21 +220,26 @@
         return now - self._signs.get(endpoint_id, -inf)
 
     # --- choice ----------------------------------------------------------------
-    def engine(self, ask: Ask, members: Sequence[Member], now: float) -> Score | None:
-        """Return the best engine for ``ask``, or None without members."""
+    def engine(
+        self,
+        ask: Ask,
+        members: Sequence[Member],
+        now: float,
+        failing: Mapping[str, float] = MappingProxyType({}),
+    ) -> Score | None:
+        """Return the best engine for ``ask``, or None without members.
+
+        ``failing`` are the shares of answers that endpoints fail.
+        """
         if not members:
             return None
-        lanes = self._lanes.of(members, now)
-        others = [m for m in members if m.endpoint_id not in lanes]
-        home = home_of(ask.parts, others)
+        home = home_of(ask.parts, members)
         held = [self._held(ask, m.endpoint_id, home, now) for m in members]
         source = _Held()
         if ask.fetches and self._terms.fetch_tokens:
             # The engine that most likely holds most of the shared parts.
             index = max(range(len(held)), key=held.__getitem__)
             source = _Held(members[index].endpoint_id, held[index])
-        own = ask.prompt_tokens - sum(part.tokens for part in ask.parts[:-1])
-        is_long = self._lanes.is_long(self.speed.reading(own))
         return min(
             self._score(
                 ask,
@@ -243,22 +247,32 @@
                 tokens,
                 source,
                 now,
-                (member.endpoint_id in lanes) != is_long,
+                failing.get(member.endpoint_id, 0.0) * _FAILING_S,
             )
             for member, tokens in zip(members, held, strict=True)
         )
 
-    def plain(self, zone: str, members: Sequence[Member]) -> Member | None:
-        """Return the plain service's endpoint with the most room."""
+    def plain(
+        self,
+        zone: str,
+        members: Sequence[Member],
+        failing: Mapping[str, float] = MappingProxyType({}),
+    ) -> Member | None:
+        """Return the plain service's endpoint with the most room.
+
+        One that fails a part of its answers is taken where the others are full,
+        or fail as much.
+        """
         if not members:
             return None
 
-        def key(member: Member) -> tuple[bool, float, bool, float, str]:
+        def key(member: Member) -> tuple[bool, int, float, bool, float, str]:
+            fails = round(failing.get(member.endpoint_id, 0.0) / _FAILING_STEP)
             used = self.running(member.endpoint_id) / max(1, member.slots)
             full = used >= 1.0
             rough = used if full else round(used * 2)
             other = member.zone != zone
-            return (full, rough, other, used, member.endpoint_id)
+            return (full, fails, rough, other, used, member.endpoint_id)
 
         return min(members, key=key)
 
@@ -269,7 +283,7 @@
         held: float,
         source: _Held,
         now: float,
-        out_of_lane: bool,
+        failing: float,
     ) -> Score:
         load = self._load(member.endpoint_id)
         fetched = max(0.0, source.tokens - held)
@@ -288,11 +302,9 @@
         read = self.speed.reading(missed) * self._terms.reread_weight
         fetch = _FETCH_S + fetched * _FETCH_WEIGHT / self.speed.rate if fetched else 0.0
         zone = 0.0 if member.zone == ask.zone else _OTHER_ZONE_S
-        total = wait + read + fetch + batch + zone + member.warming
+        total = wait + read + fetch + batch + zone + member.warming + failing
         if member.leaving:
             total += _LEAVING_S
-        if out_of_lane:
-            total += self._terms.lane_cost
         if member.endpoint_id not in ask.connected:
             total += self._terms.connect_cost
         return Score(
@@ -341,7 +353,6 @@
         load.unread += unread
         meter = self._work.setdefault(member.service, RateMeter(_WORK_WINDOW_S))
         meter.add(unread / self.speed.rate, now)
-        self._lanes.note(member.service, unread / self.speed.rate, now)
         for part in ask.parts:
             load.parts[part.part_id] = now
             load.parts.move_to_end(part.part_id)
--- a/src/ebonydeal/_internal/settings/policy.py
+++ b/src/ebonydeal/_internal/settings/policy.py
@@ -82,25 +82,6 @@
             10,
         ),
     ] = 0.006
-    lane_s: Annotated[
-        float,
-        Key(
-            "Reading from which on a prompt goes to endpoints kept for long ones;"
-            " 0 is off.",
-            "seconds",
-            0,
-            3600,
-        ),
-    ] = 0.25
-    lane_cost_s: Annotated[
-        float,
-        Key(
-            "Cost of a long prompt elsewhere, or of a short one there.",
-            "seconds",
-            0,
-            60,
-        ),
-    ] = 0.2
     use_leaving: Annotated[
         bool, Key("Send short requests to endpoints that leave but still serve.")
     ] = True
@@ -166,6 +147,16 @@
     eject_failures: Annotated[
         int, Key("Failures in a row that keep an endpoint out; 0 is off.", "", 0, 1000)
     ] = 3
+    avoid_failing: Annotated[
+        float,
+        Key(
+            "Share of failed answers, over all relays, from which on an endpoint is"
+            " avoided; 0 is off.",
+            "",
+            0,
+            1,
+        ),
+    ] = 0.15
     moves: Annotated[
         bool, Key("Pass on the memory of streams that would be cut off.")
     ] = True
--- a/tests/unit/relay/test_job_sends.py
+++ b/tests/unit/relay/test_job_sends.py
@@ -22,6 +22,7 @@
 from ebonydeal._internal.relay.outcomes import Answered, MayHaveRun
 from ebonydeal._internal.relay.sends import JobSends
 from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.routing.failure_shares import FailureShares
 from ebonydeal._internal.routing.member_choice import MemberChoice
 from ebonydeal._internal.routing.outliers import Outliers
 from ebonydeal._internal.routing.retries import RetryPolicy
@@ -51,6 +52,7 @@
         view=view,
         choice=MemberChoice(8.0),
         outliers=Outliers(RoutingSettings(), Random(1)),
+        failing=FailureShares(0.15),
         retries=retries,
         metrics=Metrics(),
         pools=EndpointPools(clock, 1.0),
