Leave relays that a new coordinator never heard their part of limits

By its log the coordinator was one of three relays cut off from all others; these went on alone, and another took the lease at 6.9 s. It had never heard the three, so it granted the whole rate while they admitted a third of it besides.

Change: for 15 s after it took over a coordinator counts as many relays as the one before had told of. tests/unit/relay/test_coordinator.py fails on the code before.

--- a/src/ebonydeal/_internal/relay/coordinator.py
+++ b/src/ebonydeal/_internal/relay/coordinator.py
@@ -109,6 +109,11 @@
         self._refused_fence = 0
         self._broker = QuotaBroker(bounds, terms)
         self._relays: dict[str, _Relay] = {}
+        # How many relays the coordinator before told of, and until when those that
+        # don't ask here may still serve on their own.
+        self.relays_before: Callable[[], int] = lambda: 0
+        self._expected = 0
+        self._expected_until = 0.0
         # Whether the store answers this relay: set by who follows it.
         self.hears_store: Callable[[], bool] = lambda: True
 
@@ -118,6 +123,8 @@
 
     def _begin(self) -> None:
         """Start afresh: what was told before may be of long ago."""
+        self._expected = self.relays_before()
+        self._expected_until = self._parts.clock.now() + _MAY_SERVE_S
         self._broker.begin(fresh=self.lease.fence == 1)
 
     async def release(self) -> None:
@@ -215,10 +222,16 @@
         return {relay.address: relay.mark for relay in others}, self.lease.fence
 
     def _part_heard(self, now: float) -> float:
-        """Return the share of the relays that may be serving and are heard."""
+        """Return the share of the relays that may be serving and are heard.
+
+        A relay that was cut off together with the coordinator before was never
+        heard here, and goes on alone with its part.
+        """
         serving = [r for r in self._relays.values() if not r.message["leaving"]]
         heard = sum(now - relay.at <= _ALONE_S for relay in serving)
-        return heard / len(serving) if serving else 1.0
+        expected = self._expected if now < self._expected_until else 0
+        whole = max(len(serving), expected)
+        return heard / whole if whole else 1.0
 
     def _forget_silent(self, now: float) -> None:
         """Wait no longer for silent relays' counts, and drop them at last."""
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -173,6 +173,7 @@
             seeds,
         )
         self._quota.grants = self._exchange
+        self.coordinator.relays_before = lambda: self._exchange.relay_count
         members = self._followers[1]
         members.fed = lambda: self._exchange.fed
         self.coordinator.hears_store = lambda: members.fresh
--- /dev/null
+++ b/tests/unit/relay/test_coordinator.py
@@ -0,0 +1,70 @@
+"""What a new coordinator grants while some relays never asked it."""
+
+from random import Random
+from types import SimpleNamespace
+
+import pytest
+
+from ebonydeal._internal.relay.coordinator import Coordinator, CoordinatorParts
+from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.routing.duty_lease import DutyLease
+from ebonydeal._internal.routing.quota_broker import QuotaBounds
+from ebonydeal._internal.routing.usage_ledger import UsageLedger
+from tests.lib.clock import ManualClock
+
+
+def word(node, leaving=False):
+    """Return a relay's message with nothing in it."""
+    return {
+        "node": node,
+        "incarnation": "i",
+        "address": f"{node}:1",
+        "wall": 0.0,
+        "windows": {},
+        "loads": {},
+        "demand": {},
+        "work": {},
+        "answers": {},
+        "leaving": leaving,
+        "seen": [0, 0],
+    }
+
+
+@pytest.fixture
+def taken_over():
+    """A coordinator that has just taken over, one of nine relays."""
+    parts = CoordinatorParts(
+        SimpleNamespace(),
+        SimpleNamespace(),
+        RelayView(2.0),
+        ManualClock(100.0),
+        Random(1),
+    )
+    coordinator = Coordinator(
+        parts,
+        DutyLease("n0", "i", "n0:1", 3.0),
+        UsageLedger(5.0, 10.0),
+        QuotaBounds(8.0, 0.1, 110_000.0),
+        True,
+    )
+    coordinator.relays_before = lambda: 9
+    coordinator._begin()
+    return coordinator
+
+
+class TestPart:
+    def test_relays_that_went_with_the_last_coordinator_keep_theirs(self, taken_over):
+        for node in range(6):
+            taken_over.exchange(word(f"n{node}"))
+        assert taken_over._broker.part == pytest.approx(6 / 9)
+
+    async def test_until_they_can_no_longer_serve(self, taken_over):
+        await taken_over._parts.clock.advance(16.0)
+        for node in range(6):
+            taken_over.exchange(word(f"n{node}"))
+        assert taken_over._broker.part == 1.0
+
+    def test_all_that_ask_share_the_whole(self, taken_over):
+        for node in range(9):
+            taken_over.exchange(word(f"n{node}"))
+        assert taken_over._broker.part == 1.0
