--- a/src/ebonydeal/_internal/relay/peers.py
+++ b/src/ebonydeal/_internal/relay/peers.py
@@ -46,6 +46,10 @@
 _JITTER_MOST = 1.2
 # Without an answer for this long, the lease is looked at.
 _PATIENCE_S = 0.8
+# Relays assumed before a coordinator told how many there are. The seeds are only
+# some of them: were each to take its part of so few, all that start at once would
+# admit several times an account's limit.
+_FIRST_RELAYS = 12
 _SYNC_S = 0.4
 # A store that has failed us for this long is asked through other relays.
 _STORE_PATIENCE_S = 0.6
@@ -129,7 +133,9 @@
         self._last_ok = parts.clock.now()
         self.fed = False
         self.relays: list[str] = list(seeds)
-        self.relay_count = max(1, len(seeds))
+        self.relay_count = max(_FIRST_RELAYS, len(seeds))
+        # Whether a coordinator told how many relays there are.
+        self.counted = False
 
     def take_seeds(self, seeds: tuple[str, ...]) -> None:
         """Ask other relays to begin with, beside those that are known."""
@@ -191,6 +197,7 @@
         self._last_ok = parts.clock.now()
         self.relays = list(reply["relays"])
         self.relay_count = max(1, len(self.relays))
+        self.counted = True
         lease.wanted = not reply["holds"]
         parts.heard(reply)
 
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -173,7 +173,9 @@
             seeds,
         )
         self._quota.grants = self._exchange
-        self.coordinator.relays_before = lambda: self._exchange.relay_count
+        self.coordinator.relays_before = lambda: (
+            self._exchange.relay_count if self._exchange.counted else 0
+        )
         members = self._followers[1]
         members.fed = lambda: self._exchange.fed
         self.coordinator.hears_store = lambda: members.fresh
--- a/tests/unit/relay/test_coordinator.py
+++ b/tests/unit/relay/test_coordinator.py
@@ -6,6 +6,7 @@
 import pytest
 
 from ebonydeal._internal.relay.coordinator import Coordinator, CoordinatorParts
+from ebonydeal._internal.relay.peers import Exchange, ExchangeParts
 from ebonydeal._internal.relay.view import RelayView
 from ebonydeal._internal.routing.duty_lease import DutyLease
 from ebonydeal._internal.routing.quota_broker import QuotaBounds
@@ -52,6 +53,15 @@
     return coordinator
 
 
+class TestCount:
+    def test_a_relay_that_heard_of_nobody_takes_a_small_part(self):
+        parts = ExchangeParts(None, None, ManualClock(100.0), Random(1), dict, print)
+        seeds = ("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1")
+        exchange = Exchange(parts, seeds)
+        assert exchange.relay_count >= 9
+        assert not exchange.counted
+
+
 class TestPart:
     def test_relays_that_went_with_the_last_coordinator_keep_theirs(self, taken_over):
         for node in range(6):
