Patch the programs' start where it stands now in three entry tests

They replaced run_program in cli/program.py, from where it moved to cli/run.py with what all programs share; their assertions are as they were.

--- a/tests/functional/controller/test_entry.py
+++ b/tests/functional/controller/test_entry.py
@@ -1,7 +1,7 @@
 from click.testing import CliRunner
 
 from ebonydeal import __version__
-from ebonydeal._internal.cli import program
+from ebonydeal._internal.cli import run as running
 from ebonydeal._internal.cli.controller import main
 from ebonydeal._internal.commands.settings import settings_command
 from ebonydeal._internal.controller.program import ControllerProgram
@@ -20,7 +20,7 @@
             built.append(build())
             return 0
 
-        monkeypatch.setattr(program, "run_program", build_only)
+        monkeypatch.setattr(running, "run_program", build_only)
         file = tmp_path / "node.ini"
         file.write_text(CliRunner().invoke(settings_command, ["example"]).output)
         shown = CliRunner().invoke(main, ["--settings", str(file)])
--- a/tests/functional/gateway/test_entry.py
+++ b/tests/functional/gateway/test_entry.py
@@ -3,7 +3,8 @@
 import pytest
 from click.testing import CliRunner
 
-from ebonydeal._internal.cli import gateway, program
+from ebonydeal._internal.cli import gateway
+from ebonydeal._internal.cli import run as running
 from ebonydeal._internal.cli.main import main as ebonydeal
 from ebonydeal._internal.gateway.program import GatewayProgram
 
@@ -20,8 +21,8 @@
             asyncio.run(build_only(build))
             return 0
 
-        monkeypatch.setattr(program, "run_program", run)
-        monkeypatch.setattr(program, "configure_logs", lambda cfg: None)
+        monkeypatch.setattr(running, "run_program", run)
+        monkeypatch.setattr(running, "configure_logs", lambda cfg: None)
         return programs
 
     def run(self, file):
--- a/tests/functional/journal/test_entry.py
+++ b/tests/functional/journal/test_entry.py
@@ -2,7 +2,8 @@
 from click.testing import CliRunner
 
 from ebonydeal import __version__
-from ebonydeal._internal.cli import journal, program
+from ebonydeal._internal.cli import journal
+from ebonydeal._internal.cli import run as running
 from ebonydeal._internal.commands.settings import settings_command
 from ebonydeal._internal.journal.program import JournalProgram
 
@@ -20,7 +21,7 @@
             built.append(build())
             return 0
 
-        monkeypatch.setattr(program, "run_program", build_only)
+        monkeypatch.setattr(running, "run_program", build_only)
         file = tmp_path / "node.ini"
         file.write_text(CliRunner().invoke(settings_command, ["example"]).output)
         shown = CliRunner().invoke(journal.main, ["--settings", str(file)])
