Read the change once more: one piece for what stood twice, less on the way of a request

The list of an endpoint's own failures, the relays assumed at first, the listeners' backlog and the name of a setting's variable stood twice. Shares of failures were worked out for each endpoint by itself at each send, with two exponentials each; one pass does it. A term of the grants was held in two places, one of them unused. Behaviour and assertions are as they were.

--- a/src/ebonydeal/_internal/relay/first_wait.py
+++ b/src/ebonydeal/_internal/relay/first_wait.py
@@ -6,6 +6,7 @@
 
 from ebonydeal._internal.relay.job import SendParts
 from ebonydeal._internal.relay.sends import JobSends
+from ebonydeal._internal.utils.clock import Clock
 
 # Shorter silences are common: a chunk of another prompt takes some tens of
 # milliseconds, and busy relays add to it.
@@ -72,7 +73,7 @@
     async def limit(self) -> AsyncIterator[None]:
         """Raise TimeoutError in the body when the wait is over."""
         async with asyncio.timeout(None) as limit:
-            timer = _Timer(self, limit, self._parts)
+            timer = _Timer(self, limit, self._parts.clock)
             timer.check()
             try:
                 yield
@@ -83,10 +84,10 @@
 class _Timer:
     """Looks at a wait when its time is up, and lets it go on or ends it."""
 
-    def __init__(self, wait: FirstWait, limit: asyncio.Timeout, parts: SendParts):
+    def __init__(self, wait: FirstWait, limit: asyncio.Timeout, clock: Clock):
         self._wait = wait
         self._limit = limit
-        self._clock = parts.clock
+        self._clock = clock
         self._loop = asyncio.get_running_loop()
         self._handle: asyncio.TimerHandle | None = None
 
--- a/src/ebonydeal/_internal/relay/listener.py
+++ b/src/ebonydeal/_internal/relay/listener.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 from mode import Service
 
-from ebonydeal._internal.utils.earlybind import early_socket
+from ebonydeal._internal.utils.earlybind import BACKLOG, early_socket
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -14,7 +14,6 @@
 # who closes, and no request crosses our close.
 _KEEPALIVE_S = 300.0
 _MAX_FIELD = 32768
-_BACKLOG = 1024
 _LINGER_S = 2.0
 # What is still open at the end has had its time.
 _CLOSE_S = 0.01
@@ -60,11 +59,11 @@
         loop = asyncio.get_running_loop()
         if self._early is not None:
             self._socket = await loop.create_server(
-                self._server, sock=self._early, backlog=_BACKLOG
+                self._server, sock=self._early, backlog=BACKLOG
             )
         else:
             self._socket = await loop.create_server(
-                self._server, self.host, self.port, backlog=_BACKLOG, reuse_address=True
+                self._server, self.host, self.port, backlog=BACKLOG, reuse_address=True
             )
         self.port = self._socket.sockets[0].getsockname()[1]
 
--- a/src/ebonydeal/_internal/relay/peers.py
+++ b/src/ebonydeal/_internal/relay/peers.py
@@ -25,6 +25,7 @@
 )
 from ebonydeal._internal.relay.news import NEWS, NewsTaker
 from ebonydeal._internal.relay.ports import Wire
+from ebonydeal._internal.relay.shares import FIRST_RELAYS
 from ebonydeal._internal.relay.view import RelayView
 from ebonydeal._internal.routing.duty_lease import DutyLease, LeaseRow
 from ebonydeal._internal.utils.clock import Clock
@@ -46,10 +47,6 @@
 _JITTER_MOST = 1.2
 # Without an answer for this long, the lease is looked at.
 _PATIENCE_S = 0.8
-# Relays assumed before a coordinator told how many there are. The seeds are only
-# some of them: were each to take its part of so few, all that start at once would
-# admit several times an account's limit.
-_FIRST_RELAYS = 12
 _SYNC_S = 0.4
 # A store that has failed us for this long is asked through other relays.
 _STORE_PATIENCE_S = 0.6
@@ -133,7 +130,7 @@
         self._last_ok = parts.clock.now()
         self.fed = False
         self.relays: list[str] = list(seeds)
-        self.relay_count = max(_FIRST_RELAYS, len(seeds))
+        self.relay_count = max(FIRST_RELAYS, len(seeds))
         # Whether a coordinator told how many relays there are.
         self.counted = False
 
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -29,6 +29,7 @@
 from ebonydeal._internal.relay.ports import RelayPorts
 from ebonydeal._internal.relay.quota import QuotaGate
 from ebonydeal._internal.relay.shares import (
+    FIRST_RELAYS,
     outlier_terms,
     retry_share,
     seed_addresses,
@@ -57,8 +58,6 @@
 logger = get_logger("relay")
 
 _SWEEP_S = 1.0
-# Relays assumed before the coordinator tells how many there are.
-_FIRST_RELAYS = 12
 _LEAST_WORK = 0.0005
 _DRAIN_STEP_S = 0.02
 # Kept back of the grace time for closing sockets and ending the process.
@@ -90,7 +89,7 @@
             self._cfg.reuse_window_s, ChoiceTerms.from_config(self._policy)
         )
         self.usage = UsageMeter(self._cfg.usage_window_s)
-        self._retries = RetryPolicy(retry_share(self._cfg, _FIRST_RELAYS), rng)
+        self._retries = RetryPolicy(retry_share(self._cfg, FIRST_RELAYS), rng)
         self._failing = FailureShares(self._policy.avoid_failing)
         outliers = Outliers(outlier_terms(settings["routing"], self._policy), rng)
         self._moves = StreamMoves(
--- a/src/ebonydeal/_internal/relay/sends.py
+++ b/src/ebonydeal/_internal/relay/sends.py
@@ -179,10 +179,7 @@
         now = parts.clock.now()
         listed = [m for m in self._listed(now) if m.endpoint_id not in self._avoid]
         allowed = parts.outliers.allowed(listed, now)
-        shares = {
-            m.endpoint_id: parts.failing.share(m.endpoint_id, now) for m in allowed
-        }
-        failing = {name: share for name, share in shares.items() if share}
+        failing = parts.failing.failing(now)
         if job.req.prompt_tokens is None:
             member = parts.choice.plain(parts.zone, allowed, failing)
             return None if member is None else _Found(member, 0.0, None)
--- a/src/ebonydeal/_internal/relay/shares.py
+++ b/src/ebonydeal/_internal/relay/shares.py
@@ -8,6 +8,10 @@
 # sends that are counted later than they are made, need the rest.
 _BUDGET_USED = 0.7
 _MOST_TRIES = 4
+# Relays assumed before a coordinator told how many there are. The seeds are only
+# some of them: were each to take its part of so few, all that start at once would
+# admit several times an account's limit.
+FIRST_RELAYS = 12
 
 
 def seed_addresses(text: str) -> tuple[str, ...]:
--- a/src/ebonydeal/_internal/routing/failure_shares.py
+++ b/src/ebonydeal/_internal/routing/failure_shares.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from ebonydeal._internal.errors import ErrorKind
+from ebonydeal._internal.routing.outliers import ENDPOINT_FAULTS
 
 # Answers count for about this long: faults come and go within seconds.
 _WINDOW_S = 2.0
@@ -16,14 +17,6 @@
 _LEAST_ANSWERS = 3.0
 # Failures assumed besides, so that few answers don't say much.
 _PRIOR = 0.5
-_COUNTED = frozenset(
-    {
-        ErrorKind.CONNECT_FAILED,
-        ErrorKind.ENDPOINT_FAILED,
-        ErrorKind.ENDPOINT_GARBAGE,
-        ErrorKind.ENDPOINT_STALLED,
-    }
-)
 _FORGET = 0.05
 
 
@@ -37,12 +30,16 @@
         """Return the sum."""
         return Answers(self.seen + other.seen, self.failed + other.failed)
 
-    def faded(self, seconds: float) -> "Answers":
-        """Return what still counts after so long."""
-        part = exp(-max(0.0, seconds) / _WINDOW_S)
+    def times(self, part: float) -> "Answers":
+        """Return a part of them."""
         return Answers(self.seen * part, self.failed * part)
 
 
+def _left(seconds: float) -> float:
+    """Return the part of answers that still counts after so long."""
+    return exp(-max(0.0, seconds) / _WINDOW_S)
+
+
 class FailureShares:
     """What one relay saw of endpoints, and what it heard from the others.
 
@@ -65,7 +62,7 @@
 
     def failed(self, endpoint_id: str, kind: ErrorKind, now: float) -> None:
         """Count a failure; refusals for load don't count."""
-        if kind in _COUNTED:
+        if kind in ENDPOINT_FAULTS:
             self._add(endpoint_id, Answers(1.0, 1.0), now)
 
     def _add(self, endpoint_id: str, answers: Answers, now: float) -> None:
@@ -74,7 +71,8 @@
             self._own[endpoint_id] = self._own.get(endpoint_id, Answers()).plus(answers)
 
     def _fade(self, now: float) -> None:
-        faded = {name: a.faded(now - self._at) for name, a in self._own.items()}
+        left = _left(now - self._at)
+        faded = {name: a.times(left) for name, a in self._own.items()}
         self._own = {name: a for name, a in faded.items() if a.seen >= _FORGET}
         self._at = now
 
@@ -91,15 +89,23 @@
         self._told = {name: Answers(*values) for name, values in answers.items()}
         self._told_at = now
 
+    def failing(self, now: float) -> dict[str, float]:
+        """Return the shares of answers that endpoints fail, of those to avoid."""
+        if not self._least:
+            return {}
+        own_left, told_left = _left(now - self._at), _left(now - self._told_at)
+        found = {}
+        for name in self._own.keys() | self._told.keys():
+            own = self._own.get(name, Answers()).times(own_left)
+            whole = own.plus(self._told.get(name, Answers()).times(told_left))
+            share = whole.failed / (whole.seen + _PRIOR)
+            if whole.seen >= _LEAST_ANSWERS and share >= self._least:
+                found[name] = share
+        return found
+
     def share(self, endpoint_id: str, now: float) -> float:
-        """Return the share of answers that an endpoint fails, 0 where few came."""
-        own = self._own.get(endpoint_id, Answers()).faded(now - self._at)
-        told = self._told.get(endpoint_id, Answers()).faded(now - self._told_at)
-        whole = own.plus(told)
-        if whole.seen < _LEAST_ANSWERS:
-            return 0.0
-        share = whole.failed / (whole.seen + _PRIOR)
-        return share if self._least and share >= self._least else 0.0
+        """Return an endpoint's share, 0 where it isn't to be avoided."""
+        return self.failing(now).get(endpoint_id, 0.0)
 
 
 def sum_of(answers: list[dict[str, list[float]]]) -> dict[str, list[float]]:
--- a/src/ebonydeal/_internal/routing/outliers.py
+++ b/src/ebonydeal/_internal/routing/outliers.py
@@ -15,7 +15,8 @@
 from ebonydeal._internal.errors import ErrorKind
 from ebonydeal._internal.settings.routing import RoutingSettings
 
-_COUNTED = frozenset(
+# Failures that are the endpoint's own; refusals for load are not.
+ENDPOINT_FAULTS = frozenset(
     {
         ErrorKind.CONNECT_FAILED,
         ErrorKind.ENDPOINT_FAILED,
@@ -73,7 +74,7 @@
 
     def failed(self, endpoint_id: str, kind: ErrorKind, now: float) -> None:
         """Note a failure; refusals for load don't count."""
-        if kind not in _COUNTED:
+        if kind not in ENDPOINT_FAULTS:
             return
         health = self._health.setdefault(endpoint_id, _Health())
         health.in_a_row += 1
--- a/src/ebonydeal/_internal/routing/quota_broker.py
+++ b/src/ebonydeal/_internal/routing/quota_broker.py
@@ -38,33 +38,28 @@
 
 
 class QuotaTerms(NamedTuple):
-    """Terms of the grants; `PolicySettings` says what each does.
+    """Terms of the grants; `PolicySettings` says what each does."""
 
-    ``slack_used`` leaves room for what relays grant themselves while there is no
-    coordinator, about one request each.
-    """
-
-    slack_used: float = 0.3
     overdraft: float = 1.0
     small: float = 0.1
 
     @classmethod
     def from_config(cls, cfg: PolicySettings) -> "QuotaTerms":
         """Build from settings."""
-        return cls(
-            cfg.quota_slack_used,
-            cfg.quota_overdraft,
-            cfg.quota_small,
-        )
+        return cls(cfg.quota_overdraft, cfg.quota_small)
 
 
 class QuotaBounds(NamedTuple):
-    """By how much limits may be exceeded, and over which window, seconds."""
+    """By how much limits may be exceeded, and over which window, seconds.
+
+    ``slack_used`` is the part of the slack that is granted: the rest is left to
+    what relays grant themselves while there is no coordinator.
+    """
 
     window: float
     overshoot: float
     slack: float
-    slack_used: float = QuotaTerms().slack_used
+    slack_used: float = 0.3
 
     def burst(self, account: ForwardAccount) -> float:
         """Return the amount that may come at once."""
--- a/src/ebonydeal/_internal/settings/reading.py
+++ b/src/ebonydeal/_internal/settings/reading.py
@@ -101,6 +101,11 @@
         return spec.default
 
 
+def env_name(section: str, key: str) -> str:
+    """Return the environment variable that overrides a key."""
+    return f"{ENV_PREFIX}{section}_{key}".upper()
+
+
 def _parse_section(
     file: str, name: str, cls: type, given: dict[str, str], problems: list[Problem]
 ) -> Any:
@@ -112,7 +117,7 @@
             problems.append(Problem(file, name, key, f"unknown key; {hint}"))
     values = {}
     for key, spec in specs.items():
-        env = os.environ.get(f"{ENV_PREFIX}{name}_{key}".upper())
+        env = os.environ.get(env_name(name, key))
         text = env if env is not None else given.get(key)
         if text is not None:
             values[key] = _read_key(file, name, spec, text, problems)
--- a/src/ebonydeal/_internal/utils/earlybind.py
+++ b/src/ebonydeal/_internal/utils/earlybind.py
@@ -12,9 +12,11 @@
 from collections.abc import Sequence
 from configparser import ConfigParser, Error
 
+from ebonydeal._internal.settings.reading import env_name
+
 _OPTION = "--settings"
-# As many connections as the listeners themselves take.
-_BACKLOG = 1024
+# Connections that wait to be taken.
+BACKLOG = 1024
 
 
 def open_early(args: Sequence[str], section: str, keys: Sequence[str]) -> list[int]:
@@ -44,7 +46,7 @@
     opened = []
     for key in keys:
         address = os.environ.get(
-            f"EBONYDEAL_{section}_{key}".upper(),
+            env_name(section, key),
             parser.get(section, key, fallback=""),
         )
         host, _sep, port = address.rpartition(":")
@@ -54,7 +56,7 @@
         try:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             sock.bind((host, int(port)))
-            sock.listen(_BACKLOG)
+            sock.listen(BACKLOG)
         except OSError:
             sock.close()
             continue
