Let the soak's usage check know what died with a killed relay

The check meant calm windows but looked only at troubles that covered a window's first moment.

Change: counts may lack what a killed relay's requests of its last 2 s are (it takes its own counts twice a second and keeps them once a second), and nothing else; a surplus is a fault as before. The check still looks at every window that it looked at.

--- a/src/ebonydeal/_internal/soak/checks.py
+++ b/src/ebonydeal/_internal/soak/checks.py
@@ -12,6 +12,12 @@
 _SLACK_S = 1.0
 # What was harmed may have effects for so long after its end, seconds.
 _AFTER_S = 4.0
+# The coordinator takes its own counts twice a second, as those of others, and keeps
+# them with each renewal of the lease, once a second: what it counted for so long
+# before it is killed may be known to nobody else, seconds.
+_UNTOLD_S = 2.0
+# What was sent before a kill may reach an endpoint so much later, seconds.
+_IN_FLIGHT_S = 0.25
 
 
 class Terms(NamedTuple):
@@ -164,8 +170,28 @@
             yield Violation("usage", f"fence {report.fence} has two holders")
 
 
+def _untold(log: Log, begin: float, end: float) -> int:
+    """Return how many requests of a window may have died with their relay."""
+    kills = [trouble for trouble in log.troubles if trouble.kind == "kill"]
+    return len(
+        {
+            run.request_id
+            for run in log.runs
+            if begin <= run.at < end
+            and any(
+                run.relay == kill.relay
+                and -_UNTOLD_S <= run.at - kill.begin <= _IN_FLIGHT_S
+                for kill in kills
+            )
+        }
+    )
+
+
 def usage_exact(log: Log, terms: Terms) -> Iterable[Violation]:
-    """In calm windows the counts are those of the requests that began."""
+    """In calm windows the counts are those of the requests that began.
+
+    Counts may lack what a killed relay had no time to tell.
+    """
     begun: dict[int, set[tuple[str, str]]] = defaultdict(set)
     offset = log.runs[0].wall - log.runs[0].at if log.runs else 0.0
     for run in log.runs:
@@ -182,7 +208,9 @@
         truth = len(begun[report.window])
         told = sum(report.counts.values())
         # Requests that begin at the edge may count on either side.
-        if abs(told - truth) > 3 + 0.1 * truth:
+        edge = 3 + 0.1 * truth
+        least = truth - edge - _untold(log, begin, begin + terms.usage_window)
+        if not least <= told <= truth + edge:
             detail = f"window {report.window}: {told} told, {truth} began"
             yield Violation("usage", detail)
 
--- a/tests/unit/soak/test_checks.py
+++ b/tests/unit/soak/test_checks.py
@@ -156,6 +156,30 @@
         log.troubles = [Trouble("kill", "n2", 12.0, 13.0)]
         assert list(usage_exact(log, TERMS)) == []
 
+    def killed_at(self, at, told):
+        """Return what is found in a window of two relays' requests, 24 in all."""
+        log = good_log()
+        for number in range(16):
+            when = 12.0 + number * 0.125
+            log.runs.append(run(f"{100 + number:016x}", when, relay="n2"))
+        log.reports[0] = log.reports[0]._replace(counts={"large": told})
+        log.troubles = [Trouble("kill", "n2", at, at + 0.5)]
+        return list(usage_exact(log, TERMS))
+
+    def test_what_a_killed_relay_had_just_counted_may_be_lost(self):
+        assert self.killed_at(13.0, told=24 - 11 - 5) == []
+
+    def test_nothing_else_may_be_lost(self):
+        assert len(self.killed_at(13.0, told=24 - 11 - 6)) == 1
+
+    def test_what_was_counted_long_before_the_kill_is_known(self):
+        # The three requests from 12.0 to 12.25 were told before.
+        assert self.killed_at(14.375, told=24 - 13 - 5) == []
+        assert len(self.killed_at(14.375, told=24 - 16 - 5)) == 1
+
+    def test_a_kill_excuses_no_surplus(self):
+        assert len(self.killed_at(13.0, told=24 + 6)) == 1
+
 
 class TestStop:
     def cut(self, *others):
