Tell long prompts to all relays; fewer on-demand endpoints before the first request

Before traffic on-demand endpoints stayed up to 14 s, since reclaimable ones were ordered into zones whose bound they still filled, and one zone's were let go to be bought in another.

What a relay knows of an endpoint's load stands in a module of its own.

--- a/src/ebonydeal/_internal/relay/job.py
+++ b/src/ebonydeal/_internal/relay/job.py
@@ -11,6 +11,7 @@
 )
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.relay.connections import EndpointPools
+from ebonydeal._internal.relay.long_reads import LongReads
 from ebonydeal._internal.relay.moves import StreamMoves
 from ebonydeal._internal.relay.ports import Wire
 from ebonydeal._internal.relay.usage import UsageMeter
@@ -90,6 +91,7 @@
     pools: EndpointPools
     usage: UsageMeter
     moves: StreamMoves
+    long_reads: LongReads
     metrics: Metrics
     clock: Clock
     rng: Random
--- a/src/ebonydeal/_internal/relay/messages.py
+++ b/src/ebonydeal/_internal/relay/messages.py
@@ -64,6 +64,13 @@
     news: NewsMessage | None
 
 
+class LongReadMessage(TypedDict):
+    """A relay sent a long prompt: its endpoint reads for so many seconds from now."""
+
+    endpoint: str
+    seconds: float
+
+
 class GrantMessage(TypedDict):
     """A relay asks for an amount of an account's limit."""
 
--- a/src/ebonydeal/_internal/relay/peers.py
+++ b/src/ebonydeal/_internal/relay/peers.py
@@ -16,6 +16,7 @@
 from ebonydeal._internal.peers.access import check_credential
 from ebonydeal._internal.relay.coordinator import Coordinator
 from ebonydeal._internal.relay.follower import TableFollower
+from ebonydeal._internal.relay.long_reads import LONG_READ, LongReadTaker
 from ebonydeal._internal.relay.messages import (
     ExchangeMessage,
     ExchangeReply,
@@ -61,6 +62,7 @@
         coordinator: Coordinator,
         view: RelayView,
         taker: NewsTaker,
+        long_reads: LongReadTaker,
         metrics: Metrics,
     ) -> None:
         self._credential = credential
@@ -72,6 +74,7 @@
             GRANT: coordinator.grant,
             VIEW: self._news,
             NEWS: taker.take,
+            LONG_READ: long_reads.take,
         }
 
     async def handle(self, req: web.BaseRequest) -> web.Response:
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -17,6 +17,7 @@
 from ebonydeal._internal.relay.job import SendParts, SendTerms
 from ebonydeal._internal.relay.leaving import LeavingTimes
 from ebonydeal._internal.relay.listener import RawListener
+from ebonydeal._internal.relay.long_reads import LongReads, LongReadTaker
 from ebonydeal._internal.relay.messages import ExchangeMessage, ExchangeReply
 from ebonydeal._internal.relay.moves import MovesParts, StreamMoves
 from ebonydeal._internal.relay.news import NewsFeed, NewsTaker
@@ -38,9 +39,10 @@
 from ebonydeal._internal.relay.view import RelayView
 from ebonydeal._internal.routing.duty_lease import DutyLease
 from ebonydeal._internal.routing.early_refusal import EarlyRefusal
+from ebonydeal._internal.routing.endpoint_load import Told
 from ebonydeal._internal.routing.failure_shares import FailureShares
 from ebonydeal._internal.routing.fleet_plan import FleetTerms
-from ebonydeal._internal.routing.member_choice import ChoiceTerms, MemberChoice, Told
+from ebonydeal._internal.routing.member_choice import ChoiceTerms, MemberChoice
 from ebonydeal._internal.routing.outliers import Outliers
 from ebonydeal._internal.routing.quota_broker import (
     LocalQuota,
@@ -106,6 +108,11 @@
                 enabled=self._policy.moves,
             )
         )
+        peers = settings["peers"]
+        self._client = PeerClient(peers.credential)
+        self._long_reads = LongReads(
+            self._client, clock, rng, self._other_relays, self._policy.tell_long_s
+        )
         parts = SendParts(
             wire=ports.wire,
             view=self.view,
@@ -117,6 +124,7 @@
             pools=self._pools,
             usage=self.usage,
             moves=self._moves,
+            long_reads=self._long_reads,
             metrics=metrics,
             clock=clock,
             rng=rng,
@@ -151,11 +159,14 @@
             self._cfg.checks_fence,
             QuotaTerms.from_config(self._policy),
         )
-        peers = settings["peers"]
-        self._client = PeerClient(peers.credential)
         self._taker = NewsTaker(self.view, clock)
         handler = PeerHandler(
-            peers.credential, self.coordinator, self.view, self._taker, metrics
+            peers.credential,
+            self.coordinator,
+            self.view,
+            self._taker,
+            LongReadTaker(self._choice, clock),
+            metrics,
         )
         self.peers = RawListener(handler.handle, self._cfg.peer_address)
         seeds = seed_addresses(peers.seeds)
@@ -211,6 +222,7 @@
             self.coordinator,
             self._exchange,
             self._news,
+            self._long_reads,
             self._sync,
             self._leaving,
             self._fleet,
@@ -236,6 +248,11 @@
         )
         self._exchange.take_seeds(seed_addresses(settings["peers"].seeds))
 
+    def _other_relays(self) -> list[str]:
+        """Return the addresses of the relays that a coordinator told of."""
+        own = self._cfg.peer_address
+        return [address for address in self._exchange.relays if address != own]
+
     # --- talk with the coordinator -------------------------------------------
     def _word(self) -> ExchangeMessage:
         """Return what the coordinator is told."""
--- a/src/ebonydeal/_internal/relay/sends.py
+++ b/src/ebonydeal/_internal/relay/sends.py
@@ -21,7 +21,8 @@
     ProvedNotRun,
     RunProof,
 )
-from ebonydeal._internal.routing.member_choice import Ask, Sent
+from ebonydeal._internal.routing.endpoint_load import Sent
+from ebonydeal._internal.routing.member_choice import Ask
 from ebonydeal._internal.routing.retries import Failure, GiveUp
 
 logger = get_logger("relay.job")
@@ -117,6 +118,9 @@
         now = parts.clock.now()
         self.sent = parts.choice.sent(self._ask(), member, found.missed, now)
         expected = self.expected = found.expected
+        if expected is not None:
+            reading = parts.choice.speed.reading(found.missed)
+            parts.long_reads.sent(member.endpoint_id, reading, expected)
         logger.info(
             "Sent.",
             request=job.req.request_id,
--- /dev/null
+++ b/src/ebonydeal/_internal/routing/endpoint_load.py
@@ -0,0 +1,82 @@
+"""What one relay knows of the load at an endpoint: its own, and what others told."""
+
+from collections import OrderedDict
+from typing import NamedTuple
+
+
+class Told(NamedTuple):
+    """What other relays have at an endpoint: requests, and tokens to be read."""
+
+    running: int = 0
+    unread: float = 0.0
+    at: float = 0.0
+
+
+class Sent(NamedTuple):
+    """A request that was sent; give it back to `MemberChoice.ended`.
+
+    ``missed`` are tokens that the endpoint must read, ``unread`` the same in
+    tokens of a short prompt, which are read faster.
+    """
+
+    endpoint_id: str
+    missed: float
+    unread: float
+    at: float
+
+
+class EndpointLoad:
+    """One endpoint as this relay knows it.
+
+    Attributes
+    ----------
+    running, unread : int, float
+        This relay's requests there, and their tokens to be read.
+    told : Told
+        The same of all others, as of their last word.
+    reads_until : float
+        Until when the endpoint reads a long prompt of another relay, which said so
+        when it sent it.
+    parts : OrderedDict
+        When each prompt part was last sent there, oldest first.
+    """
+
+    def __init__(self) -> None:
+        self.running = 0
+        self.unread = 0.0
+        self.told = Told()
+        self.reads_until = 0.0
+        self.parts: OrderedDict[str, float] = OrderedDict()
+
+    @property
+    def all_running(self) -> int:
+        """Requests of all relays there, as far as known."""
+        return self.running + self.told.running
+
+    def wait(self, rate: float, now: float, by_age: bool) -> float:
+        """Return the seconds of reading before a new request's.
+
+        Parameters
+        ----------
+        rate : float
+            Tokens that are read a second.
+        now : float
+            Monotonic time, seconds.
+        by_age : bool
+            Whether what others told has been read since by its age: the word is
+            older than most prompts take to read, and endpoints would be avoided
+            for work that was done long ago.
+        """
+        told = self.told.unread / rate
+        if by_age:
+            told = max(0.0, told - max(0.0, now - self.told.at))
+        # A long prompt stands in the next word too: it is not counted twice.
+        return self.unread / rate + max(told, self.reads_until - now, 0.0)
+
+    def note_parts(self, part_ids: list[str], now: float, keep: float) -> None:
+        """Note that parts are read now, and forget those of ``keep`` seconds ago."""
+        for part_id in part_ids:
+            self.parts[part_id] = now
+            self.parts.move_to_end(part_id)
+        while self.parts and now - next(iter(self.parts.values())) > keep:
+            self.parts.popitem(last=False)
--- a/src/ebonydeal/_internal/routing/member_choice.py
+++ b/src/ebonydeal/_internal/routing/member_choice.py
@@ -9,7 +9,6 @@
 lacks parts of a prompt fetches them from the engine that most likely holds them.
 """
 
-from collections import OrderedDict
 from collections.abc import Iterable, Mapping, Sequence
 from math import inf
 from types import MappingProxyType
@@ -19,6 +18,7 @@
 
 from ebonydeal._internal.models.forwarding import Member, PromptPart
 from ebonydeal._internal.routing.demand import RateMeter
+from ebonydeal._internal.routing.endpoint_load import EndpointLoad, Sent, Told
 from ebonydeal._internal.routing.engine_speed import EngineSpeed
 from ebonydeal._internal.settings.policy import PolicySettings
 
@@ -95,37 +95,6 @@
     tokens: float = 0.0
 
 
-class Told(NamedTuple):
-    """What other relays have at an endpoint: requests, and tokens to be read."""
-
-    running: int = 0
-    unread: float = 0.0
-    at: float = 0.0
-
-
-class Sent(NamedTuple):
-    """A request that was sent; give it back to `MemberChoice.ended`.
-
-    ``missed`` are tokens that the endpoint must read, ``unread`` the same in
-    tokens of a short prompt, which are read faster.
-    """
-
-    endpoint_id: str
-    missed: float
-    unread: float
-    at: float
-
-
-class _Load:
-    """One endpoint as this relay knows it."""
-
-    def __init__(self) -> None:
-        self.running = 0
-        self.unread = 0.0
-        self.told = Told()
-        self.parts: OrderedDict[str, float] = OrderedDict()
-
-
 class Score(NamedTuple):
     """An endpoint's terms, in seconds, lowest total first.
 
@@ -159,14 +128,14 @@
         self._keep = keep
         self._terms = terms or ChoiceTerms()
         self._signs: dict[str, float] = {}
-        self._loads: dict[str, _Load] = {}
+        self._loads: dict[str, EndpointLoad] = {}
         self._work: dict[str, RateMeter] = {}
         self.speed = EngineSpeed(self._terms.long_prompts)
 
-    def _load(self, endpoint_id: str) -> _Load:
+    def _load(self, endpoint_id: str) -> EndpointLoad:
         load = self._loads.get(endpoint_id)
         if load is None:
-            load = self._loads[endpoint_id] = _Load()
+            load = self._loads[endpoint_id] = EndpointLoad()
         return load
 
     # --- what is known -------------------------------------------------------
@@ -179,6 +148,11 @@
         for endpoint_id, told in loads.items():
             self._load(endpoint_id).told = told
 
+    def reads_until(self, endpoint_id: str, until: float) -> None:
+        """Note that an endpoint reads a long prompt of another relay."""
+        load = self._load(endpoint_id)
+        load.reads_until = max(load.reads_until, until)
+
     def own(self) -> dict[str, Told]:
         """Return what this relay has at each endpoint."""
         return {
@@ -194,7 +168,7 @@
     def running(self, endpoint_id: str) -> int:
         """Return how many requests all relays have there, as far as known."""
         load = self._loads.get(endpoint_id)
-        return 0 if load is None else load.running + load.told.running
+        return 0 if load is None else load.all_running
 
     def told_age(self, endpoint_id: str, now: float) -> float | None:
         """Return how old the others' word on an endpoint is, seconds."""
@@ -293,12 +267,12 @@
         ):
             fetched = 0.0
         missed = max(0.0, ask.prompt_tokens - held - fetched)
-        running = load.running + load.told.running
+        running = load.all_running
         seats = max(1.0, member.slots * _SEATS_KEPT)
         batch = _BATCH_SLOWDOWN_S * running / seats
         if running >= seats:
             batch += _SLOT_WAIT_S * (1.0 + (running - seats) / seats)
-        wait = load.unread / self.speed.rate + self._told_wait(load.told, now)
+        wait = load.wait(self.speed.rate, now, self._terms.others_age)
         read = self.speed.reading(missed) * self._terms.reread_weight
         fetch = _FETCH_S + fetched * _FETCH_WEIGHT / self.speed.rate if fetched else 0.0
         zone = 0.0 if member.zone == ask.zone else _OTHER_ZONE_S
@@ -319,17 +293,6 @@
             source.endpoint_id if fetched else "",
         )
 
-    def _told_wait(self, told: Told, now: float) -> float:
-        """Return the seconds of reading left of what others had there.
-
-        The word is older than most prompts take to read: without this, engines
-        would be avoided for work that was done long ago.
-        """
-        waits = told.unread / self.speed.rate
-        if not self._terms.others_age:
-            return waits
-        return max(0.0, waits - max(0.0, now - told.at))
-
     def _held(self, ask: Ask, endpoint_id: str, home: str, now: float) -> float:
         """Return the tokens of shared parts that an engine is expected to hold."""
         seen = self._load(endpoint_id).parts
@@ -353,11 +316,7 @@
         load.unread += unread
         meter = self._work.setdefault(member.service, RateMeter(_WORK_WINDOW_S))
         meter.add(unread / self.speed.rate, now)
-        for part in ask.parts:
-            load.parts[part.part_id] = now
-            load.parts.move_to_end(part.part_id)
-        while load.parts and now - next(iter(load.parts.values())) > self._keep:
-            load.parts.popitem(last=False)
+        load.note_parts([part.part_id for part in ask.parts], now, self._keep)
         return Sent(member.endpoint_id, missed, unread, now)
 
     def began(self, sent: Sent, now: float) -> Sent:
--- a/src/ebonydeal/_internal/settings/policy.py
+++ b/src/ebonydeal/_internal/settings/policy.py
@@ -73,6 +73,16 @@
     others_age: Annotated[
         bool, Key("Take off others' waiting prompts what was read since their word.")
     ] = True
+    tell_long_s: Annotated[
+        float,
+        Key(
+            "Reading time from which on a prompt is told to all relays at once, as "
+            "others would wait behind it; 0 is off.",
+            "seconds",
+            0,
+            100,
+        ),
+    ] = 0.4
     connect_cost_s: Annotated[
         float,
         Key(
@@ -235,3 +245,23 @@
     fleet_found: Annotated[
         bool, Key("Keep the fleet as it was found until its load was measured.")
     ] = True
+    fleet_idle_fixed: Annotated[
+        int,
+        Key(
+            "On-demand endpoints kept before a service's first request, once "
+            "reclaimable ones are on their way; 0 keeps all until others serve.",
+            "endpoints",
+            0,
+            100000,
+        ),
+    ] = 2
+    fleet_shrink: Annotated[
+        float,
+        Key(
+            "A fleet shrinks only where the load divided by this needs less, too; "
+            "1 is off.",
+            "",
+            0.1,
+            1,
+        ),
+    ] = 0.85
--- a/tests/unit/relay/test_job_sends.py
+++ b/tests/unit/relay/test_job_sends.py
@@ -55,6 +55,7 @@
         failing=FailureShares(0.15),
         retries=retries,
         metrics=Metrics(),
+        long_reads=SimpleNamespace(sent=lambda *_read: None),
         pools=EndpointPools(clock, 1.0),
         clock=clock,
         zone="z",
--- a/tests/unit/routing/test_member_choice.py
+++ b/tests/unit/routing/test_member_choice.py
@@ -1,8 +1,8 @@
 from ebonydeal._internal.models.forwarding import Member, PromptPart
+from ebonydeal._internal.routing.endpoint_load import Told
 from ebonydeal._internal.routing.member_choice import (
     Ask,
     MemberChoice,
-    Told,
     home_of,
 )
 
