--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -18,7 +18,7 @@
 from ebonydeal._internal.relay.leaving import LeavingTimes
 from ebonydeal._internal.relay.listener import RawListener
 from ebonydeal._internal.relay.long_reads import LongReads, LongReadTaker
-from ebonydeal._internal.relay.messages import ExchangeMessage, ExchangeReply
+from ebonydeal._internal.relay.messages import ExchangeReply
 from ebonydeal._internal.relay.moves import MovesParts, StreamMoves
 from ebonydeal._internal.relay.news import NewsFeed, NewsTaker
 from ebonydeal._internal.relay.peers import (
@@ -37,9 +37,9 @@
 )
 from ebonydeal._internal.relay.usage import UsageMeter
 from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.relay.word import RelayWord, WordParts
 from ebonydeal._internal.routing.duty_lease import DutyLease
 from ebonydeal._internal.routing.early_refusal import EarlyRefusal
-from ebonydeal._internal.routing.endpoint_load import Told
 from ebonydeal._internal.routing.failure_shares import FailureShares
 from ebonydeal._internal.routing.fleet_plan import FleetTerms
 from ebonydeal._internal.routing.member_choice import ChoiceTerms, MemberChoice
@@ -60,7 +60,6 @@
 logger = get_logger("relay")
 
 _SWEEP_S = 1.0
-_LEAST_WORK = 0.0005
 _DRAIN_STEP_S = 0.02
 # Kept back of the grace time for closing sockets and ending the process.
 _EXIT_RESERVE_S = 0.4
@@ -145,12 +144,12 @@
             ConfigTableFollower(ports.store, ports.wire, self.view, clock, rng),
             MembersFollower(ports.store, ports.wire, self.view, clock, rng),
         )
-        self._incarnation = new_token("i", rng)
+        incarnation = new_token("i", rng)
         self.coordinator = Coordinator(
             CoordinatorParts(ports.store, ports.duties, self.view, clock, rng),
             DutyLease(
                 self._node.id,
-                self._incarnation,
+                incarnation,
                 self._cfg.peer_address,
                 self._cfg.lease_ms / 1000.0,
             ),
@@ -159,12 +158,26 @@
             self._cfg.checks_fence,
             QuotaTerms.from_config(self._policy),
         )
-        self._taker = NewsTaker(self.view, clock)
+        taker = NewsTaker(self.view, clock)
+        self._word = RelayWord(
+            WordParts(
+                self._node.id,
+                incarnation,
+                self.usage,
+                self._choice,
+                self._quota,
+                self._failing,
+                taker,
+                self.view,
+                clock,
+            ),
+            self._cfg.peer_address,
+        )
         handler = PeerHandler(
             peers.credential,
             self.coordinator,
             self.view,
-            self._taker,
+            taker,
             LongReadTaker(self._choice, clock),
             metrics,
         )
@@ -176,7 +189,7 @@
                 self._client,
                 clock,
                 rng,
-                self._word,
+                self._word.tell,
                 self._heard,
                 self._policy.exchange_s,
             ),
@@ -210,9 +223,6 @@
             clock,
             FleetTerms.from_config(self._policy),
         )
-        self._stopping = False
-        self._reported = -1
-        self._was_behind = False
 
     def on_init_dependencies(self) -> Iterable[Service]:
         """Return the children, in the order of their start."""
@@ -236,6 +246,7 @@
         host = self._cfg.peer_address.rpartition(":")[0]
         address = f"{host}:{self.peers.port}"
         self._cfg = self._cfg._replace(peer_address=address)
+        self._word.address = address
         self.coordinator.lease.reachable_at(address)
 
     def reload(self, settings: dict[str, Any]) -> None:
@@ -250,63 +261,22 @@
 
     def _other_relays(self) -> list[str]:
         """Return the addresses of the relays that a coordinator told of."""
-        own = self._cfg.peer_address
-        return [address for address in self._exchange.relays if address != own]
+        relays = self._exchange.relays
+        return [address for address in relays if address != self._word.address]
 
     # --- talk with the coordinator -------------------------------------------
-    def _word(self) -> ExchangeMessage:
-        """Return what the coordinator is told."""
-        now = self._clock.now()
-        return ExchangeMessage(
-            node=self._node.id,
-            incarnation=self._incarnation,
-            address=self._cfg.peer_address,
-            wall=self._clock.wall(),
-            windows=self.usage.to_message(self._reported + 1),
-            loads={
-                endpoint_id: [told.running, round(told.unread)]
-                for endpoint_id, told in self._choice.own().items()
-            },
-            demand=self._quota.demand(now),
-            work={
-                name: round(value, 4)
-                for name, value in self._choice.work(now).items()
-                if value >= _LEAST_WORK
-            },
-            answers=self._failing.own(now),
-            leaving=self._stopping,
-            seen=list(self._taker.seen),
-        )
-
     def _heard(self, reply: ExchangeReply) -> None:
         """Take the coordinator's answer."""
-        now = self._clock.now()
-        if reply["news"] is not None:
-            self._taker.take(reply["news"])
-        self._reported = max(self._reported, reply["reported"])
-        self._choice.told(
-            {
-                endpoint_id: Told(int(load[0]), float(load[1]), now)
-                for endpoint_id, load in reply["loads"].items()
-            }
-        )
-        self._failing.told(reply.get("answers", {}), now)
-        self._quota.granted(reply["grants"])
+        self._sync.behind = self._word.heard(reply)
         self._retries.configure(retry_share(self._cfg, len(reply["relays"])))
         for follower in self._followers:
             follower.alone = self.coordinator.lease.mine
-        behind = reply["members"] > self.view.last_change
-        # Twice in a row: a change is usually just on its way to us.
-        self._sync.behind = (behind and self._was_behind) or (
-            reply["config"] > self.view.version
-        )
-        self._was_behind = behind
 
     @property
     def ready(self) -> bool:
         """Whether new connections are welcome."""
         known = self.view.index is not None and self.view.members_known
-        return known and not self._stopping
+        return known and not self._word.leaving
 
     async def _answer_ready(self, _req: web.BaseRequest) -> web.Response:
         return web.Response(status=200 if self.ready else 503)
@@ -326,7 +296,7 @@
         connections still come, and each is served. Every answer ends its
         connection, so kept ones go away with their next use.
         """
-        self._stopping = True
+        self._word.leaving = True
         begun = self._clock.now()
         last = begun + self._cfg.grace_s - _EXIT_RESERVE_S
         self.intake.close_by(begun + self._cfg.settle_s, last)
--- /dev/null
+++ b/src/ebonydeal/_internal/relay/word.py
@@ -0,0 +1,95 @@
+"""A relay's word to the coordinator, and what it takes from the answer."""
+
+from typing import NamedTuple
+
+from ebonydeal._internal.relay.messages import ExchangeMessage, ExchangeReply
+from ebonydeal._internal.relay.news import NewsTaker
+from ebonydeal._internal.relay.quota import QuotaGate
+from ebonydeal._internal.relay.usage import UsageMeter
+from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.routing.endpoint_load import Told
+from ebonydeal._internal.routing.failure_shares import FailureShares
+from ebonydeal._internal.routing.member_choice import MemberChoice
+from ebonydeal._internal.utils.clock import Clock
+
+# Less work than this of a service isn't told, endpoints kept busy.
+_LEAST_WORK = 0.0005
+
+
+class WordParts(NamedTuple):
+    """Who speaks, and what it speaks of."""
+
+    node: str
+    incarnation: str
+    usage: UsageMeter
+    choice: MemberChoice
+    quota: QuotaGate
+    failing: FailureShares
+    news: NewsTaker
+    view: RelayView
+    clock: Clock
+
+
+class RelayWord:
+    """Builds the word, and takes the answer.
+
+    Attributes
+    ----------
+    address : str
+        Where other relays reach this one.
+    leaving : bool
+        Whether this relay stops.
+    """
+
+    def __init__(self, parts: WordParts, address: str) -> None:
+        self._parts = parts
+        self.address = address
+        self.leaving = False
+        self._reported = -1
+        self._was_behind = False
+
+    def tell(self) -> ExchangeMessage:
+        """Return what the coordinator is told."""
+        parts = self._parts
+        now = parts.clock.now()
+        return ExchangeMessage(
+            node=parts.node,
+            incarnation=parts.incarnation,
+            address=self.address,
+            wall=parts.clock.wall(),
+            windows=parts.usage.to_message(self._reported + 1),
+            loads={
+                endpoint_id: [told.running, round(told.unread)]
+                for endpoint_id, told in parts.choice.own().items()
+            },
+            demand=parts.quota.demand(now),
+            work={
+                name: round(value, 4)
+                for name, value in parts.choice.work(now).items()
+                if value >= _LEAST_WORK
+            },
+            answers=parts.failing.own(now),
+            leaving=self.leaving,
+            seen=list(parts.news.seen),
+        )
+
+    def heard(self, reply: ExchangeReply) -> bool:
+        """Take the answer; return whether this relay's view is behind."""
+        parts = self._parts
+        now = parts.clock.now()
+        if reply["news"] is not None:
+            parts.news.take(reply["news"])
+        self._reported = max(self._reported, reply["reported"])
+        parts.choice.told(
+            {
+                endpoint_id: Told(int(load[0]), float(load[1]), now)
+                for endpoint_id, load in reply["loads"].items()
+            }
+        )
+        parts.failing.told(reply.get("answers", {}), now)
+        parts.quota.granted(reply["grants"])
+        behind = reply["members"] > parts.view.last_change
+        # Twice in a row: a change is usually just on its way to us.
+        twice = behind and self._was_behind
+        self._was_behind = behind
+        return twice or reply["config"] > parts.view.version
