Rank prompts that will be late anyway last; take the fleet's changes back

Cause: prompts of 40,000 tokens and more are late wherever they run, and short ones that come to the same endpoint meanwhile wait behind them. Engines take requests by rank, also between the parts of a prompt that they read.

Change: one whose expected first event, with what it waited, is beyond its objective is sent with the last rank.

The fleet's changes are taken back.

--- a/src/ebonydeal/_internal/relay/fleet.py
+++ b/src/ebonydeal/_internal/relay/fleet.py
@@ -101,7 +101,6 @@
         self._loaded_since: dict[str, float] = {}
         self._load: dict[str, float] = {}
         self._high: dict[str, tuple[float, float]] = {}
-        self._asked: set[str] = set()
 
     @Service.task
     async def _run(self) -> None:
@@ -153,16 +152,8 @@
             dry=dry if service.name in self._dry else frozenset(),
             least=self._least(service.name, zones),
             wave=self._in_wave(service.name, self._clock.now()),
-            idle=self._is_idle(service.name),
         )
 
-    def _is_idle(self, service: str) -> bool:
-        """Return whether the service was never asked for anything.
-
-        Only the very first holder of the lease can know.
-        """
-        return self._coordinator.lease.fence == 1 and service not in self._asked
-
     def _watch_zones(self, service: str, scaling: Scaling, now: float) -> None:
         """Note when a zone's reclaimable endpoints all go at once."""
         zones = self._zones(service, scaling, now)
@@ -259,8 +250,6 @@
         )
         slots = slots or max((m.slots for m in members.values()), default=1)
         seen = work + running / max(1, slots)
-        if seen:
-            self._asked.add(service.name)
         known = self._load.get(service.name, seen)
         smooth = known + _UP * (seen - known)
         growth = self._terms.wave_growth
--- a/src/ebonydeal/_internal/relay/job.py
+++ b/src/ebonydeal/_internal/relay/job.py
@@ -64,6 +64,7 @@
     gap: float = 1.5
     plain: float = 0.6
     use_leaving: bool = True
+    late_last: bool = True
 
     @classmethod
     def from_config(cls, cfg: PolicySettings) -> "SendTerms":
@@ -75,6 +76,7 @@
             cfg.gap_patience,
             cfg.plain_patience,
             cfg.use_leaving,
+            cfg.late_last,
         )
 
 
--- a/src/ebonydeal/_internal/relay/sends.py
+++ b/src/ebonydeal/_internal/relay/sends.py
@@ -30,6 +30,8 @@
 # Sends that never left this process are free, but an end there must be.
 _MOST_UNSENT = 6
 _WAIT_STEP_S = 0.02
+# Engines rank requests from 0, the first, to this.
+_LEAST_URGENT = 9
 # Requests' lengths are guesses, right at the median: so much longer is allowed.
 _DURATION_SPREAD = 1.5
 # Share of the objective that a request waits for an endpoint to appear.
@@ -231,12 +233,28 @@
             endpoint_id=self.member.endpoint_id,
             account="" if account is None else account.name,
             allowed=self.left,
-            urgency=min(9, self.urgency) if self.job.route.has_prompt else None,
+            urgency=self._rank() if self.job.route.has_prompt else None,
             last_event=last_event,
             carried=self._carried,
             fetch_from=self._source,
         )
 
+    def _rank(self) -> int:
+        """Return the urgency that an engine is told.
+
+        One that will be late wherever it runs earns the same a little later, and a
+        long prompt makes all that wait behind it late: so it lets others go first.
+        """
+        job = self.job
+        waited = self._parts.clock.now() - job.started
+        late = (
+            self.expected is not None
+            and waited + self.expected > job.route.objective > 0.0
+        )
+        if late and self._parts.terms.late_last:
+            return _LEAST_URGENT
+        return min(_LEAST_URGENT, self.urgency)
+
     def count_run(self, wall: float) -> None:
         """Count the request once as begun, however often it is sent."""
         account = self.job.account
--- a/src/ebonydeal/_internal/routing/fleet_plan.py
+++ b/src/ebonydeal/_internal/routing/fleet_plan.py
@@ -47,8 +47,6 @@
         Endpoints wanted whatever the load.
     wave : bool
         A zone was taken back just now; others may follow.
-    idle : bool
-        The whole system started, and the service was never asked for anything.
     """
 
     zones: dict[str, ZoneFleet]
@@ -56,7 +54,6 @@
     dry: frozenset[str] = frozenset()
     least: int = 1
     wave: bool = False
-    idle: bool = False
 
 
 class FleetTerms(NamedTuple):
@@ -89,12 +86,6 @@
         Seconds between two questions for reclaimable endpoints that were refused.
     found : bool
         Whether the fleet is kept as it was found until its load was measured.
-    idle_fixed : int
-        On-demand endpoints kept before a service is first asked for anything, once
-        reclaimable ones are on their way; 0 keeps all until others serve.
-    shrink : float
-        The fleet is made smaller only where the load divided by this needs less,
-        too: near a step it would grow again within seconds. 1 is off.
     """
 
     use: float = 0.45
@@ -108,8 +99,6 @@
     peak: float = 6.0
     dry: float = 1.0
     found: bool = True
-    idle_fixed: int = 2
-    shrink: float = 0.85
 
     @classmethod
     def from_config(cls, cfg: PolicySettings) -> "FleetTerms":
@@ -126,8 +115,6 @@
             cfg.fleet_peak_s,
             cfg.fleet_dry_s,
             cfg.fleet_found,
-            cfg.fleet_idle_fixed,
-            cfg.fleet_shrink,
         )
 
 
@@ -169,15 +156,16 @@
         set(prices) | set(state.zones), key=lambda z: (prices.get(z, 1.0), z)
     )
     now = {zone: state.zones.get(zone, ZoneFleet()) for zone in zones}
-    need = _need(state, state.load, terms)
+    need = _Need(
+        whole=max(1, state.least, ceil(state.load / terms.use)),
+        short=_at_use(state.load, terms.use_short),
+        last=_at_use(state.load, terms.use_last),
+    )
     offered = scaling.spot_price is not None and scaling.spot_price < 1.0
-    kept = _kept_fixed(zones, now, max(need.short, state.least), _floor(state, terms))
+    kept = _kept_fixed(zones, now, max(need.short, state.least))
     spot = dict.fromkeys(zones, 0)
     if offered:
         spot = _spread_spot(scaling, zones, now, state.dry, need, kept)
-        near = _need(state, state.load / terms.shrink, terms)
-        larger = _spread_spot(scaling, zones, now, state.dry, near, kept)
-        spot = {z: max(spot[z], min(now[z].spot, larger[z])) for z in zones}
     total = sum(spot.values())
     lost = max(spot.values(), default=0) if terms.cover else 0
     wanted = need.short - (total - lost)
@@ -191,35 +179,18 @@
     return FleetPlan(plan, need.whole)
 
 
-def _need(state: FleetState, load: float, terms: FleetTerms) -> _Need:
-    """Return the endpoints needed at a load."""
-    return _Need(
-        whole=max(1, state.least, ceil(load / terms.use)),
-        short=_at_use(load, terms.use_short),
-        last=_at_use(load, terms.use_last),
-    )
-
-
 def _at_use(load: float, use: float) -> int:
     """Return the endpoints that carry a load at a use; 0 of use asks for one."""
     return max(1, ceil(load / use)) if use else 1
 
 
-def _floor(state: FleetState, terms: FleetTerms) -> int | None:
-    """Return how many on-demand endpoints stay while others boot; None for all."""
-    return terms.idle_fixed if state.idle and terms.idle_fixed else None
-
-
 def _kept_fixed(
-    zones: list[str], now: dict[str, ZoneFleet], need: int, floor: int | None
+    zones: list[str], now: dict[str, ZoneFleet], need: int
 ) -> dict[str, int]:
     """Return the on-demand endpoints that stay until reclaimable ones serve."""
-    missing = max(0, need - sum(now[zone].spot for zone in zones))
-    if floor is not None:
-        coming = sum(now[zone].spot_coming for zone in zones)
-        missing = min(missing, max(floor, missing - coming))
+    serving = sum(now[zone].spot for zone in zones)
     kept = {zone: now[zone].fixed + now[zone].fixed_coming for zone in zones}
-    spare = sum(kept.values()) - missing
+    spare = sum(kept.values()) - max(0, need - serving)
     while spare > 0 and any(kept.values()):
         # From the zone with most of them, which makes room there.
         zone = max(zones, key=lambda z: (kept[z], z))
@@ -237,10 +208,8 @@
     kept: dict[str, int],
 ) -> dict[str, int]:
     """Spread reclaimable endpoints so that the loss of zones leaves enough."""
-    # Both kinds together have one upper bound: what is ordered beyond it never comes,
-    # so those that are let go make room only when they are gone.
-    fixed = {zone: max(kept[zone], now[zone].fixed) for zone in zones}
-    room = {zone: max(0, scaling.most - fixed[zone]) for zone in zones}
+    # Both kinds together have one upper bound.
+    room = {zone: max(0, scaling.most - kept[zone]) for zone in zones}
     # A zone that gives no more keeps what it has.
     spot = {
         zone: min(now[zone].spot if zone in dry else scaling.least, room[zone])
@@ -251,17 +220,7 @@
         if not open_zones:
             break
         prices = scaling.zone_prices
-        # Of zones with as many, one that has more than that already: endpoints
-        # aren't let go in one zone to be bought in another.
-        zone = min(
-            open_zones,
-            key=lambda z: (
-                spot[z],
-                now[z].spot + now[z].spot_coming <= spot[z],
-                prices.get(z, 1.0),
-                z,
-            ),
-        )
+        zone = min(open_zones, key=lambda z: (spot[z], prices.get(z, 1.0), z))
         spot[zone] += 1
     return spot
 
--- a/src/ebonydeal/_internal/settings/policy.py
+++ b/src/ebonydeal/_internal/settings/policy.py
@@ -95,6 +95,10 @@
     use_leaving: Annotated[
         bool, Key("Send short requests to endpoints that leave but still serve.")
     ] = True
+    late_last: Annotated[
+        bool,
+        Key("Let engines rank a prompt that will be late anyway behind all others."),
+    ] = True
     exchange_s: Annotated[
         float,
         Key("Time between a relay's words to the coordinator.", "seconds", 0.05, 60),
@@ -245,23 +249,3 @@
     fleet_found: Annotated[
         bool, Key("Keep the fleet as it was found until its load was measured.")
     ] = True
-    fleet_idle_fixed: Annotated[
-        int,
-        Key(
-            "On-demand endpoints kept before a service's first request, once "
-            "reclaimable ones are on their way; 0 keeps all until others serve.",
-            "endpoints",
-            0,
-            100000,
-        ),
-    ] = 2
-    fleet_shrink: Annotated[
-        float,
-        Key(
-            "A fleet shrinks only where the load divided by this needs less, too; "
-            "1 is off.",
-            "",
-            0.1,
-            1,
-        ),
-    ] = 0.85
