--- a/tests/functional/relay/test_news.py
+++ b/tests/functional/relay/test_news.py
@@ -112,3 +112,21 @@
         async with three(one) as (_store, first, others):
             first.coordinator.hears_store = lambda: False
             await until(lambda: not any(p._exchange.fed for p in others))
+
+
+class TestLongReads:
+    async def test_all_other_relays_avoid_an_endpoint_that_reads_a_long_prompt(self):
+        async with three(RawEndpoint("i1")) as (_store, _first, others):
+            sender, hearer = others
+            await until(lambda: len(sender._exchange.relays) == 3)
+            sender._long_reads.sent("i1", 0.8, 900.0)
+
+            def until_read(program):
+                return program._choice._load("i1").reads_until
+
+            await until(lambda: until_read(hearer) > program_now(hearer))
+            assert until_read(sender) == 0.0
+
+
+def program_now(program):
+    return program._clock.now()
