--- a/src/ebonydeal/_internal/relay/listener.py
+++ b/src/ebonydeal/_internal/relay/listener.py
@@ -30,10 +30,16 @@
         ``host:port``; port 0 picks a free one, then read `port`.
     opened : sequence of int
         Sockets that listen already; the one on ``address`` is taken over.
+    decompresses : bool
+        Whether handlers get bodies decompressed. Clients' pass as they are.
     """
 
     def __init__(
-        self, handler: Handler, address: str, opened: Sequence[int] = ()
+        self,
+        handler: Handler,
+        address: str,
+        opened: Sequence[int] = (),
+        decompresses: bool = False,
     ) -> None:
         super().__init__()
         self._early = early_socket(opened, address)
@@ -41,6 +47,7 @@
         self.host = host
         self.port = int(port)
         self._handler = handler
+        self._decompresses = decompresses
         self._server: web.Server | None = None
         self._socket: asyncio.Server | None = None
 
@@ -54,7 +61,7 @@
             lingering_time=_LINGER_S,
             max_line_size=_MAX_FIELD,
             max_field_size=_MAX_FIELD,
-            auto_decompress=False,
+            auto_decompress=self._decompresses,
         )
         loop = asyncio.get_running_loop()
         if self._early is not None:
--- a/src/ebonydeal/_internal/relay/peers.py
+++ b/src/ebonydeal/_internal/relay/peers.py
@@ -30,7 +30,7 @@
 from ebonydeal._internal.relay.view import RelayView
 from ebonydeal._internal.routing.duty_lease import DutyLease, LeaseRow
 from ebonydeal._internal.utils.clock import Clock
-from ebonydeal._internal.utils.peerclient import PeerClient
+from ebonydeal._internal.utils.peerclient import COMPRESS_FROM_BYTES, PeerClient
 from ebonydeal._internal.utils.web import error_response, read_json
 
 logger = get_logger("relay.peers")
@@ -53,6 +53,14 @@
 _STORE_PATIENCE_S = 0.6
 
 
+def peer_answer(reply: Any) -> web.Response:
+    """Return an answer, compressed where it is large."""
+    resp = web.json_response(reply)
+    if (resp.content_length or 0) >= COMPRESS_FROM_BYTES:
+        resp.enable_compression()
+    return resp
+
+
 class PeerHandler:
     """Answers other relays and whoever reads the metrics."""
 
@@ -86,7 +94,7 @@
             call = self._calls.get(req.path)
             if call is None:
                 raise EbonydealError(ErrorKind.NOT_FOUND, f"no call {req.path}")
-            return web.json_response(call(await read_json(req)))
+            return peer_answer(call(await read_json(req)))
         except EbonydealError as exc:
             return error_response(exc)
         except (KeyError, TypeError, ValueError) as exc:
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -181,7 +181,9 @@
             LongReadTaker(self._choice, clock),
             metrics,
         )
-        self.peers = RawListener(handler.handle, self._cfg.peer_address)
+        self.peers = RawListener(
+            handler.handle, self._cfg.peer_address, decompresses=True
+        )
         seeds = seed_addresses(peers.seeds)
         self._exchange = Exchange(
             ExchangeParts(
--- a/src/ebonydeal/_internal/utils/peerclient.py
+++ b/src/ebonydeal/_internal/utils/peerclient.py
@@ -9,6 +9,9 @@
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 
 PEER_HEADER = "X-Ebonydeal-Peer"
+# Larger bodies are sent compressed, a third of their size: with many peers they fill
+# small instances' links. Smaller ones are sent as they are, to save processor time.
+COMPRESS_FROM_BYTES = 1024
 
 
 class PeerClient:
@@ -38,11 +41,16 @@
         if self._session is None:
             self._session = ClientSession()
         scheme = "https" if self._ssl else "http"
+        body = json.dumps(message).encode()
         try:
             async with self._session.post(
                 f"{scheme}://{address}{path}",
-                json=message,
-                headers={PEER_HEADER: self._credential},
+                data=body,
+                compress="deflate" if len(body) >= COMPRESS_FROM_BYTES else None,
+                headers={
+                    PEER_HEADER: self._credential,
+                    "Content-Type": "application/json",
+                },
                 timeout=ClientTimeout(total=timeout),
                 ssl=self._ssl if self._ssl else True,
             ) as resp:
