--- a/src/ebonydeal/_internal/relay/fleet.py
+++ b/src/ebonydeal/_internal/relay/fleet.py
@@ -159,10 +159,7 @@
         zones = self._zones(service, scaling, now)
         for zone in set(scaling.zone_prices) | set(zones):
             have = zones.get(zone, ZoneFleet()).spot
-            had = self._had_spot.get((service, zone))
-            if had is None:
-                # Whoever takes over in a wave sees only those that leave.
-                had = self._leaving_spot(service, zone)
+            had = self._had_spot.get((service, zone), 0)
             self._had_spot[(service, zone)] = have
             order = self._ordered.get(_Kind(service, zone, True))
             if had and not have and (order is None or order.wanted > 0):
@@ -171,14 +168,6 @@
                 self._ordered.pop(_Kind(service, zone, True), None)
                 logger.info("Zone taken back.", service=service, zone=zone, had=had)
 
-    def _leaving_spot(self, service: str, zone: str) -> int:
-        """Return how many of a zone's reclaimable endpoints leave."""
-        return sum(
-            member.leaving and member.reclaimable
-            for member in self._view.members.values()
-            if member.service == service and member.zone == zone
-        )
-
     def _in_wave(self, service: str, now: float) -> bool:
         at = self._waved.get(service)
         return at is not None and now - at < self._terms.wave
