--- a/src/ebonydeal/_internal/relay/coordinator.py
+++ b/src/ebonydeal/_internal/relay/coordinator.py
@@ -176,7 +176,7 @@
         )
         return ExchangeReply(
             holds=self.holds,
-            relays=self._roster.addresses_unless(message["known"]),
+            relays=self._roster.addresses_unless(message.get("known", "")),
             config=parts.view.version,
             members=parts.view.last_change,
             reported=self._ledger.reported,
