Read the endpoints' table strictly; forget what was known of one that started again

Cause: another writer's entry was read as what it might have meant: any state but 'ready' counted as leaving, so its runs were moved, '"spot": "false"' as reclaimable, and 1e999 raised an error that ended the follower's task. Nothing read when an endpoint was started, so one that starts again under its id kept loads, homes, failures, its time to leave and kept connections of the one before.

Change: each field is read by its type and bounds; an entry that can't be read takes an endpoint in use out of new work (its runs go on), one line with key, version and what is wrong, a counter. The pair of id and start is the endpoint: a newer start drops what was learned, an older one never brings back anything. Rows of the lease and of usage: errors of numbers too large and of depth are caught.

Shown by hypothesis over arbitrary bytes and changed fields, and a state machine of one id with restarts, late words, peers, unreadable entries and outages.

--- a/src/ebonydeal/_internal/models/forwarding.py
+++ b/src/ebonydeal/_internal/models/forwarding.py
@@ -154,6 +154,12 @@
         The platform may take it back at short notice.
     revision : int
         Grows with each change of the entry.
+    born : int
+        When it started, in ms since 1970; 0 where endpoints don't tell. An endpoint
+        that starts again under its id has a later one, and is another endpoint:
+        nothing that was learned of the one before holds.
+    withheld : bool
+        Its entry can't be read at the moment: it gets no new work.
     """
 
     endpoint_id: str
@@ -166,6 +172,8 @@
     reclaimable: bool
     warming: float
     revision: int
+    born: int = 0
+    withheld: bool = False
 
 
 class PromptPart(NamedTuple):
--- a/src/ebonydeal/_internal/observe/counters.py
+++ b/src/ebonydeal/_internal/observe/counters.py
@@ -74,6 +74,9 @@
     CEILING_HELD = "ceiling_held"
     ORDERS_SENT = "orders_sent"
     ORDERS_STALE = "orders_stale"
+    # relay
+    ENTRIES_UNREADABLE = "entries_unreadable"
+    CONFIGURATIONS_UNREADABLE = "configurations_unreadable"
 
 
 class Timing(StrEnum):
--- a/src/ebonydeal/_internal/platform/rows.py
+++ b/src/ebonydeal/_internal/platform/rows.py
@@ -2,6 +2,7 @@
 
 import json
 from base64 import b64decode, b64encode
+from ipaddress import IPv4Address
 from typing import Any
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
@@ -27,6 +28,10 @@
     "non_idempotent": Repeat.ONCE,
     "streaming": Repeat.STREAM,
 }
+_LEAVING = {"ready": False, "draining": True}
+_MOST_PORT = 65535
+# Milliseconds since 1970 stay below it for ages, and a float holds it exactly.
+_MOST_WHOLE = 2**53
 _MS = 1000.0
 
 
@@ -150,22 +155,78 @@
 
 
 def decode_member(row: SharedRow) -> Member:
-    """Return a listed endpoint; raises BAD_DOCUMENT where it can't be read."""
+    """Return a listed endpoint; raises BAD_DOCUMENT where it can't be read.
+
+    The table is open to other writers: a field of another type names no endpoint,
+    and is never read as something that it might have meant.
+    """
     try:
         message = json.loads(row.value or b"")
-        leaves = message.get("leaves_ms")
+        if not isinstance(message, dict):
+            raise TypeError("no object")
         return Member(
             endpoint_id=row.key,
-            service=str(message["service"]),
-            address=str(message["address"]),
-            zone=str(message.get("zone", "")),
-            slots=int(message.get("max_slots") or 1),
-            leaving=message.get("state") != "ready",
-            leaves_in=None if leaves is None else float(leaves) / _MS,
-            reclaimable=bool(message.get("spot")),
-            warming=float(message.get("cold_left_ms") or 0.0) / _MS,
+            service=_text(message, "service"),
+            address=_address(message),
+            zone=_text(message, "zone"),
+            slots=_whole(message, "max_slots", least=1),
+            leaving=_LEAVING[_text(message, "state")],
+            leaves_in=_seconds(message, "leaves_ms"),
+            reclaimable=_flag(message, "spot"),
+            warming=_seconds(message, "cold_left_ms") or 0.0,
             revision=row.version,
+            # The wire's name for when the endpoint started, in ms since 1970.
+            born=_whole(message, "born", least=0) if "born" in message else 0,
         )
-    except (KeyError, TypeError, ValueError, AttributeError, RecursionError) as exc:
-        detail = f"endpoint {row.key} can't be read: {exc!r}"
+    except (KeyError, TypeError, ValueError, RecursionError) as exc:
+        detail = f"endpoint {row.key}, version {row.version}: {exc!r}"
         raise EbonydealError(ErrorKind.BAD_DOCUMENT, detail) from exc
+
+
+def _text(message: dict[str, Any], name: str) -> str:
+    """Return a field's text; raises KeyError or TypeError."""
+    value = message[name]
+    if not isinstance(value, str) or not value:
+        raise TypeError(f"{name} is no text")
+    return value
+
+
+def _address(message: dict[str, Any]) -> str:
+    """Return the address; raises KeyError, TypeError or ValueError."""
+    address = _text(message, "address")
+    host, _, port = address.rpartition(":")
+    IPv4Address(host)
+    if not (port.isascii() and port.isdecimal() and 0 < int(port) <= _MOST_PORT):
+        raise ValueError("address has no port")
+    return address
+
+
+def _whole(message: dict[str, Any], name: str, least: int) -> int:
+    """Return a field's whole number; raises KeyError, TypeError or ValueError."""
+    value = message[name]
+    if type(value) is not int:
+        raise TypeError(f"{name} is no whole number")
+    if not least <= value <= _MOST_WHOLE:
+        raise ValueError(f"{name} is out of range")
+    return value
+
+
+def _flag(message: dict[str, Any], name: str) -> bool:
+    """Return a field that may be left out; raises TypeError."""
+    value = message.get(name, False)
+    if not isinstance(value, bool):
+        raise TypeError(f"{name} is no boolean")
+    return value
+
+
+def _seconds(message: dict[str, Any], name: str) -> float | None:
+    """Return a time in ms that may be left out; raises TypeError or ValueError."""
+    value = message.get(name)
+    if value is None:
+        return None
+    if type(value) not in (int, float):
+        raise TypeError(f"{name} is no number")
+    # Compared before it is converted: a whole number may be too large for that.
+    if not 0 <= value <= _MOST_WHOLE:
+        raise ValueError(f"{name} is out of range")
+    return float(value) / _MS
--- a/src/ebonydeal/_internal/relay/connections.py
+++ b/src/ebonydeal/_internal/relay/connections.py
@@ -271,6 +271,11 @@
             if pool.has_idle(now)
         )
 
+    def forget(self, endpoint_id: str) -> None:
+        """Drop idle connections to an endpoint that started again."""
+        for key in [key for key in self._pools if key[0] == endpoint_id]:
+            self._pools.pop(key).close()
+
     def keep_only(self, endpoint_ids: Iterable[str]) -> None:
         """Drop idle connections to endpoints that are gone, and old ones."""
         known = set(endpoint_ids)
--- a/src/ebonydeal/_internal/relay/follower.py
+++ b/src/ebonydeal/_internal/relay/follower.py
@@ -8,6 +8,7 @@
 from ebonydeal._internal.errors import EbonydealError
 from ebonydeal._internal.models.forwarding import Member
 from ebonydeal._internal.models.shared import SharedRow
+from ebonydeal._internal.observe.counters import Event, Metrics
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.ports import SharedStore, Wire
 from ebonydeal._internal.relay.view import RelayView
@@ -46,6 +47,8 @@
         Takes what is read.
     clock, rng
         Time; jitter of back-off.
+    metrics : Metrics
+        Counts entries that can't be read.
     """
 
     def __init__(
@@ -55,8 +58,10 @@
         view: RelayView,
         clock: Clock,
         rng: Random,
+        metrics: Metrics,
     ) -> None:
         super().__init__()
+        self._metrics = metrics
         self._store = store
         self._wire = wire
         self._view = view
@@ -192,6 +197,7 @@
             try:
                 table = self._wire.table(row)
             except EbonydealError as exc:
+                self._metrics.count(Event.CONFIGURATIONS_UNREADABLE)
                 logger.error("Configuration refused.", reason=str(exc))
                 continue
             self._view.take_table(table, row.value, "store")
@@ -221,6 +227,15 @@
         """Take the whole list."""
         read = [self._read(row) for row in rows]
         members = [member for member in read if member is not None]
+        # The entry is there, so nothing says that its endpoint is gone.
+        unread = [row for row, member in zip(rows, read, strict=True) if member is None]
+        for row in unread:
+            self._view.withhold(row.key, row.version)
+        members.extend(
+            self._view.members[row.key]
+            for row in unread
+            if row.key in self._view.members
+        )
         self._view.replace(members, version, self._clock.now(), was_away)
 
     async def take(
@@ -239,6 +254,8 @@
             elif (member := self._read(row)) is not None:
                 heard_at = None if was_away else self._clock.now()
                 self._view.put(member, heard_at)
+            else:
+                self._view.withhold(row.key, row.version)
         self._view.members_version = max(self._view.members_version, version)
 
     def _read(self, row: SharedRow) -> Member | None:
@@ -246,6 +263,7 @@
         try:
             return self._wire.member(row)
         except EbonydealError as exc:
+            self._metrics.count(Event.ENTRIES_UNREADABLE)
             logger.error("Endpoint refused.", reason=str(exc))
             return None
 
--- a/src/ebonydeal/_internal/relay/lease_keeper.py
+++ b/src/ebonydeal/_internal/relay/lease_keeper.py
@@ -170,6 +170,6 @@
     """Return the lease's row; one that can't be read counts as none."""
     try:
         return LeaseRow.decode(value)
-    except (ValueError, KeyError, TypeError) as exc:
+    except (ValueError, KeyError, TypeError, OverflowError, RecursionError) as exc:
         logger.error("The lease's row can't be read.", reason=repr(exc))
         return None
--- a/src/ebonydeal/_internal/relay/leaving.py
+++ b/src/ebonydeal/_internal/relay/leaving.py
@@ -24,6 +24,10 @@
 _MOST_ASKED = 4
 
 
+def _key(member: Member) -> tuple[str, int]:
+    return member.endpoint_id, member.born
+
+
 class LeavingTimes(Service):
     """Keeps up when endpoints will be gone, while this is the coordinator."""
 
@@ -35,7 +39,8 @@
         self._engines = engines
         self._view = view
         self._clock = clock
-        self._asked: Counter[str] = Counter()
+        # By id and start: one that started again is another endpoint.
+        self._asked: Counter[tuple[str, int]] = Counter()
 
     @Service.task
     async def _run(self) -> None:
@@ -45,14 +50,15 @@
                 continue
             due = self._due()
             for member in due:
-                self._asked[member.endpoint_id] += 1
+                self._asked[_key(member)] += 1
             self._forget_gone()
             await asyncio.gather(*(self._ask(member) for member in due))
 
     def _forget_gone(self) -> None:
         """Drop the counts of endpoints that are listed no more."""
-        for endpoint_id in self._asked.keys() - self._view.members.keys():
-            del self._asked[endpoint_id]
+        listed = {_key(member) for member in self._view.members.values()}
+        for key in self._asked.keys() - listed:
+            del self._asked[key]
 
     def _due(self) -> list[Member]:
         """Return endpoints that are taken back, and may still tell when."""
@@ -62,7 +68,7 @@
             if member.leaving
             and member.reclaimable
             and self._view.leaves_at(member.endpoint_id) is None
-            and self._asked[member.endpoint_id] < _MOST_ASKED
+            and self._asked[_key(member)] < _MOST_ASKED
         ]
 
     async def _ask(self, member: Member) -> None:
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -93,6 +93,8 @@
         self._retries = RetryPolicy(retry_share(self._cfg, FIRST_RELAYS), rng)
         self._failing = FailureShares(self._policy.avoid_failing)
         outliers = Outliers(outlier_terms(settings["routing"], self._policy), rng)
+        self._outliers = outliers
+        self.view.on_restart = self._forget_endpoint
         self._moves = StreamMoves(
             MovesParts(
                 view=self.view,
@@ -141,8 +143,10 @@
         self.clients = RawListener(self.intake.handle, self._cfg.address, opened)
         self._ready = RawListener(self._answer_ready, self._cfg.ready_address, opened)
         self._followers = (
-            ConfigTableFollower(ports.store, ports.wire, self.view, clock, rng),
-            MembersFollower(ports.store, ports.wire, self.view, clock, rng),
+            ConfigTableFollower(
+                ports.store, ports.wire, self.view, clock, rng, metrics
+            ),
+            MembersFollower(ports.store, ports.wire, self.view, clock, rng, metrics),
         )
         incarnation = new_token("i", rng)
         self.coordinator = Coordinator(
@@ -283,6 +287,13 @@
     async def _answer_ready(self, _req: web.BaseRequest) -> web.Response:
         return web.Response(status=200 if self.ready else 503)
 
+    def _forget_endpoint(self, endpoint_id: str) -> None:
+        """Drop all that was learned of an endpoint before it started again."""
+        self._choice.forget(endpoint_id)
+        self._failing.forget(endpoint_id)
+        self._outliers.forget(endpoint_id)
+        self._pools.forget(endpoint_id)
+
     @Service.task
     async def _sweep(self) -> None:
         """Forget endpoints that are gone."""
--- a/src/ebonydeal/_internal/relay/sends.py
+++ b/src/ebonydeal/_internal/relay/sends.py
@@ -285,8 +285,9 @@
         self._avoid.add(endpoint)
         now = parts.clock.now()
         error = _error_of(outcome)
-        parts.outliers.failed(endpoint, error.kind, now)
-        parts.failing.failed(endpoint, error.kind, now)
+        if self._still_listed(self.member):
+            parts.outliers.failed(endpoint, error.kind, now)
+            parts.failing.failed(endpoint, error.kind, now)
         self._forget_avoided()
         verdict = self._verdict(outcome, error, delivered, now)
         logger.info(
@@ -304,6 +305,11 @@
         reason = _REASONS.get(error.kind, RetryReason.ENDPOINT_FAILED)
         parts.metrics.retried(reason)
 
+    def _still_listed(self, member: Member) -> bool:
+        """Return whether an endpoint hasn't started again since it was chosen."""
+        listed = self._parts.view.members.get(member.endpoint_id)
+        return listed is None or listed.born == member.born
+
     def _forget_avoided(self) -> None:
         """Allow endpoints again where none other is left."""
         listed = self._parts.view.of_service(self.job.service)
--- a/src/ebonydeal/_internal/relay/usage_store.py
+++ b/src/ebonydeal/_internal/relay/usage_store.py
@@ -22,6 +22,9 @@
 # Well below what a row may hold; beyond it open windows are not kept.
 _MOST_OPEN_BYTES = 48_000
 
+# What reading a row may raise that another writer made.
+_UNREADABLE = (ValueError, TypeError, AttributeError, OverflowError, RecursionError)
+
 
 def _key(window: int) -> str:
     return f"{window:012d}"
@@ -60,7 +63,7 @@
                 for relay, windows in json.loads(row.value).items():
                     counts = {int(n): dict(c) for n, c in windows.items()}
                     self._ledger.stored(relay, counts)
-            except (ValueError, TypeError, AttributeError) as exc:
+            except _UNREADABLE as exc:
                 logger.error("Stored usage can't be read.", reason=repr(exc))
 
     async def store_once(self, due: Due) -> dict[str, int] | None:
@@ -80,6 +83,6 @@
             body = stored[0]
         try:
             return {str(k): int(v) for k, v in json.loads(body).items()}
-        except (ValueError, TypeError, AttributeError) as exc:
+        except _UNREADABLE as exc:
             logger.error("Stored usage can't be read.", reason=repr(exc))
             return None
--- a/src/ebonydeal/_internal/relay/view.py
+++ b/src/ebonydeal/_internal/relay/view.py
@@ -1,7 +1,8 @@
 """What one relay knows: the configuration in force and the listed endpoints."""
 
 from collections import deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
+from typing import NamedTuple
 
 from ebonydeal._internal.models.forwarding import Member, RouteTable
 from ebonydeal._internal.observe.logs import get_logger
@@ -25,6 +26,25 @@
 _LEFT_KEPT = 1000
 
 
+class _Left(NamedTuple):
+    """When an endpoint left, by the store's version, and when it was started."""
+
+    version: int
+    born: int
+
+
+_NEVER_LEFT = _Left(-1, 0)
+
+
+def _differs(known: Member, member: Member) -> bool:
+    """Return whether a change of an entry is worth a line."""
+    return (known.leaving, known.withheld, known.born) != (
+        member.leaving,
+        member.withheld,
+        member.born,
+    )
+
+
 class RelayView:
     """Configuration and endpoints; the highest version seen is in force.
 
@@ -45,7 +65,9 @@
         self._raw_table = b""
         self._by_service: dict[str, tuple[Member, ...]] = {}
         self._lapsed: dict[str, float] = {}
-        self._left: dict[str, int] = {}
+        self._left: dict[str, _Left] = {}
+        # Told which endpoint started again, so that what was learned of it goes.
+        self.on_restart: Callable[[str], None] = lambda _endpoint_id: None
         # Ids in the order of their last change, for those that hear from us.
         self.changes = 0
         self._changed: deque[str] = deque(maxlen=_CHANGES_KEPT)
@@ -90,6 +112,8 @@
         found = []
         for endpoint_id, since in self._leaving_since.items():
             member = self.members[endpoint_id]
+            if member.withheld:
+                continue
             left = self._last_resort - (now - since)
             gone = self._leaves_at.get(endpoint_id)
             if gone is not None:
@@ -130,15 +154,19 @@
         if known is not None and known.revision >= member.revision:
             self._lapsed.pop(member.endpoint_id, None)
             return
-        if self._left.get(member.endpoint_id, -1) >= member.revision:
+        left = self._left.get(member.endpoint_id, _NEVER_LEFT)
+        if left.version >= member.revision:
+            return
+        if member.born < max(left.born, 0 if known is None else known.born):
+            # A late word of one that has since started again.
             return
+        if known is not None and member.born > known.born:
+            self._forget_restarted(known, member)
         self.members[member.endpoint_id] = member
         self.last_change = max(self.last_change, member.revision)
-        if member.leaving and heard_at is not None and known is not None:
-            if not known.leaving:
-                self._leaving_since[member.endpoint_id] = heard_at
+        self._note_leaving(known, member, heard_at)
         self._lapsed.pop(member.endpoint_id, None)
-        if known is None or known.leaving != member.leaving:
+        if known is None or _differs(known, member):
             logger.info(
                 "Endpoint listed.",
                 endpoint=member.endpoint_id,
@@ -147,14 +175,47 @@
                 leaving=member.leaving,
                 leaves_in=member.leaves_in,
                 reclaimable=member.reclaimable,
+                withheld=member.withheld,
+                born=member.born,
             )
         self._note_change(member.endpoint_id)
 
+    def withhold(self, endpoint_id: str, version: int) -> None:
+        """Give an endpoint no new work until its entry can be read again."""
+        known = self.members.get(endpoint_id)
+        if known is not None and not known.withheld:
+            self.put(known._replace(revision=version, withheld=True))
+
+    def _forget_restarted(self, known: Member, member: Member) -> None:
+        """Forget what was learned before an endpoint started again."""
+        endpoint_id = member.endpoint_id
+        self._leaving_since.pop(endpoint_id, None)
+        self._leaves_at.pop(endpoint_id, None)
+        logger.info(
+            "Endpoint started again.",
+            endpoint=endpoint_id,
+            born=member.born,
+            before=known.born,
+        )
+        self.on_restart(endpoint_id)
+
+    def _note_leaving(
+        self, known: Member | None, member: Member, heard_at: float | None
+    ) -> None:
+        """Note since when an endpoint leaves, or that it stays after all."""
+        endpoint_id = member.endpoint_id
+        if not member.leaving:
+            self._leaving_since.pop(endpoint_id, None)
+            self._leaves_at.pop(endpoint_id, None)
+        elif heard_at is not None and known is not None and not known.leaving:
+            self._leaving_since[endpoint_id] = heard_at
+
     def remove(self, endpoint_id: str, version: int) -> None:
         """Drop an endpoint that the list no longer has."""
         known = self.members.get(endpoint_id)
-        left_at = max(version, self._left.pop(endpoint_id, -1))
-        self._left[endpoint_id] = left_at
+        before = self._left.pop(endpoint_id, _NEVER_LEFT)
+        born = before.born if known is None else max(before.born, known.born)
+        self._left[endpoint_id] = _Left(max(version, before.version), born)
         if known is None or known.revision > version:
             return
         del self.members[endpoint_id]
@@ -209,7 +270,7 @@
 
     def left_at(self, endpoint_id: str) -> int:
         """Return the version at which an endpoint left; -1 if it didn't."""
-        return self._left.get(endpoint_id, -1)
+        return self._left.get(endpoint_id, _NEVER_LEFT).version
 
     def _note_change(self, endpoint_id: str) -> None:
         """Count a change, and lay the endpoints out by service."""
@@ -219,6 +280,6 @@
             del self._left[next(iter(self._left))]
         grouped: dict[str, list[Member]] = {}
         for member in self.members.values():
-            if not member.leaving:
+            if not member.leaving and not member.withheld:
                 grouped.setdefault(member.service, []).append(member)
         self._by_service = {name: tuple(items) for name, items in grouped.items()}
--- a/src/ebonydeal/_internal/routing/endpoint_load.py
+++ b/src/ebonydeal/_internal/routing/endpoint_load.py
@@ -12,19 +12,6 @@
     at: float = 0.0
 
 
-class Sent(NamedTuple):
-    """A request that was sent; give it back to `MemberChoice.ended`.
-
-    ``missed`` are tokens that the endpoint must read, ``unread`` the same in
-    tokens of a short prompt, which are read faster.
-    """
-
-    endpoint_id: str
-    missed: float
-    unread: float
-    at: float
-
-
 class EndpointLoad:
     """One endpoint as this relay knows it.
 
@@ -80,3 +67,18 @@
             self.parts.move_to_end(part_id)
         while self.parts and now - next(iter(self.parts.values())) > keep:
             self.parts.popitem(last=False)
+
+
+class Sent(NamedTuple):
+    """A request that was sent; give it back to `MemberChoice.ended`.
+
+    ``missed`` are tokens that the endpoint must read, ``unread`` the same in
+    tokens of a short prompt, which are read faster. ``load`` is where it counts:
+    an endpoint that starts again under its id has another.
+    """
+
+    endpoint_id: str
+    missed: float
+    unread: float
+    at: float
+    load: EndpointLoad
--- a/src/ebonydeal/_internal/routing/failure_shares.py
+++ b/src/ebonydeal/_internal/routing/failure_shares.py
@@ -76,6 +76,11 @@
         self._own = {name: a for name, a in faded.items() if a.seen >= _FORGET}
         self._at = now
 
+    def forget(self, endpoint_id: str) -> None:
+        """Drop what is known of an endpoint that started again."""
+        self._own.pop(endpoint_id, None)
+        self._told.pop(endpoint_id, None)
+
     def own(self, now: float) -> dict[str, list[float]]:
         """Return what this relay saw, as it is told to others."""
         self._fade(now)
--- a/src/ebonydeal/_internal/routing/member_choice.py
+++ b/src/ebonydeal/_internal/routing/member_choice.py
@@ -185,6 +185,11 @@
                 del self._loads[endpoint_id]
                 self._signs.pop(endpoint_id, None)
 
+    def forget(self, endpoint_id: str) -> None:
+        """Drop what is known of an endpoint that started again: it holds nothing."""
+        self._loads.pop(endpoint_id, None)
+        self._signs.pop(endpoint_id, None)
+
     def heard(self, endpoint_id: str, now: float) -> None:
         """Note a sign of life of an endpoint."""
         self._signs[endpoint_id] = now
@@ -317,19 +322,20 @@
         meter = self._work.setdefault(member.service, RateMeter(_WORK_WINDOW_S))
         meter.add(unread / self.speed.rate, now)
         load.note_parts([part.part_id for part in ask.parts], now, self._keep)
-        return Sent(member.endpoint_id, missed, unread, now)
+        return Sent(member.endpoint_id, missed, unread, now, load)
 
     def began(self, sent: Sent, now: float) -> Sent:
         """Note the first event of a request; returns what `ended` gets."""
-        load = self._load(sent.endpoint_id)
+        load = sent.load
         load.unread = max(0.0, load.unread - sent.unread)
-        self.heard(sent.endpoint_id, now)
+        if self._loads.get(sent.endpoint_id) is load:
+            self.heard(sent.endpoint_id, now)
         self.speed.first_event(sent.missed, now - sent.at)
         return sent._replace(missed=0.0, unread=0.0)
 
     def ended(self, sent: Sent) -> None:
         """Note that a request is over, well or not."""
-        load = self._load(sent.endpoint_id)
+        load = sent.load
         load.running = max(0, load.running - 1)
         load.unread = max(0.0, load.unread - sent.unread)
 
--- a/tests/unit/platform/test_rows.py
+++ b/tests/unit/platform/test_rows.py
@@ -1,6 +1,8 @@
 import json
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.forwarding import Repeat, Target
@@ -45,7 +47,22 @@
     "limits": {"idle_timeout_ms": 15000},
     "tenants": [{"name": "acme", "api_keys": ["k"], "unit": "tokens", "rate_per_s": 5}],
 }
-MEMBER = {"service": "a", "address": "10.0.0.1:80", "zone": "z", "state": "ready"}
+MEMBER = {
+    "service": "a",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "max_slots": 6,
+    "state": "ready",
+}
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+# One field, or several, of an entry that is otherwise sound.
+CHANGED = st.dictionaries(
+    st.sampled_from([*MEMBER, "born", "spot", "leaves_ms", "cold_left_ms"]), JSON
+)
 
 
 class TestTable:
@@ -94,6 +111,91 @@
         with pytest.raises(EbonydealError, match="i-9"):
             decode_member(SharedRow("i-9", value, 1))
 
+    @pytest.mark.parametrize(
+        "wrong",
+        [
+            {"state": "starting"},
+            {"state": None},
+            {"service": {"a": 1}},
+            {"service": ""},
+            {"address": [1]},
+            {"address": "10.0.0.1"},
+            {"address": "10.0.0.1:x"},
+            {"address": "10.0.0.1:99999"},
+            {"address": "elsewhere.example:80"},
+            {"zone": 3},
+            {"max_slots": "6"},
+            {"max_slots": True},
+            {"max_slots": 0},
+            {"spot": "false"},
+            {"leaves_ms": float("nan")},
+            {"leaves_ms": True},
+            {"leaves_ms": -1},
+            {"leaves_ms": 10**400},
+            {"cold_left_ms": "soon"},
+            {"born": 1.5},
+            {"born": -1},
+            {"born": None},
+        ],
+    )
+    def test_a_field_of_another_type_names_no_endpoint(self, wrong):
+        value = json.dumps({**MEMBER, **wrong}).encode()
+        with pytest.raises(EbonydealError) as caught:
+            decode_member(SharedRow("i-9", value, 1))
+        assert caught.value.kind is ErrorKind.BAD_DOCUMENT
+
+    def test_a_number_beyond_all_bounds_names_no_endpoint(self):
+        value = json.dumps(MEMBER).replace(": 6", ": 1e999").encode()
+        with pytest.raises(EbonydealError, match="max_slots"):
+            decode_member(SharedRow("i-9", value, 1))
+
+    def test_its_start_is_told_where_endpoints_tell_it(self):
+        value = json.dumps({**MEMBER, "born": 1_790_000_000_123}).encode()
+        assert decode_member(SharedRow("i-1", value, 1)).born == 1_790_000_000_123
+        value = json.dumps(MEMBER).encode()
+        assert decode_member(SharedRow("i-1", value, 1)).born == 0
+
+
+class TestAnyBytes:
+    """Other writers may put anything: the one error, or a sound value."""
+
+    @given(st.binary() | JSON.map(lambda value: json.dumps(value).encode()))
+    def test_an_endpoint(self, value):
+        self._member(value)
+
+    @given(CHANGED)
+    def test_an_endpoint_with_some_fields_changed(self, changed):
+        self._member(json.dumps({**MEMBER, **changed}).encode())
+
+    def _member(self, value):
+        try:
+            member = decode_member(SharedRow("i-1", value, 1))
+        except EbonydealError as exc:
+            assert exc.kind is ErrorKind.BAD_DOCUMENT
+            return
+        assert member.slots >= 1
+        assert member.leaves_in is None or 0.0 <= member.leaves_in < 1e15
+        assert 0.0 <= member.warming < 1e15
+        assert isinstance(member.leaving, bool)
+        assert isinstance(member.reclaimable, bool)
+        assert isinstance(member.born, int)
+
+    @given(st.binary() | JSON.map(lambda value: json.dumps(value).encode()))
+    def test_the_configuration(self, value):
+        self._table(value)
+
+    @given(st.dictionaries(st.sampled_from([*CONFIG]), JSON))
+    def test_the_configuration_with_some_parts_changed(self, changed):
+        self._table(json.dumps({**CONFIG, **changed}).encode())
+
+    def _table(self, value):
+        try:
+            table = decode_table(value)
+        except EbonydealError as exc:
+            assert exc.kind is ErrorKind.BAD_DOCUMENT
+            return
+        assert isinstance(table.version, int)
+
 
 class TestRow:
     def test_value_and_removal(self):
--- a/tests/unit/relay/test_follower.py
+++ b/tests/unit/relay/test_follower.py
@@ -1,12 +1,15 @@
 """A follower that is told by another relay while its own polls fail."""
 
 import asyncio
+import json
 from random import Random
 from types import SimpleNamespace
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.forwarding import Member
 from ebonydeal._internal.models.shared import Changes, SharedRow
+from ebonydeal._internal.observe.counters import Event, Metrics
+from ebonydeal._internal.platform.wire import PlatformWire
 from ebonydeal._internal.relay.follower import MembersFollower
 from ebonydeal._internal.relay.view import RelayView
 from tests.lib.clock import ManualClock
@@ -43,7 +46,7 @@
         clock = ManualClock(100.0)
         view = RelayView(2.0)
         store = Store()
-        follower = MembersFollower(store, WIRE, view, clock, Random(1))
+        follower = MembersFollower(store, WIRE, view, clock, Random(1), Metrics())
         follower.fed = lambda: fed and store.polls == 1 and clock.now() < 101.0
         async with asyncio.timeout(10):
             await follower.start()
@@ -58,3 +61,50 @@
 
     async def test_what_is_missing_right_after_an_outage_may_have_lapsed(self):
         assert "i1" in await self.play(fed=False)
+
+
+def entry(key, version, **fields):
+    document = {
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "z",
+        "max_slots": 8,
+        "state": "ready",
+        **fields,
+    }
+    return SharedRow(key, json.dumps(document).encode(), version)
+
+
+class TestUnreadable:
+    """Entries of other writers: they name no endpoint, and all others hold."""
+
+    def setup_method(self):
+        self.view = RelayView(2.0)
+        self.metrics = Metrics()
+        wire, clock = PlatformWire(), ManualClock(100.0)
+        self.follower = MembersFollower(
+            None, wire, self.view, clock, Random(1), self.metrics
+        )
+
+    def ready(self):
+        return sorted(m.endpoint_id for m in self.view.of_service("s"))
+
+    async def test_one_over_an_entry_in_use_gets_no_new_work_until_it_reads(self):
+        await self.follower.take_all([entry("i1", 1), entry("i2", 2)], 2, False)
+        await self.follower.take((entry("i1", 3, state="odd"),), 3, False)
+        assert self.ready() == ["i2"]
+        await self.follower.take((entry("i1", 4),), 4, False)
+        assert self.ready() == ["i1", "i2"]
+        assert self.metrics.events()[Event.ENTRIES_UNREADABLE] == 1
+
+    async def test_a_whole_list_with_one_keeps_its_endpoint_but_for_new_work(self):
+        await self.follower.take_all([entry("i1", 1), entry("i2", 2)], 2, False)
+        rows = [entry("i1", 3, max_slots=1e999), entry("i2", 2)]
+        await self.follower.take_all(rows, 3, False)
+        assert self.ready() == ["i2"]
+        assert "i1" in self.view.members
+
+    async def test_one_that_names_nobody_known_is_left_out(self):
+        rows = [entry("i1", 1), SharedRow("x", b"\xff\x00", 2), entry("i3", 3)]
+        await self.follower.take_all(rows, 3, False)
+        assert self.ready() == ["i1", "i3"]
--- a/tests/unit/relay/test_view.py
+++ b/tests/unit/relay/test_view.py
@@ -1,3 +1,6 @@
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
 from ebonydeal._internal.models.forwarding import ClientLimits, Member, RouteTable
 from ebonydeal._internal.relay.view import LAPSE_GRACE_S, RelayView
 
@@ -5,8 +8,8 @@
 LAST_RESORT_S = 1.3
 
 
-def member(name="i1", revision=1, leaving=False):
-    return Member(name, "s", "h:1", "z", 8, leaving, None, True, 0.0, revision)
+def member(name="i1", revision=1, leaving=False, born=0):
+    return Member(name, "s", "h:1", "z", 8, leaving, None, True, 0.0, revision, born)
 
 
 def table(version):
@@ -108,3 +111,142 @@
         view.expect_leave("i1", 11.0)
         assert len(view.leaving_of("s", 10.8)) == 1
         assert view.leaving_of("s", 10.91) == []
+
+
+class TestStartedAgain:
+    """An endpoint that starts again under its id is another endpoint."""
+
+    def test_what_was_known_of_the_one_before_goes(self):
+        view, restarted = RelayView(DRAIN_S), []
+        view.on_restart = restarted.append
+        view.put(member(born=10))
+        view.put(member(revision=2, leaving=True, born=10), 5.0)
+        view.expect_leave("i1", 6.0)
+        view.put(member(revision=3, born=20), 5.5)
+        assert restarted == ["i1"]
+        assert ids(view) == ["i1"]
+        assert view.leaves_at("i1") is None
+        assert view.leaving_age("i1", 5.5) is None
+
+    def test_a_late_word_of_the_one_before_changes_nothing(self):
+        view = RelayView(DRAIN_S)
+        view.put(member(born=20))
+        view.put(member(revision=2, leaving=True, born=10), 5.0)
+        assert ids(view) == ["i1"]
+        view.remove("i1", 3)
+        view.put(member(revision=4, born=10))
+        assert view.members == {}
+        view.put(member(revision=5, born=20))
+        assert ids(view) == ["i1"]
+
+    def test_one_that_stays_after_all_has_no_time_to_go(self):
+        view = RelayView(DRAIN_S)
+        view.put(member())
+        view.put(member(revision=2, leaving=True), 5.0)
+        view.expect_leave("i1", 6.0)
+        view.put(member(revision=3), 5.5)
+        assert view.leaves_at("i1") is None
+        assert view.leaving_of("s", 5.6) == []
+        assert ids(view) == ["i1"]
+
+
+class TestWithheld:
+    """An entry that can't be read stands over one that is in use."""
+
+    def test_no_new_work_until_it_can_be_read_again(self):
+        view = RelayView(DRAIN_S)
+        view.put(member())
+        view.withhold("i1", 2)
+        assert ids(view) == []
+        # What runs there goes on.
+        assert "i1" in view.members
+        view.put(member(revision=3))
+        assert ids(view) == ["i1"]
+
+    def test_no_last_work_either_while_it_leaves(self):
+        view = RelayView(DRAIN_S)
+        view.put(member())
+        view.put(member(revision=2, leaving=True), 5.0)
+        assert view.leaving_of("s", 5.1)
+        view.withhold("i1", 3)
+        assert view.leaving_of("s", 5.1) == []
+
+    def test_one_that_nobody_knows_is_none(self):
+        view = RelayView(DRAIN_S)
+        view.withhold("i1", 2)
+        assert view.members == {}
+
+
+class Endpoint(RuleBasedStateMachine):
+    """One id that is started again, with words that come late and an outage."""
+
+    def __init__(self):
+        super().__init__()
+        self.view = RelayView(DRAIN_S)
+        self.view.on_restart = lambda _id: self.restarts.append(self.now)
+        self.restarts = []
+        self.now = 0.0
+        self.revision = 0
+        self.born = 1
+        self.newest = 0
+        self.told = []
+
+    def _write(self, born, leaving):
+        self.revision += 1
+        written = member("i1", self.revision, leaving, born)
+        self.told.append(written)
+        return written
+
+    @rule()
+    def starts_again(self):
+        self.born += 1
+        self.view.put(self._write(self.born, False), self.now)
+        self.newest = self.born
+
+    @rule(leaving=st.booleans())
+    def tells(self, leaving):
+        self.view.put(self._write(self.born, leaving), self.now)
+        self.newest = max(self.newest, self.born)
+
+    @rule(back=st.integers(1, 3), leaving=st.booleans())
+    def an_old_word_comes_late(self, back, leaving):
+        if self.born - back >= 1:
+            self.view.put(self._write(self.born - back, leaving), self.now)
+            self.newest = max(self.newest, self.born - back)
+
+    @rule(data=st.data())
+    def a_peer_tells_what_was(self, data):
+        if self.told:
+            self.view.put(data.draw(st.sampled_from(self.told)), self.now)
+
+    @rule()
+    def can_not_be_read(self):
+        self.revision += 1
+        self.view.withhold("i1", self.revision)
+
+    @rule(grace=st.booleans())
+    def the_list_lacks_it(self, grace):
+        self.revision += 1
+        self.view.replace([], self.revision, self.now, grace)
+
+    @rule(seconds=st.floats(0.0, 3.0))
+    def time_goes_on(self, seconds):
+        self.now += seconds
+        self.view.expire(self.now)
+
+    @invariant()
+    def none_before_the_newest_is_known(self):
+        known = self.view.members.get("i1")
+        if known is not None:
+            assert known.born == self.newest
+            assert known.revision <= self.revision
+
+    @invariant()
+    def marks_of_leaving_are_of_one_that_leaves(self):
+        known = self.view.members.get("i1")
+        if known is None or not known.leaving:
+            assert self.view.leaving_age("i1", self.now) is None
+            assert self.view.leaves_at("i1") is None
+
+
+TestEndpointMachine = Endpoint.TestCase
