Derive all bounds of silence from one pace; tell many relays of the configuration

Cause: at 195 relays each reported every 3.25 s (2.6 to 3.9), beside fixed bounds of 2.0 s (alone) and 3.0 s (gone, and for usage): healthy relays counted as gone by turns, a part of the limits was held back for them, and windows closed before all had told. Each relay followed the configuration by itself: one call for every relay and change. Open usage windows of hundreds of relays are larger than the 48,000 bytes kept with the lease, so nothing of them outlived its holder.

Change: routing/pace.py, one period from the number of relays and the coordinator's cores, told with each answer. Instances below a core or 50 Mbit/s leave a free lease to larger ones for 0.6 s. From 40 relays on the coordinator polls the configuration every 0.6 s and tells a new version with the news of endpoints; relays fetch it from there and don't poll while its own poll answers. A new holder tells the relays that it knows, so none has to read the lease. Open usage windows are compressed.

The lease's test on hearing of a holder keeps its check (who wants the lease reads before it writes) and has one more: who doesn't want it need not read.

--- a/src/ebonydeal/_internal/relay/coordinator.py
+++ b/src/ebonydeal/_internal/relay/coordinator.py
@@ -34,6 +34,8 @@
     QuotaTerms,
 )
 from ebonydeal._internal.routing.usage_ledger import Due, UsageLedger
+from ebonydeal._internal.settings.policy import PolicySettings
+from ebonydeal._internal.settings.relay import RelaySettings
 from ebonydeal._internal.utils.clock import Clock
 
 logger = get_logger("relay.coordinator")
@@ -41,6 +43,15 @@
 _USAGE_STEP_S = 0.25
 # After taking the lease, relays need this long to tell what they know.
 _WARM_UP_S = 1.3
+# Instances that take the lease at once; smaller ones give them time to, since hundreds
+# of relays' words and their news fill half a core and a link of 20 Mbit/s.
+_LARGE_CORES = 1.0
+_LARGE_LINK_MBPS = 50.0
+# A larger one looks at the lease twice a second.
+_STAND_BACK_S = 0.6
+# From so many relays on, the coordinator's own frequent look at the configuration is
+# cheaper than a long poll of each.
+_TELL_CONFIG_FROM = 40
 
 
 class CoordinatorParts(NamedTuple):
@@ -53,6 +64,33 @@
     rng: Random
 
 
+class CoordinatorSize(NamedTuple):
+    """What an instance can do as coordinator.
+
+    Attributes
+    ----------
+    cores : float
+        What it has of a core.
+    stands_back_s : float
+        Seconds for which it leaves a free lease to larger instances.
+    exchange_s : float
+        Shortest time between two words of a relay, seconds.
+    """
+
+    cores: float = 1.0
+    stands_back_s: float = 0.0
+    exchange_s: float = 0.5
+
+    @classmethod
+    def from_config(
+        cls, cfg: RelaySettings, policy: PolicySettings
+    ) -> "CoordinatorSize":
+        """Build from settings."""
+        cores = cfg.cpu_share * cfg.cpu_cores
+        large = cores >= _LARGE_CORES and cfg.link_mbps >= _LARGE_LINK_MBPS
+        return cls(cores, 0.0 if large else _STAND_BACK_S, policy.exchange_s)
+
+
 def _counter(word: ExchangeMessage) -> str:
     """Return the name under which an incarnation's counts are kept."""
     return f"{word['node']}/{word['incarnation']}"
@@ -75,6 +113,8 @@
         Whether the platform refuses calls with an old fencing number.
     terms : QuotaTerms, optional
         Which requests go first near an account's limit.
+    size : CoordinatorSize, optional
+        What this instance can do as coordinator.
     """
 
     def __init__(
@@ -85,23 +125,35 @@
         bounds: QuotaBounds,
         checks_fence: bool,
         terms: QuotaTerms | None = None,
+        size: CoordinatorSize | None = None,
     ) -> None:
         super().__init__()
         self._parts = parts
+        size = size or CoordinatorSize()
         self._ledger = ledger
         self._usage = UsageStore(parts.store, ledger)
         self._keeper = LeaseKeeper(
-            parts.store, self._usage, lease, parts.clock, parts.rng, self._begin
+            parts.store,
+            self._usage,
+            lease,
+            parts.clock,
+            parts.rng,
+            self._begin,
+            size.stands_back_s,
         )
         self.lease = lease
         self._checks_fence = checks_fence
         self._refused_fence = 0
         self._broker = QuotaBroker(bounds, terms)
-        self._roster = Roster(parts.clock)
+        self._roster = Roster(parts.clock, size.exchange_s, size.cores)
         # How many relays the coordinator before told of.
         self.relays_before: Callable[[], int] = lambda: 0
+        # Told when this relay becomes the coordinator.
+        self.on_begin: Callable[[], None] = lambda: None
         # Whether the store answers this relay: set by who follows it.
         self.hears_store: Callable[[], bool] = lambda: True
+        # The same of the configuration alone.
+        self.hears_config: Callable[[], bool] = lambda: True
 
     def on_init_dependencies(self) -> Iterable[Service]:
         """Return the task that keeps the lease."""
@@ -109,6 +161,7 @@
 
     def _begin(self) -> None:
         """Start afresh: what was told before may be of long ago."""
+        self.on_begin()
         self._roster.begin(self.relays_before())
         self._broker.begin(fresh=self.lease.fence == 1)
 
@@ -127,6 +180,16 @@
         """Whether what this relay knows of endpoints comes from the store."""
         return self._parts.view.members_known and self.hears_store()
 
+    @property
+    def feeds_config(self) -> bool:
+        """Whether relays are to hear of the configuration from here alone."""
+        return self.holds and len(self._roster.alive()) >= _TELL_CONFIG_FROM
+
+    @property
+    def tells_config(self) -> bool:
+        """Whether they do: not while the store keeps it from this relay."""
+        return self.feeds_config and self.hears_config()
+
     @property
     def warm(self) -> bool:
         """Whether relays had time to tell what they know."""
@@ -183,6 +246,8 @@
             loads=self._roster.loads_without(node),
             answers=self._roster.failures_without(node),
             grants=self._advances(message, now),
+            period=self._roster.pace.period,
+            tells_config=self.tells_config,
             fresh=self.fresh,
             news=self._news_of(node),
         )
@@ -243,7 +308,8 @@
             if index is None or not self.warm or not self.holds:
                 continue
             accounts = [account.name for account in index.table.accounts]
-            due = self._ledger.due(self._parts.clock.wall(), accounts)
+            wait = self._roster.pace.silent_after
+            due = self._ledger.due(self._parts.clock.wall(), accounts, wait)
             if due is None:
                 continue
             try:
--- a/src/ebonydeal/_internal/relay/follower.py
+++ b/src/ebonydeal/_internal/relay/follower.py
@@ -1,5 +1,6 @@
 """Follows the configuration and the list of endpoints by long polls."""
 
+import asyncio
 from collections.abc import Callable
 from random import Random
 
@@ -7,7 +8,7 @@
 
 from ebonydeal._internal.errors import EbonydealError
 from ebonydeal._internal.models.forwarding import Member
-from ebonydeal._internal.models.shared import SharedRow
+from ebonydeal._internal.models.shared import Changes, SharedRow
 from ebonydeal._internal.observe.counters import Event, Metrics
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.ports import SharedStore, Wire
@@ -72,6 +73,9 @@
         # While another relay tells us, nothing is asked of the store.
         self.fed: Callable[[], bool] = lambda: False
         self._answered_at: float | None = None
+        self._poll: asyncio.Task[Changes | None] | None = None
+        self._poll_wait = 0.0
+        self._hastened = False
 
     @property
     def table(self) -> str:
@@ -137,7 +141,17 @@
         if self.failing_since is not None:
             # Whether the store is back is to be known at once.
             wait = 0.0
-        changes = await self._store.changes(self.table, after, wait)
+        self._poll_wait = wait
+        self._poll = asyncio.ensure_future(self._store.changes(self.table, after, wait))
+        try:
+            changes = await self._poll
+        except asyncio.CancelledError:
+            if not self._hastened:
+                raise
+            return after
+        finally:
+            self._poll.cancel()
+            self._poll, self._hastened = None, False
         self._answered_at = self._clock.now()
         if changes is None:
             logger.warning("History is gone; reading all.", table=self.table)
@@ -149,6 +163,12 @@
             await self._clock.sleep(_GROUP_S)
         return max(after, changes.version)
 
+    def hasten(self) -> None:
+        """Begin the poll under way anew where a shorter one is wanted now."""
+        if self._poll is not None and self._poll_wait > self.wait:
+            self._hastened = True
+            self._poll.cancel()
+
     def note_fed(self) -> None:
         """Note that another relay, which hears the store, tells what is there.
 
@@ -174,7 +194,21 @@
 
 
 class ConfigTableFollower(TableFollower):
-    """Puts each newer configuration in force."""
+    """Puts each newer configuration in force.
+
+    Attributes
+    ----------
+    feeding : callable
+        Returns whether other relays hear of the configuration from this one alone:
+        then it polls as often as for endpoints.
+    """
+
+    feeding: Callable[[], bool] = staticmethod(lambda: False)
+
+    @property
+    def wait(self) -> float:
+        """Seconds for which a poll waits."""
+        return _WAIT_FEEDING_S if self.feeding() else super().wait
 
     @property
     def table(self) -> str:
--- a/src/ebonydeal/_internal/relay/lease_keeper.py
+++ b/src/ebonydeal/_internal/relay/lease_keeper.py
@@ -42,6 +42,8 @@
         Time; jitter.
     first : callable
         Called when the lease is gained for the first time.
+    stands_back : float
+        Seconds for which a free lease is left to others.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         clock: Clock,
         rng: Random,
         first: Callable[[], None],
+        stands_back: float = 0.0,
     ) -> None:
         super().__init__()
         self._store = store
@@ -60,6 +63,8 @@
         self._clock = clock
         self._rng = rng
         self._first = first
+        self._stands_back = stands_back
+        self._stood_back = False
         self.held_since: float | None = None
         self._stopping = False
 
@@ -70,8 +75,10 @@
 
     @Service.task
     async def _keep_lease(self) -> None:
-        # All relays start together: the first to come makes the row.
-        await self._clock.sleep(self._rng.uniform(0.0, 0.3))
+        # All relays start together: the first to come makes the row, and those
+        # that leave it to others find their holder with one look.
+        await self._clock.sleep(self._stands_back + self._rng.uniform(0.0, 0.3))
+        self._stood_back = True
         while not self.should_stop:
             held = self.holds
             try:
@@ -100,6 +107,13 @@
                 if not lease.mine:
                     await self._clock.sleep(_LOOK_S * self._rng.uniform(0.6, 1.4))
             case Write() as write:
+                if not lease.mine and not self._stood_back:
+                    await self._clock.sleep(self._stands_back)
+                    self._stood_back = True
+                    # Another may have it by now.
+                    lease.in_doubt()
+                    return
+                self._stood_back = False
                 await self._write(write)
 
     async def _look(self) -> None:
--- a/src/ebonydeal/_internal/relay/messages.py
+++ b/src/ebonydeal/_internal/relay/messages.py
@@ -31,12 +31,15 @@
 class NewsMessage(TypedDict):
     """Changes of the list of endpoints, from the coordinator.
 
+    ``config`` is the version of the configuration that it knows; -1 for none.
+
     ``mark`` is the coordinator's fence and its count of changes, which the
     relay tells back; ``version`` the store's version of the list. ``put`` are
     endpoints, ``gone`` pairs of id and version. ``whole`` says that all others
     are gone too. ``ages`` are seconds since those that leave said so, by id.
     """
 
+    config: int
     mark: list[int]
     version: int
     put: list[list]
@@ -52,6 +55,8 @@
     are those of all other relays, ``answers`` only of endpoints that failed any;
     ``relays`` are all relays' addresses, None where the word's hash is theirs;
     ``reported`` the last usage window that is done.
+    ``period`` is the time until the relay's next word, seconds; ``tells_config`` says
+    that relays need not follow the configuration themselves.
     ``fresh`` says that the coordinator hears the store; ``news`` is None without
     any.
     """
@@ -64,6 +69,8 @@
     loads: dict[str, list[float]]
     answers: dict[str, list[float]]
     grants: dict[str, float]
+    period: float
+    tells_config: bool
     fresh: bool
     news: NewsMessage | None
 
@@ -89,11 +96,21 @@
     wait: float
 
 
+class HolderMessage(TypedDict):
+    """A relay says that it holds the lease: its row, and the row's version."""
+
+    row: list
+    version: int
+
+
 class ViewMessage(TypedDict):
-    """A relay asks for news that the store doesn't give it."""
+    """A relay asks for news that the store doesn't give it.
+
+    ``members`` is None where the list of endpoints isn't wanted.
+    """
 
     config: int
-    members: int
+    members: int | None
 
 
 class ViewReply(TypedDict, total=False):
--- a/src/ebonydeal/_internal/relay/news.py
+++ b/src/ebonydeal/_internal/relay/news.py
@@ -46,6 +46,7 @@
     ids = list(view.members) if changed is None else changed
     ages = {i: view.leaving_age(i, now) for i in ids}
     return NewsMessage(
+        config=view.version,
         mark=[fence, view.changes],
         version=view.members_version,
         put=[list(m) for i in ids if (m := view.told(i, now)) is not None],
@@ -55,6 +56,19 @@
     )
 
 
+def _only_config(view: RelayView, seen: list[int]) -> NewsMessage:
+    """Return news of the configuration alone, for a relay that has seen ``seen``."""
+    return NewsMessage(
+        config=view.version,
+        mark=list(seen),
+        version=0,
+        put=[],
+        gone=[],
+        whole=False,
+        ages={},
+    )
+
+
 def group_time(relays: int) -> float:
     """Return the seconds of which changes are told together to so many relays."""
     return min(_MOST_GROUP_S, max(_LEAST_GROUP_S, relays * _GROUP_S_BY_RELAY))
@@ -66,10 +80,14 @@
     def __init__(self, view: RelayView, clock: Clock) -> None:
         self._view = view
         self._clock = clock
+        # Told that a newer configuration is to be had.
+        self.on_behind: Callable[[], None] = lambda: None
         self.seen: tuple[int, int] = NOTHING_SEEN
 
     def take(self, news: NewsMessage) -> dict[str, Any]:
         """Take news; those of an older coordinator are left out."""
+        if int(news["config"]) > self._view.version:
+            self.on_behind()
         mark = (int(news["mark"][0]), int(news["mark"][1]))
         if mark <= self.seen:
             return {}
@@ -123,27 +141,37 @@
         self._clock = clock
         self._listeners = listeners
         self._told = 0
+        self._told_config = -1
         self._hearers = 0
 
     @Service.task
     async def _tell(self) -> None:
         while not self.should_stop:
             await self._clock.sleep(group_time(self._hearers))
-            if self._view.changes == self._told:
+            changed = self._view.changes != self._told
+            newer = self._view.version != self._told_config
+            if not changed and not newer:
                 continue
-            self._told = self._view.changes
+            self._told, self._told_config = self._view.changes, self._view.version
             listeners = self._listeners()
             if listeners is None:
                 continue
             marks, fence = listeners
             self._hearers = len(marks)
             await asyncio.gather(
-                *(self._tell_one(a, mark, fence) for a, mark in marks.items())
+                *(self._tell_one(a, mark, fence, newer) for a, mark in marks.items())
             )
 
-    async def _tell_one(self, address: str, mark: list[int], fence: int) -> None:
-        """Tell one relay what it lacks; its next exchange mends a failure."""
+    async def _tell_one(
+        self, address: str, mark: list[int], fence: int, newer: bool
+    ) -> None:
+        """Tell one relay what it lacks; its next exchange mends a failure.
+
+        ``newer`` says that there is a newer configuration than was told before.
+        """
         news = news_since(self._view, mark, fence, self._clock.now())
+        if news is None and newer:
+            news = _only_config(self._view, mark)
         if news is None:
             return
         try:
--- a/src/ebonydeal/_internal/relay/peers.py
+++ b/src/ebonydeal/_internal/relay/peers.py
@@ -1,5 +1,6 @@
 """Talk between relays: the listener of each, and its word to the coordinator."""
 
+import asyncio
 from base64 import b64decode, b64encode
 from collections.abc import Callable
 from random import Random
@@ -21,6 +22,7 @@
     ExchangeMessage,
     ExchangeReply,
     GrantMessage,
+    HolderMessage,
     ViewMessage,
     ViewReply,
 )
@@ -29,6 +31,7 @@
 from ebonydeal._internal.relay.shares import FIRST_RELAYS
 from ebonydeal._internal.relay.view import RelayView
 from ebonydeal._internal.routing.duty_lease import DutyLease, LeaseRow
+from ebonydeal._internal.routing.pace import JITTER_LEAST, JITTER_MOST, Pace
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.peerclient import COMPRESS_FROM_BYTES, PeerClient
 from ebonydeal._internal.utils.web import error_response, read_json
@@ -38,16 +41,10 @@
 EXCHANGE = "/relay/v1/exchange"
 GRANT = "/relay/v1/grant"
 VIEW = "/relay/v1/view"
+HOLDER = "/relay/v1/holder"
 METRICS = "/metrics"
 
 _CALL_S = 0.5
-# Exchanges a second that a coordinator is asked for at most; beyond, each
-# relay speaks less often.
-_EXCHANGES_PER_S = 60.0
-_JITTER_LEAST = 0.8
-_JITTER_MOST = 1.2
-# Without an answer for this long, the lease is looked at.
-_PATIENCE_S = 0.8
 _SYNC_S = 0.4
 # A store that has failed us for this long is asked through other relays.
 _STORE_PATIENCE_S = 0.6
@@ -85,6 +82,10 @@
             LONG_READ: long_reads.take,
         }
 
+    def serve(self, path: str, call: Callable[[Any], Any]) -> None:
+        """Answer one more call."""
+        self._calls[path] = call
+
     async def handle(self, req: web.BaseRequest) -> web.Response:
         """Answer one request."""
         if req.path == METRICS:
@@ -107,7 +108,8 @@
         reply = ViewReply()
         if view.version > message["config"]:
             reply["config"] = b64encode(view.raw_table).decode("ascii")
-        if view.members_known and view.members_version > message["members"]:
+        since = message["members"]
+        if since is not None and view.members_known and view.members_version > since:
             reply["members"] = [list(member) for member in view.members.values()]
             reply["version"] = view.members_version
         lease = self._coordinator.lease
@@ -144,21 +146,23 @@
         self.relay_count = max(FIRST_RELAYS, len(seeds))
         # Whether a coordinator told how many relays there are.
         self.counted = False
+        self._pace = Pace(parts.period)
+        self._tells_config = False
 
     def take_seeds(self, seeds: tuple[str, ...]) -> None:
         """Ask other relays to begin with, beside those that are known."""
         self.relays.extend(seed for seed in seeds if seed not in self.relays)
 
-    @property
-    def _period(self) -> float:
-        """Seconds between exchanges: longer where there are many relays."""
-        return max(self._parts.period, self.relay_count / _EXCHANGES_PER_S)
-
     @property
     def in_touch(self) -> bool:
         """Whether the coordinator answered lately."""
         silent = self._parts.clock.now() - self._last_ok
-        return silent <= _PATIENCE_S + self._period * _JITTER_MOST
+        return silent <= self._pace.patience
+
+    @property
+    def fed_config(self) -> bool:
+        """Whether another relay tells this one of each configuration."""
+        return self.fed and self._tells_config
 
     @property
     def lease(self) -> DutyLease:
@@ -175,30 +179,35 @@
     async def _run(self) -> None:
         parts = self._parts
         while not self.should_stop:
-            await self._once()
-            jitter = parts.rng.uniform(_JITTER_LEAST, _JITTER_MOST)
-            await parts.clock.sleep(self._period * jitter)
+            answered = await self._once()
+            pause = self._pace.period if answered else self._pace.again
+            jitter = parts.rng.uniform(JITTER_LEAST, JITTER_MOST)
+            await parts.clock.sleep(pause * jitter)
 
     async def flush(self) -> None:
         """Tell the coordinator once more before this process ends."""
         await self._once()
 
-    async def _once(self) -> None:
-        """Make one exchange; without an answer, want the lease."""
+    async def _once(self) -> bool:
+        """Make one exchange; without an answer, want the lease.
+
+        Returns whether there was an answer.
+        """
         parts = self._parts
         lease = parts.coordinator.lease
         try:
             reply = await self._ask()
         except EbonydealError as exc:
             self.fed = False
-            if parts.clock.now() - self._last_ok > _PATIENCE_S and not lease.wanted:
+            silent = parts.clock.now() - self._last_ok
+            if not lease.wanted and silent > self._pace.lost_after:
                 logger.warning("Coordinator lost.", reason=str(exc))
                 lease.wanted = True
-            return
+            return False
         if reply is None:
             self.fed = False
             lease.wanted = True
-            return
+            return False
         # Our own list is told by nobody, and that of a coordinator which doesn't
         # hear the store may be old.
         self.fed = reply["holds"] and reply["fresh"] and not lease.mine
@@ -207,8 +216,38 @@
             self.relays = list(reply["relays"])
         self.relay_count = max(1, len(self.relays))
         self.counted = True
+        self._pace = Pace(max(parts.period, float(reply["period"])))
+        self._tells_config = reply["tells_config"]
         lease.wanted = not reply["holds"]
         parts.heard(reply)
+        return True
+
+    async def announce(self) -> None:
+        """Tell all relays known that this one holds the lease now.
+
+        Else each would find it by reading the lease: hundreds of calls of the store.
+        """
+        lease = self.lease
+        if not lease.mine or lease.row is None:
+            return
+        message = HolderMessage(row=list(lease.row), version=lease.version)
+        own = lease.row.address
+        others = [address for address in self.relays if address != own]
+        told = await asyncio.gather(*(self._tell_holder(a, message) for a in others))
+        logger.info("Relays told of the holder.", asked=len(told), heard=sum(told))
+
+    async def _tell_holder(self, address: str, message: HolderMessage) -> bool:
+        try:
+            await self._parts.client.call(address, HOLDER, message, _CALL_S)
+        except EbonydealError:
+            # It finds the holder by itself, or is gone.
+            return False
+        return True
+
+    def take_holder(self, message: HolderMessage) -> dict[str, Any]:
+        """Take another relay's word that it holds the lease."""
+        self.lease.hear(LeaseRow(*message["row"]), int(message["version"]))
+        return {}
 
     async def _ask(self) -> ExchangeReply | None:
         parts = self._parts
@@ -261,22 +300,29 @@
         self._clock = clock
         self._rng = rng
         self.behind = False
+        self.behind_config = False
 
     @Service.task
     async def _run(self) -> None:
         while not self.should_stop:
             await self._clock.sleep(_SYNC_S * self._rng.uniform(0.8, 1.2))
-            if self.behind or self._store_is_away():
-                self.behind = False
-                await self._sync()
+            away = self._store_is_away()
+            if self.behind or self.behind_config or away:
+                members = self.behind or away
+                self.behind = self.behind_config = False
+                await self._sync(members, away)
 
     def _store_is_away(self) -> bool:
         now = self._clock.now()
         since = [f.failing_since for f in self._followers]
         return any(at is not None and now - at > _STORE_PATIENCE_S for at in since)
 
-    async def _sync(self) -> None:
-        """Ask the coordinator and one other relay."""
+    async def _sync(self, members: bool, away: bool) -> None:
+        """Ask the coordinator, and one other relay where it doesn't answer.
+
+        For the configuration, and for endpoints where ``members``; both relays
+        where the store is ``away``, since either may know more.
+        """
         asked = []
         if self._exchange.coordinator_address:
             asked.append(self._exchange.coordinator_address)
@@ -285,13 +331,16 @@
             asked.append(self._rng.choice(others))
         for address in asked:
             view = self._view
-            message = ViewMessage(config=view.version, members=view.members_version)
+            since = view.members_version if members else None
+            message = ViewMessage(config=view.version, members=since)
             try:
                 reply = await self._client.call(address, VIEW, message, _CALL_S)
             except EbonydealError as exc:
                 logger.info("No news.", peer=address, reason=str(exc))
                 continue
             self._take(reply, address)
+            if not away:
+                return
 
     def _take(self, reply: dict[str, Any], address: str) -> None:
         view = self._view
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -10,7 +10,11 @@
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.connections import EndpointPools
-from ebonydeal._internal.relay.coordinator import Coordinator, CoordinatorParts
+from ebonydeal._internal.relay.coordinator import (
+    Coordinator,
+    CoordinatorParts,
+    CoordinatorSize,
+)
 from ebonydeal._internal.relay.fleet import Fleet
 from ebonydeal._internal.relay.follower import ConfigTableFollower, MembersFollower
 from ebonydeal._internal.relay.intake import Intake
@@ -22,6 +26,7 @@
 from ebonydeal._internal.relay.moves import MovesParts, StreamMoves
 from ebonydeal._internal.relay.news import NewsFeed, NewsTaker
 from ebonydeal._internal.relay.peers import (
+    HOLDER,
     Exchange,
     ExchangeParts,
     PeerHandler,
@@ -161,8 +166,10 @@
             bounds,
             self._cfg.checks_fence,
             QuotaTerms.from_config(self._policy),
+            CoordinatorSize.from_config(self._cfg, self._policy),
         )
         taker = NewsTaker(self.view, clock)
+        taker.on_behind = self._fall_behind
         self._word = RelayWord(
             WordParts(
                 self._node.id,
@@ -201,13 +208,18 @@
             ),
             seeds,
         )
+        handler.serve(HOLDER, self._exchange.take_holder)
+        self.coordinator.on_begin = self._announce
         self._quota.grants = self._exchange
         self.coordinator.relays_before = lambda: (
             self._exchange.relay_count if self._exchange.counted else 0
         )
-        members = self._followers[1]
+        config, members = self._followers
         members.fed = lambda: self._exchange.fed
+        config.fed = lambda: self._exchange.fed_config
+        config.feeding = lambda: self.coordinator.feeds_config
         self.coordinator.hears_store = lambda: members.fresh
+        self.coordinator.hears_config = lambda: config.fresh
         self._news = NewsFeed(
             self.view, self._client, clock, self.coordinator.listeners
         )
@@ -265,6 +277,14 @@
         )
         self._exchange.take_seeds(seed_addresses(settings["peers"].seeds))
 
+    def _announce(self) -> None:
+        """Tell all relays known that this one is the coordinator now."""
+        self.add_future(self._exchange.announce())
+
+    def _fall_behind(self) -> None:
+        """Ask for a configuration that another relay has."""
+        self._sync.behind_config = True
+
     def _other_relays(self) -> list[str]:
         """Return the addresses of the relays that a coordinator told of."""
         relays = self._exchange.relays
@@ -273,10 +293,16 @@
     # --- talk with the coordinator -------------------------------------------
     def _heard(self, reply: ExchangeReply) -> None:
         """Take the coordinator's answer."""
-        self._sync.behind = self._word.heard(reply)
+        if self._word.heard(reply):
+            self._sync.behind = True
         self._retries.configure(retry_share(self._cfg, self._exchange.relay_count))
+        mine = self.coordinator.lease.mine
+        config = self._followers[0]
         for follower in self._followers:
-            follower.alone = self.coordinator.lease.mine
+            follower.alone = mine
+        if mine:
+            # A poll may have begun when no other relay depended on it.
+            config.hasten()
 
     @property
     def ready(self) -> bool:
--- a/src/ebonydeal/_internal/relay/roster.py
+++ b/src/ebonydeal/_internal/relay/roster.py
@@ -12,13 +12,9 @@
 from xxhash import xxh3_64_hexdigest
 
 from ebonydeal._internal.relay.messages import ExchangeMessage
+from ebonydeal._internal.routing.pace import Pace
 from ebonydeal._internal.utils.clock import Clock
 
-# A relay not heard for this long is held to be gone.
-_SILENT_S = 3.0
-# A relay that is not heard for this long goes on alone: about its own patience,
-# and above the longest time between two exchanges.
-_ALONE_S = 2.0
 # How long a silent one may be cut off and still serving, unless it comes back.
 _MAY_SERVE_S = 15.0
 # Words are added up again after this long for each relay there is: by more relays
@@ -97,10 +93,22 @@
 
 
 class Roster:
-    """Every relay's last word at the coordinator."""
+    """Every relay's last word at the coordinator.
 
-    def __init__(self, clock: Clock) -> None:
+    Parameters
+    ----------
+    clock : Clock
+        Time.
+    least : float
+        Shortest time between two words of a relay, seconds.
+    cores : float
+        What this instance has of a core.
+    """
+
+    def __init__(self, clock: Clock, least: float = 0.5, cores: float = 1.0) -> None:
         self._clock = clock
+        self._least = least
+        self._cores = cores
         self._relays: dict[str, HeardRelay] = {}
         self._loads = _Sum(lambda word: word["loads"], lambda sums: True)
         # Of endpoints that failed nobody nothing needs to be known.
@@ -118,6 +126,11 @@
         self._expected = expected
         self._expected_until = self._clock.now() + _MAY_SERVE_S
 
+    @property
+    def pace(self) -> Pace:
+        """How often relays are to speak, with as many as there may be."""
+        return Pace.of(len(self._relays), self._least, self._cores)
+
     def hear(self, message: ExchangeMessage) -> None:
         """Take a relay's word."""
         now, mark = self._clock.now(), list(message["seen"])
@@ -130,8 +143,8 @@
 
     def alive(self) -> list[HeardRelay]:
         """Return the relays that were heard lately."""
-        now = self._clock.now()
-        return [r for r in self._relays.values() if now - r.at <= _SILENT_S]
+        since = self._clock.now() - self.pace.silent_after
+        return [r for r in self._relays.values() if r.at >= since]
 
     def addresses_unless(self, known: str) -> list[str] | None:
         """Return the relays' addresses, or None where ``known`` is their hash."""
@@ -141,8 +154,9 @@
     def drop_silent(self, silent: Callable[[ExchangeMessage], None]) -> None:
         """Call ``silent`` for each silent relay, and drop those that can't serve."""
         now = self._clock.now()
+        longest = self.pace.silent_after
         for node, relay in list(self._relays.items()):
-            if now - relay.at > _SILENT_S:
+            if now - relay.at > longest:
                 silent(relay.message)
             if now - relay.at > _MAY_SERVE_S:
                 del self._relays[node]
@@ -155,7 +169,8 @@
         """
         now = self._clock.now()
         serving = [r for r in self._relays.values() if not r.message["leaving"]]
-        heard = sum(now - relay.at <= _ALONE_S for relay in serving)
+        longest = self.pace.alone_after
+        heard = sum(now - relay.at <= longest for relay in serving)
         expected = self._expected if now < self._expected_until else 0
         whole = max(len(serving), expected)
         return heard / whole if whole else 1.0
--- a/src/ebonydeal/_internal/relay/usage_store.py
+++ b/src/ebonydeal/_internal/relay/usage_store.py
@@ -7,6 +7,8 @@
 """
 
 import json
+from zlib import compress, decompress
+from zlib import error as BadCompression
 
 from ebonydeal._internal.models.shared import NO_ROW, RowChange
 from ebonydeal._internal.observe.logs import get_logger
@@ -19,11 +21,19 @@
 _OPEN_KEY = "open"
 # Windows whose rows are kept: more than may still be reported.
 _ROWS_KEPT = 6
-# Well below what a row may hold; beyond it open windows are not kept.
+# Well below what a row may hold; beyond it open windows are not kept. Compressed,
+# those of hundreds of relays and tens of accounts take a fifth of it.
 _MOST_OPEN_BYTES = 48_000
 
 # What reading a row may raise that another writer made.
-_UNREADABLE = (ValueError, TypeError, AttributeError, OverflowError, RecursionError)
+_UNREADABLE = (
+    ValueError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+    BadCompression,
+)
 
 
 def _key(window: int) -> str:
@@ -47,10 +57,10 @@
 
     def open_change(self) -> RowChange:
         """Return the write that keeps windows not reported yet."""
-        told = json.dumps(self._ledger.open_windows()).encode()
+        told = compress(json.dumps(self._ledger.open_windows()).encode())
         if len(told) > _MOST_OPEN_BYTES:
             logger.warning("Open windows are too large to keep.", size=len(told))
-            told = b"{}"
+            told = compress(b"{}")
         return RowChange(USAGE_TABLE, _OPEN_KEY, told)
 
     async def read_open(self) -> None:
@@ -60,7 +70,7 @@
             if row.key != _OPEN_KEY or row.value is None:
                 continue
             try:
-                for relay, windows in json.loads(row.value).items():
+                for relay, windows in json.loads(decompress(row.value)).items():
                     counts = {int(n): dict(c) for n, c in windows.items()}
                     self._ledger.stored(relay, counts)
             except _UNREADABLE as exc:
--- a/src/ebonydeal/_internal/routing/duty_lease.py
+++ b/src/ebonydeal/_internal/routing/duty_lease.py
@@ -85,6 +85,8 @@
         self._version = 0
         self._seen_at = 0.0
         self._known = False
+        # Whether the row as known comes from another relay.
+        self._told = False
         self._sent_at = 0.0
         self._until = 0.0
         self._renew_at = 0.0
@@ -103,12 +105,13 @@
     def hear(self, row: LeaseRow, version: int) -> None:
         """Take a newer holder's row from another relay.
 
-        Only for finding the holder while the store turns this relay away: a
-        write still needs the row's version, which the store checks.
+        Only for finding the holder: it gives no right, and whoever wants the lease
+        reads the row before it writes.
         """
         if row.fence > self.fence and version > self._version:
             self._row, self._version = row, version
             self._known = False
+            self._told = True
 
     @property
     def fence(self) -> int:
@@ -141,6 +144,9 @@
     def next_step(self, now: float) -> Step:
         """Return what to do next."""
         if not self._known:
+            if self._told and not self.wanted:
+                # Hundreds of relays are told of a new holder: none has to read.
+                return Rest(self._ttl / _RENEWALS)
             return Look()
         if self.mine:
             if now < self._renew_at:
@@ -170,6 +176,7 @@
         was_mine = self.mine
         self._row, self._version = row, version
         self._known = True
+        self._told = False
         if changed:
             self._seen_at = now
         if self.mine and not was_mine:
@@ -190,6 +197,7 @@
     def in_doubt(self) -> None:
         """Note that a write may or may not have taken effect."""
         self._known = False
+        self._told = False
 
     def failed(self, now: float) -> None:
         """Note that a renewal did nothing; it is tried again soon."""
--- a/src/ebonydeal/_internal/routing/usage_ledger.py
+++ b/src/ebonydeal/_internal/routing/usage_ledger.py
@@ -76,8 +76,14 @@
         """Wait no longer for a relay; what it told stays."""
         self._heard.pop(relay, None)
 
-    def due(self, wall: float, accounts: list[str]) -> Due | None:
-        """Return the oldest window that can be reported now."""
+    def due(
+        self, wall: float, accounts: list[str], wait: float = _WAIT_S
+    ) -> Due | None:
+        """Return the oldest window that can be reported now.
+
+        ``wait`` is how long after its end relays may take to tell, seconds: among
+        hundreds each tells every few seconds only.
+        """
         last = int(wall // self._length) - 1
         oldest = int((wall - self._late) // self._length)
         window = max(self.reported + 1, oldest)
@@ -87,7 +93,7 @@
         if wall < end + _SETTLE_S:
             return None
         waiting = [r for r, at in self._heard.items() if at < end + _SETTLE_S / 2]
-        if waiting and wall < end + _WAIT_S:
+        if waiting and wall < end + wait:
             return None
         return Due(window, self.counts(window, accounts))
 
--- a/src/ebonydeal/_internal/settings/relay.py
+++ b/src/ebonydeal/_internal/settings/relay.py
@@ -19,6 +19,15 @@
     peer_address: Annotated[
         str, Key("host:port for the other relays, and for metrics.")
     ] = "127.0.0.1:9502"
+    cpu_share: Annotated[
+        float, Key("What the instance has of each core.", "", 0.001, 1)
+    ] = 1.0
+    cpu_cores: Annotated[
+        float, Key("Cores, or how many times as fast one is.", "", 0.01, 10_000)
+    ] = 1.0
+    link_mbps: Annotated[
+        float, Key("Rate of the instance's link.", "Mbit/s", 0.001, 1e9)
+    ] = 1000.0
     connect_ms: Annotated[
         float, Key("Longest wait for a connection.", "milliseconds", 1, _MOST_MS)
     ] = 300.0
--- a/tests/unit/routing/test_duty_lease.py
+++ b/tests/unit/routing/test_duty_lease.py
@@ -116,8 +116,11 @@
         assert first.row == later and not first.holds(10.1)
         first.hear(LeaseRow("b", "1", "b:1", 4), 41)
         assert first.row == later
-        # What was heard gives no right: the store is asked first.
+        # What was heard gives no right: whoever wants the lease asks the store first.
+        assert first.wanted
         assert isinstance(first.next_step(99.0), Look)
+        first.wanted = False
+        assert isinstance(first.next_step(99.0), Rest)
 
 
 class TestHolding:
