Let a wave bound the load only where some seconds of it were measured

Cause (docs/design/decisions.md, 'First next'): while zones are taken back no more than 1.6 times the load of before is believed.

Change: the forecast is a state machine of its own (routing/load_forecast.py); a calm of under 4 s bounds nothing; the meter of work is averaged over the time since it began; nothing is let go while zones may still go. Both tests of the fleet fail before.

--- a/src/ebonydeal/_internal/relay/fleet.py
+++ b/src/ebonydeal/_internal/relay/fleet.py
@@ -18,6 +18,7 @@
     ZoneFleet,
     plan_fleet,
 )
+from ebonydeal._internal.routing.load_forecast import LoadForecast
 from ebonydeal._internal.utils.clock import Clock
 
 logger = get_logger("relay.fleet")
@@ -26,12 +27,8 @@
 # An ordered endpoint that isn't listed this long after its boot isn't coming:
 # the order is sent again, which changes nothing where it is only late.
 _BOOT_SLACK_S = 1.0
-# Until this much load was seen, the fleet is kept as large as it was found.
-_LEAST_LOAD = 0.05
-_MEASURE_S = 5.0
 # Time for which an order for more stands at least.
 _STEADY_S = 5.0
-_UP = 0.25
 # Orders made for one plan before it is looked at again.
 _MOST_ROUNDS = 4
 
@@ -94,13 +91,10 @@
         self._raised: dict[_Kind, float] = {}
         self._had_spot: dict[tuple[str, str], int] = {}
         self._waved: dict[str, float] = {}
-        self._calm: dict[str, float] = {}
         self._dry: dict[str, float] = {}
         self._probed: dict[str, int] = {}
         self._found: dict[str, set[str]] = {}
-        self._loaded_since: dict[str, float] = {}
-        self._load: dict[str, float] = {}
-        self._high: dict[str, tuple[float, float]] = {}
+        self._forecasts: dict[str, LoadForecast] = {}
 
     @Service.task
     async def _run(self) -> None:
@@ -181,17 +175,14 @@
         # They are listed one after the other at the start, and some may be gone
         # before all are.
         seen = self._found.setdefault(service, set())
-        now = self._clock.now()
-        if self._load.get(service, 0.0) >= _LEAST_LOAD:
-            self._loaded_since.setdefault(service, now)
-        since = self._loaded_since.get(service)
-        if since is None:
+        forecast = self._forecast_of(service)
+        if not forecast.began:
             seen.update(
                 member.endpoint_id
                 for member in self._view.members.values()
                 if member.service == service and not member.reclaimable
             )
-        if self._terms.found and (since is None or now - since < _MEASURE_S):
+        if self._terms.found and not forecast.measured(self._clock.now()):
             fixed = sum(fleet.fixed for fleet in zones.values())
             return max(1, fixed, len(seen))
         return 1
@@ -250,20 +241,14 @@
         )
         slots = slots or max((m.slots for m in members.values()), default=1)
         seen = work + running / max(1, slots)
-        known = self._load.get(service.name, seen)
-        smooth = known + _UP * (seen - known)
-        growth = self._terms.wave_growth
-        if growth and self._in_wave(service.name, now):
-            # Waiting requests and cold caches look like load.
-            smooth = min(smooth, self._calm.get(service.name, smooth) * growth)
-        else:
-            self._calm[service.name] = max(smooth, _LEAST_LOAD)
-        self._load[service.name] = smooth
-        peak, at = self._high.get(service.name, (0.0, now))
-        if smooth >= peak or now - at > self._terms.peak:
-            peak, at = smooth, now
-        self._high[service.name] = (peak, at)
-        return peak
+        in_wave = self._in_wave(service.name, now)
+        return self._forecast_of(service.name).saw(seen, in_wave, now)
+
+    def _forecast_of(self, service: str) -> LoadForecast:
+        forecast = self._forecasts.get(service)
+        if forecast is None:
+            forecast = self._forecasts[service] = LoadForecast(self._terms)
+        return forecast
 
     def _zones(
         self, service: str, scaling: Scaling, now: float
@@ -310,6 +295,10 @@
             # What still boots is not taken back: the plan may want it again.
             if self._clock.now() - raised < _STEADY_S:
                 return False
+        if count < have and self._in_wave(kind.service, self._clock.now()):
+            # The next zone may go: what is there is needed then, and in the first
+            # seconds of traffic its load isn't known yet.
+            return False
         if not self._coordinator.may_order:
             return False
         answer = await self._duties.order(
--- a/tests/unit/relay/test_fleet.py
+++ b/tests/unit/relay/test_fleet.py
@@ -13,6 +13,7 @@
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.relay.fleet import Fleet
 from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.routing.fleet_plan import FleetTerms
 from tests.lib.clock import ManualClock
 from tests.lib.relay_fakes import MemoryDuties
 
@@ -24,7 +25,7 @@
 class Market:
     """A service, its endpoints by zone, the load, and the keeper of its fleet."""
 
-    def __init__(self, work):
+    def __init__(self, work, terms=None):
         self.clock = ManualClock(100.0)
         self.view = RelayView(2.0)
         limits = ClientLimits(1, 1, 1.0, 1.0)
@@ -40,7 +41,9 @@
             heard_lately=lambda: [{"work": {"s": self.work}, "loads": {}}],
             order_refused=lambda: None,
         )
-        self.fleet = Fleet(coordinator, self.duties, self.view, Metrics(), self.clock)
+        self.fleet = Fleet(
+            coordinator, self.duties, self.view, Metrics(), self.clock, terms
+        )
 
     def has(self, name, zone, spot=True, leaving=False):
         self._revision += 1
@@ -63,9 +66,9 @@
         return self.duties.orders[before:]
 
 
-async def settled(work=1.5):
+async def settled(work=1.5, terms=None):
     """Return a market whose load was seen for long, with two a zone."""
-    market = Market(work)
+    market = Market(work, terms)
     for zone in PRICES:
         for number in range(2):
             market.has(f"{zone}{number}", zone)
@@ -124,6 +127,36 @@
         orders = await market.play(3.0)
         assert sum(dict(fixed(orders)).values()) <= 6
 
+    async def test_one_as_traffic_begins_is_met_with_what_the_traffic_needs(self):
+        market = Market(0.0)
+        for zone in PRICES:
+            for number in range(2):
+                market.has(f"{zone}{number}", zone)
+        await market.play(5.0)
+        market.duties.dry = True
+        for step in range(25):
+            # The meters look back four seconds.
+            market.work = min(7.0, 1.75 * step * 0.2)
+            if step == 4:
+                market.takes_back("a")
+            await market.play(0.2)
+        ordered = dict(fixed(market.duties.orders))
+        assert sum(ordered.values()) >= 7
+
+    async def test_nothing_is_let_go_while_zones_are_taken_back(self):
+        market = await settled(terms=FleetTerms(wave=20.0, peak=1.0))
+        market.takes_back("a")
+        ordered = dict(fixed(await market.play(0.2)))
+        for zone, count in ordered.items():
+            for number in range(count):
+                market.has(f"f{zone}{number}", zone, spot=False)
+        market.work = 0.0
+        # Longer than an order for more stands, shorter than zones may still go.
+        orders = fixed(await market.play(15.0))
+        assert [o for o in orders if o[1] < ordered[o[0]]] == []
+        orders = fixed(await market.play(10.0))
+        assert [o for o in orders if o[1] < ordered[o[0]]]
+
     async def test_our_own_order_for_none_is_no_wave(self):
         market = await settled()
         kind = next(iter(market.fleet._ordered), None)
