Wait for the last send of a stream to its deadline

Silence is no reason to end an answer that may still come.

Change: while no send may follow (route's sends, tries, retry budget) the first event and each pause are waited for until the deadline. At hundreds of relays the budget of each holds one retry, so this is common there. Both tests fail before.

--- a/src/ebonydeal/_internal/relay/first_wait.py
+++ b/src/ebonydeal/_internal/relay/first_wait.py
@@ -21,23 +21,26 @@
 
     A long prompt takes as long as is expected of it. Beyond that the request is
     late wherever it is sent again, and the reading so far would be lost: so it
-    stays where it is while its endpoint shows life on other streams.
+    stays where it is while its endpoint shows life on other streams, and to its end
+    where no other send may follow.
 
     Parameters
     ----------
     parts : SendParts
         Clock, and signs of life.
-    endpoint_id : str
-        Where the request was sent.
+    sends : JobSends
+        The sends of the request; the last one is waited for.
     patience, longest : float
         Seconds of waiting without and with signs of life.
     """
 
     def __init__(
-        self, parts: SendParts, endpoint_id: str, patience: float, longest: float
+        self, parts: SendParts, sends: JobSends, patience: float, longest: float
     ) -> None:
+        assert sends.member is not None
         self._parts = parts
-        self._endpoint_id = endpoint_id
+        self._sends = sends
+        self._endpoint_id = sends.member.endpoint_id
         now = parts.clock.now()
         self._by = now + patience
         self._last = now + max(patience, longest)
@@ -46,24 +49,25 @@
     def of_send(cls, parts: SendParts, sends: JobSends) -> "FirstWait":
         """Return the wait for the send that was chosen last."""
         job, terms = sends.job, parts.terms
-        assert sends.member is not None
-        endpoint_id = sends.member.endpoint_id
         left = max(0.001, job.until - parts.clock.now())
         if job.once:
             # It can't be sent again, so nothing is gained by not waiting.
-            return cls(parts, endpoint_id, left, left)
+            return cls(parts, sends, left, left)
         patience = max(
             LEAST_PATIENCE_S,
             job.route.objective * terms.first_objectives,
             (sends.expected or 0.0) * terms.first_spread,
         )
         longest = job.route.objective * terms.first_longest
-        return cls(parts, endpoint_id, min(left, patience), min(left, longest))
+        return cls(parts, sends, min(left, patience), min(left, longest))
 
     def until(self, now: float) -> float:
         """Return the time to wait until, as far as is known at ``now``."""
         if now < self._by:
             return self._by
+        if self._sends.is_last:
+            # Looked at again, since retries may be had by then.
+            return max(now, min(self._sends.job.until, now + _ALIVE_S))
         silent = self._parts.choice.silent_for(self._endpoint_id, now)
         if silent >= _ALIVE_S:
             return now
--- a/src/ebonydeal/_internal/relay/sends.py
+++ b/src/ebonydeal/_internal/relay/sends.py
@@ -157,6 +157,19 @@
             detail = f"first event expected in {expected:.2f} s"
             raise EbonydealError(ErrorKind.SHED, detail, retry_after=wait)
 
+    @property
+    def is_last(self) -> bool:
+        """Whether no send may follow the one under way, so that it is waited for.
+
+        To end a silent one then loses an answer that may still come.
+        """
+        job, parts = self.job, self._parts
+        return (
+            job.once
+            or self._ran + 1 >= job.route.most_sends
+            or not parts.retries.affords(job.service, self._tries)
+        )
+
     @property
     def urgency(self) -> int:
         """0 is served first; a client account's rank goes before the route's."""
--- a/src/ebonydeal/_internal/relay/stream.py
+++ b/src/ebonydeal/_internal/relay/stream.py
@@ -225,6 +225,9 @@
                 async with self._pause(job) if begun else first.limit():
                     data = await content.readany()
             except TimeoutError:
+                if begun and sends.is_last and sends.left > 0.0:
+                    # Silence is no reason to end an answer that nobody else can give.
+                    continue
                 return MayHaveRun(ErrorKind.ENDPOINT_STALLED, "silent")
             except (ClientError, OSError) as exc:
                 detail = f"stream: {type(exc).__name__}"
--- a/src/ebonydeal/_internal/routing/retries.py
+++ b/src/ebonydeal/_internal/routing/retries.py
@@ -135,6 +135,11 @@
         budget.retries -= 1.0
         return Retry(after)
 
+    def affords(self, deployment: str, attempt: int) -> bool:
+        """Return whether another try could follow try number ``attempt`` now."""
+        spare = self._budget(deployment).retries >= 1.0
+        return spare and attempt < self._cfg.attempts
+
     def spend(self, deployment: str) -> bool:
         """Take a further send from the budget where nothing has failed."""
         budget = self._budget(deployment)
--- a/tests/functional/relay/test_stream.py
+++ b/tests/functional/relay/test_stream.py
@@ -128,6 +128,26 @@
             status, _headers, body = await task
         assert (status, body) == (200, events(1, 4))
 
+    async def test_the_last_send_may_be_silent_until_the_deadline(self):
+        async def pauses(_reader, writer, headers):
+            rid = headers["ebonydeal-request-id"].encode()
+            writer.write(stream_head().replace(b"{id}", rid) + chunk(events(4, 4)))
+            await writer.drain()
+            # Longer than a pause that another send would follow.
+            await asyncio.sleep(1.0)
+            writer.write(chunk(events(5, 5)) + b"0\r\n\r\n")
+
+        one = RawEndpoint("i1", [breaks_after(events(1, 3))])
+        two = RawEndpoint("i2", [breaks_after(events(1, 3))])
+        async with running(one, two) as (program, _store):
+            task = asyncio.create_task(ask(program, "/again/", method="POST"))
+            while not one.seen and not two.seen:
+                await asyncio.sleep(0.001)
+            second = two if one.seen else one
+            second.script = [pauses]
+            status, _headers, body = await task
+        assert (status, body) == (200, events(1, 5))
+
     async def test_client_that_leaves_ends_the_run(self):
         one = RawEndpoint("i1", [falls_silent_after(events(1, 2))])
         async with running(one) as (program, _store):
--- a/tests/unit/relay/test_first_wait.py
+++ b/tests/unit/relay/test_first_wait.py
@@ -13,7 +13,7 @@
 from tests.unit.relay.test_job_sends import MEMBERS, job
 
 
-def wait_of(expected, terms=None, once=False):
+def wait_of(expected, terms=None, once=False, last=False):
     """Return the wait of a request with an objective of 1 s, and its parts."""
     parts = SimpleNamespace(
         clock=ManualClock(100.0),
@@ -21,7 +21,9 @@
         terms=terms or SendTerms(),
     )
     task = job(Repeat.ONCE if once else Repeat.STREAM, resumable=not once)
-    sends = SimpleNamespace(job=task, member=MEMBERS[0], expected=expected)
+    sends = SimpleNamespace(
+        job=task, member=MEMBERS[0], expected=expected, is_last=once or last
+    )
     return FirstWait.of_send(parts, sends), parts
 
 
@@ -42,6 +44,12 @@
         wait, _parts = wait_of(0.1, once=True)
         assert wait.until(100.0) == 109.0
 
+    def test_the_last_send_is_waited_for_to_its_end(self):
+        wait, _parts = wait_of(0.1, last=True)
+        assert 101.0 < wait.until(101.0) <= 109.0
+        assert 108.9 < wait.until(108.9) <= 109.0
+        assert wait.until(109.0) == 109.0
+
 
 class TestSignsOfLife:
     def test_a_silent_endpoint_is_left(self):
