--- a/tests/unit/docs/test_deploy.py
+++ b/tests/unit/docs/test_deploy.py
@@ -38,7 +38,7 @@
     def test_there_is_one_for_each_program(self):
         units = {f"ebonydeal-{program}.service" for program in PROGRAMS}
         files = {file.name for file in (ROOT / "deploy").iterdir()}
-        assert files == units | {"system.toml", "relay.ini"}
+        assert files == units | {"system.toml", "relay.ini", "days"}
 
     @pytest.mark.parametrize("program", PROGRAMS)
     def test_starts_its_program(self, program):
