--- /dev/null
+++ b/src/ebonydeal/_internal/relay/chooser.py
@@ -0,0 +1,93 @@
+"""Which endpoint a request goes to, of those that are listed."""
+
+from collections.abc import Set
+from typing import NamedTuple
+
+from ebonydeal._internal.models.forwarding import EngineShape, Member
+from ebonydeal._internal.relay.job import Job, SendParts
+from ebonydeal._internal.routing.member_choice import Ask
+
+# Requests' lengths are guesses, right at the median: so much longer is allowed.
+_DURATION_SPREAD = 1.5
+
+
+class Found(NamedTuple):
+    """The endpoint for the next send.
+
+    ``missed`` are the tokens that it must read, ``expected`` the seconds to
+    the first event where that is known. ``source`` is the address of an
+    endpoint to fetch parts of the prompt from, or empty.
+    """
+
+    member: Member
+    missed: float
+    expected: float | None
+    source: str = ""
+
+
+class Chooser:
+    """Chooses among what the relay knows of endpoints, for one request."""
+
+    def __init__(self, parts: SendParts, job: Job) -> None:
+        self._parts = parts
+        self._job = job
+
+    @property
+    def engine(self) -> EngineShape | None:
+        """What the engines of the service can do; None for plain services."""
+        index = self._parts.view.index
+        service = None if index is None else index.table.services.get(self._job.service)
+        return None if service is None else service.engine
+
+    def ask(self, connected: frozenset[str] = frozenset()) -> Ask:
+        """Return what a choice needs to know; ``connected`` matters to it alone."""
+        req, engine = self._job.req, self.engine
+        fetches = engine is not None and engine.moves
+        tokens = req.prompt_tokens or 0
+        return Ask(req.parts, tokens, self._parts.zone, fetches, connected)
+
+    def find(self, avoid: Set[str]) -> Found | None:
+        """Return the best endpoint that isn't among ``avoid``, or None."""
+        parts, job = self._parts, self._job
+        now = parts.clock.now()
+        listed = [m for m in self._listed(now) if m.endpoint_id not in avoid]
+        allowed = parts.outliers.allowed(listed, now)
+        failing = parts.failing.failing(now)
+        if job.req.prompt_tokens is None:
+            member = parts.choice.plain(parts.zone, allowed, failing)
+            return None if member is None else Found(member, 0.0, None)
+        ask = self.ask(parts.pools.connected())
+        score = parts.choice.engine(ask, allowed, now, failing)
+        if score is None:
+            return None
+        speed = parts.choice.speed
+        expected = speed.base + score.wait + speed.reading(score.missed)
+        members = parts.view.members
+        source = members[score.source].address if score.source else ""
+        return Found(members[score.endpoint_id], score.missed, expected, source)
+
+    def _listed(self, now: float) -> list[Member]:
+        """Return the endpoints that may get the request.
+
+        One that leaves gets what likely ends in time, since zones that are
+        taken back are missed most in their last seconds; all requests where no
+        other is left.
+        """
+        parts, job = self._parts, self._job
+        listed = list(parts.view.of_service(job.service))
+        leaving = parts.view.leaving_of(job.service, now)
+        if not listed:
+            return [member for member, _left in leaving]
+        if not parts.terms.use_leaving:
+            return listed
+        needed = self._duration() * _DURATION_SPREAD
+        return listed + [member for member, left in leaving if needed < left]
+
+    def _duration(self) -> float:
+        """Return the seconds that the request is expected to run."""
+        job = self._job
+        if job.req.prompt_tokens is None:
+            return job.route.objective
+        return self._parts.choice.speed.duration(
+            job.req.length_hint or job.req.output_tokens
+        )
--- /dev/null
+++ b/src/ebonydeal/_internal/relay/exchange.py
@@ -0,0 +1,192 @@
+"""A relay's reports to the coordinator, and what it learns from the answers."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import Any, NamedTuple
+
+from mode import Service
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.relay.coordinator import Coordinator
+from ebonydeal._internal.relay.messages import (
+    EXCHANGE,
+    GRANT,
+    HOLDER,
+    ExchangeMessage,
+    ExchangeReply,
+    GrantMessage,
+    HolderMessage,
+)
+from ebonydeal._internal.relay.shares import FIRST_RELAYS
+from ebonydeal._internal.routing.duty_lease import DutyLease, LeaseRow
+from ebonydeal._internal.routing.pace import JITTER_LEAST, JITTER_MOST, Pace
+from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.peerclient import PeerClient
+
+logger = get_logger("relay.exchange")
+
+# Longest wait for an answer: a call takes a few milliseconds, on a busy instance a
+# third of a second.
+_CALL_S = 0.5
+
+
+class ExchangeParts(NamedTuple):
+    """What the exchange works with.
+
+    ``word`` builds this relay's message from the relays it knows; ``heard`` takes
+    the reply. ``period`` is the least time between two words, seconds.
+    """
+
+    coordinator: Coordinator
+    client: PeerClient
+    clock: Clock
+    rng: Random
+    word: Callable[[list[str]], ExchangeMessage]
+    heard: Callable[[ExchangeReply], None]
+    period: float = 0.5
+
+
+class Exchange(Service):
+    """Tells the coordinator, several times a second, and takes its answer."""
+
+    def __init__(self, parts: ExchangeParts, seeds: tuple[str, ...]) -> None:
+        super().__init__()
+        self._parts = parts
+        self._last_ok = parts.clock.now()
+        self.fed = False
+        self.relays: list[str] = list(seeds)
+        self.relay_count = max(FIRST_RELAYS, len(seeds))
+        # Whether a coordinator told how many relays there are.
+        self.counted = False
+        self._pace = Pace(parts.period)
+        self._tells_config = False
+
+    def take_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Ask other relays to begin with, beside those that are known."""
+        self.relays.extend(seed for seed in seeds if seed not in self.relays)
+
+    @property
+    def in_touch(self) -> bool:
+        """Whether the coordinator answered lately."""
+        silent = self._parts.clock.now() - self._last_ok
+        return silent <= self._pace.patience
+
+    @property
+    def fed_config(self) -> bool:
+        """Whether another relay tells this one of each configuration."""
+        return self.fed and self._tells_config
+
+    @property
+    def lease(self) -> DutyLease:
+        """The lease as this relay sees it."""
+        return self._parts.coordinator.lease
+
+    @property
+    def coordinator_address(self) -> str | None:
+        """Where the coordinator is, as far as known."""
+        row = self._parts.coordinator.lease.row
+        return row.address if row is not None and row.address else None
+
+    @Service.task
+    async def _run(self) -> None:
+        parts = self._parts
+        while not self.should_stop:
+            answered = await self._once()
+            pause = self._pace.period if answered else self._pace.again
+            jitter = parts.rng.uniform(JITTER_LEAST, JITTER_MOST)
+            await parts.clock.sleep(pause * jitter)
+
+    async def flush(self) -> None:
+        """Tell the coordinator once more before this process ends."""
+        await self._once()
+
+    async def _once(self) -> bool:
+        """Make one exchange; without an answer, want the lease.
+
+        Returns whether there was an answer.
+        """
+        parts = self._parts
+        lease = parts.coordinator.lease
+        try:
+            reply = await self._ask()
+        except EbonydealError as exc:
+            self.fed = False
+            silent = parts.clock.now() - self._last_ok
+            if not lease.wanted and silent > self._pace.lost_after:
+                logger.warning("Coordinator lost.", reason=str(exc))
+                lease.wanted = True
+            return False
+        if reply is None:
+            self.fed = False
+            lease.wanted = True
+            return False
+        # Our own list is told by nobody, and that of a coordinator which doesn't
+        # hear the store may be old.
+        self.fed = reply["holds"] and reply["fresh"] and not lease.mine
+        self._last_ok = parts.clock.now()
+        if reply["relays"] is not None:
+            self.relays = list(reply["relays"])
+        self.relay_count = max(1, len(self.relays))
+        self.counted = True
+        self._pace = Pace(max(parts.period, float(reply["period"])))
+        self._tells_config = reply["tells_config"]
+        lease.wanted = not reply["holds"]
+        parts.heard(reply)
+        return True
+
+    async def announce(self) -> None:
+        """Tell all relays known that this one holds the lease now.
+
+        Else each would find it by reading the lease: hundreds of calls of the store.
+        """
+        lease = self.lease
+        if not lease.mine or lease.row is None:
+            return
+        message = HolderMessage(row=list(lease.row), version=lease.version)
+        own = lease.row.address
+        others = [address for address in self.relays if address != own]
+        told = await asyncio.gather(*(self._tell_holder(a, message) for a in others))
+        logger.info("Relays told of the holder.", asked=len(told), heard=sum(told))
+
+    async def _tell_holder(self, address: str, message: HolderMessage) -> bool:
+        try:
+            await self._parts.client.call(address, HOLDER, message, _CALL_S)
+        except EbonydealError:
+            # It finds the holder by itself, or is gone.
+            return False
+        return True
+
+    def take_holder(self, message: HolderMessage) -> dict[str, Any]:
+        """Take another relay's word that it holds the lease."""
+        self.lease.hear(LeaseRow(*message["row"]), int(message["version"]))
+        return {}
+
+    async def _ask(self) -> ExchangeReply | None:
+        parts = self._parts
+        if parts.coordinator.lease.mine:
+            return parts.coordinator.exchange(parts.word(self.relays))
+        address = self.coordinator_address
+        if address is None:
+            return None
+        reply: Any = await parts.client.call(
+            address, EXCHANGE, parts.word(self.relays), _CALL_S
+        )
+        return reply
+
+    async def grant(self, account: str, amount: float) -> tuple[float, float]:
+        """Ask for a part of a limit; returns (amount, seconds to wait).
+
+        Raises `EbonydealError` where the coordinator doesn't answer.
+        """
+        parts = self._parts
+        message = GrantMessage(account=account, amount=amount)
+        if parts.coordinator.lease.mine:
+            reply = parts.coordinator.grant(message)
+            return reply["amount"], reply["wait"]
+        address = self.coordinator_address
+        if address is None:
+            raise EbonydealError(ErrorKind.WRONG_OWNER, "no coordinator is known")
+        answer = await parts.client.call(address, GRANT, message, _CALL_S / 2)
+        return float(answer["amount"]), float(answer["wait"])
--- a/src/ebonydeal/_internal/relay/messages.py
+++ b/src/ebonydeal/_internal/relay/messages.py
@@ -2,6 +2,12 @@
 
 from typing import TypedDict
 
+# Paths of the calls.
+EXCHANGE = "/relay/v1/exchange"
+GRANT = "/relay/v1/grant"
+VIEW = "/relay/v1/view"
+HOLDER = "/relay/v1/holder"
+
 
 class ExchangeMessage(TypedDict):
     """A relay's word to the coordinator, several times a second.
@@ -114,7 +120,7 @@
 
 
 class ViewReply(TypedDict, total=False):
-    """News: the configuration as it was read (base64), and the whole list.
+    """News: the configuration as it was read (zlib, base64), and the whole list.
 
     ``lease`` is the lease's row as last seen, and its version.
     """
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -15,6 +15,7 @@
     CoordinatorParts,
     CoordinatorSize,
 )
+from ebonydeal._internal.relay.exchange import Exchange, ExchangeParts
 from ebonydeal._internal.relay.fleet import Fleet
 from ebonydeal._internal.relay.follower import ConfigTableFollower, MembersFollower
 from ebonydeal._internal.relay.intake import Intake
@@ -22,16 +23,10 @@
 from ebonydeal._internal.relay.leaving import LeavingTimes
 from ebonydeal._internal.relay.listener import RawListener
 from ebonydeal._internal.relay.long_reads import LongReads, LongReadTaker
-from ebonydeal._internal.relay.messages import ExchangeReply
+from ebonydeal._internal.relay.messages import HOLDER, ExchangeReply
 from ebonydeal._internal.relay.moves import MovesParts, StreamMoves
 from ebonydeal._internal.relay.news import NewsFeed, NewsTaker
-from ebonydeal._internal.relay.peers import (
-    HOLDER,
-    Exchange,
-    ExchangeParts,
-    PeerHandler,
-    ViewSync,
-)
+from ebonydeal._internal.relay.peers import PeerHandler
 from ebonydeal._internal.relay.ports import RelayPorts
 from ebonydeal._internal.relay.quota import QuotaGate
 from ebonydeal._internal.relay.shares import (
@@ -42,6 +37,7 @@
 )
 from ebonydeal._internal.relay.usage import UsageMeter
 from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.relay.view_sync import ViewSync
 from ebonydeal._internal.relay.word import RelayWord, WordParts
 from ebonydeal._internal.routing.duty_lease import DutyLease
 from ebonydeal._internal.routing.early_refusal import EarlyRefusal
--- a/src/ebonydeal/_internal/relay/sends.py
+++ b/src/ebonydeal/_internal/relay/sends.py
@@ -1,16 +1,14 @@
 """The sends of one job: which endpoint next, and whether there is a next."""
 
-from typing import NamedTuple
-
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.forwarding import (
     Carried,
-    EngineShape,
     Member,
     Sending,
 )
 from ebonydeal._internal.observe.counters import RetryReason
 from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.relay.chooser import Chooser, Found
 from ebonydeal._internal.relay.job import Job, SendParts
 from ebonydeal._internal.relay.moves import Moved
 from ebonydeal._internal.relay.outcomes import (
@@ -22,7 +20,6 @@
     RunProof,
 )
 from ebonydeal._internal.routing.endpoint_load import Sent
-from ebonydeal._internal.routing.member_choice import Ask
 from ebonydeal._internal.routing.retries import Failure, GiveUp
 
 logger = get_logger("relay.job")
@@ -32,8 +29,6 @@
 _WAIT_STEP_S = 0.02
 # Engines rank requests from 0, the first, to this.
 _LEAST_URGENT = 9
-# Requests' lengths are guesses, right at the median: so much longer is allowed.
-_DURATION_SPREAD = 1.5
 # Share of the objective that a request waits for an endpoint to appear.
 _WAIT_SHARE = 0.2
 
@@ -45,26 +40,13 @@
 }
 
 
-class _Found(NamedTuple):
-    """The endpoint for the next send.
-
-    ``missed`` are the tokens that it must read, ``expected`` the seconds to
-    the first event where that is known. ``source`` is the address of an
-    endpoint to fetch parts of the prompt from, or empty.
-    """
-
-    member: Member
-    missed: float
-    expected: float | None
-    source: str = ""
-
-
 class JobSends:
     """The sends of one job: which endpoint next, and whether there is a next."""
 
     def __init__(self, parts: SendParts, job: Job) -> None:
         self._parts = parts
         self.job = job
+        self.chooser = Chooser(parts, job)
         self.proof = RunProof(not job.once)
         self._ran = 0
         self._unsent = 0
@@ -90,7 +72,7 @@
         while True:
             if self.left <= 0.0:
                 raise self.proof.refusal(_late())
-            found = self._choose_now()
+            found = self.chooser.find(self._avoid)
             if found is not None:
                 break
             if parts.clock.now() >= patience:
@@ -109,16 +91,16 @@
         # request that may be repeated is run again.
         self.proof.may_have_run = True
         self._carried = moved.carried
-        return self._take(_Found(moved.member, 0.0, None))
+        return self._take(Found(moved.member, 0.0, None))
 
-    def _take(self, found: _Found) -> Member:
+    def _take(self, found: Found) -> Member:
         """Note the endpoint of the next send."""
         parts, job = self._parts, self.job
         member = self.member = found.member
         self._source = found.source
         self._tries += 1
         now = parts.clock.now()
-        self.sent = parts.choice.sent(self._ask(), member, found.missed, now)
+        self.sent = parts.choice.sent(self.chooser.ask(), member, found.missed, now)
         expected = self.expected = found.expected
         if expected is not None:
             reading = parts.choice.speed.reading(found.missed)
@@ -178,66 +160,6 @@
             return account.priority
         return self.job.route.priority
 
-    @property
-    def engine(self) -> EngineShape | None:
-        """What the engines of the service can do; None for plain services."""
-        index = self._parts.view.index
-        service = None if index is None else index.table.services.get(self.job.service)
-        return None if service is None else service.engine
-
-    def _ask(self, connected: frozenset[str] = frozenset()) -> Ask:
-        """Return what a choice needs to know; ``connected`` matters to it alone."""
-        req, engine = self.job.req, self.engine
-        fetches = engine is not None and engine.moves
-        tokens = req.prompt_tokens or 0
-        return Ask(req.parts, tokens, self._parts.zone, fetches, connected)
-
-    def _choose_now(self) -> _Found | None:
-        """Return the best endpoint, or None."""
-        parts, job = self._parts, self.job
-        now = parts.clock.now()
-        listed = [m for m in self._listed(now) if m.endpoint_id not in self._avoid]
-        allowed = parts.outliers.allowed(listed, now)
-        failing = parts.failing.failing(now)
-        if job.req.prompt_tokens is None:
-            member = parts.choice.plain(parts.zone, allowed, failing)
-            return None if member is None else _Found(member, 0.0, None)
-        ask = self._ask(parts.pools.connected())
-        score = parts.choice.engine(ask, allowed, now, failing)
-        if score is None:
-            return None
-        speed = parts.choice.speed
-        expected = speed.base + score.wait + speed.reading(score.missed)
-        members = parts.view.members
-        source = members[score.source].address if score.source else ""
-        return _Found(members[score.endpoint_id], score.missed, expected, source)
-
-    def _listed(self, now: float) -> list[Member]:
-        """Return the endpoints that may get the request.
-
-        One that leaves gets what likely ends in time, since zones that are
-        taken back are missed most in their last seconds; all requests where no
-        other is left.
-        """
-        parts, job = self._parts, self.job
-        listed = list(parts.view.of_service(job.service))
-        leaving = parts.view.leaving_of(job.service, now)
-        if not listed:
-            return [member for member, _left in leaving]
-        if not parts.terms.use_leaving:
-            return listed
-        needed = self._duration() * _DURATION_SPREAD
-        return listed + [member for member, left in leaving if needed < left]
-
-    def _duration(self) -> float:
-        """Return the seconds that the request is expected to run."""
-        job = self.job
-        if job.req.prompt_tokens is None:
-            return job.route.objective
-        return self._parts.choice.speed.duration(
-            job.req.length_hint or job.req.output_tokens
-        )
-
     def sending(self, last_event: str = "") -> Sending:
         """Return what the next send tells its endpoint."""
         assert self.member is not None
--- a/src/ebonydeal/_internal/relay/stream.py
+++ b/src/ebonydeal/_internal/relay/stream.py
@@ -134,7 +134,7 @@
 
     def _run_of(self, sends: JobSends, member: Member) -> LiveRun:
         """Return what a send's run is watched by."""
-        req, engine = sends.job.req, sends.engine
+        req, engine = sends.job.req, sends.chooser.engine
         return LiveRun(
             request_id=req.request_id,
             service=sends.job.service,
@@ -147,7 +147,7 @@
     async def _send(self, sends: JobSends, run: LiveRun, out: _Out) -> Outcome | None:
         """Make one send; None when the stream is complete."""
         limit = sends.left
-        engine = sends.engine
+        engine = sends.chooser.engine
         if engine is not None and engine.moves:
             self._parts.moves.enter(run)
         try:
--- /dev/null
+++ b/src/ebonydeal/_internal/relay/view_sync.py
@@ -0,0 +1,112 @@
+"""Asks other relays for what the store doesn't tell this one."""
+
+from base64 import b64decode
+from random import Random
+from typing import Any
+from zlib import decompress
+from zlib import error as BadCompression
+
+from mode import Service
+
+from ebonydeal._internal.errors import EbonydealError
+from ebonydeal._internal.models.forwarding import Member
+from ebonydeal._internal.models.shared import SharedRow
+from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.relay.exchange import Exchange
+from ebonydeal._internal.relay.follower import TableFollower
+from ebonydeal._internal.relay.messages import VIEW, ViewMessage
+from ebonydeal._internal.relay.ports import Wire
+from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.routing.duty_lease import LeaseRow
+from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.peerclient import PeerClient
+
+logger = get_logger("relay.view")
+
+_CALL_S = 0.5
+_SYNC_S = 0.4
+# A store that has failed us for this long is asked through other relays.
+_STORE_PATIENCE_S = 0.6
+_UNREADABLE = (EbonydealError, KeyError, TypeError, ValueError, BadCompression)
+
+
+class ViewSync(Service):
+    """Asks other relays for news while the store doesn't answer this one."""
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        client: PeerClient,
+        wire: Wire,
+        view: RelayView,
+        followers: tuple[TableFollower, ...],
+        clock: Clock,
+        rng: Random,
+    ) -> None:
+        super().__init__()
+        self._exchange = exchange
+        self._client = client
+        self._wire = wire
+        self._view = view
+        self._followers = followers
+        self._clock = clock
+        self._rng = rng
+        self.behind = False
+        self.behind_config = False
+
+    @Service.task
+    async def _run(self) -> None:
+        while not self.should_stop:
+            await self._clock.sleep(_SYNC_S * self._rng.uniform(0.8, 1.2))
+            away = self._store_is_away()
+            if self.behind or self.behind_config or away:
+                members = self.behind or away
+                self.behind = self.behind_config = False
+                await self._sync(members, away)
+
+    def _store_is_away(self) -> bool:
+        now = self._clock.now()
+        since = [f.failing_since for f in self._followers]
+        return any(at is not None and now - at > _STORE_PATIENCE_S for at in since)
+
+    async def _sync(self, members: bool, away: bool) -> None:
+        """Ask the coordinator, and one other relay where it doesn't answer.
+
+        For the configuration, and for endpoints where ``members``; both relays
+        where the store is ``away``, since either may know more.
+        """
+        asked = []
+        if self._exchange.coordinator_address:
+            asked.append(self._exchange.coordinator_address)
+        others = [a for a in self._exchange.relays if a not in asked]
+        if others:
+            asked.append(self._rng.choice(others))
+        for address in asked:
+            view = self._view
+            since = view.members_version if members else None
+            message = ViewMessage(config=view.version, members=since)
+            try:
+                reply = await self._client.call(address, VIEW, message, _CALL_S)
+            except EbonydealError as exc:
+                logger.info("No news.", peer=address, reason=str(exc))
+                continue
+            self._take(reply, address)
+            if not away:
+                return
+
+    def _take(self, reply: dict[str, Any], address: str) -> None:
+        view = self._view
+        try:
+            if "config" in reply:
+                raw = decompress(b64decode(reply["config"]))
+                table = self._wire.table(SharedRow("", raw, 0))
+                view.take_table(table, raw, f"peer {address}")
+            if "members" in reply and reply["version"] > view.members_version:
+                members = [Member(*item) for item in reply["members"]]
+                view.replace(members, reply["version"], self._clock.now(), False)
+                logger.info("Endpoints from a peer.", peer=address, count=len(members))
+            if "lease" in reply:
+                row, version = reply["lease"]
+                self._exchange.lease.hear(LeaseRow(*row), int(version))
+        except _UNREADABLE as exc:
+            logger.error("News can't be read.", peer=address, reason=repr(exc))
--- a/tests/unit/relay/test_coordinator.py
+++ b/tests/unit/relay/test_coordinator.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ebonydeal._internal.relay.coordinator import Coordinator, CoordinatorParts
-from ebonydeal._internal.relay.peers import Exchange, ExchangeParts
+from ebonydeal._internal.relay.exchange import Exchange, ExchangeParts
 from ebonydeal._internal.relay.view import RelayView
 from ebonydeal._internal.routing.duty_lease import DutyLease
 from ebonydeal._internal.routing.quota_broker import QuotaBounds
