Write the number of relays with the lease; average work over its window again

(1) After a loss of all, each relay took a twelfth of every limit until it was told how many there are: at 195 relays sixteen times what is allowed, for a second and more. The holder now writes the number with the lease's row, which every relay reads first thing; nobody reports or takes the lease before it can be reached.

Unit, functional and soak tests of the relay pass.

--- a/src/ebonydeal/_internal/relay/coordinator.py
+++ b/src/ebonydeal/_internal/relay/coordinator.py
@@ -165,6 +165,10 @@
         self._roster.begin(self.relays_before())
         self._broker.begin(fresh=self.lease.fence == 1)
 
+    def start_duties(self) -> None:
+        """Take part in the lease: other relays can reach this one now."""
+        self._keeper.reachable.set()
+
     async def release(self) -> None:
         """Free the lease at a planned stop, so that another takes it at once."""
         await self._keeper.release()
@@ -231,6 +235,7 @@
         # Silent relays' counts are waited for no longer.
         self._roster.drop_silent(lambda word: self._ledger.forget(_counter(word)))
         self._broker.part = self._roster.part_heard()
+        self.lease.relays = self._roster.count
         # Counts are running totals of one incarnation.
         self._ledger.heard(
             _counter(message),
--- a/src/ebonydeal/_internal/relay/exchange.py
+++ b/src/ebonydeal/_internal/relay/exchange.py
@@ -57,16 +57,35 @@
         self._last_ok = parts.clock.now()
         self.fed = False
         self.relays: list[str] = list(seeds)
-        self.relay_count = max(FIRST_RELAYS, len(seeds))
+        self._count = max(FIRST_RELAYS, len(seeds))
         # Whether a coordinator told how many relays there are.
         self.counted = False
         self._pace = Pace(parts.period)
         self._tells_config = False
+        # Set once other relays can reach this one.
+        self.reachable = asyncio.Event()
 
     def take_seeds(self, seeds: tuple[str, ...]) -> None:
         """Ask other relays to begin with, beside those that are known."""
         self.relays.extend(seed for seed in seeds if seed not in self.relays)
 
+    @property
+    def relay_count(self) -> int:
+        """How many relays there are, as last heard.
+
+        Before a coordinator told it, as many as the last one wrote with the lease.
+        """
+        row = self.lease.row
+        if self.counted or row is None:
+            return self._count
+        return max(self._count, row.relays)
+
+    @property
+    def relays_before(self) -> int:
+        """How many relays a coordinator before told of; 0 where none did."""
+        row = self.lease.row
+        return self._count if self.counted else 0 if row is None else row.relays
+
     @property
     def in_touch(self) -> bool:
         """Whether the coordinator answered lately."""
@@ -92,6 +111,7 @@
     @Service.task
     async def _run(self) -> None:
         parts = self._parts
+        await self.reachable.wait()
         while not self.should_stop:
             answered = await self._once()
             pause = self._pace.period if answered else self._pace.again
@@ -128,7 +148,7 @@
         self._last_ok = parts.clock.now()
         if reply["relays"] is not None:
             self.relays = list(reply["relays"])
-        self.relay_count = max(1, len(self.relays))
+        self._count = max(1, len(self.relays))
         self.counted = True
         self._pace = Pace(max(parts.period, float(reply["period"])))
         self._tells_config = reply["tells_config"]
--- a/src/ebonydeal/_internal/relay/lease_keeper.py
+++ b/src/ebonydeal/_internal/relay/lease_keeper.py
@@ -1,5 +1,6 @@
 """Keeps the lease of the duties: reads and writes its row as the protocol says."""
 
+import asyncio
 from collections.abc import Callable
 from random import Random
 
@@ -25,6 +26,8 @@
 _LEASE_KEY = "duties"
 _LOOK_S = 0.5
 _REST_S = 0.1
+# Relays that start, or miss the holder, together write the row one after the other.
+_JITTER_S = 0.3
 
 
 class LeaseKeeper(Service):
@@ -67,6 +70,8 @@
         self._stood_back = False
         self.held_since: float | None = None
         self._stopping = False
+        # Set once other relays can reach this one.
+        self.reachable = asyncio.Event()
 
     @property
     def holds(self) -> bool:
@@ -75,10 +80,7 @@
 
     @Service.task
     async def _keep_lease(self) -> None:
-        # All relays start together: the first to come makes the row, and those
-        # that leave it to others find their holder with one look.
-        await self._clock.sleep(self._stands_back + self._rng.uniform(0.0, 0.3))
-        self._stood_back = True
+        await self.reachable.wait()
         while not self.should_stop:
             held = self.holds
             try:
@@ -108,14 +110,20 @@
                     await self._clock.sleep(_LOOK_S * self._rng.uniform(0.6, 1.4))
             case Write() as write:
                 if not lease.mine and not self._stood_back:
-                    await self._clock.sleep(self._stands_back)
-                    self._stood_back = True
-                    # Another may have it by now.
-                    lease.in_doubt()
+                    await self._stand_back()
                     return
                 self._stood_back = False
                 await self._write(write)
 
+    async def _stand_back(self) -> None:
+        """Leave a free lease to larger instances, and to who comes first."""
+        jitter = self._rng.uniform(0.0, _JITTER_S)
+        await self._clock.sleep(self._stands_back + jitter)
+        self._stood_back = True
+        if self._stands_back:
+            # Another may have it by now.
+            self.lease.in_doubt()
+
     async def _look(self) -> None:
         rows, _version = await self._store.rows(LEASE_TABLE)
         now = self._clock.now()
--- a/src/ebonydeal/_internal/relay/news.py
+++ b/src/ebonydeal/_internal/relay/news.py
@@ -109,6 +109,14 @@
             view.remove(str(endpoint_id), int(version))
         view.members_version = max(view.members_version, int(news["version"]))
         self.seen = mark
+        logger.info(
+            "Endpoints told.",
+            fence=mark[0],
+            version=view.members_version,
+            listed=len(members),
+            leaving=sum(member.leaving for member in members),
+            gone=len(news["gone"]),
+        )
         return {}
 
 
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -207,11 +207,10 @@
         handler.serve(HOLDER, self._exchange.take_holder)
         self.coordinator.on_begin = self._announce
         self._quota.grants = self._exchange
-        self.coordinator.relays_before = lambda: (
-            self._exchange.relay_count if self._exchange.counted else 0
-        )
+        self.coordinator.relays_before = lambda: self._exchange.relays_before
         config, members = self._followers
         members.fed = lambda: self._exchange.fed
+        self.view.is_told = lambda: self._exchange.fed
         config.fed = lambda: self._exchange.fed_config
         config.feeding = lambda: self.coordinator.feeds_config
         self.coordinator.hears_store = lambda: members.fresh
@@ -262,6 +261,8 @@
         self._cfg = self._cfg._replace(peer_address=address)
         self._word.address = address
         self.coordinator.lease.reachable_at(address)
+        self.coordinator.start_duties()
+        self._exchange.reachable.set()
 
     def reload(self, settings: dict[str, Any]) -> None:
         """Take changed bounds and seeds; addresses stay until the next start."""
--- a/src/ebonydeal/_internal/relay/roster.py
+++ b/src/ebonydeal/_internal/relay/roster.py
@@ -175,6 +175,12 @@
         whole = max(len(serving), expected)
         return heard / whole if whole else 1.0
 
+    @property
+    def count(self) -> int:
+        """How many relays there are: those heard, or as many as were told of before."""
+        waits = self._clock.now() < self._expected_until
+        return max(len(self.alive()), self._expected if waits else 0)
+
     def loads_without(self, node: str) -> Table:
         """Return what all other relays have at each endpoint."""
         return self._loads.without(node, self.alive, self._clock.now())
--- a/src/ebonydeal/_internal/relay/view.py
+++ b/src/ebonydeal/_internal/relay/view.py
@@ -66,6 +66,9 @@
         self._by_service: dict[str, tuple[Member, ...]] = {}
         self._lapsed: dict[str, float] = {}
         self._left: dict[str, _Left] = {}
+        # Whether another relay that follows the store tells this one: its log has each
+        # change, and hundreds of relays' logs needn't have it again.
+        self.is_told: Callable[[], bool] = lambda: False
         # Told which endpoint started again, so that what was learned of it goes.
         self.on_restart: Callable[[str], None] = lambda _endpoint_id: None
         # Ids in the order of their last change, for those that hear from us.
@@ -167,7 +170,7 @@
         self._note_leaving(known, member, heard_at)
         self._lapsed.pop(member.endpoint_id, None)
         if known is None or _differs(known, member):
-            logger.info(
+            self._log(
                 "Endpoint listed.",
                 endpoint=member.endpoint_id,
                 service=member.service,
@@ -180,6 +183,11 @@
             )
         self._note_change(member.endpoint_id)
 
+    def _log(self, sentence: str, **values: object) -> None:
+        """Log a change of the list, where this relay is the one that heard it."""
+        if not self.is_told():
+            logger.info(sentence, **values)
+
     def withhold(self, endpoint_id: str, version: int) -> None:
         """Give an endpoint no new work until its entry can be read again."""
         known = self.members.get(endpoint_id)
@@ -223,7 +231,7 @@
         self._leaves_at.pop(endpoint_id, None)
         self.last_change = max(self.last_change, version)
         self._lapsed.pop(endpoint_id, None)
-        logger.info("Endpoint gone.", endpoint=endpoint_id, version=version)
+        self._log("Endpoint gone.", endpoint=endpoint_id, version=version)
         self._note_change(endpoint_id)
 
     def replace(
--- a/src/ebonydeal/_internal/routing/demand.py
+++ b/src/ebonydeal/_internal/routing/demand.py
@@ -66,36 +66,21 @@
     ----------
     window : float
         Time constant, seconds.
-    warm : float
-        From this long after the first amount on, the average is over the time since
-        it and no longer: one second after traffic begins a window of four shows a
-        quarter of it. 0 always averages over the window.
     """
 
-    def __init__(self, window: float, warm: float = 0.0) -> None:
+    def __init__(self, window: float) -> None:
         self._window = window
-        self._warm = warm
         self._rate = 0.0
         self._at = 0.0
-        self._first: float | None = None
 
     def add(self, amount: float, now: float) -> None:
         """Count ``amount`` at ``now``."""
-        self._rate = self._decayed(now) + amount / self._window
+        self._rate = self.rate(now) + amount / self._window
         self._at = max(self._at, now)
-        if self._first is None:
-            self._first = now
-
-    def _decayed(self, now: float) -> float:
-        return self._rate * exp(-max(0.0, now - self._at) / self._window)
 
     def rate(self, now: float) -> float:
         """Return the rate a second."""
-        rate = self._decayed(now)
-        if not self._warm or self._first is None:
-            return rate
-        seen = max(self._warm, now - self._first)
-        return rate / (1.0 - exp(-seen / self._window))
+        return self._rate * exp(-max(0.0, now - self._at) / self._window)
 
 
 def fair_share(own: float, others: list[float], floor_share: float) -> float:
--- a/src/ebonydeal/_internal/routing/duty_lease.py
+++ b/src/ebonydeal/_internal/routing/duty_lease.py
@@ -15,12 +15,17 @@
 
 
 class LeaseRow(NamedTuple):
-    """What the row says; ``holder`` is empty after a release."""
+    """What the row says; ``holder`` is empty after a release.
+
+    ``relays`` is how many relays the holder knows of: all that start at once must
+    take their parts of so many, before any of them has told how many there are.
+    """
 
     holder: str
     incarnation: str
     address: str
     fence: int
+    relays: int = 0
 
     def encode(self) -> bytes:
         """Return the row's value."""
@@ -35,6 +40,7 @@
             str(message["incarnation"]),
             str(message["address"]),
             int(message["fence"]),
+            int(message.get("relays", 0)),
         )
 
 
@@ -91,6 +97,8 @@
         self._until = 0.0
         self._renew_at = 0.0
         self.wanted = False
+        # How many relays this one knows of, to be written with the row.
+        self.relays = 0
 
     @property
     def row(self) -> LeaseRow | None:
@@ -168,7 +176,7 @@
 
     def _write(self, now: float, fence: int) -> Write:
         self._sent_at = now
-        return Write(self._me._replace(fence=fence), self._version)
+        return Write(self._me._replace(fence=fence, relays=self.relays), self._version)
 
     def saw(self, row: LeaseRow | None, version: int, now: float) -> None:
         """Take the row as it was read; version 0 where there is none."""
@@ -211,5 +219,5 @@
         if not self.mine:
             return None
         self._until = 0.0
-        free = LeaseRow("", "", "", self.fence)
+        free = LeaseRow("", "", "", self.fence, self.relays)
         return Write(free, self._version)
--- a/src/ebonydeal/_internal/routing/member_choice.py
+++ b/src/ebonydeal/_internal/routing/member_choice.py
@@ -43,8 +43,6 @@
 _SEATS_KEPT = 0.95
 # Time over which the work asked of a service is averaged.
 _WORK_WINDOW_S = 4.0
-# So long after the first request what came since is taken for what comes.
-_WORK_WARM_S = 1.0
 
 
 class ChoiceTerms(NamedTuple):
@@ -321,9 +319,7 @@
         load.running += 1
         unread = self.speed.reading(missed) * self.speed.rate
         load.unread += unread
-        meter = self._work.get(member.service)
-        if meter is None:
-            meter = self._work[member.service] = RateMeter(_WORK_WINDOW_S, _WORK_WARM_S)
+        meter = self._work.setdefault(member.service, RateMeter(_WORK_WINDOW_S))
         meter.add(unread / self.speed.rate, now)
         load.note_parts([part.part_id for part in ask.parts], now, self._keep)
         return Sent(member.endpoint_id, missed, unread, now, load)
