Stand back each time that the lease is free; take answers of the release before

Cause, found by reading: a small instance that had left the lease to a larger one once took part in the next race at once, since it was noted as having stood back. An answer of a coordinator of the release before, as in a rolling replacement, lacks the period and ended the task that reports. Change: the note is dropped while another holds the lease; missing fields count as untold. tests/unit/relay/test_lease_keeper.py fails without it.

--- a/src/ebonydeal/_internal/relay/exchange.py
+++ b/src/ebonydeal/_internal/relay/exchange.py
@@ -83,8 +83,10 @@
     @property
     def relays_before(self) -> int:
         """How many relays a coordinator before told of; 0 where none did."""
+        if self.counted:
+            return self._count
         row = self.lease.row
-        return self._count if self.counted else 0 if row is None else row.relays
+        return 0 if row is None else row.relays
 
     @property
     def in_touch(self) -> bool:
@@ -150,8 +152,9 @@
             self.relays = list(reply["relays"])
         self._count = max(1, len(self.relays))
         self.counted = True
-        self._pace = Pace(max(parts.period, float(reply["period"])))
-        self._tells_config = reply["tells_config"]
+        # A coordinator of the release before doesn't tell these.
+        self._pace = Pace(max(parts.period, reply.get("period", 0.0)))
+        self._tells_config = reply.get("tells_config", False)
         lease.wanted = not reply["holds"]
         parts.heard(reply)
         return True
--- a/src/ebonydeal/_internal/relay/lease_keeper.py
+++ b/src/ebonydeal/_internal/relay/lease_keeper.py
@@ -103,6 +103,8 @@
             return
         match lease.next_step(self._clock.now()):
             case Rest(seconds=seconds):
+                # Another holds it: the next time that it is free is another time.
+                self._stood_back = False
                 await self._clock.sleep(min(_REST_S, seconds))
             case Look():
                 await self._look()
--- a/src/ebonydeal/_internal/relay/news.py
+++ b/src/ebonydeal/_internal/relay/news.py
@@ -86,7 +86,8 @@
 
     def take(self, news: NewsMessage) -> dict[str, Any]:
         """Take news; those of an older coordinator are left out."""
-        if int(news["config"]) > self._view.version:
+        # A coordinator of the release before doesn't tell it.
+        if int(news.get("config", -1)) > self._view.version:
             self.on_behind()
         mark = (int(news["mark"][0]), int(news["mark"][1]))
         if mark <= self.seen:
--- /dev/null
+++ b/tests/unit/relay/test_lease_keeper.py
@@ -0,0 +1,93 @@
+"""Which relay takes a free lease."""
+
+import asyncio
+from random import Random
+from types import SimpleNamespace
+
+from ebonydeal._internal.models.shared import RowChange
+from ebonydeal._internal.relay.lease_keeper import LeaseKeeper
+from ebonydeal._internal.routing.duty_lease import DutyLease
+from tests.lib.clock import ManualClock
+from tests.lib.relay_fakes import MemoryStore
+
+OPEN = RowChange("usage", "open", b"{}")
+
+
+class Relays:
+    """Keepers of one lease, with a clock of ours."""
+
+    def __init__(self):
+        self.clock = ManualClock(100.0)
+        self.store = MemoryStore()
+        self.keepers = {}
+
+    async def add(self, name, stands_back):
+        async def read_open():
+            pass
+
+        usage = SimpleNamespace(open_change=lambda: OPEN, read_open=read_open)
+        lease = DutyLease(name, "i", f"{name}:1", 3.0)
+        lease.wanted = True
+        keeper = LeaseKeeper(
+            self.store,
+            usage,
+            lease,
+            self.clock,
+            Random(name),
+            lambda: None,
+            stands_back,
+        )
+        keeper.reachable.set()
+        self.keepers[name] = keeper
+        await keeper.start()
+        return keeper
+
+    async def play(self, seconds):
+        for _ in range(round(seconds / 0.05)):
+            await self.clock.advance(0.05)
+
+    def holders(self):
+        return [name for name, keeper in self.keepers.items() if keeper.holds]
+
+    async def stop(self):
+        for keeper in self.keepers.values():
+            await keeper.stop()
+
+
+class TestStandingBack:
+    async def test_a_larger_instance_takes_it_first(self):
+        relays = Relays()
+        async with asyncio.timeout(20):
+            for number in range(6):
+                await relays.add(f"small{number}", 0.6)
+            await relays.add("large", 0.0)
+            await relays.play(2.0)
+            assert relays.holders() == ["large"]
+            await relays.stop()
+
+    async def test_where_there_is_none_a_smaller_one_takes_it(self):
+        relays = Relays()
+        async with asyncio.timeout(20):
+            for number in range(3):
+                await relays.add(f"small{number}", 0.6)
+            await relays.play(2.0)
+            assert len(relays.holders()) == 1
+            await relays.stop()
+
+    async def test_again_the_next_time_that_it_is_free(self):
+        relays = Relays()
+        async with asyncio.timeout(20):
+            smalls = [await relays.add(f"small{n}", 0.6) for n in range(6)]
+            large = await relays.add("large", 0.0)
+            await relays.play(2.0)
+            second = await relays.add("larger", 0.0)
+            for keeper in (*smalls, second):
+                keeper.lease.wanted = False
+            await relays.play(1.0)
+            await large.stop()
+            del relays.keepers["large"]
+            for keeper in (*smalls, second):
+                keeper.lease.wanted = True
+            await relays.play(6.0)
+            assert relays.holders() == ["larger"]
+            await relays.stop()
