Read the lease seldomer the more relays there are

Change: beyond 30 relays, as the row tells their number, each reads it seldomer, 60 reads a second in all; whoever takes the lease tells the others itself. Up to 30 relays nothing changes.

--- a/src/ebonydeal/_internal/relay/lease_keeper.py
+++ b/src/ebonydeal/_internal/relay/lease_keeper.py
@@ -25,6 +25,9 @@
 LEASE_TABLE = "ebonydeal-lease"
 _LEASE_KEY = "duties"
 _LOOK_S = 0.5
+# So many relays read the row every half second: 60 reads a second in all. Of 195 that
+# lost their holder each read it seven times until another was found.
+_LOOKERS = 30
 _REST_S = 0.1
 # Relays that start, or miss the holder, together write the row one after the other.
 _JITTER_S = 0.3
@@ -109,7 +112,7 @@
             case Look():
                 await self._look()
                 if not lease.mine:
-                    await self._clock.sleep(_LOOK_S * self._rng.uniform(0.6, 1.4))
+                    await self._clock.sleep(self._look_pause())
             case Write() as write:
                 if not lease.mine and not self._stood_back:
                     await self._stand_back()
@@ -117,6 +120,17 @@
                 self._stood_back = False
                 await self._write(write)
 
+    def _look_pause(self) -> float:
+        """Return the seconds until the row is read again.
+
+        All that miss their holder read it: beyond some tens each reads it seldomer, and
+        hears of a new holder from that one itself.
+        """
+        row = self.lease.row
+        relays = 0 if row is None else row.relays
+        crowd = max(1.0, relays / _LOOKERS)
+        return _LOOK_S * crowd * self._rng.uniform(0.6, 1.4)
+
     async def _stand_back(self) -> None:
         """Leave a free lease to larger instances, and to who comes first."""
         jitter = self._rng.uniform(0.0, _JITTER_S)
--- a/tests/unit/relay/test_lease_keeper.py
+++ b/tests/unit/relay/test_lease_keeper.py
@@ -5,8 +5,8 @@
 from types import SimpleNamespace
 
 from ebonydeal._internal.models.shared import RowChange
-from ebonydeal._internal.relay.lease_keeper import LeaseKeeper
-from ebonydeal._internal.routing.duty_lease import DutyLease
+from ebonydeal._internal.relay.lease_keeper import LEASE_TABLE, LeaseKeeper
+from ebonydeal._internal.routing.duty_lease import DutyLease, LeaseRow
 from tests.lib.clock import ManualClock
 from tests.lib.relay_fakes import MemoryStore
 
@@ -91,3 +91,31 @@
             await relays.play(6.0)
             assert relays.holders() == ["larger"]
             await relays.stop()
+
+
+class TestLooks:
+    async def reads(self, count):
+        """Return how often ``count`` relays read the row of a holder that is lost."""
+        relays = Relays()
+        row = LeaseRow("gone", "i", "gone:1", 4, count)
+        async with asyncio.timeout(60):
+            await relays.store.put(LEASE_TABLE, "duties", row.encode())
+            for number in range(count):
+                await relays.add(f"n{number}", 0.6)
+            await relays.play(0.5)
+            looked = []
+            rows = relays.store.rows
+
+            async def counted(*args):
+                looked.append(args)
+                return await rows(*args)
+
+            relays.store.rows = counted
+            await relays.play(2.0)
+            await relays.stop()
+        return len(looked)
+
+    async def test_of_many_relays_are_no_more_than_of_some_tens(self):
+        few, many = await self.reads(9), await self.reads(90)
+        assert few >= 9 * 2
+        assert many <= 90 * 2
