Tell equal requests apart from others in the logs, and a crash from a broken link

Cause: the logs named requests by ids that are new each time, and an endpoint's end by the library's error, so a request that brings endpoints down looked like endpoints that end by themselves, and a reset link like both.

Change: a digest of account, host, method, path and body, made while the body is read, stands in the lines of each send. After a connection broke amid a request the endpoint is asked for another one; a refusal says that its process is gone. One line tells the endpoint and the digests that were at work.

Nothing is decided by it yet.

--- /dev/null
+++ b/src/ebonydeal/_internal/relay/crash_check.py
@@ -0,0 +1,102 @@
+"""Whether an endpoint whose connection broke amid a request has crashed.
+
+A broken connection alone says little: links reset, answers are cut, and endpoints that
+leave close what is left. One whose address refuses a new connection at the same moment
+has no process any more. What falls silent, or can't be reached, tells nothing: the same
+is seen when a zone loses power or a link is cut.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from mode import Service
+
+from ebonydeal._internal.models.forwarding import Member
+from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.utils.clock import Clock
+
+logger = get_logger("relay.crash")
+
+# Connections of a process that ends break within a few milliseconds of each other: so
+# long the requests that were at work on them are put together.
+_GROUP_S = 0.02
+# Digests in one line: a full engine has some hundred requests at work.
+_MOST_LOGGED = 16
+
+
+class Crashed(NamedTuple):
+    """An endpoint that crashed, and the requests at work there on this relay."""
+
+    member: Member
+    digests: frozenset[str]
+
+
+class CrashCheck(Service):
+    """Asks endpoints whose connections broke for another one.
+
+    Parameters
+    ----------
+    view : RelayView
+        The listed endpoints.
+    clock : Clock
+        Time.
+    connect_s : float
+        Longest wait for a connection, seconds.
+    """
+
+    def __init__(self, view: RelayView, clock: Clock, connect_s: float) -> None:
+        super().__init__()
+        self._view = view
+        self._clock = clock
+        self._connect_s = connect_s
+        self._broken: dict[Member, set[str]] = {}
+        # Told what crashed.
+        self.on_crash: Callable[[Crashed], None] = lambda _crashed: None
+
+    def broke(self, member: Member, digest: str) -> None:
+        """Note a connection that ended amid a request.
+
+        One that leaves, or is listed no more, was about to end.
+        """
+        listed = self._view.members.get(member.endpoint_id)
+        if listed is None or listed.leaving or listed.born != member.born:
+            return
+        waiting = self._broken.get(listed)
+        if waiting is not None:
+            waiting.add(digest)
+            return
+        self._broken[listed] = {digest}
+        self.add_future(self._check(listed))
+
+    async def _check(self, member: Member) -> None:
+        """Find out about one endpoint, and tell."""
+        await self._clock.sleep(_GROUP_S)
+        refused = await self._refuses(member.address)
+        digests = frozenset(self._broken.pop(member))
+        logger.info(
+            "Connections broke amid requests.",
+            endpoint=member.endpoint_id,
+            born=member.born,
+            zone=member.zone,
+            requests=len(digests),
+            digests=sorted(digests)[:_MOST_LOGGED],
+            crashed=refused,
+        )
+        if refused:
+            self.on_crash(Crashed(member, digests))
+
+    async def _refuses(self, address: str) -> bool:
+        """Return whether an address refuses connections: no process is there."""
+        host, _sep, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(self._connect_s):
+                _reader, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, ValueError):
+            # TimeoutError is an OSError. Unreachable isn't gone.
+            return False
+        writer.close()
+        return False
--- a/src/ebonydeal/_internal/relay/intake.py
+++ b/src/ebonydeal/_internal/relay/intake.py
@@ -17,6 +17,7 @@
 from ebonydeal._internal.relay.job import Job, SendParts
 from ebonydeal._internal.relay.plain import PlainForwarder
 from ebonydeal._internal.relay.quota import QuotaGate
+from ebonydeal._internal.relay.request_digest import RequestDigest
 from ebonydeal._internal.relay.stream import StreamForwarder
 from ebonydeal._internal.routing.route_index import RouteIndex, pick_service
 
@@ -136,7 +137,9 @@
         allowed = route.timeout
         if req.allowed is not None:
             allowed = min(allowed, req.allowed)
-        body = await _read_body(http_req, limits.body_bytes, allowed)
+        name = "" if account is None else account.name
+        digest = RequestDigest(name, req.host, req.method, req.target)
+        body = await _read_body(http_req, limits.body_bytes, allowed, digest)
         if account is not None:
             patience = min(allowed, route.objective * self._quota_wait)
             await self._quota.admit(account, _amount(req, account), patience)
@@ -148,6 +151,7 @@
             body=body,
             started=started,
             until=started + allowed,
+            digest=digest.text(),
         )
 
     async def _known(self, started: float) -> RouteIndex:
@@ -193,9 +197,12 @@
 
 
 async def _read_body(
-    http_req: web.BaseRequest, most_bytes: int, allowed: float
+    http_req: web.BaseRequest, most_bytes: int, allowed: float, digest: RequestDigest
 ) -> bytes:
-    """Return the body; raises BODY_TOO_LARGE, SLOW_SENDER or BAD_REQUEST."""
+    """Return the body, added to ``digest``.
+
+    Raises BODY_TOO_LARGE, SLOW_SENDER or BAD_REQUEST.
+    """
     if not http_req.body_exists:
         return b""
     slices: list[bytes] = []
@@ -207,6 +214,7 @@
                 if size > most_bytes:
                     detail = f"more than {most_bytes} bytes"
                     raise EbonydealError(ErrorKind.BODY_TOO_LARGE, detail)
+                digest.update(data)
                 slices.append(data)
     except TimeoutError:
         raise EbonydealError(ErrorKind.SLOW_SENDER, "the body is not in") from None
--- a/src/ebonydeal/_internal/relay/job.py
+++ b/src/ebonydeal/_internal/relay/job.py
@@ -11,6 +11,7 @@
 )
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.relay.connections import EndpointPools
+from ebonydeal._internal.relay.crash_check import CrashCheck
 from ebonydeal._internal.relay.long_reads import LongReads
 from ebonydeal._internal.relay.moves import StreamMoves
 from ebonydeal._internal.relay.ports import Wire
@@ -29,7 +30,8 @@
     """An accepted request.
 
     ``started`` and ``until`` are monotonic seconds; ``until`` is the earlier
-    of the client's deadline and the route's timeout.
+    of the client's deadline and the route's timeout. ``digest`` is the same for
+    equal requests, whatever their ids.
     """
 
     req: Forwarded
@@ -39,6 +41,7 @@
     body: bytes
     started: float
     until: float
+    digest: str = ""
 
     @property
     def once(self) -> bool:
@@ -94,6 +97,7 @@
     usage: UsageMeter
     moves: StreamMoves
     long_reads: LongReads
+    crashes: CrashCheck
     metrics: Metrics
     clock: Clock
     rng: Random
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -15,6 +15,7 @@
     CoordinatorParts,
     CoordinatorSize,
 )
+from ebonydeal._internal.relay.crash_check import CrashCheck
 from ebonydeal._internal.relay.exchange import Exchange, ExchangeParts
 from ebonydeal._internal.relay.fleet import Fleet
 from ebonydeal._internal.relay.follower import ConfigTableFollower, MembersFollower
@@ -115,6 +116,7 @@
         self._long_reads = LongReads(
             self._client, clock, rng, self._other_relays, self._policy.tell_long_s
         )
+        self._crashes = CrashCheck(self.view, clock, self._cfg.connect_ms / 1000.0)
         parts = SendParts(
             wire=ports.wire,
             view=self.view,
@@ -127,6 +129,7 @@
             usage=self.usage,
             moves=self._moves,
             long_reads=self._long_reads,
+            crashes=self._crashes,
             metrics=metrics,
             clock=clock,
             rng=rng,
@@ -246,6 +249,7 @@
             self._exchange,
             self._news,
             self._long_reads,
+            self._crashes,
             self._sync,
             self._leaving,
             self._fleet,
--- a/src/ebonydeal/_internal/relay/sends.py
+++ b/src/ebonydeal/_internal/relay/sends.py
@@ -108,6 +108,7 @@
         logger.info(
             "Sent.",
             request=job.req.request_id,
+            digest=job.digest,
             service=job.service,
             endpoint=member.endpoint_id,
             zone=member.zone,
@@ -220,6 +221,9 @@
         self._avoid.add(endpoint)
         now = parts.clock.now()
         error = _error_of(outcome)
+        match outcome:
+            case MayHaveRun(kind=ErrorKind.ENDPOINT_FAILED):
+                parts.crashes.broke(self.member, job.digest)
         if self._still_listed(self.member):
             parts.outliers.failed(endpoint, error.kind, now)
             parts.failing.failed(endpoint, error.kind, now)
@@ -228,6 +232,7 @@
         logger.info(
             "Send failed.",
             request=job.req.request_id,
+            digest=job.digest,
             endpoint=endpoint,
             outcome=type(outcome).__name__,
             kind=str(error.kind),
--- a/tests/unit/relay/test_job_sends.py
+++ b/tests/unit/relay/test_job_sends.py
@@ -56,6 +56,7 @@
         retries=retries,
         metrics=Metrics(),
         long_reads=SimpleNamespace(sent=lambda *_read: None),
+        crashes=SimpleNamespace(broke=lambda *_broke: None),
         pools=EndpointPools(clock, 1.0),
         clock=clock,
         zone="z",
