Failing test: one request repeated at any relay brings down a fourth endpoint

Three relays and six endpoints; the body crashes each endpoint that reads it. A second after the third crash nine repeats bring down more endpoints.

--- /dev/null
+++ b/tests/lib/crashing.py
@@ -0,0 +1,136 @@
+"""Several relays before endpoints that one request's body brings down."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+from tests.lib.raw_endpoints import RawEndpoint
+from tests.lib.relay_fakes import MemoryStore, ask, document, relay, until
+
+FATAL = b"brings down what runs it"
+
+
+class CrashingEndpoint(RawEndpoint):
+    """Ends as a killed process does when it reads `FATAL`.
+
+    All its connections are reset and its address refuses new ones; its entry stays
+    listed. ``pause`` is the time before it ends, seconds.
+    """
+
+    def __init__(self, name, script=(), pause=0.0):
+        super().__init__(name, script)
+        self.pause = pause
+        self.crashed = False
+        self.at_work = 0
+        self._writers = set()
+
+    async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        try:
+            await super()._serve(_Watched(self, reader), writer)
+        finally:
+            self._writers.discard(writer)
+
+    async def ran(self, body):
+        """Take a request's body; ends everything where it is fatal."""
+        if body == FATAL:
+            await asyncio.sleep(self.pause)
+            self.crash()
+            raise ConnectionResetError
+
+    def crash(self):
+        self.crashed = True
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+
+class _Watched:
+    """A reader that shows its endpoint each body."""
+
+    def __init__(self, endpoint, reader):
+        self._endpoint = endpoint
+        self._reader = reader
+
+    async def readuntil(self, separator):
+        return await self._reader.readuntil(separator)
+
+    async def read(self):
+        return await self._reader.read()
+
+    async def readexactly(self, size):
+        body = await self._reader.readexactly(size)
+        await self._endpoint.ran(body)
+        return body
+
+
+class Fleet:
+    """Endpoints of one service, as many as are wanted at a time."""
+
+    def __init__(self, store, count, make=CrashingEndpoint):
+        self.store = store
+        self.endpoints = []
+        self._count = count
+        self._make = make
+
+    @property
+    def crashed(self):
+        return sum(endpoint.crashed for endpoint in self.endpoints)
+
+    @property
+    def alive(self):
+        return [e for e in self.endpoints if not e.crashed]
+
+    async def fill(self):
+        """Start new endpoints for those that crashed, whose entries go."""
+        for endpoint in self.endpoints:
+            if endpoint.crashed and endpoint.name in self.store.tables["servers"]:
+                await self.store.put("servers", endpoint.name, None)
+        while len(self.alive) < self._count:
+            endpoint = self._make(f"i{len(self.endpoints)}")
+            await endpoint.start()
+            self.endpoints.append(endpoint)
+            zone = f"z{len(self.endpoints) % 3}"
+            await self.store.put("servers", endpoint.name, endpoint.row(zone=zone))
+
+    async def stop(self):
+        for endpoint in self.alive:
+            await endpoint.stop()
+
+
+@asynccontextmanager
+async def cluster(relays=3, endpoints=6, make=CrashingEndpoint, store=None, **cfg):
+    """Run relays before a fleet; yields (relays, fleet)."""
+    store = store or MemoryStore()
+    fleet = Fleet(store, endpoints, make)
+    await fleet.fill()
+    await store.put("op", "config", document())
+    programs = [
+        relay(store, node=f"n{n}", seed=n + 1, settle_s=0.0, **cfg)
+        for n in range(relays)
+    ]
+    for program in programs:
+        await program.start()
+    for program in programs:
+        await until(lambda program=program: program.ready)
+    await until(lambda: all(known(p, relays) for p in programs))
+    try:
+        yield programs, fleet
+    finally:
+        await asyncio.gather(*(program.stop() for program in programs))
+        await fleet.stop()
+
+
+def known(program, relays):
+    """Return whether a relay has heard of so many relays."""
+    return len(program._exchange.relays) >= relays
+
+
+async def repeat(program, path, rid, body=FATAL):
+    """Send a body; returns (status, body), or None where the connection was cut."""
+    try:
+        status, _headers, text = await ask(
+            program, path, rid=rid, method="POST", body=body
+        )
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    return status, text
