Keep crashes with the lease; tests of who knows, who is refused and who isn't

Cause: the memory of crashes ended with the last relay that had it, and nothing showed that it survives a lost coordinator or store, or that the innocent aren't refused.

Change: it is written with a renewal of the lease where it has changed, without a call of its own, and read by who takes the lease. Tests: relays that start later, a lost coordinator, a store that is down, all relays lost, repeats at one moment, runs under way; equal requests that succeed (60 of 60 served beside the crashes), reset links, endpoints that leave, a zone's loss.

--- a/src/ebonydeal/_internal/relay/coordinator.py
+++ b/src/ebonydeal/_internal/relay/coordinator.py
@@ -14,6 +14,7 @@
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.relay.crash_store import CrashStore
 from ebonydeal._internal.relay.lease_keeper import LeaseKeeper
 from ebonydeal._internal.relay.messages import (
     ExchangeMessage,
@@ -171,6 +172,10 @@
         self._roster.begin(self.relays_before())
         self._broker.begin(fresh=self.lease.fence == 1)
 
+    def keep_crashes(self, crashes: CrashStore) -> None:
+        """Keep what is remembered of crashes with the lease."""
+        self._keeper.crashes = crashes
+
     def start_duties(self) -> None:
         """Take part in the lease: other relays can reach this one now."""
         self._keeper.reachable.set()
--- /dev/null
+++ b/src/ebonydeal/_internal/relay/crash_store.py
@@ -0,0 +1,96 @@
+"""What relays remember of crashes, in the platform's store.
+
+It is written with a renewal of the lease where it has changed, so it costs no call, and
+read by who takes the lease: so it outlives the loss of all relays at once.
+"""
+
+import json
+from typing import Any
+from zlib import compress, decompress
+from zlib import error as BadCompression
+
+from ebonydeal._internal.models.shared import RowChange
+from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.relay.ports import SharedStore
+from ebonydeal._internal.relay.suspects import Suspects
+from ebonydeal._internal.utils.clock import Clock
+
+logger = get_logger("relay.suspects")
+
+CRASHES_TABLE = "ebonydeal-crashes"
+_KEY = "memory"
+# Well below what a row may hold; compressed, a full memory takes more, and then what is
+# refused is still known to all relays but not kept.
+_MOST_BYTES = 48_000
+_UNREADABLE = (
+    ValueError,
+    TypeError,
+    KeyError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+    BadCompression,
+)
+
+
+class CrashStore:
+    """Reads and writes the row of crashes.
+
+    Parameters
+    ----------
+    store : SharedStore
+        The platform's store.
+    suspects : Suspects
+        What this relay remembers.
+    clock : Clock
+        The time of day, as monotonic time ends with a process.
+    """
+
+    def __init__(self, store: SharedStore, suspects: Suspects, clock: Clock) -> None:
+        self._store = store
+        self._suspects = suspects
+        self._clock = clock
+        self._written = ""
+        # Whether what lies in the store was read: before that it isn't written over.
+        self.known = False
+
+    def changes(self) -> list[RowChange]:
+        """Return the write that keeps what changed since the last one, if anything."""
+        if not self.known or self._suspects.mark == self._written:
+            return []
+        message = {"wall": self._clock.wall(), "memory": self._suspects.memory()}
+        value = compress(json.dumps(message).encode())
+        if len(value) > _MOST_BYTES:
+            logger.warning("Crashes are too many to keep.", size=len(value))
+            return []
+        return [RowChange(CRASHES_TABLE, _KEY, value)]
+
+    def wrote(self, mark: str) -> None:
+        """Note that the memory with this mark lies in the store."""
+        self._written = mark
+
+    @property
+    def mark(self) -> str:
+        """Mark of what `changes` would write."""
+        return self._suspects.mark
+
+    async def read(self) -> None:
+        """Take what the holder before kept."""
+        rows, _version = await self._store.rows(CRASHES_TABLE)
+        for row in rows:
+            if row.key != _KEY or row.value is None:
+                continue
+            try:
+                message = json.loads(decompress(row.value))
+                passed = max(0.0, self._clock.wall() - float(message["wall"]))
+                self._suspects.learn(_aged(message["memory"], passed), "store")
+            except _UNREADABLE as exc:
+                logger.error("Stored crashes can't be read.", reason=repr(exc))
+        self.known = True
+
+
+def _aged(memory: Any, seconds: float) -> Any:
+    """Return a memory as it is so much later."""
+    crashes = [{**told, "age": told["age"] + seconds} for told in memory["crashes"]]
+    served = {digest: age + seconds for digest, age in memory["served"].items()}
+    return {"crashes": crashes, "served": served}
--- a/src/ebonydeal/_internal/relay/lease_keeper.py
+++ b/src/ebonydeal/_internal/relay/lease_keeper.py
@@ -9,6 +9,7 @@
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.shared import NO_ROW, RowChange
 from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.relay.crash_store import CrashStore
 from ebonydeal._internal.relay.ports import SharedStore
 from ebonydeal._internal.relay.usage_store import UsageStore
 from ebonydeal._internal.routing.duty_lease import (
@@ -69,6 +70,8 @@
         self._clock = clock
         self._rng = rng
         self._first = first
+        # Keeps crashes with the renewals, where this program remembers any.
+        self.crashes: CrashStore | None = None
         self._stands_back = stands_back
         self._stood_back = False
         self.held_since: float | None = None
@@ -90,6 +93,7 @@
                 await self._lease_step()
                 if self.holds and self.held_since is None:
                     await self._usage.read_open()
+                await self._read_crashes()
             except EbonydealError as exc:
                 self._lease_failed(exc)
                 await self._clock.sleep(_LOOK_S * self._rng.uniform(0.5, 1))
@@ -149,14 +153,25 @@
                 return
         self.lease.saw(None, NO_ROW, now)
 
+    async def _read_crashes(self) -> None:
+        """Read what the holder before kept, once this relay holds the lease."""
+        crashes = self.crashes
+        if crashes is not None and self.holds and not crashes.known:
+            await crashes.read()
+
     def _change(self, write: Write) -> RowChange:
         return RowChange(LEASE_TABLE, _LEASE_KEY, write.row.encode(), write.expected)
 
     async def _write(self, write: Write) -> None:
         changes = [self._change(write)]
+        kept: list[RowChange] = []
+        crashes = self.crashes
+        mark = "" if crashes is None else crashes.mark
         if self.lease.mine and write.row.fence == self.lease.fence:
             # With the renewal, what was told of usage outlives all processes.
             changes.append(self._usage.open_change())
+            kept = [] if crashes is None else crashes.changes()
+        changes.extend(kept)
         try:
             result = await self._store.transact(changes)
         except EbonydealError as exc:
@@ -165,6 +180,8 @@
             raise
         if result.applied:
             self.lease.wrote(write.row, result.version)
+            if kept and crashes is not None:
+                crashes.wrote(mark)
             return
         now = self._clock.now()
         row = result.rows[0] if result.rows else None
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -17,6 +17,7 @@
     CoordinatorSize,
 )
 from ebonydeal._internal.relay.crash_check import CrashCheck
+from ebonydeal._internal.relay.crash_store import CrashStore
 from ebonydeal._internal.relay.exchange import Exchange, ExchangeParts
 from ebonydeal._internal.relay.fleet import Fleet
 from ebonydeal._internal.relay.follower import ConfigTableFollower, MembersFollower
@@ -241,6 +242,7 @@
         self.view.is_told = lambda: self._exchange.fed
         config.fed = lambda: self._exchange.fed_config
         config.feeding = lambda: self.coordinator.feeds_config
+        self.coordinator.keep_crashes(CrashStore(ports.store, self._suspects, clock))
         self.coordinator.compare_crashes = self._compare_crashes
         self.coordinator.hears_store = lambda: members.fresh
         self.coordinator.hears_config = lambda: config.fresh
--- a/src/ebonydeal/_internal/routing/crash_evidence.py
+++ b/src/ebonydeal/_internal/routing/crash_evidence.py
@@ -41,10 +41,10 @@
 _SAME_S = 1.0
 # What an endpoint sent before it crashed is read within this, on a busy instance.
 _ON_ITS_WAY_S = 1.0
-# Bounds of the memory: crashes, requests of each, and successes. Some megabytes at
-# worst; a request enters it only with the crash of an endpoint that had taken it.
-_MOST_CRASHES = 128
-_MOST_AT_WORK = 256
+# Bounds of the memory: crashes, requests of each, and successes. A megabyte at worst; a
+# request enters it only with the crash of an endpoint that had taken it.
+_MOST_CRASHES = 64
+_MOST_AT_WORK = 128
 _MOST_SUCCESSES = 2048
 # Differences of a success's time that are worth telling, seconds.
 _NEWER_S = 1.0
@@ -138,6 +138,13 @@
     zone: str
     at: float
     digests: set[str] = field(default_factory=set)
+    mark: str = ""
+
+    def add(self, digests: set[str]) -> None:
+        """Add requests at work, as many as there is room for."""
+        room = max(0, _MOST_AT_WORK - len(self.digests))
+        self.digests.update(islice(sorted(digests), room))
+        self.mark = xxh3_64_hexdigest("".join(sorted(self.digests)).encode())
 
 
 class CrashEvidence:
@@ -181,8 +188,7 @@
             crash = self._crashes[key] = _Crash(seen.zone, seen.at)
             self._make_room()
         new = set(digests) - crash.digests
-        room = max(0, _MOST_AT_WORK - len(crash.digests))
-        crash.digests.update(islice(sorted(new), room))
+        crash.add(new)
         for digest in new:
             lately = self._lately.get(digest)
             if lately is not None and seen.at - lately <= _ALIBI_S:
@@ -257,12 +263,11 @@
 
     def _make_room(self) -> None:
         """Drop the oldest crashes that nobody is held to have caused."""
-        spoken_for = set().union(*self._held.values()) if self._held else set()
         while len(self._crashes) > _MOST_CRASHES:
-            newest = next(reversed(self._crashes))
-            idle = (s for s in self._crashes if s not in spoken_for and s != newest)
-            drop = next(idle, next(iter(self._crashes)))
-            del self._crashes[drop]
+            *known, _newest = self._crashes
+            spoken_for = set().union(*self._held.values())
+            idle = [key for key in known if key not in spoken_for]
+            del self._crashes[(idle or known)[0]]
 
     # --- what follows ----------------------------------------------------------
     def standing(self, digest: str) -> Standing:
@@ -311,6 +316,8 @@
 
     def _of_zones(self, keys: list[CrashKey]) -> frozenset[CrashKey]:
         """Return crashes, in order of zone and time, without a zone's loss."""
+        if len(keys) <= _MOST_OF_ZONE:
+            return frozenset(keys)
         kept: list[CrashKey] = []
         for key in keys:
             crash = self._crashes[key]
@@ -354,15 +361,13 @@
     # --- between relays ----------------------------------------------------------
     def _mark(self) -> str:
         """Return a short text that tells whether two memories are the same."""
+        if not self._crashes:
+            return ""
         words = [
-            *(
-                f"{start}{sorted(crash.digests)}"
-                for start, crash in sorted(self._crashes.items())
-            ),
-            *(f"+{start}" for start in sorted(self._alive)),
-            *(f"*{digest}" for digest in sorted(self._served)),
+            f"{key}{key in self._alive}{crash.mark}"
+            for key, crash in sorted(self._crashes.items(), key=_key_first)
         ]
-        return xxh3_64_hexdigest("\n".join(words).encode()) if words else ""
+        return xxh3_64_hexdigest("\n".join([*words, *sorted(self._served)]).encode())
 
     def to_message(
         self, now: float, only: Iterable[CrashKey] | None = None
@@ -397,7 +402,7 @@
         """
         if not self._terms.crashes:
             return False
-        before = self.mark
+        news = False
         for told in message["crashes"][-_MOST_CRASHES:]:
             at = now - _age(told["age"])
             if now - at >= self._terms.memory:
@@ -405,17 +410,22 @@
             seen = SeenCrash(
                 _text(told["endpoint"]), int(told["born"]), _text(told["zone"]), at
             )
-            self._note(seen, [_text(digest) for digest in told["requests"]])
-            if told["alive"]:
-                self._alive.setdefault(self._key_of(seen), now)
+            digests = [_text(digest) for digest in told["requests"]]
+            news |= self._note(seen, digests) is not None
+            key = self._key_of(seen)
+            if told["alive"] and key in self._crashes and key not in self._alive:
+                self._alive[key] = now
+                news = True
         for digest, age in message["served"].items():
             at = now - _age(age)
             known = self._served.get(_text(digest))
             if known is None or at > known + _NEWER_S:
                 self._served[digest] = at
-        self._trim()
-        self._conclude()
-        return self.mark != before
+                news = True
+        if news:
+            self._trim()
+            self._conclude()
+        return news
 
     def _trim(self) -> None:
         """Keep what others tell within bounds: only what crashes speak of."""
@@ -424,6 +434,10 @@
         self._alive = {s: at for s, at in self._alive.items() if s in self._crashes}
 
 
+def _key_first(item: tuple[CrashKey, _Crash]) -> CrashKey:
+    return item[0]
+
+
 def _zone_and_time(item: tuple[CrashKey, _Crash]) -> tuple[str, float]:
     return item[1].zone, item[1].at
 
--- a/tests/functional/relay/test_crashing_request.py
+++ b/tests/functional/relay/test_crashing_request.py
@@ -14,8 +14,13 @@
 """
 
 import asyncio
+import json
+from contextlib import asynccontextmanager
 
-from tests.lib.crashing import cluster, repeat
+import pytest
+
+from tests.lib.crashing import FATAL, CrashingEndpoint, cluster, repeat
+from tests.lib.relay_fakes import MemoryStore, ask, relay, until
 
 # The contact time is 3 s and more: all relays must know well before that.
 _KNOWN_S = 1.0
@@ -37,3 +42,180 @@
                 await repeat(relays[number % 3], path, f"s{number}")
                 await fleet.fill()
             assert fleet.crashed == before
+
+
+async def bring_down_three(relays, fleet, path="/again/x"):
+    """Repeat the fatal request until three endpoints crashed."""
+    for number in range(12):
+        if fleet.crashed >= 3:
+            break
+        await repeat(relays[number % len(relays)], path, f"r{number}")
+        await fleet.fill()
+    assert fleet.crashed == 3
+
+
+async def all_hold(relays, seconds=_KNOWN_S):
+    """Wait until every relay refuses something."""
+    await until(lambda: all(r._suspects.report() for r in relays), seconds)
+
+
+class TestKinds:
+    @pytest.mark.parametrize("path", ["/safe/x", "/once/x", "/live/x"])
+    async def test_every_kind_of_route_is_bound(self, path):
+        async with cluster() as (relays, fleet):
+            await bring_down_three(relays, fleet, path)
+            await all_hold(relays)
+            for number in range(6):
+                status, _body = await repeat(relays[number % 3], path, f"s{number}")
+                assert status == 500
+            assert fleet.crashed == 3
+
+
+class TestKnown:
+    async def test_repeats_at_all_relays_at_one_moment(self):
+        async with cluster() as (relays, fleet):
+            for number in range(4):
+                calls = [
+                    repeat(r, "/again/x", f"{number}-{n}") for n, r in pairs(relays)
+                ]
+                await asyncio.gather(*calls)
+                await fleet.fill()
+                await asyncio.sleep(0.1)
+            # Each of the three of the first moment is sent on once at most.
+            assert 3 <= fleet.crashed <= 6
+
+    async def test_runs_under_way_are_stopped(self):
+        paused = iter([0.0] * 3)
+
+        def make(name):
+            return CrashingEndpoint(name, pause=next(paused, 30.0))
+
+        async with cluster(endpoints=3, make=make) as (relays, fleet):
+            calls = []
+            for number in range(6):
+                relay = relays[number % 3]
+                calls.append(
+                    asyncio.create_task(repeat(relay, "/live/x", f"r{number}"))
+                )
+                await asyncio.sleep(0.1)
+                await fleet.fill()
+            answers = await asyncio.wait_for(asyncio.gather(*calls), 2.0)
+            assert fleet.crashed == 3
+            assert answers[-1][0] == 500
+
+    async def test_a_relay_that_starts_later_knows(self):
+        async with cluster() as (relays, fleet):
+            await bring_down_three(relays, fleet)
+            late = relay(fleet.store, node="late", seed=9, settle_s=0.0)
+            async with started(late):
+                await all_hold([late])
+                status, _body = await repeat(late, "/again/x", "s")
+                assert status == 500
+                assert fleet.crashed == 3
+
+    async def test_also_when_the_coordinator_is_lost_at_the_third(self):
+        async with cluster() as (relays, fleet):
+            await bring_down_three(relays, fleet)
+            holder = next(r for r in relays if r.coordinator.lease.mine)
+            others = [r for r in relays if r is not holder]
+            await holder.peers.stop()
+            await all_hold(others)
+
+    async def test_also_while_the_store_is_down(self):
+        async with cluster() as (relays, fleet):
+            await repeat(relays[0], "/once/x", "r0")
+            await fleet.store.go_down()
+            await repeat(relays[1], "/once/x", "r1")
+            await repeat(relays[2], "/once/x", "r2")
+            assert fleet.crashed == 3
+            await all_hold(relays)
+
+    async def test_also_after_all_relays_are_lost_at_once(self):
+        store = MemoryStore()
+        async with cluster(store=store) as (relays, fleet):
+            await bring_down_three(relays, fleet)
+            await until(lambda: store.tables.get("ebonydeal-crashes"), 3.0)
+        async with cluster(store=store, relays=1) as (relays, fleet):
+            await all_hold(relays, 5.0)
+            status, _body = await repeat(relays[0], "/again/x", "s")
+            assert status == 500
+            assert fleet.crashed == 0
+
+
+class TestAnswer:
+    async def test_says_what_is_the_matter_and_invites_nobody(self):
+        async with cluster() as (relays, fleet):
+            await bring_down_three(relays, fleet)
+            await all_hold(relays)
+            status, headers, body = await ask(
+                relays[0], "/again/x", rid="s", method="POST", body=FATAL
+            )
+            error = json.loads(body)["error"]
+            assert (status, error["code"]) == (500, "request_quarantined")
+            assert "Retry-After" not in headers and "retry-after" not in headers
+            assert headers["x-outcome"] == "not_run"
+            digest = relays[0]._suspects.report()[0]["digest"]
+            assert digest in error["message"]
+            assert relays[0]._metrics.refusals() == {"request_quarantined": 1}
+
+
+class TestOthers:
+    async def test_are_served_while_one_request_brings_endpoints_down(self):
+        """Equal requests that are harmless, and many that differ, all succeed."""
+        async with cluster() as (relays, fleet):
+            harmful = asyncio.create_task(bring_down_three(relays, fleet, "/safe/x"))
+            statuses = []
+            for number in range(60):
+                body = b"equal" if number % 2 else b"%d" % number
+                answer = await repeat(relays[number % 3], "/safe/y", f"y{number}", body)
+                statuses.append(answer and answer[0])
+                await asyncio.sleep(0.01)
+            await harmful
+            assert statuses.count(200) == 60
+
+    async def test_a_reset_link_counts_against_nobody(self):
+        async def cut(_reader, writer, _headers):
+            writer.transport.abort()
+
+        def make(name):
+            return CrashingEndpoint(name, script=[cut] * 20)
+
+        async with cluster(make=make) as (relays, fleet):
+            for number in range(6):
+                await repeat(relays[number % 3], "/once/x", f"r{number}", b"harmless")
+            await asyncio.sleep(0.2)
+            assert [r._suspects.report() for r in relays] == [[], [], []]
+            assert all(r._suspects.mark == "" for r in relays)
+
+    async def test_an_endpoint_that_leaves_counts_against_nobody(self):
+        async with cluster() as (relays, fleet):
+            for endpoint in fleet.endpoints[:3]:
+                row = endpoint.row(state="draining")
+                await fleet.store.put("servers", endpoint.name, row)
+            leaving = fleet.endpoints[:3]
+            await until(lambda: all(known_leaving(r, leaving) for r in relays))
+            for n, r in pairs(relays):
+                member = r.view.members[leaving[n].name]
+                leaving[n].crash()
+                r._crashes.broke(member, "d" * 32)
+            await asyncio.sleep(0.2)
+            assert all(r._suspects.mark == "" for r in relays)
+
+
+def pairs(relays):
+    return list(enumerate(relays))
+
+
+def known_leaving(program, endpoints):
+    members = program.view.members
+    return all(members[e.name].leaving for e in endpoints)
+
+
+@asynccontextmanager
+async def started(program):
+    await program.start()
+    await until(lambda: program.ready)
+    try:
+        yield
+    finally:
+        await program.stop()
--- /dev/null
+++ b/tests/unit/routing/test_crash_evidence.py
@@ -0,0 +1,280 @@
+"""Which requests are held to bring endpoints down, and which aren't."""
+
+from random import Random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from ebonydeal._internal.routing.crash_evidence import (
+    CrashEvidence,
+    EvidenceTerms,
+    SeenCrash,
+    Standing,
+)
+
+FATAL, OTHER, THIRD = "fatal", "other", "third"
+
+
+def crash(evidence, name, at, *digests, zone=None, born=0):
+    # Each in a zone of its own, unless said otherwise.
+    return evidence.crashed(SeenCrash(name, born, zone or name, at), digests)
+
+
+def evidence(*crashes, **terms):
+    found = CrashEvidence(EvidenceTerms(**terms))
+    for number, digests in enumerate(crashes):
+        crash(found, f"i{number}", 100.0 + number, *digests)
+    return found
+
+
+class TestCount:
+    def test_the_third_endpoint_is_enough(self):
+        found = evidence([FATAL], [FATAL])
+        assert found.standing(FATAL) is Standing.SUSPECT
+        crash(found, "i2", 102.0, FATAL)
+        assert found.standing(FATAL) is Standing.QUARANTINED
+        assert found.endpoints(FATAL) == ("i0", "i1", "i2")
+
+    def test_one_endpoint_seen_by_many_relays_counts_once(self):
+        found = evidence()
+        for _relay in range(5):
+            crash(found, "i0", 100.0, FATAL)
+        assert found.standing(FATAL) is Standing.SUSPECT
+
+    def test_an_endpoint_that_started_again_counts_again(self):
+        found = evidence()
+        for number in range(3):
+            crash(found, "i0", 100.0 + number, FATAL, born=number)
+        assert found.standing(FATAL) is Standing.QUARANTINED
+
+    def test_also_where_endpoints_dont_tell_when_they_started(self):
+        found = evidence()
+        for number in range(3):
+            crash(found, "i0", 100.0 + 3 * number, FATAL)
+        assert found.standing(FATAL) is Standing.QUARANTINED
+
+    def test_it_can_be_switched_off(self):
+        found = evidence([FATAL], [FATAL], [FATAL], crashes=0)
+        assert found.standing(FATAL) is Standing.CLEAR
+
+    def test_other_requests_have_no_part_in_it(self):
+        found = evidence([FATAL], [FATAL], [FATAL])
+        assert found.standing(OTHER) is Standing.CLEAR
+
+
+class TestInnocent:
+    def test_what_was_beside_it_in_two_crashes_is_explained(self):
+        found = evidence([FATAL, OTHER], [FATAL, OTHER], [FATAL])
+        assert found.standing(FATAL) is Standing.QUARANTINED
+        assert found.standing(OTHER) is Standing.CLEAR
+
+    def test_one_beside_it_each_time_isnt_refused_before_they_are_told_apart(self):
+        found = evidence(*[[FATAL, OTHER]] * 3)
+        assert found.standing(OTHER) is Standing.SUSPECT
+        crash(found, "i3", 103.0, FATAL)
+        assert found.standing(FATAL) is Standing.QUARANTINED
+        assert found.standing(OTHER) is Standing.CLEAR
+
+    def test_a_success_tells_them_apart_too(self):
+        found = evidence(*[[FATAL, OTHER]] * 3)
+        found.served(OTHER, 104.0)
+        assert found.standing(OTHER) is Standing.CLEAR
+        assert found.standing(FATAL) is Standing.QUARANTINED
+
+    def test_two_that_can_never_be_told_apart_are_both_refused(self):
+        found = evidence(*[[FATAL, OTHER]] * 4)
+        assert found.standing(FATAL) is Standing.QUARANTINED
+        assert found.standing(OTHER) is Standing.QUARANTINED
+
+    def test_two_that_crash_endpoints_apart_are_both_refused(self):
+        found = evidence([FATAL], [OTHER], [FATAL], [OTHER], [FATAL], [OTHER])
+        assert found.standing(FATAL) is Standing.QUARANTINED
+        assert found.standing(OTHER) is Standing.QUARANTINED
+
+    def test_two_in_one_zone_dont_hide_each_other(self):
+        found = evidence()
+        for number in range(6):
+            digest = (FATAL, OTHER)[number % 2]
+            crash(found, f"i{number}", 100.0 + 0.25 * number, digest, zone="z")
+        assert found.standing(FATAL) is Standing.QUARANTINED
+        assert found.standing(OTHER) is Standing.QUARANTINED
+
+    def test_an_equal_one_that_succeeded_before_clears_it(self):
+        found = evidence()
+        found.served(OTHER, 99.0)
+        for number in range(5):
+            crash(found, f"i{number}", 100.0 + number, OTHER)
+        assert found.standing(OTHER) is Standing.CLEAR
+
+    def test_a_success_while_it_is_refused_ends_that(self):
+        found = evidence([OTHER], [OTHER], [OTHER])
+        assert found.served(OTHER, 103.0)
+        assert found.standing(OTHER) is Standing.CLEAR
+
+    def test_a_success_of_long_ago_doesnt(self):
+        found = evidence()
+        found.served(FATAL, 10.0)
+        for number in range(3):
+            crash(found, f"i{number}", 100.0 + number, FATAL)
+        assert found.standing(FATAL) is Standing.QUARANTINED
+
+    def test_the_loss_of_a_zone_is_nobodys_doing(self):
+        found = evidence()
+        for number in range(8):
+            crash(found, f"i{number}", 100.0 + 0.01 * number, OTHER, zone="z")
+        assert found.standing(OTHER) is Standing.SUSPECT
+
+    def test_one_sent_to_a_zone_at_once_isnt_taken_for_its_loss(self):
+        found = evidence()
+        for number in range(4):
+            at = 100.0 + 5.0 * (number // 2)
+            crash(found, f"i{number}", at, FATAL, zone="z")
+        assert found.standing(FATAL) is Standing.QUARANTINED
+
+
+class TestLife:
+    def test_an_endpoint_heard_of_afterwards_didnt_crash(self):
+        found = evidence([OTHER], [OTHER], [OTHER])
+        assert found.heard("i2", 0, sent_at=90.0, now=104.0)
+        assert found.standing(OTHER) is Standing.SUSPECT
+
+    def test_what_was_on_its_way_shows_nothing(self):
+        found = evidence([FATAL], [FATAL], [FATAL])
+        assert not found.heard("i2", 0, sent_at=90.0, now=102.2)
+        assert found.standing(FATAL) is Standing.QUARANTINED
+
+    def test_nor_does_one_that_started_again(self):
+        found = evidence([FATAL], [FATAL], [FATAL])
+        assert not found.heard("i2", 0, sent_at=104.0, now=105.0)
+        assert found.standing(FATAL) is Standing.QUARANTINED
+
+
+class TestMemory:
+    def test_it_ends(self):
+        found = evidence([FATAL], [FATAL], [FATAL], memory=60.0)
+        found.expire(159.0)
+        assert found.standing(FATAL) is Standing.QUARANTINED
+        found.expire(160.5)
+        assert found.standing(FATAL) is Standing.SUSPECT
+        found.expire(170.0)
+        assert found.standing(FATAL) is Standing.CLEAR
+        assert found.mark == ""
+
+    def test_requests_made_up_for_it_dont_fill_it(self):
+        found = evidence([FATAL], [FATAL], [FATAL])
+        for number in range(200):
+            names = [f"d{number}-{n}" for n in range(400)]
+            crash(found, f"j{number}", 110.0 + number, *names)
+        message = found.to_message(5000.0)
+        assert len(message["crashes"]) <= 64
+        assert all(len(told["requests"]) <= 128 for told in message["crashes"])
+        # Nor do they push out what is refused.
+        assert found.standing(FATAL) is Standing.QUARANTINED
+
+    def test_successes_are_bounded(self):
+        found = evidence()
+        for number in range(10_000):
+            found.served(f"d{number}", 100.0)
+        assert len(found._lately) <= 2048
+
+
+class TestMerge:
+    def test_relays_that_saw_parts_hold_the_same_together(self):
+        relays = [evidence() for _ in range(3)]
+        for number, relay in enumerate(relays):
+            crash(relay, f"i{number}", 100.0 + number, FATAL)
+        for one in relays:
+            for other in relays:
+                other.merge(one.to_message(103.0), 103.01)
+        assert {relay.standing(FATAL) for relay in relays} == {Standing.QUARANTINED}
+        assert len({relay.mark for relay in relays}) == 1
+
+    def test_a_success_at_another_relay_clears(self):
+        one, other = evidence([OTHER], [OTHER]), evidence()
+        other.served(OTHER, 101.0)
+        other.merge(one.to_message(102.0), 102.0)
+        assert other.untold()
+        one.merge(other.to_message(102.1), 102.1)
+        crash(one, "i2", 102.5, OTHER)
+        assert one.standing(OTHER) is Standing.CLEAR
+
+    def test_the_same_again_is_no_news(self):
+        one, other = evidence([FATAL]), evidence()
+        assert other.merge(one.to_message(101.0), 101.0)
+        assert not other.merge(one.to_message(101.5), 101.52)
+
+    def test_times_dont_drift_as_relays_tell_each_other(self):
+        one, other = evidence([OTHER]), evidence()
+        one.served(OTHER, 101.0)
+        now = 101.0
+        for _round in range(100):
+            now += 0.1
+            other.merge(one.to_message(now), now + 0.05)
+            one.merge(other.to_message(now + 0.05), now + 0.1)
+        assert one.to_message(now)["served"][OTHER] == pytest.approx(now - 101.0)
+
+    @pytest.mark.parametrize(
+        "wrong",
+        [
+            {"age": float("nan")},
+            {"age": float("inf")},
+            {"age": -1.0},
+            {"age": "1"},
+            {"endpoint": 5},
+            {"requests": ["x" * 1000]},
+        ],
+    )
+    def test_what_cant_be_a_memory_is_refused(self, wrong):
+        message = evidence([FATAL]).to_message(101.0)
+        message["crashes"][0].update(wrong)
+        with pytest.raises(ValueError):
+            evidence().merge(message, 101.0)
+
+
+class Gossip(RuleBasedStateMachine):
+    """Relays that tell each other in any order, with some words lost.
+
+    Whatever order, once each has heard all the others they hold the same.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.relays = [evidence() for _ in range(3)]
+        self.now = 100.0
+        self.crashes = 0
+
+    @rule(relay=st.integers(0, 2), beside=st.sets(st.sampled_from("abcd"), max_size=3))
+    def crash(self, relay, beside):
+        self.now += 1.5
+        self.crashes += 1
+        crash(self.relays[relay], f"i{self.crashes}", self.now, FATAL, *beside)
+
+    @rule(relay=st.integers(0, 2), digest=st.sampled_from("abcd"))
+    def serve(self, relay, digest):
+        self.now += 0.1
+        self.relays[relay].served(digest, self.now)
+
+    @rule(one=st.integers(0, 2), other=st.integers(0, 2))
+    def tell(self, one, other):
+        self.relays[other].merge(self.relays[one].to_message(self.now), self.now)
+
+    @invariant()
+    def all_told_hold_the_same(self):
+        told = [evidence() for _ in self.relays]
+        for number, relay in enumerate(told):
+            order = list(self.relays)
+            Random(number).shuffle(order)
+            for other in order:
+                relay.merge(other.to_message(self.now), self.now)
+        assert len({relay.mark for relay in told}) == 1
+        assert len({relay.standing(FATAL) for relay in told}) == 1
+        if self.crashes >= 4:
+            assert told[0].standing(FATAL) is Standing.QUARANTINED
+
+
+Gossip.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=25, derandomize=True, deadline=None
+)
+TestGossip = Gossip.TestCase
