--- a/src/ebonydeal/_internal/relay/suspects.py
+++ b/src/ebonydeal/_internal/relay/suspects.py
@@ -83,8 +83,8 @@
         return MayHaveRun(ErrorKind.REQUEST_QUARANTINED, self._why(digest))
 
     def _why(self, digest: str) -> str:
-        endpoints = ", ".join(self._parts.evidence.endpoints(digest))
-        return f"Endpoints {endpoints} crashed under this request ({digest})."
+        count = len(self._parts.evidence.endpoints(digest))
+        return f"{count} endpoints crashed under this request (digest {digest})."
 
     def runs_at(self, endpoint_id: str) -> int:
         """Return how many suspects this relay has at an endpoint."""
