Count suspended time: one clock for all intervals, and timers of the loop by it

Cause: all intervals were read from the steady clock, which stands still while a machine is suspended, as do the event loop's timers. A relay that woke up held its lease, took its view for fresh and its requests' deadlines for far off.

Change: the program's clock counts suspended time; its loop measures timers by the same clock and looks at them at least every 0.15 s; a suspension is logged. A view that is told by the coordinator counts as told only while the coordinator was heard lately.

--- a/src/ebonydeal/_internal/cli/run.py
+++ b/src/ebonydeal/_internal/cli/run.py
@@ -10,10 +10,20 @@
 
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.observe.logs import configure_logs, get_logger
-from ebonydeal._internal.utils.clock import Clock, SystemClock
+from ebonydeal._internal.utils.clock import (
+    Clock,
+    SteadyLoop,
+    SuspensionWatch,
+    SystemClock,
+)
 
 logger = get_logger("run")
 
+# A tenth of the shortest interval that a belief rests on, half a lease of 3 s.
+_LOOK_S = 0.15
+# Reading two clocks takes microseconds; a turn of another process milliseconds.
+_LEAST_LAPSE_S = 0.1
+
 
 Reread = Callable[[], dict[str, Any] | None]
 Build = Callable[[dict[str, Any], Metrics, Clock, Random], Service]
@@ -41,6 +51,20 @@
     logger.info("Settings read again.", program=program)
 
 
+async def _watch_suspension() -> None:
+    """Log suspensions, and let the loop look at its timers soon after one.
+
+    What it waits in ends by a clock that stands still meanwhile, so a timer that was
+    due is found only when anything else wakes it.
+    """
+    watch = SuspensionWatch()
+    while True:
+        await asyncio.sleep(_LOOK_S)
+        lapse = watch.lapse()
+        if lapse > _LEAST_LAPSE_S:
+            logger.warning("Was suspended.", seconds=round(lapse, 3))
+
+
 async def _serve(build: Callable[[], Service], reread: Reread) -> int:
     """Start the tree, wait for a signal or a crash, stop it gracefully."""
     service = build()
@@ -50,6 +74,7 @@
         loop.add_signal_handler(signum, stop.set)
     # Without a handler a hang-up would end the process.
     loop.add_signal_handler(signal.SIGHUP, _reload, service, reread)
+    watching = asyncio.ensure_future(_watch_suspension())
     await service.start()
     logger.info("Started.", program=service.label)
     waits = [
@@ -57,7 +82,7 @@
         asyncio.ensure_future(service.wait_until_stopped()),
     ]
     await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
-    for fut in waits:
+    for fut in (*waits, watching):
         fut.cancel()
     logger.info("Stopping.", program=service.label)
     await service.stop()
@@ -73,7 +98,8 @@
     `mode.Worker` is not used: it takes over logging and signals in ways that
     keep a second service from living in the same process (the quickstart).
     """
-    return asyncio.run(_serve(build, reread))
+    with asyncio.Runner(loop_factory=SteadyLoop) as runner:
+        return runner.run(_serve(build, reread))
 
 
 def start_program(build: Build, settings: dict[str, Any], reread: Reread) -> int:
--- a/src/ebonydeal/_internal/relay/exchange.py
+++ b/src/ebonydeal/_internal/relay/exchange.py
@@ -55,7 +55,7 @@
         super().__init__()
         self._parts = parts
         self._last_ok = parts.clock.now()
-        self.fed = False
+        self._fed = False
         self.relays: list[str] = list(seeds)
         self._count = max(FIRST_RELAYS, len(seeds))
         # Whether a coordinator told how many relays there are.
@@ -94,6 +94,14 @@
         silent = self._parts.clock.now() - self._last_ok
         return silent <= self._pace.patience
 
+    @property
+    def fed(self) -> bool:
+        """Whether another relay tells this one of changes: not while it is silent.
+
+        After a suspension what was told before it says nothing: the store is asked.
+        """
+        return self._fed and self.in_touch
+
     @property
     def fed_config(self) -> bool:
         """Whether another relay tells this one of each configuration."""
@@ -134,19 +142,19 @@
         try:
             reply = await self._ask()
         except EbonydealError as exc:
-            self.fed = False
+            self._fed = False
             silent = parts.clock.now() - self._last_ok
             if not lease.wanted and silent > self._pace.lost_after:
                 logger.warning("Coordinator lost.", reason=str(exc))
                 lease.wanted = True
             return False
         if reply is None:
-            self.fed = False
+            self._fed = False
             lease.wanted = True
             return False
         # Our own list is told by nobody, and that of a coordinator which doesn't
         # hear the store may be old.
-        self.fed = reply["holds"] and reply["fresh"] and not lease.mine
+        self._fed = reply["holds"] and reply["fresh"] and not lease.mine
         self._last_ok = parts.clock.now()
         if reply["relays"] is not None:
             self.relays = list(reply["relays"])
