--- a/tests/unit/relay/test_suspension.py
+++ b/tests/unit/relay/test_suspension.py
@@ -11,10 +11,9 @@
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.forwarding import Repeat
 from ebonydeal._internal.relay.exchange import Exchange, ExchangeParts
-from ebonydeal._internal.relay.job import Job
 from ebonydeal._internal.relay.lease_keeper import LeaseKeeper
 from ebonydeal._internal.relay.sends import JobSends
-from ebonydeal._internal.routing.duty_lease import DutyLease, LeaseRow
+from ebonydeal._internal.routing.duty_lease import DutyLease, LeaseRow, Write
 from ebonydeal._internal.routing.quota_broker import LocalQuota
 from tests.lib.clock import ManualClock
 from tests.lib.relay_fakes import MemoryStore
@@ -26,8 +25,9 @@
 def holder(clock):
     """Return the keeper of a lease that was renewed just now."""
     lease = DutyLease("n0", "i", "n0:1", 3.0)
+    lease.wanted = True
     lease.saw(None, 0, clock.now())
-    lease.next_step(clock.now())
+    assert isinstance(lease.next_step(clock.now()), Write)
     keeper = LeaseKeeper(
         MemoryStore(), SimpleNamespace(), lease, clock, Random(1), lambda: None
     )
@@ -73,9 +73,8 @@
 class TestDeadline:
     async def test_a_request_whose_time_is_over_is_sent_nowhere(self):
         made = parts()
-        found = Job(*job(Repeat.IDEMPOTENT, False))
+        found = job(Repeat.IDEMPOTENT, False)
         sends = JobSends(made, found)
-        await sends.choose()
         made.clock._now = found.until + 1.0
         with pytest.raises(EbonydealError) as caught:
             await sends.choose()
