Show operators what is refused; find an endpoint again whose entry has changed

Cause: a request that waited for the check of its endpoint missed it where the entry had changed since it was sent, and nothing showed operators what all relays refuse.

Change: the check goes by id and start; ebonydeal quarantine asks a relay. What broke in 5 ms, not 20, is put together, so a repeat on a closed idle connection waits less.

--- a/src/ebonydeal/_internal/cli/main.py
+++ b/src/ebonydeal/_internal/cli/main.py
@@ -7,6 +7,7 @@
 from ebonydeal._internal.commands.document import document_command
 from ebonydeal._internal.commands.explain import explain_command
 from ebonydeal._internal.commands.key import key_command
+from ebonydeal._internal.commands.quarantine import quarantine_command
 from ebonydeal._internal.commands.quickstart import quickstart_command
 from ebonydeal._internal.commands.reclaims import reclaims_command
 from ebonydeal._internal.commands.settings import settings_command
@@ -26,6 +27,7 @@
 main.add_command(bench_command)
 main.add_command(explain_command)
 main.add_command(story_command)
+main.add_command(quarantine_command)
 main.add_command(quickstart_command)
 main.add_command(standin_command)
 main.add_command(soak_command)
--- /dev/null
+++ b/src/ebonydeal/_internal/commands/quarantine.py
@@ -0,0 +1,44 @@
+"""``ebonydeal quarantine``: requests that relays refuse since endpoints crashed."""
+
+import asyncio
+import json
+import sys
+from typing import Any
+
+import click
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+_TIMEOUT_S = 10.0
+
+
+async def ask_relay(address: str) -> list[dict[str, Any]]:
+    """Return what a relay refuses; raises OSError, TimeoutError or ValueError."""
+    timeout = ClientTimeout(total=_TIMEOUT_S)
+    async with ClientSession(timeout=timeout) as http:
+        async with http.get(f"http://{address}/quarantine") as resp:
+            return json.loads(await resp.read())
+
+
+@click.command("quarantine")
+@click.option(
+    "--relay", "address", required=True, help="host:port of a relay for other relays."
+)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def quarantine_command(address: str, as_json: bool) -> None:
+    """Show the requests under which endpoints crashed, and which of these did.
+
+    All relays refuse the same; the digest is in the caller's answer and in the lines
+    of each of the request's sends.
+    """
+    try:
+        found = asyncio.run(ask_relay(address))
+    except (ClientError, OSError, ValueError) as exc:
+        click.echo(f"{address} gives no readable answer: {exc}", err=True)
+        sys.exit(1)
+    if as_json:
+        click.echo(json.dumps(found))
+        return
+    for item in found:
+        click.echo(f"{item['digest']}  {' '.join(item['endpoints'])}")
+    if not found:
+        click.echo("No request is refused.")
--- a/src/ebonydeal/_internal/relay/crash_check.py
+++ b/src/ebonydeal/_internal/relay/crash_check.py
@@ -22,7 +22,7 @@
 
 # Connections of a process that ends break within a few milliseconds of each other: so
 # long the requests that were at work on them are put together.
-_GROUP_S = 0.02
+_GROUP_S = 0.005
 # A process that is gone refuses within milliseconds; what takes longer is unreachable,
 # and the request that waits goes on.
 _LONGEST_CHECK_S = 0.1
@@ -44,6 +44,14 @@
     done: asyncio.Event
 
 
+# An endpoint that starts again under its id is another one.
+_Start = tuple[str, int]
+
+
+def _start(member: Member) -> _Start:
+    return member.endpoint_id, member.born
+
+
 class CrashCheck(Service):
     """Asks endpoints whose connections broke for another one.
 
@@ -62,7 +70,7 @@
         self._view = view
         self._clock = clock
         self._connect_s = connect_s
-        self._broken: dict[Member, _Broken] = {}
+        self._broken: dict[_Start, _Broken] = {}
         # Told what crashed.
         self.on_crash: Callable[[Crashed], None] = lambda _crashed: None
 
@@ -74,11 +82,11 @@
         listed = self._view.members.get(member.endpoint_id)
         if listed is None or listed.leaving or listed.born != member.born:
             return
-        waiting = self._broken.get(listed)
+        waiting = self._broken.get(_start(listed))
         if waiting is not None:
             waiting.digests.add(digest)
             return
-        self._broken[listed] = _Broken({digest}, asyncio.Event())
+        self._broken[_start(listed)] = _Broken({digest}, asyncio.Event())
         self.add_future(self._check(listed))
 
     async def checked(self, member: Member) -> None:
@@ -87,7 +95,7 @@
         A request that goes on at once would bring down the next endpoint before
         anything is held against it.
         """
-        broken = self._broken.get(member)
+        broken = self._broken.get(_start(member))
         if broken is None:
             return
         with suppress(TimeoutError):
@@ -98,7 +106,7 @@
         """Find out about one endpoint, and tell."""
         await self._clock.sleep(_GROUP_S)
         refused = await self._refuses(member.address)
-        broken = self._broken.pop(member)
+        broken = self._broken.pop(_start(member))
         digests = frozenset(broken.digests)
         logger.info(
             "Connections broke amid requests.",
--- a/src/ebonydeal/_internal/routing/crash_evidence.py
+++ b/src/ebonydeal/_internal/routing/crash_evidence.py
@@ -168,6 +168,8 @@
         self._against: dict[str, frozenset[CrashKey]] = {}
         self._held: dict[str, frozenset[CrashKey]] = {}
         self.mark = ""
+        # When the last crash was, monotonic seconds.
+        self.last_crash = -inf
         self._conclude()
 
     # --- what was seen -------------------------------------------------------
@@ -186,6 +188,7 @@
         known = crash is not None
         if crash is None:
             crash = self._crashes[key] = _Crash(seen.zone, seen.at)
+            self.last_crash = max(self.last_crash, seen.at)
             self._make_room()
         new = set(digests) - crash.digests
         crash.add(new)
@@ -241,11 +244,6 @@
         self._conclude()
         return True
 
-    @property
-    def last_crash(self) -> float:
-        """When the last crash was, monotonic seconds; -inf without any."""
-        return max((crash.at for crash in self._crashes.values()), default=-inf)
-
     def untold(self) -> list[CrashKey]:
         """Return crashes of which this relay knows what it hasn't told yet."""
         keys = [key for key in self._untold if key in self._crashes]
--- a/tests/functional/relay/test_crashing_request.py
+++ b/tests/functional/relay/test_crashing_request.py
@@ -18,7 +18,9 @@
 from contextlib import asynccontextmanager
 
 import pytest
+from click.testing import CliRunner
 
+from ebonydeal._internal.commands.quarantine import ask_relay, quarantine_command
 from tests.lib.crashing import FATAL, CrashingEndpoint, cluster, repeat
 from tests.lib.relay_fakes import MemoryStore, ask, relay, until
 
@@ -159,6 +161,21 @@
             assert relays[0]._metrics.refusals()["request_quarantined"] == 1
 
 
+class TestOperators:
+    async def test_see_what_is_refused_at_any_relay(self):
+        async with cluster() as (relays, fleet):
+            await bring_down_three(relays, fleet)
+            await all_hold(relays)
+            found = await ask_relay(f"127.0.0.1:{relays[2].peers.port}")
+            crashed = sorted(e.name for e in fleet.endpoints if e.crashed)
+            assert [item["endpoints"] for item in found] == [crashed]
+
+    def test_are_told_of_a_relay_that_doesnt_answer(self):
+        result = CliRunner().invoke(quarantine_command, ["--relay", "127.0.0.1:1"])
+        assert result.exit_code == 1
+        assert "gives no readable answer" in result.stderr
+
+
 class TestOthers:
     async def test_are_served_while_one_request_brings_endpoints_down(self):
         """Equal requests that are harmless, and many that differ, all succeed."""
