--- /dev/null
+++ b/src/ebonydeal/_internal/directory/crash_guard.py
@@ -0,0 +1,102 @@
+"""Requests that one process sends no more, since endpoints crashed under them.
+
+Gateways and journals each bound what they send by what they saw themselves.
+"""
+
+from collections.abc import Awaitable, Callable
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind, Outcome
+from ebonydeal._internal.models.endpoints import EndpointView
+from ebonydeal._internal.models.requests import Request
+from ebonydeal._internal.observe.counters import Event, Metrics
+from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.routing.crash_evidence import (
+    CrashEvidence,
+    SeenCrash,
+    Standing,
+)
+from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.reachability import refuses_connections
+from ebonydeal._internal.utils.request_digest import RequestDigest
+
+logger = get_logger("crash")
+
+Refuses = Callable[[str, float], Awaitable[bool]]
+# A process that is gone refuses within milliseconds; what takes longer is unreachable.
+_CONNECT_S = 0.3
+
+
+class CrashGuard:
+    """Remembers crashes, and refuses what three endpoints crashed under.
+
+    Parameters
+    ----------
+    metrics, clock : Metrics, Clock
+        Counters and time.
+    refuses : callable, optional
+        Returns whether an address refuses connections.
+    """
+
+    def __init__(
+        self, metrics: Metrics, clock: Clock, refuses: Refuses = refuses_connections
+    ) -> None:
+        self._metrics = metrics
+        self._clock = clock
+        self._refuses = refuses
+        self._evidence = CrashEvidence()
+
+    def check(self, request: Request, ran: bool) -> None:
+        """Raise REQUEST_QUARANTINED; ``ran`` says that this very one may have run."""
+        self._evidence.expire(self._clock.now())
+        digest = _digest(request)
+        if self._evidence.standing(digest) is not Standing.QUARANTINED:
+            return
+        count = len(self._evidence.endpoints(digest))
+        raise EbonydealError(
+            ErrorKind.REQUEST_QUARANTINED,
+            f"{count} endpoints crashed under this request (digest {digest}).",
+            outcome=Outcome.UNKNOWN if ran else None,
+        )
+
+    async def failed(
+        self, request: Request, view: EndpointView, kind: ErrorKind
+    ) -> None:
+        """Note a try that ended in a failure of its endpoint."""
+        if kind is not ErrorKind.ENDPOINT_FAILED:
+            return
+        if not await self._refuses(view.address, _CONNECT_S):
+            return
+        now, digest = self._clock.now(), _digest(request)
+        seen = SeenCrash(view.endpoint_id, view.incarnation, view.place.zone, now)
+        held_before = self._evidence.standing(digest) is Standing.QUARANTINED
+        if self._evidence.crashed(seen, [digest]) is None:
+            return
+        self._metrics.count(Event.ENDPOINTS_CRASHED)
+        logger.info(
+            "Endpoint crashed amid a request.",
+            request=request.request_id,
+            digest=digest,
+            endpoint=view.endpoint_id,
+        )
+        held = self._evidence.standing(digest) is Standing.QUARANTINED
+        if held and not held_before:
+            self._metrics.count(Event.REQUESTS_QUARANTINED)
+            logger.warning(
+                "Request quarantined.",
+                digest=digest,
+                endpoints=self._evidence.endpoints(digest),
+                told_by="itself",
+            )
+
+    def served(self, request: Request) -> None:
+        """Note a whole answer."""
+        self._evidence.served(_digest(request), self._clock.now())
+
+
+def _digest(request: Request) -> str:
+    """Return the digest of a request, by account, deployment, path and body."""
+    digest = RequestDigest(
+        request.account, request.deployment, request.method, request.path
+    )
+    digest.update(request.body_digest.encode())
+    return digest.text()
--- a/src/ebonydeal/_internal/gateway/direct.py
+++ b/src/ebonydeal/_internal/gateway/direct.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from ebonydeal._internal.directory.crash_guard import CrashGuard
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.gateway.health import Health, incarnation_of
 from ebonydeal._internal.gateway.live import retry_reason
@@ -28,6 +29,7 @@
 from ebonydeal._internal.utils.ids import new_token
 
 _LOOKUPS = ("GET", "HEAD")
+_FIRST_FAILURE = 300
 
 
 class DirectCall(NamedTuple):
@@ -46,6 +48,7 @@
     retries: RetryPort
     directory: DirectoryPort
     health: Health
+    crashes: CrashGuard
     metrics: Metrics
     trails: Trails
     clock: Clock
@@ -75,6 +78,7 @@
         avoid: set[Incarnation] = set()
         tries = 0
         while True:
+            parts.crashes.check(call.request, ran=tries > 0)
             tries += 1
             try:
                 answer = await self._hedged(call, avoid)
@@ -217,6 +221,7 @@
             now = parts.clock.wall()
             parts.health.failed(route.endpoint, now)
             parts.routes.failed(route, exc.kind, now)
+            await parts.crashes.failed(request, route.endpoint, exc.kind)
             parts.trails.note(
                 request.request_id,
                 now,
@@ -231,6 +236,8 @@
         now = parts.clock.wall()
         parts.health.worked(route.endpoint, now)
         parts.routes.finished(route, 0, now)
+        if answer.status < _FIRST_FAILURE:
+            parts.crashes.served(request)
         return answer
 
 
--- a/src/ebonydeal/_internal/gateway/program.py
+++ b/src/ebonydeal/_internal/gateway/program.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 from mode import Service
 
+from ebonydeal._internal.directory.crash_guard import CrashGuard
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.gateway.api import Api, ApiParts
 from ebonydeal._internal.gateway.background import Background
@@ -78,6 +79,7 @@
         self.trails = ports.trails
         self._background = Background()
         self._health = Health(_HEALTH_FRESH_S)
+        self._crashes = CrashGuard(metrics, clock)
         self._intake = Intake(ports.config, cfg.gateway, cfg.shards, clock, rng)
         self._left = self._new_parked()
         self._finished = self._new_parked()
@@ -149,6 +151,7 @@
             retries=ports.retries,
             directory=ports.directory,
             health=self._health,
+            crashes=self._crashes,
             metrics=self._metrics,
             trails=self.trails,
             clock=self._clock,
@@ -214,6 +217,7 @@
             retries=ports.retries,
             directory=ports.directory,
             health=self._health,
+            crashes=self._crashes,
             metrics=self._metrics,
             trails=self.trails,
             clock=self._clock,
--- a/src/ebonydeal/_internal/gateway/streams.py
+++ b/src/ebonydeal/_internal/gateway/streams.py
@@ -5,6 +5,7 @@
 from random import Random
 from typing import NamedTuple
 
+from ebonydeal._internal.directory.crash_guard import CrashGuard
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.gateway.attempts import (
     Arrived,
@@ -49,6 +50,7 @@
     retries: RetryPort
     directory: DirectoryPort
     health: Health
+    crashes: CrashGuard
     metrics: Metrics
     trails: Trails
     clock: Clock
@@ -103,6 +105,7 @@
                 async with aclosing(self._try_once(live)) as batches:
                     async for batch in batches:
                         yield batch
+            self._parts.crashes.served(live.job.request)
         finally:
             self.live.discard(live)
 
@@ -110,6 +113,7 @@
         """Run one try; on return the answer is whole or the next try is due."""
         parts = self._parts
         live.check_deadline(parts.clock.wall())
+        parts.crashes.check(live.job.request, ran=live.tries > 0)
         route = self._route(live)
         if route is None:
             detail = "no endpoint can take the request"
@@ -308,6 +312,7 @@
         if error.kind in FINAL_KINDS:
             raise error
         if route is not None:
+            await parts.crashes.failed(live.job.request, route.endpoint, error.kind)
             live.avoid.add(incarnation_of(route.endpoint))
             live.cause = self._cause(route, error)
         wait = await self._resumption.wait(live, error)
--- a/src/ebonydeal/_internal/journal/attempts.py
+++ b/src/ebonydeal/_internal/journal/attempts.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from ebonydeal._internal.directory.crash_guard import CrashGuard
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.journal.fold import Phase
 from ebonydeal._internal.journal.jobs import Job, Picker
@@ -51,6 +52,7 @@
 BACKOFF_FIRST_S = 0.1
 BACKOFF_MOST_S = 15.0
 BODY_RETRY_S = 1.0
+FIRST_FAILURE = 300
 SERVER_ERROR = 500
 SERVER_ERROR_TRIES = 3
 
@@ -101,6 +103,7 @@
         clock: Clock,
         metrics: Metrics,
         on_slot_free: Callable[[], None],
+        crashes: CrashGuard | None = None,
     ) -> None:
         self._picker = picker
         self._engine = engine
@@ -109,6 +112,7 @@
         self._clock = clock
         self._metrics = metrics
         self._on_slot_free = on_slot_free
+        self._crashes = crashes or CrashGuard(metrics, clock)
 
     async def run(self, job: Job, view: EndpointView) -> Step:
         """Make one attempt at ``view``; raises FENCED when the shard is lost."""
@@ -121,6 +125,10 @@
                 parse_body(body)
             except EbonydealError as exc:
                 return await self._end(job, exc.kind, exc.detail)
+        try:
+            self._crashes.check(job.request, ran=job.may_have_run)
+        except EbonydealError as exc:
+            return await self._give_up(job, exc)
         if self._picker.is_leaving(view):
             return self._again(job, view, RetryReason.LEAVING)
         if job.request.idempotent:
@@ -150,6 +158,12 @@
         await self._append(job, Unknown(job.request_id, attempt, why, wall))
         return Done()
 
+    async def _give_up(self, job: Job, error: EbonydealError) -> Step:
+        """End a request that brings endpoints down: it is delivered no more."""
+        if job.may_have_run or job.partial:
+            return await self._unknown(job, error.detail.rstrip("."))
+        return await self._end(job, error.kind, error.detail.rstrip("."))
+
     async def _complete(self, job: Job, answer: StoredAnswer) -> Step:
         state = job.book.state(job.request_id)
         if state is None or state.is_final:
@@ -232,7 +246,10 @@
         except EbonydealError as exc:
             if exc.kind in ANSWER_KINDS:
                 return await self._complete(job, error_answer(exc))
+            await self._crashes.failed(job.request, view, exc.kind)
             return self._again(job, view, retry_reason(exc.kind))
+        if answer.status < FIRST_FAILURE:
+            self._crashes.served(job.request)
         if answer.status >= SERVER_ERROR and job.failures < SERVER_ERROR_TRIES:
             return self._again(job, view, RetryReason.ENDPOINT_FAILED)
         return await self._complete(job, answer)
@@ -265,6 +282,7 @@
                 return await self._complete(job, error_answer(exc))
             if exc.kind in PROOFS:
                 return await self._not_run(job, view, retry_reason(exc.kind))
+            await self._crashes.failed(job.request, view, exc.kind)
             word = UNKNOWN
             if view.kind is EndpointKind.ENGINE:
                 word = await cancel_word(self._engine, view, attempt_id)
--- a/src/ebonydeal/_internal/relay/crash_check.py
+++ b/src/ebonydeal/_internal/relay/crash_check.py
@@ -17,6 +17,7 @@
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.view import RelayView
 from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.reachability import refuses_connections
 
 logger = get_logger("relay.crash")
 
@@ -105,7 +106,7 @@
     async def _check(self, member: Member) -> None:
         """Find out about one endpoint, and tell."""
         await self._clock.sleep(_GROUP_S)
-        refused = await self._refuses(member.address)
+        refused = await refuses_connections(member.address, self._connect_s)
         broken = self._broken.pop(_start(member))
         digests = frozenset(broken.digests)
         logger.info(
@@ -120,17 +121,3 @@
         if refused:
             self.on_crash(Crashed(member, digests))
         broken.done.set()
-
-    async def _refuses(self, address: str) -> bool:
-        """Return whether an address refuses connections: no process is there."""
-        host, _sep, port = address.rpartition(":")
-        try:
-            async with asyncio.timeout(self._connect_s):
-                _reader, writer = await asyncio.open_connection(host, int(port))
-        except ConnectionRefusedError:
-            return True
-        except (OSError, ValueError):
-            # TimeoutError is an OSError. Unreachable isn't gone.
-            return False
-        writer.close()
-        return False
--- a/src/ebonydeal/_internal/routing/crash_evidence.py
+++ b/src/ebonydeal/_internal/routing/crash_evidence.py
@@ -33,9 +33,9 @@
 # A success clears crashes up to so many seconds after it: a popular request comes many
 # times a second, and one that crashes endpoints never succeeds.
 _ALIBI_S = 10.0
-# A zone's endpoints go within this of each other, seconds. Two of them still count: one
-# request may well be sent to two endpoints of a zone at once.
-_ZONE_S = 0.5
+# A zone's endpoints go at once: relays see it within some 30 ms. Two of them still
+# count, as one request may well be sent to two endpoints of a zone at once.
+_ZONE_S = 0.1
 _MOST_OF_ZONE = 2
 # Relays see one crash within this of each other; an endpoint takes longer to start.
 _SAME_S = 1.0
--- a/src/ebonydeal/_internal/relay/request_digest.py
+++ b/src/ebonydeal/_internal/utils/request_digest.py
@@ -10,7 +10,7 @@
     """Digest of a request's account, host, method, path and body.
 
     The body is added while it is read: nothing is read twice, and what is kept of a
-    request is `DIGEST_CHARS` characters whatever its size. Two client accounts never
+    request has the same length whatever its size. Two client accounts never
     share a digest, so that none can have another's requests refused.
 
     Parameters
@@ -35,6 +35,3 @@
     def text(self) -> str:
         """Return the digest of what was added so far."""
         return self._hash.hexdigest()
-
-
-DIGEST_CHARS = 2 * _DIGEST_BYTES
--- a/tests/functional/journal/test_dispatch.py
+++ b/tests/functional/journal/test_dispatch.py
@@ -48,6 +48,26 @@
         assert (endpoint, resume.delivered) == ("e-2", TOKENS[:2])
         assert node.metrics.value("events", Event.TOKENS_RECOMPUTED_RESUME) == 7
 
+    async def test_isnt_delivered_again_after_three_endpoints_crashed(
+        self, world, node
+    ):
+        async def gone(_address, _seconds):
+            return True
+
+        node.dispatcher._attempts._crashes._refuses = gone
+        for _ in range(20):
+            world.engine.fail("e-1", 0, ErrorKind.ENDPOINT_FAILED)
+            world.engine.fail("e-2", 0, ErrorKind.ENDPOINT_FAILED)
+        await node.owner.accept(make_request())
+        await world.clock.advance(300.0)
+        status = await node.owner.status("r-0000-1", "gwesty")
+        # It has run, so it isn't called not run.
+        assert status["error"]["code"] == "outcome_unknown"
+        assert "crashed under this request" in status["error"]["message"]
+        # Crashes of one endpoint within a second are taken for one: each of the two
+        # may be asked twice before that.
+        assert len(world.engine.log) <= 6
+
     async def test_leaves_a_leaving_endpoint_before_it_is_taken(self, world, node):
         world.engine.hold("e-1", 3)
         await node.owner.accept(make_request())
--- a/tests/unit/gateway/test_streams.py
+++ b/tests/unit/gateway/test_streams.py
@@ -5,7 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.directory.crash_guard import CrashGuard
+from ebonydeal._internal.errors import EbonydealError, ErrorKind, Outcome
 from ebonydeal._internal.gateway.attempts import Broke, Move
 from ebonydeal._internal.gateway.health import Health
 from ebonydeal._internal.gateway.live import Job, LiveStream
@@ -121,6 +122,7 @@
         self.metrics = Metrics()
         self.engine = engine
         self.cancels: list = []
+        self.gone: set[str] = set()
         self.cfg = GatewaySettings()
         parts = RelayParts(
             engine=engine,
@@ -128,6 +130,7 @@
             retries=self.retries,
             directory=self.directory,
             health=Health(30.0),
+            crashes=CrashGuard(self.metrics, self.clock, self.refuses),
             metrics=self.metrics,
             trails=Trails(10),
             clock=self.clock,
@@ -136,6 +139,9 @@
         self.relay = Relay(parts, self.cfg, self.spawn)
         self.watch = StreamWatch(self.relay, self.cfg, self.clock)
 
+    async def refuses(self, address: str, _seconds: float) -> bool:
+        return address in self.gone
+
     def spawn(self, work) -> None:
         self.cancels.append(asyncio.ensure_future(work))
 
@@ -292,3 +298,20 @@
         assert live.attempt.waiting_since is None
         await batches.aclose()
         assert stage.engine.open == 0
+
+
+class TestCrashes:
+    async def test_a_request_that_brings_endpoints_down_isnt_sent_to_a_fourth(self):
+        engine = ScriptedEngine([(0, "fail")] * 9, False)
+        stage = Stage(engine)
+        stage.gone = {"e1:80", "e2:80", "e3:80"}
+        stage.retries.delay = lambda *_args: 0.2
+        stage.relay._parts.health.any_works = lambda *_args: False
+        answer = asyncio.ensure_future(stage.run(stage.live()))
+        while not answer.done():
+            await stage.clock.advance(0.2)
+        error = answer.exception()
+        assert error.kind is ErrorKind.REQUEST_QUARANTINED
+        # It has run: nothing may say that it hasn't.
+        assert error.outcome is Outcome.UNKNOWN
+        assert len(engine.resumes) == 3
