Soak: a request that crashes what runs it, and suspensions; reserve ports

Cause: no soak had a request that does harm, nor a pause longer than a lease. A port that was picked for a process of a test or soak could be given to an outgoing connection before its use, by which one test failed once.

Change: two faults, drawn apart so that the plans of older seeds stay as they were, and the users' bound as a check.

--- a/src/ebonydeal/_internal/soak/checks.py
+++ b/src/ebonydeal/_internal/soak/checks.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from ebonydeal._internal.soak.records import Kind, Log, Seen, event_count
+from ebonydeal._internal.soak.records import FatalRun, Kind, Log, Seen, event_count
 
 # Statuses that promise that a request has not run and never will.
 _NOT_RUN = frozenset({408, 421, 429, 503})
@@ -16,6 +16,12 @@
 # them with each renewal of the lease, once a second: what it counted for so long
 # before it is killed may be known to nobody else, seconds.
 _UNTOLD_S = 2.0
+# Endpoints that a request may crash before all relays refuse it, the time in which they
+# must know, seconds, and how often it may still be passed on after that: the users'
+# bounds.
+_CRASHES = 3
+_CONTACT_S = 3.0
+_LATE_RUNS = 3
 # What was sent before a kill may reach an endpoint so much later, seconds.
 _IN_FLIGHT_S = 0.25
 
@@ -234,7 +240,41 @@
                 yield Violation("planned stop", f"{seen.request_id} was cut off")
 
 
+def crashes_bound(log: Log, _terms: Terms) -> Iterable[Violation]:
+    """A request that crashes endpoints reaches few more after the third.
+
+    Relays that weren't harmed pass it on three times at most once they had the time
+    to know.
+    """
+    by_body: dict[str, list[FatalRun]] = defaultdict(list)
+    for run in sorted(log.fatal, key=lambda it: it.at):
+        by_body[run.body].append(run)
+    for body, runs in by_body.items():
+        ends = list({run.endpoint: run.at for run in reversed(runs)}.values())
+        if len(ends) < _CRASHES:
+            continue
+        third = sorted(ends)[_CRASHES - 1]
+        late = [
+            run
+            for run in runs
+            if run.at > third + _CONTACT_S
+            and not _harmed(log, run.relay, run.at - _CONTACT_S, run.at)
+        ]
+        if len(late) > _LATE_RUNS:
+            detail = f"{body} reached endpoints {len(late)} times after the third"
+            yield Violation("crashes", detail)
+
+
+def _harmed(log: Log, relay: str, begin: float, end: float) -> bool:
+    """Return whether a relay itself, or its link, was harmed in some time."""
+    return any(
+        trouble.relay == relay and trouble.begin <= end and trouble.end >= begin
+        for trouble in log.troubles
+    )
+
+
 CHECKS: tuple[Check, ...] = (
+    crashes_bound,
     run_once,
     refusals_true,
     answers_whole,
--- a/src/ebonydeal/_internal/soak/clients.py
+++ b/src/ebonydeal/_internal/soak/clients.py
@@ -55,8 +55,22 @@
         account = PlayAccount("", key)
         await self.ask(Kind.PROBE, relay, account, version)
 
+    async def repeat(
+        self, body: bytes, kind: Kind, relays: list[RelayProcess], key: str
+    ) -> None:
+        """Send one body to several relays at the same moment."""
+        account = PlayAccount("", key)
+        await asyncio.gather(
+            *(self.ask(kind, relay, account, body=body) for relay in relays)
+        )
+
     async def ask(
-        self, kind: Kind, relay: RelayProcess, account: PlayAccount, version: int = 0
+        self,
+        kind: Kind,
+        relay: RelayProcess,
+        account: PlayAccount,
+        version: int = 0,
+        body: bytes = b"",
     ) -> None:
         """Send one request and note its end."""
         request_id = f"{self._rng.getrandbits(64):016x}"
@@ -66,7 +80,8 @@
         headers[RELAY_HEADER] = relay.name
         sent = time.monotonic()
         pid = relay.pid
-        status, whole, body = await self._send(kind, f"{relay.address}{path}", headers)
+        place = f"{relay.address}{path}"
+        status, whole, text = await self._send(kind, place, headers, body)
         self._log.seen.append(
             Seen(
                 request_id,
@@ -77,22 +92,26 @@
                 time.monotonic(),
                 status,
                 whole,
-                "" if kind.is_stream else _body_id(body),
-                tuple(int(n) for n in _EVENT_ID.findall(body)) if status == 200 else (),
+                "" if kind.is_stream else _body_id(text),
+                tuple(int(n) for n in _EVENT_ID.findall(text)) if status == 200 else (),
                 version,
             )
         )
 
     async def _send(
-        self, kind: Kind, place: str, headers: dict[str, str]
+        self, kind: Kind, place: str, headers: dict[str, str], sent: bytes
     ) -> tuple[int, bool, bytes]:
         """Return status (0 without an answer), whether it was whole, the body."""
-        method = "GET" if kind in (Kind.SAFE, Kind.PROBE) else "POST"
+        method = "GET" if kind in (Kind.SAFE, Kind.PROBE) and not sent else "POST"
         status, body = 0, b""
         timeout = ClientTimeout(total=_WAIT_S + 2.0, sock_connect=1.0)
         try:
             async with self._session.request(
-                method, f"http://{place}", headers=headers, timeout=timeout
+                method,
+                f"http://{place}",
+                headers=headers,
+                timeout=timeout,
+                data=sent or None,
             ) as resp:
                 status = resp.status
                 while data := await resp.content.readany():
--- a/src/ebonydeal/_internal/soak/endpoints.py
+++ b/src/ebonydeal/_internal/soak/endpoints.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+from collections.abc import Callable
 
 from aiohttp import web
 
@@ -18,11 +19,13 @@
     report_body,
 )
 from ebonydeal._internal.soak.proxy import Proxy
-from ebonydeal._internal.soak.records import Log, Run, event_count
+from ebonydeal._internal.soak.records import FatalRun, Log, Run, event_count
 
 SERVICE = "play"
 # Clients name the relay that they ask, and it passes this header on.
 RELAY_HEADER = "X-Asked-Relay"
+# Bodies that begin so crash the endpoint that runs them.
+FATAL = b"fatal"
 _PACE_S = 0.03
 _WORK_S = 0.02
 _CLOSE_S = 0.1
@@ -43,6 +46,9 @@
         self._gone_at: float | None = None
         self._runner: web.ServerRunner | None = None
         self.proxy = Proxy("127.0.0.1:0")
+        self.crashed = False
+        # Told of its crash.
+        self.on_crash: Callable[[PlayEndpoint], None] = lambda _endpoint: None
 
     async def start(self) -> "PlayEndpoint":
         """Listen on free ports."""
@@ -95,7 +101,7 @@
 
     async def _run(self, req: web.BaseRequest) -> web.StreamResponse:
         got = read_arrival(req.headers)
-        await req.read()
+        body = await req.read()
         if got.expected != self.name:
             return web.Response(status=421)
         if got.carried and self._memory.pop(got.carried, "") != got.request_id:
@@ -111,6 +117,8 @@
                 bool(got.carried),
             )
         )
+        if body.startswith(FATAL):
+            await self._crash(body.decode(), req.headers.get(RELAY_HEADER, ""))
         headers = answer_headers(got.request_id)
         if req.path.startswith(("/live/", "/again/")):
             return await self._stream(req, got.request_id, got.last_event, headers)
@@ -139,6 +147,15 @@
             self._stopped.pop(request_id, None)
         return resp
 
+    async def _crash(self, body: str, relay: str) -> None:
+        """End as a process does that is killed: connections reset, none taken."""
+        self._log.fatal.append(FatalRun(body, self.name, relay, time.monotonic()))
+        await asyncio.sleep(_WORK_S)
+        if not self.crashed:
+            self.crashed = True
+            await self.proxy.stop()
+            self.on_crash(self)
+
     async def stop(self) -> None:
         """Be gone at once: open connections are cut."""
         await self.proxy.stop()
--- a/src/ebonydeal/_internal/soak/plan.py
+++ b/src/ebonydeal/_internal/soak/plan.py
@@ -19,6 +19,8 @@
     ENDPOINT_CRASHES = "endpoint crashes"
     ENDPOINT_HARMED = "endpoint harmed"
     CONFIG = "configuration changes"
+    FATAL_REQUEST = "a request crashes what runs it"
+    SUSPENSION = "machine suspended"
 
 
 class Step(NamedTuple):
@@ -37,6 +39,14 @@
     ((Fault.ENDPOINT_LEAVES, Fault.ENDPOINT_CRASHES, Fault.ENDPOINT_HARMED), 3.0),
     ((Fault.CONFIG,), 2.0),
 )
+# Faults that came later are drawn apart, so that the older ones stay as they were for
+# each seed: kinds, mean seconds between two, and the shortest and longest.
+_LATER: tuple[tuple[Fault, float, float, float], ...] = (
+    (Fault.FATAL_REQUEST, 4.0, 6.0, 9.0),
+    # Longer than a lease.
+    (Fault.SUSPENSION, 12.0, 3.0, 4.5),
+)
+_LATER_SEED = 1_000_003
 # The last seconds are calm, so that what was begun can end.
 _CALM_S = 3.0
 
@@ -57,4 +67,17 @@
             length = rng.uniform(0.3, 2.5)
             steps.append(Step(at, rng.choice(faults), length, rng.randrange(1000)))
             at += rng.expovariate(1.0 / mean) + 0.3
-    return sorted(steps)
+    return sorted([*steps, *_later(seed, seconds)])
+
+
+def _later(seed: int, seconds: float) -> list[Step]:
+    """Return the faults of a seed that are drawn apart."""
+    rng = Random(seed + _LATER_SEED)
+    steps = []
+    for fault, mean, least, most in _LATER:
+        at = rng.uniform(0.5, mean)
+        while at < seconds - _CALM_S:
+            length = rng.uniform(least, most)
+            steps.append(Step(at, fault, length, rng.randrange(1000)))
+            at += length + rng.expovariate(1.0 / mean)
+    return steps
--- a/src/ebonydeal/_internal/soak/plants.py
+++ b/src/ebonydeal/_internal/soak/plants.py
@@ -3,7 +3,15 @@
 from collections.abc import Callable
 
 from ebonydeal._internal.soak.checks import Terms
-from ebonydeal._internal.soak.records import Kind, Leave, Log, Report, Seen, Trouble
+from ebonydeal._internal.soak.records import (
+    FatalRun,
+    Kind,
+    Leave,
+    Log,
+    Report,
+    Seen,
+    Trouble,
+)
 
 
 def _first(log: Log, wanted: Callable[[Seen], bool]) -> Seen:
@@ -78,6 +86,11 @@
     log.troubles = [Trouble("stop", seen.relay, seen.sent, seen.ended)]
 
 
+def _crashes_on(log: Log, _terms: Terms) -> None:
+    at = log.runs[0].at
+    log.fatal = [FatalRun("fatal", f"e{n}", "", at + 1.1 * n) for n in range(12)]
+
+
 PLANTS: dict[str, tuple[Callable[[Log, Terms], None], str]] = {
     "second-run": (_second_run, "run once"),
     "false-refusal": (_false_refusal, "refusal"),
@@ -89,4 +102,5 @@
     "two-reports": (_two_reports, "usage"),
     "wrong-usage": (_wrong_usage, "usage"),
     "cut-by-stop": (_cut_by_stop, "planned stop"),
+    "crashes-on": (_crashes_on, "crashes"),
 }
--- a/src/ebonydeal/_internal/soak/processes.py
+++ b/src/ebonydeal/_internal/soak/processes.py
@@ -6,20 +6,13 @@
 import sys
 from configparser import ConfigParser
 from pathlib import Path
-from socket import socket
 
+from ebonydeal._internal.soak.ports import reserve_port
 from ebonydeal._internal.soak.proxy import Proxy
 
 _KILL_AFTER_S = 12.0
 
 
-def free_port() -> int:
-    """Return a port that was free a moment ago."""
-    with socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 class RelayProcess:
     """One relay, started again after each end.
 
@@ -40,9 +33,9 @@
     ) -> None:
         self.name = name
         self.store = store
-        self.address = f"127.0.0.1:{free_port()}"
-        self.peer_address = f"127.0.0.1:{free_port()}"
-        self._ready_address = f"127.0.0.1:{free_port()}"
+        self.address = f"127.0.0.1:{reserve_port()}"
+        self.peer_address = f"127.0.0.1:{reserve_port()}"
+        self._ready_address = f"127.0.0.1:{reserve_port()}"
         self._terms = terms
         self._settings = folder / f"{name}.ini"
         self._log = folder / f"{name}.log"
--- a/src/ebonydeal/_internal/soak/records.py
+++ b/src/ebonydeal/_internal/soak/records.py
@@ -75,6 +75,15 @@
     at: float
 
 
+class FatalRun(NamedTuple):
+    """A request that reached an endpoint and crashed it; ``body`` tells which."""
+
+    body: str
+    endpoint: str
+    relay: str
+    at: float
+
+
 class Report(NamedTuple):
     """A usage report that the platform accepted."""
 
@@ -103,6 +112,7 @@
     published: list[Publish] = field(default_factory=list)
     reports: list[Report] = field(default_factory=list)
     troubles: list[Trouble] = field(default_factory=list)
+    fatal: list[FatalRun] = field(default_factory=list)
 
 
 def event_count(request_id: str) -> int:
--- a/src/ebonydeal/_internal/soak/run.py
+++ b/src/ebonydeal/_internal/soak/run.py
@@ -24,7 +24,7 @@
 )
 from ebonydeal._internal.soak.checks import Terms, Violation, check_all
 from ebonydeal._internal.soak.clients import HOST, Client
-from ebonydeal._internal.soak.endpoints import SERVICE, PlayEndpoint
+from ebonydeal._internal.soak.endpoints import FATAL, SERVICE, PlayEndpoint
 from ebonydeal._internal.soak.plan import Fault, Step, make_plan
 from ebonydeal._internal.soak.plants import PLANTS
 from ebonydeal._internal.soak.platform import PlayPlatform
@@ -59,6 +59,10 @@
 _READY_S = 20.0
 _PROBE_S = 0.25
 _KNOWN_VERSIONS = 3
+# A request that crashes endpoints comes four times a second; these are back after 2 s.
+_REPEAT_S = 0.25
+_BACK_S = 2.0
+_FATAL_KINDS = (Kind.SAFE, Kind.AGAIN, Kind.LIVE, Kind.ONCE)
 
 
 class Size(NamedTuple):
@@ -95,6 +99,7 @@
         self._relays: list[RelayProcess] = []
         self._endpoints: list[PlayEndpoint] = []
         self._named = 0
+        self._comings: set[asyncio.Future[None]] = set()
         self._version = 0
 
     async def play(self) -> None:
@@ -114,6 +119,7 @@
             ]
             await asyncio.sleep(self._size.seconds)
             await asyncio.gather(*steps)
+            await asyncio.gather(*self._comings)
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
@@ -180,6 +186,7 @@
     async def _add_endpoint(self) -> None:
         self._named += 1
         endpoint = PlayEndpoint(f"e{self._named}", self.log, self._memory)
+        endpoint.on_crash = self._fell
         await endpoint.start()
         self._endpoints.append(endpoint)
         document = member_document(endpoint.member())
@@ -220,14 +227,18 @@
             case Fault.STORE_CUT:
                 await self._harm(relay.store, relay.name, step)
             case Fault.ENDPOINT_HARMED:
-                endpoint = self._endpoints[step.which % len(self._endpoints)]
-                await self._harm(endpoint.proxy, "", step)
+                if self._endpoints:
+                    await self._harm(self._pick(step).proxy, "", step)
             case Fault.ENDPOINT_LEAVES:
                 await self._leave(step)
             case Fault.ENDPOINT_CRASHES:
                 await self._crash(step)
             case Fault.CONFIG:
                 await self._publish()
+            case Fault.FATAL_REQUEST:
+                await self._repeat_fatal(step)
+            case Fault.SUSPENSION:
+                await self._pause(relay, step)
 
     @asynccontextmanager
     async def _trouble(self, kind: str, relay: str) -> AsyncIterator[None]:
@@ -271,7 +282,10 @@
 
     async def _leave(self, step: Step) -> None:
         """Let an endpoint leave with notice, after another has come."""
-        endpoint = self._endpoints.pop(step.which % len(self._endpoints))
+        if not self._endpoints:
+            return
+        endpoint = self._pick(step)
+        self._endpoints.remove(endpoint)
         await self._add_endpoint()
         endpoint.leaves(_NOTICE_S)
         document = member_document(endpoint.member(leaving=True))
@@ -283,13 +297,53 @@
 
     async def _crash(self, step: Step) -> None:
         """Let an endpoint crash; its entry goes later."""
-        endpoint = self._endpoints.pop(step.which % len(self._endpoints))
+        if not self._endpoints:
+            return
+        endpoint = self._pick(step)
+        self._endpoints.remove(endpoint)
         async with self._trouble("crash", ""):
             await endpoint.stop()
             await self._add_endpoint()
             await asyncio.sleep(step.seconds)
             await self._platform.put(MEMBERS_TABLE, endpoint.name, None)
 
+    def _pick(self, step: Step) -> PlayEndpoint:
+        return self._endpoints[step.which % len(self._endpoints)]
+
+    def _fell(self, endpoint: PlayEndpoint) -> None:
+        """Bring another endpoint for one that a request crashed."""
+        if endpoint in self._endpoints:
+            self._endpoints.remove(endpoint)
+        self._comings.add(asyncio.ensure_future(self._come_back(endpoint)))
+
+    async def _come_back(self, endpoint: PlayEndpoint) -> None:
+        async with self._trouble("crash", ""):
+            await asyncio.sleep(_BACK_S)
+            await endpoint.stop()
+            await self._add_endpoint()
+            await self._platform.put(MEMBERS_TABLE, endpoint.name, None)
+
+    async def _repeat_fatal(self, step: Step) -> None:
+        """Send a request that crashes what runs it, again and again, at any relay."""
+        rng = Random(step.which)
+        kind = rng.choice(_FATAL_KINDS)
+        body = FATAL + f"-{step.which}".encode()
+        end = time.monotonic() + step.seconds
+        async with AsyncExitStack() as stack:
+            client = Client(self.log, self._relays, Random(step.which))
+            stack.push_async_callback(client.close)
+            while time.monotonic() < end:
+                count = rng.choice((1, 1, 2, len(self._relays)))
+                relays = rng.sample(self._relays, count)
+                asking = client.repeat(body, kind, relays, _OPEN.key)
+                task = asyncio.ensure_future(asking)
+                stack.push_async_callback(_ended, task)
+                await asyncio.sleep(_REPEAT_S)
+
+
+async def _ended(task: asyncio.Task[None]) -> None:
+    await asyncio.gather(task, return_exceptions=True)
+
 
 async def run_seed(seed: int, size: Size, plant: str | None = None) -> Verdict:
     """Play one seed; with ``plant``, falsify what was seen before it is checked."""
--- a/tests/functional/soak/test_soak.py
+++ b/tests/functional/soak/test_soak.py
@@ -23,6 +23,15 @@
         assert code == 0
         assert verdict["served"] > 0 and verdict["faults"] > 0
 
+    def test_a_request_that_crashes_endpoints_is_bound(self):
+        # Without the bound this seed breaks the promise twice.
+        code, (verdict,) = soak(
+            *("--seed", "3", "--seconds", "14", "--relays", "3"),
+            *("--endpoints", "5", "--clients", "8"),
+        )
+        assert verdict["violations"] == []
+        assert code == 0
+
     def test_seeds_that_ever_failed_keep_their_promises(self):
         code, verdicts = soak("--regressions")
         assert {v["seed"] for v in verdicts} == set(REGRESSIONS)
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -9,10 +9,11 @@
 from ebonydeal._internal.config.examples import DEMO_KEYS, example_document
 from ebonydeal._internal.config.store import ConfigStore
 from ebonydeal._internal.outside.tables import HttpTables
+from ebonydeal._internal.soak.ports import reserve_port
 from ebonydeal._internal.standin.world import StandinWorld
 from ebonydeal._internal.standin.worldspec import WorldSpec
 from ebonydeal._internal.utils.clock import SystemClock
-from tests.lib.processes import Launched, free_port, launch, wait_until_up
+from tests.lib.processes import Launched, launch, wait_until_up
 
 MODEL = "covers-13b"
 AUTH = {"Authorization": f"Bearer {DEMO_KEYS['breakfast']}"}
@@ -39,7 +40,7 @@
         await self.world.start()
         self.session = ClientSession(headers=AUTH, timeout=ClientTimeout(total=60))
         await self._put_document()
-        peer_ports = [free_port() for _ in range(sum(self._counts))]
+        peer_ports = [reserve_port() for _ in range(sum(self._counts))]
         self._seeds = ",".join(f"127.0.0.1:{port}" for port in peer_ports[:2])
         gateways, _journals = self._counts
         for number, peer_port in enumerate(peer_ports):
@@ -82,7 +83,7 @@
         return str(path)
 
     async def _gateway(self, number: int, peer_port: int) -> Launched:
-        port = free_port()
+        port = reserve_port()
         name = f"gateway-{number}"
         extra = f"[gateway]\nport = {port}\nsettle_seconds = 0.5\n"
         file = self._settings(name, peer_port, "de-cymru-1", extra)
@@ -90,7 +91,7 @@
         return await launch(name, "ebonydeal-gateway", args, port, self._folder)
 
     async def _journal(self, number: int, peer_port: int) -> Launched:
-        port = free_port()
+        port = reserve_port()
         name = f"journal-{number}"
         extra = (
             f"[journal]\nport = {port}\nshards = 16\nlease_seconds = 2\n"
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -3,7 +3,6 @@
 import asyncio
 import os
 import signal
-import socket
 from pathlib import Path
 from sysconfig import get_path
 from typing import NamedTuple
@@ -14,13 +13,6 @@
 _TRY_SECONDS = 0.1
 
 
-def free_port() -> int:
-    """Return a port of the loopback interface that was free just now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 class Launched(NamedTuple):
     """A running program and where it listens."""
 
