Split what follows from crashes from their memory; read a word whole before taking it

Half of a wrong word was taken before the rest was found wrong; a crash that was dropped before it was told, or a run whose time was up at the very moment at which its request was held, ended the relay's task that told or took it.

Change: three modules; a word is read whole first; what was dropped is left out, and limits that are over are left alone. Of more than 128 requests at work all relays remember the same.

--- a/src/ebonydeal/_internal/relay/coordinator.py
+++ b/src/ebonydeal/_internal/relay/coordinator.py
@@ -28,7 +28,7 @@
 from ebonydeal._internal.relay.roster import Roster
 from ebonydeal._internal.relay.usage_store import UsageStore
 from ebonydeal._internal.relay.view import RelayView
-from ebonydeal._internal.routing.crash_evidence import EvidenceMessage
+from ebonydeal._internal.routing.crash_messages import EvidenceMessage
 from ebonydeal._internal.routing.duty_lease import DutyLease
 from ebonydeal._internal.routing.quota_broker import (
     QuotaBounds,
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -47,11 +47,8 @@
 from ebonydeal._internal.relay.view import RelayView
 from ebonydeal._internal.relay.view_sync import ViewSync
 from ebonydeal._internal.relay.word import RelayWord, WordParts
-from ebonydeal._internal.routing.crash_evidence import (
-    CrashEvidence,
-    EvidenceMessage,
-    EvidenceTerms,
-)
+from ebonydeal._internal.routing.crash_evidence import CrashEvidence, EvidenceTerms
+from ebonydeal._internal.routing.crash_messages import EvidenceMessage
 from ebonydeal._internal.routing.duty_lease import DutyLease
 from ebonydeal._internal.routing.early_refusal import EarlyRefusal
 from ebonydeal._internal.routing.failure_shares import FailureShares
--- a/src/ebonydeal/_internal/relay/suspects.py
+++ b/src/ebonydeal/_internal/relay/suspects.py
@@ -21,13 +21,9 @@
 from ebonydeal._internal.relay.crash_check import Crashed
 from ebonydeal._internal.relay.messages import CrashesMessage
 from ebonydeal._internal.relay.outcomes import MayHaveRun
-from ebonydeal._internal.routing.crash_evidence import (
-    CrashEvidence,
-    CrashKey,
-    EvidenceMessage,
-    SeenCrash,
-    Standing,
-)
+from ebonydeal._internal.routing.crash_blame import CrashKey
+from ebonydeal._internal.routing.crash_evidence import CrashEvidence, Standing
+from ebonydeal._internal.routing.crash_messages import EvidenceMessage, SeenCrash
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.peerclient import PeerClient
 
@@ -145,14 +141,11 @@
 
     def take(self, message: CrashesMessage) -> dict[str, Any]:
         """Take another relay's word on crashes."""
-        if self._merge(message["crashes"], str(message["node"])):
+        now = self._parts.clock.now()
+        if self._parts.evidence.merge(message["crashes"], now):
             self._changed(str(message["node"]))
         return {}
 
-    def _merge(self, message: EvidenceMessage, who: str) -> bool:
-        """Take a memory; raises ValueError, KeyError or TypeError for none."""
-        return self._parts.evidence.merge(message, self._parts.clock.now())
-
     def _changed(self, who: str) -> None:
         """Act on what follows from a change: refuse, stop runs, tell what we know."""
         evidence = self._parts.evidence
@@ -178,7 +171,8 @@
         """End the runs of a request: each would bring down one more endpoint."""
         now = asyncio.get_running_loop().time()
         for limit in self._runs.get(digest, ()):
-            limit.reschedule(now)
+            if not limit.expired():
+                limit.reschedule(now)
 
     @Service.task
     async def _tell(self) -> None:
@@ -234,7 +228,7 @@
         if message is None:
             return
         try:
-            news = self._merge(message, who)
+            news = self._parts.evidence.merge(message, self._parts.clock.now())
         except (KeyError, TypeError, ValueError, AttributeError) as exc:
             logger.error("Crashes can't be read.", who=who, reason=repr(exc))
             return
--- a/src/ebonydeal/_internal/utils/reachability.py
+++ b/src/ebonydeal/_internal/utils/reachability.py
@@ -18,8 +18,8 @@
             _reader, writer = await asyncio.open_connection(host, int(port))
     except ConnectionRefusedError:
         return True
-    except (OSError, ValueError):
-        # TimeoutError is an OSError.
+    except (OSError, ValueError, OverflowError):
+        # TimeoutError is an OSError; a port may be too large.
         return False
     writer.close()
     return False
--- a/tests/unit/routing/test_crash_evidence.py
+++ b/tests/unit/routing/test_crash_evidence.py
@@ -10,9 +10,9 @@
 from ebonydeal._internal.routing.crash_evidence import (
     CrashEvidence,
     EvidenceTerms,
-    SeenCrash,
     Standing,
 )
+from ebonydeal._internal.routing.crash_messages import SeenCrash
 
 FATAL, OTHER, THIRD = "fatal", "other", "third"
 
@@ -173,6 +173,17 @@
         # Nor do they push out what is refused.
         assert found.standing(FATAL) is Standing.QUARANTINED
 
+    def test_of_too_many_at_work_relays_keep_the_same(self):
+        names = [f"d{n}" for n in range(400)]
+        one, other = evidence(), evidence()
+        crash(one, "i0", 100.0, *names[:300])
+        crash(other, "i0", 100.0, *names[100:])
+        for _round in range(2):
+            one.merge(other.to_message(101.0), 101.0)
+            other.merge(one.to_message(101.0), 101.0)
+        assert one.mark == other.mark
+        assert not one.merge(other.to_message(102.0), 102.0)
+
     def test_successes_are_bounded(self):
         found = evidence()
         for number in range(10_000):
@@ -226,11 +237,19 @@
             {"requests": ["x" * 1000]},
         ],
     )
-    def test_what_cant_be_a_memory_is_refused(self, wrong):
-        message = evidence([FATAL]).to_message(101.0)
-        message["crashes"][0].update(wrong)
+    def test_what_cant_be_a_memory_is_refused_whole(self, wrong):
+        message = evidence([FATAL], [FATAL]).to_message(101.0)
+        message["crashes"][1].update(wrong)
+        found = evidence()
         with pytest.raises(ValueError):
-            evidence().merge(message, 101.0)
+            found.merge(message, 101.0)
+        assert found.to_message(101.0)["crashes"] == []
+
+    def test_one_that_was_dropped_before_it_was_told_is_left_out(self):
+        found = evidence([FATAL], memory=60.0)
+        keys = list(found._crashes)
+        found.expire(200.0)
+        assert found.to_message(200.0, keys)["crashes"] == []
 
 
 class Gossip(RuleBasedStateMachine):
