Refuse before a limit is drawn on; take a crash back only after two signs of life

Cause: a quarantined request drew on its account's limit before it was refused. A relay that stood still over a crash reads late what the endpoint had sent before it, and one such read took the crash back at all relays.

Change: the refusal comes before the limit. Signs of life must be 0.3 s apart: what was buffered is read at once, a live stream has an event every few milliseconds.

--- a/src/ebonydeal/_internal/relay/intake.py
+++ b/src/ebonydeal/_internal/relay/intake.py
@@ -140,6 +140,8 @@
         name = "" if account is None else account.name
         digest = RequestDigest(name, req.host, req.method, req.target)
         body = await _read_body(http_req, limits.body_bytes, allowed, digest)
+        # Before it draws on its account's limit: it isn't going to run.
+        self._parts.suspects.check(digest.text())
         if account is not None:
             patience = min(allowed, route.objective * self._quota_wait)
             await self._quota.admit(account, _amount(req, account), patience)
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -28,7 +28,6 @@
 from ebonydeal._internal.relay.long_reads import LongReads, LongReadTaker
 from ebonydeal._internal.relay.messages import (
     HOLDER,
-    ExchangeMessage,
     ExchangeReply,
 )
 from ebonydeal._internal.relay.moves import MovesParts, StreamMoves
@@ -48,7 +47,6 @@
 from ebonydeal._internal.relay.view_sync import ViewSync
 from ebonydeal._internal.relay.word import RelayWord, WordParts
 from ebonydeal._internal.routing.crash_evidence import CrashEvidence, EvidenceTerms
-from ebonydeal._internal.routing.crash_messages import EvidenceMessage
 from ebonydeal._internal.routing.duty_lease import DutyLease
 from ebonydeal._internal.routing.early_refusal import EarlyRefusal
 from ebonydeal._internal.routing.failure_shares import FailureShares
@@ -240,7 +238,7 @@
         config.fed = lambda: self._exchange.fed_config
         config.feeding = lambda: self.coordinator.feeds_config
         self.coordinator.keep_crashes(CrashStore(ports.store, self._suspects, clock))
-        self.coordinator.compare_crashes = self._compare_crashes
+        self.coordinator.compare_crashes = self._suspects.compare
         self.coordinator.hears_store = lambda: members.fresh
         self.coordinator.hears_config = lambda: config.fresh
         self._news = NewsFeed(
@@ -318,14 +316,6 @@
         relays = self._exchange.relays
         return [address for address in relays if address != self._word.address]
 
-    def _compare_crashes(
-        self, word: ExchangeMessage
-    ) -> tuple[str, EvidenceMessage | None]:
-        """Take a relay's memory of crashes, and answer with ours where it differs."""
-        self._suspects.learn(word.get("crashes"), word["node"])
-        mark = word.get("crashes_mark", self._suspects.mark)
-        return self._suspects.mark, self._suspects.unless(mark)
-
     # --- talk with the coordinator -------------------------------------------
     def _heard(self, reply: ExchangeReply) -> None:
         """Take the coordinator's answer."""
--- a/src/ebonydeal/_internal/relay/suspects.py
+++ b/src/ebonydeal/_internal/relay/suspects.py
@@ -19,7 +19,7 @@
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.call_budget import CallBudget
 from ebonydeal._internal.relay.crash_check import Crashed
-from ebonydeal._internal.relay.messages import CrashesMessage
+from ebonydeal._internal.relay.messages import CrashesMessage, ExchangeMessage
 from ebonydeal._internal.relay.outcomes import MayHaveRun
 from ebonydeal._internal.routing.crash_blame import CrashKey
 from ebonydeal._internal.routing.crash_evidence import CrashEvidence, Standing
@@ -214,6 +214,12 @@
         """Return all, or None for a relay that remembers the same."""
         return None if mark == self.mark else self.memory()
 
+    def compare(self, word: ExchangeMessage) -> tuple[str, EvidenceMessage | None]:
+        """Take a relay's memory; return the mark of ours, and ours where it differs."""
+        self.learn(word.get("crashes"), word["node"])
+        # One of the release before tells no mark, and can't take a memory.
+        return self.mark, self.unless(word.get("crashes_mark", self.mark))
+
     def word(self) -> EvidenceMessage | None:
         """Return what the coordinator is told: all, where it has something else."""
         return self.unless(self._coordinators_mark)
--- a/src/ebonydeal/_internal/routing/crash_evidence.py
+++ b/src/ebonydeal/_internal/routing/crash_evidence.py
@@ -34,6 +34,8 @@
 _SAME_S = 1.0
 # What an endpoint sent before it crashed is read within this, on a busy instance.
 _ON_ITS_WAY_S = 1.0
+# What was buffered is read at once; a live stream has an event every few milliseconds.
+_SIGNS_APART_S = 0.3
 # Bounds of the memory: crashes, with 128 requests each, and successes. A megabyte at
 # worst; a request enters it only with the crash of an endpoint that had taken it.
 _MOST_CRASHES = 64
@@ -93,6 +95,8 @@
         self._served: dict[str, float] = {}
         self._lately: dict[str, float] = {}
         self._untold: set[CrashKey] = set()
+        # When the first sign of life after a crash came.
+        self._signs: dict[CrashKey, float] = {}
         # What follows, by digest: the crashes that count against it.
         self._against: dict[str, frozenset[CrashKey]] = {}
         self._held: dict[str, frozenset[CrashKey]] = {}
@@ -156,7 +160,8 @@
         """Note a sign of life; return whether it shows that a crash was none.
 
         It does so on a connection from before the crash, since a process that ended
-        has none of these; not so soon after it that it may have been on its way.
+        has none of these; not so soon after it that it may have been on its way, and
+        not by one sign alone, as a relay that stood still reads late what was.
         """
         found = [
             key
@@ -165,6 +170,7 @@
             and sent_at < crash.at - _SAME_S
             and now > crash.at + _ON_ITS_WAY_S
             and not crash.alive
+            and now - self._signs.setdefault(key, now) >= _SIGNS_APART_S
         ]
         if not found:
             return False
@@ -287,6 +293,7 @@
         """Keep successes only of requests that crashes speak of."""
         at_work = set().union(*(c.digests for c in self._crashes.values()))
         self._served = {d: at for d, at in self._served.items() if d in at_work}
+        self._signs = {k: at for k, at in self._signs.items() if k in self._crashes}
 
 
 def _key_first(item: tuple[CrashKey, Crash]) -> CrashKey:
--- a/tests/functional/relay/test_crashing_request.py
+++ b/tests/functional/relay/test_crashing_request.py
@@ -161,6 +161,18 @@
             assert relays[0]._metrics.refusals()["request_quarantined"] == 1
 
 
+class TestLimit:
+    async def test_a_refused_request_draws_on_no_limit(self):
+        async with cluster() as (relays, fleet):
+            await bring_down_three(relays, fleet)
+            await all_hold(relays)
+            admitted = []
+            for r in relays:
+                r._quota.admit = admitted.append
+            status, _body = await repeat(relays[0], "/again/x", "s")
+            assert (status, admitted) == (500, [])
+
+
 class TestOperators:
     async def test_see_what_is_refused_at_any_relay(self):
         async with cluster() as (relays, fleet):
--- a/tests/unit/routing/test_crash_evidence.py
+++ b/tests/unit/routing/test_crash_evidence.py
@@ -137,7 +137,8 @@
 class TestLife:
     def test_an_endpoint_heard_of_afterwards_didnt_crash(self):
         found = evidence([OTHER], [OTHER], [OTHER])
-        assert found.heard("i2", 0, sent_at=90.0, now=104.0)
+        assert not found.heard("i2", 0, sent_at=90.0, now=104.0)
+        assert found.heard("i2", 0, sent_at=90.0, now=104.5)
         assert found.standing(OTHER) is Standing.SUSPECT
 
     def test_what_was_on_its_way_shows_nothing(self):
@@ -145,6 +146,12 @@
         assert not found.heard("i2", 0, sent_at=90.0, now=102.2)
         assert found.standing(FATAL) is Standing.QUARANTINED
 
+    def test_nor_does_what_a_relay_that_stood_still_reads_late(self):
+        found = evidence([FATAL], [FATAL], [FATAL])
+        for _event in range(5):
+            assert not found.heard("i2", 0, sent_at=90.0, now=106.0)
+        assert found.standing(FATAL) is Standing.QUARANTINED
+
     def test_nor_does_one_that_started_again(self):
         found = evidence([FATAL], [FATAL], [FATAL])
         assert not found.heard("i2", 0, sent_at=104.0, now=105.0)
