--- a/tests/functional/relay/test_crashing_request.py
+++ b/tests/functional/relay/test_crashing_request.py
@@ -15,14 +15,14 @@
 
 import asyncio
 import json
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import pytest
 from click.testing import CliRunner
 
 from ebonydeal._internal.commands.quarantine import ask_relay, quarantine_command
 from tests.lib.crashing import FATAL, CrashingEndpoint, cluster, repeat
-from tests.lib.relay_fakes import MemoryStore, ask, relay, until
+from tests.lib.relay_fakes import KEY, MemoryStore, ask, relay, until
 
 # The contact time is 3 s and more: all relays must know well before that.
 _KNOWN_S = 1.0
@@ -161,6 +161,34 @@
             assert relays[0]._metrics.refusals()["request_quarantined"] == 1
 
 
+class TestEqual:
+    @pytest.mark.parametrize(
+        ("path", "body"), [("/again/y", FATAL[:-1]), ("/again/x", b"harmless")]
+    )
+    async def test_another_path_or_body_is_served(self, path, body):
+        async with cluster() as (relays, fleet):
+            await bring_down_three(relays, fleet)
+            await all_hold(relays)
+            status, _body = await repeat(relays[0], path, "s", body)
+            assert status == 200
+
+    async def test_a_client_account_answers_for_none_other(self):
+        accounts = [
+            {"name": "acme", "api_keys": [KEY]},
+            {"name": "other", "api_keys": ["key-2"]},
+        ]
+        async with cluster(tenants=accounts) as (relays, fleet):
+            await bring_down_three(relays, fleet)
+            await all_hold(relays)
+            answer = ask(
+                relays[0], "/once/x", rid="s", method="POST", body=FATAL, key="key-2"
+            )
+            with suppress(asyncio.IncompleteReadError, ConnectionError):
+                assert (await answer)[0] != 500
+            # It ran: what another account's request did isn't held against it.
+            assert fleet.crashed == 4
+
+
 class TestLimit:
     async def test_a_refused_request_draws_on_no_limit(self):
         async with cluster() as (relays, fleet):
--- a/tests/lib/crashing.py
+++ b/tests/lib/crashing.py
@@ -98,12 +98,15 @@
 
 
 @asynccontextmanager
-async def cluster(relays=3, endpoints=6, make=CrashingEndpoint, store=None, **cfg):
+async def cluster(
+    relays=3, endpoints=6, make=CrashingEndpoint, store=None, tenants=None, **cfg
+):
     """Run relays before a fleet; yields (relays, fleet)."""
     store = store or MemoryStore()
     fleet = Fleet(store, endpoints, make)
     await fleet.fill()
-    await store.put("op", "config", document())
+    more = {"tenants": tenants} if tenants else {}
+    await store.put("op", "config", document(**more))
     programs = [
         relay(store, node=f"n{n}", seed=n + 1, settle_s=0.0, **cfg)
         for n in range(relays)
--- a/tests/unit/relay/test_suspects.py
+++ b/tests/unit/relay/test_suspects.py
@@ -6,14 +6,17 @@
 
 import pytest
 
-from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.errors import EbonydealError, ErrorKind, Outcome
+from ebonydeal._internal.models.forwarding import Repeat
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.relay.call_budget import CallBudget
 from ebonydeal._internal.relay.crash_check import Crashed
+from ebonydeal._internal.relay.outcomes import MayHaveRun
+from ebonydeal._internal.relay.sends import JobSends
 from ebonydeal._internal.relay.suspects import SuspectParts, Suspects
 from ebonydeal._internal.routing.crash_evidence import CrashEvidence
 from tests.lib.clock import ManualClock
-from tests.unit.relay.test_job_sends import MEMBERS
+from tests.unit.relay.test_job_sends import MEMBERS, MOVED, job, parts
 
 
 class Relay:
@@ -119,3 +122,74 @@
             relay.crash(number, "fatal")
         assert relay.metrics.value("events", "requests_quarantined") == 1
         assert relay.metrics.value("events", "endpoints_crashed") == 4
+
+
+class TestSends:
+    """What a request's further sends do once something is held against it."""
+
+    def sends(self, relay, repeat=Repeat.IDEMPOTENT):
+        made = parts()
+        made.suspects = relay.suspects
+        made.refusal = SimpleNamespace(wait=lambda *_terms: None)
+        found = job(repeat, False)._replace(digest="fatal")
+        return JobSends(made, found)
+
+    async def test_a_suspect_goes_where_fewest_are_at_work(self):
+        relay = Relay()
+        relay.crash(0, "fatal")
+        sends = self.sends(relay)
+        for member, count in zip(MEMBERS, (3, 2, 0, 1), strict=True):
+            for _ in range(count):
+                ask = sends.chooser.ask()
+                sends._parts.choice.sent(ask, member, 0.0, 100.0)
+        assert (await sends.choose()).endpoint_id == MEMBERS[2].endpoint_id
+
+    async def test_and_where_no_other_suspect_is(self):
+        relay = Relay()
+        relay.crash(0, "fatal", "other")
+        async with asyncio.timeout(60.0) as limit:
+            with relay.suspects.at_work("other", MEMBERS[0].endpoint_id, limit):
+                member = await self.sends(relay).choose()
+        assert member.endpoint_id != MEMBERS[0].endpoint_id
+
+    async def test_a_request_that_isnt_suspected_goes_by_the_usual_choice(self):
+        relay = Relay()
+        relay.crash(0, "other")
+        sends = self.sends(relay)
+        usual = sends.chooser._apart
+        sends.chooser._apart = lambda _allowed: pytest.fail("it isn't suspected")
+        assert usual and await sends.choose()
+
+    async def test_no_further_send_is_made_once_it_is_held(self):
+        relay = Relay()
+        sends = self.sends(relay)
+        await sends.choose()
+        for number in range(3):
+            relay.crash(number, "fatal")
+        sends.after(MayHaveRun(ErrorKind.ENDPOINT_FAILED, "reset"))
+        with pytest.raises(EbonydealError) as caught:
+            await sends.choose()
+        assert caught.value.kind is ErrorKind.REQUEST_QUARANTINED
+        # An earlier send of this very request may have run.
+        assert caught.value.outcome is Outcome.UNKNOWN
+
+    async def test_nor_does_a_stream_go_on_with_its_memory(self):
+        relay = Relay()
+        sends = self.sends(relay, Repeat.STREAM)
+        await sends.choose()
+        for number in range(3):
+            relay.crash(number, "fatal")
+        with pytest.raises(EbonydealError) as caught:
+            sends.go_on(MOVED)
+        assert caught.value.kind is ErrorKind.REQUEST_QUARANTINED
+
+    async def test_a_run_that_was_stopped_isnt_sent_again(self):
+        relay = Relay()
+        sends = self.sends(relay)
+        await sends.choose()
+        for number in range(3):
+            relay.crash(number, "fatal")
+        with pytest.raises(EbonydealError) as caught:
+            sends.after(relay.suspects.stopped("fatal"))
+        assert caught.value.kind is ErrorKind.REQUEST_QUARANTINED
+        assert caught.value.outcome is Outcome.UNKNOWN
