--- a/src/ebonydeal/_internal/relay/chooser.py
+++ b/src/ebonydeal/_internal/relay/chooser.py
@@ -73,8 +73,8 @@
         """Return where a request that may bring its endpoint down costs least.
 
         That is where no other such request is, so that a crash tells them apart, and
-        where fewest requests are at work. Seven were lost with each engine that one
-        request brought down where it went by the usual choice.
+        where fewest requests are at work. By the usual choice 2 to 7 were at work on
+        each of eight engines that one request brought down, 4.5 in the mean.
         """
         if not allowed:
             return None
--- a/src/ebonydeal/_internal/routing/crash_messages.py
+++ b/src/ebonydeal/_internal/routing/crash_messages.py
@@ -55,15 +55,17 @@
 
 
 def read_memory(message: Any, now: float) -> Memory:
-    """Return what a message says; raises ValueError, KeyError or TypeError.
+    """Return what a message says; raises ValueError, KeyError or TypeError for none.
 
     All of it is read before any is taken, so that half of a wrong one changes nothing.
     """
+    if not isinstance(message["served"], dict):
+        raise ValueError("successes aren't told by digest")
     crashes = tuple(
         Told(
             SeenCrash(
                 _text(told["endpoint"]),
-                int(told["born"]),
+                _whole(told["born"]),
                 _text(told["zone"]),
                 now - _age(told["age"]),
             ),
@@ -84,6 +86,12 @@
     return value
 
 
+def _whole(value: object) -> int:
+    if not isinstance(value, int):
+        raise ValueError("a number isn't whole")
+    return value
+
+
 def _age(value: object) -> float:
     if not isinstance(value, (int, float)) or not isfinite(value) or value < 0.0:
         raise ValueError("an age is wrong")
--- a/tests/unit/relay/test_suspects.py
+++ b/tests/unit/relay/test_suspects.py
@@ -103,7 +103,13 @@
 
     def test_a_memory_that_cant_be_read_is_left_out(self):
         relay = Relay()
-        for wrong in ({}, [], {"crashes": 5, "served": {}}, {"crashes": [5]}):
+        for wrong in (
+            {},
+            [],
+            {"crashes": 5, "served": {}},
+            {"crashes": [5], "served": {}},
+            {"crashes": [], "served": []},
+        ):
             relay.suspects.learn(wrong, "n1")
         assert relay.suspects.mark == ""
 
--- a/tests/unit/routing/test_crash_evidence.py
+++ b/tests/unit/routing/test_crash_evidence.py
@@ -241,6 +241,8 @@
             {"age": -1.0},
             {"age": "1"},
             {"endpoint": 5},
+            {"born": float("inf")},
+            {"born": "1"},
             {"requests": ["x" * 1000]},
         ],
     )
