Write crashes with the release of the lease too; trace a test that failed once

Cause: a test of the loss of all relays failed once beside other runs. Its wait ended with a row of fewer than three crashes, written by a renewal amid them, and the relays were stopped before the next one: a planned stop frees the lease without writing what was remembered since.

Change: the release writes it. The test waits for all three crashes in the store, and then lets nothing more be written; a planned stop has a test of its own, which fails without the change.

--- a/src/ebonydeal/_internal/relay/lease_keeper.py
+++ b/src/ebonydeal/_internal/relay/lease_keeper.py
@@ -213,6 +213,8 @@
         if write is None:
             return
         changes = [self._change(write), self._usage.open_change()]
+        if self.crashes is not None:
+            changes.extend(self.crashes.changes())
         try:
             await self._store.transact(changes)
         except EbonydealError as exc:
--- a/tests/functional/relay/test_crashing_request.py
+++ b/tests/functional/relay/test_crashing_request.py
@@ -16,6 +16,7 @@
 import asyncio
 import json
 from contextlib import asynccontextmanager, suppress
+from zlib import decompress
 
 import pytest
 from click.testing import CliRunner
@@ -136,13 +137,24 @@
         store = MemoryStore()
         async with cluster(store=store) as (relays, fleet):
             await bring_down_three(relays, fleet)
-            await until(lambda: store.tables.get("ebonydeal-crashes"), 3.0)
+            # Within the contact time; a row of fewer crashes may lie there before.
+            await until(lambda: stored_crashes(store) == 3, 3.0)
+            for r in relays:
+                # None of them writes anything more.
+                r.coordinator._keeper.crashes = None
         async with cluster(store=store, relays=1) as (relays, fleet):
             await all_hold(relays, 5.0)
             status, _body = await repeat(relays[0], "/again/x", "s")
             assert status == 500
             assert fleet.crashed == 0
 
+    async def test_also_after_a_planned_stop_of_all_at_once(self):
+        store = MemoryStore()
+        async with cluster(store=store) as (relays, fleet):
+            await bring_down_three(relays, fleet)
+            await all_hold(relays)
+        assert stored_crashes(store) == 3
+
 
 class TestAnswer:
     async def test_says_what_is_the_matter_and_invites_nobody(self):
@@ -259,6 +271,15 @@
             assert all(r._suspects.mark == "" for r in relays)
 
 
+def stored_crashes(store):
+    """Return how many crashes lie in the store."""
+    rows = store.tables.get("ebonydeal-crashes", {})
+    return sum(
+        len(json.loads(decompress(row.value))["memory"]["crashes"])
+        for row in rows.values()
+    )
+
+
 def pairs(relays):
     return list(enumerate(relays))
 
