Folders of routing by decision: admission, placement, limits, fleet, reclaim, retries, crashes, duties

A flat folder of 35 files didn't tell which path calls a file and what it may touch. Files and their tests are moved and the import lines follow; no other line changes.

--- a/src/ebonydeal/_internal/benchmarks/capacity/measures.py
+++ b/src/ebonydeal/_internal/benchmarks/capacity/measures.py
@@ -39,8 +39,8 @@
 from ebonydeal._internal.outside.instances import endpoint_from_message
 from ebonydeal._internal.peers.membership import Membership
 from ebonydeal._internal.peers.topics import MembersTopic
-from ebonydeal._internal.routing.router import Router
-from ebonydeal._internal.routing.types import RouteRequest
+from ebonydeal._internal.routing.placement.router import Router
+from ebonydeal._internal.routing.placement.types import RouteRequest
 from ebonydeal._internal.settings.routing import RoutingSettings
 from ebonydeal._internal.utils.clock import SystemClock
 from ebonydeal._internal.utils.prefix import prefix_blocks
--- a/src/ebonydeal/_internal/benchmarks/gateway/sides.py
+++ b/src/ebonydeal/_internal/benchmarks/gateway/sides.py
@@ -30,9 +30,9 @@
 from ebonydeal._internal.outside.engines import HttpEngine
 from ebonydeal._internal.outside.services import HttpPlainServices
 from ebonydeal._internal.peers.journal_client import JournalStatus
-from ebonydeal._internal.routing.admission import Admission
-from ebonydeal._internal.routing.retries import RetryPolicy
-from ebonydeal._internal.routing.router import Router
+from ebonydeal._internal.routing.admission.admission import Admission
+from ebonydeal._internal.routing.placement.router import Router
+from ebonydeal._internal.routing.retries.retries import RetryPolicy
 from ebonydeal._internal.settings.gateway import GatewaySettings
 from ebonydeal._internal.settings.routing import (
     AdmissionSettings,
--- a/src/ebonydeal/_internal/benchmarks/peers/net.py
+++ b/src/ebonydeal/_internal/benchmarks/peers/net.py
@@ -27,7 +27,7 @@
 )
 from ebonydeal._internal.peers.targets import PeerTargets
 from ebonydeal._internal.peers.topics import MarksTopic, MembersTopic, mark_to_wire
-from ebonydeal._internal.routing.demand import Demand, DemandReport
+from ebonydeal._internal.routing.limits.demand import Demand, DemandReport
 
 PERIOD_S = 1.0
 HOP_S = 0.01
--- a/src/ebonydeal/_internal/benchmarks/reclaim/strategies.py
+++ b/src/ebonydeal/_internal/benchmarks/reclaim/strategies.py
@@ -11,7 +11,7 @@
     EndpointView,
 )
 from ebonydeal._internal.models.places import Place
-from ebonydeal._internal.routing.reclaim import (
+from ebonydeal._internal.routing.reclaim.reclaim import (
     ExportFault,
     ExportTo,
     Finish,
--- a/src/ebonydeal/_internal/benchmarks/routing/admission_run.py
+++ b/src/ebonydeal/_internal/benchmarks/routing/admission_run.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from ebonydeal._internal.models.requests import Priority
-from ebonydeal._internal.routing.admission import (
+from ebonydeal._internal.routing.admission.admission import (
     Admission,
     AdmissionRequest,
     Admit,
--- a/src/ebonydeal/_internal/benchmarks/routing/decision_time.py
+++ b/src/ebonydeal/_internal/benchmarks/routing/decision_time.py
@@ -13,8 +13,8 @@
     LoadReport,
 )
 from ebonydeal._internal.models.places import Place
-from ebonydeal._internal.routing.router import Router
-from ebonydeal._internal.routing.types import RouteRequest
+from ebonydeal._internal.routing.placement.router import Router
+from ebonydeal._internal.routing.placement.types import RouteRequest
 from ebonydeal._internal.settings.routing import RoutingSettings
 
 ENDPOINTS = (10, 30, 64, 100, 300, 1000, 2000)
--- a/src/ebonydeal/_internal/benchmarks/routing/limits_run.py
+++ b/src/ebonydeal/_internal/benchmarks/routing/limits_run.py
@@ -6,7 +6,7 @@
 
 from ebonydeal._internal.models.document import Account
 from ebonydeal._internal.models.requests import Priority
-from ebonydeal._internal.routing.limits import AccountLimits
+from ebonydeal._internal.routing.limits.limits import AccountLimits
 from ebonydeal._internal.settings.routing import AdmissionSettings
 
 _START = 1_000_000.0
--- a/src/ebonydeal/_internal/benchmarks/routing/loop.py
+++ b/src/ebonydeal/_internal/benchmarks/routing/loop.py
@@ -18,7 +18,7 @@
     LoadReport,
 )
 from ebonydeal._internal.models.places import Distance, Place, distance
-from ebonydeal._internal.routing.types import RouteRequest
+from ebonydeal._internal.routing.placement.types import RouteRequest
 from ebonydeal._internal.utils.prefix import BLOCK_TOKENS
 
 _US = 1_000_000
--- a/src/ebonydeal/_internal/benchmarks/routing/policies.py
+++ b/src/ebonydeal/_internal/benchmarks/routing/policies.py
@@ -7,8 +7,8 @@
 from xxhash import xxh3_64_intdigest
 
 from ebonydeal._internal.models.endpoints import EndpointView
-from ebonydeal._internal.routing.router import Router
-from ebonydeal._internal.routing.types import RouteRequest
+from ebonydeal._internal.routing.placement.router import Router
+from ebonydeal._internal.routing.placement.types import RouteRequest
 from ebonydeal._internal.settings.routing import RoutingSettings
 
 Views = tuple[EndpointView, ...]
--- a/src/ebonydeal/_internal/benchmarks/routing/retry_run.py
+++ b/src/ebonydeal/_internal/benchmarks/routing/retry_run.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from ebonydeal._internal.errors import ErrorKind
-from ebonydeal._internal.routing.retries import Failure, Retry, RetryPolicy
+from ebonydeal._internal.routing.retries.retries import Failure, Retry, RetryPolicy
 from ebonydeal._internal.settings.routing import RetrySettings
 
 _START = 1_000_000.0
--- a/src/ebonydeal/_internal/directory/crash_guard.py
+++ b/src/ebonydeal/_internal/directory/crash_guard.py
@@ -10,8 +10,8 @@
 from ebonydeal._internal.models.requests import Request
 from ebonydeal._internal.observe.counters import Event, Metrics
 from ebonydeal._internal.observe.logs import get_logger
-from ebonydeal._internal.routing.crash_evidence import CrashEvidence, Standing
-from ebonydeal._internal.routing.crash_messages import SeenCrash
+from ebonydeal._internal.routing.crashes.crash_evidence import CrashEvidence, Standing
+from ebonydeal._internal.routing.crashes.crash_messages import SeenCrash
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.reachability import refuses_connections
 from ebonydeal._internal.utils.request_digest import RequestDigest
--- a/src/ebonydeal/_internal/gateway/budget.py
+++ b/src/ebonydeal/_internal/gateway/budget.py
@@ -2,7 +2,12 @@
 
 from ebonydeal._internal.errors import EbonydealError
 from ebonydeal._internal.gateway.ports import TryFailure
-from ebonydeal._internal.routing.retries import Failure, GiveUp, Retry, RetryPolicy
+from ebonydeal._internal.routing.retries.retries import (
+    Failure,
+    GiveUp,
+    Retry,
+    RetryPolicy,
+)
 
 
 class RetryBudget:
--- a/src/ebonydeal/_internal/gateway/desk.py
+++ b/src/ebonydeal/_internal/gateway/desk.py
@@ -12,14 +12,14 @@
 from ebonydeal._internal.models.requests import Request
 from ebonydeal._internal.observe.counters import Metrics, Timing
 from ebonydeal._internal.observe.trail import Step, Trails
-from ebonydeal._internal.routing.admission import (
+from ebonydeal._internal.routing.admission.admission import (
     Admission,
     AdmissionRequest,
     Admit,
     Refuse,
     Wait,
 )
-from ebonydeal._internal.routing.limits import AccountLimits
+from ebonydeal._internal.routing.limits.limits import AccountLimits
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.ids import new_token
 
--- a/src/ebonydeal/_internal/gateway/moves.py
+++ b/src/ebonydeal/_internal/gateway/moves.py
@@ -6,7 +6,7 @@
 from ebonydeal._internal.gateway.attempts import Attempt
 from ebonydeal._internal.gateway.live import LiveStream
 from ebonydeal._internal.models.endpoints import EndpointView
-from ebonydeal._internal.routing.reclaim import RunningStream, Target
+from ebonydeal._internal.routing.reclaim.reclaim import RunningStream, Target
 from ebonydeal._internal.settings.gateway import GatewaySettings
 
 _MB_PER_GB = 1024.0
--- a/src/ebonydeal/_internal/gateway/reclaim.py
+++ b/src/ebonydeal/_internal/gateway/reclaim.py
@@ -25,7 +25,7 @@
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.observe.trail import Step, Trails
 from ebonydeal._internal.outside.interfaces import Engine
-from ebonydeal._internal.routing.reclaim import (
+from ebonydeal._internal.routing.reclaim.reclaim import (
     ExportFault,
     ExportTo,
     Finish,
--- a/src/ebonydeal/_internal/gateway/routes.py
+++ b/src/ebonydeal/_internal/gateway/routes.py
@@ -8,8 +8,8 @@
 from ebonydeal._internal.gateway.ports import DirectoryPort, Route, RouteAsk
 from ebonydeal._internal.models.endpoints import EndpointView
 from ebonydeal._internal.models.places import Place
-from ebonydeal._internal.routing.router import Router
-from ebonydeal._internal.routing.types import Choice, RouteRequest, Scored
+from ebonydeal._internal.routing.placement.router import Router
+from ebonydeal._internal.routing.placement.types import Choice, RouteRequest, Scored
 
 
 class RouterRoutes:
--- a/src/ebonydeal/_internal/gateway/watchset.py
+++ b/src/ebonydeal/_internal/gateway/watchset.py
@@ -7,7 +7,7 @@
 from mode import Service
 
 from ebonydeal._internal.models.endpoints import EndpointView
-from ebonydeal._internal.routing.subset import Member, choose_subset
+from ebonydeal._internal.routing.placement.subset import Member, choose_subset
 from ebonydeal._internal.settings.routing import RoutingSettings
 from ebonydeal._internal.utils.clock import Clock
 
--- a/src/ebonydeal/_internal/gateway/wiring.py
+++ b/src/ebonydeal/_internal/gateway/wiring.py
@@ -27,11 +27,11 @@
 from ebonydeal._internal.peers.demand import DemandTopic
 from ebonydeal._internal.peers.journal_client import JournalClient
 from ebonydeal._internal.peers.service import PeerService
-from ebonydeal._internal.routing.admission import Admission
-from ebonydeal._internal.routing.limits import AccountLimits
-from ebonydeal._internal.routing.retries import RetryPolicy
-from ebonydeal._internal.routing.router import Router
-from ebonydeal._internal.routing.subset import Member
+from ebonydeal._internal.routing.admission.admission import Admission
+from ebonydeal._internal.routing.limits.limits import AccountLimits
+from ebonydeal._internal.routing.placement.router import Router
+from ebonydeal._internal.routing.placement.subset import Member
+from ebonydeal._internal.routing.retries.retries import RetryPolicy
 from ebonydeal._internal.settings.config import ConfigSettings
 from ebonydeal._internal.settings.directory import DirectorySettings
 from ebonydeal._internal.settings.gateway import GatewaySettings
--- a/src/ebonydeal/_internal/journal/picker.py
+++ b/src/ebonydeal/_internal/journal/picker.py
@@ -14,8 +14,8 @@
 from ebonydeal._internal.models.endpoints import EndpointView
 from ebonydeal._internal.models.places import Place
 from ebonydeal._internal.models.requests import Request, RequestKind
-from ebonydeal._internal.routing.router import Router
-from ebonydeal._internal.routing.types import NEUTRAL, Choice, RouteRequest
+from ebonydeal._internal.routing.placement.router import Router
+from ebonydeal._internal.routing.placement.types import NEUTRAL, Choice, RouteRequest
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.prefix import prefix_blocks, prompt_text
 
--- a/src/ebonydeal/_internal/journal/program.py
+++ b/src/ebonydeal/_internal/journal/program.py
@@ -27,7 +27,7 @@
 from ebonydeal._internal.outside.services import HttpPlainServices
 from ebonydeal._internal.outside.tables import HttpTables
 from ebonydeal._internal.peers.service import PeerService
-from ebonydeal._internal.routing.router import Router
+from ebonydeal._internal.routing.placement.router import Router
 from ebonydeal._internal.settings.config import ConfigSettings
 from ebonydeal._internal.settings.directory import DirectorySettings
 from ebonydeal._internal.settings.journal import JournalSettings
--- a/src/ebonydeal/_internal/peers/demand.py
+++ b/src/ebonydeal/_internal/peers/demand.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from ebonydeal._internal.routing.demand import DemandReport
+from ebonydeal._internal.routing.limits.demand import DemandReport
 
 MAX_BYTES = 900
 _MAX_GATEWAYS = 1000
--- a/src/ebonydeal/_internal/relay/chooser.py
+++ b/src/ebonydeal/_internal/relay/chooser.py
@@ -5,8 +5,8 @@
 
 from ebonydeal._internal.models.forwarding import EngineShape, Member
 from ebonydeal._internal.relay.job import Job, SendParts
-from ebonydeal._internal.routing.crash_evidence import Standing
-from ebonydeal._internal.routing.member_choice import Ask
+from ebonydeal._internal.routing.crashes.crash_evidence import Standing
+from ebonydeal._internal.routing.placement.member_choice import Ask
 
 # Requests' lengths are guesses, right at the median: so much longer is allowed.
 _DURATION_SPREAD = 1.5
--- a/src/ebonydeal/_internal/relay/coordinator.py
+++ b/src/ebonydeal/_internal/relay/coordinator.py
@@ -28,14 +28,14 @@
 from ebonydeal._internal.relay.roster import Roster
 from ebonydeal._internal.relay.usage_store import UsageStore
 from ebonydeal._internal.relay.view import RelayView
-from ebonydeal._internal.routing.crash_messages import EvidenceMessage
-from ebonydeal._internal.routing.duty_lease import DutyLease
-from ebonydeal._internal.routing.quota_broker import (
+from ebonydeal._internal.routing.crashes.crash_messages import EvidenceMessage
+from ebonydeal._internal.routing.duties.duty_lease import DutyLease
+from ebonydeal._internal.routing.duties.usage_ledger import Due, UsageLedger
+from ebonydeal._internal.routing.limits.quota_broker import (
     QuotaBounds,
     QuotaBroker,
     QuotaTerms,
 )
-from ebonydeal._internal.routing.usage_ledger import Due, UsageLedger
 from ebonydeal._internal.settings.policy import PolicySettings
 from ebonydeal._internal.settings.relay import RelaySettings
 from ebonydeal._internal.utils.clock import Clock
--- a/src/ebonydeal/_internal/relay/exchange.py
+++ b/src/ebonydeal/_internal/relay/exchange.py
@@ -20,8 +20,8 @@
     HolderMessage,
 )
 from ebonydeal._internal.relay.shares import FIRST_RELAYS
-from ebonydeal._internal.routing.duty_lease import DutyLease, LeaseRow
-from ebonydeal._internal.routing.pace import JITTER_LEAST, JITTER_MOST, Pace
+from ebonydeal._internal.routing.duties.duty_lease import DutyLease, LeaseRow
+from ebonydeal._internal.routing.duties.pace import JITTER_LEAST, JITTER_MOST, Pace
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.peerclient import PeerClient
 
--- a/src/ebonydeal/_internal/relay/fleet.py
+++ b/src/ebonydeal/_internal/relay/fleet.py
@@ -11,14 +11,14 @@
 from ebonydeal._internal.relay.coordinator import Coordinator
 from ebonydeal._internal.relay.ports import Duties
 from ebonydeal._internal.relay.view import RelayView
-from ebonydeal._internal.routing.fleet_plan import (
+from ebonydeal._internal.routing.fleet.fleet_plan import (
     FleetPlan,
     FleetState,
     FleetTerms,
     ZoneFleet,
     plan_fleet,
 )
-from ebonydeal._internal.routing.load_forecast import LoadForecast
+from ebonydeal._internal.routing.fleet.load_forecast import LoadForecast
 from ebonydeal._internal.utils.clock import Clock
 
 logger = get_logger("relay.fleet")
--- a/src/ebonydeal/_internal/relay/intake.py
+++ b/src/ebonydeal/_internal/relay/intake.py
@@ -18,7 +18,7 @@
 from ebonydeal._internal.relay.plain import PlainForwarder
 from ebonydeal._internal.relay.quota import QuotaGate
 from ebonydeal._internal.relay.stream import StreamForwarder
-from ebonydeal._internal.routing.route_index import RouteIndex, pick_service
+from ebonydeal._internal.routing.placement.route_index import RouteIndex, pick_service
 from ebonydeal._internal.utils.request_digest import RequestDigest
 
 logger = get_logger("relay.intake")
--- a/src/ebonydeal/_internal/relay/job.py
+++ b/src/ebonydeal/_internal/relay/job.py
@@ -18,11 +18,11 @@
 from ebonydeal._internal.relay.suspects import Suspects
 from ebonydeal._internal.relay.usage import UsageMeter
 from ebonydeal._internal.relay.view import RelayView
-from ebonydeal._internal.routing.early_refusal import EarlyRefusal
-from ebonydeal._internal.routing.failure_shares import FailureShares
-from ebonydeal._internal.routing.member_choice import MemberChoice
-from ebonydeal._internal.routing.outliers import Outliers
-from ebonydeal._internal.routing.retries import RetryPolicy
+from ebonydeal._internal.routing.admission.early_refusal import EarlyRefusal
+from ebonydeal._internal.routing.placement.failure_shares import FailureShares
+from ebonydeal._internal.routing.placement.member_choice import MemberChoice
+from ebonydeal._internal.routing.placement.outliers import Outliers
+from ebonydeal._internal.routing.retries.retries import RetryPolicy
 from ebonydeal._internal.settings.policy import PolicySettings
 from ebonydeal._internal.utils.clock import Clock
 
--- a/src/ebonydeal/_internal/relay/lease_keeper.py
+++ b/src/ebonydeal/_internal/relay/lease_keeper.py
@@ -12,7 +12,7 @@
 from ebonydeal._internal.relay.crash_store import CrashStore
 from ebonydeal._internal.relay.ports import SharedStore
 from ebonydeal._internal.relay.usage_store import UsageStore
-from ebonydeal._internal.routing.duty_lease import (
+from ebonydeal._internal.routing.duties.duty_lease import (
     DutyLease,
     LeaseRow,
     Look,
--- a/src/ebonydeal/_internal/relay/messages.py
+++ b/src/ebonydeal/_internal/relay/messages.py
@@ -2,7 +2,7 @@
 
 from typing import TypedDict
 
-from ebonydeal._internal.routing.crash_messages import EvidenceMessage
+from ebonydeal._internal.routing.crashes.crash_messages import EvidenceMessage
 
 # Paths of the calls.
 EXCHANGE = "/relay/v1/exchange"
--- a/src/ebonydeal/_internal/relay/moves.py
+++ b/src/ebonydeal/_internal/relay/moves.py
@@ -18,15 +18,15 @@
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.ports import Engines
 from ebonydeal._internal.relay.view import RelayView
-from ebonydeal._internal.routing.member_choice import Ask, MemberChoice
-from ebonydeal._internal.routing.outliers import Outliers
-from ebonydeal._internal.routing.reclaim_streams import (
+from ebonydeal._internal.routing.placement.member_choice import Ask, MemberChoice
+from ebonydeal._internal.routing.placement.outliers import Outliers
+from ebonydeal._internal.routing.reclaim.reclaim_streams import (
     ReclaimLimits,
     RunningStream,
     outlasts,
     seconds_to_finish,
 )
-from ebonydeal._internal.routing.retries import RetryPolicy
+from ebonydeal._internal.routing.retries.retries import RetryPolicy
 from ebonydeal._internal.utils.clock import Clock
 
 logger = get_logger("relay.moves")
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -46,20 +46,26 @@
 from ebonydeal._internal.relay.view import RelayView
 from ebonydeal._internal.relay.view_sync import ViewSync
 from ebonydeal._internal.relay.word import RelayWord, WordParts
-from ebonydeal._internal.routing.crash_evidence import CrashEvidence, EvidenceTerms
-from ebonydeal._internal.routing.duty_lease import DutyLease
-from ebonydeal._internal.routing.early_refusal import EarlyRefusal
-from ebonydeal._internal.routing.failure_shares import FailureShares
-from ebonydeal._internal.routing.fleet_plan import FleetTerms
-from ebonydeal._internal.routing.member_choice import ChoiceTerms, MemberChoice
-from ebonydeal._internal.routing.outliers import Outliers
-from ebonydeal._internal.routing.quota_broker import (
+from ebonydeal._internal.routing.admission.early_refusal import EarlyRefusal
+from ebonydeal._internal.routing.crashes.crash_evidence import (
+    CrashEvidence,
+    EvidenceTerms,
+)
+from ebonydeal._internal.routing.duties.duty_lease import DutyLease
+from ebonydeal._internal.routing.duties.usage_ledger import UsageLedger
+from ebonydeal._internal.routing.fleet.fleet_plan import FleetTerms
+from ebonydeal._internal.routing.limits.quota_broker import (
     LocalQuota,
     QuotaBounds,
     QuotaTerms,
 )
-from ebonydeal._internal.routing.retries import RetryPolicy
-from ebonydeal._internal.routing.usage_ledger import UsageLedger
+from ebonydeal._internal.routing.placement.failure_shares import FailureShares
+from ebonydeal._internal.routing.placement.member_choice import (
+    ChoiceTerms,
+    MemberChoice,
+)
+from ebonydeal._internal.routing.placement.outliers import Outliers
+from ebonydeal._internal.routing.retries.retries import RetryPolicy
 from ebonydeal._internal.settings.policy import PolicySettings
 from ebonydeal._internal.settings.relay import RelaySettings
 from ebonydeal._internal.utils.clock import Clock
--- a/src/ebonydeal/_internal/relay/quota.py
+++ b/src/ebonydeal/_internal/relay/quota.py
@@ -5,8 +5,8 @@
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.forwarding import ForwardAccount
 from ebonydeal._internal.observe.logs import get_logger
-from ebonydeal._internal.routing.demand import RateMeter
-from ebonydeal._internal.routing.quota_broker import LocalQuota
+from ebonydeal._internal.routing.limits.demand import RateMeter
+from ebonydeal._internal.routing.limits.quota_broker import LocalQuota
 from ebonydeal._internal.utils.clock import Clock
 
 logger = get_logger("relay.quota")
--- a/src/ebonydeal/_internal/relay/roster.py
+++ b/src/ebonydeal/_internal/relay/roster.py
@@ -12,7 +12,7 @@
 from xxhash import xxh3_64_hexdigest
 
 from ebonydeal._internal.relay.messages import ExchangeMessage
-from ebonydeal._internal.routing.pace import Pace
+from ebonydeal._internal.routing.duties.pace import Pace
 from ebonydeal._internal.utils.clock import Clock
 
 # How long a silent one may be cut off and still serving, unless it comes back.
--- a/src/ebonydeal/_internal/relay/sends.py
+++ b/src/ebonydeal/_internal/relay/sends.py
@@ -23,8 +23,8 @@
     ProvedNotRun,
     RunProof,
 )
-from ebonydeal._internal.routing.endpoint_load import Sent
-from ebonydeal._internal.routing.retries import Failure, GiveUp
+from ebonydeal._internal.routing.placement.endpoint_load import Sent
+from ebonydeal._internal.routing.retries.retries import Failure, GiveUp
 
 logger = get_logger("relay.job")
 
--- a/src/ebonydeal/_internal/relay/suspects.py
+++ b/src/ebonydeal/_internal/relay/suspects.py
@@ -21,9 +21,12 @@
 from ebonydeal._internal.relay.crash_check import Crashed
 from ebonydeal._internal.relay.messages import CrashesMessage, ExchangeMessage
 from ebonydeal._internal.relay.outcomes import MayHaveRun
-from ebonydeal._internal.routing.crash_blame import CrashKey
-from ebonydeal._internal.routing.crash_evidence import CrashEvidence, Standing
-from ebonydeal._internal.routing.crash_messages import EvidenceMessage, SeenCrash
+from ebonydeal._internal.routing.crashes.crash_blame import CrashKey
+from ebonydeal._internal.routing.crashes.crash_evidence import CrashEvidence, Standing
+from ebonydeal._internal.routing.crashes.crash_messages import (
+    EvidenceMessage,
+    SeenCrash,
+)
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.peerclient import PeerClient
 
--- a/src/ebonydeal/_internal/relay/usage_store.py
+++ b/src/ebonydeal/_internal/relay/usage_store.py
@@ -13,7 +13,7 @@
 from ebonydeal._internal.models.shared import NO_ROW, RowChange
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.ports import SharedStore
-from ebonydeal._internal.routing.usage_ledger import Due, UsageLedger
+from ebonydeal._internal.routing.duties.usage_ledger import Due, UsageLedger
 
 logger = get_logger("relay.usage")
 
--- a/src/ebonydeal/_internal/relay/view.py
+++ b/src/ebonydeal/_internal/relay/view.py
@@ -6,7 +6,7 @@
 
 from ebonydeal._internal.models.forwarding import Member, RouteTable
 from ebonydeal._internal.observe.logs import get_logger
-from ebonydeal._internal.routing.route_index import RouteIndex
+from ebonydeal._internal.routing.placement.route_index import RouteIndex
 
 logger = get_logger("relay.view")
 
--- a/src/ebonydeal/_internal/relay/view_sync.py
+++ b/src/ebonydeal/_internal/relay/view_sync.py
@@ -18,7 +18,7 @@
 from ebonydeal._internal.relay.ports import Wire
 from ebonydeal._internal.relay.suspects import Suspects
 from ebonydeal._internal.relay.view import RelayView
-from ebonydeal._internal.routing.duty_lease import LeaseRow
+from ebonydeal._internal.routing.duties.duty_lease import LeaseRow
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.peerclient import PeerClient
 
--- a/src/ebonydeal/_internal/relay/word.py
+++ b/src/ebonydeal/_internal/relay/word.py
@@ -9,9 +9,9 @@
 from ebonydeal._internal.relay.suspects import Suspects
 from ebonydeal._internal.relay.usage import UsageMeter
 from ebonydeal._internal.relay.view import RelayView
-from ebonydeal._internal.routing.endpoint_load import Told
-from ebonydeal._internal.routing.failure_shares import FailureShares
-from ebonydeal._internal.routing.member_choice import MemberChoice
+from ebonydeal._internal.routing.placement.endpoint_load import Told
+from ebonydeal._internal.routing.placement.failure_shares import FailureShares
+from ebonydeal._internal.routing.placement.member_choice import MemberChoice
 from ebonydeal._internal.utils.clock import Clock
 
 # Less work than this of a service isn't told, endpoints kept busy.
--- a/src/ebonydeal/_internal/routing/crash_evidence.py
+++ b/src/ebonydeal/_internal/routing/crashes/crash_evidence.py
@@ -16,13 +16,13 @@
 
 from xxhash import xxh3_64_hexdigest
 
-from ebonydeal._internal.routing.crash_blame import (
+from ebonydeal._internal.routing.crashes.crash_blame import (
     ALIBI_S,
     Crash,
     CrashKey,
     Inquiry,
 )
-from ebonydeal._internal.routing.crash_messages import (
+from ebonydeal._internal.routing.crashes.crash_messages import (
     CrashMessage,
     EvidenceMessage,
     SeenCrash,
--- a/src/ebonydeal/_internal/routing/load_forecast.py
+++ b/src/ebonydeal/_internal/routing/fleet/load_forecast.py
@@ -7,7 +7,7 @@
 some 30 were busy.
 """
 
-from ebonydeal._internal.routing.fleet_plan import FleetTerms
+from ebonydeal._internal.routing.fleet.fleet_plan import FleetTerms
 
 # Below this the service counts as idle, endpoints kept busy.
 _LEAST_LOAD = 0.05
--- a/src/ebonydeal/_internal/routing/limits.py
+++ b/src/ebonydeal/_internal/routing/limits/limits.py
@@ -12,7 +12,7 @@
 from typing import NamedTuple
 
 from ebonydeal._internal.models.document import Account
-from ebonydeal._internal.routing.demand import (
+from ebonydeal._internal.routing.limits.demand import (
     Demand,
     DemandReport,
     RateMeter,
--- a/src/ebonydeal/_internal/routing/failure_shares.py
+++ b/src/ebonydeal/_internal/routing/placement/failure_shares.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from ebonydeal._internal.errors import ErrorKind
-from ebonydeal._internal.routing.outliers import ENDPOINT_FAULTS
+from ebonydeal._internal.routing.placement.outliers import ENDPOINT_FAULTS
 
 # Answers count for about this long: faults come and go within seconds.
 _WINDOW_S = 2.0
--- a/src/ebonydeal/_internal/routing/home.py
+++ b/src/ebonydeal/_internal/routing/placement/home.py
@@ -10,7 +10,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence
 
-from ebonydeal._internal.routing.subset import rank
+from ebonydeal._internal.routing.placement.subset import rank
 
 _BRANCHES = 8
 _ROOT = ""
--- a/src/ebonydeal/_internal/routing/load.py
+++ b/src/ebonydeal/_internal/routing/placement/load.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from ebonydeal._internal.models.endpoints import EndpointView
-from ebonydeal._internal.routing.ledger import Rates, Sent
+from ebonydeal._internal.routing.placement.ledger import Rates, Sent
 
 _LEARN = 0.02
 _MOST_GATEWAYS = 100.0
--- a/src/ebonydeal/_internal/routing/member_choice.py
+++ b/src/ebonydeal/_internal/routing/placement/member_choice.py
@@ -17,9 +17,9 @@
 from xxhash import xxh3_64_intdigest
 
 from ebonydeal._internal.models.forwarding import Member, PromptPart
-from ebonydeal._internal.routing.demand import RateMeter
-from ebonydeal._internal.routing.endpoint_load import EndpointLoad, Sent, Told
-from ebonydeal._internal.routing.engine_speed import EngineSpeed
+from ebonydeal._internal.routing.limits.demand import RateMeter
+from ebonydeal._internal.routing.placement.endpoint_load import EndpointLoad, Sent, Told
+from ebonydeal._internal.routing.placement.engine_speed import EngineSpeed
 from ebonydeal._internal.settings.policy import PolicySettings
 
 # A request beyond the batch waits for one that ends, about this long.
--- a/src/ebonydeal/_internal/routing/router.py
+++ b/src/ebonydeal/_internal/routing/placement/router.py
@@ -5,20 +5,25 @@
 
 from ebonydeal._internal.errors import ErrorKind
 from ebonydeal._internal.models.endpoints import EndpointState, EndpointView
-from ebonydeal._internal.routing.candidates import narrow, probes
-from ebonydeal._internal.routing.concurrency import ConcurrencyLimit
-from ebonydeal._internal.routing.home import Branches, home_of
-from ebonydeal._internal.routing.ledger import Attempt, Rates, Sent
-from ebonydeal._internal.routing.load import (
+from ebonydeal._internal.routing.placement.candidates import narrow, probes
+from ebonydeal._internal.routing.placement.concurrency import ConcurrencyLimit
+from ebonydeal._internal.routing.placement.home import Branches, home_of
+from ebonydeal._internal.routing.placement.ledger import Attempt, Rates, Sent
+from ebonydeal._internal.routing.placement.load import (
     Crowd,
     expected_load,
     load_spread,
     make_crowd,
 )
-from ebonydeal._internal.routing.outliers import Outliers
-from ebonydeal._internal.routing.prefix_view import CacheView
-from ebonydeal._internal.routing.score import Estimate, delay_price, delay_s, score
-from ebonydeal._internal.routing.types import Choice, RouteRequest, Scored
+from ebonydeal._internal.routing.placement.outliers import Outliers
+from ebonydeal._internal.routing.placement.prefix_view import CacheView
+from ebonydeal._internal.routing.placement.score import (
+    Estimate,
+    delay_price,
+    delay_s,
+    score,
+)
+from ebonydeal._internal.routing.placement.types import Choice, RouteRequest, Scored
 from ebonydeal._internal.settings.routing import RoutingSettings
 from ebonydeal._internal.utils.prefix import BLOCK_TOKENS
 
--- a/src/ebonydeal/_internal/routing/score.py
+++ b/src/ebonydeal/_internal/routing/placement/score.py
@@ -11,7 +11,7 @@
 
 from ebonydeal._internal.models.endpoints import EndpointView
 from ebonydeal._internal.models.places import Distance, distance
-from ebonydeal._internal.routing.types import RouteRequest, Scored, Terms
+from ebonydeal._internal.routing.placement.types import RouteRequest, Scored, Terms
 
 _HOUR = 3600.0
 _ROUND_TRIP_S = {
--- a/src/ebonydeal/_internal/routing/reclaim.py
+++ b/src/ebonydeal/_internal/routing/reclaim/reclaim.py
@@ -9,7 +9,7 @@
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
-from ebonydeal._internal.routing.reclaim_streams import (
+from ebonydeal._internal.routing.reclaim.reclaim_streams import (
     ExportFault,
     ExportTo,
     Finish,
@@ -21,7 +21,7 @@
     seconds_to_finish,
     transfer_seconds,
 )
-from ebonydeal._internal.routing.reclaim_targets import Target, TargetPool
+from ebonydeal._internal.routing.reclaim.reclaim_targets import Target, TargetPool
 
 __all__ = [
     "ExportFault",
--- a/tests/functional/gateway/test_amplification.py
+++ b/tests/functional/gateway/test_amplification.py
@@ -7,7 +7,7 @@
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.gateway.budget import RetryBudget
 from ebonydeal._internal.models.endpoints import LoadReport
-from ebonydeal._internal.routing.retries import RetryPolicy
+from ebonydeal._internal.routing.retries.retries import RetryPolicy
 from ebonydeal._internal.settings.routing import RetrySettings
 from tests.functional.gateway.test_generation import BODY, client
 from tests.lib.gateway_fakes import Bench, FakeEngine
--- a/tests/functional/gateway/test_reclaim.py
+++ b/tests/functional/gateway/test_reclaim.py
@@ -4,7 +4,7 @@
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.gateway import reclaim
-from ebonydeal._internal.routing.reclaim import ExportTo, Finish, Recompute
+from ebonydeal._internal.routing.reclaim.reclaim import ExportTo, Finish, Recompute
 from tests.functional.gateway.test_generation import BODY, client, until
 from tests.lib.gateway_fakes import Bench, FakeEngine
 
--- a/tests/lib/matrix_processes.py
+++ b/tests/lib/matrix_processes.py
@@ -16,7 +16,7 @@
 from ebonydeal._internal.models.requests import Request
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.peers.journal_client import PATH
-from ebonydeal._internal.routing.router import Router
+from ebonydeal._internal.routing.placement.router import Router
 from ebonydeal._internal.settings.journal import JournalSettings
 from ebonydeal._internal.settings.routing import RoutingSettings
 from tests.lib.clock import ManualClock
--- a/tests/unit/gateway/test_desk.py
+++ b/tests/unit/gateway/test_desk.py
@@ -8,7 +8,7 @@
 from ebonydeal._internal.models.requests import Priority
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.observe.trail import Trails
-from ebonydeal._internal.routing.admission import Admission
+from ebonydeal._internal.routing.admission.admission import Admission
 from ebonydeal._internal.settings.routing import AdmissionSettings
 from tests.lib.clock import ManualClock, settle
 from tests.lib.gateway_fakes import POOL, FakeConfig, deployment
--- a/tests/unit/journal/test_picker.py
+++ b/tests/unit/journal/test_picker.py
@@ -6,8 +6,8 @@
 from ebonydeal._internal.models.document import EMPTY_DOCUMENT, Weights
 from ebonydeal._internal.models.endpoints import LoadReport
 from ebonydeal._internal.models.places import Place
-from ebonydeal._internal.routing.router import Router
-from ebonydeal._internal.routing.types import NEUTRAL
+from ebonydeal._internal.routing.placement.router import Router
+from ebonydeal._internal.routing.placement.types import NEUTRAL
 from ebonydeal._internal.settings.routing import RoutingSettings
 from tests.lib.clock import ManualClock
 from tests.lib.endpoints import make_view
--- a/tests/unit/peers/test_demand.py
+++ b/tests/unit/peers/test_demand.py
@@ -1,7 +1,7 @@
 import json
 
 from ebonydeal._internal.peers.demand import MAX_BYTES, DemandTopic
-from ebonydeal._internal.routing.demand import Demand, DemandReport
+from ebonydeal._internal.routing.limits.demand import Demand, DemandReport
 
 
 def report(gateway: str, seq: int = 1, rate: float = 1.0) -> DemandReport:
--- a/tests/unit/reclaim/test_reclaim.py
+++ b/tests/unit/reclaim/test_reclaim.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from ebonydeal._internal.models.places import Place
-from ebonydeal._internal.routing.reclaim import (
+from ebonydeal._internal.routing.reclaim.reclaim import (
     ExportFault,
     ExportTo,
     Finish,
--- a/tests/unit/relay/test_coordinator.py
+++ b/tests/unit/relay/test_coordinator.py
@@ -8,9 +8,9 @@
 from ebonydeal._internal.relay.coordinator import Coordinator, CoordinatorParts
 from ebonydeal._internal.relay.exchange import Exchange, ExchangeParts
 from ebonydeal._internal.relay.view import RelayView
-from ebonydeal._internal.routing.duty_lease import DutyLease, LeaseRow
-from ebonydeal._internal.routing.quota_broker import QuotaBounds
-from ebonydeal._internal.routing.usage_ledger import UsageLedger
+from ebonydeal._internal.routing.duties.duty_lease import DutyLease, LeaseRow
+from ebonydeal._internal.routing.duties.usage_ledger import UsageLedger
+from ebonydeal._internal.routing.limits.quota_broker import QuotaBounds
 from tests.lib.clock import ManualClock
 from tests.lib.relay_fakes import word
 
--- a/tests/unit/relay/test_first_wait.py
+++ b/tests/unit/relay/test_first_wait.py
@@ -8,7 +8,7 @@
 from ebonydeal._internal.models.forwarding import Repeat
 from ebonydeal._internal.relay.first_wait import FirstWait
 from ebonydeal._internal.relay.job import SendTerms
-from ebonydeal._internal.routing.member_choice import MemberChoice
+from ebonydeal._internal.routing.placement.member_choice import MemberChoice
 from tests.lib.clock import ManualClock
 from tests.unit.relay.test_job_sends import MEMBERS, job
 
--- a/tests/unit/relay/test_fleet.py
+++ b/tests/unit/relay/test_fleet.py
@@ -13,7 +13,7 @@
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.relay.fleet import Fleet
 from ebonydeal._internal.relay.view import RelayView
-from ebonydeal._internal.routing.fleet_plan import FleetTerms
+from ebonydeal._internal.routing.fleet.fleet_plan import FleetTerms
 from tests.lib.clock import ManualClock
 from tests.lib.relay_fakes import MemoryDuties
 
--- a/tests/unit/relay/test_job_sends.py
+++ b/tests/unit/relay/test_job_sends.py
@@ -22,11 +22,11 @@
 from ebonydeal._internal.relay.outcomes import Answered, MayHaveRun
 from ebonydeal._internal.relay.sends import JobSends
 from ebonydeal._internal.relay.view import RelayView
-from ebonydeal._internal.routing.crash_evidence import Standing
-from ebonydeal._internal.routing.failure_shares import FailureShares
-from ebonydeal._internal.routing.member_choice import MemberChoice
-from ebonydeal._internal.routing.outliers import Outliers
-from ebonydeal._internal.routing.retries import RetryPolicy
+from ebonydeal._internal.routing.crashes.crash_evidence import Standing
+from ebonydeal._internal.routing.placement.failure_shares import FailureShares
+from ebonydeal._internal.routing.placement.member_choice import MemberChoice
+from ebonydeal._internal.routing.placement.outliers import Outliers
+from ebonydeal._internal.routing.retries.retries import RetryPolicy
 from ebonydeal._internal.settings.routing import RetrySettings, RoutingSettings
 from tests.lib.clock import ManualClock
 from tests.unit.relay.test_outcomes import PROMISES, outcomes
--- a/tests/unit/relay/test_moves.py
+++ b/tests/unit/relay/test_moves.py
@@ -4,9 +4,9 @@
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.relay.moves import LiveRun, MovesParts, StreamMoves
 from ebonydeal._internal.relay.view import RelayView
-from ebonydeal._internal.routing.member_choice import MemberChoice
-from ebonydeal._internal.routing.outliers import Outliers
-from ebonydeal._internal.routing.retries import RetryPolicy
+from ebonydeal._internal.routing.placement.member_choice import MemberChoice
+from ebonydeal._internal.routing.placement.outliers import Outliers
+from ebonydeal._internal.routing.retries.retries import RetryPolicy
 from ebonydeal._internal.settings.routing import RetrySettings, RoutingSettings
 from tests.lib.clock import ManualClock
 from tests.lib.relay_fakes import MemoryEngines
--- a/tests/unit/relay/test_suspects.py
+++ b/tests/unit/relay/test_suspects.py
@@ -14,7 +14,7 @@
 from ebonydeal._internal.relay.outcomes import MayHaveRun
 from ebonydeal._internal.relay.sends import JobSends
 from ebonydeal._internal.relay.suspects import SuspectParts, Suspects
-from ebonydeal._internal.routing.crash_evidence import CrashEvidence
+from ebonydeal._internal.routing.crashes.crash_evidence import CrashEvidence
 from tests.lib.clock import ManualClock
 from tests.unit.relay.test_job_sends import MEMBERS, MOVED, job, parts
 
--- a/tests/unit/relay/test_suspension.py
+++ b/tests/unit/relay/test_suspension.py
@@ -13,8 +13,8 @@
 from ebonydeal._internal.relay.exchange import Exchange, ExchangeParts
 from ebonydeal._internal.relay.lease_keeper import LeaseKeeper
 from ebonydeal._internal.relay.sends import JobSends
-from ebonydeal._internal.routing.duty_lease import DutyLease, LeaseRow, Write
-from ebonydeal._internal.routing.quota_broker import LocalQuota
+from ebonydeal._internal.routing.duties.duty_lease import DutyLease, LeaseRow, Write
+from ebonydeal._internal.routing.limits.quota_broker import LocalQuota
 from tests.lib.clock import ManualClock
 from tests.lib.relay_fakes import MemoryStore
 from tests.unit.relay.test_job_sends import job, parts
--- a/tests/unit/routing/test_admission.py
+++ b/tests/unit/routing/admission/test_admission.py
@@ -4,7 +4,7 @@
 
 from ebonydeal._internal.errors import ErrorKind
 from ebonydeal._internal.models.requests import Priority
-from ebonydeal._internal.routing.admission import (
+from ebonydeal._internal.routing.admission.admission import (
     Admission,
     AdmissionRequest,
     Admit,
--- a/tests/unit/routing/test_admission_machine.py
+++ b/tests/unit/routing/admission/test_admission_machine.py
@@ -6,14 +6,14 @@
 
 from ebonydeal._internal.errors import ANSWERS, Outcome
 from ebonydeal._internal.models.requests import Priority
-from ebonydeal._internal.routing.admission import (
+from ebonydeal._internal.routing.admission.admission import (
     Admission,
     AdmissionRequest,
     Admit,
     Refuse,
     Wait,
 )
-from ebonydeal._internal.routing.queues import FairQueue
+from ebonydeal._internal.routing.admission.queues import FairQueue
 from ebonydeal._internal.settings.routing import AdmissionSettings
 from tests.unit.routing.helpers import NOW, make_account
 
--- a/tests/unit/routing/test_crash_evidence.py
+++ b/tests/unit/routing/crashes/test_crash_evidence.py
@@ -7,12 +7,12 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from ebonydeal._internal.routing.crash_evidence import (
+from ebonydeal._internal.routing.crashes.crash_evidence import (
     CrashEvidence,
     EvidenceTerms,
     Standing,
 )
-from ebonydeal._internal.routing.crash_messages import SeenCrash
+from ebonydeal._internal.routing.crashes.crash_messages import SeenCrash
 
 FATAL, OTHER, THIRD = "fatal", "other", "third"
 
--- a/tests/unit/routing/test_duty_lease.py
+++ b/tests/unit/routing/duties/test_duty_lease.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from ebonydeal._internal.routing.duty_lease import (
+from ebonydeal._internal.routing.duties.duty_lease import (
     DutyLease,
     LeaseRow,
     Look,
--- a/tests/unit/routing/test_pace.py
+++ b/tests/unit/routing/duties/test_pace.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ebonydeal._internal.routing.pace import Pace
+from ebonydeal._internal.routing.duties.pace import Pace
 
 LEAST_S = 0.5
 SIZES = (1, 9, 30, 87, 195, 350, 1000)
--- a/tests/unit/routing/test_usage_ledger.py
+++ b/tests/unit/routing/duties/test_usage_ledger.py
@@ -1,4 +1,4 @@
-from ebonydeal._internal.routing.usage_ledger import Due, UsageLedger
+from ebonydeal._internal.routing.duties.usage_ledger import Due, UsageLedger
 
 ACCOUNTS = ["a", "b"]
 
--- a/tests/unit/routing/test_fleet_plan.py
+++ b/tests/unit/routing/fleet/test_fleet_plan.py
@@ -2,7 +2,7 @@
 from hypothesis import strategies as st
 
 from ebonydeal._internal.models.forwarding import Scaling
-from ebonydeal._internal.routing.fleet_plan import (
+from ebonydeal._internal.routing.fleet.fleet_plan import (
     FleetState,
     FleetTerms,
     ZoneFleet,
--- a/tests/unit/routing/test_load_forecast.py
+++ b/tests/unit/routing/fleet/test_load_forecast.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from ebonydeal._internal.routing.fleet_plan import FleetTerms
-from ebonydeal._internal.routing.load_forecast import LoadForecast
+from ebonydeal._internal.routing.fleet.fleet_plan import FleetTerms
+from ebonydeal._internal.routing.fleet.load_forecast import LoadForecast
 
 TERMS = FleetTerms(wave_growth=1.6, peak=6.0)
 STEP_S = 0.2
--- a/tests/unit/routing/helpers.py
+++ b/tests/unit/routing/helpers.py
@@ -9,7 +9,7 @@
 )
 from ebonydeal._internal.models.places import Place
 from ebonydeal._internal.models.requests import Priority
-from ebonydeal._internal.routing.types import RouteRequest
+from ebonydeal._internal.routing.placement.types import RouteRequest
 
 NOW = 1_000.0
 HERE = Place("palermo", "palermo-1")
--- a/tests/unit/routing/test_limits.py
+++ b/tests/unit/routing/limits/test_limits.py
@@ -3,14 +3,14 @@
 from hypothesis import strategies as st
 
 from ebonydeal._internal.benchmarks.routing.limits_run import LimitRun, Story
-from ebonydeal._internal.routing.demand import (
+from ebonydeal._internal.routing.limits.demand import (
     Demand,
     DemandReport,
     RateMeter,
     fair_share,
     whole_shares,
 )
-from ebonydeal._internal.routing.limits import AccountLimits
+from ebonydeal._internal.routing.limits.limits import AccountLimits
 from ebonydeal._internal.settings.routing import AdmissionSettings
 from tests.unit.routing.helpers import NOW, make_account
 
--- a/tests/unit/routing/test_quota_broker.py
+++ b/tests/unit/routing/limits/test_quota_broker.py
@@ -1,7 +1,7 @@
 import random
 
 from ebonydeal._internal.models.forwarding import ForwardAccount
-from ebonydeal._internal.routing.quota_broker import (
+from ebonydeal._internal.routing.limits.quota_broker import (
     LocalQuota,
     QuotaBounds,
     QuotaBroker,
--- a/tests/unit/routing/test_concurrency.py
+++ b/tests/unit/routing/placement/test_concurrency.py
@@ -4,8 +4,8 @@
 from hypothesis import strategies as st
 
 from ebonydeal._internal.errors import ErrorKind
-from ebonydeal._internal.routing.concurrency import ConcurrencyLimit
-from ebonydeal._internal.routing.router import Router
+from ebonydeal._internal.routing.placement.concurrency import ConcurrencyLimit
+from ebonydeal._internal.routing.placement.router import Router
 from ebonydeal._internal.settings.routing import RoutingSettings
 from tests.unit.routing.helpers import NOW, make_ask, make_view
 
--- a/tests/unit/routing/test_engine_speed.py
+++ b/tests/unit/routing/placement/test_engine_speed.py
@@ -1,6 +1,6 @@
 import random
 
-from ebonydeal._internal.routing.engine_speed import EngineSpeed
+from ebonydeal._internal.routing.placement.engine_speed import EngineSpeed
 
 
 def taught(long_prompts=True, waits=0.0, seed=1):
--- a/tests/unit/routing/test_home.py
+++ b/tests/unit/routing/placement/test_home.py
@@ -1,8 +1,8 @@
 from collections import Counter
 from random import Random
 
-from ebonydeal._internal.routing.home import Branches, home_of
-from ebonydeal._internal.routing.router import Router
+from ebonydeal._internal.routing.placement.home import Branches, home_of
+from ebonydeal._internal.routing.placement.router import Router
 from ebonydeal._internal.settings.routing import RoutingSettings
 from tests.unit.routing.helpers import NOW, make_ask, make_load, make_view
 
--- a/tests/unit/routing/test_load.py
+++ b/tests/unit/routing/placement/test_load.py
@@ -1,14 +1,14 @@
 from math import exp, sqrt
 from random import Random
 
-from ebonydeal._internal.routing.ledger import Rates, Sent
-from ebonydeal._internal.routing.load import (
+from ebonydeal._internal.routing.placement.ledger import Rates, Sent
+from ebonydeal._internal.routing.placement.load import (
     Crowd,
     expected_load,
     load_spread,
     make_crowd,
 )
-from ebonydeal._internal.routing.router import Router
+from ebonydeal._internal.routing.placement.router import Router
 from ebonydeal._internal.settings.routing import RoutingSettings
 from tests.unit.routing.helpers import NOW, make_ask, make_load, make_view
 
--- a/tests/unit/routing/test_member_choice.py
+++ b/tests/unit/routing/placement/test_member_choice.py
@@ -1,6 +1,6 @@
 from ebonydeal._internal.models.forwarding import Member, PromptPart
-from ebonydeal._internal.routing.endpoint_load import Told
-from ebonydeal._internal.routing.member_choice import (
+from ebonydeal._internal.routing.placement.endpoint_load import Told
+from ebonydeal._internal.routing.placement.member_choice import (
     Ask,
     MemberChoice,
     home_of,
--- a/tests/unit/routing/test_outliers.py
+++ b/tests/unit/routing/placement/test_outliers.py
@@ -5,8 +5,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from ebonydeal._internal.errors import ErrorKind
-from ebonydeal._internal.routing.outliers import Outliers
-from ebonydeal._internal.routing.router import Router
+from ebonydeal._internal.routing.placement.outliers import Outliers
+from ebonydeal._internal.routing.placement.router import Router
 from ebonydeal._internal.settings.routing import RoutingSettings
 from tests.unit.routing.helpers import NOW, make_ask, make_view
 
--- a/tests/unit/routing/test_prefix_view.py
+++ b/tests/unit/routing/placement/test_prefix_view.py
@@ -3,8 +3,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ebonydeal._internal.routing.prefix_view import CacheView
-from ebonydeal._internal.routing.router import Router
+from ebonydeal._internal.routing.placement.prefix_view import CacheView
+from ebonydeal._internal.routing.placement.router import Router
 from ebonydeal._internal.settings.routing import RoutingSettings
 from tests.unit.routing.helpers import NOW
 
--- a/tests/unit/routing/test_route_index.py
+++ b/tests/unit/routing/placement/test_route_index.py
@@ -8,7 +8,7 @@
     RouteTable,
     Target,
 )
-from ebonydeal._internal.routing.route_index import (
+from ebonydeal._internal.routing.placement.route_index import (
     RouteIndex,
     bare_host,
     pick_service,
--- a/tests/unit/routing/test_router.py
+++ b/tests/unit/routing/placement/test_router.py
@@ -4,7 +4,7 @@
 from ebonydeal._internal.errors import ErrorKind
 from ebonydeal._internal.models.endpoints import EndpointState
 from ebonydeal._internal.models.places import Place
-from ebonydeal._internal.routing.router import Router
+from ebonydeal._internal.routing.placement.router import Router
 from ebonydeal._internal.settings.routing import RoutingSettings
 from tests.unit.routing.helpers import NOW, make_ask, make_load, make_view
 
--- a/tests/unit/routing/test_score.py
+++ b/tests/unit/routing/placement/test_score.py
@@ -1,6 +1,6 @@
 from math import pi, sqrt
 
-from ebonydeal._internal.routing.score import (
+from ebonydeal._internal.routing.placement.score import (
     DelayPrice,
     Estimate,
     delay_price,
--- a/tests/unit/routing/test_subset.py
+++ b/tests/unit/routing/placement/test_subset.py
@@ -2,7 +2,7 @@
 from hypothesis import strategies as st
 
 from ebonydeal._internal.models.places import Place
-from ebonydeal._internal.routing.subset import Member, choose_subset
+from ebonydeal._internal.routing.placement.subset import Member, choose_subset
 
 ZONES = [Place("wales", f"wales-{n}") for n in (1, 2, 3)] + [Place("north", "north-1")]
 place = st.sampled_from(ZONES)
--- a/tests/unit/routing/test_retries.py
+++ b/tests/unit/routing/retries/test_retries.py
@@ -5,7 +5,12 @@
 from hypothesis import strategies as st
 
 from ebonydeal._internal.errors import ErrorKind
-from ebonydeal._internal.routing.retries import Failure, GiveUp, Retry, RetryPolicy
+from ebonydeal._internal.routing.retries.retries import (
+    Failure,
+    GiveUp,
+    Retry,
+    RetryPolicy,
+)
 from ebonydeal._internal.settings.routing import RetrySettings
 from tests.unit.routing.helpers import NOW
 
