Folders of relay by flow: requests, view, peers, duties, crashes

37 files lay flat beside program.py. They and their tests are moved, the import lines and pages follow; peers.py, the listener for other relays, is handler.py now. ports, shares and listener stay beside program.py, as all folders use them.

--- a/src/ebonydeal/_internal/relay/crash_check.py
+++ b/src/ebonydeal/_internal/relay/crashes/crash_check.py
@@ -15,7 +15,7 @@
 
 from ebonydeal._internal.models.forwarding import Member
 from ebonydeal._internal.observe.logs import get_logger
-from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.reachability import refuses_connections
 
--- a/src/ebonydeal/_internal/relay/crash_store.py
+++ b/src/ebonydeal/_internal/relay/crashes/crash_store.py
@@ -11,8 +11,8 @@
 
 from ebonydeal._internal.models.shared import RowChange
 from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.relay.crashes.suspects import Suspects
 from ebonydeal._internal.relay.ports import SharedStore
-from ebonydeal._internal.relay.suspects import Suspects
 from ebonydeal._internal.utils.clock import Clock
 
 logger = get_logger("relay.suspects")
--- a/src/ebonydeal/_internal/relay/suspects.py
+++ b/src/ebonydeal/_internal/relay/crashes/suspects.py
@@ -17,10 +17,10 @@
 from ebonydeal._internal.models.forwarding import Member
 from ebonydeal._internal.observe.counters import Event, Metrics
 from ebonydeal._internal.observe.logs import get_logger
-from ebonydeal._internal.relay.call_budget import CallBudget
-from ebonydeal._internal.relay.crash_check import Crashed
-from ebonydeal._internal.relay.messages import CrashesMessage, ExchangeMessage
-from ebonydeal._internal.relay.outcomes import MayHaveRun
+from ebonydeal._internal.relay.crashes.crash_check import Crashed
+from ebonydeal._internal.relay.peers.call_budget import CallBudget
+from ebonydeal._internal.relay.peers.messages import CrashesMessage, ExchangeMessage
+from ebonydeal._internal.relay.requests.outcomes import MayHaveRun
 from ebonydeal._internal.routing.crashes.crash_blame import CrashKey
 from ebonydeal._internal.routing.crashes.crash_evidence import CrashEvidence, Standing
 from ebonydeal._internal.routing.crashes.crash_messages import (
--- /dev/null
+++ b/src/ebonydeal/_internal/relay/duties/__init__.py
@@ -0,0 +1,5 @@
+"""What the coordinator does for all: lease, limits, usage reports, orders.
+
+Called by timers, and by other relays' reports; writes the platform's store and calls
+its cloud.
+"""
--- a/src/ebonydeal/_internal/relay/coordinator.py
+++ b/src/ebonydeal/_internal/relay/duties/coordinator.py
@@ -14,20 +14,20 @@
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.observe.logs import get_logger
-from ebonydeal._internal.relay.crash_store import CrashStore
-from ebonydeal._internal.relay.lease_keeper import LeaseKeeper
-from ebonydeal._internal.relay.messages import (
+from ebonydeal._internal.relay.crashes.crash_store import CrashStore
+from ebonydeal._internal.relay.duties.lease_keeper import LeaseKeeper
+from ebonydeal._internal.relay.duties.usage_store import UsageStore
+from ebonydeal._internal.relay.peers.messages import (
     ExchangeMessage,
     ExchangeReply,
     GrantMessage,
     GrantReply,
     NewsMessage,
 )
-from ebonydeal._internal.relay.news import news_since
+from ebonydeal._internal.relay.peers.roster import Roster
 from ebonydeal._internal.relay.ports import Duties, SharedStore
-from ebonydeal._internal.relay.roster import Roster
-from ebonydeal._internal.relay.usage_store import UsageStore
-from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.relay.view.news import news_since
+from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.routing.crashes.crash_messages import EvidenceMessage
 from ebonydeal._internal.routing.duties.duty_lease import DutyLease
 from ebonydeal._internal.routing.duties.usage_ledger import Due, UsageLedger
--- a/src/ebonydeal/_internal/relay/fleet.py
+++ b/src/ebonydeal/_internal/relay/duties/fleet.py
@@ -8,9 +8,9 @@
 from ebonydeal._internal.models.forwarding import ForwardService, Scaling
 from ebonydeal._internal.observe.counters import Event, Metrics
 from ebonydeal._internal.observe.logs import get_logger
-from ebonydeal._internal.relay.coordinator import Coordinator
+from ebonydeal._internal.relay.duties.coordinator import Coordinator
 from ebonydeal._internal.relay.ports import Duties
-from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.routing.fleet.fleet_plan import (
     FleetPlan,
     FleetState,
--- a/src/ebonydeal/_internal/relay/lease_keeper.py
+++ b/src/ebonydeal/_internal/relay/duties/lease_keeper.py
@@ -9,9 +9,9 @@
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.shared import NO_ROW, RowChange
 from ebonydeal._internal.observe.logs import get_logger
-from ebonydeal._internal.relay.crash_store import CrashStore
+from ebonydeal._internal.relay.crashes.crash_store import CrashStore
+from ebonydeal._internal.relay.duties.usage_store import UsageStore
 from ebonydeal._internal.relay.ports import SharedStore
-from ebonydeal._internal.relay.usage_store import UsageStore
 from ebonydeal._internal.routing.duties.duty_lease import (
     DutyLease,
     LeaseRow,
--- a/src/ebonydeal/_internal/relay/exchange.py
+++ b/src/ebonydeal/_internal/relay/peers/exchange.py
@@ -9,8 +9,8 @@
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.observe.logs import get_logger
-from ebonydeal._internal.relay.coordinator import Coordinator
-from ebonydeal._internal.relay.messages import (
+from ebonydeal._internal.relay.duties.coordinator import Coordinator
+from ebonydeal._internal.relay.peers.messages import (
     EXCHANGE,
     GRANT,
     HOLDER,
--- a/src/ebonydeal/_internal/relay/peers.py
+++ b/src/ebonydeal/_internal/relay/peers/handler.py
@@ -10,18 +10,18 @@
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.peers.access import check_credential
-from ebonydeal._internal.relay.coordinator import Coordinator
-from ebonydeal._internal.relay.long_reads import LONG_READ, LongReadTaker
-from ebonydeal._internal.relay.messages import (
+from ebonydeal._internal.relay.crashes.suspects import CRASHES, Suspects
+from ebonydeal._internal.relay.duties.coordinator import Coordinator
+from ebonydeal._internal.relay.peers.long_reads import LONG_READ, LongReadTaker
+from ebonydeal._internal.relay.peers.messages import (
     EXCHANGE,
     GRANT,
     VIEW,
     ViewMessage,
     ViewReply,
 )
-from ebonydeal._internal.relay.news import NEWS, NewsTaker
-from ebonydeal._internal.relay.suspects import CRASHES, Suspects
-from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.relay.view.news import NEWS, NewsTaker
+from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.utils.peerclient import COMPRESS_FROM_BYTES
 from ebonydeal._internal.utils.web import error_response, read_json
 
--- a/src/ebonydeal/_internal/relay/long_reads.py
+++ b/src/ebonydeal/_internal/relay/peers/long_reads.py
@@ -15,8 +15,8 @@
 
 from ebonydeal._internal.errors import EbonydealError
 from ebonydeal._internal.observe.logs import get_logger
-from ebonydeal._internal.relay.call_budget import CallBudget
-from ebonydeal._internal.relay.messages import LongReadMessage
+from ebonydeal._internal.relay.peers.call_budget import CallBudget
+from ebonydeal._internal.relay.peers.messages import LongReadMessage
 from ebonydeal._internal.routing.placement.member_choice import MemberChoice
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.peerclient import PeerClient
--- a/src/ebonydeal/_internal/relay/roster.py
+++ b/src/ebonydeal/_internal/relay/peers/roster.py
@@ -11,7 +11,7 @@
 
 from xxhash import xxh3_64_hexdigest
 
-from ebonydeal._internal.relay.messages import ExchangeMessage
+from ebonydeal._internal.relay.peers.messages import ExchangeMessage
 from ebonydeal._internal.routing.duties.pace import Pace
 from ebonydeal._internal.utils.clock import Clock
 
--- a/src/ebonydeal/_internal/relay/word.py
+++ b/src/ebonydeal/_internal/relay/peers/word.py
@@ -2,13 +2,13 @@
 
 from typing import NamedTuple
 
-from ebonydeal._internal.relay.messages import ExchangeMessage, ExchangeReply
-from ebonydeal._internal.relay.news import NewsTaker
-from ebonydeal._internal.relay.quota import QuotaGate
-from ebonydeal._internal.relay.roster import addresses_hash
-from ebonydeal._internal.relay.suspects import Suspects
-from ebonydeal._internal.relay.usage import UsageMeter
-from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.relay.crashes.suspects import Suspects
+from ebonydeal._internal.relay.peers.messages import ExchangeMessage, ExchangeReply
+from ebonydeal._internal.relay.peers.roster import addresses_hash
+from ebonydeal._internal.relay.requests.quota import QuotaGate
+from ebonydeal._internal.relay.requests.usage import UsageMeter
+from ebonydeal._internal.relay.view.news import NewsTaker
+from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.routing.placement.endpoint_load import Told
 from ebonydeal._internal.routing.placement.failure_shares import FailureShares
 from ebonydeal._internal.routing.placement.member_choice import MemberChoice
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -9,43 +9,43 @@
 
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.observe.logs import get_logger
-from ebonydeal._internal.relay.call_budget import CallBudget
-from ebonydeal._internal.relay.connections import EndpointPools
-from ebonydeal._internal.relay.coordinator import (
+from ebonydeal._internal.relay.crashes.crash_check import CrashCheck
+from ebonydeal._internal.relay.crashes.crash_store import CrashStore
+from ebonydeal._internal.relay.crashes.suspects import SuspectParts, Suspects
+from ebonydeal._internal.relay.duties.coordinator import (
     Coordinator,
     CoordinatorParts,
     CoordinatorSize,
 )
-from ebonydeal._internal.relay.crash_check import CrashCheck
-from ebonydeal._internal.relay.crash_store import CrashStore
-from ebonydeal._internal.relay.exchange import Exchange, ExchangeParts
-from ebonydeal._internal.relay.fleet import Fleet
-from ebonydeal._internal.relay.follower import ConfigTableFollower, MembersFollower
-from ebonydeal._internal.relay.intake import Intake
-from ebonydeal._internal.relay.job import SendParts, SendTerms
-from ebonydeal._internal.relay.leaving import LeavingTimes
+from ebonydeal._internal.relay.duties.fleet import Fleet
 from ebonydeal._internal.relay.listener import RawListener
-from ebonydeal._internal.relay.long_reads import LongReads, LongReadTaker
-from ebonydeal._internal.relay.messages import (
+from ebonydeal._internal.relay.peers.call_budget import CallBudget
+from ebonydeal._internal.relay.peers.exchange import Exchange, ExchangeParts
+from ebonydeal._internal.relay.peers.handler import PeerHandler
+from ebonydeal._internal.relay.peers.long_reads import LongReads, LongReadTaker
+from ebonydeal._internal.relay.peers.messages import (
     HOLDER,
     ExchangeReply,
 )
-from ebonydeal._internal.relay.moves import MovesParts, StreamMoves
-from ebonydeal._internal.relay.news import NewsFeed, NewsTaker
-from ebonydeal._internal.relay.peers import PeerHandler
+from ebonydeal._internal.relay.peers.word import RelayWord, WordParts
 from ebonydeal._internal.relay.ports import RelayPorts
-from ebonydeal._internal.relay.quota import QuotaGate
+from ebonydeal._internal.relay.requests.connections import EndpointPools
+from ebonydeal._internal.relay.requests.intake import Intake
+from ebonydeal._internal.relay.requests.job import SendParts, SendTerms
+from ebonydeal._internal.relay.requests.moves import MovesParts, StreamMoves
+from ebonydeal._internal.relay.requests.quota import QuotaGate
+from ebonydeal._internal.relay.requests.usage import UsageMeter
 from ebonydeal._internal.relay.shares import (
     FIRST_RELAYS,
     outlier_terms,
     retry_share,
     seed_addresses,
 )
-from ebonydeal._internal.relay.suspects import SuspectParts, Suspects
-from ebonydeal._internal.relay.usage import UsageMeter
-from ebonydeal._internal.relay.view import RelayView
-from ebonydeal._internal.relay.view_sync import ViewSync
-from ebonydeal._internal.relay.word import RelayWord, WordParts
+from ebonydeal._internal.relay.view.follower import ConfigTableFollower, MembersFollower
+from ebonydeal._internal.relay.view.leaving import LeavingTimes
+from ebonydeal._internal.relay.view.news import NewsFeed, NewsTaker
+from ebonydeal._internal.relay.view.view import RelayView
+from ebonydeal._internal.relay.view.view_sync import ViewSync
 from ebonydeal._internal.routing.admission.early_refusal import EarlyRefusal
 from ebonydeal._internal.routing.crashes.crash_evidence import (
     CrashEvidence,
--- a/src/ebonydeal/_internal/relay/chooser.py
+++ b/src/ebonydeal/_internal/relay/requests/chooser.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from ebonydeal._internal.models.forwarding import EngineShape, Member
-from ebonydeal._internal.relay.job import Job, SendParts
+from ebonydeal._internal.relay.requests.job import Job, SendParts
 from ebonydeal._internal.routing.crashes.crash_evidence import Standing
 from ebonydeal._internal.routing.placement.member_choice import Ask
 
--- a/src/ebonydeal/_internal/relay/connections.py
+++ b/src/ebonydeal/_internal/relay/requests/connections.py
@@ -21,7 +21,7 @@
 
 from ebonydeal._internal.errors import ErrorKind
 from ebonydeal._internal.models.forwarding import Member
-from ebonydeal._internal.relay.outcomes import MayHaveRun, NotSent
+from ebonydeal._internal.relay.requests.outcomes import MayHaveRun, NotSent
 from ebonydeal._internal.utils.clock import Clock
 
 # An endpoint that states no idle time may close any moment.
--- a/src/ebonydeal/_internal/relay/first_wait.py
+++ b/src/ebonydeal/_internal/relay/requests/first_wait.py
@@ -4,8 +4,8 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-from ebonydeal._internal.relay.job import SendParts
-from ebonydeal._internal.relay.sends import JobSends
+from ebonydeal._internal.relay.requests.job import SendParts
+from ebonydeal._internal.relay.requests.sends import JobSends
 from ebonydeal._internal.utils.clock import Clock
 
 # Shorter silences are common: a chunk of another prompt takes some tens of
--- a/src/ebonydeal/_internal/relay/intake.py
+++ b/src/ebonydeal/_internal/relay/requests/intake.py
@@ -13,11 +13,11 @@
 )
 from ebonydeal._internal.observe.counters import Event, Timing
 from ebonydeal._internal.observe.logs import get_logger
-from ebonydeal._internal.relay.answers import error_answer
-from ebonydeal._internal.relay.job import Job, SendParts
-from ebonydeal._internal.relay.plain import PlainForwarder
-from ebonydeal._internal.relay.quota import QuotaGate
-from ebonydeal._internal.relay.stream import StreamForwarder
+from ebonydeal._internal.relay.requests.answers import error_answer
+from ebonydeal._internal.relay.requests.job import Job, SendParts
+from ebonydeal._internal.relay.requests.plain import PlainForwarder
+from ebonydeal._internal.relay.requests.quota import QuotaGate
+from ebonydeal._internal.relay.requests.stream import StreamForwarder
 from ebonydeal._internal.routing.placement.route_index import RouteIndex, pick_service
 from ebonydeal._internal.utils.request_digest import RequestDigest
 
--- a/src/ebonydeal/_internal/relay/job.py
+++ b/src/ebonydeal/_internal/relay/requests/job.py
@@ -10,14 +10,14 @@
     Route,
 )
 from ebonydeal._internal.observe.counters import Metrics
-from ebonydeal._internal.relay.connections import EndpointPools
-from ebonydeal._internal.relay.crash_check import CrashCheck
-from ebonydeal._internal.relay.long_reads import LongReads
-from ebonydeal._internal.relay.moves import StreamMoves
+from ebonydeal._internal.relay.crashes.crash_check import CrashCheck
+from ebonydeal._internal.relay.crashes.suspects import Suspects
+from ebonydeal._internal.relay.peers.long_reads import LongReads
 from ebonydeal._internal.relay.ports import Wire
-from ebonydeal._internal.relay.suspects import Suspects
-from ebonydeal._internal.relay.usage import UsageMeter
-from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.relay.requests.connections import EndpointPools
+from ebonydeal._internal.relay.requests.moves import StreamMoves
+from ebonydeal._internal.relay.requests.usage import UsageMeter
+from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.routing.admission.early_refusal import EarlyRefusal
 from ebonydeal._internal.routing.placement.failure_shares import FailureShares
 from ebonydeal._internal.routing.placement.member_choice import MemberChoice
--- a/src/ebonydeal/_internal/relay/moves.py
+++ b/src/ebonydeal/_internal/relay/requests/moves.py
@@ -17,7 +17,7 @@
 from ebonydeal._internal.observe.counters import Event, Metrics
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.ports import Engines
-from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.routing.placement.member_choice import Ask, MemberChoice
 from ebonydeal._internal.routing.placement.outliers import Outliers
 from ebonydeal._internal.routing.reclaim.reclaim_streams import (
--- a/src/ebonydeal/_internal/relay/plain.py
+++ b/src/ebonydeal/_internal/relay/requests/plain.py
@@ -5,15 +5,15 @@
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.forwarding import AnswerHead, Member, Repeat
-from ebonydeal._internal.relay.connections import Exchange
-from ebonydeal._internal.relay.job import Job, SendParts
-from ebonydeal._internal.relay.outcomes import (
+from ebonydeal._internal.relay.requests.connections import Exchange
+from ebonydeal._internal.relay.requests.job import Job, SendParts
+from ebonydeal._internal.relay.requests.outcomes import (
     Answered,
     MayHaveRun,
     Outcome,
     ProvedNotRun,
 )
-from ebonydeal._internal.relay.sends import JobSends
+from ebonydeal._internal.relay.requests.sends import JobSends
 
 
 def raw_headers(resp: ClientResponse) -> list[tuple[str, str]]:
--- a/src/ebonydeal/_internal/relay/sends.py
+++ b/src/ebonydeal/_internal/relay/requests/sends.py
@@ -12,10 +12,10 @@
 )
 from ebonydeal._internal.observe.counters import RetryReason
 from ebonydeal._internal.observe.logs import get_logger
-from ebonydeal._internal.relay.chooser import Chooser, Found
-from ebonydeal._internal.relay.job import Job, SendParts
-from ebonydeal._internal.relay.moves import Moved
-from ebonydeal._internal.relay.outcomes import (
+from ebonydeal._internal.relay.requests.chooser import Chooser, Found
+from ebonydeal._internal.relay.requests.job import Job, SendParts
+from ebonydeal._internal.relay.requests.moves import Moved
+from ebonydeal._internal.relay.requests.outcomes import (
     Answered,
     MayHaveRun,
     NotSent,
--- a/src/ebonydeal/_internal/relay/stream.py
+++ b/src/ebonydeal/_internal/relay/requests/stream.py
@@ -11,18 +11,18 @@
 from ebonydeal._internal.models.forwarding import AnswerHead, Member
 from ebonydeal._internal.observe.counters import Timing
 from ebonydeal._internal.observe.logs import get_logger
-from ebonydeal._internal.relay.connections import Exchange
-from ebonydeal._internal.relay.first_wait import LEAST_PATIENCE_S, FirstWait
-from ebonydeal._internal.relay.job import Job, SendParts
-from ebonydeal._internal.relay.moves import LiveRun, Moved
-from ebonydeal._internal.relay.outcomes import Answered, MayHaveRun, Outcome
-from ebonydeal._internal.relay.plain import (
+from ebonydeal._internal.relay.requests.connections import Exchange
+from ebonydeal._internal.relay.requests.first_wait import LEAST_PATIENCE_S, FirstWait
+from ebonydeal._internal.relay.requests.job import Job, SendParts
+from ebonydeal._internal.relay.requests.moves import LiveRun, Moved
+from ebonydeal._internal.relay.requests.outcomes import Answered, MayHaveRun, Outcome
+from ebonydeal._internal.relay.requests.plain import (
     checked,
     raw_headers,
     read_whole,
     to_client,
 )
-from ebonydeal._internal.relay.sends import JobSends
+from ebonydeal._internal.relay.requests.sends import JobSends
 
 logger = get_logger("relay.stream")
 
--- a/src/ebonydeal/_internal/relay/follower.py
+++ b/src/ebonydeal/_internal/relay/view/follower.py
@@ -12,7 +12,7 @@
 from ebonydeal._internal.observe.counters import Event, Metrics
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.ports import SharedStore, Wire
-from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.utils.clock import Clock
 
 logger = get_logger("relay.follower")
--- a/src/ebonydeal/_internal/relay/leaving.py
+++ b/src/ebonydeal/_internal/relay/view/leaving.py
@@ -12,9 +12,9 @@
 from ebonydeal._internal.errors import EbonydealError
 from ebonydeal._internal.models.forwarding import Member
 from ebonydeal._internal.observe.logs import get_logger
-from ebonydeal._internal.relay.coordinator import Coordinator
+from ebonydeal._internal.relay.duties.coordinator import Coordinator
 from ebonydeal._internal.relay.ports import Engines
-from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.utils.clock import Clock
 
 logger = get_logger("relay.leaving")
--- a/src/ebonydeal/_internal/relay/view_sync.py
+++ b/src/ebonydeal/_internal/relay/view/view_sync.py
@@ -12,12 +12,12 @@
 from ebonydeal._internal.models.forwarding import Member
 from ebonydeal._internal.models.shared import SharedRow
 from ebonydeal._internal.observe.logs import get_logger
-from ebonydeal._internal.relay.exchange import Exchange
-from ebonydeal._internal.relay.follower import TableFollower
-from ebonydeal._internal.relay.messages import VIEW, ViewMessage
+from ebonydeal._internal.relay.crashes.suspects import Suspects
+from ebonydeal._internal.relay.peers.exchange import Exchange
+from ebonydeal._internal.relay.peers.messages import VIEW, ViewMessage
 from ebonydeal._internal.relay.ports import Wire
-from ebonydeal._internal.relay.suspects import Suspects
-from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.relay.view.follower import TableFollower
+from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.routing.duties.duty_lease import LeaseRow
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.peerclient import PeerClient
--- a/tests/functional/relay/test_connections.py
+++ b/tests/functional/relay/test_connections.py
@@ -3,8 +3,12 @@
 from contextlib import asynccontextmanager
 
 from ebonydeal._internal.models.forwarding import Member
-from ebonydeal._internal.relay.connections import EndpointPools, Exchange, IdleLimit
-from ebonydeal._internal.relay.outcomes import MayHaveRun
+from ebonydeal._internal.relay.requests.connections import (
+    EndpointPools,
+    Exchange,
+    IdleLimit,
+)
+from ebonydeal._internal.relay.requests.outcomes import MayHaveRun
 from tests.lib.clock import ManualClock
 from tests.lib.raw_endpoints import RawEndpoint, answer
 
--- a/tests/functional/relay/test_life.py
+++ b/tests/functional/relay/test_life.py
@@ -1,8 +1,8 @@
 import asyncio
 import json
 
-from ebonydeal._internal.relay.lease_keeper import LEASE_TABLE
-from ebonydeal._internal.relay.usage_store import USAGE_TABLE
+from ebonydeal._internal.relay.duties.lease_keeper import LEASE_TABLE
+from ebonydeal._internal.relay.duties.usage_store import USAGE_TABLE
 from tests.lib.raw_endpoints import (
     RawEndpoint,
     answer,
--- a/tests/functional/relay/test_news.py
+++ b/tests/functional/relay/test_news.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from ebonydeal._internal.relay import coordinator
+from ebonydeal._internal.relay.duties import coordinator
 from tests.lib.raw_endpoints import RawEndpoint
 from tests.lib.relay_fakes import MemoryStore, document, relay, until
 
--- a/tests/functional/relay/test_peers.py
+++ b/tests/functional/relay/test_peers.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 
 from ebonydeal._internal.relay.listener import RawListener
-from ebonydeal._internal.relay.peers import peer_answer
+from ebonydeal._internal.relay.peers.handler import peer_answer
 from ebonydeal._internal.utils.peerclient import COMPRESS_FROM_BYTES, PeerClient
 from ebonydeal._internal.utils.web import read_json
 
--- a/tests/unit/relay/test_crash_check.py
+++ b/tests/unit/relay/crashes/test_crash_check.py
@@ -7,8 +7,8 @@
 import pytest
 
 from ebonydeal._internal.models.forwarding import Member
-from ebonydeal._internal.relay.crash_check import CrashCheck
-from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.relay.crashes.crash_check import CrashCheck
+from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.utils.clock import SystemClock
 
 
--- a/tests/unit/relay/test_suspects.py
+++ b/tests/unit/relay/crashes/test_suspects.py
@@ -9,14 +9,14 @@
 from ebonydeal._internal.errors import EbonydealError, ErrorKind, Outcome
 from ebonydeal._internal.models.forwarding import Repeat
 from ebonydeal._internal.observe.counters import Metrics
-from ebonydeal._internal.relay.call_budget import CallBudget
-from ebonydeal._internal.relay.crash_check import Crashed
-from ebonydeal._internal.relay.outcomes import MayHaveRun
-from ebonydeal._internal.relay.sends import JobSends
-from ebonydeal._internal.relay.suspects import SuspectParts, Suspects
+from ebonydeal._internal.relay.crashes.crash_check import Crashed
+from ebonydeal._internal.relay.crashes.suspects import SuspectParts, Suspects
+from ebonydeal._internal.relay.peers.call_budget import CallBudget
+from ebonydeal._internal.relay.requests.outcomes import MayHaveRun
+from ebonydeal._internal.relay.requests.sends import JobSends
 from ebonydeal._internal.routing.crashes.crash_evidence import CrashEvidence
 from tests.lib.clock import ManualClock
-from tests.unit.relay.test_job_sends import MEMBERS, MOVED, job, parts
+from tests.unit.relay.requests.test_job_sends import MEMBERS, MOVED, job, parts
 
 
 class Relay:
--- a/tests/unit/relay/test_coordinator.py
+++ b/tests/unit/relay/duties/test_coordinator.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from ebonydeal._internal.relay.coordinator import Coordinator, CoordinatorParts
-from ebonydeal._internal.relay.exchange import Exchange, ExchangeParts
-from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.relay.duties.coordinator import Coordinator, CoordinatorParts
+from ebonydeal._internal.relay.peers.exchange import Exchange, ExchangeParts
+from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.routing.duties.duty_lease import DutyLease, LeaseRow
 from ebonydeal._internal.routing.duties.usage_ledger import UsageLedger
 from ebonydeal._internal.routing.limits.quota_broker import QuotaBounds
--- a/tests/unit/relay/test_fleet.py
+++ b/tests/unit/relay/duties/test_fleet.py
@@ -11,8 +11,8 @@
     Scaling,
 )
 from ebonydeal._internal.observe.counters import Metrics
-from ebonydeal._internal.relay.fleet import Fleet
-from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.relay.duties.fleet import Fleet
+from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.routing.fleet.fleet_plan import FleetTerms
 from tests.lib.clock import ManualClock
 from tests.lib.relay_fakes import MemoryDuties
--- a/tests/unit/relay/test_long_reads.py
+++ b/tests/unit/relay/peers/test_long_reads.py
@@ -5,7 +5,11 @@
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.forwarding import Member
-from ebonydeal._internal.relay.long_reads import LONG_READ, LongReads, LongReadTaker
+from ebonydeal._internal.relay.peers.long_reads import (
+    LONG_READ,
+    LongReads,
+    LongReadTaker,
+)
 from ebonydeal._internal.routing.placement.endpoint_load import Told
 from ebonydeal._internal.routing.placement.member_choice import Ask, MemberChoice
 from tests.lib.clock import ManualClock
--- a/tests/unit/relay/test_roster.py
+++ b/tests/unit/relay/peers/test_roster.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ebonydeal._internal.relay.roster import Roster, addresses_hash
+from ebonydeal._internal.relay.peers.roster import Roster, addresses_hash
 from tests.lib.clock import ManualClock
 from tests.lib.relay_fakes import word
 
--- a/tests/unit/relay/test_first_wait.py
+++ b/tests/unit/relay/requests/test_first_wait.py
@@ -6,11 +6,11 @@
 import pytest
 
 from ebonydeal._internal.models.forwarding import Repeat
-from ebonydeal._internal.relay.first_wait import FirstWait
-from ebonydeal._internal.relay.job import SendTerms
+from ebonydeal._internal.relay.requests.first_wait import FirstWait
+from ebonydeal._internal.relay.requests.job import SendTerms
 from ebonydeal._internal.routing.placement.member_choice import MemberChoice
 from tests.lib.clock import ManualClock
-from tests.unit.relay.test_job_sends import MEMBERS, job
+from tests.unit.relay.requests.test_job_sends import MEMBERS, job
 
 
 def wait_of(expected, terms=None, once=False, last=False):
--- a/tests/unit/relay/test_job_sends.py
+++ b/tests/unit/relay/requests/test_job_sends.py
@@ -16,12 +16,12 @@
     Target,
 )
 from ebonydeal._internal.observe.counters import Metrics
-from ebonydeal._internal.relay.connections import EndpointPools
-from ebonydeal._internal.relay.job import Job, SendTerms
-from ebonydeal._internal.relay.moves import Moved
-from ebonydeal._internal.relay.outcomes import Answered, MayHaveRun
-from ebonydeal._internal.relay.sends import JobSends
-from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.relay.requests.connections import EndpointPools
+from ebonydeal._internal.relay.requests.job import Job, SendTerms
+from ebonydeal._internal.relay.requests.moves import Moved
+from ebonydeal._internal.relay.requests.outcomes import Answered, MayHaveRun
+from ebonydeal._internal.relay.requests.sends import JobSends
+from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.routing.crashes.crash_evidence import Standing
 from ebonydeal._internal.routing.placement.failure_shares import FailureShares
 from ebonydeal._internal.routing.placement.member_choice import MemberChoice
@@ -29,7 +29,7 @@
 from ebonydeal._internal.routing.retries.retries import RetryPolicy
 from ebonydeal._internal.settings.routing import RetrySettings, RoutingSettings
 from tests.lib.clock import ManualClock
-from tests.unit.relay.test_outcomes import PROMISES, outcomes
+from tests.unit.relay.requests.test_outcomes import PROMISES, outcomes
 
 MEMBERS = [
     Member(f"i{n}", "s", f"i{n}:1", "z", 8, False, None, True, 0.0, 1) for n in range(4)
--- a/tests/unit/relay/test_moves.py
+++ b/tests/unit/relay/requests/test_moves.py
@@ -2,8 +2,8 @@
 
 from ebonydeal._internal.models.forwarding import Member
 from ebonydeal._internal.observe.counters import Metrics
-from ebonydeal._internal.relay.moves import LiveRun, MovesParts, StreamMoves
-from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.relay.requests.moves import LiveRun, MovesParts, StreamMoves
+from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.routing.placement.member_choice import MemberChoice
 from ebonydeal._internal.routing.placement.outliers import Outliers
 from ebonydeal._internal.routing.retries.retries import RetryPolicy
--- a/tests/unit/relay/test_outcomes.py
+++ b/tests/unit/relay/requests/test_outcomes.py
@@ -5,7 +5,7 @@
 
 from ebonydeal._internal.errors import ANSWERS, EbonydealError, ErrorKind
 from ebonydeal._internal.models.forwarding import AnswerHead
-from ebonydeal._internal.relay.outcomes import (
+from ebonydeal._internal.relay.requests.outcomes import (
     Answered,
     MayHaveRun,
     NotSent,
--- a/tests/unit/relay/test_suspension.py
+++ b/tests/unit/relay/test_suspension.py
@@ -10,14 +10,14 @@
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.forwarding import Repeat
-from ebonydeal._internal.relay.exchange import Exchange, ExchangeParts
-from ebonydeal._internal.relay.lease_keeper import LeaseKeeper
-from ebonydeal._internal.relay.sends import JobSends
+from ebonydeal._internal.relay.duties.lease_keeper import LeaseKeeper
+from ebonydeal._internal.relay.peers.exchange import Exchange, ExchangeParts
+from ebonydeal._internal.relay.requests.sends import JobSends
 from ebonydeal._internal.routing.duties.duty_lease import DutyLease, LeaseRow, Write
 from ebonydeal._internal.routing.limits.quota_broker import LocalQuota
 from tests.lib.clock import ManualClock
 from tests.lib.relay_fakes import MemoryStore
-from tests.unit.relay.test_job_sends import job, parts
+from tests.unit.relay.requests.test_job_sends import job, parts
 
 SUSPENDED_S = 5.0
 
--- a/tests/unit/relay/test_follower.py
+++ b/tests/unit/relay/view/test_follower.py
@@ -10,8 +10,8 @@
 from ebonydeal._internal.models.shared import Changes, SharedRow
 from ebonydeal._internal.observe.counters import Event, Metrics
 from ebonydeal._internal.platform.wire import PlatformWire
-from ebonydeal._internal.relay.follower import MembersFollower
-from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.relay.view.follower import MembersFollower
+from ebonydeal._internal.relay.view.view import RelayView
 from tests.lib.clock import ManualClock
 
 LISTED = Member("i1", "s", "i1:1", "z", 8, False, None, True, 0.0, 3)
--- a/tests/unit/relay/test_leaving.py
+++ b/tests/unit/relay/view/test_leaving.py
@@ -2,8 +2,8 @@
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.forwarding import Member
-from ebonydeal._internal.relay.leaving import LeavingTimes
-from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.relay.view.leaving import LeavingTimes
+from ebonydeal._internal.relay.view.view import RelayView
 from tests.lib.clock import ManualClock
 from tests.lib.relay_fakes import MemoryEngines
 
--- a/tests/unit/relay/test_news.py
+++ b/tests/unit/relay/view/test_news.py
@@ -5,8 +5,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from ebonydeal._internal.models.forwarding import Member
-from ebonydeal._internal.relay.news import NewsTaker, group_time, news_since
-from ebonydeal._internal.relay.view import RelayView
+from ebonydeal._internal.relay.view.news import NewsTaker, group_time, news_since
+from ebonydeal._internal.relay.view.view import RelayView
 from tests.lib.clock import ManualClock
 
 IDS = st.sampled_from(["i1", "i2", "i3", "i4"])
--- a/tests/unit/relay/test_view.py
+++ b/tests/unit/relay/view/test_view.py
@@ -2,7 +2,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from ebonydeal._internal.models.forwarding import ClientLimits, Member, RouteTable
-from ebonydeal._internal.relay.view import LAPSE_GRACE_S, RelayView
+from ebonydeal._internal.relay.view.view import LAPSE_GRACE_S, RelayView
 
 DRAIN_S = 2.0
 LAST_RESORT_S = 1.3
--- a/tests/unit/routing/placement/test_failure_shares.py
+++ b/tests/unit/routing/placement/test_failure_shares.py
@@ -1,6 +1,6 @@
 from ebonydeal._internal.errors import ErrorKind
 from ebonydeal._internal.models.forwarding import Member
-from ebonydeal._internal.relay.roster import Roster
+from ebonydeal._internal.relay.peers.roster import Roster
 from ebonydeal._internal.routing.placement.failure_shares import FailureShares
 from ebonydeal._internal.routing.placement.member_choice import Ask, MemberChoice
 from tests.lib.clock import ManualClock
