--- /dev/null
+++ b/src/ebonydeal/_internal/benchmarks/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Modelled roll-outs through the real decision: exposure, wrong verdicts, lateness."""
--- a/src/ebonydeal/_internal/cli/relay_program.py
+++ b/src/ebonydeal/_internal/cli/relay_program.py
@@ -29,7 +29,7 @@
     cfg = settings["platform"]
     ports = RelayPorts(
         wire=PlatformWire(),
-        store=PlatformStore(cfg.tables_url, cfg.timeout),
+        store=PlatformStore(cfg.tables_url, cfg.timeout, clock),
         duties=PlatformDuties(cfg.cloud_url, cfg.timeout, settings["node"].id),
         engines=PlatformEngines(_ORDER_S),
     )
--- a/src/ebonydeal/_internal/models/forwarding.py
+++ b/src/ebonydeal/_internal/models/forwarding.py
@@ -160,6 +160,8 @@
         nothing that was learned of the one before holds.
     withheld : bool
         Its entry can't be read at the moment: it gets no new work.
+    version : str
+        Version of its software; empty where it doesn't say.
     """
 
     endpoint_id: str
@@ -174,6 +176,7 @@
     revision: int
     born: int = 0
     withheld: bool = False
+    version: str = ""
 
 
 class PromptPart(NamedTuple):
--- a/src/ebonydeal/_internal/observe/counters.py
+++ b/src/ebonydeal/_internal/observe/counters.py
@@ -79,6 +79,11 @@
     CONFIGURATIONS_UNREADABLE = "configurations_unreadable"
     ENDPOINTS_CRASHED = "endpoints_crashed"
     REQUESTS_QUARANTINED = "requests_quarantined"
+    ROLLOUT_ORDERS_UNREADABLE = "rollout_orders_unreadable"
+    ROLLOUTS_COMPLETED = "rollouts_completed"
+    ROLLOUTS_ROLLED_BACK = "rollouts_rolled_back"
+    SENT_TO_NEW_VERSION = "sent_to_new_version"
+    NEW_VERSION_FAILED = "new_version_failed"
 
 
 class Timing(StrEnum):
--- a/src/ebonydeal/_internal/platform/rehearsal.py
+++ b/src/ebonydeal/_internal/platform/rehearsal.py
@@ -10,6 +10,7 @@
 from typing import Any, NamedTuple
 
 from ebonydeal._internal.models.forwarding import Member, Repeat
+from ebonydeal._internal.models.rollouts import RolloutOrder
 from ebonydeal._internal.models.shared import ANY_VERSION, RowChange, SharedRow
 from ebonydeal._internal.platform.duties import FENCE, HOLDER
 from ebonydeal._internal.platform.headers import (
@@ -23,9 +24,7 @@
     SIGNATURE,
     TOKENS,
 )
-from ebonydeal._internal.platform.rows import (
-    encode_value,
-)
+from ebonydeal._internal.platform.rows import ROLLOUT_PREFIX, encode_value
 
 ROWS_PATH = "/-/rows-get"
 FEED_PATH = "/-/rows-feed"
@@ -128,6 +127,23 @@
         "state": "draining" if member.leaving else "ready",
         "spot": member.reclaimable,
     }
+    if member.version:
+        document["version"] = member.version
+    return json.dumps(document).encode()
+
+
+def order_key(service: str) -> str:
+    """Return the key of a roll-out's order."""
+    return f"{ROLLOUT_PREFIX}{service}"
+
+
+def order_document(order: RolloutOrder) -> bytes:
+    """Return a roll-out's order."""
+    document = {
+        "service": order.service,
+        "to": order.to,
+        "duration_s": order.duration,
+    }
     return json.dumps(document).encode()
 
 
@@ -189,9 +205,13 @@
     return {"key": row.key, "ver": row.version, "value": encode_value(row.value)}
 
 
-def rows_body(rows: Iterable[SharedRow], version: int) -> dict[str, Any]:
-    """Return the body of an answer with rows."""
-    return {"rows": [encode_row(row) for row in rows], "ver": version}
+def rows_body(rows: Iterable[SharedRow], version: int, now: float) -> dict[str, Any]:
+    """Return the body of an answer with rows; ``now`` is the store's clock, seconds."""
+    return {
+        "rows": [encode_row(row) for row in rows],
+        "ver": version,
+        "now_ms": round(now * _MS),
+    }
 
 
 def read_poll(query: Mapping[str, str]) -> tuple[str, int, float]:
--- a/src/ebonydeal/_internal/platform/rows.py
+++ b/src/ebonydeal/_internal/platform/rows.py
@@ -18,11 +18,15 @@
     Scaling,
     Target,
 )
+from ebonydeal._internal.models.rollouts import Phase, RolloutOrder
 from ebonydeal._internal.models.shared import SharedRow
 
 CONFIG_TABLE = "op"
 CONFIG_KEY = "config"
 MEMBERS_TABLE = "servers"
+STATUS_TABLE = "status"
+# Rows of roll-outs, in the tables of orders and of status, begin so.
+ROLLOUT_PREFIX = "rollout/"
 _REPEATS = {
     "idempotent": Repeat.IDEMPOTENT,
     "non_idempotent": Repeat.ONCE,
@@ -177,12 +181,73 @@
             revision=row.version,
             # The wire's name for when the endpoint started, in ms since 1970.
             born=_whole(message, "born", least=0) if "born" in message else 0,
+            version=_version(message),
         )
     except (KeyError, TypeError, ValueError, RecursionError) as exc:
         detail = f"endpoint {row.key}, version {row.version}: {exc!r}"
         raise EbonydealError(ErrorKind.BAD_DOCUMENT, detail) from exc
 
 
+def _version(message: dict[str, Any]) -> str:
+    """Return the version of an endpoint's software; raises TypeError."""
+    value = message.get("version", "")
+    if type(value) is int:
+        return str(value)
+    if not isinstance(value, str):
+        raise TypeError("version is no text")
+    return value
+
+
+def rollout_service(key: str) -> str | None:
+    """Return the service whose roll-out a row is about, None for other rows."""
+    service = key.removeprefix(ROLLOUT_PREFIX)
+    return service if service and service != key else None
+
+
+def decode_order(row: SharedRow) -> RolloutOrder:
+    """Return an operator's order of a roll-out; raises BAD_DOCUMENT."""
+    try:
+        message = json.loads(row.value or b"")
+        if not isinstance(message, dict):
+            raise TypeError("no object")
+        service = _text(message, "service")
+        if service != rollout_service(row.key):
+            raise ValueError("service is another than the row's")
+        duration = message["duration_s"]
+        if type(duration) not in (int, float):
+            raise TypeError("duration_s is no number")
+        if not 0 < duration <= _MOST_WHOLE:
+            raise ValueError("duration_s is out of range")
+        target = {"version": message["to"]}
+        return RolloutOrder(service, _named(target), float(duration), row.version)
+    except (KeyError, TypeError, ValueError, RecursionError) as exc:
+        detail = f"order {row.key}, version {row.version}: {exc!r}"
+        raise EbonydealError(ErrorKind.BAD_DOCUMENT, detail) from exc
+
+
+def _named(message: dict[str, Any]) -> str:
+    """Return a version that must be there; raises TypeError."""
+    version = _version(message)
+    if not version:
+        raise TypeError("no version is named")
+    return version
+
+
+def encode_status(phase: Phase, to: str) -> bytes:
+    """Return what operators read of a roll-out."""
+    return json.dumps({"state": str(phase), "to": to}).encode()
+
+
+def decode_status(value: bytes) -> tuple[Phase, str]:
+    """Return a roll-out's phase and version; raises BAD_DOCUMENT."""
+    try:
+        message = json.loads(value)
+        return Phase(message["state"]), _version({"version": message["to"]})
+    except (KeyError, TypeError, ValueError, RecursionError) as exc:
+        detail = f"status of a roll-out: {exc!r}"
+        raise EbonydealError(ErrorKind.BAD_DOCUMENT, detail) from exc
+
+
 def _text(message: dict[str, Any], name: str) -> str:
     """Return a field's text; raises KeyError or TypeError."""
     value = message[name]
--- a/src/ebonydeal/_internal/platform/store.py
+++ b/src/ebonydeal/_internal/platform/store.py
@@ -11,9 +11,11 @@
 )
 from ebonydeal._internal.platform.calls import JsonCalls
 from ebonydeal._internal.platform.rows import decode_row, encode_value
+from ebonydeal._internal.utils.clock import Clock
 
 # Longer than the answer that a long poll asks for: the way there and back.
 _POLL_SLACK_S = 2.0
+_MS = 1000.0
 _READ_FAILED = ErrorKind.STORE_UNAVAILABLE
 _WRITE_FAILED = ErrorKind.STORE_IN_DOUBT
 
@@ -27,10 +29,14 @@
         Base URL.
     timeout : float
         Longest wait for one call, seconds.
+    clock : Clock
+        This process's time, put beside the store's.
     """
 
-    def __init__(self, url: str, timeout: float) -> None:
+    def __init__(self, url: str, timeout: float, clock: Clock) -> None:
         self._url = url.rstrip("/")
+        self._clock = clock
+        self.ahead = 0.0
         self._calls = JsonCalls(timeout)
 
     async def _call(
@@ -61,7 +67,11 @@
             raise EbonydealError(lost, f"{method} {path}: not JSON") from exc
         if reply.status not in (200, 410, 412):
             raise EbonydealError(lost, f"{method} {path} answered {reply.status}")
-        return reply.status, body if isinstance(body, dict) else {}
+        body = body if isinstance(body, dict) else {}
+        now_ms = body.get("now_ms")
+        if isinstance(now_ms, int | float):
+            self.ahead = now_ms / _MS - self._clock.now()
+        return reply.status, body
 
     async def rows(self, table: str, start: str = "") -> tuple[list[SharedRow], int]:
         """Return all rows of a table from key ``start``, and the newest version."""
--- a/src/ebonydeal/_internal/platform/wire.py
+++ b/src/ebonydeal/_internal/platform/wire.py
@@ -9,14 +9,21 @@
     RouteTable,
     Sending,
 )
-from ebonydeal._internal.models.shared import SharedRow
+from ebonydeal._internal.models.rollouts import Phase, RolloutOrder
+from ebonydeal._internal.models.shared import RowChange, SharedRow
 from ebonydeal._internal.platform.headers import outgoing, read_answer, read_request
 from ebonydeal._internal.platform.rows import (
     CONFIG_KEY,
     CONFIG_TABLE,
     MEMBERS_TABLE,
+    ROLLOUT_PREFIX,
+    STATUS_TABLE,
     decode_member,
+    decode_order,
+    decode_status,
     decode_table,
+    encode_status,
+    rollout_service,
 )
 
 Pairs = Iterable[tuple[str, str]]
@@ -28,6 +35,7 @@
     config_table = CONFIG_TABLE
     config_key = CONFIG_KEY
     members_table = MEMBERS_TABLE
+    status_table = STATUS_TABLE
 
     def read_request(self, method: str, target: str, pairs: Pairs) -> Forwarded:
         """Return a client's request; raises BAD_REQUEST."""
@@ -48,3 +56,20 @@
     def member(self, row: SharedRow) -> Member:
         """Return a listed endpoint; raises BAD_DOCUMENT."""
         return decode_member(row)
+
+    def rollout_service(self, key: str) -> str | None:
+        """Return the service whose roll-out a row is about, None for other rows."""
+        return rollout_service(key)
+
+    def order(self, row: SharedRow) -> RolloutOrder:
+        """Return an operator's order of a roll-out; raises BAD_DOCUMENT."""
+        return decode_order(row)
+
+    def status(self, row: SharedRow) -> tuple[Phase, str]:
+        """Return a roll-out's phase and version; raises BAD_DOCUMENT."""
+        return decode_status(row.value or b"")
+
+    def status_change(self, service: str, phase: Phase, to: str) -> RowChange:
+        """Return the write by which operators learn of a roll-out."""
+        key = f"{ROLLOUT_PREFIX}{service}"
+        return RowChange(STATUS_TABLE, key, encode_status(phase, to))
--- a/src/ebonydeal/_internal/relay/crashes/crash_store.py
+++ b/src/ebonydeal/_internal/relay/crashes/crash_store.py
@@ -51,11 +51,14 @@
         self._suspects = suspects
         self._clock = clock
         self._written = ""
+        # Mark of the last changes, until it is known whether they took effect.
+        self._writing = ""
         # Whether what lies in the store was read: before that it isn't written over.
         self.known = False
 
     def changes(self) -> list[RowChange]:
         """Return the write that keeps what changed since the last one, if anything."""
+        self._writing = ""
         if not self.known or self._suspects.mark == self._written:
             return []
         message = {"wall": self._clock.wall(), "memory": self._suspects.memory()}
@@ -63,16 +66,13 @@
         if len(value) > _MOST_BYTES:
             logger.warning("Crashes are too many to keep.", size=len(value))
             return []
+        self._writing = self._suspects.mark
         return [RowChange(CRASHES_TABLE, _KEY, value)]
 
-    def wrote(self, mark: str) -> None:
-        """Note that the memory with this mark lies in the store."""
-        self._written = mark
-
-    @property
-    def mark(self) -> str:
-        """Mark of what `changes` would write."""
-        return self._suspects.mark
+    def wrote(self) -> None:
+        """Note that the last changes lie in the store."""
+        if self._writing:
+            self._written = self._writing
 
     async def read(self) -> None:
         """Take what the holder before kept."""
--- a/src/ebonydeal/_internal/relay/duties/coordinator.py
+++ b/src/ebonydeal/_internal/relay/duties/coordinator.py
@@ -14,8 +14,7 @@
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.observe.logs import get_logger
-from ebonydeal._internal.relay.crashes.crash_store import CrashStore
-from ebonydeal._internal.relay.duties.lease_keeper import LeaseKeeper
+from ebonydeal._internal.relay.duties.lease_keeper import KeptRow, LeaseKeeper
 from ebonydeal._internal.relay.duties.usage_store import UsageStore
 from ebonydeal._internal.relay.peers.messages import (
     ExchangeMessage,
@@ -23,6 +22,7 @@
     GrantMessage,
     GrantReply,
     NewsMessage,
+    RolloutsMessage,
 )
 from ebonydeal._internal.relay.peers.roster import Roster
 from ebonydeal._internal.relay.ports import Duties, SharedStore
@@ -161,6 +161,8 @@
         # Takes a relay's memory of crashes; returns the mark of ours, and ours where it
         # is another.
         self.compare_crashes: CompareCrashes = lambda _word: ("", None)
+        # What relays are told of roll-outs.
+        self.rollouts: Callable[[], RolloutsMessage | None] = lambda: None
 
     def on_init_dependencies(self) -> Iterable[Service]:
         """Return the task that keeps the lease."""
@@ -172,9 +174,18 @@
         self._roster.begin(self.relays_before())
         self._broker.begin(fresh=self.lease.fence == 1)
 
-    def keep_crashes(self, crashes: CrashStore) -> None:
-        """Keep what is remembered of crashes with the lease."""
-        self._keeper.crashes = crashes
+    def keep(self, kept: KeptRow) -> None:
+        """Keep a row with the lease."""
+        self._keeper.kept.append(kept)
+
+    def write_soon(self) -> None:
+        """Renew the lease now, and write with it what is due."""
+        self.lease.renew_soon(self._parts.clock.now())
+
+    @property
+    def period(self) -> float:
+        """Seconds between two reports of a relay."""
+        return self._roster.pace.period
 
     def start_duties(self) -> None:
         """Take part in the lease: other relays can reach this one now."""
@@ -269,6 +280,7 @@
             news=self._news_of(node),
             crashes_mark=mark,
             crashes=crashes,
+            rollouts=self.rollouts(),
         )
 
     def _news_of(self, node: str) -> NewsMessage | None:
--- a/src/ebonydeal/_internal/relay/duties/fleet.py
+++ b/src/ebonydeal/_internal/relay/duties/fleet.py
@@ -1,5 +1,6 @@
 """Orders endpoints of services that may grow and shrink."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from mode import Service
@@ -95,6 +96,8 @@
         self._probed: dict[str, int] = {}
         self._found: dict[str, set[str]] = {}
         self._forecasts: dict[str, LoadForecast] = {}
+        # The version that a service's roll-out under way is to, None without one.
+        self.rolling: Callable[[str], str | None] = lambda _service: None
 
     @Service.task
     async def _run(self) -> None:
@@ -255,9 +258,13 @@
     ) -> dict[str, ZoneFleet]:
         """Return the service's endpoints by zone and kind."""
         zones: dict[str, ZoneFleet] = {}
+        # Endpoints of a version that may be bad are no room yet.
+        rolling = self.rolling(service)
         for member in self._view.members.values():
             if member.service != service or member.leaving:
                 continue
+            if rolling is not None and member.version == rolling:
+                continue
             fleet = zones.get(member.zone, ZoneFleet())
             if member.reclaimable:
                 fleet = fleet._replace(spot=fleet.spot + 1)
@@ -295,6 +302,9 @@
             # What still boots is not taken back: the plan may want it again.
             if self._clock.now() - raised < _STEADY_S:
                 return False
+        if count < have and self.rolling(kind.service) is not None:
+            # Old endpoints are needed whole until the new version is found good.
+            return False
         if count < have and self._in_wave(kind.service, self._clock.now()):
             # The next zone may go: what is there is needed then, and in the first
             # seconds of traffic its load isn't known yet.
--- a/src/ebonydeal/_internal/relay/duties/lease_keeper.py
+++ b/src/ebonydeal/_internal/relay/duties/lease_keeper.py
@@ -3,13 +3,13 @@
 import asyncio
 from collections.abc import Callable
 from random import Random
+from typing import Protocol
 
 from mode import Service
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.shared import NO_ROW, RowChange
 from ebonydeal._internal.observe.logs import get_logger
-from ebonydeal._internal.relay.crashes.crash_store import CrashStore
 from ebonydeal._internal.relay.duties.usage_store import UsageStore
 from ebonydeal._internal.relay.ports import SharedStore
 from ebonydeal._internal.routing.duties.duty_lease import (
@@ -34,6 +34,27 @@
 _JITTER_S = 0.3
 
 
+class KeptRow(Protocol):
+    """A row that is written with the lease, and outlives its holder.
+
+    Attributes
+    ----------
+    known : bool
+        Whether what lies in the store was read: nothing is written over before.
+    """
+
+    known: bool
+
+    def changes(self) -> list[RowChange]:
+        """Return the writes that are due, if any."""
+
+    def wrote(self) -> None:
+        """Note that the last changes took effect."""
+
+    async def read(self) -> None:
+        """Take what the holder before kept."""
+
+
 class LeaseKeeper(Service):
     """The task that owns the lease's row at one relay.
 
@@ -70,8 +91,8 @@
         self._clock = clock
         self._rng = rng
         self._first = first
-        # Keeps crashes with the renewals, where this program remembers any.
-        self.crashes: CrashStore | None = None
+        # Written with the renewals.
+        self.kept: list[KeptRow] = []
         self._stands_back = stands_back
         self._stood_back = False
         self.held_since: float | None = None
@@ -93,7 +114,7 @@
                 await self._lease_step()
                 if self.holds and self.held_since is None:
                     await self._usage.read_open()
-                await self._read_crashes()
+                await self._read_kept()
             except EbonydealError as exc:
                 self._lease_failed(exc)
                 await self._clock.sleep(_LOOK_S * self._rng.uniform(0.5, 1))
@@ -153,25 +174,23 @@
                 return
         self.lease.saw(None, NO_ROW, now)
 
-    async def _read_crashes(self) -> None:
+    async def _read_kept(self) -> None:
         """Read what the holder before kept, once this relay holds the lease."""
-        crashes = self.crashes
-        if crashes is not None and self.holds and not crashes.known:
-            await crashes.read()
+        for kept in self.kept:
+            if self.holds and not kept.known:
+                await kept.read()
 
     def _change(self, write: Write) -> RowChange:
         return RowChange(LEASE_TABLE, _LEASE_KEY, write.row.encode(), write.expected)
 
     async def _write(self, write: Write) -> None:
         changes = [self._change(write)]
-        kept: list[RowChange] = []
-        crashes = self.crashes
-        mark = "" if crashes is None else crashes.mark
+        renews = False
         if self.lease.mine and write.row.fence == self.lease.fence:
             # With the renewal, what was told of usage outlives all processes.
             changes.append(self._usage.open_change())
-            kept = [] if crashes is None else crashes.changes()
-        changes.extend(kept)
+            changes.extend(c for kept in self.kept for c in kept.changes())
+            renews = True
         try:
             result = await self._store.transact(changes)
         except EbonydealError as exc:
@@ -180,8 +199,9 @@
             raise
         if result.applied:
             self.lease.wrote(write.row, result.version)
-            if kept and crashes is not None:
-                crashes.wrote(mark)
+            if renews:
+                for kept in self.kept:
+                    kept.wrote()
             return
         now = self._clock.now()
         row = result.rows[0] if result.rows else None
@@ -213,8 +233,7 @@
         if write is None:
             return
         changes = [self._change(write), self._usage.open_change()]
-        if self.crashes is not None:
-            changes.extend(self.crashes.changes())
+        changes.extend(c for kept in self.kept for c in kept.changes())
         try:
             await self._store.transact(changes)
         except EbonydealError as exc:
--- a/src/ebonydeal/_internal/relay/peers/exchange.py
+++ b/src/ebonydeal/_internal/relay/peers/exchange.py
@@ -64,6 +64,7 @@
         self._tells_config = False
         # Set once other relays can reach this one.
         self.reachable = asyncio.Event()
+        self._soon = asyncio.Event()
 
     def take_seeds(self, seeds: tuple[str, ...]) -> None:
         """Ask other relays to begin with, beside those that are known."""
@@ -94,6 +95,11 @@
         silent = self._parts.clock.now() - self._last_ok
         return silent <= self._pace.patience
 
+    @property
+    def patience(self) -> float:
+        """Seconds of silence after which the coordinator's word is too old."""
+        return self._pace.patience
+
     @property
     def fed(self) -> bool:
         """Whether another relay tells this one of changes: not while it is silent.
@@ -126,7 +132,24 @@
             answered = await self._once()
             pause = self._pace.period if answered else self._pace.again
             jitter = parts.rng.uniform(JITTER_LEAST, JITTER_MOST)
-            await parts.clock.sleep(pause * jitter)
+            await self._pause(pause * jitter)
+
+    async def _pause(self, seconds: float) -> None:
+        """Wait so long, or until something is to be told now."""
+        waits = {
+            asyncio.ensure_future(self._parts.clock.sleep(seconds)),
+            asyncio.ensure_future(self._soon.wait()),
+        }
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            self._soon.clear()
+            for wait in waits:
+                wait.cancel()
+
+    def hasten(self) -> None:
+        """Tell the coordinator now."""
+        self._soon.set()
 
     async def flush(self) -> None:
         """Tell the coordinator once more before this process ends."""
--- a/src/ebonydeal/_internal/relay/peers/handler.py
+++ b/src/ebonydeal/_internal/relay/peers/handler.py
@@ -20,13 +20,16 @@
     ViewMessage,
     ViewReply,
 )
+from ebonydeal._internal.relay.peers.rollouts import gates_message
 from ebonydeal._internal.relay.view.news import NEWS, NewsTaker
 from ebonydeal._internal.relay.view.view import RelayView
+from ebonydeal._internal.routing.rollout.split import Split
 from ebonydeal._internal.utils.peerclient import COMPRESS_FROM_BYTES
 from ebonydeal._internal.utils.web import error_response, read_json
 
 METRICS = "/metrics"
 QUARANTINE = "/quarantine"
+ROLLOUTS_REPORT = "/rollouts"
 
 
 def peer_answer(reply: Any) -> web.Response:
@@ -48,13 +51,17 @@
         taker: NewsTaker,
         long_reads: LongReadTaker,
         suspects: Suspects,
+        split: Split,
         metrics: Metrics,
     ) -> None:
         self._credential = credential
         self._coordinator = coordinator
         self._view = view
         self._suspects = suspects
+        self._split = split
         self._metrics = metrics
+        # What operators are shown of roll-outs.
+        self.rollouts: Callable[[], list[dict[str, Any]]] = list
         # The configuration as it is told, and its version.
         self._packed: tuple[int, str] = (-1, "")
         self._calls: dict[str, Callable[[Any], Any]] = {
@@ -76,6 +83,8 @@
             return web.Response(body=self._metrics.text(), content_type="text/plain")
         if req.path == QUARANTINE:
             return web.json_response(self._suspects.report())
+        if req.path == ROLLOUTS_REPORT:
+            return web.json_response(self.rollouts())
         try:
             check_credential(req, self._credential)
             call = self._calls.get(req.path)
@@ -103,6 +112,9 @@
         )
         if crashes is not None:
             reply["crashes"] = crashes
+        gates = self._split.gates()
+        if gates:
+            reply["rollouts"] = gates_message(gates, view.versions.read_to)
         lease = self._coordinator.lease
         if lease.row is not None:
             reply["lease"] = [list(lease.row), lease.version]
--- a/src/ebonydeal/_internal/relay/peers/messages.py
+++ b/src/ebonydeal/_internal/relay/peers/messages.py
@@ -3,12 +3,24 @@
 from typing import TypedDict
 
 from ebonydeal._internal.routing.crashes.crash_messages import EvidenceMessage
+from ebonydeal._internal.routing.rollout.split import TallyMessage
 
 # Paths of the calls.
 EXCHANGE = "/relay/v1/exchange"
 GRANT = "/relay/v1/grant"
 VIEW = "/relay/v1/view"
 HOLDER = "/relay/v1/holder"
+ROLLOUTS = "/relay/v1/rollouts"
+
+
+class RolloutsMessage(TypedDict):
+    """What the coordinator decided of roll-outs: each `Gate` as a list.
+
+    ``read_to`` is the store's version up to which it knows all orders.
+    """
+
+    read_to: int
+    gates: list[list]
 
 
 class ExchangeMessage(TypedDict):
@@ -20,7 +32,8 @@
     endpoint: how many came lately, and how many of them failed. ``seen`` is the
     mark of the last news. ``known`` is the hash of the relays' addresses that it was
     told. ``crashes`` is what it remembers of crashes, None where the coordinator's last
-    mark of that was its own ``crashes_mark``.
+    mark of that was its own ``crashes_mark``. ``rollouts`` by service: what it counted
+    of each roll-out.
     """
 
     node: str
@@ -37,6 +50,7 @@
     seen: list[int]
     crashes_mark: str
     crashes: EvidenceMessage | None
+    rollouts: dict[str, TallyMessage]
 
 
 class NewsMessage(TypedDict):
@@ -69,7 +83,8 @@
     ``period`` is the time until the relay's next word, seconds; ``tells_config`` says
     that relays need not follow the configuration themselves.
     ``fresh`` says that the coordinator hears the store; ``news`` is None without
-    any. ``crashes`` is None where the word's mark is ``crashes_mark``.
+    any. ``crashes`` is None where the word's mark is ``crashes_mark``. ``rollouts`` is
+    None where the coordinator doesn't decide now.
     """
 
     holds: bool
@@ -86,6 +101,7 @@
     news: NewsMessage | None
     crashes_mark: str
     crashes: EvidenceMessage | None
+    rollouts: RolloutsMessage | None
 
 
 class LongReadMessage(TypedDict):
@@ -146,3 +162,4 @@
     members: list[list]
     version: int
     crashes: EvidenceMessage
+    rollouts: RolloutsMessage
--- a/src/ebonydeal/_internal/relay/peers/word.py
+++ b/src/ebonydeal/_internal/relay/peers/word.py
@@ -4,6 +4,7 @@
 
 from ebonydeal._internal.relay.crashes.suspects import Suspects
 from ebonydeal._internal.relay.peers.messages import ExchangeMessage, ExchangeReply
+from ebonydeal._internal.relay.peers.rollouts import RolloutHearer
 from ebonydeal._internal.relay.peers.roster import addresses_hash
 from ebonydeal._internal.relay.requests.quota import QuotaGate
 from ebonydeal._internal.relay.requests.usage import UsageMeter
@@ -12,6 +13,7 @@
 from ebonydeal._internal.routing.placement.endpoint_load import Told
 from ebonydeal._internal.routing.placement.failure_shares import FailureShares
 from ebonydeal._internal.routing.placement.member_choice import MemberChoice
+from ebonydeal._internal.routing.rollout.split import Split
 from ebonydeal._internal.utils.clock import Clock
 
 # Less work than this of a service isn't told, endpoints kept busy.
@@ -28,6 +30,8 @@
     quota: QuotaGate
     failing: FailureShares
     suspects: Suspects
+    split: Split
+    rollouts: RolloutHearer
     news: NewsTaker
     view: RelayView
     clock: Clock
@@ -77,6 +81,7 @@
             seen=list(parts.news.seen),
             crashes_mark=parts.suspects.mark,
             crashes=parts.suspects.word(),
+            rollouts=parts.split.tallies(now),
         )
 
     def heard(self, reply: ExchangeReply) -> bool:
@@ -98,6 +103,9 @@
         mark, crashes = reply.get("crashes_mark", ""), reply.get("crashes")
         parts.suspects.heard_from(mark, crashes, "coordinator")
         behind = reply["members"] > parts.view.last_change
+        rollouts = reply.get("rollouts")
+        if rollouts is not None:
+            parts.rollouts.take(rollouts)
         # Twice in a row: a change is usually just on its way to us.
         twice = behind and self._was_behind
         self._was_behind = behind
--- a/src/ebonydeal/_internal/relay/ports.py
+++ b/src/ebonydeal/_internal/relay/ports.py
@@ -12,6 +12,7 @@
     RouteTable,
     Sending,
 )
+from ebonydeal._internal.models.rollouts import Phase, RolloutOrder
 from ebonydeal._internal.models.shared import (
     Changes,
     RowChange,
@@ -28,6 +29,7 @@
     config_table: str
     config_key: str
     members_table: str
+    status_table: str
 
     def read_request(self, method: str, target: str, pairs: Pairs) -> Forwarded:
         """Return a client's request; raises BAD_REQUEST."""
@@ -44,14 +46,34 @@
     def member(self, row: SharedRow) -> Member:
         """Return a listed endpoint; raises BAD_DOCUMENT."""
 
+    def rollout_service(self, key: str) -> str | None:
+        """Return the service whose roll-out a row is about, None for other rows."""
+
+    def order(self, row: SharedRow) -> RolloutOrder:
+        """Return an operator's order of a roll-out; raises BAD_DOCUMENT."""
+
+    def status(self, row: SharedRow) -> tuple[Phase, str]:
+        """Return a roll-out's phase and version; raises BAD_DOCUMENT."""
+
+    def status_change(self, service: str, phase: Phase, to: str) -> RowChange:
+        """Return the write by which operators learn of a roll-out."""
+
 
 class SharedStore(Protocol):
     """The platform's store.
 
     Raises `EbonydealError`: STORE_UNAVAILABLE where nothing was done,
     STORE_IN_DOUBT where a write may have been, or may still be.
+
+    Attributes
+    ----------
+    ahead : float
+        By how much the store's steady clock is ahead of this process's, as last
+        heard, seconds; 0 before. All relays read the same clock there.
     """
 
+    ahead: float
+
     async def rows(self, table: str, start: str = "") -> tuple[list[SharedRow], int]:
         """Return all rows from a key on, and the newest version."""
 
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -18,6 +18,7 @@
     CoordinatorSize,
 )
 from ebonydeal._internal.relay.duties.fleet import Fleet
+from ebonydeal._internal.relay.duties.rollouts import RolloutParts, Rollouts
 from ebonydeal._internal.relay.listener import RawListener
 from ebonydeal._internal.relay.peers.call_budget import CallBudget
 from ebonydeal._internal.relay.peers.exchange import Exchange, ExchangeParts
@@ -25,8 +26,10 @@
 from ebonydeal._internal.relay.peers.long_reads import LongReads, LongReadTaker
 from ebonydeal._internal.relay.peers.messages import (
     HOLDER,
+    ROLLOUTS,
     ExchangeReply,
 )
+from ebonydeal._internal.relay.peers.rollouts import RolloutHearer
 from ebonydeal._internal.relay.peers.word import RelayWord, WordParts
 from ebonydeal._internal.relay.ports import RelayPorts
 from ebonydeal._internal.relay.requests.connections import EndpointPools
@@ -52,6 +55,7 @@
     EvidenceTerms,
 )
 from ebonydeal._internal.routing.duties.duty_lease import DutyLease
+from ebonydeal._internal.routing.duties.pace import Pace
 from ebonydeal._internal.routing.duties.usage_ledger import UsageLedger
 from ebonydeal._internal.routing.fleet.fleet_plan import FleetTerms
 from ebonydeal._internal.routing.limits.quota_broker import (
@@ -66,6 +70,9 @@
 )
 from ebonydeal._internal.routing.placement.outliers import Outliers
 from ebonydeal._internal.routing.retries.retries import RetryPolicy
+from ebonydeal._internal.routing.rollout.course import Terms as RolloutTerms
+from ebonydeal._internal.routing.rollout.exposure import Bound
+from ebonydeal._internal.routing.rollout.split import Split
 from ebonydeal._internal.settings.policy import PolicySettings
 from ebonydeal._internal.settings.relay import RelaySettings
 from ebonydeal._internal.utils.clock import Clock
@@ -141,6 +148,9 @@
             )
         )
         self._crashes.on_crash = self._suspects.crashed
+        self._split = Split(self._node.id, Pace(self._policy.exchange_s).patience)
+        self.view.on_orders = self._split.ordered
+        self._rollout_hearer = RolloutHearer(self._split, self.view, clock)
         parts = SendParts(
             wire=ports.wire,
             view=self.view,
@@ -155,6 +165,7 @@
             long_reads=self._long_reads,
             crashes=self._crashes,
             suspects=self._suspects,
+            split=self._split,
             metrics=metrics,
             clock=clock,
             rng=rng,
@@ -203,6 +214,8 @@
                 self._quota,
                 self._failing,
                 self._suspects,
+                self._split,
+                self._rollout_hearer,
                 taker,
                 self.view,
                 clock,
@@ -216,6 +229,7 @@
             taker,
             LongReadTaker(self._choice, clock),
             self._suspects,
+            self._split,
             metrics,
         )
         self.peers = RawListener(
@@ -235,6 +249,8 @@
             seeds,
         )
         handler.serve(HOLDER, self._exchange.take_holder)
+        handler.serve(ROLLOUTS, self._rollout_hearer.take)
+        self._rollout_hearer.hasten = self._exchange.hasten
         self.coordinator.on_begin = self._announce
         self._quota.grants = self._exchange
         self.coordinator.relays_before = lambda: self._exchange.relays_before
@@ -243,7 +259,10 @@
         self.view.is_told = lambda: self._exchange.fed
         config.fed = lambda: self._exchange.fed_config
         config.feeding = lambda: self.coordinator.feeds_config
-        self.coordinator.keep_crashes(CrashStore(ports.store, self._suspects, clock))
+        self.view.on_waiting = config.hasten
+        self.coordinator.keep(CrashStore(ports.store, self._suspects, clock))
+        self._rollouts = self._build_rollouts(ports)
+        handler.rollouts = self._rollouts.report
         self.coordinator.compare_crashes = self._suspects.compare
         self.coordinator.hears_store = lambda: members.fresh
         self.coordinator.hears_config = lambda: config.fresh
@@ -256,6 +275,7 @@
             ports.wire,
             self.view,
             self._suspects,
+            self._rollout_hearer,
             self._followers,
             clock,
             rng,
@@ -269,6 +289,27 @@
             clock,
             FleetTerms.from_config(self._policy),
         )
+        self._fleet.rolling = self._rollouts.rolling
+
+    def _build_rollouts(self, ports: RelayPorts) -> Rollouts:
+        """Return what decides on roll-outs while this relay is the coordinator."""
+        rollouts = Rollouts(
+            RolloutParts(
+                self.coordinator,
+                self.view,
+                ports.wire,
+                ports.store,
+                self._client,
+                self._metrics,
+                self._clock,
+            ),
+            RolloutTerms(bound=Bound(self._cfg.expose_share, self._cfg.expose_slack)),
+        )
+        rollouts.write_soon = self.coordinator.write_soon
+        rollouts.on_gates = self._rollout_hearer.take
+        self.coordinator.rollouts = rollouts.message
+        self.coordinator.keep(rollouts)
+        return rollouts
 
     def on_init_dependencies(self) -> Iterable[Service]:
         """Return the children, in the order of their start."""
@@ -283,6 +324,8 @@
             self._crashes,
             self._sync,
             self._leaving,
+            self._rollouts,
+            self._rollout_hearer,
             self._fleet,
             self._moves,
             self._ready,
@@ -327,6 +370,7 @@
         """Take the coordinator's answer."""
         if self._word.heard(reply):
             self._sync.behind = True
+        self._split.patience = self._exchange.patience
         self._retries.configure(retry_share(self._cfg, self._exchange.relay_count))
         mine = self.coordinator.lease.mine
         config = self._followers[0]
--- a/src/ebonydeal/_internal/relay/requests/chooser.py
+++ b/src/ebonydeal/_internal/relay/requests/chooser.py
@@ -32,6 +32,8 @@
     def __init__(self, parts: SendParts, job: Job) -> None:
         self._parts = parts
         self._job = job
+        # Whether the request was already counted for the new version's part.
+        self._asked = False
 
     @property
     def engine(self) -> EngineShape | None:
@@ -47,11 +49,31 @@
         tokens = req.prompt_tokens or 0
         return Ask(req.parts, tokens, self._parts.zone, fetches, connected)
 
-    def find(self, avoid: Set[str]) -> Found | None:
-        """Return the best endpoint that isn't among ``avoid``, or None."""
+    def find(self, avoid: Set[str], again: bool = False) -> Found | None:
+        """Return the best endpoint that isn't among ``avoid``, or None.
+
+        ``again`` says that the request was sent before: while a new version is
+        watched, repeats go to the old one.
+        """
         parts, job = self._parts, self._job
         now = parts.clock.now()
         listed = [m for m in self._listed(now) if m.endpoint_id not in avoid]
+        if not parts.split.watches(job.service):
+            return self._best(listed, now)
+        first, self._asked = not self._asked, True
+        part = parts.split.part(job.service, job.route.name, listed, now, again, first)
+        found = self._best(part.members, now)
+        if found is None and part.new:
+            # None of the new endpoints can be asked now.
+            part = parts.split.part(
+                job.service, job.route.name, listed, now, again=True, first=False
+            )
+            found = self._best(part.members, now)
+        return found
+
+    def _best(self, listed: Sequence[Member], now: float) -> Found | None:
+        """Return the best one of these endpoints, or None."""
+        parts, job = self._parts, self._job
         allowed = parts.outliers.allowed(listed, now)
         if parts.suspects.standing(job.digest) is Standing.SUSPECT:
             return self._apart(allowed)
--- a/src/ebonydeal/_internal/relay/requests/moves.py
+++ b/src/ebonydeal/_internal/relay/requests/moves.py
@@ -208,7 +208,13 @@
         """Return the endpoint where the run waits least, or None."""
         parts = self._parts
         now = parts.clock.now()
-        allowed = parts.outliers.allowed(parts.view.of_service(run.service), now)
+        # What one version made of a prompt is nothing to another.
+        listed = [
+            member
+            for member in parts.view.of_service(run.service)
+            if member.version == run.member.version
+        ]
+        allowed = parts.outliers.allowed(listed, now)
         score = parts.choice.engine(Ask((), 0, parts.zone), allowed, now)
         return None if score is None else parts.view.members[score.endpoint_id]
 
--- a/src/ebonydeal/_internal/relay/requests/sends.py
+++ b/src/ebonydeal/_internal/relay/requests/sends.py
@@ -10,7 +10,7 @@
     Member,
     Sending,
 )
-from ebonydeal._internal.observe.counters import RetryReason
+from ebonydeal._internal.observe.counters import Event, RetryReason
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.requests.chooser import Chooser, Found
 from ebonydeal._internal.relay.requests.job import Job, SendParts
@@ -25,6 +25,7 @@
 )
 from ebonydeal._internal.routing.placement.endpoint_load import Sent
 from ebonydeal._internal.routing.retries.retries import Failure, GiveUp
+from ebonydeal._internal.routing.rollout.split import Awaited
 
 logger = get_logger("relay.job")
 
@@ -63,6 +64,8 @@
         self.member: Member | None = None
         self._source = ""
         self._carried: Carried | None = None
+        # The split's number of the answer that is waited for; 0 for none.
+        self._pending = 0
 
     @property
     def left(self) -> float:
@@ -79,7 +82,7 @@
             self._check()
             if self.left <= 0.0:
                 raise self.proof.refusal(_late())
-            found = self.chooser.find(self._avoid)
+            found = self.chooser.find(self._avoid, again=self._tries > 0)
             if found is not None:
                 break
             if parts.clock.now() >= patience:
@@ -116,6 +119,7 @@
         self._tries += 1
         now = parts.clock.now()
         self.sent = parts.choice.sent(self.chooser.ask(), member, found.missed, now)
+        self._note_version(member, now)
         expected = self.expected = found.expected
         if expected is not None:
             reading = parts.choice.speed.reading(found.missed)
@@ -127,6 +131,7 @@
             service=job.service,
             endpoint=member.endpoint_id,
             zone=member.zone,
+            version=member.version,
             expected_s=None if expected is None else round(expected, 3),
             to_read=round(found.missed),
             fetches=bool(found.source),
@@ -139,6 +144,38 @@
         )
         return member
 
+    def _note_version(self, member: Member, now: float) -> None:
+        """Count the send where the service has a roll-out."""
+        parts, job = self._parts, self.job
+        split = parts.split
+        self._pending = 0
+        if not split.watches(job.service):
+            return
+        route = job.route.name
+        if split.sent(job.service, route, member, first=self._tries == 1):
+            parts.metrics.count(Event.SENT_TO_NEW_VERSION)
+        self._pending = split.awaits(
+            Awaited(job.service, route, member, self.expected, job.route.objective, now)
+        )
+
+    def _note_answer(self) -> None:
+        """Count an answer, or a stream's first event, for its version."""
+        if self._pending:
+            self._parts.split.answered(self._pending, self._parts.clock.now())
+            self._pending = 0
+
+    def _note_failure(self, member: Member) -> None:
+        """Count a failure that may be the version's."""
+        self._forget_answer()
+        if self._parts.split.failed(self.job.service, self.job.route.name, member):
+            self._parts.metrics.count(Event.NEW_VERSION_FAILED)
+
+    def _forget_answer(self) -> None:
+        """Wait for no answer any more, which says nothing of the version."""
+        if self._pending:
+            self._parts.split.gave_up(self._pending)
+            self._pending = 0
+
     def _refuse_early(self, expected: float | None) -> None:
         """Raise SHED where the answer would surely be late."""
         job = self.job
@@ -225,6 +262,10 @@
         now = parts.clock.now()
         parts.outliers.succeeded(endpoint_id, now)
         parts.failing.answered(endpoint_id, now)
+        if status >= 500:
+            self._note_failure(self.member)
+        else:
+            self._note_answer()
         if status < 300:
             # An endpoint that fails part of its requests may do so before it runs them.
             parts.suspects.served(self.job.digest)
@@ -240,11 +281,14 @@
 
     def began(self) -> None:
         """Note the first event or the answer."""
+        self._note_answer()
         if self.sent is not None:
             self.sent = self._parts.choice.began(self.sent, self._parts.clock.now())
 
     def ended(self) -> None:
         """Note that the send is over."""
+        if self._pending:
+            self._parts.split.over(self._pending, self._parts.clock.now())
         if self.sent is not None:
             self._parts.choice.ended(self.sent)
             self.sent = None
@@ -264,6 +308,12 @@
         match outcome:
             case MayHaveRun(kind=ErrorKind.ENDPOINT_FAILED):
                 parts.crashes.broke(self.member, job.digest)
+        match outcome:
+            case MayHaveRun() | Answered():
+                self._note_failure(self.member)
+            case NotSent() | ProvedNotRun():
+                # A full queue and a broken link say nothing of the version.
+                self._forget_answer()
         if self._still_listed(self.member):
             parts.outliers.failed(endpoint, error.kind, now)
             parts.failing.failed(endpoint, error.kind, now)
--- a/src/ebonydeal/_internal/relay/view/follower.py
+++ b/src/ebonydeal/_internal/relay/view/follower.py
@@ -8,6 +8,7 @@
 
 from ebonydeal._internal.errors import EbonydealError
 from ebonydeal._internal.models.forwarding import Member
+from ebonydeal._internal.models.rollouts import RolloutOrder
 from ebonydeal._internal.models.shared import Changes, SharedRow
 from ebonydeal._internal.observe.counters import Event, Metrics
 from ebonydeal._internal.observe.logs import get_logger
@@ -76,6 +77,7 @@
         self._poll: asyncio.Task[Changes | None] | None = None
         self._poll_wait = 0.0
         self._hastened = False
+        self._orders: dict[str, RolloutOrder] = {}
 
     @property
     def table(self) -> str:
@@ -161,8 +163,16 @@
             await self.take(changes.rows, changes.version, was_away)
             # Changes come in groups: one call brings those that follow.
             await self._clock.sleep(_GROUP_S)
+        else:
+            self.note_read(changes.version)
+            if wait == 0.0:
+                # Asked without waiting: not again at once.
+                await self._clock.sleep(_GROUP_S)
         return max(after, changes.version)
 
+    def note_read(self, version: int) -> None:
+        """Note that the table hasn't changed up to a version."""
+
     def hasten(self) -> None:
         """Begin the poll under way anew where a shorter one is wanted now."""
         if self._poll is not None and self._poll_wait > self.wait:
@@ -208,6 +218,9 @@
     @property
     def wait(self) -> float:
         """Seconds for which a poll waits."""
+        if self._view.waits_for_orders:
+            # Whether there is an order for a version not seen before is asked now.
+            return 0.0
         return _WAIT_FEEDING_S if self.feeding() else super().wait
 
     @property
@@ -218,13 +231,16 @@
     async def take_all(
         self, rows: list[SharedRow], version: int, was_away: bool
     ) -> None:
-        """Take the configuration's row, if there is one."""
+        """Take the configuration's row, if there is one, and all orders."""
+        self._orders = {}
         await self.take(tuple(rows), version, was_away)
 
     async def take(
         self, rows: tuple[SharedRow, ...], version: int, was_away: bool
     ) -> None:
-        """Take the configuration's row; one that can't be read is left out."""
+        """Take the configuration's row and orders; unreadable ones are left out."""
+        self._take_orders(rows)
+        self._view.take_orders(self._orders, version, "store")
         for row in rows:
             if row.key != self._wire.config_key or row.value is None:
                 continue
@@ -236,6 +252,27 @@
                 continue
             self._view.take_table(table, row.value, "store")
 
+    def note_read(self, version: int) -> None:
+        """Note that nothing has changed up to a version."""
+        self._view.orders_read_to(version)
+
+    def _take_orders(self, rows: tuple[SharedRow, ...]) -> None:
+        """Take rows of roll-outs; one that can't be read orders nothing."""
+        orders = dict(self._orders)
+        for row in rows:
+            service = self._wire.rollout_service(row.key)
+            if service is None:
+                continue
+            if row.value is None:
+                orders.pop(service, None)
+                continue
+            try:
+                orders[service] = self._wire.order(row)
+            except EbonydealError as exc:
+                self._metrics.count(Event.ROLLOUT_ORDERS_UNREADABLE)
+                logger.error("Order of a roll-out refused.", reason=str(exc))
+        self._orders = orders
+
 
 class MembersFollower(TableFollower):
     """Keeps the list of endpoints."""
--- a/src/ebonydeal/_internal/relay/view/view.py
+++ b/src/ebonydeal/_internal/relay/view/view.py
@@ -5,7 +5,9 @@
 from typing import NamedTuple
 
 from ebonydeal._internal.models.forwarding import Member, RouteTable
+from ebonydeal._internal.models.rollouts import RolloutOrder
 from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.relay.view.versions import KnownVersions
 from ebonydeal._internal.routing.placement.route_index import RouteIndex
 
 logger = get_logger("relay.view")
@@ -64,6 +66,13 @@
         self.members_known = False
         self._raw_table = b""
         self._by_service: dict[str, tuple[Member, ...]] = {}
+        self.versions = KnownVersions()
+        # Told all orders of roll-outs when they have changed.
+        self.on_orders: Callable[[dict[str, RolloutOrder]], None] = lambda _orders: None
+        # Told that endpoints wait for orders to be read further.
+        self.on_waiting: Callable[[], None] = lambda: None
+        # Those endpoints.
+        self._unknown: frozenset[str] = frozenset()
         self._lapsed: dict[str, float] = {}
         self._left: dict[str, _Left] = {}
         # Whether another relay that follows the store tells this one: its log has each
@@ -102,6 +111,37 @@
         )
         return True
 
+    def take_orders(
+        self, orders: dict[str, RolloutOrder], read_to: int, source: str
+    ) -> None:
+        """Take all orders of roll-outs as of a version of the store."""
+        known = self.versions.orders
+        self.versions.take_orders(orders, read_to)
+        if self.versions.orders != known:
+            logger.info(
+                "Orders of roll-outs.",
+                orders={s: [o.to, o.revision] for s, o in orders.items()},
+                version=read_to,
+                source=source,
+            )
+            self.on_orders(self.versions.orders)
+        self._lay_out_again()
+
+    def orders_read_to(self, read_to: int) -> None:
+        """Note that no order has changed up to a version of the store."""
+        self.versions.read_up_to(read_to)
+        self._lay_out_again()
+
+    @property
+    def waits_for_orders(self) -> bool:
+        """Whether endpoints wait until orders are read further."""
+        return bool(self._unknown)
+
+    def _lay_out_again(self) -> None:
+        """Admit endpoints that only waited for orders to be read."""
+        if self._unknown:
+            self._lay_out()
+
     # --- endpoints -----------------------------------------------------------
     def of_service(self, service: str) -> Sequence[Member]:
         """Return the endpoints of a service that may get new work."""
@@ -115,7 +155,7 @@
         found = []
         for endpoint_id, since in self._leaving_since.items():
             member = self.members[endpoint_id]
-            if member.withheld:
+            if member.withheld or endpoint_id in self._unknown:
                 continue
             left = self._last_resort - (now - since)
             gone = self._leaves_at.get(endpoint_id)
@@ -286,8 +326,18 @@
         self._changed.append(endpoint_id)
         while len(self._left) > _LEFT_KEPT:
             del self._left[next(iter(self._left))]
+        self._lay_out()
+
+    def _lay_out(self) -> None:
+        """Lay the endpoints that may get work out by service."""
+        waited = self._unknown
+        self._unknown = self.versions.withheld(self.members.values())
+        if self._unknown - waited:
+            self.on_waiting()
         grouped: dict[str, list[Member]] = {}
         for member in self.members.values():
-            if not member.leaving and not member.withheld:
+            if member.leaving or member.withheld:
+                continue
+            if member.endpoint_id not in self._unknown:
                 grouped.setdefault(member.service, []).append(member)
         self._by_service = {name: tuple(items) for name, items in grouped.items()}
--- a/src/ebonydeal/_internal/routing/duties/duty_lease.py
+++ b/src/ebonydeal/_internal/routing/duties/duty_lease.py
@@ -207,6 +207,10 @@
         self._known = False
         self._told = False
 
+    def renew_soon(self, now: float) -> None:
+        """Renew now, for what is written with a renewal and can't wait."""
+        self._renew_at = min(self._renew_at, now)
+
     def failed(self, now: float) -> None:
         """Note that a renewal did nothing; it is tried again soon."""
         self._renew_at = now + self._ttl / _RENEWALS / 4.0
--- /dev/null
+++ b/src/ebonydeal/_internal/routing/rollout/evidence.py
@@ -0,0 +1,306 @@
+"""How strongly answers speak against a new version of a service.
+
+The old version's answers of the same seconds say what is normal, so that a burst, a
+wave or a slow store, which hit both, don't speak against the new one. Two tests are
+there; both are likelihood ratios that are added up as answers come, so looking at them
+often makes no error more likely:
+
+* `Mixture` weighs many ways of being bad at once: parts of the answers that fail, and
+  parts that are several times slower;
+* `OneStrength` knows one: some more answers than usual fail or are slower than nearly
+  all of the old version.
+
+An endpoint that is ill by itself looks like a bad version where it is the only one of
+its version that is asked. So evidence is kept by endpoint, and what remains without
+the endpoint that speaks loudest is asked for, too.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from math import exp, log
+from typing import Protocol
+
+from ebonydeal._internal.routing.rollout.tally import (
+    CATEGORIES,
+    FAILED,
+    Counts,
+    empty,
+)
+
+# What is normal is taken from about this long.
+_WINDOW_S = 4.0
+# Part of answers that sound endpoints may fail: a few failures by accident must not
+# look like a version's.
+_LEAST_FAILURES = 0.01
+# Answers of each category assumed besides what was seen, so that nothing is
+# impossible; and the part of a category that spills into each neighbour.
+_PRIOR = 0.25
+_SPREAD = 0.08
+# Parts of the answers that a bad version may fail or delay.
+_FAILING_PARTS = (0.05, 0.1, 0.2, 0.4, 0.8)
+_SLOW_PARTS = (0.1, 0.3, 1.0)
+# How many half octaves slower: 2.8 and 5.7 times.
+_SHIFTS = (3, 5)
+# What one answer may say at most, natural logarithm: one must not decide alone.
+_MOST_A_SAMPLE = 4.0
+_LEAST_OF_USUAL = 0.02
+# Answers of the old version that must be known before others are put against them.
+_LEAST_NORMAL = 8.0
+# Logarithm of a likelihood ratio from which on the old version's answers are worse
+# than just before.
+_UPSET = 1.5
+# Good answers are held in favour of a version down to this only: one that turns bad
+# later is found as soon as one that was bad at once.
+_LEAST_RATIO = -1.0
+
+
+class Normal:
+    """What is normal on one route: the old version's answers of late."""
+
+    def __init__(self) -> None:
+        self._counts = [0.0] * CATEGORIES
+        self._at = 0.0
+
+    def add(self, counts: Counts, now: float) -> None:
+        """Take answers of the old version."""
+        kept = exp(-max(0.0, now - self._at) / _WINDOW_S)
+        self._at = now
+        self._counts = [c * kept + n for c, n in zip(self._counts, counts, strict=True)]
+
+    @property
+    def seen(self) -> float:
+        """How many answers it rests on."""
+        return sum(self._counts)
+
+    def shares(self) -> list[float]:
+        """Return the probability of each category."""
+        return _smooth(self._counts)
+
+
+def _smooth(counts: list[float]) -> list[float]:
+    """Return probabilities in which nothing is impossible."""
+    spread = [count * (1.0 - 2.0 * _SPREAD) + _PRIOR for count in counts]
+    spread[FAILED] = counts[FAILED] + _PRIOR
+    last = CATEGORIES - 1
+    for category in range(1, CATEGORIES):
+        # At the ends what would spill over stays.
+        below = category - 1 if category > 1 else category
+        above = category + 1 if category < last else category
+        spread[below] += counts[category] * _SPREAD
+        spread[above] += counts[category] * _SPREAD
+    total = sum(spread)
+    shares = [value / total for value in spread]
+    if shares[FAILED] < _LEAST_FAILURES:
+        rest = (1.0 - _LEAST_FAILURES) / (1.0 - shares[FAILED])
+        shares = [value * rest for value in shares]
+        shares[FAILED] = _LEAST_FAILURES
+    return shares
+
+
+def _failing(shares: list[float], part: float) -> list[float]:
+    """Return the shares of a version that fails a part of its answers besides."""
+    bad = [value * (1.0 - part) for value in shares]
+    bad[FAILED] += part
+    return bad
+
+
+def _slower(shares: list[float], part: float, shift: int) -> list[float]:
+    """Return the shares of a version that delays a part of its answers."""
+    bad = [value * (1.0 - part) for value in shares]
+    bad[FAILED] = shares[FAILED]
+    last = CATEGORIES - 1
+    for category in range(1, CATEGORIES):
+        bad[min(last, category + shift)] += part * shares[category]
+    return bad
+
+
+class Test(Protocol):
+    """Turns answers of the new version into logarithms of likelihood ratios."""
+
+    size: int
+
+    def weigh(self, shares: list[float], counts: Counts) -> list[float]:
+        """Return what ``counts`` add for each way of being bad."""
+
+
+class Mixture:
+    """Weighs many ways of being bad."""
+
+    def __init__(self) -> None:
+        self._ways: list[Callable[[list[float]], list[float]]] = [
+            lambda shares, part=part: _failing(shares, part)  # type: ignore[misc]
+            for part in _FAILING_PARTS
+        ]
+        self._ways += [
+            lambda shares, p=part, s=shift: _slower(shares, p, s)  # type: ignore[misc]
+            for part in _SLOW_PARTS
+            for shift in _SHIFTS
+        ]
+        self.size = len(self._ways)
+
+    def weigh(self, shares: list[float], counts: Counts) -> list[float]:
+        """Return what ``counts`` add for each way of being bad."""
+        return [_ratio(shares, way(shares), counts) for way in self._ways]
+
+
+class OneStrength:
+    """Weighs one way: a fifth more answers than usual are bad.
+
+    Bad is a failure, or a time in which nearly all of the old version's answers came,
+    exceeded by more than twice.
+    """
+
+    size = 1
+    _MORE = 0.2
+    _NEARLY_ALL = 0.97
+    _SLOWER = 2
+
+    def weigh(self, shares: list[float], counts: Counts) -> list[float]:
+        """Return what ``counts`` add."""
+        first = self._first_slow(shares)
+        usual = shares[FAILED] + sum(shares[first:])
+        usual = min(0.75, max(_LEAST_FAILURES, usual))
+        more = usual + self._MORE * (1.0 - usual)
+        bad = counts[FAILED] + sum(counts[first:])
+        good = sum(counts) - bad
+        found = bad * log(more / usual) + good * log((1.0 - more) / (1.0 - usual))
+        return [found]
+
+    def _first_slow(self, shares: list[float]) -> int:
+        """Return the first category that counts as slow."""
+        answered = 1.0 - shares[FAILED]
+        below = 0.0
+        for category in range(1, CATEGORIES):
+            below += shares[category]
+            if below >= self._NEARLY_ALL * answered:
+                return min(CATEGORIES - 1, category + 1 + self._SLOWER)
+        return CATEGORIES - 1
+
+
+def _ratio(usual: list[float], bad: list[float], counts: Counts) -> float:
+    """Return the logarithm of a likelihood ratio."""
+    return sum(
+        count * _log_ratio(bad[category], usual[category])
+        for category, count in enumerate(counts)
+        if count
+    )
+
+
+def _log_ratio(bad: float, usual: float) -> float:
+    """Return what one answer says; none decides alone, either way."""
+    return min(_MOST_A_SAMPLE, log(max(bad, usual * _LEAST_OF_USUAL) / usual))
+
+
+def mean_of_exponentials(values: Iterable[float]) -> float:
+    """Return the logarithm of the mean of exp(values)."""
+    found = list(values)
+    if not found:
+        return 0.0
+    top = max(found)
+    return top + log(sum(exp(v - top) for v in found) / len(found))
+
+
+@dataclass(frozen=True)
+class Standing:
+    """How much speaks against a version, natural logarithms of likelihood ratios.
+
+    ``total`` is that of all endpoints, ``without`` that without the one that speaks
+    loudest, ``loudest`` its id; ``route`` the route where most speaks against it.
+    """
+
+    total: float = 0.0
+    without: float = 0.0
+    loudest: str = ""
+    route: str = ""
+
+
+class Evidence:
+    """All that was seen of one roll-out.
+
+    Parameters
+    ----------
+    test : Test
+        What turns answers into ratios.
+    """
+
+    def __init__(self, test: Test) -> None:
+        self._test = test
+        self._normal: dict[str, Normal] = {}
+        # By route and endpoint, one ratio for each way of being bad.
+        self._ratios: dict[str, dict[str, list[float]]] = {}
+        self.answers = 0
+        self.bad = 0
+
+    def add(
+        self,
+        old: dict[str, Counts],
+        new: dict[str, dict[str, Counts]],
+        now: float,
+        alone: bool = False,
+    ) -> None:
+        """Take answers since the last call.
+
+        ``old`` by route, ``new`` by route and endpoint. ``alone`` says that no old
+        endpoint is left to compare with: what was normal before counts.
+        """
+        unsure = {
+            route
+            for route in new
+            if not self._is_usual(route, old.get(route, empty()), alone)
+        }
+        for route, counts in old.items():
+            self._normal.setdefault(route, Normal()).add(counts, now)
+        for route, by_endpoint in new.items():
+            shares = self._normal.setdefault(route, Normal()).shares()
+            if route in unsure:
+                continue
+            ratios = self._ratios.setdefault(route, {})
+            for endpoint_id, counts in by_endpoint.items():
+                self.answers += sum(counts)
+                self.bad += counts[FAILED]
+                added = self._test.weigh(shares, counts)
+                known = ratios.get(endpoint_id, [0.0] * self._test.size)
+                ratios[endpoint_id] = [
+                    max(_LEAST_RATIO, a + b) for a, b in zip(known, added, strict=True)
+                ]
+
+    def _is_usual(self, route: str, counts: Counts, alone: bool) -> bool:
+        """Return whether the old version is as it was just before.
+
+        Else a trouble of both begins, and what is normal isn't known for a moment.
+        """
+        normal = self._normal.get(route)
+        if normal is None or normal.seen < _LEAST_NORMAL:
+            return alone
+        return max(self._test.weigh(normal.shares(), counts)) <= _UPSET
+
+    def standing(self) -> Standing:
+        """Return how much speaks against the version."""
+        if not self._ratios:
+            return Standing()
+        total, route = self._sum("")
+        endpoints = {e for ratios in self._ratios.values() for e in ratios}
+        if not endpoints:
+            return Standing()
+        without, loudest = min(
+            (self._sum(endpoint_id)[0], endpoint_id) for endpoint_id in endpoints
+        )
+        return Standing(total, without, loudest, route)
+
+    def _sum(self, left_out: str) -> tuple[float, str]:
+        """Return the evidence without an endpoint, and the route that it is from.
+
+        A version may be bad on one route or on all of them alike.
+        """
+        everywhere = [0.0] * self._test.size
+        by_route = {}
+        for route, ratios in self._ratios.items():
+            here = [0.0] * self._test.size
+            for endpoint_id, values in ratios.items():
+                if endpoint_id != left_out:
+                    here = [a + b for a, b in zip(here, values, strict=True)]
+            by_route[route] = mean_of_exponentials(here)
+            everywhere = [a + b for a, b in zip(everywhere, here, strict=True)]
+        route = max(by_route, key=by_route.__getitem__)
+        found = [*by_route.values(), mean_of_exponentials(everywhere)]
+        return mean_of_exponentials(found), route
--- a/src/ebonydeal/_internal/settings/relay.py
+++ b/src/ebonydeal/_internal/settings/relay.py
@@ -73,6 +73,13 @@
     usage_late_s: Annotated[
         float, Key("Time after its end until usage is due.", "seconds", 0.1, 86400)
     ] = 10.0
+    expose_share: Annotated[
+        float,
+        Key("Share of a service's requests that a bad version may get.", "", 0, 1),
+    ] = 0.1
+    expose_slack: Annotated[
+        float, Key("Requests that a bad version may get besides.", "", 0, 1e9)
+    ] = 50.0
     reuse_window_s: Annotated[
         float, Key("Time for which a read prompt part is kept.", "seconds", 0, 86400)
     ] = 8.0
--- a/src/ebonydeal/_internal/soak/checks.py
+++ b/src/ebonydeal/_internal/soak/checks.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
+from ebonydeal._internal.models.rollouts import Phase
 from ebonydeal._internal.soak.records import FatalRun, Kind, Log, Seen, event_count
 
 # Statuses that promise that a request has not run and never will.
@@ -24,6 +25,11 @@
 _LATE_RUNS = 3
 # What was sent before a kill may reach an endpoint so much later, seconds.
 _IN_FLIGHT_S = 0.25
+# Of the requests for a service a bad version may get this share and so many besides,
+# the users' bounds; and the requests at it from which on its verdict must be right.
+_EXPOSE_SHARE = 0.1
+_EXPOSE_SLACK = 50
+_BAD_ANSWERS = 50
 
 
 class Terms(NamedTuple):
@@ -265,6 +271,55 @@
             yield Violation("crashes", detail)
 
 
+def bad_versions_exposed_little(log: Log, _terms: Terms) -> Iterable[Violation]:
+    """A bad version gets a bounded part of the requests until its order's end."""
+    for rollout in log.rollouts:
+        if not rollout.bad:
+            continue
+        runs = [run for run in log.runs if rollout.at <= run.at <= rollout.until]
+        over = sum(
+            run.version == rollout.to
+            and not _harmed(log, run.relay, run.at - _CONTACT_S, run.at)
+            for run in runs
+        )
+        most = _EXPOSE_SHARE * len(runs) + _EXPOSE_SLACK
+        if over > most:
+            detail = f"{rollout.to} got {over} of {len(runs)}, {most:.0f} at most"
+            yield Violation("exposure", detail)
+
+
+def verdicts_final(log: Log, _terms: Terms) -> Iterable[Violation]:
+    """A roll-out has one verdict, and a version rolled back gets nothing after it."""
+    for rollout in log.rollouts:
+        told = [s for s in log.statuses if s.to == rollout.to and s.at >= rollout.at]
+        phases = [s.phase for s in told if s.phase is not Phase.RUNNING]
+        if len(set(phases)) > 1:
+            yield Violation("verdict", f"{rollout.to}: {[str(p) for p in phases]}")
+        ends = [s.at for s in told if s.phase is Phase.ROLLED_BACK]
+        if not ends:
+            continue
+        for run in log.runs:
+            late = run.at - min(ends)
+            if run.version != rollout.to or late <= _SLACK_S or run.carried:
+                continue
+            if not _harmed(log, run.relay, min(ends) - _CONTACT_S, run.at):
+                detail = f"{rollout.to} got {run.request_id} {late:.2f} s after its end"
+                yield Violation("verdict", detail)
+
+
+def bad_versions_go(log: Log, _terms: Terms) -> Iterable[Violation]:
+    """A version that fails all of many requests isn't called good."""
+    for rollout in log.rollouts:
+        answered = sum(
+            run.version == rollout.to and run.at <= rollout.until for run in log.runs
+        )
+        good = any(
+            s.to == rollout.to and s.phase is Phase.COMPLETED for s in log.statuses
+        )
+        if rollout.bad and good and answered >= _BAD_ANSWERS:
+            yield Violation("verdict", f"{rollout.to} is bad and was completed")
+
+
 def _harmed(log: Log, relay: str, begin: float, end: float) -> bool:
     """Return whether a relay itself, or its link, was harmed in some time."""
     return any(
@@ -275,6 +330,9 @@
 
 CHECKS: tuple[Check, ...] = (
     crashes_bound,
+    bad_versions_exposed_little,
+    verdicts_final,
+    bad_versions_go,
     run_once,
     refusals_true,
     answers_whole,
--- a/src/ebonydeal/_internal/soak/endpoints.py
+++ b/src/ebonydeal/_internal/soak/endpoints.py
@@ -4,6 +4,7 @@
 import json
 import time
 from collections.abc import Callable
+from enum import StrEnum
 
 from aiohttp import web
 
@@ -29,16 +30,37 @@
 _PACE_S = 0.03
 _WORK_S = 0.02
 _CLOSE_S = 0.1
+# What a slow version takes longer.
+_SLOW_S = 0.4
+
+
+class Bad(StrEnum):
+    """How a version is bad."""
+
+    NO = "no"
+    FAILS = "fails"
+    SLOW = "slow"
+    ONE_ROUTE = "one route"
 
 
 class PlayEndpoint:
     """One endpoint behind a proxy of its own.
 
-    ``memory`` holds the handles of runs that were stopped, at all endpoints.
+    ``memory`` holds the handles of runs that were stopped, at all endpoints;
+    ``version`` is its software's, which may be ``bad``.
     """
 
-    def __init__(self, name: str, log: Log, memory: dict[str, str]) -> None:
+    def __init__(
+        self,
+        name: str,
+        log: Log,
+        memory: dict[str, str],
+        version: str = "",
+        bad: Bad = Bad.NO,
+    ) -> None:
         self.name = name
+        self.version = version
+        self.bad = bad
         self._log = log
         self._memory = memory
         self._stopped: dict[str, asyncio.Event] = {}
@@ -74,6 +96,7 @@
             True,
             0.0,
             0,
+            version=self.version,
         )
 
     def leaves(self, seconds: float) -> None:
@@ -115,16 +138,26 @@
                 time.monotonic(),
                 time.time(),
                 bool(got.carried),
+                self.version,
             )
         )
         if body.startswith(FATAL):
             await self._crash(body.decode(), req.headers.get(RELAY_HEADER, ""))
         headers = answer_headers(got.request_id)
+        if self._fails(req.path):
+            return web.Response(status=500, headers=headers)
+        if self.bad is Bad.SLOW:
+            await asyncio.sleep(_SLOW_S)
         if req.path.startswith(("/live/", "/again/")):
             return await self._stream(req, got.request_id, got.last_event, headers)
         await asyncio.sleep(_WORK_S)
         return web.json_response({"request": got.request_id}, headers=headers)
 
+    def _fails(self, path: str) -> bool:
+        """Return whether a bad version fails this request."""
+        on_route = self.bad is Bad.ONE_ROUTE and path.startswith("/safe/")
+        return self.bad is Bad.FAILS or on_route
+
     async def _stream(
         self, req: web.BaseRequest, request_id: str, last: str, headers: dict[str, str]
     ) -> web.StreamResponse:
--- a/src/ebonydeal/_internal/soak/plan.py
+++ b/src/ebonydeal/_internal/soak/plan.py
@@ -21,6 +21,7 @@
     CONFIG = "configuration changes"
     FATAL_REQUEST = "a request crashes what runs it"
     SUSPENSION = "machine suspended"
+    ROLLOUT = "a new version is rolled out"
 
 
 class Step(NamedTuple):
@@ -46,6 +47,10 @@
     # Longer than a lease.
     (Fault.SUSPENSION, 12.0, 3.0, 4.5),
 )
+# At most one roll-out a soak, from early on, and the seconds of its order.
+_ROLLOUT_FROM_S = 1.5
+_ROLLOUT_S = (5.0, 7.0)
+_ROLLOUT_SEED = 2_000_003
 _LATER_SEED = 1_000_003
 # The last seconds are calm, so that what was begun can end.
 _CALM_S = 3.0
@@ -67,7 +72,17 @@
             length = rng.uniform(0.3, 2.5)
             steps.append(Step(at, rng.choice(faults), length, rng.randrange(1000)))
             at += rng.expovariate(1.0 / mean) + 0.3
-    return sorted([*steps, *_later(seed, seconds)])
+    return sorted([*steps, *_later(seed, seconds), *_rollouts(seed, seconds)])
+
+
+def _rollouts(seed: int, seconds: float) -> list[Step]:
+    """Return the roll-out of a seed, where there is time for one."""
+    rng = Random(seed + _ROLLOUT_SEED)
+    at = rng.uniform(0.5, _ROLLOUT_FROM_S)
+    length = rng.uniform(*_ROLLOUT_S)
+    if at + length + _CALM_S > seconds:
+        return []
+    return [Step(at, Fault.ROLLOUT, length, rng.randrange(1000))]
 
 
 def _later(seed: int, seconds: float) -> list[Step]:
--- a/src/ebonydeal/_internal/soak/plants.py
+++ b/src/ebonydeal/_internal/soak/plants.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from ebonydeal._internal.models.rollouts import Phase
 from ebonydeal._internal.soak.checks import Terms
 from ebonydeal._internal.soak.records import (
     FatalRun,
@@ -9,7 +10,9 @@
     Leave,
     Log,
     Report,
+    Rollout,
     Seen,
+    Status,
     Trouble,
 )
 
@@ -91,6 +94,22 @@
     log.fatal = [FatalRun("fatal", f"e{n}", "", at + 1.1 * n) for n in range(12)]
 
 
+def _exposed(log: Log, _terms: Terms) -> None:
+    log.troubles.clear()
+    at = log.runs[0].at
+    log.rollouts = [Rollout("bad", True, at, at + 1e6)]
+    log.runs = [run._replace(version="bad") for run in log.runs]
+
+
+def _turned_back(log: Log, _terms: Terms) -> None:
+    at = log.runs[0].at
+    log.rollouts = [Rollout("new", False, at, at + 1.0)]
+    log.statuses = [
+        Status("new", Phase.ROLLED_BACK, at + 0.5),
+        Status("new", Phase.COMPLETED, at + 0.6),
+    ]
+
+
 PLANTS: dict[str, tuple[Callable[[Log, Terms], None], str]] = {
     "second-run": (_second_run, "run once"),
     "false-refusal": (_false_refusal, "refusal"),
@@ -103,4 +122,6 @@
     "wrong-usage": (_wrong_usage, "usage"),
     "cut-by-stop": (_cut_by_stop, "planned stop"),
     "crashes-on": (_crashes_on, "crashes"),
+    "exposed": (_exposed, "exposure"),
+    "turned-back": (_turned_back, "verdict"),
 }
--- a/src/ebonydeal/_internal/soak/platform.py
+++ b/src/ebonydeal/_internal/soak/platform.py
@@ -3,7 +3,9 @@
 import asyncio
 import json
 import time
+from collections.abc import Iterable
 from random import Random
+from typing import Any
 
 from aiohttp import web
 
@@ -19,7 +21,8 @@
     read_write,
     rows_body,
 )
-from ebonydeal._internal.soak.records import Log, Report
+from ebonydeal._internal.platform.rows import STATUS_TABLE, decode_status
+from ebonydeal._internal.soak.records import Log, Report, Status
 
 # Polls that are under way at the end are cut.
 _CLOSE_S = 0.1
@@ -70,6 +73,9 @@
             if change.value is None:
                 del rows[change.key]
             self._changes.append((change.table, row))
+            if change.table == STATUS_TABLE and change.value is not None:
+                phase, to = decode_status(change.value)
+                self._log.statuses.append(Status(to, phase, time.monotonic()))
         async with self._changed:
             self._changed.notify_all()
 
@@ -94,7 +100,7 @@
         rows = self._tables.get(req.query["table"], {}).values()
         start = req.query.get("from", "")
         found = sorted(row for row in rows if row.key >= start)
-        return web.json_response(rows_body(found, self._version))
+        return web.json_response(self._body(found, self._version))
 
     async def _feed(self, req: web.BaseRequest) -> web.Response:
         table, after, wait = read_poll(req.query)
@@ -104,8 +110,8 @@
                     async with self._changed:
                         await self._changed.wait()
         except TimeoutError:
-            return web.json_response(rows_body((), self._version))
-        return web.json_response(rows_body(found, found[-1].version))
+            return web.json_response(self._body((), self._version))
+        return web.json_response(self._body(found, found[-1].version))
 
     def _since(self, table: str, after: int) -> list[SharedRow]:
         return [r for t, r in self._changes if t == table and r.version > after]
@@ -117,11 +123,14 @@
             found = 0 if row is None else row.version
             if change.expected >= 0 and found != change.expected:
                 rows = () if row is None else (row,)
-                return web.json_response(rows_body(rows, self._version), status=412)
+                return web.json_response(self._body(rows, self._version), status=412)
         await self._apply(changes)
         if self._rng.random() < self.lose and req.transport is not None:
             req.transport.abort()
-        return web.json_response(rows_body((), self._version))
+        return web.json_response(self._body((), self._version))
+
+    def _body(self, rows: Iterable[SharedRow], version: int) -> dict[str, Any]:
+        return rows_body(rows, version, time.monotonic())
 
     async def _usage(self, req: web.BaseRequest) -> web.Response:
         window, counts, holder, fence = read_usage(
--- a/src/ebonydeal/_internal/soak/records.py
+++ b/src/ebonydeal/_internal/soak/records.py
@@ -4,6 +4,8 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from ebonydeal._internal.models.rollouts import Phase
+
 
 class Kind(StrEnum):
     """Kinds of requests; the value is the prefix of their route."""
@@ -28,7 +30,8 @@
 class Run(NamedTuple):
     """A request that an endpoint began to run.
 
-    ``relay`` sent it; ``carried`` says that it goes on with a run's memory.
+    ``relay`` sent it; ``carried`` says that it goes on with a run's memory;
+    ``version`` is the endpoint's.
     """
 
     request_id: str
@@ -38,6 +41,7 @@
     at: float
     wall: float
     carried: bool
+    version: str = ""
 
 
 class Seen(NamedTuple):
@@ -84,6 +88,23 @@
     at: float
 
 
+class Rollout(NamedTuple):
+    """A roll-out as it was ordered: its version, whether that is bad, and times."""
+
+    to: str
+    bad: bool
+    at: float
+    until: float
+
+
+class Status(NamedTuple):
+    """What the system told operators of a roll-out."""
+
+    to: str
+    phase: Phase
+    at: float
+
+
 class Report(NamedTuple):
     """A usage report that the platform accepted."""
 
@@ -113,6 +134,8 @@
     reports: list[Report] = field(default_factory=list)
     troubles: list[Trouble] = field(default_factory=list)
     fatal: list[FatalRun] = field(default_factory=list)
+    rollouts: list[Rollout] = field(default_factory=list)
+    statuses: list[Status] = field(default_factory=list)
 
 
 def event_count(request_id: str) -> int:
--- a/src/ebonydeal/_internal/soak/run.py
+++ b/src/ebonydeal/_internal/soak/run.py
@@ -11,11 +11,14 @@
 from typing import NamedTuple
 
 from ebonydeal._internal.models.forwarding import Repeat
+from ebonydeal._internal.models.rollouts import Phase, RolloutOrder
 from ebonydeal._internal.platform.rehearsal import (
     PlayAccount,
     PlayRoute,
     config_document,
     member_document,
+    order_document,
+    order_key,
 )
 from ebonydeal._internal.platform.rows import (
     CONFIG_KEY,
@@ -24,13 +27,20 @@
 )
 from ebonydeal._internal.soak.checks import Terms, Violation, check_all
 from ebonydeal._internal.soak.clients import HOST, Client
-from ebonydeal._internal.soak.endpoints import FATAL, SERVICE, PlayEndpoint
+from ebonydeal._internal.soak.endpoints import FATAL, SERVICE, Bad, PlayEndpoint
 from ebonydeal._internal.soak.plan import Fault, Step, make_plan
 from ebonydeal._internal.soak.plants import PLANTS
 from ebonydeal._internal.soak.platform import PlayPlatform
 from ebonydeal._internal.soak.processes import RelayProcess
 from ebonydeal._internal.soak.proxy import Harm, Proxy
-from ebonydeal._internal.soak.records import Kind, Leave, Log, Publish, Trouble
+from ebonydeal._internal.soak.records import (
+    Kind,
+    Leave,
+    Log,
+    Publish,
+    Rollout,
+    Trouble,
+)
 
 _DRAIN_S = 2.0
 _NOTICE_S = 2.5
@@ -62,6 +72,9 @@
 # A request that crashes endpoints comes four times a second; these are back after 2 s.
 _REPEAT_S = 0.25
 _BACK_S = 2.0
+# New endpoints come so long after the order; a verdict may come so late.
+_BOOT_S = 0.4
+_VERDICT_S = 3.0
 _FATAL_KINDS = (Kind.SAFE, Kind.AGAIN, Kind.LIVE, Kind.ONCE)
 
 
@@ -101,6 +114,8 @@
         self._named = 0
         self._comings: set[asyncio.Future[None]] = set()
         self._version = 0
+        # The version of the service's endpoints.
+        self._runs = "v1"
 
     async def play(self) -> None:
         """Start, play the plan under load, and end all processes."""
@@ -183,9 +198,11 @@
         self.log.published.append(Publish(version, at))
         self._version = version
 
-    async def _add_endpoint(self) -> None:
+    async def _add_endpoint(self, bad: Bad = Bad.NO, version: str = "") -> None:
         self._named += 1
-        endpoint = PlayEndpoint(f"e{self._named}", self.log, self._memory)
+        endpoint = PlayEndpoint(
+            f"e{self._named}", self.log, self._memory, version or self._runs, bad
+        )
         endpoint.on_crash = self._fell
         await endpoint.start()
         self._endpoints.append(endpoint)
@@ -239,6 +256,8 @@
                 await self._repeat_fatal(step)
             case Fault.SUSPENSION:
                 await self._pause(relay, step)
+            case Fault.ROLLOUT:
+                await self._roll_out(step)
 
     @asynccontextmanager
     async def _trouble(self, kind: str, relay: str) -> AsyncIterator[None]:
@@ -307,8 +326,44 @@
             await asyncio.sleep(step.seconds)
             await self._platform.put(MEMBERS_TABLE, endpoint.name, None)
 
+    async def _roll_out(self, step: Step) -> None:
+        """Order a new version, good or bad, and do as the system decides."""
+        bad = list(Bad)[step.which % len(Bad)]
+        to = "v2"
+        order = RolloutOrder(SERVICE, to, step.seconds, 0)
+        at = await self._platform.put(
+            CONFIG_TABLE, order_key(SERVICE), order_document(order)
+        )
+        rollout = Rollout(to, bad is not Bad.NO, at, at + step.seconds)
+        self.log.rollouts.append(rollout)
+        await asyncio.sleep(_BOOT_S)
+        for _ in range(self._size.endpoints):
+            await self._add_endpoint(bad, to)
+        phase = await self._decided(to, rollout.until + _VERDICT_S)
+        if phase is Phase.COMPLETED:
+            self._runs = to
+        # What isn't needed any more goes: old ones at once, new ones a little later.
+        if phase is Phase.ROLLED_BACK:
+            await asyncio.sleep(_NOTICE_S)
+        for endpoint in list(self._endpoints):
+            if endpoint.version != self._runs:
+                self._endpoints.remove(endpoint)
+                await endpoint.stop()
+                await self._platform.put(MEMBERS_TABLE, endpoint.name, None)
+
+    async def _decided(self, to: str, end: float) -> Phase:
+        """Wait for a roll-out's verdict; without one the new version is given up."""
+        while time.monotonic() < end:
+            for status in self.log.statuses:
+                if status.to == to and status.phase is not Phase.RUNNING:
+                    return status.phase
+            await asyncio.sleep(0.05)
+        return Phase.ROLLED_BACK
+
     def _pick(self, step: Step) -> PlayEndpoint:
-        return self._endpoints[step.which % len(self._endpoints)]
+        """Return an endpoint of the version that the service runs."""
+        own = [e for e in self._endpoints if e.version == self._runs]
+        return (own or self._endpoints)[step.which % len(own or self._endpoints)]
 
     def _fell(self, endpoint: PlayEndpoint) -> None:
         """Bring another endpoint for one that a request crashed."""
@@ -320,7 +375,7 @@
         async with self._trouble("crash", ""):
             await asyncio.sleep(_BACK_S)
             await endpoint.stop()
-            await self._add_endpoint()
+            await self._add_endpoint(version=endpoint.version, bad=endpoint.bad)
             await self._platform.put(MEMBERS_TABLE, endpoint.name, None)
 
     async def _repeat_fatal(self, step: Step) -> None:
--- a/tests/functional/platform/test_calls.py
+++ b/tests/functional/platform/test_calls.py
@@ -11,6 +11,7 @@
 from ebonydeal._internal.platform.duties import PlatformDuties
 from ebonydeal._internal.platform.engines import PlatformEngines
 from ebonydeal._internal.platform.store import PlatformStore
+from ebonydeal._internal.utils.clock import SystemClock
 
 
 class Service:
@@ -53,7 +54,7 @@
         async with Service() as service:
             answer = {"rows": [wire_row("a", b"1", 3)], "truncated": False, "ver": 9}
             service.answers = [(200, answer)]
-            store = PlatformStore(service.url, 1.0)
+            store = PlatformStore(service.url, 1.0, SystemClock())
             rows, version = await store.rows("t", "a")
             await store.close()
         assert [(r.key, r.value, r.version) for r in rows] == [("a", b"1", 3)]
@@ -64,7 +65,7 @@
         async with Service() as service:
             gone = {"key": "a", "ver": 5, "tombstone": True}
             service.answers = [(200, {"rows": [gone], "ver": 5}), (410, {})]
-            store = PlatformStore(service.url, 1.0)
+            store = PlatformStore(service.url, 1.0, SystemClock())
             changes = await store.changes("t", 4, 2.0)
             assert await store.changes("t", 4, 2.0) is None
             await store.close()
@@ -74,7 +75,7 @@
     async def test_a_failed_condition_brings_the_rows(self):
         async with Service() as service:
             service.answers = [(412, {"rows": [wire_row("k", b"x", 7)]})]
-            store = PlatformStore(service.url, 1.0)
+            store = PlatformStore(service.url, 1.0, SystemClock())
             result = await store.transact([RowChange("t", "k", b"y", NO_ROW)])
             await store.close()
         assert not result.applied
@@ -96,7 +97,7 @@
     async def test_a_write_is_in_doubt_unless_nothing_was_done(self, answer, kind):
         async with Service() as service:
             service.answers = [answer]
-            store = PlatformStore(service.url, 1.0)
+            store = PlatformStore(service.url, 1.0, SystemClock())
             with pytest.raises(EbonydealError) as caught:
                 await store.transact([RowChange("t", "k", b"y")])
             await store.close()
--- /dev/null
+++ b/tests/functional/relay/test_rollouts.py
@@ -0,0 +1,223 @@
+"""Roll-outs through real relays: good and bad versions, and troubles meanwhile."""
+
+import asyncio
+import json
+import time
+
+import pytest
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from tests.lib.relay_fakes import until
+from tests.lib.rollouts import NEW, OLD, deployment
+
+FAILS = b"500 Internal Server Error"
+# The bound that relays keep by default: a tenth of the requests, and fifty.
+SHARE, SLACK = 0.1, 50
+
+
+async def verdict(found, state, seconds=9.0):
+    await until(lambda: found.status() == (state, NEW), seconds)
+
+
+def within_bound(found, begun, seconds):
+    """Return whether the new version got no more than the bound leaves it."""
+    over = [t for t in found.sends(NEW) if t <= begun + seconds]
+    whole = [t for t in found.sends(OLD) if begun <= t <= begun + seconds]
+    return len(over) <= SHARE * (len(over) + len(whole)) + SLACK
+
+
+class TestGood:
+    async def test_is_completed_in_time_and_nothing_fails(self):
+        async with deployment() as found:
+            begun = time.monotonic()
+            await found.order()
+            await found.add(NEW, 3)
+            await until(lambda: found.status() == ("running", NEW))
+            await verdict(found, "completed")
+            assert time.monotonic() - begun <= 5.0 + 0.2
+            assert within_bound(found, begun, 5.0)
+            done = time.monotonic()
+            await asyncio.sleep(0.6)
+            assert not [t for t in found.sends(OLD) if t > done]
+            assert found.answers and {s for _p, s in found.answers} == {200}
+
+    async def test_waits_for_endpoints_that_come_late(self):
+        async with deployment() as found:
+            await found.order(seconds=2.0)
+            await asyncio.sleep(2.5)
+            assert found.status() == ("running", NEW) and not found.sends(NEW)
+            await found.add(NEW, 3)
+            await verdict(found, "completed")
+
+    async def test_back_to_the_version_that_runs_is_done_at_once(self):
+        async with deployment() as found:
+            await found.order(to=OLD)
+            await until(lambda: found.status() == ("completed", OLD))
+            await asyncio.sleep(0.3)
+            assert {s for _p, s in found.answers} == {200}
+
+
+class TestBad:
+    @pytest.mark.parametrize(
+        "bad",
+        [
+            lambda _path: FAILS,
+            lambda _path: 0.25,
+            lambda path: FAILS if path.startswith("/once/") else None,
+        ],
+        ids=["fails", "slow", "one route"],
+    )
+    async def test_is_rolled_back_and_gets_nothing_after(self, bad):
+        async with deployment() as found:
+            begun = time.monotonic()
+            await found.order()
+            await found.add(NEW, 3, bad)
+            await verdict(found, "rolled_back")
+            assert within_bound(found, begun, 5.0)
+            done = time.monotonic()
+            await asyncio.sleep(0.6)
+            assert not [t for t in found.sends(NEW) if t > done]
+
+    async def test_one_that_turns_bad_is_rolled_back(self):
+        turned = []
+        async with deployment() as found:
+            begun = time.monotonic()
+            await found.order()
+            await found.add(NEW, 3, lambda _path: FAILS if turned else None)
+            await asyncio.sleep(2.5)
+            turned.append(True)
+            await verdict(found, "rolled_back")
+            assert within_bound(found, begun, 5.0)
+
+    async def test_a_trouble_of_both_is_not_held_against_it(self):
+        ill = []
+        async with deployment() as found:
+            for endpoint in found.endpoints:
+                endpoint.bad = lambda _path: 0.08 if ill else None
+            await found.order()
+            await found.add(NEW, 3, lambda _path: 0.08 if ill else None)
+            await asyncio.sleep(2.0)
+            ill.append(True)
+            await asyncio.sleep(1.0)
+            ill.clear()
+            await verdict(found, "completed")
+
+
+class TestOrders:
+    async def test_endpoints_before_any_order_is_known_wait(self):
+        async with deployment() as found:
+            # The order lies before the endpoints; relays poll it seldom.
+            await found.add(NEW, 2, lambda _path: FAILS)
+            await asyncio.sleep(0.5)
+            await found.order(seconds=3.0)
+            await asyncio.sleep(0.5)
+            # Without an order another version is the service's own.
+            assert found.sends(NEW)
+
+    async def test_an_unreadable_one_orders_nothing(self):
+        async with deployment() as found:
+            await found.store.put("op", "rollout/s", b'{"service": "s", "to": 7.5}')
+            await asyncio.sleep(0.6)
+            assert found.status() is None
+            relays = found.relays
+            counted = [
+                r._metrics.value("events", "rollout_orders_unreadable") for r in relays
+            ]
+            assert sum(counted) >= 1
+            assert {s for _p, s in found.answers} == {200}
+
+    async def test_a_withdrawn_one_is_rolled_back(self):
+        async with deployment() as found:
+            await found.order(seconds=8.0)
+            await found.add(NEW, 3)
+            await until(lambda: found.sends(NEW))
+            await found.store.put("op", "rollout/s", None)
+            await verdict(found, "rolled_back")
+            done = time.monotonic()
+            await asyncio.sleep(0.5)
+            assert not [t for t in found.sends(NEW) if t > done]
+
+    async def test_one_over_another_gives_the_first_version_up(self):
+        async with deployment() as found:
+            await found.order(seconds=8.0)
+            await found.add(NEW, 3)
+            await until(lambda: found.sends(NEW))
+            await found.order(to="v3", seconds=4.0)
+            await until(lambda: found.status() == ("running", "v3"))
+            await asyncio.sleep(0.3)
+            done = time.monotonic()
+            await found.add("v3", 3)
+            await until(lambda: found.status() == ("completed", "v3"), 9.0)
+            assert not [t for t in found.sends(NEW) if t > done]
+
+    async def test_a_version_that_was_rolled_back_may_be_ordered_again(self):
+        ill = [True]
+        async with deployment() as found:
+            await found.order()
+            await found.add(NEW, 3, lambda _path: FAILS if ill else None)
+            await verdict(found, "rolled_back")
+            ill.clear()
+            await found.order(seconds=4.0)
+            await verdict(found, "completed")
+
+
+class TestLoss:
+    async def test_another_coordinator_goes_on_with_what_was_spent(self):
+        async with deployment(lease_ms=600) as found:
+            begun = time.monotonic()
+            await found.order(seconds=7.0)
+            await found.add(NEW, 3)
+            await until(lambda: len(found.sends(NEW)) >= 5)
+            await asyncio.sleep(0.5)
+            first = found.coordinator()
+            found.stopped.add(first)
+            await first.stop()
+            await verdict(found, "completed", 12.0)
+            assert within_bound(found, begun, 7.0)
+            assert time.monotonic() - begun <= 7.0 + 1.0
+
+    async def test_a_verdict_stands_when_all_relays_are_lost(self):
+        async with deployment(lease_ms=600) as found:
+            await found.order()
+            await found.add(NEW, 3, lambda _path: FAILS)
+            await verdict(found, "rolled_back")
+            found.stopped.update(found.relays)
+            await asyncio.gather(*(r.stop() for r in found.relays))
+            done = time.monotonic()
+            async with deployment(old=0, store=found.store, lease_ms=600) as again:
+                again.endpoints.extend(found.endpoints)
+                await asyncio.sleep(1.5)
+                assert not [t for t in found.sends(NEW) if t > done]
+                assert again.status() == ("rolled_back", NEW)
+                again.endpoints.clear()
+
+    async def test_a_relay_that_hears_nobody_sends_to_the_old_version(self):
+        async with deployment() as found:
+            await found.order(seconds=20.0)
+            await found.add(NEW, 3)
+            await until(lambda: found.sends(NEW))
+            deaf = next(r for r in found.relays if r is not found.coordinator())
+
+            async def unreachable(*_args):
+                await asyncio.sleep(0.05)
+                raise EbonydealError(ErrorKind.CONNECT_FAILED, "cut off")
+
+            deaf._exchange._ask = unreachable
+            deaf._rollout_hearer.take = lambda _message: {}
+            await asyncio.sleep(deaf._split.patience + 0.2)
+            now = deaf._clock.now()
+            members = deaf.view.of_service("s")
+            part = deaf._split.part("s", "/safe/", members, now)
+            assert {m.version for m in part.members} == {OLD}
+
+
+class TestReport:
+    async def test_operators_are_shown_what_runs(self):
+        async with deployment() as found:
+            await found.order(seconds=20.0)
+            await found.add(NEW, 3)
+            await until(lambda: found.sends(NEW))
+            await until(lambda: found.coordinator()._rollouts.report()[0]["exposed"])
+            report = found.coordinator()._rollouts.report()
+            assert json.loads(json.dumps(report)) == report
+            assert report[0]["to"] == NEW and report[0]["phase"] == "running"
--- a/tests/lib/relay_fakes.py
+++ b/tests/lib/relay_fakes.py
@@ -31,6 +31,7 @@
         self.down = False
         self.lose_answers = 0
         self.forgotten = 0
+        self.ahead = 0.0
         self._changed = asyncio.Condition()
 
     def _check(self):
@@ -198,6 +199,7 @@
         "seen": [0, 0],
         "crashes_mark": "",
         "crashes": None,
+        "rollouts": {},
         **more,
     }
 
--- a/tests/unit/docs/test_deploy.py
+++ b/tests/unit/docs/test_deploy.py
@@ -74,12 +74,18 @@
         assert role["template"] == "deploy/relay.ini"
         assert "target/deps" in deploy["build"]
 
-    def test_template_renders_the_products_own_settings(self):
+    @pytest.mark.parametrize("optional", [True, False])
+    def test_template_renders_the_products_own_settings(self, optional):
         text = (ROOT / "deploy/relay.ini").read_text()
         assert len(text.encode()) < 64 * 1024
+        # A section is rendered where the deployment sets its value.
+        sections = r"\{\{#([^}]*)\}\}(.*?)\{\{/\1\}\}"
+        text = re.sub(sections, r"\2" if optional else "", text, flags=re.DOTALL)
+        assert "{{#" not in text and "{{/" not in text
         filled = re.sub(r"\{\{[^}]*\}\}", "1", text)
         settings = parse_settings(filled, "relay.ini", ALL_SECTIONS).unwrap()
         assert settings["relay"].address == "1"
+        assert (settings["relay"].expose_slack == 1.0) is optional
 
 
 class TestPage:
--- /dev/null
+++ b/tests/unit/relay/view/test_versions.py
@@ -0,0 +1,78 @@
+"""Which versions may get requests before their orders are known."""
+
+from ebonydeal._internal.models.forwarding import Member
+from ebonydeal._internal.models.rollouts import RolloutOrder
+from ebonydeal._internal.relay.view.versions import KnownVersions
+from ebonydeal._internal.relay.view.view import RelayView
+
+
+def member(name, version, revision, service="s"):
+    return Member(
+        name, service, "1:1", "z", 8, False, None, False, 0.0, revision, version=version
+    )
+
+
+class TestFamiliar:
+    def test_the_first_that_are_listed_serve_at_once(self):
+        known = KnownVersions()
+        assert not known.withheld([member("a", "v1", 50), member("b", "v1", 51)])
+
+    def test_another_one_waits_for_orders_up_to_its_entry(self):
+        known = KnownVersions()
+        listed = [member("a", "v1", 50), member("b", "v1", 51)]
+        known.withheld(listed)
+        listed.append(member("c", "v2", 60))
+        assert known.withheld(listed) == {"c"}
+        known.read_up_to(59)
+        assert known.withheld(listed) == {"c"}
+        known.read_up_to(60)
+        assert not known.withheld(listed)
+
+    def test_a_later_heartbeat_changes_nothing(self):
+        known = KnownVersions()
+        listed = [member("a", "v1", 50), member("c", "v1", 50)]
+        known.withheld(listed)
+        listed[1:] = [member("b", "v2", 60)]
+        known.withheld(listed)
+        listed[1] = member("b", "v2", 90)
+        known.read_up_to(70)
+        assert not known.withheld(listed)
+
+    def test_services_are_told_apart(self):
+        known = KnownVersions()
+        listed = [member("a", "v1", 1), member("b", "v2", 2, service="t")]
+        assert not known.withheld(listed)
+
+    def test_orders_of_an_older_read_are_left_out(self):
+        known = KnownVersions()
+        order = RolloutOrder("s", "v2", 10.0, 5)
+        known.take_orders({"s": order}, 9)
+        known.take_orders({}, 8)
+        assert known.orders == {"s": order}
+
+
+class TestView:
+    def build(self):
+        view = RelayView(2.0)
+        view.put(member("a", "v1", 50))
+        view.put(member("c", "v1", 51))
+        return view
+
+    def test_an_unknown_version_isnt_offered_until_orders_are_read(self):
+        view, asked = self.build(), []
+        view.on_waiting = lambda: asked.append(True)
+        view.put(member("b", "v2", 60))
+        assert {m.endpoint_id for m in view.of_service("s")} == {"a", "c"}
+        assert view.waits_for_orders and asked == [True]
+        view.take_orders({"s": RolloutOrder("s", "v2", 10.0, 58)}, 61, "store")
+        assert {m.endpoint_id for m in view.of_service("s")} == {"a", "b", "c"}
+        assert not view.waits_for_orders
+
+    def test_orders_are_told_when_they_change(self):
+        view, told = self.build(), []
+        view.on_orders = told.append
+        order = RolloutOrder("s", "v2", 10.0, 58)
+        view.take_orders({"s": order}, 61, "store")
+        view.take_orders({"s": order}, 62, "store")
+        view.take_orders({}, 63, "store")
+        assert told == [{"s": order}, {}]
