Roll-outs: bench of modelled versions, command for operators, bursts of a usual load

Conclusion: bursts stay, as a version that is bad under load is found before the last step; an even share stays as the other way of the bench.

ebonydeal rollout shows phase, evidence, shares and time left; quarantine and it ask relays by one function.

--- a/src/ebonydeal/_internal/cli/main.py
+++ b/src/ebonydeal/_internal/cli/main.py
@@ -10,6 +10,7 @@
 from ebonydeal._internal.commands.quarantine import quarantine_command
 from ebonydeal._internal.commands.quickstart import quickstart_command
 from ebonydeal._internal.commands.reclaims import reclaims_command
+from ebonydeal._internal.commands.rollout import rollout_command
 from ebonydeal._internal.commands.settings import settings_command
 from ebonydeal._internal.commands.soak import soak_command
 from ebonydeal._internal.commands.spend import spend_command
@@ -28,6 +29,7 @@
 main.add_command(explain_command)
 main.add_command(story_command)
 main.add_command(quarantine_command)
+main.add_command(rollout_command)
 main.add_command(quickstart_command)
 main.add_command(standin_command)
 main.add_command(soak_command)
--- a/src/ebonydeal/_internal/commands/bench.py
+++ b/src/ebonydeal/_internal/commands/bench.py
@@ -8,6 +8,7 @@
 from ebonydeal._internal.commands.bench_load import load_command
 from ebonydeal._internal.commands.bench_peers import peers_command
 from ebonydeal._internal.commands.bench_reclaim import reclaim_command
+from ebonydeal._internal.commands.bench_rollouts import rollouts_command
 from ebonydeal._internal.commands.bench_routing import routing_command
 from ebonydeal._internal.commands.bench_spend import spend_command
 
@@ -25,3 +26,4 @@
 bench_command.add_command(reclaim_command)
 bench_command.add_command(peers_command)
 bench_command.add_command(capacity_command)
+bench_command.add_command(rollouts_command)
--- a/src/ebonydeal/_internal/commands/quarantine.py
+++ b/src/ebonydeal/_internal/commands/quarantine.py
@@ -3,20 +3,11 @@
 import asyncio
 import json
 import sys
-from typing import Any
 
 import click
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import ClientError
 
-_TIMEOUT_S = 10.0
-
-
-async def ask_relay(address: str) -> list[dict[str, Any]]:
-    """Return what a relay refuses; raises OSError, TimeoutError or ValueError."""
-    timeout = ClientTimeout(total=_TIMEOUT_S)
-    async with ClientSession(timeout=timeout) as http:
-        async with http.get(f"http://{address}/quarantine") as resp:
-            return json.loads(await resp.read())
+from ebonydeal._internal.commands.ask import ask_relay
 
 
 @click.command("quarantine")
@@ -31,7 +22,7 @@
     of each of the request's sends.
     """
     try:
-        found = asyncio.run(ask_relay(address))
+        found = asyncio.run(ask_relay(address, "/quarantine"))
     except (ClientError, OSError, ValueError) as exc:
         click.echo(f"{address} gives no readable answer: {exc}", err=True)
         sys.exit(1)
--- /dev/null
+++ b/src/ebonydeal/_internal/commands/rollout.py
@@ -0,0 +1,53 @@
+"""``ebonydeal rollout``: roll-outs under way, and the last ones' verdicts."""
+
+import asyncio
+import json
+import sys
+from typing import Any
+
+import click
+from aiohttp import ClientError
+
+from ebonydeal._internal.commands.ask import ask_relay
+
+
+@click.command("rollout")
+@click.option(
+    "--relay",
+    "address",
+    required=True,
+    help="host:port for other relays of the coordinator.",
+)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def rollout_command(address: str, as_json: bool) -> None:
+    """Show each service's roll-out: its phase, evidence, shares and time left.
+
+    The coordinator alone decides and knows; its "Lease gained." line names it.
+    """
+    try:
+        found = asyncio.run(ask_relay(address, "/rollouts"))
+    except (ClientError, OSError, ValueError) as exc:
+        click.echo(f"{address} gives no readable answer: {exc}", err=True)
+        sys.exit(1)
+    if as_json:
+        click.echo(json.dumps(found))
+        return
+    for item in found:
+        click.echo(_line(item))
+    if not found:
+        click.echo("No roll-out is known here.")
+
+
+def _line(item: dict[str, Any]) -> str:
+    """Return a roll-out as one line."""
+    shares = item["shares"].values()
+    most = max(shares, default=0.0)
+    return (
+        f"{item['service']} to {item['to']}: {item['phase']}, "
+        f"{item['left_s']:.1f} s left, "
+        f"{item['exposed']} of {item['requests']} requests, "
+        f"{item['answers']} answers, {item['failed']} failed, "
+        f"evidence {item['evidence']:.1f}"
+        f"{' on ' + item['route'] if item['route'] else ''}, "
+        f"largest share {most:.3f}"
+    )
--- a/src/ebonydeal/_internal/routing/rollout/course.py
+++ b/src/ebonydeal/_internal/routing/rollout/course.py
@@ -12,9 +12,9 @@
 )
 from ebonydeal._internal.routing.rollout.exposure import (
     Bound,
+    Loaded,
     Plan,
     Spent,
-    Steady,
     last_step,
     room,
 )
@@ -55,7 +55,7 @@
     alike: float = 2.0
     doubt: float = 2.5
     bound: Bound = Bound()
-    plan: Plan = Steady()
+    plan: Plan = Loaded()
 
 
 @dataclass(frozen=True)
