--- a/src/ebonydeal/_internal/soak/plants.py
+++ b/src/ebonydeal/_internal/soak/plants.py
@@ -98,7 +98,8 @@
     log.troubles.clear()
     at = log.runs[0].at
     log.rollouts = [Rollout("bad", True, at, at + 1e6)]
-    log.runs = [run._replace(version="bad") for run in log.runs]
+    run = log.runs[0]._replace(version="bad")
+    log.runs += [run._replace(request_id=f"plant-{number}") for number in range(200)]
 
 
 def _turned_back(log: Log, _terms: Terms) -> None:
