--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -308,7 +308,7 @@
         rollouts.write_soon = self.coordinator.write_soon
         rollouts.on_gates = self._rollout_hearer.take
         self.coordinator.rollouts = rollouts.message
-        self.coordinator.keep(rollouts)
+        self.coordinator.keep(rollouts.kept)
         return rollouts
 
     def on_init_dependencies(self) -> Iterable[Service]:
