--- a/tests/unit/platform/test_rows.py
+++ b/tests/unit/platform/test_rows.py
@@ -6,12 +6,17 @@
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.forwarding import Repeat, Target
+from ebonydeal._internal.models.rollouts import Phase, RolloutOrder
 from ebonydeal._internal.models.shared import SharedRow
 from ebonydeal._internal.platform.rows import (
     decode_member,
+    decode_order,
     decode_row,
+    decode_status,
     decode_table,
+    encode_status,
     encode_value,
+    rollout_service,
 )
 
 CONFIG = {
@@ -203,3 +208,54 @@
         assert decode_row(row) == SharedRow("k", b"v", 3)
         gone = {"table": "t", "key": "k", "tombstone": True, "ver": 4}
         assert decode_row(gone) == SharedRow("k", None, 4)
+
+
+class TestRollouts:
+    def order(self, **change):
+        message = {"service": "s", "to": "v2", "duration_s": 30, **change}
+        message = {name: value for name, value in message.items() if value != "gone"}
+        return SharedRow("rollout/s", json.dumps(message).encode(), 7)
+
+    def test_reads_an_order(self):
+        assert decode_order(self.order()) == RolloutOrder("s", "v2", 30.0, 7)
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"service": "t"},
+            {"service": "gone"},
+            {"to": ""},
+            {"to": None},
+            {"to": 1.5},
+            {"to": "gone"},
+            {"duration_s": 0},
+            {"duration_s": -1},
+            {"duration_s": "30"},
+            {"duration_s": True},
+            {"duration_s": float("nan")},
+            {"duration_s": float("inf")},
+            {"duration_s": "gone"},
+        ],
+    )
+    def test_refuses_what_orders_nothing(self, change):
+        with pytest.raises(EbonydealError) as info:
+            decode_order(self.order(**change))
+        assert info.value.kind is ErrorKind.BAD_DOCUMENT
+
+    @pytest.mark.parametrize("value", [b"", b"[]", b"7", b"{", b"\xff"])
+    def test_refuses_what_is_no_object(self, value):
+        with pytest.raises(EbonydealError):
+            decode_order(SharedRow("rollout/s", value, 7))
+
+    @pytest.mark.parametrize("key", ["config", "rollout", "rollout/", ""])
+    def test_other_rows_are_no_orders(self, key):
+        assert rollout_service(key) is None
+
+    @pytest.mark.parametrize("phase", list(Phase))
+    def test_reads_back_the_status_it_writes(self, phase):
+        assert decode_status(encode_status(phase, "v2")) == (phase, "v2")
+
+    @pytest.mark.parametrize("value", [b"{}", b'{"state": "done", "to": "v2"}', b"["])
+    def test_refuses_another_status(self, value):
+        with pytest.raises(EbonydealError):
+            decode_status(value)
