--- a/tests/unit/relay/duties/test_fleet.py
+++ b/tests/unit/relay/duties/test_fleet.py
@@ -197,3 +197,28 @@
         market.fleet._coordinator.may_order = False
         market.takes_back("a")
         assert await market.play(1.0) == []
+
+
+class TestRollout:
+    async def test_new_endpoints_are_no_room_and_old_ones_stay(self):
+        market = await settled()
+        market.fleet.rolling = lambda _service: "v2"
+        for zone in PRICES:
+            market.has(f"n{zone}", zone)
+            name = f"n{zone}"
+            market.view.put(
+                market.view.members[name]._replace(
+                    version="v2", revision=market._revision + 100
+                )
+            )
+        zones = market.fleet._zones("s", SCALING, market.clock.now())
+        assert {fleet.spot for fleet in zones.values()} == {2}
+        market.work = 0.05
+        orders = await market.play(20.0)
+        assert all(count >= 2 for _s, _zone, count, spot, _f in orders if spot)
+
+    async def test_afterwards_the_fleet_shrinks_again(self):
+        market = await settled()
+        market.work = 0.05
+        orders = await market.play(20.0)
+        assert any(count < 2 for _s, _zone, count, spot, _f in orders if spot)
