--- a/src/ebonydeal/_internal/cli/program.py
+++ b/src/ebonydeal/_internal/cli/program.py
@@ -8,8 +8,8 @@
 import click
 
 from ebonydeal import __version__
-from ebonydeal._internal.cli.run import Build, start_program
 from ebonydeal._internal.commands.settings import load_settings, reread_settings
+from ebonydeal._internal.utils.run import Build, start_program
 
 Check = Callable[[Path, dict[str, Any]], None]
 
--- a/src/ebonydeal/_internal/cli/relay.py
+++ b/src/ebonydeal/_internal/cli/relay.py
@@ -67,7 +67,7 @@
     from functools import partial
 
     from ebonydeal._internal.cli.relay_program import build
-    from ebonydeal._internal.cli.run import start_program
+    from ebonydeal._internal.utils.run import start_program
 
     # What was loaded stays for good.
     gc.freeze()
--- a/src/ebonydeal/_internal/commands/quickstart.py
+++ b/src/ebonydeal/_internal/commands/quickstart.py
@@ -7,7 +7,6 @@
 import click
 from mode import Service
 
-from ebonydeal._internal.cli.run import run_program
 from ebonydeal._internal.commands.quickstart_run import (
     QuickstartOptions,
     run_quickstart,
@@ -17,6 +16,7 @@
 from ebonydeal._internal.settings.sections import LogSettings
 from ebonydeal._internal.standin.admin import WorldAdmin
 from ebonydeal._internal.utils.clock import SystemClock
+from ebonydeal._internal.utils.run import run_program
 
 
 class _Serve(Service):
--- a/src/ebonydeal/_internal/commands/standin.py
+++ b/src/ebonydeal/_internal/commands/standin.py
@@ -10,7 +10,6 @@
 import click
 from mode import Service
 
-from ebonydeal._internal.cli.run import run_program
 from ebonydeal._internal.config.examples import EXAMPLE_NAMES, example_document
 from ebonydeal._internal.models.endpoints import EndpointView
 from ebonydeal._internal.observe.logs import configure_logs
@@ -27,6 +26,7 @@
 from ebonydeal._internal.standin.weights import WeightStoreServer
 from ebonydeal._internal.standin.world import StandinWorld
 from ebonydeal._internal.standin.worldspec import WorldSpec
+from ebonydeal._internal.utils.run import run_program
 
 PORTS = {
     "tables": 9101,
--- a/src/ebonydeal/_internal/observe/counters.py
+++ b/src/ebonydeal/_internal/observe/counters.py
@@ -5,11 +5,11 @@
 """
 
 from enum import StrEnum
-from typing import NamedTuple
 
 from hdrh.histogram import HdrHistogram
 
 from ebonydeal._internal.errors import ErrorKind
+from ebonydeal._internal.observe.timing_row import TimingRow
 
 _LOWEST_US = 1
 _HIGHEST_US = 3_600_000_000
@@ -98,13 +98,6 @@
     CONFIG_SPREAD = "config_spread"
 
 
-class TimingRow(NamedTuple):
-    """A histogram as it is shown: seconds by percentile, and its samples."""
-
-    quantiles: dict[float, float]
-    samples: int
-
-
 class Metrics:
     """All counters and histograms of one program."""
 
--- a/src/ebonydeal/_internal/observe/exposition.py
+++ b/src/ebonydeal/_internal/observe/exposition.py
@@ -6,7 +6,7 @@
 from prometheus_client.core import CounterMetricFamily, SummaryMetricFamily
 from prometheus_client.registry import Collector
 
-from ebonydeal._internal.observe.counters import TimingRow
+from ebonydeal._internal.observe.timing_row import TimingRow
 
 # What each family's only label is called, and what it counts.
 _FAMILIES = {
--- /dev/null
+++ b/src/ebonydeal/_internal/observe/timing_row.py
@@ -0,0 +1,10 @@
+"""A histogram as it is shown."""
+
+from typing import NamedTuple
+
+
+class TimingRow(NamedTuple):
+    """A histogram as it is shown: seconds by percentile, and its samples."""
+
+    quantiles: dict[float, float]
+    samples: int
--- a/src/ebonydeal/_internal/relay/view/view.py
+++ b/src/ebonydeal/_internal/relay/view/view.py
@@ -71,6 +71,8 @@
         self.on_orders: Callable[[dict[str, RolloutOrder]], None] = lambda _orders: None
         # Told that endpoints wait for orders to be read further.
         self.on_waiting: Callable[[], None] = lambda: None
+        # Whether endpoints came or went, or their versions changed, since then.
+        self._new_versions = False
         # Those endpoints.
         self._unknown: frozenset[str] = frozenset()
         self._lapsed: dict[str, float] = {}
@@ -205,6 +207,8 @@
             return
         if known is not None and member.born > known.born:
             self._forget_restarted(known, member)
+        if known is None or known.version != member.version:
+            self._new_versions = True
         self.members[member.endpoint_id] = member
         self.last_change = max(self.last_change, member.revision)
         self._note_leaving(known, member, heard_at)
@@ -267,6 +271,7 @@
         if known is None or known.revision > version:
             return
         del self.members[endpoint_id]
+        self._new_versions = True
         self._leaving_since.pop(endpoint_id, None)
         self._leaves_at.pop(endpoint_id, None)
         self.last_change = max(self.last_change, version)
@@ -330,10 +335,13 @@
 
     def _lay_out(self) -> None:
         """Lay the endpoints that may get work out by service."""
-        waited = self._unknown
-        self._unknown = self.versions.withheld(self.members.values())
-        if self._unknown - waited:
-            self.on_waiting()
+        if self._new_versions or self._unknown:
+            # Not with each heartbeat: hundreds of entries change in a wave.
+            self._new_versions = False
+            waited = self._unknown
+            self._unknown = self.versions.withheld(self.members.values())
+            if self._unknown - waited:
+                self.on_waiting()
         grouped: dict[str, list[Member]] = {}
         for member in self.members.values():
             if member.leaving or member.withheld:
--- a/tests/functional/controller/test_entry.py
+++ b/tests/functional/controller/test_entry.py
@@ -1,10 +1,10 @@
 from click.testing import CliRunner
 
 from ebonydeal import __version__
-from ebonydeal._internal.cli import run as running
 from ebonydeal._internal.cli.controller import main
 from ebonydeal._internal.commands.settings import settings_command
 from ebonydeal._internal.controller.program import ControllerProgram
+from ebonydeal._internal.utils import run as running
 
 
 class TestEntry:
--- a/tests/functional/gateway/test_entry.py
+++ b/tests/functional/gateway/test_entry.py
@@ -4,9 +4,9 @@
 from click.testing import CliRunner
 
 from ebonydeal._internal.cli import gateway
-from ebonydeal._internal.cli import run as running
 from ebonydeal._internal.cli.main import main as ebonydeal
 from ebonydeal._internal.gateway.program import GatewayProgram
+from ebonydeal._internal.utils import run as running
 
 
 class TestEntry:
--- a/tests/functional/journal/test_entry.py
+++ b/tests/functional/journal/test_entry.py
@@ -3,9 +3,9 @@
 
 from ebonydeal import __version__
 from ebonydeal._internal.cli import journal
-from ebonydeal._internal.cli import run as running
 from ebonydeal._internal.commands.settings import settings_command
 from ebonydeal._internal.journal.program import JournalProgram
+from ebonydeal._internal.utils import run as running
 
 
 class TestEntry:
