A new coordinator reads the orders itself before it acts on roll-outs

Cause: from 40 relays on, relays hear of the configuration from the coordinator and don't read orders. One that takes the lease would have taken a roll-out under way for one that was withdrawn, and rolled it back.

Change: how far this relay read orders itself stands apart from how far others told that they did; what the holder before kept is acted on once orders are as new as that. Before: the new test finds a verdict 'withdrawn'.

--- a/src/ebonydeal/_internal/relay/duties/rollout_store.py
+++ b/src/ebonydeal/_internal/relay/duties/rollout_store.py
@@ -64,6 +64,8 @@
         self._clock = clock
         # Whether what the holder before kept was read.
         self.known = False
+        # The store's version as that was read; None before.
+        self._read_at: int | None = None
         # Whether something is to be written with the next renewal.
         self.dirty = False
         self._writing: list[tuple[str, int, Phase]] = []
@@ -71,11 +73,23 @@
     def lost(self) -> None:
         """Forget all: another holds the lease, and has what was written."""
         self.known = False
+        self._read_at = None
         self._book.clear()
 
     async def read(self) -> None:
-        """Take what the holder before kept."""
-        rows, _version = await self._store.rows(ROLLOUTS_TABLE)
+        """Take what the holder before kept, once the orders are as new as that.
+
+        A relay that was told of the configuration by the holder before hasn't read
+        orders itself: it would take a roll-out under way for one that was withdrawn.
+        """
+        if self._read_at is None:
+            rows, self._read_at = await self._store.rows(ROLLOUTS_TABLE)
+            self._take(rows)
+        if self._view.has_orders(self._read_at):
+            await self._read_status()
+            self.known = True
+
+    def _take(self, rows: list[SharedRow]) -> None:
         for row in rows:
             if row.key != _KEY or row.value is None:
                 continue
@@ -84,8 +98,6 @@
                 self._book.take_memory(memory, self._store.ahead, self._clock.now())
             except _UNREADABLE as exc:
                 logger.error("Stored roll-outs can't be read.", reason=repr(exc))
-        await self._read_status()
-        self.known = True
 
     async def _read_status(self) -> None:
         """Take verdicts that operators were told of orders that nothing was kept of."""
--- a/src/ebonydeal/_internal/relay/view/follower.py
+++ b/src/ebonydeal/_internal/relay/view/follower.py
@@ -254,7 +254,7 @@
 
     def note_read(self, version: int) -> None:
         """Note that nothing has changed up to a version."""
-        self._view.orders_read_to(version)
+        self._view.orders_unchanged(version)
 
     def _take_orders(self, rows: tuple[SharedRow, ...]) -> None:
         """Take rows of roll-outs; one that can't be read orders nothing."""
--- a/src/ebonydeal/_internal/relay/view/versions.py
+++ b/src/ebonydeal/_internal/relay/view/versions.py
@@ -20,17 +20,26 @@
         self.orders: dict[str, RolloutOrder] = {}
         # Up to this version of the store the orders are known.
         self.read_to = 0
+        # The same of what this relay read itself; others tell how far they read, and
+        # not each order.
+        self.as_of = 0
         self._familiar: dict[str, set[str]] = {}
         # The version of the store at which each endpoint was first listed.
         self._first: dict[str, int] = {}
 
     def take_orders(self, orders: Mapping[str, RolloutOrder], read_to: int) -> None:
         """Take all orders as of a version of the store; older news are left out."""
-        if read_to >= self.read_to:
-            self.orders, self.read_to = dict(orders), read_to
+        if read_to >= self.as_of:
+            self.orders, self.as_of = dict(orders), read_to
+            self.read_up_to(read_to)
+
+    def unchanged(self, read_to: int) -> None:
+        """Note that the store has no other orders up to a version."""
+        self.as_of = max(self.as_of, read_to)
+        self.read_up_to(read_to)
 
     def read_up_to(self, read_to: int) -> None:
-        """Note that nothing has changed up to a version of the store."""
+        """Note that another relay acts on all orders up to a version of the store."""
         self.read_to = max(self.read_to, read_to)
 
     def first_listed(self, endpoint_id: str) -> int:
--- a/src/ebonydeal/_internal/relay/view/view.py
+++ b/src/ebonydeal/_internal/relay/view/view.py
@@ -71,6 +71,8 @@
         self.on_orders: Callable[[dict[str, RolloutOrder]], None] = lambda _orders: None
         # Told that endpoints wait for orders to be read further.
         self.on_waiting: Callable[[], None] = lambda: None
+        # The version of the store up to which orders are wanted.
+        self._wanted_orders = 0
         # Whether endpoints came or went, or their versions changed, since then.
         self._new_versions = False
         # Those endpoints.
@@ -129,15 +131,31 @@
             self.on_orders(self.versions.orders)
         self._lay_out_again()
 
+    def orders_unchanged(self, read_to: int) -> None:
+        """Note that the store has no other orders up to a version."""
+        self.versions.unchanged(read_to)
+        self._lay_out_again()
+
     def orders_read_to(self, read_to: int) -> None:
-        """Note that no order has changed up to a version of the store."""
+        """Note that another relay acts on all orders up to a version of the store."""
         self.versions.read_up_to(read_to)
         self._lay_out_again()
 
+    def has_orders(self, version: int) -> bool:
+        """Return whether this relay read all orders up to a version of the store.
+
+        Else they are asked for now.
+        """
+        if self.versions.as_of >= version:
+            return True
+        self._wanted_orders = version
+        self.on_waiting()
+        return False
+
     @property
     def waits_for_orders(self) -> bool:
-        """Whether endpoints wait until orders are read further."""
-        return bool(self._unknown)
+        """Whether orders are to be read now."""
+        return bool(self._unknown) or self.versions.as_of < self._wanted_orders
 
     def _lay_out_again(self) -> None:
         """Admit endpoints that only waited for orders to be read."""
--- a/tests/unit/relay/duties/test_rollouts.py
+++ b/tests/unit/relay/duties/test_rollouts.py
@@ -88,6 +88,10 @@
         await self.store.put(*LEASE, b"holder")
         self.lease_version = self.store.version
         await self.rollouts.kept.read()
+        if not self.rollouts.kept.known:
+            # What the follower of orders does when it is asked for them.
+            self.view.orders_unchanged(self.store.version)
+            await self.rollouts.kept.read()
 
     def renew(self):
         """Renew, with what is due; a holder that was replaced does nothing."""
@@ -229,6 +233,20 @@
         second.step()
         assert second.rollouts._book.runs["s"].course.phase is Phase.COMPLETED
 
+    def test_orders_that_it_hasnt_read_are_not_taken_for_withdrawn(self):
+        clock, _listed, store, relays, first, second = self.play()
+        told = RelayView(2.0)
+        asked = []
+        told.on_waiting = lambda: asked.append(True)
+        second = Holder(store, clock, told, relays)
+        asyncio.run(second.rollouts.kept.read())
+        assert not second.rollouts.kept.known and asked and told.waits_for_orders
+        assert second.rollouts.gates() is None
+        told.take_orders({"s": ORDER}, store.version, "test")
+        asyncio.run(second.rollouts.kept.read())
+        second.step()
+        assert second.rollouts._book.runs["s"].course.phase is Phase.RUNNING
+
     def test_garbage_in_the_row_is_told_and_left(self):
         clock, listed, store, relays, first, second = self.play()
         asyncio.run(store.put("ebonydeal-rollouts", "memory", b"no row of ours"))
--- a/tests/unit/relay/view/test_versions.py
+++ b/tests/unit/relay/view/test_versions.py
@@ -50,6 +50,15 @@
         known.take_orders({}, 8)
         assert known.orders == {"s": order}
 
+    def test_others_word_admits_endpoints_but_tells_no_orders(self):
+        known = KnownVersions()
+        listed = [member("a", "v1", 50), member("b", "v1", 51)]
+        known.withheld(listed)
+        listed.append(member("c", "v2", 60))
+        known.read_up_to(60)
+        assert not known.withheld(listed)
+        assert known.as_of == 0
+
 
 class TestView:
     def build(self):
