Judge a version before it gets all requests; keep what was spent until it is written

Causes, found by a takeover played with real relays (order of 7 s, 30 requests a second): the memory of a roll-out was marked as written before its transaction had taken effect, so a refused renewal lost it; the first word of each relay to a new holder was taken for a rate of 219 requests a second a route instead of 15, which kept the early part back; endpoints that came after the order's end got all requests at once, unjudged; one ill new endpoint kept a good version in doubt for good.

Changes: what is written is marked once it took effect; a first word counts in the totals only; 15 answers, or half of the order's time, before all requests go over, and 1.5 s of them once the order is over; doubt rests on the other endpoints where these answered.

--- a/src/ebonydeal/_internal/relay/duties/rollout_run.py
+++ b/src/ebonydeal/_internal/relay/duties/rollout_run.py
@@ -118,11 +118,12 @@
             for route, count in told.requests.items()
         }
         exposed = max(0, told.exposed - last.exposed)
-        before = self.kept.pop(counter, None)
-        if before is None:
+        if last is not _NOTHING:
             self.course.saw_requests(requests, exposed)
             return
-        # The holder before counted most of them: they say nothing of the rate now.
+        # A relay's first word to this holder is of all the time since the order, and
+        # says nothing of the rate; the holder before may have counted most of it.
+        before = self.kept.pop(counter, Totals(0, 0))
         more = max(0, sum(requests.values()) - before.requests)
         self.course.requests += more
         self.course.exposed += max(0, exposed - before.exposed)
--- a/src/ebonydeal/_internal/relay/duties/rollout_store.py
+++ b/src/ebonydeal/_internal/relay/duties/rollout_store.py
@@ -66,10 +66,16 @@
         self.known = False
         # The store's version as that was read; None before.
         self._read_at: int | None = None
-        # Whether something is to be written with the next renewal.
-        self.dirty = False
+        # Changes so far, and those that lie in the store or are on the way there.
+        self._changes = 0
+        self._written = 0
+        self._sent = 0
         self._writing: list[tuple[str, int, Phase]] = []
 
+    def changed(self) -> None:
+        """Note that something is to be written with the next renewal."""
+        self._changes += 1
+
     def lost(self) -> None:
         """Forget all: another holds the lease, and has what was written."""
         self.known = False
@@ -135,18 +141,19 @@
                 order, phase = run.course.order, run.course.phase
                 self._writing.append((service, order.revision, phase))
                 changes.append(self._wire.status_change(service, phase, order.to))
-        if changes or self.dirty:
+        self._sent = self._changes
+        if changes or self._changes != self._written:
             memory = self._book.to_memory(self._store.ahead)
             value = compress(json.dumps(memory).encode())
             if len(value) <= _MOST_BYTES:
                 changes.append(RowChange(ROLLOUTS_TABLE, _KEY, value))
             else:
                 logger.warning("Roll-outs are too large to keep.", size=len(value))
-            self.dirty = False
         return changes
 
     def wrote(self) -> None:
         """Note that the last changes lie in the store."""
+        self._written = self._sent
         for service, revision, phase in self._writing:
             run = self._book.runs.get(service)
             if run is None or run.course.order.revision != revision:
--- a/src/ebonydeal/_internal/relay/duties/rollouts.py
+++ b/src/ebonydeal/_internal/relay/duties/rollouts.py
@@ -164,7 +164,7 @@
             self._step_one(run, now)
         if running and now - self._kept_at >= _KEEP_S:
             self._kept_at = now
-            self.kept.dirty = True
+            self.kept.changed()
         return self.gates() != before
 
     def _step_one(self, run: RolloutRun, now: float) -> None:
@@ -292,5 +292,5 @@
         self._note_write()
 
     def _note_write(self) -> None:
-        self.kept.dirty = True
+        self.kept.changed()
         self.write_soon()
--- a/src/ebonydeal/_internal/routing/rollout/course.py
+++ b/src/ebonydeal/_internal/routing/rollout/course.py
@@ -31,8 +31,12 @@
 _ENOUGH = 0.6
 # So long after the order's end a doubt may last, seconds.
 _DOUBT_S = 4.0
-# Answers after which a version that nothing speaks against serves alone.
+# Answers after which a version that nothing speaks against may get all requests; a
+# service that is asked seldom is watched for this part of its order's time instead.
 _PROVED = 15
+_WATCHED = 0.5
+# As `_LEAST_FULL_S`, once the order's time is over: then judging longer costs nothing.
+_LATE_FULL_S = 1.5
 # Time over which the rates of routes are averaged, seconds.
 _RATE_WINDOW_S = 2.0
 _RATE_STEP_S = 0.2
@@ -127,6 +131,8 @@
         self.exposed = 0.0
         # Since when all requests go to the new version; None before.
         self.full_since: float | None = None
+        # Since when the new version has endpoints; None before.
+        self._new_since: float | None = None
         self._rates: dict[str, float] = {}
         self._unrated: dict[str, int] = {}
         self._rated_at: float | None = None
@@ -168,8 +174,10 @@
             self.phase = Phase.ROLLED_BACK
             return RollBack(_reason(standing), standing)
         if not fleet.new:
-            self.full_since = None
+            self.full_since = self._new_since = None
             return Continue({}, ())
+        if self._new_since is None:
+            self._new_since = now
         left = self.until - now
         spent = Spent(
             requests=self.requests,
@@ -178,7 +186,7 @@
             left=left,
             lag=lag,
             elapsed=self.order.duration - left,
-            doubt=standing.total >= self.terms.doubt,
+            doubt=self._doubts(standing),
         )
         if self._is_full(fleet, spent):
             if self.full_since is None:
@@ -221,13 +229,22 @@
 
     def _stays_in_doubt(self, standing: Standing, now: float) -> bool:
         """Return whether a doubt outlasts the order: then the old version stays."""
-        return now - self.until > _DOUBT_S and standing.total >= self.terms.doubt
+        return now - self.until > _DOUBT_S and self._doubts(standing)
+
+    def _doubts(self, standing: Standing) -> bool:
+        """Return whether something speaks against the version itself.
+
+        One ill endpoint doesn't, once the others answered well.
+        """
+        if standing.total < self.terms.doubt:
+            return False
+        return standing.others < _PROVED or standing.without >= self.terms.doubt / 2.0
 
     def _is_full(self, fleet: Fleet, spent: Spent) -> bool:
         """Return whether all requests go to the new version now."""
         if len(fleet.new) < _ENOUGH * len(fleet.old):
             return False
-        if spent.doubt:
+        if spent.doubt or not self._is_judged(spent):
             return False
         if spent.left <= 0.0:
             return True
@@ -237,11 +254,19 @@
             step *= _STEP_SLACK
         return spent.left <= step
 
+    def _is_judged(self, spent: Spent) -> bool:
+        """Return whether enough was seen of the version to give it all requests."""
+        if self.evidence.answers >= _PROVED:
+            return True
+        assert self._new_since is not None
+        watched = self.until - spent.left - self._new_since
+        return watched >= _WATCHED * self.order.duration
+
     def _is_complete(self, fleet: Fleet, now: float) -> bool:
         """Return whether the old endpoints may stop."""
         assert self.full_since is not None
         left = self.until - now
-        if now - self.full_since < _LEAST_FULL_S:
+        if now - self.full_since < (_LEAST_FULL_S if left > 0.0 else _LATE_FULL_S):
             return False
         # What comes after the word counts as exposed, too: no sooner than needed.
         return left <= _WRITE_S or (fleet.old_running == 0 and left <= 2.0 * _WRITE_S)
--- a/src/ebonydeal/_internal/routing/rollout/evidence.py
+++ b/src/ebonydeal/_internal/routing/rollout/evidence.py
@@ -205,13 +205,15 @@
     """How much speaks against a version, natural logarithms of likelihood ratios.
 
     ``total`` is that of all endpoints, ``without`` that without the one that speaks
-    loudest, ``loudest`` its id; ``route`` the route where most speaks against it.
+    loudest, ``loudest`` its id; ``others`` how many answers the others gave; ``route``
+    the route where most speaks against it.
     """
 
     total: float = 0.0
     without: float = 0.0
     loudest: str = ""
     route: str = ""
+    others: int = 0
 
 
 class Evidence:
@@ -228,9 +230,14 @@
         self._normal: dict[str, Normal] = {}
         # By route and endpoint, one ratio for each way of being bad.
         self._ratios: dict[str, dict[str, list[float]]] = {}
-        self.answers = 0
+        self._answers: dict[str, int] = {}
         self.bad = 0
 
+    @property
+    def answers(self) -> int:
+        """How many answers of the new version were weighed."""
+        return sum(self._answers.values())
+
     def add(
         self,
         old: dict[str, Counts],
@@ -256,7 +263,8 @@
                 continue
             ratios = self._ratios.setdefault(route, {})
             for endpoint_id, counts in by_endpoint.items():
-                self.answers += sum(counts)
+                known_answers = self._answers.get(endpoint_id, 0)
+                self._answers[endpoint_id] = known_answers + sum(counts)
                 self.bad += counts[FAILED]
                 added = self._test.weigh(shares, counts)
                 known = ratios.get(endpoint_id, [0.0] * self._test.size)
@@ -271,7 +279,9 @@
         """
         normal = self._normal.get(route)
         if normal is None or normal.seen < _LEAST_NORMAL:
-            return alone
+            # A new coordinator is told of many answers at once: those of the old
+            # version among them are normal.
+            return alone or sum(counts) >= _LEAST_NORMAL
         return max(self._test.weigh(normal.shares(), counts)) <= _UPSET
 
     def standing(self) -> Standing:
@@ -285,7 +295,8 @@
         without, loudest = min(
             (self._sum(endpoint_id)[0], endpoint_id) for endpoint_id in endpoints
         )
-        return Standing(total, without, loudest, route)
+        others = self.answers - self._answers[loudest]
+        return Standing(total, without, loudest, route, others)
 
     def _sum(self, left_out: str) -> tuple[float, str]:
         """Return the evidence without an endpoint, and the route that it is from.
--- a/tests/unit/relay/duties/test_rollouts.py
+++ b/tests/unit/relay/duties/test_rollouts.py
@@ -233,6 +233,15 @@
         second.step()
         assert second.rollouts._book.runs["s"].course.phase is Phase.COMPLETED
 
+    def test_what_wasnt_written_is_written_with_the_next_renewal(self):
+        clock, _listed, store, _relays, first, _second = self.play()
+        first.rollouts.kept.changed()
+        assert first.rollouts.kept.changes()
+        # No answer came.
+        assert first.rollouts.kept.changes()
+        first.rollouts.kept.wrote()
+        assert not first.rollouts.kept.changes()
+
     def test_orders_that_it_hasnt_read_are_not_taken_for_withdrawn(self):
         clock, _listed, store, relays, first, second = self.play()
         told = RelayView(2.0)
--- a/tests/unit/routing/rollout/test_course.py
+++ b/tests/unit/routing/rollout/test_course.py
@@ -97,6 +97,33 @@
             assert isinstance(verdict, Continue)
         assert "b" not in verdict.canaries
 
+    def test_one_ill_endpoint_doesnt_keep_a_good_version_back(self):
+        found = course()
+        fleet = Fleet(("a",), ("b", "c", "d"))
+        for step in range(101):
+            now = step * 0.2
+            told(found, now, ("c", "d"), rate=20)
+            told(found, now, ("b",), failing=True, rate=20)
+            verdict = found.decide(fleet, 0.6, now)
+            if isinstance(verdict, Complete):
+                break
+        assert isinstance(verdict, Complete)
+
+    def test_endpoints_that_come_too_late_are_judged_first(self):
+        found = course()
+        for step in range(105):
+            told(found, step * 0.2, rate=20)
+            found.decide(Fleet(("a",), ()), 0.6, step * 0.2)
+        looks = []
+        for step in range(105, 125):
+            now = step * 0.2
+            told(found, now, ("b", "c"), failing=True, rate=20)
+            looks.append(found.decide(Fleet(("a",), ("b", "c")), 0.6, now))
+            if isinstance(looks[-1], RollBack):
+                break
+        assert isinstance(looks[-1], RollBack)
+        assert not any(isinstance(look, Continue) and look.full for look in looks)
+
     def test_the_only_one_speaks_for_all(self):
         found = course()
         verdicts = []
