--- a/src/ebonydeal/_internal/routing/fleet/fleet_plan.py
+++ b/src/ebonydeal/_internal/routing/fleet/fleet_plan.py
@@ -10,8 +10,7 @@
 went for a while.
 """
 
-from dataclasses import dataclass
-from math import ceil, sqrt
+from math import ceil
 from typing import NamedTuple
 
 from ebonydeal._internal.models.forwarding import Scaling
@@ -57,30 +56,6 @@
     wave: bool = False
 
 
-@dataclass(frozen=True)
-class ShareHeadroom:
-    """The same part of each endpoint is kept free, however many there are."""
-
-
-@dataclass(frozen=True)
-class RootHeadroom:
-    """Beyond a load, what is kept free grows with the load's square root.
-
-    Load pattern: many endpoints share the load of many callers, whose ups and downs
-    even out, so that less of each endpoint has to be free.
-
-    Attributes
-    ----------
-    beyond : float
-        The load up to which the same part is kept free, endpoints kept busy.
-    """
-
-    beyond: float
-
-
-Headroom = ShareHeadroom | RootHeadroom
-
-
 class FleetTerms(NamedTuple):
     """Settings of the planner.
 
@@ -111,8 +86,6 @@
         Seconds between two questions for reclaimable endpoints that were refused.
     found : bool
         Whether the fleet is kept as it was found until its load was measured.
-    headroom : ShareHeadroom or RootHeadroom
-        How what is kept free grows with the load.
     """
 
     use: float = 0.45
@@ -126,7 +99,6 @@
     peak: float = 6.0
     dry: float = 1.0
     found: bool = True
-    headroom: Headroom = ShareHeadroom()
 
     @classmethod
     def from_config(cls, cfg: PolicySettings) -> "FleetTerms":
@@ -143,9 +115,6 @@
             cfg.fleet_peak_s,
             cfg.fleet_dry_s,
             cfg.fleet_found,
-            RootHeadroom(cfg.fleet_root_from)
-            if cfg.fleet_root_from
-            else ShareHeadroom(),
         )
 
 
@@ -188,9 +157,9 @@
     )
     now = {zone: state.zones.get(zone, ZoneFleet()) for zone in zones}
     need = _Need(
-        whole=max(state.least, _at_use(state.load, terms.use, terms.headroom)),
-        short=_at_use(state.load, terms.use_short, terms.headroom),
-        last=_at_use(state.load, terms.use_last, terms.headroom),
+        whole=max(1, state.least, ceil(state.load / terms.use)),
+        short=_at_use(state.load, terms.use_short),
+        last=_at_use(state.load, terms.use_last),
     )
     offered = scaling.spot_price is not None and scaling.spot_price < 1.0
     kept = _kept_fixed(zones, now, max(need.short, state.least))
@@ -201,7 +170,7 @@
     lost = max(spot.values(), default=0) if terms.cover else 0
     wanted = need.short - (total - lost)
     if offered and state.wave and terms.use_wave:
-        wanted = _at_use(state.load, terms.use_wave, terms.headroom)
+        wanted = ceil(state.load / terms.use_wave)
     least = dict.fromkeys(zones, scaling.least)
     if not terms.least_fixed:
         least.update(dict.fromkeys(state.dry, 0))
@@ -210,15 +179,9 @@
     return FleetPlan(plan, need.whole)
 
 
-def _at_use(load: float, use: float, headroom: Headroom) -> int:
+def _at_use(load: float, use: float) -> int:
     """Return the endpoints that carry a load at a use; 0 of use asks for one."""
-    if not use:
-        return 1
-    spread = load
-    match headroom:
-        case RootHeadroom(beyond=beyond) if load > beyond:
-            spread = sqrt(load * beyond)
-    return max(1, ceil(load + (1.0 / use - 1.0) * spread))
+    return max(1, ceil(load / use)) if use else 1
 
 
 def _kept_fixed(
--- a/src/ebonydeal/_internal/settings/policy.py
+++ b/src/ebonydeal/_internal/settings/policy.py
@@ -214,16 +214,6 @@
             "The same while the two zones with most of them were; 0 is off.", "", 0, 10
         ),
     ] = 0.7
-    fleet_root_from: Annotated[
-        float,
-        Key(
-            "Load, endpoints kept busy, from which on what is kept free grows with the "
-            "load's square root; 0 is off.",
-            "",
-            0,
-            1e6,
-        ),
-    ] = 0.0
     fleet_use_wave: Annotated[
         float,
         Key(
--- a/tests/unit/routing/fleet/test_fleet_plan.py
+++ b/tests/unit/routing/fleet/test_fleet_plan.py
@@ -5,7 +5,6 @@
 from ebonydeal._internal.routing.fleet.fleet_plan import (
     FleetState,
     FleetTerms,
-    RootHeadroom,
     ZoneFleet,
     ZoneTarget,
     plan_fleet,
@@ -147,24 +146,3 @@
         first = plan(load)
         there = {z: ZoneFleet(spot=t.spot, fixed=t.fixed) for z, t in first.items()}
         assert plan(load, there) == first
-
-
-class TestHeadroom:
-    """How what is kept free grows with the load."""
-
-    ROOT = TERMS._replace(headroom=RootHeadroom(2.0))
-    WIDE = SCALING._replace(most=200)
-
-    def total(self, load, terms):
-        return sum(t.spot for t in plan(load, scaling=self.WIDE, terms=terms).values())
-
-    @given(load=st.floats(0.0, 2.0))
-    def test_small_services_are_planned_alike(self, load):
-        assert self.total(load, self.ROOT) == self.total(load, TERMS)
-
-    @given(load=st.floats(2.0, 40.0))
-    def test_large_ones_need_less_and_still_carry_their_load(self, load):
-        assert load < self.total(load, self.ROOT) <= self.total(load, TERMS)
-
-    def test_the_part_kept_free_falls_with_the_load(self):
-        assert self.total(30.0, self.ROOT) < 0.8 * self.total(30.0, TERMS)
