A version that wasn't found good gets nothing once another order is given

Cause: a relay that read a new order itself, before the coordinator spoke, forgot which versions were given up, and would have sent them requests as to old ones. And it went on counting after a verdict, by endpoints that come and go.

--- a/src/ebonydeal/_internal/routing/rollout/split.py
+++ b/src/ebonydeal/_internal/routing/rollout/split.py
@@ -94,9 +94,11 @@
 class _Watch:
     """One roll-out at one relay."""
 
-    def __init__(self, order: RolloutOrder) -> None:
+    def __init__(self, order: RolloutOrder, before: "_Watch | None" = None) -> None:
         self.order = order
         self.gate: Gate | None = None
+        # Versions that get nothing, as known before the coordinator speaks.
+        self.barred = () if before is None else before.barred_after(order)
         self.told_at = 0.0
         self.credit: dict[str, float] = {}
         self.told_bad = 0
@@ -109,6 +111,16 @@
             new={},
         )
 
+    def barred_after(self, order: RolloutOrder) -> tuple[str, ...]:
+        """Return the versions that get nothing once another order is given.
+
+        One that wasn't found good is given up, unless it is ordered again.
+        """
+        barred = set(self.barred if self.gate is None else self.gate.barred)
+        if self.gate is None or self.gate.phase is not Phase.COMPLETED:
+            barred.add(self.order.to)
+        return tuple(sorted(barred - {order.to}))
+
     @property
     def is_running(self) -> bool:
         """Whether there is no verdict yet."""
@@ -163,7 +175,7 @@
         for service, order in orders.items():
             known = self._watched.get(service)
             if known is None or known.order.revision < order.revision:
-                self._watched[service] = _Watch(order)
+                self._watched[service] = _Watch(order, known)
         for service in self._watched.keys() - orders.keys():
             # Withdrawn: what its version may get stays as it was told last, and
             # nothing where it wasn't told.
@@ -177,7 +189,7 @@
             watch = self._watched.get(gate.service)
             if watch is None or watch.order.revision < gate.revision:
                 order = RolloutOrder(gate.service, gate.to, 0.0, gate.revision)
-                watch = self._watched[gate.service] = _Watch(order)
+                watch = self._watched[gate.service] = _Watch(order, watch)
             if watch.order.revision > gate.revision:
                 continue
             known = watch.gate
@@ -186,6 +198,9 @@
             watch.gate = gate
             watch.told_at = now
             watch.tally["phase"] = str(gate.phase)
+            if not watch.is_running:
+                # Nothing more is counted: endpoints come and go for long.
+                watch.tally = _decided(watch.tally)
 
     def learn(self, gates: Sequence[Gate]) -> None:
         """Take verdicts, not shares, of who only heard of them."""
@@ -220,7 +235,7 @@
             return Part(members)
         gate = watch.gate
         to = watch.order.to
-        barred = () if gate is None else gate.barred
+        barred = watch.barred if gate is None else gate.barred
         new = [m for m in members if m.version == to]
         old = [m for m in members if m.version != to and m.version not in barred]
         phase = Phase.RUNNING if gate is None else gate.phase
@@ -254,7 +269,7 @@
 
         ``first`` where it is the request's first one.
         """
-        watch = self._watched.get(service)
+        watch = self._running(service)
         if watch is None:
             return False
         tally = watch.tally
@@ -267,7 +282,9 @@
         return True
 
     def awaits(self, answer: Awaited) -> int:
-        """Wait for an answer; returns the number by which it is told."""
+        """Wait for an answer; returns the number by which it is told, or 0."""
+        if self._running(answer.service) is None:
+            return 0
         usual = answer.expected
         if usual is None:
             known = self._usual.get(answer.route)
@@ -302,7 +319,7 @@
 
     def failed(self, service: str, route: str, member: Member) -> bool:
         """Count a failure that may be the version's; return whether it is a new one."""
-        watch = self._watched.get(service)
+        watch = self._running(service)
         if watch is None:
             return False
         self._count(service, route, member, FAILED)
@@ -332,8 +349,13 @@
                 wait.counted = True
                 self._count_wait(wait, took)
 
-    def _count(self, service: str, route: str, member: Member, category: int) -> None:
+    def _running(self, service: str) -> _Watch | None:
+        """Return the roll-out of a service that isn't decided, or None."""
         watch = self._watched.get(service)
+        return watch if watch is not None and watch.is_running else None
+
+    def _count(self, service: str, route: str, member: Member, category: int) -> None:
+        watch = self._running(service)
         if watch is None:
             return
         tally = watch.tally
@@ -347,10 +369,7 @@
     def tallies(self, now: float) -> dict[str, TallyMessage]:
         """Return what this relay counted; of decided roll-outs the phase only."""
         self._count_late(now)
-        return {
-            service: watch.tally if watch.is_running else _decided(watch.tally)
-            for service, watch in self._watched.items()
-        }
+        return {service: watch.tally for service, watch in self._watched.items()}
 
     def troubled(self, now: float) -> bool:
         """Return whether a new version failed or is late since this was asked last."""
--- a/tests/unit/routing/rollout/test_split.py
+++ b/tests/unit/routing/rollout/test_split.py
@@ -133,6 +133,29 @@
         found.told([gate(1.0, revision=9)], 100.0)
         assert versions(found.part("s", "r", BOTH, 100.0)) == {"v2"}
 
+    @pytest.mark.parametrize("phase", [Phase.RUNNING, Phase.ROLLED_BACK])
+    def test_a_version_that_wasnt_found_good_gets_nothing_after_the_next_order(
+        self, phase
+    ):
+        found = split(gates=[gate(phase=phase, barred=("v0",))])
+        found.ordered({"s": ORDER._replace(to="v3", revision=9)})
+        listed = [*BOTH, member("c", "v3"), member("z", "v0")]
+        assert versions(found.part("s", "r", listed, 100.0)) == {"v1"}
+
+    def test_one_that_was_is_the_old_version_of_the_next_order(self):
+        found = split(gates=[gate(phase=Phase.COMPLETED)])
+        found.ordered({"s": ORDER._replace(to="v3", revision=9)})
+        listed = [*NEW, member("c", "v3")]
+        assert versions(found.part("s", "r", listed, 100.0)) == {"v2"}
+
+    @pytest.mark.parametrize("phase", [Phase.COMPLETED, Phase.ROLLED_BACK])
+    def test_nothing_is_counted_afterwards(self, phase):
+        found = split(gates=[gate(phase=phase)])
+        assert not found.sent("s", "r", NEW[0], first=True)
+        assert not found.failed("s", "r", NEW[0])
+        assert found.awaits(Awaited("s", "r", NEW[0], 0.1, 1.0, 100.0)) == 0
+        assert not found.tallies(200.0)["s"]["new"] and not found._waits
+
     def test_word_of_an_older_order_is_left_out(self):
         found = split()
         found.told([gate(1.0, revision=6)], 100.0)
