--- a/src/ebonydeal/_internal/relay/duties/lease_keeper.py
+++ b/src/ebonydeal/_internal/relay/duties/lease_keeper.py
@@ -26,8 +26,8 @@
 LEASE_TABLE = "ebonydeal-lease"
 _LEASE_KEY = "duties"
 _LOOK_S = 0.5
-# So many relays read the row every half second: 60 reads a second in all. Of 195 that
-# lost their holder each read it seven times until another was found.
+# So many relays read the row every half second; of more each reads it seldomer, so that
+# hundreds that miss their holder don't take the store's reads up.
 _LOOKERS = 30
 _REST_S = 0.1
 # Relays that start, or miss the holder, together write the row one after the other.
--- a/src/ebonydeal/_internal/relay/requests/chooser.py
+++ b/src/ebonydeal/_internal/relay/requests/chooser.py
@@ -95,8 +95,7 @@
         """Return where a request that may bring its endpoint down costs least.
 
         That is where no other such request is, so that a crash tells them apart, and
-        where fewest requests are at work. By the usual choice 2 to 7 were at work on
-        each of eight engines that one request brought down, 4.5 in the mean.
+        where fewest requests are at work, which a crash would take with it.
         """
         if not allowed:
             return None
