Soak: a relay's start lasts until it is ready

The check counted it as unharmed from 1 s after the process was made. That is within the time in which a relay needn't know yet.

Nothing else of the check is narrower.

--- a/src/ebonydeal/_internal/soak/processes.py
+++ b/src/ebonydeal/_internal/soak/processes.py
@@ -5,12 +5,19 @@
 import signal
 import sys
 from configparser import ConfigParser
+from contextlib import suppress
 from pathlib import Path
 
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
 from ebonydeal._internal.soak.ports import reserve_port
 from ebonydeal._internal.soak.proxy import Proxy
 
 _KILL_AFTER_S = 12.0
+# A start takes a second, on a busy machine several; while the store is away a relay
+# isn't ready, and isn't waited for any longer.
+_READY_AFTER_S = 10.0
+_LOOK_S = 0.1
 
 
 class RelayProcess:
@@ -80,6 +87,15 @@
                 stderr=log,
             )
 
+    async def serving(self) -> None:
+        """Wait until the process is ready to serve, or for long enough."""
+        url = f"http://{self._ready_address}/"
+        async with ClientSession(timeout=ClientTimeout(total=1.0)) as http:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(_READY_AFTER_S):
+                    while not await _is_ready(http, url):
+                        await asyncio.sleep(_LOOK_S)
+
     def send(self, sign: signal.Signals) -> None:
         """Send a signal to the process, if it is up."""
         if self.pid:
@@ -100,3 +116,12 @@
         self.send(signal.SIGCONT)
         self.send(signal.SIGKILL)
         await self.ended()
+
+
+async def _is_ready(http: ClientSession, url: str) -> bool:
+    """Return whether a relay says that it is ready."""
+    try:
+        async with http.get(url) as resp:
+            return resp.status == 200
+    except (ClientError, OSError, TimeoutError):
+        return False
--- a/src/ebonydeal/_internal/soak/run.py
+++ b/src/ebonydeal/_internal/soak/run.py
@@ -274,8 +274,7 @@
             relay.send(signal.SIGKILL)
             await relay.ended()
             await asyncio.sleep(step.seconds / 2.0)
-            await relay.start()
-            await asyncio.sleep(1.0)
+            await self._start_again(relay)
 
     async def _stop(self, relay: RelayProcess, _step: Step) -> None:
         async with relay.turn:
@@ -283,8 +282,16 @@
                 relay.send(signal.SIGTERM)
                 await relay.ended()
             async with self._trouble("start", relay.name):
-                await relay.start()
-                await asyncio.sleep(1.0)
+                await self._start_again(relay)
+
+    async def _start_again(self, relay: RelayProcess) -> None:
+        """Start a relay, and let it hear the others.
+
+        It serves as soon as it is ready, before it was told what they know.
+        """
+        await relay.start()
+        await relay.serving()
+        await asyncio.sleep(1.0)
 
     async def _pause(self, relay: RelayProcess, step: Step) -> None:
         async with relay.turn, self._trouble("pause", relay.name):
