--- a/src/ebonydeal/_internal/commands/ask.py
+++ b/src/ebonydeal/_internal/commands/ask.py
@@ -1,9 +1,12 @@
 """Questions to one relay's listener for other relays."""
 
+import asyncio
 import json
+import sys
 from typing import Any
 
-from aiohttp import ClientSession, ClientTimeout
+import click
+from aiohttp import ClientError, ClientSession, ClientTimeout
 
 _TIMEOUT_S = 10.0
 
@@ -14,3 +17,12 @@
     async with ClientSession(timeout=timeout) as http:
         async with http.get(f"http://{address}{path}") as resp:
             return json.loads(await resp.read())
+
+
+def answer_or_exit(address: str, path: str) -> list[dict[str, Any]]:
+    """Return what a relay shows; without a readable answer say so, and exit with 1."""
+    try:
+        return asyncio.run(ask_relay(address, path))
+    except (ClientError, OSError, ValueError) as exc:
+        click.echo(f"{address} gives no readable answer: {exc}", err=True)
+        sys.exit(1)
--- a/src/ebonydeal/_internal/commands/quarantine.py
+++ b/src/ebonydeal/_internal/commands/quarantine.py
@@ -1,13 +1,10 @@
 """``ebonydeal quarantine``: requests that relays refuse since endpoints crashed."""
 
-import asyncio
 import json
-import sys
 
 import click
-from aiohttp import ClientError
 
-from ebonydeal._internal.commands.ask import ask_relay
+from ebonydeal._internal.commands.ask import answer_or_exit
 
 
 @click.command("quarantine")
@@ -21,11 +18,7 @@
     All relays refuse the same; the digest is in the caller's answer and in the lines
     of each of the request's sends.
     """
-    try:
-        found = asyncio.run(ask_relay(address, "/quarantine"))
-    except (ClientError, OSError, ValueError) as exc:
-        click.echo(f"{address} gives no readable answer: {exc}", err=True)
-        sys.exit(1)
+    found = answer_or_exit(address, "/quarantine")
     if as_json:
         click.echo(json.dumps(found))
         return
--- a/src/ebonydeal/_internal/commands/rollout.py
+++ b/src/ebonydeal/_internal/commands/rollout.py
@@ -1,14 +1,11 @@
 """``ebonydeal rollout``: roll-outs under way, and the last ones' verdicts."""
 
-import asyncio
 import json
-import sys
 from typing import Any
 
 import click
-from aiohttp import ClientError
 
-from ebonydeal._internal.commands.ask import ask_relay
+from ebonydeal._internal.commands.ask import answer_or_exit
 
 
 @click.command("rollout")
@@ -24,11 +21,7 @@
 
     The coordinator alone decides and knows; its "Lease gained." line names it.
     """
-    try:
-        found = asyncio.run(ask_relay(address, "/rollouts"))
-    except (ClientError, OSError, ValueError) as exc:
-        click.echo(f"{address} gives no readable answer: {exc}", err=True)
-        sys.exit(1)
+    found = answer_or_exit(address, "/rollouts")
     if as_json:
         click.echo(json.dumps(found))
         return
--- a/tests/functional/relay/test_rollouts.py
+++ b/tests/functional/relay/test_rollouts.py
@@ -237,7 +237,7 @@
         assert result.exit_code == 1 and "no readable answer" in result.output
 
     def test_a_line_for_each_roll_out(self, monkeypatch):
-        async def shown(_address, _path):
+        def shown(_address, _path):
             return [
                 {
                     "service": "s",
@@ -255,6 +255,6 @@
                 }
             ]
 
-        monkeypatch.setattr(rollout, "ask_relay", shown)
+        monkeypatch.setattr(rollout, "answer_or_exit", shown)
         result = CliRunner().invoke(rollout_command, ["--relay", "127.0.0.1:1"])
         assert result.output.startswith("s to v2: running, 3.2 s left, 20 of 900")
