Endpoints of a known version cost one look-up each

Change: only an endpoint of a version that is news, or one that waits, asks for all. The test counts the looks for 500 endpoints: 500 before, one now.

--- a/src/ebonydeal/_internal/relay/view/versions.py
+++ b/src/ebonydeal/_internal/relay/view/versions.py
@@ -42,6 +42,18 @@
         """Note that another relay acts on all orders up to a version of the store."""
         self.read_to = max(self.read_to, read_to)
 
+    def listed(self, member: Member) -> bool:
+        """Note an endpoint that came, or came anew; return whether its version is news.
+
+        Thousands come at once: those of a known version cost one look-up each.
+        """
+        self._first.setdefault(member.endpoint_id, member.revision)
+        return member.version not in self._familiar.get(member.service, ())
+
+    def gone(self, endpoint_id: str) -> None:
+        """Forget an endpoint that left."""
+        self._first.pop(endpoint_id, None)
+
     def first_listed(self, endpoint_id: str) -> int:
         """Return the version of the store at which an endpoint was first listed."""
         return self._first.get(endpoint_id, 0)
--- a/src/ebonydeal/_internal/relay/view/view.py
+++ b/src/ebonydeal/_internal/relay/view/view.py
@@ -73,7 +73,7 @@
         self.on_waiting: Callable[[], None] = lambda: None
         # The version of the store up to which orders are wanted.
         self._wanted_orders = 0
-        # Whether endpoints came or went, or their versions changed, since then.
+        # Whether endpoints of a version that is news came since then.
         self._new_versions = False
         # Those endpoints.
         self._unknown: frozenset[str] = frozenset()
@@ -226,7 +226,7 @@
         if known is not None and member.born > known.born:
             self._forget_restarted(known, member)
         if known is None or known.version != member.version:
-            self._new_versions = True
+            self._new_versions |= self.versions.listed(member)
         self.members[member.endpoint_id] = member
         self.last_change = max(self.last_change, member.revision)
         self._note_leaving(known, member, heard_at)
@@ -289,7 +289,7 @@
         if known is None or known.revision > version:
             return
         del self.members[endpoint_id]
-        self._new_versions = True
+        self.versions.gone(endpoint_id)
         self._leaving_since.pop(endpoint_id, None)
         self._leaves_at.pop(endpoint_id, None)
         self.last_change = max(self.last_change, version)
@@ -354,7 +354,7 @@
     def _lay_out(self) -> None:
         """Lay the endpoints that may get work out by service."""
         if self._new_versions or self._unknown:
-            # Not with each heartbeat: hundreds of entries change in a wave.
+            # Not with each change: thousands of entries come at once, or in a wave.
             self._new_versions = False
             waited = self._unknown
             self._unknown = self.versions.withheld(self.members.values())
--- a/tests/unit/relay/view/test_versions.py
+++ b/tests/unit/relay/view/test_versions.py
@@ -77,6 +77,18 @@
         assert {m.endpoint_id for m in view.of_service("s")} == {"a", "b", "c"}
         assert not view.waits_for_orders
 
+    def test_many_of_one_version_cost_one_look_at_all(self):
+        view, looks = RelayView(2.0), []
+        withheld = view.versions.withheld
+        view.versions.withheld = lambda listed: looks.append(1) or withheld(listed)
+        for number in range(500):
+            view.put(member(f"e{number}", "v1", 50 + number))
+        for number in range(100):
+            view.remove(f"e{number}", 1000 + number)
+        assert len(looks) == 1 and len(view.of_service("s")) == 400
+        view.put(member("new", "v2", 2000))
+        assert len(looks) == 2 and view.versions.first_listed("new") == 2000
+
     def test_orders_are_told_when_they_change(self):
         view, told = self.build(), []
         view.on_orders = told.append
