One module packs the rows that are written with the lease

Crashes, open usage windows and roll-outs each had their own compress, bound and list of what reading may raise; the third copy came with roll-outs.

--- a/src/ebonydeal/_internal/relay/crashes/crash_store.py
+++ b/src/ebonydeal/_internal/relay/crashes/crash_store.py
@@ -4,14 +4,12 @@
 read by who takes the lease: so it outlives the loss of all relays at once.
 """
 
-import json
 from typing import Any
-from zlib import compress, decompress
-from zlib import error as BadCompression
 
 from ebonydeal._internal.models.shared import RowChange
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.crashes.suspects import Suspects
+from ebonydeal._internal.relay.packed_row import MOST_BYTES, UNREADABLE, pack, unpack
 from ebonydeal._internal.relay.ports import SharedStore
 from ebonydeal._internal.utils.clock import Clock
 
@@ -19,18 +17,6 @@
 
 CRASHES_TABLE = "ebonydeal-crashes"
 _KEY = "memory"
-# Well below what a row may hold; compressed, a full memory takes more, and then what is
-# refused is still known to all relays but not kept.
-_MOST_BYTES = 48_000
-_UNREADABLE = (
-    ValueError,
-    TypeError,
-    KeyError,
-    AttributeError,
-    OverflowError,
-    RecursionError,
-    BadCompression,
-)
 
 
 class CrashStore:
@@ -62,8 +48,9 @@
         if not self.known or self._suspects.mark == self._written:
             return []
         message = {"wall": self._clock.wall(), "memory": self._suspects.memory()}
-        value = compress(json.dumps(message).encode())
-        if len(value) > _MOST_BYTES:
+        value = pack(message)
+        if len(value) > MOST_BYTES:
+            # What is refused is still known to all relays, but not kept.
             logger.warning("Crashes are too many to keep.", size=len(value))
             return []
         self._writing = self._suspects.mark
@@ -81,10 +68,10 @@
             if row.key != _KEY or row.value is None:
                 continue
             try:
-                message = json.loads(decompress(row.value))
+                message = unpack(row.value)
                 passed = max(0.0, self._clock.wall() - float(message["wall"]))
                 self._suspects.learn(_aged(message["memory"], passed), "store")
-            except _UNREADABLE as exc:
+            except UNREADABLE as exc:
                 logger.error("Stored crashes can't be read.", reason=repr(exc))
         self.known = True
 
--- a/src/ebonydeal/_internal/relay/duties/rollout_store.py
+++ b/src/ebonydeal/_internal/relay/duties/rollout_store.py
@@ -4,15 +4,12 @@
 writes no verdict, and of two that believe to hold the lease one decides.
 """
 
-import json
-from zlib import compress, decompress
-from zlib import error as BadCompression
-
 from ebonydeal._internal.errors import EbonydealError
 from ebonydeal._internal.models.rollouts import Phase, RolloutOrder
 from ebonydeal._internal.models.shared import RowChange, SharedRow
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.duties.rollout_book import RolloutBook
+from ebonydeal._internal.relay.packed_row import MOST_BYTES, UNREADABLE, pack, unpack
 from ebonydeal._internal.relay.ports import SharedStore, Wire
 from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.utils.clock import Clock
@@ -21,17 +18,6 @@
 
 ROLLOUTS_TABLE = "ebonydeal-rollouts"
 _KEY = "memory"
-# Well below what a row may hold.
-_MOST_BYTES = 48_000
-_UNREADABLE = (
-    ValueError,
-    TypeError,
-    KeyError,
-    AttributeError,
-    OverflowError,
-    RecursionError,
-    BadCompression,
-)
 
 
 class RolloutStore:
@@ -100,9 +86,9 @@
             if row.key != _KEY or row.value is None:
                 continue
             try:
-                memory = json.loads(decompress(row.value))
+                memory = unpack(row.value)
                 self._book.take_memory(memory, self._store.ahead, self._clock.now())
-            except _UNREADABLE as exc:
+            except UNREADABLE as exc:
                 logger.error("Stored roll-outs can't be read.", reason=repr(exc))
 
     async def _read_status(self) -> None:
@@ -144,8 +130,8 @@
         self._sent = self._changes
         if changes or self._changes != self._written:
             memory = self._book.to_memory(self._store.ahead)
-            value = compress(json.dumps(memory).encode())
-            if len(value) <= _MOST_BYTES:
+            value = pack(memory)
+            if len(value) <= MOST_BYTES:
                 changes.append(RowChange(ROLLOUTS_TABLE, _KEY, value))
             else:
                 logger.warning("Roll-outs are too large to keep.", size=len(value))
--- a/src/ebonydeal/_internal/relay/duties/usage_store.py
+++ b/src/ebonydeal/_internal/relay/duties/usage_store.py
@@ -7,11 +7,10 @@
 """
 
 import json
-from zlib import compress, decompress
-from zlib import error as BadCompression
 
 from ebonydeal._internal.models.shared import NO_ROW, RowChange
 from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.relay.packed_row import MOST_BYTES, UNREADABLE, pack, unpack
 from ebonydeal._internal.relay.ports import SharedStore
 from ebonydeal._internal.routing.duties.usage_ledger import Due, UsageLedger
 
@@ -21,19 +20,6 @@
 _OPEN_KEY = "open"
 # Windows whose rows are kept: more than may still be reported.
 _ROWS_KEPT = 6
-# Well below what a row may hold; beyond it open windows are not kept. Compressed,
-# those of hundreds of relays and tens of accounts take a fifth of it.
-_MOST_OPEN_BYTES = 48_000
-
-# What reading a row may raise that another writer made.
-_UNREADABLE = (
-    ValueError,
-    TypeError,
-    AttributeError,
-    OverflowError,
-    RecursionError,
-    BadCompression,
-)
 
 
 def _key(window: int) -> str:
@@ -57,10 +43,10 @@
 
     def open_change(self) -> RowChange:
         """Return the write that keeps windows not reported yet."""
-        told = compress(json.dumps(self._ledger.open_windows()).encode())
-        if len(told) > _MOST_OPEN_BYTES:
+        told = pack(self._ledger.open_windows())
+        if len(told) > MOST_BYTES:
             logger.warning("Open windows are too large to keep.", size=len(told))
-            told = compress(b"{}")
+            told = pack({})
         return RowChange(USAGE_TABLE, _OPEN_KEY, told)
 
     async def read_open(self) -> None:
@@ -70,10 +56,10 @@
             if row.key != _OPEN_KEY or row.value is None:
                 continue
             try:
-                for relay, windows in json.loads(decompress(row.value)).items():
+                for relay, windows in unpack(row.value).items():
                     counts = {int(n): dict(c) for n, c in windows.items()}
                     self._ledger.stored(relay, counts)
-            except _UNREADABLE as exc:
+            except UNREADABLE as exc:
                 logger.error("Stored usage can't be read.", reason=repr(exc))
 
     async def store_once(self, due: Due) -> dict[str, int] | None:
@@ -93,6 +79,6 @@
             body = stored[0]
         try:
             return {str(k): int(v) for k, v in json.loads(body).items()}
-        except _UNREADABLE as exc:
+        except UNREADABLE as exc:
             logger.error("Stored usage can't be read.", reason=repr(exc))
             return None
--- /dev/null
+++ b/src/ebonydeal/_internal/relay/packed_row.py
@@ -0,0 +1,29 @@
+"""Values of rows that are written with the lease: JSON, compressed."""
+
+import json
+from typing import Any
+from zlib import compress, decompress
+from zlib import error as BadCompression
+
+# Well below what a row may hold; who has more to keep says what then.
+MOST_BYTES = 48_000
+# What reading a row may raise that another writer made.
+UNREADABLE = (
+    ValueError,
+    TypeError,
+    KeyError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+    BadCompression,
+)
+
+
+def pack(message: Any) -> bytes:
+    """Return a message as a row's value."""
+    return compress(json.dumps(message).encode())
+
+
+def unpack(value: bytes) -> Any:
+    """Return the message of a row's value; raises one of `UNREADABLE`."""
+    return json.loads(decompress(value))
