Evidence of a roll-out: sums once, and one table a route

Cause: how much speaks against a version without its loudest endpoint was added up anew for each endpoint, the square of their number, five times a second at the coordinator; and what an answer says was worked out for each endpoint, though it is the same on a route.

Change: an endpoint's part is taken off the sums; a test gives a table of what one answer of each category says. New: a test that an endpoint left out is as one that never answered, and of a route without new endpoints.

--- a/src/ebonydeal/_internal/routing/rollout/evidence.py
+++ b/src/ebonydeal/_internal/routing/rollout/evidence.py
@@ -119,8 +119,11 @@
 
     size: int
 
-    def weigh(self, shares: list[float], counts: Counts) -> list[float]:
-        """Return what ``counts`` add for each way of being bad."""
+    def table(self, shares: list[float]) -> list[list[float]]:
+        """Return what one answer of each category says, by way of being bad.
+
+        ``shares`` are the usual probabilities of the categories.
+        """
 
 
 class Mixture:
@@ -138,9 +141,12 @@
         ]
         self.size = len(self._ways)
 
-    def weigh(self, shares: list[float], counts: Counts) -> list[float]:
-        """Return what ``counts`` add for each way of being bad."""
-        return [_ratio(shares, way(shares), counts) for way in self._ways]
+    def table(self, shares: list[float]) -> list[list[float]]:
+        """Return what one answer of each category says, by way of being bad."""
+        return [
+            [_log_ratio(b, u) for b, u in zip(way(shares), shares, strict=True)]
+            for way in self._ways
+        ]
 
 
 class OneStrength:
@@ -155,16 +161,15 @@
     _NEARLY_ALL = 0.97
     _SLOWER = 2
 
-    def weigh(self, shares: list[float], counts: Counts) -> list[float]:
-        """Return what ``counts`` add."""
+    def table(self, shares: list[float]) -> list[list[float]]:
+        """Return what one answer of each category says."""
         first = self._first_slow(shares)
         usual = shares[FAILED] + sum(shares[first:])
         usual = min(0.75, max(_LEAST_FAILURES, usual))
         more = usual + self._MORE * (1.0 - usual)
-        bad = counts[FAILED] + sum(counts[first:])
-        good = sum(counts) - bad
-        found = bad * log(more / usual) + good * log((1.0 - more) / (1.0 - usual))
-        return [found]
+        bad, good = log(more / usual), log((1.0 - more) / (1.0 - usual))
+        slow = range(first, CATEGORIES)
+        return [[bad if c == FAILED or c in slow else good for c in range(CATEGORIES)]]
 
     def _first_slow(self, shares: list[float]) -> int:
         """Return the first category that counts as slow."""
@@ -177,13 +182,10 @@
         return CATEGORIES - 1
 
 
-def _ratio(usual: list[float], bad: list[float], counts: Counts) -> float:
-    """Return the logarithm of a likelihood ratio."""
-    return sum(
-        count * _log_ratio(bad[category], usual[category])
-        for category, count in enumerate(counts)
-        if count
-    )
+def weighed(table: list[list[float]], counts: Counts) -> list[float]:
+    """Return what ``counts`` add for each way of being bad."""
+    seen = [(category, count) for category, count in enumerate(counts) if count]
+    return [sum(count * row[category] for category, count in seen) for row in table]
 
 
 def _log_ratio(bad: float, usual: float) -> float:
@@ -258,15 +260,16 @@
         for route, counts in old.items():
             self._normal.setdefault(route, Normal()).add(counts, now)
         for route, by_endpoint in new.items():
-            shares = self._normal.setdefault(route, Normal()).shares()
-            if route in unsure:
+            if route in unsure or not by_endpoint:
                 continue
+            normal = self._normal.setdefault(route, Normal())
+            table = self._test.table(normal.shares())
             ratios = self._ratios.setdefault(route, {})
             for endpoint_id, counts in by_endpoint.items():
                 known_answers = self._answers.get(endpoint_id, 0)
                 self._answers[endpoint_id] = known_answers + sum(counts)
                 self.bad += counts[FAILED]
-                added = self._test.weigh(shares, counts)
+                added = weighed(table, counts)
                 known = ratios.get(endpoint_id, [0.0] * self._test.size)
                 ratios[endpoint_id] = [
                     max(_LEAST_RATIO, a + b) for a, b in zip(known, added, strict=True)
@@ -282,36 +285,48 @@
             # A new coordinator is told of many answers at once: those of the old
             # version among them are normal.
             return alone or sum(counts) >= _LEAST_NORMAL
-        return max(self._test.weigh(normal.shares(), counts)) <= _UPSET
+        return max(weighed(self._test.table(normal.shares()), counts)) <= _UPSET
 
     def standing(self) -> Standing:
         """Return how much speaks against the version."""
-        if not self._ratios:
-            return Standing()
-        total, route = self._sum("")
-        endpoints = {e for ratios in self._ratios.values() for e in ratios}
-        if not endpoints:
+        if not self._answers:
             return Standing()
+        sums = {route: self._sum(ratios) for route, ratios in self._ratios.items()}
+        total, route = _against(sums)
         without, loudest = min(
-            (self._sum(endpoint_id)[0], endpoint_id) for endpoint_id in endpoints
+            (_against(self._without(sums, endpoint_id))[0], endpoint_id)
+            for endpoint_id in self._answers
         )
         others = self.answers - self._answers[loudest]
         return Standing(total, without, loudest, route, others)
 
-    def _sum(self, left_out: str) -> tuple[float, str]:
-        """Return the evidence without an endpoint, and the route that it is from.
+    def _sum(self, ratios: dict[str, list[float]]) -> list[float]:
+        """Return what all endpoints of a route say, by way of being bad."""
+        return [sum(values) for values in zip(*ratios.values(), strict=True)]
+
+    def _without(
+        self, sums: dict[str, list[float]], endpoint_id: str
+    ) -> dict[str, list[float]]:
+        """Return the sums by route without what one endpoint says."""
+        nothing = [0.0] * self._test.size
+        return {
+            route: [
+                whole - own
+                for whole, own in zip(
+                    values, self._ratios[route].get(endpoint_id, nothing), strict=True
+                )
+            ]
+            for route, values in sums.items()
+        }
 
-        A version may be bad on one route or on all of them alike.
-        """
-        everywhere = [0.0] * self._test.size
-        by_route = {}
-        for route, ratios in self._ratios.items():
-            here = [0.0] * self._test.size
-            for endpoint_id, values in ratios.items():
-                if endpoint_id != left_out:
-                    here = [a + b for a, b in zip(here, values, strict=True)]
-            by_route[route] = mean_of_exponentials(here)
-            everywhere = [a + b for a, b in zip(everywhere, here, strict=True)]
-        route = max(by_route, key=by_route.__getitem__)
-        found = [*by_route.values(), mean_of_exponentials(everywhere)]
-        return mean_of_exponentials(found), route
+
+def _against(sums: dict[str, list[float]]) -> tuple[float, str]:
+    """Return how much sums by route say, and the route where most speaks.
+
+    A version may be bad on one route or on all of them alike.
+    """
+    by_route = {route: mean_of_exponentials(sums[route]) for route in sums}
+    everywhere = [sum(values) for values in zip(*sums.values(), strict=True)]
+    route = max(by_route, key=by_route.__getitem__)
+    found = [*by_route.values(), mean_of_exponentials(everywhere)]
+    return mean_of_exponentials(found), route
--- a/tests/unit/routing/rollout/test_evidence.py
+++ b/tests/unit/routing/rollout/test_evidence.py
@@ -82,6 +82,27 @@
         assert standing.loudest == "ill"
         assert standing.total > 7.0 > 2.0 > standing.without
 
+    def test_without_an_endpoint_is_as_if_it_had_never_answered(self):
+        whole, others = Evidence(Mixture()), Evidence(Mixture())
+        rng = random.Random(6)
+        for step in range(40):
+            old = {"r": answers(rng, 40), "s": answers(rng, 20)}
+            ill = {e: answers(rng, 2, failing=0.7) for e in ("ill",)}
+            sound = {e: answers(rng, 2) for e in "xy"}
+            whole.add(old, {"r": ill | sound, "s": sound}, step * 0.25)
+            others.add(old, {"r": sound, "s": sound}, step * 0.25)
+        found = whole.standing()
+        assert found.loudest == "ill"
+        assert found.without == pytest.approx(others.standing().total)
+        assert found.others == others.answers
+
+    def test_a_route_without_new_endpoints_says_nothing(self):
+        evidence, rng = Evidence(Mixture()), random.Random(1)
+        watch(evidence, rng, 8, {}, {})
+        before = evidence.standing()
+        evidence.add({"s": answers(rng, 40)}, {"s": {}}, 3.0)
+        assert evidence.standing() == before
+
     def test_before_the_old_version_answered_nothing_counts(self):
         evidence = Evidence(Mixture())
         evidence.add({}, {"r": {"x": answers(random.Random(1), 30, failing=1.0)}}, 0.0)
