Roll-outs: state that could be derived, and what was written twice

An order's duration is what passed and what is left; orders stand in the view, not in the follower's base as well; the coordinator reads reports once a look; counts are added by tally.added alone; endpoints that are gone are forgotten with the next order; the bench's unused parameter and list of names go. Calls in test_exposure.py follow the signature, its assertions are as they were.

--- a/src/ebonydeal/_internal/benchmarks/rollouts/suite.py
+++ b/src/ebonydeal/_internal/benchmarks/rollouts/suite.py
@@ -1,7 +1,7 @@
 """Plays many modelled roll-outs, and adds up what came of them."""
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from concurrent.futures import ProcessPoolExecutor
 from typing import NamedTuple
 
@@ -10,7 +10,6 @@
     Case,
     Fault,
     Step,
-    When,
     World,
     draw,
 )
@@ -207,11 +206,11 @@
     return play(draw(seed), ways)
 
 
-def lines(came: list[Came], key: Callable[[Came], str] = _kind) -> list[Line]:
+def lines(came: list[Came]) -> list[Line]:
     """Return what came of them by kind, and of all."""
     grouped = defaultdict(list)
     for one in came:
-        grouped[key(one)].append(one)
+        grouped[_kind(one)].append(one)
     found = [_line(name, grouped[name]) for name in sorted(grouped)]
     return [*found, _line("all", came)]
 
@@ -228,6 +227,3 @@
         for r in rows
     ]
     return "\n".join([head, *body])
-
-
-__all__ = ["Came", "Line", "Ways", "When", "lines", "play", "play_all", "table"]
--- a/src/ebonydeal/_internal/relay/duties/rollout_run.py
+++ b/src/ebonydeal/_internal/relay/duties/rollout_run.py
@@ -9,7 +9,7 @@
 from ebonydeal._internal.routing.rollout.course import Continue, Course, Verdict
 from ebonydeal._internal.routing.rollout.evidence import Standing
 from ebonydeal._internal.routing.rollout.split import TallyMessage
-from ebonydeal._internal.routing.rollout.tally import Counts, empty, less
+from ebonydeal._internal.routing.rollout.tally import Counts, added, empty, less
 
 
 class Counted(NamedTuple):
@@ -155,16 +155,11 @@
     """Add what one relay counted since it told last to ``old`` and ``new``."""
     for route, counts in told.old.items():
         fresh = less(counts, last.old.get(route, empty()))
-        _add(old.setdefault(route, empty()), fresh)
+        old[route] = added(old.get(route, empty()), fresh)
     for route, by_endpoint in told.new.items():
         known = last.new.get(route, {})
         for endpoint_id, counts in by_endpoint.items():
             fresh = less(counts, known.get(endpoint_id, empty()))
             if any(fresh):
                 sums = new.setdefault(route, {})
-                _add(sums.setdefault(endpoint_id, empty()), fresh)
-
-
-def _add(sums: Counts, counts: Counts) -> None:
-    for category, count in enumerate(counts):
-        sums[category] += count
+                sums[endpoint_id] = added(sums.get(endpoint_id, empty()), fresh)
--- a/src/ebonydeal/_internal/relay/duties/rollouts.py
+++ b/src/ebonydeal/_internal/relay/duties/rollouts.py
@@ -19,7 +19,11 @@
 from ebonydeal._internal.relay.duties.rollout_book import RolloutBook
 from ebonydeal._internal.relay.duties.rollout_run import RolloutRun
 from ebonydeal._internal.relay.duties.rollout_store import RolloutStore
-from ebonydeal._internal.relay.peers.messages import ROLLOUTS, RolloutsMessage
+from ebonydeal._internal.relay.peers.messages import (
+    ROLLOUTS,
+    ExchangeMessage,
+    RolloutsMessage,
+)
 from ebonydeal._internal.relay.peers.rollouts import gates_message
 from ebonydeal._internal.relay.ports import SharedStore, Wire
 from ebonydeal._internal.relay.view.view import RelayView
@@ -129,10 +133,10 @@
     async def _push(self) -> None:
         """Tell all relays now; who misses it hears it with its next exchange."""
         message = self.message()
-        listeners = self._parts.coordinator.listeners()
         if message is None:
             return
         self.on_gates(message)
+        listeners = self._parts.coordinator.listeners()
         if listeners is not None:
             await asyncio.gather(*(self._push_one(a, message) for a in listeners[0]))
 
@@ -170,7 +174,7 @@
     def _step_one(self, run: RolloutRun, now: float) -> None:
         """Take reports on one roll-out, and decide."""
         words = self._parts.coordinator.heard_lately()
-        fleet = self._fleet(run.course, now)
+        fleet = self._fleet(run.course, words, now)
         match run.decided_before(words):
             case Phase.COMPLETED:
                 self._end(run, Complete(0))
@@ -198,6 +202,9 @@
                 self._begin(order)
 
     def _begin(self, order: RolloutOrder) -> None:
+        # Endpoints come and go for long: those that are gone are forgotten.
+        members = self._parts.view.members
+        self._seen = {e: at for e, at in self._seen.items() if e in members}
         before = self._versions_before(order)
         self._book.begin(order, before, self._parts.clock.now())
         logger.info(
@@ -221,8 +228,8 @@
             and view.versions.first_listed(member.endpoint_id) < order.revision
         }
 
-    def _fleet(self, course: Course, now: float) -> Fleet:
-        """Return the endpoints that the decision rests on."""
+    def _fleet(self, course: Course, words: list[ExchangeMessage], now: float) -> Fleet:
+        """Return the endpoints that the decision rests on, and what runs there."""
         order = course.order
         barred = self._book.barred_of(order.service)
         listed = self._parts.view.of_service(order.service)
@@ -234,7 +241,7 @@
             for m in listed
             if m.version == order.to and (late or not self._starts_slow(m, now))
         )
-        loads = [word["loads"] for word in self._parts.coordinator.heard_lately()]
+        loads = [word["loads"] for word in words]
         running = sum(int(load[e][0]) for load in loads for e in old if e in load)
         return Fleet(old, new, running)
 
--- a/src/ebonydeal/_internal/relay/view/follower.py
+++ b/src/ebonydeal/_internal/relay/view/follower.py
@@ -77,7 +77,6 @@
         self._poll: asyncio.Task[Changes | None] | None = None
         self._poll_wait = 0.0
         self._hastened = False
-        self._orders: dict[str, RolloutOrder] = {}
 
     @property
     def table(self) -> str:
@@ -232,15 +231,22 @@
         self, rows: list[SharedRow], version: int, was_away: bool
     ) -> None:
         """Take the configuration's row, if there is one, and all orders."""
-        self._orders = {}
-        await self.take(tuple(rows), version, was_away)
+        self._take(tuple(rows), version, {})
 
     async def take(
         self, rows: tuple[SharedRow, ...], version: int, was_away: bool
     ) -> None:
         """Take the configuration's row and orders; unreadable ones are left out."""
-        self._take_orders(rows)
-        self._view.take_orders(self._orders, version, "store")
+        self._take(rows, version, self._view.versions.orders)
+
+    def _take(
+        self,
+        rows: tuple[SharedRow, ...],
+        version: int,
+        orders: dict[str, RolloutOrder],
+    ) -> None:
+        """Take rows; ``orders`` are those that stand where no row says otherwise."""
+        self._view.take_orders(self._changed(orders, rows), version, "store")
         for row in rows:
             if row.key != self._wire.config_key or row.value is None:
                 continue
@@ -256,9 +262,11 @@
         """Note that nothing has changed up to a version."""
         self._view.orders_unchanged(version)
 
-    def _take_orders(self, rows: tuple[SharedRow, ...]) -> None:
-        """Take rows of roll-outs; one that can't be read orders nothing."""
-        orders = dict(self._orders)
+    def _changed(
+        self, orders: dict[str, RolloutOrder], rows: tuple[SharedRow, ...]
+    ) -> dict[str, RolloutOrder]:
+        """Return orders after rows; one that can't be read orders nothing."""
+        orders = dict(orders)
         for row in rows:
             service = self._wire.rollout_service(row.key)
             if service is None:
@@ -271,7 +279,7 @@
             except EbonydealError as exc:
                 self._metrics.count(Event.ROLLOUT_ORDERS_UNREADABLE)
                 logger.error("Order of a roll-out refused.", reason=str(exc))
-        self._orders = orders
+        return orders
 
 
 class MembersFollower(TableFollower):
--- a/src/ebonydeal/_internal/routing/rollout/course.py
+++ b/src/ebonydeal/_internal/routing/rollout/course.py
@@ -201,7 +201,6 @@
         early = self.terms.plan.early(
             self.terms.bound,
             spent,
-            self.order.duration,
             len(fleet.old),
             self._ranked(fleet, standing),
         )
--- a/src/ebonydeal/_internal/routing/rollout/exposure.py
+++ b/src/ebonydeal/_internal/routing/rollout/exposure.py
@@ -64,9 +64,14 @@
     rates: dict[str, float]
     left: float
     lag: float
-    elapsed: float = 0.0
+    elapsed: float
     doubt: bool = False
 
+    @property
+    def duration(self) -> float:
+        """Seconds from the order to its end."""
+        return self.elapsed + self.left
+
     @property
     def rate(self) -> float:
         """Requests a second of all routes."""
@@ -92,18 +97,13 @@
     _CANARIES = 2
 
     def early(
-        self,
-        bound: Bound,
-        spent: Spent,
-        duration: float,
-        old: int,
-        new: tuple[str, ...],
+        self, bound: Bound, spent: Spent, old: int, new: tuple[str, ...]
     ) -> Early:
         """Return what goes to which of the ``new`` endpoints now.
 
         ``old`` is how many old ones there are; ``new`` in order of preference.
         """
-        wanted = min(_wanted(bound, spent, duration), room(bound, spent))
+        wanted = min(_wanted(bound, spent), room(bound, spent))
         return Early(_dealt(spent.rates, wanted), new[: self._CANARIES])
 
 
@@ -120,17 +120,11 @@
     _BURST_S = 0.8
 
     def early(
-        self,
-        bound: Bound,
-        spent: Spent,
-        duration: float,
-        old: int,
-        new: tuple[str, ...],
+        self, bound: Bound, spent: Spent, old: int, new: tuple[str, ...]
     ) -> Early:
         """Return what goes to which of the ``new`` endpoints now, as `Steady` does."""
-        wanted = _wanted(bound, spent, duration)
+        wanted = _wanted(bound, spent)
         usual = spent.rate * self._LOAD / max(1, old)
-        elapsed = duration - spent.left
         if usual <= 0.0 or wanted <= 0.0:
             return Early({}, ())
         if wanted >= usual:
@@ -139,16 +133,16 @@
             shares = _dealt(spent.rates, min(wanted, room(bound, spent)))
             return Early(shares, new[:count])
         period = self._BURST_S * usual / wanted
-        turn = int(elapsed / period)
+        turn = int(spent.elapsed / period)
         # At the start of each period, one endpoint after the other.
-        if elapsed - turn * period >= self._BURST_S:
+        if spent.elapsed - turn * period >= self._BURST_S:
             return Early({}, ())
         shares = _dealt(spent.rates, min(usual, room(bound, spent)))
         place = turn % min(len(new), self._CANARIES)
         return Early(shares, new[place : place + 1])
 
 
-def _wanted(bound: Bound, spent: Spent, duration: float) -> float:
+def _wanted(bound: Bound, spent: Spent) -> float:
     """Return the requests a second that use up the early part evenly."""
     whole = spent.requests + spent.rate * max(0.0, spent.left)
     share = _DOUBT_SHARE if spent.doubt else _EARLY_SHARE
@@ -156,7 +150,7 @@
     rest = max(0.0, early - spent.exposed)
     return min(
         rest / max(0.5, spent.left * _EARLY_TIME),
-        early / max(0.5, duration * _EARLY_TIME) * 2.0,
+        early / max(0.5, spent.duration * _EARLY_TIME) * 2.0,
     )
 
 
--- a/tests/unit/routing/rollout/test_exposure.py
+++ b/tests/unit/routing/rollout/test_exposure.py
@@ -17,8 +17,10 @@
 PLANS = [Steady(), Loaded()]
 
 
-def spent(requests=1000.0, exposed=0.0, rates=None, left=10.0, **more):
-    return Spent(requests, exposed, rates or {"r": 100.0}, left, 0.6, **more)
+def spent(requests=1000.0, exposed=0.0, rates=None, left=10.0, duration=None):
+    """Return what was used; without a ``duration`` nothing has passed."""
+    elapsed = 0.0 if duration is None else duration - left
+    return Spent(requests, exposed, rates or {"r": 100.0}, left, 0.6, elapsed)
 
 
 class TestEarly:
@@ -34,8 +36,8 @@
         self, plan, requests, exposed, rates, left, old
     ):
         by_route = {f"r{n}": rate for n, rate in enumerate(rates)}
-        at = spent(requests, exposed, by_route, left)
-        early = plan.early(BOUND, at, 60.0, old, NEW)
+        at = spent(requests, exposed, by_route, left, duration=60.0)
+        early = plan.early(BOUND, at, old, NEW)
         assert all(0.0 <= share <= 0.5 for share in early.shares.values())
         a_second = sum(by_route[r] * share for r, share in early.shares.items())
         room = BOUND.share * requests + BOUND.slack - exposed
@@ -43,18 +45,22 @@
 
     @pytest.mark.parametrize("plan", PLANS)
     def test_nothing_goes_over_once_the_early_part_is_used_up(self, plan):
-        early = plan.early(BOUND, spent(exposed=200.0), 20.0, 10, NEW)
+        early = plan.early(BOUND, spent(exposed=200.0, duration=20.0), 10, NEW)
         assert sum(early.shares.values()) == 0.0
 
     def test_each_route_gets_as_many(self):
         rates = {"often": 200.0, "seldom": 40.0}
-        shares = Steady().early(BOUND, spent(rates=rates), 20.0, 10, NEW).shares
+        shares = (
+            Steady().early(BOUND, spent(rates=rates, duration=20.0), 10, NEW).shares
+        )
         assert shares["often"] * 200.0 == pytest.approx(shares["seldom"] * 40.0)
 
     def test_a_usual_load_is_carried_in_bursts_by_one_endpoint(self):
         rates = {"r": 90.0}
         looks = [
-            Loaded().early(BOUND, spent(rates=rates, left=20.0 - t / 5), 20.0, 3, NEW)
+            Loaded().early(
+                BOUND, spent(rates=rates, left=20.0 - t / 5, duration=20.0), 3, NEW
+            )
             for t in range(60)
         ]
         loads = [look.shares.get("r", 0.0) * 90.0 for look in looks if look.canaries]
@@ -65,7 +71,9 @@
     def test_one_endpoint_after_the_other_carries_it(self):
         rates = {"r": 90.0}
         asked = {
-            Loaded().early(BOUND, spent(rates=rates, left=left), 30.0, 3, NEW).canaries
+            Loaded()
+            .early(BOUND, spent(rates=rates, left=left, duration=30.0), 3, NEW)
+            .canaries
             for left in (t / 10 for t in range(300))
         }
         assert len(asked - {()}) == 3
