See by whose word requests of limited accounts pass

The record of the incident can't tell whether requests passed by the coordinator's grant, from an amount granted before, or by a relay alone. Counters for the three; a relay tells once a second what it let pass without a coordinator, and of how many relays it took its part; the coordinator tells what it granted, under which fencing number and of which share.

--- a/src/ebonydeal/_internal/observe/counters.py
+++ b/src/ebonydeal/_internal/observe/counters.py
@@ -84,6 +84,9 @@
     ROLLOUTS_ROLLED_BACK = "rollouts_rolled_back"
     SENT_TO_NEW_VERSION = "sent_to_new_version"
     NEW_VERSION_FAILED = "new_version_failed"
+    ADMITTED_IN_ADVANCE = "admitted_in_advance"
+    ADMITTED_BY_GRANT = "admitted_by_grant"
+    ADMITTED_ALONE = "admitted_alone"
 
 
 class Timing(StrEnum):
--- a/src/ebonydeal/_internal/relay/duties/coordinator.py
+++ b/src/ebonydeal/_internal/relay/duties/coordinator.py
@@ -45,6 +45,7 @@
 CompareCrashes = Callable[[ExchangeMessage], tuple[str, EvidenceMessage | None]]
 
 _USAGE_STEP_S = 0.25
+_TOLD_EVERY_S = 1.0
 # After taking the lease, relays need this long to tell what they know.
 _WARM_UP_S = 1.3
 # Instances that take the lease at once; smaller ones give them time to, since hundreds
@@ -100,6 +101,26 @@
     return f"{word['node']}/{word['incarnation']}"
 
 
+class _GrantTally:
+    """What was granted, told once a second by account with the share granted of."""
+
+    def __init__(self, by: Callable[[], tuple[int, float]]) -> None:
+        self._by = by
+        self._amounts: dict[str, float] = {}
+        self._since = 0.0
+
+    def add(self, account: str, amount: float, now: float) -> None:
+        """Count a grant, or a refusal as 0; log what came in the second before."""
+        if now - self._since >= _TOLD_EVERY_S:
+            fence, part = self._by()
+            amounts = {name: round(total) for name, total in self._amounts.items()}
+            if amounts:
+                logger.info("Granted.", fence=fence, part=part, amounts=amounts)
+            self._amounts = {}
+            self._since = now
+        self._amounts[account] = self._amounts.get(account, 0.0) + amount
+
+
 class Coordinator(Service):
     """The lease, and what its holder does.
 
@@ -149,6 +170,7 @@
         self._checks_fence = checks_fence
         self._refused_fence = 0
         self._broker = QuotaBroker(bounds, terms)
+        self._tally = _GrantTally(lambda: (self.lease.fence, self._broker.part))
         self._roster = Roster(parts.clock, size.exchange_s, size.cores)
         # How many relays the coordinator before told of.
         self.relays_before: Callable[[], int] = lambda: 0
@@ -316,6 +338,7 @@
             amount = self._broker.advance(account, demand[0], demand[1], now)
             if amount > 0.0:
                 grants[account.name] = round(amount, 1)
+                self._tally.add(account.name, amount, now)
         return grants
 
     def grant(self, message: GrantMessage) -> GrantReply:
@@ -327,6 +350,7 @@
             if account.name == message["account"]:
                 now = self._parts.clock.now()
                 got = self._broker.grant(account, message["amount"], now)
+                self._tally.add(account.name, got.amount, now)
                 return GrantReply(amount=got.amount, wait=got.wait)
         return GrantReply(amount=0.0, wait=1.0)
 
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -178,7 +178,7 @@
             self._cfg.quota_slack,
             self._policy.quota_slack_used,
         )
-        self._quota = QuotaGate(LocalQuota(), clock)
+        self._quota = QuotaGate(LocalQuota(), clock, metrics)
         self.intake = Intake(parts, self._quota, self._policy.quota_wait)
         self.clients = RawListener(self.intake.handle, self._cfg.address, opened)
         self._ready = RawListener(self._answer_ready, self._cfg.ready_address, opened)
--- a/src/ebonydeal/_internal/relay/requests/quota.py
+++ b/src/ebonydeal/_internal/relay/requests/quota.py
@@ -4,6 +4,7 @@
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.forwarding import ForwardAccount
+from ebonydeal._internal.observe.counters import Event, Metrics
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.routing.limits.demand import RateMeter
 from ebonydeal._internal.routing.limits.quota_broker import LocalQuota
@@ -12,6 +13,8 @@
 logger = get_logger("relay.quota")
 
 _DEMAND_S = 2.0
+# Requests by the second would fill the log while there is no coordinator.
+_TOLD_EVERY_S = 1.0
 
 
 class GrantPort(Protocol):
@@ -29,12 +32,39 @@
         """Ask for a part of a limit; returns (amount, seconds to wait)."""
 
 
+class _AloneTally:
+    """What passed by this relay's own word, told once a second by account."""
+
+    def __init__(self) -> None:
+        self._amounts: dict[str, float] = {}
+        self._since = 0.0
+
+    def add(self, account: str, amount: float, relays: int, now: float) -> None:
+        """Count an amount; log what came in the second before."""
+        if now - self._since >= _TOLD_EVERY_S:
+            for name, total in self._amounts.items():
+                logger.info(
+                    "Passed without a coordinator.",
+                    account=name,
+                    amount=round(total),
+                    relays=relays,
+                    since_s=round(now - self._since, 2),
+                )
+            self._amounts = {}
+            self._since = now
+        self._amounts[account] = self._amounts.get(account, 0.0) + amount
+
+
 class QuotaGate:
     """Lets requests pass while their client account is within its limit."""
 
-    def __init__(self, local: LocalQuota, clock: Clock) -> None:
+    def __init__(
+        self, local: LocalQuota, clock: Clock, metrics: Metrics | None = None
+    ) -> None:
         self._local = local
         self._clock = clock
+        self._metrics = metrics or Metrics()
+        self._alone = _AloneTally()
         self._meters: dict[str, RateMeter] = {}
         self.grants: GrantPort | None = None
 
@@ -66,6 +96,7 @@
             meter = self._meters[account.name] = RateMeter(_DEMAND_S)
         meter.add(amount, now)
         if self._local.take(account.name, amount, now):
+            self._metrics.count(Event.ADMITTED_IN_ADVANCE)
             return
         until = now + patience
         while wait := await self._ask(account, amount):
@@ -88,7 +119,14 @@
             except EbonydealError as exc:
                 logger.info("No grant.", account=account.name, reason=str(exc))
             else:
-                return 0.0 if got >= amount else max(wait, 0.01)
+                if got < amount:
+                    return max(wait, 0.01)
+                self._metrics.count(Event.ADMITTED_BY_GRANT)
+                return 0.0
         relays = 1 if grants is None else grants.relay_count
         now = self._clock.now()
-        return self._local.take_alone(account, amount, relays, now)
+        alone = self._local.take_alone(account, amount, relays, now)
+        if alone == 0.0:
+            self._metrics.count(Event.ADMITTED_ALONE)
+            self._alone.add(account.name, amount, relays, now)
+        return alone
