Limits hold as a sum: each relay's share has one granter at a time

Callers saw: an account's requests ran beyond its limit, other accounts waited behind them.

Its class: an allowance that begins anew with a process, multiplied by processes and by starts.

Why the mend holds: each relay has one share of every limit, and at most one granter admits from it at a time. A relay promises its share for a time that begins later and ends later than the time for which its granter counts it; a process that starts has no share until the holder of the lease, which keeps the names of relays with shares in the store, tells it so; a granter that gets a share begins with the debt that the one before may have left.

--- a/src/ebonydeal/_internal/errors.py
+++ b/src/ebonydeal/_internal/errors.py
@@ -22,6 +22,8 @@
     KEY_REUSED = "key_reused"
     KEY_REQUIRED = "key_required"
     RATE_LIMITED = "rate_limited"
+    LIMIT_TOO_SMALL = "limit_too_small"
+    LIMIT_UNAVAILABLE = "limit_unavailable"
     QUEUE_FULL = "queue_full"
     SHED = "shed"
     DEADLINE_EXCEEDED = "deadline_exceeded"
@@ -114,6 +116,10 @@
         400, _N, _INVALID, None, "Send an Idempotency-Key header with this call."
     ),
     ErrorKind.RATE_LIMITED: Answer(429, _N, _LIMIT, 1.0, "Wait, then repeat."),
+    ErrorKind.LIMIT_TOO_SMALL: Answer(
+        429, _N, _LIMIT, None, "Send a smaller request, or ask for a higher limit."
+    ),
+    ErrorKind.LIMIT_UNAVAILABLE: Answer(503, _N, _SERVER, 1.0, "Wait, then repeat."),
     ErrorKind.QUEUE_FULL: Answer(429, _N, _LIMIT, 2.0, "Wait, then repeat."),
     ErrorKind.SHED: Answer(503, _N, _SERVER, 5.0, "Wait, or use a higher priority."),
     ErrorKind.DEADLINE_EXCEEDED: Answer(
--- a/src/ebonydeal/_internal/observe/counters.py
+++ b/src/ebonydeal/_internal/observe/counters.py
@@ -86,6 +86,7 @@
     NEW_VERSION_FAILED = "new_version_failed"
     ADMITTED_IN_ADVANCE = "admitted_in_advance"
     ADMITTED_BY_GRANT = "admitted_by_grant"
+    ADMITTED_BY_STAND_IN = "admitted_by_stand_in"
     ADMITTED_ALONE = "admitted_alone"
 
 
--- a/src/ebonydeal/_internal/relay/duties/coordinator.py
+++ b/src/ebonydeal/_internal/relay/duties/coordinator.py
@@ -13,9 +13,18 @@
 from mode import Service
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.models.forwarding import ForwardAccount
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.duties.lease_keeper import KeptRow, LeaseKeeper
 from ebonydeal._internal.relay.duties.usage_store import UsageStore
+from ebonydeal._internal.relay.limits.granter import Granter, Peer
+from ebonydeal._internal.relay.limits.messages import (
+    DelegateMessage,
+    LimitsReply,
+    ReleaseMessage,
+    ReleaseReply,
+)
+from ebonydeal._internal.relay.limits.registry_store import RegistryStore
 from ebonydeal._internal.relay.peers.messages import (
     ExchangeMessage,
     ExchangeReply,
@@ -31,11 +40,8 @@
 from ebonydeal._internal.routing.crashes.crash_messages import EvidenceMessage
 from ebonydeal._internal.routing.duties.duty_lease import DutyLease
 from ebonydeal._internal.routing.duties.usage_ledger import Due, UsageLedger
-from ebonydeal._internal.routing.limits.quota_broker import (
-    QuotaBounds,
-    QuotaBroker,
-    QuotaTerms,
-)
+from ebonydeal._internal.routing.limits.quota_bounds import QuotaBounds
+from ebonydeal._internal.routing.limits.quota_broker import QuotaTerms
 from ebonydeal._internal.settings.policy import PolicySettings
 from ebonydeal._internal.settings.relay import RelaySettings
 from ebonydeal._internal.utils.clock import Clock
@@ -169,9 +175,29 @@
         self.lease = lease
         self._checks_fence = checks_fence
         self._refused_fence = 0
-        self._broker = QuotaBroker(bounds, terms)
-        self._tally = _GrantTally(lambda: (self.lease.fence, self._broker.part))
         self._roster = Roster(parts.clock, size.exchange_s, size.cores)
+        self.granter = Granter(
+            lease, lambda: self._keeper.holds, parts.clock, bounds, terms
+        )
+        self.granter.accounts = self._accounts
+        self.granter.least_period = size.exchange_s
+        self.stands_back_s = size.stands_back_s
+        self._keeper.kept.append(
+            RegistryStore(
+                parts.store,
+                self.granter,
+                lease,
+                parts.clock,
+                lambda: {relay.message["node"] for relay in self._roster.alive()},
+            )
+        )
+        self._tally = _GrantTally(self._granted_by)
+        # Whether this relay is the first to stand in for the holder.
+        self.is_stand_in: Callable[[], bool] = lambda: False
+        self._keeper.goes_first = lambda: self.is_stand_in()
+        # Whether another relay stands in, and takes the lease.
+        self.has_stand_in: Callable[[], bool] = lambda: False
+        self._keeper.goes_last = lambda: self.has_stand_in()
         # How many relays the coordinator before told of.
         self.relays_before: Callable[[], int] = lambda: 0
         # Told when this relay becomes the coordinator.
@@ -194,7 +220,6 @@
         """Start afresh: what was told before may be of long ago."""
         self.on_begin()
         self._roster.begin(self.relays_before())
-        self._broker.begin(fresh=self.lease.fence == 1)
 
     def keep(self, kept: KeptRow) -> None:
         """Keep a row with the lease."""
@@ -273,12 +298,10 @@
     def exchange(self, message: ExchangeMessage) -> ExchangeReply:
         """Take a relay's word and tell it what it needs."""
         parts = self._parts
-        now = parts.clock.now()
         node = message["node"]
         self._roster.hear(message)
         # Silent relays' counts are waited for no longer.
         self._roster.drop_silent(lambda word: self._ledger.forget(_counter(word)))
-        self._broker.part = self._roster.part_heard()
         self.lease.relays = self._roster.count
         # Counts are running totals of one incarnation.
         self._ledger.heard(
@@ -295,7 +318,7 @@
             reported=self._ledger.reported,
             loads=self._roster.loads_without(node),
             answers=self._roster.failures_without(node),
-            grants=self._advances(message, now),
+            limits=self._hear_limits(message),
             period=self._roster.pace.period,
             tells_config=self.tells_config,
             fresh=self.fresh,
@@ -326,33 +349,68 @@
         ]
         return {relay.address: relay.mark for relay in others}, self.lease.fence
 
-    def _advances(self, message: ExchangeMessage, now: float) -> dict[str, float]:
+    # --- limits ----------------------------------------------------------------
+    def _accounts(self) -> tuple[ForwardAccount, ...]:
         index = self._parts.view.index
-        if index is None:
-            return {}
-        grants = {}
-        for account in index.table.accounts:
-            demand = message["demand"].get(account.name)
-            if demand is None or account.rate <= 0.0:
-                continue
-            amount = self._broker.advance(account, demand[0], demand[1], now)
-            if amount > 0.0:
-                grants[account.name] = round(amount, 1)
-                self._tally.add(account.name, amount, now)
-        return grants
+        return () if index is None else index.table.accounts
+
+    def _granted_by(self) -> tuple[int, float]:
+        return self.lease.fence, round(self.granter.share(self._parts.clock.now()), 3)
+
+    def _hear_limits(self, message: ExchangeMessage) -> LimitsReply | None:
+        """Take what a relay tells of its share, and grant it some in advance.
+
+        One that isn't the holder, like a holder that was started anew, takes none.
+        """
+        if not self.lease.mine:
+            return None
+        node, word = message["node"], message["limits"]
+        granter = self.granter
+        seconds = self._roster.pace.patience
+        reply = granter.hear(node, message["incarnation"], word, seconds)
+        now = self._parts.clock.now()
+        for name, amount in (grants := granter.advances(message["demand"])).items():
+            self._tally.add(name, amount, now)
+        reply["grants"] = grants
+        if granter.decides:
+            stand_ins = granter.stand_ins(self._peers())
+            reply["stand_ins"] = [peer.address for peer in stand_ins]
+            reply["stand_in"] = granter.stand_in_grants(node, word["stand_in"])
+        return reply
+
+    def _peers(self) -> list[Peer]:
+        return [
+            Peer(
+                relay.message["node"],
+                relay.address,
+                relay.message["limits"]["zone"],
+                relay.message["limits"]["stands_back_s"],
+            )
+            for relay in self._roster.alive()
+            if not relay.message["leaving"]
+        ]
+
+    def delegate(self, message: DelegateMessage) -> LimitsReply:
+        """Take the share of a relay that has lost the coordinator."""
+        return self.granter.hear(
+            message["node"], message["incarnation"], message["limits"]
+        )
+
+    def release_share(self, message: ReleaseMessage) -> ReleaseReply:
+        """Give a relay's share back, which goes to another granter."""
+        along = self.granter.release(message["node"], message["incarnation"])
+        return ReleaseReply(along=along)
 
     def grant(self, message: GrantMessage) -> GrantReply:
         """Grant a part of an account's limit; raises WRONG_OWNER."""
-        index = self._parts.view.index
-        if index is None or not self.lease.mine:
-            raise EbonydealError(ErrorKind.WRONG_OWNER, "not the coordinator")
-        for account in index.table.accounts:
+        for account in self._accounts():
             if account.name == message["account"]:
+                got = self.granter.grant(account, message["amount"], message["spare"])
                 now = self._parts.clock.now()
-                got = self._broker.grant(account, message["amount"], now)
                 self._tally.add(account.name, got.amount, now)
-                return GrantReply(amount=got.amount, wait=got.wait)
-        return GrantReply(amount=0.0, wait=1.0)
+                return GrantReply(amount=got.amount, wait=got.wait, short=got.short)
+        # It lacks the configuration that the asking relay has.
+        raise EbonydealError(ErrorKind.WRONG_OWNER, "the account isn't known here")
 
     # --- usage -----------------------------------------------------------------
     @Service.task
--- a/src/ebonydeal/_internal/relay/duties/lease_keeper.py
+++ b/src/ebonydeal/_internal/relay/duties/lease_keeper.py
@@ -32,6 +32,9 @@
 _REST_S = 0.1
 # Relays that start, or miss the holder, together write the row one after the other.
 _JITTER_S = 0.3
+# So long a free lease is left to the relay that stands in for its holder: it may have
+# missed the holder a little later.
+_LAST_S = 1.5
 
 
 class KeptRow(Protocol):
@@ -43,7 +46,9 @@
         Whether what lies in the store was read: nothing is written over before.
     """
 
-    known: bool
+    @property
+    def known(self) -> bool:
+        """See above."""
 
     def changes(self) -> list[RowChange]:
         """Return the writes that are due, if any."""
@@ -94,6 +99,11 @@
         # Written with the renewals.
         self.kept: list[KeptRow] = []
         self._stands_back = stands_back
+        # Whether this relay takes a free lease before others, like one that was the
+        # holder: it has the shares of the relays that missed the holder.
+        self.goes_first: Callable[[], bool] = lambda: False
+        # Whether another such relay is there, and is left time to.
+        self.goes_last: Callable[[], bool] = lambda: False
         self._stood_back = False
         self.held_since: float | None = None
         self._stopping = False
@@ -158,10 +168,16 @@
 
     async def _stand_back(self) -> None:
         """Leave a free lease to larger instances, and to who comes first."""
+        row = self.lease.row
+        own = row is not None and row.holder == self.lease.node
+        if own or self.goes_first():
+            self._stood_back = True
+            return
         jitter = self._rng.uniform(0.0, _JITTER_S)
-        await self._clock.sleep(self._stands_back + jitter)
+        back = self._stands_back + (_LAST_S if self.goes_last() else 0.0)
+        await self._clock.sleep(back + jitter)
         self._stood_back = True
-        if self._stands_back:
+        if back:
             # Another may have it by now.
             self.lease.in_doubt()
 
--- /dev/null
+++ b/src/ebonydeal/_internal/relay/limits/registry_store.py
@@ -0,0 +1,101 @@
+"""The names of relays that have shares of all limits, in the platform's store.
+
+They are written with a renewal of the lease where they have changed, so that they cost
+no call, and read by who takes the lease.
+"""
+
+from collections.abc import Callable
+
+from ebonydeal._internal.models.shared import RowChange
+from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.relay.limits.granter import Granter
+from ebonydeal._internal.relay.ports import SharedStore
+from ebonydeal._internal.routing.duties.duty_lease import DutyLease
+from ebonydeal._internal.routing.limits.share_registry import (
+    NO_NAMES,
+    RegistryRow,
+    ShareRegistry,
+)
+from ebonydeal._internal.utils.clock import Clock
+
+logger = get_logger("relay.limits")
+
+SHARES_TABLE = "ebonydeal-shares"
+_KEY = "names"
+
+
+class RegistryStore:
+    """Reads and writes the row of names.
+
+    Parameters
+    ----------
+    store : SharedStore
+        The platform's store.
+    granter : Granter
+        Whose registry it is.
+    lease : DutyLease
+        Under which it is kept.
+    clock : Clock
+        Time.
+    alive : callable
+        Returns the names of the relays that were heard lately.
+    """
+
+    def __init__(
+        self,
+        store: SharedStore,
+        granter: Granter,
+        lease: DutyLease,
+        clock: Clock,
+        alive: Callable[[], set[str]],
+    ) -> None:
+        self._store = store
+        self._granter = granter
+        self._lease = lease
+        self._clock = clock
+        self._alive = alive
+        self._writing = False
+
+    @property
+    def known(self) -> bool:
+        """Whether the row was read since this relay holds the lease."""
+        return self._granter.registry_fence == self._lease.fence
+
+    @property
+    def _registry(self) -> ShareRegistry:
+        return self._granter.registry
+
+    def changes(self) -> list[RowChange]:
+        """Return the write of names that have changed, if any."""
+        self._writing = False
+        if not self.known:
+            return []
+        wanted = self._registry.wanted(self._alive(), self._clock.now())
+        if wanted == self._registry.row:
+            return []
+        self._registry.writes(wanted)
+        self._writing = True
+        return [RowChange(SHARES_TABLE, _KEY, wanted.encode())]
+
+    def wrote(self) -> None:
+        """Note that the last changes lie in the store."""
+        if self._writing:
+            self._granter.refresh()
+            self._registry.wrote(self._clock.now())
+            self._granter.refresh()
+            # From now on relays may have granted before an account is known here.
+            self._granter.broker.first = False
+            row = self._registry.row
+            logger.info("Shares written.", shares=row.shares, names=len(row.names))
+
+    async def read(self) -> None:
+        """Take what the holder before kept."""
+        rows, _version = await self._store.rows(SHARES_TABLE)
+        found = NO_NAMES
+        for row in rows:
+            if row.key == _KEY and row.value is not None:
+                found = RegistryRow.decode(row.value)
+        self._granter.refresh()
+        self._registry.load(found, self._clock.now())
+        self._granter.begin()
+        self._granter.refresh()
--- a/src/ebonydeal/_internal/relay/peers/exchange.py
+++ b/src/ebonydeal/_internal/relay/peers/exchange.py
@@ -17,6 +17,7 @@
     ExchangeMessage,
     ExchangeReply,
     GrantMessage,
+    GrantReply,
     HolderMessage,
 )
 from ebonydeal._internal.relay.shares import FIRST_RELAYS
@@ -36,7 +37,8 @@
     """What the exchange works with.
 
     ``word`` builds this relay's message from the relays it knows; ``heard`` takes
-    the reply. ``period`` is the least time between two words, seconds.
+    the reply, and when it was asked for. ``period`` is the least time between two
+    words, seconds.
     """
 
     coordinator: Coordinator
@@ -44,7 +46,7 @@
     clock: Clock
     rng: Random
     word: Callable[[list[str]], ExchangeMessage]
-    heard: Callable[[ExchangeReply], None]
+    heard: Callable[[ExchangeReply, float], None]
     period: float = 0.5
 
 
@@ -162,6 +164,7 @@
         """
         parts = self._parts
         lease = parts.coordinator.lease
+        asked_at = parts.clock.now()
         try:
             reply = await self._ask()
         except EbonydealError as exc:
@@ -187,7 +190,7 @@
         self._pace = Pace(max(parts.period, reply.get("period", 0.0)))
         self._tells_config = reply.get("tells_config", False)
         lease.wanted = not reply["holds"]
-        parts.heard(reply)
+        parts.heard(reply, asked_at)
         return True
 
     async def announce(self) -> None:
@@ -215,6 +218,8 @@
     def take_holder(self, message: HolderMessage) -> dict[str, Any]:
         """Take another relay's word that it holds the lease."""
         self.lease.hear(LeaseRow(*message["row"]), int(message["version"]))
+        if not self.in_touch or not self.counted:
+            self.hasten()
         return {}
 
     async def _ask(self) -> ExchangeReply | None:
@@ -229,18 +234,17 @@
         )
         return reply
 
-    async def grant(self, account: str, amount: float) -> tuple[float, float]:
-        """Ask for a part of a limit; returns (amount, seconds to wait).
+    async def grant(self, account: str, amount: float) -> GrantReply:
+        """Ask for a part of a limit.
 
         Raises `EbonydealError` where the coordinator doesn't answer.
         """
         parts = self._parts
-        message = GrantMessage(account=account, amount=amount)
+        message = GrantMessage(account=account, amount=amount, spare=False)
         if parts.coordinator.lease.mine:
-            reply = parts.coordinator.grant(message)
-            return reply["amount"], reply["wait"]
+            return parts.coordinator.grant(message)
         address = self.coordinator_address
         if address is None:
             raise EbonydealError(ErrorKind.WRONG_OWNER, "no coordinator is known")
-        answer = await parts.client.call(address, GRANT, message, _CALL_S / 2)
-        return float(answer["amount"]), float(answer["wait"])
+        reply: Any = await parts.client.call(address, GRANT, message, _CALL_S / 2)
+        return reply
--- a/src/ebonydeal/_internal/relay/peers/messages.py
+++ b/src/ebonydeal/_internal/relay/peers/messages.py
@@ -2,6 +2,7 @@
 
 from typing import TypedDict
 
+from ebonydeal._internal.relay.limits.messages import LimitsReply, LimitsWord
 from ebonydeal._internal.routing.crashes.crash_messages import EvidenceMessage
 from ebonydeal._internal.routing.rollout.split import TallyMessage
 
@@ -33,7 +34,7 @@
     mark of the last news. ``known`` is the hash of the relays' addresses that it was
     told. ``crashes`` is what it remembers of crashes, None where the coordinator's last
     mark of that was its own ``crashes_mark``. ``rollouts`` by service: what it counted
-    of each roll-out.
+    of each roll-out. ``limits`` is of its share of client accounts' limits.
     """
 
     node: str
@@ -51,6 +52,7 @@
     crashes_mark: str
     crashes: EvidenceMessage | None
     rollouts: dict[str, TallyMessage]
+    limits: LimitsWord
 
 
 class NewsMessage(TypedDict):
@@ -84,7 +86,8 @@
     that relays need not follow the configuration themselves.
     ``fresh`` says that the coordinator hears the store; ``news`` is None without
     any. ``crashes`` is None where the word's mark is ``crashes_mark``. ``rollouts`` is
-    None where the coordinator doesn't decide now.
+    None where the coordinator doesn't decide now. ``limits`` is None where it isn't the
+    holder of the lease.
     """
 
     holds: bool
@@ -94,7 +97,7 @@
     reported: int
     loads: dict[str, list[float]]
     answers: dict[str, list[float]]
-    grants: dict[str, float]
+    limits: LimitsReply | None
     period: float
     tells_config: bool
     fresh: bool
@@ -119,17 +122,26 @@
 
 
 class GrantMessage(TypedDict):
-    """A relay asks for an amount of an account's limit."""
+    """A relay asks for an amount of an account's limit.
+
+    ``spare`` says that the coordinator had none left, and the stand-in is asked for
+    what it has of the burst.
+    """
 
     account: str
     amount: float
+    spare: bool
 
 
 class GrantReply(TypedDict):
-    """What it may admit, or seconds until it may ask again."""
+    """What it may admit, or seconds until it may ask again; None for never.
+
+    ``short`` is by how much too little was there.
+    """
 
     amount: float
-    wait: float
+    wait: float | None
+    short: float
 
 
 class HolderMessage(TypedDict):
--- a/src/ebonydeal/_internal/relay/peers/roster.py
+++ b/src/ebonydeal/_internal/relay/peers/roster.py
@@ -161,20 +161,6 @@
             if now - relay.at > _MAY_SERVE_S:
                 del self._relays[node]
 
-    def part_heard(self) -> float:
-        """Return the share of the relays that may be serving and are heard.
-
-        A relay that was cut off together with the coordinator before was never
-        heard here, and goes on alone with its part.
-        """
-        now = self._clock.now()
-        serving = [r for r in self._relays.values() if not r.message["leaving"]]
-        longest = self.pace.alone_after
-        heard = sum(now - relay.at <= longest for relay in serving)
-        expected = self._expected if now < self._expected_until else 0
-        whole = max(len(serving), expected)
-        return heard / whole if whole else 1.0
-
     @property
     def count(self) -> int:
         """How many relays there are: those heard, or as many as were told of before."""
--- a/src/ebonydeal/_internal/relay/peers/word.py
+++ b/src/ebonydeal/_internal/relay/peers/word.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from ebonydeal._internal.relay.crashes.suspects import Suspects
+from ebonydeal._internal.relay.limits.link import LimitsLink
 from ebonydeal._internal.relay.peers.messages import ExchangeMessage, ExchangeReply
 from ebonydeal._internal.relay.peers.rollouts import RolloutHearer
 from ebonydeal._internal.relay.peers.roster import addresses_hash
@@ -28,6 +29,7 @@
     usage: UsageMeter
     choice: MemberChoice
     quota: QuotaGate
+    limits: LimitsLink
     failing: FailureShares
     suspects: Suspects
     split: Split
@@ -82,10 +84,14 @@
             crashes_mark=parts.suspects.mark,
             crashes=parts.suspects.word(),
             rollouts=parts.split.tallies(now),
+            limits=parts.limits.word(),
         )
 
-    def heard(self, reply: ExchangeReply) -> bool:
-        """Take the answer; return whether this relay's view is behind."""
+    def heard(self, reply: ExchangeReply, asked_at: float) -> bool:
+        """Take the answer to what was told at ``asked_at``.
+
+        Returns whether this relay's view is behind.
+        """
         parts = self._parts
         now = parts.clock.now()
         if reply["news"] is not None:
@@ -98,7 +104,7 @@
             }
         )
         parts.failing.told(reply.get("answers", {}), now)
-        parts.quota.granted(reply["grants"])
+        parts.limits.heard(reply["limits"], asked_at)
         # A coordinator of the release before doesn't tell of crashes.
         mark, crashes = reply.get("crashes_mark", ""), reply.get("crashes")
         parts.suspects.heard_from(mark, crashes, "coordinator")
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -19,6 +19,7 @@
 )
 from ebonydeal._internal.relay.duties.fleet import Fleet
 from ebonydeal._internal.relay.duties.rollouts import RolloutParts, Rollouts
+from ebonydeal._internal.relay.limits.link import LimitsLink, Place
 from ebonydeal._internal.relay.listener import RawListener
 from ebonydeal._internal.relay.peers.call_budget import CallBudget
 from ebonydeal._internal.relay.peers.exchange import Exchange, ExchangeParts
@@ -58,11 +59,8 @@
 from ebonydeal._internal.routing.duties.pace import Pace
 from ebonydeal._internal.routing.duties.usage_ledger import UsageLedger
 from ebonydeal._internal.routing.fleet.fleet_plan import FleetTerms
-from ebonydeal._internal.routing.limits.quota_broker import (
-    LocalQuota,
-    QuotaBounds,
-    QuotaTerms,
-)
+from ebonydeal._internal.routing.limits.quota_bounds import QuotaBounds
+from ebonydeal._internal.routing.limits.quota_broker import QuotaTerms
 from ebonydeal._internal.routing.placement.failure_shares import FailureShares
 from ebonydeal._internal.routing.placement.member_choice import (
     ChoiceTerms,
@@ -104,6 +102,7 @@
         self._policy: PolicySettings = settings["policy"]
         self._node = settings["node"]
         self._clock = clock
+        self._rng = rng
         self._metrics = metrics
         self.ports = ports
         self.view = RelayView(self._cfg.drain_ms / 1000.0)
@@ -176,9 +175,19 @@
             self._cfg.quota_window_s,
             self._cfg.quota_overshoot,
             self._cfg.quota_slack,
-            self._policy.quota_slack_used,
         )
-        self._quota = QuotaGate(LocalQuota(), clock, metrics)
+        incarnation = new_token("i", rng)
+        self.coordinator = self._build_coordinator(ports, bounds, incarnation)
+        self._limits = LimitsLink(
+            self.coordinator.granter,
+            self._client,
+            clock,
+            self._node.id,
+            incarnation,
+            metrics,
+            Place(self._node.zone, self.coordinator.stands_back_s),
+        )
+        self._quota = QuotaGate(self._limits, clock, metrics)
         self.intake = Intake(parts, self._quota, self._policy.quota_wait)
         self.clients = RawListener(self.intake.handle, self._cfg.address, opened)
         self._ready = RawListener(self._answer_ready, self._cfg.ready_address, opened)
@@ -188,21 +197,6 @@
             ),
             MembersFollower(ports.store, ports.wire, self.view, clock, rng, metrics),
         )
-        incarnation = new_token("i", rng)
-        self.coordinator = Coordinator(
-            CoordinatorParts(ports.store, ports.duties, self.view, clock, rng),
-            DutyLease(
-                self._node.id,
-                incarnation,
-                self._cfg.peer_address,
-                self._cfg.lease_ms / 1000.0,
-            ),
-            UsageLedger(self._cfg.usage_window_s, self._cfg.usage_late_s),
-            bounds,
-            self._cfg.checks_fence,
-            QuotaTerms.from_config(self._policy),
-            CoordinatorSize.from_config(self._cfg, self._policy),
-        )
         taker = NewsTaker(self.view, clock)
         taker.on_behind = self._fall_behind
         self._word = RelayWord(
@@ -212,6 +206,7 @@
                 self.usage,
                 self._choice,
                 self._quota,
+                self._limits,
                 self._failing,
                 self._suspects,
                 self._split,
@@ -252,7 +247,10 @@
         handler.serve(ROLLOUTS, self._rollout_hearer.take)
         self._rollout_hearer.hasten = self._exchange.hasten
         self.coordinator.on_begin = self._announce
-        self._quota.grants = self._exchange
+        self._limits.coordinator = self._exchange
+        self._limits.address = lambda: self._word.address
+        self.coordinator.is_stand_in = lambda: self._limits.is_stand_in
+        self.coordinator.has_stand_in = lambda: self._limits.has_stand_in
         self.coordinator.relays_before = lambda: self._exchange.relays_before
         config, members = self._followers
         members.fed = lambda: self._exchange.fed
@@ -291,6 +289,25 @@
         )
         self._fleet.rolling = self._rollouts.rolling
 
+    def _build_coordinator(
+        self, ports: RelayPorts, bounds: QuotaBounds, incarnation: str
+    ) -> Coordinator:
+        """Return what this relay does for all while it holds the lease."""
+        cfg = self._cfg
+        return Coordinator(
+            CoordinatorParts(
+                ports.store, ports.duties, self.view, self._clock, self._rng
+            ),
+            DutyLease(
+                self._node.id, incarnation, cfg.peer_address, cfg.lease_ms / 1000.0
+            ),
+            UsageLedger(cfg.usage_window_s, cfg.usage_late_s),
+            bounds,
+            cfg.checks_fence,
+            QuotaTerms.from_config(self._policy),
+            CoordinatorSize.from_config(cfg, self._policy),
+        )
+
     def _build_rollouts(self, ports: RelayPorts) -> Rollouts:
         """Return what decides on roll-outs while this relay is the coordinator."""
         rollouts = Rollouts(
@@ -318,6 +335,7 @@
             self.peers,
             self.coordinator,
             self._exchange,
+            self._limits,
             self._news,
             self._long_reads,
             self._suspects,
@@ -366,9 +384,9 @@
         return [address for address in relays if address != self._word.address]
 
     # --- talk with the coordinator -------------------------------------------
-    def _heard(self, reply: ExchangeReply) -> None:
-        """Take the coordinator's answer."""
-        if self._word.heard(reply):
+    def _heard(self, reply: ExchangeReply, asked_at: float) -> None:
+        """Take the coordinator's answer to what was told at ``asked_at``."""
+        if self._word.heard(reply, asked_at):
             self._sync.behind = True
         self._split.patience = self._exchange.patience
         self._retries.configure(retry_share(self._cfg, self._exchange.relay_count))
--- a/src/ebonydeal/_internal/routing/duties/duty_lease.py
+++ b/src/ebonydeal/_internal/routing/duties/duty_lease.py
@@ -97,6 +97,8 @@
         self._until = 0.0
         self._renew_at = 0.0
         self.wanted = False
+        # The row that this incarnation took the lease from; None if there was none.
+        self.before: LeaseRow | None = None
         # How many relays this one knows of, to be written with the row.
         self.relays = 0
 
@@ -131,6 +133,11 @@
         """Name of this relay."""
         return self._me.holder
 
+    @property
+    def incarnation(self) -> str:
+        """Name of this process."""
+        return self._me.incarnation
+
     def reachable_at(self, address: str) -> None:
         """Take the address that others are told with the next write."""
         self._me = self._me._replace(address=address)
@@ -182,6 +189,7 @@
         """Take the row as it was read; version 0 where there is none."""
         changed = not self._known or version != self._version
         was_mine = self.mine
+        before = self._row
         self._row, self._version = row, version
         self._known = True
         self._told = False
@@ -190,11 +198,14 @@
         if self.mine and not was_mine:
             # A write whose answer was lost took effect: the right counts from
             # before it was sent.
+            self.before = before
             self._until = self._sent_at + self._ttl
             self._renew_at = self._sent_at + self._ttl / _RENEWALS
 
     def wrote(self, row: LeaseRow, version: int) -> None:
         """Take a write that took effect."""
+        if not self.mine:
+            self.before = self._row
         self._row, self._version = row, version
         self._seen_at = self._sent_at
         self._until = self._sent_at + self._ttl
--- a/src/ebonydeal/_internal/routing/limits/quota_broker.py
+++ b/src/ebonydeal/_internal/routing/limits/quota_broker.py
@@ -1,40 +1,36 @@
-"""Client accounts' limits over all relays, granted by one of them.
+"""Grants of client accounts' limits by whoever admits from relays' shares.
 
-The coordinator keeps one token bucket an account. Relays ask for what they
-need and get some in advance while there is plenty, so that a request far from
-its limit never waits. Near the limit each request is asked for by itself, so
-the sum over all relays stays exact. A relay that can't reach the coordinator
-goes on with an even part of the rate.
+A granter keeps one token bucket an account, of the shares that it has: capacity and
+rate follow them. Relays ask for what they need and get some in advance while there is
+plenty, so that a request far from its limit seldom waits. Near the limit each request
+is asked for by itself.
 """
 
+from collections import deque
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from ebonydeal._internal.models.forwarding import ForwardAccount
+from ebonydeal._internal.routing.limits.quota_bounds import QuotaBounds
 from ebonydeal._internal.settings.policy import PolicySettings
 
-# Part of the tolerated overshoot that the buckets use: the rest covers grants
-# that are still unused at relays.
-_OVERSHOOT_USED = 0.35
-# Part of what a window allows beyond the rate that may come at once. The rest
-# comes evenly with the rate: a window of the bounds may be filled whichever way,
-# and an account that asks for more for seconds would have only its rate.
-_AT_ONCE = 0.4
 # Above this level of the bucket relays get some in advance.
 _PLENTY = 0.5
 # Seconds of a relay's own demand that it gets in advance.
 _ADVANCE_S = 0.5
 # Weight of a request in its account's mean size. Small requests that pass while
-# others wait have a part of the rate, and of what may come at once, to themselves.
+# others wait have a part of the rate, and of the debt, to themselves.
 _MEAN_WEIGHT = 0.05
 _SMALL_SHARE = 0.05
-# What a relay that goes on alone has at once, in seconds of its part. It may have
-# been killed with all others, which used up the limit just before.
-_HEAD_START_S = 0.3
-# A request may put a relay in debt by so many seconds of its part; what is larger
-# has to be saved up, since all relays may meet a large one at once.
-_DEBT_ALONE_S = 3.0
+_SMALL_DEBT = 0.2
 _LEAST_WAIT_S = 0.05
 _MOST_WAIT_S = 10.0
+# An amount granted in advance lapses, as seen by who has it. The granter counts the
+# same time from later on.
+ADVANCE_KEPT_S = 2.0
+# The same of what a stand-in has. A new holder, and one whose stand-in is lost, gives
+# none out before.
+STAND_IN_KEPT_S = 4.0
 
 
 class QuotaTerms(NamedTuple):
@@ -49,189 +45,245 @@
         return cls(cfg.quota_overdraft, cfg.quota_small)
 
 
-class QuotaBounds(NamedTuple):
-    """By how much limits may be exceeded, and over which window, seconds.
+class Grant(NamedTuple):
+    """An amount that a relay may admit, or when to ask again, seconds.
 
-    ``slack_used`` is the part of the slack that is granted: the rest is left to
-    what relays grant themselves while there is no coordinator.
+    ``wait`` is None where no wait helps: the amount is larger than the limit ever
+    holds at once. ``short`` is by how much too little was there.
     """
 
-    window: float
-    overshoot: float
-    slack: float
-    slack_used: float = 0.3
-
-    def burst(self, account: ForwardAccount) -> float:
-        """Return the amount that may come at once."""
-        return self._beyond_rate(account) * _AT_ONCE
-
-    def rate(self, account: ForwardAccount) -> float:
-        """Return the amount a second that may come for long."""
-        evenly = self._beyond_rate(account) * (1.0 - _AT_ONCE)
-        return account.rate + evenly / self.window
-
-    def _beyond_rate(self, account: ForwardAccount) -> float:
-        """Return what a window may hold beyond its rate, with what is tolerated."""
-        limit = account.rate * self.window + account.burst
-        over = self.overshoot * limit * _OVERSHOOT_USED
-        if account.in_tokens:
-            over += self.slack * self.slack_used
-        return account.burst + over
-
-
-class Grant(NamedTuple):
-    """An amount that a relay may admit, or when to ask again (seconds)."""
-
     amount: float
-    wait: float
+    wait: float | None
+    short: float = 0.0
 
 
 class _Bucket:
-    def __init__(self, level: float, at: float) -> None:
+    """One account's bucket, of the share that was there at the last fill."""
+
+    def __init__(self, level: float, share: float, at: float) -> None:
         self.level = level
+        self.share = share
         self.at = at
+        # What lies granted at relays: when it lapses, and how much.
+        self.advanced: deque[tuple[float, float]] = deque()
+        self.out = 0.0
+        # What the stand-in has at most, and until when.
+        self.lent = 0.0
+        self.lent_until = at
         # What small requests may still take while the level is too low.
         self.small = 0.0
         # Mean size of the requests that were asked for.
         self.mean = 0.0
 
-    def fill(self, rate: float, most: float, now: float) -> None:
-        earned = rate * max(0.0, now - self.at)
-        self.level = min(most, self.level + earned)
-        self.small = min(most * _SMALL_SHARE, self.small + earned * _SMALL_SHARE)
-        self.at = max(self.at, now)
+    def lapse(self, now: float) -> None:
+        """Forget what lay granted for too long to be used."""
+        while self.advanced and self.advanced[0][0] <= now:
+            self.out -= self.advanced.popleft()[1]
+        if not self.advanced:
+            self.out = 0.0
 
 
 class QuotaBroker:
-    """Buckets of all accounts at the coordinator.
+    """Buckets of all accounts at one granter.
 
     Parameters
     ----------
     bounds : QuotaBounds
         What is tolerated.
-    terms : QuotaTerms
+    terms : QuotaTerms, optional
         Which requests go first near the limit.
+    share : callable, optional
+        Returns the part of all relays' shares that are granted from here at a time.
     """
 
-    def __init__(self, bounds: QuotaBounds, terms: QuotaTerms | None = None) -> None:
-        self._bounds = bounds
+    def __init__(
+        self,
+        bounds: QuotaBounds,
+        terms: QuotaTerms | None = None,
+        share: Callable[[float], float] = lambda _now: 1.0,
+    ) -> None:
+        self.bounds = bounds
         self._terms = terms or QuotaTerms()
+        self._share = share
         self._buckets: dict[str, _Bucket] = {}
-        self._empty_start = False
-        # Share of the relays that ask here: the others go on alone, each with
-        # an even part of the rate.
-        self.part = 1.0
+        # Whether nobody can have granted anything before.
+        self.first = False
+        # Whether a stand-in may have a part of each burst that isn't known here.
+        self.lent_elsewhere: Callable[[float], bool] = lambda _now: False
 
-    def begin(self, fresh: bool) -> None:
-        """Start as coordinator; ``fresh`` where no other was before.
-
-        After another coordinator, what it granted lately is unknown, so
-        buckets start empty and fill at their rate.
-        """
-        self._buckets.clear()
-        self._empty_start = not fresh
+    def refresh(self, accounts: Iterable[ForwardAccount], now: float) -> None:
+        """Fill all buckets; to be called before and after each change of the share."""
+        for account in accounts:
+            if account.rate > 0.0:
+                self._filled(account, now)
 
     def grant(self, account: ForwardAccount, need: float, now: float) -> Grant:
         """Grant ``need`` of an account, or say when it may be there.
 
-        A request that the level doesn't cover may be granted on account of
-        what will be earned: else small requests keep the level low and large
-        ones, which are worth most, are refused. Those that are small beside the
+        A request that the level doesn't cover may be granted on account of what will
+        be earned, as far as debts go: else small requests keep the level low and
+        large ones, which are worth most, are refused. Those that are small beside the
         account's mean pass while others wait for what was overdrawn.
         """
         bucket = self._filled(account, now)
-        most = self._bounds.burst(account)
         bucket.mean = bucket.mean or need
         bucket.mean += _MEAN_WEIGHT * (need - bucket.mean)
-        level = min(need, most) * (1.0 - self._terms.overdraft)
-        if bucket.level >= level and bucket.level > 0.0:
+        debt = self.bounds.debt(account) * bucket.share * self._terms.overdraft
+        wanted = max(0.0, need - debt * (1.0 - _SMALL_DEBT))
+        if bucket.share > 0.0 and bucket.level >= wanted:
             bucket.level -= need
             return Grant(need, 0.0)
-        if need < bucket.mean * self._terms.small and bucket.small >= need:
+        is_small = need < bucket.mean * self._terms.small
+        if is_small and bucket.small >= need and bucket.level - need >= -debt:
             bucket.level -= need
             bucket.small -= need
             return Grant(need, 0.0)
-        missing = level - bucket.level
-        rate = self._bounds.rate(account)
-        wait = missing / rate if rate > 0.0 else _MOST_WAIT_S
-        return Grant(0.0, min(_MOST_WAIT_S, max(_LEAST_WAIT_S, wait)))
+        return Grant(0.0, self._wait(account, bucket, wanted), wanted - bucket.level)
+
+    def _wait(
+        self, account: ForwardAccount, bucket: _Bucket, wanted: float
+    ) -> float | None:
+        """Return the seconds until a level may be reached."""
+        if wanted > account.burst and bucket.share >= 1.0:
+            return None
+        rate = account.rate * bucket.share
+        if rate <= 0.0:
+            return _MOST_WAIT_S
+        wait = (wanted - bucket.level) / rate
+        return min(_MOST_WAIT_S, max(_LEAST_WAIT_S, wait))
 
     def advance(
         self, account: ForwardAccount, demand: float, balance: float, now: float
     ) -> float:
-        """Return what a relay gets in advance; 0 near the limit."""
+        """Return what a relay gets in advance; 0 near the limit.
+
+        Parameters
+        ----------
+        account : ForwardAccount
+            Whose limit.
+        demand, balance : float
+            What the relay is asked for a second, and what it has left.
+        now : float
+            Seconds.
+        """
         bucket = self._filled(account, now)
-        want = demand * _ADVANCE_S - balance
-        spare = bucket.level - _PLENTY * self._bounds.burst(account)
-        if want <= 0.0 or spare <= 0.0:
+        room = self.bounds.in_advance(account) * bucket.share - bucket.out
+        want = min(demand * _ADVANCE_S - balance, room, self._spare(account, bucket))
+        if want <= 0.0:
             return 0.0
-        amount = min(want, spare)
+        bucket.level -= want
+        bucket.out += want
+        bucket.advanced.append((now + ADVANCE_KEPT_S, want))
+        return want
+
+    def stand_by(self, account: ForwardAccount, balance: float, now: float) -> float:
+        """Return what a stand-in gets beside its ``balance``; 0 near the limit."""
+        bucket = self._filled(account, now)
+        most = self.bounds.standby(account) + self.bounds.standby_of_burst(account)
+        room = most * bucket.share - balance
+        amount = max(0.0, min(room, self._spare(account, bucket)))
         bucket.level -= amount
+        bucket.lent = balance + amount
+        bucket.lent_until = now + STAND_IN_KEPT_S
         return amount
 
+    def part(self, account: ForwardAccount, weight: float, now: float) -> float:
+        """Take out what goes along with a share that another granter gets.
+
+        It is what the share's part of the level is above the debt that the other begins
+        with.
+        """
+        bucket = self._filled(account, now)
+        if bucket.share <= 0.0:
+            return 0.0
+        part = min(1.0, weight / bucket.share)
+        amount = bucket.level * part + self.bounds.debt(account) * weight
+        bucket.level -= bucket.level * part
+        return max(0.0, amount)
+
+    def put(self, account: ForwardAccount, amount: float, now: float) -> None:
+        """Take what came along with a share."""
+        bucket = self._filled(account, now)
+        bucket.level = min(bucket.level + amount, self._most(account, bucket, now))
+
+    def _spare(self, account: ForwardAccount, bucket: _Bucket) -> float:
+        most = self._most(account, bucket, bucket.at)
+        return bucket.level - _PLENTY * most
+
+    def _most(self, account: ForwardAccount, bucket: _Bucket, now: float) -> float:
+        """Return the highest level: of a burst, what lies nowhere else."""
+        lent = 0.0
+        if self.lent_elsewhere(now):
+            lent = self.bounds.standby_of_burst(account) * bucket.share
+        elif now < bucket.lent_until:
+            lent = max(0.0, bucket.lent - self.bounds.standby(account))
+        return max(0.0, account.burst * bucket.share - bucket.out - lent)
+
     def _filled(self, account: ForwardAccount, now: float) -> _Bucket:
-        most = self._bounds.burst(account)
+        share = self._share(now)
         bucket = self._buckets.get(account.name)
         if bucket is None:
-            level = 0.0 if self._empty_start else most
-            bucket = self._buckets[account.name] = _Bucket(level, now)
-        bucket.fill(self._bounds.rate(account) * self.part, most, now)
+            level = account.burst if self.first else 0.0
+            held = share if self.first else 0.0
+            bucket = self._buckets[account.name] = _Bucket(level, held, now)
+        bucket.lapse(now)
+        earned = account.rate * min(share, bucket.share) * max(0.0, now - bucket.at)
+        # What was overdrawn of a share isn't known to who gets it.
+        owed = self.bounds.debt(account) * max(0.0, share - bucket.share)
+        bucket.share = share
+        bucket.at = max(bucket.at, now)
+        most = self._most(account, bucket, now)
+        bucket.level = min(most, bucket.level + earned - owed)
+        small = _SMALL_SHARE * account.burst * share
+        bucket.small = min(small, bucket.small + earned * _SMALL_SHARE)
         return bucket
 
 
-class LocalQuota:
-    """One relay's balance of each account.
+class Balances:
+    """Amounts of accounts' limits that one relay has, each until it lapses.
 
     Parameters
     ----------
-    keep : float
-        Seconds after which an unused balance lapses.
+    kept : float
+        Seconds from before an amount was asked for until it lapses.
     """
 
-    def __init__(self, keep: float = 4.0) -> None:
-        self._keep = keep
-        self._balance: dict[str, float] = {}
-        self._granted_at: dict[str, float] = {}
-        self._alone: dict[str, _Bucket] = {}
+    def __init__(self, kept: float = ADVANCE_KEPT_S) -> None:
+        self._kept = kept
+        self._amounts: dict[str, deque[tuple[float, float]]] = {}
 
-    def balance(self, account: str, now: float) -> float:
+    def left(self, account: str, now: float) -> float:
         """Return what may still be admitted."""
-        if now - self._granted_at.get(account, now) > self._keep:
-            self._balance.pop(account, None)
-        return self._balance.get(account, 0.0)
+        amounts = self._amounts.get(account)
+        if not amounts:
+            return 0.0
+        while amounts and amounts[0][0] <= now:
+            amounts.popleft()
+        return sum(amount for _until, amount in amounts)
 
-    def add(self, account: str, amount: float, now: float) -> None:
-        """Take a grant."""
-        self._balance[account] = self.balance(account, now) + amount
-        self._granted_at[account] = now
+    def add(self, account: str, amount: float, asked_at: float) -> None:
+        """Take an amount that was asked for at ``asked_at``."""
+        amounts = self._amounts.setdefault(account, deque())
+        amounts.append((asked_at + self._kept, amount))
+
+    def extend(self, asked_at: float) -> None:
+        """Keep all amounts that are left as if they were asked for then."""
+        for name in self._amounts:
+            left = self.left(name, asked_at)
+            self._amounts[name] = deque([(asked_at + self._kept, left)] if left else [])
 
     def take(self, account: str, amount: float, now: float) -> bool:
-        """Use ``amount`` of the balance, if there is so much."""
-        if self.balance(account, now) < amount:
+        """Use ``amount``, if there is so much."""
+        if self.left(account, now) < amount:
             return False
-        self._balance[account] -= amount
+        amounts = self._amounts[account]
+        while amount > 0.0 and amounts:
+            until, first = amounts.popleft()
+            if first > amount:
+                amounts.appendleft((until, first - amount))
+            amount -= first
         return True
 
-    def take_alone(
-        self, account: ForwardAccount, amount: float, relays: int, now: float
-    ) -> float:
-        """Admit without a coordinator; returns 0, or seconds to wait.
-
-        The bucket may fall into debt by one request, as a part of a limit is
-        often smaller than a single request; much larger ones are saved up.
-        """
-        part = 1.0 / max(1, relays)
-        bucket = self._alone.get(account.name)
-        if bucket is None:
-            bucket = self._alone[account.name] = _Bucket(0.0, now - _HEAD_START_S)
-        rate = account.rate * part
-        most = max(rate, account.burst * part)
-        bucket.fill(rate, most, now)
-        saved = max(0.0, min(amount - rate * _DEBT_ALONE_S, most))
-        enough = bucket.level >= saved if saved else bucket.level > 0.0
-        if enough:
-            bucket.level -= amount
-            return 0.0
-        if rate <= 0.0:
-            return _MOST_WAIT_S
-        return min(_MOST_WAIT_S, max(_LEAST_WAIT_S, (saved - bucket.level) / rate))
+    def accounts(self) -> Iterable[str]:
+        """Return the accounts of which anything was had."""
+        return tuple(self._amounts)
--- a/src/ebonydeal/_internal/settings/policy.py
+++ b/src/ebonydeal/_internal/settings/policy.py
@@ -13,15 +13,11 @@
     """``[policy]``: how the relay limits, chooses, waits and orders."""
 
     # --- client accounts' limits
-    quota_slack_used: Annotated[
-        float,
-        Key("Part of the amount tolerated beyond limits that is granted.", "", 0, 1),
-    ] = 0.3
     quota_overdraft: Annotated[
         float,
         Key(
-            "Part of a request that its account need not have saved up, "
-            "so that large ones pass like small ones; 0 is off.",
+            "Part of the debt that an account may be in, "
+            "so that large requests pass like small ones; 0 is off.",
             "",
             0,
             1,
--- a/tests/lib/relay_fakes.py
+++ b/tests/lib/relay_fakes.py
@@ -205,6 +205,19 @@
         "crashes_mark": "",
         "crashes": None,
         "rollouts": {},
+        "limits": {
+            "weight": 0.0,
+            "granter": "",
+            "until": 0.0,
+            "seconds": 0.0,
+            "free": True,
+            "up_s": 60.0,
+            "stand_in": {},
+            "stands_back_s": 0.0,
+            "zone": "",
+            "along": {},
+            "along_number": 0,
+        },
         **more,
     }
 
