A request that waited is admitted anew before its first send

Callers saw: nothing yet; a request that was let pass in one window and waited for an endpoint, for a further send after a refusal, or through a suspension arrived in the next, on top of what that grants.

Cause: an admission had no end.

Why the mend holds: it ends after the time that a part of what is tolerated covers (QuotaBounds.late_s), the term 'late' of the sum. A later first send asks anew, and is refused as not run where nothing is left; what may have run counted when it first arrived.

--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -187,7 +187,7 @@
             metrics,
             Place(self._node.zone, self.coordinator.stands_back_s),
         )
-        self._quota = QuotaGate(self._limits, clock, metrics)
+        self._quota = QuotaGate(self._limits, clock, bounds, metrics)
         self.intake = Intake(parts, self._quota, self._policy.quota_wait)
         self.clients = RawListener(self.intake.handle, self._cfg.address, opened)
         self._ready = RawListener(self._answer_ready, self._cfg.ready_address, opened)
--- a/src/ebonydeal/_internal/relay/requests/intake.py
+++ b/src/ebonydeal/_internal/relay/requests/intake.py
@@ -142,9 +142,11 @@
         body = await _read_body(http_req, limits.body_bytes, allowed, digest)
         # Before it draws on its account's limit: it isn't going to run.
         self._parts.suspects.check(digest.text())
+        admission = None
         if account is not None:
             patience = min(allowed, route.objective * self._quota_wait)
-            await self._quota.admit(account, _amount(req, account), patience)
+            amount = _amount(req, account)
+            admission = await self._quota.admit(account, amount, patience)
         return Job(
             req=req,
             route=route,
@@ -154,6 +156,7 @@
             started=started,
             until=started + allowed,
             digest=digest.text(),
+            admission=admission,
         )
 
     async def _known(self, started: float) -> RouteIndex:
--- a/src/ebonydeal/_internal/relay/requests/job.py
+++ b/src/ebonydeal/_internal/relay/requests/job.py
@@ -16,6 +16,7 @@
 from ebonydeal._internal.relay.ports import Wire
 from ebonydeal._internal.relay.requests.connections import EndpointPools
 from ebonydeal._internal.relay.requests.moves import StreamMoves
+from ebonydeal._internal.relay.requests.quota import Admission
 from ebonydeal._internal.relay.requests.usage import UsageMeter
 from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.routing.admission.early_refusal import EarlyRefusal
@@ -33,7 +34,7 @@
 
     ``started`` and ``until`` are monotonic seconds; ``until`` is the earlier
     of the client's deadline and the route's timeout. ``digest`` is the same for
-    equal requests, whatever their ids.
+    equal requests, whatever their ids. ``admission`` is by its account's limit.
     """
 
     req: Forwarded
@@ -44,6 +45,7 @@
     started: float
     until: float
     digest: str = ""
+    admission: Admission | None = None
 
     @property
     def once(self) -> bool:
--- a/src/ebonydeal/_internal/relay/requests/quota.py
+++ b/src/ebonydeal/_internal/relay/requests/quota.py
@@ -7,6 +7,7 @@
 from ebonydeal._internal.observe.counters import Event, Metrics
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.routing.limits.demand import RateMeter
+from ebonydeal._internal.routing.limits.quota_bounds import QuotaBounds
 from ebonydeal._internal.routing.limits.quota_broker import Balances, Grant
 from ebonydeal._internal.utils.clock import Clock
 
@@ -25,13 +26,50 @@
         """Ask for an amount; raises LIMIT_UNAVAILABLE where nobody is reached."""
 
 
+class Admission:
+    """A request's admission by its account's limit, good for a while.
+
+    What is sent later than that would count in another window than it was granted in.
+
+    Parameters
+    ----------
+    gate : QuotaGate
+        Admits it anew.
+    account : ForwardAccount
+        Whose limit.
+    amount : float
+        What the request counts.
+    until : float
+        When the admission ends.
+    """
+
+    def __init__(
+        self, gate: "QuotaGate", account: ForwardAccount, amount: float, until: float
+    ) -> None:
+        self._gate = gate
+        self._account = account
+        self._amount = amount
+        self._until = until
+
+    async def renew(self, now: float) -> None:
+        """Admit the request anew where its admission has ended; raises RATE_LIMITED."""
+        if now > self._until:
+            again = await self._gate.admit(self._account, self._amount, 0.0)
+            self._until = again._until
+
+
 class QuotaGate:
     """Lets requests pass while their client account is within its limit."""
 
     def __init__(
-        self, grants: GrantPort, clock: Clock, metrics: Metrics | None = None
+        self,
+        grants: GrantPort,
+        clock: Clock,
+        bounds: QuotaBounds,
+        metrics: Metrics | None = None,
     ) -> None:
         self._grants = grants
+        self._bounds = bounds
         self._clock = clock
         self._metrics = metrics or Metrics()
         self._meters: dict[str, RateMeter] = {}
@@ -46,13 +84,19 @@
 
     async def admit(
         self, account: ForwardAccount, amount: float, patience: float
-    ) -> None:
-        """Return if ``amount`` may be used; raises RATE_LIMITED and its kin.
+    ) -> Admission:
+        """Return when ``amount`` may be used; raises RATE_LIMITED and its kin.
 
         What will be there within ``patience`` seconds is waited for.
         """
-        if account.rate <= 0.0:
-            return
+        if account.rate > 0.0:
+            await self._take(account, amount, patience)
+        until = self._clock.now() + self._bounds.late_s(account)
+        return Admission(self, account, amount, until)
+
+    async def _take(
+        self, account: ForwardAccount, amount: float, patience: float
+    ) -> None:
         now = self._clock.now()
         meter = self._meters.get(account.name)
         if meter is None:
--- a/src/ebonydeal/_internal/relay/requests/sends.py
+++ b/src/ebonydeal/_internal/relay/requests/sends.py
@@ -90,11 +90,25 @@
                 raise self.proof.refusal(error)
             await parts.clock.sleep(_WAIT_STEP_S)
         self._refuse_early(found.expected)
+        await self._renew_admission()
         if self._tries == 0:
             parts.retries.first_send(job.service, parts.clock.now())
         self._carried = None
         return self._take(found)
 
+    async def _renew_admission(self) -> None:
+        """Admit the request anew where it waited too long; raises RATE_LIMITED.
+
+        One that may have run counts in the window in which it first arrived.
+        """
+        admission = self.job.admission
+        if admission is None or self.proof.may_have_run:
+            return
+        try:
+            await admission.renew(self._parts.clock.now())
+        except EbonydealError as exc:
+            raise self.proof.refusal(exc) from None
+
     def _check(self) -> None:
         """Raise REQUEST_QUARANTINED where this request brings endpoints down."""
         try:
--- a/tests/lib/limits_cluster.py
+++ b/tests/lib/limits_cluster.py
@@ -116,7 +116,7 @@
             Place(),
         )
         self.limits.address = lambda: self.address
-        self.gate = QuotaGate(self.limits, clock, self.metrics)
+        self.gate = QuotaGate(self.limits, clock, cluster.bounds, self.metrics)
         self.exchange = Exchange(
             ExchangeParts(
                 self.coordinator,
--- /dev/null
+++ b/tests/unit/relay/requests/test_late_admission.py
@@ -0,0 +1,90 @@
+"""A request that waited after its admission is admitted anew before its first send.
+
+It counts in the window in which it arrives: all that had waited for an endpoint, or at
+relays that were suspended, would come on top of what that window grants.
+"""
+
+import pytest
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind, Outcome
+from ebonydeal._internal.models.forwarding import Repeat
+from ebonydeal._internal.relay.requests.outcomes import MayHaveRun, ProvedNotRun
+from ebonydeal._internal.relay.requests.quota import QuotaGate
+from ebonydeal._internal.relay.requests.sends import JobSends
+from ebonydeal._internal.routing.admission.early_refusal import EarlyRefusal
+from ebonydeal._internal.routing.limits.quota_bounds import QuotaBounds
+from ebonydeal._internal.routing.limits.quota_broker import Balances, Grant
+from tests.lib.limits_cluster import limited
+from tests.unit.relay.requests.test_job_sends import job, parts
+
+ACCOUNT = limited(60.0)
+BOUNDS = QuotaBounds(4.0, 0.1, 0.0)
+
+
+class Granted:
+    """Grants everything, or nothing."""
+
+    def __init__(self):
+        self.balances = Balances()
+        self.amounts = []
+        self.wait = 0.0
+
+    async def grant(self, _account, amount):
+        if self.wait:
+            return Grant(0.0, self.wait)
+        self.amounts.append(amount)
+        return Grant(amount, 0.0)
+
+
+@pytest.fixture
+async def waited():
+    """Return what grants, the clock, and the sends of a request just admitted."""
+    found = parts()
+    found.refusal = EarlyRefusal(0.0)
+    granted = Granted()
+    gate = QuotaGate(granted, found.clock, BOUNDS)
+    admission = await gate.admit(ACCOUNT, 1.0, 0.0)
+    made = job(Repeat.IDEMPOTENT, False)._replace(admission=admission, account=ACCOUNT)
+    return granted, found.clock, JobSends(found, made)
+
+
+class TestFirstSend:
+    async def test_at_once_counts_once(self, waited):
+        granted, clock, sends = waited
+        clock._now += BOUNDS.late_s(ACCOUNT) * 0.9
+        await sends.choose()
+        assert granted.amounts == [1.0]
+
+    async def test_later_is_admitted_anew(self, waited):
+        granted, clock, sends = waited
+        clock._now += BOUNDS.late_s(ACCOUNT) * 1.1
+        await sends.choose()
+        assert granted.amounts == [1.0, 1.0]
+
+    async def test_later_may_be_refused(self, waited):
+        granted, clock, sends = waited
+        granted.wait = 0.7
+        clock._now += 2.0
+        with pytest.raises(EbonydealError) as caught:
+            await sends.choose()
+        assert caught.value.kind is ErrorKind.RATE_LIMITED
+        assert caught.value.outcome is Outcome.NOT_RUN
+        assert caught.value.retry_after == 0.7
+
+
+class TestFurtherSend:
+    async def test_of_what_never_arrived_is_admitted_anew(self, waited):
+        granted, clock, sends = waited
+        await sends.choose()
+        sends.after(ProvedNotRun(503))
+        clock._now += 1.0
+        await sends.choose()
+        assert granted.amounts == [1.0, 1.0]
+
+    async def test_of_what_may_have_run_counts_no_more(self, waited):
+        granted, clock, sends = waited
+        await sends.choose()
+        sends.after(MayHaveRun(ErrorKind.ENDPOINT_FAILED, "reset"))
+        clock._now += 1.0
+        await sends.choose()
+        assert granted.amounts == [1.0]
