Relays earn their first retry, so that starts don't multiply the budget

Callers saw: nothing yet.

Cause: each process began with one retry for each service, and saved up as one of twelve relays until a coordinator told how many there are. 87 relays that start at once while all endpoints fail sent 87 requests again where 75 are allowed; 400 starts with 1 to 30 requests each 836 where 813 are.

Why the mend holds: a start gives nothing, so the sum over any starts is the earned part of the requests, 0.7 of what is allowed; what is saved up is one retry until the number of relays is known. Other shares: a roll-out's share needs the coordinator's own recent word and a start has none; usage and crash counts give a start nothing to spend.

--- a/src/ebonydeal/_internal/relay/shares.py
+++ b/src/ebonydeal/_internal/relay/shares.py
@@ -8,9 +8,8 @@
 # sends that are counted later than they are made, need the rest.
 _BUDGET_USED = 0.7
 _MOST_TRIES = 4
-# Relays assumed before a coordinator told how many there are. The seeds are only
-# some of them: were each to take its part of so few, all that start at once would
-# admit several times an account's limit.
+# Relays assumed before a coordinator told how many there are: the seeds are only some
+# of them.
 FIRST_RELAYS = 12
 
 
@@ -19,11 +18,15 @@
     return tuple(word.strip() for word in text.split(",") if word.strip())
 
 
-def retry_share(cfg: RelaySettings, relays: int) -> RetrySettings:
-    """Return the part of the shared retry budget that one relay may spend."""
+def retry_share(cfg: RelaySettings, relays: int | None) -> RetrySettings:
+    """Return the part of the shared retry budget that one relay may spend.
+
+    It may save up one retry while it doesn't know how many ``relays`` there are.
+    """
+    saved = cfg.retry_extra * _BUDGET_USED / max(1, relays) if relays else 0.0
     return RetrySettings(
         budget=cfg.retry_ratio * _BUDGET_USED,
-        budget_cap=max(1.0, cfg.retry_extra * _BUDGET_USED / max(1, relays)),
+        budget_cap=max(1.0, saved),
         attempts=_MOST_TRIES,
         backoff=0.0,
     )
--- a/src/ebonydeal/_internal/routing/retries/retries.py
+++ b/src/ebonydeal/_internal/routing/retries/retries.py
@@ -99,11 +99,15 @@
         Budgets and back-off.
     rng : random.Random
         For jitter.
+    first : float
+        Retries that a deployment has before its first send: the very first connection
+        may be refused.
     """
 
-    def __init__(self, cfg: RetrySettings, rng: Random) -> None:
+    def __init__(self, cfg: RetrySettings, rng: Random, first: float = 1.0) -> None:
         self._cfg = cfg
         self._rng = rng
+        self._first = first
         self._budgets: dict[str, _Budget] = {}
 
     @classmethod
@@ -167,8 +171,8 @@
 
     def _budget(self, deployment: str) -> _Budget:
         if deployment not in self._budgets:
-            # One retry up front: the very first connection may be refused.
-            self._budgets[deployment] = _Budget(min(1.0, self._cfg.budget_cap), 0.0)
+            first = min(self._first, self._cfg.budget_cap)
+            self._budgets[deployment] = _Budget(first, 0.0)
         return self._budgets[deployment]
 
     def _may_repeat(self, failure: Failure) -> bool:
