Soak: accounts that press their limits, in requests and tokens, as many relays are lost

The limited account asked for little, had no tokens and met three relays, so the check of limits could not see the incident. Two accounts ask at all relays for several times their limits now, one in tokens, and all relays or every second one are killed at once.

--- a/src/ebonydeal/_internal/platform/rehearsal.py
+++ b/src/ebonydeal/_internal/platform/rehearsal.py
@@ -34,6 +34,8 @@
 MOVE_PATH = "/-/kv-move"
 REPORT_PATH = "/-/report"
 _MS = 1000
+# Of each request that tells its tokens.
+PROMPT_TOKENS = 10
 _KINDS = {
     Repeat.IDEMPOTENT: "idempotent",
     Repeat.ONCE: "non_idempotent",
@@ -51,12 +53,17 @@
 
 
 class PlayAccount(NamedTuple):
-    """A client account of a rehearsal; ``rate`` and ``burst`` in requests."""
+    """A client account of a rehearsal; ``rate`` and ``burst`` in requests or tokens.
+
+    A request that tells no tokens counts as ``plain_tokens``.
+    """
 
     name: str
     key: str
     rate: float = 0.0
     burst: float = 0.0
+    in_tokens: bool = False
+    plain_tokens: int = 1
 
 
 class Arrival(NamedTuple):
@@ -110,6 +117,8 @@
                 "api_keys": [account.key],
                 "rate_per_s": account.rate,
                 "burst": account.burst,
+                "unit": "tokens" if account.in_tokens else "requests",
+                "plain_tokens": account.plain_tokens,
             }
             for account in accounts
         ],
@@ -158,7 +167,7 @@
         "Authorization": f"Bearer {key}",
     }
     if tokens:
-        headers[TOKENS] = f"10,{tokens}"
+        headers[TOKENS] = f"{PROMPT_TOKENS},{tokens}"
     return headers
 
 
--- a/src/ebonydeal/_internal/soak/checks.py
+++ b/src/ebonydeal/_internal/soak/checks.py
@@ -32,18 +32,22 @@
 _BAD_ANSWERS = 50
 
 
-class Terms(NamedTuple):
-    """What the deployment of a soak promises; seconds.
+class Limit(NamedTuple):
+    """A client account's limit: the most in a window, in requests or tokens."""
 
-    ``limited`` is the client account with a limit, in requests.
-    """
+    account: str
+    most: float
+    in_tokens: bool = False
+
+
+class Terms(NamedTuple):
+    """What the deployment of a soak promises; seconds."""
 
     drain: float
     apply: float
     usage_window: float
     quota_window: float
-    quota_most: float
-    limited: str
+    limits: tuple[Limit, ...]
 
 
 class Violation(NamedTuple):
@@ -156,19 +160,30 @@
 
 def within_limits(log: Log, terms: Terms) -> Iterable[Violation]:
     """A client account gets no more than its limit in any window."""
+    for limit in terms.limits:
+        most = _fullest(log, limit, terms.quota_window)
+        if most > limit.most:
+            detail = f"{most:.0f} of {limit.account} in one window, {limit.most:.0f}"
+            yield Violation("limit", detail)
+
+
+def _fullest(log: Log, limit: Limit, window: float) -> float:
+    """Return the most that first arrivals of an account count in any window."""
     first: dict[str, float] = {}
     for run in log.runs:
-        if run.account == terms.limited:
+        if run.account == limit.account:
             first[run.request_id] = min(run.at, first.get(run.request_id, run.at))
-    times = sorted(first.values())
+    arrivals = sorted((at, request_id) for request_id, at in first.items())
+    most = total = 0.0
     begin = 0
-    for end, at in enumerate(times):
-        while times[begin] < at - terms.quota_window:
+    sizes = [log.tokens[name] if limit.in_tokens else 1.0 for _at, name in arrivals]
+    for end, (at, _name) in enumerate(arrivals):
+        total += sizes[end]
+        while arrivals[begin][0] < at - window:
+            total -= sizes[begin]
             begin += 1
-        if end - begin + 1 > terms.quota_most:
-            detail = f"{end - begin + 1} of {terms.limited} in one window"
-            yield Violation("limit", detail)
-            return
+        most = max(most, total)
+    return most
 
 
 def usage_told_once(log: Log, _terms: Terms) -> Iterable[Violation]:
--- a/src/ebonydeal/_internal/soak/clients.py
+++ b/src/ebonydeal/_internal/soak/clients.py
@@ -8,13 +8,19 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
 
-from ebonydeal._internal.platform.rehearsal import PlayAccount, client_headers
+from ebonydeal._internal.platform.rehearsal import (
+    PROMPT_TOKENS,
+    PlayAccount,
+    client_headers,
+)
 from ebonydeal._internal.soak.endpoints import RELAY_HEADER
 from ebonydeal._internal.soak.processes import RelayProcess
 from ebonydeal._internal.soak.records import Kind, Log, Seen
 
 HOST = "play.example"
 _WAIT_S = 5.0
+# What streams say that they will need, at the most.
+_TOKENS = (100, 100, 100, 600)
 _EVENT_ID = re.compile(rb"(?:^|\n)id: (\d+)\ndata: [^\n]*\n(?=\n)")
 _KINDS = (Kind.SAFE, Kind.ONCE, Kind.LIVE, Kind.AGAIN)
 
@@ -75,7 +81,9 @@
         """Send one request and note its end."""
         request_id = f"{self._rng.getrandbits(64):016x}"
         path = f"{kind.value}{version}/x" if version else f"{kind.value}x"
-        tokens = 100 if kind.is_stream else 0
+        tokens = self._rng.choice(_TOKENS) if kind.is_stream else 0
+        counts = PROMPT_TOKENS + tokens if tokens else account.plain_tokens
+        self._log.tokens[request_id] = counts
         headers = client_headers(HOST, request_id, account.key, _WAIT_S, tokens)
         headers[RELAY_HEADER] = relay.name
         sent = time.monotonic()
--- a/src/ebonydeal/_internal/soak/plan.py
+++ b/src/ebonydeal/_internal/soak/plan.py
@@ -22,6 +22,7 @@
     FATAL_REQUEST = "a request crashes what runs it"
     SUSPENSION = "machine suspended"
     ROLLOUT = "a new version is rolled out"
+    HERD_KILL = "many relays are killed at once"
 
 
 class Step(NamedTuple):
@@ -51,6 +52,10 @@
 _ROLLOUT_FROM_S = 1.5
 _ROLLOUT_S = (5.0, 7.0)
 _ROLLOUT_SEED = 2_000_003
+# Mean seconds between two losses of many relays, and for how long they are away.
+_HERD_MEAN_S = 9.0
+_HERD_S = (0.2, 1.5)
+_HERD_SEED = 3_000_017
 _LATER_SEED = 1_000_003
 # The last seconds are calm, so that what was begun can end.
 _CALM_S = 3.0
@@ -72,7 +77,20 @@
             length = rng.uniform(0.3, 2.5)
             steps.append(Step(at, rng.choice(faults), length, rng.randrange(1000)))
             at += rng.expovariate(1.0 / mean) + 0.3
-    return sorted([*steps, *_later(seed, seconds), *_rollouts(seed, seconds)])
+    apart = [*_later(seed, seconds), *_rollouts(seed, seconds), *_herds(seed, seconds)]
+    return sorted([*steps, *apart])
+
+
+def _herds(seed: int, seconds: float) -> list[Step]:
+    """Return the losses of many relays at once."""
+    rng = Random(seed + _HERD_SEED)
+    steps = []
+    at = rng.uniform(1.0, _HERD_MEAN_S)
+    while at < seconds - _CALM_S:
+        length = rng.uniform(*_HERD_S)
+        steps.append(Step(at, Fault.HERD_KILL, length, rng.randrange(1000)))
+        at += rng.expovariate(1.0 / _HERD_MEAN_S) + 1.0
+    return steps
 
 
 def _rollouts(seed: int, seconds: float) -> list[Step]:
--- a/src/ebonydeal/_internal/soak/plants.py
+++ b/src/ebonydeal/_internal/soak/plants.py
@@ -67,8 +67,9 @@
 
 def _over_limit(log: Log, terms: Terms) -> None:
     run = log.runs[0]
-    for number in range(int(terms.quota_most) + 1):
-        added = run._replace(request_id=f"plant-{number}", account=terms.limited)
+    limit = terms.limits[0]
+    for number in range(int(limit.most) + 1):
+        added = run._replace(request_id=f"plant-{number}", account=limit.account)
         log.runs.append(added)
 
 
--- a/src/ebonydeal/_internal/soak/records.py
+++ b/src/ebonydeal/_internal/soak/records.py
@@ -125,8 +125,12 @@
 
 @dataclass
 class Log:
-    """Everything that was seen; times are monotonic seconds of one clock."""
+    """Everything that was seen; times are monotonic seconds of one clock.
 
+    ``tokens`` is what each request counts of a limit in tokens.
+    """
+
+    tokens: dict[str, int] = field(default_factory=dict)
     runs: list[Run] = field(default_factory=list)
     seen: list[Seen] = field(default_factory=list)
     leaves: list[Leave] = field(default_factory=list)
--- a/src/ebonydeal/_internal/soak/run.py
+++ b/src/ebonydeal/_internal/soak/run.py
@@ -25,7 +25,7 @@
     CONFIG_TABLE,
     MEMBERS_TABLE,
 )
-from ebonydeal._internal.soak.checks import Terms, Violation, check_all
+from ebonydeal._internal.soak.checks import Limit, Terms, Violation, check_all
 from ebonydeal._internal.soak.clients import HOST, Client
 from ebonydeal._internal.soak.endpoints import FATAL, SERVICE, Bad, PlayEndpoint
 from ebonydeal._internal.soak.plan import Fault, Step, make_plan
@@ -46,6 +46,9 @@
 _NOTICE_S = 2.5
 _QUOTA_WINDOW_S = 2.0
 _LIMIT = PlayAccount("small", "key-small", rate=15.0, burst=15.0)
+_TOKENS = PlayAccount("tokens", "key-tokens", 3000.0, 3000.0, True, 50)
+# Clients of each limited account, which ask for several times its limit.
+_PRESSING = 6
 _OPEN = PlayAccount("large", "key-large")
 _OVERSHOOT = 0.1
 TERMS = Terms(
@@ -53,8 +56,14 @@
     apply=2.0,
     usage_window=2.0,
     quota_window=_QUOTA_WINDOW_S,
-    quota_most=(_LIMIT.rate * _QUOTA_WINDOW_S + _LIMIT.burst) * (1.0 + _OVERSHOOT),
-    limited=_LIMIT.name,
+    limits=tuple(
+        Limit(
+            account.name,
+            (account.rate * _QUOTA_WINDOW_S + account.burst) * (1.0 + _OVERSHOOT),
+            account.in_tokens,
+        )
+        for account in (_LIMIT, _TOKENS)
+    ),
 )
 _RELAY_TERMS = {
     "grace_s": "6",
@@ -171,7 +180,8 @@
     def _load(self, client: Client) -> list[asyncio.Task[None]]:
         """Start clients and probes."""
         plays = [client.play(_OPEN, 0.05) for _ in range(self._size.clients)]
-        plays += [client.play(_LIMIT, 0.05) for _ in range(2)]
+        for account in (_LIMIT, _TOKENS):
+            plays += [client.play(account, 0.05) for _ in range(_PRESSING)]
         plays += [self._probe(client, relay) for relay in self._relays]
         return [asyncio.create_task(play) for play in plays]
 
@@ -193,7 +203,9 @@
             PlayRoute(Kind.AGAIN.value, Repeat.STREAM, resumable=True),
             PlayRoute(f"{Kind.PROBE.value}{version}/", Repeat.IDEMPOTENT),
         ]
-        document = config_document(version, HOST, SERVICE, routes, [_LIMIT, _OPEN])
+        document = config_document(
+            version, HOST, SERVICE, routes, [_LIMIT, _TOKENS, _OPEN]
+        )
         at = await self._platform.put(CONFIG_TABLE, CONFIG_KEY, document)
         self.log.published.append(Publish(version, at))
         self._version = version
@@ -258,6 +270,8 @@
                 await self._pause(relay, step)
             case Fault.ROLLOUT:
                 await self._roll_out(step)
+            case Fault.HERD_KILL:
+                await self._kill_many(step)
 
     @asynccontextmanager
     async def _trouble(self, kind: str, relay: str) -> AsyncIterator[None]:
@@ -276,6 +290,11 @@
             await asyncio.sleep(step.seconds / 2.0)
             await self._start_again(relay)
 
+    async def _kill_many(self, step: Step) -> None:
+        """Kill all relays at the same moment, or every second one."""
+        relays = self._relays[:: 1 + step.which % 2]
+        await asyncio.gather(*(self._kill(relay, step) for relay in relays))
+
     async def _stop(self, relay: RelayProcess, _step: Step) -> None:
         async with relay.turn:
             async with self._trouble("stop", relay.name):
--- a/tests/unit/soak/test_checks.py
+++ b/tests/unit/soak/test_checks.py
@@ -5,6 +5,7 @@
 import pytest
 
 from ebonydeal._internal.soak.checks import (
+    Limit,
     Terms,
     check_all,
     config_never_back,
@@ -33,8 +34,7 @@
     apply=2.0,
     usage_window=2.0,
     quota_window=2.0,
-    quota_most=20.0,
-    limited="small",
+    limits=(Limit("small", 20.0),),
 )
 WALL = 1_000_000.0
 
@@ -138,9 +138,17 @@
     def test_a_full_window_is_no_fault(self):
         log = Log()
         log.runs = [run(f"r{n}", 10.0 + n * 0.1, account="small") for n in range(100)]
-        terms = TERMS._replace(quota_most=21.0)
+        terms = TERMS._replace(limits=(Limit("small", 21.0),))
         assert list(within_limits(log, terms)) == []
-        assert list(within_limits(log, terms._replace(quota_most=20.0))) != []
+        assert list(within_limits(log, TERMS)) != []
+
+    def test_tokens_count_by_their_number(self):
+        log = Log()
+        log.runs = [run(f"r{n}", 10.0 + n, account="small") for n in range(3)]
+        log.tokens = {"r0": 100, "r1": 300, "r2": 50}
+        for most, broken in [(450.0, False), (449.0, True)]:
+            terms = TERMS._replace(limits=(Limit("small", most, in_tokens=True),))
+            assert bool(list(within_limits(log, terms))) is broken
 
 
 class TestUsage:
