--- a/src/ebonydeal/_internal/relay/limits/granter.py
+++ b/src/ebonydeal/_internal/relay/limits/granter.py
@@ -85,7 +85,10 @@
         self.own = ShareLease()
         self.delegations = Delegations(lease.incarnation)
         self.registry = ShareRegistry()
-        self.broker = QuotaBroker(bounds, terms, self.share)
+        self.broker = QuotaBroker(bounds, terms, self._known_share)
+        # The share as it was worked out last, and for which moment: hundreds of
+        # relays' shares aren't added up anew for each account.
+        self._worked_out: tuple[float, float] | None = None
         self.broker.lent_elsewhere = self._is_lent_elsewhere
         # What this relay has to grant as stand-in.
         self.stand_in = Balances(STAND_IN_KEPT_S)
@@ -123,9 +126,16 @@
             return self.registry.granted_here(self.delegations.nodes(now), now)
         return min(1.0, self.delegations.share(now) + self.own.own(now))
 
-    def refresh(self) -> None:
-        """Fill all accounts' buckets with what was earned."""
-        self.broker.refresh(self.accounts(), self._clock.now())
+    def _known_share(self, now: float) -> float:
+        """Return the share as it was worked out for this moment."""
+        if self._worked_out is None or self._worked_out[0] != now:
+            self._worked_out = (now, self.share(now))
+        return self._worked_out[1]
+
+    def refresh(self, now: float | None = None) -> None:
+        """Fill all accounts' buckets; before and after each change of shares."""
+        self._worked_out = None
+        self.broker.refresh(self.accounts(), self._clock.now() if now is None else now)
 
     # --- words of relays -----------------------------------------------------
     def hear(
@@ -140,18 +150,19 @@
         ``seconds`` is for how long it may.
         """
         now = self._clock.now()
-        self.refresh()
+        self.refresh(now)
+        before = self._known_share(now)
         self._take_share(node, incarnation, word, now + seconds)
         delegated = self.delegations.nodes(now)
         weight = 0.0
         if node in delegated:
             self.registry.heard(node, now)
-            self.refresh()
-            self._put_along(node, incarnation, word)
             # Who has every relay's share knows that nobody else decides.
             if self.decides or self._has_all(delegated):
                 weight = self.registry.weight(node)
-        self.refresh()
+        if self.share(now) != before:
+            self.refresh(now)
+        self._put_along(node, incarnation, word, delegated)
         given = self.delegations.word(seconds, now)
         return LimitsReply(
             granter=given.granter,
@@ -178,10 +189,14 @@
         if self.decides and here and word["up_s"] >= self._promise_before_s():
             self.delegations.take(node, incarnation, until)
 
-    def _put_along(self, node: str, incarnation: str, word: LimitsWord) -> None:
+    def _put_along(
+        self, node: str, incarnation: str, word: LimitsWord, delegated: set[str]
+    ) -> None:
         """Take what came along with a share, once."""
         mark = (incarnation, word["along_number"])
-        if not word["along"] or self._along.get(node) == mark:
+        if not word["along"] or node not in delegated:
+            return
+        if self._along.get(node) == mark:
             return
         self._along[node] = mark
         now = self._clock.now()
@@ -193,7 +208,7 @@
     def release(self, node: str, incarnation: str) -> dict[str, float]:
         """Give a relay's share back, with its part of what is left to grant."""
         now = self._clock.now()
-        self.refresh()
+        self.refresh(now)
         weight = self.delegations.share_of(node, incarnation, now)
         along = {
             account.name: self.broker.part(account, weight, now)
@@ -201,7 +216,7 @@
             if account.rate > 0.0 and weight > 0.0
         }
         self.delegations.release(node, incarnation)
-        self.refresh()
+        self.refresh(now)
         return along
 
     def _promise_before_s(self) -> float:
@@ -278,6 +293,7 @@
         grant from.
         """
         now = self._clock.now()
+        self._worked_out = None
         if spare:
             kept = self.bounds.standby(account)
             if self.stand_in.left(account.name, now) - need < kept:
@@ -290,6 +306,6 @@
             return Grant(need, 0.0)
         if spare:
             return Grant(0.0, _SPARE_WAIT_S)
-        if self.share(now) <= 0.0:
+        if self._known_share(now) <= 0.0:
             raise EbonydealError(ErrorKind.WRONG_OWNER, "no share to grant from")
         return got
