A few relays keep their first retry; hundreds earn it

A start gives one retry where all relays may start at once within the part of the budget that is kept back (17 relays of 58 further sends), by the number of relays in the lease's row; none where there are more.

--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -40,6 +40,8 @@
 from ebonydeal._internal.relay.requests.quota import QuotaGate
 from ebonydeal._internal.relay.requests.usage import UsageMeter
 from ebonydeal._internal.relay.shares import (
+    FIRST_RELAYS,
+    first_retry,
     outlier_terms,
     retry_share,
     seed_addresses,
@@ -110,9 +112,11 @@
             self._cfg.reuse_window_s, ChoiceTerms.from_config(self._policy)
         )
         self.usage = UsageMeter(self._cfg.usage_window_s)
-        # Whatever a start gave, hundreds of relays that start together, or one by one
-        # again and again, would have as often: a relay earns its first retry.
-        self._retries = RetryPolicy(retry_share(self._cfg, None), rng, first=0.0)
+        self._retries = RetryPolicy(
+            retry_share(self._cfg, FIRST_RELAYS),
+            rng,
+            lambda: first_retry(self._cfg, self._exchange.relay_count),
+        )
         self._failing = FailureShares(self._policy.avoid_failing)
         outliers = Outliers(outlier_terms(settings["routing"], self._policy), rng)
         self._outliers = outliers
--- a/src/ebonydeal/_internal/relay/shares.py
+++ b/src/ebonydeal/_internal/relay/shares.py
@@ -18,20 +18,25 @@
     return tuple(word.strip() for word in text.split(",") if word.strip())
 
 
-def retry_share(cfg: RelaySettings, relays: int | None) -> RetrySettings:
-    """Return the part of the shared retry budget that one relay may spend.
-
-    It may save up one retry while it doesn't know how many ``relays`` there are.
-    """
-    saved = cfg.retry_extra * _BUDGET_USED / max(1, relays) if relays else 0.0
+def retry_share(cfg: RelaySettings, relays: int) -> RetrySettings:
+    """Return the part of the shared retry budget that one relay may spend."""
     return RetrySettings(
         budget=cfg.retry_ratio * _BUDGET_USED,
-        budget_cap=max(1.0, saved),
+        budget_cap=max(1.0, cfg.retry_extra * _BUDGET_USED / max(1, relays)),
         attempts=_MOST_TRIES,
         backoff=0.0,
     )
 
 
+def first_retry(cfg: RelaySettings, relays: int) -> float:
+    """Return what a relay may spend when it starts, before it has earned anything.
+
+    All relays may start at the same moment.
+    """
+    spare = cfg.retry_extra * (1.0 - _BUDGET_USED)
+    return 1.0 if relays <= spare else 0.0
+
+
 def outlier_terms(cfg: RoutingSettings, policy: PolicySettings) -> RoutingSettings:
     """Return when a relay's endpoints are ejected, and for how long."""
     never = 10**9
--- a/src/ebonydeal/_internal/routing/retries/retries.py
+++ b/src/ebonydeal/_internal/routing/retries/retries.py
@@ -5,6 +5,7 @@
 request (and the few saved up before), however many callers there are.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 from typing import NamedTuple
@@ -99,12 +100,17 @@
         Budgets and back-off.
     rng : random.Random
         For jitter.
-    first : float
-        Retries that a deployment has before its first send: the very first connection
-        may be refused.
+    first : callable
+        Returns the retries that a deployment has before its first send: the very first
+        connection may be refused.
     """
 
-    def __init__(self, cfg: RetrySettings, rng: Random, first: float = 1.0) -> None:
+    def __init__(
+        self,
+        cfg: RetrySettings,
+        rng: Random,
+        first: Callable[[], float] = lambda: 1.0,
+    ) -> None:
         self._cfg = cfg
         self._rng = rng
         self._first = first
@@ -171,7 +177,7 @@
 
     def _budget(self, deployment: str) -> _Budget:
         if deployment not in self._budgets:
-            first = min(self._first, self._cfg.budget_cap)
+            first = min(self._first(), self._cfg.budget_cap)
             self._budgets[deployment] = _Budget(first, 0.0)
         return self._budgets[deployment]
 
