--- a/src/ebonydeal/_internal/soak/run.py
+++ b/src/ebonydeal/_internal/soak/run.py
@@ -45,8 +45,8 @@
 _DRAIN_S = 2.0
 _NOTICE_S = 2.5
 _QUOTA_WINDOW_S = 2.0
-_LIMIT = PlayAccount("small", "key-small", rate=15.0, burst=15.0)
-_TOKENS = PlayAccount("tokens", "key-tokens", 3000.0, 3000.0, True, 50)
+_LIMIT = PlayAccount("small", "key-small", rate=8.0, burst=8.0)
+_TOKENS = PlayAccount("tokens", "key-tokens", 1500.0, 1500.0, True, 50)
 # Clients of each limited account, which ask for several times its limit.
 _PRESSING = 6
 _OPEN = PlayAccount("large", "key-large")
