Shares: words of the release before, unreadable names, and what came along goes once

Found by reading the change again, each with a test: - a relay of the release before tells nothing of shares, and its coordinator answers without them: it is heard, and grants are asked for as before; - names that can't be read in the store ended the task that keeps the lease; - what came along with a share could be told to two granters where the first one's answer was lost; - entries of relays and accounts that are gone were kept for ever.

--- a/src/ebonydeal/_internal/relay/duties/coordinator.py
+++ b/src/ebonydeal/_internal/relay/duties/coordinator.py
@@ -318,6 +318,8 @@
             reported=self._ledger.reported,
             loads=self._roster.loads_without(node),
             answers=self._roster.failures_without(node),
+            # Relays of the release before look for amounts here.
+            grants={},
             limits=self._hear_limits(message),
             period=self._roster.pace.period,
             tells_config=self.tells_config,
@@ -362,9 +364,11 @@
 
         One that isn't the holder, like a holder that was started anew, takes none.
         """
-        if not self.lease.mine:
+        node = message["node"]
+        # A relay of the release before knows nothing of shares.
+        word = message.get("limits")
+        if word is None or not self.lease.mine:
             return None
-        node, word = message["node"], message["limits"]
         granter = self.granter
         seconds = self._roster.pace.patience
         reply = granter.hear(node, message["incarnation"], word, seconds)
@@ -387,7 +391,7 @@
                 relay.message["limits"]["stands_back_s"],
             )
             for relay in self._roster.alive()
-            if not relay.message["leaving"]
+            if not relay.message["leaving"] and "limits" in relay.message
         ]
 
     def delegate(self, message: DelegateMessage) -> LimitsReply:
--- a/src/ebonydeal/_internal/relay/limits/granter.py
+++ b/src/ebonydeal/_internal/relay/limits/granter.py
@@ -99,9 +99,8 @@
         self._stand_in_until = 0.0
         # By relay and process, the last amounts that came along with its share.
         self._along: dict[str, tuple[str, int]] = {}
-        # Limits in force, and the time between words: set by who knows them.
+        # Limits in force, and the shortest time between words: set by who knows them.
         self.accounts: Callable[[], Iterable[ForwardAccount]] = tuple
-        self.pace: Callable[[], Pace] = lambda: Pace(0.5)
         self.least_period = 0.5
 
     @property
@@ -198,6 +197,7 @@
             return
         if self._along.get(node) == mark:
             return
+        self._along = {n: m for n, m in self._along.items() if n in delegated}
         self._along[node] = mark
         now = self._clock.now()
         for account in self.accounts():
--- a/src/ebonydeal/_internal/relay/limits/link.py
+++ b/src/ebonydeal/_internal/relay/limits/link.py
@@ -42,6 +42,8 @@
 # A stand-in that has nothing to spare isn't asked for it again for so long.
 _DRY_S = 1.0
 _LEAST_WAIT_S = 0.1
+# For so long a word of a coordinator holds that doesn't tell for how long.
+_BEFORE_SHARES_S = 2.0
 
 
 class CoordinatorPort(Protocol):
@@ -110,6 +112,7 @@
         self._granter_address = ""
         self._along: dict[str, float] = {}
         self._along_number = 0
+        self._along_for = ""
         # Until when the coordinator's last word holds.
         self._in_touch_until = 0.0
         # Until when a stand-in has this relay's share.
@@ -145,6 +148,11 @@
         now = self._clock.now()
         own, stand_in = self._granter.own, self._granter.stand_in
         promised = own.promised(now) or Word("", 0.0, 0.0)
+        if self._along and promised.granter:
+            # One granter gets it: the next can't know whether the one before did.
+            self._along_for = self._along_for or promised.granter
+            if self._along_for != promised.granter:
+                self._along = {}
         return LimitsWord(
             # Who grants from it must not do so for longer than it is had.
             weight=own.weight(now + promised.seconds),
@@ -158,7 +166,7 @@
             },
             stands_back_s=self._place.stands_back_s,
             zone=self._place.zone,
-            along=self._along,
+            along=self._along if promised.granter else {},
             along_number=self._along_number,
         )
 
@@ -185,6 +193,15 @@
             for name, amount in reply["stand_in"].items():
                 self._granter.stand_in.add(name, amount, asked_at)
 
+    def heard_before_shares(self, grants: dict[str, float], asked_at: float) -> None:
+        """Take the answer of a coordinator of the release before.
+
+        It grants, but knows nothing of shares.
+        """
+        self._in_touch_until = asked_at + _BEFORE_SHARES_S
+        for name, amount in grants.items():
+            self.balances.add(name, amount, asked_at)
+
     def _delegate(self, reply: LimitsReply, address: str) -> bool:
         """Promise the share to who answered; return whether it must be told."""
         now = self._clock.now()
@@ -238,6 +255,7 @@
         own.released(promised)
         self._along = reply["along"]
         self._along_number += 1
+        self._along_for = ""
         self._stand_in_until = 0.0
 
     def _waits_for_share(self) -> bool:
@@ -381,4 +399,4 @@
 
 
 def _grant(reply: GrantReply) -> Grant:
-    return Grant(reply["amount"], reply["wait"], reply["short"])
+    return Grant(reply["amount"], reply["wait"], reply.get("short", 0.0))
--- a/src/ebonydeal/_internal/relay/limits/registry_store.py
+++ b/src/ebonydeal/_internal/relay/limits/registry_store.py
@@ -94,8 +94,17 @@
         found = NO_NAMES
         for row in rows:
             if row.key == _KEY and row.value is not None:
-                found = RegistryRow.decode(row.value)
+                found = _decoded(row.value)
         self._granter.refresh()
         self._registry.load(found, self._clock.now())
         self._granter.begin()
         self._granter.refresh()
+
+
+def _decoded(value: bytes) -> RegistryRow:
+    """Return the row; one that can't be read names nobody."""
+    try:
+        return RegistryRow.decode(value)
+    except (ValueError, KeyError, TypeError, RecursionError) as exc:
+        logger.error("The names of shares can't be read.", reason=repr(exc))
+        return NO_NAMES
--- a/src/ebonydeal/_internal/relay/peers/messages.py
+++ b/src/ebonydeal/_internal/relay/peers/messages.py
@@ -97,6 +97,7 @@
     reported: int
     loads: dict[str, list[float]]
     answers: dict[str, list[float]]
+    grants: dict[str, float]
     limits: LimitsReply | None
     period: float
     tells_config: bool
--- a/src/ebonydeal/_internal/relay/peers/word.py
+++ b/src/ebonydeal/_internal/relay/peers/word.py
@@ -104,8 +104,11 @@
             }
         )
         parts.failing.told(reply.get("answers", {}), now)
-        parts.limits.heard(reply["limits"], asked_at)
-        # A coordinator of the release before doesn't tell of crashes.
+        # A coordinator of the release before doesn't tell of shares and crashes.
+        if "limits" in reply:
+            parts.limits.heard(reply["limits"], asked_at)
+        else:
+            parts.limits.heard_before_shares(reply["grants"], asked_at)
         mark, crashes = reply.get("crashes_mark", ""), reply.get("crashes")
         parts.suspects.heard_from(mark, crashes, "coordinator")
         behind = reply["members"] > parts.view.last_change
--- a/src/ebonydeal/_internal/routing/limits/quota_broker.py
+++ b/src/ebonydeal/_internal/routing/limits/quota_broker.py
@@ -113,9 +113,12 @@
 
     def refresh(self, accounts: Iterable[ForwardAccount], now: float) -> None:
         """Fill all buckets; to be called before and after each change of the share."""
-        for account in accounts:
-            if account.rate > 0.0:
-                self._filled(account, now)
+        limited = [account for account in accounts if account.rate > 0.0]
+        for account in limited:
+            self._filled(account, now)
+        if len(self._buckets) > len(limited):
+            names = {account.name for account in limited}
+            self._buckets = {n: b for n, b in self._buckets.items() if n in names}
 
     def grant(self, account: ForwardAccount, need: float, now: float) -> Grant:
         """Grant ``need`` of an account, or say when it may be there.
--- a/src/ebonydeal/_internal/routing/limits/share_registry.py
+++ b/src/ebonydeal/_internal/routing/limits/share_registry.py
@@ -78,6 +78,8 @@
     def wanted(self, alive: Set[str], now: float) -> RegistryRow:
         """Return what should lie in the store, with these relays alive."""
         row = self.row
+        known = row.names | alive
+        self._heard = {n: at for n, at in self._heard.items() if n in known}
         kept = {name for name in row.names if not self._is_over(name, now)}
         new = set(alive) - kept
         if not row.names:
--- a/src/ebonydeal/_internal/routing/limits/shares.py
+++ b/src/ebonydeal/_internal/routing/limits/shares.py
@@ -110,6 +110,7 @@
     ) -> None:
         """Take a relay's share, if it promised it on a word that was given here."""
         self.forget_before(node, incarnation)
+        self._shares = {n: t for n, t in self._shares.items() if now < t.until}
         if word.granter == self.granter and now < word.until:
             self._shares[node] = _Delegated(incarnation, weight, word.until)
 
--- a/tests/lib/shares_model.py
+++ b/tests/lib/shares_model.py
@@ -155,6 +155,7 @@
             return
         self.granter.own.released(promised)
         link._along, link._along_number = along, link._along_number + 1
+        link._along_for = ""
 
     def _tell_stand_in(self):
         model = self.model
--- a/tests/unit/relay/duties/test_coordinator.py
+++ b/tests/unit/relay/duties/test_coordinator.py
@@ -119,3 +119,10 @@
 
     def test_who_holds_no_lease_takes_no_shares(self, taken_over):
         assert taken_over.exchange(word("n1"))["limits"] is None
+
+    def test_a_relay_of_the_release_before_is_heard_without(self, holder):
+        told = word("n1")
+        del told["limits"]
+        reply = holder.exchange(told)
+        assert reply["limits"] is None
+        assert reply["grants"] == {}
--- a/tests/unit/relay/test_limits_link.py
+++ b/tests/unit/relay/test_limits_link.py
@@ -153,6 +153,16 @@
         assert len(relay.peers.calls) == 1
 
 
+class TestReleaseBefore:
+    async def test_its_coordinator_grants_without_shares(self):
+        relay = Relay()
+        relay.link.heard_before_shares({"acme": 2.0}, 100.0)
+        assert relay.link.balances.left("acme", 100.0) == 2.0
+        relay.coordinator.replies = [{"amount": 1.0, "wait": 0.0}]
+        assert (await relay.link.grant(ACCOUNT, 1.0)).amount == 1.0
+        assert relay.link.word()["granter"] == ""
+
+
 class TestOwnShare:
     async def test_is_used_when_the_promise_is_over(self, relay):
         relay.coordinator.replies = [NO_ANSWER]
@@ -183,6 +193,19 @@
         relay.link.heard(reply("i5"), 100.4)
         assert relay.link.word()["along"] == {}
 
+    async def test_what_came_along_goes_to_one_granter(self, relay):
+        relay.coordinator.coordinator_address = "n5:1"
+        relay.peers.replies[RELEASE] = {"along": {"acme": 3.0}}
+        relay.link.heard(reply("i5"), 100.2)
+        await relay.link._take_back()
+        assert relay.link.word()["along"] == {}
+        relay.link.heard(reply("i5"), 100.3)
+        assert relay.link.word()["along"] == {"acme": 3.0}
+        # Its answer is lost, and another one is found.
+        await relay.clock.advance(2.0)
+        relay.link.heard(reply("i6"), 102.0)
+        assert relay.link.word()["along"] == {}
+
     async def test_not_before_its_time_where_who_has_it_gives_no_answer(self, relay):
         relay.coordinator.coordinator_address = "n5:1"
         relay.link.heard(reply("i5"), 100.2)
