--- a/src/ebonydeal/_internal/relay/duties/coordinator.py
+++ b/src/ebonydeal/_internal/relay/duties/coordinator.py
@@ -118,10 +118,10 @@
     def add(self, account: str, amount: float, now: float) -> None:
         """Count a grant, or a refusal as 0; log what came in the second before."""
         if now - self._since >= _TOLD_EVERY_S:
-            fence, part = self._by()
+            fence, share = self._by()
             amounts = {name: round(total) for name, total in self._amounts.items()}
             if amounts:
-                logger.info("Granted.", fence=fence, part=part, amounts=amounts)
+                logger.info("Granted.", fence=fence, share=share, amounts=amounts)
             self._amounts = {}
             self._since = now
         self._amounts[account] = self._amounts.get(account, 0.0) + amount
--- a/src/ebonydeal/_internal/relay/duties/lease_keeper.py
+++ b/src/ebonydeal/_internal/relay/duties/lease_keeper.py
@@ -146,7 +146,7 @@
                 await self._clock.sleep(min(_REST_S, seconds))
             case Look():
                 await self._look()
-                if not lease.mine:
+                if not lease.mine and not self._was_holder:
                     await self._clock.sleep(self._look_pause())
             case Write() as write:
                 if not lease.mine and not self._stood_back:
@@ -155,6 +155,12 @@
                 self._stood_back = False
                 await self._write(write)
 
+    @property
+    def _was_holder(self) -> bool:
+        """Whether the process before this one held the lease: nobody holds it now."""
+        row = self.lease.row
+        return row is not None and row.holder == self.lease.node
+
     def _look_pause(self) -> float:
         """Return the seconds until the row is read again.
 
@@ -168,9 +174,7 @@
 
     async def _stand_back(self) -> None:
         """Leave a free lease to larger instances, and to who comes first."""
-        row = self.lease.row
-        own = row is not None and row.holder == self.lease.node
-        if own or self.goes_first():
+        if self._was_holder or self.goes_first():
             self._stood_back = True
             return
         jitter = self._rng.uniform(0.0, _JITTER_S)
--- a/src/ebonydeal/_internal/routing/limits/quota_bounds.py
+++ b/src/ebonydeal/_internal/routing/limits/quota_bounds.py
@@ -13,9 +13,9 @@
 # Parts of what is tolerated beyond a limit.
 _DEBT_PART = 0.2
 _IN_ADVANCE_PART = 0.15
-_STANDBY_PART = 0.4
+_STANDBY_PART = 0.45
 # Part of a burst that a stand-in has as well: a holder that is lost loses no more.
-_STANDBY_BURST = 0.35
+_STANDBY_BURST = 0.45
 _LATE_PART = 0.15
 # A new granter begins with the debt that the one before may have left, and grants
 # nothing until it is earned.
