--- a/src/ebonydeal/_internal/relay/limits/registry_store.py
+++ b/src/ebonydeal/_internal/relay/limits/registry_store.py
@@ -105,6 +105,6 @@
     """Return the row; one that can't be read names nobody."""
     try:
         return RegistryRow.decode(value)
-    except (ValueError, KeyError, TypeError, RecursionError) as exc:
+    except (ValueError, KeyError, TypeError, OverflowError, RecursionError) as exc:
         logger.error("The names of shares can't be read.", reason=repr(exc))
         return NO_NAMES
--- a/tests/unit/relay/test_registry_store.py
+++ b/tests/unit/relay/test_registry_store.py
@@ -65,7 +65,10 @@
         assert not holder.rows.known
         assert holder.rows.changes() == []
 
-    @pytest.mark.parametrize("value", [b"{", b"[]", b'{"shares": 2}', b"null"])
+    @pytest.mark.parametrize(
+        "value",
+        [b"{", b"[]", b'{"shares": 2}', b"null", b'{"names": [], "shares": 1e999}'],
+    )
     async def test_what_can_t_be_read_names_nobody(self, holder, value):
         await holder.store.put(SHARES_TABLE, "names", value)
         await holder.rows.read()
