See what endpoints say of themselves: limits that answers name are kept and logged

Change: the adapter decodes Server-Limit once into Notice; each relay keeps by process of an endpoint the latest word, logs a change as 'Endpoint's limit.' and counts it, and what can't be read. No choice depends on it yet.

--- a/src/ebonydeal/_internal/models/forwarding.py
+++ b/src/ebonydeal/_internal/models/forwarding.py
@@ -141,6 +141,16 @@
     accounts: tuple[ForwardAccount, ...]
 
 
+class Process(NamedTuple):
+    """One process of an endpoint: what it said of itself holds for no other.
+
+    ``born`` as of `Member`.
+    """
+
+    endpoint_id: str
+    born: int
+
+
 class Member(NamedTuple):
     """An endpoint of a service as listed.
 
@@ -178,6 +188,11 @@
     withheld: bool = False
     version: str = ""
 
+    @property
+    def process(self) -> Process:
+        """The process behind this entry."""
+        return Process(self.endpoint_id, self.born)
+
 
 class PromptPart(NamedTuple):
     """One part of a prompt, in order; equal ids mean equal text."""
@@ -266,6 +281,21 @@
     fetch_from: str = ""
 
 
+class Notice(NamedTuple):
+    """What an endpoint says of itself in an answer.
+
+    Attributes
+    ----------
+    limit : float or None
+        Requests a second that it takes from all relays together; None for no limit.
+    unreadable : tuple of str
+        What it said that can't be read, as name and value.
+    """
+
+    limit: float | None = None
+    unreadable: tuple[str, ...] = ()
+
+
 class AnswerHead(NamedTuple):
     """The beginning of an endpoint's answer.
 
@@ -283,6 +313,10 @@
         How long the endpoint keeps the connection, where it says so.
     headers : tuple of (str, str)
         What the client gets.
+    misdirected : bool
+        The process that was meant isn't the one that answers.
+    notice : Notice
+        What the endpoint says of itself.
     """
 
     status: int
@@ -292,3 +326,5 @@
     encoded: bool
     idle_time: float | None
     headers: tuple[tuple[str, str], ...]
+    misdirected: bool = False
+    notice: Notice = Notice()
--- a/src/ebonydeal/_internal/observe/counters.py
+++ b/src/ebonydeal/_internal/observe/counters.py
@@ -88,6 +88,8 @@
     ADMITTED_BY_GRANT = "admitted_by_grant"
     ADMITTED_BY_STAND_IN = "admitted_by_stand_in"
     ADMITTED_ALONE = "admitted_alone"
+    ENDPOINT_LIMITS_CHANGED = "endpoint_limits_changed"
+    NOTICES_UNREADABLE = "notices_unreadable"
 
 
 class Timing(StrEnum):
--- a/src/ebonydeal/_internal/platform/headers.py
+++ b/src/ebonydeal/_internal/platform/headers.py
@@ -1,12 +1,14 @@
 """Header blocks of the platform: from clients, to endpoints, and back."""
 
-from collections.abc import Iterable
+import math
+from collections.abc import Iterable, Mapping
 from http import HTTPStatus
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.forwarding import (
     AnswerHead,
     Forwarded,
+    Notice,
     PromptPart,
     Sending,
 )
@@ -21,11 +23,15 @@
 LENGTH_HINT = "Ebonydeal-Length-Hint"
 SIGNATURE = "Ebonydeal-Server-Signature"
 NOT_RUN = "Ebonydeal-Not-Executed"
+# Requests a second that the endpoint takes from all callers together.
+LIMIT = "Server-Limit"
 LAST_EVENT = "Last-Event-Id"
 CARRIED = "Kv-From"
 FETCH = "Kv-Fetch"
 _BEARER = "bearer "
 _MS = 1000.0
+# Characters of a value that can't be read in a log line.
+_MOST_QUOTED = 40
 
 # Concern one connection only (RFC 9110, 7.6.1), or are written anew by the
 # HTTP library. Lower case, as all sets of names here.
@@ -168,6 +174,25 @@
     return None
 
 
+def _number(text: str) -> float | None:
+    """Return a decimal number from 0 on, or None for anything else."""
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if math.isfinite(value) and value >= 0.0 else None
+
+
+def _notice(first: Mapping[str, str]) -> Notice:
+    """Return what an endpoint says of itself; names are in lower case."""
+    unreadable = []
+    said = first.get(LIMIT.lower())
+    limit = None if said is None else _number(said)
+    if said is not None and limit is None:
+        unreadable.append(f"{LIMIT}: {said[:_MOST_QUOTED]}")
+    return Notice(limit, tuple(unreadable))
+
+
 def read_answer(status: int, pairs: Pairs) -> AnswerHead:
     """Return the head of an endpoint's answer."""
     listed = list(pairs)
@@ -182,4 +207,6 @@
         encoded=encoding not in ("identity", ""),
         idle_time=_idle_time(first.get("keep-alive")),
         headers=tuple((n, v) for n, v in listed if n.lower() not in hops),
+        misdirected=status == _MISDIRECTED,
+        notice=_notice(first),
     )
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -37,6 +37,7 @@
 from ebonydeal._internal.relay.requests.intake import Intake
 from ebonydeal._internal.relay.requests.job import SendParts, SendTerms
 from ebonydeal._internal.relay.requests.moves import MovesParts, StreamMoves
+from ebonydeal._internal.relay.requests.notices import NoticeReader
 from ebonydeal._internal.relay.requests.quota import QuotaGate
 from ebonydeal._internal.relay.requests.usage import UsageMeter
 from ebonydeal._internal.relay.shares import (
@@ -62,6 +63,7 @@
 from ebonydeal._internal.routing.fleet.fleet_plan import FleetTerms
 from ebonydeal._internal.routing.limits.quota_bounds import QuotaBounds
 from ebonydeal._internal.routing.limits.quota_broker import QuotaTerms
+from ebonydeal._internal.routing.notices.notices import EndpointNotices
 from ebonydeal._internal.routing.placement.failure_shares import FailureShares
 from ebonydeal._internal.routing.placement.member_choice import (
     ChoiceTerms,
@@ -121,6 +123,7 @@
         outliers = Outliers(outlier_terms(settings["routing"], self._policy), rng)
         self._outliers = outliers
         self.view.on_restart = self._forget_endpoint
+        self._notices = EndpointNotices()
         self._moves = StreamMoves(
             MovesParts(
                 view=self.view,
@@ -170,6 +173,7 @@
             crashes=self._crashes,
             suspects=self._suspects,
             split=self._split,
+            notices=NoticeReader(self._notices, metrics, clock),
             metrics=metrics,
             clock=clock,
             rng=rng,
--- a/src/ebonydeal/_internal/relay/requests/job.py
+++ b/src/ebonydeal/_internal/relay/requests/job.py
@@ -16,6 +16,7 @@
 from ebonydeal._internal.relay.ports import Wire
 from ebonydeal._internal.relay.requests.connections import EndpointPools
 from ebonydeal._internal.relay.requests.moves import StreamMoves
+from ebonydeal._internal.relay.requests.notices import NoticeReader
 from ebonydeal._internal.relay.requests.quota import Admission
 from ebonydeal._internal.relay.requests.usage import UsageMeter
 from ebonydeal._internal.relay.view.view import RelayView
@@ -104,6 +105,7 @@
     crashes: CrashCheck
     suspects: Suspects
     split: Split
+    notices: NoticeReader
     metrics: Metrics
     clock: Clock
     rng: Random
--- /dev/null
+++ b/src/ebonydeal/_internal/relay/requests/notices.py
@@ -0,0 +1,46 @@
+"""What endpoints say of themselves in answers: taken, counted and told in the log."""
+
+from ebonydeal._internal.models.forwarding import AnswerHead, Member
+from ebonydeal._internal.observe.counters import Event, Metrics
+from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.routing.notices.notices import EndpointNotices
+from ebonydeal._internal.utils.clock import Clock
+
+logger = get_logger("relay.notices")
+
+
+class NoticeReader:
+    """Takes what an endpoint says of itself from the heads of its answers."""
+
+    def __init__(
+        self, notices: EndpointNotices, metrics: Metrics, clock: Clock
+    ) -> None:
+        self.notices = notices
+        self._metrics = metrics
+        self._clock = clock
+
+    def read(
+        self, member: Member, head: AnswerHead, request_id: str, sent_at: float
+    ) -> None:
+        """Take the head of an answer to a request that was sent at ``sent_at``."""
+        if head.misdirected:
+            # Another process answers at this address.
+            return
+        notice = head.notice
+        for said in notice.unreadable:
+            self._metrics.count(Event.NOTICES_UNREADABLE)
+            logger.warning("Notice unreadable.", endpoint=member.endpoint_id, said=said)
+        # Nothing ends with what can't be read, or answers another request.
+        answers = head.request_id == request_id or head.not_run
+        if notice.limit is None and (notice.unreadable or not answers):
+            return
+        now = self._clock.now()
+        if self.notices.heard_limit(member.process, notice.limit, sent_at, now):
+            self._metrics.count(Event.ENDPOINT_LIMITS_CHANGED)
+            logger.info(
+                "Endpoint's limit.",
+                endpoint=member.endpoint_id,
+                born=member.born,
+                limit=notice.limit,
+                source="answer",
+            )
--- a/src/ebonydeal/_internal/relay/requests/plain.py
+++ b/src/ebonydeal/_internal/relay/requests/plain.py
@@ -121,6 +121,7 @@
             return got
         try:
             head = parts.wire.read_answer(got.resp.status, raw_headers(got.resp))
+            sends.read_notice(head)
             wrong = checked(head, job.req.request_id)
             if isinstance(wrong, MayHaveRun):
                 return wrong
--- a/src/ebonydeal/_internal/relay/requests/sends.py
+++ b/src/ebonydeal/_internal/relay/requests/sends.py
@@ -6,6 +6,7 @@
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.forwarding import (
+    AnswerHead,
     Carried,
     Member,
     Sending,
@@ -264,6 +265,12 @@
             self._counted = True
             self._parts.usage.began(account.name, wall)
 
+    def read_notice(self, head: AnswerHead) -> None:
+        """Take what the endpoint says of itself."""
+        if self.sent is not None and self.member is not None:
+            request_id = self.job.req.request_id
+            self._parts.notices.read(self.member, head, request_id, self.sent.at)
+
     def heard(self) -> None:
         """Note a sign of life of the endpoint."""
         if self.sent is not None and self.member is not None:
--- a/src/ebonydeal/_internal/relay/requests/stream.py
+++ b/src/ebonydeal/_internal/relay/requests/stream.py
@@ -180,6 +180,7 @@
             return got
         try:
             head = parts.wire.read_answer(got.resp.status, raw_headers(got.resp))
+            sends.read_notice(head)
             wrong = checked(head, job.req.request_id)
             if isinstance(wrong, MayHaveRun):
                 return wrong
--- /dev/null
+++ b/src/ebonydeal/_internal/routing/notices/notices.py
@@ -0,0 +1,154 @@
+"""What each process of an endpoint said of itself, at one relay.
+
+A limit holds from the answer that names it until an answer without it, to a request
+that was sent after the limit was last heard of: an answer may be older than it looks.
+What other relays heard counts as well; the latest word, by when it was heard, is taken,
+and of a limit that rises the lower one holds on for a while.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from ebonydeal._internal.models.forwarding import Process
+
+# For so long after a limit rose, or ended, the one before is told to others, or holds.
+_WINDOW_S = 4.0
+# A relay's word takes so long at most. The end of a limit that another relay tells of
+# counts as that much older: one named meanwhile goes before it.
+_TOLD_WITHIN_S = 0.5
+# Processes that are remembered, those that were heard of longest ago go first.
+_MOST_KNOWN = 4000
+_NEVER = float("-inf")
+
+
+class LimitWord(NamedTuple):
+    """What a process said of its limit, as relays tell each other.
+
+    ``limit`` is in requests a second, None for none any more; ``age`` are the seconds
+    since it was heard.
+    """
+
+    process: Process
+    limit: float | None
+    age: float
+
+    def encode(self) -> list:
+        """Return it as JSON has it."""
+        return [*self.process, self.limit, round(self.age, 3)]
+
+    @classmethod
+    def decode(cls, word: list) -> "LimitWord":
+        """Build from another relay's JSON; raises ValueError or TypeError."""
+        endpoint_id, born, limit, age = word
+        return cls(
+            Process(str(endpoint_id), int(born)),
+            None if limit is None else max(0.0, float(limit)),
+            max(0.0, float(age)),
+        )
+
+
+@dataclass
+class _Limit:
+    """A process's limit: the latest word, when it was heard, and by whom."""
+
+    limit: float | None
+    at: float
+    own: bool
+    # A lower limit, in force for a while after it rose.
+    before: float = 0.0
+    before_until: float = _NEVER
+
+
+class EndpointNotices:
+    """What is known of all processes."""
+
+    def __init__(self) -> None:
+        self._limits: dict[Process, _Limit] = {}
+
+    # --- limits --------------------------------------------------------------
+    def heard_limit(
+        self, process: Process, limit: float | None, sent_at: float, now: float
+    ) -> bool:
+        """Take an answer to what was sent at ``sent_at``; return if that is news.
+
+        ``limit`` is what the answer names, None for none.
+        """
+        known = self._limits.get(process)
+        if limit is None and known is None:
+            return False
+        at = sent_at if limit is None else now
+        return self._take(process, limit, at, True, now)
+
+    def told_limit(self, word: LimitWord, now: float) -> bool:
+        """Take what another relay heard; return if that is news."""
+        at = now - word.age
+        if word.limit is None:
+            at -= _TOLD_WITHIN_S
+        return self._take(word.process, word.limit, at, False, now)
+
+    def _take(
+        self, process: Process, limit: float | None, at: float, own: bool, now: float
+    ) -> bool:
+        known = self._limits.get(process)
+        if known is None:
+            self._limits[process] = _Limit(limit, at, own)
+            self._drop_oldest()
+            return limit is not None
+        if at < known.at:
+            return False
+        changes = limit != known.limit
+        if known.limit is not None and limit is not None and limit > known.limit:
+            lower = self.limit(process, now)
+            known.before = known.limit if lower is None else lower
+            known.before_until = now + _WINDOW_S
+        known.limit, known.at, known.own = limit, at, own
+        return changes
+
+    def _drop_oldest(self) -> None:
+        while len(self._limits) > _MOST_KNOWN:
+            del self._limits[min(self._limits, key=lambda p: self._limits[p].at)]
+
+    @property
+    def names_limits(self) -> bool:
+        """Whether any process ever named one."""
+        return bool(self._limits)
+
+    def limit(self, process: Process, now: float) -> float | None:
+        """Return the limit of a process, requests a second; None for none."""
+        known = self._limits.get(process)
+        if known is None or known.limit is None:
+            return None
+        if now < known.before_until:
+            return min(known.limit, known.before)
+        return known.limit
+
+    def limited(self, now: float) -> dict[Process, float]:
+        """Return all processes that have a limit."""
+        limits = {process: self.limit(process, now) for process in self._limits}
+        return {p: limit for p, limit in limits.items() if limit is not None}
+
+    def limit_word(self, process: Process, now: float) -> LimitWord | None:
+        """Return what is known of a process's limit."""
+        known = self._limits.get(process)
+        if known is None:
+            return None
+        return LimitWord(process, known.limit, now - known.at)
+
+    def limit_words(self, now: float, own: bool = False) -> list[LimitWord]:
+        """Return what other relays are told; with ``own`` what was heard here alone.
+
+        What others told is told on by the coordinator only: else it would seem newer
+        each time.
+        """
+        return [
+            LimitWord(process, known.limit, now - known.at)
+            for process, known in self._limits.items()
+            if (known.own or not own)
+            and (known.limit is not None or now - known.at <= _WINDOW_S)
+        ]
+
+    def take_words(self, words: Iterable[list], now: float) -> list[LimitWord]:
+        """Take what another relay tells; return what is news."""
+        decoded = [LimitWord.decode(word) for word in words]
+        return [word for word in decoded if self.told_limit(word, now)]
--- a/tests/unit/platform/test_headers.py
+++ b/tests/unit/platform/test_headers.py
@@ -1,7 +1,12 @@
 import pytest
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
-from ebonydeal._internal.models.forwarding import Carried, PromptPart, Sending
+from ebonydeal._internal.models.forwarding import (
+    Carried,
+    Notice,
+    PromptPart,
+    Sending,
+)
 from ebonydeal._internal.platform.headers import outgoing, read_answer, read_request
 
 FORGED = (
@@ -153,3 +158,19 @@
         block = dict(outgoing(request(), SEND._replace(fetch_from="10.1.0.3:80")))
         assert block["Kv-Fetch"] == "10.1.0.3:80"
         assert "Kv-From" not in block
+
+
+class TestNotice:
+    @pytest.mark.parametrize("status", [200, 404, 500, 503])
+    def test_of_a_limit_is_in_each_answer(self, status):
+        head = read_answer(status, [("server-limit", "1.4")])
+        assert head.notice == Notice(1.4)
+        assert ("server-limit", "1.4") in head.headers
+
+    @pytest.mark.parametrize("said", ["", "x", "-1", "nan", "1e999", "inf", "1 2"])
+    def test_that_cant_be_read_is_kept_as_such(self, said):
+        notice = read_answer(200, [("Server-Limit", said)]).notice
+        assert notice == Notice(None, (f"Server-Limit: {said}",))
+
+    def test_without_anything_said(self):
+        assert read_answer(200, []).notice == Notice()
--- /dev/null
+++ b/tests/unit/routing/notices/test_notices.py
@@ -0,0 +1,81 @@
+import pytest
+
+from ebonydeal._internal.models.forwarding import Process
+from ebonydeal._internal.routing.notices.notices import EndpointNotices, LimitWord
+
+ONE, AGAIN = Process("i1", 5), Process("i1", 9)
+
+
+@pytest.fixture
+def notices():
+    """A process named a limit of 2 a second at 100.0 s."""
+    notices = EndpointNotices()
+    notices.heard_limit(ONE, 2.0, 99.9, 100.0)
+    return notices
+
+
+class TestLimit:
+    def test_holds_for_the_process_that_named_it(self, notices):
+        assert notices.limit(ONE, 100.0) == 2.0
+        assert notices.limit(AGAIN, 100.0) is None
+
+    def test_holds_while_nobody_asks(self, notices):
+        assert notices.limit(ONE, 10_000.0) == 2.0
+
+    def test_ends_with_an_answer_to_what_was_sent_after_it_was_named(self, notices):
+        assert notices.heard_limit(ONE, None, 100.1, 100.2)
+        assert notices.limit(ONE, 100.2) is None
+
+    def test_goes_before_an_answer_to_what_was_sent_before(self, notices):
+        assert not notices.heard_limit(ONE, None, 99.95, 100.2)
+        assert notices.limit(ONE, 100.2) == 2.0
+
+    def test_that_falls_holds_at_once(self, notices):
+        assert notices.heard_limit(ONE, 1.0, 101.0, 101.1)
+        assert notices.limit(ONE, 101.1) == 1.0
+
+    def test_that_rises_holds_after_the_window_of_the_lower_one(self, notices):
+        notices.heard_limit(ONE, 8.0, 101.0, 101.1)
+        assert notices.limit(ONE, 105.0) == 2.0
+        assert notices.limit(ONE, 105.2) == 8.0
+
+    def test_that_rises_twice_keeps_the_lowest_of_the_window(self, notices):
+        notices.heard_limit(ONE, 8.0, 101.0, 101.1)
+        notices.heard_limit(ONE, 9.0, 102.0, 102.1)
+        assert notices.limit(ONE, 105.5) == 2.0
+        assert notices.limit(ONE, 106.2) == 9.0
+
+    def test_of_thousands_of_processes_is_forgotten_oldest_first(self):
+        notices = EndpointNotices()
+        for number in range(4500):
+            notices.heard_limit(Process(f"i{number}", 0), 1.0, number, number)
+        assert notices.limit(Process("i0", 0), 5000.0) is None
+        assert notices.limit(Process("i4499", 0), 5000.0) == 1.0
+
+
+class TestOthersWord:
+    def test_is_taken_where_it_is_later(self, notices):
+        assert notices.told_limit(LimitWord(ONE, 1.0, 0.5), 101.0)
+        assert not notices.told_limit(LimitWord(ONE, 7.0, 5.0), 102.0)
+        assert notices.limit(ONE, 102.0) == 1.0
+
+    def test_of_an_end_counts_as_older_than_it_says(self, notices):
+        # It may have been on its way for so long.
+        assert not notices.told_limit(LimitWord(ONE, None, 0.6), 101.0)
+        assert notices.told_limit(LimitWord(ONE, None, 0.4), 101.0)
+        assert notices.limit(ONE, 101.0) is None
+
+    def test_isnt_told_on_but_by_the_coordinator(self, notices):
+        notices.told_limit(LimitWord(AGAIN, 1.0, 0.0), 101.0)
+        assert [w.process for w in notices.limit_words(101.0, own=True)] == [ONE]
+        assert len(notices.limit_words(101.0)) == 2
+
+    def test_is_read_as_it_was_written(self, notices):
+        words = [word.encode() for word in notices.limit_words(100.5)]
+        other = EndpointNotices()
+        assert other.take_words(words, 50.0) == [LimitWord(ONE, 2.0, 0.5)]
+
+    @pytest.mark.parametrize("word", [["i1"], ["i1", "x", 1.0, 0.0], [1, 2, "", 3]])
+    def test_that_cant_be_read_is_an_error_of_its_sender(self, notices, word):
+        with pytest.raises((ValueError, TypeError)):
+            notices.take_words([word], 100.0)
