Failing test: an endpoint's limit holds over all relays

Three relays in one process before two endpoints, one of which names a limit of 1 a second in each answer: it gets 183 requests in 4 s of 11 allowed, 191 where it is the only one. Each relay logged the limit at its first answer; sends didn't change.

--- /dev/null
+++ b/tests/functional/relay/test_endpoint_limit.py
@@ -0,0 +1,46 @@
+"""An endpoint that names a limit gets no more than that from all relays together."""
+
+import asyncio
+
+from tests.lib.noticing import NoticingEndpoint, press, relays
+
+# Some 4 s may hold one and a half times the limit and 5 requests, from relays that
+# were told half a second before or earlier.
+WINDOW_S = 4.0
+KNOWN_AFTER_S = 0.5
+
+
+def allowed(limit):
+    return int(1.5 * limit * WINDOW_S + 5)
+
+
+class TestNamedLimit:
+    async def test_holds_over_all_relays(self):
+        limited = NoticingEndpoint("i1", b"Server-Limit: 1\r\n")
+        free = NoticingEndpoint("i2")
+        async with relays(3, limited, free) as (programs, _store):
+            statuses = await press(programs, 5.0)
+        assert limited.fullest(WINDOW_S, KNOWN_AFTER_S) <= allowed(1.0)
+        assert set(statuses) == {200}
+
+    async def test_ends_with_answers_that_dont_name_it(self):
+        limited = NoticingEndpoint("i1", b"Server-Limit: 2\r\n")
+        free = NoticingEndpoint("i2")
+        async with relays(2, limited, free) as (programs, _store):
+            await press(programs, 3.0)
+            limited.says = b""
+            await press(programs, 4.0)
+            before = len(limited.arrivals)
+            await press(programs, 1.0)
+        assert len(limited.arrivals) - before > 10
+
+    async def test_of_all_endpoints_refuses_at_once_with_a_time(self):
+        limited = NoticingEndpoint("i1", b"Server-Limit: 1\r\n")
+        async with relays(1, limited) as (programs, _store):
+            loop = asyncio.get_running_loop()
+            begun = loop.time()
+            statuses = await press(programs, 5.0)
+            assert loop.time() - begun < 7.0
+        assert limited.fullest(WINDOW_S, KNOWN_AFTER_S) <= allowed(1.0)
+        assert set(statuses) == {200, 503}
+        assert statuses.count(200) >= 4
