An endpoint's limit holds over all relays: permits from the shares of limits

What was seen: an endpoint that names 1 request a second in its answers got 13 to 16 in 4 s of 11 or 12 allowed, from seven of nine relays, two or three of each; in a test of three relays 183 of 11.

Cause: nobody read it. Each relay logged the limit at its first answer, and its sends didn't change. The class: what a peer says of itself in an answer and nobody acts on.

Change: the latest word of each process is kept, told to the coordinator, and by it to all. A request to a process with a limit needs a permit; permits are granted from the shares of clients' limits, by the same granters, in a second broker, so the same sum bounds them under every loss. Where no endpoint is left the request is refused at once with a time. Moves of runs go to endpoints without a limit.

Why it holds: rate, burst, debt and lateness of one bucket that is split by shares, each of which one granter uses.

--- a/src/ebonydeal/_internal/errors.py
+++ b/src/ebonydeal/_internal/errors.py
@@ -28,6 +28,7 @@
     SHED = "shed"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     NO_ENDPOINT = "no_endpoint"
+    ENDPOINTS_LIMITED = "endpoints_limited"
     RETRY_BUDGET = "retry_budget"
     DRAINING = "draining"
     JOURNAL_UNAVAILABLE = "journal_unavailable"
@@ -126,6 +127,7 @@
         504, _U, _SERVER, None, "Allow more time, or repeat when load is lower."
     ),
     ErrorKind.NO_ENDPOINT: Answer(503, _N, _SERVER, 2.0, "Wait, then repeat."),
+    ErrorKind.ENDPOINTS_LIMITED: Answer(503, _N, _SERVER, 1.0, "Wait, then repeat."),
     ErrorKind.RETRY_BUDGET: Answer(503, _U, _SERVER, 2.0, "Wait, then repeat."),
     ErrorKind.DRAINING: Answer(503, _N, _SERVER, 0.0, "Repeat at once elsewhere."),
     ErrorKind.JOURNAL_UNAVAILABLE: Answer(
--- a/src/ebonydeal/_internal/observe/counters.py
+++ b/src/ebonydeal/_internal/observe/counters.py
@@ -89,6 +89,8 @@
     ADMITTED_BY_STAND_IN = "admitted_by_stand_in"
     ADMITTED_ALONE = "admitted_alone"
     ENDPOINT_LIMITS_CHANGED = "endpoint_limits_changed"
+    ENDPOINT_PERMITS_GRANTED = "endpoint_permits_granted"
+    ENDPOINT_PERMITS_REFUSED = "endpoint_permits_refused"
     NOTICES_UNREADABLE = "notices_unreadable"
 
 
--- a/src/ebonydeal/_internal/relay/duties/coordinator.py
+++ b/src/ebonydeal/_internal/relay/duties/coordinator.py
@@ -21,6 +21,8 @@
 from ebonydeal._internal.relay.limits.messages import (
     DelegateMessage,
     LimitsReply,
+    PermitMessage,
+    PermitReply,
     ReleaseMessage,
     ReleaseReply,
 )
@@ -42,6 +44,7 @@
 from ebonydeal._internal.routing.duties.usage_ledger import Due, UsageLedger
 from ebonydeal._internal.routing.limits.quota_bounds import QuotaBounds
 from ebonydeal._internal.routing.limits.quota_broker import QuotaTerms
+from ebonydeal._internal.routing.notices.notices import LimitWord
 from ebonydeal._internal.settings.policy import PolicySettings
 from ebonydeal._internal.settings.relay import RelaySettings
 from ebonydeal._internal.utils.clock import Clock
@@ -333,8 +336,23 @@
             crashes_mark=mark,
             crashes=crashes,
             rollouts=self.rollouts(),
+            notices=self._hear_notices(message),
         )
 
+    def _hear_notices(self, message: ExchangeMessage) -> list[list]:
+        """Take the limits of endpoints that a relay heard of; return all known."""
+        notices, now = self.granter.notices, self._parts.clock.now()
+        # A relay of the release before tells of none.
+        for word in notices.take_words(message.get("notices", []), now):
+            logger.info(
+                "Endpoint's limit.",
+                endpoint=word.process.endpoint_id,
+                born=word.process.born,
+                limit=word.limit,
+                source=message["node"],
+            )
+        return [word.encode() for word in notices.limit_words(now)]
+
     def _news_of(self, node: str) -> NewsMessage | None:
         """Return what a relay's list of endpoints lacks."""
         if not self.lease.mine or not self.fresh or self.is_self(node):
@@ -428,6 +446,10 @@
         # It lacks the configuration that the asking relay has.
         raise EbonydealError(ErrorKind.WRONG_OWNER, "the account isn't known here")
 
+    def permit(self, message: PermitMessage) -> PermitReply:
+        """Grant one request to an endpoint that named a limit; raises WRONG_OWNER."""
+        return self.granter.permit(LimitWord.decode(message["word"]))
+
     # --- usage -----------------------------------------------------------------
     @Service.task
     async def _report_usage(self) -> None:
--- a/src/ebonydeal/_internal/relay/limits/granter.py
+++ b/src/ebonydeal/_internal/relay/limits/granter.py
@@ -11,10 +11,18 @@
 from xxhash import xxh3_64_hexdigest
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
-from ebonydeal._internal.models.forwarding import ForwardAccount
-from ebonydeal._internal.relay.limits.messages import LimitsReply, LimitsWord
+from ebonydeal._internal.models.forwarding import ForwardAccount, Process
+from ebonydeal._internal.relay.limits.messages import (
+    LimitsReply,
+    LimitsWord,
+    PermitReply,
+)
 from ebonydeal._internal.routing.duties.duty_lease import DutyLease
 from ebonydeal._internal.routing.duties.pace import Pace
+from ebonydeal._internal.routing.limits.endpoint_limits import (
+    ENDPOINT_BOUNDS,
+    limit_account,
+)
 from ebonydeal._internal.routing.limits.quota_bounds import QuotaBounds
 from ebonydeal._internal.routing.limits.quota_broker import (
     STAND_IN_KEPT_S,
@@ -28,6 +36,7 @@
     ShareRegistry,
 )
 from ebonydeal._internal.routing.limits.shares import Delegations, ShareLease, Word
+from ebonydeal._internal.routing.notices.notices import EndpointNotices, LimitWord
 from ebonydeal._internal.utils.clock import Clock
 
 # For so long shares are delegated to a stand-in: they are soon back with a coordinator,
@@ -37,6 +46,8 @@
 _SPARE_WAIT_S = 1.0
 # Relays that stand in, one after the other: some may be lost with the holder.
 _STAND_INS = 4
+# The longest time for which a relay is told to ask for no permit, seconds.
+_MOST_TURN_S = 10.0
 # Cores of the smallest coordinator that is expected, whose relays speak seldomest.
 _LEAST_CORES = 0.5
 
@@ -90,6 +101,11 @@
         # relays' shares aren't added up anew for each account.
         self._worked_out: tuple[float, float] | None = None
         self.broker.lent_elsewhere = self._is_lent_elsewhere
+        # Limits that endpoints named, granted from the same shares.
+        self.notices = EndpointNotices()
+        self.permits = QuotaBroker(ENDPOINT_BOUNDS, None, self._known_share)
+        # By process, when the relay that was told to wait longest may ask again.
+        self._turns: dict[Process, float] = {}
         # What this relay has to grant as stand-in.
         self.stand_in = Balances(STAND_IN_KEPT_S)
         # Under which fencing number the registry was read, as only its holder decides.
@@ -134,7 +150,10 @@
     def refresh(self, now: float | None = None) -> None:
         """Fill all accounts' buckets; before and after each change of shares."""
         self._worked_out = None
-        self.broker.refresh(self.accounts(), self._clock.now() if now is None else now)
+        now = self._clock.now() if now is None else now
+        self.broker.refresh(self.accounts(), now)
+        limited = self.notices.limited(now)
+        self.permits.refresh([limit_account(p, r) for p, r in limited.items()], now)
 
     # --- words of relays -----------------------------------------------------
     def hear(
@@ -309,3 +328,40 @@
         if self._known_share(now) <= 0.0:
             raise EbonydealError(ErrorKind.WRONG_OWNER, "no share to grant from")
         return got
+
+    def permit(self, word: LimitWord) -> PermitReply:
+        """Grant one request to an endpoint that named a limit, or say when to ask.
+
+        Raises WRONG_OWNER where this relay has nothing to grant from.
+        """
+        now = self._clock.now()
+        self.notices.told_limit(word, now)
+        process = word.process
+        known = self.notices.limit_word(process, now)
+        told = None if known is None else known.encode()
+        limit = self.notices.limit(process, now)
+        if limit is None:
+            return PermitReply(granted=False, wait=0.0, word=told)
+        self._worked_out = None
+        account = limit_account(process, limit)
+        got = self.permits.grant(account, 1.0, now)
+        if got.amount >= 1.0:
+            return PermitReply(granted=True, wait=0.0, word=told)
+        if self._known_share(now) <= 0.0:
+            raise EbonydealError(ErrorKind.WRONG_OWNER, "no share to grant from")
+        turn = self._turn(account, process, now, got.wait or _MOST_TURN_S)
+        return PermitReply(granted=False, wait=turn, word=told)
+
+    def _turn(
+        self, account: ForwardAccount, process: Process, now: float, wait: float
+    ) -> float:
+        """Return when a relay may ask again, seconds: one after the other.
+
+        Hundreds of relays would ask for each request of a small limit.
+        """
+        rate = account.rate * self._known_share(now)
+        last = self._turns.get(process, now)
+        turn = min(max(now + wait, last + 1.0 / rate), now + _MOST_TURN_S)
+        self._turns = {p: at for p, at in self._turns.items() if at > now}
+        self._turns[process] = turn
+        return turn - now
--- a/src/ebonydeal/_internal/relay/limits/link.py
+++ b/src/ebonydeal/_internal/relay/limits/link.py
@@ -17,15 +17,19 @@
 from ebonydeal._internal.relay.limits.granter import Granter
 from ebonydeal._internal.relay.limits.messages import (
     DELEGATE,
+    PERMIT,
     RELEASE,
     DelegateMessage,
     LimitsReply,
     LimitsWord,
+    PermitMessage,
+    PermitReply,
     ReleaseMessage,
 )
 from ebonydeal._internal.relay.peers.messages import GRANT, GrantMessage, GrantReply
 from ebonydeal._internal.routing.limits.quota_broker import Balances, Grant
 from ebonydeal._internal.routing.limits.shares import Word
+from ebonydeal._internal.routing.notices.notices import LimitWord
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.peerclient import PeerClient
 
@@ -56,6 +60,9 @@
     async def grant(self, account: str, amount: float) -> GrantReply:
         """Ask for a part of a limit."""
 
+    async def permit(self, message: PermitMessage) -> PermitReply:
+        """Ask to send to an endpoint that named a limit."""
+
     def hasten(self) -> None:
         """Tell the coordinator now."""
 
@@ -389,6 +396,35 @@
             return None
         return self._counted(_grant(reply), Event.ADMITTED_BY_STAND_IN)
 
+    async def permit(self, word: LimitWord) -> PermitReply:
+        """Ask to send to an endpoint that named a limit.
+
+        Raises WRONG_OWNER where nobody has a share to grant from.
+        """
+        message = PermitMessage(word=word.encode())
+        now = self._clock.now()
+        coordinator = self.coordinator
+        if coordinator is not None and self.in_touch and self._is_due("", now):
+            try:
+                return await coordinator.permit(message)
+            except EbonydealError as exc:
+                self._no_permit("", exc)
+        address = self._stand_in()
+        if address is not None:
+            try:
+                reply: Any = await self._client.call(address, PERMIT, message, _CALL_S)
+                return reply
+            except EbonydealError as exc:
+                self._no_permit(address, exc)
+        return self._granter.permit(word)
+
+    def _no_permit(self, address: str, error: EbonydealError) -> None:
+        """Note who doesn't grant permits; empty for the coordinator."""
+        logger.info("No permit.", address=address, reason=str(error))
+        # Relays of the release before answer, and know none.
+        if error.kind not in (ErrorKind.WRONG_OWNER, ErrorKind.NOT_FOUND):
+            self._avoid(address)
+
     def _is_due(self, address: str, now: float) -> bool:
         return now >= self._avoided.get(address, now)
 
--- a/src/ebonydeal/_internal/relay/limits/messages.py
+++ b/src/ebonydeal/_internal/relay/limits/messages.py
@@ -6,6 +6,8 @@
 DELEGATE = "/relay/v1/delegate"
 # Path of a call: a relay that has found the coordinator takes its share back.
 RELEASE = "/relay/v1/release"
+# Path of a call: a relay wants to send to an endpoint that named a limit.
+PERMIT = "/relay/v1/permit"
 
 
 class LimitsWord(TypedDict):
@@ -71,3 +73,23 @@
     """What goes along with the share, by account; who answers counts it no more."""
 
     along: dict[str, float]
+
+
+class PermitMessage(TypedDict):
+    """A relay asks to send one request to an endpoint that named a limit.
+
+    ``word`` is what it knows of the limit, as `LimitWord` is written.
+    """
+
+    word: list
+
+
+class PermitReply(TypedDict):
+    """Whether it may, or seconds until it may ask again.
+
+    ``word`` is what the granter knows of the limit.
+    """
+
+    granted: bool
+    wait: float
+    word: list | None
--- /dev/null
+++ b/src/ebonydeal/_internal/relay/limits/permits.py
@@ -0,0 +1,99 @@
+"""Permits to send to endpoints that named a limit, one for each request."""
+
+from typing import Protocol
+
+from ebonydeal._internal.errors import EbonydealError
+from ebonydeal._internal.models.forwarding import Member, Process
+from ebonydeal._internal.observe.counters import Event, Metrics
+from ebonydeal._internal.relay.limits.messages import PermitReply
+from ebonydeal._internal.routing.limits.endpoint_limits import (
+    ENDPOINT_BOUNDS,
+    limit_account,
+)
+from ebonydeal._internal.routing.notices.notices import EndpointNotices, LimitWord
+from ebonydeal._internal.utils.clock import Clock
+
+# Where nobody grants, nobody is asked again for so long.
+_NOBODY_WAIT_S = 1.0
+
+
+class PermitPort(Protocol):
+    """Where permits come from."""
+
+    async def permit(self, word: LimitWord) -> PermitReply:
+        """Ask for one request; raises EbonydealError where nobody grants."""
+
+
+class EndpointPermits:
+    """Asks for permits, and remembers when it is of no use.
+
+    Parameters
+    ----------
+    notices : EndpointNotices
+        Which endpoints have limits.
+    port : PermitPort
+        Who grants.
+    clock : Clock
+        Time.
+    metrics : Metrics
+        Counts what was granted and refused.
+    """
+
+    def __init__(
+        self,
+        notices: EndpointNotices,
+        port: PermitPort,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._notices = notices
+        self._port = port
+        self._clock = clock
+        self._metrics = metrics
+        # By process: under which limit nothing was left, and until when.
+        self._empty: dict[Process, tuple[float, float]] = {}
+
+    @property
+    def needed(self) -> bool:
+        """Whether any endpoint may need them."""
+        return self._notices.names_limits
+
+    def wait(self, member: Member, now: float) -> float:
+        """Return the seconds until a permit may be asked for; 0.0 for now."""
+        empty = self._empty.get(member.process)
+        if empty is None:
+            return 0.0
+        limit, until = empty
+        if now >= until or self._notices.limit(member.process, now) != limit:
+            del self._empty[member.process]
+            return 0.0
+        return until - now
+
+    async def take(self, member: Member) -> bool:
+        """Return whether one request may go to an endpoint now."""
+        asked_at = self._clock.now()
+        process = member.process
+        limit = self._notices.limit(process, asked_at)
+        word = self._notices.limit_word(process, asked_at)
+        if limit is None or word is None:
+            return True
+        wait = _NOBODY_WAIT_S
+        try:
+            reply = await self._port.permit(word)
+        except EbonydealError:
+            granted = False
+        else:
+            granted, wait = reply["granted"], reply["wait"]
+            if reply["word"] is not None:
+                self._notices.take_words([reply["word"]], asked_at)
+        now = self._clock.now()
+        if self._notices.limit(process, now) is None:
+            return True
+        # What was granted longer ago may count in another window.
+        kept = ENDPOINT_BOUNDS.late_s(limit_account(process, limit))
+        if granted and now - asked_at <= kept:
+            self._metrics.count(Event.ENDPOINT_PERMITS_GRANTED)
+            return True
+        self._metrics.count(Event.ENDPOINT_PERMITS_REFUSED)
+        self._empty[process] = (limit, now + wait)
+        return False
--- a/src/ebonydeal/_internal/relay/peers/exchange.py
+++ b/src/ebonydeal/_internal/relay/peers/exchange.py
@@ -3,13 +3,18 @@
 import asyncio
 from collections.abc import Callable
 from random import Random
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 from mode import Service
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.duties.coordinator import Coordinator
+from ebonydeal._internal.relay.limits.messages import (
+    PERMIT,
+    PermitMessage,
+    PermitReply,
+)
 from ebonydeal._internal.relay.peers.messages import (
     EXCHANGE,
     GRANT,
@@ -28,6 +33,9 @@
 
 logger = get_logger("relay.exchange")
 
+_Asked = TypeVar("_Asked")
+_Told = TypeVar("_Told")
+
 # Longest wait for an answer: a call takes a few milliseconds, on a busy instance a
 # third of a second.
 _CALL_S = 0.5
@@ -239,12 +247,26 @@
 
         Raises `EbonydealError` where the coordinator doesn't answer.
         """
-        parts = self._parts
         message = GrantMessage(account=account, amount=amount, spare=False)
-        if parts.coordinator.lease.mine:
-            return parts.coordinator.grant(message)
+        return await self._ask_coordinator(
+            GRANT, message, self._parts.coordinator.grant
+        )
+
+    async def permit(self, message: PermitMessage) -> PermitReply:
+        """Ask to send to an endpoint that named a limit; raises as `grant`."""
+        return await self._ask_coordinator(
+            PERMIT, message, self._parts.coordinator.permit
+        )
+
+    async def _ask_coordinator(
+        self, path: str, message: _Asked, own: Callable[[_Asked], _Told]
+    ) -> _Told:
+        """Make a call of the coordinator, which may be this relay."""
+        if self._parts.coordinator.lease.mine:
+            return own(message)
         address = self.coordinator_address
         if address is None:
             raise EbonydealError(ErrorKind.WRONG_OWNER, "no coordinator is known")
-        reply: Any = await parts.client.call(address, GRANT, message, _CALL_S / 2)
+        client = self._parts.client
+        reply: Any = await client.call(address, path, message, _CALL_S / 2)
         return reply
--- a/src/ebonydeal/_internal/relay/peers/handler.py
+++ b/src/ebonydeal/_internal/relay/peers/handler.py
@@ -12,7 +12,7 @@
 from ebonydeal._internal.peers.access import check_credential
 from ebonydeal._internal.relay.crashes.suspects import CRASHES, Suspects
 from ebonydeal._internal.relay.duties.coordinator import Coordinator
-from ebonydeal._internal.relay.limits.messages import DELEGATE, RELEASE
+from ebonydeal._internal.relay.limits.messages import DELEGATE, PERMIT, RELEASE
 from ebonydeal._internal.relay.peers.long_reads import LONG_READ, LongReadTaker
 from ebonydeal._internal.relay.peers.messages import (
     EXCHANGE,
@@ -70,6 +70,7 @@
             GRANT: coordinator.grant,
             DELEGATE: coordinator.delegate,
             RELEASE: coordinator.release_share,
+            PERMIT: coordinator.permit,
             VIEW: self._news,
             NEWS: taker.take,
             LONG_READ: long_reads.take,
--- a/src/ebonydeal/_internal/relay/peers/messages.py
+++ b/src/ebonydeal/_internal/relay/peers/messages.py
@@ -35,6 +35,7 @@
     told. ``crashes`` is what it remembers of crashes, None where the coordinator's last
     mark of that was its own ``crashes_mark``. ``rollouts`` by service: what it counted
     of each roll-out. ``limits`` is of its share of client accounts' limits.
+    ``notices`` are the endpoints' limits that it heard of itself, as `LimitWord`s.
     """
 
     node: str
@@ -53,6 +54,7 @@
     crashes: EvidenceMessage | None
     rollouts: dict[str, TallyMessage]
     limits: LimitsWord
+    notices: list[list]
 
 
 class NewsMessage(TypedDict):
@@ -87,7 +89,7 @@
     ``fresh`` says that the coordinator hears the store; ``news`` is None without
     any. ``crashes`` is None where the word's mark is ``crashes_mark``. ``rollouts`` is
     None where the coordinator doesn't decide now. ``limits`` is None where it isn't the
-    holder of the lease.
+    holder of the lease. ``notices`` are all endpoints' limits, as `LimitWord`s.
     """
 
     holds: bool
@@ -106,6 +108,7 @@
     crashes_mark: str
     crashes: EvidenceMessage | None
     rollouts: RolloutsMessage | None
+    notices: list[list]
 
 
 class LongReadMessage(TypedDict):
--- a/src/ebonydeal/_internal/relay/peers/word.py
+++ b/src/ebonydeal/_internal/relay/peers/word.py
@@ -11,6 +11,7 @@
 from ebonydeal._internal.relay.requests.usage import UsageMeter
 from ebonydeal._internal.relay.view.news import NewsTaker
 from ebonydeal._internal.relay.view.view import RelayView
+from ebonydeal._internal.routing.notices.notices import EndpointNotices
 from ebonydeal._internal.routing.placement.endpoint_load import Told
 from ebonydeal._internal.routing.placement.failure_shares import FailureShares
 from ebonydeal._internal.routing.placement.member_choice import MemberChoice
@@ -34,6 +35,7 @@
     suspects: Suspects
     split: Split
     rollouts: RolloutHearer
+    notices: EndpointNotices
     news: NewsTaker
     view: RelayView
     clock: Clock
@@ -85,6 +87,7 @@
             crashes=parts.suspects.word(),
             rollouts=parts.split.tallies(now),
             limits=parts.limits.word(),
+            notices=[w.encode() for w in parts.notices.limit_words(now, own=True)],
         )
 
     def heard(self, reply: ExchangeReply, asked_at: float) -> bool:
@@ -111,6 +114,7 @@
             parts.limits.heard_before_shares(reply["grants"], asked_at)
         mark, crashes = reply.get("crashes_mark", ""), reply.get("crashes")
         parts.suspects.heard_from(mark, crashes, "coordinator")
+        parts.notices.take_words(reply.get("notices", []), asked_at)
         behind = reply["members"] > parts.view.last_change
         rollouts = reply.get("rollouts")
         if rollouts is not None:
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -20,6 +20,7 @@
 from ebonydeal._internal.relay.duties.fleet import Fleet
 from ebonydeal._internal.relay.duties.rollouts import RolloutParts, Rollouts
 from ebonydeal._internal.relay.limits.link import LimitsLink, Place
+from ebonydeal._internal.relay.limits.permits import EndpointPermits
 from ebonydeal._internal.relay.listener import RawListener
 from ebonydeal._internal.relay.peers.call_budget import CallBudget
 from ebonydeal._internal.relay.peers.exchange import Exchange, ExchangeParts
@@ -130,6 +131,7 @@
                 choice=self._choice,
                 outliers=outliers,
                 retries=self._retries,
+                notices=self._notices,
                 engines=ports.engines,
                 metrics=metrics,
                 clock=clock,
@@ -158,6 +160,23 @@
         self._split = Split(self._node.id, Pace(self._policy.exchange_s).patience)
         self.view.on_orders = self._split.ordered
         self._rollout_hearer = RolloutHearer(self._split, self.view, clock)
+        bounds = QuotaBounds(
+            self._cfg.quota_window_s,
+            self._cfg.quota_overshoot,
+            self._cfg.quota_slack,
+        )
+        incarnation = new_token("i", rng)
+        self.coordinator = self._build_coordinator(ports, bounds, incarnation)
+        self.coordinator.granter.notices = self._notices
+        self._limits = LimitsLink(
+            self.coordinator.granter,
+            self._client,
+            clock,
+            self._node.id,
+            incarnation,
+            metrics,
+            Place(self._node.zone, self.coordinator.stands_back_s),
+        )
         parts = SendParts(
             wire=ports.wire,
             view=self.view,
@@ -174,28 +193,13 @@
             suspects=self._suspects,
             split=self._split,
             notices=NoticeReader(self._notices, metrics, clock),
+            permits=EndpointPermits(self._notices, self._limits, clock, metrics),
             metrics=metrics,
             clock=clock,
             rng=rng,
             zone=self._node.zone,
             terms=SendTerms.from_config(self._policy),
         )
-        bounds = QuotaBounds(
-            self._cfg.quota_window_s,
-            self._cfg.quota_overshoot,
-            self._cfg.quota_slack,
-        )
-        incarnation = new_token("i", rng)
-        self.coordinator = self._build_coordinator(ports, bounds, incarnation)
-        self._limits = LimitsLink(
-            self.coordinator.granter,
-            self._client,
-            clock,
-            self._node.id,
-            incarnation,
-            metrics,
-            Place(self._node.zone, self.coordinator.stands_back_s),
-        )
         self._quota = QuotaGate(self._limits, clock, bounds, metrics)
         self.intake = Intake(parts, self._quota, self._policy.quota_wait)
         self.clients = RawListener(self.intake.handle, self._cfg.address, opened)
@@ -220,6 +224,7 @@
                 self._suspects,
                 self._split,
                 self._rollout_hearer,
+                self._notices,
                 taker,
                 self.view,
                 clock,
--- a/src/ebonydeal/_internal/relay/requests/chooser.py
+++ b/src/ebonydeal/_internal/relay/requests/chooser.py
@@ -34,6 +34,8 @@
         self._job = job
         # Whether the request was already counted for the new version's part.
         self._asked = False
+        # Endpoints that had no room in their limits at the last choice.
+        self.without_room: list[str] = []
 
     @property
     def engine(self) -> EngineShape | None:
@@ -57,7 +59,7 @@
         """
         parts, job = self._parts, self._job
         now = parts.clock.now()
-        listed = [m for m in self._listed(now) if m.endpoint_id not in avoid]
+        listed = self._open(avoid, now)
         if not parts.split.watches(job.service):
             return self._best(listed, now)
         first, self._asked = not self._asked, True
@@ -71,6 +73,29 @@
             found = self._best(part.members, now)
         return found
 
+    def _open(self, avoid: Set[str], now: float) -> list[Member]:
+        """Return the endpoints that may be asked now."""
+        permits = self._parts.permits
+        listed = [m for m in self._listed(now) if m.endpoint_id not in avoid]
+        if not permits.needed:
+            return listed
+        closed = {m.endpoint_id for m in listed if permits.wait(m, now) > 0.0}
+        self.without_room = sorted(closed)
+        return [m for m in listed if m.endpoint_id not in closed]
+
+    def opens_in(self, avoid: Set[str]) -> float | None:
+        """Return when the first endpoint that has no room now may have some, seconds.
+
+        None where none of them lacks it.
+        """
+        now = self._parts.clock.now()
+        waits = [
+            self._parts.permits.wait(member, now)
+            for member in self._listed(now)
+            if member.endpoint_id not in avoid
+        ]
+        return min((wait for wait in waits if wait > 0.0), default=None)
+
     def _best(self, listed: Sequence[Member], now: float) -> Found | None:
         """Return the best one of these endpoints, or None."""
         parts, job = self._parts, self._job
--- a/src/ebonydeal/_internal/relay/requests/job.py
+++ b/src/ebonydeal/_internal/relay/requests/job.py
@@ -12,6 +12,7 @@
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.relay.crashes.crash_check import CrashCheck
 from ebonydeal._internal.relay.crashes.suspects import Suspects
+from ebonydeal._internal.relay.limits.permits import EndpointPermits
 from ebonydeal._internal.relay.peers.long_reads import LongReads
 from ebonydeal._internal.relay.ports import Wire
 from ebonydeal._internal.relay.requests.connections import EndpointPools
@@ -106,6 +107,7 @@
     suspects: Suspects
     split: Split
     notices: NoticeReader
+    permits: EndpointPermits
     metrics: Metrics
     clock: Clock
     rng: Random
--- a/src/ebonydeal/_internal/relay/requests/moves.py
+++ b/src/ebonydeal/_internal/relay/requests/moves.py
@@ -18,6 +18,7 @@
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.ports import Engines
 from ebonydeal._internal.relay.view.view import RelayView
+from ebonydeal._internal.routing.notices.notices import EndpointNotices
 from ebonydeal._internal.routing.placement.member_choice import Ask, MemberChoice
 from ebonydeal._internal.routing.placement.outliers import Outliers
 from ebonydeal._internal.routing.reclaim.reclaim_streams import (
@@ -94,6 +95,7 @@
     choice: MemberChoice
     outliers: Outliers
     retries: RetryPolicy
+    notices: EndpointNotices
     engines: Engines
     metrics: Metrics
     clock: Clock
@@ -213,6 +215,7 @@
             member
             for member in parts.view.of_service(run.service)
             if member.version == run.member.version
+            and parts.notices.limit(member.process, now) is None
         ]
         allowed = parts.outliers.allowed(listed, now)
         score = parts.choice.engine(Ask((), 0, parts.zone), allowed, now)
--- a/src/ebonydeal/_internal/relay/requests/sends.py
+++ b/src/ebonydeal/_internal/relay/requests/sends.py
@@ -35,6 +35,8 @@
 _WAIT_STEP_S = 0.02
 # Engines rank requests from 0, the first, to this.
 _LEAST_URGENT = 9
+# Endpoints in one line.
+_MOST_LOGGED = 4
 # Share of the objective that a request waits for an endpoint to appear.
 _WAIT_SHARE = 0.2
 
@@ -84,19 +86,32 @@
             if self.left <= 0.0:
                 raise self.proof.refusal(_late())
             found = self.chooser.find(self._avoid, again=self._tries > 0)
-            if found is not None:
+            if found is None:
+                self._refuse_limited(patience)
+                if parts.clock.now() >= patience:
+                    error = EbonydealError(ErrorKind.NO_ENDPOINT, f"of {job.service}")
+                    raise self.proof.refusal(error)
+                await parts.clock.sleep(_WAIT_STEP_S)
+                continue
+            self._refuse_early(found.expected)
+            await self._renew_admission()
+            if await parts.permits.take(found.member):
                 break
-            if parts.clock.now() >= patience:
-                error = EbonydealError(ErrorKind.NO_ENDPOINT, f"of {job.service}")
-                raise self.proof.refusal(error)
-            await parts.clock.sleep(_WAIT_STEP_S)
-        self._refuse_early(found.expected)
-        await self._renew_admission()
         if self._tries == 0:
             parts.retries.first_send(job.service, parts.clock.now())
         self._carried = None
         return self._take(found)
 
+    def _refuse_limited(self, patience: float) -> None:
+        """Raise ENDPOINTS_LIMITED where no endpoint has room until ``patience``."""
+        wait = self.chooser.opens_in(self._avoid)
+        if wait is not None and self._parts.clock.now() + wait > patience:
+            detail = f"all endpoints of {self.job.service} have a limit"
+            error = EbonydealError(
+                ErrorKind.ENDPOINTS_LIMITED, detail, retry_after=wait
+            )
+            raise self.proof.refusal(error)
+
     async def _renew_admission(self) -> None:
         """Admit the request anew where it waited too long; raises RATE_LIMITED.
 
@@ -117,12 +132,18 @@
         except EbonydealError as exc:
             raise self.proof.refusal(exc) from None
 
-    def go_on(self, moved: Moved) -> Member:
+    async def go_on(self, moved: Moved) -> Member:
         """Send the request where its run's memory was passed to."""
         self._check()
         # The run that was stopped counts as one: without its memory, only a
         # request that may be repeated is run again.
         self.proof.may_have_run = True
+        if not await self._parts.permits.take(moved.member):
+            if not self.proof.may_send:
+                detail = f"{moved.member.endpoint_id} has no room left in its limit"
+                error = EbonydealError(ErrorKind.ENDPOINTS_LIMITED, detail)
+                raise self.proof.refusal(error)
+            return await self.choose()
         self._carried = moved.carried
         return self._take(Found(moved.member, 0.0, None))
 
@@ -156,6 +177,7 @@
             config=parts.view.version,
             send=self._tries,
             waited_s=round(now - job.started, 4),
+            without_room=self.chooser.without_room[:_MOST_LOGGED],
         )
         return member
 
@@ -363,8 +385,12 @@
 
     def _forget_avoided(self) -> None:
         """Allow endpoints again where none other is left."""
-        listed = self._parts.view.of_service(self.job.service)
-        if all(member.endpoint_id in self._avoid for member in listed):
+        parts, now = self._parts, self._parts.clock.now()
+        if not any(
+            member.endpoint_id not in self._avoid
+            and parts.permits.wait(member, now) <= 0.0
+            for member in parts.view.of_service(self.job.service)
+        ):
             self._avoid.clear()
 
     def _verdict(
--- a/src/ebonydeal/_internal/relay/requests/stream.py
+++ b/src/ebonydeal/_internal/relay/requests/stream.py
@@ -104,7 +104,7 @@
         moved: Moved | None = None
         while True:
             try:
-                member = sends.go_on(moved) if moved else await sends.choose()
+                member = await (sends.go_on(moved) if moved else sends.choose())
                 run = self._run_of(sends, member)
                 outcome = await self._send(sends, run, out)
                 if outcome is None:
--- a/src/ebonydeal/_internal/routing/notices/notices.py
+++ b/src/ebonydeal/_internal/routing/notices/notices.py
@@ -97,6 +97,10 @@
             return limit is not None
         if at < known.at:
             return False
+        if known.own and not own and limit == known.limit:
+            if at < known.at + _TOLD_WITHIN_S:
+                # It may be this relay's own word, told back.
+                return False
         changes = limit != known.limit
         if known.limit is not None and limit is not None and limit > known.limit:
             lower = self.limit(process, now)
--- a/tests/functional/relay/test_endpoint_limit.py
+++ b/tests/functional/relay/test_endpoint_limit.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from tests.lib.noticing import NoticingEndpoint, press, relays
 
 # Some 4 s may hold one and a half times the limit and 5 requests, from relays that
@@ -15,12 +17,13 @@
 
 
 class TestNamedLimit:
-    async def test_holds_over_all_relays(self):
-        limited = NoticingEndpoint("i1", b"Server-Limit: 1\r\n")
+    @pytest.mark.parametrize("limit", [1.0, 4.0])
+    async def test_holds_over_all_relays(self, limit):
+        limited = NoticingEndpoint("i1", b"Server-Limit: %.1f\r\n" % limit)
         free = NoticingEndpoint("i2")
         async with relays(3, limited, free) as (programs, _store):
             statuses = await press(programs, 5.0)
-        assert limited.fullest(WINDOW_S, KNOWN_AFTER_S) <= allowed(1.0)
+        assert limited.fullest(WINDOW_S, KNOWN_AFTER_S) <= allowed(limit)
         assert set(statuses) == {200}
 
     async def test_ends_with_answers_that_dont_name_it(self):
--- a/tests/lib/relay_fakes.py
+++ b/tests/lib/relay_fakes.py
@@ -218,6 +218,7 @@
             "along": {},
             "along_number": 0,
         },
+        "notices": [],
         **more,
     }
 
--- a/tests/lib/shares_model.py
+++ b/tests/lib/shares_model.py
@@ -114,6 +114,14 @@
         self.granter.begin()
         self.granter.refresh()
 
+    @property
+    def notices(self):
+        return self.granter.notices
+
+    def notices_of(self, own=False):
+        now = self.model.clock.now()
+        return [word.encode() for word in self.notices.limit_words(now, own)]
+
     # --- words ---------------------------------------------------------------
     def tell(self):
         """Tell the coordinator, or a stand-in while there is none."""
@@ -132,6 +140,7 @@
                 self.last_ok = now
                 self.lease.wanted = not holder.lease.holds(now)
                 self.link.heard(reply, now)
+                self.notices.take_words(holder.notices_of(), now)
                 self._take_back()
                 return
         if now - self.last_ok > PACE.lost_after:
@@ -177,6 +186,7 @@
         word = relay.link.word()
         reply = self.granter.hear(relay.name, relay.incarnation, word, PACE.patience)
         account = self.model.account
+        self.notices.take_words(relay.notices_of(own=True), now)
         left = relay.link.balances.left(account.name, now)
         reply["grants"] = self.granter.advances({account.name: [account.rate, left]})
         if self.granter.decides:
@@ -222,6 +232,10 @@
         if name not in self.running:
             self._starts += 1
             self.running[name] = ModelRelay(self, name, self._starts)
+            self.started(name)
+
+    def started(self, _name):
+        """Note that a process is new."""
 
     def kill(self, name):
         self.running.pop(name, None)
--- a/tests/unit/relay/crashes/test_suspects.py
+++ b/tests/unit/relay/crashes/test_suspects.py
@@ -185,7 +185,7 @@
         for number in range(3):
             relay.crash(number, "fatal")
         with pytest.raises(EbonydealError) as caught:
-            sends.go_on(MOVED)
+            await sends.go_on(MOVED)
         assert caught.value.kind is ErrorKind.REQUEST_QUARANTINED
 
     async def test_a_run_that_was_stopped_isnt_sent_again(self):
--- a/tests/unit/relay/requests/test_job_sends.py
+++ b/tests/unit/relay/requests/test_job_sends.py
@@ -1,5 +1,6 @@
 """No sequence of sends and moves runs a request twice against its kind."""
 
+import asyncio
 from random import Random
 from types import SimpleNamespace
 
@@ -16,6 +17,7 @@
     Target,
 )
 from ebonydeal._internal.observe.counters import Metrics
+from ebonydeal._internal.relay.limits.permits import EndpointPermits
 from ebonydeal._internal.relay.requests.connections import EndpointPools
 from ebonydeal._internal.relay.requests.job import Job, SendTerms
 from ebonydeal._internal.relay.requests.moves import Moved
@@ -23,6 +25,7 @@
 from ebonydeal._internal.relay.requests.sends import JobSends
 from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.routing.crashes.crash_evidence import Standing
+from ebonydeal._internal.routing.notices.notices import EndpointNotices
 from ebonydeal._internal.routing.placement.failure_shares import FailureShares
 from ebonydeal._internal.routing.placement.member_choice import MemberChoice
 from ebonydeal._internal.routing.placement.outliers import Outliers
@@ -60,6 +63,7 @@
         outliers=Outliers(RoutingSettings(), Random(1)),
         failing=FailureShares(0.15),
         split=Split("n1", 2.0),
+        permits=EndpointPermits(EndpointNotices(), None, clock, Metrics()),
         retries=retries,
         metrics=Metrics(),
         long_reads=SimpleNamespace(sent=lambda *_read: None),
@@ -110,7 +114,7 @@
             carried = sends.sending().carried is not None
             if event is MOVED:
                 runs += not carried
-                sends.go_on(MOVED)
+                asyncio.run(sends.go_on(MOVED))
                 continue
             runs += isinstance(event, MayHaveRun | Answered) and not carried
             try:
