See which endpoints say in answers that they leave

Cause: the hypotheses differ in whether an endpoint was listed as leaving when it said so; no line told either. Change: the adapter decodes Server-Leaving, a relay logs the first such answer of a process, with what the list says, and counts it. No choice depends on it yet.

--- a/src/ebonydeal/_internal/models/forwarding.py
+++ b/src/ebonydeal/_internal/models/forwarding.py
@@ -288,11 +288,14 @@
     ----------
     limit : float or None
         Requests a second that it takes from all relays together; None for no limit.
+    leaving : bool
+        It leaves, and is to get no new work.
     unreadable : tuple of str
         What it said that can't be read, as name and value.
     """
 
     limit: float | None = None
+    leaving: bool = False
     unreadable: tuple[str, ...] = ()
 
 
--- a/src/ebonydeal/_internal/platform/headers.py
+++ b/src/ebonydeal/_internal/platform/headers.py
@@ -25,11 +25,13 @@
 NOT_RUN = "Ebonydeal-Not-Executed"
 # Requests a second that the endpoint takes from all callers together.
 LIMIT = "Server-Limit"
+LEAVING = "Server-Leaving"
 LAST_EVENT = "Last-Event-Id"
 CARRIED = "Kv-From"
 FETCH = "Kv-Fetch"
 _BEARER = "bearer "
 _MS = 1000.0
+_YES, _NO = "1", "0"
 # Characters of a value that can't be read in a log line.
 _MOST_QUOTED = 40
 
@@ -190,7 +192,10 @@
     limit = None if said is None else _number(said)
     if said is not None and limit is None:
         unreadable.append(f"{LIMIT}: {said[:_MOST_QUOTED]}")
-    return Notice(limit, tuple(unreadable))
+    leaving = first.get(LEAVING.lower(), _NO)
+    if leaving not in (_YES, _NO):
+        unreadable.append(f"{LEAVING}: {leaving[:_MOST_QUOTED]}")
+    return Notice(limit, leaving == _YES, tuple(unreadable))
 
 
 def read_answer(status: int, pairs: Pairs) -> AnswerHead:
--- a/src/ebonydeal/_internal/relay/requests/notices.py
+++ b/src/ebonydeal/_internal/relay/requests/notices.py
@@ -30,6 +30,8 @@
         for said in notice.unreadable:
             self._metrics.count(Event.NOTICES_UNREADABLE)
             logger.warning("Notice unreadable.", endpoint=member.endpoint_id, said=said)
+        if notice.leaving:
+            self._leaves(member)
         # Nothing ends with what can't be read, or answers another request.
         answers = head.request_id == request_id or head.not_run
         if notice.limit is None and (notice.unreadable or not answers):
@@ -44,3 +46,15 @@
                 limit=notice.limit,
                 source="answer",
             )
+
+    def _leaves(self, member: Member) -> None:
+        """Take an answer's word that its endpoint leaves."""
+        if self.notices.heard_leaving(member.process, self._clock.now()):
+            self._metrics.count(Event.ENDPOINTS_SAID_LEAVING)
+            logger.info(
+                "Endpoint says that it leaves.",
+                endpoint=member.endpoint_id,
+                born=member.born,
+                listed_as_leaving=member.leaving,
+                source="answer",
+            )
--- a/src/ebonydeal/_internal/routing/notices/notices.py
+++ b/src/ebonydeal/_internal/routing/notices/notices.py
@@ -65,6 +65,21 @@
 
     def __init__(self) -> None:
         self._limits: dict[Process, _Limit] = {}
+        # Since when a process says that it leaves.
+        self._leaving: dict[Process, float] = {}
+
+    # --- leaving -------------------------------------------------------------
+    def heard_leaving(self, process: Process, at: float) -> bool:
+        """Take an answer's word that its process leaves; return if that is news.
+
+        It doesn't come back: a process that stays after all starts anew.
+        """
+        if process in self._leaving:
+            return False
+        self._leaving[process] = at
+        while len(self._leaving) > _MOST_KNOWN:
+            del self._leaving[next(iter(self._leaving))]
+        return True
 
     # --- limits --------------------------------------------------------------
     def heard_limit(
--- a/tests/unit/platform/test_headers.py
+++ b/tests/unit/platform/test_headers.py
@@ -170,7 +170,13 @@
     @pytest.mark.parametrize("said", ["", "x", "-1", "nan", "1e999", "inf", "1 2"])
     def test_that_cant_be_read_is_kept_as_such(self, said):
         notice = read_answer(200, [("Server-Limit", said)]).notice
-        assert notice == Notice(None, (f"Server-Limit: {said}",))
+        assert notice == Notice(unreadable=(f"Server-Limit: {said}",))
+
+    def test_of_leaving(self):
+        assert read_answer(503, [("Server-Leaving", "1")]).notice.leaving
+        assert not read_answer(200, [("Server-Leaving", "0")]).notice.leaving
+        notice = read_answer(200, [("Server-Leaving", "soon")]).notice
+        assert notice == Notice(unreadable=("Server-Leaving: soon",))
 
     def test_without_anything_said(self):
         assert read_answer(200, []).notice == Notice()
--- a/tests/unit/routing/notices/test_notices.py
+++ b/tests/unit/routing/notices/test_notices.py
@@ -79,3 +79,10 @@
     def test_that_cant_be_read_is_an_error_of_its_sender(self, notices, word):
         with pytest.raises((ValueError, TypeError)):
             notices.take_words([word], 100.0)
+
+
+class TestLeaving:
+    def test_is_news_once(self, notices):
+        assert notices.heard_leaving(ONE, 100.0)
+        assert not notices.heard_leaving(ONE, 101.0)
+        assert notices.heard_leaving(AGAIN, 102.0)
