An endpoint that says in an answer that it leaves gets nothing new

What was seen: while the table service didn't answer, endpoints said in their answers that they leave, and got requests 2,354 and 2,154 ms after a relay had passed one on, 2,000 allowed; in a test of two relays 89 later than 2 s.

Cause: relays knew of leaving by the list alone. Class: what a peer says of itself in an answer and nobody acts on.

Change: a process's own word marks it as leaving in the relay's view, for good and whatever the list has, older or newer; of both words the earlier one counts for the time in which it may still be used. Everything that reads the view follows: choice, moves of runs, what is ordered. The coordinator tells it to the others with its answers.

Why it works: the word stands where all sends look, and is bound to the process.

--- a/src/ebonydeal/_internal/relay/duties/coordinator.py
+++ b/src/ebonydeal/_internal/relay/duties/coordinator.py
@@ -337,6 +337,7 @@
             crashes=crashes,
             rollouts=self.rollouts(),
             notices=self._hear_notices(message),
+            said_leaving=self._hear_leaving(message),
         )
 
     def _hear_notices(self, message: ExchangeMessage) -> list[list]:
@@ -353,6 +354,18 @@
             )
         return [word.encode() for word in notices.limit_words(now)]
 
+    def _hear_leaving(self, message: ExchangeMessage) -> list[list]:
+        """Take which endpoints told a relay that they leave; return all known."""
+        notices, now = self.granter.notices, self._parts.clock.now()
+        for process in notices.take_leaving(message.get("said_leaving", []), now):
+            logger.info(
+                "Endpoint says that it leaves.",
+                endpoint=process.endpoint_id,
+                born=process.born,
+                source=message["node"],
+            )
+        return notices.leaving_words(now)
+
     def _news_of(self, node: str) -> NewsMessage | None:
         """Return what a relay's list of endpoints lacks."""
         if not self.lease.mine or not self.fresh or self.is_self(node):
--- a/src/ebonydeal/_internal/relay/peers/messages.py
+++ b/src/ebonydeal/_internal/relay/peers/messages.py
@@ -35,7 +35,8 @@
     told. ``crashes`` is what it remembers of crashes, None where the coordinator's last
     mark of that was its own ``crashes_mark``. ``rollouts`` by service: what it counted
     of each roll-out. ``limits`` is of its share of client accounts' limits.
-    ``notices`` are the endpoints' limits that it heard of itself, as `LimitWord`s.
+    ``notices`` are the endpoints' limits that it heard of itself, as `LimitWord`s,
+    ``said_leaving`` those that said that they leave: id, start, seconds since then.
     """
 
     node: str
@@ -55,6 +56,7 @@
     rollouts: dict[str, TallyMessage]
     limits: LimitsWord
     notices: list[list]
+    said_leaving: list[list]
 
 
 class NewsMessage(TypedDict):
@@ -90,6 +92,7 @@
     any. ``crashes`` is None where the word's mark is ``crashes_mark``. ``rollouts`` is
     None where the coordinator doesn't decide now. ``limits`` is None where it isn't the
     holder of the lease. ``notices`` are all endpoints' limits, as `LimitWord`s.
+    ``said_leaving`` as in the message.
     """
 
     holds: bool
@@ -109,6 +112,7 @@
     crashes: EvidenceMessage | None
     rollouts: RolloutsMessage | None
     notices: list[list]
+    said_leaving: list[list]
 
 
 class LongReadMessage(TypedDict):
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -125,6 +125,8 @@
         self._outliers = outliers
         self.view.on_restart = self._forget_endpoint
         self._notices = EndpointNotices()
+        self._notices.on_leaving = self.view.leaves
+        self.view.said_leaving = self._notices.leaving_since
         self._moves = StreamMoves(
             MovesParts(
                 view=self.view,
--- a/src/ebonydeal/_internal/relay/view/view.py
+++ b/src/ebonydeal/_internal/relay/view/view.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
 
-from ebonydeal._internal.models.forwarding import Member, RouteTable
+from ebonydeal._internal.models.forwarding import Member, Process, RouteTable
 from ebonydeal._internal.models.rollouts import RolloutOrder
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.view.versions import KnownVersions
@@ -88,6 +88,8 @@
         self.changes = 0
         self._changed: deque[str] = deque(maxlen=_CHANGES_KEPT)
         self._leaving_since: dict[str, float] = {}
+        # What processes said themselves: since when they leave, and nothing else.
+        self.said_leaving: Callable[[Process], float | None] = lambda _process: None
         self._leaves_at: dict[str, float] = {}
 
     @property
@@ -217,6 +219,10 @@
         if known is not None and known.revision >= member.revision:
             self._lapsed.pop(member.endpoint_id, None)
             return
+        said_at = self.said_leaving(member.process)
+        if said_at is not None:
+            # The list may be late to tell it, or have an older word.
+            member = member._replace(leaving=True)
         left = self._left.get(member.endpoint_id, _NEVER_LEFT)
         if left.version >= member.revision:
             return
@@ -230,6 +236,8 @@
         self.members[member.endpoint_id] = member
         self.last_change = max(self.last_change, member.revision)
         self._note_leaving(known, member, heard_at)
+        if said_at is not None:
+            self._leaving_since.setdefault(member.endpoint_id, said_at)
         self._lapsed.pop(member.endpoint_id, None)
         if known is None or _differs(known, member):
             self._log(
@@ -250,6 +258,19 @@
         if not self.is_told():
             logger.info(sentence, **values)
 
+    def leaves(self, process: Process) -> None:
+        """Take a process's own word that it leaves, which `said_leaving` tells."""
+        known = self.members.get(process.endpoint_id)
+        since = self.said_leaving(process)
+        if known is None or known.process != process or since is None:
+            return
+        if not known.leaving:
+            self.members[process.endpoint_id] = known._replace(leaving=True)
+        # Of the list's word and its own the earlier one counts.
+        before = self._leaving_since.get(process.endpoint_id, since)
+        self._leaving_since[process.endpoint_id] = min(before, since)
+        self._note_change(process.endpoint_id)
+
     def withhold(self, endpoint_id: str, version: int) -> None:
         """Give an endpoint no new work until its entry can be read again."""
         known = self.members.get(endpoint_id)
--- a/src/ebonydeal/_internal/routing/notices/notices.py
+++ b/src/ebonydeal/_internal/routing/notices/notices.py
@@ -6,7 +6,7 @@
 and of a limit that rises the lower one holds on for a while.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -17,6 +17,9 @@
 # A relay's word takes so long at most. The end of a limit that another relay tells of
 # counts as that much older: one named meanwhile goes before it.
 _TOLD_WITHIN_S = 0.5
+# For so long a process's word that it leaves is told to others: by then the list has
+# it, or the process is gone.
+_LEAVING_TOLD_S = 30.0
 # Processes that are remembered, those that were heard of longest ago go first.
 _MOST_KNOWN = 4000
 _NEVER = float("-inf")
@@ -67,6 +70,8 @@
         self._limits: dict[Process, _Limit] = {}
         # Since when a process says that it leaves.
         self._leaving: dict[Process, float] = {}
+        # Told which process leaves.
+        self.on_leaving: Callable[[Process], None] = lambda _process: None
 
     # --- leaving -------------------------------------------------------------
     def heard_leaving(self, process: Process, at: float) -> bool:
@@ -79,8 +84,30 @@
         self._leaving[process] = at
         while len(self._leaving) > _MOST_KNOWN:
             del self._leaving[next(iter(self._leaving))]
+        self.on_leaving(process)
         return True
 
+    def leaving_since(self, process: Process) -> float | None:
+        """Return when a process said that it leaves; None if it didn't."""
+        return self._leaving.get(process)
+
+    def leaving_words(self, now: float) -> list[list]:
+        """Return what other relays are told, by id, start and seconds since then."""
+        return [
+            [*process, round(now - at, 3)]
+            for process, at in self._leaving.items()
+            if now - at <= _LEAVING_TOLD_S
+        ]
+
+    def take_leaving(self, words: Iterable[list], now: float) -> list[Process]:
+        """Take what another relay heard; return what is news."""
+        news = []
+        for endpoint_id, born, age in words:
+            process = Process(str(endpoint_id), int(born))
+            if self.heard_leaving(process, now - max(0.0, float(age))):
+                news.append(process)
+        return news
+
     # --- limits --------------------------------------------------------------
     def heard_limit(
         self, process: Process, limit: float | None, sent_at: float, now: float
--- a/tests/functional/relay/test_leaving_said_in_answers.py
+++ b/tests/functional/relay/test_leaving_said_in_answers.py
@@ -36,6 +36,16 @@
         assert late(leaves) == 0
         assert set(statuses) == {503}
 
+    async def test_an_older_word_of_the_list_doesnt_bring_it_back(self):
+        leaves = NoticingEndpoint("i1", LEAVING)
+        stays = NoticingEndpoint("i2")
+        async with relays(1, leaves, stays) as (programs, store):
+            await press(programs, 0.5)
+            await store.put("servers", "i1", leaves.row(cold_left_ms=5))
+            await asyncio.sleep(DRAIN_S)
+            await press(programs, 1.0)
+        assert late(leaves) == 0
+
     async def test_a_process_that_starts_anew_is_used(self):
         leaves = NoticingEndpoint("i1", LEAVING)
         async with relays(1, leaves) as (programs, store):
--- a/tests/lib/relay_fakes.py
+++ b/tests/lib/relay_fakes.py
@@ -219,6 +219,7 @@
             "along_number": 0,
         },
         "notices": [],
+        "said_leaving": [],
         **more,
     }
 
--- a/tests/unit/relay/view/test_view.py
+++ b/tests/unit/relay/view/test_view.py
@@ -1,3 +1,4 @@
+import pytest
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
@@ -250,3 +251,50 @@
 
 
 TestEndpointMachine = Endpoint.TestCase
+
+
+class TestSaidItself:
+    """A process that says that it leaves does, whatever the list has."""
+
+    @pytest.fixture
+    def said(self):
+        """What was said, by process, with when."""
+        return {}
+
+    @pytest.fixture
+    def view(self, said):
+        view = RelayView(2.0)
+        view.said_leaving = said.get
+        view.put(member())
+        return view
+
+    def test_it_gets_no_new_work_but_at_first(self, view, said):
+        said[member().process] = 10.0
+        view.leaves(member().process)
+        assert not view.of_service("s")
+        assert [m.endpoint_id for m, _left in view.leaving_of("s", 10.5)] == ["i1"]
+        assert not view.leaving_of("s", 11.5)
+
+    def test_a_newer_word_of_the_list_doesnt_bring_it_back(self, view, said):
+        said[member().process] = 10.0
+        view.leaves(member().process)
+        view.put(member(revision=2))
+        assert not view.of_service("s")
+
+    def test_the_earlier_of_both_words_counts(self, view, said):
+        view.put(member(revision=2, leaving=True), heard_at=9.5)
+        said[member().process] = 10.0
+        view.leaves(member().process)
+        assert view.leaving_age("i1", 10.5) == 1.0
+
+    def test_it_counts_also_before_it_is_listed(self, view, said):
+        said[member("i2").process] = 10.0
+        view.leaves(member("i2").process)
+        view.put(member("i2"))
+        assert [m.endpoint_id for m in view.of_service("s")] == ["i1"]
+
+    def test_not_for_a_process_that_starts_anew(self, view, said):
+        said[member().process] = 10.0
+        view.leaves(member().process)
+        view.put(member(revision=2, born=5))
+        assert len(view.of_service("s")) == 1
--- a/tests/unit/routing/notices/test_notices.py
+++ b/tests/unit/routing/notices/test_notices.py
@@ -86,3 +86,19 @@
         assert notices.heard_leaving(ONE, 100.0)
         assert not notices.heard_leaving(ONE, 101.0)
         assert notices.heard_leaving(AGAIN, 102.0)
+
+    def test_of_another_relay_is_news_with_its_age(self, notices):
+        other = EndpointNotices()
+        told = []
+        other.on_leaving = told.append
+        notices.heard_leaving(ONE, 100.0)
+        assert other.take_leaving(notices.leaving_words(101.0), 51.0) == [ONE]
+        assert other.take_leaving(notices.leaving_words(101.5), 51.5) == []
+        assert told == [ONE]
+        assert other.leaving_since(ONE) == pytest.approx(50.0)
+        assert other.leaving_since(AGAIN) is None
+
+    def test_is_told_until_the_list_has_it_for_sure(self, notices):
+        notices.heard_leaving(ONE, 100.0)
+        assert notices.leaving_words(131.0) == []
+        assert notices.leaving_since(ONE) == 100.0
