See which endpoints ask for rest, and for how long

Cause: the line of a failed send had the status, not the time that the endpoint asked for. Change: the adapter decodes Retry-After of an endpoint's 503; a relay logs a rest that ends later than the one before, and counts it. Values that are no number of seconds from 0 on are logged as unreadable; more than an hour counts as an hour. No choice depends on it yet.

--- a/src/ebonydeal/_internal/models/forwarding.py
+++ b/src/ebonydeal/_internal/models/forwarding.py
@@ -290,12 +290,15 @@
         Requests a second that it takes from all relays together; None for no limit.
     leaving : bool
         It leaves, and is to get no new work.
+    rest : float
+        Seconds for which it wants nothing from who asked.
     unreadable : tuple of str
         What it said that can't be read, as name and value.
     """
 
     limit: float | None = None
     leaving: bool = False
+    rest: float = 0.0
     unreadable: tuple[str, ...] = ()
 
 
--- a/src/ebonydeal/_internal/observe/counters.py
+++ b/src/ebonydeal/_internal/observe/counters.py
@@ -91,6 +91,7 @@
     ENDPOINT_LIMITS_CHANGED = "endpoint_limits_changed"
     ENDPOINT_PERMITS_GRANTED = "endpoint_permits_granted"
     ENDPOINT_PERMITS_REFUSED = "endpoint_permits_refused"
+    ENDPOINTS_RESTED = "endpoints_rested"
     ENDPOINTS_SAID_LEAVING = "endpoints_said_leaving"
     NOTICES_UNREADABLE = "notices_unreadable"
 
--- a/src/ebonydeal/_internal/platform/headers.py
+++ b/src/ebonydeal/_internal/platform/headers.py
@@ -26,6 +26,7 @@
 # Requests a second that the endpoint takes from all callers together.
 LIMIT = "Server-Limit"
 LEAVING = "Server-Leaving"
+REST = "Retry-After"
 LAST_EVENT = "Last-Event-Id"
 CARRIED = "Kv-From"
 FETCH = "Kv-Fetch"
@@ -185,17 +186,23 @@
     return value if math.isfinite(value) and value >= 0.0 else None
 
 
-def _notice(first: Mapping[str, str]) -> Notice:
+def _notice(status: int, first: Mapping[str, str]) -> Notice:
     """Return what an endpoint says of itself; names are in lower case."""
     unreadable = []
-    said = first.get(LIMIT.lower())
-    limit = None if said is None else _number(said)
-    if said is not None and limit is None:
-        unreadable.append(f"{LIMIT}: {said[:_MOST_QUOTED]}")
+
+    def number(name: str) -> float | None:
+        said = first.get(name.lower())
+        value = None if said is None else _number(said)
+        if said is not None and value is None:
+            unreadable.append(f"{name}: {said[:_MOST_QUOTED]}")
+        return value
+
+    limit = number(LIMIT)
+    rest = number(REST) if status == HTTPStatus.SERVICE_UNAVAILABLE else None
     leaving = first.get(LEAVING.lower(), _NO)
     if leaving not in (_YES, _NO):
         unreadable.append(f"{LEAVING}: {leaving[:_MOST_QUOTED]}")
-    return Notice(limit, leaving == _YES, tuple(unreadable))
+    return Notice(limit, leaving == _YES, rest or 0.0, tuple(unreadable))
 
 
 def read_answer(status: int, pairs: Pairs) -> AnswerHead:
@@ -213,5 +220,5 @@
         idle_time=_idle_time(first.get("keep-alive")),
         headers=tuple((n, v) for n, v in listed if n.lower() not in hops),
         misdirected=status == _MISDIRECTED,
-        notice=_notice(first),
+        notice=_notice(status, first),
     )
--- a/src/ebonydeal/_internal/relay/requests/notices.py
+++ b/src/ebonydeal/_internal/relay/requests/notices.py
@@ -30,6 +30,8 @@
         for said in notice.unreadable:
             self._metrics.count(Event.NOTICES_UNREADABLE)
             logger.warning("Notice unreadable.", endpoint=member.endpoint_id, said=said)
+        if notice.rest > 0.0:
+            self._rests(member, notice.rest)
         if notice.leaving:
             self._leaves(member)
         # Nothing ends with what can't be read, or answers another request.
@@ -58,3 +60,14 @@
                 listed_as_leaving=member.leaving,
                 source="answer",
             )
+
+    def _rests(self, member: Member, seconds: float) -> None:
+        """Take for how long an endpoint wants nothing from this relay."""
+        if self.notices.heard_rest(member.process, seconds, self._clock.now()):
+            self._metrics.count(Event.ENDPOINTS_RESTED)
+            logger.info(
+                "Endpoint asks for rest.",
+                endpoint=member.endpoint_id,
+                born=member.born,
+                rest_s=seconds,
+            )
--- a/src/ebonydeal/_internal/routing/notices/notices.py
+++ b/src/ebonydeal/_internal/routing/notices/notices.py
@@ -17,6 +17,8 @@
 # A relay's word takes so long at most. The end of a limit that another relay tells of
 # counts as that much older: one named meanwhile goes before it.
 _TOLD_WITHIN_S = 0.5
+# A longer rest counts as this: one by mistake would take the endpoint out for good.
+_MOST_REST_S = 3600.0
 # For so long a process's word that it leaves is told to others: by then the list has
 # it, or the process is gone.
 _LEAVING_TOLD_S = 30.0
@@ -68,11 +70,23 @@
 
     def __init__(self) -> None:
         self._limits: dict[Process, _Limit] = {}
+        # Until when a process wants nothing from this relay.
+        self._rest: dict[Process, float] = {}
         # Since when a process says that it leaves.
         self._leaving: dict[Process, float] = {}
         # Told which process leaves.
         self.on_leaving: Callable[[Process], None] = lambda _process: None
 
+    # --- rest ----------------------------------------------------------------
+    def heard_rest(self, process: Process, seconds: float, now: float) -> bool:
+        """Take for how long a process wants nothing; return if that is longer."""
+        until = now + min(seconds, _MOST_REST_S)
+        if until <= self._rest.get(process, now):
+            return False
+        self._rest = {p: at for p, at in self._rest.items() if at > now}
+        self._rest[process] = until
+        return True
+
     # --- leaving -------------------------------------------------------------
     def heard_leaving(self, process: Process, at: float) -> bool:
         """Take an answer's word that its process leaves; return if that is news.
--- a/tests/unit/platform/test_headers.py
+++ b/tests/unit/platform/test_headers.py
@@ -178,5 +178,17 @@
         notice = read_answer(200, [("Server-Leaving", "soon")]).notice
         assert notice == Notice(unreadable=("Server-Leaving: soon",))
 
+    @pytest.mark.parametrize(("said", "rest"), [("3", 3.0), ("0.25", 0.25), ("0", 0.0)])
+    def test_of_rest_comes_with_503_alone(self, said, rest):
+        assert read_answer(503, [("Retry-After", said)]).notice.rest == rest
+        assert read_answer(429, [("Retry-After", said)]).notice.rest == 0.0
+
+    @pytest.mark.parametrize(
+        "said", ["", "-3", "soon", "Thu, 01 Jan 2026 00:00:00 GMT"]
+    )
+    def test_of_rest_that_cant_be_read_asks_for_none(self, said):
+        notice = read_answer(503, [("Retry-After", said)]).notice
+        assert notice == Notice(unreadable=(f"Retry-After: {said}",))
+
     def test_without_anything_said(self):
         assert read_answer(200, []).notice == Notice()
--- a/tests/unit/routing/notices/test_notices.py
+++ b/tests/unit/routing/notices/test_notices.py
@@ -102,3 +102,13 @@
         notices.heard_leaving(ONE, 100.0)
         assert notices.leaving_words(131.0) == []
         assert notices.leaving_since(ONE) == 100.0
+
+
+class TestRest:
+    def test_that_ends_sooner_than_the_one_before_is_no_news(self, notices):
+        assert notices.heard_rest(ONE, 3.0, 100.0)
+        assert not notices.heard_rest(ONE, 1.0, 101.0)
+        assert notices.heard_rest(ONE, 3.0, 101.0)
+
+    def test_of_nothing_is_none(self, notices):
+        assert not notices.heard_rest(ONE, 0.0, 100.0)
