An endpoint that asked a relay for rest gets nothing from it meanwhile

What was seen: endpoints that turn all requests away with 3 s of rest got 3 and 4 requests of one relay in it, 2 allowed, and twice as many as those that serve: 62 and 66 of 27 to 35. 58 callers in 7 s got 503, as the retry budget was spent on them, while four endpoints had room.

Cause: nobody read the time, and an endpoint that turns all away has nothing running, so it is chosen first. Class: what a peer says of itself in an answer and nobody acts on.

Change: each relay keeps by process until when it wants nothing, the latest end of all; until then it is not among those to choose from, on any way: first and further sends, moves, resumed runs. Where all of a service rest, requests are refused at once with the earliest end.

Why it works: the choice and the place where a request leaves ask the same keeper.

--- a/src/ebonydeal/_internal/relay/limits/permits.py
+++ b/src/ebonydeal/_internal/relay/limits/permits.py
@@ -1,4 +1,7 @@
-"""Permits to send to endpoints that named a limit, one for each request."""
+"""Whether an endpoint that asked for rest, or named a limit, may get a request now.
+
+One that rests gets none. One with a limit gets what is granted of it, one by one.
+"""
 
 from typing import Protocol
 
@@ -30,7 +33,7 @@
     Parameters
     ----------
     notices : EndpointNotices
-        Which endpoints have limits.
+        Which endpoints rest, and which have limits.
     port : PermitPort
         Who grants.
     clock : Clock
@@ -56,10 +59,14 @@
     @property
     def needed(self) -> bool:
         """Whether any endpoint may need them."""
-        return self._notices.names_limits
+        return self._notices.any
 
     def wait(self, member: Member, now: float) -> float:
-        """Return the seconds until a permit may be asked for; 0.0 for now."""
+        """Return the seconds until an endpoint may be asked again; 0.0 for now."""
+        rest = self._notices.rest(member.process, now)
+        return max(rest, self._until_permit(member, now))
+
+    def _until_permit(self, member: Member, now: float) -> float:
         empty = self._empty.get(member.process)
         if empty is None:
             return 0.0
@@ -73,6 +80,8 @@
         """Return whether one request may go to an endpoint now."""
         asked_at = self._clock.now()
         process = member.process
+        if self._notices.rest(process, asked_at):
+            return False
         limit = self._notices.limit(process, asked_at)
         word = self._notices.limit_word(process, asked_at)
         if limit is None or word is None:
--- a/src/ebonydeal/_internal/relay/requests/chooser.py
+++ b/src/ebonydeal/_internal/relay/requests/chooser.py
@@ -34,7 +34,7 @@
         self._job = job
         # Whether the request was already counted for the new version's part.
         self._asked = False
-        # Endpoints that had no room in their limits at the last choice.
+        # Endpoints that rested, or had no room in their limits, at the last choice.
         self.without_room: list[str] = []
 
     @property
@@ -84,9 +84,9 @@
         return [m for m in listed if m.endpoint_id not in closed]
 
     def opens_in(self, avoid: Set[str]) -> float | None:
-        """Return when the first endpoint that has no room now may have some, seconds.
+        """Return when the first one that rests or lacks room may be asked, seconds.
 
-        None where none of them lacks it.
+        None where there is no such endpoint.
         """
         now = self._parts.clock.now()
         waits = [
--- a/src/ebonydeal/_internal/relay/requests/moves.py
+++ b/src/ebonydeal/_internal/relay/requests/moves.py
@@ -215,7 +215,7 @@
             member
             for member in parts.view.of_service(run.service)
             if member.version == run.member.version
-            and parts.notices.limit(member.process, now) is None
+            and parts.notices.takes_runs(member.process, now)
         ]
         allowed = parts.outliers.allowed(listed, now)
         score = parts.choice.engine(Ask((), 0, parts.zone), allowed, now)
--- a/src/ebonydeal/_internal/relay/requests/sends.py
+++ b/src/ebonydeal/_internal/relay/requests/sends.py
@@ -106,7 +106,7 @@
         """Raise ENDPOINTS_LIMITED where no endpoint has room until ``patience``."""
         wait = self.chooser.opens_in(self._avoid)
         if wait is not None and self._parts.clock.now() + wait > patience:
-            detail = f"all endpoints of {self.job.service} have a limit"
+            detail = f"all endpoints of {self.job.service} rest or have a limit"
             error = EbonydealError(
                 ErrorKind.ENDPOINTS_LIMITED, detail, retry_after=wait
             )
@@ -140,7 +140,7 @@
         self.proof.may_have_run = True
         if not await self._parts.permits.take(moved.member):
             if not self.proof.may_send:
-                detail = f"{moved.member.endpoint_id} has no room left in its limit"
+                detail = f"{moved.member.endpoint_id} rests or has a limit"
                 error = EbonydealError(ErrorKind.ENDPOINTS_LIMITED, detail)
                 raise self.proof.refusal(error)
             return await self.choose()
--- a/src/ebonydeal/_internal/routing/notices/notices.py
+++ b/src/ebonydeal/_internal/routing/notices/notices.py
@@ -87,6 +87,10 @@
         self._rest[process] = until
         return True
 
+    def rest(self, process: Process, now: float) -> float:
+        """Return the seconds for which a process still wants nothing."""
+        return max(0.0, self._rest.get(process, now) - now)
+
     # --- leaving -------------------------------------------------------------
     def heard_leaving(self, process: Process, at: float) -> bool:
         """Take an answer's word that its process leaves; return if that is news.
@@ -170,9 +174,13 @@
             del self._limits[min(self._limits, key=lambda p: self._limits[p].at)]
 
     @property
-    def names_limits(self) -> bool:
-        """Whether any process ever named one."""
-        return bool(self._limits)
+    def any(self) -> bool:
+        """Whether any process may have a limit, or rest."""
+        return bool(self._limits or self._rest)
+
+    def takes_runs(self, process: Process, now: float) -> bool:
+        """Return whether runs may be moved to a process without asking."""
+        return self.limit(process, now) is None and not self.rest(process, now)
 
     def limit(self, process: Process, now: float) -> float | None:
         """Return the limit of a process, requests a second; None for none."""
--- a/tests/unit/routing/notices/test_notices.py
+++ b/tests/unit/routing/notices/test_notices.py
@@ -112,3 +112,20 @@
 
     def test_of_nothing_is_none(self, notices):
         assert not notices.heard_rest(ONE, 0.0, 100.0)
+
+    def test_is_over_after_its_time_and_for_another_process(self, notices):
+        notices.heard_rest(AGAIN, 3.0, 100.0)
+        assert notices.rest(AGAIN, 101.0) == 2.0
+        assert notices.rest(AGAIN, 103.0) == 0.0
+        assert notices.rest(ONE, 101.0) == 0.0
+
+    def test_of_several_the_latest_end_holds(self, notices):
+        notices.heard_rest(AGAIN, 3.0, 100.0)
+        notices.heard_rest(AGAIN, 0.5, 100.5)
+        assert notices.rest(AGAIN, 101.0) == 2.0
+
+    def test_runs_move_to_none_that_rests_or_has_a_limit(self, notices):
+        assert not notices.takes_runs(ONE, 101.0)
+        assert notices.takes_runs(AGAIN, 101.0)
+        notices.heard_rest(AGAIN, 3.0, 100.0)
+        assert not notices.takes_runs(AGAIN, 101.0)
