Soak: endpoints name limits, say that they leave and ask for rest; three promises

Endpoints say them at random, one fault at a time of each kind, overlapping the others; the promises are counted at the endpoints by relay. Each has a planted fault that it finds.

--- a/src/ebonydeal/_internal/platform/rehearsal.py
+++ b/src/ebonydeal/_internal/platform/rehearsal.py
@@ -19,8 +19,11 @@
     DEADLINE,
     EXPECT_ENDPOINT,
     LAST_EVENT,
+    LEAVING,
+    LIMIT,
     NOT_RUN,
     REQUEST_ID,
+    REST,
     SIGNATURE,
     TOKENS,
 )
@@ -192,6 +195,18 @@
     return {NOT_RUN: "1"}
 
 
+def notice_headers(limit: float | None, leaving: bool, rest: float) -> dict[str, str]:
+    """Return what an endpoint's answer says of itself; seconds, requests a second."""
+    headers = {}
+    if limit is not None:
+        headers[LIMIT] = f"{limit:g}"
+    if leaving:
+        headers[LEAVING] = "1"
+    if rest > 0.0:
+        headers[REST] = f"{rest:g}"
+    return headers
+
+
 def report_body(leaves_in: float | None) -> dict[str, Any]:
     """Return an endpoint's report."""
     return {} if leaves_in is None else {"leaves_ms": round(leaves_in * _MS)}
--- a/src/ebonydeal/_internal/soak/checks.py
+++ b/src/ebonydeal/_internal/soak/checks.py
@@ -1,11 +1,16 @@
 """The promises, checked on what was seen from outside."""
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable
-from typing import NamedTuple
+from collections.abc import Iterable
 
 from ebonydeal._internal.models.rollouts import Phase
+from ebonydeal._internal.soak.notice_checks import (
+    limits_held,
+    nothing_after_leaving,
+    rests_kept,
+)
 from ebonydeal._internal.soak.records import FatalRun, Kind, Log, Seen, event_count
+from ebonydeal._internal.soak.terms import Check, Limit, Terms, Violation, harmed
 
 # Statuses that promise that a request has not run and never will.
 _NOT_RUN = frozenset({408, 421, 429, 503})
@@ -32,34 +37,6 @@
 _BAD_ANSWERS = 50
 
 
-class Limit(NamedTuple):
-    """A client account's limit: the most in a window, in requests or tokens."""
-
-    account: str
-    most: float
-    in_tokens: bool = False
-
-
-class Terms(NamedTuple):
-    """What the deployment of a soak promises; seconds."""
-
-    drain: float
-    apply: float
-    usage_window: float
-    quota_window: float
-    limits: tuple[Limit, ...]
-
-
-class Violation(NamedTuple):
-    """A promise that was broken."""
-
-    promise: str
-    detail: str
-
-
-Check = Callable[[Log, Terms], Iterable[Violation]]
-
-
 def _calm(log: Log, relay: str, begin: float, end: float) -> bool:
     """Return whether nothing was harmed for a relay from ``begin`` to ``end``."""
     return not any(
@@ -279,7 +256,7 @@
             run
             for run in runs
             if run.at > third + _CONTACT_S
-            and not _harmed(log, run.relay, run.at - _CONTACT_S, run.at)
+            and not harmed(log, run.relay, run.at - _CONTACT_S, run.at)
         ]
         if len(late) > _LATE_RUNS:
             detail = f"{body} reached endpoints {len(late)} times after the third"
@@ -294,7 +271,7 @@
         runs = [run for run in log.runs if rollout.at <= run.at <= rollout.until]
         over = sum(
             run.version == rollout.to
-            and not _harmed(log, run.relay, run.at - _CONTACT_S, run.at)
+            and not harmed(log, run.relay, run.at - _CONTACT_S, run.at)
             for run in runs
         )
         most = _EXPOSE_SHARE * len(runs) + _EXPOSE_SLACK
@@ -317,7 +294,7 @@
             late = run.at - min(ends)
             if run.version != rollout.to or late <= _SLACK_S or run.carried:
                 continue
-            if not _harmed(log, run.relay, min(ends) - _CONTACT_S, run.at):
+            if not harmed(log, run.relay, min(ends) - _CONTACT_S, run.at):
                 detail = f"{rollout.to} got {run.request_id} {late:.2f} s after its end"
                 yield Violation("verdict", detail)
 
@@ -335,14 +312,6 @@
             yield Violation("verdict", f"{rollout.to} is bad and was completed")
 
 
-def _harmed(log: Log, relay: str, begin: float, end: float) -> bool:
-    """Return whether a relay itself, or its link, was harmed in some time."""
-    return any(
-        trouble.relay == relay and trouble.begin <= end and trouble.end >= begin
-        for trouble in log.troubles
-    )
-
-
 CHECKS: tuple[Check, ...] = (
     crashes_bound,
     bad_versions_exposed_little,
@@ -358,6 +327,9 @@
     usage_told_once,
     usage_exact,
     stops_cut_nothing,
+    limits_held,
+    nothing_after_leaving,
+    rests_kept,
 )
 
 
--- a/src/ebonydeal/_internal/soak/endpoints.py
+++ b/src/ebonydeal/_internal/soak/endpoints.py
@@ -15,12 +15,20 @@
     answer_headers,
     moved_body,
     not_run_headers,
+    notice_headers,
     read_arrival,
     read_move,
     report_body,
 )
 from ebonydeal._internal.soak.proxy import Proxy
-from ebonydeal._internal.soak.records import FatalRun, Log, Run, event_count
+from ebonydeal._internal.soak.records import (
+    Arrived,
+    FatalRun,
+    Log,
+    Run,
+    Told,
+    event_count,
+)
 
 SERVICE = "play"
 # Clients name the relay that they ask, and it passes this header on.
@@ -69,6 +77,11 @@
         self._runner: web.ServerRunner | None = None
         self.proxy = Proxy("127.0.0.1:0")
         self.crashed = False
+        # What it says of itself in answers: a limit, that it leaves, and for how long
+        # it rests; while it does it turns all requests away.
+        self.limit: float | None = None
+        self.said_leaving = False
+        self.rest = 0.0
         # Told of its crash.
         self.on_crash: Callable[[PlayEndpoint], None] = lambda _endpoint: None
 
@@ -127,6 +140,13 @@
         body = await req.read()
         if got.expected != self.name:
             return web.Response(status=421)
+        relay = req.headers.get(RELAY_HEADER, "")
+        self._log.arrived.append(
+            Arrived(self.name, relay, got.request_id, time.monotonic())
+        )
+        says = self._says(relay)
+        if self.rest > 0.0:
+            return web.Response(status=503, headers=not_run_headers() | says)
         if got.carried and self._memory.pop(got.carried, "") != got.request_id:
             return web.Response(status=503, headers=not_run_headers())
         self._log.runs.append(
@@ -143,7 +163,7 @@
         )
         if body.startswith(FATAL):
             await self._crash(body.decode(), req.headers.get(RELAY_HEADER, ""))
-        headers = answer_headers(got.request_id)
+        headers = answer_headers(got.request_id) | says
         if self._fails(req.path):
             return web.Response(status=500, headers=headers)
         if self.bad is Bad.SLOW:
@@ -153,6 +173,19 @@
         await asyncio.sleep(_WORK_S)
         return web.json_response({"request": got.request_id}, headers=headers)
 
+    def _says(self, relay: str) -> dict[str, str]:
+        """Return what an answer to a relay says of this endpoint, and note it."""
+        told = Told(
+            self.name,
+            relay,
+            time.monotonic(),
+            self.limit,
+            self.said_leaving,
+            self.rest,
+        )
+        self._log.told.append(told)
+        return notice_headers(told.limit, told.leaving, told.rest)
+
     def _fails(self, path: str) -> bool:
         """Return whether a bad version fails this request."""
         on_route = self.bad is Bad.ONE_ROUTE and path.startswith("/safe/")
--- a/src/ebonydeal/_internal/soak/plan.py
+++ b/src/ebonydeal/_internal/soak/plan.py
@@ -23,6 +23,9 @@
     SUSPENSION = "machine suspended"
     ROLLOUT = "a new version is rolled out"
     HERD_KILL = "many relays are killed at once"
+    NAMES_LIMIT = "an endpoint names a limit"
+    SAYS_LEAVING = "an endpoint says in answers that it leaves"
+    ASKS_FOR_REST = "an endpoint turns all away and asks for rest"
 
 
 class Step(NamedTuple):
@@ -56,6 +59,13 @@
 _HERD_MEAN_S = 9.0
 _HERD_S = (0.2, 1.5)
 _HERD_SEED = 3_000_017
+# Faults of what endpoints say, as in `_LATER`. A limit is checked from some seconds on.
+_SAID: tuple[tuple[Fault, float, float, float], ...] = (
+    (Fault.NAMES_LIMIT, 5.0, 4.5, 7.0),
+    (Fault.SAYS_LEAVING, 9.0, 2.5, 5.0),
+    (Fault.ASKS_FOR_REST, 7.0, 1.0, 4.0),
+)
+_SAID_SEED = 4_000_037
 _LATER_SEED = 1_000_003
 # The last seconds are calm, so that what was begun can end.
 _CALM_S = 3.0
@@ -77,7 +87,12 @@
             length = rng.uniform(0.3, 2.5)
             steps.append(Step(at, rng.choice(faults), length, rng.randrange(1000)))
             at += rng.expovariate(1.0 / mean) + 0.3
-    apart = [*_later(seed, seconds), *_rollouts(seed, seconds), *_herds(seed, seconds)]
+    apart = [
+        *_drawn(_LATER, seed + _LATER_SEED, seconds),
+        *_drawn(_SAID, seed + _SAID_SEED, seconds),
+        *_rollouts(seed, seconds),
+        *_herds(seed, seconds),
+    ]
     return sorted([*steps, *apart])
 
 
@@ -103,11 +118,13 @@
     return [Step(at, Fault.ROLLOUT, length, rng.randrange(1000))]
 
 
-def _later(seed: int, seconds: float) -> list[Step]:
-    """Return the faults of a seed that are drawn apart."""
-    rng = Random(seed + _LATER_SEED)
+def _drawn(
+    faults: tuple[tuple[Fault, float, float, float], ...], seed: int, seconds: float
+) -> list[Step]:
+    """Return the faults that are drawn apart, each kind one after the other."""
+    rng = Random(seed)
     steps = []
-    for fault, mean, least, most in _LATER:
+    for fault, mean, least, most in faults:
         at = rng.uniform(0.5, mean)
         while at < seconds - _CALM_S:
             length = rng.uniform(least, most)
--- a/src/ebonydeal/_internal/soak/plants.py
+++ b/src/ebonydeal/_internal/soak/plants.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 
 from ebonydeal._internal.models.rollouts import Phase
-from ebonydeal._internal.soak.checks import Terms
 from ebonydeal._internal.soak.records import (
+    Arrived,
     FatalRun,
     Kind,
     Leave,
@@ -13,8 +13,10 @@
     Rollout,
     Seen,
     Status,
+    Told,
     Trouble,
 )
+from ebonydeal._internal.soak.terms import Terms
 
 
 def _first(log: Log, wanted: Callable[[Seen], bool]) -> Seen:
@@ -112,6 +114,24 @@
     ]
 
 
+def _over_named_limit(log: Log, _terms: Terms) -> None:
+    log.troubles.clear()
+    log.told = [Told("e1", "n1", at, 1.0, False, 0.0) for at in (1.0, 9.0)]
+    log.arrived = [Arrived("e1", "n1", f"p{n}", 5.0 + 0.1 * n) for n in range(12)]
+
+
+def _in_a_rest(log: Log, _terms: Terms) -> None:
+    log.troubles.clear()
+    log.told = [Told("e1", "n1", 1.0, None, False, 3.0)]
+    log.arrived = [Arrived("e1", "n1", f"p{n}", 2.0 + 0.1 * n) for n in range(3)]
+
+
+def _after_leaving(log: Log, terms: Terms) -> None:
+    log.troubles.clear()
+    log.told = [Told("e1", "n1", 1.0, None, True, 0.0)]
+    log.arrived = [Arrived("e1", "n1", "p1", 1.0 + terms.drain + 1.5)]
+
+
 PLANTS: dict[str, tuple[Callable[[Log, Terms], None], str]] = {
     "second-run": (_second_run, "run once"),
     "false-refusal": (_false_refusal, "refusal"),
@@ -126,4 +146,7 @@
     "crashes-on": (_crashes_on, "crashes"),
     "exposed": (_exposed, "exposure"),
     "turned-back": (_turned_back, "verdict"),
+    "over-named-limit": (_over_named_limit, "endpoint limit"),
+    "in-a-rest": (_in_a_rest, "rest"),
+    "after-leaving": (_after_leaving, "leaving said"),
 }
--- a/src/ebonydeal/_internal/soak/records.py
+++ b/src/ebonydeal/_internal/soak/records.py
@@ -114,6 +114,29 @@
     fence: int
 
 
+class Arrived(NamedTuple):
+    """A request that reached an endpoint from a relay, whether it ran or not."""
+
+    endpoint: str
+    relay: str
+    request_id: str
+    at: float
+
+
+class Told(NamedTuple):
+    """What an endpoint said of itself in an answer to a relay.
+
+    ``limit`` is in requests a second, None for none; ``rest`` in seconds, 0 for none.
+    """
+
+    endpoint: str
+    relay: str
+    at: float
+    limit: float | None
+    leaving: bool
+    rest: float
+
+
 class Trouble(NamedTuple):
     """A time in which something was harmed; ``relay`` is empty for all of them."""
 
@@ -140,6 +163,8 @@
     fatal: list[FatalRun] = field(default_factory=list)
     rollouts: list[Rollout] = field(default_factory=list)
     statuses: list[Status] = field(default_factory=list)
+    arrived: list[Arrived] = field(default_factory=list)
+    told: list[Told] = field(default_factory=list)
 
 
 def event_count(request_id: str) -> int:
--- a/src/ebonydeal/_internal/soak/run.py
+++ b/src/ebonydeal/_internal/soak/run.py
@@ -25,7 +25,7 @@
     CONFIG_TABLE,
     MEMBERS_TABLE,
 )
-from ebonydeal._internal.soak.checks import Limit, Terms, Violation, check_all
+from ebonydeal._internal.soak.checks import check_all
 from ebonydeal._internal.soak.clients import HOST, Client
 from ebonydeal._internal.soak.endpoints import FATAL, SERVICE, Bad, PlayEndpoint
 from ebonydeal._internal.soak.plan import Fault, Step, make_plan
@@ -41,6 +41,7 @@
     Rollout,
     Trouble,
 )
+from ebonydeal._internal.soak.terms import Limit, Terms, Violation
 
 _DRAIN_S = 2.0
 _NOTICE_S = 2.5
@@ -84,6 +85,9 @@
 # New endpoints come so long after the order; a verdict may come so late.
 _BOOT_S = 0.4
 _VERDICT_S = 3.0
+# What endpoints may say: limits, requests a second, and rests, seconds.
+_LIMITS = (0.0, 1.0, 1.4, 4.0, 8.0)
+_RESTS_S = (1.0, 2.0, 3.0)
 _FATAL_KINDS = (Kind.SAFE, Kind.AGAIN, Kind.LIVE, Kind.ONCE)
 
 
@@ -272,6 +276,8 @@
                 await self._roll_out(step)
             case Fault.HERD_KILL:
                 await self._kill_many(step)
+            case Fault.NAMES_LIMIT | Fault.SAYS_LEAVING | Fault.ASKS_FOR_REST:
+                await self._say(step)
 
     @asynccontextmanager
     async def _trouble(self, kind: str, relay: str) -> AsyncIterator[None]:
@@ -340,6 +346,31 @@
         await endpoint.stop()
         await self._platform.put(MEMBERS_TABLE, endpoint.name, None)
 
+    async def _say(self, step: Step) -> None:
+        """Let an endpoint say something of itself in its answers for a while.
+
+        One that leaves goes on in the list as ready until it is gone.
+        """
+        if not self._endpoints:
+            return
+        endpoint = self._pick(step)
+        match step.fault:
+            case Fault.NAMES_LIMIT:
+                endpoint.limit = _LIMITS[step.which % len(_LIMITS)]
+                await asyncio.sleep(step.seconds)
+                endpoint.limit = None
+            case Fault.ASKS_FOR_REST:
+                endpoint.rest = _RESTS_S[step.which % len(_RESTS_S)]
+                await asyncio.sleep(step.seconds)
+                endpoint.rest = 0.0
+            case Fault.SAYS_LEAVING:
+                endpoint.said_leaving = True
+                self._endpoints.remove(endpoint)
+                await self._add_endpoint(version=endpoint.version, bad=endpoint.bad)
+                await asyncio.sleep(step.seconds)
+                await endpoint.stop()
+                await self._platform.put(MEMBERS_TABLE, endpoint.name, None)
+
     async def _crash(self, step: Step) -> None:
         """Let an endpoint crash; its entry goes later."""
         if not self._endpoints:
--- a/tests/unit/soak/test_checks.py
+++ b/tests/unit/soak/test_checks.py
@@ -5,8 +5,6 @@
 import pytest
 
 from ebonydeal._internal.soak.checks import (
-    Limit,
-    Terms,
     check_all,
     config_never_back,
     drained,
@@ -28,6 +26,7 @@
     Trouble,
     event_count,
 )
+from ebonydeal._internal.soak.terms import Limit, Terms
 
 TERMS = Terms(
     drain=2.0,
