--- a/src/ebonydeal/_internal/soak/plan.py
+++ b/src/ebonydeal/_internal/soak/plan.py
@@ -61,7 +61,7 @@
 _HERD_SEED = 3_000_017
 # Faults of what endpoints say, as in `_LATER`. A limit is checked from some seconds on.
 _SAID: tuple[tuple[Fault, float, float, float], ...] = (
-    (Fault.NAMES_LIMIT, 5.0, 4.5, 7.0),
+    (Fault.NAMES_LIMIT, 2.0, 5.0, 8.0),
     (Fault.SAYS_LEAVING, 9.0, 2.5, 5.0),
     (Fault.ASKS_FOR_REST, 7.0, 1.0, 4.0),
 )
--- a/src/ebonydeal/_internal/soak/run.py
+++ b/src/ebonydeal/_internal/soak/run.py
@@ -86,7 +86,7 @@
 _BOOT_S = 0.4
 _VERDICT_S = 3.0
 # What endpoints may say: limits, requests a second, and rests, seconds.
-_LIMITS = (0.0, 1.0, 1.4, 4.0, 8.0)
+_LIMITS = (0.0, 0.3, 1.0, 1.4, 2.0)
 _RESTS_S = (1.0, 2.0, 3.0)
 _FATAL_KINDS = (Kind.SAFE, Kind.AGAIN, Kind.LIVE, Kind.ONCE)
 
