Permits and starts: a refusal without a time closes for a moment; what isn't in the store isn't granted

By reading the change: a granter that knows of a limit's end refuses without a time, and a relay that may not take the end yet asked again at once, as often as it could; and a new holder's part that was wanted while a renewal was under way counted as written, and was lost.

--- a/src/ebonydeal/_internal/relay/limits/permits.py
+++ b/src/ebonydeal/_internal/relay/limits/permits.py
@@ -16,6 +16,9 @@
 from ebonydeal._internal.routing.notices.notices import EndpointNotices, LimitWord
 from ebonydeal._internal.utils.clock import Clock
 
+# A granter that knows of the limit's end, which this relay can't be sure of yet, is
+# asked again so soon.
+_LEAST_WAIT_S = 0.1
 # Where nobody grants, nobody is asked again for so long.
 _NOBODY_WAIT_S = 1.0
 
@@ -104,5 +107,5 @@
             self._metrics.count(Event.ENDPOINT_PERMITS_GRANTED)
             return True
         self._metrics.count(Event.ENDPOINT_PERMITS_REFUSED)
-        self._empty[process] = (limit, now + wait)
+        self._empty[process] = (limit, now + max(wait, _LEAST_WAIT_S))
         return False
--- a/src/ebonydeal/_internal/relay/limits/registry_store.py
+++ b/src/ebonydeal/_internal/relay/limits/registry_store.py
@@ -58,7 +58,7 @@
         self._lease = lease
         self._clock = clock
         self._alive = alive
-        self._writing = False
+        self._writing = self._writing_startup = False
 
     @property
     def known(self) -> bool:
@@ -71,7 +71,7 @@
 
     def changes(self) -> list[RowChange]:
         """Return the write of names that have changed, if any."""
-        self._writing = False
+        self._writing = self._writing_startup = False
         if not self.known:
             return []
         return [*self._startup_changes(), *self._names_changes()]
@@ -80,6 +80,7 @@
         startup = self._granter.startup
         if not startup.wanted:
             return []
+        self._writing_startup = True
         begun = startup.writes(self._clock.now(), self._store.ahead)
         return [RowChange(SHARES_TABLE, _STARTUP_KEY, json.dumps(begun).encode())]
 
@@ -93,7 +94,7 @@
 
     def wrote(self) -> None:
         """Note that the last changes lie in the store."""
-        if self._granter.startup.wanted:
+        if self._writing_startup:
             self._granter.startup.wrote()
             logger.info("Granting before shares are there.", fence=self._lease.fence)
         if self._writing:
