--- a/src/ebonydeal/_internal/gateway/wiring.py
+++ b/src/ebonydeal/_internal/gateway/wiring.py
@@ -204,6 +204,9 @@
     def cache_events(endpoint_id: str, events: list[CacheEvent]) -> None:
         router.cache_events(endpoint_id, events, clock.wall())
 
+    def rests(endpoint_id: str, seconds: float) -> None:
+        router.rests(endpoint_id, seconds, clock.wall())
+
     watch = WatchSet(
         Member(node.id, place),
         gateways,
@@ -214,6 +217,7 @@
     )
     directory.set_watch(watch.watches)
     directory.on_cache_events(cache_events)
+    parts.clients.engine.on_rest = parts.clients.services.on_rest = rests
     directory.on_change(lambda _change: watch.refresh())
     return _Routing(RouterRoutes(router, directory, place, watch.watches), watch)
 
--- a/src/ebonydeal/_internal/journal/picker.py
+++ b/src/ebonydeal/_internal/journal/picker.py
@@ -130,6 +130,10 @@
         if chosen is not None:
             self._router.sent(*chosen, self._clock.wall())
 
+    def rests(self, endpoint_id: str, seconds: float) -> None:
+        """Learn for how long an endpoint wants nothing."""
+        self._router.rests(endpoint_id, seconds, self._clock.wall())
+
     def finished(
         self, request: Request, view: EndpointView, error: ErrorKind | None
     ) -> None:
--- a/src/ebonydeal/_internal/journal/program.py
+++ b/src/ebonydeal/_internal/journal/program.py
@@ -166,10 +166,12 @@
         )
         join_peers(peers, follower, metrics)
         router = Router.from_config(settings["routing"], rng)
+        picker = RoutedPicker(
+            directory, router, place, clock, weights_from(lambda: follower.document)
+        )
+        platform.engine.on_rest = platform.services.on_rest = picker.rests
         dispatcher = Dispatcher(
-            RoutedPicker(
-                directory, router, place, clock, weights_from(lambda: follower.document)
-            ),
+            picker,
             platform.engine,
             platform.services,
             cfg=cfg,
--- a/src/ebonydeal/_internal/outside/engines.py
+++ b/src/ebonydeal/_internal/outside/engines.py
@@ -35,6 +35,7 @@
     tell_header,
     tell_load,
 )
+from ebonydeal._internal.outside.rests import RestListener, tell_rest
 from ebonydeal._internal.settings.sections import PlatformSettings
 
 _KV_TIMEOUT_S = 60.0
@@ -71,6 +72,8 @@
     def __init__(self, timeout: float, on_load: LoadListener | None = None) -> None:
         self._client = HttpClient(timeout)
         self.on_load = on_load
+        # Told for how long an endpoint that refuses wants nothing.
+        self.on_rest: RestListener | None = None
 
     @classmethod
     def from_config(
@@ -110,6 +113,7 @@
             headers={ATTEMPT_HEADER: attempt_id},
         ) as resp:
             tell_header(self.on_load, endpoint, resp.headers)
+            tell_rest(self.on_rest, endpoint, resp.status, resp.headers)
             await _check_accepted(resp)
             async with aclosing(self._chunks(endpoint, resp, order)) as chunks:
                 async for chunk in chunks:
--- a/src/ebonydeal/_internal/outside/services.py
+++ b/src/ebonydeal/_internal/outside/services.py
@@ -10,6 +10,7 @@
 )
 from ebonydeal._internal.outside.interfaces import ServiceAnswer
 from ebonydeal._internal.outside.loads import LoadListener, tell_header
+from ebonydeal._internal.outside.rests import RestListener, tell_rest
 from ebonydeal._internal.settings.sections import PlatformSettings
 
 _SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
@@ -48,6 +49,8 @@
         self._pooled = HttpClient(timeout)
         self._single = HttpClient(timeout, pooled=False)
         self.on_load = on_load
+        # Told for how long an endpoint that refuses wants nothing.
+        self.on_rest: RestListener | None = None
 
     @classmethod
     def from_config(
@@ -87,6 +90,7 @@
             data=body or None,
         )
         tell_header(self.on_load, endpoint, reply.headers)
+        tell_rest(self.on_rest, endpoint, reply.status, reply.headers)
         if reply.status == 503 and reply.headers.get(NOT_RUN_HEADER) == "1":
             raise EbonydealError(
                 ErrorKind.ENDPOINT_REFUSED, f"{endpoint.endpoint_id} refused"
--- a/src/ebonydeal/_internal/routing/placement/router.py
+++ b/src/ebonydeal/_internal/routing/placement/router.py
@@ -30,6 +30,8 @@
 _SHOWN_ALTERNATIVES = 3
 _ASSUMED_SLOTS = 16.0
 _LEAST_BLOCKS = 256
+# A longer rest counts as this: one by mistake would take an endpoint out for good.
+_MOST_REST_S = 3600.0
 
 
 class Router:
@@ -53,6 +55,8 @@
         self._outliers = Outliers(cfg, rng)
         self._limits: dict[str, ConcurrencyLimit] = {}
         self._incarnations: dict[str, int] = {}
+        # Until when endpoints want nothing.
+        self._rests: dict[str, float] = {}
 
     @classmethod
     def from_config(cls, cfg: RoutingSettings, rng: Random) -> "Router":
@@ -163,6 +167,12 @@
         if kind is ErrorKind.ENDPOINT_REFUSED:
             self._limit(endpoint_id).refused(now)
 
+    def rests(self, endpoint_id: str, seconds: float, now: float) -> None:
+        """Note for how long an endpoint wants nothing; the latest end holds."""
+        until = now + min(seconds, _MOST_REST_S)
+        self._rests = {name: at for name, at in self._rests.items() if at > now}
+        self._rests[endpoint_id] = max(until, self._rests.get(endpoint_id, until))
+
     def capacity(self, views: Iterable[EndpointView]) -> int:
         """Return how many requests this gateway may have in flight at ``views``.
 
@@ -182,6 +192,7 @@
         self._sent.pop(endpoint_id, None)
         self._limits.pop(endpoint_id, None)
         self._incarnations.pop(endpoint_id, None)
+        self._rests.pop(endpoint_id, None)
         self._outliers.forget(endpoint_id)
 
     def keep(self, endpoint_ids: Iterable[str]) -> None:
@@ -208,6 +219,7 @@
         able = tuple(view for view in views if _is_usable(ask, view))
         for view in able:
             self._notice_incarnation(view)
+        able = tuple(v for v in able if self._rests.get(v.endpoint_id, now) <= now)
         allowed = self._outliers.allowed(able, now)
         below = tuple(view for view in allowed if self._is_below_limit(view))
         # Admission holds the sum of limits; a single one only steers.
--- a/src/ebonydeal/_internal/standin/endpoint.py
+++ b/src/ebonydeal/_internal/standin/endpoint.py
@@ -55,11 +55,14 @@
         Fault of every attempt that has none planned.
     slow : float
         Factor on all times.
+    rest : float
+        Seconds of rest that a refusal asks for; 0 for none.
     """
 
     next: deque[PlannedFault] = field(default_factory=deque)
     always: PlannedFault | None = None
     slow: float = 1.0
+    rest: float = 0.0
 
     def take(self) -> PlannedFault:
         """Return the fault of the next attempt, using it up."""
@@ -76,6 +79,7 @@
             fault = EndpointFault(message["always"])
             self.always = PlannedFault(fault, int(message.get("after", 0)))
         self.slow = float(message.get("slow", self.slow))
+        self.rest = float(message.get("rest", self.rest))
 
 
 def not_run(reason: str, headers: dict[str, str]) -> web.Response:
@@ -160,6 +164,13 @@
         """Return the header that carries the load."""
         return {LOAD_HEADER: json.dumps(self.load().to_message())}
 
+    def refusal_headers(self) -> dict[str, str]:
+        """Return the headers of a refusal before running."""
+        headers = self.load_headers()
+        if self.faults.rest > 0.0:
+            headers["Retry-After"] = f"{self.faults.rest:g}"
+        return headers
+
     async def nap(self, seconds: float) -> None:
         """Wait as long as work of ``seconds`` takes at present."""
         await self.clock.sleep(seconds * self.faults.slow)
--- a/src/ebonydeal/_internal/standin/engine.py
+++ b/src/ebonydeal/_internal/standin/engine.py
@@ -110,7 +110,7 @@
         reason = self._refusal(attempt, fault.fault)
         self._note_arrival(attempt, reason)
         if reason:
-            return not_run(reason, self.load_headers())
+            return not_run(reason, self.refusal_headers())
         if fault.fault is EndpointFault.ERROR:
             return web.json_response({}, status=500)
         if fault.fault is EndpointFault.BREAK_BEFORE:
--- a/src/ebonydeal/_internal/standin/service.py
+++ b/src/ebonydeal/_internal/standin/service.py
@@ -108,7 +108,7 @@
             reason = "refused"
         entry = self._note_arrival(req, body, reason)
         if reason:
-            return not_run(reason, self.load_headers())
+            return not_run(reason, self.refusal_headers())
         if fault is EndpointFault.ERROR:
             return web.json_response({}, status=500)
         if fault is EndpointFault.BREAK_BEFORE:
--- a/tests/functional/outside/test_services.py
+++ b/tests/functional/outside/test_services.py
@@ -1,8 +1,10 @@
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.outside.rests import REST_HEADER, tell_rest
 from ebonydeal._internal.outside.services import HttpPlainServices
 from ebonydeal._internal.standin.endpoint import EndpointFault, PlannedFault
 from ebonydeal._internal.standin.service import ServiceSpec
@@ -103,3 +105,26 @@
                 await call(client, server)
             assert caught.value.kind is ErrorKind.CONNECT_FAILED
             await client.close()
+
+
+class TestRest:
+    @pytest.mark.parametrize(("rest", "told"), [(2.5, [2.5]), (0.0, [])])
+    async def test_that_a_refusal_asks_for_is_told(self, rest, told):
+        async with running(service()) as server:
+            client, heard = HttpPlainServices(2.0), []
+            client.on_rest = lambda name, seconds: heard.append((name, seconds))
+            server.faults.rest = rest
+            server.faults.next.append(PlannedFault(EndpointFault.REFUSE))
+            with pytest.raises(EbonydealError):
+                await call(client, server)
+            assert [seconds for _name, seconds in heard] == told
+            await call(client, server, attempt="a-2")
+            assert len(heard) == len(told)
+            await client.close()
+
+    @pytest.mark.parametrize("said", ["", "soon", "-1", "nan", "1e999"])
+    def test_that_cant_be_read_is_none(self, said):
+        heard = []
+        endpoint = SimpleNamespace(endpoint_id="i1")
+        tell_rest(lambda *rest: heard.append(rest), endpoint, 503, {REST_HEADER: said})
+        assert heard == []
--- a/tests/unit/routing/placement/test_router.py
+++ b/tests/unit/routing/placement/test_router.py
@@ -128,3 +128,30 @@
         # The wait is believed less as it grows old.
         much_later = router.choose(make_ask("s"), views, NOW + 120.0)
         assert much_later.endpoint.endpoint_id == "a"
+
+
+class TestRest:
+    def test_an_endpoint_gets_nothing_meanwhile(self):
+        router, views = make_router(), (make_view("a"), make_view("b"))
+        router.rests("a", 3.0, NOW)
+        for second in (0.0, 1.0, 2.9):
+            choice = router.choose(make_ask(), views, NOW + second)
+            assert choice.endpoint.endpoint_id == "b"
+        assert router.choose(make_ask(), views[:1], NOW + 3.0) is not None
+
+    def test_of_all_leaves_none_to_choose(self):
+        router = make_router()
+        router.rests("a", 3.0, NOW)
+        assert router.choose(make_ask(), (make_view("a"),), NOW + 1.0) is None
+
+    def test_of_several_the_latest_end_holds(self):
+        router = make_router()
+        router.rests("a", 3.0, NOW)
+        router.rests("a", 1.0, NOW + 1.0)
+        assert router.choose(make_ask(), (make_view("a"),), NOW + 2.5) is None
+
+    def test_ends_with_the_incarnation(self):
+        router = make_router()
+        router.rests("a", 3.0, NOW)
+        router.forget("a")
+        assert router.choose(make_ask(), (make_view("a"),), NOW) is not None
