--- a/src/ebonydeal/_internal/routing/limits/quota_bounds.py
+++ b/src/ebonydeal/_internal/routing/limits/quota_bounds.py
@@ -13,8 +13,8 @@
 # Parts of what is tolerated beyond a limit.
 _DEBT_PART = 0.2
 _IN_ADVANCE_PART = 0.1
-_STANDBY_PART = 0.24
-_STARTUP_PART = 0.35
+_STANDBY_PART = 0.42
+_STARTUP_PART = 0.17
 # Part of a burst that a stand-in has as well: a holder that is lost loses no more.
 _STANDBY_BURST = 0.45
 _LATE_PART = 0.1
