--- a/src/ebonydeal/_internal/relay/duties/coordinator.py
+++ b/src/ebonydeal/_internal/relay/duties/coordinator.py
@@ -44,7 +44,7 @@
 from ebonydeal._internal.routing.duties.usage_ledger import Due, UsageLedger
 from ebonydeal._internal.routing.limits.quota_bounds import QuotaBounds
 from ebonydeal._internal.routing.limits.quota_broker import QuotaTerms
-from ebonydeal._internal.routing.notices.notices import LimitWord
+from ebonydeal._internal.routing.notices.notices import LimitReport
 from ebonydeal._internal.settings.policy import PolicySettings
 from ebonydeal._internal.settings.relay import RelaySettings
 from ebonydeal._internal.utils.clock import Clock
@@ -348,15 +348,15 @@
         """Take the limits of endpoints that a relay heard of; return all known."""
         notices, now = self.granter.notices, self._parts.clock.now()
         # A relay of the release before tells of none.
-        for word in notices.take_words(message.get("notices", []), now):
+        for report in notices.take_limits(message.get("notices", []), now):
             logger.info(
                 "Endpoint's limit.",
-                endpoint=word.process.endpoint_id,
-                born=word.process.born,
-                limit=word.limit,
+                endpoint=report.process.endpoint_id,
+                born=report.process.born,
+                limit=report.limit,
                 source=message["node"],
             )
-        return [word.encode() for word in notices.limit_words(now)]
+        return [report.encode() for report in notices.limit_reports(now)]
 
     def _hear_leaving(self, message: ExchangeMessage) -> list[list]:
         """Take which endpoints told a relay that they leave; return all known."""
@@ -368,7 +368,7 @@
                 born=process.born,
                 source=message["node"],
             )
-        return notices.leaving_words(now)
+        return notices.leaving_reports(now)
 
     def _news_of(self, node: str) -> NewsMessage | None:
         """Return what a relay's list of endpoints lacks."""
@@ -465,7 +465,7 @@
 
     def permit(self, message: PermitMessage) -> PermitReply:
         """Grant one request to an endpoint that named a limit; raises WRONG_OWNER."""
-        return self.granter.permit(LimitWord.decode(message["word"]))
+        return self.granter.permit(LimitReport.decode(message["report"]))
 
     # --- usage -----------------------------------------------------------------
     @Service.task
--- a/src/ebonydeal/_internal/relay/limits/granter.py
+++ b/src/ebonydeal/_internal/relay/limits/granter.py
@@ -37,7 +37,7 @@
 )
 from ebonydeal._internal.routing.limits.shares import Delegations, ShareLease, Word
 from ebonydeal._internal.routing.limits.startup import StartupGrant
-from ebonydeal._internal.routing.notices.notices import EndpointNotices, LimitWord
+from ebonydeal._internal.routing.notices.notices import EndpointNotices, LimitReport
 from ebonydeal._internal.utils.clock import Clock
 
 # For so long shares are delegated to a stand-in: they are soon back with a coordinator,
@@ -349,28 +349,28 @@
         if self._known_share(now) < _FEW_SHARES and self.startup.want():
             self._lease.renew_soon(now)
 
-    def permit(self, word: LimitWord) -> PermitReply:
+    def permit(self, report: LimitReport) -> PermitReply:
         """Grant one request to an endpoint that named a limit, or say when to ask.
 
         Raises WRONG_OWNER where this relay has nothing to grant from.
         """
         now = self._clock.now()
-        self.notices.told_limit(word, now)
-        process = word.process
-        known = self.notices.limit_word(process, now)
+        self.notices.take_limit(report, now)
+        process = report.process
+        known = self.notices.limit_report(process, now)
         told = None if known is None else known.encode()
         limit = self.notices.limit(process, now)
         if limit is None:
-            return PermitReply(granted=False, wait=0.0, word=told)
+            return PermitReply(granted=False, wait=0.0, report=told)
         self._worked_out = None
         account = limit_account(process, limit)
         got = self.permits.grant(account, 1.0, now)
         if got.amount >= 1.0:
-            return PermitReply(granted=True, wait=0.0, word=told)
+            return PermitReply(granted=True, wait=0.0, report=told)
         if self._known_share(now) <= 0.0:
             raise EbonydealError(ErrorKind.WRONG_OWNER, "no share to grant from")
         turn = self._turn(account, process, now, got.wait or _MOST_TURN_S)
-        return PermitReply(granted=False, wait=turn, word=told)
+        return PermitReply(granted=False, wait=turn, report=told)
 
     def _turn(
         self, account: ForwardAccount, process: Process, now: float, wait: float
--- a/src/ebonydeal/_internal/relay/limits/link.py
+++ b/src/ebonydeal/_internal/relay/limits/link.py
@@ -29,7 +29,7 @@
 from ebonydeal._internal.relay.peers.messages import GRANT, GrantMessage, GrantReply
 from ebonydeal._internal.routing.limits.quota_broker import Balances, Grant
 from ebonydeal._internal.routing.limits.shares import Word
-from ebonydeal._internal.routing.notices.notices import LimitWord
+from ebonydeal._internal.routing.notices.notices import LimitReport
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.peerclient import PeerClient
 
@@ -408,12 +408,12 @@
             return None
         return self._counted(_grant(reply), Event.ADMITTED_BY_STAND_IN)
 
-    async def permit(self, word: LimitWord) -> PermitReply:
+    async def permit(self, report: LimitReport) -> PermitReply:
         """Ask to send to an endpoint that named a limit.
 
         Raises WRONG_OWNER where nobody has a share to grant from.
         """
-        message = PermitMessage(word=word.encode())
+        message = PermitMessage(report=report.encode())
         now = self._clock.now()
         coordinator = self.coordinator
         if coordinator is not None and self.in_touch and self._is_due("", now):
@@ -428,7 +428,7 @@
                 return reply
             except EbonydealError as exc:
                 self._no_permit(address, exc)
-        return self._granter.permit(word)
+        return self._granter.permit(report)
 
     def _no_permit(self, address: str, error: EbonydealError) -> None:
         """Note who doesn't grant permits; empty for the coordinator."""
--- a/src/ebonydeal/_internal/relay/limits/messages.py
+++ b/src/ebonydeal/_internal/relay/limits/messages.py
@@ -78,18 +78,18 @@
 class PermitMessage(TypedDict):
     """A relay asks to send one request to an endpoint that named a limit.
 
-    ``word`` is what it knows of the limit, as `LimitWord` is written.
+    ``report`` is what it knows of the limit, as `LimitReport` is written.
     """
 
-    word: list
+    report: list
 
 
 class PermitReply(TypedDict):
     """Whether it may, or seconds until it may ask again.
 
-    ``word`` is what the granter knows of the limit.
+    ``report`` is what the granter knows of the limit.
     """
 
     granted: bool
     wait: float
-    word: list | None
+    report: list | None
--- a/src/ebonydeal/_internal/relay/limits/permits.py
+++ b/src/ebonydeal/_internal/relay/limits/permits.py
@@ -13,7 +13,7 @@
     ENDPOINT_BOUNDS,
     limit_account,
 )
-from ebonydeal._internal.routing.notices.notices import EndpointNotices, LimitWord
+from ebonydeal._internal.routing.notices.notices import EndpointNotices, LimitReport
 from ebonydeal._internal.utils.clock import Clock
 
 # A granter that knows of the limit's end, which this relay can't be sure of yet, is
@@ -26,7 +26,7 @@
 class PermitPort(Protocol):
     """Where permits come from."""
 
-    async def permit(self, word: LimitWord) -> PermitReply:
+    async def permit(self, report: LimitReport) -> PermitReply:
         """Ask for one request; raises EbonydealError where nobody grants."""
 
 
@@ -86,18 +86,18 @@
         if self._notices.rest(process, asked_at):
             return False
         limit = self._notices.limit(process, asked_at)
-        word = self._notices.limit_word(process, asked_at)
-        if limit is None or word is None:
+        report = self._notices.limit_report(process, asked_at)
+        if limit is None or report is None:
             return True
         wait = _NOBODY_WAIT_S
         try:
-            reply = await self._port.permit(word)
+            reply = await self._port.permit(report)
         except EbonydealError:
             granted = False
         else:
             granted, wait = reply["granted"], reply["wait"]
-            if reply["word"] is not None:
-                self._notices.take_words([reply["word"]], asked_at)
+            if reply["report"] is not None:
+                self._notices.take_limits([reply["report"]], asked_at)
         now = self._clock.now()
         if self._notices.limit(process, now) is None:
             return True
--- a/src/ebonydeal/_internal/relay/peers/messages.py
+++ b/src/ebonydeal/_internal/relay/peers/messages.py
@@ -35,7 +35,7 @@
     told. ``crashes`` is what it remembers of crashes, None where the coordinator's last
     mark of that was its own ``crashes_mark``. ``rollouts`` by service: what it counted
     of each roll-out. ``limits`` is of its share of client accounts' limits.
-    ``notices`` are the endpoints' limits that it heard of itself, as `LimitWord`s,
+    ``notices`` are the endpoints' limits that it heard of itself, as `LimitReport`s,
     ``said_leaving`` those that said that they leave: id, start, seconds since then.
     """
 
@@ -91,7 +91,7 @@
     ``fresh`` says that the coordinator hears the store; ``news`` is None without
     any. ``crashes`` is None where the word's mark is ``crashes_mark``. ``rollouts`` is
     None where the coordinator doesn't decide now. ``limits`` is None where it isn't the
-    holder of the lease. ``notices`` are all endpoints' limits, as `LimitWord`s.
+    holder of the lease. ``notices`` are all endpoints' limits, as `LimitReport`s.
     ``said_leaving`` as in the message.
     """
 
--- a/src/ebonydeal/_internal/relay/peers/word.py
+++ b/src/ebonydeal/_internal/relay/peers/word.py
@@ -87,8 +87,8 @@
             crashes=parts.suspects.word(),
             rollouts=parts.split.tallies(now),
             limits=parts.limits.word(),
-            notices=[w.encode() for w in parts.notices.limit_words(now, own=True)],
-            said_leaving=parts.notices.leaving_words(now),
+            notices=[w.encode() for w in parts.notices.limit_reports(now, own=True)],
+            said_leaving=parts.notices.leaving_reports(now),
         )
 
     def heard(self, reply: ExchangeReply, asked_at: float) -> bool:
@@ -115,7 +115,7 @@
             parts.limits.heard_before_shares(reply["grants"], asked_at)
         mark, crashes = reply.get("crashes_mark", ""), reply.get("crashes")
         parts.suspects.heard_from(mark, crashes, "coordinator")
-        parts.notices.take_words(reply.get("notices", []), asked_at)
+        parts.notices.take_limits(reply.get("notices", []), asked_at)
         parts.notices.take_leaving(reply.get("said_leaving", []), asked_at)
         behind = reply["members"] > parts.view.last_change
         rollouts = reply.get("rollouts")
--- a/src/ebonydeal/_internal/relay/requests/notices.py
+++ b/src/ebonydeal/_internal/relay/requests/notices.py
@@ -50,7 +50,7 @@
             )
 
     def _leaves(self, member: Member) -> None:
-        """Take an answer's word that its endpoint leaves."""
+        """Note that an endpoint says that it leaves."""
         if self.notices.heard_leaving(member.process, self._clock.now()):
             self._metrics.count(Event.ENDPOINTS_SAID_LEAVING)
             logger.info(
--- a/src/ebonydeal/_internal/routing/notices/notices.py
+++ b/src/ebonydeal/_internal/routing/notices/notices.py
@@ -2,8 +2,8 @@
 
 A limit holds from the answer that names it until an answer without it, to a request
 that was sent after the limit was last heard of: an answer may be older than it looks.
-What other relays heard counts as well; the latest word, by when it was heard, is taken,
-and of a limit that rises the lower one holds on for a while.
+What other relays report counts as well: the latest, by when it was heard, is taken, and
+of a limit that rises the lower one holds on for a while.
 """
 
 from collections.abc import Callable, Iterable
@@ -14,12 +14,12 @@
 
 # For so long after a limit rose, or ended, the one before is told to others, or holds.
 _WINDOW_S = 4.0
-# A relay's word takes so long at most. The end of a limit that another relay tells of
-# counts as that much older: one named meanwhile goes before it.
+# A report takes so long at most. The end of a limit that another relay reports counts
+# as that much older: one named meanwhile goes before it.
 _TOLD_WITHIN_S = 0.5
 # A longer rest counts as this: one by mistake would take the endpoint out for good.
 _MOST_REST_S = 3600.0
-# For so long a process's word that it leaves is told to others: by then the list has
+# For so long relays report that a process said that it leaves: by then the list has
 # it, or the process is gone.
 _LEAVING_TOLD_S = 30.0
 # Processes that are remembered, those that were heard of longest ago go first.
@@ -27,8 +27,8 @@
 _NEVER = float("-inf")
 
 
-class LimitWord(NamedTuple):
-    """What a process said of its limit, as relays tell each other.
+class LimitReport(NamedTuple):
+    """What a process said of its limit, as relays report it to each other.
 
     ``limit`` is in requests a second, None for none any more; ``age`` are the seconds
     since it was heard.
@@ -43,9 +43,9 @@
         return [*self.process, self.limit, round(self.age, 3)]
 
     @classmethod
-    def decode(cls, word: list) -> "LimitWord":
+    def decode(cls, message: list) -> "LimitReport":
         """Build from another relay's JSON; raises ValueError or TypeError."""
-        endpoint_id, born, limit, age = word
+        endpoint_id, born, limit, age = message
         return cls(
             Process(str(endpoint_id), int(born)),
             None if limit is None else max(0.0, float(limit)),
@@ -55,7 +55,7 @@
 
 @dataclass
 class _Limit:
-    """A process's limit: the latest word, when it was heard, and by whom."""
+    """A process's limit as last heard, when that was, and whether by this relay."""
 
     limit: float | None
     at: float
@@ -93,7 +93,7 @@
 
     # --- leaving -------------------------------------------------------------
     def heard_leaving(self, process: Process, at: float) -> bool:
-        """Take an answer's word that its process leaves; return if that is news.
+        """Note that a process says that it leaves; return if that is news.
 
         It doesn't come back: a process that stays after all starts anew.
         """
@@ -109,7 +109,7 @@
         """Return when a process said that it leaves; None if it didn't."""
         return self._leaving.get(process)
 
-    def leaving_words(self, now: float) -> list[list]:
+    def leaving_reports(self, now: float) -> list[list]:
         """Return what other relays are told, by id, start and seconds since then."""
         return [
             [*process, round(now - at, 3)]
@@ -117,10 +117,10 @@
             if now - at <= _LEAVING_TOLD_S
         ]
 
-    def take_leaving(self, words: Iterable[list], now: float) -> list[Process]:
+    def take_leaving(self, messages: Iterable[list], now: float) -> list[Process]:
         """Take what another relay heard; return what is news."""
         news = []
-        for endpoint_id, born, age in words:
+        for endpoint_id, born, age in messages:
             process = Process(str(endpoint_id), int(born))
             if self.heard_leaving(process, now - max(0.0, float(age))):
                 news.append(process)
@@ -140,12 +140,12 @@
         at = sent_at if limit is None else now
         return self._take(process, limit, at, True, now)
 
-    def told_limit(self, word: LimitWord, now: float) -> bool:
+    def take_limit(self, report: LimitReport, now: float) -> bool:
         """Take what another relay heard; return if that is news."""
-        at = now - word.age
-        if word.limit is None:
+        at = now - report.age
+        if report.limit is None:
             at -= _TOLD_WITHIN_S
-        return self._take(word.process, word.limit, at, False, now)
+        return self._take(report.process, report.limit, at, False, now)
 
     def _take(
         self, process: Process, limit: float | None, at: float, own: bool, now: float
@@ -159,7 +159,7 @@
             return False
         if known.own and not own and limit == known.limit:
             if at < known.at + _TOLD_WITHIN_S:
-                # It may be this relay's own word, told back.
+                # It may be this relay's own report, sent back.
                 return False
         changes = limit != known.limit
         if known.limit is not None and limit is not None and limit > known.limit:
@@ -196,27 +196,27 @@
         limits = {process: self.limit(process, now) for process in self._limits}
         return {p: limit for p, limit in limits.items() if limit is not None}
 
-    def limit_word(self, process: Process, now: float) -> LimitWord | None:
+    def limit_report(self, process: Process, now: float) -> LimitReport | None:
         """Return what is known of a process's limit."""
         known = self._limits.get(process)
         if known is None:
             return None
-        return LimitWord(process, known.limit, now - known.at)
+        return LimitReport(process, known.limit, now - known.at)
 
-    def limit_words(self, now: float, own: bool = False) -> list[LimitWord]:
+    def limit_reports(self, now: float, own: bool = False) -> list[LimitReport]:
         """Return what other relays are told; with ``own`` what was heard here alone.
 
         What others told is told on by the coordinator only: else it would seem newer
         each time.
         """
         return [
-            LimitWord(process, known.limit, now - known.at)
+            LimitReport(process, known.limit, now - known.at)
             for process, known in self._limits.items()
             if (known.own or not own)
             and (known.limit is not None or now - known.at <= _WINDOW_S)
         ]
 
-    def take_words(self, words: Iterable[list], now: float) -> list[LimitWord]:
-        """Take what another relay tells; return what is news."""
-        decoded = [LimitWord.decode(word) for word in words]
-        return [word for word in decoded if self.told_limit(word, now)]
+    def take_limits(self, messages: Iterable[list], now: float) -> list[LimitReport]:
+        """Take what another relay reports; return what is news."""
+        reports = [LimitReport.decode(message) for message in messages]
+        return [report for report in reports if self.take_limit(report, now)]
--- a/tests/functional/relay/test_news.py
+++ b/tests/functional/relay/test_news.py
@@ -27,6 +27,9 @@
 
     def __getattr__(self, name):
         call = getattr(self._store, name)
+        if not callable(call):
+            # Its clock.
+            return call
 
         async def through(*args):
             if name == "changes" and args[0] == "op":
--- a/tests/lib/endpoint_limit_model.py
+++ b/tests/lib/endpoint_limit_model.py
@@ -50,9 +50,9 @@
             if relay.notices.limit(ENDPOINT, now) is not None:
                 break
             self._arrive(name, relay)
-        while (word := relay.notices.limit_word(ENDPOINT, now)) is not None:
+        while (report := relay.notices.limit_report(ENDPOINT, now)) is not None:
             try:
-                if not relay.granter.permit(word)["granted"]:
+                if not relay.granter.permit(report)["granted"]:
                     break
             except EbonydealError:
                 break
--- a/tests/lib/shares_model.py
+++ b/tests/lib/shares_model.py
@@ -126,7 +126,7 @@
 
     def notices_of(self, own=False):
         now = self.model.clock.now()
-        return [word.encode() for word in self.notices.limit_words(now, own)]
+        return [word.encode() for word in self.notices.limit_reports(now, own)]
 
     # --- words ---------------------------------------------------------------
     def tell(self):
@@ -146,7 +146,7 @@
                 self.last_ok = now
                 self.lease.wanted = not holder.lease.holds(now)
                 self.link.heard(reply, now)
-                self.notices.take_words(holder.notices_of(), now)
+                self.notices.take_limits(holder.notices_of(), now)
                 self._take_back()
                 return
         if now - self.last_ok > PACE.lost_after:
@@ -192,7 +192,7 @@
         word = relay.link.word()
         reply = self.granter.hear(relay.name, relay.incarnation, word, PACE.patience)
         account = self.model.account
-        self.notices.take_words(relay.notices_of(own=True), now)
+        self.notices.take_limits(relay.notices_of(own=True), now)
         left = relay.link.balances.left(account.name, now)
         reply["grants"] = self.granter.advances({account.name: [account.rate, left]})
         if self.granter.decides:
--- a/tests/unit/relay/test_endpoint_permits.py
+++ b/tests/unit/relay/test_endpoint_permits.py
@@ -18,10 +18,10 @@
 
     def __init__(self, clock):
         self.clock, self.asked = clock, 0
-        self.reply = {"granted": True, "wait": 0.0, "word": None}
+        self.reply = {"granted": True, "wait": 0.0, "report": None}
         self.lasts, self.error = 0.0, None
 
-    async def permit(self, _word):
+    async def permit(self, _report):
         self.asked += 1
         self.clock._now += self.lasts
         if self.error is not None:
@@ -61,18 +61,18 @@
         assert port.asked == 2
 
     async def test_a_refusal_closes_it_until_its_turn(self, permits, port, clock):
-        port.reply = {"granted": False, "wait": 2.0, "word": None}
+        port.reply = {"granted": False, "wait": 2.0, "report": None}
         assert not await permits.take(MEMBER)
         assert permits.wait(MEMBER, 101.0) == 1.0
         assert permits.wait(MEMBER, 102.0) == 0.0
 
     async def test_a_refusal_without_a_time_closes_it_for_a_moment(self, permits, port):
-        port.reply = {"granted": False, "wait": 0.0, "word": None}
+        port.reply = {"granted": False, "wait": 0.0, "report": None}
         assert not await permits.take(MEMBER)
         assert permits.wait(MEMBER, 100.0) > 0.0
 
     async def test_another_limit_opens_it_at_once(self, permits, port, notices):
-        port.reply = {"granted": False, "wait": 9.0, "word": None}
+        port.reply = {"granted": False, "wait": 9.0, "report": None}
         await permits.take(MEMBER)
         notices.heard_limit(MEMBER.process, 0.5, 100.0, 100.1)
         assert permits.wait(MEMBER, 100.2) == 0.0
@@ -90,7 +90,7 @@
         self, permits, port, clock
     ):
         clock._now = 110.0
-        port.reply = {"granted": False, "wait": 0.0, "word": ["i1", 0, None, 0.2]}
+        port.reply = {"granted": False, "wait": 0.0, "report": ["i1", 0, None, 0.2]}
         assert await permits.take(MEMBER)
 
 
--- a/tests/unit/routing/notices/test_notices.py
+++ b/tests/unit/routing/notices/test_notices.py
@@ -1,7 +1,7 @@
 import pytest
 
 from ebonydeal._internal.models.forwarding import Process
-from ebonydeal._internal.routing.notices.notices import EndpointNotices, LimitWord
+from ebonydeal._internal.routing.notices.notices import EndpointNotices, LimitReport
 
 ONE, AGAIN = Process("i1", 5), Process("i1", 9)
 
@@ -55,30 +55,30 @@
 
 class TestOthersWord:
     def test_is_taken_where_it_is_later(self, notices):
-        assert notices.told_limit(LimitWord(ONE, 1.0, 0.5), 101.0)
-        assert not notices.told_limit(LimitWord(ONE, 7.0, 5.0), 102.0)
+        assert notices.take_limit(LimitReport(ONE, 1.0, 0.5), 101.0)
+        assert not notices.take_limit(LimitReport(ONE, 7.0, 5.0), 102.0)
         assert notices.limit(ONE, 102.0) == 1.0
 
     def test_of_an_end_counts_as_older_than_it_says(self, notices):
         # It may have been on its way for so long.
-        assert not notices.told_limit(LimitWord(ONE, None, 0.6), 101.0)
-        assert notices.told_limit(LimitWord(ONE, None, 0.4), 101.0)
+        assert not notices.take_limit(LimitReport(ONE, None, 0.6), 101.0)
+        assert notices.take_limit(LimitReport(ONE, None, 0.4), 101.0)
         assert notices.limit(ONE, 101.0) is None
 
     def test_isnt_told_on_but_by_the_coordinator(self, notices):
-        notices.told_limit(LimitWord(AGAIN, 1.0, 0.0), 101.0)
-        assert [w.process for w in notices.limit_words(101.0, own=True)] == [ONE]
-        assert len(notices.limit_words(101.0)) == 2
+        notices.take_limit(LimitReport(AGAIN, 1.0, 0.0), 101.0)
+        assert [w.process for w in notices.limit_reports(101.0, own=True)] == [ONE]
+        assert len(notices.limit_reports(101.0)) == 2
 
     def test_is_read_as_it_was_written(self, notices):
-        words = [word.encode() for word in notices.limit_words(100.5)]
+        words = [word.encode() for word in notices.limit_reports(100.5)]
         other = EndpointNotices()
-        assert other.take_words(words, 50.0) == [LimitWord(ONE, 2.0, 0.5)]
+        assert other.take_limits(words, 50.0) == [LimitReport(ONE, 2.0, 0.5)]
 
     @pytest.mark.parametrize("word", [["i1"], ["i1", "x", 1.0, 0.0], [1, 2, "", 3]])
     def test_that_cant_be_read_is_an_error_of_its_sender(self, notices, word):
         with pytest.raises((ValueError, TypeError)):
-            notices.take_words([word], 100.0)
+            notices.take_limits([word], 100.0)
 
 
 class TestLeaving:
@@ -92,15 +92,15 @@
         told = []
         other.on_leaving = told.append
         notices.heard_leaving(ONE, 100.0)
-        assert other.take_leaving(notices.leaving_words(101.0), 51.0) == [ONE]
-        assert other.take_leaving(notices.leaving_words(101.5), 51.5) == []
+        assert other.take_leaving(notices.leaving_reports(101.0), 51.0) == [ONE]
+        assert other.take_leaving(notices.leaving_reports(101.5), 51.5) == []
         assert told == [ONE]
         assert other.leaving_since(ONE) == pytest.approx(50.0)
         assert other.leaving_since(AGAIN) is None
 
     def test_is_told_until_the_list_has_it_for_sure(self, notices):
         notices.heard_leaving(ONE, 100.0)
-        assert notices.leaving_words(131.0) == []
+        assert notices.leaving_reports(131.0) == []
         assert notices.leaving_since(ONE) == 100.0
 
 
