A process's own word doesn't make an older leaving look new

By reading the change: an endpoint that was listed as leaving when it was first seen has no known time of that; its own word, heard later, set one, and it could have got requests for 1.3 s more where no other was left. The test fails before (it is offered).

--- a/src/ebonydeal/_internal/relay/view/view.py
+++ b/src/ebonydeal/_internal/relay/view/view.py
@@ -219,9 +219,9 @@
         if known is not None and known.revision >= member.revision:
             self._lapsed.pop(member.endpoint_id, None)
             return
-        said_at = self.said_leaving(member.process)
+        # When it said so itself: the list may be late to tell it, or have an older word.
+        said_at = None if member.leaving else self.said_leaving(member.process)
         if said_at is not None:
-            # The list may be late to tell it, or have an older word.
             member = member._replace(leaving=True)
         left = self._left.get(member.endpoint_id, _NEVER_LEFT)
         if left.version >= member.revision:
@@ -264,12 +264,14 @@
         since = self.said_leaving(process)
         if known is None or known.process != process or since is None:
             return
+        before = self._leaving_since.get(process.endpoint_id)
         if not known.leaving:
             self.members[process.endpoint_id] = known._replace(leaving=True)
-        # Of the list's word and its own the earlier one counts.
-        before = self._leaving_since.get(process.endpoint_id, since)
-        self._leaving_since[process.endpoint_id] = min(before, since)
-        self._note_change(process.endpoint_id)
+            self._leaving_since[process.endpoint_id] = since
+            self._note_change(process.endpoint_id)
+        elif before is not None:
+            # Of the list's word and its own the earlier one counts.
+            self._leaving_since[process.endpoint_id] = min(before, since)
 
     def withhold(self, endpoint_id: str, version: int) -> None:
         """Give an endpoint no new work until its entry can be read again."""
--- a/tests/unit/relay/view/test_view.py
+++ b/tests/unit/relay/view/test_view.py
@@ -287,6 +287,14 @@
         view.leaves(member().process)
         assert view.leaving_age("i1", 10.5) == 1.0
 
+    def test_one_whose_leaving_is_of_unknown_age_gets_nothing(self, view, said):
+        view.put(member("i2", leaving=True))
+        said[member("i2").process] = 10.0
+        view.leaves(member("i2").process)
+        assert not view.leaving_of("s", 10.1)
+        view.put(member("i2", revision=2, leaving=True))
+        assert not view.leaving_of("s", 10.1)
+
     def test_it_counts_also_before_it_is_listed(self, view, said):
         said[member("i2").process] = 10.0
         view.leaves(member("i2").process)
