--- a/src/ebonydeal/_internal/relay/view/view.py
+++ b/src/ebonydeal/_internal/relay/view/view.py
@@ -219,7 +219,7 @@
         if known is not None and known.revision >= member.revision:
             self._lapsed.pop(member.endpoint_id, None)
             return
-        # When it said so itself: the list may be late to tell it, or have an older word.
+        # When it said so itself: the list may be late to tell it, or be older.
         said_at = None if member.leaving else self.said_leaving(member.process)
         if said_at is not None:
             member = member._replace(leaving=True)
