--- a/tests/unit/relay/test_registry_store.py
+++ b/tests/unit/relay/test_registry_store.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from ebonydeal._internal.errors import EbonydealError
 from ebonydeal._internal.relay.limits.granter import Granter
 from ebonydeal._internal.relay.limits.registry_store import (
     SHARES_TABLE,
@@ -15,6 +16,7 @@
     RegistryRow,
 )
 from tests.lib.clock import ManualClock
+from tests.lib.limits_cluster import limited
 from tests.lib.relay_fakes import MemoryStore
 
 AB = RegistryRow(2, frozenset("ab"))
@@ -119,3 +121,41 @@
         await holder.pass_time(SHARE_KEPT_S * 3)
         assert (await holder.write()).names >= AB.names
         assert holder.granter.share(holder.clock.now()) == 0.0
+
+
+class TestStartup:
+    """Both relays had shares under the holder before: this one has none yet."""
+
+    @pytest.fixture
+    async def starting(self, holder):
+        await holder.store.put(SHARES_TABLE, "names", AB.encode())
+        return holder
+
+    def grants(self, holder):
+        try:
+            return holder.granter.grant(limited(60.0), 1.0).amount >= 1.0
+        except EbonydealError:
+            return False
+
+    async def test_is_granted_once_it_lies_in_the_store(self, starting):
+        await starting.rows.read()
+        assert not self.grants(starting)
+        await starting.write()
+        assert self.grants(starting)
+
+    async def test_that_a_renewal_under_way_lacks_waits_for_the_next(self, starting):
+        await starting.rows.read()
+        starting.granter.startup.wanted = False
+        starting.rows.changes()
+        starting.granter.startup.wanted = True
+        starting.rows.wrote()
+        assert not self.grants(starting)
+        await starting.write()
+        assert self.grants(starting)
+
+    @pytest.mark.parametrize("value", [b"{", b"5", b'["x"]', b"null"])
+    async def test_of_times_that_cant_be_read_is_none(self, starting, value):
+        await starting.store.put(SHARES_TABLE, "startup", value)
+        await starting.rows.read()
+        await starting.write()
+        assert not self.grants(starting)
