Log and count how old a relay's list of endpoints is, and retained endpoints

Late requests to leaving endpoints have three candidate causes, which the logs could not tell apart: the relay read the change late, it read it and kept the endpoint as possibly lapsed, or it never read it.

"List of endpoints was outdated." gives the age at the next confirmation, the timing list_age its quantiles. "Entry missing after an outage; endpoint kept for now." and entries_missing name endpoints that stay in use without an entry. No decision is changed.

--- a/src/ebonydeal/_internal/observe/counters.py
+++ b/src/ebonydeal/_internal/observe/counters.py
@@ -76,6 +76,7 @@
     ORDERS_STALE = "orders_stale"
     # relay
     ENTRIES_UNREADABLE = "entries_unreadable"
+    ENTRIES_MISSING = "entries_missing"
     CONFIGURATIONS_UNREADABLE = "configurations_unreadable"
     ENDPOINTS_CRASHED = "endpoints_crashed"
     REQUESTS_QUARANTINED = "requests_quarantined"
@@ -106,6 +107,7 @@
     APPEND = "append"
     TAKEOVER = "takeover"
     CONFIG_SPREAD = "config_spread"
+    LIST_AGE = "list_age"
 
 
 class Metrics:
--- a/src/ebonydeal/_internal/relay/view/follower.py
+++ b/src/ebonydeal/_internal/relay/view/follower.py
@@ -10,7 +10,7 @@
 from ebonydeal._internal.models.forwarding import Member
 from ebonydeal._internal.models.rollouts import RolloutOrder
 from ebonydeal._internal.models.shared import RowChanges, SharedRow
-from ebonydeal._internal.observe.counters import Event, Metrics
+from ebonydeal._internal.observe.counters import Event, Metrics, Timing
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.ports import SharedStore, Wire
 from ebonydeal._internal.relay.view.view import RelayView
@@ -34,6 +34,8 @@
 _BATCH_INTERVAL_S = 0.15
 # How often to check whether the coordinator still pushes changes.
 _PUSH_CHECK_INTERVAL_S = 0.05
+# A list of endpoints that wasn't confirmed for longer than this is logged.
+_MAX_LIST_AGE_S = 1.0
 
 
 class TableFollower(Service):
@@ -133,9 +135,11 @@
 
     async def _step(self, after: int | None) -> int | None:
         """Make one call; return the version from which to continue."""
+        asked_at = self._clock.now()
         if after is None:
             rows, version = await self._store.rows(self.table)
             self._answered_at = self._clock.now()
+            self.note_current(asked_at)
             await self.apply_snapshot(rows, version, self._note_success())
             return version
         poll_timeout = self.poll_timeout
@@ -156,6 +160,7 @@
             self._poll.cancel()
             self._poll, self._restart_requested = None, False
         self._answered_at = self._clock.now()
+        self.note_current(asked_at)
         if changes is None:
             logger.warning(
                 "Change history expired; reading the whole table.", table=self.table
@@ -176,6 +181,9 @@
     def note_version(self, version: int) -> None:
         """Note that the table hasn't changed up to a version."""
 
+    def note_current(self, as_of: float) -> None:
+        """Note that each change made before a time is known."""
+
     def restart_poll(self) -> None:
         """Restart the current poll if its timeout should be shorter by now."""
         if self._poll is not None and self._current_timeout > self.poll_timeout:
@@ -189,6 +197,7 @@
         removed from now on has left, and isn't retained as if it had only expired.
         """
         self.failing_since = None
+        self.note_current(self._clock.now())
 
     def _note_failure(self, exc: EbonydealError) -> None:
         now = self._clock.now()
@@ -293,6 +302,8 @@
 class MembersFollower(TableFollower):
     """Follows the list of endpoints."""
 
+    _current_as_of: float | None = None
+
     @property
     def poll_timeout(self) -> float:
         """Seconds for which a long poll waits; any relay may soon push to others."""
@@ -341,6 +352,7 @@
         """
         for row in rows:
             if row.value is None and after_outage:
+                self._metrics.count(Event.ENTRIES_MISSING)
                 self._view.mark_missing(row.key, row.version, self._clock.now())
             elif row.value is None:
                 self._view.remove(row.key, row.version)
@@ -351,6 +363,16 @@
                 self._view.mark_unreadable(row.key, row.version)
         self._view.members_version = max(self._view.members_version, version)
 
+    def note_current(self, as_of: float) -> None:
+        """Note that each change made before a time is known; log a long gap."""
+        now = self._clock.now()
+        if self._current_as_of is not None:
+            age = now - self._current_as_of
+            self._metrics.record_duration(Timing.LIST_AGE, age)
+            if age > _MAX_LIST_AGE_S:
+                logger.info("List of endpoints was outdated.", age_s=round(age, 3))
+        self._current_as_of = as_of
+
     def _read(self, row: SharedRow) -> Member | None:
         """Return a listed endpoint, or None if its entry can't be decoded."""
         try:
--- a/src/ebonydeal/_internal/relay/view/view.py
+++ b/src/ebonydeal/_internal/relay/view/view.py
@@ -356,7 +356,14 @@
         if known is None or known.leaving:
             self.remove(endpoint_id, version)
         else:
-            self._missing_until.setdefault(endpoint_id, now + MISSING_GRACE_S)
+            if endpoint_id not in self._missing_until:
+                self._missing_until[endpoint_id] = now + MISSING_GRACE_S
+                logger.info(
+                    "Entry missing after an outage; endpoint kept for now.",
+                    endpoint=endpoint_id,
+                    version=version,
+                    kept_s=MISSING_GRACE_S,
+                )
 
     def expire(self, now: float) -> None:
         """Remove endpoints whose entries did not come back in time."""
