Count a list of endpoints as confirmed when a poll's reply arrives

The store answers a poll as soon as there is a change, so the reply shows all changes until it arrives. The line stands now only for gaps longer than the longest poll.

--- a/src/ebonydeal/_internal/relay/view/follower.py
+++ b/src/ebonydeal/_internal/relay/view/follower.py
@@ -34,8 +34,9 @@
 _BATCH_INTERVAL_S = 0.15
 # How often to check whether the coordinator still pushes changes.
 _PUSH_CHECK_INTERVAL_S = 0.05
-# A list of endpoints that wasn't confirmed for longer than this is logged.
-_MAX_LIST_AGE_S = 1.0
+# A list of endpoints that wasn't confirmed for longer than this, and than the longest
+# poll of it, is logged.
+_MAX_LIST_AGE_S = 2.5
 
 
 class TableFollower(Service):
@@ -135,11 +136,10 @@
 
     async def _step(self, after: int | None) -> int | None:
         """Make one call; return the version from which to continue."""
-        asked_at = self._clock.now()
         if after is None:
             rows, version = await self._store.rows(self.table)
             self._answered_at = self._clock.now()
-            self.note_current(asked_at)
+            self.note_current()
             await self.apply_snapshot(rows, version, self._note_success())
             return version
         poll_timeout = self.poll_timeout
@@ -160,7 +160,7 @@
             self._poll.cancel()
             self._poll, self._restart_requested = None, False
         self._answered_at = self._clock.now()
-        self.note_current(asked_at)
+        self.note_current()
         if changes is None:
             logger.warning(
                 "Change history expired; reading the whole table.", table=self.table
@@ -181,8 +181,8 @@
     def note_version(self, version: int) -> None:
         """Note that the table hasn't changed up to a version."""
 
-    def note_current(self, as_of: float) -> None:
-        """Note that each change made before a time is known."""
+    def note_current(self) -> None:
+        """Note that each change made until now is known."""
 
     def restart_poll(self) -> None:
         """Restart the current poll if its timeout should be shorter by now."""
@@ -197,7 +197,7 @@
         removed from now on has left, and isn't retained as if it had only expired.
         """
         self.failing_since = None
-        self.note_current(self._clock.now())
+        self.note_current()
 
     def _note_failure(self, exc: EbonydealError) -> None:
         now = self._clock.now()
@@ -302,7 +302,7 @@
 class MembersFollower(TableFollower):
     """Follows the list of endpoints."""
 
-    _current_as_of: float | None = None
+    _current_at: float | None = None
 
     @property
     def poll_timeout(self) -> float:
@@ -363,15 +363,15 @@
                 self._view.mark_unreadable(row.key, row.version)
         self._view.members_version = max(self._view.members_version, version)
 
-    def note_current(self, as_of: float) -> None:
-        """Note that each change made before a time is known; log a long gap."""
+    def note_current(self) -> None:
+        """Note that each change made until now is known; log a long gap."""
         now = self._clock.now()
-        if self._current_as_of is not None:
-            age = now - self._current_as_of
+        if self._current_at is not None:
+            age = now - self._current_at
             self._metrics.record_duration(Timing.LIST_AGE, age)
             if age > _MAX_LIST_AGE_S:
                 logger.info("List of endpoints was outdated.", age_s=round(age, 3))
-        self._current_as_of = as_of
+        self._current_at = now
 
     def _read(self, row: SharedRow) -> Member | None:
         """Return a listed endpoint, or None if its entry can't be decoded."""
