Soak: silent connections, lost polls, dropped history, departures by the list

Callers' requests reached endpoints later than the drain time after the list had said that they leave. The soak could not show it: its endpoints always said that they leave and ended soon after, no open connection ever fell silent, and its store kept all history and lost no reply to a poll.

New faults: open connections to the store and to endpoints fall silent for good, replies to polls are lost, the history is dropped, an endpoint leaves by the list alone and serves on. Platform calls have the deployed timeout, 2 s where it was 1 s.

--- a/src/ebonydeal/_internal/soak/checks.py
+++ b/src/ebonydeal/_internal/soak/checks.py
@@ -48,12 +48,21 @@
 _MIN_VERDICT_REQUESTS = 50
 
 
-def _no_fault(log: Log, relay: str, begin: float, end: float) -> bool:
-    """Return whether no fault affected a relay from ``begin`` to ``end``."""
+def _no_fault(
+    log: Log,
+    relay: str,
+    begin: float,
+    end: float,
+    recovery_s: float = _RECOVERY_S,
+) -> bool:
+    """Return whether no fault affected a relay from ``begin`` to ``end``.
+
+    A fault has effects until ``recovery_s`` after its end.
+    """
     return not any(
         period.relay in ("", relay)
         and period.begin <= end
-        and period.end + _RECOVERY_S >= begin
+        and period.end + recovery_s >= begin
         for period in log.fault_periods
     )
 
@@ -114,17 +123,17 @@
 
 
 def no_requests_after_drain(log: Log, guarantees: Guarantees) -> Iterable[Violation]:
-    """An endpoint listed as leaving gets no new requests after the drain time."""
+    """An endpoint that leaves by the list gets no new requests after the drain time."""
     listed_at = {leave.endpoint: leave.at for leave in log.listed_leaving}
     for run in log.runs:
         at = listed_at.get(run.endpoint)
         if at is None or run.at <= at + guarantees.drain_s + _DELAY_TOLERANCE_S:
             continue
-        if _no_fault(log, run.relay, at, run.at):
+        if _no_fault(log, run.relay, at, run.at, guarantees.contact_s):
             late = run.at - at
             detail = (
-                f"{run.endpoint} got {run.request_id} {late:.2f} s after it was listed"
-                " as leaving"
+                f"{run.endpoint} got {run.request_id} from {run.relay} {late:.2f} s"
+                " after the list said that it leaves"
             )
             yield Violation("drain", detail)
 
--- a/src/ebonydeal/_internal/soak/guarantees.py
+++ b/src/ebonydeal/_internal/soak/guarantees.py
@@ -17,11 +17,13 @@
 class Guarantees(NamedTuple):
     """The guarantees of a soak's deployment.
 
-    ``drain_s`` is how long an endpoint that leaves may get new requests, ``apply_s``
-    how long a relay may take to apply a new configuration.
+    ``drain_s`` is how long an endpoint that leaves may get new requests, if the relay
+    had no fault for ``contact_s``; ``apply_s`` how long a relay may take to apply a new
+    configuration.
     """
 
     drain_s: float
+    contact_s: float
     apply_s: float
     usage_window_s: float
     quota_window_s: float
--- a/src/ebonydeal/_internal/soak/plan.py
+++ b/src/ebonydeal/_internal/soak/plan.py
@@ -26,6 +26,10 @@
     ANNOUNCES_LIMIT = "an endpoint names a limit"
     ANNOUNCES_LEAVING = "an endpoint says in answers that it leaves"
     REQUESTS_BACKOFF = "an endpoint turns all away and asks for rest"
+    CONNECTIONS_SILENT = "open connections fall silent, new ones work"
+    FEED_REPLIES_LOST = "replies to polls of the store are lost"
+    HISTORY_DROPPED = "the store drops its history of changes"
+    ENDPOINT_UNLISTED = "endpoint leaves by the list alone and serves on"
 
 
 class Step(NamedTuple):
@@ -68,6 +72,20 @@
 )
 _ANNOUNCEMENT_SEED = 4_000_037
 _SEPARATE_SEED = 1_000_003
+# Endpoints that leave by the list alone: mean seconds between two, how long they serve
+# on, and what goes before. The check counts them if that is longer ago than the time
+# after which relays are in touch again.
+_DEPARTURE_MEAN_S = 6.0
+_DEPARTURE_SERVE_RANGE_S = (4.0, 7.0)
+_DEPARTURE_DELAY_RANGE_S = (3.05, 3.3)
+_DEPARTURE_FAULTS = (
+    Fault.CONNECTIONS_SILENT,
+    Fault.CONNECTIONS_SILENT,
+    Fault.FEED_REPLIES_LOST,
+    Fault.HISTORY_DROPPED,
+)
+_DEPARTURE_FAULT_RANGE_S = (0.3, 1.5)
+_DEPARTURE_SEED = 5_000_011
 # No fault begins in the last seconds, so that running requests and faults can end.
 _QUIET_END_S = 3.0
 
@@ -93,6 +111,7 @@
         *_draw_separate(_ANNOUNCEMENT_FAULTS, seed + _ANNOUNCEMENT_SEED, seconds),
         *_draw_rollout(seed, seconds),
         *_draw_mass_kills(seed, seconds),
+        *_draw_departures(seed, seconds),
     ]
     return sorted([*steps, *separate])
 
@@ -109,6 +128,24 @@
     return steps
 
 
+def _draw_departures(seed: int, seconds: float) -> list[Step]:
+    """Return endpoints that leave by the list alone, each after a fault of polls."""
+    rng = Random(seed + _DEPARTURE_SEED)
+    steps: list[Step] = []
+    at = rng.uniform(0.5, _DEPARTURE_MEAN_S)
+    while True:
+        length = rng.uniform(*_DEPARTURE_FAULT_RANGE_S)
+        fault = Step(at, rng.choice(_DEPARTURE_FAULTS), length, rng.randrange(1000))
+        ends_at = at + (length if fault.fault is Fault.FEED_REPLIES_LOST else 0.0)
+        leaves_at = ends_at + rng.uniform(*_DEPARTURE_DELAY_RANGE_S)
+        if leaves_at >= seconds - _QUIET_END_S:
+            return steps
+        serve_s = rng.uniform(*_DEPARTURE_SERVE_RANGE_S)
+        which = rng.randrange(1000)
+        steps += [fault, Step(leaves_at, Fault.ENDPOINT_UNLISTED, serve_s, which)]
+        at = leaves_at + rng.expovariate(1.0 / _DEPARTURE_MEAN_S)
+
+
 def _draw_rollout(seed: int, seconds: float) -> list[Step]:
     """Return the roll-out of a seed, if there is time for one."""
     rng = Random(seed + _ROLLOUT_SEED)
--- a/src/ebonydeal/_internal/soak/platform.py
+++ b/src/ebonydeal/_internal/soak/platform.py
@@ -26,13 +26,17 @@
 
 # Long polls that still run at shutdown are cancelled after this time.
 _SHUTDOWN_TIMEOUT_S = 0.1
+# The connection of a lost reply delivers nothing for this long, which is longer than
+# any call waits.
+_LOST_REPLY_S = 60.0
 
 
 class SoakPlatform:
     """Tables with long polls, and the API calls of relay duties.
 
     While `unavailable` is set, the store responds with 503; `lost_answer_share` is the
-    share of writes that are applied but get no response.
+    share of writes that are applied but get no response. While `loses_feed_replies` is
+    set, polls get none.
     """
 
     def __init__(self, log: Log, rng: Random) -> None:
@@ -45,6 +49,9 @@
         self._fence = 0
         self.unavailable = False
         self.lost_answer_share = 0.0
+        self.loses_feed_replies = False
+        # Changes up to this version were dropped from the history.
+        self._dropped_to = 0
         self._runner: web.ServerRunner | None = None
         self.address = ""
 
@@ -81,6 +88,12 @@
         async with self._changed:
             self._changed.notify_all()
 
+    async def drop_history(self) -> None:
+        """Forget all changes until now; polls that continue from them fail."""
+        self._dropped_to = self._version
+        async with self._changed:
+            self._changed.notify_all()
+
     async def _handle(self, req: web.BaseRequest) -> web.Response:
         match req.path:
             case path if path == USAGE_PATH:
@@ -109,11 +122,18 @@
         try:
             async with asyncio.timeout(wait):
                 while not (found := self._changes_since(table, after)):
+                    if after < self._dropped_to:
+                        break
                     async with self._changed:
                         await self._changed.wait()
         except TimeoutError:
-            return web.json_response(self._body((), self._version))
-        return web.json_response(self._body(found, found[-1].version))
+            found = []
+        if self.loses_feed_replies:
+            await asyncio.sleep(_LOST_REPLY_S)
+        if after < self._dropped_to:
+            return web.json_response({}, status=410)
+        version = found[-1].version if found else self._version
+        return web.json_response(self._body(found, version))
 
     def _changes_since(self, table: str, after: int) -> list[SharedRow]:
         return [r for t, r in self._changes if t == table and r.version > after]
--- a/src/ebonydeal/_internal/soak/processes.py
+++ b/src/ebonydeal/_internal/soak/processes.py
@@ -55,7 +55,7 @@
         file = ConfigParser(interpolation=None)
         url = f"http://{self.store.address}"
         file["node"] = {"id": self.name, "host": "127.0.0.1", "zone": "z1"}
-        file["platform"] = {"tables_url": url, "cloud_url": url, "timeout": "1.0"}
+        file["platform"] = {"tables_url": url, "cloud_url": url, "timeout": "2.0"}
         file["peers"] = {"seeds": ",".join(seeds)}
         file["relay"] = {
             "address": self.address,
--- a/src/ebonydeal/_internal/soak/proxy.py
+++ b/src/ebonydeal/_internal/soak/proxy.py
@@ -35,6 +35,8 @@
         self._not_stalled = asyncio.Event()
         self._not_stalled.set()
         self._writers: set[asyncio.StreamWriter] = set()
+        # Writers of connections that have fallen silent.
+        self._silenced: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
         self.address = ""
 
@@ -56,6 +58,10 @@
             for writer in list(self._writers):
                 writer.transport.abort()
 
+    def silence_open_connections(self) -> None:
+        """Deliver nothing more on open connections; new ones work."""
+        self._silenced |= self._writers
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -77,6 +83,7 @@
             )
         finally:
             self._writers -= {writer, upstream_writer}
+            self._silenced -= {writer, upstream_writer}
 
     async def _forward(
         self,
@@ -91,6 +98,8 @@
                     await asyncio.sleep(self._delay)
                 if is_answer or self._fault is not LinkFault.NO_RESPONSES:
                     await self._not_stalled.wait()
+                if writer in self._silenced:
+                    continue
                 writer.write(data)
                 await writer.drain()
             writer.close()
--- a/src/ebonydeal/_internal/soak/records.py
+++ b/src/ebonydeal/_internal/soak/records.py
@@ -66,7 +66,7 @@
 
 
 class ListedLeaving(NamedTuple):
-    """The time at which the store listed an endpoint as leaving."""
+    """The time at which the store listed an endpoint as leaving, or no longer."""
 
     endpoint: str
     at: float
--- a/src/ebonydeal/_internal/soak/run.py
+++ b/src/ebonydeal/_internal/soak/run.py
@@ -3,7 +3,7 @@
 import asyncio
 import signal
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 from random import Random
@@ -59,6 +59,7 @@
 _QUOTA_OVERSHOOT = 0.1
 GUARANTEES = Guarantees(
     drain_s=_DRAIN_TIMEOUT_S,
+    contact_s=3.0,
     apply_s=2.0,
     usage_window_s=2.0,
     quota_window_s=_QUOTA_WINDOW_S,
@@ -120,8 +121,11 @@
 class _Soak:
     """The system of one soak: platform, relays, endpoints and clients."""
 
-    def __init__(self, seed: int, size: Size, folder: Path) -> None:
+    def __init__(
+        self, plan: Sequence[Step], seed: int, size: Size, folder: Path
+    ) -> None:
         self.log = Log()
+        self._plan = plan
         self._seed = seed
         self._size = size
         self._folder = folder
@@ -149,7 +153,7 @@
             tasks = self._load(client)
             steps = [
                 asyncio.create_task(self._inject_at(start + step.at, step))
-                for step in make_plan(self._seed, self._size.seconds)
+                for step in self._plan
             ]
             await asyncio.sleep(self._size.seconds)
             await asyncio.gather(*steps)
@@ -282,8 +286,21 @@
                     await self._break_link(self._pick(step).proxy, "", step)
             case Fault.ENDPOINT_LEAVES:
                 await self._retire_endpoint(step)
+            case Fault.ENDPOINT_UNLISTED:
+                await self._unlist_endpoint(step)
             case Fault.ENDPOINT_CRASHES:
                 await self._crash_endpoint(step)
+            case Fault.CONNECTIONS_SILENT:
+                async with self._record_fault("silence", ""):
+                    self._silence_connections()
+            case Fault.FEED_REPLIES_LOST:
+                async with self._record_fault("store", ""):
+                    self._platform.loses_feed_replies = True
+                    await asyncio.sleep(step.seconds)
+                    self._platform.loses_feed_replies = False
+            case Fault.HISTORY_DROPPED:
+                async with self._record_fault("store", ""):
+                    await self._platform.drop_history()
             case Fault.CONFIG:
                 await self._publish()
             case Fault.FATAL_REQUEST:
@@ -366,6 +383,33 @@
         await endpoint.stop()
         await self._platform.write(MEMBERS_TABLE, endpoint.name, None)
 
+    async def _unlist_endpoint(self, step: Step) -> None:
+        """Let an endpoint leave by the list alone; it serves on for some seconds.
+
+        Its entry says that it leaves, or is removed.
+        """
+        if not self._endpoints:
+            return
+        endpoint = self._pick(step)
+        self._endpoints.remove(endpoint)
+        await self._add_endpoint(version=endpoint.version, defect=endpoint.defect)
+        document = None
+        if step.which % 3 == 0:
+            document = member_document(endpoint.member(leaving=True))
+        at = await self._platform.write(MEMBERS_TABLE, endpoint.name, document)
+        self.log.listed_leaving.append(ListedLeaving(endpoint.name, at))
+        await asyncio.sleep(step.seconds)
+        await endpoint.stop()
+        if document is not None:
+            await self._platform.write(MEMBERS_TABLE, endpoint.name, None)
+
+    def _silence_connections(self) -> None:
+        """Let all open connections to the store and to endpoints fall silent."""
+        for relay in self._relays:
+            relay.store.silence_open_connections()
+        for endpoint in self._endpoints:
+            endpoint.proxy.silence_open_connections()
+
     async def _announce(self, step: Step) -> None:
         """Let an endpoint announce something in its responses for some time.
 
@@ -493,8 +537,15 @@
 
 async def run_seed(seed: int, size: Size, plant: str | None = None) -> Verdict:
     """Run one seed; with ``plant``, falsify the observations before the checks."""
+    return await run_plan(make_plan(seed, size.seconds), seed, size, plant)
+
+
+async def run_plan(
+    plan: Sequence[Step], seed: int, size: Size, plant: str | None = None
+) -> Verdict:
+    """Run the faults of a plan; the load is drawn from the seed."""
     with TemporaryDirectory(prefix="ebonydeal-soak-") as folder:
-        soak = _Soak(seed, size, Path(folder))
+        soak = _Soak(plan, seed, size, Path(folder))
         await soak.run()
     log = soak.log
     if plant is not None:
@@ -504,6 +555,6 @@
         requests=len(log.results),
         served=sum(result.status == 200 and result.complete for result in log.results),
         moved=sum(run.migrated for run in log.runs),
-        faults=len(make_plan(seed, size.seconds)),
+        faults=len(plan),
         violations=check_all(log, GUARANTEES),
     )
--- a/tests/functional/soak/test_proxy.py
+++ b/tests/functional/soak/test_proxy.py
@@ -64,3 +64,20 @@
             assert not read.done()
             proxy.set_fault(LinkFault.NONE)
             assert await read == b"late"
+
+
+class TestSilentConnections:
+    async def test_open_ones_deliver_nothing_more_and_new_ones_work(self):
+        async with connection_through_proxy() as (proxy, reader, writer):
+            writer.write(b"one")
+            assert await reader.readexactly(3) == b"one"
+            proxy.silence_open_connections()
+            writer.write(b"two")
+            host, _sep, port = proxy.address.partition(":")
+            new_reader, new_writer = await asyncio.open_connection(host, int(port))
+            new_writer.write(b"new")
+            assert await new_reader.readexactly(3) == b"new"
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.05):
+                    await reader.readexactly(1)
+            new_writer.close()
--- a/tests/unit/soak/test_checks.py
+++ b/tests/unit/soak/test_checks.py
@@ -30,6 +30,7 @@
 
 GUARANTEES = Guarantees(
     drain_s=2.0,
+    contact_s=3.0,
     apply_s=2.0,
     usage_window_s=2.0,
     quota_window_s=2.0,
