Stop using connections that were open when a call got no reply

Callers saw requests sent to endpoints that had left. Relays learn that from the table service or the coordinator, and kept calling both on pooled connections that had fallen silent: each call found one dead connection, by its timeout, and the next call took another one.

Each address now has a session of its own, which is given up with the first call that gets no reply; calls in flight on it end as they would. Connections to the platform are also closed after 2 s without use.

--- a/src/ebonydeal/_internal/platform/calls.py
+++ b/src/ebonydeal/_internal/platform/calls.py
@@ -12,8 +12,13 @@
     TCPConnector,
     TraceConfig,
 )
+from yarl import URL
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.utils.http_sessions import HttpSessions
+
+# A connection that was idle for longer may have fallen silent, and isn't used again.
+_MAX_IDLE_S = 2.0
 
 
 class Reply(NamedTuple):
@@ -38,8 +43,18 @@
     return tracing
 
 
+def _open_session() -> ClientSession:
+    session = ClientSession(
+        connector=TCPConnector(limit=0, keepalive_timeout=_MAX_IDLE_S),
+        trace_configs=[_reuse_tracing()],
+    )
+    # aiohttp itself would repeat a GET whose connection broke.
+    session._retry_connection = False
+    return session
+
+
 class JsonCalls:
-    """Makes calls; owns one session, which the first call opens.
+    """Makes calls; owns the sessions, which calls open.
 
     Parameters
     ----------
@@ -49,7 +64,7 @@
 
     def __init__(self, timeout: float) -> None:
         self._timeout = timeout
-        self._session: ClientSession | None = None
+        self._sessions = HttpSessions(_open_session)
 
     async def call(
         self,
@@ -66,12 +81,6 @@
 
         ``wait`` is the additional time that the service may take, seconds.
         """
-        if self._session is None:
-            self._session = ClientSession(
-                connector=TCPConnector(limit=0), trace_configs=[_reuse_tracing()]
-            )
-            # aiohttp itself would repeat a GET whose connection broke.
-            self._session._retry_connection = False
         timeout = ClientTimeout(total=self._timeout + wait, sock_connect=self._timeout)
         data = None
         if message is not None:
@@ -80,15 +89,18 @@
         connection = {"reused": False}
         began_at = time.monotonic()
         try:
-            async with self._session.request(
-                method,
-                url,
-                params=params,
-                data=data,
-                headers=headers,
-                timeout=timeout,
-                trace_request_ctx=connection,
-            ) as resp:
+            async with (
+                self._sessions.use(URL(url).authority) as session,
+                session.request(
+                    method,
+                    url,
+                    params=params,
+                    data=data,
+                    headers=headers,
+                    timeout=timeout,
+                    trace_request_ctx=connection,
+                ) as resp,
+            ):
                 return Reply(resp.status, await resp.read())
         except (TimeoutError, ClientError, OSError) as exc:
             waited = time.monotonic() - began_at
@@ -100,7 +112,5 @@
             raise EbonydealError(no_reply, detail) from exc
 
     async def close(self) -> None:
-        """Close the session."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        """Close the sessions."""
+        await self._sessions.close()
--- /dev/null
+++ b/src/ebonydeal/_internal/utils/http_sessions.py
@@ -0,0 +1,75 @@
+"""HTTP client sessions that stop using open connections once one gets no reply."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+from aiohttp import ClientError, ClientSession
+
+# Sessions that weren't used for this long are closed when another one is opened.
+_UNUSED_TIMEOUT_S = 60.0
+
+
+class _Pool:
+    """One session, and how many calls use it."""
+
+    def __init__(self, session: ClientSession) -> None:
+        self.session = session
+        self.calls = 0
+        self.retired = False
+        self.used_at = 0.0
+
+
+class HttpSessions:
+    """A session for each address.
+
+    A connection that fell silent shows only by a call without a reply. Others of the
+    same address were open at that time, and are probably silent too. So after such a
+    call a new session is used, with new connections. Calls in flight aren't affected.
+
+    Parameters
+    ----------
+    open_session : callable
+        Returns a new session.
+    """
+
+    def __init__(self, open_session: Callable[[], ClientSession]) -> None:
+        self._open_session = open_session
+        self._pools: dict[str, _Pool] = {}
+
+    @asynccontextmanager
+    async def use(self, address: str) -> AsyncIterator[ClientSession]:
+        """Yield the session for a call to an address.
+
+        The call's errors have to pass through this context.
+        """
+        pool = self._pools.get(address)
+        if pool is None:
+            await self._close_unused()
+            pool = self._pools[address] = _Pool(self._open_session())
+        pool.calls += 1
+        pool.used_at = asyncio.get_running_loop().time()
+        try:
+            yield pool.session
+        except (TimeoutError, ClientError, OSError):
+            pool.retired = True
+            if self._pools.get(address) is pool:
+                del self._pools[address]
+            raise
+        finally:
+            pool.calls -= 1
+            if pool.retired and not pool.calls:
+                await pool.session.close()
+
+    async def _close_unused(self) -> None:
+        unused_since = asyncio.get_running_loop().time() - _UNUSED_TIMEOUT_S
+        for address, pool in list(self._pools.items()):
+            if not pool.calls and pool.used_at < unused_since:
+                del self._pools[address]
+                await pool.session.close()
+
+    async def close(self) -> None:
+        """Close all sessions; calls in flight fail."""
+        pools, self._pools = self._pools, {}
+        for pool in pools.values():
+            await pool.session.close()
--- a/src/ebonydeal/_internal/utils/peerclient.py
+++ b/src/ebonydeal/_internal/utils/peerclient.py
@@ -7,6 +7,7 @@
 from aiohttp import ClientConnectorError, ClientError, ClientSession, ClientTimeout
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.utils.http_sessions import HttpSessions
 
 PEER_HEADER = "X-Ebonydeal-Peer"
 # Larger bodies are compressed to a third of their size: with many peers they would
@@ -15,7 +16,7 @@
 
 
 class PeerClient:
-    """Calls other processes of this system; owns one session.
+    """Calls other processes of this system; owns the sessions.
 
     Parameters
     ----------
@@ -28,7 +29,7 @@
     def __init__(self, credential: str, ssl_context: SSLContext | None = None) -> None:
         self._credential = credential
         self._ssl = ssl_context
-        self._session: ClientSession | None = None
+        self._sessions = HttpSessions(ClientSession)
 
     async def call(
         self, address: str, path: str, message: Any, timeout: float
@@ -38,22 +39,23 @@
         Raises the `EbonydealError` in the peer's response, ``CONNECT_FAILED`` if no
         connection was made, ``STORE_IN_DOUBT`` if the response is lost.
         """
-        if self._session is None:
-            self._session = ClientSession()
         scheme = "https" if self._ssl else "http"
         body = json.dumps(message).encode()
         try:
-            async with self._session.post(
-                f"{scheme}://{address}{path}",
-                data=body,
-                compress="deflate" if len(body) >= MIN_COMPRESS_BYTES else None,
-                headers={
-                    PEER_HEADER: self._credential,
-                    "Content-Type": "application/json",
-                },
-                timeout=ClientTimeout(total=timeout),
-                ssl=self._ssl if self._ssl else True,
-            ) as resp:
+            async with (
+                self._sessions.use(address) as session,
+                session.post(
+                    f"{scheme}://{address}{path}",
+                    data=body,
+                    compress="deflate" if len(body) >= MIN_COMPRESS_BYTES else None,
+                    headers={
+                        PEER_HEADER: self._credential,
+                        "Content-Type": "application/json",
+                    },
+                    timeout=ClientTimeout(total=timeout),
+                    ssl=self._ssl if self._ssl else True,
+                ) as resp,
+            ):
                 body = json.loads(await resp.read())
         except (ClientError, TimeoutError, OSError, ValueError) as exc:
             raise _to_error(exc, address) from exc
@@ -62,10 +64,8 @@
         return body
 
     async def close(self) -> None:
-        """Close the session."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        """Close the sessions."""
+        await self._sessions.close()
 
 
 def _to_error(exc: Exception, address: str) -> EbonydealError:
