Notice a dead connection to the store within half a second of a poll's end

Callers' requests reached endpoints that had left: where the connection of a poll had fallen silent, the coordinator used its old list for 4.6 s and other relays for 6 s (the poll's own 0.6 or 2 s, 2 s of slack and the call's 2 s). A relay whose pushes ended began with a poll of 2 s, on a connection that it had not used for long.

A reply may now take 0.5 s longer than the poll itself waits. The time doubles with each poll that is lost, up to the former 4 s, and follows the replies of a slow store. The first poll after pushes returns at once. So a connection is replaced 2.7 s after it fell silent at the latest, before the relay counts as in touch again (3 s); a test adds it up.

--- a/src/ebonydeal/_internal/platform/calls.py
+++ b/src/ebonydeal/_internal/platform/calls.py
@@ -72,16 +72,17 @@
         url: str,
         no_reply: ErrorKind,
         *,
-        wait: float = 0.0,
+        timeout: float | None = None,
         headers: dict[str, str] | None = None,
         params: dict[str, str] | None = None,
         message: Any = None,
     ) -> Reply:
         """Make one call; raises ``no_reply`` if no complete reply came.
 
-        ``wait`` is the additional time that the service may take, seconds.
+        ``timeout`` replaces that of all calls, seconds.
         """
-        timeout = ClientTimeout(total=self._timeout + wait, sock_connect=self._timeout)
+        total = self._timeout if timeout is None else timeout
+        limits = ClientTimeout(total=total, sock_connect=self._timeout)
         data = None
         if message is not None:
             data = json.dumps(message).encode()
@@ -97,7 +98,7 @@
                     params=params,
                     data=data,
                     headers=headers,
-                    timeout=timeout,
+                    timeout=limits,
                     trace_request_ctx=connection,
                 ) as resp,
             ):
--- a/src/ebonydeal/_internal/platform/store.py
+++ b/src/ebonydeal/_internal/platform/store.py
@@ -13,8 +13,6 @@
 from ebonydeal._internal.platform.rows import decode_row, encode_value
 from ebonydeal._internal.utils.clock import Clock
 
-# Added to the timeout of a long poll, for the network round trip.
-_POLL_SLACK_S = 2.0
 _MS = 1000.0
 _READ_FAILED = ErrorKind.STORE_UNAVAILABLE
 _WRITE_FAILED = ErrorKind.STORE_IN_DOUBT
@@ -45,7 +43,7 @@
         path: str,
         no_reply: ErrorKind,
         *,
-        wait: float = 0.0,
+        timeout: float | None = None,
         params: dict[str, str] | None = None,
         message: Any = None,
     ) -> tuple[int, dict[str, Any]]:
@@ -54,7 +52,7 @@
             method,
             f"{self._url}{path}",
             no_reply,
-            wait=wait,
+            timeout=timeout,
             params=params,
             message=message,
         )
@@ -92,14 +90,19 @@
                 return found, version
             start = rows[-1].key + "\0"
 
-    async def changes(self, table: str, after: int, wait: float) -> RowChanges | None:
-        """Wait for changes after a version; None if the store no longer has them."""
+    async def changes(
+        self, table: str, after: int, wait: float, reply_timeout: float
+    ) -> RowChanges | None:
+        """Wait for changes after a version; None if the store no longer has them.
+
+        The reply may take ``reply_timeout`` seconds longer than ``wait``.
+        """
         params = {"table": table, "after": str(after), "wait_ms": str(int(wait * 1000))}
         status, body = await self._call(
             "GET",
             "/-/rows-feed",
             _READ_FAILED,
-            wait=wait + _POLL_SLACK_S,
+            timeout=wait + reply_timeout,
             params=params,
         )
         if status == 410:
--- a/src/ebonydeal/_internal/relay/ports.py
+++ b/src/ebonydeal/_internal/relay/ports.py
@@ -79,8 +79,13 @@
     async def rows(self, table: str, start: str = "") -> tuple[list[SharedRow], int]:
         """Return all rows from a key on, and the newest version."""
 
-    async def changes(self, table: str, after: int, wait: float) -> RowChanges | None:
-        """Wait for changes after a version; None if the history has expired."""
+    async def changes(
+        self, table: str, after: int, wait: float, reply_timeout: float
+    ) -> RowChanges | None:
+        """Wait for changes after a version; None if the history has expired.
+
+        The reply may take ``reply_timeout`` seconds longer than ``wait``.
+        """
 
     async def transact(self, changes: list[RowWrite]) -> TransactResult:
         """Apply all changes if each row has its expected version, or none."""
--- a/src/ebonydeal/_internal/relay/view/follower.py
+++ b/src/ebonydeal/_internal/relay/view/follower.py
@@ -13,6 +13,7 @@
 from ebonydeal._internal.observe.counters import Event, Metrics, Timing
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.ports import SharedStore, Wire
+from ebonydeal._internal.relay.view.reply_timeout import ReplyTimeout
 from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.utils.clock import Clock
 
@@ -29,6 +30,7 @@
 _COORDINATOR_POLL_TIMEOUT_S = 0.6
 _FRESH_TIMEOUT_S = 0.9
 _MIN_BACKOFF_S = 0.15
+_MIN_JITTER, _MAX_JITTER = 0.5, 1.5
 _MAX_BACKOFF_S = 1.5
 _EXPIRY_INTERVAL_S = 0.25
 _BATCH_INTERVAL_S = 0.15
@@ -76,6 +78,9 @@
         self.on_coordinator = False
         # While the coordinator pushes changes, the store isn't polled.
         self.receives_pushes: Callable[[], bool] = lambda: False
+        # Whether changes were pushed since the last poll.
+        self._pushed = False
+        self._reply_timeout = ReplyTimeout()
         self._answered_at: float | None = None
         self._poll: asyncio.Task[RowChanges | None] | None = None
         self._current_timeout = 0.0
@@ -129,7 +134,9 @@
             except EbonydealError as exc:
                 self._note_failure(exc)
                 # Jittered, so that relays don't retry all at the same time.
-                await self._clock.sleep(backoff * self._rng.uniform(0.5, 1.5))
+                await self._clock.sleep(
+                    backoff * self._rng.uniform(_MIN_JITTER, _MAX_JITTER)
+                )
                 backoff = min(_MAX_BACKOFF_S, backoff * 2.0)
                 continue
             backoff = _MIN_BACKOFF_S
@@ -143,12 +150,15 @@
             await self.apply_snapshot(rows, version, self._note_success())
             return version
         poll_timeout = self.poll_timeout
-        if self.failing_since is not None:
-            # To learn at once whether the store answers again.
+        if self.failing_since is not None or self._pushed:
+            # To learn at once whether the store answers, and by this connection.
             poll_timeout = 0.0
         self._current_timeout = poll_timeout
+        asked_at = self._clock.now()
         self._poll = asyncio.ensure_future(
-            self._store.changes(self.table, after, poll_timeout)
+            self._store.changes(
+                self.table, after, poll_timeout, self._reply_timeout.seconds
+            )
         )
         try:
             changes = await self._poll
@@ -160,6 +170,8 @@
             self._poll.cancel()
             self._poll, self._restart_requested = None, False
         self._answered_at = self._clock.now()
+        self._reply_timeout.record_reply(poll_timeout, self._answered_at - asked_at)
+        self._pushed = False
         self.note_current()
         if changes is None:
             logger.warning(
@@ -197,9 +209,11 @@
         removed from now on has left, and isn't retained as if it had only expired.
         """
         self.failing_since = None
+        self._pushed = True
         self.note_current()
 
     def _note_failure(self, exc: EbonydealError) -> None:
+        self._reply_timeout.record_lost()
         now = self._clock.now()
         if self.failing_since is None:
             self.failing_since = now
--- a/tests/functional/platform/test_calls.py
+++ b/tests/functional/platform/test_calls.py
@@ -66,8 +66,8 @@
             removed = {"key": "a", "ver": 5, "tombstone": True}
             service.replies = [(200, {"rows": [removed], "ver": 5}), (410, {})]
             store = PlatformStore(service.url, 1.0, SystemClock())
-            changes = await store.changes("t", 4, 2.0)
-            assert await store.changes("t", 4, 2.0) is None
+            changes = await store.changes("t", 4, 2.0, 0.5)
+            assert await store.changes("t", 4, 2.0, 0.5) is None
             await store.close()
         assert (changes.rows[0].value, changes.version) == (None, 5)
         assert "after=4&wait_ms=2000" in service.requests[0][1]
--- a/tests/functional/relay/test_deltas.py
+++ b/tests/functional/relay/test_deltas.py
@@ -52,9 +52,9 @@
         self.polls = 0
         self.config_polls = Counter()
 
-    async def changes(self, table, after, wait):
+    async def changes(self, table, after, wait, reply_timeout):
         self.polls += table == "servers"
-        return await super().changes(table, after, wait)
+        return await super().changes(table, after, wait, reply_timeout)
 
 
 @asynccontextmanager
--- a/tests/functional/soak/test_departures.py
+++ b/tests/functional/soak/test_departures.py
@@ -12,6 +12,8 @@
 LEAVES_AFTER_S = 3.05
 SERVES_ON_S = 7.0
 REMOVED = 1
+# By the order in which relays start, the first one holds the lease.
+COORDINATOR = 0
 
 
 def departure(*faults):
@@ -23,3 +25,8 @@
     async def test_after_connections_fell_silent(self):
         verdict = await run_plan(departure(), 1, SIZE)
         assert verdict.violations == []
+
+    async def test_and_the_coordinator_was_killed(self):
+        kill = Step(0.8 + LEAVES_AFTER_S, Fault.KILL, 1.0, COORDINATOR)
+        verdict = await run_plan(departure(kill), 2, SIZE)
+        assert verdict.violations == []
--- a/tests/lib/relay_fakes.py
+++ b/tests/lib/relay_fakes.py
@@ -58,7 +58,7 @@
         rows = [r for k, r in self.tables.get(table, {}).items() if k >= start]
         return sorted(rows), self.version
 
-    async def changes(self, table, after, wait):
+    async def changes(self, table, after, wait, _reply_timeout):
         self._check()
         try:
             async with asyncio.timeout(wait):
--- a/tests/unit/relay/view/test_follower.py
+++ b/tests/unit/relay/view/test_follower.py
@@ -28,7 +28,7 @@
     async def rows(self, _table):
         return [SharedRow("i1", b"x", 3)], 5
 
-    async def changes(self, _table, _after, _wait):
+    async def changes(self, _table, _after, _wait, _reply_timeout):
         self.polls += 1
         if self.polls == 1:
             raise EbonydealError(ErrorKind.STORE_UNAVAILABLE, "away")
@@ -65,6 +65,54 @@
         assert "i1" in await self.play(pushed=False)
 
 
+class DeadConnectionStore:
+    """Its open connection delivers nothing after the first poll; new ones work.
+
+    A poll without a reply is given up after the time that the caller allows.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.waits = []
+
+    async def rows(self, _table):
+        return [SharedRow("i1", b"x", 3)], 5
+
+    async def changes(self, _table, _after, wait, reply_timeout):
+        self.waits.append(wait)
+        if len(self.waits) == 2:
+            await self._clock.sleep(wait + reply_timeout)
+            raise EbonydealError(ErrorKind.STORE_UNAVAILABLE, "no reply")
+        await self._clock.sleep(wait)
+        return RowChanges((), 5)
+
+
+class TestDeadConnection:
+    async def run_follower(self, seconds, pushed=lambda _now: False):
+        clock = ManualClock(100.0)
+        store = DeadConnectionStore(clock)
+        view = RelayView(2.0)
+        follower = MembersFollower(store, WIRE, view, clock, Random(1), Metrics())
+        follower.receives_pushes = lambda: pushed(clock.now() - 100.0)
+        async with asyncio.timeout(10):
+            await follower.start()
+            await clock.advance(seconds)
+            await follower.stop()
+        return store.waits, follower
+
+    async def test_is_noticed_soon_after_the_end_of_the_poll(self):
+        waits, follower = await self.run_follower(2.0 + 2.0 + 0.5 + 0.25)
+        # The third poll only asks whether the store answers.
+        assert waits[:3] == [2.0, 2.0, 0.0]
+        assert follower.failing_since is None
+
+    async def test_is_noticed_at_once_when_pushes_end(self):
+        waits, _follower = await self.run_follower(
+            4.0, pushed=lambda elapsed: 1.0 < elapsed < 3.0
+        )
+        assert waits[:3] == [2.0, 0.0, 0.0]
+
+
 def entry(key, version, **fields):
     document = {
         "service": "s",
--- /dev/null
+++ b/tests/unit/relay/view/test_reply_timeout.py
@@ -0,0 +1,38 @@
+from ebonydeal._internal.relay.view import follower, reply_timeout
+from ebonydeal._internal.relay.view.reply_timeout import ReplyTimeout
+
+SHORTEST_S = reply_timeout.MIN_REPLY_TIMEOUT_S
+# The users' bound: the time after which a relay counts as in touch again when its
+# open connections have fallen silent.
+CONTACT_S = 3.0
+
+
+class TestReplyTimeout:
+    def test_grows_while_polls_are_lost_and_shrinks_with_a_fast_reply(self):
+        timeout = ReplyTimeout()
+        grown = []
+        for _ in range(5):
+            timeout.record_lost()
+            grown.append(timeout.seconds)
+        assert grown == [1.0, 2.0, 4.0, 4.0, 4.0]
+        timeout.record_reply(0.6, 0.61)
+        assert timeout.seconds == SHORTEST_S
+
+    def test_a_slow_store_is_given_more_time_than_its_last_reply_took(self):
+        timeout = ReplyTimeout()
+        timeout.record_lost()
+        timeout.record_reply(0.6, 1.4)
+        assert round(timeout.seconds, 3) == 1.6
+
+    def test_a_poll_that_ends_with_a_change_shows_no_speed(self):
+        timeout = ReplyTimeout()
+        timeout.record_lost()
+        timeout.record_reply(2.0, 1.9)
+        assert timeout.seconds == 2 * SHORTEST_S
+
+
+class TestDeadConnection:
+    def test_is_replaced_before_the_relay_counts_as_in_touch(self):
+        longest_poll = follower._SHORT_POLL_TIMEOUT_S + SHORTEST_S
+        retry = follower._MIN_BACKOFF_S * follower._MAX_JITTER
+        assert longest_poll + retry <= CONTACT_S
