Don't take one lost poll for an outage of the store

Callers' requests reached an endpoint up to 2.5 s after its entry was removed (bound 2 s). The coordinator read the removal after a poll without a reply, and kept the endpoint for 1.9 s more, as entries expire while the store is away and come back within two seconds. Its log: Entry missing after an outage; endpoint kept for now, 0.91 s after the removal, and Endpoint gone 2.08 s after that. Only its connection had fallen silent; the store had answered others all along.

An outage is now what a refusal, a failed connection, or a second lost reply in a row shows: the second poll uses a new connection. Entries expire after three heartbeats of silence, so an outage that is over before the second poll lets none expire.

test_follower.py: after one lost poll a removed endpoint was kept, now it is dropped at once; after two, or a refusal, it is kept as before.

--- a/src/ebonydeal/_internal/errors.py
+++ b/src/ebonydeal/_internal/errors.py
@@ -310,3 +310,10 @@
                     outcome=Outcome(str(outcome)) if known else None,
                 )
         return cls(ErrorKind.INTERNAL, "a peer responded with an error of unknown kind")
+
+
+class NoReplyError(EbonydealError):
+    """A call got no reply, though its connection was established.
+
+    Either the service or this connection alone has failed.
+    """
--- a/src/ebonydeal/_internal/platform/calls.py
+++ b/src/ebonydeal/_internal/platform/calls.py
@@ -6,15 +6,17 @@
 from typing import Any, NamedTuple
 
 from aiohttp import (
+    ClientConnectorError,
     ClientError,
     ClientSession,
     ClientTimeout,
+    ConnectionTimeoutError,
     TCPConnector,
     TraceConfig,
 )
 from yarl import URL
 
-from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.errors import EbonydealError, ErrorKind, NoReplyError
 from ebonydeal._internal.utils.http_sessions import HttpSessions
 
 # A connection that was idle for longer may have fallen silent, and isn't used again.
@@ -79,6 +81,8 @@
     ) -> Reply:
         """Make one call; raises ``no_reply`` if no complete reply came.
 
+        The error is a `NoReplyError` if a connection was established.
+
         ``timeout`` replaces that of all calls, seconds.
         """
         total = self._timeout if timeout is None else timeout
@@ -110,7 +114,9 @@
                 f"{method} {url}: no reply in {waited:.3f} s on {kind} connection"
                 f" ({type(exc).__name__})"
             )
-            raise EbonydealError(no_reply, detail) from exc
+            if isinstance(exc, ClientConnectorError | ConnectionTimeoutError):
+                raise EbonydealError(no_reply, detail) from exc
+            raise NoReplyError(no_reply, detail) from exc
 
     async def close(self) -> None:
         """Close the sessions."""
--- a/src/ebonydeal/_internal/relay/view/follower.py
+++ b/src/ebonydeal/_internal/relay/view/follower.py
@@ -6,7 +6,7 @@
 
 from mode import Service
 
-from ebonydeal._internal.errors import EbonydealError
+from ebonydeal._internal.errors import EbonydealError, NoReplyError
 from ebonydeal._internal.models.forwarding import Member
 from ebonydeal._internal.models.rollouts import RolloutOrder
 from ebonydeal._internal.models.shared import RowChanges, SharedRow
@@ -75,6 +75,7 @@
         self._clock = clock
         self._rng = rng
         self.failing_since: float | None = None
+        self._outage_seen = False
         self.on_coordinator = False
         # While the coordinator pushes changes, the store isn't polled.
         self.receives_pushes: Callable[[], bool] = lambda: False
@@ -110,7 +111,7 @@
     async def apply_snapshot(
         self, rows: list[SharedRow], version: int, after_outage: bool
     ) -> None:
-        """Apply the entire table; ``after_outage`` if the store failed just before."""
+        """Apply the entire table; ``after_outage`` if the store was just away."""
         raise NotImplementedError
 
     async def apply_changes(
@@ -215,18 +216,28 @@
     def _note_failure(self, exc: EbonydealError) -> None:
         self._reply_timeout.record_lost()
         now = self._clock.now()
+        # A first lost reply may be due to its connection alone. An outage too short for
+        # a second failure, on a new one, is too short for entries to expire.
+        self._outage_seen = self.failing_since is not None or not isinstance(
+            exc, NoReplyError
+        )
         if self.failing_since is None:
             self.failing_since = now
             logger.warning("Store unavailable.", table=self.table, reason=str(exc))
 
     def _note_success(self) -> bool:
-        """Note an answer; return whether the store had failed before it."""
+        """Note an answer; return whether the store had been away before it."""
         if self.failing_since is None:
             return False
         outage_s = round(self._clock.now() - self.failing_since, 3)
-        logger.info("Store available again.", table=self.table, away_s=outage_s)
+        logger.info(
+            "Store available again.",
+            table=self.table,
+            away_s=outage_s,
+            outage=self._outage_seen,
+        )
         self.failing_since = None
-        return True
+        return self._outage_seen
 
 
 class ConfigTableFollower(TableFollower):
--- a/tests/unit/relay/view/test_follower.py
+++ b/tests/unit/relay/view/test_follower.py
@@ -5,7 +5,7 @@
 from random import Random
 from types import SimpleNamespace
 
-from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.errors import EbonydealError, ErrorKind, NoReplyError
 from ebonydeal._internal.models.forwarding import Member
 from ebonydeal._internal.models.shared import RowChanges, SharedRow
 from ebonydeal._internal.observe.counters import Event, Metrics
@@ -17,6 +17,7 @@
 LISTED = Member("i1", "s", "i1:1", "z", 8, False, None, True, 0.0, 3)
 WIRE = SimpleNamespace(members_table="members", member=lambda _row: LISTED)
 GONE = SharedRow("i1", None, 9)
+NO_REPLY = NoReplyError(ErrorKind.STORE_UNAVAILABLE, "no reply")
 
 
 class Store:
@@ -82,11 +83,50 @@
         self.waits.append(wait)
         if len(self.waits) == 2:
             await self._clock.sleep(wait + reply_timeout)
-            raise EbonydealError(ErrorKind.STORE_UNAVAILABLE, "no reply")
+            raise NO_REPLY
         await self._clock.sleep(wait)
         return RowChanges((), 5)
 
 
+class TestLostPolls:
+    """Entries that are removed while polls get no reply."""
+
+    async def members_after(self, *failures):
+        """Return the members after polls failed and the next returned a removal."""
+        clock = ManualClock(100.0)
+        results = [*failures, RowChanges((GONE,), 9)]
+
+        class FailingStore(Store):
+            async def changes(self, *_args):
+                if not results:
+                    await asyncio.Future()
+                result = results.pop(0)
+                if isinstance(result, Exception):
+                    raise result
+                return result
+
+        view = RelayView(2.0)
+        follower = MembersFollower(
+            FailingStore(), WIRE, view, clock, Random(1), Metrics()
+        )
+        async with asyncio.timeout(10):
+            await follower.start()
+            await clock.advance(1.0)
+            await follower.stop()
+        assert results == []
+        return view.members
+
+    async def test_after_one_without_a_reply_an_endpoint_is_dropped_at_once(self):
+        assert "i1" not in await self.members_after(NO_REPLY)
+
+    async def test_after_two_without_a_reply_it_is_kept_for_now(self):
+        assert "i1" in await self.members_after(NO_REPLY, NO_REPLY)
+
+    async def test_after_a_refusal_it_is_kept_for_now(self):
+        refused = EbonydealError(ErrorKind.STORE_UNAVAILABLE, "503")
+        assert "i1" in await self.members_after(refused)
+
+
 class TestDeadConnection:
     async def run_follower(self, seconds, pushed=lambda _now: False):
         clock = ManualClock(100.0)
