Give no last requests to an endpoint whose departure was read late

An endpoint that begins to leave may get requests for 1.3 s more, which were counted from the moment at which a relay read its entry. A relay whose poll was lost, or whose pushes had ended, reads it later: after a lost connection by up to 2.7 s now, so that last requests would have come 4 s after the entry was written (bound 2 s).

A change that was read after a lost poll, or by the first poll after pushes, now permits none, as it was already after an outage.

--- a/src/ebonydeal/_internal/relay/view/follower.py
+++ b/src/ebonydeal/_internal/relay/view/follower.py
@@ -115,9 +115,16 @@
         raise NotImplementedError
 
     async def apply_changes(
-        self, rows: tuple[SharedRow, ...], version: int, after_outage: bool
+        self,
+        rows: tuple[SharedRow, ...],
+        version: int,
+        after_outage: bool,
+        late: bool = False,
     ) -> None:
-        """Apply changes, in order; ``after_outage`` as in `apply_snapshot`."""
+        """Apply changes, in order; ``after_outage`` as in `apply_snapshot`.
+
+        ``late`` if they may have been made long before they were read.
+        """
         raise NotImplementedError
 
     @Service.task
@@ -172,6 +179,7 @@
             self._poll, self._restart_requested = None, False
         self._answered_at = self._clock.now()
         self._reply_timeout.record_reply(poll_timeout, self._answered_at - asked_at)
+        late = self.failing_since is not None or self._pushed
         self._pushed = False
         self.note_current()
         if changes is None:
@@ -181,7 +189,7 @@
             return None
         after_outage = self._note_success()
         if changes.rows:
-            await self.apply_changes(changes.rows, changes.version, after_outage)
+            await self.apply_changes(changes.rows, changes.version, after_outage, late)
             # Changes come in bursts: one later call gets those that follow.
             await self._clock.sleep(_BATCH_INTERVAL_S)
         else:
@@ -276,7 +284,11 @@
         self._apply_rows(tuple(rows), version, {})
 
     async def apply_changes(
-        self, rows: tuple[SharedRow, ...], version: int, after_outage: bool
+        self,
+        rows: tuple[SharedRow, ...],
+        version: int,
+        after_outage: bool,
+        late: bool = False,
     ) -> None:
         """Apply the configuration's row and orders; unreadable ones are ignored."""
         self._apply_rows(rows, version, self._view.versions.orders)
@@ -368,13 +380,18 @@
         self._view.replace(members, version, self._clock.now(), after_outage)
 
     async def apply_changes(
-        self, rows: tuple[SharedRow, ...], version: int, after_outage: bool
+        self,
+        rows: tuple[SharedRow, ...],
+        version: int,
+        after_outage: bool,
+        late: bool = False,
     ) -> None:
         """Apply changes of the list.
 
         Entries removed during an outage of the store may only have expired; an
         entry that is removed later belongs to an endpoint that left.
         """
+        observed_at = None if after_outage or late else self._clock.now()
         for row in rows:
             if row.value is None and after_outage:
                 self._metrics.count(Event.ENTRIES_MISSING)
@@ -382,7 +399,6 @@
             elif row.value is None:
                 self._view.remove(row.key, row.version)
             elif (member := self._read(row)) is not None:
-                observed_at = None if after_outage else self._clock.now()
                 self._view.put(member, observed_at)
             else:
                 self._view.mark_unreadable(row.key, row.version)
--- a/tests/unit/relay/view/test_follower.py
+++ b/tests/unit/relay/view/test_follower.py
@@ -127,6 +127,21 @@
         assert "i1" in await self.members_after(refused)
 
 
+class TestLateRead:
+    async def test_a_change_read_late_permits_no_last_requests(self):
+        clock, view = ManualClock(100.0), RelayView(2.0)
+        follower = MembersFollower(
+            None, PlatformWire(), view, clock, Random(1), Metrics()
+        )
+        await follower.apply_snapshot([entry("i1", 1), entry("i2", 2)], 2, False)
+        leaving = entry("i1", 3, state="draining")
+        await follower.apply_changes((leaving,), 3, False, late=True)
+        leaving = entry("i2", 4, state="draining")
+        await follower.apply_changes((leaving,), 4, False)
+        last = [m.endpoint_id for m, _left in view.recently_leaving("s", 100.0)]
+        assert last == ["i2"]
+
+
 class TestDeadConnection:
     async def run_follower(self, seconds, pushed=lambda _now: False):
         clock = ManualClock(100.0)
