Count the time of a missing entry from the last call that failed

After an outage of the store, endpoints without an entry stayed in use for 1.9 s from the read that showed it. The relay reads late: the last lost call and the pause after it take up to 6 s, so callers' requests could reach an endpoint that had left 8 s after the store was back (bound: entries are back after 2 s, and the drain time is 2 s).

The store may have been back since the last call that failed began. An endpoint without an entry now stays in use for 1.9 s after the read, and no longer than 3.2 s from that call (1.9 s and the drain time less its margin). Lists say until when, in place of a flag and the time.

test_follower.py: after a refusal and a call of 4 s without a reply, a removed endpoint was kept at 6 s; now it is gone.

--- a/src/ebonydeal/_internal/relay/view/deltas.py
+++ b/src/ebonydeal/_internal/relay/view/deltas.py
@@ -129,7 +129,7 @@
             if member.leaves_in is not None:
                 view.set_leave_time(member.endpoint_id, now + member.leaves_in)
         if delta["whole"] and delta["version"] >= view.members_version:
-            view.replace(members, delta["version"], now, False)
+            view.replace(members, delta["version"])
         # A coordinator of the previous release sends none.
         apply_missing(view, delta.get("missing", {}), now)
         for endpoint_id, version in delta["gone"]:
--- a/src/ebonydeal/_internal/relay/view/follower.py
+++ b/src/ebonydeal/_internal/relay/view/follower.py
@@ -76,6 +76,9 @@
         self._rng = rng
         self.failing_since: float | None = None
         self._outage_seen = False
+        # When the current, or last, call began, and the last one that failed.
+        self._asked_at = 0.0
+        self._failed_at = 0.0
         self.on_coordinator = False
         # While the coordinator pushes changes, the store isn't polled.
         self.receives_pushes: Callable[[], bool] = lambda: False
@@ -152,6 +155,7 @@
     async def _step(self, after: int | None) -> int | None:
         """Make one call; return the version from which to continue."""
         if after is None:
+            self._asked_at = self._clock.now()
             rows, version = await self._store.rows(self.table)
             self._answered_at = self._clock.now()
             self.note_current()
@@ -162,7 +166,7 @@
             # To learn at once whether the store answers, and by this connection.
             poll_timeout = 0.0
         self._current_timeout = poll_timeout
-        asked_at = self._clock.now()
+        self._asked_at = self._clock.now()
         self._poll = asyncio.ensure_future(
             self._store.changes(
                 self.table, after, poll_timeout, self._reply_timeout.seconds
@@ -178,7 +182,9 @@
             self._poll.cancel()
             self._poll, self._restart_requested = None, False
         self._answered_at = self._clock.now()
-        self._reply_timeout.record_reply(poll_timeout, self._answered_at - asked_at)
+        self._reply_timeout.record_reply(
+            poll_timeout, self._answered_at - self._asked_at
+        )
         late = self.failing_since is not None or self._pushed
         self._pushed = False
         self.note_current()
@@ -223,6 +229,7 @@
 
     def _note_failure(self, exc: EbonydealError) -> None:
         self._reply_timeout.record_lost()
+        self._failed_at = self._asked_at
         now = self._clock.now()
         # A first lost reply may be due to its connection alone. An outage too short for
         # a second failure, on a new one, is too short for entries to expire.
@@ -377,7 +384,8 @@
             for row in unreadable
             if row.key in self._view.members
         )
-        self._view.replace(members, version, self._clock.now(), after_outage)
+        missing_until = self._missing_until() if after_outage else None
+        self._view.replace(members, version, missing_until)
 
     async def apply_changes(
         self,
@@ -395,8 +403,7 @@
         for row in rows:
             if row.value is None and after_outage:
                 self._metrics.count(Event.ENTRIES_MISSING)
-                until = self._clock.now() + MISSING_GRACE_S
-                self._view.mark_missing(row.key, row.version, until)
+                self._view.mark_missing(row.key, row.version, self._missing_until())
             elif row.value is None:
                 self._view.remove(row.key, row.version)
             elif (member := self._read(row)) is not None:
@@ -405,6 +412,15 @@
                 self._view.mark_unreadable(row.key, row.version)
         self._view.members_version = max(self._view.members_version, version)
 
+    def _missing_until(self) -> float:
+        """Return until when endpoints stay in use whose entries may have expired.
+
+        The store may have been back since the last call that failed. Its endpoints get
+        no new requests later than the drain time after their entries should be back.
+        """
+        latest = self._failed_at + MISSING_GRACE_S + self._view.last_resort_s
+        return min(self._clock.now() + MISSING_GRACE_S, latest)
+
     def note_current(self) -> None:
         """Note that each change made until now is known; log a long gap."""
         now = self._clock.now()
--- a/src/ebonydeal/_internal/relay/view/view.py
+++ b/src/ebonydeal/_internal/relay/view/view.py
@@ -65,10 +65,15 @@
     ----------
     drain_s : float
         Seconds after which a leaving endpoint may get no new work.
+
+    Attributes
+    ----------
+    last_resort_s : float
+        Seconds after which a relay that read of it at once sends it no new requests.
     """
 
     def __init__(self, drain_s: float) -> None:
-        self._last_resort_s = max(0.0, drain_s - _LAST_RESORT_MARGIN_S)
+        self.last_resort_s = max(0.0, drain_s - _LAST_RESORT_MARGIN_S)
         self.index: RouteIndex | None = None
         self.members: dict[str, Member] = {}
         self.members_version = 0
@@ -194,7 +199,7 @@
             member = self.members[endpoint_id]
             if member.unreadable or endpoint_id in self._awaiting_orders:
                 continue
-            left = self._last_resort_s - (now - since)
+            left = self.last_resort_s - (now - since)
             leave_time = self._leave_times.get(endpoint_id)
             if leave_time is not None:
                 left = min(left, leave_time - now - _LEAVE_TIME_MARGIN_S)
@@ -343,9 +348,15 @@
         self._record_change(endpoint_id)
 
     def replace(
-        self, members: Iterable[Member], version: int, now: float, grace: bool
+        self,
+        members: Iterable[Member],
+        version: int,
+        missing_until: float | None = None,
     ) -> None:
-        """Apply a complete list; with ``grace``, missing endpoints may come back."""
+        """Apply a complete list.
+
+        Endpoints that it lacks are removed, or stay in use until ``missing_until``.
+        """
         listed = list(members)
         for member in listed:
             self.put(member)
@@ -353,10 +364,10 @@
         for endpoint_id in list(self.members):
             if endpoint_id in present:
                 continue
-            if grace:
-                self.mark_missing(endpoint_id, version, now + MISSING_GRACE_S)
-            else:
+            if missing_until is None:
                 self.remove(endpoint_id, version)
+            else:
+                self.mark_missing(endpoint_id, version, missing_until)
         self.members_version = version
         self.members_known = True
 
--- a/src/ebonydeal/_internal/relay/view/view_sync.py
+++ b/src/ebonydeal/_internal/relay/view/view_sync.py
@@ -117,9 +117,8 @@
                 view.apply_table(table, raw, f"peer {address}")
             if "members" in reply and reply["version"] > view.members_version:
                 members = [Member(*item) for item in reply["members"]]
-                now = self._clock.now()
-                view.replace(members, reply["version"], now, False)
-                apply_missing(view, reply.get("missing", {}), now)
+                view.replace(members, reply["version"])
+                apply_missing(view, reply.get("missing", {}), self._clock.now())
                 logger.info(
                     "Endpoints received from a peer.", peer=address, count=len(members)
                 )
--- a/tests/unit/relay/view/test_deltas.py
+++ b/tests/unit/relay/view/test_deltas.py
@@ -210,7 +210,7 @@
     def coordinator_changes(self):
         """Another relay, with the same list but its own count of changes."""
         other = RelayView(2.0)
-        other.replace(self.truth.members.values(), self.revision, 10.0, False)
+        other.replace(self.truth.members.values(), self.revision)
         apply_missing(other, missing_message(self.truth, self.truth.members, 10.0), 10)
         self.truth = other
         self.fence += 1
--- a/tests/unit/relay/view/test_follower.py
+++ b/tests/unit/relay/view/test_follower.py
@@ -91,7 +91,7 @@
 class TestLostPolls:
     """Entries that are removed while polls get no reply."""
 
-    async def members_after(self, *failures):
+    async def members_after(self, *failures, seconds=1.0):
         """Return the members after polls failed and the next returned a removal."""
         clock = ManualClock(100.0)
         results = [*failures, RowChanges((GONE,), 9)]
@@ -102,6 +102,7 @@
                     await asyncio.Future()
                 result = results.pop(0)
                 if isinstance(result, Exception):
+                    await clock.sleep(getattr(result, "lasts_s", 0.0))
                     raise result
                 return result
 
@@ -111,7 +112,7 @@
         )
         async with asyncio.timeout(10):
             await follower.start()
-            await clock.advance(1.0)
+            await clock.advance(seconds)
             await follower.stop()
         assert results == []
         return view.members
@@ -122,6 +123,17 @@
     async def test_after_two_without_a_reply_it_is_kept_for_now(self):
         assert "i1" in await self.members_after(NO_REPLY, NO_REPLY)
 
+    async def test_after_a_long_last_failure_it_is_dropped_before_the_drain_time(self):
+        """The store may have been back since that call began."""
+
+        class SlowlyFailing(EbonydealError):
+            lasts_s = 4.0
+
+        refused = EbonydealError(ErrorKind.STORE_UNAVAILABLE, "503")
+        slow = SlowlyFailing(ErrorKind.STORE_UNAVAILABLE, "no reply")
+        # Entries should be back after 1.9 s, the drain time is 2 s.
+        assert "i1" not in await self.members_after(refused, slow, seconds=6.0)
+
     async def test_after_a_refusal_it_is_kept_for_now(self):
         refused = EbonydealError(ErrorKind.STORE_UNAVAILABLE, "503")
         assert "i1" in await self.members_after(refused)
--- a/tests/unit/relay/view/test_view.py
+++ b/tests/unit/relay/view/test_view.py
@@ -95,10 +95,10 @@
 
     def test_whole_list_with_and_without_grace(self):
         view = RelayView(DRAIN_S)
-        view.replace([member("i1"), member("i2")], 2, 1.0, False)
-        view.replace([member("i1")], 3, 2.0, True)
+        view.replace([member("i1"), member("i2")], 2)
+        view.replace([member("i1")], 3, missing_until=9.0)
         assert sorted(ids(view)) == ["i1", "i2"]
-        view.replace([member("i1")], 4, 3.0, False)
+        view.replace([member("i1")], 4)
         assert ids(view) == ["i1"]
 
 
@@ -245,7 +245,7 @@
     @rule(grace=st.booleans())
     def list_without_it(self, grace):
         self.revision += 1
-        self.view.replace([], self.revision, self.now, grace)
+        self.view.replace([], self.revision, self.now + 1.9 if grace else None)
 
     @rule(seconds=st.floats(0.0, 3.0))
     def time_passes(self, seconds):
