Poll the configuration often while no coordinator shows its version

A relay polls the configuration for 28 s at a time, as each reply of the coordinator shows the version. Where the connection of such a poll had fallen silent and the coordinator was lost, nothing showed a new configuration for up to 32 s (bound 2 s): callers of a new route would have got 404 so long.

The poll is replaced within 0.2 s when the coordinator's replies end: the first one returns at once, later ones wait 2 s. Found by looking for the same cause in what else is polled.

test_follower.py: before, the poll of 28 s stayed.

--- a/src/ebonydeal/_internal/relay/view/follower.py
+++ b/src/ebonydeal/_internal/relay/view/follower.py
@@ -20,7 +20,7 @@
 logger = get_logger("relay.follower")
 
 # If a poll is lost at the store, the coordinator's replies show the missing changes, so
-# most relays use long polls; the coordinator gets no such replies and uses short ones.
+# most relays use long polls; without such replies a relay uses short ones.
 _POLL_TIMEOUT_S = 28.0
 _SHORT_POLL_TIMEOUT_S = 2.0
 # All other relays learn of endpoints from the coordinator, and have to notice soon if
@@ -36,6 +36,8 @@
 _BATCH_INTERVAL_S = 0.15
 # How often to check whether the coordinator still pushes changes.
 _PUSH_CHECK_INTERVAL_S = 0.05
+# How often to check whether it still shows the version of the configuration.
+_REPLY_CHECK_INTERVAL_S = 0.2
 # A list of endpoints that wasn't confirmed for longer than this, and than the longest
 # poll of it, is logged.
 _MAX_LIST_AGE_S = 2.5
@@ -82,8 +84,9 @@
         self.on_coordinator = False
         # While the coordinator pushes changes, the store isn't polled.
         self.receives_pushes: Callable[[], bool] = lambda: False
-        # Whether changes were pushed since the last poll.
-        self._pushed = False
+        # Whether changes may have been made since the last poll, and the connection may
+        # have fallen silent.
+        self._must_catch_up = False
         self._reply_timeout = ReplyTimeout()
         self._answered_at: float | None = None
         self._poll: asyncio.Task[RowChanges | None] | None = None
@@ -162,7 +165,7 @@
             await self.apply_snapshot(rows, version, self._note_success())
             return version
         poll_timeout = self.poll_timeout
-        if self.failing_since is not None or self._pushed:
+        if self.failing_since is not None or self._must_catch_up:
             # To learn at once whether the store answers, and by this connection.
             poll_timeout = 0.0
         self._current_timeout = poll_timeout
@@ -177,6 +180,7 @@
         except asyncio.CancelledError:
             if not self._restart_requested:
                 raise
+            self._must_catch_up = True
             return after
         finally:
             self._poll.cancel()
@@ -185,8 +189,8 @@
         self._reply_timeout.record_reply(
             poll_timeout, self._answered_at - self._asked_at
         )
-        late = self.failing_since is not None or self._pushed
-        self._pushed = False
+        late = self.failing_since is not None or self._must_catch_up
+        self._must_catch_up = False
         self.note_current()
         if changes is None:
             logger.warning(
@@ -224,7 +228,7 @@
         removed from now on has left, and isn't retained as if it had only expired.
         """
         self.failing_since = None
-        self._pushed = True
+        self._must_catch_up = True
         self.note_current()
 
     def _note_failure(self, exc: EbonydealError) -> None:
@@ -263,9 +267,12 @@
     pushes_to_others : callable
         Returns whether other relays get the configuration from this one only; it then
         polls as often as for endpoints.
+    hears_version : callable
+        Returns whether a coordinator's replies show the version of the configuration.
     """
 
     pushes_to_others: Callable[[], bool] = staticmethod(lambda: False)
+    hears_version: Callable[[], bool] = staticmethod(lambda: True)
 
     @property
     def poll_timeout(self) -> float:
@@ -273,11 +280,17 @@
         if self._view.waits_for_orders:
             # To learn at once whether there is an order for a new version.
             return 0.0
-        return (
-            _COORDINATOR_POLL_TIMEOUT_S
-            if self.pushes_to_others()
-            else super().poll_timeout
-        )
+        if self.pushes_to_others():
+            return _COORDINATOR_POLL_TIMEOUT_S
+        if not self.hears_version():
+            return _SHORT_POLL_TIMEOUT_S
+        return super().poll_timeout
+
+    @Service.task
+    async def _shorten_polls(self) -> None:
+        while not self.should_stop:
+            await self._clock.sleep(_REPLY_CHECK_INTERVAL_S)
+            self.restart_poll()
 
     @property
     def table(self) -> str:
--- a/tests/unit/relay/view/test_follower.py
+++ b/tests/unit/relay/view/test_follower.py
@@ -10,7 +10,10 @@
 from ebonydeal._internal.models.shared import RowChanges, SharedRow
 from ebonydeal._internal.observe.counters import Event, Metrics
 from ebonydeal._internal.platform.wire import PlatformWire
-from ebonydeal._internal.relay.view.follower import MembersFollower
+from ebonydeal._internal.relay.view.follower import (
+    ConfigTableFollower,
+    MembersFollower,
+)
 from ebonydeal._internal.relay.view.view import RelayView
 from tests.lib.clock import ManualClock
 
@@ -180,6 +183,33 @@
         assert waits[:3] == [2.0, 0.0, 0.0]
 
 
+class TestConfigurationPolls:
+    async def test_without_replies_of_a_coordinator_a_long_poll_is_replaced(self):
+        clock = ManualClock(100.0)
+        waits = []
+
+        class SilentStore:
+            async def rows(self, _table):
+                return [], 5
+
+            async def changes(self, _table, _after, wait, _reply_timeout):
+                waits.append(wait)
+                await clock.sleep(wait)
+                return RowChanges((), 5)
+
+        follower = ConfigTableFollower(
+            SilentStore(), PlatformWire(), RelayView(2.0), clock, Random(1), Metrics()
+        )
+        follower.hears_version = lambda: clock.now() < 110.0
+        async with asyncio.timeout(10):
+            await follower.start()
+            await clock.advance(9.9)
+            assert waits == [28.0]
+            await clock.advance(1.1)
+            await follower.stop()
+        assert waits == [28.0, 0.0, 2.0]
+
+
 def entry(key, version, **fields):
     document = {
         "service": "s",
