Keep an endpoint that said that it leaves out of use when its entry says ready

The state is kept for each process, also after its entry was removed, until another process is listed under the id. What is known of removed endpoints has a module of its own.

--- a/src/ebonydeal/_internal/relay/view/view.py
+++ b/src/ebonydeal/_internal/relay/view/view.py
@@ -7,6 +7,7 @@
 from ebonydeal._internal.models.forwarding import EndpointProcess, Member, RouteTable
 from ebonydeal._internal.models.rollouts import RolloutOrder
 from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.relay.view.removed import RemovedEndpoints
 from ebonydeal._internal.relay.view.versions import KnownVersions
 from ebonydeal._internal.routing.placement.route_index import RouteIndex
 
@@ -23,19 +24,6 @@
 MISSING_GRACE_S = 1.9
 # Changes that can be pushed as a delta: some minutes of a busy day.
 _MAX_CHANGES = 1000
-# Removed endpoints are remembered, so that no older entry brings them back. Entries
-# older than the store's change history don't arrive any more.
-_MAX_REMOVED = 1000
-
-
-class _Removal(NamedTuple):
-    """The store version at which an endpoint was removed, and its incarnation."""
-
-    version: int
-    incarnation: int
-
-
-_NEVER_REMOVED = _Removal(-1, 0)
 
 
 class MissingEntry(NamedTuple):
@@ -94,7 +82,7 @@
         # Endpoints withheld until more orders are read.
         self._awaiting_orders: frozenset[str] = frozenset()
         self._missing: dict[str, MissingEntry] = {}
-        self._removed: dict[str, _Removal] = {}
+        self._removed = RemovedEndpoints()
         # Whether the coordinator pushes deltas to this relay: its log has each change,
         # and the logs of hundreds of relays needn't repeat it.
         self.receives_deltas: Callable[[], bool] = lambda: False
@@ -244,14 +232,19 @@
         )
         if announced_at is not None:
             member = member._replace(leaving=True)
-        removal = self._removed.get(member.endpoint_id, _NEVER_REMOVED)
-        if removal.version >= member.revision:
+        if self._removed.is_outdated(member):
             return
-        if member.incarnation < max(
-            removal.incarnation, 0 if known is None else known.incarnation
-        ):
+        if known is not None and member.incarnation < known.incarnation:
             # A late entry of an endpoint that has restarted since.
             return
+        if not member.leaving and self._said_leaving(known, member):
+            # A late heartbeat: a process that leaves doesn't stay.
+            logger.info(
+                "Leaving endpoint listed as ready; not used.",
+                endpoint=member.endpoint_id,
+                version=member.revision,
+            )
+            member = member._replace(leaving=True)
         if known is not None and member.incarnation > known.incarnation:
             self._forget_restarted(known, member)
         if known is None or known.version != member.version:
@@ -276,6 +269,12 @@
             )
         self._record_change(member.endpoint_id)
 
+    def _said_leaving(self, known: Member | None, member: Member) -> bool:
+        """Return whether an earlier entry of this process said that it leaves."""
+        if known is None:
+            return self._removed.said_leaving(member)
+        return known.leaving and known.process == member.process
+
     def _log(self, event: str, **values: object) -> None:
         """Log a change of the list, if this relay read it from the store itself."""
         if not self.receives_deltas():
@@ -329,13 +328,7 @@
     def remove(self, endpoint_id: str, version: int) -> None:
         """Drop an endpoint that is no longer listed."""
         known = self.members.get(endpoint_id)
-        before = self._removed.pop(endpoint_id, _NEVER_REMOVED)
-        incarnation = (
-            before.incarnation
-            if known is None
-            else max(before.incarnation, known.incarnation)
-        )
-        self._removed[endpoint_id] = _Removal(max(version, before.version), incarnation)
+        self._removed.record(endpoint_id, version, known)
         if known is None or known.revision > version:
             return
         del self.members[endpoint_id]
@@ -410,14 +403,12 @@
 
     def removed_at(self, endpoint_id: str) -> int:
         """Return the version at which an endpoint was removed; -1 if it wasn't."""
-        return self._removed.get(endpoint_id, _NEVER_REMOVED).version
+        return self._removed.version(endpoint_id)
 
     def _record_change(self, endpoint_id: str) -> None:
         """Record a change, and group the endpoints by service again."""
         self.changes += 1
         self._changed.append(endpoint_id)
-        while len(self._removed) > _MAX_REMOVED:
-            del self._removed[next(iter(self._removed))]
         self._group_by_service()
 
     def _group_by_service(self) -> None:
