Soak: a poll of the simulated store skips no change at its end

The simulated store can do that: when a poll's wait ended and a change was made before its task ran again, the reply had no rows and the version of that change, so the coordinator continued after it, and the others took its list.

The reply now has what was changed until it is built.

--- a/src/ebonydeal/_internal/soak/platform.py
+++ b/src/ebonydeal/_internal/soak/platform.py
@@ -127,7 +127,8 @@
                     async with self._changed:
                         await self._changed.wait()
         except TimeoutError:
-            found = []
+            # A change may have been made before this task could run again.
+            found = self._changes_since(table, after)
         if self.loses_feed_replies:
             await asyncio.sleep(_LOST_REPLY_S)
         if after < self._dropped_to:
--- a/tests/lib/relay_fakes.py
+++ b/tests/lib/relay_fakes.py
@@ -67,6 +67,9 @@
                         await self._changed.wait()
                     self._check()
         except TimeoutError:
+            # A change may have been made before this task could run again.
+            found = self._changed_since(table, after)
+        if not found:
             return RowChanges((), self.version)
         if after < self.history_start:
             return None
