--- a/src/ebonydeal/_internal/outside/cloud.py
+++ b/src/ebonydeal/_internal/outside/cloud.py
@@ -77,7 +77,7 @@
 
     def __init__(self, url: str, timeout: float) -> None:
         self._url = url.rstrip("/")
-        self._client = HttpClient(timeout)
+        self._client = HttpClient(timeout, one_address=True)
 
     @classmethod
     def from_config(cls, cfg: PlatformSettings) -> "HttpCloud":
--- a/src/ebonydeal/_internal/outside/http.py
+++ b/src/ebonydeal/_internal/outside/http.py
@@ -2,7 +2,7 @@
 
 import json
 from collections.abc import AsyncIterator, Mapping
-from contextlib import asynccontextmanager
+from contextlib import AbstractAsyncContextManager, asynccontextmanager, nullcontext
 from typing import Any, NamedTuple
 
 from aiohttp import (
@@ -19,6 +19,7 @@
 from yarl import URL
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.utils.http_sessions import HttpSessions
 
 NOT_RUN_HEADER = "X-Not-Run"
 ATTEMPT_HEADER = "X-Attempt-Id"
@@ -80,28 +81,44 @@
         Keep idle connections. If False, each call opens its own connection: a pooled
         one that the server has just closed would make the outcome of a call
         unknown although the server never read it.
+    one_address : bool
+        All calls go to one address. After one without a reply its other open
+        connections, which are probably dead as well, aren't used any more.
     """
 
-    def __init__(self, timeout: float, *, pooled: bool = True) -> None:
+    def __init__(
+        self, timeout: float, *, pooled: bool = True, one_address: bool = False
+    ) -> None:
         self._timeout = timeout
         self._pooled = pooled
         self._session: ClientSession | None = None
+        self._sessions = HttpSessions(self._open_session) if one_address else None
 
     def _get_session(self) -> ClientSession:
         """Return the session, created on first use inside the running loop."""
         if self._session is None:
-            if self._pooled:
-                connector = TCPConnector(limit=0, keepalive_timeout=_KEEPALIVE_S)
-            else:
-                connector = TCPConnector(limit=0, force_close=True)
-            self._session = ClientSession(
-                connector=connector, read_bufsize=_MAX_LINE_BYTES, auto_decompress=True
-            )
-            # aiohttp retries PUT, DELETE and GET when a connection breaks, but only
-            # the caller knows whether a retry is safe.
-            self._session._retry_connection = False
+            self._session = self._open_session()
         return self._session
 
+    def _open_session(self) -> ClientSession:
+        if self._pooled:
+            connector = TCPConnector(limit=0, keepalive_timeout=_KEEPALIVE_S)
+        else:
+            connector = TCPConnector(limit=0, force_close=True)
+        session = ClientSession(
+            connector=connector, read_bufsize=_MAX_LINE_BYTES, auto_decompress=True
+        )
+        # aiohttp retries PUT, DELETE and GET when a connection breaks, but only
+        # the caller knows whether a retry is safe.
+        session._retry_connection = False
+        return session
+
+    def _use_session(self) -> AbstractAsyncContextManager[ClientSession]:
+        """Return a context with the session for one call."""
+        if self._sessions is None:
+            return nullcontext(self._get_session())
+        return self._sessions.use("")
+
     @asynccontextmanager
     async def open(
         self,
@@ -130,9 +147,12 @@
             sock_connect=max(0.001, limit / 2),
         )
         try:
-            async with self._get_session().request(
-                method, url, timeout=timeouts, allow_redirects=False, **options
-            ) as resp:
+            async with (
+                self._use_session() as session,
+                session.request(
+                    method, url, timeout=timeouts, allow_redirects=False, **options
+                ) as resp,
+            ):
                 try:
                     yield resp
                 finally:
@@ -160,6 +180,8 @@
         if self._session is not None:
             await self._session.close()
             self._session = None
+        if self._sessions is not None:
+            await self._sessions.close()
 
 
 async def _read_body(
--- a/src/ebonydeal/_internal/outside/instances.py
+++ b/src/ebonydeal/_internal/outside/instances.py
@@ -65,7 +65,7 @@
 
     def __init__(self, url: str, timeout: float) -> None:
         self._url = f"{url.rstrip('/')}/v1/instances"
-        self._client = HttpClient(timeout)
+        self._client = HttpClient(timeout, one_address=True)
 
     @classmethod
     def from_config(cls, cfg: PlatformSettings) -> "HttpInstanceList":
--- a/tests/functional/outside/test_http_sessions.py
+++ b/tests/functional/outside/test_http_sessions.py
@@ -6,6 +6,7 @@
 from aiohttp import ClientSession, ClientTimeout, web
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.outside.http import WRITE, HttpClient
 from ebonydeal._internal.platform.calls import JsonCalls
 from ebonydeal._internal.utils.http_sessions import HttpSessions
 from ebonydeal._internal.utils.peerclient import PeerClient
@@ -76,6 +77,13 @@
             )
             await client.close()
 
+    async def test_calls_of_a_service_with_one_address_use_new_connections(self):
+        async with Server() as server:
+            client = HttpClient(TIMEOUT_S, one_address=True)
+            url = f"http://{server.address}/"
+            await self.check(server, lambda: client.fetch("GET", url, WRITE))
+            await client.close()
+
     async def test_calls_in_flight_end_and_other_addresses_keep_their_connections(self):
         async with Server() as one, Server() as other:
             sessions = HttpSessions(ClientSession)
