--- a/src/ebonydeal/_internal/standin/admin.py
+++ b/src/ebonydeal/_internal/standin/admin.py
@@ -21,7 +21,7 @@
 
 
 class PlatformAdmin(Service):
-    """Serves ``/log``, ``/endpoints``, ``/reclaim``, ``/kill`` and ``/faults``.
+    """Serves the platform's log and endpoints, and calls that inject faults.
 
     Parameters
     ----------
@@ -38,6 +38,7 @@
         app.router.add_get("/log", self._serve_log)
         app.router.add_get("/endpoints", self._serve_endpoints)
         app.router.add_post("/reclaim", self._serve_reclaim)
+        app.router.add_post("/unlist", self._serve_unlist)
         app.router.add_post("/kill", self._serve_kill)
         app.router.add_post("/faults", self._serve_faults)
         self.server = StandinServer(app, port=port)
@@ -69,6 +70,14 @@
             self._platform.reclaim_zone(zone, seconds)
         return web.json_response({})
 
+    async def _serve_unlist(self, req: web.Request) -> web.Response:
+        """``{"endpoint_id", "serve_seconds"}``."""
+        body = await read_json(req)
+        self._check_exists(body.get("endpoint_id"))
+        seconds = float(body.get("serve_seconds", 10.0))
+        self._platform.unlist_endpoint(body["endpoint_id"], seconds)
+        return web.json_response({})
+
     async def _serve_kill(self, req: web.Request) -> web.Response:
         """``{"endpoint_id"}``."""
         endpoint_id = (await read_json(req)).get("endpoint_id")
@@ -81,26 +90,39 @@
         if endpoint_id not in ids:
             raise EbonydealError(ErrorKind.NOT_FOUND, f"no endpoint '{endpoint_id}'")
 
+    def _target(self, name: Any) -> Any:
+        """Return a simulated system by the name that its faults are set by."""
+        platform = self._platform
+        match name:
+            case "tables":
+                return platform.tables
+            case "objects":
+                return platform.objects
+            case "cloud":
+                return platform.cloud
+            case "instances":
+                return platform.listing
+            case "weights":
+                return platform.weights
+        raise EbonydealError(ErrorKind.BAD_REQUEST, f"unknown target {name!r}")
+
     async def _serve_faults(self, req: web.Request) -> web.Response:
-        """``{"target": "tables" | "objects" | "cloud" | ..., "down": bool, ...}``."""
+        """``{"target": "tables" | "objects" | "cloud" | ..., "down": bool, ...}``.
+
+        With ``"silent": true`` the target's open connections fall silent.
+        """
         body = await read_json(req)
         platform = self._platform
+        target = self._target(body.get("target"))
         try:
-            match body.get("target"):
-                case "tables":
-                    apply_faults(platform.tables.tables.faults, body)
-                case "objects":
-                    apply_faults(platform.objects.objects.faults, body)
-                case "cloud":
-                    platform.cloud.down = bool(body["down"])
-                case "instances":
-                    platform.listing.down = bool(body["down"])
-                case "weights":
-                    platform.weights.down = bool(body["down"])
-                case other:
-                    raise EbonydealError(
-                        ErrorKind.BAD_REQUEST, f"unknown target {other!r}"
-                    )
+            if body.get("silent"):
+                target.server.silence_open_connections()
+            elif target is platform.tables:
+                apply_faults(platform.tables.tables.faults, body)
+            elif target is platform.objects:
+                apply_faults(platform.objects.objects.faults, body)
+            else:
+                target.down = bool(body["down"])
         except (KeyError, TypeError, ValueError) as exc:
             raise EbonydealError(
                 ErrorKind.BAD_REQUEST, f"invalid faults: {exc!r}"
--- a/src/ebonydeal/_internal/standin/platform.py
+++ b/src/ebonydeal/_internal/standin/platform.py
@@ -253,6 +253,11 @@
         self._mark_leaving(view)
         self.add_future(self._terminate_endpoint(endpoint_id, notice_seconds))
 
+    def unlist_endpoint(self, endpoint_id: str, serve_seconds: float) -> None:
+        """Let an endpoint leave without notice; unlisted, it serves on for a while."""
+        self.listing.remove_endpoint(endpoint_id)
+        self.add_future(self._terminate_endpoint(endpoint_id, serve_seconds))
+
     def restore_zone(self, zone: str) -> None:
         """Allow instances to be started in a zone again."""
         self.cloud.no_capacity.discard((zone, ""))
--- a/src/ebonydeal/_internal/standin/server.py
+++ b/src/ebonydeal/_internal/standin/server.py
@@ -1,11 +1,13 @@
 """HTTP listeners of the simulated systems, with injected connection failures."""
 
+import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
 
 from ebonydeal._internal.observe.counters import Metrics
-from ebonydeal._internal.utils.web import HttpServer, new_app
+from ebonydeal._internal.utils.web import Handler, HttpServer, new_app
 
 _DRAIN_S = 0.2
 _MAX_BODY = 64 * 1024 * 1024
@@ -17,7 +19,7 @@
 
 
 class StandinServer(HttpServer):
-    """An `HttpServer` that can be killed.
+    """An `HttpServer` that can be killed, and whose connections can fall silent.
 
     Parameters
     ----------
@@ -32,6 +34,25 @@
     ) -> None:
         super().__init__(app, host, port, drain_seconds=_DRAIN_S)
         self.killed = False
+        self._silent: set[asyncio.BaseTransport] = set()
+        app.middlewares.append(self._silence_middleware())
+
+    def silence_open_connections(self) -> None:
+        """Answer no more requests on open connections; new ones work."""
+        runner: Any = self._runner
+        transports = {conn.transport for conn in runner.server.connections}
+        self._silent = transports - {None}
+
+    def _silence_middleware(self) -> Callable:
+        """Return a middleware that never answers on connections that fell silent."""
+
+        @web.middleware
+        async def middleware(req: web.Request, handler: Handler) -> web.StreamResponse:
+            if req.transport in self._silent:
+                await asyncio.Future()
+            return await handler(req)
+
+        return middleware
 
     async def kill(self) -> None:
         """Stop listening and reset every connection, like a killed process."""
--- a/tests/functional/standin/test_platform.py
+++ b/tests/functional/standin/test_platform.py
@@ -1,6 +1,7 @@
 import asyncio
 
 import pytest
+from aiohttp import ClientSession
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.places import Place
@@ -8,6 +9,7 @@
 from ebonydeal._internal.outside.instances import HttpInstanceList
 from ebonydeal._internal.outside.interfaces import Offer
 from ebonydeal._internal.outside.weights import HttpWeightStore
+from ebonydeal._internal.standin.admin import PlatformAdmin
 from ebonydeal._internal.standin.platform import StandinPlatform
 from ebonydeal._internal.standin.platform_spec import (
     DeploymentSpec,
@@ -133,3 +135,35 @@
             assert await weights.copies("none") == []
             assert await weights.available_rate() == 10.0
             await weights.close()
+
+
+class TestDepartures:
+    async def test_an_unlisted_endpoint_serves_on_and_ends(self):
+        async with running(StandinPlatform(SPEC)) as platform:
+            admin = PlatformAdmin(platform)
+            async with running(admin), ClientSession() as http:
+                endpoint_id = platform.views()[0].endpoint_id
+                message = {"endpoint_id": endpoint_id, "serve_seconds": 0.05}
+                async with http.post(f"{admin.url}/unlist", json=message) as resp:
+                    assert resp.status == 200
+                assert endpoint_id not in {v.endpoint_id for v in platform.views()}
+                assert not platform.endpoint(endpoint_id).server.killed
+                await until(
+                    lambda: (
+                        endpoint_id not in {e.endpoint_id for e in platform.endpoints()}
+                    )
+                )
+
+    async def test_silent_connections_get_no_answers_and_new_ones_do(self):
+        async with running(StandinPlatform(SPEC)) as platform:
+            admin = PlatformAdmin(platform)
+            async with running(admin), ClientSession() as http:
+                client = HttpInstanceList(platform.listing.url, 0.2)
+                assert await client.endpoints()
+                message = {"target": "instances", "silent": True}
+                async with http.post(f"{admin.url}/faults", json=message) as resp:
+                    assert resp.status == 200
+                with pytest.raises(EbonydealError):
+                    await client.endpoints()
+                assert await client.endpoints()
+                await client.close()
