Soak: keep the logs of failed seeds; bounds of the list's age, added up

A test adds up how long a lost coordinator and a silent connection take to be noticed together, at 9, 68 and 195 relays against drain times of 2, 3 and 4 s.

--- a/src/ebonydeal/_internal/commands/soak.py
+++ b/src/ebonydeal/_internal/commands/soak.py
@@ -4,6 +4,7 @@
 import json
 import sys
 from collections.abc import Iterable
+from pathlib import Path
 
 import click
 
@@ -30,6 +31,11 @@
     type=click.Choice(sorted(PLANTS)),
     help="Falsify the observations.",
 )
+@click.option(
+    "--logs",
+    type=click.Path(file_okay=False, path_type=Path),
+    help="Keep the relays' logs of failed seeds in this folder.",
+)
 def soak_command(
     seed: int,
     seeds: int,
@@ -40,6 +46,7 @@
     jobs: int,
     regressions: bool,
     plant: str | None,
+    logs: Path | None,
 ) -> None:
     """Run relays as processes, inject faults around them, and check guarantees.
 
@@ -49,19 +56,23 @@
     configure_logs(LogSettings(level="error"))
     size = Size(relays, endpoints, clients, seconds)
     chosen = sorted(REGRESSIONS) if regressions else range(seed, seed + seeds)
-    verdicts = asyncio.run(_run_seeds(chosen, size, jobs, plant))
+    verdicts = asyncio.run(_run_seeds(chosen, size, jobs, plant, logs))
     sys.exit(any(verdict.violations for verdict in verdicts))
 
 
 async def _run_seeds(
-    seeds: Iterable[int], size: Size, jobs: int, plant: str | None
+    seeds: Iterable[int],
+    size: Size,
+    jobs: int,
+    plant: str | None,
+    logs: Path | None,
 ) -> list[Verdict]:
     """Run seeds, several at a time, and print each verdict when it is ready."""
     semaphore = asyncio.Semaphore(jobs)
 
     async def run_one(seed: int) -> Verdict:
         async with semaphore:
-            verdict = await run_seed(seed, size, plant)
+            verdict = await run_seed(seed, size, plant, logs)
         found = [violation._asdict() for violation in verdict.violations]
         click.echo(json.dumps({**verdict._asdict(), "violations": found}))
         return verdict
--- a/src/ebonydeal/_internal/soak/run.py
+++ b/src/ebonydeal/_internal/soak/run.py
@@ -7,6 +7,7 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 from random import Random
+from shutil import copytree
 from tempfile import TemporaryDirectory
 from typing import NamedTuple
 
@@ -535,26 +536,48 @@
     await asyncio.gather(task, return_exceptions=True)
 
 
-async def run_seed(seed: int, size: Size, plant: str | None = None) -> Verdict:
-    """Run one seed; with ``plant``, falsify the observations before the checks."""
-    return await run_plan(make_plan(seed, size.seconds), seed, size, plant)
+async def run_seed(
+    seed: int, size: Size, plant: str | None = None, logs: Path | None = None
+) -> Verdict:
+    """Run one seed; with ``plant``, falsify the observations before the checks.
+
+    After a violation the relays' logs and the observations are kept under ``logs``.
+    """
+    return await run_plan(make_plan(seed, size.seconds), seed, size, plant, logs)
 
 
 async def run_plan(
-    plan: Sequence[Step], seed: int, size: Size, plant: str | None = None
+    plan: Sequence[Step],
+    seed: int,
+    size: Size,
+    plant: str | None = None,
+    logs: Path | None = None,
 ) -> Verdict:
     """Run the faults of a plan; the load is drawn from the seed."""
-    with TemporaryDirectory(prefix="ebonydeal-soak-") as folder:
-        soak = _Soak(plan, seed, size, Path(folder))
+    with TemporaryDirectory(prefix="ebonydeal-soak-") as name:
+        folder = Path(name)
+        soak = _Soak(plan, seed, size, folder)
         await soak.run()
-    log = soak.log
-    if plant is not None:
-        PLANTS[plant][0](log, GUARANTEES)
+        log = soak.log
+        if plant is not None:
+            PLANTS[plant][0](log, GUARANTEES)
+        violations = check_all(log, GUARANTEES)
+        if violations and logs is not None:
+            _write_observations(log, folder / "observations.txt")
+            copytree(folder, logs / f"seed-{seed}", dirs_exist_ok=True)
     return Verdict(
         seed=seed,
         requests=len(log.results),
         served=sum(result.status == 200 and result.complete for result in log.results),
         moved=sum(run.migrated for run in log.runs),
         faults=len(plan),
-        violations=check_all(log, GUARANTEES),
+        violations=violations,
     )
+
+
+def _write_observations(log: Log, path: Path) -> None:
+    """Write one line for each observation; times are those of the monotonic clock."""
+    with path.open("w", encoding="utf-8") as out:
+        out.write(f"# monotonic {time.monotonic()} is {time.time()} s since 1970\n")
+        for observations in vars(log).values():
+            out.writelines(f"{observation}\n" for observation in observations)
--- a/tests/functional/soak/test_soak.py
+++ b/tests/functional/soak/test_soak.py
@@ -37,7 +37,11 @@
         assert {v["seed"] for v in verdicts} == set(REGRESSIONS)
         assert code == 0
 
-    def test_a_planted_violation_is_detected_and_fails_the_run(self):
-        code, (verdict,) = run_soak("--seed", "3", "--plant", "second-run")
+    def test_a_planted_violation_is_detected_and_fails_the_run(self, tmp_path):
+        code, (verdict,) = run_soak(
+            *("--seed", "3", "--plant", "second-run", "--logs", str(tmp_path))
+        )
         assert [v["promise"] for v in verdict["violations"]] == ["run once"]
         assert code == 1
+        kept = {file.name for file in (tmp_path / "seed-3").iterdir()}
+        assert {"n0.log", "n1.log", "observations.txt"} <= kept
--- a/tests/unit/relay/view/test_reply_timeout.py
+++ b/tests/unit/relay/view/test_reply_timeout.py
@@ -1,10 +1,15 @@
+import pytest
+
+from ebonydeal._internal.relay.peers import exchange
 from ebonydeal._internal.relay.view import follower, reply_timeout
 from ebonydeal._internal.relay.view.reply_timeout import ReplyTimeout
+from ebonydeal._internal.routing.duties.report_pacing import ReportPacing
 
 SHORTEST_S = reply_timeout.MIN_REPLY_TIMEOUT_S
 # The users' bound: the time after which a relay counts as in touch again when its
 # open connections have fallen silent.
 CONTACT_S = 3.0
+LONGEST_PAUSE_S = follower._MIN_BACKOFF_S * follower._MAX_JITTER
 
 
 class TestReplyTimeout:
@@ -34,5 +39,12 @@
 class TestDeadConnection:
     def test_is_replaced_before_the_relay_counts_as_in_touch(self):
         longest_poll = follower._SHORT_POLL_TIMEOUT_S + SHORTEST_S
-        retry = follower._MIN_BACKOFF_S * follower._MAX_JITTER
-        assert longest_poll + retry <= CONTACT_S
+        assert longest_poll + LONGEST_PAUSE_S <= CONTACT_S
+
+    @pytest.mark.parametrize(("relays", "drain_s"), [(9, 2.0), (68, 3.0), (195, 4.0)])
+    def test_of_a_lost_coordinator_is_replaced_within_the_drain_time(
+        self, relays, drain_s
+    ):
+        reports = ReportPacing.of(relays, 0.5, 1.0).max_interval
+        noticed = reports + exchange._CALL_TIMEOUT_S
+        assert noticed + SHORTEST_S + LONGEST_PAUSE_S <= drain_s
