Split the followers of two tables; open one session for calls made together

First calls to one address, made together while a session that nobody used was being closed, opened a session each, and all but the last stayed open: the test opens three where two are needed, on the code before. Waits of calls are read from the clock that counts suspended time. The line on a missing entry is logged by the relay that reads the store, not by all.

--- a/src/ebonydeal/_internal/platform/calls.py
+++ b/src/ebonydeal/_internal/platform/calls.py
@@ -1,7 +1,6 @@
 """JSON calls to one service of the platform."""
 
 import json
-import time
 from types import SimpleNamespace
 from typing import Any, NamedTuple
 
@@ -17,6 +16,7 @@
 from yarl import URL
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind, NoReplyError
+from ebonydeal._internal.utils.clock import SystemClock
 from ebonydeal._internal.utils.http_sessions import HttpSessions
 
 # A connection that was idle for longer may have fallen silent, and isn't used again.
@@ -92,7 +92,8 @@
             data = json.dumps(message).encode()
             headers = {**(headers or {}), "Content-Type": "application/json"}
         connection = {"reused": False}
-        began_at = time.monotonic()
+        clock = SystemClock()
+        began_at = clock.now()
         try:
             async with (
                 self._sessions.use(URL(url).authority) as session,
@@ -108,7 +109,7 @@
             ):
                 return Reply(resp.status, await resp.read())
         except (TimeoutError, ClientError, OSError) as exc:
-            waited = time.monotonic() - began_at
+            waited = clock.now() - began_at
             kind = "an open" if connection["reused"] else "a new"
             detail = (
                 f"{method} {url}: no reply in {waited:.3f} s on {kind} connection"
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -51,9 +51,10 @@
 from ebonydeal._internal.relay.requests.notices import NoticeReader
 from ebonydeal._internal.relay.requests.quota import QuotaLimiter
 from ebonydeal._internal.relay.requests.usage import UsageMeter
+from ebonydeal._internal.relay.view.config_follower import ConfigTableFollower
 from ebonydeal._internal.relay.view.deltas import DeltaPublisher, DeltaReceiver
-from ebonydeal._internal.relay.view.follower import ConfigTableFollower, MembersFollower
 from ebonydeal._internal.relay.view.leaving import LeavingTimes
+from ebonydeal._internal.relay.view.members_follower import MembersFollower
 from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.relay.view.view_sync import ViewSync
 from ebonydeal._internal.routing.admission.early_refusal import EarlyRefusal
--- /dev/null
+++ b/src/ebonydeal/_internal/relay/view/config_follower.py
@@ -0,0 +1,118 @@
+"""Follows the table of the configuration and of roll-out orders."""
+
+from collections.abc import Callable
+
+from mode import Service
+
+from ebonydeal._internal.errors import EbonydealError
+from ebonydeal._internal.models.rollouts import RolloutOrder
+from ebonydeal._internal.models.shared import SharedRow
+from ebonydeal._internal.observe.counters import Event
+from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.relay.view.follower import (
+    COORDINATOR_POLL_TIMEOUT_S,
+    SHORT_POLL_TIMEOUT_S,
+    TableFollower,
+)
+
+logger = get_logger("relay.follower")
+
+# How often to check whether a coordinator still shows the version.
+_REPLY_CHECK_INTERVAL_S = 0.2
+
+
+class ConfigTableFollower(TableFollower):
+    """Puts each newer configuration in force.
+
+    Attributes
+    ----------
+    pushes_to_others : callable
+        Returns whether other relays get the configuration from this one only; it then
+        polls as often as for endpoints.
+    hears_version : callable
+        Returns whether a coordinator's replies show the version of the configuration.
+    """
+
+    pushes_to_others: Callable[[], bool] = staticmethod(lambda: False)
+    hears_version: Callable[[], bool] = staticmethod(lambda: True)
+
+    @property
+    def poll_timeout(self) -> float:
+        """Seconds for which a long poll waits for changes."""
+        if self._view.waits_for_orders:
+            # To learn at once whether there is an order for a new version.
+            return 0.0
+        if self.pushes_to_others():
+            return COORDINATOR_POLL_TIMEOUT_S
+        if not self.hears_version():
+            return SHORT_POLL_TIMEOUT_S
+        return super().poll_timeout
+
+    @Service.task
+    async def _shorten_polls(self) -> None:
+        while not self.should_stop:
+            await self._clock.sleep(_REPLY_CHECK_INTERVAL_S)
+            self.restart_poll()
+
+    @property
+    def table(self) -> str:
+        """Name of the table."""
+        return self._wire.config_table
+
+    async def apply_snapshot(
+        self, rows: list[SharedRow], version: int, after_outage: bool
+    ) -> None:
+        """Apply the configuration's row, if there is one, and all orders."""
+        self._apply_rows(tuple(rows), version, {})
+
+    async def apply_changes(
+        self,
+        rows: tuple[SharedRow, ...],
+        version: int,
+        after_outage: bool,
+        late: bool = False,
+    ) -> None:
+        """Apply the configuration's row and orders; unreadable ones are ignored."""
+        self._apply_rows(rows, version, self._view.versions.orders)
+
+    def _apply_rows(
+        self,
+        rows: tuple[SharedRow, ...],
+        version: int,
+        orders: dict[str, RolloutOrder],
+    ) -> None:
+        """Apply rows; ``orders`` are those known before, which rows may change."""
+        self._view.apply_orders(self._updated_orders(orders, rows), version, "store")
+        for row in rows:
+            if row.key != self._wire.config_key or row.value is None:
+                continue
+            try:
+                table = self._wire.table(row)
+            except EbonydealError as exc:
+                self._metrics.count(Event.CONFIGURATIONS_UNREADABLE)
+                logger.error("Configuration refused.", reason=str(exc))
+                continue
+            self._view.apply_table(table, row.value, "store")
+
+    def note_version(self, version: int) -> None:
+        """Note that nothing has changed up to a version."""
+        self._view.orders_unchanged(version)
+
+    def _updated_orders(
+        self, orders: dict[str, RolloutOrder], rows: tuple[SharedRow, ...]
+    ) -> dict[str, RolloutOrder]:
+        """Return the orders updated by rows; an unreadable row changes nothing."""
+        orders = dict(orders)
+        for row in rows:
+            service = self._wire.rollout_service(row.key)
+            if service is None:
+                continue
+            if row.value is None:
+                orders.pop(service, None)
+                continue
+            try:
+                orders[service] = self._wire.order(row)
+            except EbonydealError as exc:
+                self._metrics.count(Event.ROLLOUT_ORDERS_UNREADABLE)
+                logger.error("Roll-out order refused.", reason=str(exc))
+        return orders
--- a/src/ebonydeal/_internal/relay/view/follower.py
+++ b/src/ebonydeal/_internal/relay/view/follower.py
@@ -1,4 +1,4 @@
-"""Follows the configuration and the list of endpoints by long polls."""
+"""Follows one table of the store by long polls."""
 
 import asyncio
 from collections.abc import Callable
@@ -7,14 +7,12 @@
 from mode import Service
 
 from ebonydeal._internal.errors import EbonydealError, NoReplyError
-from ebonydeal._internal.models.forwarding import Member
-from ebonydeal._internal.models.rollouts import RolloutOrder
 from ebonydeal._internal.models.shared import RowChanges, SharedRow
-from ebonydeal._internal.observe.counters import Event, Metrics, Timing
+from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.ports import SharedStore, Wire
 from ebonydeal._internal.relay.view.reply_timeout import ReplyTimeout
-from ebonydeal._internal.relay.view.view import MISSING_GRACE_S, RelayView
+from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.utils.clock import Clock
 
 logger = get_logger("relay.follower")
@@ -22,25 +20,19 @@
 # If a poll is lost at the store, the coordinator's replies show the missing changes, so
 # most relays use long polls; without such replies a relay uses short ones.
 _POLL_TIMEOUT_S = 28.0
-_SHORT_POLL_TIMEOUT_S = 2.0
+SHORT_POLL_TIMEOUT_S = 2.0
 # All other relays learn of endpoints from the coordinator, and have to notice soon if
 # the store stops answering it. So it polls with the first of these timeouts, and its
 # data is up to date for the second time after a reply of the store. Together with one
 # exchange that stays below the 2 s after which an endpoint must get no new work.
-_COORDINATOR_POLL_TIMEOUT_S = 0.6
+COORDINATOR_POLL_TIMEOUT_S = 0.6
 _FRESH_TIMEOUT_S = 0.9
 _MIN_BACKOFF_S = 0.15
 _MIN_JITTER, _MAX_JITTER = 0.5, 1.5
 _MAX_BACKOFF_S = 1.5
-_EXPIRY_INTERVAL_S = 0.25
 _BATCH_INTERVAL_S = 0.15
 # How often to check whether the coordinator still pushes changes.
 _PUSH_CHECK_INTERVAL_S = 0.05
-# How often to check whether it still shows the version of the configuration.
-_REPLY_CHECK_INTERVAL_S = 0.2
-# A list of endpoints that wasn't confirmed for longer than this, and than the longest
-# poll of it, is logged.
-_MAX_LIST_AGE_S = 2.5
 
 
 class TableFollower(Service):
@@ -101,7 +93,7 @@
     @property
     def poll_timeout(self) -> float:
         """Seconds for which a long poll waits for changes."""
-        return _SHORT_POLL_TIMEOUT_S if self.on_coordinator else _POLL_TIMEOUT_S
+        return SHORT_POLL_TIMEOUT_S if self.on_coordinator else _POLL_TIMEOUT_S
 
     @property
     def fresh(self) -> bool:
@@ -257,204 +249,3 @@
         )
         self.failing_since = None
         return self._outage_seen
-
-
-class ConfigTableFollower(TableFollower):
-    """Puts each newer configuration in force.
-
-    Attributes
-    ----------
-    pushes_to_others : callable
-        Returns whether other relays get the configuration from this one only; it then
-        polls as often as for endpoints.
-    hears_version : callable
-        Returns whether a coordinator's replies show the version of the configuration.
-    """
-
-    pushes_to_others: Callable[[], bool] = staticmethod(lambda: False)
-    hears_version: Callable[[], bool] = staticmethod(lambda: True)
-
-    @property
-    def poll_timeout(self) -> float:
-        """Seconds for which a long poll waits for changes."""
-        if self._view.waits_for_orders:
-            # To learn at once whether there is an order for a new version.
-            return 0.0
-        if self.pushes_to_others():
-            return _COORDINATOR_POLL_TIMEOUT_S
-        if not self.hears_version():
-            return _SHORT_POLL_TIMEOUT_S
-        return super().poll_timeout
-
-    @Service.task
-    async def _shorten_polls(self) -> None:
-        while not self.should_stop:
-            await self._clock.sleep(_REPLY_CHECK_INTERVAL_S)
-            self.restart_poll()
-
-    @property
-    def table(self) -> str:
-        """Name of the table."""
-        return self._wire.config_table
-
-    async def apply_snapshot(
-        self, rows: list[SharedRow], version: int, after_outage: bool
-    ) -> None:
-        """Apply the configuration's row, if there is one, and all orders."""
-        self._apply_rows(tuple(rows), version, {})
-
-    async def apply_changes(
-        self,
-        rows: tuple[SharedRow, ...],
-        version: int,
-        after_outage: bool,
-        late: bool = False,
-    ) -> None:
-        """Apply the configuration's row and orders; unreadable ones are ignored."""
-        self._apply_rows(rows, version, self._view.versions.orders)
-
-    def _apply_rows(
-        self,
-        rows: tuple[SharedRow, ...],
-        version: int,
-        orders: dict[str, RolloutOrder],
-    ) -> None:
-        """Apply rows; ``orders`` are those known before, which rows may change."""
-        self._view.apply_orders(self._updated_orders(orders, rows), version, "store")
-        for row in rows:
-            if row.key != self._wire.config_key or row.value is None:
-                continue
-            try:
-                table = self._wire.table(row)
-            except EbonydealError as exc:
-                self._metrics.count(Event.CONFIGURATIONS_UNREADABLE)
-                logger.error("Configuration refused.", reason=str(exc))
-                continue
-            self._view.apply_table(table, row.value, "store")
-
-    def note_version(self, version: int) -> None:
-        """Note that nothing has changed up to a version."""
-        self._view.orders_unchanged(version)
-
-    def _updated_orders(
-        self, orders: dict[str, RolloutOrder], rows: tuple[SharedRow, ...]
-    ) -> dict[str, RolloutOrder]:
-        """Return the orders updated by rows; an unreadable row changes nothing."""
-        orders = dict(orders)
-        for row in rows:
-            service = self._wire.rollout_service(row.key)
-            if service is None:
-                continue
-            if row.value is None:
-                orders.pop(service, None)
-                continue
-            try:
-                orders[service] = self._wire.order(row)
-            except EbonydealError as exc:
-                self._metrics.count(Event.ROLLOUT_ORDERS_UNREADABLE)
-                logger.error("Roll-out order refused.", reason=str(exc))
-        return orders
-
-
-class MembersFollower(TableFollower):
-    """Follows the list of endpoints."""
-
-    _current_at: float | None = None
-
-    @property
-    def poll_timeout(self) -> float:
-        """Seconds for which a long poll waits; any relay may soon push to others."""
-        return (
-            _COORDINATOR_POLL_TIMEOUT_S
-            if self.on_coordinator
-            else _SHORT_POLL_TIMEOUT_S
-        )
-
-    @property
-    def known_version(self) -> int:
-        """Version of the list."""
-        return self._view.members_version
-
-    @property
-    def table(self) -> str:
-        """Name of the table."""
-        return self._wire.members_table
-
-    async def apply_snapshot(
-        self, rows: list[SharedRow], version: int, after_outage: bool
-    ) -> None:
-        """Apply the complete list."""
-        read = [self._read(row) for row in rows]
-        members = [member for member in read if member is not None]
-        # An unreadable entry doesn't mean that its endpoint has left.
-        unreadable = [
-            row for row, member in zip(rows, read, strict=True) if member is None
-        ]
-        for row in unreadable:
-            self._view.mark_unreadable(row.key, row.version)
-        members.extend(
-            self._view.members[row.key]
-            for row in unreadable
-            if row.key in self._view.members
-        )
-        missing_until = self._missing_until() if after_outage else None
-        self._view.replace(members, version, missing_until)
-
-    async def apply_changes(
-        self,
-        rows: tuple[SharedRow, ...],
-        version: int,
-        after_outage: bool,
-        late: bool = False,
-    ) -> None:
-        """Apply changes of the list.
-
-        Entries removed during an outage of the store may only have expired; an
-        entry that is removed later belongs to an endpoint that left.
-        """
-        observed_at = None if after_outage or late else self._clock.now()
-        for row in rows:
-            if row.value is None and after_outage:
-                self._metrics.count(Event.ENTRIES_MISSING)
-                self._view.mark_missing(row.key, row.version, self._missing_until())
-            elif row.value is None:
-                self._view.remove(row.key, row.version)
-            elif (member := self._read(row)) is not None:
-                self._view.put(member, observed_at)
-            else:
-                self._view.mark_unreadable(row.key, row.version)
-        self._view.members_version = max(self._view.members_version, version)
-
-    def _missing_until(self) -> float:
-        """Return until when endpoints stay in use whose entries may have expired.
-
-        The store may have been back since the last call that failed. Its endpoints get
-        no new requests later than the drain time after their entries should be back.
-        """
-        latest = self._failed_at + MISSING_GRACE_S + self._view.last_resort_s
-        return min(self._clock.now() + MISSING_GRACE_S, latest)
-
-    def note_current(self) -> None:
-        """Note that each change made until now is known; log a long gap."""
-        now = self._clock.now()
-        if self._current_at is not None:
-            age = now - self._current_at
-            self._metrics.record_duration(Timing.LIST_AGE, age)
-            if age > _MAX_LIST_AGE_S:
-                logger.info("List of endpoints was outdated.", age_s=round(age, 3))
-        self._current_at = now
-
-    def _read(self, row: SharedRow) -> Member | None:
-        """Return a listed endpoint, or None if its entry can't be decoded."""
-        try:
-            return self._wire.member(row)
-        except EbonydealError as exc:
-            self._metrics.count(Event.ENTRIES_UNREADABLE)
-            logger.error("Endpoint refused.", reason=str(exc))
-            return None
-
-    @Service.task
-    async def _expire(self) -> None:
-        while not self.should_stop:
-            await self._clock.sleep(_EXPIRY_INTERVAL_S)
-            self._view.expire(self._clock.now())
--- a/src/ebonydeal/_internal/relay/view/view.py
+++ b/src/ebonydeal/_internal/relay/view/view.py
@@ -374,7 +374,7 @@
             return
         self._missing[endpoint_id] = MissingEntry(version, until)
         self.last_change = max(self.last_change, version)
-        logger.info(
+        self._log(
             "Entry missing after an outage; endpoint kept for now.",
             endpoint=endpoint_id,
             version=version,
--- a/src/ebonydeal/_internal/utils/http_sessions.py
+++ b/src/ebonydeal/_internal/utils/http_sessions.py
@@ -1,11 +1,12 @@
 """HTTP client sessions that stop using open connections once one gets no reply."""
 
-import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 from aiohttp import ClientError, ClientSession
 
+from ebonydeal._internal.utils.clock import Clock, SystemClock
+
 # Sessions that weren't used for this long are closed when another one is opened.
 _UNUSED_TIMEOUT_S = 60.0
 
@@ -31,11 +32,16 @@
     ----------
     open_session : callable
         Returns a new session.
+    clock : Clock, optional
+        Time.
     """
 
-    def __init__(self, open_session: Callable[[], ClientSession]) -> None:
+    def __init__(
+        self, open_session: Callable[[], ClientSession], clock: Clock | None = None
+    ) -> None:
         self._open_session = open_session
         self._pools: dict[str, _Pool] = {}
+        self._clock = clock or SystemClock()
 
     @asynccontextmanager
     async def use(self, address: str) -> AsyncIterator[ClientSession]:
@@ -44,12 +50,14 @@
         The call's errors have to pass through this context.
         """
         pool = self._pools.get(address)
+        is_new = pool is None
         if pool is None:
-            await self._close_unused()
             pool = self._pools[address] = _Pool(self._open_session())
         pool.calls += 1
-        pool.used_at = asyncio.get_running_loop().time()
+        pool.used_at = self._clock.now()
         try:
+            if is_new:
+                await self._close_unused()
             yield pool.session
         except (TimeoutError, ClientError, OSError):
             pool.retired = True
@@ -62,7 +70,7 @@
                 await pool.session.close()
 
     async def _close_unused(self) -> None:
-        unused_since = asyncio.get_running_loop().time() - _UNUSED_TIMEOUT_S
+        unused_since = self._clock.now() - _UNUSED_TIMEOUT_S
         for address, pool in list(self._pools.items()):
             if not pool.calls and pool.used_at < unused_since:
                 del self._pools[address]
--- a/tests/functional/outside/test_http_sessions.py
+++ b/tests/functional/outside/test_http_sessions.py
@@ -10,6 +10,7 @@
 from ebonydeal._internal.platform.calls import JsonCalls
 from ebonydeal._internal.utils.http_sessions import HttpSessions
 from ebonydeal._internal.utils.peerclient import PeerClient
+from tests.lib.clock import ManualClock
 
 TIMEOUT_S = 0.2
 
@@ -84,6 +85,27 @@
             await self.check(server, lambda: client.fetch("GET", url, WRITE))
             await client.close()
 
+    async def test_first_calls_made_together_share_a_session(self):
+        opened = []
+
+        def open_session():
+            opened.append(ClientSession())
+            return opened[-1]
+
+        clock = ManualClock()
+        sessions = HttpSessions(open_session, clock)
+
+        async def call(address):
+            async with sessions.use(address):
+                await asyncio.sleep(0)
+
+        await call("unused since")
+        await clock.advance(61.0)
+        await asyncio.gather(call("a"), call("a"), call("a"))
+        await sessions.close()
+        assert len(opened) == 2
+        assert all(session.closed for session in opened)
+
     async def test_calls_in_flight_end_and_other_addresses_keep_their_connections(self):
         async with Server() as one, Server() as other:
             sessions = HttpSessions(ClientSession)
--- a/tests/unit/relay/view/test_follower.py
+++ b/tests/unit/relay/view/test_follower.py
@@ -10,10 +10,8 @@
 from ebonydeal._internal.models.shared import RowChanges, SharedRow
 from ebonydeal._internal.observe.counters import Event, Metrics
 from ebonydeal._internal.platform.wire import PlatformWire
-from ebonydeal._internal.relay.view.follower import (
-    ConfigTableFollower,
-    MembersFollower,
-)
+from ebonydeal._internal.relay.view.config_follower import ConfigTableFollower
+from ebonydeal._internal.relay.view.members_follower import MembersFollower
 from ebonydeal._internal.relay.view.view import RelayView
 from tests.lib.clock import ManualClock
 
--- a/tests/unit/relay/view/test_reply_timeout.py
+++ b/tests/unit/relay/view/test_reply_timeout.py
@@ -38,7 +38,7 @@
 
 class TestDeadConnection:
     def test_is_replaced_before_the_relay_counts_as_in_touch(self):
-        longest_poll = follower._SHORT_POLL_TIMEOUT_S + SHORTEST_S
+        longest_poll = follower.SHORT_POLL_TIMEOUT_S + SHORTEST_S
         assert longest_poll + LONGEST_PAUSE_S <= CONTACT_S
 
     @pytest.mark.parametrize(("relays", "drain_s"), [(9, 2.0), (68, 3.0), (195, 4.0)])
