Soak: a crashed endpoint keeps no connection that was being set up

The logs show the quarantine withdrawn 0.1 s after it began, told by a relay whose request the crashed endpoint had answered. Its proxy was setting up that connection when it was stopped, and left it open; a simulated endpoint that has crashed answers the request that crashed it with 200, which counts as a success.

The proxy closes connections that are set up after its stop. test_proxy.py holds one back until then: before, data passed.

--- a/src/ebonydeal/_internal/soak/proxy.py
+++ b/src/ebonydeal/_internal/soak/proxy.py
@@ -38,6 +38,7 @@
         # Writers of connections that have fallen silent.
         self._silenced: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
+        self._stopped = False
         self.address = ""
 
     async def start(self) -> "Proxy":
@@ -75,6 +76,10 @@
         except OSError:
             writer.transport.abort()
             return
+        if self._stopped:
+            writer.transport.abort()
+            upstream_writer.transport.abort()
+            return
         self._writers |= {writer, upstream_writer}
         try:
             await asyncio.gather(
@@ -108,6 +113,7 @@
 
     async def stop(self) -> None:
         """Close the listener and all connections."""
+        self._stopped = True
         self._not_stalled.set()
         if self._server is not None:
             self._server.close()
--- a/tests/functional/soak/test_proxy.py
+++ b/tests/functional/soak/test_proxy.py
@@ -81,3 +81,25 @@
                 async with asyncio.timeout(0.05):
                     await reader.readexactly(1)
             new_writer.close()
+
+
+class TestStop:
+    async def test_closes_a_connection_that_is_being_set_up(self, monkeypatch):
+        async with connection_through_proxy() as (proxy, _reader, _writer):
+            connect, may_connect = asyncio.open_connection, asyncio.Event()
+            connecting = asyncio.Event()
+
+            async def connect_later(*address):
+                connecting.set()
+                await may_connect.wait()
+                return await connect(*address)
+
+            host, _sep, port = proxy.address.partition(":")
+            monkeypatch.setattr(asyncio, "open_connection", connect_later)
+            reader, writer = await connect(host, int(port))
+            writer.write(b"one")
+            await connecting.wait()
+            await proxy.stop()
+            may_connect.set()
+            with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+                await reader.readexactly(3)
