Soak: endpoints and their faults in a module of their own

Endpoints, their departures, crashes and roll-outs are in soak/fleet.py; a fault's period is recorded by the log itself.

--- /dev/null
+++ b/src/ebonydeal/_internal/soak/fleet.py
@@ -0,0 +1,216 @@
+"""The endpoints of a soak, and their faults."""
+
+import asyncio
+import time
+
+from ebonydeal._internal.models.rollouts import Phase, RolloutOrder
+from ebonydeal._internal.platform.rows import CONFIG_TABLE, MEMBERS_TABLE
+from ebonydeal._internal.platform.server_side import (
+    member_document,
+    order_document,
+    order_key,
+)
+from ebonydeal._internal.soak.endpoints import SERVICE, SoakEndpoint, VersionDefect
+from ebonydeal._internal.soak.plan import Fault, Step
+from ebonydeal._internal.soak.platform import SoakPlatform
+from ebonydeal._internal.soak.records import ListedLeaving, Log, OrderedRollout
+
+_LEAVE_NOTICE_S = 2.5
+_RESTART_DELAY_S = 2.0
+# Time from a roll-out's order to its new endpoints, and from its deadline until a
+# missing verdict counts as a rollback.
+_BOOT_DELAY_S = 0.4
+_VERDICT_TIMEOUT_S = 3.0
+# What endpoints announce: limits in requests per second, and backoffs.
+_ANNOUNCED_LIMITS = (0.0, 0.3, 1.0, 1.4, 2.0)
+_BACKOFFS_S = (1.0, 2.0, 3.0)
+
+
+class SoakFleet:
+    """The endpoints that serve; each fault takes the endpoint that its step selects.
+
+    Parameters
+    ----------
+    platform : SoakPlatform
+        Lists the endpoints.
+    log : Log
+        Observations.
+    size : int
+        Number of endpoints at the start, and of a new version.
+    """
+
+    def __init__(self, platform: SoakPlatform, log: Log, size: int) -> None:
+        self._platform = platform
+        self._log = log
+        self._size = size
+        self._kv_caches: dict[str, str] = {}
+        self.endpoints: list[SoakEndpoint] = []
+        self._count = 0
+        self._replacements: set[asyncio.Future[None]] = set()
+        # Software version of the service's endpoints.
+        self._service_version = "v1"
+
+    async def start(self) -> None:
+        """Start and list the initial endpoints."""
+        for _ in range(self._size):
+            await self.add()
+
+    async def wait_replaced(self) -> None:
+        """Wait until endpoints that requests crashed are replaced."""
+        await asyncio.gather(*self._replacements)
+
+    async def add(
+        self, defect: VersionDefect = VersionDefect.NONE, version: str = ""
+    ) -> None:
+        """Start and list an endpoint, by default of the service's version."""
+        self._count += 1
+        endpoint = SoakEndpoint(
+            f"e{self._count}",
+            self._log,
+            self._kv_caches,
+            version or self._service_version,
+            defect,
+        )
+        endpoint.on_crash = self._on_crash
+        await endpoint.start()
+        self.endpoints.append(endpoint)
+        document = member_document(endpoint.member())
+        await self._platform.write(MEMBERS_TABLE, endpoint.name, document)
+
+    async def stop(self) -> None:
+        """Stop all endpoints."""
+        for endpoint in self.endpoints:
+            await endpoint.stop()
+
+    async def retire(self, step: Step) -> None:
+        """Add a new endpoint, then let another one leave with notice."""
+        if not self.endpoints:
+            return
+        endpoint = self.pick(step)
+        self.endpoints.remove(endpoint)
+        await self.add()
+        endpoint.set_leave_time(_LEAVE_NOTICE_S)
+        document = member_document(endpoint.member(leaving=True))
+        at = await self._platform.write(MEMBERS_TABLE, endpoint.name, document)
+        self._log.listed_leaving.append(ListedLeaving(endpoint.name, at))
+        await asyncio.sleep(_LEAVE_NOTICE_S)
+        await endpoint.stop()
+        await self._platform.write(MEMBERS_TABLE, endpoint.name, None)
+
+    async def unlist(self, step: Step) -> None:
+        """Let an endpoint leave by the list alone; it serves on for some seconds.
+
+        Its entry says that it leaves, or is removed.
+        """
+        if not self.endpoints:
+            return
+        endpoint = self.pick(step)
+        self.endpoints.remove(endpoint)
+        await self.add(version=endpoint.version, defect=endpoint.defect)
+        document = None
+        if step.which % 3 == 0:
+            document = member_document(endpoint.member(leaving=True))
+        at = await self._platform.write(MEMBERS_TABLE, endpoint.name, document)
+        self._log.listed_leaving.append(ListedLeaving(endpoint.name, at))
+        await asyncio.sleep(step.seconds)
+        await endpoint.stop()
+        if document is not None:
+            await self._platform.write(MEMBERS_TABLE, endpoint.name, None)
+
+    async def announce(self, step: Step) -> None:
+        """Let an endpoint announce something in its responses for some time.
+
+        One that announces leaving stays listed as ready until it is gone.
+        """
+        if not self.endpoints:
+            return
+        endpoint = self.pick(step)
+        match step.fault:
+            case Fault.ANNOUNCES_LIMIT:
+                endpoint.limit = _ANNOUNCED_LIMITS[step.which % len(_ANNOUNCED_LIMITS)]
+                await asyncio.sleep(step.seconds)
+                endpoint.limit = None
+            case Fault.REQUESTS_BACKOFF:
+                endpoint.backoff_s = _BACKOFFS_S[step.which % len(_BACKOFFS_S)]
+                await asyncio.sleep(step.seconds)
+                endpoint.backoff_s = 0.0
+            case Fault.ANNOUNCES_LEAVING:
+                endpoint.announces_leaving = True
+                self.endpoints.remove(endpoint)
+                await self.add(version=endpoint.version, defect=endpoint.defect)
+                await asyncio.sleep(step.seconds)
+                await endpoint.stop()
+                await self._platform.write(MEMBERS_TABLE, endpoint.name, None)
+
+    async def crash(self, step: Step) -> None:
+        """Let an endpoint crash; its entry is removed later."""
+        if not self.endpoints:
+            return
+        endpoint = self.pick(step)
+        self.endpoints.remove(endpoint)
+        async with self._log.fault("crash", ""):
+            await endpoint.stop()
+            await self.add()
+            await asyncio.sleep(step.seconds)
+            await self._platform.write(MEMBERS_TABLE, endpoint.name, None)
+
+    async def run_rollout(self, step: Step) -> None:
+        """Roll out a new version, with or without a defect, and apply the verdict."""
+        defect = list(VersionDefect)[step.which % len(VersionDefect)]
+        target_version = "v2"
+        order = RolloutOrder(SERVICE, target_version, step.seconds, 0)
+        at = await self._platform.write(
+            CONFIG_TABLE, order_key(SERVICE), order_document(order)
+        )
+        rollout = OrderedRollout(
+            target_version, defect is not VersionDefect.NONE, at, at + step.seconds
+        )
+        self._log.rollouts.append(rollout)
+        await asyncio.sleep(_BOOT_DELAY_S)
+        for _ in range(self._size):
+            await self.add(defect, target_version)
+        phase = await self._wait_verdict(
+            target_version, rollout.deadline + _VERDICT_TIMEOUT_S
+        )
+        if phase is Phase.COMPLETED:
+            self._service_version = target_version
+        # Remove endpoints that are no longer needed: after a completed roll-out the old
+        # ones at once, after a rollback the new ones with a delay.
+        if phase is Phase.ROLLED_BACK:
+            await asyncio.sleep(_LEAVE_NOTICE_S)
+        for endpoint in list(self.endpoints):
+            # Another fault may have removed it while an earlier one was being stopped.
+            if endpoint.version != self._service_version and endpoint in self.endpoints:
+                self.endpoints.remove(endpoint)
+                await endpoint.stop()
+                await self._platform.write(MEMBERS_TABLE, endpoint.name, None)
+
+    async def _wait_verdict(self, target_version: str, end: float) -> Phase:
+        """Wait for a roll-out's verdict; without one, treat it as rolled back."""
+        while time.monotonic() < end:
+            for status in self._log.rollout_statuses:
+                if (
+                    status.target_version == target_version
+                    and status.phase is not Phase.RUNNING
+                ):
+                    return status.phase
+            await asyncio.sleep(0.05)
+        return Phase.ROLLED_BACK
+
+    def pick(self, step: Step) -> SoakEndpoint:
+        """Return a step's endpoint, of the service's version if there is one."""
+        own = [e for e in self.endpoints if e.version == self._service_version]
+        return (own or self.endpoints)[step.which % len(own or self.endpoints)]
+
+    def _on_crash(self, endpoint: SoakEndpoint) -> None:
+        """Start a replacement for an endpoint that a request crashed."""
+        if endpoint in self.endpoints:
+            self.endpoints.remove(endpoint)
+        self._replacements.add(asyncio.ensure_future(self._replace_crashed(endpoint)))
+
+    async def _replace_crashed(self, endpoint: SoakEndpoint) -> None:
+        async with self._log.fault("crash", ""):
+            await asyncio.sleep(_RESTART_DELAY_S)
+            await endpoint.stop()
+            await self.add(version=endpoint.version, defect=endpoint.defect)
+            await self._platform.write(MEMBERS_TABLE, endpoint.name, None)
--- a/src/ebonydeal/_internal/soak/records.py
+++ b/src/ebonydeal/_internal/soak/records.py
@@ -1,5 +1,8 @@
 """What clients, endpoints and the platform observed in one soak."""
 
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import NamedTuple
@@ -166,6 +169,16 @@
     arrivals: list[Arrival] = field(default_factory=list)
     announcements: list[Announcement] = field(default_factory=list)
 
+    @asynccontextmanager
+    async def fault(self, kind: str, relay: str) -> AsyncIterator[None]:
+        """Record the period of a fault; an empty ``relay`` stands for all."""
+        begin = time.monotonic()
+        try:
+            yield
+        finally:
+            end = time.monotonic()
+            self.fault_periods.append(FaultPeriod(kind, relay, begin, end))
+
 
 def event_count(request_id: str) -> int:
     """Return the number of events in a request's stream."""
