Take a reply lost at once on a new connection for an outage of the store

Callers would have lost endpoints for up to two seconds at the end of an outage: a relay that had got pushes until then polls for the first time, one reply is lost, the next poll shows entries that expired in the outage, and one loss alone counted as a dead connection, so they were dropped at once. A new connection can't have fallen silent before a poll that returns at once.

test_follower.py: before, the endpoint was dropped at once.

--- a/src/ebonydeal/_internal/errors.py
+++ b/src/ebonydeal/_internal/errors.py
@@ -316,4 +316,13 @@
     """A call got no reply, though its connection was established.
 
     Either the service or this connection alone has failed.
+
+    Attributes
+    ----------
+    on_open_connection : bool
+        Whether the connection had been open before the call.
     """
+
+    def __init__(self, kind: ErrorKind, detail: str, on_open_connection: bool) -> None:
+        super().__init__(kind, detail)
+        self.on_open_connection = on_open_connection
--- a/src/ebonydeal/_internal/platform/calls.py
+++ b/src/ebonydeal/_internal/platform/calls.py
@@ -117,7 +117,7 @@
             )
             if isinstance(exc, ClientConnectorError | ConnectionTimeoutError):
                 raise EbonydealError(no_reply, detail) from exc
-            raise NoReplyError(no_reply, detail) from exc
+            raise NoReplyError(no_reply, detail, connection["reused"]) from exc
 
     async def close(self) -> None:
         """Close the sessions."""
--- a/src/ebonydeal/_internal/relay/view/follower.py
+++ b/src/ebonydeal/_internal/relay/view/follower.py
@@ -227,11 +227,13 @@
         self._reply_timeout.record_lost()
         self._failed_at = self._asked_at
         now = self._clock.now()
-        # A first lost reply may be due to its connection alone. An outage too short for
-        # a second failure, on a new one, is too short for entries to expire.
-        self._outage_seen = self.failing_since is not None or not isinstance(
-            exc, NoReplyError
+        # A first lost reply may be due to its connection alone, if that was open for a
+        # while. An outage too short for a second failure, on a new one, is too short
+        # for entries to expire.
+        maybe_dead_connection = isinstance(exc, NoReplyError) and (
+            exc.on_open_connection or self._current_timeout > 0.0
         )
+        self._outage_seen = self.failing_since is not None or not maybe_dead_connection
         if self.failing_since is None:
             self.failing_since = now
             logger.warning("Store unavailable.", table=self.table, reason=str(exc))
--- a/tests/unit/relay/view/test_follower.py
+++ b/tests/unit/relay/view/test_follower.py
@@ -18,7 +18,7 @@
 LISTED = Member("i1", "s", "i1:1", "z", 8, False, None, True, 0.0, 3)
 WIRE = SimpleNamespace(members_table="members", member=lambda _row: LISTED)
 GONE = SharedRow("i1", None, 9)
-NO_REPLY = NoReplyError(ErrorKind.STORE_UNAVAILABLE, "no reply")
+NO_REPLY = NoReplyError(ErrorKind.STORE_UNAVAILABLE, "no reply", True)
 
 
 class Store:
@@ -92,8 +92,11 @@
 class TestLostPolls:
     """Entries that are removed while polls get no reply."""
 
-    async def members_after(self, *failures, seconds=1.0):
-        """Return the members after polls failed and the next returned a removal."""
+    async def members_after(self, *failures, seconds=1.0, pushed=False):
+        """Return the members after polls failed and the next returned a removal.
+
+        If ``pushed``, the coordinator pushes changes until just before the first poll.
+        """
         clock = ManualClock(100.0)
         results = [*failures, RowChanges((GONE,), 9)]
 
@@ -111,6 +114,7 @@
         follower = MembersFollower(
             FailingStore(), WIRE, view, clock, Random(1), Metrics()
         )
+        follower.receives_pushes = lambda: pushed and clock.now() < 100.1
         async with asyncio.timeout(10):
             await follower.start()
             await clock.advance(seconds)
@@ -121,6 +125,11 @@
     async def test_after_one_without_a_reply_an_endpoint_is_dropped_at_once(self):
         assert "i1" not in await self.members_after(NO_REPLY)
 
+    async def test_after_one_at_once_on_a_new_connection_it_is_kept_for_now(self):
+        """As at the end of an outage, when pushes have just stopped."""
+        lost = NoReplyError(ErrorKind.STORE_UNAVAILABLE, "no reply", False)
+        assert "i1" in await self.members_after(lost, pushed=True)
+
     async def test_after_two_without_a_reply_it_is_kept_for_now(self):
         assert "i1" in await self.members_after(NO_REPLY, NO_REPLY)
 
