View: the docstring of a missing entry says what is returned

It promised a time; the method returns the record, with the version of the removal and until when the endpoint stays in use. Found on a last reading. No code changes.

--- a/src/ebonydeal/_internal/relay/view/view.py
+++ b/src/ebonydeal/_internal/relay/view/view.py
@@ -382,7 +382,7 @@
         self._record_change(endpoint_id)
 
     def missing(self, endpoint_id: str) -> MissingEntry | None:
-        """Return since when an endpoint's entry is missing, None if it isn't."""
+        """Return the record of an endpoint's missing entry, None if it is listed."""
         return self._missing.get(endpoint_id)
 
     def expire(self, now: float) -> None:
