Keep a roll-out's verdict when a restored store renumbers its order

Callers: after the store came back from a copy, relays that had started since ran a decided roll-out again. A bad version got requests again. A good one, whose old endpoints had been stopped, was tested with nothing else to send to.

Cause: parts of the relays knew an order by its version alone. A restored store lists the same order under a version of its new era, which is higher than all of the era before. So the coordinator started the roll-out again, didn't count the reports of relays that knew the order by its earlier version, and its gates replaced their verdict. Only ConfigTableFollower compared contents, and only with what its own process had read.

Change: RolloutOrder tells whether two are the same one (equal but for versions of different eras) and whether one replaces the other. Registry, relays' split, tallies, gates and verdicts use these and take on the version of the present era, so that an order that the operator gives again in that era is a new one. Before, a process that had known the order before the restore ignored it (TestFollower). Gates and tallies name the whole order; relays of the previous release read them as before.

--- a/src/ebonydeal/_internal/relay/duties/rollout_registry.py
+++ b/src/ebonydeal/_internal/relay/duties/rollout_registry.py
@@ -48,7 +48,18 @@
     def is_new(self, order: RolloutOrder) -> bool:
         """Return whether an order has no roll-out yet."""
         known = self.runs.get(order.service)
-        return known is None or known.state.order.revision < order.revision
+        return known is None or order.replaces(known.state.order)
+
+    def adopt(self, order: RolloutOrder) -> bool:
+        """Take the version under which a restored store lists a known order.
+
+        Returns whether the known version was an older one.
+        """
+        known = self.runs[order.service].state
+        if order.revision <= known.order.revision:
+            return False
+        known.order = order
+        return True
 
     def start(self, order: RolloutOrder, before: set[str], now: float) -> RolloutRun:
         """Start a roll-out; one under way for the same service is abandoned.
--- a/src/ebonydeal/_internal/relay/duties/rollout_run.py
+++ b/src/ebonydeal/_internal/relay/duties/rollout_run.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from ebonydeal._internal.models.rollouts import Phase
+from ebonydeal._internal.models.rollouts import Phase, RolloutOrder
 from ebonydeal._internal.relay.peers.messages import ExchangeMessage
 from ebonydeal._internal.routing.rollout.evidence import EvidenceSummary
 from ebonydeal._internal.routing.rollout.rollout_state import (
@@ -126,7 +126,7 @@
         for report in reports:
             # A relay of the previous release doesn't report roll-outs.
             tally = report.get("rollouts", {}).get(order.service)
-            if tally is not None and tally["revision"] == order.revision:
+            if tally is not None and _order_of(tally, order.service).is_same(order):
                 yield f"{report['node']}/{report['incarnation']}", tally
 
     def _add_requests(self, relay: str, counts: RelayCounts, last: RelayCounts) -> None:
@@ -163,6 +163,13 @@
         }
 
 
+def _order_of(tally: TallyMessage, service: str) -> RolloutOrder:
+    """Return the order that a relay's counts are for."""
+    # Relays of the previous release report the revision only.
+    to, duration = tally.get("to", ""), tally.get("duration", 0.0)
+    return RolloutOrder(service, to, duration, tally["revision"])
+
+
 def _add_answers(
     reported: RelayCounts,
     last: RelayCounts,
--- a/src/ebonydeal/_internal/relay/duties/rollout_store.py
+++ b/src/ebonydeal/_internal/relay/duties/rollout_store.py
@@ -10,6 +10,7 @@
 from ebonydeal._internal.models.shared import RowWrite, SharedRow
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.duties.rollout_registry import RolloutRegistry
+from ebonydeal._internal.relay.duties.rollout_run import RolloutRun
 from ebonydeal._internal.relay.packed_row import (
     MAX_PACKED_BYTES,
     UNPACK_ERRORS,
@@ -62,7 +63,7 @@
         self._change_count = 0
         self._written_count = 0
         self._writing_count = 0
-        self._writing_status: list[tuple[str, int, Phase]] = []
+        self._writing_status: list[tuple[RolloutRun, Phase]] = []
 
     def changed(self) -> None:
         """Request a write with the next renewal of the lease."""
@@ -107,7 +108,7 @@
 
     async def _read_status(self) -> None:
         """Load verdicts from the status table for orders without a stored roll-out."""
-        orders = self._view.versions.orders.values()
+        orders = self._view.versions.listed_orders().values()
         unknown = {o.service: o for o in orders if self._registry.is_new(o)}
         if not unknown:
             return
@@ -138,10 +139,12 @@
         changes = []
         for service, run in self._registry.runs.items():
             if run.status_due:
-                order, phase = run.state.order, run.state.phase
-                self._writing_status.append((service, order.revision, phase))
+                phase = run.state.phase
+                self._writing_status.append((run, phase))
                 changes.append(
-                    self._wire.status_change(service, phase, order.target_version)
+                    self._wire.status_change(
+                        service, phase, run.state.order.target_version
+                    )
                 )
         self._writing_count = self._change_count
         if changes or self._change_count != self._written_count:
@@ -156,9 +159,9 @@
     def wrote(self) -> None:
         """Note that the last changes took effect."""
         self._written_count = self._writing_count
-        for service, revision, phase in self._writing_status:
-            run = self._registry.runs.get(service)
-            if run is None or run.state.order.revision != revision:
+        for run, phase in self._writing_status:
+            service = run.state.order.service
+            if self._registry.runs.get(service) is not run:
                 continue
             if run.state.phase is phase:
                 run.status_due = False
--- a/src/ebonydeal/_internal/relay/duties/rollouts.py
+++ b/src/ebonydeal/_internal/relay/duties/rollouts.py
@@ -199,13 +199,15 @@
 
     def _apply_orders(self) -> None:
         """Start new orders, and roll back withdrawn ones."""
-        orders = self._parts.view.versions.orders
+        orders = self._parts.view.versions.listed_orders()
         for service, run in self._registry.runs.items():
             if service not in orders and run.is_running:
                 self._finish(run, RollBack("withdrawn", run.evidence_summary))
         for order in orders.values():
             if self._registry.is_new(order):
                 self._start(order)
+            elif self._registry.adopt(order):
+                self.store.changed()
 
     def _start(self, order: RolloutOrder) -> None:
         # Forget endpoints that aren't listed any more.
@@ -227,11 +229,13 @@
     def _versions_before(self, order: RolloutOrder) -> set[str]:
         """Return the versions of endpoints that were listed before an order."""
         view = self._parts.view
+        # Endpoints keep the version of the era in which they were first listed.
+        ordered_at = view.versions.orders[order.service].revision
         return {
             member.version
             for member in view.members.values()
             if member.service == order.service
-            and view.versions.first_listed(member.endpoint_id) < order.revision
+            and view.versions.first_listed(member.endpoint_id) < ordered_at
         }
 
     def _endpoints(
--- a/src/ebonydeal/_internal/relay/peers/messages.py
+++ b/src/ebonydeal/_internal/relay/peers/messages.py
@@ -17,11 +17,14 @@
 class RolloutsMessage(TypedDict):
     """The coordinator's decisions on roll-outs: each `RolloutGate` as a list.
 
-    ``read_to`` is the store version up to which it has read all orders.
+    ``read_to`` is the store version up to which it has read all orders. ``durations``
+    are those of the orders, by service: relays of the previous release decode gates
+    without them.
     """
 
     read_to: int
     gates: list[list]
+    durations: dict[str, float]
 
 
 class ExchangeMessage(TypedDict):
--- a/src/ebonydeal/_internal/relay/peers/rollouts.py
+++ b/src/ebonydeal/_internal/relay/peers/rollouts.py
@@ -16,15 +16,27 @@
 
 # Minimum time between two extra reports of bad answers.
 _MIN_REPORT_INTERVAL_S = 0.2
+# The last field, the duration, is sent beside the gates.
+_LISTED_GATE_FIELDS = len(RolloutGate._fields) - 1
 
 
 def encode_gates(gates: list[RolloutGate], read_to: int) -> RolloutsMessage:
     """Return the message with gates; orders were read up to ``read_to``."""
-    return RolloutsMessage(read_to=read_to, gates=[list(gate) for gate in gates])
+    return RolloutsMessage(
+        read_to=read_to,
+        gates=[list(gate[:_LISTED_GATE_FIELDS]) for gate in gates],
+        durations={gate.service: gate.duration for gate in gates},
+    )
+
+
+def _decode_gates(message: RolloutsMessage) -> list[RolloutGate]:
+    """Return the gates of a message; raises ValueError or TypeError."""
+    # Relays of the previous release don't send durations.
+    durations = message.get("durations", {})
+    return [_decode_gate(item, durations) for item in message["gates"]]
 
 
-def _decode_gate(item: list[Any]) -> RolloutGate:
-    """Return a gate from a message; raises ValueError, TypeError or IndexError."""
+def _decode_gate(item: list[Any], durations: dict[str, float]) -> RolloutGate:
     service, to, revision, phase, shares, canaries, barred = item
     return RolloutGate(
         str(service),
@@ -34,6 +46,7 @@
         {str(route): float(share) for route, share in shares.items()},
         tuple(map(str, canaries)),
         tuple(map(str, barred)),
+        float(durations.get(service, 0.0)),
     )
 
 
@@ -60,7 +73,7 @@
 
     def receive(self, message: RolloutsMessage) -> dict[str, Any]:
         """Apply gates, before the view admits endpoints that waited for them."""
-        gates = [_decode_gate(item) for item in message["gates"]]
+        gates = _decode_gates(message)
         before = {gate.service: gate for gate in self._split.gates()}
         self._split.apply_gates(gates, self._clock.now())
         for gate in self._split.gates():
@@ -81,7 +94,7 @@
 
     def receive_verdicts(self, message: RolloutsMessage) -> None:
         """Apply verdicts from a relay that doesn't decide: its shares may be stale."""
-        self._split.apply_verdicts([_decode_gate(item) for item in message["gates"]])
+        self._split.apply_verdicts(_decode_gates(message))
 
     @Service.task
     async def _report_bad_answers(self) -> None:
--- a/src/ebonydeal/_internal/relay/view/config_follower.py
+++ b/src/ebonydeal/_internal/relay/view/config_follower.py
@@ -6,7 +6,7 @@
 
 from ebonydeal._internal.errors import EbonydealError
 from ebonydeal._internal.models.rollouts import RolloutOrder
-from ebonydeal._internal.models.shared import SharedRow, era_of
+from ebonydeal._internal.models.shared import SharedRow
 from ebonydeal._internal.observe.counters import Event
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.view.follower import (
@@ -99,14 +99,8 @@
         self._view.orders_unchanged(version)
 
     def _same_order(self, order: RolloutOrder) -> RolloutOrder:
-        """Return the known order if this one is the same in a restored store.
-
-        Its version is another one there, and would start the roll-out again.
-        """
-        known = self._view.versions.orders.get(order.service)
-        if known is None or era_of(known.revision) == era_of(order.revision):
-            return order
-        return known if order == known._replace(revision=order.revision) else order
+        """Return the known order if this one is the same in a restored store."""
+        return self._view.versions.relist(order) or order
 
     def _updated_orders(
         self, orders: dict[str, RolloutOrder], rows: tuple[SharedRow, ...]
--- a/src/ebonydeal/_internal/relay/view/versions.py
+++ b/src/ebonydeal/_internal/relay/view/versions.py
@@ -17,7 +17,10 @@
     """Admitted versions by service, and the last known orders."""
 
     def __init__(self) -> None:
+        # Each order under the version by which this relay first read it.
         self.orders: dict[str, RolloutOrder] = {}
+        # Versions under which a restored store lists orders of an earlier era.
+        self._relisted: dict[str, int] = {}
         # Orders are known up to this version of the store, here or at another relay.
         self.read_to = 0
         # Up to here this relay has read the orders itself; other relays only report
@@ -30,9 +33,38 @@
     def apply_orders(self, orders: Mapping[str, RolloutOrder], read_to: int) -> None:
         """Set all orders as of a version of the store; older ones are ignored."""
         if read_to >= self.as_of:
+            self._relisted = {
+                service: version
+                for service, version in self._relisted.items()
+                if orders.get(service) == self.orders.get(service)
+            }
             self.orders, self.as_of = dict(orders), read_to
             self.read_up_to(read_to)
 
+    def listed_orders(self) -> dict[str, RolloutOrder]:
+        """Return the orders under the versions by which the store lists them now."""
+        return {
+            service: order._replace(
+                revision=self._relisted.get(service, order.revision)
+            )
+            for service, order in self.orders.items()
+        }
+
+    def relist(self, order: RolloutOrder) -> RolloutOrder | None:
+        """Return the known order if this is the same one in a restored store.
+
+        None for another order, or one that was given again.
+        """
+        known = self.orders.get(order.service)
+        if known is None or not order.is_same(known):
+            return None
+        listed_at = self._relisted.get(order.service, known.revision)
+        if not order.is_same(known._replace(revision=listed_at)):
+            return None
+        if order.revision != known.revision:
+            self._relisted[order.service] = order.revision
+        return known
+
     def note_unchanged(self, read_to: int) -> None:
         """Note that the store has no other orders up to a version."""
         self.as_of = max(self.as_of, read_to)
--- a/src/ebonydeal/_internal/relay/view/view.py
+++ b/src/ebonydeal/_internal/relay/view/view.py
@@ -71,8 +71,10 @@
         self._raw_table = b""
         self._by_service: dict[str, tuple[Member, ...]] = {}
         self.versions = KnownVersions()
-        # Called with all orders of roll-outs when they have changed.
+        # Called with all orders of roll-outs when they, or their versions in the store,
+        # have changed.
         self.on_orders: Callable[[dict[str, RolloutOrder]], None] = lambda _orders: None
+        self._listed_orders: dict[str, RolloutOrder] = {}
         # Called when endpoints are withheld until more orders are read.
         self.on_orders_needed: Callable[[], None] = lambda: None
         # The store version up to which orders have to be read.
@@ -129,16 +131,17 @@
         self, orders: dict[str, RolloutOrder], read_to: int, source: str
     ) -> None:
         """Set all orders of roll-outs as of a version of the store."""
-        known = self.versions.orders
         self.versions.apply_orders(orders, read_to)
-        if self.versions.orders != known:
+        listed = self.versions.listed_orders()
+        if listed != self._listed_orders:
             logger.info(
                 "Roll-out orders changed.",
-                orders={s: [o.target_version, o.revision] for s, o in orders.items()},
+                orders={s: [o.target_version, o.revision] for s, o in listed.items()},
                 version=read_to,
                 source=source,
             )
-            self.on_orders(self.versions.orders)
+            self._listed_orders = listed
+            self.on_orders(listed)
         self._regroup_withheld()
 
     def orders_unchanged(self, read_to: int) -> None:
--- a/src/ebonydeal/_internal/routing/rollout/rollout_state.py
+++ b/src/ebonydeal/_internal/routing/rollout/rollout_state.py
@@ -315,6 +315,7 @@
             shares,
             canaries,
             barred,
+            order.duration,
         )
 
 
--- a/src/ebonydeal/_internal/routing/rollout/traffic_split.py
+++ b/src/ebonydeal/_internal/routing/rollout/traffic_split.py
@@ -44,9 +44,12 @@
     """What one relay counted of one roll-out since it learned of it.
 
     ``requests`` and ``exposed`` by route; ``old`` by route, ``new`` by route and
-    endpoint: answers by category. ``phase`` is that of the relay's gate.
+    endpoint: answers by category. ``phase`` is that of the relay's gate. ``to`` and
+    ``duration`` are those of the order.
     """
 
+    to: str
+    duration: float
     revision: int
     phase: str
     requests: dict[str, int]
@@ -107,6 +110,8 @@
         self.credit: dict[str, float] = {}
         self.reported_bad = 0
         self.tally = TallyMessage(
+            to=order.target_version,
+            duration=order.duration,
             revision=order.revision,
             phase=str(Phase.RUNNING),
             requests={},
@@ -115,6 +120,13 @@
             new={},
         )
 
+    def adopt(self, order: RolloutOrder) -> None:
+        """Take the version under which a restored store lists this same order."""
+        if order.revision >= self.order.revision:
+            self.order = order
+            self.tally["revision"] = order.revision
+            self.tally["duration"] = order.duration
+
     def barred_after(self, order: RolloutOrder) -> tuple[str, ...]:
         """Return the versions that get no requests once another order is given.
 
@@ -143,6 +155,8 @@
 def _decided(tally: TallyMessage) -> TallyMessage:
     """Return the tally of a roll-out with a verdict: only its phase."""
     return TallyMessage(
+        to=tally["to"],
+        duration=tally["duration"],
         revision=tally["revision"],
         phase=tally["phase"],
         requests={},
@@ -178,8 +192,10 @@
         """Apply all current orders of the operator, by service."""
         for service, order in orders.items():
             known = self._rollouts.get(service)
-            if known is None or known.order.revision < order.revision:
+            if known is None or order.replaces(known.order):
                 self._rollouts[service] = _RolloutAtRelay(order, known)
+            elif order.is_same(known.order):
+                known.adopt(order)
         for service in self._rollouts.keys() - orders.keys():
             # The last gate of a withdrawn order stays in force; without a gate the
             # roll-out is dropped.
@@ -190,14 +206,12 @@
     def apply_gates(self, gates: Sequence[RolloutGate], now: float) -> None:
         """Apply the coordinator's gates; a verdict is never reverted."""
         for gate in gates:
-            rollout = self._rollouts.get(gate.service)
-            if rollout is None or rollout.order.revision < gate.revision:
-                order = RolloutOrder(
-                    gate.service, gate.target_version, 0.0, gate.revision
-                )
+            rollout, order = self._rollouts.get(gate.service), gate.order
+            if rollout is None or order.replaces(rollout.order):
                 rollout = self._rollouts[gate.service] = _RolloutAtRelay(order, rollout)
-            if rollout.order.revision > gate.revision:
+            elif not order.is_same(rollout.order):
                 continue
+            rollout.adopt(order)
             known = rollout.gate
             if known is not None and known.phase is not Phase.RUNNING:
                 gate = gate._replace(phase=known.phase)
@@ -210,12 +224,7 @@
 
     def apply_verdicts(self, gates: Sequence[RolloutGate]) -> None:
         """Apply the verdicts, not the shares, of a relay that isn't the coordinator."""
-        for gate in gates:
-            rollout = self._rollouts.get(gate.service)
-            if gate.phase is Phase.RUNNING:
-                continue
-            if rollout is None or rollout.order.revision <= gate.revision:
-                self.apply_gates([gate], 0.0)
+        self.apply_gates([g for g in gates if g.phase is not Phase.RUNNING], 0.0)
 
     def has_rollout(self, service: str) -> bool:
         """Return whether the service has a roll-out."""
