Keep a roll-out whose order a restored store lacks for a moment

Callers: a good version under roll-out was rolled back when the store came back from a copy older than the order, before the operator had written it again.

Evidence: TestRunning in tests/functional/relay/test_restored_rollout.py, real relays, order written again 1 s after the store's return: "Roll-out rolled back, reason=withdrawn", and since orders keep their verdict over a restore it stayed so.

Withdrawals of their own era, and those that come as changes, take effect at once. The time and its end are one class now, used by both followers.

--- a/src/ebonydeal/_internal/relay/view/config_follower.py
+++ b/src/ebonydeal/_internal/relay/view/config_follower.py
@@ -35,6 +35,8 @@
 
     pushes_to_others: Callable[[], bool] = staticmethod(lambda: False)
     hears_version: Callable[[], bool] = staticmethod(lambda: True)
+    # Whether orders are kept that a restored store doesn't list.
+    _keeps_orders = False
 
     @property
     def poll_timeout(self) -> float:
@@ -53,6 +55,14 @@
         while not self.should_stop:
             await self._clock.sleep(_REPLY_CHECK_INTERVAL_S)
             self.restart_poll()
+            self._settle_restored()
+
+    def _settle_restored(self) -> None:
+        """Read orders again once the operator had time to write lost ones again."""
+        if self._settling.take_end() and self._keeps_orders:
+            self._keeps_orders = False
+            self.read_again()
+            self._cancel_poll()
 
     @property
     def table(self) -> str:
@@ -62,8 +72,20 @@
     async def apply_snapshot(
         self, rows: list[SharedRow], version: int, after_outage: bool
     ) -> None:
-        """Apply the configuration's row, if there is one, and all orders."""
-        self._apply_rows(tuple(rows), version, {})
+        """Apply the configuration's row, if there is one, and all orders.
+
+        An order that a restored store lacks isn't withdrawn: its row may only be lost.
+        """
+        self._settling.observe(version)
+        known = self._view.versions.orders if self._settling.is_settling else {}
+        listed = {self._wire.rollout_service(row.key) for row in rows}
+        self._keeps_orders = not known.keys() <= listed
+        if self._keeps_orders:
+            logger.info(
+                "Roll-out orders missing after a restore; kept for now.",
+                services=sorted(known.keys() - listed),
+            )
+        self._apply_rows(tuple(rows), version, known)
 
     async def apply_changes(
         self,
--- a/src/ebonydeal/_internal/relay/view/follower.py
+++ b/src/ebonydeal/_internal/relay/view/follower.py
@@ -17,6 +17,7 @@
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.ports import SharedStore, Wire
 from ebonydeal._internal.relay.view.reply_timeout import ReplyTimeout
+from ebonydeal._internal.relay.view.restore_settling import RestoreSettling
 from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.utils.clock import Clock
 
@@ -85,6 +86,7 @@
         # have fallen silent.
         self._must_catch_up = False
         self._reply_timeout = ReplyTimeout()
+        self._settling = RestoreSettling(clock)
         self._answered_at: float | None = None
         # The store's version at the last reply.
         self._read_to = 0
@@ -243,7 +245,11 @@
 
     def restart_poll(self) -> None:
         """Restart the current poll if its timeout should be shorter by now."""
-        if self._poll is not None and self._current_timeout > self.poll_timeout:
+        if self._current_timeout > self.poll_timeout:
+            self._cancel_poll()
+
+    def _cancel_poll(self) -> None:
+        if self._poll is not None:
             self._restart_requested = True
             self._poll.cancel()
 
--- a/src/ebonydeal/_internal/relay/view/members_follower.py
+++ b/src/ebonydeal/_internal/relay/view/members_follower.py
@@ -20,18 +20,12 @@
 # A list of endpoints that wasn't confirmed for longer than this, and than the longest
 # poll of it, is logged.
 _MAX_LIST_AGE_S = 2.5
-# After a restore, entries of endpoints that left in the lost time are removed again by
-# then: those endpoints don't write any more, and their entries expire.
-_RESTORE_SETTLE_S = 5.0
 
 
 class MembersFollower(TableFollower):
     """Follows the list of endpoints."""
 
     _current_at: float | None = None
-    # The era of the list, and when the list of that era is trusted.
-    _era = 0
-    _settles_at: float | None = None
 
     @property
     def poll_timeout(self) -> float:
@@ -132,10 +126,7 @@
 
     def _settle_restored(self) -> None:
         """Trust a restored list once endpoints had time to write entries again."""
-        now, era = self._clock.now(), era_of(self._view.members_version)
-        if era > self._era:
-            self._era, self._settles_at = era, now + _RESTORE_SETTLE_S
-        if self._settles_at is not None and now >= self._settles_at:
-            self._settles_at = None
-            if self._view.settle(era):
-                self.read_again()
+        version = self._view.members_version
+        self._settling.observe(version)
+        if self._settling.take_end() and self._view.settle(era_of(version)):
+            self.read_again()
--- a/tests/functional/relay/test_restored_rollout.py
+++ b/tests/functional/relay/test_restored_rollout.py
@@ -92,3 +92,23 @@
             await asyncio.sleep(ORDER_S)
             assert found.status() == ("rolled_back", NEW)
             assert not [t for t in found.sends(NEW) if t > at]
+
+
+class TestRunning:
+    async def test_is_not_withdrawn_while_the_store_lacks_its_order(self):
+        async with deployment(store=RestorableStore(), lease_ms=600) as found:
+            copy = found.store.copy()
+            await found.order(seconds=6.0)
+            await found.add(NEW, 3)
+            await until(lambda: found.sends(NEW))
+            await found.store.go_down()
+            await asyncio.sleep(AWAY_S)
+            await found.store.restore(copy, rewritten_after=1.0)
+            states = set()
+
+            def is_completed():
+                states.add(found.status())
+                return found.status() == ("completed", NEW)
+
+            await until(is_completed, 9.0)
+            assert ("rolled_back", NEW) not in states
--- a/tests/lib/restorable_store.py
+++ b/tests/lib/restorable_store.py
@@ -1,5 +1,6 @@
 """A store in memory that comes back from a copy, as the platform's does in a drill."""
 
+import asyncio
 from typing import NamedTuple
 
 from ebonydeal._internal.models.shared import era_of, ordered_version, raw_version
@@ -34,7 +35,7 @@
         found = await super().changes(table, after, wait, reply_timeout)
         return found if era_of(after) == self.era else None
 
-    async def restore(self, copy):
+    async def restore(self, copy, rewritten_after=0.0):
         """Come back from a copy; operator and endpoints write again what they wrote."""
         lost = [
             (table, key, None if row is None else row.value)
@@ -49,6 +50,9 @@
             for table, rows in copy.tables.items()
         }
         self.down = False
+        async with self._changed:
+            self._changed.notify_all()
+        await asyncio.sleep(rewritten_after)
         for table, key, value in lost:
             await self.put(table, key, value)
 
--- a/tests/unit/relay/duties/test_restored_orders.py
+++ b/tests/unit/relay/duties/test_restored_orders.py
@@ -95,6 +95,42 @@
         assert view.versions.orders["s"] == FIRST
 
 
+class TestMissingOrder:
+    """The copy is older than the order, which the operator writes again."""
+
+    def follower(self, clock):
+        wire, view = relay(MemoryStore()).ports.wire, RelayView(2.0)
+        view.apply_orders({"s": FIRST}, FIRST.revision, "test")
+        found = ConfigTableFollower(MemoryStore(), wire, view, clock, Random(1), None)
+        found._settling.observe(FIRST.revision)
+        clock._now += 10.0
+        found._settle_restored()
+        return found, view
+
+    def read(self, follower, version):
+        asyncio.run(follower.apply_snapshot([], version, True))
+
+    def test_isnt_withdrawn_before_the_store_has_settled(self):
+        follower, view = self.follower(ManualClock(100.0))
+        self.read(follower, ordered_version(2, 30))
+        assert view.versions.orders == {"s": FIRST}
+
+    def test_is_withdrawn_if_it_isnt_written_again(self):
+        clock = ManualClock(100.0)
+        follower, view = self.follower(clock)
+        self.read(follower, ordered_version(2, 30))
+        clock._now += 5.1
+        follower._settle_restored()
+        assert follower._read_again
+        self.read(follower, ordered_version(2, 35))
+        assert view.versions.orders == {}
+
+    def test_is_withdrawn_at_once_without_a_restore(self):
+        follower, view = self.follower(ManualClock(100.0))
+        self.read(follower, ordered_version(1, 60))
+        assert view.versions.orders == {}
+
+
 class TestRelay:
     @pytest.mark.parametrize("phase", VERDICTS)
     def test_a_restored_order_keeps_its_verdict(self, phase):
