Complete a roll-out again if its verdict is lost and only its version is left

Callers: all relays were lost while the store came back from a copy that was older than a verdict. The version had been completed, its old endpoints were stopped. The next holder of the lease tested it again, with nothing to compare it with, so that a service that fails a part of its answers by itself was rolled back. From then on each request was refused: no endpoint might get any.

Cause: a roll-out that a restored store lists without verdict was taken for one that is under way. Its holder also sent gates with what the store had, before relays could report a verdict that they know.

Change: a holder that finds a roll-out in a row of an earlier era, or an order that nobody told it of, sends no gate for it until relays had time to report. A reported verdict is applied at once. If only the target version is listed, and expired entries would be back by then, there is nothing to compare with or to return to: completed. If old endpoints answer, or after 5 s, it goes on.

--- a/src/ebonydeal/_internal/relay/duties/rollout_registry.py
+++ b/src/ebonydeal/_internal/relay/duties/rollout_registry.py
@@ -55,10 +55,10 @@
 
         Returns whether the known version was an older one.
         """
-        known = self.runs[order.service].state
-        if order.revision <= known.order.revision:
+        run = self.runs[order.service]
+        if order.revision <= run.state.order.revision:
             return False
-        known.order = order
+        run.state.order = order
         return True
 
     def start(self, order: RolloutOrder, before: set[str], now: float) -> RolloutRun:
@@ -102,6 +102,7 @@
         return [
             run.state.gate(run.verdict, tuple(sorted(self.barred_versions(service))))
             for service, run in self.runs.items()
+            if run.is_known
         ]
 
     # --- persistence -----------------------------------------------------------------
@@ -141,7 +142,9 @@
             # The stored deadline is in the store's clock, which all relays share.
             deadline = min(float(item["until"]) - clock_ahead_s, now + order.duration)
             run = RolloutRun(
-                RolloutState(order, deadline, self.config), status_due=False
+                RolloutState(order, deadline, self.config),
+                status_due=False,
+                is_loaded=True,
             )
             run.state.phase = Phase(item["phase"])
             run.inherited = {
--- a/src/ebonydeal/_internal/relay/duties/rollout_run.py
+++ b/src/ebonydeal/_internal/relay/duties/rollout_run.py
@@ -69,6 +69,11 @@
         Totals from the previous lease holder, of relays that haven't reported here.
     status_due : bool
         Whether the status that operators read must still be written.
+    is_loaded : bool
+        Whether it was read from the store and not compared with the orders yet.
+    recovering_since : float or None
+        Since when its verdict is asked for that a restored store may have lost,
+        monotonic seconds. Until that is known no gate is sent.
     """
 
     state: RolloutState
@@ -76,12 +81,21 @@
     reported: dict[str, RelayCounts] = field(default_factory=dict)
     inherited: dict[str, RequestTotals] = field(default_factory=dict)
     status_due: bool = True
+    is_loaded: bool = False
+    recovering_since: float | None = None
 
     @property
     def is_running(self) -> bool:
         """Whether there is no verdict yet."""
         return self.state.phase is Phase.RUNNING
 
+    @property
+    def is_known(self) -> bool:
+        """Whether its verdict, or that there is none yet, is known here."""
+        return not self.is_running or not (
+            self.is_loaded or self.recovering_since is not None
+        )
+
     @property
     def evidence_summary(self) -> EvidenceSummary:
         """Evidence against the version."""
@@ -97,6 +111,10 @@
                 return Phase(tally["phase"])
         return None
 
+    def has_old_answers(self, reports: Iterable[ExchangeMessage]) -> bool:
+        """Return whether endpoints of another version gave answers."""
+        return any(tally["old"] for _relay, tally in self._tallies(reports))
+
     def add_reports(
         self,
         reports: Iterable[ExchangeMessage],
--- a/src/ebonydeal/_internal/relay/duties/rollouts.py
+++ b/src/ebonydeal/_internal/relay/duties/rollouts.py
@@ -26,7 +26,7 @@
 )
 from ebonydeal._internal.relay.peers.rollouts import encode_gates
 from ebonydeal._internal.relay.ports import SharedStore, Wire
-from ebonydeal._internal.relay.view.view import RelayView
+from ebonydeal._internal.relay.view.view import MISSING_GRACE_S, RelayView
 from ebonydeal._internal.routing.rollout.rollout_state import (
     Complete,
     Continue,
@@ -47,6 +47,9 @@
 _DELIVERY_S = 0.1
 # The requests counted so far are persisted at this interval.
 _PERSIST_INTERVAL_S = 1.0
+# Old endpoints that don't answer, but are still listed after a restore, are removed by
+# then.
+_MAX_RECOVERY_S = 5.0
 # Endpoints that are slow after their start get no requests until they are warm, except
 # in this last fraction of the order's time.
 _IGNORE_WARMING_FRACTION = 0.3
@@ -188,6 +191,9 @@
             case Phase.ROLLED_BACK:
                 self._finish(run, RollBack("decided before", run.evidence_summary))
                 return
+        if run.recovering_since is not None and not self._recover(run, reports, now):
+            return
+        run.is_loaded = False
         run.add_reports(reports, not endpoints.old, now)
         lag = self._parts.coordinator.period + _DELIVERY_S
         verdict = run.state.decide(endpoints, lag, now)
@@ -207,14 +213,23 @@
             if self._registry.is_new(order):
                 self._start(order)
             elif self._registry.adopt(order):
+                run = self._registry.runs[order.service]
+                if run.is_loaded and run.is_running:
+                    run.recovering_since = self._parts.clock.now()
                 self.store.changed()
 
     def _start(self, order: RolloutOrder) -> None:
         # Forget endpoints that aren't listed any more.
         members = self._parts.view.members
         self._first_seen = {e: at for e, at in self._first_seen.items() if e in members}
-        before = self._versions_before(order)
-        self._registry.start(order, before, self._parts.clock.now())
+        before, now = self._versions_before(order), self._parts.clock.now()
+        run = self._registry.start(order, before, now)
+        # Another relay, or a store that was restored, may have known it.
+        is_settled = self._parts.coordinator.warmed_up
+        if run.is_running and (
+            not is_settled or self._listed_versions(order) == {order.target_version}
+        ):
+            run.recovering_since = now
         logger.info(
             "Roll-out ordered.",
             service=order.service,
@@ -226,6 +241,41 @@
         )
         self._request_write()
 
+    def _recover(
+        self, run: RolloutRun, reports: list[ExchangeMessage], now: float
+    ) -> bool:
+        """Return whether a roll-out goes on whose verdict may be lost.
+
+        Relays first report the verdict, if they know it. If only the target version is
+        listed, it was completed: there is nothing to compare it with, and a rollback
+        would leave the service without endpoints.
+        """
+        assert run.recovering_since is not None
+        elapsed = now - run.recovering_since
+        order = run.state.order
+        if not self._parts.coordinator.warmed_up:
+            return False
+        if self._listed_versions(order) == {order.target_version}:
+            # Entries of old endpoints may have expired in an outage of the store.
+            if elapsed >= MISSING_GRACE_S:
+                run.recovering_since = None
+                self._finish(run, Complete(0))
+            return False
+        if elapsed < _MAX_RECOVERY_S and not run.has_old_answers(reports):
+            return False
+        run.recovering_since = None
+        return True
+
+    def _listed_versions(self, order: RolloutOrder) -> set[str]:
+        """Return the versions of a service's endpoints that aren't barred."""
+        barred = self._registry.barred_versions(order.service)
+        listed = {
+            member.version
+            for member in self._parts.view.members.values()
+            if member.service == order.service
+        }
+        return listed - barred
+
     def _versions_before(self, order: RolloutOrder) -> set[str]:
         """Return the versions of endpoints that were listed before an order."""
         view = self._parts.view
--- a/tests/lib/rollouts.py
+++ b/tests/lib/rollouts.py
@@ -97,6 +97,8 @@
         while True:
             await asyncio.sleep(1.0 / rate)
             alive = [r for r in self.relays if r not in self.stopped]
+            if not alive:
+                continue
             number += 1
             path = f"{ROUTES[number % len(ROUTES)]}{number}"
             task = asyncio.ensure_future(self._ask(rng.choice(alive), path, number))
--- a/tests/unit/relay/duties/test_rollouts.py
+++ b/tests/unit/relay/duties/test_rollouts.py
@@ -50,6 +50,7 @@
     """The coordinator as a lease holder's roll-outs see it."""
 
     period = 0.5
+    warmed_up = True
     lease = SimpleNamespace(is_mine=True)
 
     def __init__(self, holder, relays, clock):
