Test a new version whose endpoints a restored store lists before its order

Callers: after a restore, a version could be called completed without a test, and the endpoints of the version that served were stopped.

Cause: an order for the version that a service runs is completed at once. A service was taken to run the versions that were listed before the order, by the versions of the store's rows. After a restore endpoints and operator write again in any order, so that the new version's endpoints may come before the order, and the others' after it.

Change: an order is completed at once only if its version alone is listed and the lease holder has heard the relays. Otherwise another listed version runs the service.

--- a/src/ebonydeal/_internal/relay/duties/rollouts.py
+++ b/src/ebonydeal/_internal/relay/duties/rollouts.py
@@ -222,13 +222,16 @@
         # Forget endpoints that aren't listed any more.
         members = self._parts.view.members
         self._first_seen = {e: at for e, at in self._first_seen.items() if e in members}
-        before, now = self._versions_before(order), self._parts.clock.now()
-        run = self._registry.start(order, before, now)
-        # Another relay, or a store that was restored, may have known it.
+        # Another relay may know the order, and entries may be missing after an outage.
         is_settled = self._parts.coordinator.warmed_up
-        if run.is_running and (
-            not is_settled or self._listed_versions(order) == {order.target_version}
-        ):
+        target = {order.target_version}
+        listed, before = self._listed_versions(order), self._versions_before(order)
+        if before == target and not (is_settled and listed == target):
+            # After a restore, endpoints may be listed before an order that they follow.
+            before = listed - target
+        now = self._parts.clock.now()
+        run = self._registry.start(order, before, now)
+        if run.is_running and not (is_settled and listed != target):
             run.recovering_since = now
         logger.info(
             "Roll-out ordered.",
--- a/tests/unit/relay/duties/test_restored_orders.py
+++ b/tests/unit/relay/duties/test_restored_orders.py
@@ -241,3 +241,16 @@
         view.apply_orders({"s": FIRST}, FIRST.revision, "test")
         view.versions.relist(RESTORED)
         assert program._rollouts._versions_before(RESTORED) == {"v1"}
+
+    def test_a_new_version_listed_before_the_order_is_not_the_current_one(self):
+        """Endpoints and operator write again in any order."""
+        program = relay(MemoryStore())
+        view = program.view
+        program.coordinator._keeper.held_since = program._clock.now() - 60.0
+        for name, version, raw in (("a", "v1", 60), ("b", "v2", 30)):
+            listing = SimpleNamespace(endpoint_id=name, service="s", version=version)
+            view.members[name] = listing
+            view.versions._first_listed_at[name] = ordered_version(2, raw)
+        view.apply_orders({"s": RESTORED}, RESTORED.revision, "test")
+        program._rollouts._start(RESTORED)
+        assert program._rollouts._registry.runs["s"].is_running
