Leave out usage windows whose report a restored store may have lost

Callers: none; the platform accepted two reports of one window with different counts.

Cause: a window's row is stored before its report, so that a later holder repeats it exactly. If the store comes back from a copy without that row, and all relays are lost with it, the next holder counts and reports the window once more.

Change: the first holder of an era leaves out the windows that had ended when it took the lease, unless it held it before the restore and so knows what it reported. What it leaves out is stored for later holders.

--- a/src/ebonydeal/_internal/relay/duties/coordinator.py
+++ b/src/ebonydeal/_internal/relay/duties/coordinator.py
@@ -16,6 +16,7 @@
 from ebonydeal._internal.models.forwarding import ForwardAccount
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.duties.lease_keeper import LeaseKeeper, PersistedRow
+from ebonydeal._internal.relay.duties.reported_windows import ReportedWindows
 from ebonydeal._internal.relay.duties.usage_store import UsageStore
 from ebonydeal._internal.relay.limits.granter import Granter, StandbyCandidate
 from ebonydeal._internal.relay.limits.messages import (
@@ -197,6 +198,9 @@
                 lambda: {relay.message["node"] for relay in self._reports.alive()},
             )
         )
+        self._keeper.persisted_rows.append(
+            ReportedWindows(parts.store, ledger, lease, parts.clock.wall)
+        )
         self._grant_log = _GrantLog(self._fence_and_share)
         # The standbys' addresses, and until when they are used without a new choice.
         self._standby_addresses: list[str] = []
--- a/src/ebonydeal/_internal/routing/duties/coordinator_lease.py
+++ b/src/ebonydeal/_internal/routing/duties/coordinator_lease.py
@@ -151,6 +151,14 @@
         takeovers = self.fence & _TAKEOVER_MASK
         return self.is_mine and self.previous_row is None and takeovers == 1
 
+    @property
+    def is_first_in_era(self) -> bool:
+        """Whether this relay is the first holder since the store came back.
+
+        Also at the first start, where the store states an era.
+        """
+        return self._era > 0 and self.is_mine and self.fence & _TAKEOVER_MASK == 1
+
     @property
     def node(self) -> str:
         """Name of this relay."""
--- a/src/ebonydeal/_internal/routing/duties/usage_ledger.py
+++ b/src/ebonydeal/_internal/routing/duties/usage_ledger.py
@@ -67,6 +67,15 @@
                 by_relay.setdefault(relay, {})[window] = counts
         return by_relay
 
+    def skip_to(self, window: int) -> None:
+        """Report no window up to this one."""
+        self.reported = max(self.reported, window)
+
+    def skip_ended(self, wall: float) -> int:
+        """Report no window that has ended by ``wall``; return the last one of them."""
+        self.skip_to(int(wall // self._length) - 1)
+        return self.reported
+
     def totals_by_relay(self, window: int) -> dict[str, int]:
         """Return each relay's total of a window, for the log."""
         totals = self._totals.get(window, {})
