Log when a roll-out waits for a verdict, and why it ends

Each of these decisions changes what the lease holder believes: that a verdict may be lost, that only the new version is listed, that the roll-out continues.

--- a/src/ebonydeal/_internal/relay/duties/rollout_registry.py
+++ b/src/ebonydeal/_internal/relay/duties/rollout_registry.py
@@ -102,7 +102,7 @@
         return [
             run.state.gate(run.verdict, tuple(sorted(self.barred_versions(service))))
             for service, run in self.runs.items()
-            if run.is_known
+            if run.is_up_to_date
         ]
 
     # --- persistence -----------------------------------------------------------------
--- a/src/ebonydeal/_internal/relay/duties/rollout_run.py
+++ b/src/ebonydeal/_internal/relay/duties/rollout_run.py
@@ -90,8 +90,8 @@
         return self.state.phase is Phase.RUNNING
 
     @property
-    def is_known(self) -> bool:
-        """Whether its verdict, or that there is none yet, is known here."""
+    def is_up_to_date(self) -> bool:
+        """Whether its state is the latest one, so that relays may get it."""
         return not self.is_running or not (
             self.is_loaded or self.recovering_since is not None
         )
--- a/src/ebonydeal/_internal/relay/duties/rollouts.py
+++ b/src/ebonydeal/_internal/relay/duties/rollouts.py
@@ -215,7 +215,7 @@
             elif self._registry.adopt(order):
                 run = self._registry.runs[order.service]
                 if run.is_loaded and run.is_running:
-                    run.recovering_since = self._parts.clock.now()
+                    self._begin_recovery(run)
                 self.store.changed()
 
     def _start(self, order: RolloutOrder) -> None:
@@ -229,10 +229,7 @@
         if before == target and not (is_settled and listed == target):
             # After a restore, endpoints may be listed before an order that they follow.
             before = listed - target
-        now = self._parts.clock.now()
-        run = self._registry.start(order, before, now)
-        if run.is_running and not (is_settled and listed != target):
-            run.recovering_since = now
+        run = self._registry.start(order, before, self._parts.clock.now())
         logger.info(
             "Roll-out ordered.",
             service=order.service,
@@ -242,8 +239,20 @@
             own=sorted(self._registry.current[order.service]),
             barred=sorted(self._registry.barred_versions(order.service)),
         )
+        if run.is_running and not (is_settled and listed != target):
+            self._begin_recovery(run)
         self._request_write()
 
+    def _begin_recovery(self, run: RolloutRun) -> None:
+        """Find out whether a roll-out has a verdict that the store doesn't have."""
+        run.recovering_since = self._parts.clock.now()
+        logger.info(
+            "Roll-out waits for a verdict that relays may know.",
+            service=run.state.order.service,
+            to=run.state.order.target_version,
+            revision=run.state.order.revision,
+        )
+
     def _recover(
         self, run: RolloutRun, reports: list[ExchangeMessage], now: float
     ) -> bool:
@@ -261,12 +270,23 @@
         if self._listed_versions(order) == {order.target_version}:
             # Entries of old endpoints may have expired in an outage of the store.
             if elapsed >= MISSING_GRACE_S:
-                run.recovering_since = None
+                logger.warning(
+                    "Only the new version is listed.",
+                    service=order.service,
+                    to=order.target_version,
+                    waited_s=round(elapsed, 3),
+                )
                 self._finish(run, Complete(0))
             return False
         if elapsed < _MAX_RECOVERY_S and not run.has_old_answers(reports):
             return False
         run.recovering_since = None
+        logger.info(
+            "Roll-out continues without a verdict.",
+            service=order.service,
+            to=order.target_version,
+            waited_s=round(elapsed, 3),
+        )
         return True
 
     def _listed_versions(self, order: RolloutOrder) -> set[str]:
