--- a/tests/unit/relay/duties/test_restored_orders.py
+++ b/tests/unit/relay/duties/test_restored_orders.py
@@ -231,26 +231,26 @@
 
 
 class TestEndpoints:
-    def test_versions_before_the_order_are_those_of_its_own_era(self):
+    def coordinator(self, era, listed_at):
+        """Return a relay, with when each version's endpoint was first listed."""
         program = relay(MemoryStore())
+        program.coordinator._keeper.held_since = program._clock.now() - 60.0
         view = program.view
-        for name, version, raw in (("a", "v1", 10), ("b", "v2", 60)):
-            listing = SimpleNamespace(endpoint_id=name, service="s", version=version)
-            view.members[name] = listing
-            view.versions._first_listed_at[name] = ordered_version(1, raw)
-        view.apply_orders({"s": FIRST}, FIRST.revision, "test")
-        view.versions.relist(RESTORED)
+        for version, raw in listed_at.items():
+            listing = SimpleNamespace(endpoint_id=version, service="s", version=version)
+            view.members[version] = listing
+            view.versions._first_listed_at[version] = ordered_version(era, raw)
+        return program
+
+    def test_versions_before_the_order_are_those_of_its_own_era(self):
+        program = self.coordinator(1, {"v1": 10, "v2": 60})
+        program.view.apply_orders({"s": FIRST}, FIRST.revision, "test")
+        program.view.versions.relist(RESTORED)
         assert program._rollouts._versions_before(RESTORED) == {"v1"}
 
     def test_a_new_version_listed_before_the_order_is_not_the_current_one(self):
         """Endpoints and operator write again in any order."""
-        program = relay(MemoryStore())
-        view = program.view
-        program.coordinator._keeper.held_since = program._clock.now() - 60.0
-        for name, version, raw in (("a", "v1", 60), ("b", "v2", 30)):
-            listing = SimpleNamespace(endpoint_id=name, service="s", version=version)
-            view.members[name] = listing
-            view.versions._first_listed_at[name] = ordered_version(2, raw)
-        view.apply_orders({"s": RESTORED}, RESTORED.revision, "test")
+        program = self.coordinator(2, {"v1": 60, "v2": 30})
+        program.view.apply_orders({"s": RESTORED}, RESTORED.revision, "test")
         program._rollouts._start(RESTORED)
         assert program._rollouts._registry.runs["s"].is_running
