Tests of single relays begin once the relay heard from its coordinator

14 tests of resends (test_plain, test_stream, test_restart) failed since the coordinator allots the retry of a start: they sent their first request before the relay, which is the coordinator itself, had taken the lease, and it then has no retry for an endpoint's failure.

--- a/tests/lib/relay_fakes.py
+++ b/tests/lib/relay_fakes.py
@@ -255,7 +255,10 @@
 
 @asynccontextmanager
 async def running(*endpoints, doc=None, store=None, **cfg):
-    """Run a relay in front of endpoints; yields (relay, store)."""
+    """Run a relay in front of endpoints; yields (relay, store).
+
+    It has heard from the coordinator, itself, which allots the retries of its start.
+    """
     store = store or MemoryStore()
     for endpoint in endpoints:
         await endpoint.start()
@@ -264,6 +267,7 @@
     program = relay(store, **cfg)
     await program.start()
     await until(lambda: program.ready)
+    await until(lambda: program._exchange.count_known)
     try:
         yield program, store
     finally:
