Log and count answers that end with their connection

An endpoint may answer with neither a length nor chunks (RFC 9112, 6.3). In the record of the users' incident nothing tells how an answer that was cut short had ended: the relay logged only that it had sent the request. Three causes were possible: a close that is taken for the end, a reset that is noticed too late, or a body shorter than its stated length. The new line says for each such answer how many bytes came, how many of them lie after the last whole event, and whether the connection was reset.

--- a/src/ebonydeal/_internal/observe/counters.py
+++ b/src/ebonydeal/_internal/observe/counters.py
@@ -96,6 +96,7 @@
     ENDPOINTS_SAID_LEAVING = "endpoints_said_leaving"
     NOTICES_UNREADABLE = "notices_unreadable"
     BRITTLE_ENDPOINTS_AVOIDED = "brittle_endpoints_avoided"
+    CLOSE_DELIMITED_ANSWERS = "close_delimited_answers"
     STORE_RESTORED = "store_restored"
     LINKS_LOST = "links_lost"
     LINKS_RESTORED = "links_restored"
--- a/src/ebonydeal/_internal/relay/requests/plain.py
+++ b/src/ebonydeal/_internal/relay/requests/plain.py
@@ -122,6 +122,8 @@
                 return failure
             # A refusal's body is read too, so that the connection can be reused.
             outcome = await read_body(sent, head)
+            if isinstance(outcome, Answered):
+                sends.record_answer_end(sent, len(outcome.body))
             return failure or outcome
         finally:
             sent.close()
--- a/src/ebonydeal/_internal/relay/requests/sends.py
+++ b/src/ebonydeal/_internal/relay/requests/sends.py
@@ -13,6 +13,11 @@
 )
 from ebonydeal._internal.observe.counters import Event, RetryReason
 from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.relay.requests.answer_end import (
+    EndedAnswer,
+    is_close_delimited,
+    record_end,
+)
 from ebonydeal._internal.relay.requests.endpoint_chooser import (
     EndpointChoice,
     EndpointChooser,
@@ -369,6 +374,30 @@
             with self._parts.suspects.track_run(digest, endpoint_id, limit):
                 yield
 
+    def record_answer_end(
+        self,
+        exchange: Exchange,
+        received: int,
+        incomplete: int = 0,
+        was_reset: bool = False,
+    ) -> None:
+        """Record the end of an answer if that is only the end of its connection.
+
+        ``received`` and ``incomplete`` are bytes, as in `EndedAnswer`.
+        """
+        assert self.member is not None
+        req = self.job.req
+        if is_close_delimited(req.method, exchange.status, exchange.headers):
+            answer = EndedAnswer(
+                req.request_id,
+                self.member,
+                received,
+                incomplete,
+                was_reset,
+                self._forwarded,
+            )
+            record_end(answer, self._parts.metrics)
+
     def record_first_event(self) -> None:
         """Record the first event or the answer."""
         self._record_version_answer()
--- a/src/ebonydeal/_internal/relay/requests/stream.py
+++ b/src/ebonydeal/_internal/relay/requests/stream.py
@@ -232,6 +232,7 @@
         """Forward events until the end; return what broke the stream, or None."""
         parts, job = self._parts, sends.job
         has_events = False
+        received = 0
         received_at = parts.clock.now()
         while True:
             try:
@@ -249,6 +250,7 @@
                 return MayHaveRun(ErrorKind.ENDPOINT_FAILED, detail)
             if not data:
                 break
+            received += len(data)
             before = client.splitter.count
             events = client.splitter.feed(data)
             if not events:
@@ -262,7 +264,10 @@
                 self._record_first_event(sends, client)
             resp = client.resp or await client.begin(head)
             await resp.write(events)
-        if await exchange.was_reset():
+        was_reset = await exchange.was_reset()
+        incomplete = len(client.splitter.remainder())
+        sends.record_answer_end(exchange, received, incomplete, was_reset)
+        if was_reset:
             return MayHaveRun(ErrorKind.ENDPOINT_FAILED, "stream: connection reset")
         resp = client.resp or await client.begin(head)
         if client.splitter.remainder():
