--- a/tests/lib/raw_endpoints.py
+++ b/tests/lib/raw_endpoints.py
@@ -103,4 +103,19 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
+def close_delimited(body, content_type=b"text/event-stream"):
+    """Answer with neither a length nor chunks, and close the connection."""
+
+    async def step(_reader, writer, headers):
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nEbonydeal-Request-Id: %b\r\n"
+            b"Ebonydeal-Server-Signature: sig\r\nContent-Type: %b\r\n\r\n%b"
+            % (request_id(headers), content_type, body)
+        )
+        await writer.drain()
+        writer.close()
+
+    return step
+
+
 NOT_RUN = b"HTTP/1.1 503 Busy\r\nEbonydeal-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
