Check that close-delimited answers are complete before they are passed on

Callers saw answers that had been broken off framed as complete. An endpoint may answer with neither a length nor chunks; such a body ends with its connection, and an endpoint that crashes closes the connection as well. The relay took each close that wasn't a reset for the end, and gave what it had read a last chunk or a length of its own: it claimed to its client what the endpoint had never claimed.

A close is no evidence any more. One place (AnswerEndChecker) decides for streams, plain answers and answers for other relays: - a stream is complete if it ends with an event, however it is framed; - a close-delimited body that is empty, or JSON that doesn't parse, is incomplete; - a close-delimited answer is incomplete if its endpoint, which should run, refuses connections right afterwards: it crashed between two events; - a stream whose run was migrated continues at its target, also if its source only closes the connection. An incomplete answer is MayHaveRun, so resumable streams continue after their last whole event, idempotent requests are sent again, others end visibly broken or with 502, and the crash counts for its attribution. A plain answer without a length reaches the client without one, and ends with the client's connection: the relay claims no more than the endpoint.

--- a/src/ebonydeal/_internal/observe/counters.py
+++ b/src/ebonydeal/_internal/observe/counters.py
@@ -97,6 +97,7 @@
     NOTICES_UNREADABLE = "notices_unreadable"
     BRITTLE_ENDPOINTS_AVOIDED = "brittle_endpoints_avoided"
     CLOSE_DELIMITED_ANSWERS = "close_delimited_answers"
+    TRUNCATED_ANSWERS = "truncated_answers"
     STORE_RESTORED = "store_restored"
     LINKS_LOST = "links_lost"
     LINKS_RESTORED = "links_restored"
--- a/src/ebonydeal/_internal/relay/links/forward_handler.py
+++ b/src/ebonydeal/_internal/relay/links/forward_handler.py
@@ -24,6 +24,10 @@
 )
 from ebonydeal._internal.relay.links.monitor import LinkMonitor
 from ebonydeal._internal.relay.ports import Wire
+from ebonydeal._internal.relay.requests.answer_end import (
+    AnswerEndChecker,
+    EndedAnswer,
+)
 from ebonydeal._internal.relay.requests.endpoint_paths import EndpointPaths
 from ebonydeal._internal.relay.requests.exchange import Exchange, OutgoingRequest
 from ebonydeal._internal.relay.requests.notices import NoticeReader
@@ -31,6 +35,7 @@
 from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.routing.placement.link_health import LinkState
 from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.http_framing import is_close_delimited
 
 logger = get_logger("relay.forward")
 
@@ -47,6 +52,7 @@
     links: LinkMonitor
     notices: NoticeReader
     crashes: CrashDetector
+    answer_ends: AnswerEndChecker
     wire: Wire
     metrics: Metrics
     clock: Clock
@@ -109,9 +115,7 @@
                 return await _reply(resp, _failure(ForwardOutcome.NOT_SENT, sent))
             case MayHaveRun():
                 if sent.kind is ErrorKind.ENDPOINT_FAILED:
-                    parts.crashes.connection_broken(member, req.digest)
-                    # Before the other relay sends the request again.
-                    await parts.crashes.wait_until_checked(member)
+                    await self._check_for_crash(member, req.digest)
                 return await _reply(resp, _failure(ForwardOutcome.MAY_HAVE_RUN, sent))
         parts.metrics.count(Event.FORWARDED_FOR_RELAY)
         try:
@@ -174,6 +178,7 @@
             headers=[list(pair) for pair in sent.headers],
         )
         await resp.write(pack(reply))
+        received = 0
         received_at = sent_at
         while True:
             try:
@@ -186,20 +191,32 @@
                     reason=type(exc).__name__,
                 )
                 parts.links.record_missing_reply(member, received_at)
-                parts.crashes.connection_broken(member, req.digest)
-                await parts.crashes.wait_until_checked(member)
+                await self._check_for_crash(member, req.digest)
                 return False
             if not data:
                 break
+            received += len(data)
             received_at = parts.clock.now()
             parts.links.record_reply(member, new_connection=False)
             await resp.write(data)
-        if await sent.was_reset():
+        answer = EndedAnswer(
+            req.request_id,
+            member,
+            is_close_delimited(req.method, sent.status, sent.headers),
+            received,
+        )
+        if await parts.answer_ends.truncation(sent, answer) is not None:
+            await self._check_for_crash(member, req.digest)
             return False
         sent.release(head.keepalive_s)
         await resp.write_eof()
         return True
 
+    async def _check_for_crash(self, member: Member, digest: str) -> None:
+        """Check an endpoint that broke an answer off, before it is sent again."""
+        self._parts.crashes.connection_broken(member, digest)
+        await self._parts.crashes.wait_until_checked(member)
+
 
 async def _reply(resp: web.StreamResponse, reply: ForwardReply) -> web.StreamResponse:
     await resp.write(pack(reply))
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -55,6 +55,7 @@
 from ebonydeal._internal.relay.peers.relay_reporter import RelayReporter, ReporterParts
 from ebonydeal._internal.relay.peers.rollouts import RolloutReceiver
 from ebonydeal._internal.relay.ports import RelayPorts
+from ebonydeal._internal.relay.requests.answer_end import AnswerEndChecker
 from ebonydeal._internal.relay.requests.connections import EndpointPools
 from ebonydeal._internal.relay.requests.endpoint_paths import EndpointPaths
 from ebonydeal._internal.relay.requests.intake import Intake
@@ -222,6 +223,7 @@
         )
         notice_reader = NoticeReader(self._notices, metrics, clock)
         notice_reader.relay_count = lambda: self._exchange.relay_count
+        answer_ends = AnswerEndChecker(self._crashes, metrics)
         parts = SendParts(
             wire=ports.wire,
             view=self.view,
@@ -237,6 +239,7 @@
             migrator=self._migrator,
             long_prompts=self._long_prompts,
             crashes=self._crashes,
+            answer_ends=answer_ends,
             suspects=self._suspects,
             split=self._split,
             notices=notice_reader,
@@ -320,6 +323,7 @@
                 self._links,
                 notice_reader,
                 self._crashes,
+                answer_ends,
                 ports.wire,
                 metrics,
                 clock,
--- a/src/ebonydeal/_internal/relay/requests/answer_end.py
+++ b/src/ebonydeal/_internal/relay/requests/answer_end.py
@@ -1,70 +1,74 @@
-"""The end of an endpoint's answer.
+"""Whether an endpoint's answer that has ended is complete.
 
-An answer with a length or in chunks states where it ends. A close-delimited one has
-neither and ends with its connection (RFC 9112, 6.3), which an endpoint that crashes
-midway closes as well.
+The framing of an answer says so, or for a close-delimited one (see `http_framing`) the
+body and the state of the endpoint: one that has crashed broke the answer off.
 """
 
-from collections.abc import Iterable
-from http import HTTPStatus
 from typing import NamedTuple
 
 from ebonydeal._internal.models.forwarding import Member
 from ebonydeal._internal.observe.counters import Event, Metrics
 from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.relay.crashes.crash_detector import CrashDetector
+from ebonydeal._internal.relay.requests.exchange import Exchange
 
 logger = get_logger("relay.answer")
 
-_WITHOUT_BODY = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
-
-
-def is_close_delimited(
-    method: str, status: int, headers: Iterable[tuple[str, str]]
-) -> bool:
-    """Return whether the body of an answer ends only with its connection."""
-    if method == "HEAD" or status < HTTPStatus.OK or status in _WITHOUT_BODY:
-        return False
-    for name, value in headers:
-        match name.lower():
-            case "content-length":
-                return False
-            case "transfer-encoding" if "chunked" in value.lower():
-                return False
-    return True
-
 
 class EndedAnswer(NamedTuple):
-    """A close-delimited answer whose connection has ended.
+    """An answer whose body has ended.
 
     Attributes
     ----------
     received : int
         Size of the body, bytes.
-    incomplete : int
-        Bytes after the last complete event of a stream; 0 for plain answers.
-    reset : bool
-        Whether the connection was reset, and not closed.
+    missing : str or None
+        What the body lacks, if that shows.
     forwarded : bool
-        Whether the answer came through another relay.
+        Whether the answer came through another relay, which has checked the endpoint.
     """
 
     request_id: str
     member: Member
+    close_delimited: bool
     received: int
-    incomplete: int
-    reset: bool
-    forwarded: bool
+    missing: str | None = None
+    forwarded: bool = False
+
+
+class AnswerEndChecker:
+    """Finds answers that were cut short, though their end looks like any other."""
+
+    def __init__(self, crashes: CrashDetector, metrics: Metrics) -> None:
+        self._crashes = crashes
+        self._metrics = metrics
 
+    async def truncation(self, exchange: Exchange, answer: EndedAnswer) -> str | None:
+        """Return why an answer is incomplete, or None if it is complete."""
+        reason = await self._truncation(exchange, answer)
+        if answer.close_delimited:
+            self._metrics.count(Event.CLOSE_DELIMITED_ANSWERS)
+        if reason is not None:
+            self._metrics.count(Event.TRUNCATED_ANSWERS)
+        if answer.close_delimited or reason is not None:
+            logger.info(
+                "Answer ended.",
+                request=answer.request_id,
+                endpoint=answer.member.endpoint_id,
+                close_delimited=answer.close_delimited,
+                received=answer.received,
+                truncated=reason,
+                forwarded=answer.forwarded,
+            )
+        return reason
 
-def record_end(answer: EndedAnswer, metrics: Metrics) -> None:
-    """Log and count the end of a close-delimited answer."""
-    metrics.count(Event.CLOSE_DELIMITED_ANSWERS)
-    logger.info(
-        "Answer ended with its connection.",
-        request=answer.request_id,
-        endpoint=answer.member.endpoint_id,
-        received=answer.received,
-        incomplete=answer.incomplete,
-        reset=answer.reset,
-        forwarded=answer.forwarded,
-    )
+    async def _truncation(self, exchange: Exchange, answer: EndedAnswer) -> str | None:
+        if await exchange.was_reset():
+            return "connection reset"
+        if answer.missing is not None:
+            return f"ended without {answer.missing}"
+        if not answer.close_delimited or answer.forwarded:
+            return None
+        if await self._crashes.is_crashed(answer.member):
+            return "connection closed by a crash"
+        return None
--- a/src/ebonydeal/_internal/relay/requests/job.py
+++ b/src/ebonydeal/_internal/relay/requests/job.py
@@ -16,6 +16,7 @@
 from ebonydeal._internal.relay.links.monitor import LinkMonitor
 from ebonydeal._internal.relay.peers.long_prompts import LongPromptNotifier
 from ebonydeal._internal.relay.ports import Wire
+from ebonydeal._internal.relay.requests.answer_end import AnswerEndChecker
 from ebonydeal._internal.relay.requests.connections import EndpointPools
 from ebonydeal._internal.relay.requests.endpoint_paths import EndpointPaths
 from ebonydeal._internal.relay.requests.migrations import StreamMigrator
@@ -109,6 +110,7 @@
     migrator: StreamMigrator
     long_prompts: LongPromptNotifier
     crashes: CrashDetector
+    answer_ends: AnswerEndChecker
     suspects: Suspects
     split: TrafficSplit
     notices: NoticeReader
--- a/src/ebonydeal/_internal/relay/requests/outcomes.py
+++ b/src/ebonydeal/_internal/relay/requests/outcomes.py
@@ -45,10 +45,14 @@
 
 @dataclass(frozen=True)
 class Answered:
-    """The endpoint's complete answer."""
+    """The endpoint's complete answer.
+
+    ``close_delimited`` says that it had neither a length nor chunks.
+    """
 
     head: AnswerHead
     body: bytes
+    close_delimited: bool = False
 
 
 Outcome = NotSent | ProvedNotRun | MayHaveRun | Answered
--- a/src/ebonydeal/_internal/relay/requests/plain.py
+++ b/src/ebonydeal/_internal/relay/requests/plain.py
@@ -5,6 +5,7 @@
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.forwarding import AnswerHead, Member, Repeat
+from ebonydeal._internal.relay.requests.event_splitter import EventSplitter
 from ebonydeal._internal.relay.requests.exchange import Exchange
 from ebonydeal._internal.relay.requests.job import Job, SendParts
 from ebonydeal._internal.relay.requests.outcomes import (
@@ -15,6 +16,11 @@
     ProvedNotRun,
 )
 from ebonydeal._internal.relay.requests.sends import JobSends
+from ebonydeal._internal.utils.http_framing import (
+    EVENT_STREAM,
+    media_type,
+    missing_end,
+)
 
 
 def head_failure(head: AnswerHead, request_id: str) -> Outcome | None:
@@ -33,7 +39,9 @@
     return None
 
 
-async def read_body(exchange: Exchange, head: AnswerHead) -> Outcome:
+async def read_body(
+    sends: JobSends, exchange: Exchange, head: AnswerHead
+) -> Answered | MayHaveRun:
     """Return the outcome of reading the body; an incomplete one is no answer.
 
     After a complete one the connection returns to the pool.
@@ -42,14 +50,48 @@
         body = await exchange.read()
     except (TimeoutError, ClientError, OSError) as exc:
         return MayHaveRun(ErrorKind.ENDPOINT_FAILED, f"body: {type(exc).__name__}")
-    if await exchange.was_reset():
-        return MayHaveRun(ErrorKind.ENDPOINT_FAILED, "body: connection reset")
+    close_delimited = sends.is_close_delimited(exchange)
+    missing = _missing_end(head, body) if close_delimited else None
+    truncation = await sends.truncation(exchange, len(body), missing)
+    if truncation is not None:
+        return MayHaveRun(ErrorKind.ENDPOINT_FAILED, f"body: {truncation}")
     exchange.release(head.keepalive_s)
-    return Answered(head, body)
+    return Answered(head, body, close_delimited)
+
+
+def _missing_end(head: AnswerHead, body: bytes) -> str | None:
+    """Return what a close-delimited body lacks, or None if nothing shows."""
+    splitter = EventSplitter()
+    splitter.feed(body)
+    media = media_type(head.headers)
+    tail = splitter.remainder() if media == EVENT_STREAM else body
+    return missing_end(media, len(body), tail)
+
+
+class _CloseDelimitedResponse(web.StreamResponse):
+    """A response with neither a length nor chunks, whose end is the connection's."""
 
+    # Keeps aiohttp from adding either.
+    _length_check = False
 
-def client_response(answer: Answered) -> web.Response:
-    """Return an endpoint's answer unchanged, for the client."""
+    def __init__(self, answer: Answered) -> None:
+        head = answer.head
+        super().__init__(status=head.status, headers=CIMultiDict(head.headers))
+        self._answer_body = answer.body
+        self.force_close()
+
+    async def write_eof(self, data: bytes = b"") -> None:
+        """Write the body, and end the response."""
+        await super().write_eof(self._answer_body)
+
+
+def client_response(answer: Answered) -> web.StreamResponse:
+    """Return an endpoint's answer unchanged, for the client.
+
+    A length that the endpoint didn't state would claim that the answer is complete.
+    """
+    if answer.close_delimited:
+        return _CloseDelimitedResponse(answer)
     return web.Response(
         status=answer.head.status,
         headers=CIMultiDict(answer.head.headers),
@@ -63,7 +105,7 @@
     def __init__(self, parts: SendParts) -> None:
         self._parts = parts
 
-    async def answer(self, job: Job) -> web.Response:
+    async def answer(self, job: Job) -> web.StreamResponse:
         """Send until there is an answer; raises the final error."""
         sends = JobSends(self._parts, job)
         fallback: Answered | None = None
@@ -121,9 +163,7 @@
             if isinstance(failure, MayHaveRun):
                 return failure
             # A refusal's body is read too, so that the connection can be reused.
-            outcome = await read_body(sent, head)
-            if isinstance(outcome, Answered):
-                sends.record_answer_end(sent, len(outcome.body))
+            outcome = await read_body(sends, sent, head)
             return failure or outcome
         finally:
             sent.close()
--- a/src/ebonydeal/_internal/relay/requests/sends.py
+++ b/src/ebonydeal/_internal/relay/requests/sends.py
@@ -13,11 +13,7 @@
 )
 from ebonydeal._internal.observe.counters import Event, RetryReason
 from ebonydeal._internal.observe.logs import get_logger
-from ebonydeal._internal.relay.requests.answer_end import (
-    EndedAnswer,
-    is_close_delimited,
-    record_end,
-)
+from ebonydeal._internal.relay.requests.answer_end import EndedAnswer
 from ebonydeal._internal.relay.requests.endpoint_chooser import (
     EndpointChoice,
     EndpointChooser,
@@ -36,6 +32,7 @@
 from ebonydeal._internal.routing.placement.endpoint_load import SentRequest
 from ebonydeal._internal.routing.retries.retries import Failure, GiveUp
 from ebonydeal._internal.routing.rollout.traffic_split import AwaitedAnswer
+from ebonydeal._internal.utils.http_framing import is_close_delimited
 
 logger = get_logger("relay.job")
 
@@ -374,29 +371,28 @@
             with self._parts.suspects.track_run(digest, endpoint_id, limit):
                 yield
 
-    def record_answer_end(
-        self,
-        exchange: Exchange,
-        received: int,
-        incomplete: int = 0,
-        was_reset: bool = False,
-    ) -> None:
-        """Record the end of an answer if that is only the end of its connection.
+    def is_close_delimited(self, exchange: Exchange) -> bool:
+        """Return whether an answer's body ends only with its connection."""
+        method = self.job.req.method
+        return is_close_delimited(method, exchange.status, exchange.headers)
+
+    async def truncation(
+        self, exchange: Exchange, received: int, missing: str | None
+    ) -> str | None:
+        """Return why an answer that has ended is incomplete, or None if it isn't.
 
-        ``received`` and ``incomplete`` are bytes, as in `EndedAnswer`.
+        ``received`` and ``missing`` are as in `EndedAnswer`.
         """
         assert self.member is not None
-        req = self.job.req
-        if is_close_delimited(req.method, exchange.status, exchange.headers):
-            answer = EndedAnswer(
-                req.request_id,
-                self.member,
-                received,
-                incomplete,
-                was_reset,
-                self._forwarded,
-            )
-            record_end(answer, self._parts.metrics)
+        answer = EndedAnswer(
+            self.job.req.request_id,
+            self.member,
+            self.is_close_delimited(exchange),
+            received,
+            missing,
+            self._forwarded,
+        )
+        return await self._parts.answer_ends.truncation(exchange, answer)
 
     def record_first_event(self) -> None:
         """Record the first event or the answer."""
--- a/src/ebonydeal/_internal/relay/requests/stream.py
+++ b/src/ebonydeal/_internal/relay/requests/stream.py
@@ -1,7 +1,6 @@
 """Streams of events: forwarded as they arrive, and resumed at another endpoint."""
 
 import asyncio
-import re
 from dataclasses import dataclass
 
 from aiohttp import ClientError, web
@@ -11,6 +10,7 @@
 from ebonydeal._internal.models.forwarding import AnswerHead, Member
 from ebonydeal._internal.observe.counters import Timing
 from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.relay.requests.event_splitter import EventSplitter
 from ebonydeal._internal.relay.requests.exchange import Exchange
 from ebonydeal._internal.relay.requests.first_event_wait import (
     MIN_EVENT_TIMEOUT_S,
@@ -30,42 +30,14 @@
     read_body,
 )
 from ebonydeal._internal.relay.requests.sends import JobSends
+from ebonydeal._internal.utils.http_framing import (
+    EVENT_STREAM,
+    media_type,
+    missing_end,
+)
 
 logger = get_logger("relay.stream")
 
-_EVENT_END = re.compile(rb"\r?\n\r?\n")
-_EVENT_ID = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
-
-
-class EventSplitter:
-    """Splits a stream of bytes at the ends of events."""
-
-    def __init__(self) -> None:
-        self._remainder = b""
-        self.last_id = ""
-        self.count = 0
-
-    def feed(self, data: bytes) -> bytes:
-        """Return the events that ``data`` completes."""
-        data = self._remainder + data
-        end = 0
-        for match in _EVENT_END.finditer(data):
-            end = match.end()
-            self.count += 1
-        complete, self._remainder = data[:end], data[end:]
-        ids = _EVENT_ID.findall(complete)
-        if ids:
-            self.last_id = ids[-1].decode("latin-1").strip()
-        return complete
-
-    def remainder(self) -> bytes:
-        """Return the bytes after the last complete event."""
-        return self._remainder
-
-    def drop_remainder(self) -> None:
-        """Discard an incomplete event."""
-        self._remainder = b""
-
 
 @dataclass
 class _ClientStream:
@@ -197,7 +169,7 @@
                 return failure
             if failure is not None or head.status != 200:
                 # A refusal's body is read too, so that the connection can be reused.
-                outcome = await read_body(sent, head)
+                outcome = await read_body(sends, sent, head)
                 return failure or outcome
             failure = await self._relay(sends, run, sent, head, client, first)
             if failure is not None:
@@ -264,14 +236,35 @@
                 self._record_first_event(sends, client)
             resp = client.resp or await client.begin(head)
             await resp.write(events)
-        was_reset = await exchange.was_reset()
-        incomplete = len(client.splitter.remainder())
-        sends.record_answer_end(exchange, received, incomplete, was_reset)
-        if was_reset:
-            return MayHaveRun(ErrorKind.ENDPOINT_FAILED, "stream: connection reset")
+        return await self._end(sends, run, exchange, head, client, received)
+
+    async def _end(
+        self,
+        sends: JobSends,
+        run: StreamRun,
+        exchange: Exchange,
+        head: AnswerHead,
+        client: _ClientStream,
+        received: int,
+    ) -> MayHaveRun | None:
+        """End the client's answer; return why the endpoint's is incomplete, or None.
+
+        ``received`` is the size of the endpoint's answer in bytes.
+        """
+        remainder = client.splitter.remainder()
+        close_delimited = sends.is_close_delimited(exchange)
+        media = media_type(head.headers) or EVENT_STREAM
+        if close_delimited and await self._parts.migrator.result(run) is not None:
+            return MayHaveRun(ErrorKind.ENDPOINT_FAILED, "stream: run migrated")
+        missing = None
+        if close_delimited or (media == EVENT_STREAM and received):
+            missing = missing_end(media, received, remainder)
+        truncation = await sends.truncation(exchange, received, missing)
+        if truncation is not None:
+            return MayHaveRun(ErrorKind.ENDPOINT_FAILED, f"stream: {truncation}")
         resp = client.resp or await client.begin(head)
-        if client.splitter.remainder():
-            await resp.write(client.splitter.remainder())
+        if remainder:
+            await resp.write(remainder)
         await resp.write_eof()
         return None
 
--- a/tests/functional/relay/test_stream_migration.py
+++ b/tests/functional/relay/test_stream_migration.py
@@ -88,6 +88,27 @@
         assert "Last-Event-Id: 3" in head
         assert case.engines.moves == [(first.address, "r1", second.address)]
 
+    async def test_run_without_a_length_continues_after_its_connection_closed(self):
+        case = Case(events(1, 3), remainder(4, 6))
+
+        async def closes(_reader, writer, headers):
+            rid = headers["ebonydeal-request-id"].encode()
+            head = stream_head().replace(b"Transfer-Encoding: chunked\r\n", b"")
+            writer.write(head.replace(b"{id}", rid) + events(1, 3))
+            await writer.drain()
+            await case.source.stopped.wait()
+            writer.close()
+
+        case.one.script = [closes]
+        case.two.script = [closes]
+        async with (
+            running(case.one, case.two, doc=DOC, engines=case.engines) as (_p, store),
+            Client(_p) as client,
+        ):
+            await case.start_and_leave(store, client)
+            received = await client.reader.readuntil(b"0\r\n\r\n")
+        assert b"data: x4" in received and b"data: x6" in received
+
     async def test_refused_kv_cache_breaks_the_stream_off(self):
         case = Case(events(1, 3), NOT_RUN)
         async with (
--- a/tests/functional/relay/test_truncated_answers.py
+++ b/tests/functional/relay/test_truncated_answers.py
@@ -4,11 +4,20 @@
 
 import pytest
 
-from tests.lib.raw_endpoints import RawEndpoint, close_delimited, events
-from tests.lib.relay_fakes import ask, running
+from tests.lib.cut_links import relays_of_which_first_is_cut
+from tests.lib.raw_endpoints import (
+    RawEndpoint,
+    answer,
+    chunk,
+    close_delimited,
+    events,
+    stream_head,
+)
+from tests.lib.relay_fakes import HOST, KEY, Client, ask, running
 
 WITHIN_EVENT = events(1, 3) + b"id: 4\ndata: x"
 WITHIN_JSON = b'{"status": "rea'
+JSON = b"application/json"
 
 
 class TestCloseDelimited:
@@ -23,3 +32,164 @@
         async with running(one) as (program, _store):
             status, _headers, _body = await ask(program, "/once/", method="POST")
         assert status == 502
+
+    @pytest.mark.parametrize("path", ["/live/", "/once/"])
+    async def test_answer_without_a_body_looks_incomplete(self, path):
+        one = RawEndpoint("i1", [close_delimited(b"")])
+        async with running(one) as (program, _store):
+            status, headers, _body = await ask(program, path, method="POST")
+        assert status == 502
+        assert "ebonydeal-server-signature" not in headers
+
+    async def test_whole_stream_arrives(self):
+        one = RawEndpoint("i1", [close_delimited(events(1, 3))])
+        async with running(one) as (program, _store):
+            status, _headers, body = await ask(program, "/live/", method="POST")
+        assert (status, body) == (200, events(1, 3))
+
+    async def test_stream_resumes_after_its_last_whole_event(self):
+        cut, rest = close_delimited(WITHIN_EVENT), close_delimited(events(4, 6))
+        one, two = RawEndpoint("i1"), RawEndpoint("i2")
+        one.script = two.script = [cut, rest]
+        async with running(one, two) as (program, _store):
+            status, _headers, body = await ask(program, "/again/", method="POST")
+        assert (status, body) == (200, events(1, 6))
+        assert any("Last-Event-Id: 3" in head for head in one.seen + two.seen)
+
+    @pytest.mark.parametrize("body", [b"", WITHIN_JSON])
+    async def test_idempotent_request_is_sent_again(self, body):
+        one, two = RawEndpoint("i1"), RawEndpoint("i2")
+        one.script = two.script = [close_delimited(body, JSON), answer()]
+        async with running(one, two) as (program, _store):
+            status, _headers, body = await ask(program, "/safe/")
+        assert (status, body) == (200, b"hello")
+
+    async def test_status_without_a_body_is_complete(self):
+        async def no_content(_reader, writer, headers):
+            whole = answer(headers, b"", b"204 No Content")
+            writer.write(whole.replace(b"Content-Length: 0\r\n", b""))
+
+        one = RawEndpoint("i1", [no_content])
+        async with running(one) as (program, _store):
+            status, _headers, _body = await ask(program, "/once/", method="POST")
+        assert status == 204
+
+    async def test_answer_to_head_is_complete(self):
+        one = RawEndpoint("i1", [close_delimited(b"", JSON)])
+        async with running(one) as (program, _store):
+            status, _headers, _body = await ask(program, "/safe/", method="HEAD")
+        assert status == 200
+
+
+class TestCrash:
+    """An endpoint that crashes between events closes the stream as its end does."""
+
+    async def test_stream_that_ends_with_its_endpoint_looks_incomplete(self):
+        one = RawEndpoint("i1")
+        one.script = [_crash_after(one, events(1, 3))]
+        async with running(one) as (program, _store):
+            with pytest.raises(asyncio.IncompleteReadError):
+                await ask(program, "/live/", method="POST")
+
+    async def test_stream_of_an_endpoint_that_leaves_is_complete(self):
+        one = RawEndpoint("i1")
+        one.script = [_crash_after(one, events(1, 3))]
+        async with running(one) as (program, store):
+            await store.put("servers", "i1", one.row(state="draining"))
+            status, _headers, body = await ask(program, "/live/", method="POST")
+        assert (status, body) == (200, events(1, 3))
+
+
+class TestClient:
+    """A plain answer reaches the client with the end that its endpoint gave it."""
+
+    @pytest.mark.parametrize("version", ["1.0", "1.1"])
+    async def test_gets_no_length_that_the_endpoint_did_not_state(self, version):
+        one = RawEndpoint("i1", [close_delimited(b"part", b"text/plain")])
+        async with running(one) as (program, _store):
+            head, body = await _read_to_the_end(program, version)
+        assert head.startswith(b"HTTP/%b 200" % version.encode())
+        assert b"content-length" not in head.lower()
+        assert b"transfer-encoding" not in head.lower()
+        assert body == b"part"
+
+    async def test_is_told_that_the_connection_closes(self):
+        one = RawEndpoint("i1", [close_delimited(b"part", b"text/plain")])
+        async with running(one) as (program, _store):
+            head, _body = await _read_to_the_end(program, "1.1")
+        assert b"connection: close" in head.lower()
+
+
+class TestThroughRelay:
+    @pytest.mark.parametrize("path", ["/live/", "/again/"])
+    async def test_stream_that_breaks_off_within_an_event_looks_incomplete(self, path):
+        one = RawEndpoint("i1", [close_delimited(WITHIN_EVENT)] * 2)
+        async with relays_of_which_first_is_cut(2, one) as (first, _other):
+            with pytest.raises(asyncio.IncompleteReadError):
+                await ask(first, path, method="POST")
+
+    async def test_json_that_breaks_off_looks_incomplete(self):
+        one = RawEndpoint("i1", [close_delimited(WITHIN_JSON, JSON)])
+        async with relays_of_which_first_is_cut(2, one) as (first, _other):
+            status, _headers, _body = await ask(first, "/once/", method="POST")
+        assert status == 502
+
+    async def test_stream_that_ends_with_its_endpoint_looks_incomplete(self):
+        one = RawEndpoint("i1")
+        one.script = [_crash_after(one, events(1, 3))]
+        async with relays_of_which_first_is_cut(2, one) as (first, _other):
+            with pytest.raises(asyncio.IncompleteReadError):
+                await ask(first, "/live/", method="POST")
+
+    async def test_whole_stream_arrives(self):
+        one = RawEndpoint("i1", [close_delimited(events(1, 3))])
+        async with relays_of_which_first_is_cut(2, one) as (first, _other):
+            status, _headers, body = await ask(first, "/live/", method="POST")
+        assert (status, body) == (200, events(1, 3))
+
+
+class TestFramed:
+    async def test_stream_in_chunks_that_ends_within_an_event_looks_incomplete(self):
+        one = RawEndpoint("i1", [in_chunks(WITHIN_EVENT)])
+        async with running(one) as (program, _store):
+            with pytest.raises(asyncio.IncompleteReadError):
+                await ask(program, "/live/", method="POST")
+
+    async def test_body_that_is_no_stream_arrives(self):
+        one = RawEndpoint(
+            "i1", [answer(body=b"{}", extra=b"Content-Type: %b\r\n" % JSON)]
+        )
+        async with running(one) as (program, _store):
+            status, _headers, body = await ask(program, "/live/", method="POST")
+        assert (status, body) == (200, b"{}")
+
+
+def in_chunks(body):
+    return stream_head() + chunk(body) + b"0\r\n\r\n"
+
+
+def _crash_after(endpoint, body):
+    """Answer without a length; the endpoint's process ends with the connection."""
+    send = close_delimited(body)
+
+    async def step(reader, writer, headers):
+        endpoint._server.close()
+        await send(reader, writer, headers)
+
+    return step
+
+
+async def _read_to_the_end(program, version):
+    """Return head and body of an answer that ends with its connection."""
+    async with Client(program) as client:
+        lines = [
+            f"GET /safe/ HTTP/{version}",
+            f"Host: {HOST}",
+            "Ebonydeal-Request-Id: r1",
+            "Ebonydeal-Deadline-Ms: 3000",
+            f"Authorization: Bearer {KEY}",
+        ]
+        client.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        data = await asyncio.wait_for(client.reader.read(), 2.0)
+    head, _sep, body = data.partition(b"\r\n\r\n")
+    return head, body
