Refuse close-delimited answers that end early in the HTTP clients of the programs

A body that is empty, or JSON that doesn't parse, is now a lost response. Both cases of the test failed before (the part was returned as the service's answer).

--- a/src/ebonydeal/_internal/outside/http.py
+++ b/src/ebonydeal/_internal/outside/http.py
@@ -19,6 +19,11 @@
 from yarl import URL
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.utils.http_framing import (
+    is_close_delimited,
+    media_type,
+    missing_end,
+)
 from ebonydeal._internal.utils.http_sessions import HttpSessions
 
 NOT_RUN_HEADER = "X-Not-Run"
@@ -173,6 +178,7 @@
         """Send a request and return the complete response, whatever its status."""
         async with self.open(method, url, kinds, timeout=timeout, **options) as resp:
             body = await _read_body(resp, url, kinds)
+            _check_end(resp, body, kinds)
             return Reply(resp.status, resp.headers, resp.content_type, body)
 
     async def close(self) -> None:
@@ -198,6 +204,17 @@
     return b"".join(parts)
 
 
+def _check_end(resp: ClientResponse, body: bytes, kinds: FailureKinds) -> None:
+    """Raise if a response that ends only with its connection is incomplete."""
+    headers = resp.headers
+    if not is_close_delimited(resp.method, resp.status, headers.items()):
+        return
+    missing = missing_end(media_type(headers.items()), len(body), body)
+    if missing is not None:
+        detail = f"response of {resp.url} ended without {missing}"
+        raise EbonydealError(kinds.lost, detail)
+
+
 def _to_error(exc: Exception, url: str | URL, kinds: FailureKinds) -> EbonydealError:
     """Return the error of a call that got no complete response."""
     if isinstance(exc, (ClientConnectorError, ConnectionTimeoutError, InvalidURL)):
--- a/tests/functional/outside/test_services.py
+++ b/tests/functional/outside/test_services.py
@@ -10,6 +10,7 @@
 from ebonydeal._internal.standin.expected_answers import expected_answer
 from ebonydeal._internal.standin.service import ServiceSpec
 from tests.lib.fakes_endpoints import running, service, view_of
+from tests.lib.raw_endpoints import RawEndpoint, close_delimited
 
 HEADERS = {"Idempotency-Key": "k-1", "Host": "elsewhere", "Content-Length": "999"}
 
@@ -58,6 +59,18 @@
             assert [entry["ran"] for entry in server.entries] == [True, ran]
             await client.close()
 
+    @pytest.mark.parametrize("body", [b"", b'{"status": "rea'])
+    async def test_close_delimited_answer_that_breaks_off_is_no_answer(self, body):
+        endpoint = RawEndpoint("s1", [close_delimited(body, b"application/json")])
+        endpoint.endpoint_id, endpoint.kind = endpoint.name, "service"
+        await endpoint.start()
+        client = HttpPlainServices(2.0)
+        with pytest.raises(EbonydealError) as caught:
+            await call(client, endpoint)
+        await client.close()
+        await endpoint.stop()
+        assert caught.value.kind is ErrorKind.ENDPOINT_FAILED
+
     async def test_error_status_of_the_service_is_returned_as_its_answer(self):
         async with running(service()) as server:
             client = HttpPlainServices(2.0)
