Log which attempt a client names when it resumes a stream

The header Resumes is decoded, and one line joins both attempts: its first_attempt is the request of the send in another relay's log that says at which version the stream began.

--- a/src/ebonydeal/_internal/models/forwarding.py
+++ b/src/ebonydeal/_internal/models/forwarding.py
@@ -217,6 +217,9 @@
         Output tokens that the client expects.
     last_event : str
         Id of the event after which a broken stream continues; empty for a new one.
+    first_attempt : str
+        Id of the client's request that brought the first event of a stream that it
+        resumes; empty if not stated.
     headers : tuple of (str, str)
         Headers that may be forwarded, without those that the system sets itself.
     """
@@ -232,6 +235,7 @@
     parts: tuple[PromptPart, ...]
     length_hint: int | None
     last_event: str
+    first_attempt: str
     headers: tuple[tuple[str, str], ...]
 
     @property
--- a/src/ebonydeal/_internal/platform/headers.py
+++ b/src/ebonydeal/_internal/platform/headers.py
@@ -30,6 +30,8 @@
 # Requests per second that the endpoint can reject for want of room without failing.
 BRITTLE = "Server-Brittle"
 LAST_EVENT = "Last-Event-Id"
+# The client's attempt that brought the first event of a stream that it resumes.
+RESUMES = "Resumes"
 KV_CACHE = "Kv-From"
 KV_FETCH = "Kv-Fetch"
 _BEARER = "bearer "
@@ -148,6 +150,7 @@
         parts=_parts(first.get(PROMPT.lower())),
         length_hint=int(hint) if hint.isdigit() else None,
         last_event=first.get(LAST_EVENT.lower(), ""),
+        first_attempt=first.get(RESUMES.lower(), ""),
         headers=tuple((n, v) for n, v in listed if n.lower() not in dropped),
     )
 
--- a/src/ebonydeal/_internal/relay/requests/stream.py
+++ b/src/ebonydeal/_internal/relay/requests/stream.py
@@ -79,6 +79,13 @@
         sends = JobSends(self._parts, job)
         splitter = EventSplitter()
         splitter.last_id = job.req.last_event
+        if job.req.last_event:
+            logger.info(
+                "Client resumes a stream.",
+                request=job.req.request_id,
+                first_attempt=job.req.first_attempt,
+                last_event=job.req.last_event,
+            )
         client = _ClientStream(http_req, splitter, draining)
         migrated: MigratedRun | None = None
         while True:
--- a/tests/unit/platform/test_headers.py
+++ b/tests/unit/platform/test_headers.py
@@ -58,10 +58,12 @@
             ("Ebonydeal-Prompt-Prefix", "5c:800, 91:410"),
             ("Ebonydeal-Length-Hint", "40"),
             ("Last-Event-Id", "7"),
+            ("Resumes", "r0"),
         )
         assert (req.prompt_tokens, req.output_tokens) == (1460, 80)
         assert req.parts == (PromptPart("5c", 800), PromptPart("91", 410))
         assert (req.length_hint, req.last_event) == (40, "7")
+        assert req.first_attempt == "r0"
         assert (req.credential, req.client_timeout) == ("secret", 4.0)
         assert (req.path, req.target) == ("/p/x", "/p/x?q=1")
 
--- a/tests/unit/relay/requests/test_job_sends.py
+++ b/tests/unit/relay/requests/test_job_sends.py
@@ -98,7 +98,9 @@
         resumable,
         0.4,
     )
-    req = ForwardedRequest("r1", "POST", "/p/x", "h", "", 9.0, 10, 5, (), None, "", ())
+    req = ForwardedRequest(
+        "r1", "POST", "/p/x", "h", "", 9.0, 10, 5, (), None, "", "", ()
+    )
     return Job(req, route, "s", None, b"", 100.0, 109.0)
 
 
