Continue a stream only at the software version that began it

Callers got streams that held events of two software versions of a service. While endpoints of several versions serve side by side without an order, a relay resumed a stream at any of them, within its answer and for clients that came back and named their first attempt: nothing tied a stream to its version, and no relay knew what another one's attempt had run at.

- A relay pins a stream to the version of its first event.
Only endpoints of that version get the rest; a version that was rolled back gets nothing.
Where none is left the stream breaks off, or the client is refused at once.
- A relay records the version of each resumable stream.
While its service has several versions, it reports new streams to two other relays, beside the first event; once a second version comes, the earlier ones too.
- A relay at which a client resumes a stream asks all others, unless it has followed the list for the lifetime of a stream and there was one version.
If nobody knows and several are possible, it refuses with 503 (stream_version_unknown): not run is true.

Ways weighed: the table service (a row a relay and interval) is away when it is needed and costs calls; asking alone fails when the first relay is lost; telling all relays costs a message for each stream and relay. Two witnesses outlive the loss of the first relay and of one more, the coordinator or not.

--- a/src/ebonydeal/_internal/errors.py
+++ b/src/ebonydeal/_internal/errors.py
@@ -45,6 +45,7 @@
     ENDPOINT_GARBAGE = "endpoint_garbage"
     ENDPOINT_STALLED = "endpoint_stalled"
     REQUEST_QUARANTINED = "request_quarantined"
+    STREAM_VERSION_UNKNOWN = "stream_version_unknown"
     CALLER_LEFT = "caller_left"
     CANCELLED = "cancelled"
     EXPIRED = "expired"
@@ -187,6 +188,9 @@
     ErrorKind.REQUEST_QUARANTINED: ErrorResponse(
         500, _N, _SERVER, None, "Don't repeat it; report the digest to the operators."
     ),
+    ErrorKind.STREAM_VERSION_UNKNOWN: ErrorResponse(
+        503, _N, _SERVER, 1.0, "Wait, then repeat, or request the stream anew."
+    ),
     ErrorKind.CALLER_LEFT: ErrorResponse(
         499, _U, _INVALID, None, "Reconnect to resume."
     ),
--- /dev/null
+++ b/src/ebonydeal/_internal/relay/peers/stream_versions.py
@@ -0,0 +1,295 @@
+"""Tells relays which software version began a stream, so that any can continue it.
+
+A client comes back to any relay, often because its first one is gone. While a service
+has endpoints of several versions, each relay reports the streams that it begins to two
+others, beside their first events. A relay where a client resumes a stream asks all
+others. If none knows, the stream isn't resumed: a refusal mixes nothing.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable, Set
+from typing import Any, NamedTuple, TypedDict
+
+from mode import Service
+from xxhash import xxh3_64_intdigest
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.models.forwarding import RouteTable
+from ebonydeal._internal.observe.counters import Event, Metrics
+from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.relay.view.view import RelayView
+from ebonydeal._internal.routing.placement.stream_versions import (
+    StreamStart,
+    StreamStarts,
+    VersionHistory,
+)
+from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.peerclient import PeerClient
+
+logger = get_logger("relay.versions")
+
+STREAM_STARTS = "/relay/v1/stream-starts"
+STREAM_VERSION = "/relay/v1/stream-version"
+# Relays that get each report: a stream is lost to its client only with all of them.
+_WITNESSES = 2
+# Relays that are tried, where some can't be reached.
+_MAX_TRIED = 6
+_REPORT_TIMEOUT_S = 0.3
+# Replies take a few milliseconds; the client waits for them.
+_ASK_TIMEOUT_S = 0.25
+# A relay that didn't take a report gets no other one for this long.
+_AVOID_S = 2.0
+# Reports are collected for this long, so that a relay among hundreds sends eight calls
+# a second for them and one among ten loses few of its latest streams.
+_MIN_REPORT_INTERVAL_S = 0.05
+_REPORT_INTERVAL_PER_RELAY_S = 0.0007
+_FOLLOW_INTERVAL_S = 0.25
+# Time for which a client may come back after its last attempt has ended.
+_RETURN_S = 2.0
+# Lifetime of streams while no configuration is known.
+_DEFAULT_LIFETIME_S = 30.0
+
+
+class StartsMessage(TypedDict):
+    """Streams that began: each as request, service, version, seconds until it ends."""
+
+    starts: list[list]
+
+
+class VersionMessage(TypedDict):
+    """A stream: the client's request that brought its first event, and its service."""
+
+    request: str
+    service: str
+
+
+class VersionReply(TypedDict):
+    """The version that began the stream, None if unknown, and all that may have."""
+
+    version: str | None
+    versions: list[str]
+
+
+class SharingParts(NamedTuple):
+    """The dependencies of `StreamVersions`.
+
+    ``others`` returns the addresses of the other relays, ``node`` is this relay's id.
+    """
+
+    view: RelayView
+    client: PeerClient
+    others: Callable[[], list[str]]
+    metrics: Metrics
+    clock: Clock
+    node: str
+
+
+class StreamVersions(Service):
+    """Knows, together with the other relays, which version began each stream."""
+
+    def __init__(self, parts: SharingParts) -> None:
+        super().__init__()
+        self._parts = parts
+        self._starts = StreamStarts()
+        self._history = VersionHistory(_DEFAULT_LIFETIME_S)
+        self._unreported: asyncio.Queue[StreamStart] = asyncio.Queue()
+        self._avoid_until: dict[str, float] = {}
+        self._seen_changes = -1
+        self._listed: dict[str, set[str]] = {}
+
+    # --- streams of this relay -------------------------------------------------------
+    def record_start(
+        self, request_id: str, service: str, version: str, timeout_s: float
+    ) -> None:
+        """Record the first event of a stream, whose request has a timeout."""
+        now = self._parts.clock.now()
+        start = StreamStart(request_id, service, version, now + timeout_s + _RETURN_S)
+        self._note_version(service, version, now)
+        self._starts.record(start)
+        if len(self._history.versions(service, now)) > 1:
+            self._unreported.put_nowait(start)
+
+    async def find(self, request_id: str, first_attempt: str, service: str) -> str:
+        """Return the version that began a stream; raises STREAM_VERSION_UNKNOWN.
+
+        ``first_attempt`` is the client's request that brought the first event.
+        """
+        now = self._parts.clock.now()
+        self._parts.metrics.count(Event.STREAMS_RESUMED_BY_CLIENTS)
+        version = self._starts.version(first_attempt, now)
+        source = "this relay"
+        if version is None:
+            version = self._history.sole_version(service, now)
+            source = "only version"
+        if version is None:
+            version = await self._ask_all(first_attempt, service)
+            source = "other relays"
+        logger.info(
+            "Client resumes a stream.",
+            request=request_id,
+            first_attempt=first_attempt,
+            service=service,
+            version=version,
+            source=source,
+        )
+        if version is None:
+            detail = (
+                f"no relay knows which version of {service} began {first_attempt!r}"
+            )
+            raise EbonydealError(ErrorKind.STREAM_VERSION_UNKNOWN, detail)
+        return version
+
+    async def _ask_all(self, request_id: str, service: str) -> str | None:
+        """Return the version that began a stream by the other relays, None if unknown.
+
+        The only version that any relay has seen during the stream's lifetime counts.
+        """
+        message = VersionMessage(request=request_id, service=service)
+        asked = [
+            asyncio.ensure_future(self._ask(address, message))
+            for address in self._parts.others()
+        ]
+        possible = set(self._history.versions(service, self._parts.clock.now()))
+        possible |= self._listed_versions().get(service, set())
+        try:
+            for reply in asyncio.as_completed(asked):
+                got = await reply
+                if got is None:
+                    continue
+                if got["version"] is not None:
+                    return got["version"]
+                possible.update(got["versions"])
+        finally:
+            for task in asked:
+                task.cancel()
+        return possible.pop() if len(possible) == 1 else None
+
+    async def _ask(self, address: str, message: VersionMessage) -> VersionReply | None:
+        try:
+            reply = await self._parts.client.call(
+                address, STREAM_VERSION, message, _ASK_TIMEOUT_S
+            )
+        except EbonydealError:
+            # It can't be reached, or is of the previous release.
+            return None
+        return VersionReply(
+            version=reply.get("version"), versions=list(reply.get("versions", []))
+        )
+
+    # --- calls of other relays -------------------------------------------------------
+    def receive_starts(self, message: StartsMessage) -> dict[str, Any]:
+        """Record streams that another relay began."""
+        now = self._parts.clock.now()
+        for request_id, service, version, seconds in message["starts"]:
+            until = now + float(seconds)
+            start = StreamStart(str(request_id), str(service), str(version), until)
+            self._note_version(start.service, start.version, now)
+            self._starts.record(start)
+        return {}
+
+    def answer(self, message: VersionMessage) -> VersionReply:
+        """Answer another relay at which a client resumes a stream."""
+        now, service = self._parts.clock.now(), str(message["service"])
+        return VersionReply(
+            version=self._starts.version(str(message["request"]), now),
+            versions=sorted(self._history.versions(service, now)),
+        )
+
+    # --- versions of services --------------------------------------------------------
+    @Service.task
+    async def _follow_list(self) -> None:
+        """Note the listed versions, and report streams once there are several."""
+        view, clock = self._parts.view, self._parts.clock
+        while not self.should_stop:
+            now = clock.now()
+            if view.index is not None:
+                self._history.lifetime_s = _lifetime_s(view.index.table)
+            if view.members_known:
+                self._report_all(self._history.update(self._listed_versions(), now))
+            self._starts.expire(now)
+            await clock.sleep(_FOLLOW_INTERVAL_S)
+
+    def _note_version(self, service: str, version: str, now: float) -> None:
+        """Note that a service has a version, which its list may not show yet."""
+        if self._history.note(service, [version], now):
+            self._report_all({service})
+
+    def _report_all(self, services: Set[str]) -> None:
+        """Report the streams of services that have got a second version."""
+        for start in self._starts.of_services(services, self._parts.clock.now()):
+            self._unreported.put_nowait(start)
+
+    def _listed_versions(self) -> dict[str, set[str]]:
+        """Return the versions of each service's endpoints, those that leave too."""
+        view = self._parts.view
+        if view.changes != self._seen_changes:
+            self._seen_changes = view.changes
+            self._listed = {}
+            for member in view.members.values():
+                self._listed.setdefault(member.service, set()).add(member.version)
+        return self._listed
+
+    # --- reports ---------------------------------------------------------------------
+    @Service.task
+    async def _report(self) -> None:
+        """Report streams to the witnesses, a batch at a time."""
+        while not self.should_stop:
+            batch = [await self._unreported.get()]
+            while not self._unreported.empty():
+                batch.append(self._unreported.get_nowait())
+            await self._report_batch(batch)
+            relays = len(self._parts.others()) + 1
+            interval = relays * _REPORT_INTERVAL_PER_RELAY_S
+            await self._parts.clock.sleep(max(_MIN_REPORT_INTERVAL_S, interval))
+
+    async def _report_batch(self, batch: list[StreamStart]) -> None:
+        """Report streams to the first relays by preference that can be reached."""
+        now = self._parts.clock.now()
+        message = StartsMessage(
+            starts=[
+                [start.request_id, start.service, start.version, start.until - now]
+                for start in batch
+                if start.until > now
+            ]
+        )
+        relays = self._by_preference(now)[:_MAX_TRIED]
+        missing = min(_WITNESSES, len(self._parts.others()))
+        while missing and relays:
+            targets, relays = relays[:missing], relays[missing:]
+            taken = await asyncio.gather(*(self._send(t, message) for t in targets))
+            missing -= sum(taken)
+        if missing:
+            logger.info("Streams not reported.", streams=len(batch), missing=missing)
+
+    def _by_preference(self, now: float) -> list[str]:
+        """Return the other relays, in the order in which this one reports to them.
+
+        The order depends on the names alone, so that connections are reused and each
+        relay gets reports of about as many others.
+        """
+        self._avoid_until = {a: t for a, t in self._avoid_until.items() if t > now}
+        usable: Iterable[str] = (
+            address
+            for address in self._parts.others()
+            if address not in self._avoid_until
+        )
+        node = self._parts.node
+        return sorted(usable, key=lambda a: xxh3_64_intdigest(f"{node}\0{a}".encode()))
+
+    async def _send(self, address: str, message: StartsMessage) -> bool:
+        """Return whether a relay took a report."""
+        try:
+            await self._parts.client.call(
+                address, STREAM_STARTS, message, _REPORT_TIMEOUT_S
+            )
+        except EbonydealError as exc:
+            self._avoid_until[address] = self._parts.clock.now() + _AVOID_S
+            logger.info("Relay took no report.", peer=address, reason=str(exc))
+            return False
+        return True
+
+
+def _lifetime_s(table: RouteTable) -> float:
+    """Return for how long after its first event a client may resume a stream."""
+    timeouts = [route.timeout for route in table.routes if route.resumable]
+    return max(timeouts, default=_DEFAULT_LIFETIME_S) + _RETURN_S
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -54,6 +54,12 @@
 )
 from ebonydeal._internal.relay.peers.relay_reporter import RelayReporter, ReporterParts
 from ebonydeal._internal.relay.peers.rollouts import RolloutReceiver
+from ebonydeal._internal.relay.peers.stream_versions import (
+    STREAM_STARTS,
+    STREAM_VERSION,
+    SharingParts,
+    StreamVersions,
+)
 from ebonydeal._internal.relay.ports import RelayPorts
 from ebonydeal._internal.relay.requests.answer_end import AnswerEndChecker
 from ebonydeal._internal.relay.requests.connections import EndpointPools
@@ -199,6 +205,16 @@
             self._cfg.connect_ms / 1000.0,
         )
         self._crashes.confirm = self._confirmation.is_crash
+        self._stream_versions = StreamVersions(
+            SharingParts(
+                self.view,
+                self._client,
+                self._other_relays,
+                metrics,
+                clock,
+                self._node.id,
+            )
+        )
         self._split = TrafficSplit(
             self._node.id, ReportPacing(self._policy.exchange_s).isolation_timeout
         )
@@ -242,6 +258,7 @@
             answer_ends=answer_ends,
             suspects=self._suspects,
             split=self._split,
+            stream_versions=self._stream_versions,
             notices=notice_reader,
             permits=EndpointPermits(
                 self._notices,
@@ -331,6 +348,8 @@
         )
         handler.forward = self._forwards.handle
         handler.serve(CONFIRM, self._confirmation.answer)
+        handler.serve(STREAM_STARTS, self._stream_versions.receive_starts)
+        handler.serve(STREAM_VERSION, self._stream_versions.answer)
         handler.serve(HOLDER, self._exchange.receive_lease_holder)
         handler.serve(ROLLOUTS, self._rollout_receiver.receive)
         self._rollout_receiver.report_now = self._exchange.report_now
@@ -443,6 +462,7 @@
             self._suspects,
             self._crashes,
             self._links,
+            self._stream_versions,
             self._view_sync,
             self._leaving_times,
             self._rollouts,
--- a/src/ebonydeal/_internal/relay/requests/endpoint_chooser.py
+++ b/src/ebonydeal/_internal/relay/requests/endpoint_chooser.py
@@ -35,6 +35,8 @@
         self._job = job
         # Whether the request already took part in the roll-out's traffic split.
         self._split_done = False
+        # The version that began the stream, at which alone it may continue.
+        self.version: str | None = None
         # Endpoints in backoff, or at their rate limit, at the last choice.
         self.unavailable: list[str] = []
 
@@ -65,7 +67,7 @@
         parts, job = self._parts, self._job
         now = parts.clock.now()
         listed = self._available(avoid, now)
-        if not parts.split.has_rollout(job.service):
+        if self.version is not None or not parts.split.has_rollout(job.service):
             return self._best(listed, now)
         first, self._split_done = not self._split_done, True
         version = parts.split.choose_version(
@@ -80,6 +82,22 @@
             found = self._best(version.members, now)
         return found
 
+    def may_serve(self, member: Member) -> bool:
+        """Return whether an endpoint's version may serve the request."""
+        if self.version is None:
+            return True
+        split = self._parts.split
+        return member.version == self.version and not split.is_barred(
+            member.service, member.version
+        )
+
+    def is_version_gone(self) -> bool:
+        """Return whether no endpoint is left that may continue the stream."""
+        return self.version is not None and not any(
+            member.service == self._job.service and self.may_serve(member)
+            for member in self._parts.view.members.values()
+        )
+
     def _available(self, avoid: Set[str], now: float) -> list[Member]:
         """Return the endpoints that may get a request now."""
         permits = self._parts.permits
@@ -160,8 +178,12 @@
         is left, it gets all requests.
         """
         parts, job = self._parts, self._job
-        staying = list(parts.view.of_service(job.service))
-        leaving = parts.view.recently_leaving(job.service, now)
+        staying = [m for m in parts.view.of_service(job.service) if self.may_serve(m)]
+        leaving = [
+            (member, left)
+            for member, left in parts.view.recently_leaving(job.service, now)
+            if self.may_serve(member)
+        ]
         if not staying:
             return [member for member, _left in leaving]
         if not parts.config.use_leaving:
--- a/src/ebonydeal/_internal/relay/requests/job.py
+++ b/src/ebonydeal/_internal/relay/requests/job.py
@@ -15,6 +15,7 @@
 from ebonydeal._internal.relay.limits.permits import EndpointPermits
 from ebonydeal._internal.relay.links.monitor import LinkMonitor
 from ebonydeal._internal.relay.peers.long_prompts import LongPromptNotifier
+from ebonydeal._internal.relay.peers.stream_versions import StreamVersions
 from ebonydeal._internal.relay.ports import Wire
 from ebonydeal._internal.relay.requests.answer_end import AnswerEndChecker
 from ebonydeal._internal.relay.requests.connections import EndpointPools
@@ -113,6 +114,7 @@
     answer_ends: AnswerEndChecker
     suspects: Suspects
     split: TrafficSplit
+    stream_versions: StreamVersions
     notices: NoticeReader
     permits: EndpointPermits
     metrics: Metrics
--- a/src/ebonydeal/_internal/relay/requests/sends.py
+++ b/src/ebonydeal/_internal/relay/requests/sends.py
@@ -97,7 +97,7 @@
             found = self.chooser.find(self._avoid, resend=self._sends > 0)
             if found is None:
                 self._refuse_limited(wait_until)
-                if parts.clock.now() >= wait_until:
+                if parts.clock.now() >= wait_until or self.chooser.is_version_gone():
                     error = EbonydealError(
                         ErrorKind.NO_ENDPOINT, f"no endpoint of {job.service}"
                     )
@@ -478,6 +478,7 @@
         parts, now = self._parts, self._parts.clock.now()
         if not any(
             member.endpoint_id not in self._avoid
+            and self.chooser.may_serve(member)
             and parts.permits.wait(member, now) <= 0.0
             for member in parts.view.of_service(self.job.service)
         ):
--- a/src/ebonydeal/_internal/relay/requests/stream.py
+++ b/src/ebonydeal/_internal/relay/requests/stream.py
@@ -80,11 +80,8 @@
         splitter = EventSplitter()
         splitter.last_id = job.req.last_event
         if job.req.last_event:
-            logger.info(
-                "Client resumes a stream.",
-                request=job.req.request_id,
-                first_attempt=job.req.first_attempt,
-                last_event=job.req.last_event,
+            sends.chooser.version = await self._parts.stream_versions.find(
+                job.req.request_id, job.req.first_attempt, job.service
             )
         client = _ClientStream(http_req, splitter, draining)
         migrated: MigratedRun | None = None
@@ -285,6 +282,20 @@
             Timing.FIRST_TOKEN, parts.clock.now() - job.started
         )
         sends.count_run(parts.clock.wall())
+        self._record_start(sends)
+
+    def _record_start(self, sends: JobSends) -> None:
+        """Record the version that began the stream, or that went on with it."""
+        job, member = sends.job, sends.member
+        assert member is not None
+        sends.chooser.version = member.version
+        if job.route.resumable:
+            timeout_s = max(job.route.timeout, job.req.client_timeout or 0.0)
+            resumed = job.req.last_event and job.req.first_attempt
+            first_attempt = resumed or job.req.request_id
+            self._parts.stream_versions.record_start(
+                first_attempt, job.service, member.version, timeout_s
+            )
 
     def _count_failed(self, sends: JobSends, outcome: Outcome) -> None:
         """Count a run that failed before its first event.
--- /dev/null
+++ b/src/ebonydeal/_internal/routing/placement/stream_versions.py
@@ -0,0 +1,119 @@
+"""Which software version began a stream, and which versions a service has had.
+
+Events of two versions don't fit together, and endpoints don't check who began a stream.
+"""
+
+from collections.abc import Iterable, Mapping, Set
+from typing import NamedTuple
+
+# Streams of one relay, and those that other relays report to it, over their lifetime.
+_MAX_STARTS = 50_000
+# A relay that didn't look for this long was suspended, and may have missed a version.
+_MAX_GAP_S = 2.0
+
+
+class StreamStart(NamedTuple):
+    """The version that began a stream.
+
+    Attributes
+    ----------
+    request_id : str
+        The client's request that brought the first event.
+    until : float
+        When its client won't come back any more, monotonic seconds.
+    """
+
+    request_id: str
+    service: str
+    version: str
+    until: float
+
+
+class StreamStarts:
+    """The streams that a client may still resume, with the version of each."""
+
+    def __init__(self, max_starts: int = _MAX_STARTS) -> None:
+        self._max_starts = max_starts
+        self._starts: dict[str, StreamStart] = {}
+
+    def record(self, start: StreamStart) -> None:
+        """Record a stream; one that is known already is kept for longer."""
+        known = self._starts.pop(start.request_id, None)
+        if known is not None:
+            start = known._replace(until=max(known.until, start.until))
+        self._starts[start.request_id] = start
+        if len(self._starts) > self._max_starts:
+            del self._starts[next(iter(self._starts))]
+
+    def version(self, request_id: str, now: float) -> str | None:
+        """Return the version that began a stream, or None if that isn't known."""
+        start = self._starts.get(request_id)
+        return None if start is None or start.until <= now else start.version
+
+    def of_services(self, services: Set[str], now: float) -> list[StreamStart]:
+        """Return the streams of some services."""
+        return [
+            start
+            for start in self._starts.values()
+            if start.service in services and start.until > now
+        ]
+
+    def expire(self, now: float) -> None:
+        """Forget streams whose clients won't come back."""
+        self._starts = {k: s for k, s in self._starts.items() if s.until > now}
+
+
+class VersionHistory:
+    """The versions that each service had during the lifetime of a stream.
+
+    Attributes
+    ----------
+    lifetime_s : float
+        How long after its first event a client may resume a stream, seconds.
+    """
+
+    def __init__(self, lifetime_s: float) -> None:
+        self.lifetime_s = lifetime_s
+        self._last_seen: dict[str, dict[str, float]] = {}
+        self._known_since: float | None = None
+        self._updated_at = 0.0
+
+    def update(self, listed: Mapping[str, Iterable[str]], now: float) -> set[str]:
+        """Note the listed versions by service.
+
+        Returns the services that have more than one now, and had at most one before.
+        """
+        if self._known_since is None or now - self._updated_at > _MAX_GAP_S:
+            self._known_since = now
+        self._updated_at = now
+        return {s for s, versions in listed.items() if self.note(s, versions, now)}
+
+    def note(self, service: str, versions: Iterable[str], now: float) -> bool:
+        """Note that a service has some versions.
+
+        Returns whether it has more than one now, and had at most one before.
+        """
+        before = self.versions(service, now)
+        self._last_seen.setdefault(service, {}).update(dict.fromkeys(versions, now))
+        return len(before) <= 1 < len(self.versions(service, now))
+
+    def versions(self, service: str, now: float) -> frozenset[str]:
+        """Return the versions that a stream may have begun at, as far as known here."""
+        return frozenset(
+            version
+            for version, seen in self._last_seen.get(service, {}).items()
+            if now - seen <= self.lifetime_s
+        )
+
+    def sole_version(self, service: str, now: float) -> str | None:
+        """Return the version at which each stream began, None if there were others.
+
+        None as well if this relay hasn't followed the list for long enough to know.
+        """
+        since = self._known_since
+        if since is None or now - since < self.lifetime_s:
+            return None
+        if now - self._updated_at > _MAX_GAP_S:
+            return None
+        versions = self.versions(service, now)
+        return next(iter(versions)) if len(versions) == 1 else None
--- a/src/ebonydeal/_internal/routing/rollout/traffic_split.py
+++ b/src/ebonydeal/_internal/routing/rollout/traffic_split.py
@@ -230,6 +230,20 @@
         """Return whether the service has a roll-out."""
         return service in self._rollouts
 
+    def is_barred(self, service: str, version: str) -> bool:
+        """Return whether a version gets no requests, as its roll-out was rolled back.
+
+        A later order without a gate bars the version of the one before as well.
+        """
+        rollout = self._rollouts.get(service)
+        if rollout is None:
+            return False
+        gate = rollout.gate
+        if gate is not None and gate.phase is Phase.ROLLED_BACK:
+            if version == rollout.order.target_version:
+                return True
+        return version in (rollout.barred if gate is None else gate.barred)
+
     # --- one request -------------------------------------------------------------
     def choose_version(
         self,
--- /dev/null
+++ b/tests/unit/relay/peers/test_stream_versions.py
@@ -0,0 +1,150 @@
+"""Relays tell each other which version began a stream."""
+
+import asyncio
+
+import pytest
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.models.forwarding import Member
+from ebonydeal._internal.observe.counters import Metrics
+from ebonydeal._internal.relay.peers.stream_versions import (
+    STREAM_STARTS,
+    STREAM_VERSION,
+    SharingParts,
+    StreamVersions,
+)
+from ebonydeal._internal.relay.view.view import RelayView
+from tests.lib.clock import ManualClock, settle
+
+TIMEOUT_S = 5.0
+# Longer than the lifetime of streams without a configuration.
+LONG_S = 40.0
+
+
+class Relays:
+    """Several relays that call each other without a network."""
+
+    def __init__(self, clock, names, versions=("v1", "v2")):
+        self.clock, self.lost, self.calls = clock, set(), []
+        self.relays = {name: self._relay(name, names, versions) for name in names}
+
+    def _relay(self, name, names, versions):
+        view = RelayView(2.0)
+        for number, version in enumerate(versions):
+            view.put(_member(version, number))
+        view.members_known = True
+        others = [other for other in names if other != name]
+        parts = SharingParts(view, self, lambda: others, Metrics(), self.clock, name)
+        return StreamVersions(parts)
+
+    async def call(self, address, path, message, _timeout):
+        self.calls.append((address, path))
+        if address in self.lost:
+            raise EbonydealError(ErrorKind.CONNECT_FAILED, address)
+        relay = self.relays[address]
+        if path == STREAM_VERSION:
+            return relay.answer(message)
+        return relay.receive_starts(message)
+
+    def reported_to(self):
+        return {address for address, path in self.calls if path == STREAM_STARTS}
+
+    async def __aenter__(self):
+        for relay in self.relays.values():
+            await relay.start()
+        await settle()
+        return self
+
+    async def __aexit__(self, *_exc):
+        for relay in self.relays.values():
+            await relay.stop()
+
+
+def _member(version, number):
+    return Member(
+        f"i{number}", "s", "1:1", "z", 8, False, None, False, 0.0, 1, version=version
+    )
+
+
+async def find(relay):
+    return await relay.find("r2", "r1", "s")
+
+
+class TestReports:
+    async def test_two_relays_know_a_stream_besides_the_one_that_began_it(self):
+        async with Relays(ManualClock(), "abcde") as all_relays:
+            all_relays.relays["a"].record_start("r1", "s", "v2", TIMEOUT_S)
+            await settle()
+            assert len(all_relays.reported_to()) == 2
+            all_relays.lost = {"a"}
+            other = next(iter(set("bcde") - all_relays.reported_to()))
+            assert await find(all_relays.relays[other]) == "v2"
+
+    async def test_others_get_the_report_of_relays_that_are_lost(self):
+        clock = ManualClock()
+        async with Relays(clock, "abcde") as all_relays:
+            all_relays.relays["a"].record_start("r0", "s", "v2", TIMEOUT_S)
+            await settle()
+            all_relays.lost = all_relays.reported_to()
+            all_relays.calls = []
+            await clock.advance(0.1)
+            all_relays.relays["a"].record_start("r1", "s", "v2", TIMEOUT_S)
+            await settle()
+            assert len(all_relays.reported_to() - all_relays.lost) == 2
+
+    async def test_nothing_is_reported_while_there_is_one_version(self):
+        async with Relays(ManualClock(), "abc", versions=("v1",)) as all_relays:
+            all_relays.relays["a"].record_start("r1", "s", "v1", TIMEOUT_S)
+            await settle()
+            assert all_relays.calls == []
+
+    async def test_earlier_streams_are_reported_once_a_second_version_comes(self):
+        clock = ManualClock()
+        async with Relays(clock, "abc", versions=("v1",)) as all_relays:
+            first = all_relays.relays["a"]
+            first.record_start("r1", "s", "v1", TIMEOUT_S)
+            first._parts.view.put(_member("v2", 7))
+            await clock.advance(0.3)
+            assert len(all_relays.reported_to()) == 2
+
+
+class TestQuestions:
+    async def test_only_version_of_a_lifetime_is_known_without_a_call(self):
+        clock = ManualClock()
+        async with Relays(clock, "abc", versions=("v1",)) as all_relays:
+            await clock.advance(LONG_S)
+            assert await find(all_relays.relays["b"]) == "v1"
+            assert all_relays.calls == []
+
+    async def test_relay_that_started_late_learns_of_a_version_that_is_gone(self):
+        async with Relays(ManualClock(), "abc") as all_relays:
+            late = all_relays.relays["a"]
+            late._parts.view.remove("i0", 9)
+            late._history = type(late._history)(TIMEOUT_S)
+            with pytest.raises(EbonydealError):
+                await find(late)
+
+    async def test_stream_that_no_relay_knows_is_refused(self):
+        async with Relays(ManualClock(), "abc") as all_relays:
+            with pytest.raises(EbonydealError) as caught:
+                await find(all_relays.relays["a"])
+        assert caught.value.kind is ErrorKind.STREAM_VERSION_UNKNOWN
+        assert caught.value.response.status == 503
+
+    async def test_first_reply_that_knows_is_enough(self):
+        async with Relays(ManualClock(), "abc") as all_relays:
+            all_relays.relays["b"].record_start("r1", "s", "v1", TIMEOUT_S)
+            await settle()
+            silent = asyncio.Event()
+            call = all_relays.call
+
+            async def one_is_silent(address, path, message, timeout):
+                if address == "c":
+                    await silent.wait()
+                return await call(address, path, message, timeout)
+
+            all_relays.call = one_is_silent
+            relay = all_relays.relays["a"]
+            relay._starts.expire(1e9)
+            async with asyncio.timeout(1.0):
+                assert await find(relay) == "v1"
--- a/tests/unit/routing/rollout/test_traffic_split.py
+++ b/tests/unit/routing/rollout/test_traffic_split.py
@@ -246,3 +246,21 @@
         found.record_send("s", "r", OLD[0], first=True)
         tally = self.tally(found)
         assert tally["phase"] == "rolled_back" and not tally["requests"]
+
+
+class TestBarredVersions:
+    """A stream that began at a version goes on there, unless it was rolled back."""
+
+    def test_version_of_a_running_order_is_not_barred(self):
+        assert not split(gates=[gate(1.0)]).is_barred("s", "v2")
+
+    def test_version_that_was_rolled_back_is_barred(self):
+        found = split(gates=[gate(phase=Phase.ROLLED_BACK)])
+        assert found.is_barred("s", "v2")
+        assert not found.is_barred("s", "v1")
+
+    def test_barred_version_of_an_earlier_order_stays_barred(self):
+        assert split(gates=[gate(1.0, barred=("v0",))]).is_barred("s", "v0")
+
+    def test_nothing_is_barred_without_an_order(self):
+        assert not TrafficSplit("n1", 2.0).is_barred("s", "v2")
