Take a close-delimited answer for complete only if its endpoint still runs

For the end of an answer it doesn't matter who is to blame: what refuses connections, or has started again, may have broken the answer off. No other relay is asked.

--- a/src/ebonydeal/_internal/relay/crashes/crash_detector.py
+++ b/src/ebonydeal/_internal/relay/crashes/crash_detector.py
@@ -90,7 +90,7 @@
         One that is leaving, or isn't listed any more, was expected to end.
         """
         listed = self._view.members.get(member.endpoint_id)
-        if listed is None or not self._is_expected_to_run(member):
+        if listed is None or listed.leaving or listed.incarnation != member.incarnation:
             return
         running = self._checks.get(_start_key(listed))
         if running is not None:
@@ -99,28 +99,6 @@
         self._checks[_start_key(listed)] = _Check({digest}, asyncio.Event())
         self.add_future(self._check(listed))
 
-    def _is_expected_to_run(self, member: Member) -> bool:
-        """Return whether an endpoint is still listed, and isn't leaving."""
-        listed = self._view.members.get(member.endpoint_id)
-        return (
-            listed is not None
-            and not listed.leaving
-            and listed.incarnation == member.incarnation
-        )
-
-    async def is_crashed(self, member: Member) -> bool:
-        """Return whether an endpoint that should run has no process any more.
-
-        False if that can't be found out in time.
-        """
-        if not self._is_expected_to_run(member):
-            return False
-        with suppress(TimeoutError):
-            async with asyncio.timeout(_MAX_CHECK_WAIT_S):
-                refused = await self.refuses(member.address, self._connect_timeout_s)
-                return refused and await self.confirm(member)
-        return False
-
     async def wait_until_checked(self, member: Member) -> None:
         """Wait for the check of an endpoint, if one is running.
 
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -239,7 +239,7 @@
         )
         notice_reader = NoticeReader(self._notices, metrics, clock)
         notice_reader.relay_count = lambda: self._exchange.relay_count
-        answer_ends = AnswerEndChecker(self._crashes, metrics)
+        answer_ends = AnswerEndChecker(self.view, metrics)
         parts = SendParts(
             wire=ports.wire,
             view=self.view,
--- a/src/ebonydeal/_internal/relay/requests/answer_end.py
+++ b/src/ebonydeal/_internal/relay/requests/answer_end.py
@@ -1,7 +1,7 @@
 """Whether an endpoint's answer that has ended is complete.
 
 The framing of an answer says so, or for a close-delimited one (see `http_framing`) the
-body and the state of the endpoint: one that has crashed broke the answer off.
+body and the state of the endpoint: one whose process has ended may have broken it off.
 """
 
 from typing import NamedTuple
@@ -9,11 +9,15 @@
 from ebonydeal._internal.models.forwarding import Member
 from ebonydeal._internal.observe.counters import Event, Metrics
 from ebonydeal._internal.observe.logs import get_logger
-from ebonydeal._internal.relay.crashes.crash_detector import CrashDetector
 from ebonydeal._internal.relay.requests.exchange import Exchange
+from ebonydeal._internal.relay.view.view import RelayView
+from ebonydeal._internal.utils.reachability import refuses_connections
 
 logger = get_logger("relay.answer")
 
+# The address of an ended process refuses within milliseconds; the client waits for it.
+_MAX_CHECK_S = 0.1
+
 
 class EndedAnswer(NamedTuple):
     """An answer whose body has ended.
@@ -39,8 +43,8 @@
 class AnswerEndChecker:
     """Finds answers that were cut short, though their end looks like any other."""
 
-    def __init__(self, crashes: CrashDetector, metrics: Metrics) -> None:
-        self._crashes = crashes
+    def __init__(self, view: RelayView, metrics: Metrics) -> None:
+        self._view = view
         self._metrics = metrics
 
     async def truncation(self, exchange: Exchange, answer: EndedAnswer) -> str | None:
@@ -69,6 +73,16 @@
             return f"ended without {answer.missing}"
         if not answer.close_delimited or answer.forwarded:
             return None
-        if await self._crashes.is_crashed(answer.member):
-            return "connection closed by a crash"
+        if await self._has_ended(answer.member):
+            return "connection closed as the process of the endpoint ended"
         return None
+
+    async def _has_ended(self, member: Member) -> bool:
+        """Return whether the process of an endpoint ended with its connection.
+
+        One that leaves counts as well: it ends with the answers that it still has.
+        """
+        listed = self._view.members.get(member.endpoint_id)
+        if listed is not None and listed.incarnation > member.incarnation:
+            return True
+        return await refuses_connections(member.address, _MAX_CHECK_S)
--- a/src/ebonydeal/_internal/relay/requests/stream.py
+++ b/src/ebonydeal/_internal/relay/requests/stream.py
@@ -257,7 +257,7 @@
         """
         remainder = client.splitter.remainder()
         close_delimited = sends.is_close_delimited(exchange)
-        media = media_type(head.headers) or EVENT_STREAM
+        media = media_type(head.headers) or (EVENT_STREAM if run.events else "")
         if close_delimited and await self._parts.migrator.result(run) is not None:
             return MayHaveRun(ErrorKind.ENDPOINT_FAILED, "stream: run migrated")
         missing = None
--- a/tests/functional/relay/test_truncated_answers.py
+++ b/tests/functional/relay/test_truncated_answers.py
@@ -13,7 +13,7 @@
     events,
     stream_head,
 )
-from tests.lib.relay_fakes import HOST, KEY, Client, ask, running
+from tests.lib.relay_fakes import HOST, KEY, Client, ask, running, until
 
 WITHIN_EVENT = events(1, 3) + b"id: 4\ndata: x"
 WITHIN_JSON = b'{"status": "rea'
@@ -91,14 +91,34 @@
             with pytest.raises(asyncio.IncompleteReadError):
                 await ask(program, "/live/", method="POST")
 
-    async def test_stream_of_an_endpoint_that_leaves_is_complete(self):
+    async def test_stream_that_ends_with_an_endpoint_that_leaves_looks_incomplete(self):
         one = RawEndpoint("i1")
         one.script = [_crash_after(one, events(1, 3))]
+        async with running(one) as (program, store):
+            await store.put("servers", "i1", one.row(state="draining"))
+            with pytest.raises(asyncio.IncompleteReadError):
+                await ask(program, "/live/", method="POST")
+
+    async def test_stream_of_an_endpoint_that_leaves_and_runs_is_complete(self):
+        one = RawEndpoint("i1", [close_delimited(events(1, 3))])
         async with running(one) as (program, store):
             await store.put("servers", "i1", one.row(state="draining"))
             status, _headers, body = await ask(program, "/live/", method="POST")
         assert (status, body) == (200, events(1, 3))
 
+    async def test_stream_of_an_endpoint_that_restarted_looks_incomplete(self):
+        one = RawEndpoint("i1")
+
+        async def restart(reader, writer, headers):
+            await store.put("servers", "i1", one.row(born=2_000))
+            await until(lambda: program.view.members["i1"].incarnation == 2_000)
+            await close_delimited(events(1, 3))(reader, writer, headers)
+
+        one.script = [restart]
+        async with running(one) as (program, store):
+            with pytest.raises(asyncio.IncompleteReadError):
+                await ask(program, "/live/", method="POST")
+
 
 class TestClient:
     """A plain answer reaches the client with the end that its endpoint gave it."""
@@ -155,10 +175,9 @@
             with pytest.raises(asyncio.IncompleteReadError):
                 await ask(program, "/live/", method="POST")
 
-    async def test_body_that_is_no_stream_arrives(self):
-        one = RawEndpoint(
-            "i1", [answer(body=b"{}", extra=b"Content-Type: %b\r\n" % JSON)]
-        )
+    @pytest.mark.parametrize("extra", [b"", b"Content-Type: %b\r\n" % JSON])
+    async def test_body_that_is_no_stream_arrives(self, extra):
+        one = RawEndpoint("i1", [answer(body=b"{}", extra=extra)])
         async with running(one) as (program, _store):
             status, _headers, body = await ask(program, "/live/", method="POST")
         assert (status, body) == (200, b"{}")
