Soak: streams without a length, some of which break off within an event

An endpoint's streams have neither a length nor chunks for some seconds, and a third of them are closed within an event; the check of the events' order finds those that look complete. So that a close means the end of a process, as on real machines, the soak's proxy resets connections of a link that is reset, and delivers no end of a connection that has fallen silent: it closed both, in order, with bytes missing.

--- a/src/ebonydeal/_internal/soak/endpoints.py
+++ b/src/ebonydeal/_internal/soak/endpoints.py
@@ -41,6 +41,24 @@
 _SHUTDOWN_TIMEOUT_S = 0.1
 # Additional response time of a slow version.
 _SLOW_DELAY_S = 0.4
+# What a stream lacks of its last event where it breaks off.
+_CUT_BYTES = 3
+
+
+class _CloseDelimitedStream(web.StreamResponse):
+    """A response that ends with its connection."""
+
+    # Keeps aiohttp from using chunks.
+    _length_check = False
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.force_close()
+
+
+def _is_cut(request_id: str) -> bool:
+    """Return whether a run without a length breaks off: one of three does."""
+    return int(request_id[:4], 16) % 3 == 0
 
 
 class VersionDefect(StrEnum):
@@ -86,6 +104,9 @@
         self.limit: float | None = None
         self.announces_leaving = False
         self.backoff_s = 0.0
+        # Whether its streams have neither a length nor chunks; some of them then break
+        # off within an event.
+        self.omits_lengths = False
         # Called when a request has crashed the endpoint.
         self.on_crash: Callable[[SoakEndpoint], None] = lambda _endpoint: None
 
@@ -203,13 +224,20 @@
         self, req: web.BaseRequest, request_id: str, last: str, headers: dict[str, str]
     ) -> web.StreamResponse:
         stopped = self._stopped[request_id] = asyncio.Event()
-        resp = web.StreamResponse(headers=headers)
+        resp = _CloseDelimitedStream() if self.omits_lengths else web.StreamResponse()
+        resp.headers.update(headers)
         resp.content_type = "text/event-stream"
-        resp.enable_chunked_encoding()
+        first, end = int(last or 0) + 1, event_count(request_id) + 1
+        cut_at = (first + end) // 2 if self.omits_lengths and _is_cut(request_id) else 0
         try:
             await resp.prepare(req)
-            for number in range(int(last or 0) + 1, event_count(request_id) + 1):
-                await resp.write(f"id: {number}\ndata: {request_id}\n\n".encode())
+            for number in range(first, end):
+                event = f"id: {number}\ndata: {request_id}\n\n".encode()
+                if number == cut_at and req.transport is not None:
+                    await resp.write(event[:-_CUT_BYTES])
+                    req.transport.close()
+                    return resp
+                await resp.write(event)
                 await asyncio.sleep(_EVENT_INTERVAL_S)
                 if stopped.is_set() and req.transport is not None:
                     req.transport.abort()
--- a/src/ebonydeal/_internal/soak/fleet.py
+++ b/src/ebonydeal/_internal/soak/fleet.py
@@ -155,6 +155,15 @@
                 await endpoint.stop()
                 await self._platform.write(MEMBERS_TABLE, endpoint.name, None)
 
+    async def omit_lengths(self, step: Step) -> None:
+        """Let an endpoint's streams end with their connections for some time."""
+        if not self.endpoints:
+            return
+        endpoint = self.pick(step)
+        endpoint.omits_lengths = True
+        await asyncio.sleep(step.seconds)
+        endpoint.omits_lengths = False
+
     async def crash(self, step: Step) -> None:
         """Let an endpoint crash; its entry is removed later."""
         if not self.endpoints:
--- a/src/ebonydeal/_internal/soak/plan.py
+++ b/src/ebonydeal/_internal/soak/plan.py
@@ -32,6 +32,7 @@
     ENDPOINT_UNLISTED = "endpoint leaves by the list alone and serves on"
     STORE_RESTORED = "the store comes back from a copy"
     ENDPOINT_LINKS_CUT = "relays lose their links to all endpoints"
+    ENDPOINT_OMITS_LENGTHS = "an endpoint's streams end with their connections"
 
 
 class Step(NamedTuple):
@@ -100,6 +101,11 @@
 _LINK_CUT_MEAN_S = 6.0
 _LINK_CUT_RANGE_S = (5.0, 8.0)
 _LINK_CUT_SEED = 6_000_023
+# Endpoints without lengths, as in `_SEPARATE_FAULTS`.
+_STREAM_FAULTS: tuple[tuple[Fault, float, float, float], ...] = (
+    (Fault.ENDPOINT_OMITS_LENGTHS, 3.0, 1.0, 3.0),
+)
+_STREAM_SEED = 8_000_009
 # No fault begins in the last seconds, so that running requests and faults can end.
 _QUIET_END_S = 3.0
 
@@ -132,6 +138,7 @@
             seed + _LINK_CUT_SEED,
             seconds,
         ),
+        *_draw_separate(_STREAM_FAULTS, seed + _STREAM_SEED, seconds),
     ]
     return sorted([*steps, *separate])
 
--- a/src/ebonydeal/_internal/soak/proxy.py
+++ b/src/ebonydeal/_internal/soak/proxy.py
@@ -1,11 +1,15 @@
 """A loopback TCP proxy that injects faults into its connections."""
 
 import asyncio
+import socket
+import struct
 from enum import StrEnum
 
 from ebonydeal._internal.soak.link_cuts import CutMode, LinkCuts
 
 _MAX_CHUNK_BYTES = 65536
+# The socket option by which a close resets the connection.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class LinkFault(StrEnum):
@@ -18,6 +22,14 @@
     NO_RESPONSES = "no answers"
 
 
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection; a process that ends closes its connections instead."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    writer.transport.abort()
+
+
 class Proxy:
     """Forwards connections to one address with the fault that is set.
 
@@ -76,7 +88,7 @@
             self._not_stalled.set()
         if fault is LinkFault.RESET:
             for writer in list(self._writers):
-                writer.transport.abort()
+                _reset(writer)
 
     def silence_open_connections(self) -> None:
         """Deliver nothing more on open connections; new ones work."""
@@ -87,7 +99,7 @@
         if mode is CutMode.RESET:
             for writer, of in list(self._sources.items()):
                 if of == source:
-                    writer.transport.abort()
+                    _reset(writer)
         self._not_cut.set()
         self._not_cut = asyncio.Event()
 
@@ -100,7 +112,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         if self._fault is LinkFault.RESET:
-            writer.transport.abort()
+            _reset(writer)
             return
         try:
             upstream_reader, upstream_writer = await asyncio.open_connection(
@@ -122,6 +134,7 @@
                 self._forward(upstream_reader, writer, source, is_answer=True),
             )
         finally:
+            upstream_writer.transport.abort()
             self._writers -= {writer, upstream_writer}
             self._silenced -= {writer, upstream_writer}
             del self._sources[writer], self._sources[upstream_writer]
@@ -145,9 +158,11 @@
                     continue
                 writer.write(data)
                 await writer.drain()
-            writer.close()
+            # The end of a silent connection isn't delivered, either.
+            if writer not in self._silenced:
+                writer.close()
         except OSError:
-            writer.transport.abort()
+            _reset(writer)
 
     async def stop(self) -> None:
         """Close the listener and all connections."""
--- a/tests/functional/soak/test_proxy.py
+++ b/tests/functional/soak/test_proxy.py
@@ -47,7 +47,8 @@
             writer.write(b"one")
             await reader.readexactly(3)
             proxy.set_fault(LinkFault.RESET)
-            with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+            # Not a close, which may be the end of an answer without a length.
+            with pytest.raises(ConnectionResetError):
                 await reader.readexactly(1)
             host, _sep, port = proxy.address.partition(":")
             with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
@@ -82,6 +83,21 @@
                     await reader.readexactly(1)
             new_writer.close()
 
+    async def test_the_end_of_an_open_one_is_not_delivered(self):
+        async with connection_through_proxy() as (proxy, reader, writer):
+            writer.write(b"one")
+            assert await reader.readexactly(3) == b"one"
+            # Only the way to the client is silent.
+            proxy._silenced = {w for w in proxy._writers if _leads_to(w, writer)}
+            writer.write_eof()
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.05):
+                    await reader.read()
+
+
+def _leads_to(other, writer):
+    return other.get_extra_info("peername") == writer.get_extra_info("sockname")
+
 
 class TestStop:
     async def test_closes_a_connection_that_is_being_set_up(self, monkeypatch):
