Soak: endpoints of a second version, and clients that resume streams

Endpoints of a second version serve beside the others for some seconds, without an order. Events name the version of their endpoint, and clients whose stream broke off come back to any relay, name their first attempt and go on after their last event. The check counts streams that hold several versions over all tries, at most two as the users ask; a plant shows that it finds them.

--- a/src/ebonydeal/_internal/platform/server_side.py
+++ b/src/ebonydeal/_internal/platform/server_side.py
@@ -25,6 +25,7 @@
     LIMIT,
     NOT_RUN,
     REQUEST_ID,
+    RESUMES,
     SIGNATURE,
     TOKENS,
 )
@@ -79,6 +80,7 @@
     account: str
     last_event: str
     kv_cache: str
+    first_attempt: str
 
 
 def config_document(
@@ -176,6 +178,11 @@
     return headers
 
 
+def resume_headers(first_attempt: str, events: int) -> dict[str, str]:
+    """Return what a client adds that resumes a stream after some events."""
+    return {LAST_EVENT: str(events), RESUMES: first_attempt}
+
+
 def read_received_request(headers: Mapping[str, str]) -> ReceivedRequest:
     """Return what the headers tell an endpoint of a request."""
     return ReceivedRequest(
@@ -184,6 +191,7 @@
         headers.get(ACCOUNT, ""),
         headers.get(LAST_EVENT, ""),
         headers.get(KV_CACHE, ""),
+        headers.get(RESUMES, ""),
     )
 
 
--- a/src/ebonydeal/_internal/soak/checks.py
+++ b/src/ebonydeal/_internal/soak/checks.py
@@ -46,6 +46,8 @@
 _MAX_EXPOSED_SHARE = 0.1
 _EXPOSURE_ALLOWANCE = 50
 _MIN_VERDICT_REQUESTS = 50
+# The users' bound on streams that hold events of several versions.
+_MAX_MIXED_STREAMS = 2
 # The users' bound on relays that are cut from all endpoints: their clients are served
 # this much as often as those of other relays, or no more requests fail than a share and
 # the allowance.
@@ -118,14 +120,23 @@
     for result in log.results:
         if not result.kind.is_stream or result.status != 200:
             continue
-        expected = tuple(range(1, len(result.event_ids) + 1))
-        if result.event_ids != expected:
+        before = result.events_before
+        end = before + len(result.event_ids)
+        if result.event_ids != tuple(range(before + 1, end + 1)):
             yield Violation("event order", f"{result.request_id}: {result.event_ids}")
-        elif result.complete and len(result.event_ids) != event_count(
-            result.request_id
-        ):
-            detail = f"{result.request_id} ends after {len(result.event_ids)} events"
-            yield Violation("event order", detail)
+        elif result.complete and end != event_count(result.stream):
+            yield Violation("event order", f"{result.request_id} ends after {end}")
+
+
+def streams_of_one_version(log: Log, _guarantees: Guarantees) -> Iterable[Violation]:
+    """A stream holds events of one software version, over all of its client's tries."""
+    versions: dict[str, set[str]] = defaultdict(set)
+    for result in log.results:
+        versions[result.stream].update(result.event_versions)
+    mixed = {stream: found for stream, found in versions.items() if len(found) > 1}
+    if len(mixed) > _MAX_MIXED_STREAMS:
+        detail = f"{len(mixed)} streams hold several versions, {sorted(mixed)[:4]}"
+        yield Violation("stream versions", detail)
 
 
 def no_requests_after_drain(log: Log, guarantees: Guarantees) -> Iterable[Violation]:
@@ -460,6 +471,7 @@
     refused_requests_never_run,
     answers_match_requests,
     events_in_order,
+    streams_of_one_version,
     no_requests_after_drain,
     config_never_reverts,
     account_limits_respected,
--- a/src/ebonydeal/_internal/soak/clients.py
+++ b/src/ebonydeal/_internal/soak/clients.py
@@ -12,6 +12,7 @@
     PROMPT_TOKENS,
     AccountSpec,
     client_headers,
+    resume_headers,
 )
 from ebonydeal._internal.soak.endpoints import RELAY_HEADER
 from ebonydeal._internal.soak.processes import RelayProcess
@@ -21,7 +22,10 @@
 _REQUEST_TIMEOUT_S = 5.0
 # Values of max_tokens that streams ask for.
 _MAX_TOKENS_CHOICES = (100, 100, 100, 600)
-_EVENT_ID = re.compile(rb"(?:^|\n)id: (\d+)\ndata: [^\n]*\n(?=\n)")
+# Events name their number, and the software version of their endpoint.
+_EVENT = re.compile(rb"(?:^|\n)id: (\d+)\ndata: ([^\n]*)\n(?=\n)")
+# Times that a client comes back for the rest of one stream.
+_MAX_RESUMES = 2
 _KINDS = (Kind.IDEMPOTENT, Kind.AT_MOST_ONCE, Kind.STREAM, Kind.RESUMABLE_STREAM)
 
 
@@ -53,7 +57,12 @@
         while True:
             kind = self._rng.choice(_KINDS)
             relay = self._rng.choice(self._relays)
-            await self.send(kind, relay, account)
+            result = await self.send(kind, relay, account)
+            for _ in range(_MAX_RESUMES):
+                if not _may_resume(result):
+                    break
+                relay = self._rng.choice(self._relays)
+                result = await self.send(kind, relay, account, resumed=result)
             await asyncio.sleep(self._rng.uniform(0.0, 2.0 * mean_pause))
 
     async def probe(self, relay: RelayProcess, key: str, version: int) -> None:
@@ -77,8 +86,9 @@
         account: AccountSpec,
         version: int = 0,
         body: bytes = b"",
-    ) -> None:
-        """Send one request and record its result."""
+        resumed: ClientResult | None = None,
+    ) -> ClientResult:
+        """Send one request, or ``resumed`` again; record and return its result."""
         request_id = f"{self._rng.getrandbits(64):016x}"
         path = f"{kind.value}{version}/x" if version else f"{kind.value}x"
         tokens = self._rng.choice(_MAX_TOKENS_CHOICES) if kind.is_stream else 0
@@ -88,28 +98,35 @@
             HOST, request_id, account.key, _REQUEST_TIMEOUT_S, tokens
         )
         headers[RELAY_HEADER] = relay.name
+        first_attempt, events_before = "", 0
+        if resumed is not None:
+            first_attempt = resumed.stream
+            events_before = resumed.events_before + len(resumed.event_ids)
+            headers |= resume_headers(first_attempt, events_before)
         sent = time.monotonic()
         pid = relay.pid
         url = f"{relay.address}{path}"
         status, complete, received = await self._send(kind, url, headers, body)
-        self._log.results.append(
-            ClientResult(
-                request_id,
-                kind,
-                relay.name,
-                pid,
-                sent,
-                time.monotonic(),
-                status,
-                complete,
-                "" if kind.is_stream else _body_id(received),
-                tuple(int(n) for n in _EVENT_ID.findall(received))
-                if status == 200
-                else (),
-                version,
-                owed=not account.rate and not body,
-            )
+        events = _EVENT.findall(received) if status == 200 else []
+        result = ClientResult(
+            request_id,
+            kind,
+            relay.name,
+            pid,
+            sent,
+            time.monotonic(),
+            status,
+            complete,
+            "" if kind.is_stream else _body_id(received),
+            tuple(int(number) for number, _version in events),
+            version,
+            owed=not account.rate and not body and resumed is None,
+            first_attempt=first_attempt,
+            events_before=events_before,
+            event_versions=frozenset(version.decode() for _number, version in events),
         )
+        self._log.results.append(result)
+        return result
 
     async def _send(
         self, kind: Kind, url: str, headers: dict[str, str], sent: bytes
@@ -138,6 +155,15 @@
         await self._session.close()
 
 
+def _may_resume(result: ClientResult) -> bool:
+    """Return whether a stream broke off that a client may resume."""
+    return (
+        result.kind is Kind.RESUMABLE_STREAM
+        and not result.complete
+        and result.events_before + len(result.event_ids) > 0
+    )
+
+
 def _body_id(body: bytes) -> str:
     """Return the request id that a plain response contains."""
     try:
--- a/src/ebonydeal/_internal/soak/endpoints.py
+++ b/src/ebonydeal/_internal/soak/endpoints.py
@@ -12,6 +12,7 @@
 from ebonydeal._internal.platform.server_side import (
     MOVE_PATH,
     REPORT_PATH,
+    ReceivedRequest,
     answer_headers,
     migration_body,
     not_run_headers,
@@ -56,9 +57,14 @@
         self.force_close()
 
 
-def _is_cut(request_id: str) -> bool:
+def _stream_id(got: ReceivedRequest) -> str:
+    """Return the request that began the stream."""
+    return got.first_attempt or got.request_id
+
+
+def _is_cut(got: ReceivedRequest) -> bool:
     """Return whether a run without a length breaks off: one of three does."""
-    return int(request_id[:4], 16) % 3 == 0
+    return int(got.request_id[:4], 16) % 3 == 0
 
 
 class VersionDefect(StrEnum):
@@ -198,7 +204,7 @@
         if self.defect is VersionDefect.SLOW:
             await asyncio.sleep(_SLOW_DELAY_S)
         if req.path.startswith(("/live/", "/again/")):
-            return await self._stream(req, got.request_id, got.last_event, headers)
+            return await self._stream(req, got, headers)
         await asyncio.sleep(_RUN_TIME_S)
         return web.json_response({"request": got.request_id}, headers=headers)
 
@@ -221,18 +227,19 @@
         return self.defect is VersionDefect.FAILS or on_route
 
     async def _stream(
-        self, req: web.BaseRequest, request_id: str, last: str, headers: dict[str, str]
+        self, req: web.BaseRequest, got: ReceivedRequest, headers: dict[str, str]
     ) -> web.StreamResponse:
+        request_id = got.request_id
         stopped = self._stopped[request_id] = asyncio.Event()
         resp = _CloseDelimitedStream() if self.omits_lengths else web.StreamResponse()
         resp.headers.update(headers)
         resp.content_type = "text/event-stream"
-        first, end = int(last or 0) + 1, event_count(request_id) + 1
-        cut_at = (first + end) // 2 if self.omits_lengths and _is_cut(request_id) else 0
+        first, end = int(got.last_event or 0) + 1, event_count(_stream_id(got)) + 1
+        cut_at = (first + end) // 2 if self.omits_lengths and _is_cut(got) else end
         try:
             await resp.prepare(req)
             for number in range(first, end):
-                event = f"id: {number}\ndata: {request_id}\n\n".encode()
+                event = f"id: {number}\ndata: {self.version}\n\n".encode()
                 if number == cut_at and req.transport is not None:
                     await resp.write(event[:-_CUT_BYTES])
                     req.transport.close()
--- a/src/ebonydeal/_internal/soak/fleet.py
+++ b/src/ebonydeal/_internal/soak/fleet.py
@@ -25,6 +25,9 @@
 # What endpoints announce: limits in requests per second, and backoffs.
 _ANNOUNCED_LIMITS = (0.0, 0.3, 1.0, 1.4, 2.0)
 _BACKOFFS_S = (1.0, 2.0, 3.0)
+# Endpoints of a second version, which no order names.
+_SECOND_VERSION = "v1.1"
+_SECOND_VERSION_ENDPOINTS = 3
 
 
 class SoakFleet:
@@ -155,6 +158,25 @@
                 await endpoint.stop()
                 await self._platform.write(MEMBERS_TABLE, endpoint.name, None)
 
+    async def add_second_version(self, step: Step) -> None:
+        """Let endpoints of a second version serve beside the others for some time."""
+        known = set(self.endpoints)
+        for _ in range(_SECOND_VERSION_ENDPOINTS):
+            await self.add(version=_SECOND_VERSION)
+        added = [e for e in self.endpoints if e not in known]
+        await asyncio.sleep(step.seconds)
+        for endpoint in added:
+            # Another fault may have removed it.
+            if endpoint in self.endpoints:
+                self.endpoints.remove(endpoint)
+                document = member_document(endpoint.member(leaving=True))
+                at = await self._platform.write(MEMBERS_TABLE, endpoint.name, document)
+                self._log.listed_leaving.append(ListedLeaving(endpoint.name, at))
+        await asyncio.sleep(_LEAVE_NOTICE_S)
+        for endpoint in added:
+            await endpoint.stop()
+            await self._platform.write(MEMBERS_TABLE, endpoint.name, None)
+
     async def omit_lengths(self, step: Step) -> None:
         """Let an endpoint's streams end with their connections for some time."""
         if not self.endpoints:
--- a/src/ebonydeal/_internal/soak/plan.py
+++ b/src/ebonydeal/_internal/soak/plan.py
@@ -32,6 +32,7 @@
     ENDPOINT_UNLISTED = "endpoint leaves by the list alone and serves on"
     STORE_RESTORED = "the store comes back from a copy"
     ENDPOINT_LINKS_CUT = "relays lose their links to all endpoints"
+    SECOND_VERSION = "endpoints of a second version serve beside the others"
     ENDPOINT_OMITS_LENGTHS = "an endpoint's streams end with their connections"
 
 
@@ -101,8 +102,10 @@
 _LINK_CUT_MEAN_S = 6.0
 _LINK_CUT_RANGE_S = (5.0, 8.0)
 _LINK_CUT_SEED = 6_000_023
-# Endpoints without lengths, as in `_SEPARATE_FAULTS`.
+# Endpoints of a second version without an order, and endpoints without lengths, as in
+# `_SEPARATE_FAULTS`.
 _STREAM_FAULTS: tuple[tuple[Fault, float, float, float], ...] = (
+    (Fault.SECOND_VERSION, 4.0, 4.0, 7.0),
     (Fault.ENDPOINT_OMITS_LENGTHS, 3.0, 1.0, 3.0),
 )
 _STREAM_SEED = 8_000_009
--- a/src/ebonydeal/_internal/soak/plants.py
+++ b/src/ebonydeal/_internal/soak/plants.py
@@ -62,6 +62,19 @@
     )
 
 
+def _mixed_versions(log: Log, _guarantees: Guarantees) -> None:
+    result = _first_result(log, _succeeded(Kind.RESUMABLE_STREAM))
+    for number in range(3):
+        stream = f"{number:016x}"
+        first = result._replace(request_id=stream, event_versions=frozenset({"v1"}))
+        rest = first._replace(
+            request_id=f"{stream}-1",
+            first_attempt=stream,
+            event_versions=frozenset({"v2"}),
+        )
+        log.results += [first, rest]
+
+
 def _late_drain(log: Log, guarantees: Guarantees) -> None:
     run = log.runs[-1]
     log.fault_periods.clear()
@@ -161,6 +174,7 @@
     "false-refusal": (_false_refusal, "refusal"),
     "mixed-answer": (_mixed_answer, "whole answer"),
     "lost-event": (_lost_event, "event order"),
+    "mixed-versions": (_mixed_versions, "stream versions"),
     "late-drain": (_late_drain, "drain"),
     "older-config": (_older_config, "configuration"),
     "over-limit": (_over_limit, "limit"),
--- a/src/ebonydeal/_internal/soak/records.py
+++ b/src/ebonydeal/_internal/soak/records.py
@@ -53,8 +53,10 @@
     ``status`` is 0 if no response started; ``complete`` means that the response ended
     without a connection error. ``event_ids`` are the ids of a stream's events. ``pid``
     is the relay's process, and ``version`` the configuration whose route a probe used.
-    ``owed`` is False for requests that may be refused: of accounts with a limit, and
-    those that crash endpoints.
+    ``owed`` is False for requests that may be refused: of accounts with a limit, those
+    that crash endpoints, and those that resume a stream. Such a one names its
+    ``first_attempt``, and had ``events_before``. ``event_versions`` are the software
+    versions that the events name.
     """
 
     request_id: str
@@ -69,6 +71,14 @@
     event_ids: tuple[int, ...] = ()
     version: int = 0
     owed: bool = True
+    first_attempt: str = ""
+    events_before: int = 0
+    event_versions: frozenset[str] = frozenset()
+
+    @property
+    def stream(self) -> str:
+        """The request that began the stream."""
+        return self.first_attempt or self.request_id
 
 
 class ListedLeaving(NamedTuple):
--- a/src/ebonydeal/_internal/soak/run.py
+++ b/src/ebonydeal/_internal/soak/run.py
@@ -287,6 +287,8 @@
                 await self._restore_store(step)
             case Fault.ENDPOINT_LINKS_CUT:
                 await self._cut_links(step)
+            case Fault.SECOND_VERSION:
+                await self._fleet.add_second_version(step)
             case Fault.ENDPOINT_OMITS_LENGTHS:
                 await self._fleet.omit_lengths(step)
             case (
