Pass on failures without a body, and bodies on a stream's route that are no stream

A failure without a body and without a length says enough by its status: it was taken for an answer that had been cut short, and became 502. A body on a stream's route that isn't a stream of events got chunks, which claim that it is complete; it goes to the client without a length, as a plain answer does. The size of what came is kept with the run, in place of one more argument.

--- a/src/ebonydeal/_internal/outside/http.py
+++ b/src/ebonydeal/_internal/outside/http.py
@@ -209,7 +209,8 @@
     headers = resp.headers
     if not is_close_delimited(resp.method, resp.status, headers.items()):
         return
-    missing = missing_end(media_type(headers.items()), len(body), body)
+    media = media_type(headers.items())
+    missing = missing_end(resp.status, media, len(body), body)
     if missing is not None:
         detail = f"response of {resp.url} ended without {missing}"
         raise EbonydealError(kinds.lost, detail)
--- a/src/ebonydeal/_internal/relay/requests/migrations.py
+++ b/src/ebonydeal/_internal/relay/requests/migrations.py
@@ -56,7 +56,7 @@
     """The run of one stream at one endpoint.
 
     ``expected_tokens`` is the expected length of the complete answer, ``event_tokens``
-    the tokens in one event.
+    the tokens in one event, ``received`` the size of what came of the answer in bytes.
     """
 
     request_id: str
@@ -67,6 +67,7 @@
     event_tokens: int
     first_event_at: float = 0.0
     events: int = 0
+    received: int = 0
     migration: "asyncio.Task[MigratedRun | None] | None" = None
 
     def record_events(self, events: int, now: float) -> None:
--- a/src/ebonydeal/_internal/relay/requests/plain.py
+++ b/src/ebonydeal/_internal/relay/requests/plain.py
@@ -52,7 +52,7 @@
         return MayHaveRun(ErrorKind.ENDPOINT_FAILED, f"body: {type(exc).__name__}")
     close_delimited = sends.is_close_delimited(exchange)
     missing = _missing_end(head, body) if close_delimited else None
-    truncation = await sends.truncation(exchange, len(body), missing)
+    truncation = await sends.truncation(exchange, close_delimited, len(body), missing)
     if truncation is not None:
         return MayHaveRun(ErrorKind.ENDPOINT_FAILED, f"body: {truncation}")
     exchange.release(head.keepalive_s)
@@ -61,11 +61,12 @@
 
 def _missing_end(head: AnswerHead, body: bytes) -> str | None:
     """Return what a close-delimited body lacks, or None if nothing shows."""
-    splitter = EventSplitter()
-    splitter.feed(body)
-    media = media_type(head.headers)
-    tail = splitter.remainder() if media == EVENT_STREAM else body
-    return missing_end(media, len(body), tail)
+    media, tail = media_type(head.headers), body
+    if media == EVENT_STREAM:
+        splitter = EventSplitter()
+        splitter.feed(body)
+        tail = splitter.remainder()
+    return missing_end(head.status, media, len(body), tail)
 
 
 class _CloseDelimitedResponse(web.StreamResponse):
--- a/src/ebonydeal/_internal/relay/requests/sends.py
+++ b/src/ebonydeal/_internal/relay/requests/sends.py
@@ -377,17 +377,21 @@
         return is_close_delimited(method, exchange.status, exchange.headers)
 
     async def truncation(
-        self, exchange: Exchange, received: int, missing: str | None
+        self,
+        exchange: Exchange,
+        close_delimited: bool,
+        received: int,
+        missing: str | None,
     ) -> str | None:
         """Return why an answer that has ended is incomplete, or None if it isn't.
 
-        ``received`` and ``missing`` are as in `EndedAnswer`.
+        The arguments are as in `EndedAnswer`.
         """
         assert self.member is not None
         answer = EndedAnswer(
             self.job.req.request_id,
             self.member,
-            self.is_close_delimited(exchange),
+            close_delimited,
             received,
             missing,
             self._forwarded,
--- a/src/ebonydeal/_internal/relay/requests/stream.py
+++ b/src/ebonydeal/_internal/relay/requests/stream.py
@@ -58,6 +58,12 @@
         self.resp = resp
         return resp
 
+    async def send_whole(self, answer: Answered) -> None:
+        """Send an answer that isn't a stream of events."""
+        self.resp = client_response(answer)
+        await self.resp.prepare(self.http_req)
+        await self.resp.write_eof()
+
     def abort(self) -> None:
         """Abort the connection so that the answer can't look complete."""
         self.http_req.protocol.force_close()
@@ -208,7 +214,6 @@
         """Forward events until the end; return what broke the stream, or None."""
         parts, job = self._parts, sends.job
         has_events = False
-        received = 0
         received_at = parts.clock.now()
         while True:
             try:
@@ -226,7 +231,7 @@
                 return MayHaveRun(ErrorKind.ENDPOINT_FAILED, detail)
             if not data:
                 break
-            received += len(data)
+            run.received += len(data)
             before = client.splitter.count
             events = client.splitter.feed(data)
             if not events:
@@ -240,7 +245,7 @@
                 self._record_first_event(sends, client)
             resp = client.resp or await client.begin(head)
             await resp.write(events)
-        return await self._end(sends, run, exchange, head, client, received)
+        return await self._end(sends, run, exchange, head, client)
 
     async def _end(
         self,
@@ -249,23 +254,24 @@
         exchange: Exchange,
         head: AnswerHead,
         client: _ClientStream,
-        received: int,
     ) -> MayHaveRun | None:
-        """End the client's answer; return why the endpoint's is incomplete, or None.
-
-        ``received`` is the size of the endpoint's answer in bytes.
-        """
+        """End the client's answer; return why the endpoint's is incomplete, or None."""
         remainder = client.splitter.remainder()
         close_delimited = sends.is_close_delimited(exchange)
         media = media_type(head.headers) or (EVENT_STREAM if run.events else "")
         if close_delimited and await self._parts.migrator.result(run) is not None:
             return MayHaveRun(ErrorKind.ENDPOINT_FAILED, "stream: run migrated")
         missing = None
-        if close_delimited or (media == EVENT_STREAM and received):
-            missing = missing_end(media, received, remainder)
-        truncation = await sends.truncation(exchange, received, missing)
+        if close_delimited or (media == EVENT_STREAM and run.received):
+            missing = missing_end(head.status, media, run.received, remainder)
+        truncation = await sends.truncation(
+            exchange, close_delimited, run.received, missing
+        )
         if truncation is not None:
             return MayHaveRun(ErrorKind.ENDPOINT_FAILED, f"stream: {truncation}")
+        if client.resp is None and close_delimited:
+            await client.send_whole(Answered(head, remainder, close_delimited))
+            return None
         resp = client.resp or await client.begin(head)
         if remainder:
             await resp.write(remainder)
--- a/src/ebonydeal/_internal/utils/http_framing.py
+++ b/src/ebonydeal/_internal/utils/http_framing.py
@@ -36,11 +36,13 @@
     return ""
 
 
-def missing_end(media: str, received: int, tail: bytes) -> str | None:
+def missing_end(status: int, media: str, received: int, tail: bytes) -> str | None:
     """Return what a body lacks that has ended, or None if nothing shows.
 
     Parameters
     ----------
+    status : int
+        Status of the answer: a failure needs no body.
     media : str
         Media type of the body.
     received : int
@@ -50,7 +52,7 @@
         stream of events.
     """
     if not received:
-        return "its body"
+        return "its body" if status < HTTPStatus.MULTIPLE_CHOICES else None
     match media:
         case "text/event-stream" if tail.strip():
             return f"the end of an event, of which {len(tail)} bytes came"
