--- a/src/ebonydeal/_internal/relay/requests/sends.py
+++ b/src/ebonydeal/_internal/relay/requests/sends.py
@@ -98,10 +98,7 @@
             if found is None:
                 self._refuse_limited(wait_until)
                 if parts.clock.now() >= wait_until or self.chooser.is_version_gone():
-                    error = EbonydealError(
-                        ErrorKind.NO_ENDPOINT, f"no endpoint of {job.service}"
-                    )
-                    raise self.proof.final_error(error)
+                    raise self.proof.final_error(self._no_endpoint())
                 await parts.clock.sleep(_POLL_INTERVAL_S)
                 continue
             self._refuse_early(found.expected)
@@ -113,6 +110,12 @@
         self._kv_cache = None
         return self._use(found)
 
+    def _no_endpoint(self) -> EbonydealError:
+        version = self.chooser.version
+        of_version = "" if version is None else f" at version {version!r}"
+        detail = f"no endpoint of {self.job.service}{of_version}"
+        return EbonydealError(ErrorKind.NO_ENDPOINT, detail)
+
     def _refuse_limited(self, wait_until: float) -> None:
         """Raise ENDPOINTS_LIMITED if no endpoint is available by ``wait_until``."""
         wait = self.chooser.available_in(self._avoid)
--- a/src/ebonydeal/_internal/routing/placement/stream_versions.py
+++ b/src/ebonydeal/_internal/routing/placement/stream_versions.py
@@ -86,6 +86,13 @@
         if self._known_since is None or now - self._updated_at > _MAX_GAP_S:
             self._known_since = now
         self._updated_at = now
+        for service in self._last_seen:
+            versions = self.versions(service, now)
+            self._last_seen[service] = {
+                version: seen
+                for version, seen in self._last_seen[service].items()
+                if version in versions
+            }
         return {s for s, versions in listed.items() if self.note(s, versions, now)}
 
     def note(self, service: str, versions: Iterable[str], now: float) -> bool:
--- a/tests/lib/announcing_endpoints.py
+++ b/tests/lib/announcing_endpoints.py
@@ -3,7 +3,7 @@
 import asyncio
 from contextlib import asynccontextmanager
 
-from tests.lib.raw_endpoints import RawEndpoint, answer
+from tests.lib.raw_endpoints import Always, RawEndpoint, answer
 from tests.lib.relay_fakes import MemoryStore, ask, document, relay, until
 
 # Clients name the relay that they send to in this header, which relays pass on.
@@ -24,7 +24,7 @@
         self.first_announced_at = {}
 
     async def _serve(self, reader, writer):
-        self.script = _Always(self._answer)
+        self.script = Always(self._answer)
         await super()._serve(reader, writer)
 
     async def _answer(self, _reader, writer, headers):
@@ -50,16 +50,6 @@
         )
 
 
-class _Always(list):
-    """A script that never ends."""
-
-    def __init__(self, step):
-        super().__init__([step])
-
-    def pop(self, _index=0):
-        return self[0]
-
-
 @asynccontextmanager
 async def running_relays(count, *endpoints, **cfg):
     """Run some relays in front of endpoints; yields (relays, store)."""
--- a/tests/lib/raw_endpoints.py
+++ b/tests/lib/raw_endpoints.py
@@ -67,6 +67,16 @@
         self._server.close()
 
 
+class Always(list):
+    """A script that never ends."""
+
+    def __init__(self, step):
+        super().__init__([step])
+
+    def pop(self, _index=0):
+        return self[0]
+
+
 def parse_head(head):
     lines = head.split("\r\n")[1:]
     pairs = (line.split(": ", 1) for line in lines if ": " in line)
--- a/tests/lib/versioned_endpoints.py
+++ b/tests/lib/versioned_endpoints.py
@@ -4,7 +4,7 @@
 import re
 from typing import NamedTuple
 
-from tests.lib.raw_endpoints import RawEndpoint, chunk, request_id, stream_head
+from tests.lib.raw_endpoints import Always, RawEndpoint, chunk, request_id, stream_head
 from tests.lib.relay_fakes import Client
 
 STREAM_EVENTS = 4
@@ -25,7 +25,7 @@
         return super().row(**{"version": self.version, **extra})
 
     async def _serve(self, reader, writer):
-        self.script = [self._stream] * 100
+        self.script = Always(self._stream)
         await super()._serve(reader, writer)
 
     async def _stream(self, _reader, writer, headers):
