--- a/src/ebonydeal/_internal/relay/requests/endpoint_chooser.py
+++ b/src/ebonydeal/_internal/relay/requests/endpoint_chooser.py
@@ -178,12 +178,11 @@
         is left, it gets all requests.
         """
         parts, job = self._parts, self._job
-        staying = [m for m in parts.view.of_service(job.service) if self.may_serve(m)]
-        leaving = [
-            (member, left)
-            for member, left in parts.view.recently_leaving(job.service, now)
-            if self.may_serve(member)
-        ]
+        staying = list(parts.view.of_service(job.service))
+        leaving = parts.view.recently_leaving(job.service, now)
+        if self.version is not None:
+            staying = [member for member in staying if self.may_serve(member)]
+            leaving = [(m, left) for m, left in leaving if self.may_serve(m)]
         if not staying:
             return [member for member, _left in leaving]
         if not parts.config.use_leaving:
