Don't take a stream that a failed migration may have stopped for complete

It had neither a length nor chunks, so its client got 12 events as a complete answer. An order without a reply, and a refusal other than 404 and 409, may come after the run was stopped; a close-delimited stream then counts as broken off.

--- a/src/ebonydeal/_internal/models/forwarding.py
+++ b/src/ebonydeal/_internal/models/forwarding.py
@@ -258,10 +258,12 @@
     """An endpoint's reply to the order to migrate a run.
 
     ``handle`` is empty if the KV cache wasn't transferred; ``detail`` says why.
+    ``left_running`` says that the run wasn't stopped, or had ended before.
     """
 
     handle: str
     detail: str
+    left_running: bool = False
 
 
 class SendMetadata(NamedTuple):
--- a/src/ebonydeal/_internal/platform/engines.py
+++ b/src/ebonydeal/_internal/platform/engines.py
@@ -1,10 +1,15 @@
 """Calls to model engines other than forwarded requests."""
 
+from http import HTTPStatus
+
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.forwarding import MigrationReply
 from ebonydeal._internal.platform.calls import JsonCalls
 
 _MS = 1000.0
+# The run doesn't exist, or is being migrated by another call. Any other refusal may
+# come after the run was stopped.
+_NOT_STOPPED = (HTTPStatus.NOT_FOUND, HTTPStatus.CONFLICT)
 
 
 class PlatformEngines:
@@ -32,8 +37,9 @@
             ErrorKind.ENDPOINT_FAILED,
             message={"id": request_id, "to": target, "last": True},
         )
-        if reply.status != 200:
-            return MigrationReply("", f"status {reply.status}")
+        if reply.status != HTTPStatus.OK:
+            left_running = reply.status in _NOT_STOPPED
+            return MigrationReply("", f"status {reply.status}", left_running)
         try:
             handle = str(reply.parse()["handle"])
         except (ValueError, KeyError, TypeError) as exc:
--- a/src/ebonydeal/_internal/relay/requests/migrations.py
+++ b/src/ebonydeal/_internal/relay/requests/migrations.py
@@ -12,7 +12,7 @@
 
 from mode import Service
 
-from ebonydeal._internal.errors import EbonydealError
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.forwarding import KvCacheRef, Member
 from ebonydeal._internal.observe.counters import Event, Metrics
 from ebonydeal._internal.observe.logs import get_logger
@@ -57,6 +57,7 @@
 
     ``expected_tokens`` is the expected length of the complete answer, ``event_tokens``
     the tokens in one event, ``received`` the size of what came of the answer in bytes.
+    ``may_be_stopped`` says that a migration failed that may have stopped it.
     """
 
     request_id: str
@@ -68,6 +69,7 @@
     first_event_at: float = 0.0
     events: int = 0
     received: int = 0
+    may_be_stopped: bool = False
     migration: "asyncio.Task[MigratedRun | None] | None" = None
 
     def record_events(self, events: int, now: float) -> None:
@@ -196,9 +198,11 @@
                 run.member.address, run.request_id, target.address
             )
         except EbonydealError as exc:
+            run.may_be_stopped = exc.kind is not ErrorKind.CONNECT_FAILED
             self._record_failure(run, target, str(exc))
             return None
         if not reply.handle:
+            run.may_be_stopped = not reply.left_running
             self._record_failure(run, target, reply.detail)
             return None
         parts.metrics.count(Event.STREAMS_MOVED)
--- a/src/ebonydeal/_internal/relay/requests/stream.py
+++ b/src/ebonydeal/_internal/relay/requests/stream.py
@@ -259,8 +259,9 @@
         remainder = client.splitter.remainder()
         close_delimited = sends.is_close_delimited(exchange)
         media = media_type(head.headers) or (EVENT_STREAM if run.events else "")
-        if close_delimited and await self._parts.migrator.result(run) is not None:
-            return MayHaveRun(ErrorKind.ENDPOINT_FAILED, "stream: run migrated")
+        if close_delimited and await self._was_stopped(run):
+            detail = "stream: closed as its run was migrated"
+            return MayHaveRun(ErrorKind.ENDPOINT_FAILED, detail)
         missing = None
         if close_delimited or (media == EVENT_STREAM and run.received):
             missing = missing_end(head.status, media, run.received, remainder)
@@ -278,6 +279,11 @@
         await resp.write_eof()
         return None
 
+    async def _was_stopped(self, run: StreamRun) -> bool:
+        """Return whether a run's stream may have been closed by its migration."""
+        migrated = await self._parts.migrator.result(run)
+        return migrated is not None or run.may_be_stopped
+
     def _record_first_event(self, sends: JobSends, client: _ClientStream) -> None:
         """Record that the endpoint began to answer."""
         parts, job = self._parts, sends.job
--- a/tests/functional/platform/test_calls.py
+++ b/tests/functional/platform/test_calls.py
@@ -144,13 +144,17 @@
         assert (method, path) == ("POST", "/-/kv-move")
         assert message == {"id": "r1", "to": "10.0.0.2:80", "last": True}
 
-    async def test_refusal_has_no_handle_but_a_reason(self):
+    @pytest.mark.parametrize(
+        ("status", "left_running"), [(404, True), (409, True), (503, False)]
+    )
+    async def test_refusal_has_no_handle_but_a_reason(self, status, left_running):
         async with StubService() as service:
-            service.replies = [(404, {})]
+            service.replies = [(status, {})]
             engines = PlatformEngines(1.0)
             reply = await engines.migrate_run(service.address, "r1", "10.0.0.2:80")
             await engines.close()
-        assert (reply.handle, reply.detail) == ("", "status 404")
+        assert (reply.handle, reply.detail) == ("", f"status {status}")
+        assert reply.left_running is left_running
 
     @pytest.mark.parametrize("reply", [(200, None), (200, "?"), (200, {"x": 1})])
     async def test_invalid_reply_is_a_failure(self, reply):
--- a/tests/functional/relay/test_stream_migration.py
+++ b/tests/functional/relay/test_stream_migration.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from tests.lib.raw_endpoints import NOT_RUN, RawEndpoint, chunk, events, stream_head
 from tests.lib.relay_fakes import (
     Client,
@@ -109,6 +110,32 @@
             received = await client.reader.readuntil(b"0\r\n\r\n")
         assert b"data: x4" in received and b"data: x6" in received
 
+    async def test_run_without_a_length_may_be_stopped_by_an_order_without_reply(self):
+        case = Case(events(1, 3), remainder(4, 6))
+
+        async def closes(_reader, writer, headers):
+            rid = headers["ebonydeal-request-id"].encode()
+            head = stream_head().replace(b"Transfer-Encoding: chunked\r\n", b"")
+            writer.write(head.replace(b"{id}", rid) + events(1, 3))
+            await writer.drain()
+            await case.source.stopped.wait()
+            writer.close()
+
+        async def stop_without_reply(_source, _request, _target):
+            case.source.stopped.set()
+            raise EbonydealError(ErrorKind.ENDPOINT_FAILED, "no reply")
+
+        case.engines.on_move = stop_without_reply
+        case.one.script = [closes]
+        case.two.script = [closes]
+        async with (
+            running(case.one, case.two, doc=DOC, engines=case.engines) as (_p, store),
+            Client(_p) as client,
+        ):
+            await case.start_and_leave(store, client)
+            with pytest.raises(asyncio.IncompleteReadError):
+                await client.reader.readuntil(b"0\r\n\r\n")
+
     async def test_refused_kv_cache_breaks_the_stream_off(self):
         case = Case(events(1, 3), NOT_RUN)
         async with (
