Take a close-delimited answer for complete only if its endpoint can be reached

What can't be reached may have ended: the endpoint has to accept a connection within 0.4 s. The new test failed before.

--- a/src/ebonydeal/_internal/relay/requests/answer_end.py
+++ b/src/ebonydeal/_internal/relay/requests/answer_end.py
@@ -11,12 +11,13 @@
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.requests.exchange import Exchange
 from ebonydeal._internal.relay.view.view import RelayView
-from ebonydeal._internal.utils.reachability import refuses_connections
+from ebonydeal._internal.utils.reachability import accepts_connections
 
 logger = get_logger("relay.answer")
 
-# The address of an ended process refuses within milliseconds; the client waits for it.
-_MAX_CHECK_S = 0.1
+# An endpoint accepts a connection within milliseconds, or a third of a second on a busy
+# instance; the client waits for it.
+_MAX_CHECK_S = 0.4
 
 
 class EndedAnswer(NamedTuple):
@@ -73,16 +74,16 @@
             return f"ended without {answer.missing}"
         if not answer.close_delimited or answer.forwarded:
             return None
-        if await self._has_ended(answer.member):
-            return "connection closed as the process of the endpoint ended"
+        if not await self._still_runs(answer.member):
+            return "connection closed, and the endpoint accepts no other"
         return None
 
-    async def _has_ended(self, member: Member) -> bool:
-        """Return whether the process of an endpoint ended with its connection.
+    async def _still_runs(self, member: Member) -> bool:
+        """Return whether the process of an endpoint didn't end with its connection.
 
-        One that leaves counts as well: it ends with the answers that it still has.
+        False as well if that can't be told: it can't be reached, and may have ended.
         """
         listed = self._view.members.get(member.endpoint_id)
         if listed is not None and listed.incarnation > member.incarnation:
-            return True
-        return await refuses_connections(member.address, _MAX_CHECK_S)
+            return False
+        return await accepts_connections(member.address, _MAX_CHECK_S)
--- a/tests/functional/relay/test_truncated_answers.py
+++ b/tests/functional/relay/test_truncated_answers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ebonydeal._internal.relay.requests import answer_end
 from tests.lib.cut_links import relays_of_which_first_is_cut
 from tests.lib.raw_endpoints import (
     RawEndpoint,
@@ -111,6 +112,18 @@
             with pytest.raises(asyncio.IncompleteReadError):
                 await ask(program, "/live/", method="POST")
 
+    async def test_stream_of_an_endpoint_that_cannot_be_reached_looks_incomplete(
+        self, monkeypatch
+    ):
+        async def unreachable(_address, _seconds):
+            return False
+
+        one = RawEndpoint("i1", [close_delimited(events(1, 3))])
+        async with running(one) as (program, _store):
+            monkeypatch.setattr(answer_end, "accepts_connections", unreachable)
+            with pytest.raises(asyncio.IncompleteReadError):
+                await ask(program, "/live/", method="POST")
+
     async def test_stream_of_an_endpoint_that_leaves_and_runs_is_complete(self):
         one = RawEndpoint("i1", [close_delimited(events(1, 3))])
         async with running(one) as (program, store):
