Assume a stream's version only once all other relays have replied

The only version that all have seen counts only if each other relay replied, or its process is gone, and the coordinator has told who the others are. Relays wait for replies as long as for other calls, 0.5 s.

--- a/src/ebonydeal/_internal/relay/peers/stream_versions.py
+++ b/src/ebonydeal/_internal/relay/peers/stream_versions.py
@@ -35,8 +35,9 @@
 # Relays that are tried, where some can't be reached.
 _MAX_TRIED = 6
 _REPORT_TIMEOUT_S = 0.3
-# Replies take a few milliseconds; the client waits for them.
-_ASK_TIMEOUT_S = 0.25
+# A reply takes a few milliseconds, or a third of a second from a busy instance; the
+# client waits for it.
+_ASK_TIMEOUT_S = 0.5
 # A relay that didn't take a report gets no other one for this long.
 _AVOID_S = 2.0
 # Reports are collected for this long, so that a relay among hundreds sends eight calls
@@ -73,12 +74,14 @@
 class SharingParts(NamedTuple):
     """The dependencies of `StreamVersions`.
 
-    ``others`` returns the addresses of the other relays, ``node`` is this relay's id.
+    ``others`` returns the addresses of the other relays, ``knows_others`` whether these
+    are all. ``node`` is this relay's id.
     """
 
     view: RelayView
     client: PeerClient
     others: Callable[[], list[str]]
+    knows_others: Callable[[], bool]
     metrics: Metrics
     clock: Clock
     node: str
@@ -142,7 +145,8 @@
     async def _ask_all(self, request_id: str, service: str) -> str | None:
         """Return the version that began a stream by the other relays, None if unknown.
 
-        The only version that any relay has seen during the stream's lifetime counts.
+        Where nobody knows, it is the only version that any relay has seen during the
+        stream's lifetime, provided that all have replied.
         """
         message = VersionMessage(request=request_id, service=service)
         asked = [
@@ -151,10 +155,12 @@
         ]
         possible = set(self._history.versions(service, self._parts.clock.now()))
         possible |= self._listed_versions().get(service, set())
+        all_replied = self._parts.knows_others()
         try:
             for reply in asyncio.as_completed(asked):
                 got = await reply
                 if got is None:
+                    all_replied = False
                     continue
                 if got["version"] is not None:
                     return got["version"]
@@ -162,16 +168,18 @@
         finally:
             for task in asked:
                 task.cancel()
-        return possible.pop() if len(possible) == 1 else None
+        return possible.pop() if all_replied and len(possible) == 1 else None
 
     async def _ask(self, address: str, message: VersionMessage) -> VersionReply | None:
+        """Return another relay's reply; None if there is none, though it may know."""
         try:
             reply = await self._parts.client.call(
                 address, STREAM_VERSION, message, _ASK_TIMEOUT_S
             )
-        except EbonydealError:
-            # It can't be reached, or is of the previous release.
-            return None
+        except EbonydealError as exc:
+            # Its process has ended, or is of the previous release.
+            knows_nothing = exc.kind in (ErrorKind.CONNECT_FAILED, ErrorKind.NOT_FOUND)
+            return VersionReply(version=None, versions=[]) if knows_nothing else None
         return VersionReply(
             version=reply.get("version"), versions=list(reply.get("versions", []))
         )
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -210,6 +210,7 @@
                 self.view,
                 self._client,
                 self._other_relays,
+                lambda: self._exchange.count_known,
                 metrics,
                 clock,
                 self._node.id,
--- a/tests/unit/relay/peers/test_stream_versions.py
+++ b/tests/unit/relay/peers/test_stream_versions.py
@@ -26,6 +26,7 @@
 
     def __init__(self, clock, names, versions=("v1", "v2")):
         self.clock, self.lost, self.calls = clock, set(), []
+        self.silent, self.all_known = set(), True
         self.relays = {name: self._relay(name, names, versions) for name in names}
 
     def _relay(self, name, names, versions):
@@ -34,13 +35,23 @@
             view.put(_member(version, number))
         view.members_known = True
         others = [other for other in names if other != name]
-        parts = SharingParts(view, self, lambda: others, Metrics(), self.clock, name)
+        parts = SharingParts(
+            view,
+            self,
+            lambda: others,
+            lambda: self.all_known,
+            Metrics(),
+            self.clock,
+            name,
+        )
         return StreamVersions(parts)
 
     async def call(self, address, path, message, _timeout):
         self.calls.append((address, path))
         if address in self.lost:
             raise EbonydealError(ErrorKind.CONNECT_FAILED, address)
+        if address in self.silent:
+            raise EbonydealError(ErrorKind.STORE_IN_DOUBT, address)
         relay = self.relays[address]
         if path == STREAM_VERSION:
             return relay.answer(message)
@@ -131,6 +142,20 @@
         assert caught.value.kind is ErrorKind.STREAM_VERSION_UNKNOWN
         assert caught.value.response.status == 503
 
+    async def test_only_version_that_all_relays_have_seen_is_taken(self):
+        async with Relays(ManualClock(), "abc", versions=("v1",)) as all_relays:
+            all_relays.lost = {"c"}
+            assert await find(all_relays.relays["a"]) == "v1"
+
+    @pytest.mark.parametrize(("silent", "all_known"), [({"c"}, True), (set(), False)])
+    async def test_it_is_not_taken_where_another_relay_may_know(
+        self, silent, all_known
+    ):
+        async with Relays(ManualClock(), "abc", versions=("v1",)) as all_relays:
+            all_relays.silent, all_relays.all_known = silent, all_known
+            with pytest.raises(EbonydealError):
+                await find(all_relays.relays["a"])
+
     async def test_first_reply_that_knows_is_enough(self):
         async with Relays(ManualClock(), "abc") as all_relays:
             all_relays.relays["b"].record_start("r1", "s", "v1", TIMEOUT_S)
