--- a/src/ebonydeal/_internal/relay/peers/stream_versions.py
+++ b/src/ebonydeal/_internal/relay/peers/stream_versions.py
@@ -30,8 +30,8 @@
 
 STREAM_STARTS = "/relay/v1/stream-starts"
 STREAM_VERSION = "/relay/v1/stream-version"
-# Relays that get each report: a stream is lost to its client only with all of them.
-_WITNESSES = 2
+# Other relays that get each report, so that the version of a stream outlives its relay.
+_REPORT_COPIES = 2
 # Relays that are tried, where some can't be reached.
 _MAX_TRIED = 6
 _REPORT_TIMEOUT_S = 0.3
@@ -112,7 +112,9 @@
         if len(self._history.versions(service, now)) > 1:
             self._unreported.put_nowait(start)
 
-    async def find(self, request_id: str, first_attempt: str, service: str) -> str:
+    async def find_version(
+        self, request_id: str, first_attempt: str, service: str
+    ) -> str:
         """Return the version that began a stream; raises STREAM_VERSION_UNKNOWN.
 
         ``first_attempt`` is the client's request that brought the first event.
@@ -240,7 +242,7 @@
     # --- reports ---------------------------------------------------------------------
     @Service.task
     async def _report(self) -> None:
-        """Report streams to the witnesses, a batch at a time."""
+        """Report streams to other relays, a batch at a time."""
         while not self.should_stop:
             batch = [await self._unreported.get()]
             while not self._unreported.empty():
@@ -261,7 +263,7 @@
             ]
         )
         relays = self._by_preference(now)[:_MAX_TRIED]
-        missing = min(_WITNESSES, len(self._parts.others()))
+        missing = min(_REPORT_COPIES, len(self._parts.others()))
         while missing and relays:
             targets, relays = relays[:missing], relays[missing:]
             taken = await asyncio.gather(*(self._send(t, message) for t in targets))
--- a/src/ebonydeal/_internal/relay/requests/stream.py
+++ b/src/ebonydeal/_internal/relay/requests/stream.py
@@ -86,7 +86,7 @@
         splitter = EventSplitter()
         splitter.last_id = job.req.last_event
         if job.req.last_event:
-            sends.chooser.version = await self._parts.stream_versions.find(
+            sends.chooser.version = await self._parts.stream_versions.find_version(
                 job.req.request_id, job.req.first_attempt, job.service
             )
         client = _ClientStream(http_req, splitter, draining)
--- a/tests/unit/relay/peers/test_stream_versions.py
+++ b/tests/unit/relay/peers/test_stream_versions.py
@@ -78,7 +78,7 @@
 
 
 async def find(relay):
-    return await relay.find("r2", "r1", "s")
+    return await relay.find_version("r2", "r1", "s")
 
 
 class TestReports:
