Decode the headers of an answer once

Each answer is asked for its headers twice since its framing is looked at: by the adapter and by the check of its end. Behaviour stays as it is.

--- a/src/ebonydeal/_internal/relay/requests/connections.py
+++ b/src/ebonydeal/_internal/relay/requests/connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from functools import cached_property
 from typing import Any
 
 from aiohttp import (
@@ -139,7 +140,7 @@
         """Status of the answer."""
         return self.resp.status
 
-    @property
+    @cached_property
     def headers(self) -> list[tuple[str, str]]:
         """Headers of the answer, as text."""
         return [
