--- a/src/ebonydeal/_internal/relay/requests/plain.py
+++ b/src/ebonydeal/_internal/relay/requests/plain.py
@@ -16,6 +16,7 @@
     ProvedNotRun,
 )
 from ebonydeal._internal.relay.requests.sends import JobSends
+from ebonydeal._internal.utils.close_delimited import CloseDelimitedResponse
 from ebonydeal._internal.utils.http_framing import (
     EVENT_STREAM,
     media_type,
@@ -69,31 +70,13 @@
     return missing_end(head.status, media, len(body), tail)
 
 
-class _CloseDelimitedResponse(web.StreamResponse):
-    """A response with neither a length nor chunks, whose end is the connection's."""
-
-    # Keeps aiohttp from adding either.
-    _length_check = False
-
-    def __init__(self, answer: Answered) -> None:
-        head = answer.head
-        super().__init__(status=head.status, headers=CIMultiDict(head.headers))
-        self._answer_body = answer.body
-        self.force_close()
-
-    async def write_eof(self, data: bytes = b"") -> None:
-        """Write the body, and end the response."""
-        await super().write_eof(self._answer_body)
-
-
 def client_response(answer: Answered) -> web.StreamResponse:
     """Return an endpoint's answer unchanged, for the client.
 
     A length that the endpoint didn't state would claim that the answer is complete.
     """
-    if answer.close_delimited:
-        return _CloseDelimitedResponse(answer)
-    return web.Response(
+    response = CloseDelimitedResponse if answer.close_delimited else web.Response
+    return response(
         status=answer.head.status,
         headers=CIMultiDict(answer.head.headers),
         body=answer.body,
--- a/src/ebonydeal/_internal/soak/endpoints.py
+++ b/src/ebonydeal/_internal/soak/endpoints.py
@@ -31,6 +31,7 @@
     Run,
     event_count,
 )
+from ebonydeal._internal.utils.close_delimited import CloseDelimitedResponse
 
 SERVICE = "play"
 # Clients name the relay that they send to in this header; the relay forwards it.
@@ -46,17 +47,6 @@
 _CUT_BYTES = 3
 
 
-class _CloseDelimitedStream(web.StreamResponse):
-    """A response that ends with its connection."""
-
-    # Keeps aiohttp from using chunks.
-    _length_check = False
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.force_close()
-
-
 def _stream_id(got: ReceivedRequest) -> str:
     """Return the request that began the stream."""
     return got.first_attempt or got.request_id
@@ -231,7 +221,7 @@
     ) -> web.StreamResponse:
         request_id = got.request_id
         stopped = self._stopped[request_id] = asyncio.Event()
-        resp = _CloseDelimitedStream() if self.omits_lengths else web.StreamResponse()
+        resp = CloseDelimitedResponse() if self.omits_lengths else web.StreamResponse()
         resp.headers.update(headers)
         resp.content_type = "text/event-stream"
         first, end = int(got.last_event or 0) + 1, event_count(_stream_id(got)) + 1
