--- a/tests/functional/relay/test_stream_migration.py
+++ b/tests/functional/relay/test_stream_migration.py
@@ -63,6 +63,20 @@
     async def _stop(self, _source, _request, _target):
         self.source.stopped.set()
 
+    def omit_length(self):
+        """Let the stream have neither a length nor chunks."""
+
+        async def closes(_reader, writer, headers):
+            rid = headers["ebonydeal-request-id"].encode()
+            head = stream_head().replace(b"Transfer-Encoding: chunked\r\n", b"")
+            writer.write(head.replace(b"{id}", rid) + events(1, 3))
+            await writer.drain()
+            await self.source.stopped.wait()
+            writer.close()
+
+        self.one.script = [closes]
+        self.two.script = [closes]
+
     async def start_and_leave(self, store, client):
         """Start the stream, then list its endpoint as leaving."""
         await client.send("/live/", method="POST", headers=TOKEN_USAGE)
@@ -92,16 +106,7 @@
     async def test_run_without_a_length_continues_after_its_connection_closed(self):
         case = Case(events(1, 3), remainder(4, 6))
 
-        async def closes(_reader, writer, headers):
-            rid = headers["ebonydeal-request-id"].encode()
-            head = stream_head().replace(b"Transfer-Encoding: chunked\r\n", b"")
-            writer.write(head.replace(b"{id}", rid) + events(1, 3))
-            await writer.drain()
-            await case.source.stopped.wait()
-            writer.close()
-
-        case.one.script = [closes]
-        case.two.script = [closes]
+        case.omit_length()
         async with (
             running(case.one, case.two, doc=DOC, engines=case.engines) as (_p, store),
             Client(_p) as client,
@@ -113,21 +118,12 @@
     async def test_run_without_a_length_may_be_stopped_by_an_order_without_reply(self):
         case = Case(events(1, 3), remainder(4, 6))
 
-        async def closes(_reader, writer, headers):
-            rid = headers["ebonydeal-request-id"].encode()
-            head = stream_head().replace(b"Transfer-Encoding: chunked\r\n", b"")
-            writer.write(head.replace(b"{id}", rid) + events(1, 3))
-            await writer.drain()
-            await case.source.stopped.wait()
-            writer.close()
-
         async def stop_without_reply(_source, _request, _target):
             case.source.stopped.set()
             raise EbonydealError(ErrorKind.ENDPOINT_FAILED, "no reply")
 
         case.engines.on_move = stop_without_reply
-        case.one.script = [closes]
-        case.two.script = [closes]
+        case.omit_length()
         async with (
             running(case.one, case.two, doc=DOC, engines=case.engines) as (_p, store),
             Client(_p) as client,
--- a/tests/lib/rollouts.py
+++ b/tests/lib/rollouts.py
@@ -6,7 +6,7 @@
 import time
 from contextlib import asynccontextmanager, suppress
 
-from tests.lib.raw_endpoints import RawEndpoint, answer
+from tests.lib.raw_endpoints import Always, RawEndpoint, answer
 from tests.lib.relay_fakes import MemoryStore, ask, document, relay, until
 
 OLD, NEW = "v1", "v2"
@@ -25,7 +25,7 @@
         self.version = version
         self.bad = bad
         self.times = []
-        self.script = _Always(self._answer)
+        self.script = Always(self._answer)
 
     async def _answer(self, _reader, writer, headers):
         path = self.seen[-1].split()[1]
@@ -41,16 +41,6 @@
         return super().row(version=self.version, **extra)
 
 
-class _Always:
-    """A script that never ends."""
-
-    def __init__(self, step):
-        self._step = step
-
-    def pop(self, _index):
-        return self._step
-
-
 class Deployment:
     """Relays, endpoints of both versions, and callers."""
 
