Log the prompt parts of requests that were in flight in crashes

An incident's logs show endpoints that end one after the other under requests whose digests never repeat: 17 ends, 85 digests, two of them twice. Whether one part of their prompts was in all of them couldn't be read from any log.

Each request now carries its traits, the digest with its account and the digests of the parts that other requests may share, to where its connection breaks, also through another relay. The lines of sends and of broken connections have the parts. No decision uses them yet.

--- a/src/ebonydeal/_internal/relay/crashes/crash_detector.py
+++ b/src/ebonydeal/_internal/relay/crashes/crash_detector.py
@@ -8,7 +8,8 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterable
 from contextlib import suppress
 from typing import NamedTuple
 
@@ -17,6 +18,7 @@
 from ebonydeal._internal.models.forwarding import Member
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.view.view import RelayView
+from ebonydeal._internal.routing.crashes.request_traits import RequestTraits
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.reachability import refuses_connections
 
@@ -36,13 +38,13 @@
     """An endpoint that crashed, and the requests of this relay in flight there."""
 
     member: Member
-    digests: frozenset[str]
+    requests: frozenset[RequestTraits]
 
 
 class _Check(NamedTuple):
     """Requests whose connections to an endpoint broke; ``done`` once it is checked."""
 
-    digests: set[str]
+    requests: set[RequestTraits]
     done: asyncio.Event
 
 
@@ -58,6 +60,12 @@
     return True
 
 
+def _part_counts(requests: Iterable[RequestTraits]) -> dict[str, int]:
+    """Return the prompt parts with most requests, and how many have each of them."""
+    counts = Counter(part for found in requests for part in found.parts)
+    return dict(counts.most_common(_MAX_LOGGED_DIGESTS))
+
+
 class CrashDetector(Service):
     """Opens a new connection to endpoints whose connections broke.
 
@@ -84,7 +92,7 @@
         # Called with each endpoint that crashed.
         self.on_crash: Callable[[CrashedEndpoint], None] = lambda _crashed: None
 
-    def connection_broken(self, member: Member, digest: str) -> None:
+    def connection_broken(self, member: Member, traits: RequestTraits) -> None:
         """Check an endpoint whose connection broke during a request.
 
         One that is leaving, or isn't listed any more, was expected to end.
@@ -94,9 +102,9 @@
             return
         running = self._checks.get(_start_key(listed))
         if running is not None:
-            running.digests.add(digest)
+            running.requests.add(traits)
             return
-        self._checks[_start_key(listed)] = _Check({digest}, asyncio.Event())
+        self._checks[_start_key(listed)] = _Check({traits}, asyncio.Event())
         self.add_future(self._check(listed))
 
     async def wait_until_checked(self, member: Member) -> None:
@@ -118,17 +126,18 @@
         refused = await self.refuses(member.address, self._connect_timeout_s)
         crashed = refused and await self.confirm(member)
         check = self._checks.pop(_start_key(member))
-        digests = frozenset(check.digests)
+        requests = frozenset(check.requests)
         logger.info(
             "Connections broke amid requests.",
             endpoint=member.endpoint_id,
             born=member.incarnation,
             zone=member.zone,
-            requests=len(digests),
-            digests=sorted(digests)[:_MAX_LOGGED_DIGESTS],
+            requests=len(requests),
+            digests=sorted(found.digest for found in requests)[:_MAX_LOGGED_DIGESTS],
+            parts=_part_counts(requests),
             refused=refused,
             crashed=crashed,
         )
         if crashed:
-            self.on_crash(CrashedEndpoint(member, digests))
+            self.on_crash(CrashedEndpoint(member, requests))
         check.done.set()
--- a/src/ebonydeal/_internal/relay/crashes/suspects.py
+++ b/src/ebonydeal/_internal/relay/crashes/suspects.py
@@ -143,7 +143,9 @@
         observed = ObservedCrash(
             member.endpoint_id, member.incarnation, member.zone, parts.clock.now()
         )
-        key = parts.evidence.record_crash(observed, crashed.digests)
+        key = parts.evidence.record_crash(
+            observed, [found.digest for found in crashed.requests]
+        )
         if key is not None:
             self._unsent.put_nowait([key])
             self._on_change("itself")
--- a/src/ebonydeal/_internal/relay/links/forward_handler.py
+++ b/src/ebonydeal/_internal/relay/links/forward_handler.py
@@ -33,6 +33,7 @@
 from ebonydeal._internal.relay.requests.notices import NoticeReader
 from ebonydeal._internal.relay.requests.outcomes import MayHaveRun, NotSent
 from ebonydeal._internal.relay.view.view import RelayView
+from ebonydeal._internal.routing.crashes.request_traits import RequestTraits
 from ebonydeal._internal.routing.placement.link_health import LinkState
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.http_framing import is_close_delimited
@@ -97,7 +98,7 @@
         assert member is not None
         req = OutgoingRequest(
             message["request_id"],
-            message["digest"],
+            _traits(message),
             message["method"],
             message["target"],
             [(name, value) for name, value in message["headers"]],
@@ -115,7 +116,7 @@
                 return await _reply(resp, _failure(ForwardOutcome.NOT_SENT, sent))
             case MayHaveRun():
                 if sent.kind is ErrorKind.ENDPOINT_FAILED:
-                    await self._check_for_crash(member, req.digest)
+                    await self._check_for_crash(member, req.traits)
                 return await _reply(resp, _failure(ForwardOutcome.MAY_HAVE_RUN, sent))
         parts.metrics.count(Event.FORWARDED_FOR_RELAY)
         try:
@@ -191,7 +192,7 @@
                     reason=type(exc).__name__,
                 )
                 parts.links.record_missing_reply(member, received_at)
-                await self._check_for_crash(member, req.digest)
+                await self._check_for_crash(member, req.traits)
                 return False
             if not data:
                 break
@@ -206,18 +207,24 @@
             received,
         )
         if await parts.answer_ends.truncation(sent, answer) is not None:
-            await self._check_for_crash(member, req.digest)
+            await self._check_for_crash(member, req.traits)
             return False
         sent.release(head.keepalive_s)
         await resp.write_eof()
         return True
 
-    async def _check_for_crash(self, member: Member, digest: str) -> None:
+    async def _check_for_crash(self, member: Member, traits: RequestTraits) -> None:
         """Check an endpoint that broke an answer off, before it is sent again."""
-        self._parts.crashes.connection_broken(member, digest)
+        self._parts.crashes.connection_broken(member, traits)
         await self._parts.crashes.wait_until_checked(member)
 
 
+def _traits(message: ForwardMessage) -> RequestTraits:
+    return RequestTraits(
+        message["digest"], message.get("account", ""), tuple(message.get("parts", ()))
+    )
+
+
 async def _reply(resp: web.StreamResponse, reply: ForwardReply) -> web.StreamResponse:
     await resp.write(pack(reply))
     await resp.write_eof()
--- a/src/ebonydeal/_internal/relay/links/forward_messages.py
+++ b/src/ebonydeal/_internal/relay/links/forward_messages.py
@@ -7,7 +7,7 @@
 
 import json
 from enum import StrEnum
-from typing import Any, TypedDict
+from typing import Any, NotRequired, TypedDict
 
 FORWARD = "/relay/v1/forward"
 LENGTH_BYTES = 4
@@ -18,7 +18,8 @@
 class ForwardMessage(TypedDict):
     """A request for one process of an endpoint.
 
-    ``digest`` identifies equal requests, ``objective`` is the latency objective in
+    ``digest``, ``account`` and ``parts`` are those of `RequestTraits`; relays of the
+    previous release send the digest alone. ``objective`` is the latency objective in
     seconds. Headers are pairs of name and value.
     """
 
@@ -26,6 +27,8 @@
     incarnation: int
     request_id: str
     digest: str
+    account: NotRequired[str]
+    parts: NotRequired[list[str]]
     method: str
     target: str
     headers: list[list[str]]
--- a/src/ebonydeal/_internal/relay/requests/exchange.py
+++ b/src/ebonydeal/_internal/relay/requests/exchange.py
@@ -3,16 +3,17 @@
 from collections.abc import Iterable
 from typing import NamedTuple, Protocol
 
+from ebonydeal._internal.routing.crashes.request_traits import RequestTraits
+
 
 class OutgoingRequest(NamedTuple):
     """One request as its endpoint gets it.
 
-    ``digest`` identifies equal requests; ``objective`` is the latency objective,
-    seconds.
+    ``objective`` is the latency objective, seconds.
     """
 
     request_id: str
-    digest: str
+    traits: RequestTraits
     method: str
     target: str
     headers: Iterable[tuple[str, str]]
--- a/src/ebonydeal/_internal/relay/requests/intake.py
+++ b/src/ebonydeal/_internal/relay/requests/intake.py
@@ -18,6 +18,7 @@
 from ebonydeal._internal.relay.requests.plain import PlainForwarder
 from ebonydeal._internal.relay.requests.quota import QuotaLimiter
 from ebonydeal._internal.relay.requests.stream import StreamForwarder
+from ebonydeal._internal.routing.crashes.request_traits import RequestTraits
 from ebonydeal._internal.routing.placement.route_index import RouteIndex, pick_service
 from ebonydeal._internal.utils.request_digest import RequestDigest
 
@@ -145,8 +146,10 @@
         name = "" if account is None else account.name
         digest = RequestDigest(name, req.host, req.method, req.target)
         body = await _read_body(http_req, limits.body_bytes, timeout, digest)
+        part_ids = [part.part_id for part in req.parts]
+        traits = RequestTraits.of_prompt(digest.hexdigest(), name, part_ids)
         # A quarantined request won't run, so it mustn't use up its account's limit.
-        self._parts.suspects.check(digest.hexdigest())
+        self._parts.suspects.check(traits.digest)
         admission = None
         if account is not None:
             max_wait_s = min(timeout, route.objective * self._quota_wait)
@@ -160,7 +163,7 @@
             body=body,
             started=started,
             deadline=started + timeout,
-            digest=digest.hexdigest(),
+            traits=traits,
             admission=admission,
         )
 
--- a/src/ebonydeal/_internal/relay/requests/job.py
+++ b/src/ebonydeal/_internal/relay/requests/job.py
@@ -26,6 +26,7 @@
 from ebonydeal._internal.relay.requests.usage import UsageMeter
 from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.routing.admission.early_refusal import EarlyRefusal
+from ebonydeal._internal.routing.crashes.request_traits import RequestTraits
 from ebonydeal._internal.routing.placement.endpoint_selector import EndpointSelector
 from ebonydeal._internal.routing.placement.failure_rates import FailureRates
 from ebonydeal._internal.routing.placement.outliers import OutlierDetector
@@ -39,9 +40,8 @@
     """An accepted request.
 
     ``started`` and ``deadline`` are monotonic seconds; ``deadline`` is the earlier
-    of the client's deadline and the route's timeout. ``digest`` is the same for
-    equal requests, whatever their ids. ``admission`` is the admission by the rate
-    limit of its client account.
+    of the client's deadline and the route's timeout. ``admission`` is the admission
+    by the rate limit of its client account.
     """
 
     req: ForwardedRequest
@@ -51,7 +51,7 @@
     body: bytes
     started: float
     deadline: float
-    digest: str = ""
+    traits: RequestTraits = RequestTraits("")
     admission: Admission | None = None
 
     @property
--- a/src/ebonydeal/_internal/relay/requests/sends.py
+++ b/src/ebonydeal/_internal/relay/requests/sends.py
@@ -144,7 +144,7 @@
     def _check_quarantine(self) -> None:
         """Raise REQUEST_QUARANTINED if this request crashes endpoints."""
         try:
-            self._parts.suspects.check(self.job.digest)
+            self._parts.suspects.check(self.job.traits.digest)
         except EbonydealError as exc:
             raise self.proof.final_error(exc) from None
 
@@ -181,7 +181,8 @@
         logger.info(
             "Sent.",
             request=job.req.request_id,
-            digest=job.digest,
+            digest=job.traits.digest,
+            parts=job.traits.parts,
             service=job.service,
             endpoint=member.endpoint_id,
             zone=member.zone,
@@ -312,7 +313,7 @@
         job = self.job
         req = OutgoingRequest(
             job.req.request_id,
-            job.digest,
+            job.traits,
             job.req.method,
             job.req.target,
             headers,
@@ -363,13 +364,13 @@
             self._record_version_answer()
         if status < 300:
             # Other statuses prove no run: a failing endpoint may answer before running.
-            parts.suspects.record_success(self.job.digest)
+            parts.suspects.record_success(self.job.traits.digest)
 
     @asynccontextmanager
     async def limited(self, seconds: float) -> AsyncIterator[None]:
         """Raise TimeoutError after ``seconds``, or once the request is quarantined."""
         assert self.member is not None
-        digest, endpoint_id = self.job.digest, self.member.endpoint_id
+        digest, endpoint_id = self.job.traits.digest, self.member.endpoint_id
         async with timeout(seconds) as limit:
             with self._parts.suspects.track_run(digest, endpoint_id, limit):
                 yield
@@ -431,7 +432,7 @@
         error = _error_of(outcome)
         match outcome:
             case MayHaveRun(kind=ErrorKind.ENDPOINT_FAILED) if not self._forwarded:
-                parts.crashes.connection_broken(self.member, job.digest)
+                parts.crashes.connection_broken(self.member, job.traits)
         match outcome:
             case MayHaveRun() | Answered():
                 self._record_version_failure(self.member)
@@ -445,7 +446,7 @@
         logger.info(
             "Send failed.",
             request=job.req.request_id,
-            digest=job.digest,
+            digest=job.traits.digest,
             endpoint=endpoint,
             outcome=type(outcome).__name__,
             kind=str(error.kind),
--- a/tests/functional/relay/test_crashing_request.py
+++ b/tests/functional/relay/test_crashing_request.py
@@ -23,6 +23,7 @@
 
 from ebonydeal._internal.commands.quarantine import quarantine_command
 from ebonydeal._internal.commands.relay_client import fetch_from_relay
+from ebonydeal._internal.routing.crashes.request_traits import RequestTraits
 from tests.lib.crashing import FATAL, CrashingEndpoint, cluster, repeat
 from tests.lib.relay_fakes import KEY, MemoryStore, ask, relay, until
 
@@ -288,7 +289,7 @@
             for n, r in pairs(relays):
                 member = r.view.members[leaving[n].name]
                 leaving[n].crash()
-                r._crashes.connection_broken(member, "d" * 32)
+                r._crashes.connection_broken(member, RequestTraits("d" * 32))
             await asyncio.sleep(0.2)
             assert all(r._suspects.fingerprint == "" for r in relays)
 
--- a/tests/unit/relay/crashes/test_crash_detector.py
+++ b/tests/unit/relay/crashes/test_crash_detector.py
@@ -9,6 +9,7 @@
 from ebonydeal._internal.models.forwarding import Member
 from ebonydeal._internal.relay.crashes.crash_detector import CrashDetector
 from ebonydeal._internal.relay.view.view import RelayView
+from ebonydeal._internal.routing.crashes.request_traits import RequestTraits
 from ebonydeal._internal.utils.clock import SystemClock
 
 
@@ -41,11 +42,11 @@
     async def test_a_refused_connection_is_a_crash(self, closed_port):
         one = member(closed_port)
         async with running_detector(one) as (detector, seen):
-            detector.connection_broken(one, "a")
-            detector.connection_broken(one, "b")
+            detector.connection_broken(one, RequestTraits("a"))
+            detector.connection_broken(one, RequestTraits("b"))
             await detector.wait_until_checked(one)
-            assert [(found.member, found.digests) for found in seen] == [
-                (one, frozenset("ab"))
+            assert [(found.member, found.requests) for found in seen] == [
+                (one, {RequestTraits("a"), RequestTraits("b")})
             ]
 
     async def test_an_endpoint_that_accepts_connections_is_no_crash(self):
@@ -53,7 +54,7 @@
         host, port = server.sockets[0].getsockname()
         one = member(f"{host}:{port}")
         async with server, running_detector(one) as (detector, seen):
-            detector.connection_broken(one, "a")
+            detector.connection_broken(one, RequestTraits("a"))
             await detector.wait_until_checked(one)
             assert seen == []
 
@@ -64,7 +65,7 @@
         monkeypatch.setattr(asyncio, "open_connection", hang)
         one = member("127.0.0.1:9")
         async with running_detector(one) as (detector, seen):
-            detector.connection_broken(one, "a")
+            detector.connection_broken(one, RequestTraits("a"))
             # The waiting request continues meanwhile.
             await asyncio.wait_for(detector.wait_until_checked(one), 5.0)
             await asyncio.sleep(0.4)
@@ -73,13 +74,13 @@
     async def test_a_leaving_endpoint_is_no_crash(self, closed_port):
         one = member(closed_port, leaving=True)
         async with running_detector(one) as (detector, seen):
-            detector.connection_broken(one, "a")
+            detector.connection_broken(one, RequestTraits("a"))
             await detector.wait_until_checked(one)
             assert seen == []
 
     async def test_an_endpoint_that_isnt_listed_any_more_is_no_crash(self, closed_port):
         async with running_detector() as (detector, seen):
-            detector.connection_broken(member(closed_port), "a")
+            detector.connection_broken(member(closed_port), RequestTraits("a"))
             await asyncio.sleep(0.05)
             assert seen == []
 
@@ -88,7 +89,9 @@
             detector,
             seen,
         ):
-            detector.connection_broken(member(closed_port, incarnation=1), "a")
+            detector.connection_broken(
+                member(closed_port, incarnation=1), RequestTraits("a")
+            )
             await asyncio.sleep(0.05)
             assert seen == []
 
@@ -97,6 +100,6 @@
             detector,
             seen,
         ):
-            detector.connection_broken(member(closed_port), "a")
+            detector.connection_broken(member(closed_port), RequestTraits("a"))
             await detector.wait_until_checked(member(closed_port))
             assert len(seen) == 1
--- a/tests/unit/relay/crashes/test_suspects.py
+++ b/tests/unit/relay/crashes/test_suspects.py
@@ -15,6 +15,7 @@
 from ebonydeal._internal.relay.requests.outcomes import MayHaveRun
 from ebonydeal._internal.relay.requests.sends import JobSends
 from ebonydeal._internal.routing.crashes.crash_evidence import CrashEvidence
+from ebonydeal._internal.routing.crashes.request_traits import RequestTraits
 from tests.lib.clock import ManualClock
 from tests.unit.relay.requests.test_job_sends import MEMBERS, MIGRATED, job, parts
 
@@ -39,7 +40,8 @@
 
     def crash(self, number, *digests):
         self.clock._now += 1.0
-        self.suspects.record_crash(CrashedEndpoint(MEMBERS[number], frozenset(digests)))
+        requests = frozenset(RequestTraits(digest) for digest in digests)
+        self.suspects.record_crash(CrashedEndpoint(MEMBERS[number], requests))
 
 
 class TestRuns:
@@ -140,7 +142,7 @@
         made = parts()
         made.suspects = relay.suspects
         made.refusal = SimpleNamespace(wait=lambda *_terms: None)
-        found = job(repeat, False)._replace(digest="fatal")
+        found = job(repeat, False)._replace(traits=RequestTraits("fatal"))
         return JobSends(made, found)
 
     async def test_a_suspect_goes_to_the_endpoint_with_fewest_in_flight(self):
