--- a/tests/lib/crashing.py
+++ b/tests/lib/crashing.py
@@ -3,10 +3,20 @@
 import asyncio
 from contextlib import asynccontextmanager
 
-from tests.lib.raw_endpoints import RawEndpoint
+from xxhash import xxh3_64_hexdigest
+
+from tests.lib.raw_endpoints import (
+    Always,
+    RawEndpoint,
+    chunk,
+    events,
+    request_id,
+    stream_head,
+)
 from tests.lib.relay_fakes import MemoryStore, ask, document, relay, until
 
 FATAL = b"brings down what runs it"
+FATAL_PART = "fa7a1"
 
 
 class CrashingEndpoint(RawEndpoint):
@@ -44,6 +54,27 @@
             writer.transport.abort()
 
 
+class PartCrashingEndpoint(CrashingEndpoint):
+    """Begins to answer a prompt with `FATAL_PART`, and crashes.
+
+    All other requests get a stream of three events.
+    """
+
+    def __init__(self, name):
+        super().__init__(name)
+        self.script = Always(self._answer)
+
+    async def _answer(self, _reader, writer, headers):
+        head = stream_head().replace(b"{id}", request_id(headers))
+        if f"{FATAL_PART}:" in headers.get("ebonydeal-prompt-prefix", ""):
+            writer.write(head + b"4\r\nid")
+            await writer.drain()
+            self.crash()
+            raise ConnectionResetError
+        writer.write(head + chunk(events(1, 3)) + chunk(b""))
+        await writer.drain()
+
+
 class _BodyReader:
     """A reader that passes each body to its endpoint."""
 
@@ -137,3 +168,27 @@
     except (asyncio.IncompleteReadError, ConnectionError):
         return None
     return status, text
+
+
+async def ask_model(program, path, rid, *parts, **kwargs):
+    """Send a prompt of several parts; returns as `repeat`.
+
+    Its body and its last part are its own, so that no two requests are equal.
+    """
+    listed = ",".join(
+        f"{part}:20" for part in (*parts, xxh3_64_hexdigest(rid.encode()))
+    )
+    headers = [("Ebonydeal-Prompt-Prefix", listed), ("Ebonydeal-Token-Usage", "60,5")]
+    try:
+        status, _headers, text = await ask(
+            program,
+            path,
+            rid=rid,
+            method="POST",
+            body=rid.encode(),
+            headers=headers,
+            **kwargs,
+        )
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    return status, text
