Bound the bytes that are taken for one answer of an endpoint

What callers saw: nothing until the relay ended for want of memory. An endpoint in trouble may send bytes without end, in a head or a body. A plain answer and an event were collected to their end whatever came, so one body took 400 MB of a relay within the request's deadline; lines of a head, interim answers, chunk sizes and trailers were read as long.

A plain answer and an event of a stream are now held up to max_answer_mb, all of them together up to max_answers_mb, where small ones go on. Bytes that belong to no body are bounded where they arrive, relative to the body. Beyond either the connection is closed, the endpoint is blamed for an invalid answer, and a request that may be repeated goes to another one.

--- a/src/ebonydeal/_internal/relay/links/forwarder.py
+++ b/src/ebonydeal/_internal/relay/links/forwarder.py
@@ -68,10 +68,6 @@
         self.status = int(head["status"])
         self.headers = [(str(n), str(v)) for n, v in head["headers"]]
 
-    async def read(self) -> bytes:
-        """Return the complete body."""
-        return await self._resp.content.read()
-
     async def read_some(self) -> bytes:
         """Return the next bytes of the body; none at its end."""
         return await self._resp.content.readany()
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -62,6 +62,7 @@
 )
 from ebonydeal._internal.relay.ports import RelayPorts
 from ebonydeal._internal.relay.requests.answer_end import AnswerEndChecker
+from ebonydeal._internal.relay.requests.answer_memory import AnswerMemory
 from ebonydeal._internal.relay.requests.connections import EndpointPools
 from ebonydeal._internal.relay.requests.endpoint_paths import EndpointPaths
 from ebonydeal._internal.relay.requests.intake import Intake
@@ -257,6 +258,7 @@
             long_prompts=self._long_prompts,
             crashes=self._crashes,
             answer_ends=answer_ends,
+            answer_memory=AnswerMemory.from_config(self._cfg),
             suspects=self._suspects,
             split=self._split,
             stream_versions=self._stream_versions,
--- a/src/ebonydeal/_internal/relay/requests/connections.py
+++ b/src/ebonydeal/_internal/relay/requests/connections.py
@@ -14,7 +14,6 @@
     ClientTimeout,
     ConnectionTimeoutError,
     ServerDisconnectedError,
-    TCPConnector,
 )
 from aiohttp.client_proto import ResponseHandler
 from multidict import CIMultiDict
@@ -23,6 +22,10 @@
 from ebonydeal._internal.errors import ErrorKind
 from ebonydeal._internal.models.forwarding import Member
 from ebonydeal._internal.relay.requests.outcomes import MayHaveRun, NotSent
+from ebonydeal._internal.utils.bounded_responses import (
+    BoundedConnector,
+    EndlessAnswerError,
+)
 from ebonydeal._internal.utils.clock import Clock
 
 # Keep-alive timeout of an endpoint that states none: it may close at any moment.
@@ -45,7 +48,7 @@
 _UNLIMITED_IDLE_S = 3600.0
 
 
-class _SingleConnector(TCPConnector):
+class _SingleConnector(BoundedConnector):
     """Holds one connection, exposes it, and records whether it ended by a reset."""
 
     proto: ResponseHandler | None = None
@@ -148,10 +151,6 @@
             for name, value in self.resp.raw_headers
         ]
 
-    async def read(self) -> bytes:
-        """Return the complete body."""
-        return await self.resp.read()
-
     async def read_some(self) -> bytes:
         """Return the next bytes of the body; none at its end."""
         return await self.resp.content.readany()
@@ -230,6 +229,9 @@
         except (ClientConnectorError, ConnectionTimeoutError) as exc:
             self.discard(pooled)
             return NotSent(ErrorKind.CONNECT_FAILED, f"{type(exc).__name__}")
+        except EndlessAnswerError as exc:
+            self.discard(pooled)
+            return MayHaveRun(ErrorKind.ENDPOINT_GARBAGE, f"head: {exc}")
         except (TimeoutError, ClientError, OSError, ValueError) as exc:
             self.discard(pooled)
             if idle is not None and isinstance(exc, _CLOSED_ERRORS):
--- a/src/ebonydeal/_internal/relay/requests/exchange.py
+++ b/src/ebonydeal/_internal/relay/requests/exchange.py
@@ -33,11 +33,11 @@
     def headers(self) -> list[tuple[str, str]]:
         """Headers of the endpoint's answer, as text."""
 
-    async def read(self) -> bytes:
-        """Return the complete body; raises ClientError or OSError if it breaks off."""
-
     async def read_some(self) -> bytes:
-        """Return the next bytes of the body, none at its end; raises as `read`."""
+        """Return the next bytes of the body, none at its end.
+
+        Raises ClientError or OSError if it breaks off.
+        """
 
     async def was_reset(self) -> bool:
         """Return whether a body without length ended by a reset, not a close."""
--- a/src/ebonydeal/_internal/relay/requests/job.py
+++ b/src/ebonydeal/_internal/relay/requests/job.py
@@ -18,6 +18,7 @@
 from ebonydeal._internal.relay.peers.stream_versions import StreamVersions
 from ebonydeal._internal.relay.ports import Wire
 from ebonydeal._internal.relay.requests.answer_end import AnswerEndChecker
+from ebonydeal._internal.relay.requests.answer_memory import AnswerMemory
 from ebonydeal._internal.relay.requests.connections import EndpointPools
 from ebonydeal._internal.relay.requests.endpoint_paths import EndpointPaths
 from ebonydeal._internal.relay.requests.migrations import StreamMigrator
@@ -112,6 +113,7 @@
     long_prompts: LongPromptNotifier
     crashes: CrashDetector
     answer_ends: AnswerEndChecker
+    answer_memory: AnswerMemory
     suspects: Suspects
     split: TrafficSplit
     stream_versions: StreamVersions
--- a/src/ebonydeal/_internal/relay/requests/plain.py
+++ b/src/ebonydeal/_internal/relay/requests/plain.py
@@ -16,6 +16,7 @@
     ProvedNotRun,
 )
 from ebonydeal._internal.relay.requests.sends import JobSends
+from ebonydeal._internal.utils.bounded_responses import EndlessAnswerError
 from ebonydeal._internal.utils.close_delimited import CloseDelimitedResponse
 from ebonydeal._internal.utils.http_framing import (
     EVENT_STREAM,
@@ -48,9 +49,9 @@
     After a complete one the connection returns to the pool.
     """
     try:
-        body = await exchange.read()
+        body = await sends.read_all(exchange)
     except (TimeoutError, ClientError, OSError) as exc:
-        return MayHaveRun(ErrorKind.ENDPOINT_FAILED, f"body: {type(exc).__name__}")
+        return read_failure("body", exc)
     close_delimited = sends.is_close_delimited(exchange)
     missing = _missing_end(head, body) if close_delimited else None
     truncation = await sends.truncation(exchange, close_delimited, len(body), missing)
@@ -60,6 +61,14 @@
     return Answered(head, body, close_delimited)
 
 
+def read_failure(what: str, exc: Exception) -> MayHaveRun:
+    """Return the outcome of reading what broke off, or had no end."""
+    match exc:
+        case EndlessAnswerError():
+            return MayHaveRun(ErrorKind.ENDPOINT_GARBAGE, f"{what}: {exc}")
+    return MayHaveRun(ErrorKind.ENDPOINT_FAILED, f"{what}: {type(exc).__name__}")
+
+
 def _missing_end(head: AnswerHead, body: bytes) -> str | None:
     """Return what a close-delimited body lacks, or None if nothing shows."""
     media, tail = media_type(head.headers), body
--- a/src/ebonydeal/_internal/relay/requests/sends.py
+++ b/src/ebonydeal/_internal/relay/requests/sends.py
@@ -375,6 +375,15 @@
             with self._parts.suspects.track_run(traits, endpoint_id, limit):
                 yield
 
+    async def read_all(self, exchange: Exchange) -> bytes:
+        """Return the complete body; raises as `Exchange.read_some`, or if too large."""
+        body = bytearray()
+        with self._parts.answer_memory.hold() as held:
+            while data := await exchange.read_some():
+                body += data
+                held.resize(len(body))
+        return bytes(body)
+
     def is_close_delimited(self, exchange: Exchange) -> bool:
         """Return whether an answer's body ends only with its connection."""
         method = self.job.req.method
--- a/src/ebonydeal/_internal/relay/requests/stream.py
+++ b/src/ebonydeal/_internal/relay/requests/stream.py
@@ -28,8 +28,10 @@
     client_response,
     head_failure,
     read_body,
+    read_failure,
 )
 from ebonydeal._internal.relay.requests.sends import JobSends
+from ebonydeal._internal.utils.bounded_responses import EndlessAnswerError
 from ebonydeal._internal.utils.http_framing import (
     EVENT_STREAM,
     media_type,
@@ -82,14 +84,18 @@
 
         With ``draining`` the client's connection is closed after this answer.
         """
+        with self._parts.answer_memory.hold() as held:
+            client = _ClientStream(http_req, EventSplitter(held), draining)
+            return await self._forward(job, client)
+
+    async def _forward(self, job: Job, client: _ClientStream) -> web.StreamResponse:
         sends = JobSends(self._parts, job)
-        splitter = EventSplitter()
+        splitter = client.splitter
         splitter.last_id = job.req.last_event
         if job.req.last_event:
             sends.chooser.version = await self._parts.stream_versions.find_version(
                 job.req.request_id, job.req.first_attempt, job.service
             )
-        client = _ClientStream(http_req, splitter, draining)
         migrated: MigratedRun | None = None
         while True:
             try:
@@ -227,13 +233,15 @@
                 return MayHaveRun(ErrorKind.ENDPOINT_STALLED, "no event in time")
             except (ClientError, OSError) as exc:
                 sends.record_silence(received_at)
-                detail = f"stream: {type(exc).__name__}"
-                return MayHaveRun(ErrorKind.ENDPOINT_FAILED, detail)
+                return read_failure("stream", exc)
             if not data:
                 break
             run.received += len(data)
             before = client.splitter.count
-            events = client.splitter.feed(data)
+            try:
+                events = client.splitter.feed(data)
+            except EndlessAnswerError as exc:
+                return read_failure("stream", exc)
             if not events:
                 continue
             received_at = parts.clock.now()
--- a/src/ebonydeal/_internal/settings/relay.py
+++ b/src/ebonydeal/_internal/settings/relay.py
@@ -74,6 +74,25 @@
     usage_late_s: Annotated[
         float, Key("Time from its end until its usage is due.", "seconds", 0.1, 86400)
     ] = 10.0
+    max_answer_mb: Annotated[
+        float,
+        Key(
+            "Largest answer of a plain service, or event of a stream. More bytes are "
+            "taken for an answer without end, and the request fails or is sent again.",
+            "MB",
+            0.1,
+            10_000,
+        ),
+    ] = 8.0
+    max_answers_mb: Annotated[
+        float,
+        Key(
+            "Memory for all answers that are being read; small ones may exceed it.",
+            "MB",
+            0.1,
+            100_000,
+        ),
+    ] = 64.0
     expose_share: Annotated[
         float,
         Key("Share of a service's requests that a bad version may get.", "", 0, 1),
--- a/tests/functional/relay/test_connections.py
+++ b/tests/functional/relay/test_connections.py
@@ -35,7 +35,8 @@
     async def ask(self, at_most_once):
         got = await self.pool.send("GET", "/x", HEADERS, b"", at_most_once)
         if isinstance(got, HttpExchange):
-            await got.read()
+            while await got.read_some():
+                pass
             got.release(10.0)
         return got
 
