--- a/src/ebonydeal/_internal/outside/http.py
+++ b/src/ebonydeal/_internal/outside/http.py
@@ -14,11 +14,15 @@
     ClientTimeout,
     ConnectionTimeoutError,
     InvalidURL,
-    TCPConnector,
 )
 from yarl import URL
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.utils.bounded_responses import (
+    BoundedConnector,
+    EndlessAnswerError,
+    read_bounded,
+)
 from ebonydeal._internal.utils.http_framing import (
     is_close_delimited,
     media_type,
@@ -107,9 +111,9 @@
 
     def _open_session(self) -> ClientSession:
         if self._pooled:
-            connector = TCPConnector(limit=0, keepalive_timeout=_KEEPALIVE_S)
+            connector = BoundedConnector(limit=0, keepalive_timeout=_KEEPALIVE_S)
         else:
-            connector = TCPConnector(limit=0, force_close=True)
+            connector = BoundedConnector(limit=0, force_close=True)
         session = ClientSession(
             connector=connector, read_bufsize=_MAX_LINE_BYTES, auto_decompress=True
         )
@@ -194,14 +198,10 @@
     resp: ClientResponse, url: str | URL, kinds: FailureKinds
 ) -> bytes:
     """Return the body; refuses one that would exhaust the memory."""
-    parts = []
-    size = 0
-    async for part in resp.content.iter_any():
-        size += len(part)
-        if size > _MAX_RESPONSE_BYTES:
-            raise EbonydealError(kinds.garbage, f"response of {url} is too large")
-        parts.append(part)
-    return b"".join(parts)
+    try:
+        return await read_bounded(resp, _MAX_RESPONSE_BYTES)
+    except EndlessAnswerError as exc:
+        raise EbonydealError(kinds.garbage, f"response of {url}: {exc}") from exc
 
 
 def _check_end(resp: ClientResponse, body: bytes, kinds: FailureKinds) -> None:
@@ -220,7 +220,7 @@
     """Return the error of a call that got no complete response."""
     if isinstance(exc, (ClientConnectorError, ConnectionTimeoutError, InvalidURL)):
         return EbonydealError(kinds.not_sent, f"can't connect to {url}")
-    if isinstance(exc, ClientResponseError):
+    if isinstance(exc, ClientResponseError | EndlessAnswerError):
         return EbonydealError(kinds.garbage, f"response of {url} is not HTTP")
     reason = type(exc).__name__
     return EbonydealError(kinds.lost, f"no complete response from {url} ({reason})")
--- a/src/ebonydeal/_internal/platform/calls.py
+++ b/src/ebonydeal/_internal/platform/calls.py
@@ -11,17 +11,22 @@
     ClientSession,
     ClientTimeout,
     ConnectionTimeoutError,
-    TCPConnector,
     TraceConfig,
 )
 from yarl import URL
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind, NoReplyError
+from ebonydeal._internal.utils.bounded_responses import (
+    BoundedConnector,
+    read_bounded,
+)
 from ebonydeal._internal.utils.clock import SystemClock
 from ebonydeal._internal.utils.http_sessions import HttpSessions
 
 # A connection that was idle for longer may have fallen silent, and isn't used again.
 _MAX_IDLE_S = 2.0
+# A reply of the store has at most a megabyte of rows.
+_MAX_REPLY_BYTES = 32_000_000
 
 
 class Reply(NamedTuple):
@@ -49,7 +54,7 @@
 
 def _open_session() -> ClientSession:
     session = ClientSession(
-        connector=TCPConnector(limit=0, keepalive_timeout=_MAX_IDLE_S),
+        connector=BoundedConnector(limit=0, keepalive_timeout=_MAX_IDLE_S),
         trace_configs=[_reuse_tracing()],
     )
     # aiohttp itself would repeat a GET whose connection broke.
@@ -109,7 +114,8 @@
                     trace_request_ctx=connection,
                 ) as resp,
             ):
-                return Reply(resp.status, await resp.read(), resp.headers)
+                body = await read_bounded(resp, _MAX_REPLY_BYTES)
+                return Reply(resp.status, body, resp.headers)
         except (TimeoutError, ClientError, OSError) as exc:
             waited = clock.now() - began_at
             kind = "an open" if connection["reused"] else "a new"
--- a/src/ebonydeal/_internal/relay/links/forwarder.py
+++ b/src/ebonydeal/_internal/relay/links/forwarder.py
@@ -15,7 +15,6 @@
     ClientSession,
     ClientTimeout,
     ConnectionTimeoutError,
-    TCPConnector,
 )
 
 from ebonydeal._internal.errors import ErrorKind
@@ -33,6 +32,7 @@
 )
 from ebonydeal._internal.relay.requests.exchange import OutgoingRequest
 from ebonydeal._internal.relay.requests.outcomes import MayHaveRun, NotSent
+from ebonydeal._internal.utils.bounded_responses import BoundedConnector
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.http_sessions import HttpSessions, SessionPool
 from ebonydeal._internal.utils.peerclient import PEER_HEADER
@@ -276,7 +276,7 @@
 
 
 def _open_session() -> ClientSession:
-    session = ClientSession(connector=TCPConnector(limit=0), auto_decompress=False)
+    session = ClientSession(connector=BoundedConnector(limit=0), auto_decompress=False)
     # A repetition by the library could run a request twice.
     session._retry_connection = False
     return session
--- a/src/ebonydeal/_internal/utils/peerclient.py
+++ b/src/ebonydeal/_internal/utils/peerclient.py
@@ -7,12 +7,18 @@
 from aiohttp import ClientConnectorError, ClientError, ClientSession, ClientTimeout
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.utils.bounded_responses import (
+    BoundedConnector,
+    read_bounded,
+)
 from ebonydeal._internal.utils.http_sessions import HttpSessions
 
 PEER_HEADER = "X-Ebonydeal-Peer"
 # Larger bodies are compressed to a third of their size: with many peers they would
 # saturate the links of small instances. Smaller ones aren't, to save processor time.
 MIN_COMPRESS_BYTES = 1024
+# The whole list of endpoints takes a few megabytes at the largest size.
+_MAX_RESPONSE_BYTES = 64_000_000
 
 
 class PeerClient:
@@ -29,7 +35,7 @@
     def __init__(self, credential: str, ssl_context: SSLContext | None = None) -> None:
         self._credential = credential
         self._ssl = ssl_context
-        self._sessions = HttpSessions(ClientSession)
+        self._sessions = HttpSessions(_open_session)
 
     async def call(
         self, address: str, path: str, message: Any, timeout: float
@@ -56,7 +62,7 @@
                     ssl=self._ssl if self._ssl else True,
                 ) as resp,
             ):
-                body = json.loads(await resp.read())
+                body = json.loads(await read_bounded(resp, _MAX_RESPONSE_BYTES))
         except (ClientError, TimeoutError, OSError, ValueError) as exc:
             raise _to_error(exc, address) from exc
         if resp.status >= 400:
@@ -68,6 +74,10 @@
         await self._sessions.close()
 
 
+def _open_session() -> ClientSession:
+    return ClientSession(connector=BoundedConnector())
+
+
 def _to_error(exc: Exception, address: str) -> EbonydealError:
     """Return the error of a call that got no response."""
     if isinstance(exc, ClientConnectorError):
