Soak: parts of prompts that crash endpoints, and their bound as a check

Requests of which no two are equal share a part that crashes whatever runs them, four times a second at random relays, drawn apart from the older faults. All requests of the soak now name the parts of their prompts; sound ones share the first. The bound on requests that crash endpoints holds for parts from the fifth crash on; a plant breaks it.

--- a/src/ebonydeal/_internal/platform/server_side.py
+++ b/src/ebonydeal/_internal/platform/server_side.py
@@ -6,7 +6,7 @@
 
 import json
 from base64 import b64decode
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Any, NamedTuple
 
 from ebonydeal._internal.models.forwarding import Member, Repeat
@@ -24,6 +24,7 @@
     LEAVING,
     LIMIT,
     NOT_RUN,
+    PROMPT,
     REQUEST_ID,
     RESUMES,
     SIGNATURE,
@@ -164,9 +165,17 @@
 
 
 def client_headers(
-    host: str, request_id: str, key: str, timeout: float, tokens: int
+    host: str,
+    request_id: str,
+    key: str,
+    timeout: float,
+    tokens: int,
+    shared_parts: Sequence[str] = (),
 ) -> dict[str, str]:
-    """Return a client's headers; ``timeout`` is in seconds."""
+    """Return a client's headers; ``timeout`` is in seconds.
+
+    ``shared_parts`` are the ids of the parts of the prompt before its own.
+    """
     headers = {
         "Host": host,
         REQUEST_ID: request_id,
@@ -175,6 +184,9 @@
     }
     if tokens:
         headers[TOKENS] = f"{PROMPT_TOKENS},{tokens}"
+    if shared_parts:
+        ids = (*shared_parts, request_id)
+        headers[PROMPT] = ",".join(f"{part}:{PROMPT_TOKENS}" for part in ids)
     return headers
 
 
--- a/src/ebonydeal/_internal/soak/checks.py
+++ b/src/ebonydeal/_internal/soak/checks.py
@@ -17,6 +17,7 @@
     no_requests_after_announced_leaving,
 )
 from ebonydeal._internal.soak.records import (
+    FATAL_PART_PREFIX,
     ClientResult,
     FatalRun,
     Kind,
@@ -37,6 +38,7 @@
 # The users' bounds on crashing requests: endpoints that one may crash before all relays
 # refuse it, the time for relays to learn of it, and sends allowed after that time.
 _CRASH_THRESHOLD = 3
+_PART_CRASH_THRESHOLD = 5
 _MAX_PROPAGATION_S = 3.0
 _MAX_LATE_RUNS = 3
 # A request sent before a kill may reach an endpoint this much later.
@@ -323,24 +325,29 @@
     """A request that crashed three endpoints reaches few more.
 
     Relays without faults send it at most three times once they had time to learn of
-    the crashes.
+    the crashes. The same holds for all requests with one part of their prompts, from
+    the fifth crash on.
     """
-    by_body: dict[str, list[FatalRun]] = defaultdict(list)
+    by_cause: dict[str, list[FatalRun]] = defaultdict(list)
     for run in sorted(log.fatal_runs, key=lambda it: it.at):
-        by_body[run.body].append(run)
-    for body, runs in by_body.items():
+        by_cause[run.cause].append(run)
+    for cause, runs in by_cause.items():
+        is_part = cause.startswith(FATAL_PART_PREFIX)
+        threshold = _PART_CRASH_THRESHOLD if is_part else _CRASH_THRESHOLD
         crashed_at = list({run.endpoint: run.at for run in reversed(runs)}.values())
-        if len(crashed_at) < _CRASH_THRESHOLD:
+        if len(crashed_at) < threshold:
             continue
-        third_crash_at = sorted(crashed_at)[_CRASH_THRESHOLD - 1]
+        last_allowed_at = sorted(crashed_at)[threshold - 1]
         late = [
             run
             for run in runs
-            if run.at > third_crash_at + _MAX_PROPAGATION_S
+            if run.at > last_allowed_at + _MAX_PROPAGATION_S
             and not had_fault(log, run.relay, run.at - _MAX_PROPAGATION_S, run.at)
         ]
         if len(late) > _MAX_LATE_RUNS:
-            detail = f"{body} reached endpoints {len(late)} times after the third crash"
+            detail = (
+                f"{cause} reached endpoints {len(late)} times after {threshold} crashes"
+            )
             yield Violation("crashes", detail)
 
 
--- a/src/ebonydeal/_internal/soak/clients.py
+++ b/src/ebonydeal/_internal/soak/clients.py
@@ -4,6 +4,7 @@
 import json
 import re
 import time
+from collections.abc import Sequence
 from random import Random
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
@@ -24,6 +25,8 @@
 _MAX_TOKENS_CHOICES = (100, 100, 100, 600)
 # Events name their number, and the software version of their endpoint.
 _EVENT = re.compile(rb"(?:^|\n)id: (\d+)\ndata: ([^\n]*)\n(?=\n)")
+# The part with which all prompts begin.
+_SHARED_PART = "5a"
 # Times that a client comes back for the rest of one stream.
 _MAX_RESUMES = 2
 _KINDS = (Kind.IDEMPOTENT, Kind.AT_MOST_ONCE, Kind.STREAM, Kind.RESUMABLE_STREAM)
@@ -79,6 +82,13 @@
             *(self.send(kind, relay, account, body=body) for relay in relays)
         )
 
+    async def send_with_part(
+        self, body: bytes, kind: Kind, relay: RelayProcess, key: str, part: str
+    ) -> None:
+        """Send a body with a part of the prompt between shared and own ones."""
+        parts = (_SHARED_PART, part)
+        await self.send(kind, relay, AccountSpec("", key), body=body, parts=parts)
+
     async def send(
         self,
         kind: Kind,
@@ -86,6 +96,7 @@
         account: AccountSpec,
         version: int = 0,
         body: bytes = b"",
+        parts: Sequence[str] = (_SHARED_PART,),
         resumed: ClientResult | None = None,
     ) -> ClientResult:
         """Send one request, or ``resumed`` again; record and return its result."""
@@ -95,7 +106,7 @@
         counts = PROMPT_TOKENS + tokens if tokens else account.plain_tokens
         self._log.tokens[request_id] = counts
         headers = client_headers(
-            HOST, request_id, account.key, _REQUEST_TIMEOUT_S, tokens
+            HOST, request_id, account.key, _REQUEST_TIMEOUT_S, tokens, parts
         )
         headers[RELAY_HEADER] = relay.name
         first_attempt, events_before = "", 0
--- a/src/ebonydeal/_internal/soak/endpoints.py
+++ b/src/ebonydeal/_internal/soak/endpoints.py
@@ -38,6 +38,8 @@
 RELAY_HEADER = "X-Asked-Relay"
 # A request whose body has this prefix crashes the endpoint that runs it.
 FATAL_PREFIX = b"fatal"
+# No two bodies of requests with a fatal part are equal: a number follows this.
+BODY_NUMBER = "#"
 _EVENT_INTERVAL_S = 0.03
 _RUN_TIME_S = 0.02
 _SHUTDOWN_TIMEOUT_S = 0.1
@@ -248,7 +250,8 @@
 
     async def _crash(self, body: str, relay: str) -> None:
         """End like a killed process: reset connections and accept none."""
-        self._log.fatal_runs.append(FatalRun(body, self.name, relay, time.monotonic()))
+        cause = body.partition(BODY_NUMBER)[0]
+        self._log.fatal_runs.append(FatalRun(cause, self.name, relay, time.monotonic()))
         await asyncio.sleep(_RUN_TIME_S)
         if not self.crashed:
             self.crashed = True
--- a/src/ebonydeal/_internal/soak/plan.py
+++ b/src/ebonydeal/_internal/soak/plan.py
@@ -33,6 +33,7 @@
     STORE_RESTORED = "the store comes back from a copy"
     ENDPOINT_LINKS_CUT = "relays lose their links to all endpoints"
     SECOND_VERSION = "endpoints of a second version serve beside the others"
+    FATAL_PART = "a part of prompts crashes what runs it"
     ENDPOINT_OMITS_LENGTHS = "an endpoint's streams end with their connections"
 
 
@@ -109,6 +110,11 @@
     (Fault.ENDPOINT_OMITS_LENGTHS, 3.0, 1.0, 3.0),
 )
 _STREAM_SEED = 8_000_009
+# A part of prompts that crashes endpoints, as in `_SEPARATE_FAULTS`.
+_PART_FAULTS: tuple[tuple[Fault, float, float, float], ...] = (
+    (Fault.FATAL_PART, 8.0, 6.0, 9.0),
+)
+_PART_SEED = 9_000_011
 # No fault begins in the last seconds, so that running requests and faults can end.
 _QUIET_END_S = 3.0
 
@@ -142,6 +148,7 @@
             seconds,
         ),
         *_draw_separate(_STREAM_FAULTS, seed + _STREAM_SEED, seconds),
+        *_draw_separate(_PART_FAULTS, seed + _PART_SEED, seconds),
     ]
     return sorted([*steps, *separate])
 
--- a/src/ebonydeal/_internal/soak/plants.py
+++ b/src/ebonydeal/_internal/soak/plants.py
@@ -5,6 +5,7 @@
 from ebonydeal._internal.models.rollouts import Phase
 from ebonydeal._internal.soak.guarantees import Guarantees
 from ebonydeal._internal.soak.records import (
+    FATAL_PART_PREFIX,
     Announcement,
     Arrival,
     ClientResult,
@@ -119,6 +120,12 @@
     log.fatal_runs = [FatalRun("fatal", f"e{n}", "", at + 1.1 * n) for n in range(12)]
 
 
+def _part_keeps_crashing(log: Log, _guarantees: Guarantees) -> None:
+    at = log.runs[0].at
+    cause = f"{FATAL_PART_PREFIX}-1"
+    log.fatal_runs = [FatalRun(cause, f"e{n}", "", at + 1.1 * n) for n in range(14)]
+
+
 def _overexposed(log: Log, _guarantees: Guarantees) -> None:
     log.fault_periods.clear()
     at = log.runs[0].at
@@ -182,6 +189,7 @@
     "wrong-usage": (_wrong_usage, "usage"),
     "cut-by-stop": (_cut_by_stop, "planned stop"),
     "crashes-on": (_keeps_crashing, "crashes"),
+    "part-crashes-on": (_part_keeps_crashing, "crashes"),
     "exposed": (_overexposed, "exposure"),
     "turned-back": (_changed_verdict, "verdict"),
     "over-named-limit": (_over_announced_limit, "endpoint limit"),
--- a/src/ebonydeal/_internal/soak/records.py
+++ b/src/ebonydeal/_internal/soak/records.py
@@ -95,10 +95,16 @@
     at: float
 
 
+FATAL_PART_PREFIX = "fatal-part"
+
+
 class FatalRun(NamedTuple):
-    """A request that crashed the endpoint it reached; ``body`` identifies it."""
+    """A request that crashed the endpoint it reached.
+
+    ``cause`` is its body, or names the part of its prompt, with `FATAL_PART_PREFIX`.
+    """
 
-    body: str
+    cause: str
     endpoint: str
     relay: str
     at: float
--- a/src/ebonydeal/_internal/soak/run.py
+++ b/src/ebonydeal/_internal/soak/run.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Sequence
 from contextlib import AsyncExitStack
+from itertools import count
 from pathlib import Path
 from random import Random
 from shutil import copytree
@@ -24,6 +25,7 @@
 from ebonydeal._internal.soak.checks import check_all
 from ebonydeal._internal.soak.clients import HOST, Client
 from ebonydeal._internal.soak.endpoints import (
+    BODY_NUMBER,
     FATAL_PREFIX,
     SERVICE,
 )
@@ -41,6 +43,7 @@
 from ebonydeal._internal.soak.processes import RelayProcess
 from ebonydeal._internal.soak.proxy import LinkFault, Proxy
 from ebonydeal._internal.soak.records import (
+    FATAL_PART_PREFIX,
     Kind,
     LinkCutPeriod,
     Log,
@@ -277,6 +280,8 @@
                 await self._publish()
             case Fault.FATAL_REQUEST:
                 await self._repeat_fatal(step)
+            case Fault.FATAL_PART:
+                await self._send_fatal_part(step)
             case Fault.SUSPENSION:
                 await self._pause(relay, step)
             case Fault.ROLLOUT:
@@ -381,13 +386,36 @@
             client = Client(self.log, self._relays, Random(step.which))
             stack.push_async_callback(client.close)
             while time.monotonic() < end:
-                count = rng.choice((1, 1, 2, len(self._relays)))
-                relays = rng.sample(self._relays, count)
+                asked = rng.choice((1, 1, 2, len(self._relays)))
+                relays = rng.sample(self._relays, asked)
                 sending = client.send_to_all(body, kind, relays, _UNLIMITED.key)
                 task = asyncio.ensure_future(sending)
                 stack.push_async_callback(_wait_task, task)
                 await asyncio.sleep(_FATAL_INTERVAL_S)
 
+    async def _send_fatal_part(self, step: Step) -> None:
+        """Send different requests with a part that crashes endpoints."""
+        rng = Random(step.which)
+        part = f"{step.which:x}"
+        begin = time.monotonic()
+        async with AsyncExitStack() as stack:
+            client = Client(self.log, self._relays, Random(step.which))
+            stack.push_async_callback(client.close)
+            for number in count():
+                if time.monotonic() >= begin + step.seconds:
+                    break
+                cause = f"{FATAL_PART_PREFIX}-{step.which}"
+                sending = client.send_with_part(
+                    f"{cause}{BODY_NUMBER}{number}".encode(),
+                    rng.choice(_FATAL_KINDS),
+                    rng.choice(self._relays),
+                    _UNLIMITED.key,
+                    part,
+                )
+                task = asyncio.ensure_future(sending)
+                stack.push_async_callback(_wait_task, task)
+                await asyncio.sleep(_FATAL_INTERVAL_S)
+
 
 async def _wait_task(task: asyncio.Task[None]) -> None:
     await asyncio.gather(task, return_exceptions=True)
