--- a/src/ebonydeal/_internal/directory/crash_guard.py
+++ b/src/ebonydeal/_internal/directory/crash_guard.py
@@ -10,11 +10,9 @@
 from ebonydeal._internal.models.requests import Request
 from ebonydeal._internal.observe.counters import Event, Metrics
 from ebonydeal._internal.observe.logs import get_logger
-from ebonydeal._internal.routing.crashes.crash_evidence import (
-    CrashEvidence,
-    QuarantineStatus,
-)
+from ebonydeal._internal.routing.crashes.crash_evidence import CrashEvidence
 from ebonydeal._internal.routing.crashes.crash_messages import ObservedCrash
+from ebonydeal._internal.routing.crashes.quarantine import QuarantineStatus
 from ebonydeal._internal.routing.crashes.request_traits import RequestTraits
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.reachability import refuses_connections
--- a/src/ebonydeal/_internal/relay/crashes/suspects.py
+++ b/src/ebonydeal/_internal/relay/crashes/suspects.py
@@ -23,15 +23,15 @@
 from ebonydeal._internal.relay.peers.messages import CrashesMessage, ExchangeMessage
 from ebonydeal._internal.relay.requests.outcomes import MayHaveRun
 from ebonydeal._internal.routing.crashes.crash_attribution import CrashKey
-from ebonydeal._internal.routing.crashes.crash_evidence import (
-    CrashEvidence,
-    QuarantinedPartsKey,
-    QuarantineStatus,
-)
+from ebonydeal._internal.routing.crashes.crash_evidence import CrashEvidence
 from ebonydeal._internal.routing.crashes.crash_messages import (
     EvidenceMessage,
     ObservedCrash,
 )
+from ebonydeal._internal.routing.crashes.quarantine import (
+    QuarantinedPartsKey,
+    QuarantineStatus,
+)
 from ebonydeal._internal.routing.crashes.request_traits import RequestTraits
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.peerclient import PeerClient
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -78,10 +78,8 @@
 from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.relay.view.view_sync import ViewSync
 from ebonydeal._internal.routing.admission.early_refusal import EarlyRefusal
-from ebonydeal._internal.routing.crashes.crash_evidence import (
-    CrashEvidence,
-    QuarantineConfig,
-)
+from ebonydeal._internal.routing.crashes.crash_evidence import CrashEvidence
+from ebonydeal._internal.routing.crashes.quarantine import QuarantineConfig
 from ebonydeal._internal.routing.duties.coordinator_lease import CoordinatorLease
 from ebonydeal._internal.routing.duties.report_pacing import ReportPacing
 from ebonydeal._internal.routing.duties.usage_ledger import UsageLedger
--- a/src/ebonydeal/_internal/relay/requests/endpoint_chooser.py
+++ b/src/ebonydeal/_internal/relay/requests/endpoint_chooser.py
@@ -5,7 +5,7 @@
 
 from ebonydeal._internal.models.forwarding import EngineCapabilities, Member
 from ebonydeal._internal.relay.requests.job import Job, SendParts
-from ebonydeal._internal.routing.crashes.crash_evidence import QuarantineStatus
+from ebonydeal._internal.routing.crashes.quarantine import QuarantineStatus
 from ebonydeal._internal.routing.placement.endpoint_selector import SelectionRequest
 
 # Expected durations are right at the median only: a request may take this many times
--- a/src/ebonydeal/_internal/routing/crashes/crash_evidence.py
+++ b/src/ebonydeal/_internal/routing/crashes/crash_evidence.py
@@ -12,9 +12,7 @@
 """
 
 from collections.abc import Iterable, Mapping
-from enum import StrEnum
 from math import inf
-from typing import NamedTuple
 
 from xxhash import xxh3_64_hexdigest
 
@@ -31,8 +29,13 @@
     pack_traits,
     parse_evidence,
 )
+from ebonydeal._internal.routing.crashes.quarantine import (
+    QuarantineConfig,
+    QuarantinedPartsKey,
+    QuarantinedRequest,
+    QuarantineStatus,
+)
 from ebonydeal._internal.routing.crashes.request_traits import RequestTraits
-from ebonydeal._internal.settings.policy import PolicySettings
 
 # Relays see one crash within this of each other; an endpoint takes longer to start.
 _SAME_CRASH_WINDOW_S = 1.0
@@ -40,78 +43,21 @@
 _MAX_READ_DELAY_S = 1.0
 # Buffered data is read at once; a live stream has an event every few milliseconds.
 _MIN_ACTIVITY_SPAN_S = 0.3
-# Bounds of the memory: crashes, with 128 requests each, and successes; a megabyte at
-# worst. A request is remembered only if an endpoint crashed that had accepted it.
+# Bounds of the memory: crashes, with 128 requests each, and successes of requests and
+# of parts; some megabytes at worst. A request is remembered only if an endpoint crashed
+# that had accepted it.
 _MAX_CRASHES = 64
 _MAX_SUCCESSES = 2048
 # A later success is merged only if it is newer by at least this.
 _MIN_SUCCESS_ADVANCE_S = 1.0
 # A success clears crashes up to so many seconds after it: a popular request or part
 # comes many times a second, and one that crashes endpoints never succeeds.
-SUCCESS_CLEARS_S = 10.0
+_SUCCESS_CLEARS_S = 10.0
 # A part of one crash alone isn't near its threshold: other relays needn't hear of its
 # successes.
 _MIN_CRASHES_TO_REPORT_PART = 2
 
 
-class QuarantineStatus(StrEnum):
-    """Whether crashes are attributed to a request, or to a part of its prompt."""
-
-    CLEAR = "clear"
-    SUSPECT = "suspect"
-    QUARANTINED = "quarantined"
-
-
-class QuarantinedRequest(NamedTuple):
-    """A request that is refused, and the endpoints that it crashed."""
-
-    digest: str
-    endpoints: tuple[str, ...]
-
-
-class QuarantinedPartsKey(NamedTuple):
-    """Prompt parts, and the accounts whose requests with all of them are refused.
-
-    ``accounts`` is empty for all accounts.
-    """
-
-    parts: tuple[str, ...]
-    accounts: tuple[str, ...]
-
-
-class QuarantineConfig(NamedTuple):
-    """When a request is quarantined, and for how long.
-
-    Attributes
-    ----------
-    crash_threshold : int
-        Endpoints that a request may crash before it is refused; 0 is off, for parts
-        of prompts too.
-    retention_s : float
-        Seconds for which a crash is remembered.
-    part_crash_threshold : int
-        Endpoints that may crash under requests with one part of their prompts before
-        these are refused; 0 is off.
-    """
-
-    crash_threshold: int = 3
-    retention_s: float = 1800.0
-    part_crash_threshold: int = 4
-
-    @property
-    def fewest_crashes(self) -> int:
-        """Crashes from which on anything may be quarantined."""
-        thresholds = (self.crash_threshold, self.part_crash_threshold)
-        return min(threshold for threshold in thresholds if threshold)
-
-    @classmethod
-    def from_config(cls, cfg: PolicySettings) -> "QuarantineConfig":
-        """Build from settings."""
-        return cls(
-            cfg.quarantine_crashes, cfg.quarantine_s, cfg.quarantine_part_crashes
-        )
-
-
 class CrashEvidence:
     """Remembers crashes, and updates their attribution.
 
@@ -202,7 +148,7 @@
         cleared = [
             key
             for key in self._crashes_with(cause)
-            if self._crashes[key].at <= succeeded_at + SUCCESS_CLEARS_S
+            if self._crashes[key].at <= succeeded_at + _SUCCESS_CLEARS_S
             and cause not in self._crashes[key].cleared
         ]
         for key in cleared:
@@ -375,7 +321,7 @@
         """Return whether this relay alone knows that a part didn't cause crashes."""
         recent = self._recent_part_successes.get(part)
         return recent is not None and all(
-            self._crashes[key].at <= recent + SUCCESS_CLEARS_S for key in keys
+            self._crashes[key].at <= recent + _SUCCESS_CLEARS_S for key in keys
         )
 
     # --- exchange with other relays ----------------------------------------------
--- a/tests/unit/relay/requests/test_job_sends.py
+++ b/tests/unit/relay/requests/test_job_sends.py
@@ -25,7 +25,7 @@
 from ebonydeal._internal.relay.requests.outcomes import Answered, MayHaveRun
 from ebonydeal._internal.relay.requests.sends import JobSends
 from ebonydeal._internal.relay.view.view import RelayView
-from ebonydeal._internal.routing.crashes.crash_evidence import QuarantineStatus
+from ebonydeal._internal.routing.crashes.quarantine import QuarantineStatus
 from ebonydeal._internal.routing.notices.endpoint_notices import EndpointNotices
 from ebonydeal._internal.routing.placement.endpoint_selector import EndpointSelector
 from ebonydeal._internal.routing.placement.failure_rates import FailureRates
--- a/tests/unit/routing/crashes/test_crash_evidence.py
+++ b/tests/unit/routing/crashes/test_crash_evidence.py
@@ -7,12 +7,12 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from ebonydeal._internal.routing.crashes.crash_evidence import (
-    CrashEvidence,
+from ebonydeal._internal.routing.crashes.crash_evidence import CrashEvidence
+from ebonydeal._internal.routing.crashes.crash_messages import ObservedCrash
+from ebonydeal._internal.routing.crashes.quarantine import (
     QuarantineConfig,
     QuarantineStatus,
 )
-from ebonydeal._internal.routing.crashes.crash_messages import ObservedCrash
 from ebonydeal._internal.routing.crashes.request_traits import RequestTraits
 
 FATAL, OTHER = RequestTraits("fatal"), RequestTraits("other")
