Soak: new connections that mostly go to one relay, and their bound as a check

A hundred connections a second, nine of ten to one relay, for some seconds. From 3 s on it has to serve three quarters as often as the other relays in the same seconds. The comparison is that of relays whose links are cut, now shared.

--- a/src/ebonydeal/_internal/soak/clients.py
+++ b/src/ebonydeal/_internal/soak/clients.py
@@ -43,14 +43,19 @@
         Relays to send to.
     rng : random.Random
         Draws kinds, relays and pauses.
+    reuse : bool
+        Keep connections; False for a new one for each request.
     """
 
-    def __init__(self, log: Log, relays: list[RelayProcess], rng: Random) -> None:
+    def __init__(
+        self, log: Log, relays: list[RelayProcess], rng: Random, reuse: bool = True
+    ) -> None:
         self._log = log
         self._relays = relays
         self._rng = rng
         self._session = ClientSession(
-            connector=TCPConnector(limit=0), auto_decompress=False
+            connector=TCPConnector(limit=0, force_close=not reuse),
+            auto_decompress=False,
         )
         # A retry by the library would be a second request with the same id.
         self._session._retry_connection = False
--- a/src/ebonydeal/_internal/soak/plan.py
+++ b/src/ebonydeal/_internal/soak/plan.py
@@ -33,6 +33,7 @@
     STORE_RESTORED = "the store comes back from a copy"
     ENDPOINT_LINKS_CUT = "relays lose their links to all endpoints"
     SECOND_VERSION = "endpoints of a second version serve beside the others"
+    CROWD = "clients open most new connections to one relay"
     FATAL_PART = "a part of prompts crashes what runs it"
     ENDPOINT_OMITS_LENGTHS = "an endpoint's streams end with their connections"
 
@@ -110,9 +111,11 @@
     (Fault.ENDPOINT_OMITS_LENGTHS, 3.0, 1.0, 3.0),
 )
 _STREAM_SEED = 8_000_009
-# A part of prompts that crashes endpoints, as in `_SEPARATE_FAULTS`.
+# A part of prompts that crashes endpoints, and crowds at one relay that are longer than
+# the time after which the check counts requests, as in `_SEPARATE_FAULTS`.
 _PART_FAULTS: tuple[tuple[Fault, float, float, float], ...] = (
     (Fault.FATAL_PART, 8.0, 6.0, 9.0),
+    (Fault.CROWD, 5.0, 5.0, 7.0),
 )
 _PART_SEED = 9_000_011
 # No fault begins in the last seconds, so that running requests and faults can end.
--- a/src/ebonydeal/_internal/soak/plants.py
+++ b/src/ebonydeal/_internal/soak/plants.py
@@ -9,6 +9,7 @@
     Announcement,
     Arrival,
     ClientResult,
+    CrowdPeriod,
     FatalRun,
     FaultPeriod,
     Kind,
@@ -176,6 +177,12 @@
         log.results += [served, refused._replace(request_id="refused")]
 
 
+def _unserved_in_crowd(log: Log, guarantees: Guarantees) -> None:
+    _unserved_at_cut(log, guarantees)
+    log.link_cuts = []
+    log.crowds = [CrowdPeriod("cut", 1.0, 99.0)]
+
+
 PLANTS: dict[str, tuple[Callable[[Log, Guarantees], None], str]] = {
     "second-run": (_second_run, "run once"),
     "false-refusal": (_false_refusal, "refusal"),
@@ -196,4 +203,5 @@
     "in-a-rest": (_during_backoff, "rest"),
     "after-leaving": (_after_leaving, "leaving said"),
     "unserved-at-cut": (_unserved_at_cut, "cut links"),
+    "unserved-in-crowd": (_unserved_in_crowd, "crowded"),
 }
--- a/src/ebonydeal/_internal/soak/records.py
+++ b/src/ebonydeal/_internal/soak/records.py
@@ -167,6 +167,14 @@
     end: float
 
 
+class CrowdPeriod(NamedTuple):
+    """The time for which clients opened most of their new connections to one relay."""
+
+    relay: str
+    begin: float
+    end: float
+
+
 class FaultPeriod(NamedTuple):
     """The duration of an injected fault; an empty ``relay`` stands for all relays."""
 
@@ -196,6 +204,7 @@
     arrivals: list[Arrival] = field(default_factory=list)
     announcements: list[Announcement] = field(default_factory=list)
     link_cuts: list[LinkCutPeriod] = field(default_factory=list)
+    crowds: list[CrowdPeriod] = field(default_factory=list)
 
     @asynccontextmanager
     async def fault(self, kind: str, relay: str) -> AsyncIterator[None]:
--- a/src/ebonydeal/_internal/soak/run.py
+++ b/src/ebonydeal/_internal/soak/run.py
@@ -10,7 +10,7 @@
 from random import Random
 from shutil import copytree
 from tempfile import TemporaryDirectory
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from ebonydeal._internal.models.forwarding import Repeat
 from ebonydeal._internal.platform.rows import (
@@ -44,6 +44,7 @@
 from ebonydeal._internal.soak.proxy import LinkFault, Proxy
 from ebonydeal._internal.soak.records import (
     FATAL_PART_PREFIX,
+    CrowdPeriod,
     Kind,
     LinkCutPeriod,
     Log,
@@ -90,6 +91,9 @@
 _ENTRY_INTERVAL_S = 0.2
 # A crashing request is sent four times a second.
 _FATAL_INTERVAL_S = 0.25
+# Several times what the other clients send to one relay.
+_CROWD_INTERVAL_S = 0.01
+_CROWD_SHARE = 0.9
 _FATAL_KINDS = (Kind.IDEMPOTENT, Kind.RESUMABLE_STREAM, Kind.STREAM, Kind.AT_MOST_ONCE)
 
 
@@ -282,6 +286,8 @@
                 await self._repeat_fatal(step)
             case Fault.FATAL_PART:
                 await self._send_fatal_part(step)
+            case Fault.CROWD:
+                await self._crowd(relay, step)
             case Fault.SUSPENSION:
                 await self._pause(relay, step)
             case Fault.ROLLOUT:
@@ -393,6 +399,24 @@
                 stack.push_async_callback(_wait_task, task)
                 await asyncio.sleep(_FATAL_INTERVAL_S)
 
+    async def _crowd(self, relay: RelayProcess, step: Step) -> None:
+        """Send requests on new connections, nine of ten to one relay."""
+        rng = Random(step.which)
+        begin = time.monotonic()
+        async with AsyncExitStack() as stack:
+            client = Client(self.log, self._relays, rng, reuse=False)
+            stack.push_async_callback(client.close)
+            while time.monotonic() < begin + step.seconds:
+                crowded = rng.random() < _CROWD_SHARE
+                asked = relay if crowded else rng.choice(self._relays)
+                sending = client.send(Kind.IDEMPOTENT, asked, _UNLIMITED)
+                task = asyncio.ensure_future(sending)
+                stack.push_async_callback(_wait_task, task)
+                await asyncio.sleep(_CROWD_INTERVAL_S)
+        self.log.crowds.append(
+            CrowdPeriod(relay.name, begin, begin + step.seconds),
+        )
+
     async def _send_fatal_part(self, step: Step) -> None:
         """Send different requests with a part that crashes endpoints."""
         rng = Random(step.which)
@@ -417,7 +441,7 @@
                 await asyncio.sleep(_FATAL_INTERVAL_S)
 
 
-async def _wait_task(task: asyncio.Task[None]) -> None:
+async def _wait_task(task: asyncio.Task[Any]) -> None:
     await asyncio.gather(task, return_exceptions=True)
 
 
