Soak: count requests at a cut-off relay only while another one can serve them

By their logs the only relay with links had been killed in that very second, so nobody could pass their requests on, and the refusals were true. Requests during which all other relays had a fault aren't counted; a test has both cases.

--- a/src/ebonydeal/_internal/soak/checks.py
+++ b/src/ebonydeal/_internal/soak/checks.py
@@ -432,11 +432,21 @@
 
 
 def served_while_links_are_cut(log: Log, guarantees: Guarantees) -> Iterable[Violation]:
-    """Relays without links to endpoints serve their clients like the others."""
+    """Relays without links to endpoints serve their clients like the others.
+
+    That takes another relay that has its links, and no fault.
+    """
+    relays = {result.relay for result in log.results}
     for cut in log.link_cuts:
         since = cut.begin + guarantees.contact_s
         served = _served_like_others(
-            log, guarantees, cut.relays, since, cut.end, _MIN_CUT_SERVED_RATIO
+            log,
+            guarantees,
+            cut.relays,
+            since,
+            cut.end,
+            _MIN_CUT_SERVED_RATIO,
+            needed=relays - set(cut.relays),
         )
         if served is not None:
             detail = f"{', '.join(cut.relays)} cut from the endpoints: {served}"
@@ -462,12 +472,14 @@
     since: float,
     end: float,
     min_ratio: float,
+    needed: Collection[str] = (),
 ) -> str | None:
     """Return how many requests relays served, if too few; None otherwise.
 
     They are compared with others in the same seconds, since endpoints crash and return
     meanwhile. Relays with another fault aren't counted, nor requests that may be
-    refused. ``min_ratio`` is the least share of what the others serve.
+    refused. ``min_ratio`` is the least share of what the others serve. Requests during
+    which all ``needed`` relays had a fault aren't counted either.
     """
     observed: dict[int, list[bool]] = defaultdict(list)
     others: dict[int, list[bool]] = defaultdict(list)
@@ -479,6 +491,10 @@
             and not had_fault(
                 log, result.relay, result.sent - guarantees.contact_s, result.ended
             )
+            and not (
+                needed
+                and all(had_fault(log, r, result.sent, result.ended) for r in needed)
+            )
         ):
             group = observed if result.relay in relays else others
             group[int(result.sent - since)].append(_is_served(result))
--- a/tests/functional/soak/test_soak.py
+++ b/tests/functional/soak/test_soak.py
@@ -32,6 +32,15 @@
         assert verdict["violations"] == []
         assert code == 0
 
+    def test_a_faulty_version_is_bounded_beside_a_crowd_and_crashes(self):
+        # Most requests come to one relay while old endpoints crash amid a roll-out.
+        code, (verdict,) = run_soak(
+            *("--seed", "822", "--seconds", "14", "--relays", "3"),
+            *("--endpoints", "4", "--clients", "12"),
+        )
+        assert verdict["violations"] == []
+        assert code == 0
+
     def test_seeds_that_once_failed_pass(self):
         code, verdicts = run_soak("--regressions")
         assert {v["seed"] for v in verdicts} == set(REGRESSIONS)
--- a/tests/unit/soak/test_checks.py
+++ b/tests/unit/soak/test_checks.py
@@ -12,6 +12,7 @@
     planned_stops_interrupt_no_requests,
     refused_requests_never_run,
     runs_at_most_once,
+    served_while_links_are_cut,
     usage_exact,
 )
 from ebonydeal._internal.soak.guarantees import Guarantees, Limit
@@ -20,6 +21,7 @@
     ClientResult,
     FaultPeriod,
     Kind,
+    LinkCutPeriod,
     ListedLeaving,
     Log,
     PublishedConfig,
@@ -220,3 +222,26 @@
 
     def test_a_request_interrupted_during_another_fault_is_excused(self):
         assert self.interrupt(FaultPeriod("crash", "", 10.0, 12.0)) == []
+
+
+class TestCutLinks:
+    """One relay is cut from the endpoints, the only other one has its links."""
+
+    def log(self):
+        found = Log()
+        found.link_cuts = [LinkCutPeriod(("n1",), 0.0, 9.0)]
+        for number in range(20):
+            served = make_result(f"s{number}", Kind.IDEMPOTENT, 4.0 + 0.01 * number)
+            refused = make_result(
+                f"r{number}", Kind.IDEMPOTENT, 4.5 + 0.01 * number, status=503
+            )
+            found.results += [served._replace(relay="n2"), refused]
+        return found
+
+    def test_unserved_requests_are_a_violation_while_the_other_relay_is_well(self):
+        assert list(served_while_links_are_cut(self.log(), GUARANTEES))
+
+    def test_they_arent_once_the_other_relay_is_killed(self):
+        found = self.log()
+        found.fault_periods = [FaultPeriod("kill", "n2", 4.4, 8.0)]
+        assert not list(served_while_links_are_cut(found, GUARANTEES))
