Attribute crashes and bound responses with less repeated work

- From how many crashes on anything is quarantined was worked out twice, once so that two thresholds of zero would have raised.
- Parts of requests were collected beside the method that does so.
- What no crash needs any more was searched for at each crash dropped, now once for each report.
- The largest combinations of parts are found in order of size, not by comparing all with all.

--- a/src/ebonydeal/_internal/outside/http.py
+++ b/src/ebonydeal/_internal/outside/http.py
@@ -181,7 +181,7 @@
     ) -> Reply:
         """Send a request and return the complete response, whatever its status."""
         async with self.open(method, url, kinds, timeout=timeout, **options) as resp:
-            body = await _read_body(resp, url, kinds)
+            body = await read_bounded(resp, _MAX_RESPONSE_BYTES)
             _check_end(resp, body, kinds)
             return Reply(resp.status, resp.headers, resp.content_type, body)
 
@@ -194,16 +194,6 @@
             await self._sessions.close()
 
 
-async def _read_body(
-    resp: ClientResponse, url: str | URL, kinds: FailureKinds
-) -> bytes:
-    """Return the body; refuses one that would exhaust the memory."""
-    try:
-        return await read_bounded(resp, _MAX_RESPONSE_BYTES)
-    except EndlessAnswerError as exc:
-        raise EbonydealError(kinds.garbage, f"response of {url}: {exc}") from exc
-
-
 def _check_end(resp: ClientResponse, body: bytes, kinds: FailureKinds) -> None:
     """Raise if a response that ends only with its connection is incomplete."""
     headers = resp.headers
@@ -220,7 +210,9 @@
     """Return the error of a call that got no complete response."""
     if isinstance(exc, (ClientConnectorError, ConnectionTimeoutError, InvalidURL)):
         return EbonydealError(kinds.not_sent, f"can't connect to {url}")
-    if isinstance(exc, ClientResponseError | EndlessAnswerError):
+    if isinstance(exc, EndlessAnswerError):
+        return EbonydealError(kinds.garbage, f"response of {url}: {exc}")
+    if isinstance(exc, ClientResponseError):
         return EbonydealError(kinds.garbage, f"response of {url} is not HTTP")
     reason = type(exc).__name__
     return EbonydealError(kinds.lost, f"no complete response from {url} ({reason})")
--- a/src/ebonydeal/_internal/routing/crashes/common_parts.py
+++ b/src/ebonydeal/_internal/routing/crashes/common_parts.py
@@ -56,13 +56,13 @@
 
 def _largest(combinations: set[frozenset[str]]) -> set[frozenset[str]]:
     """Return, up to a bound, the combinations that no other one contains."""
-    largest = [
-        one
-        for one in combinations
-        if one and not any(one < other for other in combinations)
-    ]
-    largest.sort(key=lambda one: (-len(one), sorted(one)))
-    return set(largest[:_MAX_COMBINATIONS])
+    largest: set[frozenset[str]] = set()
+    for one in sorted(combinations, key=lambda one: (-len(one), sorted(one))):
+        if one and not any(one < other for other in largest):
+            largest.add(one)
+        if len(largest) == _MAX_COMBINATIONS:
+            break
+    return largest
 
 
 def common_accounts(
--- a/src/ebonydeal/_internal/routing/crashes/crash_attribution.py
+++ b/src/ebonydeal/_internal/routing/crashes/crash_attribution.py
@@ -108,7 +108,12 @@
 
     quarantined: dict[str, frozenset[CrashKey]]
     suspected: dict[str, frozenset[CrashKey]]
-    quarantined_parts: tuple[QuarantinedParts[CrashKey], ...] = ()
+    quarantined_parts: tuple[QuarantinedParts[CrashKey], ...]
+
+
+def fewest_crashes(threshold: int, part_threshold: int) -> float:
+    """Return from how many crashes on anything may be quarantined; 0 is off."""
+    return min(t for t in (threshold, part_threshold, inf) if t)
 
 
 _Candidates = dict[str, frozenset[CrashKey]]
@@ -154,7 +159,7 @@
         # Those of a request in order of zone and time, those of a part by time.
         self._crashes_with = self._index()
         # What may reach a threshold; most requests are in one crash.
-        fewest = min(t for t in (threshold, part_threshold, inf) if t)
+        fewest = fewest_crashes(threshold, part_threshold)
         self._frequent = [
             cause for cause, keys in self._crashes_with.items() if len(keys) >= fewest
         ]
--- a/src/ebonydeal/_internal/routing/crashes/crash_evidence.py
+++ b/src/ebonydeal/_internal/routing/crashes/crash_evidence.py
@@ -21,6 +21,7 @@
     Crash,
     CrashAttributor,
     CrashKey,
+    fewest_crashes,
 )
 from ebonydeal._internal.routing.crashes.crash_messages import (
     CrashMessage,
@@ -98,6 +99,7 @@
             return None
         key = self._add_crash(observed, requests)
         if key is not None:
+            self._drop_unused()
             self._update_attribution()
         return key
 
@@ -128,10 +130,9 @@
 
     def _apply_successes(self, digests: Iterable[str]) -> None:
         """Clear requests in a new crash, and their parts, for earlier successes."""
-        parts = {part for digest in digests for part in self._traits[digest].parts}
         for digest in digests:
             self._apply_success(digest, self._recent_successes.get(digest))
-        for part in parts:
+        for part in self._parts_of(digests):
             if len(self._crashes_with(part)) >= _MIN_CRASHES_TO_REPORT_PART:
                 self._apply_success(part, self._recent_part_successes.get(part))
 
@@ -189,7 +190,8 @@
             self._clear(cause, at)
         if not self._unreported:
             return False
-        if crashes >= self._config.fewest_crashes:
+        cfg = self._config
+        if crashes >= fewest_crashes(cfg.crash_threshold, cfg.part_crash_threshold):
             self._update_attribution()
         else:
             self.fingerprint = self._compute_fingerprint()
@@ -256,7 +258,6 @@
             )
             unused = [key for key in known if key not in in_use]
             del self._crashes[(unused or known)[0]]
-            self._drop_unused()
 
     # --- attribution -----------------------------------------------------------
     def status(self, traits: RequestTraits) -> QuarantineStatus:
--- a/src/ebonydeal/_internal/routing/crashes/quarantine.py
+++ b/src/ebonydeal/_internal/routing/crashes/quarantine.py
@@ -50,12 +50,6 @@
     retention_s: float = 1800.0
     part_crash_threshold: int = 4
 
-    @property
-    def fewest_crashes(self) -> int:
-        """Crashes from which on anything may be quarantined."""
-        thresholds = (self.crash_threshold, self.part_crash_threshold)
-        return min(threshold for threshold in thresholds if threshold)
-
     @classmethod
     def from_config(cls, cfg: PolicySettings) -> "QuarantineConfig":
         """Build from settings."""
