Soak: one loop for requests that are sent again and again

A crashing request, a part of prompts that crashes endpoints and a crowd each had the same loop with its client and tasks. A method that only called another one goes.

--- a/src/ebonydeal/_internal/soak/clients.py
+++ b/src/ebonydeal/_internal/soak/clients.py
@@ -26,7 +26,7 @@
 # Events name their number, and the software version of their endpoint.
 _EVENT = re.compile(rb"(?:^|\n)id: (\d+)\ndata: ([^\n]*)\n(?=\n)")
 # The part with which all prompts begin.
-_SHARED_PART = "5a"
+SHARED_PART = "5a"
 # Times that a client comes back for the rest of one stream.
 _MAX_RESUMES = 2
 _KINDS = (Kind.IDEMPOTENT, Kind.AT_MOST_ONCE, Kind.STREAM, Kind.RESUMABLE_STREAM)
@@ -87,13 +87,6 @@
             *(self.send(kind, relay, account, body=body) for relay in relays)
         )
 
-    async def send_with_part(
-        self, body: bytes, kind: Kind, relay: RelayProcess, key: str, part: str
-    ) -> None:
-        """Send a body with a part of the prompt between shared and own ones."""
-        parts = (_SHARED_PART, part)
-        await self.send(kind, relay, AccountSpec("", key), body=body, parts=parts)
-
     async def send(
         self,
         kind: Kind,
@@ -101,7 +94,7 @@
         account: AccountSpec,
         version: int = 0,
         body: bytes = b"",
-        parts: Sequence[str] = (_SHARED_PART,),
+        parts: Sequence[str] = (SHARED_PART,),
         resumed: ClientResult | None = None,
     ) -> ClientResult:
         """Send one request, or ``resumed`` again; record and return its result."""
--- a/src/ebonydeal/_internal/soak/run.py
+++ b/src/ebonydeal/_internal/soak/run.py
@@ -3,7 +3,7 @@
 import asyncio
 import signal
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from contextlib import AsyncExitStack
 from itertools import count
 from pathlib import Path
@@ -23,7 +23,7 @@
     config_document,
 )
 from ebonydeal._internal.soak.checks import check_all
-from ebonydeal._internal.soak.clients import HOST, Client
+from ebonydeal._internal.soak.clients import HOST, SHARED_PART, Client
 from ebonydeal._internal.soak.endpoints import (
     BODY_NUMBER,
     FATAL_PREFIX,
@@ -387,58 +387,60 @@
         rng = Random(step.which)
         kind = rng.choice(_FATAL_KINDS)
         body = FATAL_PREFIX + f"-{step.which}".encode()
-        end = time.monotonic() + step.seconds
-        async with AsyncExitStack() as stack:
-            client = Client(self.log, self._relays, Random(step.which))
-            stack.push_async_callback(client.close)
-            while time.monotonic() < end:
-                asked = rng.choice((1, 1, 2, len(self._relays)))
-                relays = rng.sample(self._relays, asked)
-                sending = client.send_to_all(body, kind, relays, _UNLIMITED.key)
-                task = asyncio.ensure_future(sending)
-                stack.push_async_callback(_wait_task, task)
-                await asyncio.sleep(_FATAL_INTERVAL_S)
 
-    async def _crowd(self, relay: RelayProcess, step: Step) -> None:
-        """Send requests on new connections, nine of ten to one relay."""
-        rng = Random(step.which)
-        begin = time.monotonic()
-        async with AsyncExitStack() as stack:
-            client = Client(self.log, self._relays, rng, reuse=False)
-            stack.push_async_callback(client.close)
-            while time.monotonic() < begin + step.seconds:
-                crowded = rng.random() < _CROWD_SHARE
-                asked = relay if crowded else rng.choice(self._relays)
-                sending = client.send(Kind.IDEMPOTENT, asked, _UNLIMITED)
-                task = asyncio.ensure_future(sending)
-                stack.push_async_callback(_wait_task, task)
-                await asyncio.sleep(_CROWD_INTERVAL_S)
-        self.log.crowds.append(
-            CrowdPeriod(relay.name, begin, begin + step.seconds),
-        )
+        def send(client: Client, _number: int) -> Coroutine[Any, Any, Any]:
+            asked = rng.choice((1, 1, 2, len(self._relays)))
+            relays = rng.sample(self._relays, asked)
+            return client.send_to_all(body, kind, relays, _UNLIMITED.key)
+
+        client = Client(self.log, self._relays, Random(step.which))
+        await _send_repeatedly(client, send, step.seconds, _FATAL_INTERVAL_S)
 
     async def _send_fatal_part(self, step: Step) -> None:
         """Send different requests with a part that crashes endpoints."""
         rng = Random(step.which)
-        part = f"{step.which:x}"
+        parts = (SHARED_PART, f"{step.which:x}")
+        cause = f"{FATAL_PART_PREFIX}-{step.which}"
+
+        def send(client: Client, number: int) -> Coroutine[Any, Any, Any]:
+            body = f"{cause}{BODY_NUMBER}{number}".encode()
+            kind, relay = rng.choice(_FATAL_KINDS), rng.choice(self._relays)
+            return client.send(kind, relay, _UNLIMITED, body=body, parts=parts)
+
+        client = Client(self.log, self._relays, Random(step.which))
+        await _send_repeatedly(client, send, step.seconds, _FATAL_INTERVAL_S)
+
+    async def _crowd(self, relay: RelayProcess, step: Step) -> None:
+        """Send requests on new connections, nine of ten to one relay."""
+        rng = Random(step.which)
         begin = time.monotonic()
-        async with AsyncExitStack() as stack:
-            client = Client(self.log, self._relays, Random(step.which))
-            stack.push_async_callback(client.close)
-            for number in count():
-                if time.monotonic() >= begin + step.seconds:
-                    break
-                cause = f"{FATAL_PART_PREFIX}-{step.which}"
-                sending = client.send_with_part(
-                    f"{cause}{BODY_NUMBER}{number}".encode(),
-                    rng.choice(_FATAL_KINDS),
-                    rng.choice(self._relays),
-                    _UNLIMITED.key,
-                    part,
-                )
-                task = asyncio.ensure_future(sending)
-                stack.push_async_callback(_wait_task, task)
-                await asyncio.sleep(_FATAL_INTERVAL_S)
+
+        def send(client: Client, _number: int) -> Coroutine[Any, Any, Any]:
+            crowded = rng.random() < _CROWD_SHARE
+            asked = relay if crowded else rng.choice(self._relays)
+            return client.send(Kind.IDEMPOTENT, asked, _UNLIMITED)
+
+        client = Client(self.log, self._relays, rng, reuse=False)
+        await _send_repeatedly(client, send, step.seconds, _CROWD_INTERVAL_S)
+        self.log.crowds.append(CrowdPeriod(relay.name, begin, begin + step.seconds))
+
+
+async def _send_repeatedly(
+    client: Client,
+    send: Callable[[Client, int], Coroutine[Any, Any, Any]],
+    seconds: float,
+    interval_s: float,
+) -> None:
+    """Call ``send`` at an interval; wait for all calls, and close the client."""
+    end = time.monotonic() + seconds
+    async with AsyncExitStack() as stack:
+        stack.push_async_callback(client.close)
+        for number in count():
+            if time.monotonic() >= end:
+                return
+            task = asyncio.ensure_future(send(client, number))
+            stack.push_async_callback(_wait_task, task)
+            await asyncio.sleep(interval_s)
 
 
 async def _wait_task(task: asyncio.Task[Any]) -> None:
