--- a/tests/unit/soak/test_checks.py
+++ b/tests/unit/soak/test_checks.py
@@ -12,7 +12,6 @@
     planned_stops_interrupt_no_requests,
     refused_requests_never_run,
     runs_at_most_once,
-    served_while_links_are_cut,
     usage_exact,
 )
 from ebonydeal._internal.soak.guarantees import Guarantees, Limit
@@ -29,6 +28,7 @@
     UsageReport,
     event_count,
 )
+from ebonydeal._internal.soak.served_checks import served_while_links_are_cut
 
 GUARANTEES = Guarantees(
     drain_s=2.0,
