Give the key of a crash a module, so that quarantined parts need no type parameter

The parts' module couldn't import the key from the attribution that imports the parts, and was generic in it instead. The key's name and fields, which relays compare, stay.

--- a/src/ebonydeal/_internal/relay/crashes/suspects.py
+++ b/src/ebonydeal/_internal/relay/crashes/suspects.py
@@ -22,8 +22,8 @@
 from ebonydeal._internal.relay.peers.call_budget import CallBudget
 from ebonydeal._internal.relay.peers.messages import CrashesMessage, ExchangeMessage
 from ebonydeal._internal.relay.requests.outcomes import MayHaveRun
-from ebonydeal._internal.routing.crashes.crash_attribution import CrashKey
 from ebonydeal._internal.routing.crashes.crash_evidence import CrashEvidence
+from ebonydeal._internal.routing.crashes.crash_key import CrashKey
 from ebonydeal._internal.routing.crashes.crash_messages import (
     EvidenceMessage,
     ObservedCrash,
--- a/src/ebonydeal/_internal/routing/crashes/common_parts.py
+++ b/src/ebonydeal/_internal/routing/crashes/common_parts.py
@@ -1,17 +1,16 @@
 """Prompt parts that requests in flight in several crashes have in common."""
 
 from collections.abc import Iterable, Sequence
-from typing import Generic, NamedTuple, TypeVar
+from typing import NamedTuple
 
+from ebonydeal._internal.routing.crashes.crash_key import CrashKey
 from ebonydeal._internal.routing.crashes.request_traits import RequestTraits
 
 # Different combinations of parts that are told apart.
 _MAX_COMBINATIONS = 16
 
-_Key = TypeVar("_Key")
 
-
-class QuarantinedParts(NamedTuple, Generic[_Key]):
+class QuarantinedParts(NamedTuple):
     """Prompt parts under which endpoints crashed.
 
     Attributes
@@ -20,13 +19,13 @@
         Digests; requests that have all of them are refused.
     accounts : frozenset of str
         Client accounts whose requests are refused; empty for all accounts.
-    crashes : frozenset
-        Keys of the crashes.
+    crashes : frozenset of CrashKey
+        The crashes.
     """
 
     parts: frozenset[str]
     accounts: frozenset[str]
-    crashes: frozenset[_Key]
+    crashes: frozenset[CrashKey]
 
     def matches(self, traits: RequestTraits) -> bool:
         """Return whether a request is refused for these parts."""
--- a/src/ebonydeal/_internal/routing/crashes/crash_attribution.py
+++ b/src/ebonydeal/_internal/routing/crashes/crash_attribution.py
@@ -28,6 +28,7 @@
     common_accounts,
     common_parts,
 )
+from ebonydeal._internal.routing.crashes.crash_key import CrashKey
 from ebonydeal._internal.routing.crashes.request_traits import RequestTraits
 
 # From this number of crashes on, requests that were in flight in the same crashes are
@@ -41,19 +42,6 @@
 _MAX_REQUESTS_PER_CRASH = 128
 
 
-class CrashKey(NamedTuple):
-    """Identifies a crash by the endpoint's incarnation (``born``), and by its number.
-
-    Endpoints that don't report when they started always have the same ``born``, so only
-    the number distinguishes their crashes. The names of the class and its fields are
-    part of the fingerprint that relays compare.
-    """
-
-    endpoint_id: str
-    born: int
-    number: int = 0
-
-
 @dataclass
 class Crash:
     """A remembered crash.
@@ -108,7 +96,7 @@
 
     quarantined: dict[str, frozenset[CrashKey]]
     suspected: dict[str, frozenset[CrashKey]]
-    quarantined_parts: tuple[QuarantinedParts[CrashKey], ...]
+    quarantined_parts: tuple[QuarantinedParts, ...]
 
 
 def fewest_crashes(threshold: int, part_threshold: int) -> float:
@@ -168,7 +156,7 @@
     def attribute(self) -> Attribution:
         """Return the crashes attributed to each request and each part."""
         quarantined: _Candidates = {}
-        quarantined_parts: list[QuarantinedParts[CrashKey]] = []
+        quarantined_parts: list[QuarantinedParts] = []
         attributed: frozenset[CrashKey] = frozenset()
         while True:
             candidates = self._candidates(attributed)
@@ -324,7 +312,7 @@
 
     def _quarantine_parts(
         self, parts: set[str], candidates: _Candidates
-    ) -> list[QuarantinedParts[CrashKey]]:
+    ) -> list[QuarantinedParts]:
         """Return the quarantine of parts that were in flight in the same crashes.
 
         Requests that had all of them are affected, since any of these may be the cause.
--- a/src/ebonydeal/_internal/routing/crashes/crash_evidence.py
+++ b/src/ebonydeal/_internal/routing/crashes/crash_evidence.py
@@ -20,9 +20,9 @@
 from ebonydeal._internal.routing.crashes.crash_attribution import (
     Crash,
     CrashAttributor,
-    CrashKey,
     fewest_crashes,
 )
+from ebonydeal._internal.routing.crashes.crash_key import CrashKey
 from ebonydeal._internal.routing.crashes.crash_messages import (
     CrashMessage,
     EvidenceMessage,
@@ -84,7 +84,7 @@
         # Crashes attributed to each request, by digest, and to each part.
         self._suspected: dict[str, frozenset[CrashKey]] = {}
         self._quarantined: dict[str, frozenset[CrashKey]] = {}
-        self._quarantined_parts: tuple[QuarantinedParts[CrashKey], ...] = ()
+        self._quarantined_parts: tuple[QuarantinedParts, ...] = ()
         self.fingerprint = ""
         # When the last crash was, monotonic seconds.
         self.last_crash = -inf
@@ -268,9 +268,7 @@
             return QuarantineStatus.SUSPECT
         return QuarantineStatus.CLEAR
 
-    def quarantining_parts(
-        self, traits: RequestTraits
-    ) -> QuarantinedParts[CrashKey] | None:
+    def quarantining_parts(self, traits: RequestTraits) -> QuarantinedParts | None:
         """Return the quarantined parts for which a request is refused, or None."""
         for found in self._quarantined_parts:
             if found.matches(traits):
