--- a/tests/functional/relay/test_crashing_prompt_part.py
+++ b/tests/functional/relay/test_crashing_prompt_part.py
@@ -14,6 +14,8 @@
     PartCrashingEndpoint,
     ask_model,
     cluster,
+    lose_coordinator,
+    started,
 )
 from tests.lib.relay_fakes import MemoryStore, relay, until
 
@@ -136,14 +138,10 @@
             await all_refuse(relays)
             before = fleet.crashed
             late = relay(fleet.store, node="late", seed=9, settle_s=0.0)
-            await late.start()
-            try:
-                await until(lambda: late.ready)
+            async with started(late):
                 await all_refuse([late])
                 answer = await ask_model(late, "/once/x", "l", SHARED, FATAL_PART)
                 assert answer[0] == 500
-            finally:
-                await late.stop()
             assert fleet.crashed == before
 
     async def test_relays_agree_while_the_store_is_down(self):
@@ -161,10 +159,7 @@
     async def test_relays_agree_when_the_coordinator_is_lost_at_the_last_crash(self):
         async with cluster(make=PartCrashingEndpoint) as (relays, fleet):
             await crash(relays, fleet)
-            holder = next(r for r in relays if r.coordinator.lease.is_mine)
-            others = [r for r in relays if r is not holder]
-            await holder.peers.stop()
-            await all_refuse(others)
+            await all_refuse(await lose_coordinator(relays))
 
     async def test_the_quarantine_survives_the_loss_of_all_relays(self):
         store = MemoryStore()
--- a/tests/functional/relay/test_crashing_request.py
+++ b/tests/functional/relay/test_crashing_request.py
@@ -15,7 +15,7 @@
 
 import asyncio
 import json
-from contextlib import asynccontextmanager, suppress
+from contextlib import suppress
 from zlib import decompress
 
 import pytest
@@ -24,7 +24,14 @@
 from ebonydeal._internal.commands.quarantine import quarantine_command
 from ebonydeal._internal.commands.relay_client import fetch_from_relay
 from ebonydeal._internal.routing.crashes.request_traits import RequestTraits
-from tests.lib.crashing import FATAL, CrashingEndpoint, cluster, repeat
+from tests.lib.crashing import (
+    FATAL,
+    CrashingEndpoint,
+    cluster,
+    lose_coordinator,
+    repeat,
+    started,
+)
 from tests.lib.relay_fakes import KEY, MemoryStore, ask, relay, until
 
 # The contact time is 3 s and more: all relays must know well before that.
@@ -133,10 +140,7 @@
     async def test_relays_agree_when_the_coordinator_is_lost_at_the_third_crash(self):
         async with cluster() as (relays, fleet):
             await crash_three(relays, fleet)
-            holder = next(r for r in relays if r.coordinator.lease.is_mine)
-            others = [r for r in relays if r is not holder]
-            await holder.peers.stop()
-            await all_quarantine(others)
+            await all_quarantine(await lose_coordinator(relays))
 
     async def test_relays_agree_while_the_store_is_down(self):
         async with cluster() as (relays, fleet):
@@ -310,13 +314,3 @@
 def sees_leaving(program, endpoints):
     members = program.view.members
     return all(members[e.name].leaving for e in endpoints)
-
-
-@asynccontextmanager
-async def started(program):
-    await program.start()
-    await until(lambda: program.ready)
-    try:
-        yield
-    finally:
-        await program.stop()
--- a/tests/lib/crashing.py
+++ b/tests/lib/crashing.py
@@ -154,6 +154,24 @@
         await fleet.stop()
 
 
+@asynccontextmanager
+async def started(program):
+    """Run a relay that starts later than the others."""
+    await program.start()
+    await until(lambda: program.ready)
+    try:
+        yield
+    finally:
+        await program.stop()
+
+
+async def lose_coordinator(relays):
+    """Cut the coordinator off from the other relays; return these."""
+    holder = next(r for r in relays if r.coordinator.lease.is_mine)
+    await holder.peers.stop()
+    return [r for r in relays if r is not holder]
+
+
 def knows_relays(program, relays):
     """Return whether a relay knows so many relays."""
     return len(program._exchange.relays) >= relays
--- a/tests/unit/routing/crashes/test_crash_evidence.py
+++ b/tests/unit/routing/crashes/test_crash_evidence.py
@@ -1,7 +1,5 @@
 """To which requests crashes are attributed, and to which they aren't."""
 
-from random import Random
-
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -14,6 +12,7 @@
     QuarantineStatus,
 )
 from ebonydeal._internal.routing.crashes.request_traits import RequestTraits
+from tests.unit.routing.crashes.exchange import merge_all
 
 FATAL, OTHER = RequestTraits("fatal"), RequestTraits("other")
 
@@ -294,12 +293,7 @@
 
     @invariant()
     def all_agree_after_a_full_exchange(self):
-        merged = [evidence() for _ in self.relays]
-        for number, relay in enumerate(merged):
-            order = list(self.relays)
-            Random(number).shuffle(order)
-            for other in order:
-                relay.merge(other.to_message(self.now), self.now)
+        merged = merge_all(self.relays, evidence, self.now)
         assert len({relay.fingerprint for relay in merged}) == 1
         assert len({relay.status(FATAL) for relay in merged}) == 1
         if self.crashes >= 4:
--- a/tests/unit/routing/crashes/test_prompt_parts.py
+++ b/tests/unit/routing/crashes/test_prompt_parts.py
@@ -1,7 +1,6 @@
 """Prompt parts that crash endpoints, in requests of which no two are equal."""
 
 from itertools import count
-from random import Random
 
 import pytest
 from hypothesis import settings
@@ -15,6 +14,7 @@
     QuarantineStatus,
 )
 from ebonydeal._internal.routing.crashes.request_traits import RequestTraits
+from tests.unit.routing.crashes.exchange import merge_all
 
 FATAL, SHARED, SELDOM = "fatal", "shared", "seldom"
 THRESHOLD = 4
@@ -301,12 +301,7 @@
 
     @invariant()
     def all_agree_after_a_full_exchange(self):
-        merged = [Evidence() for _ in self.relays]
-        for number, relay in enumerate(merged):
-            order = list(self.relays)
-            Random(number).shuffle(order)
-            for other in order:
-                relay.merge(other.to_message(self.now), self.now)
+        merged = merge_all(self.relays, Evidence, self.now)
         assert len({relay.fingerprint for relay in merged}) == 1
         assert len({str(relay.quarantined_parts()) for relay in merged}) == 1
         if self.crashes > THRESHOLD:
