--- a/review/standins/replica.py
+++ b/review/standins/replica.py
@@ -1,6 +1,7 @@
 """A replica of a plain service: slots, a short queue, and answers over HTTP/1.1."""
 
 import asyncio
+import json
 import random
 from collections.abc import Callable
 from contextlib import suppress
@@ -88,6 +89,10 @@
         self._present = 0
         self._server: asyncio.Server | None = None
         self.address = ""
+        self.zone = "z1"
+        # Whether it may be reclaimed, and when it will be gone, by the record's time.
+        self.spot = False
+        self.leaves_at: float | None = None
         # Returns whether a late second copy of an answer follows on its connection.
         self.repeats_late: Callable[[], bool] = lambda: False
         # Returns the body, and whether its length is stated.
@@ -113,10 +118,11 @@
         return {
             "service": service,
             "address": self.address,
-            "zone": "z1",
+            "zone": self.zone,
             "version": 1,
             "max_slots": self._max_slots,
-            "state": "ready",
+            "state": "ready" if self.leaves_at is None else "draining",
+            "spot": self.spot,
             "cold_left_ms": 0,
             "call_seq": 0,
         }
@@ -147,7 +153,17 @@
         finally:
             writer.close()
 
+    def _report(self, req: Request) -> bytes:
+        """Return the answer to ``GET /-/report``."""
+        report: dict[str, object] = {"stage": "both", "busy": False, "queued": 0}
+        if self.leaves_at is not None:
+            left_s = max(0.0, self.leaves_at - self._record.now())
+            report["leaves_ms"] = round(left_s * 1000)
+        return answer(req, "200 OK", json.dumps(report).encode())
+
     async def _answer(self, req: Request) -> bytes:
+        if req.target == "/-/report":
+            return self._report(req)
         if req.headers.get("ebonydeal-expect-replica", self.name) != self.name:
             return refusal(req, "421 Other")
         if self._present >= self._max_slots + self._queue:
