--- a/review/standins/record.py
+++ b/review/standins/record.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import os
+import signal
 import sys
 import time
 from collections.abc import Awaitable, Callable
@@ -38,12 +39,14 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     # The store's HTTP library logs each poll whose relay was killed.
     logging.disable(logging.CRITICAL)
+    # So that a run that is ended early still ends its processes.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     with (folder / "record.txt").open("w", encoding="utf-8") as file:
         record = Record(file)
         record.line("trouble" if trouble else "no trouble")
         try:
             broken = asyncio.run(_bounded(case(record, trouble)))
-        except Exception as exc:
+        except (Exception, KeyboardInterrupt) as exc:
             record.line("could not run:", repr(exc))
             print("could not run:", repr(exc), file=sys.stderr)
             return NO_RUN
