--- a/review/5/case.py
+++ b/review/5/case.py
@@ -16,7 +16,7 @@
 from standins.store import Store
 
 SEED = 1
-CLIENTS, PAUSE_S = 60, 0.5
+CLIENTS, PAUSE_S = 150, 0.5
 # Runs, and the client's deadline, which is also the route's timeout.
 RUN_S, DEADLINE_S = (8.0, 10.0), 15.0
 RELAYS, ZONES, PER_ZONE = 3, 3, 3
