Tell how long a relay's configuration wasn't confirmed

Now `config_age` and "Configuration was outdated." have it. A relay's configuration is confirmed by the store's replies to its own polls, and by a coordinator's reply with the same version, by as much as the store has confirmed that coordinator's own, which it now tells (`config_age`). The list's age is kept by the same code. No decision uses either yet.

--- a/src/ebonydeal/_internal/observe/counters.py
+++ b/src/ebonydeal/_internal/observe/counters.py
@@ -133,6 +133,7 @@
     TAKEOVER = "takeover"
     CONFIG_SPREAD = "config_spread"
     LIST_AGE = "list_age"
+    CONFIG_AGE = "config_age"
 
 
 class Metrics:
--- a/src/ebonydeal/_internal/relay/duties/coordinator.py
+++ b/src/ebonydeal/_internal/relay/duties/coordinator.py
@@ -223,6 +223,9 @@
         self.store_is_fresh: Callable[[], bool] = lambda: True
         # The same for polls of the configuration.
         self.config_is_fresh: Callable[[], bool] = lambda: True
+        # Seconds since the store confirmed this relay's configuration, None if it never
+        # did; set by the program.
+        self.config_age: Callable[[], float | None] = lambda: None
         # Merges a relay's crash evidence; returns the fingerprint of ours, and our
         # evidence where the fingerprints differ.
         self.compare_crashes: CompareCrashes = lambda _report: ("", None)
@@ -359,6 +362,7 @@
             limits=self._handle_share_report(message),
             period=self._reports.pace.period,
             tells_config=self.pushes_config,
+            config_age=self.config_age(),
             fresh=self.fresh,
             news=self._delta_for(node),
             crashes_mark=mark,
--- a/src/ebonydeal/_internal/relay/peers/messages.py
+++ b/src/ebonydeal/_internal/relay/peers/messages.py
@@ -114,6 +114,8 @@
     ``reported`` is the last usage window that was reported.
     ``period`` is the time until the relay's next report, seconds; ``tells_config`` says
     that relays need not follow the configuration themselves.
+    ``config_age`` are the seconds since the store confirmed the coordinator's
+    configuration, None if it never did; the previous release sends none.
     ``fresh`` says that the store answers the coordinator; ``news`` is a delta, or None.
     ``crashes`` is None where the report's fingerprint is ``crashes_mark``. ``rollouts``
     is None where the coordinator doesn't decide now. ``limits`` is None where it isn't
@@ -140,6 +142,7 @@
     limits: ShareReply | None
     period: float
     tells_config: bool
+    config_age: NotRequired[float | None]
     fresh: bool
     news: ViewDelta | None
     crashes_mark: str
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -408,6 +408,7 @@
         self.coordinator.compare_crashes = self._suspects.exchange_evidence
         self.coordinator.store_is_fresh = lambda: members.fresh
         self.coordinator.config_is_fresh = lambda: config.fresh
+        self.coordinator.config_age = lambda: config.confirmed_age
         self._delta_publisher = DeltaPublisher(
             self.view, self._client, clock, self.coordinator.delta_targets
         )
@@ -566,6 +567,9 @@
         config = self._followers[0]
         for follower in self._followers:
             follower.on_coordinator = on_coordinator
+        age = reply.get("config_age")
+        if age is not None and reply["config"] <= self.view.version:
+            config.confirm(asked_at - age)
         if on_coordinator:
             # The current poll may have begun when no other relay depended on it.
             config.restart_poll()
--- a/src/ebonydeal/_internal/relay/view/config_follower.py
+++ b/src/ebonydeal/_internal/relay/view/config_follower.py
@@ -7,7 +7,7 @@
 from ebonydeal._internal.errors import EbonydealError
 from ebonydeal._internal.models.rollouts import RolloutOrder
 from ebonydeal._internal.models.shared import SharedRow
-from ebonydeal._internal.observe.counters import Event
+from ebonydeal._internal.observe.counters import Event, Timing
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.view.follower import (
     COORDINATOR_POLL_TIMEOUT_S,
@@ -33,6 +33,8 @@
         Returns whether a coordinator's replies show the version of the configuration.
     """
 
+    age_timing = Timing.CONFIG_AGE
+    outdated_message = "Configuration was outdated."
     pushes_to_others: Callable[[], bool] = staticmethod(lambda: False)
     hears_version: Callable[[], bool] = staticmethod(lambda: True)
     # Whether orders are kept that a restored store doesn't list.
--- a/src/ebonydeal/_internal/relay/view/follower.py
+++ b/src/ebonydeal/_internal/relay/view/follower.py
@@ -13,7 +13,7 @@
     era_of,
     raw_version,
 )
-from ebonydeal._internal.observe.counters import Event, Metrics
+from ebonydeal._internal.observe.counters import Event, Metrics, Timing
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.ports import SharedStore, Wire
 from ebonydeal._internal.relay.view.reply_timeout import ReplyTimeout
@@ -37,6 +37,9 @@
 _MIN_JITTER, _MAX_JITTER = 0.5, 1.5
 _MAX_BACKOFF_S = 1.5
 _BATCH_INTERVAL_S = 0.15
+# What wasn't confirmed for longer than this, and than the longest poll between two
+# confirmations, is logged.
+_MAX_AGE_S = 2.5
 # How often to check whether the coordinator still pushes changes.
 _PUSH_CHECK_INTERVAL_S = 0.05
 
@@ -56,8 +59,18 @@
         Time; jitter of backoff.
     metrics : Metrics
         Counts entries that can't be read.
+
+    Attributes
+    ----------
+    age_timing : Timing
+        Under which name the age of what is known of the table is recorded.
+    outdated_message : str
+        Logged when that was not confirmed for long.
     """
 
+    age_timing: Timing
+    outdated_message: str
+
     def __init__(
         self,
         store: SharedStore,
@@ -88,6 +101,8 @@
         self._reply_timeout = ReplyTimeout()
         self._settling = RestoreSettling(clock)
         self._answered_at: float | None = None
+        # When each change of the table was last known to be in the view.
+        self._confirmed_at: float | None = None
         # The store's version at the last reply.
         self._read_to = 0
         self._read_again = False
@@ -165,7 +180,7 @@
             self._asked_at = self._clock.now()
             rows, version = await self._store.rows(self.table)
             self._answered_at = self._clock.now()
-            self.note_current()
+            self.confirm(self._answered_at)
             after_outage = self._note_success()
             if self._note_restored(version):
                 # Entries written since the copy was made may not be back yet.
@@ -199,7 +214,7 @@
         )
         late = self.failing_since is not None or self._must_catch_up
         self._must_catch_up = False
-        self.note_current()
+        self.confirm(self._answered_at)
         if changes is None:
             logger.warning(
                 "Change history expired; reading the whole table.", table=self.table
@@ -236,8 +251,23 @@
     def note_version(self, version: int) -> None:
         """Note that the table hasn't changed up to a version."""
 
-    def note_current(self) -> None:
-        """Note that each change made until now is known."""
+    @property
+    def confirmed_age(self) -> float | None:
+        """Seconds since each change of the table was known; None if it never was."""
+        at = self._confirmed_at
+        return None if at is None else self._clock.now() - at
+
+    def confirm(self, at: float) -> None:
+        """Note that each change made until a time is known; log a long gap."""
+        before = self._confirmed_at
+        if before is not None and at <= before:
+            return
+        self._confirmed_at = at
+        if before is None:
+            return
+        self._metrics.record_duration(self.age_timing, at - before)
+        if at - before > _MAX_AGE_S:
+            logger.info(self.outdated_message, age_s=round(at - before, 3))
 
     def read_again(self) -> None:
         """Read the whole table after the current call."""
@@ -261,7 +291,6 @@
         """
         self.failing_since = None
         self._must_catch_up = True
-        self.note_current()
 
     def _note_failure(self, exc: EbonydealError) -> None:
         self._reply_timeout.record_lost()
--- a/src/ebonydeal/_internal/relay/view/members_follower.py
+++ b/src/ebonydeal/_internal/relay/view/members_follower.py
@@ -17,15 +17,13 @@
 logger = get_logger("relay.follower")
 
 _EXPIRY_INTERVAL_S = 0.25
-# A list of endpoints that wasn't confirmed for longer than this, and than the longest
-# poll of it, is logged.
-_MAX_LIST_AGE_S = 2.5
 
 
 class MembersFollower(TableFollower):
     """Follows the list of endpoints."""
 
-    _current_at: float | None = None
+    age_timing = Timing.LIST_AGE
+    outdated_message = "List of endpoints was outdated."
 
     @property
     def poll_timeout(self) -> float:
@@ -98,15 +96,10 @@
         latest = self._failed_at + MISSING_GRACE_S + self._view.last_resort_s
         return min(self._clock.now() + MISSING_GRACE_S, latest)
 
-    def note_current(self) -> None:
-        """Note that each change made until now is known; log a long gap."""
-        now = self._clock.now()
-        if self._current_at is not None:
-            age = now - self._current_at
-            self._metrics.record_duration(Timing.LIST_AGE, age)
-            if age > _MAX_LIST_AGE_S:
-                logger.info("List of endpoints was outdated.", age_s=round(age, 3))
-        self._current_at = now
+    def note_pushed(self) -> None:
+        """Note that the coordinator, whose list is up to date, pushes its changes."""
+        super().note_pushed()
+        self.confirm(self._clock.now())
 
     def _read(self, row: SharedRow) -> Member | None:
         """Return a listed endpoint, or None if its entry can't be decoded."""
--- a/tests/unit/relay/view/test_follower.py
+++ b/tests/unit/relay/view/test_follower.py
@@ -8,7 +8,7 @@
 from ebonydeal._internal.errors import EbonydealError, ErrorKind, NoReplyError
 from ebonydeal._internal.models.forwarding import Member
 from ebonydeal._internal.models.shared import RowChanges, SharedRow
-from ebonydeal._internal.observe.counters import Event, Metrics
+from ebonydeal._internal.observe.counters import Event, Metrics, Timing
 from ebonydeal._internal.platform.wire import PlatformWire
 from ebonydeal._internal.relay.view.config_follower import ConfigTableFollower
 from ebonydeal._internal.relay.view.members_follower import MembersFollower
@@ -217,6 +217,38 @@
         assert waits == [28.0, 0.0, 2.0]
 
 
+class TestConfirmedAge:
+    """How long ago a relay was last known to have the newest configuration."""
+
+    def setup_method(self):
+        self.clock, self.metrics = ManualClock(100.0), Metrics()
+        self.follower = ConfigTableFollower(
+            None, PlatformWire(), RelayView(2.0), self.clock, Random(1), self.metrics
+        )
+
+    async def test_counts_from_the_latest_confirmation(self):
+        assert self.follower.confirmed_age is None
+        self.follower.confirm(98.0)
+        self.follower.confirm(97.0)
+        await self.clock.advance(1.0)
+        assert self.follower.confirmed_age == 3.0
+
+    async def test_is_recorded_at_each_confirmation(self):
+        for at in (98.0, 99.0, 103.0):
+            self.follower.confirm(at)
+        longest = self.metrics.quantile(Timing.CONFIG_AGE, 100.0)
+        assert round(longest, 1) == 4.0
+
+    async def test_pushes_confirm_the_list_but_not_the_configuration(self):
+        members = MembersFollower(
+            None, WIRE, RelayView(2.0), self.clock, Random(1), self.metrics
+        )
+        for follower in (members, self.follower):
+            follower.note_pushed()
+        assert members.confirmed_age == 0.0
+        assert self.follower.confirmed_age is None
+
+
 def entry(key, version, **fields):
     document = {
         "service": "s",
