Tests of a configuration that is in force too late, failing

- the coordinator's list of endpoints is up to date, its poll of the configuration is lost: relays with lost polls of 28 s take its version for the newest;
- the longest times from a coordinator's connection that fell silent to another relay's configuration add up to 4.2 s (bound 3 s).

--- a/tests/functional/relay/test_deltas.py
+++ b/tests/functional/relay/test_deltas.py
@@ -1,15 +1,20 @@
 """One relay polls the store for all, and others take over if it or the store fails."""
 
 import asyncio
+import time
 from collections import Counter
 from contextlib import asynccontextmanager
 
 import pytest
 
+from ebonydeal._internal.errors import ErrorKind, NoReplyError
 from ebonydeal._internal.relay.duties import coordinator
 from tests.lib.raw_endpoints import RawEndpoint
 from tests.lib.relay_fakes import MemoryStore, document, relay, until
 
+# The users' bound: the time after a fault after which relays count as in touch again.
+CONTACT_S = 3.0
+
 
 class BlockableStore:
     """One relay's access to the store, whose replies can be blocked."""
@@ -19,6 +24,22 @@
         self._node = node
         self.blocked = False
         self._unblocked = asyncio.Event()
+        # Tables whose polls get no reply, and the polls in flight.
+        self.silent_tables = set()
+        self._polls = {}
+        self._lost = set()
+
+    def lose_polls(self, table):
+        """Let the polls of a table in flight have no reply; later ones work."""
+        self._lost |= {
+            p for p, (polled, _wait) in self._polls.items() if polled == table
+        }
+
+    def poll_timeout(self, table):
+        """Return for how long the poll of a table in flight waits, 0.0 without one."""
+        return max(
+            (w for polled, w in self._polls.values() if polled == table), default=0.0
+        )
 
     def unblock(self):
         """Stop blocking, also for calls that are waiting."""
@@ -36,6 +57,8 @@
                 self._store.config_polls[self._node] += 1
             if self.blocked:
                 await self._unblocked.wait()
+            if name == "changes":
+                return await self._poll(call, *args)
             answer = await call(*args)
             if self.blocked:
                 await self._unblocked.wait()
@@ -43,6 +66,22 @@
 
         return forward
 
+    async def _poll(self, call, table, after, wait, reply_timeout):
+        poll = object()
+        self._polls[poll] = (table, wait)
+        began_at = time.monotonic()
+        try:
+            answer = await call(table, after, wait, reply_timeout)
+            if self.blocked:
+                await self._unblocked.wait()
+            if poll in self._lost or table in self.silent_tables:
+                ends_at = began_at + wait + reply_timeout
+                await asyncio.sleep(max(0.0, ends_at - time.monotonic()))
+                raise NoReplyError(ErrorKind.STORE_UNAVAILABLE, "no reply", True)
+            return answer
+        finally:
+            del self._polls[poll]
+
 
 class CountingStore(MemoryStore):
     """Counts all polls of the endpoints, and each relay's of the configuration."""
@@ -147,6 +186,22 @@
     return program._clock.now()
 
 
+class TestConfigurationOfFewRelays:
+    """Each relay polls it, but relies on a coordinator that shows its version."""
+
+    async def test_is_read_in_time_if_the_coordinators_own_poll_gets_no_reply(self):
+        """Its list of endpoints is up to date all the while."""
+        async with three_relays(RawEndpoint("i1")) as (store, first, others):
+            second, third = others
+            await until(lambda: second.ports.store.poll_timeout("op") > CONTACT_S)
+            first.ports.store.silent_tables.add("op")
+            first.ports.store.lose_polls("op")
+            second.ports.store.lose_polls("op")
+            third.ports.store.silent_tables.add("op")
+            await store.put("op", "config", document(2))
+            await until(lambda: second.view.version == 2, CONTACT_S)
+
+
 class TestConfiguration:
     """With many relays, only the coordinator polls the configuration."""
 
--- a/tests/unit/relay/view/test_reply_timeout.py
+++ b/tests/unit/relay/view/test_reply_timeout.py
@@ -1,7 +1,8 @@
 import pytest
 
+from ebonydeal._internal.relay.duties import coordinator
 from ebonydeal._internal.relay.peers import exchange
-from ebonydeal._internal.relay.view import follower, reply_timeout
+from ebonydeal._internal.relay.view import deltas, follower, reply_timeout, view_sync
 from ebonydeal._internal.relay.view.reply_timeout import ReplyTimeout
 from ebonydeal._internal.routing.duties.report_pacing import ReportPacing
 
@@ -41,6 +42,14 @@
         longest_poll = follower.SHORT_POLL_TIMEOUT_S + SHORTEST_S
         assert longest_poll + LONGEST_PAUSE_S <= CONTACT_S
 
+    def test_of_a_coordinators_poll_of_the_configuration_delays_no_other_relay(self):
+        """Another one, whose connection fell silent too, learns of a change by it."""
+        relays = coordinator._MIN_RELAYS_TO_PUSH_CONFIG
+        noticed = follower.SHORT_POLL_TIMEOUT_S + SHORTEST_S + LONGEST_PAUSE_S
+        told = deltas.batch_interval(relays) + deltas._CALL_TIMEOUT_S
+        fetched = view_sync._CHECK_INTERVAL_S * 1.2 + view_sync._CALL_TIMEOUT_S
+        assert noticed + told + fetched <= CONTACT_S
+
     @pytest.mark.parametrize(("relays", "drain_s"), [(9, 2.0), (68, 3.0), (195, 4.0)])
     def test_of_a_lost_coordinator_is_replaced_within_the_drain_time(
         self, relays, drain_s
