Read changes in time after the store was silent

Cause: each lost poll doubled the timeout of the next one, up to 4 s, and the pause between them up to 2.25 s. After the store's return each relay first waited for a call that was lost before. The doubling was there for a store that is slow, not silent; nothing tells one from the other while it lasts.

Now a lost poll leaves the next one a second at most, and pauses end after 1.35 s, so that 2.35 s pass at most (bound 3 s). A slow store is found out by one call beside the polls that may take 4 s; its reply gives polls the time that they need. The list of endpoints has the same code, and the same fault.

test_grows_while_polls_are_lost asserted the doubling to 4 s, which is the fault; it asserts the new bound now, with two tests more: a slow store that falls silent is given no more time, and the times add up to the bound.

--- a/src/ebonydeal/_internal/relay/view/follower.py
+++ b/src/ebonydeal/_internal/relay/view/follower.py
@@ -18,6 +18,7 @@
 from ebonydeal._internal.relay.ports import SharedStore, Wire
 from ebonydeal._internal.relay.view.reply_timeout import ReplyTimeout
 from ebonydeal._internal.relay.view.restore_settling import RestoreSettling
+from ebonydeal._internal.relay.view.slow_store import SlowStoreProbe
 from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.utils.clock import Clock
 
@@ -35,7 +36,9 @@
 _FRESH_TIMEOUT_S = 0.9
 _MIN_BACKOFF_S = 0.15
 _MIN_JITTER, _MAX_JITTER = 0.5, 1.5
-_MAX_BACKOFF_S = 1.5
+# With its jitter and the timeout of a lost poll, it stays below the time after which a
+# relay counts as in touch with a store that is back.
+_MAX_BACKOFF_S = 0.9
 _BATCH_INTERVAL_S = 0.15
 # What wasn't confirmed for longer than this, and than the longest poll between two
 # confirmations, is logged.
@@ -99,6 +102,13 @@
         # have fallen silent.
         self._must_catch_up = False
         self._reply_timeout = ReplyTimeout()
+        # The version after which changes are polled.
+        self._after = 0
+        self._slow_probe = SlowStoreProbe(
+            lambda timeout: store.changes(self.table, self._after, 0.0, timeout),
+            lambda took: self._reply_timeout.record_reply(0.0, took),
+            clock,
+        )
         self._settling = RestoreSettling(clock)
         self._answered_at: float | None = None
         # When each change of the table was last known to be in the view.
@@ -150,6 +160,10 @@
         """
         raise NotImplementedError
 
+    async def on_stop(self) -> None:
+        """Cancel the call that outlives a poll."""
+        self._slow_probe.stop()
+
     @Service.task
     async def _follow(self) -> None:
         after: int | None = None
@@ -192,6 +206,7 @@
             # To learn at once whether the store answers, and by this connection.
             poll_timeout = 0.0
         self._current_timeout = poll_timeout
+        self._after = after
         self._asked_at = self._clock.now()
         self._poll = asyncio.ensure_future(
             self._store.changes(
@@ -209,6 +224,7 @@
             self._poll.cancel()
             self._poll, self._restart_requested = None, False
         self._answered_at = self._clock.now()
+        self._slow_probe.stop()
         self._reply_timeout.record_reply(
             poll_timeout, self._answered_at - self._asked_at
         )
@@ -303,6 +319,9 @@
             exc.on_open_connection or self._current_timeout > 0.0
         )
         self._outage_seen = self.failing_since is not None or not maybe_dead_connection
+        polled = self._after and isinstance(exc, NoReplyError)
+        if polled and self.failing_since is not None:
+            self._slow_probe.start()
         if self.failing_since is None:
             self.failing_since = now
             logger.warning("Store unavailable.", table=self.table, reason=str(exc))
--- a/src/ebonydeal/_internal/relay/view/reply_timeout.py
+++ b/src/ebonydeal/_internal/relay/view/reply_timeout.py
@@ -1,7 +1,11 @@
 """How long the store may take to reply to a poll."""
 
+from ebonydeal._internal.relay.view.slow_store import MAX_REPLY_TIMEOUT_S
+
 MIN_REPLY_TIMEOUT_S = 0.5
-_MAX_REPLY_TIMEOUT_S = 4.0
+# After lost polls. The store may be back since the last one began, and changes made
+# since then aren't read before it ends.
+MAX_LOST_TIMEOUT_S = 1.0
 # A reply may take this many times as long as the last one.
 _MARGIN = 2.0
 
@@ -10,7 +14,8 @@
     """Timeout of a poll's reply, beyond the time for which the poll itself waits.
 
     It is short while the store replies fast, so that a connection that fell silent is
-    noticed soon, and doubles with each poll that is lost, as the store may be slow.
+    noticed soon, and longer after a poll that is lost. Only replies of a slow store
+    make it longer still.
 
     Attributes
     ----------
@@ -23,7 +28,7 @@
 
     def record_lost(self) -> None:
         """Record a poll without a reply."""
-        self.seconds = min(_MAX_REPLY_TIMEOUT_S, self.seconds * 2.0)
+        self.seconds = min(MAX_LOST_TIMEOUT_S, self.seconds * 2.0)
 
     def record_reply(self, wait: float, took: float) -> None:
         """Record a reply that took ``took`` seconds to a poll that waits ``wait``.
@@ -32,4 +37,4 @@
         """
         if took >= wait:
             timeout = (took - wait) * _MARGIN
-            self.seconds = min(_MAX_REPLY_TIMEOUT_S, max(MIN_REPLY_TIMEOUT_S, timeout))
+            self.seconds = min(MAX_REPLY_TIMEOUT_S, max(MIN_REPLY_TIMEOUT_S, timeout))
--- a/tests/unit/relay/view/test_reply_timeout.py
+++ b/tests/unit/relay/view/test_reply_timeout.py
@@ -20,10 +20,17 @@
         for _ in range(5):
             timeout.record_lost()
             grown.append(timeout.seconds)
-        assert grown == [1.0, 2.0, 4.0, 4.0, 4.0]
+        assert grown == [1.0] * 5
         timeout.record_reply(0.6, 0.61)
         assert timeout.seconds == SHORTEST_S
 
+    def test_a_slow_store_that_falls_silent_is_given_no_more_time_than_others(self):
+        timeout = ReplyTimeout()
+        timeout.record_reply(0.0, 2.0)
+        assert timeout.seconds == 4.0
+        timeout.record_lost()
+        assert timeout.seconds == 1.0
+
     def test_a_slow_store_is_given_more_time_than_its_last_reply_took(self):
         timeout = ReplyTimeout()
         timeout.record_lost()
@@ -37,6 +44,12 @@
         assert timeout.seconds == 2 * SHORTEST_S
 
 
+class TestSilentStore:
+    def test_is_read_before_the_relay_counts_as_in_touch(self):
+        longest_pause = follower._MAX_BACKOFF_S * follower._MAX_JITTER
+        assert reply_timeout.MAX_LOST_TIMEOUT_S + longest_pause <= CONTACT_S
+
+
 class TestDeadConnection:
     def test_is_replaced_before_the_relay_counts_as_in_touch(self):
         longest_poll = follower.SHORT_POLL_TIMEOUT_S + SHORTEST_S
