Rely on a coordinator's configuration only while the store confirms it

A relay whose own poll of the configuration was lost (its connection fell silent, for example) went on with the old one for up to 28 s, if the coordinator's poll of the configuration was lost as well while its poll of the list of endpoints was answered. Its callers got answers by routes and keys that were gone.

Cause: relays with fewer than 40 others poll the configuration with a wait of 28 s while a coordinator's replies show its version, and took the replies for that while the coordinator's list of endpoints was fresh. The two tables are polled on two connections.

Now the reply's `config_age` decides: a version that the store hasn't confirmed for 1.5 s isn't taken for the newest, and the relay polls for itself. The coordinator polls the configuration with a wait of 1 s instead of 2 s. A coordinator of the previous release sends no age; relays poll with waits of 2 s then.

--- a/src/ebonydeal/_internal/relay/peers/exchange.py
+++ b/src/ebonydeal/_internal/relay/peers/exchange.py
@@ -48,6 +48,9 @@
 _Request = TypeVar("_Request")
 _Reply = TypeVar("_Reply")
 
+# A coordinator polls the configuration once a second. If it wasn't confirmed for longer
+# than this, its version may not be the newest one.
+_MAX_CONFIG_AGE_S = 1.5
 # A call takes a few milliseconds, or a third of a second on a busy instance.
 _CALL_TIMEOUT_S = 0.5
 
@@ -83,6 +86,8 @@
         self.count_known = False
         self._pace = ReportPacing(parts.period)
         self._config_pushed = False
+        # Whether the coordinator's version of the configuration was the newest one.
+        self._config_confirmed = False
         self._links_down: dict[str, list[str]] = {}
         # The version of the coordinator's list of endpoints, by its last reply.
         self.coordinator_members = 0
@@ -132,6 +137,15 @@
         """
         return self._deltas_pushed and self.coordinator_alive
 
+    @property
+    def hears_config(self) -> bool:
+        """Whether a live coordinator shows the newest version of the configuration.
+
+        Its list of endpoints may be up to date while its polls of the configuration get
+        no reply.
+        """
+        return self.receives_deltas and self._config_confirmed
+
     @property
     def receives_config(self) -> bool:
         """Whether the coordinator pushes each configuration, and is alive."""
@@ -229,6 +243,10 @@
         # A coordinator of the previous release doesn't send these fields.
         self._pace = ReportPacing(max(parts.period, reply.get("period", 0.0)))
         self._config_pushed = reply.get("tells_config", False)
+        config_age = reply.get("config_age")
+        self._config_confirmed = (
+            config_age is not None and config_age <= _MAX_CONFIG_AGE_S
+        )
         self._links_down = reply.get("links_down", {})
         self.coordinator_members = reply["members"]
         lease.wanted = not reply["holds"]
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -398,7 +398,7 @@
         self.view.receives_deltas = lambda: self._exchange.receives_deltas
         config.receives_pushes = lambda: self._exchange.receives_config
         config.pushes_to_others = lambda: self.coordinator.should_push_config
-        config.hears_version = lambda: self._exchange.receives_deltas
+        config.hears_version = lambda: self._exchange.hears_config
         self.view.on_orders_needed = config.restart_poll
         self.coordinator.persist_with_lease(
             CrashStore(ports.store, self._suspects, clock)
--- a/src/ebonydeal/_internal/relay/view/config_follower.py
+++ b/src/ebonydeal/_internal/relay/view/config_follower.py
@@ -17,6 +17,10 @@
 
 logger = get_logger("relay.follower")
 
+# Other relays rely on the coordinator for changes that their own polls miss. Together
+# with the way to them, it stays below the time after which a relay whose connections
+# fell silent counts as in touch again.
+_COORDINATOR_POLL_TIMEOUT_S = 1.0
 # How often to check whether a coordinator still shows the version.
 _REPLY_CHECK_INTERVAL_S = 0.2
 
@@ -30,7 +34,8 @@
         Returns whether other relays get the configuration from this one only; it then
         polls as often as for endpoints.
     hears_version : callable
-        Returns whether a coordinator's replies show the version of the configuration.
+        Returns whether a coordinator's replies show the newest version of the
+        configuration; this relay's own polls are long then.
     """
 
     age_timing = Timing.CONFIG_AGE
@@ -48,6 +53,8 @@
             return 0.0
         if self.pushes_to_others():
             return COORDINATOR_POLL_TIMEOUT_S
+        if self.on_coordinator:
+            return _COORDINATOR_POLL_TIMEOUT_S
         if not self.hears_version():
             return SHORT_POLL_TIMEOUT_S
         return super().poll_timeout
