Fetch a configuration as soon as another relay is known to have a newer one

A relay whose connection to the store fell silent, together with the coordinator's, could use an old configuration for 4.2 s (bound 3 s), by the longest times of each step: the coordinator's poll 2.7 s, its push 0.5 s, the next check of a loop 0.48 s, the fetch 0.5 s.

Now a push or a reply with a newer version wakes a task that waits 0.1 s, in which the relay's own poll usually ends with the same change, and fetches the configuration if that is still newer. Before, each change made each relay ask another one after it had the change from its own poll. A reply with a newer configuration no longer asks for the list of endpoints, too.

--- a/src/ebonydeal/_internal/relay/peers/relay_reporter.py
+++ b/src/ebonydeal/_internal/relay/peers/relay_reporter.py
@@ -115,7 +115,7 @@
     def apply_reply(self, reply: ExchangeReply, asked_at: float) -> bool:
         """Apply the reply to the report that was sent at ``asked_at``.
 
-        Returns whether this relay's view is behind.
+        Returns whether this relay's list of endpoints is behind.
         """
         parts = self._parts
         now = parts.clock.now()
@@ -151,7 +151,7 @@
         # Only if twice in a row: usually a delta is just on its way to this relay.
         twice = behind and self._was_behind
         self._was_behind = behind
-        return twice or reply["config"] > parts.view.version
+        return twice
 
     def _apply_start_retry(self, reply: ExchangeReply) -> None:
         """Apply the lease holder's first answer; later ones are for later starts."""
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -310,7 +310,7 @@
             MembersFollower(ports.store, ports.wire, self.view, clock, rng, metrics),
         )
         deltas = DeltaReceiver(self.view, clock)
-        deltas.on_newer_config = self._request_config
+        deltas.on_newer_config = lambda version: self._view_sync.request_config(version)
         self._reporter = RelayReporter(
             ReporterParts(
                 self._node.id,
@@ -547,10 +547,6 @@
         """Notify all known relays that this one is the coordinator now."""
         self.add_future(self._exchange.announce())
 
-    def _request_config(self) -> None:
-        """Request the newer configuration that another relay has."""
-        self._view_sync.behind_config = True
-
     def _other_relays(self) -> list[str]:
         """Return the addresses of the other known relays."""
         relays = self._exchange.relays
@@ -561,6 +557,8 @@
         """Apply the coordinator's reply to the report sent at ``asked_at``."""
         if self._reporter.apply_reply(reply, asked_at):
             self._view_sync.behind = True
+        if reply["config"] > self.view.version:
+            self._view_sync.request_config(reply["config"])
         self._split.gate_ttl_s = self._exchange.isolation_timeout
         self._retries.configure(retry_share(self._cfg, self._exchange.relay_count))
         on_coordinator = self.coordinator.lease.is_mine
--- a/src/ebonydeal/_internal/relay/view/deltas.py
+++ b/src/ebonydeal/_internal/relay/view/deltas.py
@@ -23,7 +23,7 @@
 logger = get_logger("relay.news")
 
 DELTA = "/relay/v1/news"
-_CALL_TIMEOUT_S = 0.4
+CALL_TIMEOUT_S = 0.4
 # Changes come in bursts: those within this interval are pushed together. It grows with
 # the relays, since each batch is a call to all: with 87 of them and batches of 0.05 s,
 # the calls of a reclaim burst filled the coordinator's link of 5 Mbit/s. The maximum
@@ -104,15 +104,16 @@
     def __init__(self, view: RelayView, clock: Clock) -> None:
         self._view = view
         self._clock = clock
-        # Called when the coordinator has a newer configuration.
-        self.on_newer_config: Callable[[], None] = lambda: None
+        # Called with the version when the coordinator has a newer configuration.
+        self.on_newer_config: Callable[[int], None] = lambda _version: None
         self.last_mark: tuple[int, int] = NO_MARK
 
     def receive(self, delta: ViewDelta) -> dict[str, Any]:
         """Apply a delta; those of an older coordinator are ignored."""
         # A coordinator of the previous release doesn't send it.
-        if int(delta.get("config", -1)) > self._view.version:
-            self.on_newer_config()
+        config = int(delta.get("config", -1))
+        if config > self._view.version:
+            self.on_newer_config(config)
         mark = (int(delta["mark"][0]), int(delta["mark"][1]))
         if mark <= self.last_mark:
             return {}
@@ -216,7 +217,7 @@
         if delta is None:
             return
         try:
-            await self._client.call(address, DELTA, delta, _CALL_TIMEOUT_S)
+            await self._client.call(address, DELTA, delta, CALL_TIMEOUT_S)
         except EbonydealError as exc:
             logger.info("News not told.", peer=address, reason=str(exc))
             return
--- a/src/ebonydeal/_internal/relay/view/view_sync.py
+++ b/src/ebonydeal/_internal/relay/view/view_sync.py
@@ -1,5 +1,6 @@
 """Fetches from other relays what this one can't get from the store."""
 
+import asyncio
 from base64 import b64decode
 from random import Random
 from typing import Any
@@ -26,7 +27,9 @@
 
 logger = get_logger("relay.view")
 
-_CALL_TIMEOUT_S = 0.5
+CALL_TIMEOUT_S = 0.5
+# Usually this relay's own poll ends with the same change, shortly before or after.
+OWN_POLL_DELAY_S = 0.1
 _CHECK_INTERVAL_S = 0.4
 # After an outage of the store of this length, other relays are asked instead.
 _STORE_OUTAGE_TIMEOUT_S = 0.6
@@ -59,17 +62,32 @@
         self._clock = clock
         self._rng = rng
         self.behind = False
-        self.behind_config = False
+        # The newest version of the configuration that another relay has.
+        self._newest_config = -1
+        self._config_requested = asyncio.Event()
+
+    def request_config(self, version: int) -> None:
+        """Fetch a configuration that another relay has, unless this one reads it."""
+        self._newest_config = max(self._newest_config, version)
+        self._config_requested.set()
+
+    @Service.task
+    async def _fetch_config(self) -> None:
+        while not self.should_stop:
+            await self._config_requested.wait()
+            self._config_requested.clear()
+            await self._clock.sleep(OWN_POLL_DELAY_S)
+            if self._view.version < self._newest_config:
+                await self._sync(members=False, store_down=False)
 
     @Service.task
     async def _run(self) -> None:
         while not self.should_stop:
             await self._clock.sleep(_CHECK_INTERVAL_S * self._rng.uniform(0.8, 1.2))
             store_down = self._store_is_down()
-            if self.behind or self.behind_config or store_down:
-                members = self.behind or store_down
-                self.behind = self.behind_config = False
-                await self._sync(members, store_down)
+            if self.behind or store_down:
+                self.behind = False
+                await self._sync(members=True, store_down=store_down)
 
     def _store_is_down(self) -> bool:
         now = self._clock.now()
@@ -99,7 +117,7 @@
                 crashes_mark=self._suspects.fingerprint,
             )
             try:
-                reply = await self._client.call(address, VIEW, message, _CALL_TIMEOUT_S)
+                reply = await self._client.call(address, VIEW, message, CALL_TIMEOUT_S)
             except EbonydealError as exc:
                 logger.info("View not received.", peer=address, reason=str(exc))
                 continue
