--- a/src/ebonydeal/_internal/relay/view/follower.py
+++ b/src/ebonydeal/_internal/relay/view/follower.py
@@ -309,9 +309,10 @@
         self._must_catch_up = True
 
     def _note_failure(self, exc: EbonydealError) -> None:
+        now = self._clock.now()
+        timed_out = now - self._asked_at >= self._reply_timeout.seconds
         self._reply_timeout.record_lost()
         self._failed_at = self._asked_at
-        now = self._clock.now()
         # A first lost reply may be due to its connection alone, if that was open for a
         # while. An outage too short for a second failure, on a new one, is too short
         # for entries to expire.
@@ -319,8 +320,8 @@
             exc.on_open_connection or self._current_timeout > 0.0
         )
         self._outage_seen = self.failing_since is not None or not maybe_dead_connection
-        polled = self._after and isinstance(exc, NoReplyError)
-        if polled and self.failing_since is not None:
+        # Only a second loss: the first one may be due to its connection alone.
+        if self._after and timed_out and self.failing_since is not None:
             self._slow_probe.start()
         if self.failing_since is None:
             self.failing_since = now
--- a/tests/unit/relay/view/test_silent_store.py
+++ b/tests/unit/relay/view/test_silent_store.py
@@ -96,6 +96,28 @@
         assert None not in late.values()
         assert max(late.values()) <= CONTACT_S
 
+    async def test_calls_of_a_store_that_refuses_them_are_not_repeated(self, kind):
+        """A second call, with a longer timeout, finds out nothing there."""
+        clock, calls = ManualClock(100.0), []
+
+        class RefusingStore:
+            async def rows(self, _table):
+                return [], 5
+
+            async def changes(self, _table, _after, wait, reply_timeout):
+                calls.append((wait, reply_timeout))
+                raise NoReplyError(ErrorKind.STORE_UNAVAILABLE, "reset", False)
+
+        follower = kind(
+            RefusingStore(), PlatformWire(), RelayView(2.0), clock, Random(1), Metrics()
+        )
+        async with asyncio.timeout(20):
+            await follower.start()
+            await clock.advance(10.0)
+            await follower.stop()
+        assert len(calls) > 5
+        assert max(reply_timeout for _wait, reply_timeout in calls) <= 1.0
+
     async def test_also_from_a_store_that_replies_slowly(self, kind):
         """It takes longer than a poll waits at first, so that must be learned."""
         assert await read_after(kind, 2.0, 1, delay=1.8) is not None
