Soak: faults after which a configuration may come late, and a stricter check

The soak's check of the configuration excused every request up to four seconds after a fault, and every version that was published in that time or in the four seconds before, so it could not see the incident. Its store was never silent for all, and connections between relays never failed.

- New faults: the store replies to no call for 2.5 to 8 s; open connections between relays fall silent, alone or with those to the store and endpoints; connections to one relay carry nothing.
The configuration changes right after.
Relays reach each other through proxies for that.
- A request counts now if its relay had no fault for the 3 s before it; a dropped route that is still served is reported as well as an added one that isn't known; faults of endpoints' links excuse nothing.

--- a/src/ebonydeal/_internal/soak/checks.py
+++ b/src/ebonydeal/_internal/soak/checks.py
@@ -4,6 +4,10 @@
 from collections.abc import Iterable
 
 from ebonydeal._internal.models.rollouts import Phase
+from ebonydeal._internal.soak.config_checks import (
+    config_in_force_in_time,
+    config_never_reverts,
+)
 from ebonydeal._internal.soak.guarantees import (
     Check,
     Guarantees,
@@ -23,7 +27,6 @@
 )
 from ebonydeal._internal.soak.records import (
     FATAL_PART_PREFIX,
-    ClientResult,
     FatalRun,
     Kind,
     Log,
@@ -160,45 +163,6 @@
             yield Violation("drain", detail)
 
 
-def config_never_reverts(log: Log, guarantees: Guarantees) -> Iterable[Violation]:
-    """No process serves an older configuration after a newer one."""
-    newest: dict[int, tuple[int, float]] = {}
-    probes = [result for result in log.results if result.kind is Kind.PROBE]
-    for result in sorted(probes, key=lambda it: it.sent):
-        if result.status != 200:
-            continue
-        version, ended = newest.get(result.pid, (0, 0.0))
-        if result.version < version and result.sent > ended:
-            detail = f"{result.relay} served {result.version} after {version}"
-            yield Violation("configuration", detail)
-        elif result.version > version:
-            newest[result.pid] = (result.version, result.ended)
-    yield from _find_stale_probes(log, guarantees, probes)
-
-
-def _find_stale_probes(
-    log: Log, guarantees: Guarantees, probes: list[ClientResult]
-) -> Iterable[Violation]:
-    """Report probes that failed because the configuration was applied too late."""
-    at = {publish.version: publish.at for publish in log.published_configs}
-    for result in probes:
-        published_at = at.get(result.version)
-        if result.status != 404 or published_at is None:
-            continue
-        newer = any(
-            p.version > result.version and p.at < result.ended
-            for p in log.published_configs
-        )
-        late = result.sent > published_at + guarantees.apply_s + _DELAY_TOLERANCE_S
-        if (
-            not newer
-            and late
-            and _no_fault(log, result.relay, published_at, result.ended)
-        ):
-            detail = f"{result.relay} had not applied version {result.version}"
-            yield Violation("configuration", detail)
-
-
 def account_limits_respected(log: Log, guarantees: Guarantees) -> Iterable[Violation]:
     """A client account gets no more than its limit in any window."""
     for limit in guarantees.limits:
@@ -452,6 +416,7 @@
     streams_of_one_version,
     no_requests_after_drain,
     config_never_reverts,
+    config_in_force_in_time,
     account_limits_respected,
     usage_reported_once,
     usage_exact,
--- a/src/ebonydeal/_internal/soak/link_cuts.py
+++ b/src/ebonydeal/_internal/soak/link_cuts.py
@@ -14,6 +14,8 @@
 _RELAY_NETWORK = "127.0.1"
 SOURCE_VARIABLE = "EBONYDEAL_SOAK_SOURCE"
 CUT_FILE_VARIABLE = "EBONYDEAL_SOAK_CUT_FILE"
+# A file with the port of the proxy by which each relay is reached, by its own port.
+PEER_PROXIES_VARIABLE = "EBONYDEAL_SOAK_PEER_PROXIES"
 
 
 class CutMode(StrEnum):
--- a/src/ebonydeal/_internal/soak/plan.py
+++ b/src/ebonydeal/_internal/soak/plan.py
@@ -37,6 +37,9 @@
     FATAL_PART = "a part of prompts crashes what runs it"
     ENDPOINT_OMITS_LENGTHS = "an endpoint's streams end with their connections"
     OVERLOAD = "an account sends several times what the plain service can run"
+    STORE_SILENT = "the store replies to no call"
+    PEERS_SILENT = "open connections between relays fall silent, new ones work"
+    PEER_UNREACHABLE = "connections to a relay are accepted and carry nothing"
     ENDPOINTS_UNEQUAL = "plain endpoints are of unequal speed, one slows down midway"
 
 
@@ -131,6 +134,20 @@
 # Plain endpoints of unequal speed, as in `_SEPARATE_FAULTS`.
 _UNEQUAL_FAULTS = ((Fault.ENDPOINTS_UNEQUAL, 6.0, 6.0, 9.0),)
 _UNEQUAL_SEED = 11_000_027
+# Faults that may delay a configuration: their latest start, range of durations, and the
+# time from their end to the changes that follow. The check counts requests some seconds
+# after their end.
+_MAX_STALE_START_S = 3.0
+_STALE_RANGE_S = (2.5, 8.0)
+_STALE_FAULTS = (
+    (Fault.STORE_SILENT,),
+    (Fault.PEERS_SILENT,),
+    (Fault.PEERS_SILENT, Fault.CONNECTIONS_SILENT),
+    (Fault.PEER_UNREACHABLE,),
+)
+_CHANGE_DELAYS_S = ((0.05, 0.3), (0.6, 0.9))
+_STALE_QUIET_END_S = 5.0
+_STALE_SEED = 12_000_029
 # No fault begins in the last seconds, so that running requests and faults can end.
 _QUIET_END_S = 3.0
 
@@ -167,10 +184,29 @@
         *_draw_separate(_PART_FAULTS, seed + _PART_SEED, seconds),
         *_draw_overloads(seed, seconds),
         *_draw_separate(_UNEQUAL_FAULTS, seed + _UNEQUAL_SEED, seconds),
+        *_draw_stale_configs(seed, seconds),
     ]
     return sorted([*steps, *separate])
 
 
+def _draw_stale_configs(seed: int, seconds: float) -> list[Step]:
+    """Return faults after which the configuration changes, if there is time for one."""
+    rng = Random(seed + _STALE_SEED)
+    at = rng.uniform(0.5, _MAX_STALE_START_S)
+    length = rng.uniform(*_STALE_RANGE_S)
+    faults = rng.choice(_STALE_FAULTS)
+    which = rng.randrange(1000)
+    if Fault.PEERS_SILENT in faults:
+        length = 0.0
+    if at + length + _STALE_QUIET_END_S > seconds:
+        return []
+    changes = [
+        Step(at + length + rng.uniform(*delay), Fault.CONFIG, 0.0, which)
+        for delay in _CHANGE_DELAYS_S
+    ]
+    return [*(Step(at, fault, length, which) for fault in faults), *changes]
+
+
 def _draw_mass_kills(seed: int, seconds: float) -> list[Step]:
     """Return the mass kills of relays."""
     rng = Random(seed + _MASS_KILL_SEED)
--- a/src/ebonydeal/_internal/soak/plants.py
+++ b/src/ebonydeal/_internal/soak/plants.py
@@ -93,6 +93,15 @@
     log.results.append(older._replace(version=result.version - 1))
 
 
+def _late_config(log: Log, guarantees: Guarantees) -> None:
+    log.fault_periods.clear()
+    result = _first_result(log, _succeeded(Kind.PROBE))
+    newest = log.published_configs[-1]
+    sent = newest.at + guarantees.apply_s + 2.0
+    late = result._replace(sent=sent, ended=sent + 0.1, version=newest.version - 1)
+    log.results.append(late)
+
+
 def _over_limit(log: Log, guarantees: Guarantees) -> None:
     run = log.runs[0]
     limit = guarantees.limits[0]
@@ -229,6 +238,7 @@
     "mixed-versions": (_mixed_versions, "stream versions"),
     "late-drain": (_late_drain, "drain"),
     "older-config": (_older_config, "configuration"),
+    "late-config": (_late_config, "configuration"),
     "over-limit": (_over_limit, "limit"),
     "two-reports": (_two_reports, "usage"),
     "wrong-usage": (_wrong_usage, "usage"),
--- a/src/ebonydeal/_internal/soak/platform.py
+++ b/src/ebonydeal/_internal/soak/platform.py
@@ -48,7 +48,8 @@
 
     While `unavailable` is set, the store responds with 503; `lost_answer_share` is the
     share of writes that are applied but get no response. While `loses_feed_replies` is
-    set, polls get none. After `restore` it is at an older version, and its era rises.
+    set, polls get none, and in `fall_silent` no call does. After `restore` it is at an
+    older version, and its era rises.
     """
 
     def __init__(self, log: Log, rng: Random) -> None:
@@ -66,6 +67,9 @@
         self.unavailable = False
         self.lost_answer_share = 0.0
         self.loses_feed_replies = False
+        self._silent = False
+        # How often the store has fallen silent: calls of before get no reply.
+        self._silences = 0
         # Changes up to this version were dropped from the history.
         self._dropped_to = 0
         self._runner: web.ServerRunner | None = None
@@ -82,8 +86,19 @@
         self.address = f"{host}:{port}"
         return self
 
+    async def fall_silent(self, seconds: float) -> None:
+        """Reply to no call that was made before these seconds have passed."""
+        self._silent = True
+        self._silences += 1
+        await asyncio.sleep(seconds)
+        self._silent = False
+        async with self._changed:
+            self._changed.notify_all()
+
     async def write(self, table: str, key: str, value: bytes | None) -> float:
         """Write a row as the operator or an endpoint; return the time of the write."""
+        async with self._changed:
+            await self._changed.wait_for(lambda: not self._silent)
         change = RowWrite(table, key, value)
         self._own_writes.append((time.monotonic(), change))
         await self._apply([change])
@@ -155,7 +170,12 @@
             self._changed.notify_all()
 
     async def _handle(self, req: web.BaseRequest) -> web.Response:
-        resp = await self._answer(req)
+        silences = self._silences
+        if not self._silent:
+            resp = await self._answer(req)
+        if self._silent or silences != self._silences:
+            await asyncio.sleep(_LOST_REPLY_S)
+            resp = web.Response(status=503)
         resp.headers[STORE_ERA] = str(self._era)
         return resp
 
--- a/src/ebonydeal/_internal/soak/processes.py
+++ b/src/ebonydeal/_internal/soak/processes.py
@@ -1,16 +1,22 @@
 """Relays of a soak as separate processes; each is stopped by its process id."""
 
 import asyncio
+import json
 import os
 import signal
 import sys
+from collections.abc import Iterable
 from configparser import ConfigParser
 from contextlib import suppress
 from pathlib import Path
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
-from ebonydeal._internal.soak.link_cuts import CUT_FILE_VARIABLE, SOURCE_VARIABLE
+from ebonydeal._internal.soak.link_cuts import (
+    CUT_FILE_VARIABLE,
+    PEER_PROXIES_VARIABLE,
+    SOURCE_VARIABLE,
+)
 from ebonydeal._internal.soak.ports import reserve_port
 from ebonydeal._internal.soak.proxy import Proxy
 
@@ -19,6 +25,7 @@
 # store is unavailable, so the wait is bounded.
 _READY_TIMEOUT_S = 10.0
 _READY_POLL_INTERVAL_S = 0.1
+_PEER_PROXIES_FILE = "peers.json"
 
 
 class RelayProcess:
@@ -54,11 +61,14 @@
         # Connections to endpoints fail while it exists.
         self.cut_file = folder / f"{name}.cut"
         self.store = store
+        # The proxy by which other relays reach it; None if they do so directly.
+        self.peers: Proxy | None = None
         self.address = f"127.0.0.1:{reserve_port()}"
         self.peer_address = f"127.0.0.1:{reserve_port()}"
         self._ready_address = f"127.0.0.1:{reserve_port()}"
         self._relay_settings = relay_settings
         self._policy = policy or {}
+        self._peer_proxies = folder / _PEER_PROXIES_FILE
         self._settings_path = folder / f"{name}.ini"
         self._log_path = folder / f"{name}.log"
         self._process: asyncio.subprocess.Process | None = None
@@ -105,6 +115,7 @@
                     **os.environ,
                     SOURCE_VARIABLE: self.source,
                     CUT_FILE_VARIABLE: str(self.cut_file),
+                    PEER_PROXIES_VARIABLE: str(self._peer_proxies),
                 },
             )
 
@@ -141,6 +152,21 @@
         await self.wait_ended()
 
 
+def write_peer_proxies(folder: Path, relays: Iterable[RelayProcess]) -> None:
+    """Write for all relays by which proxy each one is reached."""
+    ports = {
+        _port(relay.peer_address): _port(relay.peers.address)
+        for relay in relays
+        if relay.peers is not None
+    }
+    path = folder / _PEER_PROXIES_FILE
+    path.write_text(json.dumps(ports), encoding="utf-8")
+
+
+def _port(address: str) -> int:
+    return int(address.rpartition(":")[2])
+
+
 async def _is_ready(http: ClientSession, url: str) -> bool:
     """Return whether a relay reports that it is ready."""
     try:
--- a/src/ebonydeal/_internal/soak/relay_process.py
+++ b/src/ebonydeal/_internal/soak/relay_process.py
@@ -1,10 +1,12 @@
-"""Runs a relay whose connections to endpoints can be made to fail.
+"""Runs a relay whose connections to endpoints and other relays can be made to fail.
 
 Patches the event loop before the relay starts: connections get the relay's source
-address, and those to endpoints fail while the cut file exists.
+address, those to endpoints fail while the cut file exists, and those to other relays
+are made to their proxies.
 """
 
 import asyncio
+import json
 import os
 import runpy
 import sys
@@ -16,6 +18,7 @@
 from ebonydeal._internal.soak.link_cuts import (
     CUT_FILE_VARIABLE,
     ENDPOINT_HOST,
+    PEER_PROXIES_VARIABLE,
     SOURCE_VARIABLE,
     CutMode,
 )
@@ -32,7 +35,15 @@
         return None
 
 
-def install(source: str, cut_file: Path) -> None:
+def _read_proxies(path: Path) -> dict[int, int]:
+    """Return the port of each relay's proxy by its own; empty if there are none."""
+    if not path.exists():
+        return {}
+    ports = json.loads(path.read_text(encoding="utf-8"))
+    return {int(port): int(proxy) for port, proxy in ports.items()}
+
+
+def install(source: str, cut_file: Path, peer_proxies: dict[int, int]) -> None:
     """Patch the event loop's connections."""
     connect = BaseSelectorEventLoop.sock_connect
 
@@ -46,7 +57,8 @@
             if mode is not None:
                 await asyncio.sleep(_UNREACHABLE_S)
             sock.bind((source, 0))
-        await connect(loop, sock, address)
+        host, port = address[:2]
+        await connect(loop, sock, (host, peer_proxies.get(port, port)))
 
     BaseSelectorEventLoop.sock_connect = (  # type: ignore[method-assign]
         sock_connect  # type: ignore[assignment]
@@ -55,7 +67,11 @@
 
 def main() -> None:
     """Run the relay with the command line that this process got."""
-    install(os.environ[SOURCE_VARIABLE], Path(os.environ[CUT_FILE_VARIABLE]))
+    install(
+        os.environ[SOURCE_VARIABLE],
+        Path(os.environ[CUT_FILE_VARIABLE]),
+        _read_proxies(Path(os.environ[PEER_PROXIES_VARIABLE])),
+    )
     sys.argv[0] = _RELAY
     runpy.run_module(_RELAY, run_name="__main__", alter_sys=True)
 
--- a/src/ebonydeal/_internal/soak/run.py
+++ b/src/ebonydeal/_internal/soak/run.py
@@ -53,7 +53,7 @@
 )
 from ebonydeal._internal.soak.plants import PLANTS
 from ebonydeal._internal.soak.platform import SoakPlatform
-from ebonydeal._internal.soak.processes import RelayProcess
+from ebonydeal._internal.soak.processes import RelayProcess, write_peer_proxies
 from ebonydeal._internal.soak.proxy import LinkFault, Proxy
 from ebonydeal._internal.soak.records import (
     FATAL_PART_PREFIX,
@@ -194,7 +194,10 @@
                 source_address(number),
                 _OVERLOAD_POLICY,
             )
+            relay.peers = await Proxy(relay.peer_address).start()
+            stack.push_async_callback(relay.peers.stop)
             self._relays.append(relay)
+        write_peer_proxies(self._folder, self._relays)
         for relay in self._relays:
             relay.write_settings([r.peer_address for r in self._relays])
             await relay.start()
@@ -225,7 +228,8 @@
 
     async def _probe(self, client: Client, relay: RelayProcess) -> None:
         while True:
-            versions = range(max(1, self._version - 1), self._version + 1)
+            oldest = max(1, self._version - _KNOWN_VERSIONS + 1)
+            versions = range(oldest, self._version + 1)
             for version in versions:
                 await client.probe(relay, _UNLIMITED.key, version)
             await asyncio.sleep(_PROBE_INTERVAL_S)
@@ -304,6 +308,15 @@
             case Fault.HISTORY_DROPPED:
                 async with self.log.fault("store", ""):
                     await self._platform.drop_history()
+            case Fault.STORE_SILENT:
+                async with self.log.fault("store", ""):
+                    await self._platform.fall_silent(step.seconds)
+            case Fault.PEERS_SILENT:
+                async with self.log.fault("silence", ""):
+                    for proxy in self._peer_proxies:
+                        proxy.silence_open_connections()
+            case Fault.PEER_UNREACHABLE:
+                await self._silence_peer(relay, step)
             case Fault.CONFIG:
                 await self._publish()
             case Fault.FATAL_REQUEST:
@@ -403,6 +416,19 @@
         names = tuple(relay.name for relay in relays)
         self.log.link_cuts.append(LinkCutPeriod(names, begin, time.monotonic()))
 
+    @property
+    def _peer_proxies(self) -> list[Proxy]:
+        """The proxies by which relays reach each other."""
+        return [relay.peers for relay in self._relays if relay.peers is not None]
+
+    async def _silence_peer(self, relay: RelayProcess, step: Step) -> None:
+        """Let other relays' connections to one carry nothing, new ones as well."""
+        assert relay.peers is not None
+        async with self.log.fault("peer link", relay.name):
+            relay.peers.set_fault(LinkFault.SILENT)
+            await asyncio.sleep(step.seconds)
+            relay.peers.set_fault(LinkFault.NONE)
+
     def _silence_connections(self) -> None:
         """Let all open connections to the store and to endpoints fall silent."""
         for relay in self._relays:
--- a/tests/unit/soak/test_checks.py
+++ b/tests/unit/soak/test_checks.py
@@ -7,13 +7,16 @@
 from ebonydeal._internal.soak.checks import (
     account_limits_respected,
     check_all,
-    config_never_reverts,
     no_requests_after_drain,
     planned_stops_interrupt_no_requests,
     refused_requests_never_run,
     runs_at_most_once,
     usage_exact,
 )
+from ebonydeal._internal.soak.config_checks import (
+    config_in_force_in_time,
+    config_never_reverts,
+)
 from ebonydeal._internal.soak.guarantees import Guarantees, Limit, OverloadBounds
 from ebonydeal._internal.soak.plants import PLANTS
 from ebonydeal._internal.soak.records import (
@@ -137,7 +140,7 @@
         log.published_configs = [PublishedConfig(1, 9.0)]
         unknown = make_result("q" * 16, Kind.PROBE, 13.0, status=404, version=1)
         log.results.append(unknown)
-        assert [v.promise for v in config_never_reverts(log, GUARANTEES)] == [
+        assert [v.promise for v in config_in_force_in_time(log, GUARANTEES)] == [
             "configuration"
         ]
 
@@ -145,7 +148,34 @@
         log = good_log()
         unknown = make_result("q" * 16, Kind.PROBE, 18.0, status=404, version=1)
         log.results.append(unknown)
-        assert list(config_never_reverts(log, GUARANTEES)) == []
+        assert list(config_in_force_in_time(log, GUARANTEES)) == []
+
+    def test_a_removed_route_served_later_than_allowed_is_a_violation(self):
+        log = good_log()
+        for sent, violations in [(15.4, 0), (15.6, 1)]:
+            served = make_result("q" * 16, Kind.PROBE, sent, version=1)
+            log.results.append(served)
+            assert len(list(config_in_force_in_time(log, GUARANTEES))) == violations
+
+    @pytest.mark.parametrize(
+        ("period", "excused"),
+        [
+            (FaultPeriod("store", "", 12.0, 15.0), True),
+            (FaultPeriod("kill", "n1", 12.0, 15.0), True),
+            (FaultPeriod("store", "", 12.0, 12.9), False),
+            (FaultPeriod("kill", "n2", 12.0, 15.0), False),
+            (FaultPeriod("link", "", 12.0, 15.0), False),
+        ],
+    )
+    def test_only_a_recent_fault_of_the_relay_or_the_store_excuses(
+        self, period, excused
+    ):
+        log = good_log()
+        log.fault_periods = [period]
+        served = make_result("q" * 16, Kind.PROBE, 16.0, version=1)
+        log.results.append(served)
+        found = list(config_in_force_in_time(log, GUARANTEES))
+        assert (found == []) is excused
 
 
 class TestLimits:
