Probe a slow store only after calls without a reply

A refusal that came late started the call, too, which test_after_a_long_last_failure_it_is_dropped_before_the_drain_time shows.

--- a/src/ebonydeal/_internal/relay/view/follower.py
+++ b/src/ebonydeal/_internal/relay/view/follower.py
@@ -310,7 +310,10 @@
 
     def _note_failure(self, exc: EbonydealError) -> None:
         now = self._clock.now()
-        timed_out = now - self._asked_at >= self._reply_timeout.seconds
+        waited = now - self._asked_at
+        timed_out = (
+            isinstance(exc, NoReplyError) and waited >= self._reply_timeout.seconds
+        )
         self._reply_timeout.record_lost()
         self._failed_at = self._asked_at
         # A first lost reply may be due to its connection alone, if that was open for a
