Don't ask the own address for a newer view

A coordinator that the store turned away asked itself for a newer configuration, as the lease names its own address, and one other relay; other relays could draw their own address as that other. Each such round of 0.4 s was lost.

--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -414,6 +414,7 @@
         )
         self._view_sync = ViewSync(
             self._exchange,
+            self._other_relays,
             self._client,
             ports.wire,
             self.view,
--- a/src/ebonydeal/_internal/relay/view/view_sync.py
+++ b/src/ebonydeal/_internal/relay/view/view_sync.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from base64 import b64decode
+from collections.abc import Callable
 from random import Random
 from typing import Any
 from zlib import decompress
@@ -37,11 +38,15 @@
 
 
 class ViewSync(Service):
-    """Asks other relays for their view while the store doesn't answer this one."""
+    """Asks other relays for their view while the store doesn't answer this one.
+
+    ``other_relays`` returns the addresses of the other known relays.
+    """
 
     def __init__(
         self,
         exchange: Exchange,
+        other_relays: Callable[[], list[str]],
         client: PeerClient,
         wire: Wire,
         view: RelayView,
@@ -53,6 +58,7 @@
     ) -> None:
         super().__init__()
         self._exchange = exchange
+        self._other_relays = other_relays
         self._client = client
         self._wire = wire
         self._view = view
@@ -102,13 +108,7 @@
         With ``members`` it includes the endpoints. With ``store_down`` both relays are
         asked, since either may know more.
         """
-        addresses = []
-        if self._exchange.coordinator_address:
-            addresses.append(self._exchange.coordinator_address)
-        others = [a for a in self._exchange.relays if a not in addresses]
-        if others:
-            addresses.append(self._rng.choice(others))
-        for address in addresses:
+        for address in self._addresses():
             view = self._view
             since = view.members_version if members else None
             message = ViewMessage(
@@ -126,6 +126,17 @@
             if not store_down:
                 return
 
+    def _addresses(self) -> list[str]:
+        """Return the coordinator's address and another relay's, without the own one."""
+        coordinator = self._exchange.coordinator_address
+        addresses = []
+        if coordinator and not self._exchange.lease.is_mine:
+            addresses.append(coordinator)
+        others = [a for a in self._other_relays() if a not in addresses]
+        if others:
+            addresses.append(self._rng.choice(others))
+        return addresses
+
     def _apply(self, reply: dict[str, Any], address: str) -> None:
         view = self._view
         try:
