Don't take the only listed version for the only one after the loss of all relays

Cause: relays that all had just started took the only version that they saw for the only one there had been, once all of them had replied. What each of them knew before was lost with the last one.

Now the holder of the lease stores the versions that services have had during a stream's lifetime, with a renewal when they have changed and at once for a second version; a relay reads them at its start. One version is the only one if a relay has followed the list for that long, or goes on from that record. Else the request is refused with 503 and runs nowhere.

--- a/src/ebonydeal/_internal/relay/peers/stream_versions.py
+++ b/src/ebonydeal/_internal/relay/peers/stream_versions.py
@@ -4,11 +4,14 @@
 has endpoints of several versions, each relay reports the streams that it begins to two
 others, beside their first events. A relay where a client resumes a stream asks all
 others. If none knows, the stream isn't resumed: a refusal mixes nothing.
+
+The versions that services have had are stored with the lease as well, so that relays
+that start know them after the loss of all others.
 """
 
 import asyncio
-from collections.abc import Callable, Iterable, Set
-from typing import Any, NamedTuple, TypedDict
+from collections.abc import Awaitable, Callable, Iterable, Set
+from typing import Any, NamedTuple, NotRequired, TypedDict
 
 from mode import Service
 from xxhash import xxh3_64_intdigest
@@ -47,6 +50,7 @@
 _FOLLOW_INTERVAL_S = 0.25
 # Time for which a client may come back after its last attempt has ended.
 _RETURN_S = 2.0
+_LOAD_RETRY_INTERVAL_S = 0.5
 # Lifetime of streams while no configuration is known.
 _DEFAULT_LIFETIME_S = 30.0
 
@@ -65,10 +69,15 @@
 
 
 class VersionReply(TypedDict):
-    """The version that began the stream, None if unknown, and all that may have."""
+    """The version that began the stream, None if unknown, and all that may have.
+
+    ``complete`` says that no other version may have; relays of the previous release
+    don't send it.
+    """
 
     version: str | None
     versions: list[str]
+    complete: NotRequired[bool]
 
 
 class SharingParts(NamedTuple):
@@ -99,6 +108,10 @@
         self._avoid_until: dict[str, float] = {}
         self._seen_changes = -1
         self._listed: dict[str, set[str]] = {}
+        # Reads the stored versions and restores them; raises if the store fails.
+        self.load_history: Callable[[], Awaitable[None]] = _load_nothing
+        # Called when a service has got a second version.
+        self.on_second_version: Callable[[], None] = lambda: None
 
     # --- streams of this relay -------------------------------------------------------
     def record_start(
@@ -120,6 +133,7 @@
         ``first_attempt`` is the client's request that brought the first event.
         """
         now = self._parts.clock.now()
+        self._note_list()
         self._parts.metrics.count(Event.STREAMS_RESUMED_BY_CLIENTS)
         version = self._starts.version(first_attempt, now)
         source = "this relay"
@@ -148,16 +162,19 @@
         """Return the version that began a stream by the other relays, None if unknown.
 
         Where nobody knows, it is the only version that any relay has seen during the
-        stream's lifetime, provided that all have replied.
+        stream's lifetime, provided that all have replied, and one has seen each version
+        of that time.
         """
         message = VersionMessage(request=request_id, service=service)
         asked = [
             asyncio.ensure_future(self._ask(address, message))
             for address in self._parts.others()
         ]
-        possible = set(self._history.versions(service, self._parts.clock.now()))
+        now = self._parts.clock.now()
+        possible = set(self._history.versions(service, now))
         possible |= self._listed_versions().get(service, set())
         all_replied = self._parts.knows_others()
+        is_complete = self._history.is_complete(now)
         try:
             for reply in asyncio.as_completed(asked):
                 got = await reply
@@ -167,10 +184,12 @@
                 if got["version"] is not None:
                     return got["version"]
                 possible.update(got["versions"])
+                is_complete = is_complete or got.get("complete", False)
         finally:
             for task in asked:
                 task.cancel()
-        return possible.pop() if all_replied and len(possible) == 1 else None
+        is_sole = all_replied and is_complete and len(possible) == 1
+        return possible.pop() if is_sole else None
 
     async def _ask(self, address: str, message: VersionMessage) -> VersionReply | None:
         """Return another relay's reply; None if there is none, though it may know."""
@@ -183,7 +202,9 @@
             knows_nothing = exc.kind in (ErrorKind.CONNECT_FAILED, ErrorKind.NOT_FOUND)
             return VersionReply(version=None, versions=[]) if knows_nothing else None
         return VersionReply(
-            version=reply.get("version"), versions=list(reply.get("versions", []))
+            version=reply.get("version"),
+            versions=list(reply.get("versions", [])),
+            complete=bool(reply.get("complete", False)),
         )
 
     # --- calls of other relays -------------------------------------------------------
@@ -200,24 +221,50 @@
     def answer(self, message: VersionMessage) -> VersionReply:
         """Answer another relay at which a client resumes a stream."""
         now, service = self._parts.clock.now(), str(message["service"])
+        self._note_list()
         return VersionReply(
             version=self._starts.version(str(message["request"]), now),
             versions=sorted(self._history.versions(service, now)),
+            complete=self._history.is_complete(now),
         )
 
     # --- versions of services --------------------------------------------------------
+    def noted_versions(self) -> dict[str, list[str]]:
+        """Return the versions of each service that a stream may have begun at."""
+        versions = self._history.all_versions(self._parts.clock.now())
+        return {service: sorted(names) for service, names in versions.items()}
+
+    def restore_versions(self, versions: dict[str, list[str]]) -> None:
+        """Go on from the versions that the last holder of the lease noted."""
+        self._history.restore(versions, self._parts.clock.now())
+        logger.info("Versions of services restored.", versions=versions)
+
+    @Service.task
+    async def _load_history(self) -> None:
+        """Read what the holders of the lease have noted until now."""
+        while not self.should_stop:
+            try:
+                await self.load_history()
+            except EbonydealError as exc:
+                logger.info("Versions of services not read.", reason=str(exc))
+                await self._parts.clock.sleep(_LOAD_RETRY_INTERVAL_S)
+                continue
+            return
+
     @Service.task
     async def _follow_list(self) -> None:
-        """Note the listed versions, and report streams once there are several."""
-        view, clock = self._parts.view, self._parts.clock
         while not self.should_stop:
-            now = clock.now()
-            if view.index is not None:
-                self._history.lifetime_s = _lifetime_s(view.index.table)
-            if view.members_known:
-                self._report_all(self._history.update(self._listed_versions(), now))
-            self._starts.expire(now)
-            await clock.sleep(_FOLLOW_INTERVAL_S)
+            self._note_list()
+            self._starts.expire(self._parts.clock.now())
+            await self._parts.clock.sleep(_FOLLOW_INTERVAL_S)
+
+    def _note_list(self) -> None:
+        """Note the listed versions, and report streams once there are several."""
+        view, now = self._parts.view, self._parts.clock.now()
+        if view.index is not None:
+            self._history.lifetime_s = _lifetime_s(view.index.table)
+        if view.members_known:
+            self._report_all(self._history.update(self._listed_versions(), now))
 
     def _note_version(self, service: str, version: str, now: float) -> None:
         """Note that a service has a version, which its list may not show yet."""
@@ -226,6 +273,8 @@
 
     def _report_all(self, services: Set[str]) -> None:
         """Report the streams of services that have got a second version."""
+        if services:
+            self.on_second_version()
         for start in self._starts.of_services(services, self._parts.clock.now()):
             self._unreported.put_nowait(start)
 
@@ -299,6 +348,10 @@
         return True
 
 
+async def _load_nothing() -> None:
+    """Read nothing, as without a store."""
+
+
 def _lifetime_s(table: RouteTable) -> float:
     """Return for how long after its first event a client may resume a stream."""
     timeouts = [route.timeout for route in table.routes if route.resumable]
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -68,6 +68,7 @@
     SharingParts,
     StreamVersions,
 )
+from ebonydeal._internal.relay.peers.version_store import VersionStore
 from ebonydeal._internal.relay.ports import RelayPorts
 from ebonydeal._internal.relay.requests.answer_end import AnswerEndChecker
 from ebonydeal._internal.relay.requests.answer_memory import AnswerMemory
@@ -403,6 +404,14 @@
         self.coordinator.persist_with_lease(
             CrashStore(ports.store, self._suspects, clock)
         )
+        versions = VersionStore(
+            ports.store,
+            self._stream_versions.noted_versions,
+            self._stream_versions.restore_versions,
+        )
+        self.coordinator.persist_with_lease(versions)
+        self._stream_versions.load_history = versions.read
+        self._stream_versions.on_second_version = self.coordinator.write_soon
         self._rollouts = self._build_rollouts(ports)
         handler.rollouts = self._rollouts.report
         self.coordinator.compare_crashes = self._suspects.exchange_evidence
--- a/src/ebonydeal/_internal/routing/placement/stream_versions.py
+++ b/src/ebonydeal/_internal/routing/placement/stream_versions.py
@@ -3,6 +3,7 @@
 Events of two versions don't fit together, and endpoints don't check who began a stream.
 """
 
+import math
 from collections.abc import Iterable, Mapping, Set
 from typing import NamedTuple
 
@@ -104,6 +105,28 @@
         self._last_seen.setdefault(service, {}).update(dict.fromkeys(versions, now))
         return len(before) <= 1 < len(self.versions(service, now))
 
+    def restore(self, versions: Mapping[str, Iterable[str]], now: float) -> None:
+        """Go on from the versions that other relays noted until now.
+
+        These versions may have been there until now, and no others were before.
+        """
+        for service, names in versions.items():
+            self.note(service, names, now)
+        self._known_since = -math.inf
+        self._updated_at = now
+
+    def all_versions(self, now: float) -> dict[str, frozenset[str]]:
+        """Return the versions of each service that a stream may have begun at."""
+        services = {s: self.versions(s, now) for s in self._last_seen}
+        return {s: versions for s, versions in services.items() if versions}
+
+    def is_complete(self, now: float) -> bool:
+        """Whether each version that a stream may have begun at is known here."""
+        since = self._known_since
+        if since is None or now - since < self.lifetime_s:
+            return False
+        return now - self._updated_at <= _MAX_GAP_S
+
     def versions(self, service: str, now: float) -> frozenset[str]:
         """Return the versions that a stream may have begun at, as far as known here."""
         return frozenset(
@@ -117,10 +140,7 @@
 
         None as well if this relay hasn't followed the list for long enough to know.
         """
-        since = self._known_since
-        if since is None or now - since < self.lifetime_s:
-            return None
-        if now - self._updated_at > _MAX_GAP_S:
+        if not self.is_complete(now):
             return None
         versions = self.versions(service, now)
         return next(iter(versions)) if len(versions) == 1 else None
--- a/tests/functional/relay/test_stream_versions.py
+++ b/tests/functional/relay/test_stream_versions.py
@@ -15,6 +15,8 @@
 STREAMS = 16
 # Whole streams that let a relay retry as many others.
 EARNING_STREAMS = 100
+# Within this time the lease is renewed.
+RENEWAL_S = 1.5
 
 
 async def earn_retries(relay, endpoints):
@@ -105,6 +107,50 @@
         assert_goes_on(streams)
         assert set.union(*(stream.versions for stream in streams)) == {b"v1"}
 
+    async def test_is_not_mixed_if_its_version_left_while_all_relays_were_lost(self):
+        endpoints = endpoints_of_two_versions()
+        async with relays_of_two_versions(2, endpoints[:3]) as (relays, store):
+            late = relay(store, node="late", seed=9)
+
+            async def replace_all():
+                for endpoint in endpoints[3:]:
+                    await endpoint.start()
+                    await store.put("servers", endpoint.name, endpoint.row())
+                # The versions are stored with the next renewal of the lease.
+                await asyncio.sleep(RENEWAL_S)
+                for program in relays:
+                    await program.stop()
+                for endpoint in endpoints[:3]:
+                    await store.put("servers", endpoint.name, None)
+                await late.start()
+                # It knows then that there are no others to ask.
+                await until(lambda: late._exchange.count_known, 15.0)
+
+            streams = await receive_all([relays[0], late], between=replace_all)
+            await late.stop()
+            for endpoint in endpoints[3:]:
+                await endpoint.stop()
+        assert not_mixed(streams)
+        assert any(stream.resumed for stream in streams)
+
+    async def test_goes_on_after_the_loss_of_all_relays_at_the_only_version(self):
+        async with relays_of_two_versions(2, endpoints_of_two_versions()[:3]) as (
+            relays,
+            store,
+        ):
+            late = relay(store, node="late", seed=9)
+
+            async def replace_relays():
+                await asyncio.sleep(RENEWAL_S)
+                for program in relays:
+                    await program.stop()
+                await late.start()
+                await until(lambda: late.ready)
+
+            streams = await receive_all([relays[0], late], between=replace_relays)
+            await late.stop()
+        assert_goes_on(streams)
+
     async def test_is_refused_if_no_relay_knows_its_version(self):
         async with relays_of_two_versions(2) as (relays, store):
 
--- a/tests/unit/relay/peers/test_stream_versions.py
+++ b/tests/unit/relay/peers/test_stream_versions.py
@@ -1,6 +1,7 @@
 """Relays tell each other which version began a stream."""
 
 import asyncio
+from contextlib import asynccontextmanager
 
 import pytest
 
@@ -142,20 +143,54 @@
         assert caught.value.kind is ErrorKind.STREAM_VERSION_UNKNOWN
         assert caught.value.response.status == 503
 
+    @asynccontextmanager
+    async def relay_that_started_since(self):
+        """One of three relays has just started; the others saw one version."""
+        clock = ManualClock()
+        async with Relays(clock, "abc", versions=("v1",)) as all_relays:
+            await clock.advance(LONG_S)
+            late = all_relays.relays["a"]
+            late._history = type(late._history)(TIMEOUT_S)
+            yield all_relays, late
+
     async def test_only_version_that_all_relays_have_seen_is_taken(self):
-        async with Relays(ManualClock(), "abc", versions=("v1",)) as all_relays:
+        async with self.relay_that_started_since() as (all_relays, late):
             all_relays.lost = {"c"}
-            assert await find(all_relays.relays["a"]) == "v1"
+            assert await find(late) == "v1"
 
     @pytest.mark.parametrize(("silent", "all_known"), [({"c"}, True), (set(), False)])
     async def test_it_is_not_taken_where_another_relay_may_know(
         self, silent, all_known
     ):
-        async with Relays(ManualClock(), "abc", versions=("v1",)) as all_relays:
+        async with self.relay_that_started_since() as (all_relays, late):
             all_relays.silent, all_relays.all_known = silent, all_known
+            with pytest.raises(EbonydealError):
+                await find(late)
+
+    async def test_only_listed_version_is_not_taken_if_all_relays_have_just_started(
+        self,
+    ):
+        """Another version may have left while there were none."""
+        async with Relays(ManualClock(), "abc", versions=("v2",)) as all_relays:
             with pytest.raises(EbonydealError):
                 await find(all_relays.relays["a"])
 
+    @pytest.mark.parametrize(
+        ("stored", "found"), [(["v2"], "v2"), (["v1", "v2"], None), (["v1"], None)]
+    )
+    async def test_stored_versions_tell_whether_it_was_the_only_one(
+        self, stored, found
+    ):
+        async with Relays(ManualClock(), "abc", versions=("v2",)) as all_relays:
+            all_relays.all_known = False
+            late = all_relays.relays["a"]
+            late.restore_versions({"s": stored})
+            if found is None:
+                with pytest.raises(EbonydealError):
+                    await find(late)
+            else:
+                assert await find(late) == found
+
     async def test_first_reply_that_knows_is_enough(self):
         async with Relays(ManualClock(), "abc") as all_relays:
             all_relays.relays["b"].record_start("r1", "s", "v1", TIMEOUT_S)
--- a/tests/unit/routing/placement/test_stream_versions.py
+++ b/tests/unit/routing/placement/test_stream_versions.py
@@ -91,5 +91,19 @@
         assert history.note("s", ["v2"], 19.0)
         assert history.sole_version("s", 19.0) is None
 
+    def test_restored_versions_count_for_a_lifetime(self):
+        history = VersionHistory(LIFETIME_S)
+        history.restore({"s": ["v1"]}, 0.0)
+        followed(history, {"s": ["v2"]}, 0, 10)
+        assert history.sole_version("s", 9.5) is None
+        followed(history, {"s": ["v2"]}, 10, 13)
+        assert history.sole_version("s", 12.0) == "v2"
+
+    def test_restored_version_that_is_still_the_only_one_is_known_at_once(self):
+        history = VersionHistory(LIFETIME_S)
+        history.restore({"s": ["v1"]}, 100.0)
+        history.update({"s": ["v1"]}, 100.1)
+        assert history.sole_version("s", 100.2) == "v1"
+
     def test_unknown_service_has_no_version(self):
         assert VersionHistory(LIFETIME_S).sole_version("s", 1.0) is None
