Believe a refusal only if it names the request

Cause: whether an answer says "not run" was looked at before whose answer it is. So a copy that names an earlier request, or none, was proof for the request at hand, and the connection went back to the pool as clean.

Now an answer without the request's id is no answer, whatever it says: the request may have run, and the connection is closed. The same cause elsewhere: a rejection, or the end of an endpoint's limit, was noted from such a copy; and calls to engines (/-/report, /-/kv-move), whose replies have no id, could take the second reply to one call for that to the next. These have a connection each now.

--- a/src/ebonydeal/_internal/platform/calls.py
+++ b/src/ebonydeal/_internal/platform/calls.py
@@ -53,10 +53,15 @@
 
 
 def _open_session() -> ClientSession:
-    session = ClientSession(
-        connector=BoundedConnector(limit=0, keepalive_timeout=_MAX_IDLE_S),
-        trace_configs=[_reuse_tracing()],
-    )
+    return _session(BoundedConnector(limit=0, keepalive_timeout=_MAX_IDLE_S))
+
+
+def _open_single_use_session() -> ClientSession:
+    return _session(BoundedConnector(limit=0, force_close=True))
+
+
+def _session(connector: BoundedConnector) -> ClientSession:
+    session = ClientSession(connector=connector, trace_configs=[_reuse_tracing()])
     # aiohttp itself would repeat a GET whose connection broke.
     session._retry_connection = False
     return session
@@ -69,11 +74,16 @@
     ----------
     timeout : float
         Timeout of one call, and of connecting, seconds.
+    reuses_connections : bool
+        False for services that may send more than one reply to a call: the next call
+        on that connection would take it for its own.
     """
 
-    def __init__(self, timeout: float) -> None:
+    def __init__(self, timeout: float, reuses_connections: bool = True) -> None:
         self._timeout = timeout
-        self._sessions = HttpSessions(_open_session)
+        self._sessions = HttpSessions(
+            _open_session if reuses_connections else _open_single_use_session
+        )
 
     async def call(
         self,
--- a/src/ebonydeal/_internal/platform/engines.py
+++ b/src/ebonydeal/_internal/platform/engines.py
@@ -22,7 +22,8 @@
     """
 
     def __init__(self, timeout: float) -> None:
-        self._calls = JsonCalls(timeout)
+        # Replies have no id, and an endpoint may send one twice.
+        self._calls = JsonCalls(timeout, reuses_connections=False)
 
     async def migrate_run(
         self, source: str, request_id: str, target: str
--- a/src/ebonydeal/_internal/relay/requests/notices.py
+++ b/src/ebonydeal/_internal/relay/requests/notices.py
@@ -31,6 +31,7 @@
         if head.misdirected:
             # The answer is from another process at this address.
             return
+        is_answer = head.request_id == request_id
         notice = head.notice
         for header in notice.unreadable:
             self._metrics.count(Event.NOTICES_UNREADABLE)
@@ -41,13 +42,13 @@
             self._note_backoff(member, notice.backoff_s)
         if notice.leaving:
             self._note_leaving(member)
-        if notice.max_rejections is not None or head.request_id == request_id:
+        if notice.max_rejections is not None or is_answer:
             self._note_brittle(member, notice.max_rejections)
-        if head.not_run and head.status == HTTPStatus.SERVICE_UNAVAILABLE:
+        is_rejection = head.not_run and head.status == HTTPStatus.SERVICE_UNAVAILABLE
+        if is_answer and is_rejection:
             self._note_rejection(member)
         # An answer without a limit ends the known one, unless it holds an unreadable
         # notice or belongs to another request.
-        is_answer = head.request_id == request_id or head.not_run
         if notice.limit is None and (notice.unreadable or not is_answer):
             return
         now = self._clock.now()
--- a/src/ebonydeal/_internal/relay/requests/plain.py
+++ b/src/ebonydeal/_internal/relay/requests/plain.py
@@ -29,11 +29,13 @@
 
 def head_failure(head: AnswerHead, request_id: str) -> Outcome | None:
     """Return the outcome of an answer whose head is invalid or a refusal, else None."""
-    if head.not_run:
-        return ProvedNotRun(head.status)
+    # First of all: a late copy of a refusal proves nothing for the next request on its
+    # connection, which may have run.
     if head.request_id != request_id:
         detail = "the answer has another request's id"
         return MayHaveRun(ErrorKind.ENDPOINT_GARBAGE, detail)
+    if head.not_run:
+        return ProvedNotRun(head.status)
     if 200 <= head.status < 300 and (head.encoded or not head.signed):
         detail = "the answer is unsigned or encoded, so not the endpoint's own"
         return MayHaveRun(ErrorKind.ENDPOINT_GARBAGE, detail)
--- a/tests/functional/relay/test_plain.py
+++ b/tests/functional/relay/test_plain.py
@@ -42,7 +42,23 @@
     await reader.read()
 
 
-BAD_ANSWERS = [UNSIGNED, OTHER_ID, ENCODED, GARBAGE, reset, truncate]
+# A late copy of the refusal of an earlier request, which proves nothing for this one.
+OTHER_REFUSAL = (
+    b"HTTP/1.1 503 Busy\r\nEbonydeal-Request-Id: another\r\n"
+    b"Ebonydeal-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+)
+OTHER_MISDIRECTED = OTHER_REFUSAL.replace(b"503 Busy", b"421 Misdirected")
+REFUSAL_WITHOUT_ID = OTHER_REFUSAL.replace(b"Ebonydeal-Request-Id: another\r\n", b"")
+REFUSALS_OF_OTHERS = [OTHER_REFUSAL, OTHER_MISDIRECTED, REFUSAL_WITHOUT_ID]
+BAD_ANSWERS = [
+    UNSIGNED,
+    OTHER_ID,
+    ENCODED,
+    GARBAGE,
+    reset,
+    truncate,
+    *REFUSALS_OF_OTHERS,
+]
 
 
 class TestAnswer:
@@ -92,6 +108,27 @@
         assert "retry-after" not in headers
         assert "ebonydeal-server-signature" not in headers
 
+    async def test_late_copy_of_a_refusal_is_no_proof_for_the_next_request(self):
+        """It arrives on the same connection once the next request was sent."""
+        one, two = RawEndpoint("i1"), RawEndpoint("i2")
+        async with running(one) as (program, store):
+            one.script = [NOT_RUN, NOT_RUN, NOT_RUN.replace(b"{id}", b"r1")]
+            await ask(program, "/once/", rid="r1", method="POST")
+            assert one.ids() == ["r1", "r1"]
+            await two.start()
+            await store.put("servers", two.name, two.row())
+            await until(lambda: "i2" in program.view.members)
+            for number in range(2, 6):
+                rid = f"r{number}"
+                status, headers, _body = await ask(
+                    program, "/once/", rid=rid, method="POST"
+                )
+                assert (one.ids() + two.ids()).count(rid) == 1
+                assert status in (200, 502)
+                assert headers.get("x-outcome") != "not_run"
+            await two.stop()
+        assert one.script == []
+
     async def test_proof_of_no_run_allows_a_resend(self):
         one, two = RawEndpoint("i1", [NOT_RUN]), RawEndpoint("i2", [NOT_RUN])
         async with running(one, two) as (program, _store):
--- a/tests/lib/raw_endpoints.py
+++ b/tests/lib/raw_endpoints.py
@@ -128,4 +128,7 @@
     return step
 
 
-NOT_RUN = b"HTTP/1.1 503 Busy\r\nEbonydeal-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+NOT_RUN = (
+    b"HTTP/1.1 503 Busy\r\nEbonydeal-Request-Id: {id}\r\n"
+    b"Ebonydeal-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+)
