Let no error of a background task end a relay

Cause: two calls to new addresses looked for unused sessions at the same time. Each went through a copy of them, deleted one and waited for its close, so the second one to reach an entry raised KeyError. The task that asks leaving endpoints expects other errors only; its end ended the program, as that of any task would have.

Now unused sessions are removed all at once before the first is closed. Single calls in the background (tests of links, announcements, confirmations) end alone. Calls between relays use the same sessions.

--- a/src/ebonydeal/_internal/observe/counters.py
+++ b/src/ebonydeal/_internal/observe/counters.py
@@ -102,6 +102,7 @@
     TRUNCATED_ANSWERS = "truncated_answers"
     STREAMS_RESUMED_BY_CLIENTS = "streams_resumed_by_clients"
     STORE_RESTORED = "store_restored"
+    TASKS_FAILED = "tasks_failed"
     LINKS_LOST = "links_lost"
     LINKS_RESTORED = "links_restored"
     FORWARDED_THROUGH_RELAY = "forwarded_through_relay"
--- a/src/ebonydeal/_internal/relay/crashes/crash_detector.py
+++ b/src/ebonydeal/_internal/relay/crashes/crash_detector.py
@@ -13,14 +13,13 @@
 from contextlib import suppress
 from typing import NamedTuple
 
-from mode import Service
-
 from ebonydeal._internal.models.forwarding import Member
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.routing.crashes.request_traits import RequestTraits
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.reachability import refuses_connections
+from ebonydeal._internal.utils.supervised import SupervisedService
 
 logger = get_logger("relay.crash")
 
@@ -66,7 +65,7 @@
     return dict(counts.most_common(_MAX_LOGGED_DIGESTS))
 
 
-class CrashDetector(Service):
+class CrashDetector(SupervisedService):
     """Opens a new connection to endpoints whose connections broke.
 
     Parameters
@@ -105,7 +104,7 @@
             running.requests.add(traits)
             return
         self._checks[_start_key(listed)] = _Check({traits}, asyncio.Event())
-        self.add_future(self._check(listed))
+        self.run_once(self._check(listed))
 
     async def wait_until_checked(self, member: Member) -> None:
         """Wait for the check of an endpoint, if one is running.
--- a/src/ebonydeal/_internal/relay/crashes/suspects.py
+++ b/src/ebonydeal/_internal/relay/crashes/suspects.py
@@ -12,8 +12,6 @@
 from contextlib import contextmanager
 from typing import Any, NamedTuple
 
-from mode import Service
-
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.forwarding import Member
 from ebonydeal._internal.observe.counters import Event, Metrics
@@ -35,6 +33,7 @@
 from ebonydeal._internal.routing.crashes.request_traits import RequestTraits
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.peerclient import PeerClient
+from ebonydeal._internal.utils.supervised import SupervisedService, supervised_task
 
 logger = get_logger("relay.suspects")
 
@@ -61,7 +60,7 @@
     node: str
 
 
-class Suspects(Service):
+class Suspects(SupervisedService):
     """Tracks suspected and quarantined requests, and stops runs of quarantined ones."""
 
     def __init__(self, parts: SuspectParts) -> None:
@@ -238,12 +237,12 @@
                     stopped += 1
         return stopped
 
-    @Service.task
+    @supervised_task
     async def _send_reports(self) -> None:
         while not self.should_stop:
             await self._send_to_others(await self._unsent.get(), with_requests=True)
 
-    @Service.task
+    @supervised_task
     async def _send_changes(self) -> None:
         while not self.should_stop:
             await self._has_changed.wait()
@@ -273,7 +272,7 @@
         except EbonydealError as exc:
             logger.info("Crash report not delivered.", peer=address, reason=str(exc))
 
-    @Service.task
+    @supervised_task
     async def _expire(self) -> None:
         while not self.should_stop:
             await self._parts.clock.sleep(_EXPIRY_INTERVAL_S)
--- a/src/ebonydeal/_internal/relay/duties/coordinator.py
+++ b/src/ebonydeal/_internal/relay/duties/coordinator.py
@@ -54,6 +54,7 @@
 from ebonydeal._internal.settings.policy import PolicySettings
 from ebonydeal._internal.settings.relay import RelaySettings
 from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.supervised import SupervisedService, supervised_task
 
 logger = get_logger("relay.coordinator")
 
@@ -138,7 +139,7 @@
         self._amounts[account] = self._amounts.get(account, 0.0) + amount
 
 
-class Coordinator(Service):
+class Coordinator(SupervisedService):
     """Competes for the coordinator lease, and performs the duties of its holder.
 
     Parameters
@@ -242,6 +243,7 @@
 
     def on_init_dependencies(self) -> Iterable[Service]:
         """Return the task that keeps the lease."""
+        self._keeper.on_task_failed = lambda: self.on_task_failed()
         return [self._keeper]
 
     def _begin(self) -> None:
@@ -536,7 +538,7 @@
         return self.granter.permit(LimitReport.decode(message["report"]))
 
     # --- usage -----------------------------------------------------------------
-    @Service.task
+    @supervised_task
     async def _report_usage(self) -> None:
         while not self.should_stop:
             await self._parts.clock.sleep(_USAGE_CHECK_INTERVAL_S)
--- a/src/ebonydeal/_internal/relay/duties/fleet.py
+++ b/src/ebonydeal/_internal/relay/duties/fleet.py
@@ -3,8 +3,6 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from mode import Service
-
 from ebonydeal._internal.errors import EbonydealError
 from ebonydeal._internal.models.forwarding import ForwardService, Member, Scaling
 from ebonydeal._internal.observe.counters import Event, Metrics
@@ -21,6 +19,7 @@
 )
 from ebonydeal._internal.routing.fleet.load_forecast import LoadForecast
 from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.supervised import SupervisedService, supervised_task
 
 logger = get_logger("relay.fleet")
 
@@ -62,7 +61,7 @@
     have: int
 
 
-class FleetScaler(Service):
+class FleetScaler(SupervisedService):
     """Keeps each service's fleet at the size that the planner wants.
 
     Parameters
@@ -112,7 +111,7 @@
         # Returns the target version of a service's current roll-out, or None.
         self.target_version: Callable[[str], str | None] = lambda _service: None
 
-    @Service.task
+    @supervised_task
     async def _run(self) -> None:
         while not self.should_stop:
             await self._clock.sleep(_STEP_INTERVAL_S)
--- a/src/ebonydeal/_internal/relay/duties/lease_keeper.py
+++ b/src/ebonydeal/_internal/relay/duties/lease_keeper.py
@@ -5,8 +5,6 @@
 from random import Random
 from typing import Protocol
 
-from mode import Service
-
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.shared import NO_ROW, RowWrite
 from ebonydeal._internal.observe.logs import get_logger
@@ -20,6 +18,7 @@
     Write,
 )
 from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.supervised import SupervisedService, supervised_task
 
 logger = get_logger("relay.lease")
 
@@ -63,7 +62,7 @@
         """Note that the store may have lost the last writes of this row."""
 
 
-class LeaseKeeper(Service):
+class LeaseKeeper(SupervisedService):
     """The task that reads and writes the lease's row at one relay.
 
     Parameters
@@ -119,7 +118,7 @@
         """Whether this relay may act on the duties now."""
         return self.lease.holds(self._clock.now())
 
-    @Service.task
+    @supervised_task
     async def _keep_lease(self) -> None:
         await self.reachable.wait()
         while not self.should_stop:
--- a/src/ebonydeal/_internal/relay/duties/rollouts.py
+++ b/src/ebonydeal/_internal/relay/duties/rollouts.py
@@ -8,8 +8,6 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from mode import Service
-
 from ebonydeal._internal.errors import EbonydealError
 from ebonydeal._internal.models.forwarding import Member
 from ebonydeal._internal.models.rollouts import Phase, RolloutGate, RolloutOrder
@@ -38,6 +36,7 @@
 )
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.peerclient import PeerClient
+from ebonydeal._internal.utils.supervised import SupervisedService, supervised_task
 
 logger = get_logger("relay.rollout")
 
@@ -67,7 +66,7 @@
     clock: Clock
 
 
-class Rollouts(Service):
+class Rollouts(SupervisedService):
     """Runs all roll-outs while this relay holds the coordinator's lease.
 
     Parameters
@@ -156,7 +155,7 @@
             logger.info("Gates not delivered.", peer=address, reason=str(exc))
 
     # --- steps -----------------------------------------------------------------------
-    @Service.task
+    @supervised_task
     async def _run(self) -> None:
         coordinator = self._parts.coordinator
         while not self.should_stop:
--- a/src/ebonydeal/_internal/relay/limits/client.py
+++ b/src/ebonydeal/_internal/relay/limits/client.py
@@ -9,8 +9,6 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple, Protocol
 
-from mode import Service
-
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.forwarding import ForwardAccount
 from ebonydeal._internal.observe.counters import Event, Metrics
@@ -33,6 +31,7 @@
 from ebonydeal._internal.routing.notices.endpoint_notices import LimitReport
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.peerclient import PeerClient
+from ebonydeal._internal.utils.supervised import SupervisedService, supervised_task
 
 logger = get_logger("relay.limits")
 
@@ -76,7 +75,7 @@
     takeover_delay_s: float = 0.0
 
 
-class LimitsClient(Service):
+class LimitsClient(SupervisedService):
     """Delegates this relay's share, and requests amounts and permits.
 
     Parameters
@@ -229,7 +228,7 @@
             self.coordinator.report_now()
         return is_new
 
-    @Service.task
+    @supervised_task
     async def _keep_delegated(self) -> None:
         """Delegate to a standby while the coordinator is lost."""
         while not self.should_stop:
--- a/src/ebonydeal/_internal/relay/links/monitor.py
+++ b/src/ebonydeal/_internal/relay/links/monitor.py
@@ -4,8 +4,6 @@
 from collections.abc import Callable, Container
 from random import Random
 
-from mode import Service
-
 from ebonydeal._internal.models.forwarding import Member
 from ebonydeal._internal.observe.counters import Event, Metrics
 from ebonydeal._internal.observe.logs import get_logger
@@ -13,6 +11,7 @@
 from ebonydeal._internal.routing.placement.link_health import LinkHealth, LinkState
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.reachability import accepts_connections, any_accepts
+from ebonydeal._internal.utils.supervised import SupervisedService
 
 logger = get_logger("relay.links")
 
@@ -23,7 +22,7 @@
 _MAX_MORE_TESTS = 4
 
 
-class LinkMonitor(Service):
+class LinkMonitor(SupervisedService):
     """The state of this relay's links, by service.
 
     Parameters
@@ -125,7 +124,7 @@
 
     def _start_tests(self, service: str) -> None:
         self._tested[service] = asyncio.Event()
-        self.add_future(self._test_until_up(service))
+        self.run_once(self._test_until_up(service))
 
     async def _test_until_up(self, service: str) -> None:
         """Test suspect links, and links that are down until they work again."""
--- a/src/ebonydeal/_internal/relay/listener.py
+++ b/src/ebonydeal/_internal/relay/listener.py
@@ -4,9 +4,9 @@
 from collections.abc import Awaitable, Callable, Sequence
 
 from aiohttp import web
-from mode import Service
 
 from ebonydeal._internal.utils.early_listen import LISTEN_BACKLOG, find_listener
+from ebonydeal._internal.utils.supervised import SupervisedService
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -19,7 +19,7 @@
 _CLOSE_TIMEOUT_S = 0.01
 
 
-class RawListener(Service):
+class RawListener(SupervisedService):
     """Owns one listening socket and its connections.
 
     Parameters
--- a/src/ebonydeal/_internal/relay/peers/exchange.py
+++ b/src/ebonydeal/_internal/relay/peers/exchange.py
@@ -5,8 +5,6 @@
 from random import Random
 from typing import Any, NamedTuple, TypeVar
 
-from mode import Service
-
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.derived_settings import INITIAL_RELAY_COUNT
@@ -37,6 +35,7 @@
 )
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.peerclient import PeerClient
+from ebonydeal._internal.utils.supervised import SupervisedService, supervised_task
 
 logger = get_logger("relay.exchange")
 
@@ -72,7 +71,7 @@
     period: float = 0.5
 
 
-class Exchange(Service):
+class Exchange(SupervisedService):
     """Reports to the coordinator several times a second, and handles its replies."""
 
     def __init__(self, parts: ExchangeParts, seeds: tuple[str, ...]) -> None:
@@ -166,7 +165,7 @@
         row = self._parts.coordinator.lease.row
         return row.address if row is not None and row.address else None
 
-    @Service.task
+    @supervised_task
     async def _run(self) -> None:
         parts = self._parts
         await self.reachable.wait()
--- a/src/ebonydeal/_internal/relay/peers/long_prompts.py
+++ b/src/ebonydeal/_internal/relay/peers/long_prompts.py
@@ -12,8 +12,6 @@
 from random import Random
 from typing import Any, NamedTuple
 
-from mode import Service
-
 from ebonydeal._internal.errors import EbonydealError
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.peers.call_budget import CallBudget
@@ -21,6 +19,7 @@
 from ebonydeal._internal.routing.placement.endpoint_selector import EndpointSelector
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.peerclient import PeerClient
+from ebonydeal._internal.utils.supervised import SupervisedService, supervised_task
 
 logger = get_logger("relay.long_reads")
 
@@ -53,7 +52,7 @@
         return {}
 
 
-class LongPromptNotifier(Service):
+class LongPromptNotifier(SupervisedService):
     """Notifies other relays of long prompts.
 
     Parameters
@@ -100,7 +99,7 @@
         until = self._clock.now() + expected
         self._queue.put_nowait(_LongPrompt(endpoint_id, until))
 
-    @Service.task
+    @supervised_task
     async def _run(self) -> None:
         while not self.should_stop:
             prompt = await self._queue.get()
--- a/src/ebonydeal/_internal/relay/peers/rollouts.py
+++ b/src/ebonydeal/_internal/relay/peers/rollouts.py
@@ -3,14 +3,13 @@
 from collections.abc import Callable
 from typing import Any
 
-from mode import Service
-
 from ebonydeal._internal.models.rollouts import Phase, RolloutGate
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.peers.messages import RolloutsMessage
 from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.routing.rollout.traffic_split import TrafficSplit
 from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.supervised import SupervisedService, supervised_task
 
 logger = get_logger("relay.rollout")
 
@@ -50,7 +49,7 @@
     )
 
 
-class RolloutReceiver(Service):
+class RolloutReceiver(SupervisedService):
     """Applies gates, and has bad answers reported before the next regular report.
 
     Parameters
@@ -96,7 +95,7 @@
         """Apply verdicts from a relay that doesn't decide: its shares may be stale."""
         self._split.apply_verdicts(_decode_gates(message))
 
-    @Service.task
+    @supervised_task
     async def _report_bad_answers(self) -> None:
         while not self.should_stop:
             await self._clock.sleep(_MIN_REPORT_INTERVAL_S)
--- a/src/ebonydeal/_internal/relay/peers/stream_versions.py
+++ b/src/ebonydeal/_internal/relay/peers/stream_versions.py
@@ -13,7 +13,6 @@
 from collections.abc import Awaitable, Callable, Iterable, Set
 from typing import Any, NamedTuple, NotRequired, TypedDict
 
-from mode import Service
 from xxhash import xxh3_64_intdigest
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
@@ -28,6 +27,7 @@
 )
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.peerclient import PeerClient
+from ebonydeal._internal.utils.supervised import SupervisedService, supervised_task
 
 logger = get_logger("relay.versions")
 
@@ -96,7 +96,7 @@
     node: str
 
 
-class StreamVersions(Service):
+class StreamVersions(SupervisedService):
     """Knows, together with the other relays, which version began each stream."""
 
     def __init__(self, parts: SharingParts) -> None:
@@ -239,7 +239,7 @@
         self._history.restore(versions, self._parts.clock.now())
         logger.info("Versions of services restored.", versions=versions)
 
-    @Service.task
+    @supervised_task
     async def _load_history(self) -> None:
         """Read what the holders of the lease have noted until now."""
         while not self.should_stop:
@@ -251,7 +251,7 @@
                 continue
             return
 
-    @Service.task
+    @supervised_task
     async def _follow_list(self) -> None:
         while not self.should_stop:
             self._note_list()
@@ -289,7 +289,7 @@
         return self._listed
 
     # --- reports ---------------------------------------------------------------------
-    @Service.task
+    @supervised_task
     async def _report(self) -> None:
         """Report streams to other relays, a batch at a time."""
         while not self.should_stop:
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -8,7 +8,7 @@
 from mode import Service
 
 from ebonydeal._internal.models.shared import era_of
-from ebonydeal._internal.observe.counters import Metrics
+from ebonydeal._internal.observe.counters import Event, Metrics
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.capacity.plain_exchange import PlainCapacityExchange
 from ebonydeal._internal.relay.capacity.speed_exchange import (
@@ -117,6 +117,7 @@
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.ids import new_token
 from ebonydeal._internal.utils.peerclient import PeerClient
+from ebonydeal._internal.utils.supervised import SupervisedService, supervised_task
 
 logger = get_logger("relay")
 
@@ -126,7 +127,7 @@
 _EXIT_RESERVE_S = 0.4
 
 
-class RelayProgram(Service):
+class RelayProgram(SupervisedService):
     """All tasks of one relay."""
 
     def __init__(
@@ -510,6 +511,16 @@
 
     def on_init_dependencies(self) -> Iterable[Service]:
         """Return the children, in the order of their start."""
+        children = self._children_in_order()
+        for service in (self, *children):
+            if isinstance(service, SupervisedService):
+                service.on_task_failed = self._count_failed_task
+        return children
+
+    def _count_failed_task(self) -> None:
+        self._metrics.count(Event.TASKS_FAILED)
+
+    def _children_in_order(self) -> list[Service]:
         return [
             *self._followers,
             self.peers,
@@ -555,7 +566,7 @@
 
     def _announce(self) -> None:
         """Notify all known relays that this one is the coordinator now."""
-        self.add_future(self._exchange.announce())
+        self.run_once(self._exchange.announce())
 
     def _other_relays(self) -> list[str]:
         """Return the addresses of the other known relays."""
@@ -614,7 +625,7 @@
             self._outliers.forget(endpoint_id)
             self._failure_rates.forget(endpoint_id)
 
-    @Service.task
+    @supervised_task
     async def _forget_removed_endpoints(self) -> None:
         """Drop the connections and load of endpoints that are no longer listed."""
         while not self.should_stop:
--- a/src/ebonydeal/_internal/relay/requests/migrations.py
+++ b/src/ebonydeal/_internal/relay/requests/migrations.py
@@ -10,8 +10,6 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from mode import Service
-
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.forwarding import KvCacheRef, Member
 from ebonydeal._internal.observe.counters import Event, Metrics
@@ -32,6 +30,7 @@
 )
 from ebonydeal._internal.routing.retries.retries import RetryPolicy
 from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.supervised import SupervisedService, supervised_task
 
 logger = get_logger("relay.moves")
 
@@ -110,7 +109,7 @@
     enabled: bool = True
 
 
-class StreamMigrator(Service):
+class StreamMigrator(SupervisedService):
     """Watches running streams, and migrates those that would be broken off."""
 
     def __init__(self, parts: MigratorParts) -> None:
@@ -132,7 +131,7 @@
         """Wait for a run's migration; return its target, or None if it has none."""
         return None if run.migration is None else await run.migration
 
-    @Service.task
+    @supervised_task
     async def _watch(self) -> None:
         while not self.should_stop:
             await self._parts.clock.sleep(_CHECK_INTERVAL_S)
--- a/src/ebonydeal/_internal/relay/view/config_follower.py
+++ b/src/ebonydeal/_internal/relay/view/config_follower.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Callable
 
-from mode import Service
-
 from ebonydeal._internal.errors import EbonydealError
 from ebonydeal._internal.models.rollouts import RolloutOrder
 from ebonydeal._internal.models.shared import SharedRow
@@ -14,6 +12,7 @@
     SHORT_POLL_TIMEOUT_S,
     TableFollower,
 )
+from ebonydeal._internal.utils.supervised import supervised_task
 
 logger = get_logger("relay.follower")
 
@@ -59,7 +58,7 @@
             return SHORT_POLL_TIMEOUT_S
         return super().poll_timeout
 
-    @Service.task
+    @supervised_task
     async def _shorten_polls(self) -> None:
         while not self.should_stop:
             await self._clock.sleep(_REPLY_CHECK_INTERVAL_S)
--- a/src/ebonydeal/_internal/relay/view/deltas.py
+++ b/src/ebonydeal/_internal/relay/view/deltas.py
@@ -10,8 +10,6 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from mode import Service
-
 from ebonydeal._internal.errors import EbonydealError
 from ebonydeal._internal.models.forwarding import Member
 from ebonydeal._internal.observe.logs import get_logger
@@ -19,6 +17,7 @@
 from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.peerclient import PeerClient
+from ebonydeal._internal.utils.supervised import SupervisedService, supervised_task
 
 logger = get_logger("relay.news")
 
@@ -148,7 +147,7 @@
         return {}
 
 
-class DeltaPublisher(Service):
+class DeltaPublisher(SupervisedService):
     """Pushes deltas to all relays while this one is the coordinator.
 
     Parameters
@@ -180,7 +179,7 @@
         self._pushed_config = -1
         self._target_count = 0
 
-    @Service.task
+    @supervised_task
     async def _push(self) -> None:
         while not self.should_stop:
             await self._clock.sleep(batch_interval(self._target_count))
--- a/src/ebonydeal/_internal/relay/view/follower.py
+++ b/src/ebonydeal/_internal/relay/view/follower.py
@@ -4,8 +4,6 @@
 from collections.abc import Callable
 from random import Random
 
-from mode import Service
-
 from ebonydeal._internal.errors import EbonydealError, NoReplyError
 from ebonydeal._internal.models.shared import (
     RowChanges,
@@ -21,6 +19,7 @@
 from ebonydeal._internal.relay.view.slow_store import SlowStoreProbe
 from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.supervised import SupervisedService, supervised_task
 
 logger = get_logger("relay.follower")
 
@@ -47,7 +46,7 @@
 _PUSH_CHECK_INTERVAL_S = 0.05
 
 
-class TableFollower(Service):
+class TableFollower(SupervisedService):
     """Follows one table of the store.
 
     Parameters
@@ -164,7 +163,7 @@
         """Cancel the call that outlives a poll."""
         self._slow_probe.stop()
 
-    @Service.task
+    @supervised_task
     async def _follow(self) -> None:
         after: int | None = None
         backoff = _MIN_BACKOFF_S
--- a/src/ebonydeal/_internal/relay/view/leaving.py
+++ b/src/ebonydeal/_internal/relay/view/leaving.py
@@ -7,8 +7,6 @@
 import asyncio
 from collections import Counter
 
-from mode import Service
-
 from ebonydeal._internal.errors import EbonydealError
 from ebonydeal._internal.models.forwarding import Member
 from ebonydeal._internal.observe.logs import get_logger
@@ -16,6 +14,7 @@
 from ebonydeal._internal.relay.ports import Engines
 from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.supervised import SupervisedService, supervised_task
 
 logger = get_logger("relay.leaving")
 
@@ -29,7 +28,7 @@
     return member.endpoint_id, member.incarnation
 
 
-class LeavingTimes(Service):
+class LeavingTimes(SupervisedService):
     """Learns when endpoints will have left, while this relay is the coordinator."""
 
     def __init__(
@@ -43,7 +42,7 @@
         # By id and incarnation: a restarted endpoint is asked again.
         self._attempts: Counter[tuple[str, int]] = Counter()
 
-    @Service.task
+    @supervised_task
     async def _run(self) -> None:
         while not self.should_stop:
             await self._clock.sleep(_CHECK_INTERVAL_S)
--- a/src/ebonydeal/_internal/relay/view/members_follower.py
+++ b/src/ebonydeal/_internal/relay/view/members_follower.py
@@ -1,7 +1,5 @@
 """Follows the table of endpoints."""
 
-from mode import Service
-
 from ebonydeal._internal.errors import EbonydealError
 from ebonydeal._internal.models.forwarding import Member
 from ebonydeal._internal.models.shared import SharedRow, era_of
@@ -13,6 +11,7 @@
     TableFollower,
 )
 from ebonydeal._internal.relay.view.view import MISSING_GRACE_S
+from ebonydeal._internal.utils.supervised import supervised_task
 
 logger = get_logger("relay.follower")
 
@@ -110,7 +109,7 @@
             logger.error("Endpoint refused.", reason=str(exc))
             return None
 
-    @Service.task
+    @supervised_task
     async def _expire(self) -> None:
         while not self.should_stop:
             await self._clock.sleep(_EXPIRY_INTERVAL_S)
--- a/src/ebonydeal/_internal/relay/view/view_sync.py
+++ b/src/ebonydeal/_internal/relay/view/view_sync.py
@@ -8,8 +8,6 @@
 from zlib import decompress
 from zlib import error as BadCompression
 
-from mode import Service
-
 from ebonydeal._internal.errors import EbonydealError
 from ebonydeal._internal.models.forwarding import Member
 from ebonydeal._internal.models.shared import SharedRow
@@ -25,6 +23,7 @@
 from ebonydeal._internal.routing.duties.coordinator_lease import LeaseRow
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.peerclient import PeerClient
+from ebonydeal._internal.utils.supervised import SupervisedService, supervised_task
 
 logger = get_logger("relay.view")
 
@@ -37,7 +36,7 @@
 _DECODE_ERRORS = (EbonydealError, KeyError, TypeError, ValueError, BadCompression)
 
 
-class ViewSync(Service):
+class ViewSync(SupervisedService):
     """Asks other relays for their view while the store doesn't answer this one.
 
     ``other_relays`` returns the addresses of the other known relays.
@@ -77,7 +76,7 @@
         self._newest_config = max(self._newest_config, version)
         self._config_requested.set()
 
-    @Service.task
+    @supervised_task
     async def _fetch_config(self) -> None:
         while not self.should_stop:
             await self._config_requested.wait()
@@ -86,7 +85,7 @@
             if self._view.version < self._newest_config:
                 await self._sync(members=False, store_down=False)
 
-    @Service.task
+    @supervised_task
     async def _run(self) -> None:
         while not self.should_stop:
             await self._clock.sleep(_CHECK_INTERVAL_S * self._rng.uniform(0.8, 1.2))
--- a/src/ebonydeal/_internal/utils/http_sessions.py
+++ b/src/ebonydeal/_internal/utils/http_sessions.py
@@ -83,10 +83,14 @@
 
     async def _close_unused(self) -> None:
         unused_since = self._clock.now() - _UNUSED_TIMEOUT_S
-        for address, pool in list(self._pools.items()):
-            if not pool.calls and pool.used_at < unused_since:
-                del self._pools[address]
-                await pool.session.close()
+        unused = [
+            address
+            for address, pool in self._pools.items()
+            if not pool.calls and pool.used_at < unused_since
+        ]
+        # Removed before any is closed: meanwhile another call may look for unused ones.
+        for pool in [self._pools.pop(address) for address in unused]:
+            await pool.session.close()
 
     async def close(self) -> None:
         """Close all sessions; calls in flight fail."""
--- a/tests/functional/outside/test_http_sessions.py
+++ b/tests/functional/outside/test_http_sessions.py
@@ -49,6 +49,18 @@
         return web.json_response({})
 
 
+class SlowlyClosingSession:
+    """A session whose close lets other tasks run."""
+
+    def __init__(self):
+        self.closes = 0
+
+    async def close(self):
+        self.closes += 1
+        assert self.closes == 1
+        await asyncio.sleep(0)
+
+
 class TestAfterSilence:
     async def check(self, server, call):
         """Open three connections, silence them, and expect one lost call."""
@@ -106,6 +118,21 @@
         assert len(opened) == 2
         assert all(session.closed for session in opened)
 
+    async def test_calls_made_together_close_unused_sessions_once(self):
+        """As when several endpoints leave a minute after others."""
+        clock = ManualClock()
+        sessions = HttpSessions(SlowlyClosingSession, clock)
+
+        async def call(address):
+            async with sessions.use(address):
+                await asyncio.sleep(0)
+
+        for number in range(4):
+            await call(f"old {number}")
+        await clock.advance(61.0)
+        await asyncio.gather(*(call(f"new {number}") for number in range(4)))
+        await sessions.close()
+
     async def test_calls_in_flight_end_and_other_addresses_keep_their_connections(self):
         async with Server() as one, Server() as other:
             sessions = HttpSessions(ClientSession)
--- a/tests/functional/relay/test_life.py
+++ b/tests/functional/relay/test_life.py
@@ -1,6 +1,7 @@
 import asyncio
 import json
 
+from ebonydeal._internal.observe.counters import Event
 from ebonydeal._internal.relay.duties.lease_keeper import LEASE_TABLE
 from ebonydeal._internal.relay.duties.usage_store import USAGE_TABLE
 from tests.lib.raw_endpoints import (
@@ -10,6 +11,7 @@
 from tests.lib.relay_fakes import (
     Client,
     MemoryDuties,
+    MemoryEngines,
     MemoryStore,
     ask,
     document,
@@ -263,3 +265,23 @@
             )
             assert b" 401 " in await reader.readline()
             writer.close()
+
+
+class TestFailedTask:
+    async def test_a_relay_goes_on_after_an_error_in_a_background_task(self):
+        engines = MemoryEngines()
+        one, two = RawEndpoint("i1"), RawEndpoint("i2")
+        async with running(one, two, engines=engines) as (program, store):
+            await until(lambda: program.coordinator.holds)
+            engines.left[two.address] = KeyError(two.address)
+            row = two.row(state="draining", spot=True)
+            await store.put("servers", two.name, row)
+            await until(lambda: two.address in engines.asked)
+            await until(
+                lambda: program._metrics.events().get(Event.TASKS_FAILED, 0) > 0
+            )
+            async with Client(program) as client:
+                await client.send("/safe/")
+                status, _headers, _body = await client.receive()
+            assert status == 200
+            assert not program.crashed
