--- a/src/ebonydeal/_internal/platform/server_side.py
+++ b/src/ebonydeal/_internal/platform/server_side.py
@@ -220,9 +220,9 @@
     return {REQUEST_ID: request_id, SIGNATURE: "rehearsal"}
 
 
-def not_run_headers() -> dict[str, str]:
+def not_run_headers(request_id: str) -> dict[str, str]:
     """Return the headers of an answer that proves that the request didn't run."""
-    return {NOT_RUN: "1"}
+    return {REQUEST_ID: request_id, NOT_RUN: "1"}
 
 
 def notice_headers(
--- a/src/ebonydeal/_internal/soak/checks.py
+++ b/src/ebonydeal/_internal/soak/checks.py
@@ -404,7 +404,17 @@
             )
 
 
+def processes_end_only_when_told(
+    log: Log, _guarantees: Guarantees
+) -> Iterable[Violation]:
+    """No relay's process ends by itself."""
+    for end in log.own_ends:
+        detail = f"{end.relay} ended by itself with code {end.exit_code}"
+        yield Violation("own end", detail)
+
+
 CHECKS: tuple[Check, ...] = (
+    processes_end_only_when_told,
     crashing_requests_bounded,
     faulty_version_exposure_bounded,
     rollout_verdicts_final,
--- a/src/ebonydeal/_internal/soak/endpoints.py
+++ b/src/ebonydeal/_internal/soak/endpoints.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from enum import StrEnum
 from typing import NamedTuple
+from weakref import WeakKeyDictionary
 
 from aiohttp import web
 
@@ -50,10 +51,19 @@
 _SLOW_DELAY_S = 0.4
 # Time after which a running request notices a changed speed.
 _SPEED_INTERVAL_S = 0.05
+# One of so many refusals comes again.
+_LATE_COPY_INTERVAL = 3
 # What a stream lacks of its last event where it breaks off.
 _CUT_BYTES = 3
 
 
+def _copy_of(status: int, headers: dict[str, str]) -> bytes:
+    """Return an answer without a body as it is sent."""
+    fields = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    head = f"HTTP/1.1 {status} Refused\r\n{fields}Content-Length: 0\r\n\r\n"
+    return head.encode()
+
+
 def _stream_id(got: ReceivedRequest) -> str:
     """Return the request that began the stream."""
     return got.first_attempt or got.request_id
@@ -132,6 +142,11 @@
         # Where relays reach it.
         self._address = ""
         self.crashed = False
+        # How many requests were refused, and the copies that are to come.
+        self._refusals = 0
+        self._late_copies: WeakKeyDictionary[asyncio.BaseTransport, bytes] = (
+            WeakKeyDictionary()
+        )
         # Announced in responses: a limit, that it leaves, and a backoff. During a
         # backoff all requests are refused.
         self.limit: float | None = None
@@ -180,6 +195,8 @@
         self._leaves_at = time.monotonic() + seconds
 
     async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
+        if req.transport is not None and req.transport in self._late_copies:
+            req.transport.write(self._late_copies.pop(req.transport))
         if req.path == REPORT_PATH:
             left = (
                 None if self._leaves_at is None else self._leaves_at - time.monotonic()
@@ -204,16 +221,16 @@
         got = read_received_request(req.headers)
         body = await req.read()
         if got.expected_endpoint != self.name:
-            return web.Response(status=421)
+            return self._refuse(req, got, 421)
         relay = req.headers.get(RELAY_HEADER, "")
         self._log.arrivals.append(
             Arrival(self.name, relay, got.request_id, time.monotonic())
         )
         notice = self._announce(relay)
         if self.backoff_s > 0.0:
-            return web.Response(status=503, headers=not_run_headers() | notice)
+            return self._refuse(req, got, 503, notice)
         if got.kv_cache and self._kv_caches.pop(got.kv_cache, "") != got.request_id:
-            return web.Response(status=503, headers=not_run_headers())
+            return self._refuse(req, got, 503)
         self._log.runs.append(
             Run(
                 got.request_id,
@@ -239,6 +256,20 @@
         await self._work()
         return web.json_response({"request": got.request_id}, headers=headers)
 
+    def _refuse(
+        self,
+        req: web.BaseRequest,
+        got: ReceivedRequest,
+        status: int,
+        notice: dict[str, str] | None = None,
+    ) -> web.Response:
+        """Refuse a request; some refusals come again with the next request."""
+        headers = not_run_headers(got.request_id) | (notice or {})
+        self._refusals += 1
+        if req.transport is not None and self._refusals % _LATE_COPY_INTERVAL == 0:
+            self._late_copies[req.transport] = _copy_of(status, headers)
+        return web.Response(status=status, headers=headers)
+
     async def _work(self) -> None:
         """Run a plain request, after those that came before it."""
         async with self._free_slots:
--- a/src/ebonydeal/_internal/soak/plants.py
+++ b/src/ebonydeal/_internal/soak/plants.py
@@ -18,6 +18,7 @@
     Log,
     OrderedRollout,
     OverloadPeriod,
+    OwnEnd,
     RolloutStatus,
     UnequalPeriod,
     UsageReport,
@@ -102,6 +103,10 @@
     log.results.append(late)
 
 
+def _own_end(log: Log, _guarantees: Guarantees) -> None:
+    log.own_ends.append(OwnEnd("n1", 1.0, 1))
+
+
 def _over_limit(log: Log, guarantees: Guarantees) -> None:
     run = log.runs[0]
     limit = guarantees.limits[0]
@@ -239,6 +244,7 @@
     "late-drain": (_late_drain, "drain"),
     "older-config": (_older_config, "configuration"),
     "late-config": (_late_config, "configuration"),
+    "own-end": (_own_end, "own end"),
     "over-limit": (_over_limit, "limit"),
     "two-reports": (_two_reports, "usage"),
     "wrong-usage": (_wrong_usage, "usage"),
--- a/src/ebonydeal/_internal/soak/processes.py
+++ b/src/ebonydeal/_internal/soak/processes.py
@@ -5,7 +5,7 @@
 import os
 import signal
 import sys
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from configparser import ConfigParser
 from contextlib import suppress
 from pathlib import Path
@@ -72,6 +72,11 @@
         self._settings_path = folder / f"{name}.ini"
         self._log_path = folder / f"{name}.log"
         self._process: asyncio.subprocess.Process | None = None
+        # Whether the process was told to end, and called with the exit code of one that
+        # ended without that.
+        self._is_ending = False
+        self.on_own_end: Callable[[int], None] = lambda _code: None
+        self._watcher: asyncio.Task[None] | None = None
         # Overlapping faults must not start two processes of one relay.
         self.lock = asyncio.Lock()
 
@@ -102,6 +107,7 @@
         """Start the process unless it runs already."""
         if self.pid:
             return
+        self._is_ending = False
         with self._log_path.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -118,6 +124,13 @@
                     PEER_PROXIES_VARIABLE: str(self._peer_proxies),
                 },
             )
+        self._watcher = asyncio.create_task(self._watch(self._process))
+
+    async def _watch(self, process: asyncio.subprocess.Process) -> None:
+        """Report a process that ends by itself."""
+        code = await process.wait()
+        if not self._is_ending:
+            self.on_own_end(code)
 
     async def wait_ready(self) -> None:
         """Wait until the process is ready, but no longer than the timeout."""
@@ -130,6 +143,7 @@
 
     def send_signal(self, signal_number: signal.Signals) -> None:
         """Send a signal to the process if it runs."""
+        self._is_ending |= signal_number in (signal.SIGKILL, signal.SIGTERM)
         if self.pid:
             # It may have ended just now.
             with suppress(ProcessLookupError):
--- a/src/ebonydeal/_internal/soak/records.py
+++ b/src/ebonydeal/_internal/soak/records.py
@@ -206,6 +206,14 @@
     end: float
 
 
+class OwnEnd(NamedTuple):
+    """A relay's process that ended though nothing told it to."""
+
+    relay: str
+    at: float
+    exit_code: int
+
+
 class FaultPeriod(NamedTuple):
     """The duration of an injected fault; an empty ``relay`` stands for all relays."""
 
@@ -238,6 +246,7 @@
     crowds: list[CrowdPeriod] = field(default_factory=list)
     overloads: list[OverloadPeriod] = field(default_factory=list)
     unequal_periods: list[UnequalPeriod] = field(default_factory=list)
+    own_ends: list[OwnEnd] = field(default_factory=list)
 
     @asynccontextmanager
     async def fault(self, kind: str, relay: str) -> AsyncIterator[None]:
--- a/src/ebonydeal/_internal/soak/relay_process.py
+++ b/src/ebonydeal/_internal/soak/relay_process.py
@@ -22,8 +22,11 @@
     SOURCE_VARIABLE,
     CutMode,
 )
+from ebonydeal._internal.utils import http_sessions
 
 _RELAY = "ebonydeal._internal.cli.relay"
+# A soak is shorter than the time after which sessions are closed otherwise.
+_UNUSED_TIMEOUT_S = 1.0
 # Longer than any connect timeout.
 _UNREACHABLE_S = 60.0
 
@@ -44,7 +47,8 @@
 
 
 def install(source: str, cut_file: Path, peer_proxies: dict[int, int]) -> None:
-    """Patch the event loop's connections."""
+    """Patch the event loop's connections, and shorten the life of unused sessions."""
+    http_sessions._UNUSED_TIMEOUT_S = _UNUSED_TIMEOUT_S
     connect = BaseSelectorEventLoop.sock_connect
 
     async def sock_connect(
--- a/src/ebonydeal/_internal/soak/run.py
+++ b/src/ebonydeal/_internal/soak/run.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable, Collection, Coroutine, Sequence
 from contextlib import AsyncExitStack
+from functools import partial
 from itertools import count
 from pathlib import Path
 from random import Random
@@ -61,6 +62,7 @@
     Kind,
     LinkCutPeriod,
     Log,
+    OwnEnd,
     PublishedConfig,
 )
 
@@ -194,6 +196,7 @@
                 source_address(number),
                 _OVERLOAD_POLICY,
             )
+            relay.on_own_end = partial(self._record_own_end, relay.name)
             relay.peers = await Proxy(relay.peer_address).start()
             stack.push_async_callback(relay.peers.stop)
             self._relays.append(relay)
@@ -203,6 +206,9 @@
             await relay.start()
             stack.push_async_callback(relay.stop)
 
+    def _record_own_end(self, relay: str, exit_code: int) -> None:
+        self.log.own_ends.append(OwnEnd(relay, time.monotonic(), exit_code))
+
     async def _wait_served(self, client: Client) -> None:
         """Wait until every relay has served a request."""
         end = time.monotonic() + _READY_TIMEOUT_S
