--- a/src/ebonydeal/_internal/relay/view/slow_store.py
+++ b/src/ebonydeal/_internal/relay/view/slow_store.py
@@ -51,10 +51,10 @@
         try:
             await self._call(MAX_REPLY_TIMEOUT_S)
         except EbonydealError as exc:
-            logger.info("Store isn't only slow.", reason=str(exc))
+            logger.info("Store gave no reply to a long call, either.", reason=str(exc))
             return
         took = self._clock.now() - began_at
-        logger.info("Store is slow.", took_s=round(took, 3))
+        logger.info("Store replies slowly.", took_s=round(took, 3))
         self._on_reply(took)
 
     def stop(self) -> None:
