--- a/src/ebonydeal/_internal/soak/platform.py
+++ b/src/ebonydeal/_internal/soak/platform.py
@@ -68,7 +68,7 @@
         self.lost_answer_share = 0.0
         self.loses_feed_replies = False
         self._silent = False
-        # How often the store has fallen silent: calls of before get no reply.
+        # How often the store has fallen silent: calls made before that get no reply.
         self._silences = 0
         # Changes up to this version were dropped from the history.
         self._dropped_to = 0
--- a/src/ebonydeal/_internal/soak/processes.py
+++ b/src/ebonydeal/_internal/soak/processes.py
@@ -72,9 +72,9 @@
         self._settings_path = folder / f"{name}.ini"
         self._log_path = folder / f"{name}.log"
         self._process: asyncio.subprocess.Process | None = None
-        # Whether the process was told to end, and called with the exit code of one that
-        # ended without that.
+        # Whether a signal told the process to end.
         self._is_ending = False
+        # Called with the exit code of a process that ended without such a signal.
         self.on_own_end: Callable[[int], None] = lambda _code: None
         self._watcher: asyncio.Task[None] | None = None
         # Overlapping faults must not start two processes of one relay.
