Count a request as open until its answer has left the process

Cause: the drain counted handlers, but the HTTP library writes a plain answer after its handler has returned, and counts it as written when the transport has taken it. "Drained." showed in_flight 0 after 3.1 s. Nor did the drain count a request of whose head only some bytes had arrived: its connection was closed in the middle.

Now the listener alone counts: a request is open from its first byte read to the last byte of its answer that leaves the process, or to the loss of its connection. The drain waits for open_requests; the last bytes of streams and of answers for other relays are written out by the same function.

Tests in test_planned_stop.py, failing before: test_is_written_to_its_end (two) and test_head_that_has_begun_to_arrive_is_waited_for.

--- a/src/ebonydeal/_internal/relay/links/forward_handler.py
+++ b/src/ebonydeal/_internal/relay/links/forward_handler.py
@@ -5,6 +5,7 @@
 through a third relay, and passes the answer back as it arrives.
 """
 
+from contextlib import suppress
 from typing import NamedTuple
 
 from aiohttp import ClientError, web
@@ -37,6 +38,7 @@
 from ebonydeal._internal.routing.placement.link_health import LinkState
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.http_framing import is_close_delimited
+from ebonydeal._internal.utils.written_answers import write_out
 
 logger = get_logger("relay.forward")
 
@@ -79,7 +81,10 @@
         """Answer one request; raises ValueError, KeyError or TypeError if malformed."""
         self.in_flight += 1
         try:
-            return await self._answer(http_req)
+            resp = await self._answer(http_req)
+            with suppress(ConnectionError):
+                await write_out(http_req, resp)
+            return resp
         finally:
             self.in_flight -= 1
 
--- a/src/ebonydeal/_internal/relay/listener.py
+++ b/src/ebonydeal/_internal/relay/listener.py
@@ -2,11 +2,14 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Sequence
+from contextlib import suppress
+from typing import Any
 
 from aiohttp import web
 
 from ebonydeal._internal.utils.early_listen import LISTEN_BACKLOG, find_listener
 from ebonydeal._internal.utils.supervised import SupervisedService
+from ebonydeal._internal.utils.written_answers import write_out
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -19,6 +22,65 @@
 _CLOSE_TIMEOUT_S = 0.01
 
 
+class _Connection(web.RequestHandler):
+    """A connection that notes when a request begins to arrive on it."""
+
+    __slots__ = ("_server",)
+
+    def __init__(self, server: "_Server", **options: Any) -> None:
+        super().__init__(server, **options)
+        self._server = server
+
+    def data_received(self, data: bytes) -> None:
+        """Read some bytes; the library also calls this without any."""
+        if data and self._server.reads:
+            self._server.with_request.add(self)
+        super().data_received(data)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Forget the connection's request."""
+        self._server.with_request.discard(self)
+        super().connection_lost(exc)
+
+
+class _Server(web.Server):
+    """Connections of a listener.
+
+    Attributes
+    ----------
+    with_request : set of _Connection
+        Those with a request that is not done: from its first byte to the last byte of
+        its answer, or to the loss of the connection.
+    reads : bool
+        Whether requests are still read.
+    """
+
+    def __init__(self, handler: Handler, **options: Any) -> None:
+        super().__init__(self._answer, **options)
+        self._answer_request = handler
+        self.with_request: set[web.RequestHandler] = set()
+        self.reads = True
+
+    def __call__(self) -> web.RequestHandler:
+        """Return the protocol of a new connection."""
+        return _Connection(self, loop=self._loop, **self._kwargs)
+
+    async def _answer(self, http_req: web.BaseRequest) -> web.StreamResponse:
+        resp = await self._answer_request(http_req)
+        # If the connection is lost meanwhile, the library finds out when it ends it.
+        with suppress(ConnectionError):
+            await write_out(http_req, resp)
+        if resp.keep_alive:
+            self.with_request.discard(http_req.protocol)
+        # Else the connection is closed once the rest of the request's body was read.
+        return resp
+
+    def stop_reading(self) -> None:
+        """Read no more requests; those already read are answered."""
+        self.reads = False
+        self.pre_shutdown()
+
+
 class RawListener(SupervisedService):
     """Owns one listening socket and its connections.
 
@@ -48,12 +110,12 @@
         self.port = int(port)
         self._handler = handler
         self._decompresses = decompresses
-        self._server: web.Server | None = None
+        self._server: _Server | None = None
         self._socket: asyncio.Server | None = None
 
     async def on_start(self) -> None:
         """Bind the socket."""
-        self._server = web.Server(
+        self._server = _Server(
             self._handler,
             handler_cancellation=True,
             access_log=None,
@@ -78,6 +140,14 @@
             )
         self.port = self._socket.sockets[0].getsockname()[1]
 
+    @property
+    def open_requests(self) -> int:
+        """Requests that aren't done.
+
+        One is done with the last byte of its answer or the loss of its connection.
+        """
+        return 0 if self._server is None else len(self._server.with_request)
+
     def close_gracefully(self) -> None:
         """Accept no more connections, and read no more requests.
 
@@ -87,7 +157,7 @@
         if self._socket is not None:
             self._socket.close()
         if self._server is not None:
-            self._server.pre_shutdown()
+            self._server.stop_reading()
 
     async def on_stop(self) -> None:
         """Close the socket and what is still open."""
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -651,7 +651,7 @@
         started_at = self._clock.now()
         deadline = started_at + self._cfg.grace_s - _EXIT_RESERVE_S
         self._planned_stop.begin(StopWindow(started_at + self._cfg.settle_s, deadline))
-        logger.info("Draining.", in_flight=self.intake.in_flight)
+        logger.info("Draining.", in_flight=self._in_flight)
         await self.coordinator.release()
         await self._clock.sleep(self._cfg.settle_s)
         await self._finish_by(deadline)
@@ -659,12 +659,10 @@
         # More requests may have arrived during the last report.
         await self._finish_by(deadline)
         self.clients.close_gracefully()
-        # A request read at that moment is in flight after one turn of the event loop.
-        await self._clock.sleep(_DRAIN_CHECK_INTERVAL_S)
         await self._finish_by(deadline)
         logger.info(
             "Drained.",
-            in_flight=self.intake.in_flight,
+            in_flight=self._in_flight,
             answered=self._planned_stop.answered,
             refused=self._planned_stop.refused,
             took_s=round(self._clock.now() - started_at, 3),
@@ -672,8 +670,8 @@
 
     @property
     def _in_flight(self) -> int:
-        """Requests of clients, and of other relays, that aren't answered yet."""
-        return self.intake.in_flight + self._forwards.in_flight
+        """Requests of clients, and of other relays, that aren't done."""
+        return self.clients.open_requests + self._forwards.in_flight
 
     async def _finish_by(self, deadline: float) -> None:
         """Wait until nothing is in flight, at most until ``deadline``."""
--- a/src/ebonydeal/_internal/relay/requests/intake.py
+++ b/src/ebonydeal/_internal/relay/requests/intake.py
@@ -42,12 +42,10 @@
         self._quota_wait = quota_wait
         self._plain = PlainForwarder(parts)
         self._stream = StreamForwarder(parts)
-        self.in_flight = 0
 
     async def handle(self, http_req: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         started = self._parts.clock.now()
-        self.in_flight += 1
         self._parts.metrics.count(Event.REQUESTS)
         try:
             resp = await self._answer(http_req, started)
@@ -60,8 +58,6 @@
             logger.error("Request handler failed.", path=http_req.path, exc_info=exc)
             error = EbonydealError(ErrorKind.INTERNAL, "an internal error")
             resp = self._refuse(error, "", None)
-        finally:
-            self.in_flight -= 1
         self._parts.stop.record_answer()
         if self._parts.stop.has_begun and not resp.prepared:
             resp.force_close()
--- /dev/null
+++ b/src/ebonydeal/_internal/utils/written_answers.py
@@ -0,0 +1,27 @@
+"""Answers that are written to their last byte."""
+
+from aiohttp import web
+
+
+async def write_out(http_req: web.BaseRequest, resp: web.StreamResponse) -> None:
+    """Write an answer to its end, and wait until it has left this process.
+
+    The library counts an answer as written once the transport holds its last byte. What
+    the transport still holds is lost if the process ends.
+
+    Raises
+    ------
+    ConnectionError
+        The client has closed its connection.
+    """
+    await resp.prepare(http_req)
+    await resp.write_eof()
+    transport = http_req.transport
+    if transport is None or not transport.get_write_buffer_size():
+        return
+    transport.set_write_buffer_limits(high=0)
+    try:
+        await http_req.writer.drain()
+    finally:
+        # Back to the defaults, for the next request on the connection.
+        transport.set_write_buffer_limits()
--- a/tests/functional/relay/test_planned_stop.py
+++ b/tests/functional/relay/test_planned_stop.py
@@ -1,11 +1,13 @@
 """What a relay that was told to stop still passes on, and what it refuses."""
 
 import asyncio
+import socket
 
 import pytest
 
+from tests.functional.relay.test_stream import whole_stream
 from tests.lib.cut_links import relays_of_which_first_is_cut
-from tests.lib.raw_endpoints import NOT_RUN, RawEndpoint, answer
+from tests.lib.raw_endpoints import NOT_RUN, RawEndpoint, answer, events
 from tests.lib.relay_fakes import (
     HOST,
     KEY,
@@ -78,7 +80,7 @@
             Client(program) as client,
         ):
             await send_head(client, "/once/")
-            await until(lambda: program.intake.in_flight)
+            await until(lambda: program.clients.open_requests)
             stop = await stopping(program)
             status, _headers, _body = await client.receive()
             assert not stop.done()
@@ -190,3 +192,111 @@
             await stop
         assert status == 503
         assert forwarded == [] and len(one.seen) == 1
+
+
+LARGE = b"x" * 3_000_000
+
+
+def keep_in_process(program):
+    """Let the system take little of an answer, so that the process holds the rest."""
+    for connection in program.clients._server.connections:
+        sock = connection.transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+
+
+class TestAnswerBeingWritten:
+    """The relay ended as soon as endpoints had answered, whoever was still reading."""
+
+    @pytest.mark.parametrize("path", ["/once/", "/safe/"])
+    async def test_is_written_to_its_end(self, path):
+        one = RawEndpoint("i1", [answer(body=LARGE)])
+        async with (
+            running(one, doc=document(routes=ROUTES), **GRACE) as (program, _store),
+            Client(program, buffer_bytes=4096) as client,
+        ):
+            await until(lambda: program.clients._server.connections)
+            keep_in_process(program)
+            await client.send(path, method="POST")
+            await until(lambda: client.writer.transport.is_reading() and one.seen)
+            client.writer.transport.pause_reading()
+            stop = await stopping(program)
+            await asyncio.sleep(TOO_LATE_S)
+            assert not stop.done()
+            client.writer.transport.resume_reading()
+            status, _headers, body = await client.receive()
+            await stop
+        assert (status, len(body)) == (200, len(LARGE))
+
+    async def test_end_of_a_stream_is_written(self):
+        one = RawEndpoint("i1", [whole_stream(1, 2000)])
+        async with (
+            running(one, doc=document(routes=ROUTES), **GRACE) as (program, _store),
+            Client(program, buffer_bytes=4096) as client,
+        ):
+            await until(lambda: program.clients._server.connections)
+            keep_in_process(program)
+            await client.send("/live/", method="POST")
+            client.writer.transport.pause_reading()
+            stop = await stopping(program)
+            await asyncio.sleep(TOO_LATE_S)
+            assert not stop.done()
+            client.writer.transport.resume_reading()
+            status, _headers, body = await client.receive()
+            await stop
+        assert (status, body) == (200, events(1, 2000))
+
+    async def test_reader_that_has_left_does_not_delay_the_stop(self):
+        one = RawEndpoint("i1", [answer(body=LARGE)])
+        async with running(one, doc=document(routes=ROUTES), **GRACE) as (program, _s):
+            async with Client(program, buffer_bytes=4096) as client:
+                await client.send("/once/", method="POST")
+                await until(lambda: one.seen)
+                stop = await stopping(program)
+                client.writer.transport.abort()
+            async with asyncio.timeout(1.0):
+                await stop
+
+    async def test_of_an_endpoint_reaches_the_other_relay(self):
+        """It arrives through a relay that is told to stop meanwhile."""
+        one = RawEndpoint("i1", [answer(body=LARGE)])
+        async with relays_of_which_first_is_cut(2, one, **GRACE) as (first, second):
+            async with Client(first, buffer_bytes=4096) as client:
+                await client.send("/once/", method="POST")
+                await until(lambda: second._forwards.in_flight)
+                stop = await stopping(second)
+                status, _headers, body = await client.receive()
+                await stop
+        assert (status, len(body)) == (200, len(LARGE))
+
+
+class TestRequestBeingRead:
+    async def test_head_that_has_begun_to_arrive_is_waited_for(self):
+        """The relay closed the connection between two packets of a request."""
+        one = RawEndpoint("i1")
+        async with (
+            running(one, doc=document(routes=ROUTES), **GRACE) as (program, _store),
+            Client(program) as client,
+        ):
+            stop = await stopping(program)
+            client.writer.write(b"GET /sa")
+            await asyncio.sleep(0.3)
+            client.writer.write(
+                f"fe/ HTTP/1.1\r\nHost: {HOST}\r\nEbonydeal-Request-Id: r1\r\n"
+                f"Authorization: Bearer {KEY}\r\n\r\n".encode()
+            )
+            status, _headers, _body = await client.receive()
+            await stop
+        assert status == 200
+
+    async def test_connection_without_a_request_does_not_delay_the_stop(self):
+        one = RawEndpoint("i1")
+        async with (
+            running(one, doc=document(routes=ROUTES), **GRACE) as (program, _store),
+            Client(program) as client,
+        ):
+            await client.ask("/safe/")
+            # Refused before its body is read, which then arrives.
+            await client.send("/none/", method="POST", body=BODY)
+            assert (await client.receive())[0] == 404
+            async with asyncio.timeout(1.0):
+                await program.stop()
--- a/tests/lib/relay_fakes.py
+++ b/tests/lib/relay_fakes.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import socket
 from contextlib import asynccontextmanager
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
@@ -290,14 +291,19 @@
 class Client:
     """One client connection with access to the raw bytes."""
 
-    def __init__(self, program):
+    def __init__(self, program, buffer_bytes=None):
         self._port = program.clients.port
+        self._buffer_bytes = buffer_bytes
         self.reader = self.writer = None
 
     async def __aenter__(self):
-        self.reader, self.writer = await asyncio.open_connection(
-            "127.0.0.1", self._port
-        )
+        sock = socket.socket()
+        sock.setblocking(False)
+        if self._buffer_bytes is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._buffer_bytes)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(sock, ("127.0.0.1", self._port))
+        self.reader, self.writer = await asyncio.open_connection(sock=sock)
         return self
 
     async def __aexit__(self, *_exc):
