Answer 504 when a stopping relay's time is over

Callers whose request was at an endpoint when the relay's grace time ended got a closed connection, which tells them nothing until they notice it.

Cause: the drain gave up at its end and closed all connections; no one told the requests in flight.

Now a send times out at the end of the stop, also if it began before the signal. The caller gets 504 (instance_stopped), which like a closed connection says nothing about the run; a stream that has begun is broken off as before. It is no failure of the endpoint, nor of a version in a roll-out, and is not sent again.

TestEnd: three of its four tests failed before (the connection was closed); the fourth shows that a stream still doesn't look complete.

--- a/src/ebonydeal/_internal/errors.py
+++ b/src/ebonydeal/_internal/errors.py
@@ -31,6 +31,7 @@
     ENDPOINTS_LIMITED = "endpoints_limited"
     RETRY_BUDGET = "retry_budget"
     DRAINING = "draining"
+    INSTANCE_STOPPED = "instance_stopped"
     JOURNAL_UNAVAILABLE = "journal_unavailable"
     JOURNAL_BEHIND = "journal_behind"
     WRONG_OWNER = "wrong_owner"
@@ -147,6 +148,9 @@
     ErrorKind.DRAINING: ErrorResponse(
         503, _N, _SERVER, 0.0, "Repeat at once elsewhere."
     ),
+    ErrorKind.INSTANCE_STOPPED: ErrorResponse(
+        504, _U, _SERVER, 0.0, "Repeat if idempotent."
+    ),
     ErrorKind.JOURNAL_UNAVAILABLE: ErrorResponse(
         503, _N, _SERVER, 5.0, "Repeat later with the same idempotency key."
     ),
--- a/src/ebonydeal/_internal/relay/requests/plain.py
+++ b/src/ebonydeal/_internal/relay/requests/plain.py
@@ -141,11 +141,7 @@
                     sends.mark_answered()
                 return outcome
         except TimeoutError:
-            if stopped := self._parts.suspects.stopped_outcome(job.traits):
-                return stopped
-            return MayHaveRun(
-                ErrorKind.ENDPOINT_STALLED, f"no answer in {timeout:.3f} s"
-            )
+            return sends.timeout_outcome(f"no answer in {timeout:.3f} s")
         finally:
             sends.record_end()
 
@@ -171,13 +167,9 @@
                     self._record_activity(sends, member)
                 return outcome
         except TimeoutError:
-            if stopped := parts.suspects.stopped_outcome(job.traits):
-                return stopped
             waited = parts.clock.now() - sent_at
-            return MayHaveRun(
-                ErrorKind.ENDPOINT_STALLED,
-                f"no answer in {waited:.3f} s",
-                check.endpoint_fault,
+            return sends.timeout_outcome(
+                f"no answer in {waited:.3f} s", check.endpoint_fault
             )
         finally:
             sends.record_end()
--- a/src/ebonydeal/_internal/relay/requests/planned_stop.py
+++ b/src/ebonydeal/_internal/relay/requests/planned_stop.py
@@ -6,6 +6,7 @@
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.forwarding import Route
+from ebonydeal._internal.relay.requests.outcomes import MayHaveRun
 from ebonydeal._internal.routing.admission.stop_window import StopWindow
 from ebonydeal._internal.utils.clock import Clock
 
@@ -83,6 +84,19 @@
         with self._limit(limit, lambda window: window.latest_send(route, deadline)):
             yield
 
+    @contextmanager
+    def limit_send(self, limit: asyncio.Timeout) -> Iterator[None]:
+        """Make the wait for an answer time out when the relay ends its answers."""
+        with self._limit(limit, lambda window: window.end):
+            yield
+
+    def stopped_outcome(self) -> MayHaveRun | None:
+        """Return the outcome of a send that the stop has ended, or None."""
+        if self.window is None or self._clock.now() < self.window.end:
+            return None
+        detail = "this instance stopped before the answer was complete"
+        return MayHaveRun(ErrorKind.INSTANCE_STOPPED, detail, endpoint_fault=False)
+
     @contextmanager
     def _limit(
         self, limit: asyncio.Timeout, end: Callable[[StopWindow], float]
--- a/src/ebonydeal/_internal/relay/requests/sends.py
+++ b/src/ebonydeal/_internal/relay/requests/sends.py
@@ -428,13 +428,28 @@
 
     @asynccontextmanager
     async def limited(self, seconds: float) -> AsyncIterator[None]:
-        """Raise TimeoutError after ``seconds``, or once the request is quarantined."""
+        """Raise TimeoutError after ``seconds``.
+
+        Sooner once the request is quarantined, or this relay ends its answers.
+        """
         assert self.member is not None
-        traits, endpoint_id = self.job.traits, self.member.endpoint_id
+        parts, endpoint_id = self._parts, self.member.endpoint_id
         async with timeout(seconds) as limit:
-            with self._parts.suspects.track_run(traits, endpoint_id, limit):
+            with (
+                parts.suspects.track_run(self.job.traits, endpoint_id, limit),
+                parts.stop.limit_send(limit),
+            ):
                 yield
 
+    def timeout_outcome(self, detail: str, endpoint_fault: bool = True) -> MayHaveRun:
+        """Return the outcome of a send whose `limited` time is over."""
+        parts = self._parts
+        if quarantined := parts.suspects.stopped_outcome(self.job.traits):
+            return quarantined
+        if stopped := parts.stop.stopped_outcome():
+            return stopped
+        return MayHaveRun(ErrorKind.ENDPOINT_STALLED, detail, endpoint_fault)
+
     async def read_all(self, exchange: Exchange) -> bytes:
         """Return the complete body; raises as `Exchange.read_some`, or if too large."""
         body = bytearray()
@@ -523,11 +538,13 @@
             case MayHaveRun(kind=ErrorKind.ENDPOINT_FAILED) if not self._forwarded:
                 parts.crashes.connection_broken(self.member, job.traits)
         match outcome:
-            case MayHaveRun() | Answered():
-                self._record_version_failure(self.member)
-            case NotSent() | ProvedNotRun():
+            case (
+                NotSent() | ProvedNotRun() | MayHaveRun(kind=ErrorKind.INSTANCE_STOPPED)
+            ):
                 # A full queue or a broken link says nothing about the version.
                 self._cancel_expected_answer()
+            case MayHaveRun() | Answered():
+                self._record_version_failure(self.member)
         if self._still_listed(self.member) and _may_blame_endpoint(outcome):
             self._record_endpoint_failure(endpoint, error.kind, now)
         self._reset_avoided()
@@ -603,6 +620,8 @@
             # Even if this send never left the process: an earlier one may have run.
             return error
         match outcome:
+            case MayHaveRun(kind=ErrorKind.INSTANCE_STOPPED):
+                return error
             case NotSent() if self._is_too_late():
                 return self._parts.stop.refusal()
             case NotSent():
--- a/src/ebonydeal/_internal/relay/requests/stream.py
+++ b/src/ebonydeal/_internal/relay/requests/stream.py
@@ -41,6 +41,8 @@
 
 logger = get_logger("relay.stream")
 
+_TIMEOUTS = (ErrorKind.ENDPOINT_STALLED, ErrorKind.INSTANCE_STOPPED)
+
 
 @dataclass
 class _ClientStream:
@@ -147,11 +149,7 @@
             async with sends.limited(timeout):
                 return await self._exchange(sends, run, client)
         except TimeoutError:
-            if stopped := self._parts.suspects.stopped_outcome(sends.job.traits):
-                return stopped
-            return MayHaveRun(
-                ErrorKind.ENDPOINT_STALLED, f"not complete in {timeout:.3f} s"
-            )
+            return sends.timeout_outcome(f"not complete in {timeout:.3f} s")
         finally:
             self._parts.migrator.unwatch(run)
             sends.record_end()
@@ -329,5 +327,5 @@
         match outcome:
             case Answered():
                 sends.count_run(self._parts.clock.wall())
-            case MayHaveRun(kind=kind) if kind is not ErrorKind.ENDPOINT_STALLED:
+            case MayHaveRun(kind=kind) if kind not in _TIMEOUTS:
                 sends.count_run(self._parts.clock.wall())
--- a/tests/functional/relay/test_planned_stop.py
+++ b/tests/functional/relay/test_planned_stop.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.functional.relay.test_stream import whole_stream
+from tests.functional.relay.test_stream import stalls_after, whole_stream
 from tests.lib.cut_links import relays_of_which_first_is_cut
 from tests.lib.raw_endpoints import NOT_RUN, RawEndpoint, answer, events
 from tests.lib.relay_fakes import (
@@ -300,3 +300,33 @@
             assert (await client.receive())[0] == 404
             async with asyncio.timeout(1.0):
                 await program.stop()
+
+
+class TestEnd:
+    @pytest.mark.parametrize("path", ["/once/", "/safe/", "/live/"])
+    async def test_request_without_an_answer_gets_504(self, path):
+        """Callers got a closed connection when the relay's time was over."""
+        one = RawEndpoint("i1", [never, never])
+        slow = [r | {"target_latency_ms": 9000} for r in ROUTES]
+        async with (
+            running(one, doc=document(routes=slow), **GRACE) as (program, _store),
+            Client(program) as client,
+        ):
+            await client.send(path, method="POST", wait=10_000)
+            await until(lambda: one.seen)
+            await stopping(program)
+            status, headers, _body = await client.receive()
+        assert (status, headers["connection"]) == (504, "close")
+        assert len(one.seen) == 1
+
+    async def test_stream_that_has_begun_does_not_look_complete(self):
+        one = RawEndpoint("i1", [stalls_after(events(1, 2))])
+        async with (
+            running(one, doc=document(routes=ROUTES), **GRACE) as (program, _store),
+            Client(program) as client,
+        ):
+            await client.send("/live/", method="POST", wait=10_000)
+            await client.reader.readuntil(b"data: x2\n\n")
+            await stopping(program)
+            rest = await client.reader.read()
+        assert b"\r\n0\r\n" not in rest
