End a stop in time though the store or the coordinator is silent

Cause: the drain waited without a limit of its own for the release of the lease, before the time in which the balancer removes the relay, and for the last report, after it. So a silent store moved all that follows by the time of a call, and a silent coordinator its end.

Now all steps have one schedule from the signal on: the lease is released beside the drain, that call ends with it, and the last report at most 0.2 s later, within the 0.4 s that are kept for the end of the process.

TestSilentServices: both cases failed before (the stop didn't end while the call hung) and pass now.

--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -1,6 +1,7 @@
 """The supervisor tree of ``ebonydeal-relay``."""
 
-from collections.abc import Iterable, Sequence
+import asyncio
+from collections.abc import Coroutine, Iterable, Sequence
 from random import Random
 from typing import Any
 
@@ -127,6 +128,9 @@
 _DRAIN_CHECK_INTERVAL_S = 0.02
 # Part of the grace time that is left for closing sockets and ending the process.
 _EXIT_RESERVE_S = 0.4
+# Parts of it for the last report and the last answers.
+_LAST_REPORT_S = 0.2
+_LAST_ANSWERS_S = 0.1
 
 
 class RelayProgram(SupervisedService):
@@ -649,17 +653,23 @@
         self._reporter.leaving = True
         self._forwards.draining = True
         started_at = self._clock.now()
-        deadline = started_at + self._cfg.grace_s - _EXIT_RESERVE_S
-        self._planned_stop.begin(StopWindow(started_at + self._cfg.settle_s, deadline))
+        end = started_at + self._cfg.grace_s - _EXIT_RESERVE_S
+        window = StopWindow(started_at + self._cfg.settle_s, end)
+        self._planned_stop.begin(window)
         logger.info("Draining.", in_flight=self._in_flight)
-        await self.coordinator.release()
+        release = asyncio.ensure_future(
+            self._call_by(end, "lease release", self.coordinator.release())
+        )
         await self._clock.sleep(self._cfg.settle_s)
-        await self._finish_by(deadline)
-        await self._exchange.flush()
+        await self._finish_by(end)
+        await release
+        report_by = max(end, self._clock.now() + _LAST_REPORT_S)
+        await self._call_by(report_by, "last report", self._exchange.flush())
         # More requests may have arrived during the last report.
-        await self._finish_by(deadline)
+        await self._finish_by(end)
         self.clients.close_gracefully()
-        await self._finish_by(deadline)
+        # Answers that the stop has ended are still being written.
+        await self._finish_by(end + _LAST_ANSWERS_S)
         logger.info(
             "Drained.",
             in_flight=self._in_flight,
@@ -668,6 +678,16 @@
             took_s=round(self._clock.now() - started_at, 3),
         )
 
+    async def _call_by(
+        self, deadline: float, name: str, call: Coroutine[Any, Any, None]
+    ) -> None:
+        """Await a call until ``deadline``: who is called may not answer."""
+        try:
+            async with asyncio.timeout(deadline - self._clock.now()):
+                await call
+        except TimeoutError:
+            logger.warning("Given up at the stop.", call=name)
+
     @property
     def _in_flight(self) -> int:
         """Requests of clients, and of other relays, that aren't done."""
--- a/tests/functional/relay/test_planned_stop.py
+++ b/tests/functional/relay/test_planned_stop.py
@@ -330,3 +330,25 @@
             await stopping(program)
             rest = await client.reader.read()
         assert b"\r\n0\r\n" not in rest
+
+
+class TestSilentServices:
+    @pytest.mark.parametrize("call", ["lease release", "last report"])
+    async def test_stop_ends_in_time_though_a_call_is_not_answered(self, call):
+        """The process was killed with its clients' connections still open."""
+
+        async def hang():
+            await asyncio.Event().wait()
+
+        one = RawEndpoint("i1")
+        async with running(one, doc=document(routes=ROUTES), **GRACE) as (program, _s):
+            match call:
+                case "lease release":
+                    program.coordinator.release = hang
+                case "last report":
+                    program._exchange.flush = hang
+            async with Client(program) as client, asyncio.timeout(GRACE["grace_s"]):
+                stop = await stopping(program)
+                status, _headers, _body = await client.ask("/safe/")
+                await stop
+        assert status == 200
