Reset the connection if a relay is killed amid an answer without a length

Cause: an answer without a length ends with its connection, and the system closes the connections of a killed process as if the answer had ended.

Now a close resets the connection (SO_LINGER of 0 s) until the last byte of such an answer has left the process. Clients of HTTP take a reset for a failure. Once it is written out, the connection ends by a close as before.

--- a/src/ebonydeal/_internal/relay/requests/plain.py
+++ b/src/ebonydeal/_internal/relay/requests/plain.py
@@ -19,7 +19,7 @@
 from ebonydeal._internal.relay.requests.sends import JobSends
 from ebonydeal._internal.relay.requests.wait_timer import checked_limit
 from ebonydeal._internal.utils.bounded_responses import EndlessAnswerError
-from ebonydeal._internal.utils.close_delimited import CloseDelimitedResponse
+from ebonydeal._internal.utils.close_delimited import ResetUntilWrittenResponse
 from ebonydeal._internal.utils.http_framing import (
     EVENT_STREAM,
     media_type,
@@ -88,7 +88,7 @@
 
     A length that the endpoint didn't state would claim that the answer is complete.
     """
-    response = CloseDelimitedResponse if answer.close_delimited else web.Response
+    response = ResetUntilWrittenResponse if answer.close_delimited else web.Response
     return response(
         status=answer.head.status,
         headers=CIMultiDict(answer.head.headers),
--- a/src/ebonydeal/_internal/utils/written_answers.py
+++ b/src/ebonydeal/_internal/utils/written_answers.py
@@ -6,6 +6,19 @@
 async def write_out(http_req: web.BaseRequest, resp: web.StreamResponse) -> None:
     """Write an answer to its end, and wait until it has left this process.
 
+    Raises
+    ------
+    ConnectionError
+        The client has closed its connection.
+    """
+    await resp.prepare(http_req)
+    await resp.write_eof()
+    await flush(http_req)
+
+
+async def flush(http_req: web.BaseRequest) -> None:
+    """Wait until all that was written to a request's connection has left this process.
+
     The library counts an answer as written once the transport holds its last byte. What
     the transport still holds is lost if the process ends.
 
@@ -14,8 +27,6 @@
     ConnectionError
         The client has closed its connection.
     """
-    await resp.prepare(http_req)
-    await resp.write_eof()
     transport = http_req.transport
     if transport is None or not transport.get_write_buffer_size():
         return
--- a/tests/functional/relay/test_truncated_answers.py
+++ b/tests/functional/relay/test_truncated_answers.py
@@ -165,6 +165,36 @@
             head, _body = await _read_to_the_end(program, "1.1", "/safe/")
         assert b"connection: close" in head.lower()
 
+    @pytest.mark.parametrize("path", ["/safe/", "/live/"])
+    async def test_does_not_take_a_part_for_the_answer_if_the_relay_is_killed(
+        self, path
+    ):
+        """The system closes the connections of a process that ends, as an end would."""
+        large = b"x" * 3_000_000
+        one = RawEndpoint("i1", [close_delimited(large, b"text/plain")])
+        async with (
+            running(one) as (program, _store),
+            Client(program, buffer_bytes=4096) as client,
+        ):
+            await until(lambda: program.clients._server.connections)
+            (connection,) = program.clients._server.connections
+            transport = connection.transport
+            await client.send(path, method="POST")
+            client.writer.transport.pause_reading()
+            await until(transport.get_write_buffer_size)
+            # Closes the socket without writing the rest.
+            transport.abort()
+            client.writer.transport.resume_reading()
+            with pytest.raises(ConnectionResetError):
+                await client.reader.read()
+
+    async def test_gets_the_whole_of_a_large_one(self):
+        large = b"x" * 3_000_000
+        one = RawEndpoint("i1", [close_delimited(large, b"text/plain")])
+        async with running(one) as (program, _store):
+            _head, body = await _read_to_the_end(program, "1.1", "/safe/")
+        assert body == large
+
 
 class TestThroughRelay:
     @pytest.mark.parametrize("path", ["/live/", "/again/"])
