Serve streams to HTTP/1.0 clients

They got 500, after the endpoint had begun to run the request: the relay answers streams in chunks, which the HTTP library rightly forbids for HTTP/1.0.

Now such a client gets the events without framing, and a reset instead of the end if the stream breaks off.

Tests: test_of_http_1_0_gets_the_events_of_a_stream failed before (500); test_of_http_1_0_sees_that_a_stream_is_broken_off.

--- a/src/ebonydeal/_internal/relay/requests/stream.py
+++ b/src/ebonydeal/_internal/relay/requests/stream.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from aiohttp import ClientError, web
+from aiohttp import ClientError, HttpVersion11, web
 from multidict import CIMultiDict
 
 from ebonydeal._internal.errors import ErrorKind
@@ -33,6 +33,7 @@
 from ebonydeal._internal.relay.requests.planned_stop import PlannedStop
 from ebonydeal._internal.relay.requests.sends import JobSends
 from ebonydeal._internal.utils.bounded_responses import EndlessAnswerError
+from ebonydeal._internal.utils.close_delimited import ResetUntilWrittenResponse
 from ebonydeal._internal.utils.http_framing import (
     EVENT_STREAM,
     media_type,
@@ -55,8 +56,14 @@
 
     async def begin(self, head: AnswerHead) -> web.StreamResponse:
         """Start the answer with the first endpoint's head."""
-        resp = web.StreamResponse(status=head.status, headers=CIMultiDict(head.headers))
-        resp.enable_chunked_encoding()
+        headers = CIMultiDict(head.headers)
+        resp: web.StreamResponse
+        if self.http_req.version < HttpVersion11:
+            # These clients know no chunks.
+            resp = ResetUntilWrittenResponse(status=head.status, headers=headers)
+        else:
+            resp = web.StreamResponse(status=head.status, headers=headers)
+            resp.enable_chunked_encoding()
         if self.stop.has_begun:
             resp.force_close()
         await resp.prepare(self.http_req)
--- a/tests/functional/relay/test_truncated_answers.py
+++ b/tests/functional/relay/test_truncated_answers.py
@@ -195,6 +195,21 @@
             _head, body = await _read_to_the_end(program, "1.1", "/safe/")
         assert body == large
 
+    async def test_of_http_1_0_gets_the_events_of_a_stream(self):
+        """It knows no chunks, and got 500."""
+        one = RawEndpoint("i1", [in_chunks(events(1, 3))])
+        async with running(one) as (program, _store):
+            head, body = await _read_to_the_end(program, "1.0", "/live/")
+        assert head.startswith(b"HTTP/1.0 200")
+        assert b"transfer-encoding" not in head.lower()
+        assert body == events(1, 3)
+
+    async def test_of_http_1_0_sees_that_a_stream_is_broken_off(self):
+        one = RawEndpoint("i1", [close_delimited(WITHIN_EVENT)])
+        async with running(one) as (program, _store):
+            with pytest.raises(ConnectionResetError):
+                await _read_to_the_end(program, "1.0", "/live/")
+
 
 class TestThroughRelay:
     @pytest.mark.parametrize("path", ["/live/", "/again/"])
