Learn how long answers take to write, for a planned stop

A stopping relay passed a request on whose endpoint is quick, but whose client reads its answer slowly, and broke the answer off at its end.

Cause: the time that a request needs was taken from its route's latency objective alone, which says nothing of the client's link.

Test: test_request_whose_answer_takes_long_to_write_is_refused_in_time failed before (200, broken off).

--- a/src/ebonydeal/_internal/relay/requests/intake.py
+++ b/src/ebonydeal/_internal/relay/requests/intake.py
@@ -1,6 +1,7 @@
 """Accepts clients' requests as jobs, has them forwarded, and answers."""
 
 import asyncio
+from contextlib import suppress
 
 from aiohttp import web
 
@@ -21,6 +22,7 @@
 from ebonydeal._internal.routing.crashes.request_traits import RequestTraits
 from ebonydeal._internal.routing.placement.route_index import RouteIndex, pick_service
 from ebonydeal._internal.utils.request_digest import RequestDigest
+from ebonydeal._internal.utils.written_answers import write_out
 
 logger = get_logger("relay.intake")
 
@@ -59,8 +61,7 @@
             error = EbonydealError(ErrorKind.INTERNAL, "an internal error")
             resp = self._refuse(error, "", None)
         self._parts.stop.record_answer()
-        if self._parts.stop.has_begun and not resp.prepared:
-            resp.force_close()
+        self._close_after(resp)
         self._parts.metrics.record_duration(
             Timing.REQUEST, self._parts.clock.now() - started
         )
@@ -79,12 +80,27 @@
             time_left = req.client_timeout
             job = await self._accept(http_req, req, started)
             time_left = job.deadline - started
-            return await self._forward(job, http_req)
+            accepted_at = self._parts.clock.now()
+            resp = await self._forward(job, http_req)
+            await self._write(http_req, resp)
+            self._parts.stop.record_duration(job.route, accepted_at)
+            return resp
         except EbonydealError as exc:
             if time_left is not None:
                 time_left -= self._parts.clock.now() - started
             return self._refuse(exc, req.request_id if req else "", time_left)
 
+    async def _write(self, http_req: web.BaseRequest, resp: web.StreamResponse) -> None:
+        """Write an endpoint's answer to its end, unless its client leaves."""
+        self._close_after(resp)
+        with suppress(ConnectionError):
+            await write_out(http_req, resp)
+
+    def _close_after(self, resp: web.StreamResponse) -> None:
+        """Let the connection close after an answer of a stopping relay."""
+        if self._parts.stop.has_begun and not resp.prepared:
+            resp.force_close()
+
     def _refuse(
         self, error: EbonydealError, request_id: str, time_left: float | None
     ) -> web.Response:
--- a/src/ebonydeal/_internal/relay/requests/planned_stop.py
+++ b/src/ebonydeal/_internal/relay/requests/planned_stop.py
@@ -7,6 +7,7 @@
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.forwarding import Route
 from ebonydeal._internal.relay.requests.outcomes import MayHaveRun
+from ebonydeal._internal.routing.admission.answer_durations import AnswerDurations
 from ebonydeal._internal.routing.admission.stop_window import StopWindow
 from ebonydeal._internal.utils.clock import Clock
 
@@ -40,6 +41,7 @@
         self._clock = clock
         self.window: StopWindow | None = None
         self.answered = self.refused = 0
+        self._durations = AnswerDurations()
         # Timeouts of waits that end sooner if the relay stops meanwhile, and when.
         self._limits: dict[asyncio.Timeout, Callable[[StopWindow], float]] = {}
 
@@ -58,7 +60,11 @@
         """Return whether a request that is passed on now wouldn't finish in time."""
         if self.window is None:
             return False
-        return self._clock.now() >= self.window.latest_send(route, deadline)
+        return self._clock.now() >= self._latest_send(self.window, route, deadline)
+
+    def _latest_send(self, window: StopWindow, route: Route, deadline: float) -> float:
+        longest_s = self._durations.longest(route.name, self._clock.now())
+        return window.latest_send(route, deadline, longest_s)
 
     def check(self, route: Route, deadline: float) -> None:
         """Raise DRAINING if a request that is passed on now wouldn't finish in time."""
@@ -72,6 +78,11 @@
         detail = f"this instance is stopping, in {left_s:.2f} s"
         return EbonydealError(ErrorKind.DRAINING, detail)
 
+    def record_duration(self, route: Route, accepted_at: float) -> None:
+        """Record that the answer to a request was written to its end."""
+        now = self._clock.now()
+        self._durations.record(route.name, now - accepted_at, now)
+
     def record_answer(self) -> None:
         """Count an answer, if the stop has begun."""
         self.answered += self.has_begun
@@ -81,7 +92,7 @@
         self, limit: asyncio.Timeout, route: Route, deadline: float
     ) -> Iterator[None]:
         """Make the wait for a body time out when it is too late to pass it on."""
-        with self._limit(limit, lambda window: window.latest_send(route, deadline)):
+        with self._limit(limit, lambda w: self._latest_send(w, route, deadline)):
             yield
 
     @contextmanager
--- a/src/ebonydeal/_internal/routing/admission/stop_window.py
+++ b/src/ebonydeal/_internal/routing/admission/stop_window.py
@@ -23,15 +23,23 @@
     accepts_all_until: float
     end: float
 
-    def latest_send(self, route: Route, deadline: float) -> float:
+    def latest_send(self, route: Route, deadline: float, longest_s: float) -> float:
         """Return when a request can no longer be passed on, as it wouldn't finish.
 
-        ``deadline`` is when the request itself ends, monotonic seconds.
+        Parameters
+        ----------
+        route : Route
+            Route of the request.
+        deadline : float
+            When the request itself ends, monotonic seconds.
+        longest_s : float
+            The longest time that a request of this route took lately until its answer
+            was written, seconds.
         """
         if deadline < self.end:
             return self.end
         if route.repeat is Repeat.STREAM or not route.objective:
             # It may take until its deadline.
             return min(self.end, self.accepts_all_until)
-        longest_s = route.objective * _MAX_PLAIN_OBJECTIVES
+        longest_s = max(longest_s, route.objective * _MAX_PLAIN_OBJECTIVES)
         return min(self.end, max(self.accepts_all_until, self.end - longest_s))
--- a/tests/functional/relay/test_planned_stop.py
+++ b/tests/functional/relay/test_planned_stop.py
@@ -227,6 +227,36 @@
             await stop
         assert (status, len(body)) == (200, len(LARGE))
 
+    async def test_request_whose_answer_takes_long_to_write_is_refused_in_time(self):
+        """Its endpoint is quick, but clients of its route read their answers slowly."""
+        quick = route("/once/", "non_idempotent", timeout_ms=10_000)
+        quick["target_latency_ms"] = 50
+        one = RawEndpoint("i1", [answer(body=LARGE), answer(body=LARGE)])
+        async with (
+            running(one, doc=document(routes=[quick]), **GRACE) as (program, _store),
+            Client(program, buffer_bytes=4096) as slow,
+            Client(program) as client,
+        ):
+            await until(lambda: program.clients._server.connections)
+            keep_in_process(program)
+            await slow.send("/once/", method="POST")
+            slow.writer.transport.pause_reading()
+            await asyncio.sleep(1.0)
+            slow.writer.transport.resume_reading()
+            await slow.receive()
+            stop = await stopping(program)
+            # Its head has begun to arrive, so the relay waits for the rest.
+            client.writer.write(b"POST ")
+            await asyncio.sleep(0.7)
+            client.writer.write(
+                f"/once/ HTTP/1.1\r\nHost: {HOST}\r\nEbonydeal-Request-Id: r2\r\n"
+                f"Authorization: Bearer {KEY}\r\nContent-Length: 0\r\n\r\n".encode()
+            )
+            status, _headers, _body = await client.receive()
+            await stop
+        assert status == 503
+        assert len(one.seen) == 1
+
     async def test_end_of_a_stream_is_written(self):
         one = RawEndpoint("i1", [whole_stream(1, 2000)])
         async with (
