Soak: clients with slow links, and a stricter check of planned stops

The soak sent all bodies at once, and its answers fit into a socket's buffer, so it found neither of the review's faults of a planned stop.

--slow-clients adds clients that send bodies in pieces on kept connections and read answers of 2 MB in 2 s.

The check of planned stops also takes an answer that its client sees broken off after the process has ended, as slow readers do.

--- a/src/ebonydeal/_internal/commands/soak.py
+++ b/src/ebonydeal/_internal/commands/soak.py
@@ -26,6 +26,13 @@
 @click.option("--relays", type=click.IntRange(1, 30), default=3, show_default=True)
 @click.option("--endpoints", type=click.IntRange(2, 60), default=4, show_default=True)
 @click.option("--clients", type=click.IntRange(1, 200), default=12, show_default=True)
+@click.option(
+    "--slow-clients",
+    type=click.IntRange(0, 50),
+    default=0,
+    show_default=True,
+    help="More clients, whose links are slow.",
+)
 @click.option("--jobs", type=click.IntRange(1, 16), default=1, show_default=True)
 @click.option("--regressions", is_flag=True, help="Run the seeds that once failed.")
 @click.option(
@@ -63,6 +70,7 @@
     relays: int,
     endpoints: int,
     clients: int,
+    slow_clients: int,
     jobs: int,
     regressions: bool,
     plant: str | None,
@@ -90,7 +98,7 @@
             played = {"case": name, "relays": relays, "seconds": seconds}
             click.echo(json.dumps(played | figures))
         return
-    size = Size(relays, endpoints, clients, seconds)
+    size = Size(relays, endpoints, clients, seconds, slow_clients)
     chosen = sorted(REGRESSIONS) if regressions else range(seed, seed + seeds)
     faults = [fault for fault in Fault if not only or fault.name.lower() in only]
     verdicts = asyncio.run(_run_seeds(chosen, size, jobs, plant, logs, faults))
--- a/src/ebonydeal/_internal/soak/checks.py
+++ b/src/ebonydeal/_internal/soak/checks.py
@@ -271,7 +271,7 @@
 
 
 def planned_stops_interrupt_no_requests(
-    log: Log, _guarantees: Guarantees
+    log: Log, guarantees: Guarantees
 ) -> Iterable[Violation]:
     """A planned stop of a relay interrupts no request that reached an endpoint."""
     reached = {run.request_id for run in log.runs}
@@ -284,8 +284,14 @@
         )
         if not interrupted or result.request_id not in reached:
             continue
+        if result.ended - result.sent >= guarantees.timeout_s:
+            # Its own deadline ended it, as for a long stream on a busy machine.
+            continue
         for stop in stops:
-            if result.relay != stop.relay or not stop.begin <= result.ended <= stop.end:
+            # A slow reader notices the end of its answer after that of the process.
+            if result.relay != stop.relay or not (
+                result.sent <= stop.end and stop.begin <= result.ended
+            ):
                 continue
             alone = all(
                 end + _RECOVERY_S < result.sent or begin > result.ended
--- a/src/ebonydeal/_internal/soak/clients.py
+++ b/src/ebonydeal/_internal/soak/clients.py
@@ -4,10 +4,16 @@
 import json
 import re
 import time
-from collections.abc import Sequence
+from collections.abc import AsyncIterator, Sequence
 from random import Random
 
-from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
+from aiohttp import (
+    ClientError,
+    ClientResponse,
+    ClientSession,
+    ClientTimeout,
+    TCPConnector,
+)
 
 from ebonydeal._internal.platform.server_side import (
     PROMPT_TOKENS,
@@ -20,7 +26,7 @@
 from ebonydeal._internal.soak.records import ClientResult, Kind, Log
 
 HOST = "play.example"
-_REQUEST_TIMEOUT_S = 5.0
+REQUEST_TIMEOUT_S = 5.0
 # Values of max_tokens that streams ask for.
 _MAX_TOKENS_CHOICES = (100, 100, 100, 600)
 # Events name their number, and the software version of their endpoint.
@@ -48,16 +54,23 @@
         Draws kinds, relays and pauses.
     reuse : bool
         Keep connections; False for a new one for each request.
+    connector : TCPConnector, optional
+        Makes the connections.
     """
 
     def __init__(
-        self, log: Log, relays: list[RelayProcess], rng: Random, reuse: bool = True
+        self,
+        log: Log,
+        relays: list[RelayProcess],
+        rng: Random,
+        reuse: bool = True,
+        connector: TCPConnector | None = None,
     ) -> None:
         self._log = log
         self._relays = relays
         self._rng = rng
         self._session = ClientSession(
-            connector=TCPConnector(limit=0, force_close=not reuse),
+            connector=connector or TCPConnector(limit=0, force_close=not reuse),
             auto_decompress=False,
         )
         # A retry by the library would be a second request with the same id.
@@ -107,7 +120,7 @@
         counts = PROMPT_TOKENS + tokens if tokens else account.plain_tokens
         self._log.tokens[request_id] = counts
         headers = client_headers(
-            HOST, request_id, account.key, _REQUEST_TIMEOUT_S, tokens, parts
+            HOST, request_id, account.key, REQUEST_TIMEOUT_S, tokens, parts
         )
         headers[RELAY_HEADER] = relay.name
         first_attempt, events_before = "", 0
@@ -147,22 +160,30 @@
         """Return status (0 without a response), whether it was complete, and body."""
         method = "GET" if kind in _GET_KINDS and not sent else "POST"
         status, body = 0, b""
-        timeout = ClientTimeout(total=_REQUEST_TIMEOUT_S + 2.0, sock_connect=1.0)
+        timeout = ClientTimeout(total=REQUEST_TIMEOUT_S + 2.0, sock_connect=1.0)
         try:
             async with self._session.request(
                 method,
                 f"http://{url}",
                 headers=headers,
                 timeout=timeout,
-                data=sent or None,
+                data=self._upload(sent),
             ) as resp:
                 status = resp.status
-                while data := await resp.content.readany():
+                while data := await self._read_some(resp):
                     body += data
             return status, True, body
         except (TimeoutError, ClientError, OSError):
             return status, False, body
 
+    def _upload(self, body: bytes) -> bytes | AsyncIterator[bytes] | None:
+        """Return the body as it is sent."""
+        return body or None
+
+    async def _read_some(self, resp: ClientResponse) -> bytes:
+        """Return the next bytes of an answer, none at its end."""
+        return await resp.content.readany()
+
     async def close(self) -> None:
         """Close connections."""
         await self._session.close()
--- a/src/ebonydeal/_internal/soak/endpoints.py
+++ b/src/ebonydeal/_internal/soak/endpoints.py
@@ -42,8 +42,11 @@
 RELAY_HEADER = "X-Asked-Relay"
 # A request whose body has this prefix crashes the endpoint that runs it.
 FATAL_PREFIX = b"fatal"
+# The answer to a request whose body has this prefix is large.
+LARGE_ANSWER_PREFIX = b"large"
 # No two bodies of requests with a fatal part are equal: a number follows this.
 BODY_NUMBER = "#"
+_LARGE_ANSWER_BYTES = 2_000_000
 _EVENT_INTERVAL_S = 0.03
 _RUN_TIME_S = 0.02
 _SHUTDOWN_TIMEOUT_S = 0.1
@@ -254,7 +257,10 @@
         if req.path.startswith(("/live/", "/again/")):
             return await self._stream(req, got, headers)
         await self._work()
-        return web.json_response({"request": got.request_id}, headers=headers)
+        answer = {"request": got.request_id}
+        if body.startswith(LARGE_ANSWER_PREFIX):
+            answer["padding"] = "x" * _LARGE_ANSWER_BYTES
+        return web.json_response(answer, headers=headers)
 
     def _refuse(
         self,
--- a/src/ebonydeal/_internal/soak/guarantees.py
+++ b/src/ebonydeal/_internal/soak/guarantees.py
@@ -31,7 +31,8 @@
 
     ``drain_s`` is how long an endpoint that leaves may get new requests, if the relay
     had no fault for ``contact_s``; ``apply_s`` how long a relay may take to apply a new
-    configuration. ``overload`` is None if the relays don't limit an overload.
+    configuration. Requests end after ``timeout_s``. ``overload`` is None if the relays
+    don't limit an overload.
     """
 
     drain_s: float
@@ -40,6 +41,7 @@
     usage_window_s: float
     quota_window_s: float
     limits: tuple[Limit, ...]
+    timeout_s: float
     overload: OverloadBounds | None = None
 
 
--- a/src/ebonydeal/_internal/soak/records.py
+++ b/src/ebonydeal/_internal/soak/records.py
@@ -18,6 +18,8 @@
     STREAM = "/live/"
     RESUMABLE_STREAM = "/again/"
     PROBE = "/probe/"
+    # Its clients have slow links.
+    SLOW = "/slow/"
     # Requests of the plain service, whose endpoints have a capacity.
     PLAIN = "/page/"
     PLAIN_AT_MOST_ONCE = "/page-once/"
@@ -30,7 +32,12 @@
     @property
     def runs_once(self) -> bool:
         """Whether the request may run at most once."""
-        return self in (Kind.AT_MOST_ONCE, Kind.STREAM, Kind.PLAIN_AT_MOST_ONCE)
+        return self in (
+            Kind.AT_MOST_ONCE,
+            Kind.STREAM,
+            Kind.SLOW,
+            Kind.PLAIN_AT_MOST_ONCE,
+        )
 
     @property
     def is_plain(self) -> bool:
--- a/src/ebonydeal/_internal/soak/run.py
+++ b/src/ebonydeal/_internal/soak/run.py
@@ -24,7 +24,12 @@
     config_document,
 )
 from ebonydeal._internal.soak.checks import check_all
-from ebonydeal._internal.soak.clients import HOST, SHARED_PART, Client
+from ebonydeal._internal.soak.clients import (
+    HOST,
+    REQUEST_TIMEOUT_S,
+    SHARED_PART,
+    Client,
+)
 from ebonydeal._internal.soak.endpoints import (
     BODY_NUMBER,
     FATAL_PREFIX,
@@ -65,6 +70,7 @@
     OwnEnd,
     PublishedConfig,
 )
+from ebonydeal._internal.soak.slow_clients import SlowClient
 
 _DRAIN_TIMEOUT_S = 2.0
 _QUOTA_WINDOW_S = 2.0
@@ -72,6 +78,8 @@
 _TOKEN_LIMITED = AccountSpec("tokens", "key-tokens", 1500.0, 1500.0, True, 50)
 # They send several times their account's limit.
 _CLIENTS_PER_LIMITED_ACCOUNT = 6
+# Endpoints are quick; what takes time are the links of these clients.
+_SLOW_CLIENTS_OBJECTIVE_S = 0.5
 _UNLIMITED = AccountSpec("large", "key-large")
 _QUOTA_OVERSHOOT = 0.1
 _OVERLOAD_POLICY = overload_policy()
@@ -89,6 +97,7 @@
         )
         for account in (_REQUEST_LIMITED, _TOKEN_LIMITED)
     ),
+    timeout_s=REQUEST_TIMEOUT_S,
     overload=OverloadBounds(PLAIN_OBJECTIVE_S, recovery_s=5.0, learning_s=3.0)
     if _OVERLOAD_POLICY
     else None,
@@ -117,12 +126,13 @@
 
 
 class Size(NamedTuple):
-    """The size of a soak."""
+    """The size of a soak; ``slow_clients`` have slow links."""
 
     relays: int = 3
     endpoints: int = 4
     clients: int = 12
     seconds: float = 12.0
+    slow_clients: int = 0
 
 
 class Verdict(NamedTuple):
@@ -165,7 +175,9 @@
             self.log.results.clear()
             self.log.runs.clear()
             start = time.monotonic()
-            tasks = self._load(client)
+            slow = SlowClient(self.log, self._relays, Random(self._seed + 4))
+            stack.push_async_callback(slow.close)
+            tasks = self._load(client, slow)
             steps = [
                 asyncio.create_task(self._inject_at(start + step.at, step))
                 for step in self._plan
@@ -221,13 +233,14 @@
             else:
                 raise TimeoutError(f"{relay.name} doesn't serve")
 
-    def _load(self, client: Client) -> list[asyncio.Task[None]]:
+    def _load(self, client: Client, slow: Client) -> list[asyncio.Task[None]]:
         """Start the clients and probes."""
         loads = [client.run(_UNLIMITED, 0.05) for _ in range(self._size.clients)]
         for account in (_REQUEST_LIMITED, _TOKEN_LIMITED):
             loads += [
                 client.run(account, 0.05) for _ in range(_CLIENTS_PER_LIMITED_ACCOUNT)
             ]
+        loads += [slow.run(_UNLIMITED, 0.1) for _ in range(self._size.slow_clients)]
         loads += [self._probe(client, relay) for relay in self._relays]
         loads += self._plain.loads(client, Random(self._seed + 3))
         return [asyncio.create_task(load) for load in loads]
@@ -247,6 +260,9 @@
         routes = [
             RouteSpec(Kind.IDEMPOTENT.value, Repeat.IDEMPOTENT),
             RouteSpec(Kind.AT_MOST_ONCE.value, Repeat.ONCE),
+            RouteSpec(
+                Kind.SLOW.value, Repeat.ONCE, objective=_SLOW_CLIENTS_OBJECTIVE_S
+            ),
             RouteSpec(Kind.STREAM.value, Repeat.STREAM),
             RouteSpec(Kind.RESUMABLE_STREAM.value, Repeat.STREAM, resumable=True),
             RouteSpec(f"{Kind.PROBE.value}{version}/", Repeat.IDEMPOTENT),
--- a/tests/unit/soak/test_overload_checks.py
+++ b/tests/unit/soak/test_overload_checks.py
@@ -28,6 +28,7 @@
     apply_s=2.0,
     usage_window_s=2.0,
     quota_window_s=2.0,
+    timeout_s=5.0,
     limits=(),
     overload=OverloadBounds(objective_s=0.8, recovery_s=5.0, learning_s=3.0),
 )
