Count a request as open that arrived with the one before it

Now a request is also counted when its handler begins.

test_request_that_arrived_with_the_one_before_is_answered failed before.

--- a/src/ebonydeal/_internal/relay/listener.py
+++ b/src/ebonydeal/_internal/relay/listener.py
@@ -66,6 +66,9 @@
         return _Connection(self, loop=self._loop, **self._kwargs)
 
     async def _answer(self, http_req: web.BaseRequest) -> web.StreamResponse:
+        if http_req.transport is not None:
+            # It may have arrived together with the request before it.
+            self.with_request.add(http_req.protocol)
         resp = await self._answer_request(http_req)
         # If the connection is lost meanwhile, the library finds out when it ends it.
         with suppress(ConnectionError):
--- a/tests/functional/relay/test_planned_stop.py
+++ b/tests/functional/relay/test_planned_stop.py
@@ -318,6 +318,31 @@
             await stop
         assert status == 200
 
+    async def test_request_that_arrived_with_the_one_before_is_answered(self):
+        """Its bytes were read before the answer to the first one was written."""
+
+        async def slow(_reader, writer, headers):
+            await asyncio.sleep(0.5)
+            writer.write(answer(headers))
+
+        one = RawEndpoint("i1", [answer(), slow])
+        async with (
+            running(one, doc=document(routes=ROUTES), **GRACE) as (program, _store),
+            Client(program) as client,
+        ):
+            heads = [
+                f"GET /safe/ HTTP/1.1\r\nHost: {HOST}\r\nEbonydeal-Request-Id: r{n}\r\n"
+                f"Authorization: Bearer {KEY}\r\n\r\n"
+                for n in (1, 2)
+            ]
+            client.writer.write("".join(heads).encode())
+            statuses = [(await client.receive())[0]]
+            await until(lambda: len(one.seen) == 2)
+            stop = await stopping(program)
+            statuses.append((await client.receive())[0])
+            await stop
+        assert statuses == [200, 200]
+
     async def test_connection_without_a_request_does_not_delay_the_stop(self):
         one = RawEndpoint("i1")
         async with (
