--- a/tests/functional/relay/test_planned_stop.py
+++ b/tests/functional/relay/test_planned_stop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from contextlib import asynccontextmanager
 
 import pytest
 
@@ -47,6 +48,26 @@
     await client.writer.drain()
 
 
+@asynccontextmanager
+async def serving(*endpoints, routes=ROUTES, slow=False):
+    """Run a relay with little time to stop; yields (relay, client).
+
+    The client is on a ``slow`` link: the system takes little of an answer from the
+    relay before it is read.
+    """
+    buffer_bytes = 4096 if slow else None
+    async with (
+        running(*endpoints, doc=document(routes=routes), **GRACE) as (program, _store),
+        Client(program, buffer_bytes) as client,
+    ):
+        if slow:
+            await until(lambda: program.clients._server.connections)
+            (connection,) = program.clients._server.connections
+            sock = connection.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, buffer_bytes)
+        yield program, client
+
+
 async def stopping(program):
     """Begin the stop; returns its task."""
     stop = asyncio.create_task(program.stop())
@@ -59,10 +80,7 @@
     async def test_request_whose_body_is_too_late_is_not_passed_on(self, path):
         """The relay would end before its answer, and the caller would get none."""
         one = RawEndpoint("i1", [never])
-        async with (
-            running(one, doc=document(routes=ROUTES), **GRACE) as (program, _store),
-            Client(program) as client,
-        ):
+        async with serving(one) as (program, client):
             stop = await stopping(program)
             await send_head(client, path)
             await asyncio.sleep(TOO_LATE_S)
@@ -75,10 +93,7 @@
 
     async def test_request_is_answered_before_its_body_is_complete(self):
         one = RawEndpoint("i1", [never])
-        async with (
-            running(one, doc=document(routes=ROUTES), **GRACE) as (program, _store),
-            Client(program) as client,
-        ):
+        async with serving(one) as (program, client):
             await send_head(client, "/once/")
             await until(lambda: program.clients.open_requests)
             stop = await stopping(program)
@@ -89,10 +104,7 @@
 
     async def test_request_whose_body_is_in_time_is_served(self):
         one = RawEndpoint("i1")
-        async with (
-            running(one, doc=document(routes=ROUTES), **GRACE) as (program, _store),
-            Client(program) as client,
-        ):
+        async with serving(one) as (program, client):
             stop = await stopping(program)
             await send_head(client, "/once/")
             await asyncio.sleep(0.05)
@@ -114,10 +126,7 @@
         scripts = [refuse_late, never]
         one, two = RawEndpoint("i1"), RawEndpoint("i2")
         one.script = two.script = scripts
-        async with (
-            running(one, two, doc=document(routes=ROUTES), **GRACE) as (program, _s),
-            Client(program) as client,
-        ):
+        async with serving(one, two) as (program, client):
             await client.send("/once/", method="POST", wait=10_000)
             await until(lambda: one.seen or two.seen)
             stop = await stopping(program)
@@ -130,10 +139,7 @@
         scripts = [NOT_RUN, answer()]
         one, two = RawEndpoint("i1"), RawEndpoint("i2")
         one.script = two.script = scripts
-        async with (
-            running(one, two, doc=document(routes=ROUTES), **GRACE) as (program, _s),
-            Client(program) as client,
-        ):
+        async with serving(one, two) as (program, client):
             stop = await stopping(program)
             status, _headers, _body = await client.ask("/once/", method="POST")
             await stop
@@ -154,20 +160,14 @@
 
     async def test_request_that_waited_for_its_accounts_limit_is_not_passed_on(self):
         one = RawEndpoint("i1", [never])
-        async with (
-            running(one, doc=document(routes=ROUTES), **GRACE) as (program, _store),
-            Client(program) as client,
-        ):
+        async with serving(one) as (program, client):
             program._quota.admit = too_late
             await self.check_refused(program, client)
         assert one.seen == []
 
     async def test_request_that_waited_for_a_test_of_links_is_not_passed_on(self):
         one = RawEndpoint("i1", [never])
-        async with (
-            running(one, doc=document(routes=ROUTES), **GRACE) as (program, _store),
-            Client(program) as client,
-        ):
+        async with serving(one) as (program, client):
             program._links.wait_until_tested = too_late
             await self.check_refused(program, client)
         assert one.seen == []
@@ -197,25 +197,13 @@
 LARGE = b"x" * 3_000_000
 
 
-def keep_in_process(program):
-    """Let the system take little of an answer, so that the process holds the rest."""
-    for connection in program.clients._server.connections:
-        sock = connection.transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-
-
 class TestAnswerBeingWritten:
     """The relay ended as soon as endpoints had answered, whoever was still reading."""
 
     @pytest.mark.parametrize("path", ["/once/", "/safe/"])
     async def test_is_written_to_its_end(self, path):
         one = RawEndpoint("i1", [answer(body=LARGE)])
-        async with (
-            running(one, doc=document(routes=ROUTES), **GRACE) as (program, _store),
-            Client(program, buffer_bytes=4096) as client,
-        ):
-            await until(lambda: program.clients._server.connections)
-            keep_in_process(program)
+        async with serving(one, slow=True) as (program, client):
             await client.send(path, method="POST")
             await until(lambda: client.writer.transport.is_reading() and one.seen)
             client.writer.transport.pause_reading()
@@ -233,12 +221,9 @@
         quick["target_latency_ms"] = 50
         one = RawEndpoint("i1", [answer(body=LARGE), answer(body=LARGE)])
         async with (
-            running(one, doc=document(routes=[quick]), **GRACE) as (program, _store),
-            Client(program, buffer_bytes=4096) as slow,
+            serving(one, routes=[quick], slow=True) as (program, slow),
             Client(program) as client,
         ):
-            await until(lambda: program.clients._server.connections)
-            keep_in_process(program)
             await slow.send("/once/", method="POST")
             slow.writer.transport.pause_reading()
             await asyncio.sleep(1.0)
@@ -259,12 +244,7 @@
 
     async def test_end_of_a_stream_is_written(self):
         one = RawEndpoint("i1", [whole_stream(1, 2000)])
-        async with (
-            running(one, doc=document(routes=ROUTES), **GRACE) as (program, _store),
-            Client(program, buffer_bytes=4096) as client,
-        ):
-            await until(lambda: program.clients._server.connections)
-            keep_in_process(program)
+        async with serving(one, slow=True) as (program, client):
             await client.send("/live/", method="POST")
             client.writer.transport.pause_reading()
             stop = await stopping(program)
@@ -277,12 +257,11 @@
 
     async def test_reader_that_has_left_does_not_delay_the_stop(self):
         one = RawEndpoint("i1", [answer(body=LARGE)])
-        async with running(one, doc=document(routes=ROUTES), **GRACE) as (program, _s):
-            async with Client(program, buffer_bytes=4096) as client:
-                await client.send("/once/", method="POST")
-                await until(lambda: one.seen)
-                stop = await stopping(program)
-                client.writer.transport.abort()
+        async with serving(one, slow=True) as (program, client):
+            await client.send("/once/", method="POST")
+            await until(lambda: one.seen)
+            stop = await stopping(program)
+            client.writer.transport.abort()
             async with asyncio.timeout(1.0):
                 await stop
 
@@ -303,10 +282,7 @@
     async def test_head_that_has_begun_to_arrive_is_waited_for(self):
         """The relay closed the connection between two packets of a request."""
         one = RawEndpoint("i1")
-        async with (
-            running(one, doc=document(routes=ROUTES), **GRACE) as (program, _store),
-            Client(program) as client,
-        ):
+        async with serving(one) as (program, client):
             stop = await stopping(program)
             client.writer.write(b"GET /sa")
             await asyncio.sleep(0.3)
@@ -326,10 +302,7 @@
             writer.write(answer(headers))
 
         one = RawEndpoint("i1", [answer(), slow])
-        async with (
-            running(one, doc=document(routes=ROUTES), **GRACE) as (program, _store),
-            Client(program) as client,
-        ):
+        async with serving(one) as (program, client):
             heads = [
                 f"GET /safe/ HTTP/1.1\r\nHost: {HOST}\r\nEbonydeal-Request-Id: r{n}\r\n"
                 f"Authorization: Bearer {KEY}\r\n\r\n"
@@ -345,10 +318,7 @@
 
     async def test_connection_without_a_request_does_not_delay_the_stop(self):
         one = RawEndpoint("i1")
-        async with (
-            running(one, doc=document(routes=ROUTES), **GRACE) as (program, _store),
-            Client(program) as client,
-        ):
+        async with serving(one) as (program, client):
             await client.ask("/safe/")
             # Refused before its body is read, which then arrives.
             await client.send("/none/", method="POST", body=BODY)
@@ -363,10 +333,7 @@
         """Callers got a closed connection when the relay's time was over."""
         one = RawEndpoint("i1", [never, never])
         slow = [r | {"target_latency_ms": 9000} for r in ROUTES]
-        async with (
-            running(one, doc=document(routes=slow), **GRACE) as (program, _store),
-            Client(program) as client,
-        ):
+        async with serving(one, routes=slow) as (program, client):
             await client.send(path, method="POST", wait=10_000)
             await until(lambda: one.seen)
             await stopping(program)
@@ -376,10 +343,7 @@
 
     async def test_stream_that_has_begun_does_not_look_complete(self):
         one = RawEndpoint("i1", [stalls_after(events(1, 2))])
-        async with (
-            running(one, doc=document(routes=ROUTES), **GRACE) as (program, _store),
-            Client(program) as client,
-        ):
+        async with serving(one) as (program, client):
             await client.send("/live/", method="POST", wait=10_000)
             await client.reader.readuntil(b"data: x2\n\n")
             await stopping(program)
@@ -396,13 +360,13 @@
             await asyncio.Event().wait()
 
         one = RawEndpoint("i1")
-        async with running(one, doc=document(routes=ROUTES), **GRACE) as (program, _s):
+        async with serving(one) as (program, client):
             match call:
                 case "lease release":
                     program.coordinator.release = hang
                 case "last report":
                     program._exchange.flush = hang
-            async with Client(program) as client, asyncio.timeout(GRACE["grace_s"]):
+            async with asyncio.timeout(GRACE["grace_s"]):
                 stop = await stopping(program)
                 status, _headers, _body = await client.ask("/safe/")
                 await stop
