One function for the linger option, and one for a client that leaves

Read once more: the option by which a close resets a connection stood in the soak's proxy and again in close_delimited.py; both call set_reset_on_close now. Each of three callers of write_out suppressed the error of a client that leaves; write_out does so itself. The tests of planned stops share the head of a request and the reading after a stop.

Behaviour is the same.

--- a/src/ebonydeal/_internal/relay/links/forward_handler.py
+++ b/src/ebonydeal/_internal/relay/links/forward_handler.py
@@ -5,7 +5,6 @@
 through a third relay, and passes the answer back as it arrives.
 """
 
-from contextlib import suppress
 from typing import NamedTuple
 
 from aiohttp import ClientError, web
@@ -82,8 +81,7 @@
         self.in_flight += 1
         try:
             resp = await self._answer(http_req)
-            with suppress(ConnectionError):
-                await write_out(http_req, resp)
+            await write_out(http_req, resp)
             return resp
         finally:
             self.in_flight -= 1
--- a/src/ebonydeal/_internal/relay/listener.py
+++ b/src/ebonydeal/_internal/relay/listener.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Sequence
-from contextlib import suppress
 from typing import Any
 
 from aiohttp import web
@@ -70,9 +69,7 @@
             # It may have arrived together with the request before it.
             self.with_request.add(http_req.protocol)
         resp = await self._answer_request(http_req)
-        # If the connection is lost meanwhile, the library finds out when it ends it.
-        with suppress(ConnectionError):
-            await write_out(http_req, resp)
+        await write_out(http_req, resp)
         if resp.keep_alive:
             self.with_request.discard(http_req.protocol)
         # Else the connection is closed once the rest of the request's body was read.
--- a/src/ebonydeal/_internal/relay/requests/intake.py
+++ b/src/ebonydeal/_internal/relay/requests/intake.py
@@ -1,7 +1,6 @@
 """Accepts clients' requests as jobs, has them forwarded, and answers."""
 
 import asyncio
-from contextlib import suppress
 
 from aiohttp import web
 
@@ -82,7 +81,8 @@
             time_left = job.deadline - started
             accepted_at = self._parts.clock.now()
             resp = await self._forward(job, http_req)
-            await self._write(http_req, resp)
+            self._close_after(resp)
+            await write_out(http_req, resp)
             self._parts.stop.record_duration(job.route, accepted_at)
             return resp
         except EbonydealError as exc:
@@ -90,12 +90,6 @@
                 time_left -= self._parts.clock.now() - started
             return self._refuse(exc, req.request_id if req else "", time_left)
 
-    async def _write(self, http_req: web.BaseRequest, resp: web.StreamResponse) -> None:
-        """Write an endpoint's answer to its end, unless its client leaves."""
-        self._close_after(resp)
-        with suppress(ConnectionError):
-            await write_out(http_req, resp)
-
     def _close_after(self, resp: web.StreamResponse) -> None:
         """Let the connection close after an answer of a stopping relay."""
         if self._parts.stop.has_begun and not resp.prepared:
--- a/src/ebonydeal/_internal/soak/proxy.py
+++ b/src/ebonydeal/_internal/soak/proxy.py
@@ -1,15 +1,12 @@
 """A loopback TCP proxy that injects faults into its connections."""
 
 import asyncio
-import socket
-import struct
 from enum import StrEnum
 
 from ebonydeal._internal.soak.link_cuts import CutMode, LinkCuts
+from ebonydeal._internal.utils.linger import set_reset_on_close
 
 _MAX_CHUNK_BYTES = 65536
-# The socket option by which a close resets the connection.
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class LinkFault(StrEnum):
@@ -24,9 +21,7 @@
 
 def _reset(writer: asyncio.StreamWriter) -> None:
     """Reset a connection; a process that ends closes its connections instead."""
-    sock = writer.get_extra_info("socket")
-    if sock is not None and sock.fileno() >= 0:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    set_reset_on_close(writer.transport, True)
     writer.transport.abort()
 
 
--- a/src/ebonydeal/_internal/utils/close_delimited.py
+++ b/src/ebonydeal/_internal/utils/close_delimited.py
@@ -1,18 +1,13 @@
 """Responses without framing of their own."""
 
-import socket
-import struct
 from typing import Any
 
 from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
 
+from ebonydeal._internal.utils.linger import set_reset_on_close
 from ebonydeal._internal.utils.written_answers import flush
 
-# SO_LINGER, on or off, with a time of 0 s.
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-_END_ON_CLOSE = struct.pack("ii", 0, 0)
-
 
 class CloseDelimitedResponse(web.StreamResponse):
     """A response with neither a length nor chunks, whose end is the connection's.
@@ -52,7 +47,7 @@
         """Send the head."""
         if self._http_req is None:
             self._http_req = request
-            _set_linger(request, _RESET_ON_CLOSE)
+            self._set_reset_on_close(True)
         return await super().prepare(request)
 
     async def write_eof(self, data: bytes = b"") -> None:
@@ -60,12 +55,8 @@
         await super().write_eof(data)
         assert self._http_req is not None
         await flush(self._http_req)
-        _set_linger(self._http_req, _END_ON_CLOSE)
-
+        self._set_reset_on_close(False)
 
-def _set_linger(http_req: web.BaseRequest, option: bytes) -> None:
-    """Set how the system ends a connection that is closed."""
-    if http_req.transport is None:
-        return
-    sock = http_req.transport.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+    def _set_reset_on_close(self, resets: bool) -> None:
+        if self._http_req is not None and self._http_req.transport is not None:
+            set_reset_on_close(self._http_req.transport, resets)
--- a/src/ebonydeal/_internal/utils/written_answers.py
+++ b/src/ebonydeal/_internal/utils/written_answers.py
@@ -1,19 +1,20 @@
 """Answers that are written to their last byte."""
 
+from contextlib import suppress
+
 from aiohttp import web
 
 
 async def write_out(http_req: web.BaseRequest, resp: web.StreamResponse) -> None:
     """Write an answer to its end, and wait until it has left this process.
 
-    Raises
-    ------
-    ConnectionError
-        The client has closed its connection.
+    If the client closes its connection meanwhile, the library finds out when it ends
+    the answer.
     """
-    await resp.prepare(http_req)
-    await resp.write_eof()
-    await flush(http_req)
+    with suppress(ConnectionError):
+        await resp.prepare(http_req)
+        await resp.write_eof()
+        await flush(http_req)
 
 
 async def flush(http_req: web.BaseRequest) -> None:
--- a/tests/functional/relay/test_planned_stop.py
+++ b/tests/functional/relay/test_planned_stop.py
@@ -37,14 +37,19 @@
     await reader.read()
 
 
-async def send_head(client, path, rid="r1"):
-    """Send a request whose body is to follow."""
-    client.writer.write(
-        f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nEbonydeal-Request-Id: {rid}\r\n"
+def head(path, rid="r1", method="GET", length=0):
+    """Return the head of a request."""
+    text = (
+        f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nEbonydeal-Request-Id: {rid}\r\n"
         f"Ebonydeal-Deadline-Ms: 10000\r\nAuthorization: Bearer {KEY}\r\n"
-        f"Content-Length: {len(BODY)}\r\n\r\n".encode()
+        f"Content-Length: {length}\r\n\r\n"
     )
-    client.writer.write(BODY[:4])
+    return text.encode()
+
+
+async def send_head(client, path):
+    """Send a request whose body is to follow."""
+    client.writer.write(head(path, method="POST", length=len(BODY)) + BODY[:4])
     await client.writer.drain()
 
 
@@ -75,6 +80,20 @@
     return stop
 
 
+async def read_after_stop(program, client):
+    """Begin the stop, then read an answer that the relay has passed on before."""
+    client.writer.transport.pause_reading()
+    (connection,) = program.clients._server.connections
+    await until(connection.transport.get_write_buffer_size)
+    stop = await stopping(program)
+    await asyncio.sleep(TOO_LATE_S)
+    assert not stop.done()
+    client.writer.transport.resume_reading()
+    status, _headers, body = await client.receive()
+    await stop
+    return status, body
+
+
 class TestLateBody:
     @pytest.mark.parametrize("path", ["/once/", "/safe/", "/live/"])
     async def test_request_whose_body_is_too_late_is_not_passed_on(self, path):
@@ -206,13 +225,7 @@
         async with serving(one, slow=True) as (program, client):
             await client.send(path, method="POST")
             await until(lambda: client.writer.transport.is_reading() and one.seen)
-            client.writer.transport.pause_reading()
-            stop = await stopping(program)
-            await asyncio.sleep(TOO_LATE_S)
-            assert not stop.done()
-            client.writer.transport.resume_reading()
-            status, _headers, body = await client.receive()
-            await stop
+            status, body = await read_after_stop(program, client)
         assert (status, len(body)) == (200, len(LARGE))
 
     async def test_request_whose_answer_takes_long_to_write_is_refused_in_time(self):
@@ -231,12 +244,10 @@
             await slow.receive()
             stop = await stopping(program)
             # Its head has begun to arrive, so the relay waits for the rest.
-            client.writer.write(b"POST ")
+            request = head("/once/", rid="r2", method="POST")
+            client.writer.write(request[:5])
             await asyncio.sleep(0.7)
-            client.writer.write(
-                f"/once/ HTTP/1.1\r\nHost: {HOST}\r\nEbonydeal-Request-Id: r2\r\n"
-                f"Authorization: Bearer {KEY}\r\nContent-Length: 0\r\n\r\n".encode()
-            )
+            client.writer.write(request[5:])
             status, _headers, _body = await client.receive()
             await stop
         assert status == 503
@@ -246,13 +257,7 @@
         one = RawEndpoint("i1", [whole_stream(1, 2000)])
         async with serving(one, slow=True) as (program, client):
             await client.send("/live/", method="POST")
-            client.writer.transport.pause_reading()
-            stop = await stopping(program)
-            await asyncio.sleep(TOO_LATE_S)
-            assert not stop.done()
-            client.writer.transport.resume_reading()
-            status, _headers, body = await client.receive()
-            await stop
+            status, body = await read_after_stop(program, client)
         assert (status, body) == (200, events(1, 2000))
 
     async def test_reader_that_has_left_does_not_delay_the_stop(self):
@@ -284,12 +289,10 @@
         one = RawEndpoint("i1")
         async with serving(one) as (program, client):
             stop = await stopping(program)
-            client.writer.write(b"GET /sa")
+            request = head("/safe/")
+            client.writer.write(request[:7])
             await asyncio.sleep(0.3)
-            client.writer.write(
-                f"fe/ HTTP/1.1\r\nHost: {HOST}\r\nEbonydeal-Request-Id: r1\r\n"
-                f"Authorization: Bearer {KEY}\r\n\r\n".encode()
-            )
+            client.writer.write(request[7:])
             status, _headers, _body = await client.receive()
             await stop
         assert status == 200
@@ -303,12 +306,7 @@
 
         one = RawEndpoint("i1", [answer(), slow])
         async with serving(one) as (program, client):
-            heads = [
-                f"GET /safe/ HTTP/1.1\r\nHost: {HOST}\r\nEbonydeal-Request-Id: r{n}\r\n"
-                f"Authorization: Bearer {KEY}\r\n\r\n"
-                for n in (1, 2)
-            ]
-            client.writer.write("".join(heads).encode())
+            client.writer.write(head("/safe/") + head("/safe/", rid="r2"))
             statuses = [(await client.receive())[0]]
             await until(lambda: len(one.seen) == 2)
             stop = await stopping(program)
