Log the connection of a failed send, and what a resumed stream's version rests on

Hypotheses of the incidents couldn't be told apart: no line named the connection of a send, and 'Client resumes a stream.' lacked the versions that the relay had noted, whether these were complete, and the age of its list.

--- a/src/ebonydeal/_internal/relay/links/forwarder.py
+++ b/src/ebonydeal/_internal/relay/links/forwarder.py
@@ -67,6 +67,7 @@
         self._finished = False
         self.status = int(head["status"])
         self.headers = [(str(n), str(v)) for n, v in head["headers"]]
+        self.connection = "another relay's"
 
     async def read_some(self) -> bytes:
         """Return the next bytes of the body; none at its end."""
--- a/src/ebonydeal/_internal/relay/peers/stream_versions.py
+++ b/src/ebonydeal/_internal/relay/peers/stream_versions.py
@@ -84,7 +84,8 @@
     """The dependencies of `StreamVersions`.
 
     ``others`` returns the addresses of the other relays, ``knows_others`` whether these
-    are all. ``node`` is this relay's id.
+    are all. ``list_age`` returns the seconds since the list of endpoints was confirmed,
+    None if it never was. ``node`` is this relay's id.
     """
 
     view: RelayView
@@ -93,6 +94,7 @@
     knows_others: Callable[[], bool]
     metrics: Metrics
     clock: Clock
+    list_age: Callable[[], float | None]
     node: str
 
 
@@ -143,6 +145,7 @@
         if version is None:
             version = await self._ask_all(first_attempt, service)
             source = "other relays"
+        age = self._parts.list_age()
         logger.info(
             "Client resumes a stream.",
             request=request_id,
@@ -150,6 +153,9 @@
             service=service,
             version=version,
             source=source,
+            noted=sorted(self._history.versions(service, now)),
+            complete=self._history.is_complete(now),
+            list_age_s=None if age is None else round(age, 3),
         )
         if version is None:
             detail = (
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -237,6 +237,7 @@
                 lambda: self._exchange.count_known,
                 metrics,
                 clock,
+                lambda: self._followers[1].confirmed_age,
                 self._node.id,
             )
         )
--- a/src/ebonydeal/_internal/relay/requests/connections.py
+++ b/src/ebonydeal/_internal/relay/requests/connections.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Iterable
 from functools import cached_property
+from itertools import count
 from typing import Any
 
 from aiohttp import (
@@ -69,7 +70,11 @@
 class _PooledConnection:
     """One connection to an endpoint; its connector holds no other."""
 
+    _numbers = count(1)
+
     def __init__(self) -> None:
+        self.number = next(self._numbers)
+        self.requests = 0
         self.connector = _SingleConnector(limit=1, keepalive_timeout=_UNLIMITED_IDLE_S)
         self.session = ClientSession(connector=self.connector, auto_decompress=False)
         # aiohttp itself would resend a request with an idempotent method when its
@@ -143,6 +148,11 @@
         """Status of the answer."""
         return self.resp.status
 
+    @property
+    def connection(self) -> str:
+        """The connection, and how many requests it has carried, for the log."""
+        return f"{self._pooled.number}:{self._pooled.requests}"
+
     @cached_property
     def headers(self) -> list[tuple[str, str]]:
         """Headers of the answer, as text."""
@@ -216,6 +226,7 @@
         """Send a request and wait for the head of its answer."""
         pooled = self._take(at_most_once)
         idle = pooled.idle(self._clock.now())
+        pooled.requests += 1
         try:
             resp = await pooled.session.request(
                 method,
--- a/src/ebonydeal/_internal/relay/requests/exchange.py
+++ b/src/ebonydeal/_internal/relay/requests/exchange.py
@@ -35,6 +35,10 @@
     def headers(self) -> list[tuple[str, str]]:
         """Headers of the endpoint's answer, as text."""
 
+    @property
+    def connection(self) -> str:
+        """The connection, and how many requests it has carried, for the log."""
+
     async def read_some(self) -> bytes:
         """Return the next bytes of the body, none at its end.
 
--- a/src/ebonydeal/_internal/relay/requests/sends.py
+++ b/src/ebonydeal/_internal/relay/requests/sends.py
@@ -87,8 +87,9 @@
         self._reserved = False
         self.resend_reason: RetryReason | None = None
         self.member: Member | None = None
-        # Whether the current send went through another relay.
+        # Whether the current send went through another relay, and its connection.
         self._forwarded = False
+        self._connection = ""
         self._source = ""
         self._kv_cache: KvCacheRef | None = None
         # The split's number of the answer that it expects; 0 for none.
@@ -381,9 +382,11 @@
             job.route.objective,
             lambda: not self._is_too_late(),
         )
-        self._forwarded = False
+        self._forwarded, self._connection = False, ""
         result = await self._parts.paths.send(member, req)
         self._forwarded = result.forwarded
+        if not isinstance(result.sent, NotSent | MayHaveRun):
+            self._connection = result.sent.connection
         return result.sent
 
     def count_run(self, wall: float) -> None:
@@ -561,6 +564,7 @@
             again=final_error is None,
             links=str(parts.links.state(job.service)),
             forwarded=self._forwarded,
+            connection=self._connection,
         )
         if final_error is not None:
             raise self.proof.final_error(final_error)
--- a/tests/unit/relay/peers/test_stream_versions.py
+++ b/tests/unit/relay/peers/test_stream_versions.py
@@ -43,6 +43,7 @@
             lambda: self.all_known,
             Metrics(),
             self.clock,
+            lambda: 0.0,
             name,
         )
         return StreamVersions(parts)
