Promise 'not run' only with an endpoint's proof

An endpoint's own 408, 429 or 503 without the statement that it has not run the request went to the caller of an at-most-once request as it was. Clients take these statuses as a promise and send the request again; the endpoint may have run it.

Which sentence decides: an endpoint's status is to be returned unchanged, but 408, 421, 429 and 503 'are a promise', and no response but one with that statement (or a 421) states that a request wasn't run. A promise has to be true, while 502 promises nothing and bears no signature of an endpoint, so it misstates none of its answers. Requests that may be repeated get the answer as before: another run of them harms nobody.

--- a/src/ebonydeal/_internal/relay/requests/outcomes.py
+++ b/src/ebonydeal/_internal/relay/requests/outcomes.py
@@ -6,11 +6,22 @@
 """
 
 from dataclasses import dataclass
+from http import HTTPStatus
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.errors import Outcome as ReportedOutcome
 from ebonydeal._internal.models.forwarding import AnswerHead
 
+# By these statuses a client knows that its request has not run and never will.
+NOT_RUN_STATUSES = frozenset(
+    {
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
+
 
 @dataclass(frozen=True)
 class NotSent:
--- a/src/ebonydeal/_internal/relay/requests/plain.py
+++ b/src/ebonydeal/_internal/relay/requests/plain.py
@@ -114,10 +114,11 @@
                 if isinstance(outcome, Answered | MayHaveRun):
                     sends.count_run(wall)
                 if isinstance(outcome, Answered):
-                    if outcome.head.status < 500 or job.at_most_once:
+                    if sends.is_final(outcome):
                         sends.record_answer(outcome.head.status)
                         return client_response(outcome)
-                    fallback = outcome
+                    if not job.at_most_once:
+                        fallback = outcome
                 sends.check_resend(outcome)
             except EbonydealError:
                 if fallback is None:
--- a/src/ebonydeal/_internal/relay/requests/sends.py
+++ b/src/ebonydeal/_internal/relay/requests/sends.py
@@ -26,6 +26,7 @@
 from ebonydeal._internal.relay.requests.load_refusal import LoadRefusal
 from ebonydeal._internal.relay.requests.migrations import MigratedRun
 from ebonydeal._internal.relay.requests.outcomes import (
+    NOT_RUN_STATUSES,
     Answered,
     MayHaveRun,
     NotSent,
@@ -314,6 +315,16 @@
             or not parts.retries.can_retry(job.service, self._sends)
         )
 
+    def is_final(self, answer: Answered) -> bool:
+        """Return whether an endpoint's answer goes to the client as it is.
+
+        The endpoint states separately that a request has not run. Without that, a
+        status by which clients know it would be a false promise.
+        """
+        if self.job.at_most_once:
+            return answer.head.status not in NOT_RUN_STATUSES
+        return answer.head.status < 500
+
     def reserve_resend(self) -> bool:
         """Take a resend from the retry budget before the send is given up.
 
--- a/src/ebonydeal/_internal/relay/requests/stream.py
+++ b/src/ebonydeal/_internal/relay/requests/stream.py
@@ -116,7 +116,7 @@
                     continue
                 self._count_failed(sends, outcome)
                 if isinstance(outcome, Answered) and client.resp is None:
-                    if outcome.head.status < 500 or job.at_most_once:
+                    if sends.is_final(outcome):
                         return client_response(outcome)
                 splitter.drop_remainder()
                 sends.check_resend(outcome, delivered=client.resp is not None)
--- a/tests/functional/relay/test_plain.py
+++ b/tests/functional/relay/test_plain.py
@@ -135,6 +135,27 @@
             await two.stop()
         assert one.script == []
 
+    @pytest.mark.parametrize("path", ["/once/", "/live/"])
+    @pytest.mark.parametrize("status", [b"408 Late", b"429 Limited", b"503 Failing"])
+    async def test_answer_without_proof_does_not_reach_the_client_as_a_promise(
+        self, status, path
+    ):
+        endpoints = [RawEndpoint(f"i{n}", [answer(status=status)]) for n in range(2)]
+        async with running(*endpoints) as (program, _store):
+            got, headers, _body = await ask(program, path, method="POST")
+        assert got == 502
+        assert headers["x-outcome"] == "unknown"
+        assert "ebonydeal-server-signature" not in headers
+        assert sum(len(endpoint.seen) for endpoint in endpoints) == 1
+
+    @pytest.mark.parametrize("path", ["/safe/", "/again/"])
+    async def test_such_an_answer_to_a_repeatable_request_is_forwarded(self, path):
+        one = RawEndpoint("i1", [answer(status=b"429 Limited")])
+        async with running(one) as (program, _store):
+            got, headers, _body = await ask(program, path, method="POST")
+        assert got == 429
+        assert "ebonydeal-server-signature" in headers
+
     async def test_proof_of_no_run_allows_a_resend(self):
         one, two = RawEndpoint("i1", [NOT_RUN]), RawEndpoint("i2", [NOT_RUN])
         async with running(one, two) as (program, _store):
