Resume a stream at the only version only by a list that was read since

Clients whose streams had begun at a second version of a service came back at a relay that stood still, or was cut off, while that version joined. It took the first version for the only one, and the streams went on there: events of two versions in one stream.

Cause: a relay decided by its own history of versions without asking whether that was as of now. The history noted when the relay had looked at its list, not until when the list was known to be complete, and a gap of 2 s counted as seen. Even the time at which a reply is read doesn't show that: after a suspension it may have waited in the socket's buffer.

Change: the history has an interval in which each version is known. Its end is the time of the last request to the store, or to a coordinator that is up to date with it, whose reply was applied. A stream began before its client came back, at an endpoint that was listed by then, so the only version is taken only after the list was read since the client came back (one call of the store, or none while several versions are known, shared by all that wait). Other relays say how old their knowledge is: it counts only up to where this relay's own begins. The interval begins anew where an endpoint left that was never known, or complete lists are over 2 s apart. A relay also reports its streams to two others while its list is old or its interval shorter than a stream's lifetime, not only while there are several versions: so they go on if it is lost then.

test_nothing_is_reported_while_there_is_one_version began at the start of the relays, when they may have missed one; the rule there has changed. It now looks at relays that have followed the list for a lifetime, and two new tests want reports where it wanted none or had no case.

--- a/src/ebonydeal/_internal/relay/peers/stream_versions.py
+++ b/src/ebonydeal/_internal/relay/peers/stream_versions.py
@@ -11,7 +11,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable, Set
-from typing import Any, NamedTuple, NotRequired, TypedDict
+from typing import Any, NamedTuple, NotRequired, Protocol, TypedDict
 
 from xxhash import xxh3_64_intdigest
 
@@ -48,6 +48,11 @@
 _MIN_REPORT_INTERVAL_S = 0.05
 _REPORT_INTERVAL_PER_RELAY_S = 0.0007
 _FOLLOW_INTERVAL_S = 0.25
+# A reply of the store takes some milliseconds, and polls are this far apart at most.
+_READ_TIMEOUT_S = 0.4
+# A list that wasn't read for longer may lack a version. A relay that gets its changes
+# from the coordinator reports to it every second or so.
+_MAX_LIST_AGE_S = 3.0
 # Time for which a client may come back after its last attempt has ended.
 _RETURN_S = 2.0
 _LOAD_RETRY_INTERVAL_S = 0.5
@@ -71,21 +76,38 @@
 class VersionReply(TypedDict):
     """The version that began the stream, None if unknown, and all that may have.
 
-    ``complete`` says that no other version may have; relays of the previous release
-    don't send it.
+    ``complete_age`` are the seconds since the sender knew each version of a stream's
+    lifetime, None if it didn't. Relays of the previous release read ``complete``
+    instead, and don't send the age.
     """
 
     version: str | None
     versions: list[str]
     complete: NotRequired[bool]
+    complete_age: NotRequired[float | None]
+
+
+class EndpointList(Protocol):
+    """How up to date this relay's list of endpoints is.
+
+    Attributes
+    ----------
+    read_until : float or None
+        Until when it has each change, monotonic seconds.
+    """
+
+    read_until: float | None
+
+    async def read_since(self, since: float, timeout: float) -> bool:
+        """Read all changes made until ``since``; return whether that took effect."""
 
 
 class SharingParts(NamedTuple):
     """The dependencies of `StreamVersions`.
 
     ``others`` returns the addresses of the other relays, ``knows_others`` whether these
-    are all. ``list_age`` returns the seconds since the list of endpoints was confirmed,
-    None if it never was. ``node`` is this relay's id.
+    are all. ``endpoint_list`` returns the list of endpoints. ``node`` is this relay's
+    id.
     """
 
     view: RelayView
@@ -94,7 +116,7 @@
     knows_others: Callable[[], bool]
     metrics: Metrics
     clock: Clock
-    list_age: Callable[[], float | None]
+    endpoint_list: Callable[[], EndpointList]
     node: str
 
 
@@ -109,6 +131,9 @@
         self._unreported: asyncio.Queue[StreamStart] = asyncio.Queue()
         self._avoid_until: dict[str, float] = {}
         self._seen_changes = -1
+        self._seen_complete_lists = self._seen_unknown_removals = 0
+        # Whether streams are reported since the list alone doesn't show their version.
+        self._reports_all = False
         self._listed: dict[str, set[str]] = {}
         # Reads the stored versions and restores them; raises if the store fails.
         self.load_history: Callable[[], Awaitable[None]] = _load_nothing
@@ -124,7 +149,7 @@
         start = StreamStart(request_id, service, version, now + timeout_s + _RETURN_S)
         self._note_version(service, version, now)
         self._starts.record(start)
-        if len(self._history.versions(service, now)) > 1:
+        if self._reports_all or len(self._history.versions(service, now)) > 1:
             self._unreported.put_nowait(start)
 
     async def find_version(
@@ -135,17 +160,19 @@
         ``first_attempt`` is the client's request that brought the first event.
         """
         now = self._parts.clock.now()
-        self._note_list()
         self._parts.metrics.count(Event.STREAMS_RESUMED_BY_CLIENTS)
         version = self._starts.version(first_attempt, now)
         source = "this relay"
+        is_read = False
         if version is None:
-            version = self._history.sole_version(service, now)
+            # The stream began before now, at an endpoint that was listed by then.
+            is_read = await self._read_list(service, now)
+            version = self._history.sole_version(service, now) if is_read else None
             source = "only version"
         if version is None:
-            version = await self._ask_all(first_attempt, service)
+            version = await self._ask_all(first_attempt, service, is_read)
             source = "other relays"
-        age = self._parts.list_age()
+        read_until = self._parts.endpoint_list().read_until
         logger.info(
             "Client resumes a stream.",
             request=request_id,
@@ -155,7 +182,8 @@
             source=source,
             noted=sorted(self._history.versions(service, now)),
             complete=self._history.is_complete(now),
-            list_age_s=None if age is None else round(age, 3),
+            is_read=is_read,
+            list_age_s=None if read_until is None else round(now - read_until, 3),
         )
         if version is None:
             detail = (
@@ -164,12 +192,27 @@
             raise EbonydealError(ErrorKind.STREAM_VERSION_UNKNOWN, detail)
         return version
 
-    async def _ask_all(self, request_id: str, service: str) -> str | None:
+    async def _read_list(self, service: str, since: float) -> bool:
+        """Return whether this relay knows all versions listed until ``since``.
+
+        Not needed, and False, for a service that is known to have several.
+        """
+        self._note_list()
+        if len(self._history.versions(service, since)) > 1:
+            return False
+        endpoint_list = self._parts.endpoint_list()
+        is_read = await endpoint_list.read_since(since, _READ_TIMEOUT_S)
+        self._note_list()
+        return is_read
+
+    async def _ask_all(
+        self, request_id: str, service: str, is_read: bool
+    ) -> str | None:
         """Return the version that began a stream by the other relays, None if unknown.
 
         Where nobody knows, it is the only version that any relay has seen during the
-        stream's lifetime, provided that all have replied, and one has seen each version
-        of that time.
+        stream's lifetime, provided that all have replied, this one's list ``is_read``
+        until now, and one has seen each version of the time before that.
         """
         message = VersionMessage(request=request_id, service=service)
         asked = [
@@ -179,7 +222,7 @@
         now = self._parts.clock.now()
         possible = set(self._history.versions(service, now))
         possible |= self._listed_versions().get(service, set())
-        all_replied = self._parts.knows_others()
+        all_replied = is_read and self._parts.knows_others()
         is_complete = self._history.is_complete(now)
         try:
             for reply in asyncio.as_completed(asked):
@@ -190,13 +233,20 @@
                 if got["version"] is not None:
                     return got["version"]
                 possible.update(got["versions"])
-                is_complete = is_complete or got.get("complete", False)
+                is_complete = is_complete or self._covers(got, now)
         finally:
             for task in asked:
                 task.cancel()
         is_sole = all_replied and is_complete and len(possible) == 1
         return possible.pop() if is_sole else None
 
+    def _covers(self, reply: VersionReply, asked_at: float) -> bool:
+        """Return whether another relay has seen the versions before this one did."""
+        age, known_since = reply.get("complete_age"), self._history.known_since
+        if age is None or known_since is None:
+            return False
+        return asked_at - age >= known_since
+
     async def _ask(self, address: str, message: VersionMessage) -> VersionReply | None:
         """Return another relay's reply; None if there is none, though it may know."""
         try:
@@ -210,7 +260,7 @@
         return VersionReply(
             version=reply.get("version"),
             versions=list(reply.get("versions", [])),
-            complete=bool(reply.get("complete", False)),
+            complete_age=reply.get("complete_age"),
         )
 
     # --- calls of other relays -------------------------------------------------------
@@ -228,10 +278,13 @@
         """Answer another relay at which a client resumes a stream."""
         now, service = self._parts.clock.now(), str(message["service"])
         self._note_list()
+        history = self._history
+        age = max(0.0, now - history.read_until)
         return VersionReply(
             version=self._starts.version(str(message["request"]), now),
-            versions=sorted(self._history.versions(service, now)),
-            complete=self._history.is_complete(now),
+            versions=sorted(history.versions(service, now)),
+            complete=history.is_complete(now),
+            complete_age=round(age, 3) if history.is_gapless(now) else None,
         )
 
     # --- versions of services --------------------------------------------------------
@@ -269,8 +322,33 @@
         view, now = self._parts.view, self._parts.clock.now()
         if view.index is not None:
             self._history.lifetime_s = _lifetime_s(view.index.table)
-        if view.members_known:
-            self._report_all(self._history.update(self._listed_versions(), now))
+        read_until = self._parts.endpoint_list().read_until
+        if view.members_known and read_until is not None:
+            is_continuous = view.complete_lists == self._seen_complete_lists
+            self._seen_complete_lists = view.complete_lists
+            self._report_all(
+                self._history.update(
+                    self._listed_versions(), now, read_until, is_continuous
+                )
+            )
+        if view.unknown_removals != self._seen_unknown_removals:
+            self._seen_unknown_removals = view.unknown_removals
+            self._history.restart()
+            logger.info("Versions may have been missed.", read_until=read_until)
+        self._check_reports(now)
+
+    def _check_reports(self, now: float) -> None:
+        """Report streams while the list alone wouldn't show which version began them.
+
+        A relay that ends then would take that knowledge with it.
+        """
+        history = self._history
+        is_current = now - history.read_until <= _MAX_LIST_AGE_S
+        needed = not (history.is_gapless(now) and is_current)
+        if needed and not self._reports_all:
+            for start in self._starts.all(now):
+                self._unreported.put_nowait(start)
+        self._reports_all = needed
 
     def _note_version(self, service: str, version: str, now: float) -> None:
         """Note that a service has a version, which its list may not show yet."""
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -87,6 +87,7 @@
 from ebonydeal._internal.relay.requests.usage import UsageMeter
 from ebonydeal._internal.relay.view.config_follower import ConfigTableFollower
 from ebonydeal._internal.relay.view.deltas import DeltaPublisher, DeltaReceiver
+from ebonydeal._internal.relay.view.follower import FRESH_TIMEOUT_S
 from ebonydeal._internal.relay.view.leaving import LeavingTimes
 from ebonydeal._internal.relay.view.members_follower import MembersFollower
 from ebonydeal._internal.relay.view.view import RelayView
@@ -242,7 +243,7 @@
                 lambda: self._exchange.count_known,
                 metrics,
                 clock,
-                lambda: self._followers[1].confirmed_age,
+                lambda: self._followers[1],
                 self._node.id,
             )
         )
@@ -597,12 +598,15 @@
         self._split.gate_ttl_s = self._exchange.isolation_timeout
         self._retries.configure(retry_share(self._cfg, self._exchange.relay_count))
         on_coordinator = self.coordinator.lease.is_mine
-        config = self._followers[0]
+        config, members = self._followers
         for follower in self._followers:
             follower.on_coordinator = on_coordinator
         age = reply.get("config_age")
         if age is not None and reply["config"] <= self.view.version:
             config.confirm(asked_at - age)
+        if self._exchange.receives_deltas and self._is_coordinator_in_era():
+            # The reply has all changes that the coordinator had read by then.
+            members.note_read_until(asked_at - FRESH_TIMEOUT_S)
         if on_coordinator:
             # The current poll may have begun when no other relay depended on it.
             config.restart_poll()
--- a/src/ebonydeal/_internal/relay/view/follower.py
+++ b/src/ebonydeal/_internal/relay/view/follower.py
@@ -32,7 +32,7 @@
 # data is up to date for the second time after a reply of the store. Together with one
 # exchange that stays below the 2 s after which an endpoint must get no new work.
 COORDINATOR_POLL_TIMEOUT_S = 0.6
-_FRESH_TIMEOUT_S = 0.9
+FRESH_TIMEOUT_S = 0.9
 _MIN_BACKOFF_S = 0.15
 _MIN_JITTER, _MAX_JITTER = 0.5, 1.5
 # With its jitter and the timeout of a lost poll, it stays below the time after which a
@@ -112,6 +112,10 @@
         self._answered_at: float | None = None
         # When each change of the table was last known to be in the view.
         self._confirmed_at: float | None = None
+        # Until when each change is certain to be in the view. A reply may be read long
+        # after it was sent, so only the time of its request is certain.
+        self.read_until: float | None = None
+        self._waiting: list[tuple[float, asyncio.Future[None]]] = []
         # The store's version at the last reply.
         self._read_to = 0
         self._read_again = False
@@ -133,7 +137,7 @@
     def fresh(self) -> bool:
         """Whether the store answered just now."""
         at = self._answered_at
-        return at is not None and self._clock.now() - at <= _FRESH_TIMEOUT_S
+        return at is not None and self._clock.now() - at <= FRESH_TIMEOUT_S
 
     @property
     def known_version(self) -> int:
@@ -170,7 +174,7 @@
         while not self.should_stop:
             if self._read_again:
                 self._read_again, after = False, None
-            if after is not None and self.receives_pushes():
+            if after is not None and not self._waiting and self.receives_pushes():
                 self.note_pushed()
                 await self._clock.sleep(_PUSH_CHECK_INTERVAL_S)
                 after = max(after, self.known_version)
@@ -199,9 +203,10 @@
                 # Entries written since the copy was made may not be back yet.
                 after_outage, self._failed_at = True, self._asked_at
             await self.apply_snapshot(rows, version, after_outage)
+            self.note_read_until(self._asked_at)
             return version
         poll_timeout = self.poll_timeout
-        if self.failing_since is not None or self._must_catch_up:
+        if self.failing_since is not None or self._must_catch_up or self._waiting:
             # To learn at once whether the store answers, and by this connection.
             poll_timeout = 0.0
         self._current_timeout = poll_timeout
@@ -238,6 +243,8 @@
         after_outage = self._note_success()
         if changes.rows:
             await self.apply_changes(changes.rows, changes.version, after_outage, late)
+        self.note_read_until(self._asked_at)
+        if changes.rows:
             # Changes come in bursts: one later call gets those that follow.
             await self._clock.sleep(_BATCH_INTERVAL_S)
         else:
@@ -272,6 +279,33 @@
         at = self._confirmed_at
         return None if at is None else self._clock.now() - at
 
+    async def read_since(self, since: float, timeout: float) -> bool:
+        """Read all changes made until ``since``; return whether that took effect.
+
+        ``timeout`` is in seconds.
+        """
+        if self.read_until is not None and self.read_until >= since:
+            return True
+        fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiting.append((since, fut))
+        if self._asked_at < since:
+            self._cancel_poll()
+        try:
+            async with asyncio.timeout(timeout):
+                await fut
+        except TimeoutError:
+            return False
+        finally:
+            self._waiting = [w for w in self._waiting if w[1] is not fut]
+        return True
+
+    def note_read_until(self, at: float) -> None:
+        """Note that each change made until a time is in the view."""
+        self.read_until = at if self.read_until is None else max(self.read_until, at)
+        for since, fut in self._waiting:
+            if since <= self.read_until and not fut.done():
+                fut.set_result(None)
+
     def confirm(self, at: float) -> None:
         """Note that each change made until a time is known; log a long gap."""
         before = self._confirmed_at
--- a/src/ebonydeal/_internal/relay/view/view.py
+++ b/src/ebonydeal/_internal/relay/view/view.py
@@ -92,6 +92,10 @@
         self.receives_deltas: Callable[[], bool] = lambda: False
         # Called with the id of a restarted endpoint, to drop what was learned of it.
         self.on_restart: Callable[[str], None] = lambda _endpoint_id: None
+        # Complete lists that were applied, and removals of entries that this relay has
+        # never known: what it knows of the time before may have gaps.
+        self.complete_lists = 0
+        self.unknown_removals = 0
         # The number of changes, and the changed ids in order, for deltas.
         self.changes = 0
         self._changed: deque[str] = deque(maxlen=_MAX_CHANGES)
@@ -349,6 +353,8 @@
     def remove(self, endpoint_id: str, version: int) -> None:
         """Drop an endpoint that is no longer listed."""
         known = self.members.get(endpoint_id)
+        if known is None and self._removed.version(endpoint_id) < 0:
+            self.unknown_removals += 1
         self._removed.record(endpoint_id, version, known)
         if known is None or known.revision > version:
             return
@@ -371,6 +377,7 @@
 
         Endpoints that it lacks are removed, or stay in use until ``missing_until``.
         """
+        self.complete_lists += 1
         listed = list(members)
         for member in listed:
             self.put(member)
--- a/src/ebonydeal/_internal/routing/placement/stream_versions.py
+++ b/src/ebonydeal/_internal/routing/placement/stream_versions.py
@@ -9,7 +9,7 @@
 
 # Streams of one relay, and those that other relays report to it, over their lifetime.
 _MAX_STARTS = 50_000
-# A relay that didn't look for this long was suspended, and may have missed a version.
+# An endpoint may have come and gone between two complete lists that are further apart.
 _MAX_GAP_S = 2.0
 
 
@@ -53,11 +53,11 @@
 
     def of_services(self, services: Set[str], now: float) -> list[StreamStart]:
         """Return the streams of some services."""
-        return [
-            start
-            for start in self._starts.values()
-            if start.service in services and start.until > now
-        ]
+        return [start for start in self.all(now) if start.service in services]
+
+    def all(self, now: float) -> list[StreamStart]:
+        """Return the streams of all services."""
+        return [start for start in self._starts.values() if start.until > now]
 
     def expire(self, now: float) -> None:
         """Forget streams whose clients won't come back."""
@@ -71,22 +71,49 @@
     ----------
     lifetime_s : float
         How long after its first event a client may resume a stream, seconds.
+    known_since : float or None
+        Since when each version is known, monotonic seconds.
+    read_until : float
+        Until when each version is known, monotonic seconds. That is earlier than the
+        last look at a list that wasn't confirmed since.
     """
 
     def __init__(self, lifetime_s: float) -> None:
         self.lifetime_s = lifetime_s
         self._last_seen: dict[str, dict[str, float]] = {}
-        self._known_since: float | None = None
-        self._updated_at = 0.0
-
-    def update(self, listed: Mapping[str, Iterable[str]], now: float) -> set[str]:
+        self.known_since: float | None = None
+        self.read_until = 0.0
+
+    def update(
+        self,
+        listed: Mapping[str, Iterable[str]],
+        now: float,
+        read_until: float | None = None,
+        is_continuous: bool = False,
+    ) -> set[str]:
         """Note the listed versions by service.
 
-        Returns the services that have more than one now, and had at most one before.
+        Parameters
+        ----------
+        listed : mapping
+            Versions by service.
+        now : float
+            Monotonic seconds.
+        read_until : float, optional
+            Until when the list has each change; ``now`` by default.
+        is_continuous : bool
+            Whether each change since the last update was seen.
+
+        Returns
+        -------
+        set of str
+            Services that have more than one version now, and had at most one before.
         """
-        if self._known_since is None or now - self._updated_at > _MAX_GAP_S:
-            self._known_since = now
-        self._updated_at = now
+        until = now if read_until is None else read_until
+        has_gap = not is_continuous and until - self.read_until > _MAX_GAP_S
+        if self.known_since is None or has_gap:
+            self.known_since = until
+        self.read_until = max(self.read_until, until)
         for service in self._last_seen:
             versions = self.versions(service, now)
             self._last_seen[service] = {
@@ -112,20 +139,26 @@
         """
         for service, names in versions.items():
             self.note(service, names, now)
-        self._known_since = -math.inf
-        self._updated_at = now
+        self.known_since = -math.inf
+        self.read_until = now
+
+    def restart(self) -> None:
+        """Note that versions may have been missed until the last update."""
+        self.known_since = self.read_until
 
     def all_versions(self, now: float) -> dict[str, frozenset[str]]:
         """Return the versions of each service that a stream may have begun at."""
         services = {s: self.versions(s, now) for s in self._last_seen}
         return {s: versions for s, versions in services.items() if versions}
 
+    def is_gapless(self, now: float) -> bool:
+        """Whether each version of a stream's lifetime is known until ``read_until``."""
+        since = self.known_since
+        return since is not None and now - since >= self.lifetime_s
+
     def is_complete(self, now: float) -> bool:
         """Whether each version that a stream may have begun at is known here."""
-        since = self._known_since
-        if since is None or now - since < self.lifetime_s:
-            return False
-        return now - self._updated_at <= _MAX_GAP_S
+        return self.is_gapless(now) and now - self.read_until <= _MAX_GAP_S
 
     def versions(self, service: str, now: float) -> frozenset[str]:
         """Return the versions that a stream may have begun at, as far as known here."""
--- a/tests/unit/relay/peers/test_stream_versions.py
+++ b/tests/unit/relay/peers/test_stream_versions.py
@@ -22,12 +22,27 @@
 LONG_S = 40.0
 
 
+class FollowedList:
+    """A list of endpoints that has each change until now, or until it was lost."""
+
+    def __init__(self, clock):
+        self.clock, self.lost_at = clock, None
+
+    @property
+    def read_until(self):
+        return self.clock.now() if self.lost_at is None else self.lost_at
+
+    async def read_since(self, since, _timeout):
+        return self.read_until >= since
+
+
 class Relays:
     """Several relays that call each other without a network."""
 
     def __init__(self, clock, names, versions=("v1", "v2")):
         self.clock, self.lost, self.calls = clock, set(), []
         self.silent, self.all_known = set(), True
+        self.lists = {name: FollowedList(clock) for name in names}
         self.relays = {name: self._relay(name, names, versions) for name in names}
 
     def _relay(self, name, names, versions):
@@ -43,7 +58,7 @@
             lambda: self.all_known,
             Metrics(),
             self.clock,
-            lambda: 0.0,
+            lambda: self.lists[name],
             name,
         )
         return StreamVersions(parts)
@@ -106,10 +121,37 @@
             assert len(all_relays.reported_to() - all_relays.lost) == 2
 
     async def test_nothing_is_reported_while_there_is_one_version(self):
+        clock = ManualClock()
+        async with Relays(clock, "abc", versions=("v1",)) as all_relays:
+            await clock.advance(LONG_S)
+            all_relays.relays["a"].record_start("r1", "s", "v1", TIMEOUT_S)
+            await settle()
+            assert all_relays.calls == []
+
+    async def test_streams_are_reported_by_a_relay_that_may_have_missed_a_version(
+        self,
+    ):
         async with Relays(ManualClock(), "abc", versions=("v1",)) as all_relays:
             all_relays.relays["a"].record_start("r1", "s", "v1", TIMEOUT_S)
             await settle()
+            assert len(all_relays.reported_to()) == 2
+
+    async def test_earlier_streams_are_reported_once_the_list_is_not_read_any_more(
+        self,
+    ):
+        clock = ManualClock()
+        async with Relays(clock, "abc", versions=("v1",)) as all_relays:
+            await clock.advance(LONG_S)
+            first = all_relays.relays["a"]
+            first.record_start("r1", "s", "v1", LONG_S)
+            await settle()
             assert all_relays.calls == []
+            all_relays.lists["a"].lost_at = clock.now()
+            await clock.advance(3.5)
+            assert len(all_relays.reported_to()) == 2
+            all_relays.lost = {"a"}
+            all_relays.lists["b"].lost_at = clock.now()
+            assert await find(all_relays.relays["b"]) == "v1"
 
     async def test_earlier_streams_are_reported_once_a_second_version_comes(self):
         clock = ManualClock()
@@ -137,6 +179,34 @@
             with pytest.raises(EbonydealError):
                 await find(late)
 
+    async def test_only_version_of_a_list_that_is_not_read_is_not_taken(self):
+        """A version may have joined since."""
+        clock = ManualClock()
+        async with Relays(clock, "abc", versions=("v1",)) as all_relays:
+            await clock.advance(LONG_S)
+            all_relays.lists["b"].lost_at = clock.now() - 0.1
+            with pytest.raises(EbonydealError) as caught:
+                await find(all_relays.relays["b"])
+        assert caught.value.response.status == 503
+
+    async def test_other_relays_versions_of_too_long_ago_are_not_taken(self):
+        """A version may have come and gone before this relay started."""
+        async with self.relay_that_started_since() as (all_relays, late):
+            for name in "bc":
+                all_relays.lists[name].lost_at = late._parts.clock.now() - 1.0
+                all_relays.relays[name]._history.read_until -= 1.0
+            with pytest.raises(EbonydealError):
+                await find(late)
+
+    async def test_only_version_is_not_taken_after_an_unknown_endpoint_has_left(self):
+        clock = ManualClock()
+        async with Relays(clock, "abc", versions=("v1",)) as all_relays:
+            await clock.advance(LONG_S)
+            for relay in all_relays.relays.values():
+                relay._parts.view.remove("i9", 9)
+            with pytest.raises(EbonydealError):
+                await find(all_relays.relays["b"])
+
     async def test_stream_that_no_relay_knows_is_refused(self):
         async with Relays(ManualClock(), "abc") as all_relays:
             with pytest.raises(EbonydealError) as caught:
--- a/tests/unit/relay/view/test_follower.py
+++ b/tests/unit/relay/view/test_follower.py
@@ -67,6 +67,71 @@
         assert "i1" in await self.play(pushed=False)
 
 
+class ReadableStore:
+    """Lists one endpoint; replies to long polls only at their end, or never."""
+
+    def __init__(self, clock):
+        self.clock, self.silent, self.waits = clock, False, []
+
+    async def rows(self, _table):
+        return [SharedRow("i1", b"x", 3)], 5
+
+    async def changes(self, _table, _after, wait, reply_timeout):
+        self.waits.append(wait)
+        if self.silent:
+            await self.clock.sleep(wait + reply_timeout)
+            raise NO_REPLY
+        await self.clock.sleep(wait)
+        return RowChanges((), 5)
+
+
+class TestReadSince:
+    def setup_method(self):
+        self.clock = ManualClock(100.0)
+        self.store = ReadableStore(self.clock)
+        self.follower = MembersFollower(
+            self.store, WIRE, RelayView(2.0), self.clock, Random(1), Metrics()
+        )
+
+    async def read(self, timeout=10.0):
+        """Return whether the list was read until now."""
+        now = self.clock.now()
+        task = asyncio.ensure_future(self.follower.read_since(now, timeout))
+        for _ in range(4):
+            await self.clock.advance(0.05)
+        return await task
+
+    async def test_interrupts_a_long_poll(self):
+        await self.follower.start()
+        await self.clock.advance(0.5)
+        assert await self.read()
+        assert self.store.waits[1] == 0.0
+        await self.follower.stop()
+
+    async def test_reads_the_store_though_the_coordinator_pushes(self):
+        self.follower.receives_pushes = lambda: True
+        await self.follower.start()
+        await self.clock.advance(0.5)
+        assert self.store.waits == []
+        assert await self.read()
+        assert self.store.waits == [0.0]
+        await self.follower.stop()
+
+    async def test_fails_if_the_store_does_not_reply(self):
+        await self.follower.start()
+        await self.clock.advance(0.5)
+        self.store.silent = True
+        assert not await self.read(timeout=0.05)
+        await self.follower.stop()
+
+    async def test_reply_shows_changes_until_its_request_only(self):
+        """It may be read long after the store sent it, as by a suspended relay."""
+        await self.follower.start()
+        await self.clock.advance(1.0)
+        assert self.follower.read_until == 100.0
+        await self.follower.stop()
+
+
 class DeadConnectionStore:
     """Its open connection delivers nothing after the first poll; new ones work.
 
--- a/tests/unit/routing/placement/test_stream_versions.py
+++ b/tests/unit/routing/placement/test_stream_versions.py
@@ -79,6 +79,27 @@
         followed(history, {"s": ["v1"]}, 25, 30)
         assert history.sole_version("s", 29.0) is None
 
+    def test_changes_since_a_suspension_close_the_gap(self):
+        history = VersionHistory(LIFETIME_S)
+        followed(history, {"s": ["v1"]}, 0, 20)
+        history.update({"s": ["v1"]}, 25.0, is_continuous=True)
+        assert history.sole_version("s", 25.0) == "v1"
+
+    def test_look_at_a_list_that_was_not_read_since_is_no_news(self):
+        history = VersionHistory(LIFETIME_S)
+        for now in range(20):
+            history.update({"s": ["v1"]}, float(now), min(now, 15.0))
+        assert history.read_until == 15.0
+        assert history.sole_version("s", 19.0) is None
+        assert history.is_gapless(19.0)
+
+    def test_restart_after_which_a_lifetime_is_unknown(self):
+        history = VersionHistory(LIFETIME_S)
+        followed(history, {"s": ["v1"]}, 0, 20)
+        history.restart()
+        assert not history.is_gapless(28.0)
+        assert history.is_gapless(29.0)
+
     def test_second_version_is_reported_once(self):
         history = VersionHistory(LIFETIME_S)
         assert history.update({"s": ["v1"], "t": ["v1"]}, 0.0) == set()
