Read past odd rows: unprintable entries, values that aren't base64, long numbers

A report of other operators: one odd entry of another writer ended the processes that read the list, or kept them from following it. Found here by odd values (too deep, numbers of 5,000 digits, 1e999, NaN, half characters, control characters, packed rows of other shapes) in the tables of endpoints, configuration, roll-outs, status and the system's own six, while relays run and at their start:

- The row of reported usage windows with a number of 5,000 digits failed the task that keeps the lease, again and again; a process ends after five such failures.
The number's length is now bounded.
- Entries of endpoints whose key, service, zone or version has control characters or half of a character were taken as endpoints, and their texts went into headers and logs.
Such an entry is refused like any unreadable one.
- A value that isn't base64 failed the whole reply, so that the relay read no other change.
(By a test of the row's decoding; whether the store lets such a value in isn't known.)
- Log lines quoted such values in full; now 200 characters.

--- a/src/ebonydeal/_internal/platform/rows.py
+++ b/src/ebonydeal/_internal/platform/rows.py
@@ -37,21 +37,30 @@
 # Milliseconds since 1970 stay far below it, and a float holds it exactly.
 _MAX_INTEGER = 2**53
 _MS = 1000.0
+_MAX_QUOTED_CHARS = 200
 
 
 def decode_row(message: dict[str, Any], era: int = 0) -> SharedRow:
     """Return a row in wire format; raises KeyError, TypeError or ValueError.
 
-    ``era`` is that of the store.
+    ``era`` is that of the store. A value that isn't base64 is empty, as no document is,
+    so that other rows of the same reply are read.
     """
     removed = bool(message.get("tombstone"))
     return SharedRow(
         key=str(message["key"]),
-        value=None if removed else b64decode(message["value"]),
+        value=None if removed else _decode_value(message["value"]),
         version=ordered_version(era, int(message["ver"])),
     )
 
 
+def _decode_value(value: Any) -> bytes:
+    try:
+        return b64decode(value)
+    except (TypeError, ValueError):
+        return b""
+
+
 def encode_value(value: bytes) -> str:
     """Return a value in wire format."""
     return b64encode(value).decode("ascii")
@@ -157,7 +166,7 @@
         RecursionError,
         OverflowError,
     ) as exc:
-        detail = f"the configuration can't be parsed: {exc!r}"
+        detail = f"the configuration can't be parsed: {_quoted(exc)}"
         raise EbonydealError(ErrorKind.BAD_DOCUMENT, detail) from exc
 
 
@@ -172,7 +181,7 @@
         if not isinstance(message, dict):
             raise TypeError("not an object")
         return Member(
-            endpoint_id=row.key,
+            endpoint_id=_printable(row.key, "key"),
             service=_text(message, "service"),
             address=_address(message),
             zone=_text(message, "zone"),
@@ -189,7 +198,7 @@
             version=_version(message),
         )
     except (KeyError, TypeError, ValueError, RecursionError) as exc:
-        detail = f"endpoint {row.key}, version {row.version}: {exc!r}"
+        detail = f"endpoint {row.key!a}, version {row.version}: {_quoted(exc)}"
         raise EbonydealError(ErrorKind.BAD_DOCUMENT, detail) from exc
 
 
@@ -200,7 +209,12 @@
         return str(value)
     if not isinstance(value, str):
         raise TypeError("version is not a string")
-    return value
+    return _printable(value, "version")
+
+
+def _quoted(exc: Exception) -> str:
+    """Return an error for a log line; it may quote a value of any size."""
+    return repr(exc)[:_MAX_QUOTED_CHARS]
 
 
 def rollout_service(key: str) -> str | None:
@@ -228,7 +242,7 @@
             service, _required_version(target), float(duration), row.version
         )
     except (KeyError, TypeError, ValueError, RecursionError) as exc:
-        detail = f"roll-out order {row.key}, version {row.version}: {exc!r}"
+        detail = f"roll-out order {row.key!a}, version {row.version}: {_quoted(exc)}"
         raise EbonydealError(ErrorKind.BAD_DOCUMENT, detail) from exc
 
 
@@ -251,7 +265,7 @@
         message = json.loads(value)
         return Phase(message["state"]), _version({"version": message["to"]})
     except (KeyError, TypeError, ValueError, RecursionError) as exc:
-        detail = f"status of a roll-out: {exc!r}"
+        detail = f"status of a roll-out: {_quoted(exc)}"
         raise EbonydealError(ErrorKind.BAD_DOCUMENT, detail) from exc
 
 
@@ -260,6 +274,13 @@
     value = message[name]
     if not isinstance(value, str) or not value:
         raise TypeError(f"{name} is not a string or is empty")
+    return _printable(value, name)
+
+
+def _printable(value: str, name: str) -> str:
+    """Return a text that headers and logs can hold as it is; raises ValueError."""
+    if not value.isprintable():
+        raise ValueError(f"{name} has unprintable characters: {value[:40]!a}")
     return value
 
 
--- a/src/ebonydeal/_internal/relay/duties/reported_windows.py
+++ b/src/ebonydeal/_internal/relay/duties/reported_windows.py
@@ -5,6 +5,7 @@
 what it reported; another one leaves out the windows that had ended by then.
 """
 
+import re
 from collections.abc import Callable
 
 from ebonydeal._internal.models.shared import RowWrite
@@ -17,6 +18,7 @@
 logger = get_logger("relay.usage")
 
 _REPORTED_KEY = "reported"
+_WINDOW = re.compile(rb"[0-9]{1,15}")
 
 
 class ReportedWindows:
@@ -57,8 +59,8 @@
         """Apply what an earlier holder of this era left out, or leave out windows."""
         rows, _version = await self._store.rows(USAGE_TABLE, _REPORTED_KEY)
         for row in rows:
-            if row.key == _REPORTED_KEY and row.value and row.value.isdigit():
-                self._ledger.skip_to(int(row.value))
+            if row.key == _REPORTED_KEY and row.value:
+                self._skip_to(row.value)
         if self._lease.is_first_in_era:
             self._left_out_to = self._ledger.skip_ended(self._wall())
             logger.info(
@@ -66,6 +68,13 @@
             )
         self.loaded = True
 
+    def _skip_to(self, value: bytes) -> None:
+        """Leave out the windows up to the one that a row names."""
+        if not _WINDOW.fullmatch(value):
+            logger.error("Reported windows are unreadable.", value=repr(value[:40]))
+            return
+        self._ledger.skip_to(int(value))
+
     def changes(self) -> list[RowWrite]:
         """Return the write of the last window that is left out, if any."""
         if self._left_out_to is None:
--- a/tests/unit/platform/test_rows.py
+++ b/tests/unit/platform/test_rows.py
@@ -211,6 +211,13 @@
         removed = {"table": "t", "key": "k", "tombstone": True, "ver": 4}
         assert decode_row(removed) == SharedRow("k", None, 4)
 
+    @pytest.mark.parametrize("value", ["a", 7, None, "\ud800", {}])
+    def test_with_a_value_that_is_not_base64_has_no_document(self, value):
+        row = decode_row({"key": "k", "value": value, "ver": 3})
+        assert row == SharedRow("k", b"", 3)
+        with pytest.raises(EbonydealError):
+            decode_member(row)
+
 
 class TestRollouts:
     def order(self, **change):
