Read numbers in headers as decimal digits of bounded length

An endpoint's Keep-Alive or a client's length hint with a digit of another script, or 5,000 digits, raised an error that nobody expected: the request failed after the endpoint had answered it. An infinite deadline or a token count beyond what a float holds did so later. One function checks and converts now.

--- a/src/ebonydeal/_internal/platform/headers.py
+++ b/src/ebonydeal/_internal/platform/headers.py
@@ -41,6 +41,7 @@
 _YES, _NO = "1", "0"
 # Characters of an unreadable value that are kept for the log.
 _MAX_QUOTED_CHARS = 40
+_MAX_DIGITS = 15
 
 # Hop-by-hop headers (RFC 9110, 7.6.1), and those that the HTTP library writes itself.
 # All sets of header names here are in lower case.
@@ -92,17 +93,22 @@
     return EbonydealError(ErrorKind.BAD_REQUEST, detail)
 
 
+def _whole_number(text: str) -> int | None:
+    """Return a number in decimal digits that a float holds exactly, else None."""
+    if not (text.isascii() and text.isdigit() and len(text) <= _MAX_DIGITS):
+        return None
+    return int(text)
+
+
 def _tokens(text: str | None) -> tuple[int | None, int]:
     """Return prompt tokens and maximum output tokens; (None, 0) if not stated."""
     if text is None:
         return None, 0
-    try:
-        prompt, output = (int(word) for word in text.split(","))
-    except ValueError:
-        raise _bad_request(f"{TOKENS} must be two whole numbers") from None
-    if prompt < 0 or output < 0:
-        raise _bad_request(f"{TOKENS} must not be negative")
-    return prompt, output
+    numbers = [_whole_number(word.strip()) for word in text.split(",")]
+    match numbers:
+        case [int(prompt), int(output)]:
+            return prompt, output
+    raise _bad_request(f"{TOKENS} must be two whole numbers")
 
 
 def _parts(text: str | None) -> tuple[PromptPart, ...]:
@@ -112,9 +118,10 @@
     parts = []
     for entry in text.split(","):
         part_id, _sep, tokens = entry.strip().partition(":")
-        if not tokens.isdigit():
+        count = _whole_number(tokens)
+        if count is None:
             raise _bad_request(f"{PROMPT} has an entry without a token count")
-        parts.append(PromptPart(part_id, int(tokens)))
+        parts.append(PromptPart(part_id, count))
     return tuple(parts)
 
 
@@ -123,9 +130,12 @@
     if text is None:
         return None
     try:
-        return max(0.0, float(text)) / _MS
+        ms = float(text)
     except ValueError:
-        raise _bad_request(f"{DEADLINE} must be a number") from None
+        ms = math.nan
+    if not math.isfinite(ms):
+        raise _bad_request(f"{DEADLINE} must be a number")
+    return max(0.0, ms) / _MS
 
 
 def read_request(method: str, target: str, pairs: Pairs) -> ForwardedRequest:
@@ -139,7 +149,6 @@
     if credential.lower().startswith(_BEARER):
         credential = credential[len(_BEARER) :].strip()
     prompt, output = _tokens(first.get(TOKENS.lower()))
-    hint = first.get(LENGTH_HINT.lower(), "")
     dropped = _HOP_BY_HOP | _SYSTEM | _connection_options(listed)
     return ForwardedRequest(
         request_id=request_id,
@@ -151,7 +160,7 @@
         prompt_tokens=prompt,
         output_tokens=output,
         parts=_parts(first.get(PROMPT.lower())),
-        length_hint=int(hint) if hint.isdigit() else None,
+        length_hint=_whole_number(first.get(LENGTH_HINT.lower(), "")),
         last_event=first.get(LAST_EVENT.lower(), ""),
         first_attempt=first.get(RESUMES.lower(), ""),
         headers=tuple((n, v) for n, v in listed if n.lower() not in dropped),
@@ -181,8 +190,8 @@
     """Return the timeout of a ``Keep-Alive`` header, seconds."""
     for word in (text or "").split(","):
         key, _sep, value = word.strip().partition("=")
-        if key.lower() == "timeout" and value.strip().isdigit():
-            return float(value)
+        if key.lower() == "timeout":
+            return _whole_number(value.strip())
     return None
 
 
--- a/tests/unit/platform/test_headers.py
+++ b/tests/unit/platform/test_headers.py
@@ -51,6 +51,23 @@
     return [name.lower() for name, _value in block]
 
 
+class TestOddNumber:
+    """Digits of other scripts, and more digits than a number may have."""
+
+    @pytest.mark.parametrize("text", ["\u00b2", "9" * 5000, "", "1e3"])
+    def test_is_no_hint_and_no_timeout(self, text):
+        assert request(("Ebonydeal-Length-Hint", text)).length_hint is None
+        keep_alive = [("Keep-Alive", f"timeout={text}")]
+        assert read_answer(200, keep_alive).keepalive_s is None
+
+    @pytest.mark.parametrize("text", ["inf", "nan", "1e999", "soon"])
+    def test_is_no_deadline(self, text):
+        pairs = [("Ebonydeal-Request-Id", "r"), ("Ebonydeal-Deadline-Ms", text)]
+        with pytest.raises(EbonydealError) as caught:
+            read_request("GET", "/", pairs)
+        assert caught.value.kind is ErrorKind.BAD_REQUEST
+
+
 class TestRequest:
     def test_all_headers_are_parsed(self):
         req = request(
@@ -72,6 +89,10 @@
         [
             ("Ebonydeal-Token-Usage", "many"),
             ("Ebonydeal-Token-Usage", "1,-2"),
+            ("Ebonydeal-Token-Usage", "9" * 400 + ",1"),
+            ("Ebonydeal-Token-Usage", "\u00b2,1"),
+            ("Ebonydeal-Prompt-Prefix", "5c:\u00b2"),
+            ("Ebonydeal-Prompt-Prefix", "5c:" + "9" * 5000),
             ("Ebonydeal-Prompt-Prefix", "5c"),
             ("Ebonydeal-Prompt-Prefix", "5c:x"),
         ],
