Soak: endpoints that refuse some requests, and versions that join unseen

What the soak lacked to find both faults of the incident, over real processes:

- Endpoints refuse every second request when it first comes, and each refusal comes again with the next answer on its connection; with one or two endpoints the second send uses the same one.
- A version joins while a relay stands still, every second time with its links to the store and from others silent, and those between all relays as it goes on; streams begin elsewhere, and their clients come back at that relay.

--- a/src/ebonydeal/_internal/soak/clients.py
+++ b/src/ebonydeal/_internal/soak/clients.py
@@ -83,7 +83,7 @@
             relay = self._rng.choice(self._relays)
             result = await self.send(kind, relay, account)
             for _ in range(_MAX_RESUMES):
-                if not _may_resume(result):
+                if not may_resume(result):
                     break
                 relay = self._rng.choice(self._relays)
                 result = await self.send(kind, relay, account, resumed=result)
@@ -112,8 +112,12 @@
         body: bytes = b"",
         parts: Sequence[str] = (SHARED_PART,),
         resumed: ClientResult | None = None,
+        leave_after: int = 0,
     ) -> ClientResult:
-        """Send one request, or ``resumed`` again; record and return its result."""
+        """Send one request, or ``resumed`` again; record and return its result.
+
+        With ``leave_after`` the connection is closed after as many events.
+        """
         request_id = f"{self._rng.getrandbits(64):016x}"
         path = f"{kind.value}{version}/x" if version else f"{kind.value}x"
         tokens = self._rng.choice(_MAX_TOKENS_CHOICES) if kind.is_stream else 0
@@ -131,7 +135,9 @@
         sent = time.monotonic()
         pid = relay.pid
         url = f"{relay.address}{path}"
-        status, complete, received = await self._send(kind, url, headers, body)
+        status, complete, received = await self._send(
+            kind, url, headers, body, leave_after
+        )
         events = _EVENT.findall(received) if status == 200 else []
         result = ClientResult(
             request_id,
@@ -155,7 +161,12 @@
         return result
 
     async def _send(
-        self, kind: Kind, url: str, headers: dict[str, str], sent: bytes
+        self,
+        kind: Kind,
+        url: str,
+        headers: dict[str, str],
+        sent: bytes,
+        leave_after: int = 0,
     ) -> tuple[int, bool, bytes]:
         """Return status (0 without a response), whether it was complete, and body."""
         method = "GET" if kind in _GET_KINDS and not sent else "POST"
@@ -172,6 +183,9 @@
                 status = resp.status
                 while data := await self._read_some(resp):
                     body += data
+                    if leave_after and len(_EVENT.findall(body)) >= leave_after:
+                        resp.close()
+                        return status, False, body
             return status, True, body
         except (TimeoutError, ClientError, OSError):
             return status, False, body
@@ -189,7 +203,7 @@
         await self._session.close()
 
 
-def _may_resume(result: ClientResult) -> bool:
+def may_resume(result: ClientResult) -> bool:
     """Return whether a stream broke off that a client may resume."""
     return (
         result.kind is Kind.RESUMABLE_STREAM
--- a/src/ebonydeal/_internal/soak/endpoints.py
+++ b/src/ebonydeal/_internal/soak/endpoints.py
@@ -155,6 +155,10 @@
         self.limit: float | None = None
         self.announces_leaving = False
         self.backoff_s = 0.0
+        # Whether it refuses every second request when that first comes, and those that
+        # came.
+        self.is_full = False
+        self._came: set[str] = set()
         # Whether its streams have neither a length nor chunks; some of them then break
         # off within an event.
         self.omits_lengths = False
@@ -232,6 +236,8 @@
         notice = self._announce(relay)
         if self.backoff_s > 0.0:
             return self._refuse(req, got, 503, notice)
+        if self.is_full and self._is_refused(got.request_id):
+            return self._refuse(req, got, 503, notice)
         if got.kv_cache and self._kv_caches.pop(got.kv_cache, "") != got.request_id:
             return self._refuse(req, got, 503)
         self._log.runs.append(
@@ -272,10 +278,17 @@
         """Refuse a request; some refusals come again with the next request."""
         headers = not_run_headers(got.request_id) | (notice or {})
         self._refusals += 1
-        if req.transport is not None and self._refusals % _LATE_COPY_INTERVAL == 0:
+        is_copied = self.is_full or self._refusals % _LATE_COPY_INTERVAL == 0
+        if req.transport is not None and is_copied:
             self._late_copies[req.transport] = _copy_of(status, headers)
         return web.Response(status=status, headers=headers)
 
+    def _is_refused(self, request_id: str) -> bool:
+        """Return whether a request comes for the first time, for every second one."""
+        is_first = request_id not in self._came
+        self._came.add(request_id)
+        return is_first and len(self._came) % 2 == 0
+
     async def _work(self) -> None:
         """Run a plain request, after those that came before it."""
         async with self._free_slots:
--- a/src/ebonydeal/_internal/soak/fleet.py
+++ b/src/ebonydeal/_internal/soak/fleet.py
@@ -196,6 +196,15 @@
             await endpoint.stop()
             await self._platform.write(MEMBERS_TABLE, endpoint.name, None)
 
+    async def refuse_some(self, step: Step) -> None:
+        """Let all endpoints refuse some requests for some time."""
+        endpoints = list(self.endpoints)
+        for endpoint in endpoints:
+            endpoint.is_full = True
+        await asyncio.sleep(step.seconds)
+        for endpoint in endpoints:
+            endpoint.is_full = False
+
     async def omit_lengths(self, step: Step) -> None:
         """Let an endpoint's streams end with their connections for some time."""
         if not self.endpoints:
--- a/src/ebonydeal/_internal/soak/plan.py
+++ b/src/ebonydeal/_internal/soak/plan.py
@@ -40,6 +40,10 @@
     STORE_SILENT = "the store replies to no call"
     PEERS_SILENT = "open connections between relays fall silent, new ones work"
     PEER_UNREACHABLE = "connections to a relay are accepted and carry nothing"
+    ENDPOINT_FULL = "endpoints have no room for some requests when they first come"
+    VERSION_UNSEEN = (
+        "a relay stands still while a version joins; clients come back there"
+    )
     ENDPOINTS_UNEQUAL = "plain endpoints are of unequal speed, one slows down midway"
 
 
@@ -148,6 +152,15 @@
 _CHANGE_DELAYS_S = ((0.05, 0.3), (0.6, 0.9))
 _STALE_QUIET_END_S = 5.0
 _STALE_SEED = 12_000_029
+# Endpoints that refuse requests, as in `_SEPARATE_FAULTS`.
+_REFUSAL_FAULTS = ((Fault.ENDPOINT_FULL, 4.0, 2.0, 4.0),)
+_REFUSAL_SEED = 13_000_027
+# Versions that join unseen: earliest start, when relays have followed the list for a
+# lifetime of streams, mean seconds between two, and the time for which they serve.
+_MIN_UNSEEN_START_S = 7.5
+_UNSEEN_MEAN_S = 8.0
+_UNSEEN_RANGE_S = (3.0, 4.0)
+_UNSEEN_SEED = 14_000_029
 # No fault begins in the last seconds, so that running requests and faults can end.
 _QUIET_END_S = 3.0
 
@@ -185,6 +198,8 @@
         *_draw_overloads(seed, seconds),
         *_draw_separate(_UNEQUAL_FAULTS, seed + _UNEQUAL_SEED, seconds),
         *_draw_stale_configs(seed, seconds),
+        *_draw_separate(_REFUSAL_FAULTS, seed + _REFUSAL_SEED, seconds),
+        *_draw_unseen_versions(seed, seconds),
     ]
     return sorted([*steps, *separate])
 
@@ -207,6 +222,18 @@
     return [*(Step(at, fault, length, which) for fault in faults), *changes]
 
 
+def _draw_unseen_versions(seed: int, seconds: float) -> list[Step]:
+    """Return the versions that join while a relay stands still."""
+    rng = Random(seed + _UNSEEN_SEED)
+    steps = []
+    at = rng.uniform(_MIN_UNSEEN_START_S, _MIN_UNSEEN_START_S + 1.0)
+    while at < seconds - _QUIET_END_S:
+        length = rng.uniform(*_UNSEEN_RANGE_S)
+        steps.append(Step(at, Fault.VERSION_UNSEEN, length, rng.randrange(1000)))
+        at += length + rng.expovariate(1.0 / _UNSEEN_MEAN_S)
+    return steps
+
+
 def _draw_mass_kills(seed: int, seconds: float) -> list[Step]:
     """Return the mass kills of relays."""
     rng = Random(seed + _MASS_KILL_SEED)
--- a/src/ebonydeal/_internal/soak/run.py
+++ b/src/ebonydeal/_internal/soak/run.py
@@ -29,6 +29,7 @@
     REQUEST_TIMEOUT_S,
     SHARED_PART,
     Client,
+    may_resume,
 )
 from ebonydeal._internal.soak.endpoints import (
     BODY_NUMBER,
@@ -122,6 +123,12 @@
 # Several times what the other clients send to one relay.
 _CROWD_INTERVAL_S = 0.01
 _CROWD_SHARE = 0.9
+# Time in which relays learn of a version that joins, streams whose clients come back,
+# events after which they leave, and the time from then until a relay goes on.
+_UNSEEN_JOIN_S = 0.7
+_RETURNING_STREAMS = 12
+_EVENTS_BEFORE_RETURN = 2
+_RETURN_DELAY_S = 0.2
 _FATAL_KINDS = (Kind.IDEMPOTENT, Kind.RESUMABLE_STREAM, Kind.STREAM, Kind.AT_MOST_ONCE)
 
 
@@ -361,6 +368,10 @@
                 await self._fleet.add_second_version(step)
             case Fault.ENDPOINT_OMITS_LENGTHS:
                 await self._fleet.omit_lengths(step)
+            case Fault.ENDPOINT_FULL:
+                await self._fleet.refuse_some(step)
+            case Fault.VERSION_UNSEEN:
+                await self._add_version_unseen(relay, step)
             case Fault.OVERLOAD:
                 await self._plain.overload(step)
             case Fault.ENDPOINTS_UNEQUAL:
@@ -405,6 +416,55 @@
             await asyncio.sleep(step.seconds)
             relay.send_signal(signal.SIGCONT)
 
+    async def _add_version_unseen(self, relay: RelayProcess, step: Step) -> None:
+        """Let a version join while a relay stands still, and streams come back there.
+
+        Every second time its links are silent meanwhile, and those between all relays
+        as it goes on.
+        """
+        assert relay.peers is not None
+        is_cut = step.which // len(self._relays) % 2 == 1
+        own_links = [relay.store, relay.peers] if is_cut else []
+        links = [relay.store, *self._peer_proxies] if is_cut else []
+        client = Client(self.log, self._relays, Random(step.which))
+        others = [other for other in self._relays if other is not relay]
+        async with relay.lock, self.log.fault("pause", relay.name):
+            relay.send_signal(signal.SIGSTOP)
+            for link in own_links:
+                link.set_fault(LinkFault.SILENT)
+            joining = asyncio.ensure_future(self._fleet.add_second_version(step))
+            await asyncio.sleep(_UNSEEN_JOIN_S)
+            begun = await asyncio.gather(
+                *(
+                    client.send(
+                        Kind.RESUMABLE_STREAM,
+                        others[number % len(others)],
+                        _UNLIMITED,
+                        leave_after=_EVENTS_BEFORE_RETURN,
+                    )
+                    for number in range(_RETURNING_STREAMS)
+                )
+            )
+            returns = [
+                asyncio.ensure_future(
+                    client.send(
+                        Kind.RESUMABLE_STREAM, relay, _UNLIMITED, resumed=result
+                    )
+                )
+                for result in begun
+                if may_resume(result)
+            ]
+            async with self.log.fault("silence", ""):
+                for link in links:
+                    link.set_fault(LinkFault.SILENT)
+                await asyncio.sleep(_RETURN_DELAY_S)
+                relay.send_signal(signal.SIGCONT)
+                await asyncio.gather(*returns)
+                for link in links:
+                    link.set_fault(LinkFault.NONE)
+        await client.close()
+        await joining
+
     async def _break_link(self, proxy: Proxy, relay: str, step: Step) -> None:
         faults = [fault for fault in LinkFault if fault is not LinkFault.NONE]
         async with self.log.fault("link", relay):
