--- a/src/ebonydeal/_internal/relay/peers/stream_versions.py
+++ b/src/ebonydeal/_internal/relay/peers/stream_versions.py
@@ -51,8 +51,9 @@
 # A reply of the store takes some milliseconds, and polls are this far apart at most.
 _READ_TIMEOUT_S = 0.4
 # A list that wasn't read for longer may lack a version. A relay that gets its changes
-# from the coordinator reports to it every second or so.
-_MAX_LIST_AGE_S = 3.0
+# from the coordinator knows of the last 1.5 s only after its next report, and reports
+# every second or so.
+_MAX_LIST_AGE_S = 4.0
 # Time for which a client may come back after its last attempt has ended.
 _RETURN_S = 2.0
 _LOAD_RETRY_INTERVAL_S = 0.5
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -87,7 +87,10 @@
 from ebonydeal._internal.relay.requests.usage import UsageMeter
 from ebonydeal._internal.relay.view.config_follower import ConfigTableFollower
 from ebonydeal._internal.relay.view.deltas import DeltaPublisher, DeltaReceiver
-from ebonydeal._internal.relay.view.follower import FRESH_TIMEOUT_S
+from ebonydeal._internal.relay.view.follower import (
+    COORDINATOR_POLL_TIMEOUT_S,
+    FRESH_TIMEOUT_S,
+)
 from ebonydeal._internal.relay.view.leaving import LeavingTimes
 from ebonydeal._internal.relay.view.members_follower import MembersFollower
 from ebonydeal._internal.relay.view.view import RelayView
@@ -605,8 +608,11 @@
         if age is not None and reply["config"] <= self.view.version:
             config.confirm(asked_at - age)
         if self._exchange.receives_deltas and self._is_coordinator_in_era():
-            # The reply has all changes that the coordinator had read by then.
-            members.note_read_until(asked_at - FRESH_TIMEOUT_S)
+            # The reply has all changes that the coordinator has read; its last poll of
+            # the store may have begun that long ago.
+            members.note_read_until(
+                asked_at - FRESH_TIMEOUT_S - COORDINATOR_POLL_TIMEOUT_S
+            )
         if on_coordinator:
             # The current poll may have begun when no other relay depended on it.
             config.restart_poll()
--- a/src/ebonydeal/_internal/relay/requests/answer_attribution.py
+++ b/src/ebonydeal/_internal/relay/requests/answer_attribution.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 from aiohttp import StreamReader
-from aiohttp.client_proto import ResponseHandler
 
 from ebonydeal._internal.observe.counters import Event, Metrics
 from ebonydeal._internal.observe.logs import get_logger
@@ -71,7 +70,6 @@
     history: RequestHistory
     read_id: Callable[[Mapping[str, str]], str]
     metrics: Metrics
-
     # The body of the last answer since the last request.
     _body: StreamReader | None = None
 
@@ -95,7 +93,7 @@
         """Return the next answer that isn't a copy of an earlier one."""
         skipped_bytes = 0
         for _ in range(_MAX_COPIES):
-            message, payload = await ResponseHandler.read(self)
+            message, payload = await super().read()
             answered = self.read_id(message.headers)
             if not self.history.is_earlier(answered):
                 return message, payload
@@ -113,5 +111,5 @@
                     raise EndlessAnswerError(
                         f"{skipped_bytes} bytes of copies of earlier answers"
                     )
-            self.skip_payload(payload)
+            self.note_skipped_body(payload)
         raise EndlessAnswerError(f"{_MAX_COPIES} copies of earlier answers")
--- a/src/ebonydeal/_internal/utils/bounded_responses.py
+++ b/src/ebonydeal/_internal/utils/bounded_responses.py
@@ -35,8 +35,8 @@
         self._earlier_payload = self._payload
         super().set_response_params(**params)
 
-    def skip_payload(self, payload: StreamReader) -> None:
-        """Note that a body was read that isn't the one of the response."""
+    def note_skipped_body(self, payload: StreamReader) -> None:
+        """Note that a body was read whose response is left out."""
         self._skipped_bytes += payload.total_bytes
 
     def data_received(self, data: bytes) -> None:
