--- a/tests/lib/overload_model.py
+++ b/tests/lib/overload_model.py
@@ -150,6 +150,8 @@
 class _Answer:
     """A complete answer that needs no connection."""
 
+    connection = ""
+
     def __init__(self, request_id, rejected):
         self.status = 503 if rejected else 200
         self.headers = [("Content-Length", "2"), ("Ebonydeal-Request-Id", request_id)]
