Tests of answers at a stop: wait for states that last, not for passing ones

They now wait for the request to be open at the relay, and for an endpoint that sends the second half of its answer once the stop has begun.

--- a/tests/functional/relay/test_planned_stop.py
+++ b/tests/functional/relay/test_planned_stop.py
@@ -224,7 +224,7 @@
         one = RawEndpoint("i1", [answer(body=LARGE)])
         async with serving(one, slow=True) as (program, client):
             await client.send(path, method="POST")
-            await until(lambda: client.writer.transport.is_reading() and one.seen)
+            await until(lambda: one.seen and program.clients.open_requests)
             status, body = await read_after_stop(program, client)
         assert (status, len(body)) == (200, len(LARGE))
 
@@ -272,12 +272,21 @@
 
     async def test_of_an_endpoint_reaches_the_other_relay(self):
         """It arrives through a relay that is told to stop meanwhile."""
-        one = RawEndpoint("i1", [answer(body=LARGE)])
+        stop_has_begun = asyncio.Event()
+
+        async def answer_during_stop(_reader, writer, headers):
+            whole = answer(headers, LARGE)
+            writer.write(whole[: len(whole) // 2])
+            await stop_has_begun.wait()
+            writer.write(whole[len(whole) // 2 :])
+
+        one = RawEndpoint("i1", [answer_during_stop])
         async with relays_of_which_first_is_cut(2, one, **GRACE) as (first, second):
             async with Client(first, buffer_bytes=4096) as client:
                 await client.send("/once/", method="POST")
                 await until(lambda: second._forwards.in_flight)
                 stop = await stopping(second)
+                stop_has_begun.set()
                 status, _headers, body = await client.receive()
                 await stop
         assert (status, len(body)) == (200, len(LARGE))
