Bound what client connections hold, by a budget of the process

What callers saw: clients that send requests ahead, heads, bodies or trailers without end, or read no answers, took a relay or a gateway beyond its instance's memory or descriptors; it was killed there, with all requests at work.

Cause: nobody counted what connections hold together. The library bounds lines, fields and what it reads ahead of one body, but keeps 32 parsed requests a connection, has no limit on a whole head or on trailers, goes on parsing after a malformed request (each error refers to what was read with it), and hands whole answers to the transport, which copies them. Nothing ended slow heads, idle connections (max_header_bytes, header_timeout_ms and idle_timeout_ms were read and not used) or answers that nobody takes. Bodies and their connections, and errors and the frames that raised them, refer to each other, so what closed connections held stayed until the garbage collector ran.

Change: one class of connection for the relay's and the gateway's clients counts what it holds, and one budget for the process, from its memory and descriptors, closes those that hold much for long. Requests at work are refused before they run (503 memory_short) beyond half of it. While closed connections still hold memory, nothing more is read. Heads, framing of bodies, idle time, head time and answers that aren't taken have limits. Four requests are read ahead, large answers are written in parts, both kinds of cycle are cut.

--- a/src/ebonydeal/_internal/console/api.py
+++ b/src/ebonydeal/_internal/console/api.py
@@ -18,7 +18,8 @@
 )
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.endpoints import EndpointView
-from ebonydeal._internal.utils.web import error_response, read_json
+from ebonydeal._internal.utils.error_responses import error_response
+from ebonydeal._internal.utils.web import read_json
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
--- a/src/ebonydeal/_internal/errors.py
+++ b/src/ebonydeal/_internal/errors.py
@@ -18,6 +18,7 @@
     NOT_FOUND = "not_found"
     UNKNOWN_MODEL = "unknown_model"
     BODY_TOO_LARGE = "body_too_large"
+    HEAD_TOO_LARGE = "head_too_large"
     SLOW_SENDER = "slow_sender"
     KEY_REUSED = "key_reused"
     KEY_REQUIRED = "key_required"
@@ -26,6 +27,7 @@
     LIMIT_UNAVAILABLE = "limit_unavailable"
     QUEUE_FULL = "queue_full"
     SHED = "shed"
+    MEMORY_SHORT = "memory_short"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     NO_ENDPOINT = "no_endpoint"
     ENDPOINTS_LIMITED = "endpoints_limited"
@@ -117,8 +119,11 @@
     ErrorKind.BODY_TOO_LARGE: ErrorResponse(
         413, _N, _INVALID, None, "Send a smaller body."
     ),
+    ErrorKind.HEAD_TOO_LARGE: ErrorResponse(
+        431, _N, _INVALID, None, "Send fewer or shorter header fields."
+    ),
     ErrorKind.SLOW_SENDER: ErrorResponse(
-        408, _N, _INVALID, None, "Send the body faster."
+        408, _N, _INVALID, None, "Send the request faster."
     ),
     ErrorKind.KEY_REUSED: ErrorResponse(
         409, _N, _INVALID, None, "Use a new idempotency key for another body."
@@ -137,6 +142,7 @@
     ErrorKind.SHED: ErrorResponse(
         503, _N, _SERVER, 5.0, "Wait, or use a higher priority."
     ),
+    ErrorKind.MEMORY_SHORT: ErrorResponse(503, _N, _SERVER, 1.0, "Wait, then repeat."),
     ErrorKind.DEADLINE_EXCEEDED: ErrorResponse(
         504, _U, _SERVER, None, "Allow more time, or repeat when load is lower."
     ),
--- a/src/ebonydeal/_internal/gateway/api.py
+++ b/src/ebonydeal/_internal/gateway/api.py
@@ -19,7 +19,8 @@
 from ebonydeal._internal.observe.trail import Step, Trails
 from ebonydeal._internal.settings.gateway import GatewaySettings
 from ebonydeal._internal.utils.clock import Clock
-from ebonydeal._internal.utils.web import Handler, error_response, new_app
+from ebonydeal._internal.utils.error_responses import error_response
+from ebonydeal._internal.utils.web import Handler, new_app
 
 REQUEST_ID_HEADER = "X-Request-Id"
 OPERATOR_HEADER = "X-Operator-Token"
--- a/src/ebonydeal/_internal/gateway/intake.py
+++ b/src/ebonydeal/_internal/gateway/intake.py
@@ -19,6 +19,7 @@
 from ebonydeal._internal.models.document import Account, Deployment, Document
 from ebonydeal._internal.models.requests import Priority, Request, RequestKind
 from ebonydeal._internal.settings.gateway import GatewaySettings
+from ebonydeal._internal.utils.clients.connection import BoundedConnection
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.ids import keyed_request_id, new_request_id
 from ebonydeal._internal.utils.prefix import prefix_blocks, prompt_text
@@ -33,6 +34,8 @@
 }
 _ENGINE = "engine"
 _PRIORITY_FIELD = "priority"
+# A body is held as bytes, as text, parsed, and as it is sent to an endpoint.
+_BODY_COPIES = 4
 
 
 class RequestTimes(NamedTuple):
@@ -82,16 +85,19 @@
         return self._auth.account(req.headers.get("Authorization"), self.document)
 
     async def body(self, req: web.Request) -> bytes:
-        """Return the whole body; raises SLOW_SENDER or BODY_TOO_LARGE."""
+        """Return the whole body; raises SLOW_SENDER, BODY_TOO_LARGE or MEMORY_SHORT."""
         try:
             async with asyncio.timeout(self._cfg.body_seconds):
-                return await req.read()
+                raw = await req.read()
         except TimeoutError:
             detail = f"the body took longer than {self._cfg.body_seconds:g} s"
             raise EbonydealError(ErrorKind.SLOW_SENDER, detail) from None
         except web.HTTPRequestEntityTooLarge:
             detail = "the body is too large"
             raise EbonydealError(ErrorKind.BODY_TOO_LARGE, detail) from None
+        if isinstance(req.protocol, BoundedConnection):
+            req.protocol.accept(_BODY_COPIES)
+        return raw
 
     def new_id(self) -> str:
         """Return a new request id on a random shard."""
--- a/src/ebonydeal/_internal/gateway/program.py
+++ b/src/ebonydeal/_internal/gateway/program.py
@@ -29,6 +29,9 @@
 from ebonydeal._internal.gateway.wiring import build_ports
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.utils.clients.budget import ClientBudget
+from ebonydeal._internal.utils.clients.connection import ClientBounds, RequestLimits
+from ebonydeal._internal.utils.clients.machine import client_budget_config
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.web import HttpServer, read_json
 
@@ -191,6 +194,21 @@
             drain_seconds=self._cfg.node.drain_seconds,
             idle_seconds=cfg.idle_seconds,
             max_header=cfg.max_header_bytes,
+            bounds=ClientBounds(
+                ClientBudget(client_budget_config(self._cfg.node), self._clock.now),
+                self._request_limits,
+                self._metrics,
+            ),
+        )
+
+    def _request_limits(self) -> RequestLimits:
+        cfg = self._cfg.gateway
+        return RequestLimits(
+            cfg.max_head_bytes,
+            cfg.max_body_bytes,
+            cfg.head_seconds,
+            cfg.idle_seconds,
+            cfg.write_seconds,
         )
 
     def _new_generation(self) -> Generation:
--- a/src/ebonydeal/_internal/models/forwarding.py
+++ b/src/ebonydeal/_internal/models/forwarding.py
@@ -132,6 +132,14 @@
     idle_timeout: float
 
 
+DEFAULT_CLIENT_LIMITS = ClientLimits(
+    header_bytes=16_384,
+    body_bytes=4 * 1024 * 1024,
+    header_timeout=10.0,
+    idle_timeout=60.0,
+)
+
+
 class RouteTable(NamedTuple):
     """One complete version of the configuration."""
 
--- a/src/ebonydeal/_internal/observe/counters.py
+++ b/src/ebonydeal/_internal/observe/counters.py
@@ -41,6 +41,8 @@
     REQUESTS = "requests"
     ANSWERED = "answered"
     TOKENS_OUT = "tokens_out"
+    CLIENTS_CLOSED_FOR_ROOM = "clients_closed_for_room"
+    CLIENTS_TIMED_OUT = "clients_timed_out"
     TOKENS_RECOMPUTED_RESUME = "tokens_recomputed_resume"
     TOKENS_RECOMPUTED_RECLAIM = "tokens_recomputed_reclaim"
     TOKENS_RECOMPUTED_STALL = "tokens_recomputed_stall"
--- a/src/ebonydeal/_internal/platform/rows.py
+++ b/src/ebonydeal/_internal/platform/rows.py
@@ -7,6 +7,7 @@
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.forwarding import (
+    DEFAULT_CLIENT_LIMITS,
     ClientLimits,
     EngineCapabilities,
     ForwardAccount,
@@ -125,14 +126,20 @@
 
 
 def _limits(message: dict[str, Any]) -> ClientLimits:
+    default = DEFAULT_CLIENT_LIMITS
     return ClientLimits(
-        header_bytes=int(message.get("max_header_bytes") or 16384),
-        body_bytes=int(message.get("max_body_bytes") or 4 * 1024 * 1024),
-        header_timeout=float(message.get("header_timeout_ms") or 10000) / _MS,
-        idle_timeout=float(message.get("idle_timeout_ms") or 60000) / _MS,
+        header_bytes=int(message.get("max_header_bytes") or default.header_bytes),
+        body_bytes=int(message.get("max_body_bytes") or default.body_bytes),
+        header_timeout=_limit_s(message, "header_timeout_ms", default.header_timeout),
+        idle_timeout=_limit_s(message, "idle_timeout_ms", default.idle_timeout),
     )
 
 
+def _limit_s(message: dict[str, Any], name: str, default_s: float) -> float:
+    value = message.get(name)
+    return float(value) / _MS if value else default_s
+
+
 def _account(message: dict[str, Any]) -> ForwardAccount:
     priority = message.get("priority")
     return ForwardAccount(
--- a/src/ebonydeal/_internal/relay/listener.py
+++ b/src/ebonydeal/_internal/relay/listener.py
@@ -1,16 +1,21 @@
 """Listeners of the relay: clients, the balancer, and other relays."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Sequence
 from typing import Any
 
 from aiohttp import web
 
-from ebonydeal._internal.utils.early_listen import LISTEN_BACKLOG, find_listener
-from ebonydeal._internal.utils.supervised import SupervisedService
-from ebonydeal._internal.utils.written_answers import write_out
-
-Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+from ebonydeal._internal.utils.clients.connection import (
+    CHECK_INTERVAL_S,
+    BoundedConnection,
+    BoundedServer,
+    ClientBounds,
+    Handler,
+)
+from ebonydeal._internal.utils.clients.listening import listen
+from ebonydeal._internal.utils.early_listen import bind_listener, find_listener
+from ebonydeal._internal.utils.supervised import SupervisedService, supervised_task
 
 # Far above the idle time that operators allow clients, so that the client always closes
 # the connection, and no request arrives while this side closes it.
@@ -21,13 +26,15 @@
 _CLOSE_TIMEOUT_S = 0.01
 
 
-class _Connection(web.RequestHandler):
+class _Connection(BoundedConnection):
     """A connection that notes when a request begins to arrive on it."""
 
     __slots__ = ("_server",)
 
-    def __init__(self, server: "_Server", **options: Any) -> None:
-        super().__init__(server, **options)
+    def __init__(
+        self, server: "_Server", bounds: ClientBounds | None, **options: Any
+    ) -> None:
+        super().__init__(server, bounds, **options)
         self._server = server
 
     def data_received(self, data: bytes) -> None:
@@ -42,7 +49,7 @@
         super().connection_lost(exc)
 
 
-class _Server(web.Server):
+class _Server(BoundedServer):
     """Connections of a listener.
 
     Attributes
@@ -54,22 +61,22 @@
         Whether requests are still read.
     """
 
-    def __init__(self, handler: Handler, **options: Any) -> None:
-        super().__init__(self._answer, **options)
-        self._answer_request = handler
+    def __init__(
+        self, handler: Handler, bounds: ClientBounds | None, **options: Any
+    ) -> None:
+        super().__init__(handler, bounds, **options)
         self.with_request: set[web.RequestHandler] = set()
         self.reads = True
 
     def __call__(self) -> web.RequestHandler:
         """Return the protocol of a new connection."""
-        return _Connection(self, loop=self._loop, **self._kwargs)
+        return _Connection(self, self._bounds, loop=self._loop, **self._kwargs)
 
     async def _answer(self, http_req: web.BaseRequest) -> web.StreamResponse:
         if http_req.transport is not None:
             # It may have arrived together with the request before it.
             self.with_request.add(http_req.protocol)
-        resp = await self._answer_request(http_req)
-        await write_out(http_req, resp)
+        resp = await super()._answer(http_req)
         if resp.keep_alive:
             self.with_request.discard(http_req.protocol)
         # Else the connection is closed once the rest of the request's body was read.
@@ -94,6 +101,8 @@
         Sockets that already listen; the one on ``address`` is used.
     decompresses : bool
         Whether bodies are decompressed for the handler; clients' bodies are not.
+    bounds : ClientBounds, optional
+        Bounds on what clients hold, for a listener that they reach.
     """
 
     def __init__(
@@ -102,8 +111,10 @@
         address: str,
         opened: Sequence[int] = (),
         decompresses: bool = False,
+        bounds: ClientBounds | None = None,
     ) -> None:
         super().__init__()
+        self._bounds = bounds
         self._opened_socket = find_listener(opened, address)
         host, _sep, port = address.rpartition(":")
         self.host = host
@@ -117,6 +128,7 @@
         """Bind the socket."""
         self._server = _Server(
             self._handler,
+            self._bounds,
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=_KEEPALIVE_TIMEOUT_S,
@@ -125,20 +137,17 @@
             max_field_size=_MAX_FIELD_BYTES,
             auto_decompress=self._decompresses,
         )
-        loop = asyncio.get_running_loop()
-        if self._opened_socket is not None:
-            self._socket = await loop.create_server(
-                self._server, sock=self._opened_socket, backlog=LISTEN_BACKLOG
-            )
-        else:
-            self._socket = await loop.create_server(
-                self._server,
-                self.host,
-                self.port,
-                backlog=LISTEN_BACKLOG,
-                reuse_address=True,
-            )
-        self.port = self._socket.sockets[0].getsockname()[1]
+        sock = self._opened_socket or bind_listener(self.host, self.port)
+        self._socket = await listen(self._server, sock)
+        self.port = sock.getsockname()[1]
+
+    @supervised_task
+    async def _check_connections(self) -> None:
+        """Close connections whose clients take too long."""
+        while self._bounds is not None and not self.should_stop:
+            await self.sleep(CHECK_INTERVAL_S)
+            if self._server is not None:
+                self._server.check_connections()
 
     @property
     def open_requests(self) -> int:
--- a/src/ebonydeal/_internal/relay/peers/handler.py
+++ b/src/ebonydeal/_internal/relay/peers/handler.py
@@ -35,8 +35,9 @@
 from ebonydeal._internal.relay.view.view import RelayView
 from ebonydeal._internal.routing.rollout.traffic_split import TrafficSplit
 from ebonydeal._internal.utils.clock import Clock
+from ebonydeal._internal.utils.error_responses import error_response
 from ebonydeal._internal.utils.peerclient import MIN_COMPRESS_BYTES
-from ebonydeal._internal.utils.web import error_response, read_json
+from ebonydeal._internal.utils.web import read_json
 
 METRICS = "/metrics"
 QUARANTINE = "/quarantine"
--- a/src/ebonydeal/_internal/relay/program.py
+++ b/src/ebonydeal/_internal/relay/program.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 from mode import Service
 
+from ebonydeal._internal.models.forwarding import DEFAULT_CLIENT_LIMITS
 from ebonydeal._internal.models.shared import era_of
 from ebonydeal._internal.observe.counters import Event, Metrics
 from ebonydeal._internal.observe.logs import get_logger
@@ -124,6 +125,9 @@
 from ebonydeal._internal.routing.rollout.traffic_split import TrafficSplit
 from ebonydeal._internal.settings.policy import PolicySettings
 from ebonydeal._internal.settings.relay import RelaySettings
+from ebonydeal._internal.utils.clients.budget import ClientBudget
+from ebonydeal._internal.utils.clients.connection import ClientBounds, RequestLimits
+from ebonydeal._internal.utils.clients.machine import client_budget_config
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.ids import new_token
 from ebonydeal._internal.utils.peerclient import PeerClient
@@ -138,6 +142,11 @@
 # Parts of it for the last report and the last answers.
 _LAST_REPORT_S = 0.2
 _LAST_ANSWERS_S = 0.1
+# Besides its fields, whose size the operators limit, a head has a request line.
+_REQUEST_LINE_BYTES = 8192
+# Clients may reuse connections nearly until their idle timeout. A connection that is
+# closed later than that is closed by its client, and no request arrives meanwhile.
+_IDLE_TIMEOUT_FACTOR = 1.5
 
 
 class RelayProgram(SupervisedService):
@@ -321,7 +330,16 @@
         )
         self._quota = QuotaLimiter(self._limits, clock, bounds, metrics)
         self.intake = Intake(parts, self._quota, self._policy.quota_wait)
-        self.clients = RawListener(self.intake.handle, self._cfg.address, opened)
+        self.clients = RawListener(
+            self.intake.handle,
+            self._cfg.address,
+            opened,
+            bounds=ClientBounds(
+                ClientBudget(client_budget_config(self._node), clock.now),
+                self._client_limits,
+                metrics,
+            ),
+        )
         self._ready = RawListener(self._answer_ready, self._cfg.ready_address, opened)
         self._followers = (
             ConfigTableFollower(
@@ -466,6 +484,18 @@
         self._fleet.target_version = self._rollouts.target_version
         self._fleet.engine_speed = self._selector.speeds.speed
 
+    def _client_limits(self) -> RequestLimits:
+        """Return the limits of clients' requests, as of the configuration."""
+        index = self.view.index
+        limits = DEFAULT_CLIENT_LIMITS if index is None else index.table.limits
+        return RequestLimits(
+            limits.header_bytes + _REQUEST_LINE_BYTES,
+            limits.body_bytes,
+            limits.header_timeout,
+            limits.idle_timeout * _IDLE_TIMEOUT_FACTOR,
+            self._cfg.unread_s,
+        )
+
     def _build_coordinator(
         self, ports: RelayPorts, bounds: QuotaBounds, incarnation: str
     ) -> Coordinator:
--- a/src/ebonydeal/_internal/relay/requests/answer_memory.py
+++ b/src/ebonydeal/_internal/relay/requests/answer_memory.py
@@ -3,7 +3,7 @@
 An answer is held until it is whole, or an event until its end. Either may never end.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 from ebonydeal._internal.settings.relay import RelaySettings
@@ -14,6 +14,10 @@
 _BYTES_PER_MB = 1_000_000
 
 
+def hold_nothing(_size: int) -> None:
+    """Do nothing with the size of an answer."""
+
+
 class AnswerMemory:
     """The memory for answers of all requests.
 
@@ -39,9 +43,15 @@
         )
 
     @contextmanager
-    def hold(self) -> Iterator["HeldAnswer"]:
-        """Account for one answer until the end of the block."""
-        held = HeldAnswer(self)
+    def hold(
+        self, for_client: Callable[[int], None] = hold_nothing
+    ) -> Iterator["HeldAnswer"]:
+        """Account for one answer until the end of the block.
+
+        ``for_client`` is called with its size; the client that it is for holds it until
+        it has taken it.
+        """
+        held = HeldAnswer(self, for_client)
         try:
             yield held
         finally:
@@ -63,8 +73,9 @@
 class HeldAnswer:
     """The bytes of one answer that are held."""
 
-    def __init__(self, memory: AnswerMemory) -> None:
+    def __init__(self, memory: AnswerMemory, for_client: Callable[[int], None]) -> None:
         self._memory = memory
+        self._for_client = for_client
         self.size = 0
 
     def resize(self, size: int) -> None:
@@ -72,3 +83,4 @@
         self._memory.total += size - self.size
         self.size = size
         self._memory.check(size)
+        self._for_client(size)
--- a/src/ebonydeal/_internal/relay/requests/intake.py
+++ b/src/ebonydeal/_internal/relay/requests/intake.py
@@ -1,6 +1,7 @@
 """Accepts clients' requests as jobs, has them forwarded, and answers."""
 
 import asyncio
+from collections.abc import Callable
 
 from aiohttp import web
 
@@ -13,6 +14,7 @@
 )
 from ebonydeal._internal.observe.counters import Event, Timing
 from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.relay.requests.answer_memory import hold_nothing
 from ebonydeal._internal.relay.requests.answers import error_answer
 from ebonydeal._internal.relay.requests.job import Job, SendParts
 from ebonydeal._internal.relay.requests.plain import PlainForwarder
@@ -20,7 +22,9 @@
 from ebonydeal._internal.relay.requests.stream import StreamForwarder
 from ebonydeal._internal.routing.crashes.request_traits import RequestTraits
 from ebonydeal._internal.routing.placement.route_index import RouteIndex, pick_service
+from ebonydeal._internal.utils.clients.connection import BoundedConnection
 from ebonydeal._internal.utils.request_digest import RequestDigest
+from ebonydeal._internal.utils.tracebacks import drop_frames
 from ebonydeal._internal.utils.written_answers import write_out
 
 logger = get_logger("relay.intake")
@@ -109,6 +113,7 @@
             outcome=str(error.outcome),
             detail=error.detail,
         )
+        drop_frames(error)
         resp = error_answer(error, time_left)
         if error.kind is ErrorKind.BAD_REQUEST:
             resp.force_close()
@@ -139,6 +144,11 @@
             self._parts.stop.check(route, deadline)
             detail = "the body did not arrive in time"
             raise EbonydealError(ErrorKind.SLOW_SENDER, detail) from None
+        conn = http_req.protocol
+        hold_answer: Callable[[int], None] = hold_nothing
+        if isinstance(conn, BoundedConnection):
+            conn.accept()
+            hold_answer = conn.hold_answer
         part_ids = [part.part_id for part in req.parts]
         traits = RequestTraits.of_prompt(digest.hexdigest(), name, part_ids)
         # A quarantined request won't run, so it mustn't use up its account's limit.
@@ -160,6 +170,7 @@
             deadline=deadline,
             traits=traits,
             admission=admission,
+            hold_answer=hold_answer,
         )
 
     async def _wait_for_config(self, started: float) -> RouteIndex:
--- a/src/ebonydeal/_internal/relay/requests/job.py
+++ b/src/ebonydeal/_internal/relay/requests/job.py
@@ -1,5 +1,6 @@
 """One accepted request of a forwarded route, and the collaborators of its sends."""
 
+from collections.abc import Callable
 from random import Random
 from typing import NamedTuple
 
@@ -19,7 +20,10 @@
 from ebonydeal._internal.relay.peers.stream_versions import StreamVersions
 from ebonydeal._internal.relay.ports import Wire
 from ebonydeal._internal.relay.requests.answer_end import AnswerEndChecker
-from ebonydeal._internal.relay.requests.answer_memory import AnswerMemory
+from ebonydeal._internal.relay.requests.answer_memory import (
+    AnswerMemory,
+    hold_nothing,
+)
 from ebonydeal._internal.relay.requests.connections import EndpointPools
 from ebonydeal._internal.relay.requests.endpoint_paths import EndpointPaths
 from ebonydeal._internal.relay.requests.migrations import StreamMigrator
@@ -47,7 +51,8 @@
 
     ``started`` and ``deadline`` are monotonic seconds; ``deadline`` is the earlier
     of the client's deadline and the route's timeout. ``admission`` is the admission
-    by the rate limit of its client account.
+    by the rate limit of its client account. ``hold_answer`` is called with the bytes of
+    its answer that are held for the client.
     """
 
     req: ForwardedRequest
@@ -59,6 +64,7 @@
     deadline: float
     traits: RequestTraits = RequestTraits("")
     admission: Admission | None = None
+    hold_answer: Callable[[int], None] = hold_nothing
 
     @property
     def at_most_once(self) -> bool:
--- a/src/ebonydeal/_internal/relay/requests/sends.py
+++ b/src/ebonydeal/_internal/relay/requests/sends.py
@@ -467,7 +467,7 @@
     async def read_all(self, exchange: Exchange) -> bytes:
         """Return the complete body; raises as `Exchange.read_some`, or if too large."""
         body = bytearray()
-        with self._parts.answer_memory.hold() as held:
+        with self._parts.answer_memory.hold(self.job.hold_answer) as held:
             while data := await exchange.read_some():
                 body += data
                 held.resize(len(body))
--- a/src/ebonydeal/_internal/relay/requests/stream.py
+++ b/src/ebonydeal/_internal/relay/requests/stream.py
@@ -89,7 +89,7 @@
 
     async def answer(self, job: Job, http_req: web.BaseRequest) -> web.StreamResponse:
         """Forward the stream; raises the final error if nothing was forwarded."""
-        with self._parts.answer_memory.hold() as held:
+        with self._parts.answer_memory.hold(job.hold_answer) as held:
             client = _ClientStream(http_req, EventSplitter(held), self._parts.stop)
             return await self._forward(job, client)
 
--- a/src/ebonydeal/_internal/settings/gateway.py
+++ b/src/ebonydeal/_internal/settings/gateway.py
@@ -17,6 +17,12 @@
     max_header_bytes: Annotated[
         int, Key("Maximum size of a request header line.", "bytes", 1024, 65536)
     ] = 8190
+    max_head_bytes: Annotated[
+        int, Key("Maximum size of a request's whole head.", "bytes", 1024, 1 << 24)
+    ] = 65_536
+    head_seconds: Annotated[
+        float, Key("Timeout for receiving a request's head.", "seconds", 0.1, 3600)
+    ] = 30.0
     body_seconds: Annotated[
         float, Key("Timeout for receiving a request body.", "seconds", 0.1, 3600)
     ] = 30.0
--- a/src/ebonydeal/_internal/settings/relay.py
+++ b/src/ebonydeal/_internal/settings/relay.py
@@ -84,6 +84,10 @@
             10_000,
         ),
     ] = 8.0
+    unread_s: Annotated[
+        float,
+        Key("Timeout of a client that takes no byte of an answer.", "seconds", 1, 3600),
+    ] = 60.0
     max_answers_mb: Annotated[
         float,
         Key(
--- a/src/ebonydeal/_internal/settings/sections.py
+++ b/src/ebonydeal/_internal/settings/sections.py
@@ -17,6 +17,26 @@
     drain_seconds: Annotated[
         float, Key("Timeout of a graceful shutdown.", "seconds", 0, 3600)
     ] = 120.0
+    memory_mb: Annotated[
+        float,
+        Key(
+            "Memory of this process; client connections may hold a quarter of it. "
+            "0: the machine's.",
+            "MB",
+            0,
+            1e9,
+        ),
+    ] = 0.0
+    max_descriptors: Annotated[
+        int,
+        Key(
+            "Descriptors of this process; client connections may use three quarters "
+            "of them, less 200 for files. 0: the limit set by the system.",
+            "",
+            0,
+            1 << 30,
+        ),
+    ] = 0
 
 
 class PlatformSettings(NamedTuple):
--- a/src/ebonydeal/_internal/utils/close_delimited.py
+++ b/src/ebonydeal/_internal/utils/close_delimited.py
@@ -6,7 +6,7 @@
 from aiohttp.abc import AbstractStreamWriter
 
 from ebonydeal._internal.utils.linger import set_reset_on_close
-from ebonydeal._internal.utils.written_answers import flush
+from ebonydeal._internal.utils.written_answers import flush, write_parts
 
 
 class CloseDelimitedResponse(web.StreamResponse):
@@ -30,7 +30,10 @@
 
     async def write_eof(self, data: bytes = b"") -> None:
         """Write the body, and end the response."""
-        await super().write_eof(self._final_body)
+        # The library ends a response that has ended once more.
+        body, self._final_body = self._final_body, b""
+        await write_parts(self, body)
+        await super().write_eof()
 
 
 class ResetUntilWrittenResponse(CloseDelimitedResponse):
--- a/src/ebonydeal/_internal/utils/early_listen.py
+++ b/src/ebonydeal/_internal/utils/early_listen.py
@@ -17,6 +17,9 @@
 _OPTION = "--settings"
 # Maximum number of connections that wait to be accepted.
 LISTEN_BACKLOG = 1024
+# Size of the system's receive buffer of each accepted connection. Bytes that have
+# arrived and aren't read count as the process's memory.
+RECEIVE_BUFFER_BYTES = 16_384
 
 
 def open_listeners(args: Sequence[str], section: str, keys: Sequence[str]) -> list[int]:
@@ -52,19 +55,31 @@
         host, _sep, port = address.rpartition(":")
         if not host or not port.isdigit() or int(port) == 0:
             continue
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            sock.bind((host, int(port)))
-            sock.listen(LISTEN_BACKLOG)
+            sock = bind_listener(host, int(port))
         except OSError:
-            sock.close()
             continue
-        sock.setblocking(False)
         opened.append(sock.detach())
     return opened
 
 
+def bind_listener(host: str, port: int) -> socket.socket:
+    """Return a listening socket; raises OSError if the address can't be used."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted connections inherit it.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        sock.bind((host, port))
+        sock.listen(LISTEN_BACKLOG)
+    except OSError:
+        sock.close()
+        raise
+    sock.setblocking(False)
+    return sock
+
+
 def find_listener(opened: Sequence[int], address: str) -> socket.socket | None:
     """Return the socket among ``opened`` that listens on ``address``, or None."""
     for fd in opened:
--- a/src/ebonydeal/_internal/utils/web.py
+++ b/src/ebonydeal/_internal/utils/web.py
@@ -4,6 +4,7 @@
 import json
 from collections.abc import Awaitable, Callable
 from ssl import SSLContext
+from typing import Any
 
 from aiohttp import web
 from mode import Service
@@ -11,6 +12,18 @@
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.observe.counters import Metrics
 from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.utils.clients.connection import (
+    CHECK_INTERVAL_S,
+    BoundedServer,
+    ClientBounds,
+)
+from ebonydeal._internal.utils.clients.listening import (
+    ACCEPTS_PER_TURN,
+    lengthen_backlog,
+)
+from ebonydeal._internal.utils.early_listen import bind_listener
+from ebonydeal._internal.utils.error_responses import error_response
+from ebonydeal._internal.utils.tracebacks import drop_frames
 
 logger = get_logger("web")
 
@@ -22,14 +35,6 @@
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
-def error_response(exc: EbonydealError) -> web.Response:
-    """Return the response that the error table defines for ``exc``."""
-    headers = {"X-Outcome": str(exc.outcome)}
-    if exc.retry_delay is not None:
-        headers["Retry-After"] = str(max(0, round(exc.retry_delay + 0.499)))
-    return web.json_response(exc.to_body(), status=exc.response.status, headers=headers)
-
-
 def _from_http(exc: web.HTTPException) -> EbonydealError:
     """Convert an error raised by aiohttp itself."""
     match exc.status:
@@ -45,23 +50,26 @@
 def error_middleware(metrics: Metrics) -> Callable:
     """Return a middleware that answers and counts every error."""
 
+    def refuse(error: EbonydealError) -> web.Response:
+        metrics.count_refusal(error.kind)
+        drop_frames(error)
+        return error_response(error)
+
     @web.middleware
     async def middleware(req: web.Request, handler: Handler) -> web.StreamResponse:
         try:
             return await handler(req)
         except EbonydealError as exc:
-            error = exc
+            return refuse(exc)
         except web.HTTPException as exc:
             if exc.status < 400:
                 raise
-            error = _from_http(exc)
+            return refuse(_from_http(exc))
         except asyncio.CancelledError:
             raise
         except Exception as exc:
             logger.error("Request handler failed.", path=req.path, exc_info=exc)
-            error = EbonydealError(ErrorKind.INTERNAL, "an internal error")
-        metrics.count_refusal(error.kind)
-        return error_response(error)
+            return refuse(EbonydealError(ErrorKind.INTERNAL, "an internal error"))
 
     return middleware
 
@@ -98,6 +106,28 @@
     return app
 
 
+class _Runner(web.AppRunner):
+    """Runs an application whose connections are bounded."""
+
+    def __init__(
+        self, app: web.Application, bounds: ClientBounds | None, **options: Any
+    ) -> None:
+        super().__init__(app, **options)
+        self._bounds = bounds
+
+    async def _make_server(self) -> web.Server:
+        server = await super()._make_server()
+        if self._bounds is None:
+            return server
+        return BoundedServer(
+            server.request_handler,
+            self._bounds,
+            request_factory=server.request_factory,
+            handler_cancellation=server.handler_cancellation,
+            **server._kwargs,
+        )
+
+
 class HttpServer(Service):
     """Owns one listening socket and its connections.
 
@@ -115,6 +145,8 @@
         Timeout of idle connections, seconds.
     max_header : int
         Maximum size of the request line and of one header field, bytes.
+    bounds : ClientBounds, optional
+        Bounds on what clients hold, for a listener that they reach.
     """
 
     def __init__(
@@ -127,6 +159,7 @@
         drain_seconds: float = 60.0,
         idle_seconds: float = _KEEPALIVE_S,
         max_header: int = _MAX_HEADER_BYTES,
+        bounds: ClientBounds | None = None,
     ) -> None:
         super().__init__()
         self.app = app
@@ -136,6 +169,7 @@
         self._drain = drain_seconds
         self._idle = idle_seconds
         self._max_header = max_header
+        self._bounds = bounds
         self._runner: web.AppRunner | None = None
 
     @property
@@ -145,8 +179,9 @@
 
     async def on_start(self) -> None:
         """Bind the socket and start accepting."""
-        self._runner = web.AppRunner(
+        self._runner = _Runner(
             self.app,
+            self._bounds,
             access_log=None,
             shutdown_timeout=self._drain,
             keepalive_timeout=self._idle,
@@ -156,9 +191,22 @@
             handler_cancellation=True,
         )
         await self._runner.setup()
-        site = web.TCPSite(self._runner, self.host, self.port, ssl_context=self._ssl)
+        sock = bind_listener(self.host, self.port)
+        site = web.SockSite(
+            self._runner, sock, ssl_context=self._ssl, backlog=ACCEPTS_PER_TURN
+        )
         await site.start()
-        self.port = self._runner.addresses[0][1]
+        lengthen_backlog(sock)
+        self.port = sock.getsockname()[1]
+
+    @Service.task
+    async def _check_connections(self) -> None:
+        """Close connections whose clients take too long."""
+        while not self.should_stop:
+            await self.sleep(CHECK_INTERVAL_S)
+            server = None if self._runner is None else self._runner.server
+            if isinstance(server, BoundedServer):
+                server.check_connections()
 
     async def on_stop(self) -> None:
         """Stop accepting, wait for open requests, then close."""
--- a/tests/functional/standin/test_load.py
+++ b/tests/functional/standin/test_load.py
@@ -13,7 +13,8 @@
 from ebonydeal._internal.standin.check import Violation, check
 from ebonydeal._internal.standin.load import LoadRun, LoadSpec
 from ebonydeal._internal.standin.server import StandinServer, abort_connection
-from ebonydeal._internal.utils.web import error_response, new_app
+from ebonydeal._internal.utils.error_responses import error_response
+from ebonydeal._internal.utils.web import new_app
 from tests.lib.fakes_endpoints import running
 
 STREAM = chat_call(CallKind.STREAM, "s-1", "covers", "a prompt", 6)
