--- a/src/ebonydeal/_internal/utils/clients/connection.py
+++ b/src/ebonydeal/_internal/utils/clients/connection.py
@@ -128,6 +128,7 @@
         self._counted_body = 0
         # Bytes that arrived and belong to no complete head or body.
         self._framing = 0
+        # When a head began to arrive that isn't complete.
         self._head_since: float | None = None
         self._answer_bytes = 0
         self._arrival_paused = False
@@ -183,7 +184,7 @@
         if self._unsent:
             return Phase.CLIENT
         if not self._open_requests:
-            return Phase.CLIENT if self._framing else Phase.IDLE
+            return Phase.IDLE if self._head_since is None else Phase.CLIENT
         arrived = self._open_requests[0].payload.is_eof()
         return Phase.AT_WORK if arrived else Phase.CLIENT
 
@@ -267,7 +268,7 @@
         if self._bounds is None or self._usage is None:
             super().data_received(data)
             return
-        if self._discards:
+        if self._discards or self._close or self._force_close:
             return
         if data and self.phase() is Phase.IDLE:
             self._usage.since = self._loop.time()
@@ -291,14 +292,15 @@
                 self._drop_rest(index, msg)
                 break
             self._note_request(index, msg, payload)
-        if count and (new or self._last_payload.is_eof() != was_complete):
+        is_complete = self._last_payload.is_eof()
+        if count and (new or is_complete != was_complete):
             # What follows a boundary came with this read, or is kept by the parser.
             self._framing = min(self._framing, count)
         self._framing = max(0, self._framing)
-        in_head = self._framing and self._last_payload.is_eof() and not self._messages
-        if not in_head or self._open_requests:
+        if new or not (was_complete and is_complete):
+            # What remains may be framing of the body that was just completed.
             self._head_since = None
-        elif self._head_since is None:
+        elif count and not self._open_requests and self._head_since is None:
             self._head_since = self._loop.time()
 
     def _note_request(
@@ -386,7 +388,7 @@
         """Whether the system's buffer may hold bytes that weren't read."""
         if self._reading_paused or self._buffer_paused:
             return True
-        return bool(self._framing) or not self._last_payload.is_eof()
+        return self._head_since is not None or not self._last_payload.is_eof()
 
     def _update(self) -> None:
         if self._bounds is not None and self._usage is not None:
