Let a new connection take the place of the oldest without a request

Cause: beyond the number of connections the idle ones were closed first, and a new connection is idle: it was the only one. Now the one that has been without a whole head for longest goes first, then the oldest that waits for its client; a new one is closed only where all others have requests at work.

Also found by reading: a handler that goes on after its connection was closed for room would have kept all others unread until its end; that now lasts 0.5 s at most. Peers' connections read ahead as much as before. Times of one budget come from one clock.

--- a/src/ebonydeal/_internal/settings/relay.py
+++ b/src/ebonydeal/_internal/settings/relay.py
@@ -87,7 +87,7 @@
     unread_s: Annotated[
         float,
         Key("Timeout of a client that takes no byte of an answer.", "seconds", 1, 3600),
-    ] = 60.0
+    ] = 120.0
     max_answers_mb: Annotated[
         float,
         Key(
--- a/src/ebonydeal/_internal/utils/clients/budget.py
+++ b/src/ebonydeal/_internal/utils/clients/budget.py
@@ -30,8 +30,9 @@
 class Phase(StrEnum):
     """What a connection is doing."""
 
+    # It has no request, or not yet a whole head of one.
     IDLE = "idle"
-    # A request arrives, or an answer isn't taken: it is the client's turn.
+    # A body arrives, or an answer isn't taken: it is the client's turn.
     CLIENT = "client"
     AT_WORK = "at work"
 
@@ -50,7 +51,7 @@
         """Return what it is doing."""
 
     def abandon(self, reason: CloseReason, freed: Callable[[], None]) -> None:
-        """Close it, whatever it holds; ``freed`` is called once that is free."""
+        """Close it, whatever it holds; ``freed`` is called when that is free."""
 
     def pause_arrival(self) -> None:
         """Read nothing from the client until `resume_arrival`."""
@@ -116,17 +117,17 @@
     cfg : BudgetConfig
         Limits.
     now : callable
-        Returns monotonic seconds.
+        Returns monotonic seconds; also for the connections.
     """
 
     def __init__(self, cfg: BudgetConfig, now: Callable[[], float]) -> None:
         self._cfg = cfg
-        self._now = now
+        self.now = now
         self._usages: set[Usage] = set()
         self._held = 0
         self._accepted = 0
         # Held by connections that are being closed, and whether others are paused.
-        self._closing = 0
+        self._closing: dict[Usage, int] = {}
         self._is_paused = False
 
     @property
@@ -141,12 +142,12 @@
 
     def open(self, conn: BudgetedConnection) -> Usage:
         """Add a connection; if there are too many, one is closed."""
-        usage = Usage(conn, self._now())
+        usage = Usage(conn, self.now())
         self._usages.add(usage)
         if self._is_paused:
             conn.pause_arrival()
         if len(self._usages) > self._cfg.max_connections:
-            self._close(self._least_needed(), CloseReason.CONNECTIONS)
+            self._close(self._least_needed(usage), CloseReason.CONNECTIONS)
         self._enforce()
         return usage
 
@@ -186,38 +187,47 @@
     def _close(self, usage: Usage, reason: CloseReason) -> None:
         held = usage.held
         self.close(usage)
-        self._closing += held
-        usage.conn.abandon(reason, lambda: self._freed(held))
+        self._closing[usage] = held
+        usage.conn.abandon(reason, lambda: self._freed(usage))
 
-    def _freed(self, size: int) -> None:
-        """Note that a closed connection no longer holds so many bytes."""
-        self._closing -= size
-        if self._is_paused and self.total + self._closing <= self._cfg.max_bytes:
+    def _freed(self, usage: Usage) -> None:
+        """Note that what a closed connection held is free."""
+        self._closing.pop(usage, None)
+        if self._is_paused and self._fits:
             self._is_paused = False
             for usage in self._usages:
                 usage.conn.resume_arrival()
 
+    @property
+    def _fits(self) -> bool:
+        """Whether there is room for all, also for what is being closed."""
+        return self.total + sum(self._closing.values()) <= self._cfg.max_bytes
+
     def _pause(self) -> None:
         """Read nothing while closed connections still hold what others would add.
 
         One turn of the event loop reads from all connections that have sent something,
         and it takes a few turns to close one.
         """
-        if self._is_paused or self.total + self._closing <= self._cfg.max_bytes:
+        if self._is_paused or self._fits:
             return
         self._is_paused = True
         for usage in self._usages:
             if usage.conn.phase() is not Phase.AT_WORK:
                 usage.conn.pause_arrival()
 
-    def _least_needed(self) -> Usage:
-        """Return the connection to close if there are too many.
+    def _least_needed(self, new: Usage) -> Usage:
+        """Return the connection to close if there are too many with a new one.
 
-        The one that has been idle for longest, or else the oldest on whose client the
-        process waits. A new connection is the last choice before requests at work.
+        The one that has been without a request for longest, or else the oldest on whose
+        client the process waits. Requests at work aren't closed for a new connection.
         """
-        phases = {Phase.IDLE: 0, Phase.CLIENT: 1, Phase.AT_WORK: 2}
-        return min(self._usages, key=lambda u: (phases[u.conn.phase()], u.since))
+        order = {Phase.IDLE: 0, Phase.CLIENT: 1, Phase.AT_WORK: 3}
+
+        def rank(usage: Usage) -> tuple[int, float]:
+            return 2 if usage is new else order[usage.conn.phase()], usage.since
+
+        return min(self._usages, key=rank)
 
     def _enforce(self) -> None:
         """Close connections while all together hold too much.
@@ -227,7 +237,7 @@
         """
         if self.total <= self._cfg.max_bytes:
             return
-        now = self._now()
+        now = self.now()
 
         def cost(usage: Usage) -> tuple[bool, float]:
             at_work = usage.conn.phase() is Phase.AT_WORK
--- a/src/ebonydeal/_internal/utils/clients/connection.py
+++ b/src/ebonydeal/_internal/utils/clients/connection.py
@@ -8,7 +8,6 @@
 import asyncio
 from collections import deque
 from collections.abc import Awaitable, Callable
-from itertools import islice
 from typing import Any, NamedTuple
 
 from aiohttp import web
@@ -49,6 +48,8 @@
 _LINE_BYTES = 12
 _FIELD_BYTES = 4
 _MAX_DETAIL_CHARS = 200
+# Time after which what a closed connection held counts as free.
+_MAX_CLOSE_S = 0.5
 # Between two checks of connections whose clients may take too long.
 CHECK_INTERVAL_S = 1.0
 
@@ -117,7 +118,8 @@
     def __init__(
         self, manager: web.Server, bounds: ClientBounds | None, **options: Any
     ) -> None:
-        options["read_bufsize"] = _READ_BYTES
+        if bounds is not None:
+            options["read_bufsize"] = _READ_BYTES
         super().__init__(manager, **options)
         self._bounds = bounds
         self._usage: Usage | None = None
@@ -180,11 +182,11 @@
         self._last_payload = EMPTY_PAYLOAD
 
     def phase(self) -> Phase:
-        """Return whether it is idle, waits for its client, or has a request at work."""
+        """Return whether it has no request, waits for its client, or is at work."""
         if self._unsent:
             return Phase.CLIENT
         if not self._open_requests:
-            return Phase.IDLE if self._head_since is None else Phase.CLIENT
+            return Phase.IDLE
         arrived = self._open_requests[0].payload.is_eof()
         return Phase.AT_WORK if arrived else Phase.CLIENT
 
@@ -203,10 +205,10 @@
         )
         task = self._task_handler
         self._abort()
-        if task is None:
-            self._loop.call_soon(freed)
-        else:
+        if task is not None:
             task.add_done_callback(lambda _task: freed())
+        # Others aren't read meanwhile, so a handler that goes on must not delay them.
+        self._loop.call_later(_MAX_CLOSE_S, freed)
 
     def _abort(self) -> None:
         """Close the connection, and drop what it holds."""
@@ -233,11 +235,11 @@
         if not self._arrival_paused:
             super()._resume_transport_reading()
 
-    def check(self, now: float) -> None:
+    def check(self) -> None:
         """Close the connection if its client takes too long."""
         if self._bounds is None or self.transport is None or self._usage is None:
             return
-        limits = self._bounds.limits()
+        now, limits = self._bounds.budget.now(), self._bounds.limits()
         if self._head_since is not None:
             if now - self._head_since > limits.head_timeout:
                 detail = f"the head took longer than {limits.head_timeout:g} s"
@@ -270,8 +272,8 @@
             return
         if self._discards or self._close or self._force_close:
             return
-        if data and self.phase() is Phase.IDLE:
-            self._usage.since = self._loop.time()
+        if data and self._head_since is None and self.phase() is Phase.IDLE:
+            self._usage.since = self._bounds.budget.now()
         super().data_received(data)
         self._count_arrived(len(data))
         self._check_size()
@@ -285,13 +287,13 @@
         new = self._request_count - self._noted_requests
         self._noted_requests = self._request_count
         first = max(0, len(self._messages) - new)
-        for index, (msg, payload) in enumerate(
-            islice(list(self._messages), first, None), first
-        ):
+        for index, (msg, payload) in enumerate(list(self._messages)[first:], first):
             if isinstance(msg, _ErrInfo):
                 self._drop_rest(index, msg)
+            else:
+                self._note_request(index, msg, payload)
+            if self._discards:
                 break
-            self._note_request(index, msg, payload)
         is_complete = self._last_payload.is_eof()
         if count and (new or is_complete != was_complete):
             # What follows a boundary came with this read, or is kept by the parser.
@@ -301,7 +303,8 @@
             # What remains may be framing of the body that was just completed.
             self._head_since = None
         elif count and not self._open_requests and self._head_since is None:
-            self._head_since = self._loop.time()
+            assert self._bounds is not None
+            self._head_since = self._bounds.budget.now()
 
     def _note_request(
         self, index: int, msg: RawRequestMessage, payload: StreamReader
@@ -440,7 +443,7 @@
         self._answer_bytes = 0
         if self._bounds is not None and self._usage is not None:
             self._bounds.budget.finish(self._usage)
-            self._usage.since = self._loop.time()
+            self._usage.since = self._bounds.budget.now()
         self._update()
 
     def handle_error(
@@ -512,7 +515,6 @@
 
     def check_connections(self) -> None:
         """Close connections whose clients take too long."""
-        now = self._loop.time()
         for conn in list(self._connections):
             if isinstance(conn, BoundedConnection):
-                conn.check(now)
+                conn.check()
--- a/tests/functional/crowds/test_gateway.py
+++ b/tests/functional/crowds/test_gateway.py
@@ -1,8 +1,8 @@
 """Clients that don't behave, at one gateway; the relay's tests say what goes wrong."""
 
-import asyncio
 import json
 from contextlib import asynccontextmanager
+from functools import partial
 
 import pytest
 from aiohttp import ClientError
@@ -15,6 +15,7 @@
     Misbehaviour,
     Requests,
     fields,
+    is_answered,
 )
 from tests.lib.process_usage import UsageWatch
 
@@ -24,8 +25,6 @@
 # The instance's memory, by the settings of these tests.
 MEMORY_MB = 128
 LARGE_BODY_BYTES = 4 * MB
-MAX_TRIES = 10
-RETRY_DELAY_S = 0.5
 REQUESTS = Requests(
     "Host: gateway\r\nContent-Type: application/json\r\n"
     f"Authorization: {AUTH['Authorization']}\r\n"
@@ -98,17 +97,13 @@
 }
 
 
-async def is_answered(cluster, body):
-    """Return whether an ordinary request is answered, if need be after retries."""
-    for _ in range(MAX_TRIES):
-        try:
-            status, answer = await cluster.post(CHAT, body)
-            if status == 200 and answer["choices"]:
-                return True
-        except (ClientError, OSError, TimeoutError):
-            pass
-        await asyncio.sleep(RETRY_DELAY_S)
-    return False
+async def ask(cluster):
+    """Return whether an ordinary request is answered at the first try."""
+    try:
+        status, answer = await cluster.post(CHAT, chat())
+    except (ClientError, OSError, TimeoutError):
+        return False
+    return status == 200 and bool(answer["choices"])
 
 
 @pytest.fixture(autouse=True)
@@ -125,14 +120,14 @@
     max_descriptors = crowd.max_descriptors
     monkeypatch.setenv("EBONYDEAL_NODE_MAX_DESCRIPTORS", str(max_descriptors))
     async with Cluster(folder, gateways=1, journals=1) as cluster:
-        assert await is_answered(cluster, chat())
+        assert await is_answered(partial(ask, cluster))
         gateway = cluster.gateways[0]
         clients = Crowd(gateway.port)
         async with UsageWatch(gateway.process.pid, gateway.port) as usage:
             await clients.behave(crowd.connections, crowd.behaviour(REQUESTS))
             yield cluster
             await clients.close()
-            assert await is_answered(cluster, chat())
+            assert await is_answered(partial(ask, cluster))
         assert gateway.process.returncode is None
         assert usage.most_bytes <= MEMORY_MB * MB
         assert usage.most_descriptors <= max_descriptors
@@ -144,7 +139,7 @@
         self, what, tmp_path, monkeypatch
     ):
         async with gateway_under(tmp_path, CROWDS[what], monkeypatch) as cluster:
-            assert await is_answered(cluster, chat())
+            assert await is_answered(partial(ask, cluster))
 
 
 class TestCalm:
--- a/tests/functional/crowds/test_relay.py
+++ b/tests/functional/crowds/test_relay.py
@@ -5,10 +5,10 @@
 instance's is killed, with all requests at work.
 """
 
-import asyncio
 import json
 import uuid
 from contextlib import AsyncExitStack, asynccontextmanager
+from functools import partial
 from random import Random
 
 import pytest
@@ -39,6 +39,7 @@
     Misbehaviour,
     Requests,
     fields,
+    is_answered,
 )
 from tests.lib.process_usage import UsageWatch
 
@@ -53,8 +54,6 @@
 # Within the largest head of the configuration, with a sound request's other fields.
 LARGE_HEAD = {f"X-Pad-{number}": "p" * 3_000 for number in range(5)}
 TIMEOUT_S = 60.0
-MAX_TRIES = 10
-RETRY_DELAY_S = 0.5
 REQUESTS = Requests(
     f"Host: {HOST}\r\nAuthorization: Bearer {ACCOUNT.key}\r\n"
     "Ebonydeal-Request-Id: 00c0ffee00c0ffee\r\nEbonydeal-Deadline-Ms: 20000\r\n"
@@ -199,18 +198,6 @@
         yield relay
 
 
-async def is_answered(relay, body=b"", extra=None):
-    """Return whether an ordinary request is answered, if need be after retries.
-
-    It may be repeated: while a crowd is there it may be refused, or late.
-    """
-    for _ in range(MAX_TRIES):
-        if await ask(relay, body, extra):
-            return True
-        await asyncio.sleep(RETRY_DELAY_S)
-    return False
-
-
 async def ask(relay, body=b"", extra=None):
     """Return whether a request gets its own answer, at the first try."""
     rid = uuid.uuid4().hex[:16]
@@ -242,7 +229,7 @@
     body_bytes = max(crowd.body_bytes for _count, crowd in crowds)
     monkeypatch.setenv("EBONYDEAL_NODE_MAX_DESCRIPTORS", str(max_descriptors))
     async with running_relay(folder, body_bytes) as relay:
-        assert await is_answered(relay)
+        assert await is_answered(partial(ask, relay))
         pid, port = relay.pid, int(relay.address.rpartition(":")[2])
         clients = [Crowd(port) for _ in crowds]
         async with UsageWatch(pid, port) as usage:
@@ -251,8 +238,8 @@
             yield relay
             for client in clients:
                 await client.close()
-            assert await is_answered(relay)
-            assert await is_answered(relay, b"b" * body_bytes, LARGE_HEAD)
+            assert await is_answered(partial(ask, relay))
+            assert await is_answered(partial(ask, relay, b"b" * body_bytes, LARGE_HEAD))
         assert relay.pid == pid
         assert usage.most_bytes <= MEMORY_MB * MB
         assert usage.most_descriptors <= max_descriptors
@@ -265,7 +252,7 @@
     ):
         crowds = [(CROWDS[what].connections, CROWDS[what])]
         async with relay_under(tmp_path, crowds, monkeypatch) as relay:
-            assert await is_answered(relay)
+            assert await is_answered(partial(ask, relay))
 
     async def test_several_kinds_side_by_side(self, tmp_path, monkeypatch):
         crowds = [
@@ -273,7 +260,7 @@
             for what, count in MIXED.items()
         ]
         async with relay_under(tmp_path, crowds, monkeypatch) as relay:
-            assert await is_answered(relay)
+            assert await is_answered(partial(ask, relay))
 
 
 class TestCalm:
--- a/tests/lib/misbehaving_clients.py
+++ b/tests/lib/misbehaving_clients.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 import struct
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from typing import NamedTuple
 
@@ -15,6 +15,8 @@
 _CONNECT_TIMEOUT_S = 10.0
 _READ_INTERVAL_S = 0.02
 _ROUND_PAUSE_S = 0.005
+_MAX_TRIES = 10
+_RETRY_DELAY_S = 0.5
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -121,6 +123,18 @@
             await asyncio.sleep(_READ_INTERVAL_S)
 
 
+async def is_answered(ask: Callable[[], Awaitable[bool]]) -> bool:
+    """Return whether an ordinary request is answered, if need be after retries.
+
+    It may be repeated: while a crowd is there it may be refused, or late.
+    """
+    for _ in range(_MAX_TRIES):
+        if await ask():
+            return True
+        await asyncio.sleep(_RETRY_DELAY_S)
+    return False
+
+
 class Requests:
     """Requests of misbehaving clients, as bytes.
 
--- a/tests/unit/utils/clients/test_budget.py
+++ b/tests/unit/utils/clients/test_budget.py
@@ -130,6 +130,22 @@
         assert idle.closed is CloseReason.CONNECTIONS
         assert (busy.closed, later.closed, new.closed) == (None, None, None)
 
+    def test_a_new_one_takes_the_place_of_the_oldest_that_waits_for_its_client(self):
+        clients = Clients(max_connections=2)
+        busy, _ = clients.open(phase=Phase.AT_WORK)
+        slow, _ = clients.open(phase=Phase.CLIENT)
+        clients.now = 1.0
+        new, _ = clients.open(phase=Phase.IDLE)
+        assert slow.closed is CloseReason.CONNECTIONS
+        assert (busy.closed, new.closed) == (None, None)
+
+    def test_requests_at_work_are_not_closed_for_a_new_one(self):
+        clients = Clients(max_connections=2)
+        busy = [clients.open(phase=Phase.AT_WORK)[0] for _ in range(2)]
+        new, _ = clients.open(phase=Phase.IDLE)
+        assert new.closed is CloseReason.CONNECTIONS
+        assert [conn.closed for conn in busy] == [None, None]
+
     def test_idle_connections_count(self):
         clients = Clients(max_bytes=4 * CONNECTION_BYTES, max_connections=100)
         conns = [clients.open(phase=Phase.IDLE)[0] for _ in range(6)]
