Test that a relay ends in order while a crowd keeps its connections

Not a fault that was seen: it passes on this code, after a SIGHUP and a SIGTERM amid answers that nobody takes, bodies that don't end, requests sent ahead and idle connections.

--- a/tests/functional/crowds/test_relay.py
+++ b/tests/functional/crowds/test_relay.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import signal
 import uuid
 from contextlib import AsyncExitStack, asynccontextmanager
 from functools import partial
@@ -263,6 +264,31 @@
             assert await is_answered(partial(ask, relay))
 
 
+class TestStop:
+    """A crowd must not keep a relay that is told to stop from ending in order."""
+
+    async def test_ends_while_clients_keep_their_connections(
+        self, tmp_path, monkeypatch
+    ):
+        kinds = (
+            "answers of 2 MB unread",
+            "bodies of 99 kB without their last byte",
+            "bodies of 99 kB sent ahead",
+            "connections alone",
+        )
+        async with running_relay(tmp_path, CROWDS[kinds[0]].body_bytes) as relay:
+            crowd = Crowd(int(relay.address.rpartition(":")[2]))
+            for kind in kinds:
+                await crowd.behave(16, CROWDS[kind].behaviour(REQUESTS))
+            assert await is_answered(partial(ask, relay))
+            relay.send_signal(signal.SIGHUP)
+            assert await is_answered(partial(ask, relay))
+            relay.send_signal(signal.SIGTERM)
+            await relay.wait_ended()
+            await crowd.close()
+            assert relay._process.returncode == 0
+
+
 class TestCalm:
     async def test_largest_requests_are_served(self, tmp_path, monkeypatch):
         async with running_relay(tmp_path, LARGE_BODY_BYTES) as relay:
