Small receive buffers for connections of clients alone

It slows large messages on long links (by arithmetic, no run showed it). The listener's creator now says whether clients reach it; these keep the buffer, all others have the system's again. The check for slow clients no longer runs each second where nothing is bounded.

--- a/src/ebonydeal/_internal/relay/listener.py
+++ b/src/ebonydeal/_internal/relay/listener.py
@@ -137,7 +137,9 @@
             max_field_size=_MAX_FIELD_BYTES,
             auto_decompress=self._decompresses,
         )
-        sock = self._opened_socket or bind_listener(self.host, self.port)
+        sock = self._opened_socket or bind_listener(
+            self.host, self.port, for_clients=self._bounds is not None
+        )
         self._socket = await listen(self._server, sock)
         self.port = sock.getsockname()[1]
 
--- a/src/ebonydeal/_internal/utils/early_listen.py
+++ b/src/ebonydeal/_internal/utils/early_listen.py
@@ -17,7 +17,7 @@
 _OPTION = "--settings"
 # Maximum number of connections that wait to be accepted.
 LISTEN_BACKLOG = 1024
-# Size of the system's receive buffer of each accepted connection. Bytes that have
+# Size of the system's receive buffer of each connection of a client. Bytes that have
 # arrived and aren't read count as the process's memory.
 RECEIVE_BUFFER_BYTES = 16_384
 
@@ -56,21 +56,25 @@
         if not host or not port.isdigit() or int(port) == 0:
             continue
         try:
-            sock = bind_listener(host, int(port))
+            sock = bind_listener(host, int(port), for_clients=True)
         except OSError:
             continue
         opened.append(sock.detach())
     return opened
 
 
-def bind_listener(host: str, port: int) -> socket.socket:
-    """Return a listening socket; raises OSError if the address can't be used."""
+def bind_listener(host: str, port: int, for_clients: bool) -> socket.socket:
+    """Return a listening socket; raises OSError if the address can't be used.
+
+    Connections ``for_clients`` have a small receive buffer.
+    """
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        # Accepted connections inherit it.
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        if for_clients:
+            # Accepted connections inherit it.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         sock.bind((host, port))
         sock.listen(LISTEN_BACKLOG)
     except OSError:
--- a/src/ebonydeal/_internal/utils/web.py
+++ b/src/ebonydeal/_internal/utils/web.py
@@ -191,7 +191,8 @@
             handler_cancellation=True,
         )
         await self._runner.setup()
-        sock = bind_listener(self.host, self.port)
+        is_bounded = self._bounds is not None
+        sock = bind_listener(self.host, self.port, for_clients=is_bounded)
         site = web.SockSite(
             self._runner, sock, ssl_context=self._ssl, backlog=ACCEPTS_PER_TURN
         )
@@ -202,7 +203,7 @@
     @Service.task
     async def _check_connections(self) -> None:
         """Close connections whose clients take too long."""
-        while not self.should_stop:
+        while self._bounds is not None and not self.should_stop:
             await self.sleep(CHECK_INTERVAL_S)
             server = None if self._runner is None else self._runner.server
             if isinstance(server, BoundedServer):
