Logs and counters that tell why a stream or a request ended without an answer

"Run is silent." says how long a run and its endpoint have sent nothing when it is given up, "Stream broken off." names the endpoint and the time that was left, both with a counter. A request whose handler is cancelled has a line with its id, and whether its client closed the connection or this process did, for room or for time. "Settings read again." tells how long the process was busy with it.

--- a/src/ebonydeal/_internal/observe/counters.py
+++ b/src/ebonydeal/_internal/observe/counters.py
@@ -43,6 +43,8 @@
     TOKENS_OUT = "tokens_out"
     CLIENTS_CLOSED_FOR_ROOM = "clients_closed_for_room"
     CLIENTS_TIMED_OUT = "clients_timed_out"
+    STREAMS_BROKEN_OFF = "streams_broken_off"
+    RUNS_SILENT = "runs_silent"
     TOKENS_RECOMPUTED_RESUME = "tokens_recomputed_resume"
     TOKENS_RECOMPUTED_RECLAIM = "tokens_recomputed_reclaim"
     TOKENS_RECOMPUTED_STALL = "tokens_recomputed_stall"
--- a/src/ebonydeal/_internal/relay/requests/intake.py
+++ b/src/ebonydeal/_internal/relay/requests/intake.py
@@ -93,6 +93,16 @@
             if time_left is not None:
                 time_left -= self._parts.clock.now() - started
             return self._refuse(exc, req.request_id if req else "", time_left)
+        except asyncio.CancelledError:
+            conn = http_req.protocol
+            closed_for = conn.closed_for if isinstance(conn, BoundedConnection) else ""
+            logger.info(
+                "Request ended without an answer.",
+                request=req.request_id if req else "",
+                reason=closed_for or "its client closed the connection",
+                after_s=round(self._parts.clock.now() - started, 3),
+            )
+            raise
 
     def _close_after(self, resp: web.StreamResponse) -> None:
         """Let the connection close after an answer of a stopping relay."""
--- a/src/ebonydeal/_internal/relay/requests/stream.py
+++ b/src/ebonydeal/_internal/relay/requests/stream.py
@@ -2,13 +2,14 @@
 
 import asyncio
 from dataclasses import dataclass
+from math import isfinite
 
 from aiohttp import ClientError, HttpVersion11, web
 from multidict import CIMultiDict
 
 from ebonydeal._internal.errors import ErrorKind
 from ebonydeal._internal.models.forwarding import AnswerHead, Member
-from ebonydeal._internal.observe.counters import Timing
+from ebonydeal._internal.observe.counters import Event, Timing
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.requests.event_splitter import EventSplitter
 from ebonydeal._internal.relay.requests.exchange import Exchange
@@ -123,10 +124,13 @@
             except Exception as exc:
                 if client.resp is None:
                     raise
+                self._parts.metrics.count(Event.STREAMS_BROKEN_OFF)
                 logger.warning(
                     "Stream broken off.",
                     request=job.req.request_id,
+                    endpoint=None if sends.member is None else sends.member.endpoint_id,
                     last_event=splitter.last_id,
+                    time_left_s=round(sends.time_left, 3),
                     reason=str(exc),
                 )
                 client.abort()
@@ -235,6 +239,7 @@
                     # No other endpoint can give the answer: keep waiting.
                     continue
                 sends.record_silence(received_at)
+                self._log_silence(sends, run, received_at)
                 return MayHaveRun(
                     ErrorKind.ENDPOINT_STALLED,
                     "no event in time",
@@ -264,6 +269,22 @@
             await resp.write(events)
         return await self._end(sends, run, exchange, head, client)
 
+    def _log_silence(self, sends: JobSends, run: StreamRun, since: float) -> None:
+        """Record that a run's next event is late, and whether its endpoint is alive."""
+        parts, endpoint_id = self._parts, run.member.endpoint_id
+        now = parts.clock.now()
+        endpoint_s = parts.selector.seconds_since_activity(endpoint_id, now)
+        parts.metrics.count(Event.RUNS_SILENT)
+        logger.info(
+            "Run is silent.",
+            request=run.request_id,
+            endpoint=endpoint_id,
+            events=run.events,
+            silent_s=round(now - since, 3),
+            endpoint_silent_s=round(endpoint_s, 3) if isfinite(endpoint_s) else None,
+            time_left_s=round(sends.time_left, 3),
+        )
+
     async def _end(
         self,
         sends: JobSends,
--- a/src/ebonydeal/_internal/utils/clients/connection.py
+++ b/src/ebonydeal/_internal/utils/clients/connection.py
@@ -97,7 +97,13 @@
 
 
 class BoundedConnection(web.RequestHandler):
-    """A connection of a client."""
+    """A connection of a client.
+
+    Attributes
+    ----------
+    closed_for : str
+        Why this process closed it before its requests were answered; else empty.
+    """
 
     __slots__ = (
         "_answer_bytes",
@@ -113,6 +119,7 @@
         "_unsent",
         "_unsent_since",
         "_usage",
+        "closed_for",
     )
 
     def __init__(
@@ -138,6 +145,7 @@
         self._unsent_since = 0.0
         # Whether what arrives is dropped unread.
         self._discards = False
+        self.closed_for = ""
         if bounds is not None:
             self._read_less_ahead(options)
 
@@ -204,14 +212,15 @@
             total=self._bounds.budget.total,
         )
         task = self._task_handler
-        self._abort()
+        self._abort(f"closed for room: {reason}")
         if task is not None:
             task.add_done_callback(lambda _task: freed())
         # Others aren't read meanwhile, so a handler that goes on must not delay them.
         self._loop.call_later(_MAX_CLOSE_S, freed)
 
-    def _abort(self) -> None:
+    def _abort(self, reason: str) -> None:
         """Close the connection, and drop what it holds."""
+        self.closed_for = reason
         self._discards = True
         transport = self.transport
         self.force_close()
@@ -262,7 +271,7 @@
         logger.info(
             "Client timed out.", reason=reason, timeout_s=timeout, held=self._held()
         )
-        self._abort()
+        self._abort(reason)
 
     # --- what arrives ------------------------------------------------------------
     def data_received(self, data: bytes) -> None:
--- a/src/ebonydeal/_internal/utils/run.py
+++ b/src/ebonydeal/_internal/utils/run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import time
 from collections.abc import Callable
 from random import Random
 from typing import Any, Protocol, runtime_checkable
@@ -45,12 +46,15 @@
             "Settings can't be changed while the program runs.", program=program
         )
         return
+    began = time.perf_counter()
     settings = reread()
     if settings is None:
         logger.error("Settings refused; the last good ones stay.")
         return
     service.reload(settings)
-    logger.info("Settings read again.", program=program)
+    # Requests wait meanwhile.
+    took_s = round(time.perf_counter() - began, 4)
+    logger.info("Settings read again.", program=program, took_s=took_s)
 
 
 async def _watch_suspension() -> None:
