Keep a silent run until another endpoint has begun to answer

What callers saw: some events of a stream that may be resumed, then a closed connection, although its endpoint would have ended it. Without events, 502.

Cause: a run without an event for 0.6 s was closed first, and only then was another endpoint chosen and asked. If that one refused (503, 429), reset the connection or was gone, and no attempt was left, nothing remained to answer from. The class: something that still works is given up before its replacement is certain. What decided, JobSends.is_last, knows the number of sends and the retry budget, not whether an endpoint would take the stream.

Now another endpoint is asked beside the silent run (StreamRuns): whichever sends something first goes on, and the other is closed. If none takes the stream, the silent run is awaited until its deadline, and others are asked again as far as route and retry budget permit. The counts of runs and retries are as before, kept for all sends of a job in one place.

--- a/src/ebonydeal/_internal/relay/requests/migrations.py
+++ b/src/ebonydeal/_internal/relay/requests/migrations.py
@@ -56,7 +56,8 @@
 
     ``expected_tokens`` is the expected length of the complete answer, ``event_tokens``
     the tokens in one event, ``received`` the size of what came of the answer in bytes.
-    ``may_be_stopped`` says that a migration failed that may have stopped it.
+    ``may_be_stopped`` says that a migration failed that may have stopped it,
+    ``is_being_replaced`` that it is silent, and another endpoint is asked to go on.
     """
 
     request_id: str
@@ -69,6 +70,7 @@
     events: int = 0
     received: int = 0
     may_be_stopped: bool = False
+    is_being_replaced: bool = False
     migration: "asyncio.Task[MigratedRun | None] | None" = None
 
     def record_events(self, events: int, now: float) -> None:
@@ -162,7 +164,7 @@
         once. The others wait, since those that end meanwhile need no migration.
         """
         since = self._leaving_since.get(run.member.endpoint_id)
-        if since is None or not run.events:
+        if since is None or not run.events or run.is_being_replaced:
             return False
         time_left = self._time_left(run.member, since, now)
         stream = run.estimate(now)
--- a/src/ebonydeal/_internal/relay/requests/sends.py
+++ b/src/ebonydeal/_internal/relay/requests/sends.py
@@ -3,6 +3,7 @@
 from asyncio import timeout
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.forwarding import (
@@ -59,22 +60,50 @@
 }
 
 
+@dataclass
+class _SendHistory:
+    """What all sends of one job have in common.
+
+    ``possible_runs`` counts the sends that may have run, ``unsent`` those that never
+    left this process, ``sends`` all. ``avoid`` holds the endpoints that failed.
+    """
+
+    proof: RunProof
+    chooser: EndpointChooser
+    share: JobShare
+    refusal: LoadRefusal
+    possible_runs: int = 0
+    unsent: int = 0
+    sends: int = 0
+    avoid: set[str] = field(default_factory=set)
+    usage_counted: bool = False
+
+
 class JobSends:
-    """The sends of one job: the next endpoint, and whether a resend is allowed."""
+    """The sends of one job: the next endpoint, and whether a resend is allowed.
+
+    They follow each other. `beside` returns others of the same job, for a send that
+    begins while the current one is still awaited.
+    """
 
-    def __init__(self, parts: SendParts, job: Job) -> None:
+    def __init__(
+        self, parts: SendParts, job: Job, history: _SendHistory | None = None
+    ) -> None:
         self._parts = parts
         self.job = job
-        self.chooser = EndpointChooser(parts, job)
-        self._share = JobShare(parts.shares, job)
-        self.proof = RunProof(not job.at_most_once)
-        # Counts of sends that may have run, that never left this process, and of all.
-        self._possible_runs = 0
-        self._unsent = 0
-        self._sends = 0
-        self._avoid: set[str] = set()
-        self._refusal = LoadRefusal(parts, job, self.chooser, self.priority)
-        self._usage_counted = False
+        if history is None:
+            chooser = EndpointChooser(parts, job)
+            history = _SendHistory(
+                RunProof(not job.at_most_once),
+                chooser,
+                JobShare(parts.shares, job),
+                LoadRefusal(parts, job, chooser, self.priority),
+            )
+        self._history = history
+        self.proof = history.proof
+        self.chooser = history.chooser
+        # Whether the current send counts as a possible run already.
+        self._counted_run = False
         self.sent: SentRequest | None = None
         # The endpoint that counts the current send, where its capacity is learned, and
         # whether a complete answer of a status below 500 came.
@@ -113,22 +142,24 @@
                 raise self.proof.final_error(parts.stop.refusal())
             if self.time_left <= 0.0:
                 raise self.proof.final_error(_deadline_exceeded())
-            found = self.chooser.find(self._avoid, resend=self._sends > 0)
+            found = self.chooser.find(
+                self._history.avoid, resend=self._history.sends > 0
+            )
             if found is None:
                 self._refuse_limited(wait_until)
                 if parts.clock.now() >= wait_until or self.chooser.is_version_gone():
                     raise self.proof.final_error(self._no_endpoint())
                 await parts.clock.sleep(_POLL_INTERVAL_S)
                 continue
-            if self._sends == 0:
-                self._share.offer(found.uncached_tokens, self.priority)
+            if self._history.sends == 0:
+                self._history.share.offer(found.uncached_tokens, self.priority)
             self._refuse_early(found)
-            if self._sends == 0:
-                self._share.admit(self.time_left)
+            if self._history.sends == 0:
+                self._history.share.admit(self.time_left)
             await self._renew_admission()
             if await parts.permits.take(found.member):
                 break
-        if self._sends == 0:
+        if self._history.sends == 0:
             parts.retries.record_first_send(job.service, parts.clock.now())
         self._kv_cache = None
         return self._use(found)
@@ -149,7 +180,7 @@
 
     def _refuse_limited(self, wait_until: float) -> None:
         """Raise ENDPOINTS_LIMITED if no endpoint is available by ``wait_until``."""
-        wait = self.chooser.available_in(self._avoid)
+        wait = self.chooser.available_in(self._history.avoid)
         if wait is not None and self._parts.clock.now() + wait > wait_until:
             detail = (
                 f"all endpoints of {self.job.service} are in backoff or at their limit"
@@ -199,7 +230,8 @@
         parts, job = self._parts, self.job
         member = self.member = found.member
         self._source = found.source
-        self._sends += 1
+        self._history.sends += 1
+        self._counted_run = False
         now = parts.clock.now()
         self.resend_reason = None
         self.expected_answer_s = found.expected
@@ -238,7 +270,7 @@
             running=parts.selector.running_requests(member.endpoint_id),
             told_age_s=parts.selector.report_age(member.endpoint_id, now),
             config=parts.view.version,
-            send=self._sends,
+            send=self._history.sends,
             waited_s=round(now - job.started, 4),
             without_room=self.chooser.unavailable[:_MAX_LOGGED_ENDPOINTS],
         )
@@ -252,7 +284,9 @@
         if not split.has_rollout(job.service):
             return
         route = job.route.name
-        if split.record_send(job.service, route, member, first=self._sends == 1):
+        if split.record_send(
+            job.service, route, member, first=self._history.sends == 1
+        ):
             parts.metrics.count(Event.SENT_TO_NEW_VERSION)
         self._expected_answer = split.expect_answer(
             AwaitedAnswer(
@@ -285,11 +319,13 @@
     def _refuse_early(self, found: EndpointChoice) -> None:
         """Raise SHED if the answer would surely be late."""
         job, expected = self.job, found.expected
-        if self._refusal.enabled:
+        if self._history.refusal.enabled:
             if not self.proof.may_have_run:
-                self._refusal.check(found.member, self._avoid, self._sends == 0)
+                self._history.refusal.check(
+                    found.member, self._history.avoid, self._history.sends == 0
+                )
             return
-        if expected is None or self._sends or job.req.client_timeout is None:
+        if expected is None or self._history.sends or job.req.client_timeout is None:
             return
         wait = self._parts.refusal.wait(
             job.route.name,
@@ -309,10 +345,11 @@
         Ending it early would then lose an answer that may still come.
         """
         job, parts = self.job, self._parts
+        others = self._history.possible_runs - self._counted_run
         return (
             job.at_most_once
-            or self._possible_runs + 1 >= job.route.max_sends
-            or not parts.retries.can_retry(job.service, self._sends)
+            or others + 1 >= job.route.max_sends
+            or not parts.retries.can_retry(job.service, self._history.sends)
         )
 
     def is_final(self, answer: Answered) -> bool:
@@ -336,7 +373,7 @@
 
     def resend_expected_s(self, current: Member) -> float | None:
         """Return as `EndpointChooser.resend_expected_s`."""
-        return self.chooser.resend_expected_s(self._avoid, current)
+        return self.chooser.resend_expected_s(self._history.avoid, current)
 
     @property
     def priority(self) -> int:
@@ -403,8 +440,8 @@
     def count_run(self, wall: float) -> None:
         """Count the request as started, once however often it is sent."""
         account = self.job.account
-        if account is not None and not self._usage_counted:
-            self._usage_counted = True
+        if account is not None and not self._history.usage_counted:
+            self._history.usage_counted = True
             self._parts.usage.record_start(account.name, wall)
 
     def read_notice(self, head: AnswerHead) -> None:
@@ -508,11 +545,14 @@
                 self.sent, self._parts.clock.now()
             )
 
-    def record_end(self) -> None:
-        """Record that the send has ended."""
+    def _return_reserved(self) -> None:
         if self._reserved:
             self._reserved = False
             self._parts.retries.refund(self.job.service)
+
+    def record_end(self) -> None:
+        """Record that the send has ended."""
+        self._return_reserved()
         if self._expected_answer:
             self._parts.split.record_end(self._expected_answer, self._parts.clock.now())
         if self.sent is not None:
@@ -536,6 +576,16 @@
         else:
             capacity.record_lost(process, sent_at, now)
 
+    def beside(self, silence: MayHaveRun, delivered: bool = False) -> "JobSends":
+        """Return sends that may begin while the current one is still awaited.
+
+        ``silence`` would be its outcome if it were given up, ``delivered`` is as in
+        `check_resend`. Raises the error if no other send is allowed.
+        """
+        self._return_reserved()
+        self.check_resend(silence, delivered)
+        return JobSends(self._parts, self.job, self._history)
+
     def check_resend(self, outcome: Outcome, delivered: bool = False) -> None:
         """Return if another send is allowed after ``outcome``; else raise the error.
 
@@ -545,7 +595,7 @@
         assert self.member is not None
         endpoint = self.member.endpoint_id
         self.proof.record(outcome)
-        self._avoid.add(endpoint)
+        self._history.avoid.add(endpoint)
         now = parts.clock.now()
         error = _error_of(outcome)
         match outcome:
@@ -571,7 +621,7 @@
             outcome=type(outcome).__name__,
             kind=str(error.kind),
             detail=error.detail,
-            tries=self._sends,
+            tries=self._history.sends,
             again=final_error is None,
             links=str(parts.links.state(job.service)),
             forwarded=self._forwarded,
@@ -606,12 +656,12 @@
         """Allow avoided endpoints again if no other is available."""
         parts, now = self._parts, self._parts.clock.now()
         if not any(
-            member.endpoint_id not in self._avoid
+            member.endpoint_id not in self._history.avoid
             and self.chooser.may_serve(member)
             and parts.permits.wait(member, now) <= 0.0
             for member in parts.view.of_service(self.job.service)
         ):
-            self._avoid.clear()
+            self._history.avoid.clear()
 
     def _refuse_rejected(self) -> EbonydealError | None:
         """Return SHED if a rejected request should not be sent on, else None.
@@ -619,11 +669,11 @@
         One that may have run is sent on as far as its budget goes, since its refusal
         could not say that it has not run.
         """
-        if not self._refusal.enabled or self.proof.may_have_run:
+        if not self._history.refusal.enabled or self.proof.may_have_run:
             return None
         assert self.member is not None
-        return self._refusal.after_rejection(
-            self.member, self.expected_answer_s, self._avoid
+        return self._history.refusal.after_rejection(
+            self.member, self.expected_answer_s, self._history.avoid
         )
 
     def _resend_error(
@@ -640,14 +690,15 @@
             case NotSent() if self._is_too_late():
                 return self._parts.stop.refusal()
             case NotSent():
-                self._unsent += 1
-                return error if self._unsent >= _MAX_UNSENT_SENDS else None
+                self._history.unsent += 1
+                return error if self._history.unsent >= _MAX_UNSENT_SENDS else None
             case ProvedNotRun():
                 if shed := self._refuse_rejected():
                     return shed
             case MayHaveRun() | Answered():
-                self._possible_runs += 1
-                if self._possible_runs >= job.route.max_sends:
+                self._history.possible_runs += not self._counted_run
+                self._counted_run = True
+                if self._history.possible_runs >= job.route.max_sends:
                     return error
         failure = Failure(
             kind=error.kind,
@@ -657,7 +708,7 @@
             first_byte_received=delivered and job.at_most_once,
             deadline=job.deadline,
         )
-        match self._parts.retries.next_attempt(failure, self._sends, now):
+        match self._parts.retries.next_attempt(failure, self._history.sends, now):
             case GiveUp(kind=kind, retry_after=wait, reason=why):
                 return EbonydealError(kind, f"{error.detail}; {why}", retry_after=wait)
         return None
--- a/src/ebonydeal/_internal/relay/requests/stream.py
+++ b/src/ebonydeal/_internal/relay/requests/stream.py
@@ -1,38 +1,27 @@
 """Streams of events: forwarded as they arrive, and resumed at another endpoint."""
 
-import asyncio
 from dataclasses import dataclass
-from math import isfinite
 
-from aiohttp import ClientError, HttpVersion11, web
+from aiohttp import HttpVersion11, web
 from multidict import CIMultiDict
 
 from ebonydeal._internal.errors import ErrorKind
-from ebonydeal._internal.models.forwarding import AnswerHead, Member
+from ebonydeal._internal.models.forwarding import AnswerHead
 from ebonydeal._internal.observe.counters import Event, Timing
 from ebonydeal._internal.observe.logs import get_logger
 from ebonydeal._internal.relay.requests.event_splitter import EventSplitter
 from ebonydeal._internal.relay.requests.exchange import Exchange
-from ebonydeal._internal.relay.requests.first_event_wait import (
-    MIN_EVENT_TIMEOUT_S,
-    FirstEventWait,
-)
 from ebonydeal._internal.relay.requests.job import Job, SendParts
 from ebonydeal._internal.relay.requests.migrations import MigratedRun, StreamRun
 from ebonydeal._internal.relay.requests.outcomes import (
     Answered,
     MayHaveRun,
-    NotSent,
     Outcome,
 )
-from ebonydeal._internal.relay.requests.plain import (
-    client_response,
-    head_failure,
-    read_body,
-    read_failure,
-)
+from ebonydeal._internal.relay.requests.plain import client_response, read_failure
 from ebonydeal._internal.relay.requests.planned_stop import PlannedStop
 from ebonydeal._internal.relay.requests.sends import JobSends
+from ebonydeal._internal.relay.requests.stream_runs import OpenedRun, StreamRuns
 from ebonydeal._internal.utils.bounded_responses import EndlessAnswerError
 from ebonydeal._internal.utils.close_delimited import ResetUntilWrittenResponse
 from ebonydeal._internal.utils.http_framing import (
@@ -97,6 +86,7 @@
     async def _forward(self, job: Job, client: _ClientStream) -> web.StreamResponse:
         sends = JobSends(self._parts, job)
         splitter = client.splitter
+        runs = StreamRuns(self._parts, splitter)
         splitter.last_id = job.req.last_event
         if job.req.last_event:
             sends.chooser.version = await self._parts.stream_versions.find_version(
@@ -106,8 +96,13 @@
         while True:
             try:
                 member = await (sends.resume(migrated) if migrated else sends.choose())
-                run = self._new_run(sends, member)
-                outcome = await self._send(sends, run, client)
+                run = runs.new_run(sends, member)
+                outcome = await self._send(runs, sends, run, client)
+                while isinstance(outcome, OpenedRun):
+                    # Another endpoint goes on with the stream.
+                    splitter.drop_remainder()
+                    sends, run = outcome.sends, outcome.run
+                    outcome = await self._send(runs, sends, run, client, outcome)
                 if outcome is None:
                     assert client.resp is not None
                     return client.resp
@@ -136,154 +131,87 @@
                 client.abort()
                 return client.resp
 
-    def _new_run(self, sends: JobSends, member: Member) -> StreamRun:
-        """Return the record by which a send's run is watched."""
-        req, engine = sends.job.req, sends.chooser.engine
-        return StreamRun(
-            request_id=req.request_id,
-            service=sends.job.service,
-            member=member,
-            prompt_tokens=req.prompt_tokens or 0,
-            expected_tokens=req.length_hint or req.output_tokens,
-            event_tokens=1 if engine is None else engine.event_tokens,
-        )
-
     async def _send(
-        self, sends: JobSends, run: StreamRun, client: _ClientStream
-    ) -> Outcome | None:
-        """Make one send; return None once the stream is complete."""
+        self,
+        runs: StreamRuns,
+        sends: JobSends,
+        run: StreamRun,
+        client: _ClientStream,
+        opened: OpenedRun | None = None,
+    ) -> OpenedRun | Outcome | None:
+        """Make one send, or forward what it has ``opened``.
+
+        Returns None once the stream is complete, or the run that goes on with it.
+        """
         timeout = sends.time_left
         engine = sends.chooser.engine
         if engine is not None and engine.can_migrate_runs:
             self._parts.migrator.watch(run)
         try:
             async with sends.limited(timeout):
-                return await self._exchange(sends, run, client)
+                found = opened or await runs.open(sends, run)
+                if not isinstance(found, OpenedRun) or found.sends is not sends:
+                    return found
+                opened = found
+                outcome = await self._relay(runs, opened, client)
+                if outcome is None:
+                    self._record_end(opened)
+                return outcome
         except TimeoutError:
             return sends.timeout_outcome(f"not complete in {timeout:.3f} s")
         finally:
+            if opened is not None:
+                opened.exchange.close()
             self._parts.migrator.unwatch(run)
             sends.record_end()
 
-    async def _exchange(
-        self, sends: JobSends, run: StreamRun, client: _ClientStream
-    ) -> Outcome | None:
-        """Send and forward the answer; return None once the stream is complete."""
-        parts, job = self._parts, sends.job
-        member = run.member
-        headers = parts.wire.request_headers(
-            job.req, sends.send_metadata(client.splitter.last_id)
-        )
-        first = FirstEventWait.of_send(parts, sends)
-        try:
-            async with first.limit():
-                sent = await sends.send(member, headers)
-        except TimeoutError:
-            return MayHaveRun(
-                ErrorKind.ENDPOINT_STALLED, "no answer", first.endpoint_fault
-            )
-        if isinstance(sent, NotSent | MayHaveRun):
-            return sent
-        try:
-            head = parts.wire.read_answer(sent.status, sent.headers)
-            sends.read_notice(head)
-            failure = head_failure(head, job.req.request_id)
-            if isinstance(failure, MayHaveRun):
-                return failure
-            if failure is not None or head.status != 200:
-                # A refusal's body is read too, so that the connection can be reused.
-                outcome = await read_body(sends, sent, head)
-                return failure or outcome
-            failure = await self._relay(sends, run, sent, head, client, first)
-            if failure is not None:
-                return failure
-            sent.release(head.keepalive_s)
-        finally:
-            sent.close()
-        sends.record_answer(head.status)
+    def _record_end(self, opened: OpenedRun) -> None:
+        """Record a complete answer."""
+        parts, run = self._parts, opened.run
+        opened.exchange.release(opened.head.keepalive_s)
+        opened.sends.record_answer(opened.head.status)
         now = parts.clock.now()
         if run.events > 1:
             tokens = (run.events - 1) * run.event_tokens
             parts.selector.record_stream(
                 run.member, tokens, now - run.first_event_at, now
             )
-        return None
-
-    def _event_timeout(self, job: Job) -> asyncio.Timeout:
-        """Return the timeout of the next event, after which the request is resent."""
-        time_left = max(0.001, job.deadline - self._parts.clock.now())
-        if job.at_most_once:
-            return asyncio.timeout(time_left)
-        wait = job.route.max_event_gap * self._parts.config.gap
-        return asyncio.timeout(min(time_left, max(MIN_EVENT_TIMEOUT_S, wait)))
 
     async def _relay(
-        self,
-        sends: JobSends,
-        run: StreamRun,
-        exchange: Exchange,
-        head: AnswerHead,
-        client: _ClientStream,
-        first: FirstEventWait,
-    ) -> MayHaveRun | None:
-        """Forward events until the end; return what broke the stream, or None."""
-        parts, job = self._parts, sends.job
-        has_events = False
+        self, runs: StreamRuns, opened: OpenedRun, client: _ClientStream
+    ) -> OpenedRun | Outcome | None:
+        """Forward events until the end; return None, or what ended the run."""
+        parts, sends, run = self._parts, opened.sends, opened.run
         received_at = parts.clock.now()
-        while True:
-            try:
-                async with self._event_timeout(job) if has_events else first.limit():
-                    data = await exchange.read_some()
-            except TimeoutError:
-                if has_events and sends.is_last and sends.time_left > 0.0:
-                    # No other endpoint can give the answer: keep waiting.
-                    continue
-                sends.record_silence(received_at)
-                self._log_silence(sends, run, received_at)
-                return MayHaveRun(
-                    ErrorKind.ENDPOINT_STALLED,
-                    "no event in time",
-                    has_events or first.endpoint_fault,
-                )
-            except (ClientError, OSError) as exc:
-                sends.record_silence(received_at)
-                return read_failure("stream", exc)
-            if not data:
-                break
+        data: bytes | OpenedRun | Outcome = opened.data
+        while data:
+            if not isinstance(data, bytes):
+                return data
             run.received += len(data)
             before = client.splitter.count
             try:
                 events = client.splitter.feed(data)
             except EndlessAnswerError as exc:
                 return read_failure("stream", exc)
-            if not events:
-                continue
-            received_at = parts.clock.now()
-            parts.selector.record_activity(run.member.endpoint_id, received_at)
-            sends.record_activity()
-            run.record_events(client.splitter.count - before, parts.clock.now())
-            if not has_events:
-                has_events = True
-                self._record_first_event(sends, client)
-            resp = client.resp or await client.begin(head)
-            await resp.write(events)
-        return await self._end(sends, run, exchange, head, client)
+            if events:
+                received_at = parts.clock.now()
+                self._record_events(sends, run, client, before)
+                resp = client.resp or await client.begin(opened.head)
+                await resp.write(events)
+            data = await runs.read(opened, received_at)
+        return await self._end(sends, run, opened.exchange, opened.head, client)
 
-    def _log_silence(self, sends: JobSends, run: StreamRun, since: float) -> None:
-        """Record that a run's next event is late, and whether its endpoint is alive."""
-        parts, endpoint_id = self._parts, run.member.endpoint_id
-        now = parts.clock.now()
-        endpoint_s = parts.selector.seconds_since_activity(endpoint_id, now)
-        parts.metrics.count(Event.RUNS_SILENT)
-        logger.info(
-            "Run is silent.",
-            request=run.request_id,
-            endpoint=endpoint_id,
-            events=run.events,
-            silent_s=round(now - since, 3),
-            endpoint_silent_s=round(endpoint_s, 3) if isfinite(endpoint_s) else None,
-            time_left_s=round(sends.time_left, 3),
-        )
+    def _record_events(
+        self, sends: JobSends, run: StreamRun, client: _ClientStream, before: int
+    ) -> None:
+        """Record events that arrived; ``before`` is how many had been counted."""
+        now = self._parts.clock.now()
+        is_first = not run.events
+        self._parts.selector.record_activity(run.member.endpoint_id, now)
+        sends.record_activity()
+        run.record_events(client.splitter.count - before, now)
+        if is_first:
+            self._record_first_event(sends, client)
 
     async def _end(
         self,
--- /dev/null
+++ b/src/ebonydeal/_internal/relay/requests/stream_runs.py
@@ -0,0 +1,360 @@
+"""Runs of a stream: a silent one is kept until another endpoint has begun to answer."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
+from math import isfinite
+from typing import Any, NamedTuple, TypeVar
+
+from aiohttp import ClientError
+
+from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.models.forwarding import AnswerHead, Member
+from ebonydeal._internal.observe.counters import Event
+from ebonydeal._internal.observe.logs import get_logger
+from ebonydeal._internal.relay.requests.event_splitter import EventSplitter
+from ebonydeal._internal.relay.requests.exchange import Exchange
+from ebonydeal._internal.relay.requests.first_event_wait import (
+    MIN_EVENT_TIMEOUT_S,
+    FirstEventWait,
+)
+from ebonydeal._internal.relay.requests.job import SendParts
+from ebonydeal._internal.relay.requests.migrations import StreamRun
+from ebonydeal._internal.relay.requests.outcomes import (
+    Answered,
+    MayHaveRun,
+    NotSent,
+    Outcome,
+    ProvedNotRun,
+)
+from ebonydeal._internal.relay.requests.plain import (
+    head_failure,
+    read_body,
+    read_failure,
+)
+from ebonydeal._internal.relay.requests.sends import JobSends
+
+logger = get_logger("relay.stream")
+
+# Time after which endpoints that didn't take a stream are asked again.
+_ASK_AGAIN_S = MIN_EVENT_TIMEOUT_S
+
+Limit = Callable[[], AbstractAsyncContextManager[object]]
+T = TypeVar("T")
+
+
+class OpenedRun(NamedTuple):
+    """A run whose answer has begun.
+
+    ``first`` is the wait for its first event. ``data`` are the first bytes of its
+    body, which aren't forwarded yet; none if it has ended.
+    """
+
+    sends: JobSends
+    run: StreamRun
+    exchange: Exchange
+    head: AnswerHead
+    first: FirstEventWait
+    data: bytes
+
+    def close(self) -> None:
+        """Give the run up."""
+        self.exchange.close()
+        self.sends.record_end()
+
+
+class _Awaited(NamedTuple):
+    """A run that is awaited, and what it would be given up with.
+
+    ``limit`` raises TimeoutError once the run is silent.
+    """
+
+    sends: JobSends
+    run: StreamRun
+    limit: Limit
+    silence: Callable[[], MayHaveRun]
+
+
+class StreamRuns:
+    """Opens the runs of one stream, and reads them.
+
+    An endpoint that is silent may still go on, and another one that is asked may refuse
+    the stream or break. So the silent run is kept while others are asked: the one that
+    sends something first goes on, and the others are closed.
+
+    Parameters
+    ----------
+    parts : SendParts
+        Collaborators of the sends.
+    splitter : EventSplitter
+        Counts the events that were forwarded, and holds the id of the last one.
+    """
+
+    def __init__(self, parts: SendParts, splitter: EventSplitter) -> None:
+        self._parts = parts
+        self._splitter = splitter
+
+    def new_run(self, sends: JobSends, member: Member) -> StreamRun:
+        """Return the record by which a send's run is watched."""
+        req, engine = sends.job.req, sends.chooser.engine
+        return StreamRun(
+            request_id=req.request_id,
+            service=sends.job.service,
+            member=member,
+            prompt_tokens=req.prompt_tokens or 0,
+            expected_tokens=req.length_hint or req.output_tokens,
+            event_tokens=1 if engine is None else engine.event_tokens,
+        )
+
+    # --- the begin of an answer --------------------------------------------------
+    async def open(self, sends: JobSends, run: StreamRun) -> OpenedRun | Outcome:
+        """Send, and wait until an answer begins, here or at another endpoint."""
+        first = FirstEventWait.of_send(self._parts, sends)
+        sent_at = self._parts.clock.now()
+
+        def silence() -> MayHaveRun:
+            self._log_silence(sends, run, sent_at)
+            kind = ErrorKind.ENDPOINT_STALLED
+            return MayHaveRun(kind, "no answer", first.endpoint_fault)
+
+        opening = asyncio.ensure_future(self._open_one(sends, run, first))
+        awaited = _Awaited(sends, run, first.limit, silence)
+        return await self._await(awaited, opening)
+
+    async def _open_one(
+        self, sends: JobSends, run: StreamRun, first: FirstEventWait
+    ) -> OpenedRun | Outcome:
+        """Send to one endpoint, and wait until its answer begins."""
+        parts, job = self._parts, sends.job
+        headers = parts.wire.request_headers(
+            job.req, sends.send_metadata(self._splitter.last_id)
+        )
+        sent = await sends.send(run.member, headers)
+        if isinstance(sent, NotSent | MayHaveRun):
+            return sent
+        opened: OpenedRun | None = None
+        try:
+            head = parts.wire.read_answer(sent.status, sent.headers)
+            sends.read_notice(head)
+            failure = head_failure(head, job.req.request_id)
+            if isinstance(failure, MayHaveRun):
+                return failure
+            if failure is not None or head.status != 200:
+                # A refusal's body is read too, so that the connection can be reused.
+                outcome = await read_body(sends, sent, head)
+                return failure or outcome
+            data = await _read(sends, sent, parts.clock.now())
+            if isinstance(data, MayHaveRun):
+                return data
+            opened = OpenedRun(sends, run, sent, head, first, data)
+            return opened
+        finally:
+            if opened is None:
+                sent.close()
+
+    # --- an answer that has begun ------------------------------------------------
+    async def read(
+        self, opened: OpenedRun, received_at: float
+    ) -> bytes | OpenedRun | Outcome:
+        """Return the next bytes, none at the end, or what goes on in the run's place.
+
+        ``received_at`` is when the last event arrived.
+        """
+        sends, run, exchange = opened.sends, opened.run, opened.exchange
+        limit: Limit = opened.first.limit
+        if run.events:
+            limit = self._event_limit(sends)
+        try:
+            # Without the cost of a task, as most events come in time.
+            async with limit():
+                return await _read(sends, exchange, received_at)
+        except TimeoutError:
+            pass
+
+        def silence() -> MayHaveRun:
+            sends.record_silence(received_at)
+            self._log_silence(sends, run, received_at)
+            fault = bool(run.events) or opened.first.endpoint_fault
+            return MayHaveRun(ErrorKind.ENDPOINT_STALLED, "no event in time", fault)
+
+        reading = asyncio.ensure_future(_read(sends, exchange, received_at))
+        awaited = _Awaited(sends, run, limit, silence)
+        return await self._await(awaited, reading, is_silent=True)
+
+    def _event_limit(self, sends: JobSends) -> Limit:
+        """Return the limit on the wait for the next event."""
+        job, parts = sends.job, self._parts
+
+        def limit() -> asyncio.Timeout:
+            time_left = max(0.001, sends.time_left)
+            if job.at_most_once:
+                return asyncio.timeout(time_left)
+            wait = job.route.max_event_gap * parts.config.gap
+            return asyncio.timeout(min(time_left, max(MIN_EVENT_TIMEOUT_S, wait)))
+
+        return limit
+
+    def _log_silence(self, sends: JobSends, run: StreamRun, since: float) -> None:
+        """Record that a run's next event is late, and whether its endpoint is alive."""
+        parts, endpoint_id = self._parts, run.member.endpoint_id
+        now = parts.clock.now()
+        endpoint_s = parts.selector.seconds_since_activity(endpoint_id, now)
+        parts.metrics.count(Event.RUNS_SILENT)
+        logger.info(
+            "Run is silent.",
+            request=run.request_id,
+            endpoint=endpoint_id,
+            events=run.events,
+            silent_s=round(now - since, 3),
+            endpoint_silent_s=round(endpoint_s, 3) if isfinite(endpoint_s) else None,
+            time_left_s=round(sends.time_left, 3),
+        )
+
+    # --- a silent run, and others beside it --------------------------------------
+    async def _await(
+        self, awaited: _Awaited, current: "asyncio.Future[T]", is_silent: bool = False
+    ) -> T | OpenedRun | Outcome:
+        """Return the result of ``current``, or what began elsewhere if that is sooner.
+
+        A failure of ``current`` is returned once nothing may follow elsewhere.
+        """
+        other: asyncio.Future[OpenedRun | Answered] | None = None
+        taken: asyncio.Future[Any] | None = None
+        try:
+            while True:
+                if not is_silent:
+                    await _is_silent(current, awaited.limit)
+                if current.done():
+                    taken = current
+                    return current.result()
+                if awaited.sends.time_left <= 0.0:
+                    return awaited.silence()
+                is_silent = False
+                other = self._begin_elsewhere(awaited)
+                if other is not None:
+                    taken = await self._first_of(awaited, current, other)
+                    if taken is not None:
+                        return taken.result()
+                    other = None
+                    await asyncio.wait({current}, timeout=_ASK_AGAIN_S)
+        finally:
+            awaited.run.is_being_replaced = False
+            for task in (current, other):
+                if task is not None and task is not taken:
+                    _discard(task)
+
+    def _begin_elsewhere(
+        self, awaited: _Awaited
+    ) -> "asyncio.Future[OpenedRun | Answered] | None":
+        """Begin to open a run at another endpoint; None if that isn't allowed."""
+        sends, run = awaited.sends, awaited.run
+        if sends.is_last or run.migration is not None:
+            return None
+        try:
+            others = sends.beside(awaited.silence(), self._is_delivered)
+        except EbonydealError:
+            return None
+        run.is_being_replaced = True
+        return asyncio.ensure_future(self._open_elsewhere(others))
+
+    async def _first_of(
+        self,
+        awaited: _Awaited,
+        current: "asyncio.Future[T]",
+        other: "asyncio.Future[OpenedRun | Answered]",
+    ) -> "asyncio.Future[Any] | None":
+        """Return which one goes on; None if only ``current`` may still do so."""
+        both: set[asyncio.Future[Any]] = {current, other}
+        await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
+        if current.done() and not self._is_failure(awaited.sends, current.result()):
+            return current
+        await asyncio.wait({other})
+        exc = other.exception()
+        if exc is None:
+            return other
+        if not isinstance(exc, EbonydealError):
+            raise exc
+        awaited.run.is_being_replaced = False
+        logger.info(
+            "No other endpoint takes the stream.",
+            request=awaited.run.request_id,
+            endpoint=awaited.run.member.endpoint_id,
+            reason=str(exc),
+        )
+        return None
+
+    async def _open_elsewhere(self, sends: JobSends) -> OpenedRun | Answered:
+        """Open a run elsewhere; raises the final error if no endpoint takes it."""
+        while True:
+            member = await sends.choose()
+            found = await self._open_limited(sends, self.new_run(sends, member))
+            if isinstance(found, OpenedRun):
+                return found
+            if isinstance(found, Answered) and not self._is_failure(sends, found):
+                return found
+            sends.check_resend(found, self._is_delivered)
+
+    async def _open_limited(
+        self, sends: JobSends, run: StreamRun
+    ) -> OpenedRun | Outcome:
+        """Open a run within the request's time."""
+        timeout = sends.time_left
+        found: OpenedRun | Outcome | None = None
+        try:
+            async with sends.limited(timeout):
+                found = await self.open(sends, run)
+                return found
+        except TimeoutError:
+            return sends.timeout_outcome(f"no answer in {timeout:.3f} s")
+        finally:
+            if not (isinstance(found, OpenedRun) and found.sends is sends):
+                sends.record_end()
+
+    @property
+    def _is_delivered(self) -> bool:
+        """Whether a part of the stream reached the client."""
+        return self._splitter.count > 0
+
+    def _is_failure(self, sends: JobSends, result: object) -> bool:
+        """Return whether a run's result is nothing that its client could get."""
+        match result:
+            case Answered():
+                return self._is_delivered or not sends.is_final(result)
+            case NotSent() | ProvedNotRun() | MayHaveRun():
+                return True
+        return False
+
+
+async def _read(
+    sends: JobSends, exchange: Exchange, received_at: float
+) -> bytes | MayHaveRun:
+    """Return the next bytes; ``received_at`` is when the last ones arrived."""
+    try:
+        return await exchange.read_some()
+    except (ClientError, OSError) as exc:
+        sends.record_silence(received_at)
+        return read_failure("stream", exc)
+
+
+async def _is_silent(task: "asyncio.Future[Any]", limit: Limit) -> bool:
+    """Wait for a task; return whether the limit ended first."""
+    try:
+        async with limit():
+            await asyncio.wait({task})
+    except TimeoutError:
+        return True
+    return False
+
+
+def _discard(task: "asyncio.Future[Any]") -> None:
+    """Cancel a task; the run that it may have opened is closed."""
+    task.cancel()
+    task.add_done_callback(_close_opened)
+
+
+def _close_opened(task: "asyncio.Future[Any]") -> None:
+    if task.cancelled() or task.exception() is not None:
+        return
+    match task.result():
+        case OpenedRun() as opened:
+            opened.close()
