Read what has arrived before a run counts as silent

A process that is held up for longer than the time for an event, by its machine or by work of its own such as the first reload of the settings, found its timers due and the bytes of its streams unread in the same turn of the event loop. The timers won: a timeout cancels the read although its data has just arrived, so runs that had sent events all the while were given up, all of this relay's at once.

The test's endpoint sends an event each 0.1 s from a thread of its own while the loop stands still for 1 s: the code before counts the run as silent, and sends the stream elsewhere. Now what has arrived is read for 20 ms before the run counts as silent.

--- a/src/ebonydeal/_internal/relay/requests/stream_runs.py
+++ b/src/ebonydeal/_internal/relay/requests/stream_runs.py
@@ -36,6 +36,8 @@
 
 logger = get_logger("relay.stream")
 
+# What arrived while this process was held up is read before a run counts as silent.
+_SETTLE_S = 0.02
 # Time after which endpoints that didn't take a stream are asked again.
 _ASK_AGAIN_S = MIN_EVENT_TIMEOUT_S
 
@@ -222,8 +224,8 @@
         taken: asyncio.Future[Any] | None = None
         try:
             while True:
-                if not is_silent:
-                    await _is_silent(current, awaited.limit)
+                if is_silent or await _is_silent(current, awaited.limit):
+                    await asyncio.wait({current}, timeout=_SETTLE_S)
                 if current.done():
                     taken = current
                     return current.result()
--- a/tests/functional/relay/test_silent_streams.py
+++ b/tests/functional/relay/test_silent_streams.py
@@ -1,11 +1,14 @@
 """A run that falls silent is kept until another endpoint has taken its stream."""
 
 import asyncio
+import threading
+import time
 from contextlib import suppress
 from functools import partial
 
 import pytest
 
+from ebonydeal._internal.observe.counters import Event
 from tests.lib.raw_endpoints import (
     NOT_RUN,
     RawEndpoint,
@@ -151,3 +154,57 @@
                 await until(lambda: any(other.seen for other in found.others))
             for endpoint in found.endpoints:
                 await asyncio.wait_for(endpoint.closed.wait(), 2)
+
+
+class EndpointOfItsOwn(threading.Thread):
+    """An endpoint that goes on while the event loop of the test stands still."""
+
+    def __init__(self, step):
+        super().__init__(daemon=True)
+        self.endpoint = RawEndpoint("own", [step])
+        self.name = self.endpoint.name
+        self._is_up = threading.Event()
+        self._end = asyncio.Event()
+        self._loop = None
+
+    def run(self):
+        asyncio.run(self._serve())
+
+    async def _serve(self):
+        self._loop = asyncio.get_running_loop()
+        await self.endpoint.start()
+        self._is_up.set()
+        await self._end.wait()
+        await self.endpoint.stop()
+
+    async def start(self):
+        super().start()
+        self._is_up.wait()
+
+    def row(self):
+        return self.endpoint.row()
+
+    async def stop(self):
+        self._loop.call_soon_threadsafe(self._end.set)
+        await asyncio.to_thread(self.join)
+
+
+class TestHeldUpProcess:
+    async def test_reads_what_has_arrived_before_a_run_counts_as_silent(self):
+        async def steady(_reader, writer, headers):
+            head = stream_head().replace(b"{id}", request_id(headers))
+            writer.write(head + chunk(events(1, 1)))
+            for number in range(2, 13):
+                await asyncio.sleep(0.1)
+                writer.write(chunk(events(number, number)))
+            writer.write(b"0\r\n\r\n")
+
+        endpoint = EndpointOfItsOwn(steady)
+        async with running(endpoint) as (program, _store), Client(program) as client:
+            await client.send("/again/", method="POST")
+            await client.reader.readuntil(b"data: x2\n\n")
+            # Longer than the time after which a run counts as silent.
+            time.sleep(SILENCE_S)
+            await client.reader.readuntil(b"data: x12\n\n")
+        assert program._metrics.events().get(Event.RUNS_SILENT, 0) == 0
+        assert len(endpoint.endpoint.seen) == 1
