Waits for first events, plain answers and other relays read before they end

A relay that was held up gave a send up, or answered 502 to a request that may run once, although the answer or the acknowledgement had arrived.

These waits now end 20 ms after their time, in another turn of the event loop, so what has arrived is read first.

--- a/src/ebonydeal/_internal/relay/links/forwarder.py
+++ b/src/ebonydeal/_internal/relay/links/forwarder.py
@@ -32,6 +32,7 @@
 )
 from ebonydeal._internal.relay.requests.exchange import OutgoingRequest
 from ebonydeal._internal.relay.requests.outcomes import MayHaveRun, NotSent
+from ebonydeal._internal.relay.requests.wait_timer import arrival_limit
 from ebonydeal._internal.utils.bounded_responses import BoundedConnector
 from ebonydeal._internal.utils.clock import Clock
 from ebonydeal._internal.utils.http_sessions import HttpSessions, SessionPool
@@ -221,7 +222,7 @@
         self, call: "_Call", member: Member, body: bytes
     ) -> ForwardedExchange | NotSent | MayHaveRun | None:
         relay = call.relay
-        async with asyncio.timeout(_ACKNOWLEDGE_TIMEOUT_S):
+        async with arrival_limit(_ACKNOWLEDGE_TIMEOUT_S, self._clock):
             resp = await call.pool.session.post(
                 f"http://{relay}{FORWARD}",
                 data=body,
--- a/src/ebonydeal/_internal/relay/requests/stream_runs.py
+++ b/src/ebonydeal/_internal/relay/requests/stream_runs.py
@@ -33,11 +33,10 @@
     read_failure,
 )
 from ebonydeal._internal.relay.requests.sends import JobSends
+from ebonydeal._internal.relay.requests.wait_timer import SETTLE_S
 
 logger = get_logger("relay.stream")
 
-# What arrived while this process was held up is read before a run counts as silent.
-_SETTLE_S = 0.02
 # Time after which endpoints that didn't take a stream are asked again.
 _ASK_AGAIN_S = MIN_EVENT_TIMEOUT_S
 
@@ -225,7 +224,7 @@
         try:
             while True:
                 if is_silent or await _is_silent(current, awaited.limit):
-                    await asyncio.wait({current}, timeout=_SETTLE_S)
+                    await asyncio.wait({current}, timeout=SETTLE_S)
                 if current.done():
                     taken = current
                     return current.result()
