Gateway: an answer whose status is none isn't passed on

What callers saw: through the gateway an endpoint's answer with status 000, 099, 600 or 999 came as an answer, since plain calls pass on any status. A request that may run once was recorded as completed with it.

Now it is ENDPOINT_GARBAGE, 502, as the request may have run. Relays do the same already: the new test of nine odd statuses on four routes, asked directly and through another relay, finds none passed on, and no 503 to a request that reached its endpoint. It stays, with that of answers that break off amid an upload, of 2 x 9 cases on four routes with and without a length, in which no part of an answer looked complete. At the gateway the odd statuses failed for plain calls in 4 of 9 cases before; streams held.

--- a/src/ebonydeal/_internal/outside/services.py
+++ b/src/ebonydeal/_internal/outside/services.py
@@ -1,5 +1,7 @@
 """HTTP client of plain services."""
 
+from http import HTTPStatus
+
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.endpoints import EndpointView
 from ebonydeal._internal.outside.backoff import BackoffListener, report_backoff
@@ -13,6 +15,7 @@
 from ebonydeal._internal.outside.load_reports import LoadListener, report_load_header
 from ebonydeal._internal.settings.sections import PlatformSettings
 
+_MAX_STATUS = 599
 _SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
 _NOT_FORWARDED_HEADERS = frozenset(
     (
@@ -96,6 +99,11 @@
                 ErrorKind.ENDPOINT_REFUSED,
                 f"{endpoint.endpoint_id} refused the request",
             )
+        if not HTTPStatus.OK <= reply.status <= _MAX_STATUS:
+            raise EbonydealError(
+                ErrorKind.ENDPOINT_GARBAGE,
+                f"{endpoint.endpoint_id} answered with status {reply.status:03}",
+            )
         return ServiceAnswer(reply.status, reply.content_type, reply.body)
 
     async def close(self) -> None:
--- a/tests/lib/announcing_endpoints.py
+++ b/tests/lib/announcing_endpoints.py
@@ -51,13 +51,13 @@
 
 
 @asynccontextmanager
-async def running_relays(count, *endpoints, **cfg):
+async def running_relays(count, *endpoints, doc=None, **cfg):
     """Run some relays in front of endpoints; yields (relays, store)."""
     store = MemoryStore()
     for endpoint in endpoints:
         await endpoint.start()
         await store.put("servers", endpoint.name, endpoint.row())
-    await store.put("op", "config", document())
+    await store.put("op", "config", doc or document())
     programs = [
         relay(store, node=f"n{number}", seed=number + 1, **cfg)
         for number in range(count)
