Gateway: an answer without a length isn't complete if its connection was reset

What callers saw: an endpoint answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection. The part came as a complete answer; a request that may run once was recorded as completed with it.

Cause: the HTTP library ends a body that has neither a length nor chunks with its connection, whether that was closed or reset.

Now the one connection class that all of them use fails such a body at a reset.

--- a/src/ebonydeal/_internal/utils/bounded_responses.py
+++ b/src/ebonydeal/_internal/utils/bounded_responses.py
@@ -21,7 +21,10 @@
 
 
 class BoundedResponseHandler(ResponseHandler):
-    """Ends a connection with too many bytes that belong to no body."""
+    """Ends a connection with too many bytes that belong to no body.
+
+    A body that ends with its connection is incomplete if that was reset.
+    """
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
@@ -52,6 +55,13 @@
         if self._received > _MAX_FRAMING_BYTES + _MAX_FRAMING_RATIO * body_bytes:
             self._end(body_bytes)
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End the response; the library takes a reset for the end of its body."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(ClientPayloadError("the connection was reset"))
+        super().connection_lost(exc)
+
     def _end(self, body_bytes: int) -> None:
         error = EndlessAnswerError(
             f"{self._received} bytes came for {body_bytes} bytes of a body"
--- a/tests/functional/outside/test_early_answers.py
+++ b/tests/functional/outside/test_early_answers.py
@@ -1,4 +1,4 @@
-"""Endpoints of the gateway that answer with an odd status."""
+"""Endpoints of the gateway that answer amid an upload, or with an odd status."""
 
 import pytest
 
@@ -6,8 +6,10 @@
 from ebonydeal._internal.outside.engines import HttpEngine
 from ebonydeal._internal.outside.services import HttpPlainServices
 from tests.lib.early_endpoints import (
+    EARLY_ANSWERS,
     LONG_BODY,
     ODD_STATUSES,
+    EarlyEndpoint,
     odd_answer,
 )
 from tests.lib.fakes_endpoints import view_of
@@ -37,6 +39,30 @@
         await client.close()
 
 
+@pytest.mark.parametrize("early", EARLY_ANSWERS)
+class TestEarlyAnswer:
+    @pytest.mark.parametrize("method", ["POST", "GET"])
+    async def test_part_of_a_services_answer_is_no_answer(self, early, method):
+        endpoint = EarlyEndpoint("s1", *EARLY_ANSWERS[early])
+        await endpoint.start()
+        try:
+            with pytest.raises(EbonydealError) as caught:
+                await call_service(endpoint, method)
+        finally:
+            await endpoint.stop()
+        assert caught.value.kind in UNKNOWN_OUTCOME
+
+    async def test_part_of_a_stream_is_none(self, early):
+        endpoint = EarlyEndpoint("e1", *EARLY_ANSWERS[early])
+        await endpoint.start()
+        try:
+            with pytest.raises(EbonydealError) as caught:
+                await stream(endpoint)
+        finally:
+            await endpoint.stop()
+        assert caught.value.kind in UNKNOWN_OUTCOME
+
+
 @pytest.mark.parametrize("status", ODD_STATUSES)
 @pytest.mark.parametrize("ask", [call_service, stream])
 class TestOddStatus:
