A connection accepted as a stopping relay closes its socket isn't read

What callers would see: a request on a connection that the event loop had accepted a moment before the socket was closed was read, passed on, and cut off as the relay ended, 0.01 s later; also one that may run once.

The test makes such a connection after close_gracefully(); before, its request was passed on. test_late_in_a_stop.py stays: twelve callers on open and new connections, on four kinds of routes, until the relay is gone, asked directly, while it sends through another relay, and while it is that other one.

--- a/src/ebonydeal/_internal/relay/listener.py
+++ b/src/ebonydeal/_internal/relay/listener.py
@@ -37,6 +37,13 @@
         super().__init__(server, bounds, **options)
         self._server = server
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to read, unless the relay is about to end."""
+        super().connection_made(transport)
+        if not self._server.reads and self.transport is not None:
+            # A request that is passed on now would be cut off without an answer.
+            self.transport.abort()
+
     def data_received(self, data: bytes) -> None:
         """Read some bytes; the library also calls this without any."""
         if data and self._server.reads:
--- a/tests/functional/relay/test_planned_stop.py
+++ b/tests/functional/relay/test_planned_stop.py
@@ -334,6 +334,28 @@
                 await program.stop()
 
 
+class TestLateConnection:
+    async def test_that_was_accepted_before_the_socket_closed_is_not_read(self):
+        """Its request would be passed on, and cut off at once as the relay ends."""
+        one = RawEndpoint("i1")
+        async with serving(one) as (program, _client):
+            listener = program.clients
+            accept = listener._server
+            async with Client(program) as late:
+                await until(lambda: len(accept.connections) == 2)
+                # As if the event loop had accepted it a moment before.
+                (_first, accepted) = accept.connections
+                listener.close_gracefully()
+                transport = accepted.transport
+                protocol = accept()
+                transport.set_protocol(protocol)
+                protocol.connection_made(transport)
+                await late.send("/once/", method="POST")
+                with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+                    await late.receive()
+        assert one.seen == []
+
+
 class TestEnd:
     @pytest.mark.parametrize("path", ["/once/", "/safe/", "/live/"])
     async def test_request_without_an_answer_gets_504(self, path):
