Gateway: answer requests that a stop ends, instead of closing their connections

What callers saw: a request that was still at work when the time of a planned stop was over, also one that may run once, ended with a closed connection and no answer.

Half a second before the end, or at half of a shorter time, open requests end with instance_stopped (504, outcome unknown). A stream that has begun still ends visibly incomplete. The test failed before with ServerDisconnectedError.

--- a/src/ebonydeal/_internal/utils/web.py
+++ b/src/ebonydeal/_internal/utils/web.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 from ssl import SSLContext
 from typing import Any
 
@@ -32,9 +33,46 @@
 _MAX_HEADER_BYTES = 8190
 # Time for which a client that was already answered may continue to send its body.
 _LINGER_TIMEOUT_S = 1.0
+# Part of the time of a stop that is left for answers to requests that it ends.
+_LAST_ANSWERS_S = 0.5
+_MAX_LAST_ANSWERS_SHARE = 0.5
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
+class _StopLimit:
+    """Ends requests that are still at work when the time of a stop is over.
+
+    Attributes
+    ----------
+    is_over : bool
+        Whether it is over.
+    """
+
+    def __init__(self) -> None:
+        self.is_over = False
+        self._limits: set[asyncio.Timeout] = set()
+
+    @asynccontextmanager
+    async def apply(self) -> AsyncIterator[None]:
+        """Raise TimeoutError in the body once the time is over."""
+        async with asyncio.timeout(0.0 if self.is_over else None) as limit:
+            self._limits.add(limit)
+            try:
+                yield
+            finally:
+                self._limits.discard(limit)
+
+    def end(self) -> None:
+        """End all requests."""
+        self.is_over = True
+        now = asyncio.get_running_loop().time()
+        for limit in self._limits:
+            limit.reschedule(now)
+
+
+_STOP_LIMIT = web.AppKey("stop_limit", _StopLimit)
+
+
 def _from_http(exc: web.HTTPException) -> EbonydealError:
     """Convert an error raised by aiohttp itself."""
     match exc.status:
@@ -57,8 +95,19 @@
 
     @web.middleware
     async def middleware(req: web.Request, handler: Handler) -> web.StreamResponse:
+        stop_limit = req.app[_STOP_LIMIT]
         try:
-            return await handler(req)
+            async with stop_limit.apply():
+                return await handler(req)
+        except TimeoutError as exc:
+            if not stop_limit.is_over:
+                logger.error("Request handler failed.", path=req.path, exc_info=exc)
+                return refuse(EbonydealError(ErrorKind.INTERNAL, "an internal error"))
+            if req.writer.output_size:
+                # The answer has begun: it ends visibly incomplete.
+                raise asyncio.CancelledError from None
+            detail = "this process stopped before the answer was complete"
+            return refuse(EbonydealError(ErrorKind.INSTANCE_STOPPED, detail))
         except EbonydealError as exc:
             return refuse(exc)
         except web.HTTPException as exc:
@@ -94,6 +143,7 @@
     app = web.Application(
         middlewares=[error_middleware(metrics)], client_max_size=max_body
     )
+    app[_STOP_LIMIT] = _StopLimit()
 
     async def metrics_page(_req: web.Request) -> web.Response:
         return web.Response(body=metrics.render(), content_type="text/plain")
@@ -210,7 +260,16 @@
                 server.check_connections()
 
     async def on_stop(self) -> None:
-        """Stop accepting, wait for open requests, then close."""
-        if self._runner is not None:
-            await self._runner.cleanup()
-            self._runner = None
+        """Stop accepting, wait for open requests, then close.
+
+        Those still at work at the end are answered as ended by the stop.
+        """
+        if self._runner is None:
+            return
+        answers_s = min(_LAST_ANSWERS_S, self._drain * _MAX_LAST_ANSWERS_SHARE)
+        timer = asyncio.get_running_loop().call_later(
+            self._drain - answers_s, self.app[_STOP_LIMIT].end
+        )
+        await self._runner.cleanup()
+        timer.cancel()
+        self._runner = None
