A run stopped for its migration goes on at its source if the target doesn't take it

What callers saw: a stream that may run once broke off after some events, though no endpoint had failed: its endpoint was leaving, the relay had stopped the run and had its KV cache copied, and the target then refused the stream, was full or gone.

Cause: the class of silent runs, something that works is stopped before its replacement is certain. But the source keeps the KV cache of a run that it stopped, and takes the request back with its handle, as the same run.

Now the run goes back there after a refusal or a connection that wasn't made, while the source may still get requests, and at the cost of a retry. Two tests that hold that such a stream isn't run from its beginning keep that check; their source now refuses as well.

--- a/src/ebonydeal/_internal/relay/requests/migrations.py
+++ b/src/ebonydeal/_internal/relay/requests/migrations.py
@@ -44,10 +44,21 @@
 
 
 class MigratedRun(NamedTuple):
-    """The endpoint where a migrated run continues, and its KV cache."""
+    """The endpoint where a migrated run continues, and its KV cache.
+
+    ``source`` is the endpoint that stopped the run and still has the KV cache, if the
+    run may continue there.
+    """
 
     member: Member
     kv_cache: KvCacheRef
+    source: Member | None = None
+
+    def at_source(self) -> "MigratedRun | None":
+        """Return the run as it continues where it was stopped, or None."""
+        if self.source is None:
+            return None
+        return MigratedRun(self.source, self.kv_cache)
 
 
 @dataclass(eq=False)
@@ -214,7 +225,8 @@
             target=target.endpoint_id,
             events=run.events,
         )
-        return MigratedRun(target, KvCacheRef(run.member.address, reply.handle))
+        kv_cache = KvCacheRef(run.member.address, reply.handle)
+        return MigratedRun(target, kv_cache, run.member)
 
     def _target(self, run: StreamRun) -> Member | None:
         """Return the endpoint where the run waits least, or None."""
--- a/src/ebonydeal/_internal/relay/requests/sends.py
+++ b/src/ebonydeal/_internal/relay/requests/sends.py
@@ -210,6 +210,30 @@
         except EbonydealError as exc:
             raise self.proof.final_error(exc) from None
 
+    def back_to_source(
+        self, migrated: MigratedRun | None, outcome: Outcome
+    ) -> MigratedRun | None:
+        """Return the run as it continues where it was stopped, or None.
+
+        It does if its target didn't take it, unless the source has no time left or
+        the retry budget is spent.
+        """
+        back = None if migrated is None else migrated.at_source()
+        if back is None or not isinstance(outcome, NotSent | ProvedNotRun):
+            return None
+        parts = self._parts
+        may_serve = parts.view.may_get_requests(back.member, parts.clock.now())
+        if not may_serve or not parts.retries.try_spend(self.job.service):
+            return None
+        parts.metrics.count_retry(_reason_of(outcome))
+        logger.info(
+            "Migrated run goes back.",
+            request=self.job.req.request_id,
+            endpoint=back.member.endpoint_id,
+            outcome=type(outcome).__name__,
+        )
+        return back
+
     async def resume(self, migrated: MigratedRun) -> Member:
         """Return the endpoint that got the run's KV cache, for the next send."""
         self._check_quarantine()
@@ -629,8 +653,7 @@
         )
         if final_error is not None:
             raise self.proof.final_error(final_error)
-        reason = _REASONS.get(error.kind, RetryReason.ENDPOINT_FAILED)
-        parts.metrics.count_retry(self.resend_reason or reason)
+        parts.metrics.count_retry(self.resend_reason or _reason_of(outcome))
 
     def _record_endpoint_failure(
         self, endpoint_id: str, kind: ErrorKind, now: float
@@ -722,6 +745,11 @@
     return True
 
 
+def _reason_of(outcome: Outcome) -> RetryReason:
+    """Return the reason of a send after ``outcome``, for the counters."""
+    return _REASONS.get(_error_of(outcome).kind, RetryReason.ENDPOINT_FAILED)
+
+
 def _deadline_exceeded() -> EbonydealError:
     return EbonydealError(ErrorKind.DEADLINE_EXCEEDED, "the deadline has passed")
 
--- a/src/ebonydeal/_internal/relay/requests/stream.py
+++ b/src/ebonydeal/_internal/relay/requests/stream.py
@@ -106,7 +106,9 @@
                 if outcome is None:
                     assert client.resp is not None
                     return client.resp
-                migrated = await self._parts.migrator.result(run)
+                migrated = await self._parts.migrator.result(
+                    run
+                ) or sends.back_to_source(migrated, outcome)
                 if migrated is not None:
                     splitter.drop_remainder()
                     continue
--- a/tests/functional/relay/test_stream_migration.py
+++ b/tests/functional/relay/test_stream_migration.py
@@ -138,11 +138,31 @@
             running(case.one, case.two, doc=DOC, engines=case.engines) as (_p, store),
             Client(_p) as client,
         ):
-            _first, second = await case.start_and_leave(store, client)
+            first, second = await case.start_and_leave(store, client)
+            first.script = [NOT_RUN]
             with pytest.raises(asyncio.IncompleteReadError):
                 await client.reader.readuntil(b"0\r\n\r\n")
         # The stream may not be run again from its beginning.
         assert len(second.seen) == 1
+        assert all("Kv-From" in head for head in first.seen[1:])
+
+    async def test_run_goes_on_at_its_source_if_the_target_refuses(self):
+        # Guards against streams that are stopped for a move, and then cut off.
+        case = Case(events(1, 3) + b"id: 4\nda", NOT_RUN)
+        async with (
+            running(case.one, case.two, doc=DOC, engines=case.engines) as (_p, store),
+            Client(_p) as client,
+        ):
+            # One for the migration, one for the way back.
+            _p._retries.add_initial_retries(2.0)
+            first, second = await case.start_and_leave(store, client)
+            first.script = [remainder(4, 6)]
+            received = await client.reader.readuntil(b"0\r\n\r\n")
+        assert b"data: x6" in received
+        assert received.count(b"id: 4") == 1
+        assert len(second.seen) == 1 and len(first.seen) == 2
+        assert f"Kv-From: {first.address}/h1" in first.seen[1]
+        assert "Last-Event-Id: 3" in first.seen[1]
 
     async def test_unreachable_target_causes_no_second_run(self):
         case = Case(events(1, 3), remainder(4, 6))
@@ -160,6 +180,7 @@
             # It is the target: with equal waits the first by name is chosen.
             await second.stop()
             await store.put("servers", three.name, three.row())
+            first.script = [NOT_RUN]
             await store.put("servers", first.name, first.row(state="draining"))
             with pytest.raises(asyncio.IncompleteReadError):
                 await client.reader.readuntil(b"0\r\n\r\n")
