Await a plain answer until another endpoint has given one

What callers saw: an idempotent request of a plain service ended with 504 or 502, though its endpoint would have answered in time. After 0.6 of the objective its send was closed; then the other endpoint refused it or reset the connection, or the retry budget permitted no other send at all, which wasn't asked before the close.

The same cause as of silent streams, at whole answers. The part of StreamRuns that awaits a silent send beside others is now its own module, overlapping.py, and both use it. A resend that was taken from the budget in advance counts as permitted.

--- a/src/ebonydeal/_internal/relay/requests/plain.py
+++ b/src/ebonydeal/_internal/relay/requests/plain.py
@@ -1,5 +1,7 @@
 """Requests of plain services: the complete answer is read, then forwarded."""
 
+import asyncio
+
 from aiohttp import ClientError, web
 from multidict import CIMultiDict
 
@@ -15,9 +17,17 @@
     Outcome,
     ProvedNotRun,
 )
+from ebonydeal._internal.relay.requests.overlapping import (
+    Awaited,
+    Limit,
+    OverlappingSends,
+)
 from ebonydeal._internal.relay.requests.resend_check import Patience, ResendCheck
 from ebonydeal._internal.relay.requests.sends import JobSends
-from ebonydeal._internal.relay.requests.wait_timer import checked_limit
+from ebonydeal._internal.relay.requests.wait_timer import (
+    arrival_limit,
+    checked_limit,
+)
 from ebonydeal._internal.utils.bounded_responses import EndlessAnswerError
 from ebonydeal._internal.utils.close_delimited import ResetUntilWrittenResponse
 from ebonydeal._internal.utils.http_framing import (
@@ -105,87 +115,108 @@
     async def answer(self, job: Job) -> web.StreamResponse:
         """Send until there is an answer; raises the final error."""
         sends = JobSends(self._parts, job)
-        fallback: Answered | None = None
+        answers = PlainAnswers(self._parts)
         while True:
             try:
-                member = await sends.choose()
-                wall = self._parts.clock.wall()
-                outcome = await self._send(sends, member)
-                if isinstance(outcome, Answered | MayHaveRun):
-                    sends.count_run(wall)
-                if isinstance(outcome, Answered):
-                    if sends.is_final(outcome):
-                        sends.record_answer(outcome.head.status)
-                        return client_response(outcome)
-                    if not job.at_most_once:
-                        fallback = outcome
+                outcome = await self._send(answers, sends, await sends.choose())
+                if isinstance(outcome, Answered) and sends.is_final(outcome):
+                    return client_response(outcome)
                 sends.check_resend(outcome)
             except EbonydealError:
-                if fallback is None:
+                if answers.fallback is None:
                     raise
-                return client_response(fallback)
+                return client_response(answers.fallback)
 
-    async def _send(self, sends: JobSends, member: Member) -> Outcome:
-        """Make one send, with a timeout."""
-        if self._parts.config.by_expectation and self._parts.plain_capacity:
-            return await self._send_checked(sends, member)
-        job = sends.job
+    async def _send(
+        self, answers: "PlainAnswers", sends: JobSends, member: Member
+    ) -> Outcome:
+        """Make one send, with others beside it if it is silent."""
         timeout = sends.time_left
-        may_resend = job.route.max_sends > 1 and not sends.proof.may_have_run
-        share = self._parts.config.plain
-        if share and job.route.repeat is Repeat.IDEMPOTENT and may_resend:
-            timeout = min(timeout, job.route.objective * share)
         try:
             async with sends.limited(timeout):
-                outcome = await self._exchange(sends, member)
-                if isinstance(outcome, Answered) and outcome.head.status < 500:
-                    sends.mark_answered()
-                return outcome
+                return await answers.send(sends, member)
         except TimeoutError:
+            sends.count_run(answers.sent_at_wall)
             return sends.timeout_outcome(f"no answer in {timeout:.3f} s")
         finally:
             sends.record_end()
 
-    async def _send_checked(self, sends: JobSends, member: Member) -> Outcome:
-        """Make one send; it ends early if a resend is expected to be answered sooner.
 
-        It lasts until the deadline if no other send may follow.
-        """
-        parts, job = self._parts, sends.job
-        patience = sends.time_left
-        if parts.config.plain and not job.at_most_once:
-            patience = min(patience, job.route.objective * parts.config.plain)
-        check = ResendCheck(parts, sends, Patience(patience, patience))
-        sent_at = parts.clock.now()
-        try:
-            async with (
-                sends.limited(sends.time_left),
-                checked_limit(check.until, parts.clock),
-            ):
-                outcome = await self._exchange(sends, member)
-                if isinstance(outcome, Answered) and outcome.head.status < 500:
-                    sends.mark_answered()
-                    self._record_activity(sends, member)
-                return outcome
-        except TimeoutError:
-            waited = parts.clock.now() - sent_at
-            return sends.timeout_outcome(
-                f"no answer in {waited:.3f} s", check.endpoint_fault
+class PlainAnswers(OverlappingSends[Answered]):
+    """The sends of one plain request, and their answers.
+
+    Attributes
+    ----------
+    fallback : Answered or None
+        An endpoint's failure, for a client that can get nothing better.
+    sent_at_wall : float
+        When the last send began, wall clock seconds.
+    """
+
+    def __init__(self, parts: SendParts) -> None:
+        self._parts = parts
+        self.fallback: Answered | None = None
+        self.sent_at_wall = 0.0
+
+    async def send(self, sends: JobSends, member: Member) -> Answered | Outcome:
+        """Make one send, with others beside it if it is silent."""
+        self.sent_at_wall = wall = self._parts.clock.wall()
+        sent_at = self._parts.clock.now()
+        limit, check = self._limit(sends)
+
+        def silence() -> MayHaveRun:
+            sends.count_run(wall)
+            waited = self._parts.clock.now() - sent_at
+            return MayHaveRun(
+                ErrorKind.ENDPOINT_STALLED,
+                f"no answer in {waited:.3f} s",
+                check is None or check.endpoint_fault,
             )
-        finally:
-            sends.record_end()
 
-    def _record_activity(self, sends: JobSends, member: Member) -> None:
-        """Record that an endpoint still runs requests; failures don't show that."""
-        parts = self._parts
-        endpoint_id, now = member.endpoint_id, parts.clock.now()
-        parts.selector.record_activity(endpoint_id, now)
-        if sends.sent is not None:
-            latency_s = now - sends.sent.sent_at
-            parts.plain_queues.record_answer(endpoint_id, latency_s, now)
+        answering = asyncio.ensure_future(self._exchange(sends, member, wall))
+        return await self.first_result(
+            Awaited(sends, member, limit, silence), answering
+        )
 
-    async def _exchange(self, sends: JobSends, member: Member) -> Outcome:
-        """Send and read the answer."""
+    def is_failure(self, sends: JobSends, result: object, delivered: bool) -> bool:
+        """Return whether a result is nothing that the client should get."""
+        return not (isinstance(result, Answered) and sends.is_final(result))
+
+    def _limit(self, sends: JobSends) -> tuple[Limit, ResendCheck | None]:
+        """Return the limit after which a send is silent, and what decides it."""
+        parts, job = self._parts, sends.job
+        time_left = sends.time_left
+        share = parts.config.plain
+        if parts.config.by_expectation and parts.plain_capacity:
+            patience = time_left
+            if share and not job.at_most_once:
+                patience = min(patience, job.route.objective * share)
+            check = ResendCheck(parts, sends, Patience(patience, patience))
+            return lambda: checked_limit(check.until, parts.clock), check
+        may_resend = job.route.max_sends > 1 and not sends.proof.may_have_run
+        if share and job.route.repeat is Repeat.IDEMPOTENT and may_resend:
+            patience = min(time_left, job.route.objective * share)
+            return lambda: arrival_limit(patience, parts.clock), None
+        return lambda: arrival_limit(max(0.0, sends.time_left), parts.clock), None
+
+    async def _exchange(self, sends: JobSends, member: Member, wall: float) -> Outcome:
+        """Send to one endpoint and read its answer."""
+        outcome = await self._read_answer(sends, member)
+        match outcome:
+            case Answered(head=head):
+                sends.count_run(wall)
+                if head.status < 500:
+                    sends.mark_answered()
+                    self._record_activity(sends, member)
+                if sends.is_final(outcome):
+                    sends.record_answer(head.status)
+                elif not sends.job.at_most_once:
+                    self.fallback = outcome
+            case MayHaveRun():
+                sends.count_run(wall)
+        return outcome
+
+    async def _read_answer(self, sends: JobSends, member: Member) -> Outcome:
         parts, job = self._parts, sends.job
         headers = parts.wire.request_headers(
             job.req, sends.send_metadata(job.req.last_event)
@@ -204,3 +235,14 @@
             return failure or outcome
         finally:
             sent.close()
+
+    def _record_activity(self, sends: JobSends, member: Member) -> None:
+        """Record that an endpoint still runs requests; failures don't show that."""
+        parts = self._parts
+        if not (parts.config.by_expectation and parts.plain_capacity):
+            return
+        endpoint_id, now = member.endpoint_id, parts.clock.now()
+        parts.selector.record_activity(endpoint_id, now)
+        if sends.sent is not None:
+            latency_s = now - sends.sent.sent_at
+            parts.plain_queues.record_answer(endpoint_id, latency_s, now)
--- a/src/ebonydeal/_internal/relay/requests/sends.py
+++ b/src/ebonydeal/_internal/relay/requests/sends.py
@@ -373,7 +373,10 @@
         return (
             job.at_most_once
             or others + 1 >= job.route.max_sends
-            or not parts.retries.can_retry(job.service, self._history.sends)
+            or not (
+                self._reserved
+                or parts.retries.can_retry(job.service, self._history.sends)
+            )
         )
 
     def is_final(self, answer: Answered) -> bool:
--- a/src/ebonydeal/_internal/relay/requests/stream_runs.py
+++ b/src/ebonydeal/_internal/relay/requests/stream_runs.py
@@ -1,14 +1,12 @@
 """Runs of a stream: a silent one is kept until another endpoint has begun to answer."""
 
 import asyncio
-from collections.abc import Callable
-from contextlib import AbstractAsyncContextManager
 from math import isfinite
-from typing import Any, NamedTuple, TypeVar
+from typing import NamedTuple
 
 from aiohttp import ClientError
 
-from ebonydeal._internal.errors import EbonydealError, ErrorKind
+from ebonydeal._internal.errors import ErrorKind
 from ebonydeal._internal.models.forwarding import AnswerHead, Member
 from ebonydeal._internal.observe.counters import Event
 from ebonydeal._internal.observe.logs import get_logger
@@ -27,22 +25,20 @@
     Outcome,
     ProvedNotRun,
 )
+from ebonydeal._internal.relay.requests.overlapping import (
+    Awaited,
+    Limit,
+    OverlappingSends,
+)
 from ebonydeal._internal.relay.requests.plain import (
     head_failure,
     read_body,
     read_failure,
 )
 from ebonydeal._internal.relay.requests.sends import JobSends
-from ebonydeal._internal.relay.requests.wait_timer import SETTLE_S
 
 logger = get_logger("relay.stream")
 
-# Time after which endpoints that didn't take a stream are asked again.
-_ASK_AGAIN_S = MIN_EVENT_TIMEOUT_S
-
-Limit = Callable[[], AbstractAsyncContextManager[object]]
-T = TypeVar("T")
-
 
 class OpenedRun(NamedTuple):
     """A run whose answer has begun.
@@ -64,24 +60,11 @@
         self.sends.record_end()
 
 
-class _Awaited(NamedTuple):
-    """A run that is awaited, and what it would be given up with.
-
-    ``limit`` raises TimeoutError once the run is silent.
-    """
-
-    sends: JobSends
-    run: StreamRun
-    limit: Limit
-    silence: Callable[[], MayHaveRun]
-
-
-class StreamRuns:
+class StreamRuns(OverlappingSends[OpenedRun]):
     """Opens the runs of one stream, and reads them.
 
-    An endpoint that is silent may still go on, and another one that is asked may refuse
-    the stream or break. So the silent run is kept while others are asked: the one that
-    sends something first goes on, and the others are closed.
+    While a run is silent, others are opened beside it: the one that sends something
+    first goes on, and the others are closed.
 
     Parameters
     ----------
@@ -119,8 +102,8 @@
             return MayHaveRun(kind, "no answer", first.endpoint_fault)
 
         opening = asyncio.ensure_future(self._open_one(sends, run, first))
-        awaited = _Awaited(sends, run, first.limit, silence)
-        return await self._await(awaited, opening)
+        awaited = Awaited(sends, run.member, first.limit, silence, self._is_delivered)
+        return await self.first_result(awaited, opening)
 
     async def _open_one(
         self, sends: JobSends, run: StreamRun, first: FirstEventWait
@@ -175,12 +158,24 @@
         def silence() -> MayHaveRun:
             sends.record_silence(received_at)
             self._log_silence(sends, run, received_at)
+            run.is_being_replaced = True
             fault = bool(run.events) or opened.first.endpoint_fault
             return MayHaveRun(ErrorKind.ENDPOINT_STALLED, "no event in time", fault)
 
         reading = asyncio.ensure_future(_read(sends, exchange, received_at))
-        awaited = _Awaited(sends, run, limit, silence)
-        return await self._await(awaited, reading, is_silent=True)
+        awaited = Awaited(
+            sends,
+            run.member,
+            limit,
+            silence,
+            self._is_delivered,
+            # A migration stops the run, and it goes on elsewhere then.
+            may_send=lambda: run.migration is None,
+        )
+        try:
+            return await self.first_result(awaited, reading, is_silent=True)
+        finally:
+            run.is_being_replaced = False
 
     def _event_limit(self, sends: JobSends) -> Limit:
         """Return the limit on the wait for the next event."""
@@ -212,119 +207,37 @@
         )
 
     # --- a silent run, and others beside it --------------------------------------
-    async def _await(
-        self, awaited: _Awaited, current: "asyncio.Future[T]", is_silent: bool = False
-    ) -> T | OpenedRun | Outcome:
-        """Return the result of ``current``, or what began elsewhere if that is sooner.
+    async def send(self, sends: JobSends, member: Member) -> OpenedRun | Outcome:
+        """Open a run at an endpoint."""
+        return await self.open(sends, self.new_run(sends, member))
 
-        A failure of ``current`` is returned once nothing may follow elsewhere.
-        """
-        other: asyncio.Future[OpenedRun | Answered] | None = None
-        taken: asyncio.Future[Any] | None = None
-        try:
-            while True:
-                if is_silent or await _is_silent(current, awaited.limit):
-                    await asyncio.wait({current}, timeout=SETTLE_S)
-                if current.done():
-                    taken = current
-                    return current.result()
-                if awaited.sends.time_left <= 0.0:
-                    return awaited.silence()
-                is_silent = False
-                other = self._begin_elsewhere(awaited)
-                if other is not None:
-                    taken = await self._first_of(awaited, current, other)
-                    if taken is not None:
-                        return taken.result()
-                    other = None
-                    await asyncio.wait({current}, timeout=_ASK_AGAIN_S)
-        finally:
-            awaited.run.is_being_replaced = False
-            for task in (current, other):
-                if task is not None and task is not taken:
-                    _discard(task)
-
-    def _begin_elsewhere(
-        self, awaited: _Awaited
-    ) -> "asyncio.Future[OpenedRun | Answered] | None":
-        """Begin to open a run at another endpoint; None if that isn't allowed."""
-        sends, run = awaited.sends, awaited.run
-        if sends.is_last or run.migration is not None:
-            return None
-        try:
-            others = sends.beside(awaited.silence(), self._is_delivered)
-        except EbonydealError:
-            return None
-        run.is_being_replaced = True
-        return asyncio.ensure_future(self._open_elsewhere(others))
-
-    async def _first_of(
-        self,
-        awaited: _Awaited,
-        current: "asyncio.Future[T]",
-        other: "asyncio.Future[OpenedRun | Answered]",
-    ) -> "asyncio.Future[Any] | None":
-        """Return which one goes on; None if only ``current`` may still do so."""
-        both: set[asyncio.Future[Any]] = {current, other}
-        await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
-        if current.done() and not self._is_failure(awaited.sends, current.result()):
-            return current
-        await asyncio.wait({other})
-        exc = other.exception()
-        if exc is None:
-            return other
-        if not isinstance(exc, EbonydealError):
-            raise exc
-        awaited.run.is_being_replaced = False
-        logger.info(
-            "No other endpoint takes the stream.",
-            request=awaited.run.request_id,
-            endpoint=awaited.run.member.endpoint_id,
-            reason=str(exc),
-        )
-        return None
+    def is_failure(self, sends: JobSends, result: object, delivered: bool) -> bool:
+        """Return whether a result is nothing that the client could get."""
+        match result:
+            case Answered():
+                return delivered or not sends.is_final(result)
+            case NotSent() | ProvedNotRun() | MayHaveRun():
+                return True
+        return False
 
-    async def _open_elsewhere(self, sends: JobSends) -> OpenedRun | Answered:
-        """Open a run elsewhere; raises the final error if no endpoint takes it."""
-        while True:
-            member = await sends.choose()
-            found = await self._open_limited(sends, self.new_run(sends, member))
-            if isinstance(found, OpenedRun):
-                return found
-            if isinstance(found, Answered) and not self._is_failure(sends, found):
-                return found
-            sends.check_resend(found, self._is_delivered)
-
-    async def _open_limited(
-        self, sends: JobSends, run: StreamRun
-    ) -> OpenedRun | Outcome:
-        """Open a run within the request's time."""
-        timeout = sends.time_left
-        found: OpenedRun | Outcome | None = None
-        try:
-            async with sends.limited(timeout):
-                found = await self.open(sends, run)
-                return found
-        except TimeoutError:
-            return sends.timeout_outcome(f"no answer in {timeout:.3f} s")
-        finally:
-            if not (isinstance(found, OpenedRun) and found.sends is sends):
-                sends.record_end()
+    def discard(self, result: object) -> None:
+        """Close a run that isn't used."""
+        match result:
+            case OpenedRun():
+                result.close()
+
+    def sends_of(self, result: object) -> JobSends | None:
+        """Return the sends of a run that goes on."""
+        match result:
+            case OpenedRun(sends=sends):
+                return sends
+        return None
 
     @property
     def _is_delivered(self) -> bool:
         """Whether a part of the stream reached the client."""
         return self._splitter.count > 0
 
-    def _is_failure(self, sends: JobSends, result: object) -> bool:
-        """Return whether a run's result is nothing that its client could get."""
-        match result:
-            case Answered():
-                return self._is_delivered or not sends.is_final(result)
-            case NotSent() | ProvedNotRun() | MayHaveRun():
-                return True
-        return False
-
 
 async def _read(
     sends: JobSends, exchange: Exchange, received_at: float
@@ -335,27 +248,3 @@
     except (ClientError, OSError) as exc:
         sends.record_silence(received_at)
         return read_failure("stream", exc)
-
-
-async def _is_silent(task: "asyncio.Future[Any]", limit: Limit) -> bool:
-    """Wait for a task; return whether the limit ended first."""
-    try:
-        async with limit():
-            await asyncio.wait({task})
-    except TimeoutError:
-        return True
-    return False
-
-
-def _discard(task: "asyncio.Future[Any]") -> None:
-    """Cancel a task; the run that it may have opened is closed."""
-    task.cancel()
-    task.add_done_callback(_close_opened)
-
-
-def _close_opened(task: "asyncio.Future[Any]") -> None:
-    if task.cancelled() or task.exception() is not None:
-        return
-    match task.result():
-        case OpenedRun() as opened:
-            opened.close()
