--- a/src/ebonydeal/_internal/soak/checks.py
+++ b/src/ebonydeal/_internal/soak/checks.py
@@ -301,6 +301,27 @@
                 yield Violation("planned stop", f"{result.request_id} was interrupted")
 
 
+def silent_streams_not_cut(log: Log, guarantees: Guarantees) -> Iterable[Violation]:
+    """A silent run is closed only once its stream goes on at another endpoint."""
+    cuts = [(cut.begin, cut.end) for cut in log.link_cuts]
+    runs = defaultdict(set)
+    for run in log.runs:
+        runs[run.request_id].add(run.endpoint)
+    for result in log.results:
+        is_cut = result.status == 200 and not result.complete
+        if not is_cut or result.ended - result.sent >= guarantees.timeout_s:
+            continue
+        if not _no_fault(log, result.relay, result.sent, result.ended):
+            continue
+        if any(b <= result.ended and e + _RECOVERY_S >= result.sent for b, e in cuts):
+            continue
+        for closed in log.closed_runs:
+            is_only = runs[result.request_id] <= {closed.endpoint}
+            if closed.request_id == result.request_id and is_only:
+                detail = f"{result.request_id} was cut while {closed.endpoint} paused"
+                yield Violation("silent streams", detail)
+
+
 def crashing_requests_bounded(log: Log, _guarantees: Guarantees) -> Iterable[Violation]:
     """A request that crashed three endpoints reaches few more.
 
@@ -437,6 +458,7 @@
     usage_reported_once,
     usage_exact,
     planned_stops_interrupt_no_requests,
+    silent_streams_not_cut,
     endpoint_limits_respected,
     no_requests_after_announced_leaving,
     backoffs_respected,
--- a/src/ebonydeal/_internal/soak/endpoints.py
+++ b/src/ebonydeal/_internal/soak/endpoints.py
@@ -29,6 +29,7 @@
 from ebonydeal._internal.soak.records import (
     Announcement,
     Arrival,
+    ClosedRun,
     FatalRun,
     Log,
     Run,
@@ -162,6 +163,9 @@
         # Whether its streams have neither a length nor chunks; some of them then break
         # off within an event.
         self.omits_lengths = False
+        self.refuses_all = False
+        # Seconds for which its streams are silent, midway; 0 for none.
+        self.silence_s = 0.0
         # Called when a request has crashed the endpoint.
         self.on_crash: Callable[[SoakEndpoint], None] = lambda _endpoint: None
 
@@ -236,7 +240,7 @@
         notice = self._announce(relay)
         if self.backoff_s > 0.0:
             return self._refuse(req, got, 503, notice)
-        if self.is_full and self._is_refused(got.request_id):
+        if self.refuses_all or (self.is_full and self._is_refused(got.request_id)):
             return self._refuse(req, got, 503, notice)
         if got.kv_cache and self._kv_caches.pop(got.kv_cache, "") != got.request_id:
             return self._refuse(req, got, 503)
@@ -343,6 +347,8 @@
                     await resp.write(event[:-_CUT_BYTES])
                     req.transport.close()
                     return resp
+                if self.silence_s and number == (first + end) // 2:
+                    await self._be_silent(request_id)
                 await resp.write(event)
                 await asyncio.sleep(_EVENT_INTERVAL_S)
                 if stopped.is_set() and req.transport is not None:
@@ -355,6 +361,16 @@
             self._stopped.pop(request_id, None)
         return resp
 
+    async def _be_silent(self, request_id: str) -> None:
+        """Send nothing for a while; record a connection that is closed meanwhile."""
+        try:
+            await asyncio.sleep(self.silence_s)
+        except asyncio.CancelledError:
+            self._log.closed_runs.append(
+                ClosedRun(self.name, request_id, time.monotonic())
+            )
+            raise
+
     async def _crash(self, body: str, relay: str) -> None:
         """End like a killed process: reset connections and accept none."""
         cause = body.partition(BODY_NUMBER)[0]
--- a/src/ebonydeal/_internal/soak/fleet.py
+++ b/src/ebonydeal/_internal/soak/fleet.py
@@ -29,6 +29,8 @@
 _BOOT_DELAY_S = 0.4
 _VERDICT_TIMEOUT_S = 3.0
 # What endpoints announce: limits in requests per second, and backoffs.
+# Longer than relays wait for an event before they ask another endpoint.
+_SILENCES_S = (0.8, 1.5, 2.5)
 _ANNOUNCED_LIMITS = (0.0, 0.3, 1.0, 1.4, 2.0)
 _BACKOFFS_S = (1.0, 2.0, 3.0)
 # Endpoints of a second version, which no order names.
@@ -205,6 +207,23 @@
         for endpoint in endpoints:
             endpoint.is_full = False
 
+    async def be_silent(self, step: Step) -> None:
+        """Let the streams of some endpoints fall silent midway for some time.
+
+        Half of the times the other endpoints refuse all requests meanwhile.
+        """
+        silent = self.endpoints[::2]
+        others = self.endpoints[1::2] if step.which % 2 == 0 else []
+        for endpoint in silent:
+            endpoint.silence_s = _SILENCES_S[step.which % len(_SILENCES_S)]
+        for endpoint in others:
+            endpoint.refuses_all = True
+        await asyncio.sleep(step.seconds)
+        for endpoint in silent:
+            endpoint.silence_s = 0.0
+        for endpoint in others:
+            endpoint.refuses_all = False
+
     async def omit_lengths(self, step: Step) -> None:
         """Let an endpoint's streams end with their connections for some time."""
         if not self.endpoints:
--- a/src/ebonydeal/_internal/soak/plan.py
+++ b/src/ebonydeal/_internal/soak/plan.py
@@ -41,6 +41,7 @@
     PEERS_SILENT = "open connections between relays fall silent, new ones work"
     PEER_UNREACHABLE = "connections to a relay are accepted and carry nothing"
     ENDPOINT_FULL = "endpoints have no room for some requests when they first come"
+    ENDPOINTS_SILENT = "streams of some endpoints fall silent and then go on"
     VERSION_UNSEEN = (
         "a relay stands still while a version joins; clients come back there"
     )
@@ -161,6 +162,9 @@
 _UNSEEN_MEAN_S = 8.0
 _UNSEEN_RANGE_S = (3.0, 4.0)
 _UNSEEN_SEED = 14_000_029
+# Endpoints whose streams fall silent, as in `_SEPARATE_FAULTS`.
+_SILENCE_FAULTS = ((Fault.ENDPOINTS_SILENT, 4.0, 2.0, 4.0),)
+_SILENCE_SEED = 15_000_043
 # No fault begins in the last seconds, so that running requests and faults can end.
 _QUIET_END_S = 3.0
 
@@ -200,6 +204,7 @@
         *_draw_stale_configs(seed, seconds),
         *_draw_separate(_REFUSAL_FAULTS, seed + _REFUSAL_SEED, seconds),
         *_draw_unseen_versions(seed, seconds),
+        *_draw_separate(_SILENCE_FAULTS, seed + _SILENCE_SEED, seconds),
     ]
     return sorted([*steps, *separate])
 
--- a/src/ebonydeal/_internal/soak/records.py
+++ b/src/ebonydeal/_internal/soak/records.py
@@ -178,6 +178,14 @@
     backoff_s: float
 
 
+class ClosedRun(NamedTuple):
+    """A run of a stream whose connection was closed while its endpoint was silent."""
+
+    endpoint: str
+    request_id: str
+    at: float
+
+
 class LinkCutPeriod(NamedTuple):
     """The time for which some relays were cut from all endpoints."""
 
@@ -249,6 +257,7 @@
     rollout_statuses: list[RolloutStatus] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     announcements: list[Announcement] = field(default_factory=list)
+    closed_runs: list[ClosedRun] = field(default_factory=list)
     link_cuts: list[LinkCutPeriod] = field(default_factory=list)
     crowds: list[CrowdPeriod] = field(default_factory=list)
     overloads: list[OverloadPeriod] = field(default_factory=list)
--- a/src/ebonydeal/_internal/soak/run.py
+++ b/src/ebonydeal/_internal/soak/run.py
@@ -370,6 +370,8 @@
                 await self._fleet.omit_lengths(step)
             case Fault.ENDPOINT_FULL:
                 await self._fleet.refuse_some(step)
+            case Fault.ENDPOINTS_SILENT:
+                await self._fleet.be_silent(step)
             case Fault.VERSION_UNSEEN:
                 await self._add_version_unseen(relay, step)
             case Fault.OVERLOAD:
--- a/tests/functional/soak/test_refusals_and_versions.py
+++ b/tests/functional/soak/test_refusals_and_versions.py
@@ -15,6 +15,16 @@
         assert verdict.served > 0
 
 
+class TestSilentStreams:
+    @pytest.mark.parametrize("which", [0, 2, 4], ids=["0.8 s", "2.5 s", "1.5 s"])
+    async def test_are_not_cut_if_other_endpoints_refuse_them(self, which):
+        plan = [Step(0.2, Fault.ENDPOINTS_SILENT, 5.0, which)]
+        size = Size(relays=2, endpoints=3, clients=16, seconds=6.0)
+        verdict = await run_plan(plan, 5, size)
+        assert verdict.violations == []
+        assert verdict.served > 0
+
+
 class TestVersionThatJoinsUnseen:
     @pytest.mark.parametrize("which", [1, 5], ids=["links work", "links silent"])
     async def test_no_stream_holds_events_of_two_versions(self, which):
