--- a/src/ebonydeal/_internal/relay/requests/sends.py
+++ b/src/ebonydeal/_internal/relay/requests/sends.py
@@ -3,7 +3,6 @@
 from asyncio import timeout
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
 
 from ebonydeal._internal.errors import EbonydealError, ErrorKind
 from ebonydeal._internal.models.forwarding import (
@@ -19,12 +18,9 @@
 from ebonydeal._internal.relay.requests.answer_end import EndedAnswer
 from ebonydeal._internal.relay.requests.endpoint_chooser import (
     EndpointChoice,
-    EndpointChooser,
 )
 from ebonydeal._internal.relay.requests.exchange import Exchange, OutgoingRequest
 from ebonydeal._internal.relay.requests.job import Job, SendParts
-from ebonydeal._internal.relay.requests.job_share import JobShare
-from ebonydeal._internal.relay.requests.load_refusal import LoadRefusal
 from ebonydeal._internal.relay.requests.migrations import MigratedRun
 from ebonydeal._internal.relay.requests.outcomes import (
     NOT_RUN_STATUSES,
@@ -33,8 +29,8 @@
     NotSent,
     Outcome,
     ProvedNotRun,
-    RunProof,
 )
+from ebonydeal._internal.relay.requests.send_history import SendHistory
 from ebonydeal._internal.routing.placement.endpoint_load import SentRequest
 from ebonydeal._internal.routing.retries.retries import Failure, GiveUp
 from ebonydeal._internal.routing.rollout.traffic_split import AwaitedAnswer
@@ -60,25 +56,6 @@
 }
 
 
-@dataclass
-class _SendHistory:
-    """What all sends of one job have in common.
-
-    ``possible_runs`` counts the sends that may have run, ``unsent`` those that never
-    left this process, ``sends`` all. ``avoid`` holds the endpoints that failed.
-    """
-
-    proof: RunProof
-    chooser: EndpointChooser
-    share: JobShare
-    refusal: LoadRefusal
-    possible_runs: int = 0
-    unsent: int = 0
-    sends: int = 0
-    avoid: set[str] = field(default_factory=set)
-    usage_counted: bool = False
-
-
 class JobSends:
     """The sends of one job: the next endpoint, and whether a resend is allowed.
 
@@ -87,21 +64,13 @@
     """
 
     def __init__(
-        self, parts: SendParts, job: Job, history: _SendHistory | None = None
+        self, parts: SendParts, job: Job, history: SendHistory | None = None
     ) -> None:
         self._parts = parts
         self.job = job
-        if history is None:
-            chooser = EndpointChooser(parts, job)
-            history = _SendHistory(
-                RunProof(not job.at_most_once),
-                chooser,
-                JobShare(parts.shares, job),
-                LoadRefusal(parts, job, chooser, self.priority),
-            )
-        self._history = history
-        self.proof = history.proof
-        self.chooser = history.chooser
+        self._history = history or SendHistory.of_job(parts, job, self.priority)
+        self.proof = self._history.proof
+        self.chooser = self._history.chooser
         # Whether the current send counts as a possible run already.
         self._counted_run = False
         self.sent: SentRequest | None = None
--- a/tests/unit/relay/requests/test_job_sends.py
+++ b/tests/unit/relay/requests/test_job_sends.py
@@ -5,10 +5,11 @@
 from random import Random
 from types import SimpleNamespace
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ebonydeal._internal.errors import ERROR_RESPONSES, EbonydealError
+from ebonydeal._internal.errors import ERROR_RESPONSES, EbonydealError, ErrorKind
 from ebonydeal._internal.models.forwarding import (
     ForwardedRequest,
     KvCacheRef,
@@ -28,7 +29,11 @@
 from ebonydeal._internal.relay.requests.endpoint_chooser import EndpointChoice
 from ebonydeal._internal.relay.requests.job import Job, SendConfig
 from ebonydeal._internal.relay.requests.migrations import MigratedRun
-from ebonydeal._internal.relay.requests.outcomes import Answered, MayHaveRun
+from ebonydeal._internal.relay.requests.outcomes import (
+    Answered,
+    MayHaveRun,
+    ProvedNotRun,
+)
 from ebonydeal._internal.relay.requests.planned_stop import PlannedStop
 from ebonydeal._internal.relay.requests.sends import JobSends
 from ebonydeal._internal.relay.view.view import RelayView
@@ -226,3 +231,45 @@
         assert found.prompt.member is found.member
         assert found.prompt.prefill_s > 1.5
         assert not found.prompt.fetches
+
+
+class TestBeside:
+    """The route permits three runs; the first send is silent."""
+
+    SILENCE = MayHaveRun(ErrorKind.ENDPOINT_STALLED, "no event in time")
+
+    def sends(self, max_sends=3):
+        made = job(Repeat.STREAM, resumable=True)
+        made = made._replace(route=made.route._replace(max_sends=max_sends))
+        first = JobSends(parts(), made)
+        first._use(EndpointChoice(MEMBERS[0], 0.0, None))
+        return first
+
+    def test_silent_send_counts_as_one_run(self):
+        first = self.sends(max_sends=3)
+        for _ in range(2):
+            # The others are refused, so the silent one is all that may have run.
+            other = first.beside(self.SILENCE)
+            other._use(EndpointChoice(MEMBERS[1], 0.0, None))
+            other.check_resend(ProvedNotRun(503))
+        assert not first.is_last
+        first.check_resend(MayHaveRun(ErrorKind.ENDPOINT_FAILED, "reset"))
+
+    def test_no_other_send_beside_as_many_runs_as_the_route_permits(self):
+        first = self.sends(max_sends=2)
+        other = first.beside(self.SILENCE)
+        other._use(EndpointChoice(MEMBERS[1], 0.0, None))
+        assert other.is_last
+        with pytest.raises(EbonydealError):
+            other.beside(self.SILENCE)
+
+    def test_reserved_resend_permits_another_send(self):
+        first = self.sends()
+        while first._parts.retries.try_spend("s"):
+            pass
+        assert first.is_last
+        first._parts.retries.refund("s")
+        assert first.reserve_resend()
+        assert not first.is_last
+        first.beside(self.SILENCE)
+        assert first._parts.retries.available_retries("s") < 1.0
