Plain answers: bound the time for which a silent send is kept beside another

Now the wait is made once, the verdict on the endpoint is the check's again, with the setting a send is closed first as before, and without it it is kept for 0.05 s, in which endpoints refuse.

Servers whose application isn't made by new_app have a limit of their own at a stop, and a reload is timed by the clock that counts suspensions.

--- a/src/ebonydeal/_internal/relay/requests/overlapping.py
+++ b/src/ebonydeal/_internal/relay/requests/overlapping.py
@@ -8,7 +8,7 @@
 import asyncio
 from abc import ABC, abstractmethod
 from collections.abc import Callable
-from contextlib import AbstractAsyncContextManager
+from contextlib import AbstractAsyncContextManager, suppress
 from typing import Any, Generic, NamedTuple, TypeVar
 
 from ebonydeal._internal.errors import EbonydealError
@@ -32,9 +32,11 @@
 class Awaited(NamedTuple):
     """A send that is awaited.
 
-    ``limit`` raises TimeoutError once it is silent, ``silence`` returns the outcome
-    with which it would be given up. ``delivered`` is as in `JobSends.check_resend`;
-    ``may_send`` tells whether another send may be made beside it now.
+    ``limit`` raises TimeoutError once it is silent (see `wait_timer`), ``silence``
+    returns the outcome with which it would be given up. ``delivered`` is as in
+    `JobSends.check_resend`; ``may_send`` tells whether another send may be made beside
+    it now, ``on_resend`` is called when one is, and ``overlap_s`` is for how long the
+    silent one is kept then at most, seconds.
     """
 
     sends: JobSends
@@ -43,6 +45,8 @@
     silence: Callable[[], MayHaveRun]
     delivered: bool = False
     may_send: Callable[[], bool] = lambda: True
+    on_resend: Callable[[], None] = lambda: None
+    overlap_s: float | None = None
 
 
 class OverlappingSends(ABC, Generic[Opened]):
@@ -68,14 +72,20 @@
     ) -> T | Opened | Outcome:
         """Return the result of ``current``, or of another send if that is sooner.
 
-        A failure of ``current`` is returned once no other send may follow.
+        ``is_silent`` says that the limit is over, but that what has arrived since may
+        not have been read. A failure of ``current`` is returned once no other send may
+        follow.
         """
         other: asyncio.Future[Opened | Outcome] | None = None
         taken: asyncio.Future[Any] | None = None
         try:
             while True:
-                if is_silent or await _is_silent(current, awaited.limit):
+                if is_silent:
                     await asyncio.wait({current}, timeout=SETTLE_S)
+                else:
+                    await _wait(current, awaited.limit)
+                if current.cancelled():
+                    return awaited.silence()
                 if current.done():
                     taken = current
                     return current.result()
@@ -105,6 +115,7 @@
             others = sends.beside(awaited.silence(), awaited.delivered)
         except EbonydealError:
             return None
+        awaited.on_resend()
         return asyncio.ensure_future(self._send_elsewhere(others, awaited.delivered))
 
     async def _first_of(
@@ -115,8 +126,13 @@
     ) -> "asyncio.Future[Any] | None":
         """Return which one is used; None if only ``current`` may still answer."""
         both: set[asyncio.Future[Any]] = {current, other}
-        await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
-        if current.done() and not self.is_failure(
+        await asyncio.wait(
+            both, timeout=awaited.overlap_s, return_when=asyncio.FIRST_COMPLETED
+        )
+        if not current.done() and not other.done():
+            # The other endpoint hasn't refused: this one may stop working.
+            self._cancel(current)
+        elif current.done() and not self.is_failure(
             awaited.sends, current.result(), awaited.delivered
         ):
             return current
@@ -169,11 +185,8 @@
             self.discard(task.result())
 
 
-async def _is_silent(task: "asyncio.Future[Any]", limit: Limit) -> bool:
-    """Wait for a task; return whether the limit ended first."""
-    try:
+async def _wait(task: "asyncio.Future[Any]", limit: Limit) -> None:
+    """Wait for a task, at most until the limit ends."""
+    with suppress(TimeoutError):
         async with limit():
             await asyncio.wait({task})
-    except TimeoutError:
-        return True
-    return False
--- a/src/ebonydeal/_internal/relay/requests/plain.py
+++ b/src/ebonydeal/_internal/relay/requests/plain.py
@@ -17,11 +17,7 @@
     Outcome,
     ProvedNotRun,
 )
-from ebonydeal._internal.relay.requests.overlapping import (
-    Awaited,
-    Limit,
-    OverlappingSends,
-)
+from ebonydeal._internal.relay.requests.overlapping import Awaited, OverlappingSends
 from ebonydeal._internal.relay.requests.resend_check import Patience, ResendCheck
 from ebonydeal._internal.relay.requests.sends import JobSends
 from ebonydeal._internal.relay.requests.wait_timer import (
@@ -106,6 +102,12 @@
     )
 
 
+# Time for which a silent send is kept beside another one: endpoints refuse a request at
+# once. Two endpoints that work on it for longer would double the load of those that are
+# late because of their load.
+_OVERLAP_S = 0.05
+
+
 class PlainForwarder:
     """Forwards requests whose answers are small and not streamed."""
 
@@ -137,7 +139,8 @@
                 return await answers.send(sends, member)
         except TimeoutError:
             sends.count_run(answers.sent_at_wall)
-            return sends.timeout_outcome(f"no answer in {timeout:.3f} s")
+            detail = f"no answer in {timeout:.3f} s"
+            return sends.timeout_outcome(detail, answers.endpoint_fault)
         finally:
             sends.record_end()
 
@@ -157,48 +160,73 @@
         self._parts = parts
         self.fallback: Answered | None = None
         self.sent_at_wall = 0.0
+        self._check: ResendCheck | None = None
+
+    @property
+    def endpoint_fault(self) -> bool:
+        """Whether silence until the deadline is evidence of a fault of the endpoint."""
+        return self._check is None or self._check.endpoint_fault
 
     async def send(self, sends: JobSends, member: Member) -> Answered | Outcome:
         """Make one send, with others beside it if it is silent."""
-        self.sent_at_wall = wall = self._parts.clock.wall()
-        sent_at = self._parts.clock.now()
-        limit, check = self._limit(sends)
+        parts = self._parts
+        self.sent_at_wall = wall = parts.clock.wall()
+        sent_at = parts.clock.now()
+        if parts.config.by_expectation and parts.plain_capacity:
+            return await self._send_checked(sends, member, wall)
+        patience = self._patience(sends)
 
         def silence() -> MayHaveRun:
             sends.count_run(wall)
-            waited = self._parts.clock.now() - sent_at
-            return MayHaveRun(
-                ErrorKind.ENDPOINT_STALLED,
-                f"no answer in {waited:.3f} s",
-                check is None or check.endpoint_fault,
-            )
-
-        answering = asyncio.ensure_future(self._exchange(sends, member, wall))
-        return await self.first_result(
-            Awaited(sends, member, limit, silence), answering
+            waited = parts.clock.now() - sent_at
+            kind = ErrorKind.ENDPOINT_STALLED
+            return MayHaveRun(kind, f"no answer in {waited:.3f} s")
+
+        awaited = Awaited(
+            sends,
+            member,
+            lambda: arrival_limit(patience, parts.clock),
+            silence,
+            # It isn't expected to be answered, so it counts as no load any more.
+            on_resend=sends.record_end,
+            overlap_s=_OVERLAP_S,
         )
+        answering = asyncio.ensure_future(self._exchange(sends, member, wall))
+        return await self.first_result(awaited, answering)
+
+    def _patience(self, sends: JobSends) -> float:
+        """Return the seconds after which a send is silent."""
+        job, share = sends.job, self._parts.config.plain
+        may_resend = job.route.max_sends > 1 and not sends.proof.may_have_run
+        if share and job.route.repeat is Repeat.IDEMPOTENT and may_resend:
+            return min(sends.time_left, job.route.objective * share)
+        return max(0.0, sends.time_left)
+
+    async def _send_checked(
+        self, sends: JobSends, member: Member, wall: float
+    ) -> Outcome:
+        """Make one send; it ends early if a resend is expected to be answered sooner.
+
+        It isn't kept then: the other endpoint is one that has room.
+        """
+        parts, job = self._parts, sends.job
+        sent_at, patience = parts.clock.now(), sends.time_left
+        if parts.config.plain and not job.at_most_once:
+            patience = min(patience, job.route.objective * parts.config.plain)
+        check = self._check = ResendCheck(parts, sends, Patience(patience, patience))
+        try:
+            async with checked_limit(check.until, parts.clock):
+                return await self._exchange(sends, member, wall)
+        except TimeoutError:
+            sends.count_run(wall)
+            waited = parts.clock.now() - sent_at
+            kind, detail = ErrorKind.ENDPOINT_STALLED, f"no answer in {waited:.3f} s"
+            return MayHaveRun(kind, detail, check.endpoint_fault)
 
     def is_failure(self, sends: JobSends, result: object, delivered: bool) -> bool:
         """Return whether a result is nothing that the client should get."""
         return not (isinstance(result, Answered) and sends.is_final(result))
 
-    def _limit(self, sends: JobSends) -> tuple[Limit, ResendCheck | None]:
-        """Return the limit after which a send is silent, and what decides it."""
-        parts, job = self._parts, sends.job
-        time_left = sends.time_left
-        share = parts.config.plain
-        if parts.config.by_expectation and parts.plain_capacity:
-            patience = time_left
-            if share and not job.at_most_once:
-                patience = min(patience, job.route.objective * share)
-            check = ResendCheck(parts, sends, Patience(patience, patience))
-            return lambda: checked_limit(check.until, parts.clock), check
-        may_resend = job.route.max_sends > 1 and not sends.proof.may_have_run
-        if share and job.route.repeat is Repeat.IDEMPOTENT and may_resend:
-            patience = min(time_left, job.route.objective * share)
-            return lambda: arrival_limit(patience, parts.clock), None
-        return lambda: arrival_limit(max(0.0, sends.time_left), parts.clock), None
-
     async def _exchange(self, sends: JobSends, member: Member, wall: float) -> Outcome:
         """Send to one endpoint and read its answer."""
         outcome = await self._read_answer(sends, member)
--- a/src/ebonydeal/_internal/relay/requests/stream_runs.py
+++ b/src/ebonydeal/_internal/relay/requests/stream_runs.py
@@ -1,6 +1,7 @@
 """Runs of a stream: a silent one is kept until another endpoint has begun to answer."""
 
 import asyncio
+from contextlib import AbstractAsyncContextManager
 from math import isfinite
 from typing import NamedTuple
 
@@ -27,7 +28,6 @@
 )
 from ebonydeal._internal.relay.requests.overlapping import (
     Awaited,
-    Limit,
     OverlappingSends,
 )
 from ebonydeal._internal.relay.requests.plain import (
@@ -36,6 +36,7 @@
     read_failure,
 )
 from ebonydeal._internal.relay.requests.sends import JobSends
+from ebonydeal._internal.relay.requests.wait_timer import arrival_limit
 
 logger = get_logger("relay.stream")
 
@@ -145,12 +146,14 @@
         ``received_at`` is when the last event arrived.
         """
         sends, run, exchange = opened.sends, opened.run, opened.exchange
-        limit: Limit = opened.first.limit
-        if run.events:
-            limit = self._event_limit(sends)
+
+        def event_limit() -> AbstractAsyncContextManager[None]:
+            return arrival_limit(self._max_gap(sends), self._parts.clock)
+
+        limit = event_limit if run.events else opened.first.limit
         try:
-            # Without the cost of a task, as most events come in time.
-            async with limit():
+            # Most events come in time, so this is done without the cost of a task.
+            async with asyncio.timeout(self._max_gap(sends)) if run.events else limit():
                 return await _read(sends, exchange, received_at)
         except TimeoutError:
             pass
@@ -177,18 +180,14 @@
         finally:
             run.is_being_replaced = False
 
-    def _event_limit(self, sends: JobSends) -> Limit:
-        """Return the limit on the wait for the next event."""
-        job, parts = sends.job, self._parts
-
-        def limit() -> asyncio.Timeout:
-            time_left = max(0.001, sends.time_left)
-            if job.at_most_once:
-                return asyncio.timeout(time_left)
-            wait = job.route.max_event_gap * parts.config.gap
-            return asyncio.timeout(min(time_left, max(MIN_EVENT_TIMEOUT_S, wait)))
-
-        return limit
+    def _max_gap(self, sends: JobSends) -> float:
+        """Return the seconds after which the next event is late."""
+        job = sends.job
+        time_left = max(0.001, sends.time_left)
+        if job.at_most_once:
+            return time_left
+        wait = job.route.max_event_gap * self._parts.config.gap
+        return min(time_left, max(MIN_EVENT_TIMEOUT_S, wait))
 
     def _log_silence(self, sends: JobSends, run: StreamRun, since: float) -> None:
         """Record that a run's next event is late, and whether its endpoint is alive."""
--- a/src/ebonydeal/_internal/utils/run.py
+++ b/src/ebonydeal/_internal/utils/run.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import signal
-import time
 from collections.abc import Callable
 from random import Random
 from typing import Any, Protocol, runtime_checkable
@@ -77,7 +76,8 @@
                 program=program,
             )
             return
-        began = time.perf_counter()
+        clock = SystemClock()
+        began = clock.now()
         try:
             settings = await asyncio.to_thread(self._reread)
         except Exception as exc:
@@ -87,7 +87,7 @@
             logger.error("Settings refused; the last good ones stay.")
             return
         service.reload(settings)
-        took_s = round(time.perf_counter() - began, 4)
+        took_s = round(clock.now() - began, 4)
         logger.info("Settings read again.", program=program, took_s=took_s)
 
 
--- a/src/ebonydeal/_internal/utils/web.py
+++ b/src/ebonydeal/_internal/utils/web.py
@@ -221,6 +221,8 @@
         self._max_header = max_header
         self._bounds = bounds
         self._runner: web.AppRunner | None = None
+        # Applications that aren't made by `new_app` have none of their own.
+        self._stop_limit = app.get(_STOP_LIMIT, _StopLimit())
 
     @property
     def address(self) -> str:
@@ -268,7 +270,7 @@
             return
         answers_s = min(_LAST_ANSWERS_S, self._drain * _MAX_LAST_ANSWERS_SHARE)
         timer = asyncio.get_running_loop().call_later(
-            self._drain - answers_s, self.app[_STOP_LIMIT].end
+            self._drain - answers_s, self._stop_limit.end
         )
         await self._runner.cleanup()
         timer.cancel()
