--- a/src/ebonydeal/_internal/soak/plants.py
+++ b/src/ebonydeal/_internal/soak/plants.py
@@ -9,6 +9,7 @@
     Announcement,
     Arrival,
     ClientResult,
+    ClosedRun,
     CrowdPeriod,
     FatalRun,
     FaultPeriod,
@@ -193,6 +194,14 @@
         log.results += [served, refused._replace(request_id="refused")]
 
 
+def _cut_in_silence(log: Log, _guarantees: Guarantees) -> None:
+    log.fault_periods.clear()
+    log.link_cuts.clear()
+    base = _first_result(log, _succeeded(Kind.RESUMABLE_STREAM))
+    log.results.append(base._replace(request_id="plant", complete=False))
+    log.closed_runs.append(ClosedRun("e1", "plant", base.sent))
+
+
 def _unserved_in_crowd(log: Log, guarantees: Guarantees) -> None:
     _unserved_at_cut(log, guarantees)
     log.link_cuts = []
@@ -249,6 +258,7 @@
     "two-reports": (_two_reports, "usage"),
     "wrong-usage": (_wrong_usage, "usage"),
     "cut-by-stop": (_cut_by_stop, "planned stop"),
+    "cut-in-silence": (_cut_in_silence, "silent streams"),
     "crashes-on": (_keeps_crashing, "crashes"),
     "part-crashes-on": (_part_keeps_crashing, "crashes"),
     "exposed": (_overexposed, "exposure"),
