A SIGHUP while a program loads is noted, and doesn't end its process

What callers saw: a relay that had just started was sent SIGHUP, and its process was gone; connections in the queue of its socket, which is open before the program has loaded, were reset.

Cause: without a handler the signal ends a process, and the event loop's handler is set only once all modules are loaded. Now the signal is noted as the first thing that a relay does, by other programs before they are built, and the settings are read once more after the start, as the file may have changed since it was read.

--- a/src/ebonydeal/_internal/cli/relay.py
+++ b/src/ebonydeal/_internal/cli/relay.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ebonydeal._internal.utils.early_listen import open_listeners
+from ebonydeal._internal.utils.early_signals import hold_reload
 from ebonydeal._internal.utils.lazy_modules import register_lazy_modules
 
 if TYPE_CHECKING:
@@ -79,6 +80,7 @@
 
 def main() -> None:
     """Run the relay; clients can connect while it loads."""
+    hold_reload()
     args = sys.argv[1:]
     opened = open_listeners(args, "relay", ("address", "ready_address"))
     # Loading creates no garbage; collecting would take a tenth of the loading time.
--- a/src/ebonydeal/_internal/utils/run.py
+++ b/src/ebonydeal/_internal/utils/run.py
@@ -16,6 +16,7 @@
     SuspensionDetector,
     SystemClock,
 )
+from ebonydeal._internal.utils.early_signals import hold_reload, take_reload
 
 logger = get_logger("run")
 
@@ -113,10 +114,14 @@
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, stop.set)
     # Without a handler, SIGHUP would terminate the process.
-    loop.add_signal_handler(signal.SIGHUP, Reloader(service, reread).request)
+    reloader = Reloader(service, reread)
+    loop.add_signal_handler(signal.SIGHUP, reloader.request)
     watcher = asyncio.ensure_future(_watch_suspension())
     await service.start()
     logger.info("Started.", program=service.label)
+    if take_reload():
+        # The file may have changed since it was read.
+        reloader.request()
     waits = [
         asyncio.ensure_future(stop.wait()),
         asyncio.ensure_future(service.wait_until_stopped()),
@@ -148,6 +153,7 @@
     build: Build, settings: dict[str, Any], reread: SettingsReader
 ) -> int:
     """Build the program from its settings and run it; return an exit code."""
+    hold_reload()
     configure_logs(settings["logs"])
     return run_program(
         lambda: build(settings, Metrics(), SystemClock(), Random()), reread
--- a/tests/functional/relay/test_entry.py
+++ b/tests/functional/relay/test_entry.py
@@ -9,7 +9,7 @@
 import pytest
 
 from ebonydeal._internal.commands.settings import reread_settings
-from tests.lib.relay_fakes import running, settings
+from tests.lib.relay_fakes import running, settings, until
 
 FILE = """
 [node]
@@ -27,9 +27,15 @@
 """
 
 
-async def start_program(file):
-    """Start the program; return it once it has started."""
-    proc = await asyncio.create_subprocess_exec(
+def accepts(port):
+    """Return whether a connection to a port is accepted."""
+    with socket.socket() as sock:
+        return sock.connect_ex(("127.0.0.1", port)) == 0
+
+
+async def launch(file):
+    """Start the program."""
+    return await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
         "ebonydeal._internal.cli.relay",
@@ -39,6 +45,11 @@
         stderr=asyncio.subprocess.STDOUT,
         env={**os.environ, "PYTHONUNBUFFERED": "1"},
     )
+
+
+async def start_program(file):
+    """Start the program; return it once it has started."""
+    proc = await launch(file)
     await wait_for_line(proc, b"Started.")
     return proc
 
@@ -71,6 +82,29 @@
                 proc.kill()
 
 
+class TestSignalWhileLoading:
+    async def test_is_applied_once_the_program_has_started(self, tmp_path):
+        """Connections in the socket's queue would be lost with the process."""
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            port = free.getsockname()[1]
+        file = tmp_path / "relay.ini"
+        any_port = "\naddress = 127.0.0.1:0"
+        file.write_text(FILE.replace(any_port, f"\naddress = 127.0.0.1:{port}"))
+        proc = await launch(file)
+        try:
+            # The socket is open before the program has loaded.
+            await until(lambda: accepts(port))
+            proc.send_signal(signal.SIGHUP)
+            await wait_for_line(proc, b"Started.")
+            await wait_for_line(proc, b"Settings read again.")
+            proc.send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(proc.wait(), 10) == 0
+        finally:
+            if proc.returncode is None:
+                proc.kill()
+
+
 class TestReload:
     def test_a_missing_file_is_rejected(self, tmp_path):
         assert reread_settings(tmp_path / "none.ini") is None
