Server at a stop: one branch for failures of handlers; a comment at its constants

The branch for a handler's own TimeoutError repeated the one for all other exceptions. In the soak a new constant stood between a comment and the constants that it explains.

--- a/src/ebonydeal/_internal/soak/fleet.py
+++ b/src/ebonydeal/_internal/soak/fleet.py
@@ -28,9 +28,9 @@
 # missing verdict counts as a rollback.
 _BOOT_DELAY_S = 0.4
 _VERDICT_TIMEOUT_S = 3.0
-# What endpoints announce: limits in requests per second, and backoffs.
 # Longer than relays wait for an event before they ask another endpoint.
 _SILENCES_S = (0.8, 1.5, 2.5)
+# What endpoints announce: limits in requests per second, and backoffs.
 _ANNOUNCED_LIMITS = (0.0, 0.3, 1.0, 1.4, 2.0)
 _BACKOFFS_S = (1.0, 2.0, 3.0)
 # Endpoints of a second version, which no order names.
--- a/src/ebonydeal/_internal/utils/web.py
+++ b/src/ebonydeal/_internal/utils/web.py
@@ -99,15 +99,6 @@
         try:
             async with stop_limit.apply():
                 return await handler(req)
-        except TimeoutError as exc:
-            if not stop_limit.is_over:
-                logger.error("Request handler failed.", path=req.path, exc_info=exc)
-                return refuse(EbonydealError(ErrorKind.INTERNAL, "an internal error"))
-            if req.writer.output_size:
-                # The answer has begun: it ends visibly incomplete.
-                raise asyncio.CancelledError from None
-            detail = "this process stopped before the answer was complete"
-            return refuse(EbonydealError(ErrorKind.INSTANCE_STOPPED, detail))
         except EbonydealError as exc:
             return refuse(exc)
         except web.HTTPException as exc:
@@ -117,6 +108,12 @@
         except asyncio.CancelledError:
             raise
         except Exception as exc:
+            if stop_limit.is_over and isinstance(exc, TimeoutError):
+                if req.writer.output_size:
+                    # The answer has begun: it ends visibly incomplete.
+                    raise asyncio.CancelledError from None
+                detail = "this process stopped before the answer was complete"
+                return refuse(EbonydealError(ErrorKind.INSTANCE_STOPPED, detail))
             logger.error("Request handler failed.", path=req.path, exc_info=exc)
             return refuse(EbonydealError(ErrorKind.INTERNAL, "an internal error"))
 
